--- /dev/null
+++ b/verbenaspool/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process and the operators' commands of verbenaspool.
--- /dev/null
+++ b/verbenaspool/src/main.rs
@@ -0,0 +1,3 @@
+//! The `verbenaspool` program.
+
+fn main() {}
--- /dev/null
+++ b/verbenaspool_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process beside each upstream instance.
--- /dev/null
+++ b/verbenaspool_agent/src/main.rs
@@ -0,0 +1,3 @@
+//! The `verbenaspool-agent` program.
+
+fn main() {}
--- /dev/null
+++ b/verbenaspool_coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! State machines of verbenaspool without I/O: adoption, membership, leases, group steps.
--- /dev/null
+++ b/verbenaspool_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions under load of verbenaspool, free of I/O.
--- /dev/null
+++ b/verbenaspool_protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages, headers and codecs between the processes of verbenaspool.
--- /dev/null
+++ b/verbenaspool_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
--- /dev/null
+++ b/verbenaspool_transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, HTTP, platform client, clock, logs and traces of verbenaspool.
