--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -1,1 +1,14 @@
-//! Domain types of verbenaspool: the file, services, customers, places, expert maps, versions.
+//! Domain types of verbenaspool: what an operator's file says and what the
+//! processes agree on. Nothing here does I/O.
+
+pub mod credential;
+pub mod customer;
+pub mod decisions;
+pub mod expert_map;
+pub mod file;
+pub mod name;
+pub mod place;
+pub mod rebalancing;
+pub mod service;
+pub mod upstream;
+pub mod version;
