Add the transport's ground: loop, clock, HTTP and RPC

hyper's codec on monoio's sockets for streamed HTTP, pooled connections that carry one answer each, JSON-RPC in length-delimited frames between our processes, the loop on the epoll driver alone, a clock that tests pause, and the messages of an attempt.

--- /dev/null
+++ b/verbenaspool_protocol/src/attempt.rs
@@ -0,0 +1,55 @@
+//! The id that tells one attempt at a request from every other.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The id of an attempt. A repeat of the same request is another attempt.
+///
+/// The incarnation is drawn at random when an entry process starts, so that the
+/// ids of a process and of its successor never meet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Id {
+    /// The entry process that made the attempt.
+    pub incarnation: u64,
+    /// Counts the attempts of that process from 1.
+    pub counter: u64,
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{}", self.incarnation, self.counter)
+    }
+}
+
+impl std::str::FromStr for Id {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let (incarnation, counter) = text.split_once('-').ok_or(Error)?;
+        Ok(Self {
+            incarnation: u64::from_str_radix(incarnation, 16).map_err(|_| Error)?,
+            counter: counter.parse().map_err(|_| Error)?,
+        })
+    }
+}
+
+impl TryFrom<String> for Id {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl From<Id> for String {
+    fn from(id: Id) -> Self {
+        id.to_string()
+    }
+}
+
+/// The text is no attempt id.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an attempt id is 16 hex digits, a dash and a number")]
+pub struct Error;
--- /dev/null
+++ b/verbenaspool_protocol/src/header.rs
@@ -0,0 +1,18 @@
+//! Names of the HTTP headers that verbenaspool reads and writes.
+
+/// The id of the attempt, from entry to agent and echoed with the answer.
+pub const ATTEMPT: &str = "x-verbenaspool-attempt";
+/// The agent process that the entry means to reach; another refuses.
+pub const AGENT: &str = "x-verbenaspool-agent";
+/// What became of the request: `ran`, `not-run` or `unknown`.
+pub const OUTCOME: &str = "x-verbenaspool-outcome";
+/// How long the caller waits for the whole answer, in milliseconds.
+pub const DEADLINE: &str = "x-verbenaspool-deadline-ms";
+/// The caller's priority: `high`, `normal` or `low`.
+pub const PRIORITY: &str = "x-verbenaspool-priority";
+/// The agent's load with each of its answers, as JSON of [`crate::load::Load`].
+pub const LOAD: &str = "x-verbenaspool-load";
+/// The caller's key that makes a write run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -1,1 +1,9 @@
-//! Messages, headers and codecs between the processes of verbenaspool.
+//! Messages, headers and codecs between the processes of verbenaspool, and
+//! towards its callers.
+
+pub mod attempt;
+pub mod header;
+pub mod load;
+pub mod outcome;
+pub mod problem;
+pub mod settle;
--- /dev/null
+++ b/verbenaspool_transport/src/http/body.rs
@@ -0,0 +1,93 @@
+//! Bodies that pass through, chunk by chunk.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+/// Why a body broke off.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body of any origin.
+///
+/// It is pulled by whoever sends it on: a slow reader stops the pulling, which
+/// stops the reading from the sender's socket, so back-pressure needs no code.
+pub struct Body(Pin<Box<dyn http_body::Body<Data = Bytes, Error = Error>>>);
+
+impl std::fmt::Debug for Body {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Body").finish_non_exhaustive()
+    }
+}
+
+impl Body {
+    /// A body without a byte.
+    ///
+    /// ```
+    /// use http_body::Body as _;
+    /// use verbenaspool_transport::http::body::Body;
+    ///
+    /// assert!(Body::empty().is_end_stream());
+    /// ```
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::full(Bytes::new())
+    }
+
+    /// A body that is whole from the start.
+    ///
+    /// ```
+    /// use http_body::Body as _;
+    /// use verbenaspool_transport::http::body::Body;
+    ///
+    /// assert_eq!(Body::full("abc").size_hint().exact(), Some(3));
+    /// ```
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        let never = |error: Infallible| match error {};
+        Self::wrap(Full::new(bytes.into()).map_err(never))
+    }
+
+    /// A body that some other one yields.
+    ///
+    /// ```
+    /// use verbenaspool_transport::http::body::Body;
+    ///
+    /// let body = Body::wrap(Body::full("abc"));
+    /// # drop(body);
+    /// ```
+    pub fn wrap(body: impl http_body::Body<Data = Bytes, Error = Error> + 'static) -> Self {
+        Self(Box::pin(body))
+    }
+}
+
+impl From<Incoming> for Body {
+    fn from(body: Incoming) -> Self {
+        Self::wrap(body.map_err(Into::into))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        self.0.as_mut().poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.0.size_hint()
+    }
+}
--- /dev/null
+++ b/verbenaspool_transport/src/http/client.rs
@@ -0,0 +1,208 @@
+//! The client: pooled connections, one answer outstanding on each.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::{Body as _, Frame, SizeHint};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio_compat::hyper::MonoioIo;
+
+use super::body::{self, Body};
+
+/// How many idle connections are kept to one address.
+const IDLE: usize = 32;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte of the request left this process.
+    #[error("the request was not sent: {0}")]
+    NotSent(String),
+    /// Some of the request may have left before the connection broke.
+    #[error("the connection broke before the answer: {0}")]
+    Broken(String),
+}
+
+/// Connections to other processes.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pool: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    connect: Duration,
+}
+
+impl Client {
+    /// A client that waits so long for a connection.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::http::client::Client;
+    ///
+    /// let client = Client::new(Duration::from_secs(1));
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn new(connect: Duration) -> Self {
+        Self {
+            pool: Rc::default(),
+            connect,
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] promises that no byte of the request left.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, Error> {
+        let mut sender = match self.idle(address) {
+            Some(sender) => sender,
+            None => self.open(address).await?,
+        };
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(self.keep(address, sender, response)),
+            // hyper hands the request back only where it wrote none of it.
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(Error::NotSent(error.error().to_string())),
+                None => Err(Error::Broken(error.error().to_string())),
+            },
+        }
+    }
+
+    /// Forgets the idle connections to an address that is gone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::http::client::Client;
+    ///
+    /// Client::new(Duration::from_secs(1)).forget("127.0.0.1:1".parse().unwrap());
+    /// ```
+    pub fn forget(&self, address: SocketAddr) {
+        self.pool.borrow_mut().remove(&address);
+    }
+
+    /// Takes an idle connection whose last answer was read to its end.
+    fn idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut pool = self.pool.borrow_mut();
+        let senders = pool.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    async fn open(&self, address: SocketAddr) -> Result<SendRequest<Body>, Error> {
+        let not_sent = |error: String| Error::NotSent(error);
+        let stream = monoio::time::timeout(self.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent("connecting took too long".to_owned()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let stream = stream
+            .into_poll_io()
+            .map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = http1::handshake(MonoioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        monoio::spawn(async move {
+            // The sender hears of the connection's end by itself.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Wraps the answer so that its connection goes back to the pool at its end.
+    fn keep(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Body>,
+        response: Response<Incoming>,
+    ) -> Response<Body> {
+        let (parts, incoming) = response.into_parts();
+        let pooled = Pooled {
+            incoming,
+            sender: Some(sender),
+            address,
+            client: self.clone(),
+        };
+        let mut response = Response::from_parts(parts, Body::empty());
+        if pooled.incoming.is_end_stream() {
+            pooled.release();
+        } else {
+            *response.body_mut() = Body::wrap(pooled);
+        }
+        response
+    }
+
+    /// Puts a connection back for the next request.
+    fn release(&self, address: SocketAddr, sender: SendRequest<Body>) {
+        let mut pool = self.pool.borrow_mut();
+        let senders = pool.entry(address).or_default();
+        if senders.len() < IDLE {
+            senders.push(sender);
+        }
+    }
+}
+
+/// An answer's body with the connection it comes on.
+///
+/// A connection with an answer outstanding must not carry another request, or
+/// a late answer would reach the wrong caller. It goes back to the pool only
+/// here, behind the last byte; a body that is dropped early closes it.
+struct Pooled {
+    incoming: Incoming,
+    sender: Option<SendRequest<Body>>,
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Pooled {
+    fn release(mut self) {
+        self.give_back();
+    }
+
+    fn give_back(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.client.release(self.address, sender);
+        }
+    }
+}
+
+impl http_body::Body for Pooled {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        let frame = std::task::ready!(std::pin::Pin::new(&mut self.incoming).poll_frame(cx));
+        match &frame {
+            None => self.give_back(),
+            Some(Ok(_)) if self.incoming.is_end_stream() => self.give_back(),
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.sender = None,
+        }
+        std::task::Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -1,1 +1,8 @@
-//! Sockets, HTTP, platform client, clock, logs and traces of verbenaspool.
+//! Sockets, HTTP, the platform's client, the clock, logs and traces of
+//! verbenaspool.
+
+pub mod clock;
+pub mod http;
+pub mod rpc;
+pub mod runtime;
+pub mod shutdown;
--- /dev/null
+++ b/verbenaspool_transport/src/rpc.rs
@@ -0,0 +1,275 @@
+//! JSON-RPC between our own processes: jsonrpsee's requests and answers in
+//! length-delimited frames on TCP.
+//!
+//! jsonrpsee's own server and client need tokio's runtime, so its `RpcModule`
+//! answers raw requests and the frames are ours, cut by tokio-util's codec.
+
+use std::{
+    cell::RefCell, collections::HashMap, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{Either, select};
+use jsonrpsee::{RpcModule, types::ErrorObjectOwned};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+};
+use send_wrapper::SendWrapper;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, value::RawValue};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::shutdown::Signal;
+
+/// The largest frame in bytes: a piece of configuration (1 MB) with room for
+/// its envelope.
+const LARGEST: usize = 2 * 1024 * 1024;
+
+/// How many bytes one read asks for.
+const READ: usize = 16 * 1024;
+
+/// How many idle connections are kept to one address.
+const IDLE: usize = 4;
+
+/// Why a call got no result.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The peer can't be reached, or the connection broke.
+    #[error("the peer can't be reached: {0}")]
+    Io(#[from] std::io::Error),
+    /// The peer took too long.
+    #[error("the peer did not answer in time")]
+    Timeout,
+    /// The peer answered something that is no answer to the call.
+    #[error("the peer's answer makes no sense: {0}")]
+    Garbled(String),
+    /// The peer refused the call.
+    #[error("the peer refused: {0}")]
+    Refused(String),
+}
+
+/// A frame codec with our bound.
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(LARGEST)
+        .new_codec()
+}
+
+/// A connection that reads and writes whole frames.
+struct Framed {
+    stream: TcpStream,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl Framed {
+    fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            codec: codec(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The next frame; none at a clean end.
+    async fn read(&mut self) -> std::io::Result<Option<BytesMut>> {
+        loop {
+            if let Some(frame) = self.codec.decode(&mut self.buffer)? {
+                return Ok(Some(frame));
+            }
+            let (read, chunk) = self.stream.read(vec![0_u8; READ]).await;
+            match read? {
+                0 if self.buffer.is_empty() => return Ok(None),
+                0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+                read => self.buffer.extend_from_slice(&chunk[..read]),
+            }
+        }
+    }
+
+    async fn write(&mut self, frame: Bytes) -> std::io::Result<()> {
+        let mut out = BytesMut::new();
+        self.codec.encode(frame, &mut out)?;
+        self.stream.write_all(out.freeze()).await.0.map(|_| ())
+    }
+}
+
+/// The JSON-RPC code of a refusal by the method itself.
+const REFUSED: i32 = -32000;
+
+/// The methods that a process answers.
+#[derive(Debug, Clone)]
+pub struct Module(RpcModule<()>);
+
+impl Default for Module {
+    fn default() -> Self {
+        Self(RpcModule::new(()))
+    }
+}
+
+impl Module {
+    /// Answers a method with one typed parameter.
+    ///
+    /// jsonrpsee wants handlers that may change threads. Ours hold the state of
+    /// the one loop; the wrapper stops the process should one ever leave it.
+    ///
+    /// # Panics
+    /// The method is answered already, which is an error of the program.
+    ///
+    /// ```
+    /// use verbenaspool_transport::rpc::Module;
+    ///
+    /// let mut module = Module::default();
+    /// module.on("double", |n: u32| async move { Ok::<_, String>(2 * n) });
+    /// ```
+    pub fn on<P, R, F, A>(&mut self, method: &'static str, handler: F)
+    where
+        P: DeserializeOwned + 'static,
+        R: Serialize + Clone + Send + 'static,
+        F: Fn(P) -> A + 'static,
+        A: Future<Output = Result<R, String>> + 'static,
+    {
+        let handler = SendWrapper::new(Rc::new(handler));
+        self.0
+            .register_async_method(method, move |params, _, _| {
+                let handler = handler.clone();
+                SendWrapper::new(async move {
+                    let param = params.one::<P>()?;
+                    handler(param)
+                        .await
+                        .map_err(|why| ErrorObjectOwned::owned(REFUSED, why, None::<()>))
+                })
+            })
+            .expect("a method is registered once");
+    }
+}
+
+/// Serves a module's methods until the signal comes.
+///
+/// A frame that is too long, cut off or no JSON-RPC closes its connection or
+/// gets an error answer; other connections go on.
+pub async fn serve(listener: TcpListener, module: Rc<Module>, mut signal: Signal) {
+    loop {
+        let accept = Box::pin(listener.accept());
+        let stop = Box::pin(signal.wait());
+        match select(stop, accept).await {
+            Either::Left(_) => return,
+            Either::Right((Ok((stream, _)), _)) => {
+                monoio::spawn(answer(Framed::new(stream), module.clone()));
+            }
+            Either::Right((Err(_), _)) => monoio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Answers the calls of one connection, one after the other.
+async fn answer(mut framed: Framed, module: Rc<Module>) {
+    while let Ok(Some(frame)) = framed.read().await {
+        let Ok(request) = std::str::from_utf8(&frame) else {
+            return;
+        };
+        let Ok((answer, _)) = module.0.raw_json_request(request, 1).await else {
+            return;
+        };
+        let text: String = <Box<RawValue> as Into<Box<str>>>::into(answer).into();
+        if framed.write(text.into()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Calls methods of other processes.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Framed>>>>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+/// A JSON-RPC request. Calls on a connection follow one another, so the id
+/// need not tell them apart.
+#[derive(Debug, Serialize)]
+struct Call<'a, P> {
+    jsonrpc: &'static str,
+    id: u64,
+    method: &'a str,
+    params: [&'a P; 1],
+}
+
+impl Client {
+    /// Calls a method with one typed parameter.
+    ///
+    /// # Errors
+    /// The peer can't be reached, is late, garbles its answer or refuses.
+    pub async fn call<P: Serialize, R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        params: &P,
+        timeout: Duration,
+    ) -> Result<R, Error> {
+        monoio::time::timeout(timeout, self.exchange(address, method, params))
+            .await
+            .map_err(|_| Error::Timeout)?
+    }
+
+    async fn exchange<P: Serialize, R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        params: &P,
+    ) -> Result<R, Error> {
+        let call = Call {
+            jsonrpc: "2.0",
+            id: 1,
+            method,
+            params: [params],
+        };
+        let text = serde_json::to_vec(&call).map_err(|error| Error::Garbled(error.to_string()))?;
+        let mut framed = match self.take(address) {
+            Some(framed) => framed,
+            None => Framed::new(TcpStream::connect(address).await?),
+        };
+        framed.write(text.into()).await?;
+        let frame = framed
+            .read()
+            .await?
+            .ok_or_else(|| std::io::Error::from(std::io::ErrorKind::UnexpectedEof))?;
+        let result = read_answer(&frame);
+        // Only a connection whose answer was read whole may carry the next call.
+        self.put(address, framed);
+        result
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Framed> {
+        self.idle.borrow_mut().get_mut(&address)?.pop()
+    }
+
+    fn put(&self, address: SocketAddr, framed: Framed) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < IDLE {
+            kept.push(framed);
+        }
+    }
+}
+
+/// Reads a JSON-RPC answer.
+fn read_answer<R: DeserializeOwned>(frame: &[u8]) -> Result<R, Error> {
+    let garbled = |error: serde_json::Error| Error::Garbled(error.to_string());
+    let mut answer: Value = serde_json::from_slice(frame).map_err(garbled)?;
+    if let Some(error) = answer.get("error") {
+        return Err(Error::Refused(
+            error["message"].as_str().unwrap_or_default().to_owned(),
+        ));
+    }
+    let result = answer
+        .get_mut("result")
+        .ok_or_else(|| Error::Garbled("neither result nor error".to_owned()))?;
+    serde_json::from_value(result.take()).map_err(garbled)
+}
--- /dev/null
+++ b/verbenaspool_transport/src/shutdown.rs
@@ -0,0 +1,70 @@
+//! The word to stop, passed from the signal handler to every connection.
+
+use std::rc::Rc;
+
+use tokio::sync::watch;
+
+/// The side that gives the word.
+#[derive(Debug, Clone)]
+pub struct Trigger(Rc<watch::Sender<bool>>);
+
+/// The side that hears it.
+#[derive(Debug, Clone)]
+pub struct Signal(watch::Receiver<bool>);
+
+/// A trigger and its signal.
+///
+/// ```
+/// use verbenaspool_transport::shutdown;
+///
+/// let (trigger, signal) = shutdown::channel();
+/// trigger.fire();
+/// assert!(signal.fired());
+/// ```
+#[must_use]
+pub fn channel() -> (Trigger, Signal) {
+    let (sender, receiver) = watch::channel(false);
+    (Trigger(Rc::new(sender)), Signal(receiver))
+}
+
+impl Trigger {
+    /// Gives the word; a second one changes nothing.
+    ///
+    /// ```
+    /// let (trigger, signal) = verbenaspool_transport::shutdown::channel();
+    /// assert!(!signal.fired());
+    /// trigger.fire();
+    /// assert!(signal.fired());
+    /// ```
+    pub fn fire(&self) {
+        self.0.send_replace(true);
+    }
+}
+
+impl Signal {
+    /// Whether the word was given.
+    ///
+    /// ```
+    /// let (_trigger, signal) = verbenaspool_transport::shutdown::channel();
+    /// assert!(!signal.fired());
+    /// ```
+    #[must_use]
+    pub fn fired(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits for the word; forever, if the trigger is gone without giving it.
+    ///
+    /// ```
+    /// use verbenaspool_transport::{runtime, shutdown};
+    ///
+    /// let (trigger, mut signal) = shutdown::channel();
+    /// trigger.fire();
+    /// runtime::run(signal.wait()).unwrap();
+    /// ```
+    pub async fn wait(&mut self) {
+        if self.0.wait_for(|fired| *fired).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
