--- /dev/null
+++ b/verbenaspool_policy/src/fair.rs
@@ -0,0 +1,106 @@
+//! Whose waiting request starts next: weighted fair shares by work.
+//!
+//! Load: one customer who sends most of the requests. In order of arrival it
+//! would take most of the capacity and everyone else would wait behind it.
+//!
+//! Deficit round robin over the customers that have something waiting: a turn
+//! credits a customer with a quantum times its share, and starts charge their
+//! work. Idle customers aren't in the ring, so their capacity is lent to the
+//! others; one that comes back is served within a round. A decision costs the
+//! same however many customers there are. Customers with share 0 are in a ring
+//! of their own that is served when the first is empty.
+
+use std::collections::VecDeque;
+
+/// A customer's seat in the ring.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Seat {
+    /// Work the customer may still start in this turn; below 0 it is in debt.
+    credit: f64,
+    /// Whether it is in a ring.
+    seated: bool,
+}
+
+/// How much more than a turn's worth of credit or debt is kept. Debt beyond it
+/// is forgiven, so that one absurd answer can't shut a customer out for long.
+const MOST_TURNS: f64 = 16.0;
+
+/// The rings of customers that have something waiting, by their numbers.
+#[derive(Debug, Default)]
+pub struct Ring {
+    /// Customers with a share.
+    shared: VecDeque<u32>,
+    /// Customers with share 0.
+    rest: VecDeque<u32>,
+    /// The sum of the shares in the first ring.
+    shares: u64,
+}
+
+impl Ring {
+    /// The sum of the shares of customers that have something waiting.
+    #[must_use]
+    pub fn shares(&self) -> u64 {
+        self.shares
+    }
+
+    /// Seats a customer that has something waiting.
+    pub fn join(&mut self, customer: u32, share: u32, quantum: f64, seat: &mut Seat) {
+        if seat.seated {
+            return;
+        }
+        seat.seated = true;
+        // Credit isn't saved up while away, so that nobody can start a burst on
+        // it; debt stays, so that nobody gets rid of it by leaving.
+        seat.credit = seat.credit.min(0.0) + quantum * f64::from(share.max(1));
+        self.shares += u64::from(share);
+        self.ring(share).push_back(customer);
+    }
+
+    /// The customer whose turn it is.
+    #[must_use]
+    pub fn first(&self) -> Option<u32> {
+        self.shared.front().or(self.rest.front()).copied()
+    }
+
+    /// Whether the customer at the front may start; if not, its turn ends and
+    /// it is credited for the next.
+    pub fn turn(&mut self, share: u32, quantum: f64, seat: &mut Seat) -> bool {
+        if seat.credit > 0.0 {
+            return true;
+        }
+        seat.credit += quantum * f64::from(share.max(1));
+        self.ring(share).rotate_left(1);
+        false
+    }
+
+    /// Takes a customer out, as nothing of it waits any more.
+    pub fn remove(&mut self, customer: u32, share: u32, seat: &mut Seat) {
+        if !seat.seated {
+            return;
+        }
+        seat.seated = false;
+        let ring = self.ring(share);
+        // It is at the front unless its last request was taken back or given up.
+        if let Some(place) = ring.iter().position(|&other| other == customer) {
+            ring.remove(place);
+        }
+        self.shares -= u64::from(share);
+    }
+
+    /// The ring that a share belongs to.
+    fn ring(&mut self, share: u32) -> &mut VecDeque<u32> {
+        if share == 0 {
+            &mut self.rest
+        } else {
+            &mut self.shared
+        }
+    }
+}
+
+impl Seat {
+    /// Charges work that was started, or, when `work` is negative, pays it back.
+    pub fn charge(&mut self, work: f64, quantum: f64, share: u32) {
+        let most = MOST_TURNS * quantum * f64::from(share.max(1));
+        self.credit = (self.credit - work).clamp(-most.max(work.abs()), most);
+    }
+}
--- /dev/null
+++ b/verbenaspool_policy/src/flight.rs
@@ -0,0 +1,22 @@
+//! What is kept of an attempt in flight.
+
+use verbenaspool_state::name::Name;
+
+/// An attempt in flight.
+#[derive(Debug)]
+pub struct Flight {
+    /// Its customer's number.
+    pub customer: u32,
+    /// Where it went.
+    pub upstream: Name,
+    /// Which upstream of that name it was.
+    pub serial: u64,
+    /// The work charged for it; 0 where nobody waited.
+    pub charged: f64,
+    /// The length of its prompt.
+    pub prompt_tokens: u32,
+    /// The most tokens it may generate.
+    pub max_tokens: u32,
+    /// The prefix that its upstream was chosen for.
+    pub prefix: Option<u64>,
+}
--- /dev/null
+++ b/verbenaspool_policy/src/pace.rs
@@ -0,0 +1,53 @@
+//! How long an upstream takes for one unit of work.
+
+/// Work over which a mean pace remembers, in attempts' worth. Sixteen attempts
+/// follow a slowdown within seconds and don't swing with one odd answer.
+const MEMORY: f64 = 16.0;
+
+/// The mean time an upstream takes for one unit of work, in seconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pace {
+    /// Remembered seconds.
+    seconds: f64,
+    /// Remembered work.
+    work: f64,
+    /// Remembered attempts.
+    attempts: f64,
+}
+
+impl Pace {
+    /// Learns from an attempt. Weighing by work keeps the fixed part of short
+    /// answers from passing for slowness.
+    pub fn learn(&mut self, seconds: f64, work: f64) {
+        let keep = 1.0 - 1.0 / MEMORY;
+        self.seconds = self.seconds * keep + seconds;
+        self.work = self.work * keep + work;
+        self.attempts = self.attempts * keep + 1.0;
+    }
+
+    /// The pace in seconds a unit of work, once anything is known.
+    ///
+    /// ```
+    /// use verbenaspool_policy::pace::Pace;
+    ///
+    /// let mut pace = Pace::default();
+    /// assert_eq!(pace.mean(), None);
+    /// pace.learn(2.0, 100.0);
+    /// assert_eq!(pace.mean(), Some(0.02));
+    /// ```
+    #[must_use]
+    pub fn mean(&self) -> Option<f64> {
+        (self.work > 0.0).then(|| self.seconds / self.work)
+    }
+
+    /// About how many attempts the mean rests on, at most sixteen.
+    #[must_use]
+    pub fn attempts(&self) -> f64 {
+        self.attempts
+    }
+
+    /// Forgets all.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
