Add the platform's client and stand-in, apply, adoption and claims

Files need one place where they are accepted and one way to come in force. The platform's object API is a trait object, its client runs on monoio-http, and the stand-in serves the same API with settable faults. Apply uploads content-hashed pieces and swaps one head; lost answers are settled by the apply's id.

--- /dev/null
+++ b/verbenaspool_coordination/src/adoption.rs
@@ -0,0 +1,339 @@
+//! Adopting accepted files: the version in force at an instance only goes up.
+//!
+//! Heads come from the platform and from peers, late, twice and out of order.
+//! The highest one heard of is what the instance works towards: it gathers the
+//! pieces, then waits until a second peer of the zone holds them too, and puts
+//! the file in force.
+//!
+//! Failure guarded against by that wait: an instance puts a version in force,
+//! is replaced during an outage of the platform, and its successor finds only
+//! peers at the version before. Callers would see the zone go back. With a
+//! second holder the successor finds the version there. The wait is bounded by
+//! [`Settings::wait`], because a zone whose other instances can't be reached
+//! has to go on; what remains possible then is the loss of all holders at once.
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+use verbenaspool_state::{file::File, name::Name, version::Version};
+
+use crate::{
+    head::Head,
+    piece::{self, Hash, Pieces},
+};
+
+/// Settings of adoption.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Instances of the zone that have to hold a version before it is in force,
+    /// this one counted; fewer where fewer are alive.
+    pub holders: usize,
+    /// The longest wait for the other holders. A peer that is alive answers in
+    /// milliseconds, so a wait over this means it can't be reached.
+    pub wait: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            holders: 2,
+            wait: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A file in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Adopted {
+    /// The head that names it.
+    pub head: Head,
+    /// The file.
+    pub file: File,
+}
+
+impl Adopted {
+    /// The version in force.
+    ///
+    /// ```no_run
+    /// # use verbenaspool_coordination::adoption::Adopted;
+    /// # let adopted: Adopted = unimplemented!();
+    /// println!("{}", adopted.version());
+    /// ```
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.head.version
+    }
+}
+
+/// The adoption of one firm's files at one instance.
+#[derive(Debug)]
+pub struct Adoption {
+    /// The firm.
+    firm: Name,
+    /// The settings.
+    settings: Settings,
+    /// All pieces held.
+    pieces: Pieces,
+    /// The highest head heard of, if it isn't in force yet.
+    next: Option<Next>,
+    /// The file in force.
+    current: Option<Rc<Adopted>>,
+}
+
+/// A head on its way to be in force.
+#[derive(Debug)]
+struct Next {
+    /// The head.
+    head: Head,
+    /// Since when its pieces are whole.
+    whole: Option<Duration>,
+    /// Peers of the zone that hold its pieces or later ones.
+    holders: BTreeSet<Name>,
+}
+
+/// What became of an offered head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is higher than all heard of before.
+    New,
+    /// It is known already.
+    Known,
+    /// It is older than one that is known.
+    Old,
+    /// Its content doesn't fit its seal, or it names another file under a known
+    /// version. It isn't used.
+    Garbled,
+}
+
+/// Why a held file can't be put in force.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The pieces make no file.
+    #[error("version {version} can't be read: {cause}")]
+    Piece {
+        /// The version.
+        version: Version,
+        /// What is wrong.
+        cause: piece::Error,
+    },
+    /// The file is another firm's.
+    #[error("version {version} is a file of {firm}")]
+    Firm {
+        /// The version.
+        version: Version,
+        /// The firm that the file names.
+        firm: Name,
+    },
+}
+
+impl Adoption {
+    /// An instance that holds nothing yet.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::adoption::{Adoption, Settings};
+    ///
+    /// let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert!(adoption.current().is_none());
+    /// ```
+    #[must_use]
+    pub fn new(firm: Name, settings: Settings) -> Self {
+        Self {
+            firm,
+            settings,
+            pieces: Pieces::default(),
+            next: None,
+            current: None,
+        }
+    }
+
+    /// The file in force.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert_eq!(adoption.current(), None);
+    /// ```
+    #[must_use]
+    pub fn current(&self) -> Option<&Rc<Adopted>> {
+        self.current.as_ref()
+    }
+
+    /// The highest head whose pieces are all held, which may be passed on.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert_eq!(adoption.held(), None);
+    /// ```
+    #[must_use]
+    pub fn held(&self) -> Option<&Head> {
+        let whole = self.next.as_ref().filter(|next| next.whole.is_some());
+        let current = self.current.as_ref().map(|adopted| &adopted.head);
+        whole.map(|next| &next.head).or(current)
+    }
+
+    /// The highest head heard of.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert_eq!(adoption.highest(), None);
+    /// ```
+    #[must_use]
+    pub fn highest(&self) -> Option<&Head> {
+        let next = self.next.as_ref().map(|next| &next.head);
+        next.or(self.current.as_ref().map(|adopted| &adopted.head))
+    }
+
+    /// Takes in a head from the platform or a peer.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings, Verdict};
+    /// # use verbenaspool_coordination::{head::Head, piece::Hash};
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// let head = Head::first("apply-1", Hash::of(b"root"));
+    /// assert_eq!(adoption.offer(head.clone()), Verdict::New);
+    /// assert_eq!(adoption.offer(head), Verdict::Known);
+    /// ```
+    pub fn offer(&mut self, head: Head) -> Verdict {
+        if !head.sound() {
+            return Verdict::Garbled;
+        }
+        if let Some(known) = self.highest() {
+            if head.version < known.version {
+                return Verdict::Old;
+            }
+            if head.version == known.version {
+                return if head == *known {
+                    Verdict::Known
+                } else {
+                    Verdict::Garbled
+                };
+            }
+        }
+        self.next = Some(Next {
+            head,
+            whole: None,
+            holders: BTreeSet::new(),
+        });
+        Verdict::New
+    }
+
+    /// The pieces to fetch now; empty once all are held. Fetching some may bring
+    /// to light that more are missing.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert!(adoption.missing().is_empty());
+    /// ```
+    #[must_use]
+    pub fn missing(&self) -> BTreeSet<Hash> {
+        let Some(next) = &self.next else {
+            return BTreeSet::new();
+        };
+        // A held piece that can't be read shows when the file is put together.
+        self.pieces.missing(next.head.root).unwrap_or_default()
+    }
+
+    /// Takes a piece in.
+    ///
+    /// # Errors
+    /// When the content isn't what the hash names.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::{adoption::{Adoption, Settings}, piece::Hash};
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert!(adoption.insert(Hash::of(b"[]"), b"garbage").is_err());
+    /// ```
+    pub fn insert(&mut self, hash: Hash, bytes: &[u8]) -> Result<(), piece::Error> {
+        self.pieces.insert(hash, bytes)
+    }
+
+    /// A held piece, to be passed on.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::{adoption::{Adoption, Settings}, piece::Hash};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert!(adoption.piece(Hash::of(b"[]")).is_none());
+    /// ```
+    #[must_use]
+    pub fn piece(&self, hash: Hash) -> Option<&[u8]> {
+        self.pieces.get(hash)
+    }
+
+    /// Takes in that a peer of the zone holds `version`.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # use verbenaspool_state::version::Version;
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// adoption.hold(&"entry-2".parse().unwrap(), Version(1));
+    /// ```
+    pub fn hold(&mut self, peer: &Name, version: Version) {
+        if let Some(next) = &mut self.next
+            && version >= next.head.version
+        {
+            next.holders.insert(peer.clone());
+        }
+    }
+
+    /// Puts the next file in force if it is time to. `alive` counts the zone's
+    /// live instances, this one included.
+    ///
+    /// # Errors
+    /// When the pieces are held and yet make no file of the firm. The version is
+    /// then left out; what was in force stays.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert_eq!(adoption.poll(Duration::ZERO, 1), Ok(None));
+    /// ```
+    pub fn poll(&mut self, now: Duration, alive: usize) -> Result<Option<Rc<Adopted>>, Error> {
+        let Some(next) = &mut self.next else {
+            return Ok(None);
+        };
+        if next.whole.is_none() {
+            match self.pieces.missing(next.head.root) {
+                Ok(missing) if missing.is_empty() => next.whole = Some(now),
+                Ok(_) => return Ok(None),
+                Err(cause) => return Err(self.reject(cause)),
+            }
+        }
+        let since = next.whole.unwrap_or(now);
+        let holders = 1 + next.holders.len();
+        let enough = holders >= self.settings.holders.min(alive.max(1));
+        if !enough && now.saturating_sub(since) < self.settings.wait {
+            return Ok(None);
+        }
+        self.enforce()
+    }
+
+    /// Puts the next file in force.
+    fn enforce(&mut self) -> Result<Option<Rc<Adopted>>, Error> {
+        let Some(head) = self.next.as_ref().map(|next| next.head.clone()) else {
+            return Ok(None);
+        };
+        let file = match self.pieces.join(head.root) {
+            Ok(file) => file,
+            Err(cause) => return Err(self.reject(cause)),
+        };
+        self.next = None;
+        if file.firm != self.firm {
+            let (version, firm) = (head.version, file.firm);
+            return Err(Error::Firm { version, firm });
+        }
+        self.pieces.retain(&[head.root]);
+        let adopted = Rc::new(Adopted { head, file });
+        self.current = Some(Rc::clone(&adopted));
+        Ok(Some(adopted))
+    }
+
+    /// Gives the next file up because of `cause`.
+    fn reject(&mut self, cause: piece::Error) -> Error {
+        let next = self.next.take();
+        let version = next.map(|next| next.head.version).unwrap_or_default();
+        Error::Piece { version, cause }
+    }
+}
--- /dev/null
+++ b/verbenaspool_coordination/src/claim.rs
@@ -0,0 +1,188 @@
+//! Claims on idempotency keys: of all attempts under one key, one may run.
+//!
+//! The claim is an object made by create-if-absent before the call is sent, and
+//! it names the attempt. If the answer to that write is lost, reading the claim
+//! back tells whose it is. While the store can't be reached no claim is made
+//! and the call isn't sent: a write that didn't run can be repeated, one that
+//! ran twice can't be undone.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    piece::Hash,
+    store::{Answer, Call, Machine, Step, When},
+};
+
+/// What a claim says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// The attempt that may run: its entry's incarnation and counter.
+    pub attempt: String,
+    /// The hash of the request, by which a key used for another one is told.
+    pub request: Hash,
+}
+
+/// One try to claim a key.
+#[derive(Debug)]
+pub struct Claim {
+    /// The claim's key in the store.
+    key: String,
+    /// What the claim is to say.
+    record: Record,
+    /// How far the claim has come.
+    state: State,
+    /// Whether the last call has to be made again after a pause.
+    again: bool,
+    /// Whether a write was sent whose fate isn't known.
+    open: bool,
+}
+
+/// How far a claim has come.
+#[derive(Debug)]
+enum State {
+    /// The claim is to be written.
+    Write,
+    /// Some claim stands, which is to be read.
+    Read,
+    /// The outcome stands.
+    Done(Outcome),
+}
+
+/// What became of a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The attempt may run. The claim can be released under this version if the
+    /// attempt is confirmed as not run.
+    Mine {
+        /// The version of the claim's object.
+        version: u64,
+    },
+    /// Another attempt holds the key.
+    Other(Record),
+    /// No claim could be made; the call mustn't be sent.
+    Failed {
+        /// The last trouble met.
+        why: String,
+        /// Whether the claim may stand all the same, and keep the key.
+        open: bool,
+    },
+}
+
+impl Claim {
+    /// A claim on `key`, as made by [`crate::keys::claim`].
+    ///
+    /// ```
+    /// use verbenaspool_coordination::{claim::{Claim, Record}, piece::Hash, store::{Machine, Step}};
+    ///
+    /// let record = Record { attempt: "3.17".into(), request: Hash::of(b"POST /bookings") };
+    /// let claim = Claim::new("firms/quetzal/claims/1f".into(), record);
+    /// assert!(matches!(claim.step(), Step::Call(_)));
+    /// ```
+    #[must_use]
+    pub fn new(key: String, record: Record) -> Self {
+        Self {
+            key,
+            record,
+            state: State::Write,
+            again: false,
+            open: false,
+        }
+    }
+
+    /// The outcome if the claim is given up now, at the call's deadline.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::{claim::{Claim, Outcome, Record}, piece::Hash};
+    /// let record = Record { attempt: "3.17".into(), request: Hash::of(b"POST /bookings") };
+    /// let claim = Claim::new("firms/quetzal/claims/1f".into(), record);
+    /// assert!(matches!(claim.abandon(), Outcome::Failed { open: false, .. }));
+    /// ```
+    #[must_use]
+    pub fn abandon(&self) -> Outcome {
+        match &self.state {
+            State::Done(outcome) => outcome.clone(),
+            _ => Outcome::Failed {
+                why: "the platform gave no answer in time".to_owned(),
+                open: self.open,
+            },
+        }
+    }
+
+    /// The call that releases a claim whose attempt is confirmed as not run, so
+    /// that the caller may repeat it under the same key.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::{claim, store::{Call, When}};
+    ///
+    /// let call = claim::Claim::release("firms/quetzal/claims/1f", 9);
+    /// assert!(matches!(call, Call::Delete { when: When::Version(9), .. }));
+    /// ```
+    #[must_use]
+    pub fn release(key: &str, version: u64) -> Call {
+        Call::Delete {
+            key: key.to_owned(),
+            when: When::Version(version),
+        }
+    }
+
+    /// Takes in the claim that stands.
+    fn settle(&mut self, version: u64, value: &[u8]) {
+        let outcome = match serde_json::from_slice::<Record>(value) {
+            Ok(record) if record == self.record => Outcome::Mine { version },
+            Ok(record) => Outcome::Other(record),
+            Err(_) => Outcome::Failed {
+                why: "the stored claim is garbled".to_owned(),
+                open: false,
+            },
+        };
+        self.state = State::Done(outcome);
+    }
+}
+
+impl Machine for Claim {
+    type Outcome = Outcome;
+
+    fn step(&self) -> Step<Outcome> {
+        let call = match &self.state {
+            State::Write => Call::Put {
+                key: self.key.clone(),
+                // A record holds nothing that JSON can't say.
+                value: serde_json::to_vec(&self.record).expect("a claim is written as JSON"),
+                when: When::Absent,
+            },
+            State::Read => Call::Get {
+                key: self.key.clone(),
+            },
+            State::Done(outcome) => return Step::Done(outcome.clone()),
+        };
+        if self.again {
+            Step::Retry(call)
+        } else {
+            Step::Call(call)
+        }
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        self.again = false;
+        match (&self.state, answer) {
+            (_, Answer::Failed(_)) => self.again = true,
+            (state, Answer::Lost(_)) => {
+                self.open |= matches!(state, State::Write);
+                self.again = true;
+            }
+            (_, Answer::Refused(why)) => {
+                let open = self.open;
+                self.state = State::Done(Outcome::Failed { why, open });
+            }
+            (State::Write, Answer::Changed(version)) => {
+                self.state = State::Done(Outcome::Mine { version });
+            }
+            (State::Write, _) => self.state = State::Read,
+            (State::Read, Answer::Found { version, value }) => self.settle(version, &value),
+            // Its holder released it in between.
+            (State::Read, _) => self.state = State::Write,
+            (State::Done(_), _) => {}
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool_coordination/src/piece/pieces.rs
@@ -0,0 +1,273 @@
+//! The pieces that an instance holds, checked when they come in.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+use serde::de::DeserializeOwned;
+use verbenaspool_state::{customer::Customer, file::File};
+
+use super::{Base, Error, Hash, LARGEST, Root, Split};
+
+/// Pieces by hash, each with the content that its hash names.
+///
+/// Leaves are kept as read: putting the next version together then reads only
+/// the leaves that differ, which is what keeps a change cheap among thousands
+/// of customers.
+#[derive(Debug, Clone, Default)]
+pub struct Pieces {
+    /// The content by hash.
+    held: BTreeMap<Hash, Rc<[u8]>>,
+    /// Leaves read before.
+    leaves: BTreeMap<Hash, Rc<[Customer]>>,
+}
+
+impl Pieces {
+    /// Takes a piece in.
+    ///
+    /// # Errors
+    /// When the content isn't what the hash names, as from a faulty peer, or is
+    /// too large to be a piece.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::piece::{Hash, Pieces};
+    ///
+    /// let mut pieces = Pieces::default();
+    /// assert!(pieces.insert(Hash::of(b"[]"), b"[]").is_ok());
+    /// assert!(pieces.insert(Hash::of(b"[]"), b"garbage").is_err());
+    /// ```
+    pub fn insert(&mut self, hash: Hash, bytes: &[u8]) -> Result<(), Error> {
+        if bytes.len() > LARGEST {
+            return Err(Error::Large { bytes: bytes.len() });
+        }
+        if Hash::of(bytes) != hash {
+            return Err(Error::Mismatch(hash));
+        }
+        self.held.insert(hash, bytes.into());
+        Ok(())
+    }
+
+    /// Takes all pieces of a file in.
+    ///
+    /// ```no_run
+    /// # use verbenaspool_coordination::piece::{Pieces, Split};
+    /// # let split: Split = unimplemented!();
+    /// Pieces::default().extend(&split);
+    /// ```
+    pub fn extend(&mut self, split: &Split) {
+        let pieces = split.pieces.iter().map(|(h, b)| (*h, Rc::clone(b)));
+        self.held.extend(pieces);
+    }
+
+    /// A held piece's content.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// assert!(Pieces::default().get(Hash::of(b"[]")).is_none());
+    /// ```
+    #[must_use]
+    pub fn get(&self, hash: Hash) -> Option<&[u8]> {
+        self.held.get(&hash).map(AsRef::as_ref)
+    }
+
+    /// How many pieces are held.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::Pieces;
+    /// assert_eq!(Pieces::default().len(), 0);
+    /// ```
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether no piece is held.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::Pieces;
+    /// assert!(Pieces::default().is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// The hashes still missing below `root`, as far as can be seen now: while
+    /// a node is missing, nothing is known of what lies below it.
+    ///
+    /// # Errors
+    /// When a held piece can't be read as what it should be.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// let root = Hash::of(b"some root");
+    /// assert_eq!(Pieces::default().missing(root), Ok([root].into()));
+    /// ```
+    pub fn missing(&self, root: Hash) -> Result<BTreeSet<Hash>, Error> {
+        let mut missing = BTreeSet::new();
+        self.walk(root, &mut |seen| {
+            if !seen.held {
+                missing.insert(seen.hash);
+            }
+        })?;
+        Ok(missing)
+    }
+
+    /// A piece that has to be read before all of `root` can be seen: a missing
+    /// root or node, but no missing leaf.
+    ///
+    /// # Errors
+    /// When a held piece can't be read as what it should be.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// let root = Hash::of(b"some root");
+    /// assert_eq!(Pieces::default().unread(root), Ok(Some(root)));
+    /// ```
+    pub fn unread(&self, root: Hash) -> Result<Option<Hash>, Error> {
+        let mut unread = None;
+        self.walk(root, &mut |seen| {
+            if !seen.held && seen.inner {
+                unread = Some(seen.hash);
+            }
+        })?;
+        Ok(unread)
+    }
+
+    /// The hashes of all pieces of `root`, held or not, as far as can be seen.
+    ///
+    /// # Errors
+    /// When a held piece can't be read as what it should be.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// let root = Hash::of(b"some root");
+    /// assert_eq!(Pieces::default().referenced(root), Ok([root].into()));
+    /// ```
+    pub fn referenced(&self, root: Hash) -> Result<BTreeSet<Hash>, Error> {
+        let mut all = BTreeSet::new();
+        self.walk(root, &mut |seen| {
+            all.insert(seen.hash);
+        })?;
+        Ok(all)
+    }
+
+    /// Drops all pieces that none of `roots` refers to.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// let mut pieces = Pieces::default();
+    /// pieces.insert(Hash::of(b"[]"), b"[]").unwrap();
+    /// pieces.retain(&[]);
+    /// assert!(pieces.is_empty());
+    /// ```
+    pub fn retain(&mut self, roots: &[Hash]) {
+        let mut kept = BTreeSet::new();
+        for root in roots {
+            kept.extend(self.referenced(*root).unwrap_or_default());
+        }
+        self.held.retain(|hash, _| kept.contains(hash));
+        self.leaves.retain(|hash, _| kept.contains(hash));
+    }
+
+    /// Puts a file together, its customers in the order of the tree.
+    ///
+    /// # Errors
+    /// When a piece is missing or can't be read.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Error, Hash, Pieces};
+    /// let root = Hash::of(b"some root");
+    /// assert_eq!(Pieces::default().join(root), Err(Error::Missing(root)));
+    /// ```
+    pub fn join(&mut self, root: Hash) -> Result<File, Error> {
+        let Root {
+            base,
+            depth,
+            customers,
+        } = self.read(root)?;
+        let Base {
+            firm,
+            places,
+            services,
+        } = self.read(base)?;
+        let mut level = vec![customers];
+        for _ in 0..depth {
+            let mut below = Vec::new();
+            for node in level {
+                below.extend(self.read::<Vec<Hash>>(node)?);
+            }
+            level = below;
+        }
+        let mut customers = Vec::new();
+        for hash in level {
+            customers.extend(self.leaf(hash)?.iter().cloned());
+        }
+        Ok(File {
+            firm,
+            places,
+            services,
+            customers,
+        })
+    }
+
+    /// A leaf's customers, read once.
+    fn leaf(&mut self, hash: Hash) -> Result<Rc<[Customer]>, Error> {
+        if let Some(leaf) = self.leaves.get(&hash) {
+            return Ok(Rc::clone(leaf));
+        }
+        let leaf: Rc<[Customer]> = self.read::<Vec<Customer>>(hash)?.into();
+        self.leaves.insert(hash, Rc::clone(&leaf));
+        Ok(leaf)
+    }
+
+    /// Calls `visit` with each piece below `root`, as far as can be seen.
+    fn walk(&self, root: Hash, visit: &mut dyn FnMut(Seen)) -> Result<(), Error> {
+        let see = |hash, inner| Seen {
+            hash,
+            held: self.held.contains_key(&hash),
+            inner,
+        };
+        visit(see(root, true));
+        if !self.held.contains_key(&root) {
+            return Ok(());
+        }
+        let Root {
+            base,
+            depth,
+            customers,
+        } = self.read(root)?;
+        visit(see(base, false));
+        let mut level = vec![customers];
+        for left in (0..=depth).rev() {
+            let mut below = Vec::new();
+            for hash in level {
+                let seen = see(hash, left > 0);
+                visit(seen);
+                if seen.held && seen.inner {
+                    below.extend(self.read::<Vec<Hash>>(hash)?);
+                }
+            }
+            level = below;
+        }
+        Ok(())
+    }
+
+    /// Reads a held piece.
+    fn read<T: DeserializeOwned>(&self, hash: Hash) -> Result<T, Error> {
+        let bytes = self.held.get(&hash).ok_or(Error::Missing(hash))?;
+        serde_json::from_slice(bytes).map_err(|_| Error::Content)
+    }
+}
+
+/// A piece met on a walk.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    /// Its hash.
+    hash: Hash,
+    /// Whether it is held.
+    held: bool,
+    /// Whether it names further pieces.
+    inner: bool,
+}
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
+
+pub mod platform;
--- /dev/null
+++ b/verbenaspool_transport/src/config.rs
@@ -0,0 +1,46 @@
+//! The configuration of a firm over the network: applying files and adopting them.
+//!
+//! [`source::Source`] yields the files that come in force at this process;
+//! [`apply`] has a file accepted.
+
+use std::time::Duration;
+
+use verbenaspool_coordination::{
+    apply::{Apply, Order, Outcome},
+    collection::Collection,
+};
+
+use crate::platform::{Store, driver};
+
+pub mod source;
+
+/// Has a file accepted, within a time bound, and then collects pieces that
+/// nothing refers to any more.
+///
+/// ```no_run
+/// # async fn example(store: &dyn verbenaspool_transport::platform::Store,
+/// #     order: verbenaspool_coordination::apply::Order) {
+/// use std::time::Duration;
+/// use verbenaspool_transport::config;
+///
+/// println!("{:?}", config::apply(store, order, Duration::from_secs(20), 7).await);
+/// # }
+/// ```
+pub async fn apply(store: &dyn Store, order: Order, within: Duration, seed: u64) -> Outcome {
+    let firm = order.firm.clone();
+    let kept = order.split.pieces.keys().copied().collect();
+    let mut apply = Apply::new(order);
+    let Some(outcome) = driver::drive(store, &mut apply, within, seed).await else {
+        return apply.abandon();
+    };
+    if let Outcome::Accepted {
+        object: Some(object),
+        ..
+    } = outcome
+    {
+        let mut collection = Collection::new(firm, object, kept);
+        // What can't be collected now is left to the next apply.
+        driver::drive(store, &mut collection, within, seed).await;
+    }
+    outcome
+}
--- /dev/null
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -0,0 +1,286 @@
+//! The client of the platform's object API, HTTP/1.1 over monoio-http.
+//!
+//! Bodies are whole and the peer is known, which is what monoio-http does well.
+//! Each connection carries one call at a time and is dropped on any error or
+//! timeout, so that no late answer can be taken for the answer to a later call.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use monoio::{
+    io::{sink::SinkExt, stream::Stream},
+    net::TcpStream,
+    time,
+};
+use monoio_http::{
+    common::body::{BodyExt, HttpBody},
+    h1::codec::ClientCodec,
+};
+
+use super::{Answer, Entry, Error, Events, IF_VERSION, LARGEST, Object, Store, VERSION, When};
+
+/// Connections kept for later calls. One watch and a few reads and writes are
+/// all that an instance has open at a time.
+const KEPT: usize = 4;
+/// What a watch's deadline adds to its wait, for the way there and back.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// A connection to the platform.
+type Connection = ClientCodec<TcpStream>;
+
+/// What the client is to reach and how.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The platform's address.
+    pub address: SocketAddr,
+    /// The token that names the firm whose keys the client reaches.
+    pub token: String,
+    /// How long a call may take, save for a watch's wait.
+    pub timeout: Duration,
+}
+
+/// A client of the platform's object API.
+pub struct Client {
+    /// What to reach and how.
+    settings: Settings,
+    /// Connections with no answer outstanding.
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl Client {
+    /// A client that connects when it is first asked for something.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use verbenaspool_transport::platform::client::{Client, Settings};
+    ///
+    /// let client = Client::new(Settings {
+    ///     address: ([127, 0, 0, 1], 7000).into(),
+    ///     token: "demo".to_owned(),
+    ///     timeout: Duration::from_secs(1),
+    /// });
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Makes one call within `timeout`.
+    async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Response<Bytes>, Error> {
+        match time::timeout(timeout, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Unknown("timeout".to_owned())),
+        }
+    }
+
+    /// Sends a call and reads its answer.
+    async fn exchange(&self, call: Call<'_>) -> Result<Response<Bytes>, Error> {
+        let mut connection = self.connect().await?;
+        let request = call.request(&self.settings)?;
+        connection
+            .send_and_flush(request)
+            .await
+            .map_err(|e| Error::Unknown(e.to_string()))?;
+        let response = connection
+            .next()
+            .await
+            .ok_or_else(|| Error::Unknown("connection closed".to_owned()))?
+            .map_err(|e| Error::Unknown(e.to_string()))?;
+        let (head, body) = response.into_parts();
+        let body = body
+            .with_io(&mut connection)
+            .bytes()
+            .await
+            .map_err(|e| Error::Unknown(e.to_string()))?;
+        if head.headers.get(header::CONNECTION).is_none() {
+            self.keep(connection);
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// An idle connection, or a new one.
+    ///
+    /// A kept connection may have been closed by the platform meanwhile; the
+    /// call on it then ends as unknown, which its caller settles or repeats.
+    async fn connect(&self) -> Result<Connection, Error> {
+        let idle = self.idle.borrow_mut().pop();
+        if let Some(connection) = idle {
+            return Ok(connection);
+        }
+        let stream = TcpStream::connect_addr(self.settings.address)
+            .await
+            .map_err(|e| Error::Unsent(e.to_string()))?;
+        // Calls are small and each waits for its answer: delay would only add up.
+        stream
+            .set_nodelay(true)
+            .map_err(|e| Error::Unsent(e.to_string()))?;
+        Ok(ClientCodec::new(stream))
+    }
+
+    /// Keeps a connection for a later call.
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < KEPT {
+            idle.push(connection);
+        }
+    }
+}
+
+impl Store for Client {
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Object>> {
+        Box::pin(async move {
+            let call = Call::new(Method::GET, object(key));
+            let response = self.call(call, self.settings.timeout).await?;
+            match response.status() {
+                StatusCode::OK => Ok(Some(Object {
+                    version: version(&response)?,
+                    value: response.into_body(),
+                })),
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => Err(error(&response)),
+            }
+        })
+    }
+
+    fn put<'a>(&'a self, key: &'a str, value: Bytes, when: When) -> Answer<'a, u64> {
+        Box::pin(async move {
+            if value.len() > LARGEST {
+                return Err(Error::Large);
+            }
+            let call = Call {
+                when,
+                body: Some(&value),
+                ..Call::new(Method::PUT, object(key))
+            };
+            let response = self.call(call, self.settings.timeout).await?;
+            match response.status() {
+                StatusCode::OK => version(&response),
+                _ => Err(error(&response)),
+            }
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, when: When) -> Answer<'a, ()> {
+        Box::pin(async move {
+            let call = Call {
+                when,
+                ..Call::new(Method::DELETE, object(key))
+            };
+            let response = self.call(call, self.settings.timeout).await?;
+            match response.status() {
+                StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+                _ => Err(error(&response)),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<Entry>> {
+        Box::pin(async move {
+            let call = Call::new(Method::GET, format!("/v1/list?prefix={prefix}"));
+            let response = self.call(call, self.settings.timeout).await?;
+            match response.status() {
+                StatusCode::OK => read(&response),
+                _ => Err(error(&response)),
+            }
+        })
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, since: u64, wait: Duration) -> Answer<'a, Events> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/v1/watch?prefix={prefix}&since={since}&wait_ms={wait_ms}");
+            let call = Call::new(Method::GET, path);
+            let response = self.call(call, wait + WATCH_SLACK).await?;
+            match response.status() {
+                StatusCode::OK => read(&response),
+                _ => Err(error(&response)),
+            }
+        })
+    }
+}
+
+/// A call before it is sent.
+struct Call<'a> {
+    /// The HTTP method.
+    method: Method,
+    /// The path and query.
+    path: String,
+    /// The condition of a change.
+    when: When,
+    /// The value of a write.
+    body: Option<&'a Bytes>,
+}
+
+impl Call<'_> {
+    /// A call without condition or body.
+    fn new(method: Method, path: String) -> Self {
+        Self {
+            method,
+            path,
+            when: When::Always,
+            body: None,
+        }
+    }
+
+    /// The call as a request.
+    fn request(self, settings: &Settings) -> Result<Request<HttpBody>, Error> {
+        let mut request = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header(header::HOST, settings.address.to_string())
+            .header(header::AUTHORIZATION, format!("Bearer {}", settings.token));
+        if let Some(version) = condition(self.when) {
+            request = request.header(IF_VERSION, version);
+        }
+        request
+            .body(HttpBody::Ready(self.body.cloned()))
+            .map_err(|e| Error::Unsent(e.to_string()))
+    }
+}
+
+/// The condition of a change as the header [`IF_VERSION`] says it.
+fn condition(when: When) -> Option<u64> {
+    match when {
+        When::Always => None,
+        When::Absent => Some(0),
+        When::Version(version) => Some(version),
+    }
+}
+
+/// The path of an object.
+fn object(key: &str) -> String {
+    format!("/v1/objects/{key}")
+}
+
+/// The version that a response carries.
+fn version(response: &Response<Bytes>) -> Result<u64, Error> {
+    response
+        .headers()
+        .get(VERSION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| Error::Unknown(format!("no {VERSION} in the answer")))
+}
+
+/// The body of a response, read as JSON.
+fn read<T: serde::de::DeserializeOwned>(response: &Response<Bytes>) -> Result<T, Error> {
+    serde_json::from_slice(response.body()).map_err(|e| Error::Unknown(e.to_string()))
+}
+
+/// The error that a response stands for.
+fn error(response: &Response<Bytes>) -> Error {
+    match response.status() {
+        StatusCode::CONFLICT => {
+            version(response).map_or_else(|error| error, |current| Error::Conflict { current })
+        }
+        StatusCode::PAYLOAD_TOO_LARGE => Error::Large,
+        StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => Error::Refused,
+        StatusCode::TOO_MANY_REQUESTS => Error::Busy,
+        status => Error::Unknown(status.to_string()),
+    }
+}
