--- a/verbenaspool_standin/src/platform.rs
+++ b/verbenaspool_standin/src/platform.rs
@@ -73,14 +73,14 @@
     /// When no port can be bound.
     ///
     /// ```
-    /// use monoio::{LegacyDriver, RuntimeBuilder};
     /// use verbenaspool_standin::platform::Platform;
+    /// use verbenaspool_transport::runtime;
     ///
-    /// let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
-    /// runtime.block_on(async {
+    /// runtime::run(async {
     ///     let platform = Platform::start().unwrap();
     ///     assert!(platform.address().ip().is_loopback());
-    /// });
+    /// })
+    /// .unwrap();
     /// ```
     pub fn start() -> io::Result<Self> {
         Self::start_at(([127, 0, 0, 1], 0).into())
@@ -173,8 +173,11 @@
     }
 }
 
-/// Serves one connection. A handler that returns an error closes it unanswered.
+/// Serves one connection. Unlike the product's server it can close one
+/// unanswered, which is what a lost answer looks like.
 async fn serve(stream: TcpStream, shared: Rc<Shared>) {
+    // Without it small answers wait for the client's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
     let Ok(stream) = stream.into_poll_io() else {
         return;
     };
--- a/verbenaspool_standin/tests/config.rs
+++ b/verbenaspool_standin/tests/config.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use monoio::{LegacyDriver, RuntimeBuilder};
 use verbenaspool_coordination::{
     apply::{Order, Outcome},
     piece,
@@ -15,6 +14,7 @@
         Error, Store, When,
         client::{Client, Settings},
     },
+    runtime,
 };
 
 /// The firm that most tests speak of.
@@ -22,11 +22,7 @@
 
 /// Runs a test on a loop of its own.
 fn run(test: impl Future<Output = ()>) {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("a runtime starts");
-    runtime.block_on(test);
+    runtime::run(test).expect("a loop starts");
 }
 
 /// A name from text that is known to be one.
