--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -2,7 +2,9 @@
 //! verbenaspool.
 
 pub mod clock;
+pub mod config;
 pub mod http;
+pub mod platform;
 pub mod rpc;
 pub mod runtime;
 pub mod shutdown;
