Play the load cases against the decisions

A seeded play of arrivals and engines at the balancer's interface, with three baselines and an all-knowing scheduler.

--- /dev/null
+++ b/verbenaspool_policy/benches/decisions.rs
@@ -0,0 +1,99 @@
+//! Measures the decisions in each load case beside the baselines and the oracle.
+//! `--json` prints one object a line; `--ablation` adds a row for each mechanism
+//! left out; `--case NAME` plays only one.
+
+mod play;
+
+use play::{
+    baseline::{Baseline, Kind},
+    case::Case,
+    oracle,
+    policy::Policy,
+    score::Score,
+    world,
+};
+use verbenaspool_policy::{
+    balancer::Balancer,
+    mechanism::{Mechanism, Set},
+};
+use verbenaspool_state::{decisions::Decisions, name::Name};
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let has = |flag: &str| arguments.iter().any(|argument| argument == flag);
+    let only = arguments
+        .iter()
+        .position(|a| a == "--case")
+        .and_then(|i| arguments.get(i + 1));
+    for case in Case::all() {
+        if only.is_some_and(|only| only != case.name) {
+            continue;
+        }
+        let row = |policy: &str, score: Score| show(has("--json"), case.name, policy, &score);
+        row("verbenaspool", ours(&case, Set::all()));
+        if has("--mine") {
+            continue;
+        }
+        for kind in Kind::ALL {
+            row(
+                kind.name(),
+                world::run(&case, &|entry, _| {
+                    Box::new(Baseline::new(kind, entry as u64))
+                }),
+            );
+        }
+        row("oracle", oracle::run(&case));
+        if has("--ablation") {
+            for mechanism in Mechanism::ALL {
+                let policy = format!("without-{mechanism:?}").to_lowercase();
+                row(&policy, ours(&case, Set::all().without(mechanism)));
+            }
+        }
+    }
+}
+
+/// Plays a case with the balancer.
+fn ours(case: &Case, mechanisms: Set) -> Score {
+    let settings = Decisions::default();
+    let make = |entry: usize, zone: &Name| -> Box<dyn Policy> {
+        let name = world::name("entry", entry);
+        Box::new(Balancer::with(
+            &settings,
+            name,
+            zone.clone(),
+            entry as u64,
+            mechanisms,
+        ))
+    };
+    world::run(case, &make)
+}
+
+/// Prints one row.
+fn show(json: bool, case: &str, policy: &str, score: &Score) {
+    if json {
+        let row = serde_json::json!({
+            "case": case,
+            "policy": policy,
+            "p50_ms": score.p50_ms,
+            "p99_ms": score.p99_ms,
+            "goodput": score.goodput,
+            "fairness": score.fairness,
+            "deadlines_met": score.deadlines_met,
+            "ns_per_decision": score.ns_per_decision,
+        });
+        println!("{row}");
+        return;
+    }
+    println!(
+        "{case:18} {policy:22} p50 {:6.0} p99 {:6.0} goodput {:.3} fair {:.3} met {:.3} ns {:5.0} crossed {:.2} attempts {:.2} asked {:.2}",
+        score.p50_ms,
+        score.p99_ms,
+        score.goodput,
+        score.fairness,
+        score.deadlines_met,
+        score.ns_per_decision,
+        score.crossed,
+        score.attempts,
+        score.asked,
+    );
+}
--- /dev/null
+++ b/verbenaspool_policy/benches/play/baseline.rs
@@ -0,0 +1,136 @@
+//! The baselines that the decisions are measured against.
+
+use std::{collections::HashMap, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use verbenaspool_policy::{
+    attempt::{Ending, Id, Outcome},
+    decision::{Decision, Reason, Refusal, Resolution, Start, Ticket},
+    member::Member,
+    request::Request,
+};
+use verbenaspool_state::name::Name;
+
+use super::policy::Policy;
+
+/// How a baseline chooses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Each upstream in turn, however long its queue.
+    RoundRobin,
+    /// The upstream with the fewest own attempts in flight, without a limit.
+    LeastInFlight,
+    /// A random upstream; refused where that has its fixed limit in flight.
+    RandomLimit,
+}
+
+impl Kind {
+    pub const ALL: [Self; 3] = [Self::RoundRobin, Self::LeastInFlight, Self::RandomLimit];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round-robin",
+            Self::LeastInFlight => "least-in-flight",
+            Self::RandomLimit => "random-limit",
+        }
+    }
+}
+
+/// The fixed limit for one entry at one upstream: four entries fill a batch of 16.
+const LIMIT: u32 = 4;
+
+#[derive(Debug)]
+pub struct Baseline {
+    kind: Kind,
+    members: Vec<Name>,
+    in_flight: HashMap<Name, u32>,
+    attempts: HashMap<Id, Name>,
+    next: u64,
+    random: SmallRng,
+}
+
+impl Baseline {
+    pub fn new(kind: Kind, seed: u64) -> Self {
+        Self {
+            kind,
+            members: Vec::new(),
+            in_flight: HashMap::new(),
+            attempts: HashMap::new(),
+            next: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn choose(&mut self) -> Option<Name> {
+        let count = self.members.len();
+        if count == 0 {
+            return None;
+        }
+        let load = |name: &Name| self.in_flight.get(name).copied().unwrap_or(0);
+        match self.kind {
+            Kind::RoundRobin => Some(self.members[self.next as usize % count].clone()),
+            Kind::LeastInFlight => {
+                let from = self.next as usize % count;
+                (from..count)
+                    .chain(0..from)
+                    .map(|i| &self.members[i])
+                    .min_by_key(|name| load(name))
+                    .cloned()
+            }
+            Kind::RandomLimit => {
+                let name = &self.members[self.random.random_range(0..count)];
+                (load(name) < LIMIT).then(|| name.clone())
+            }
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn members(&mut self, _now: Duration, members: &[Member]) {
+        self.members = members
+            .iter()
+            .filter(|m| !m.leaving)
+            .map(|m| m.name.clone())
+            .collect();
+    }
+
+    fn offer(&mut self, _now: Duration, _request: &Request<'_>) -> Decision {
+        self.next += 1;
+        let Some(upstream) = self.choose() else {
+            return Decision::Refuse(Refusal {
+                reason: Reason::NoUpstream,
+                retry_after: Duration::from_secs(1),
+            });
+        };
+        let attempt = Id(self.next);
+        *self.in_flight.entry(upstream.clone()).or_default() += 1;
+        self.attempts.insert(attempt, upstream.clone());
+        Decision::Admit(Start { attempt, upstream })
+    }
+
+    fn poll(&mut self, _now: Duration) -> Vec<Resolution> {
+        Vec::new()
+    }
+
+    fn cancel(&mut self, _now: Duration, _ticket: Ticket) {}
+
+    fn finish(&mut self, _now: Duration, attempt: Id, _outcome: &Outcome) {
+        if let Some(count) = self
+            .attempts
+            .remove(&attempt)
+            .and_then(|name| self.in_flight.get_mut(&name))
+        {
+            *count -= 1;
+        }
+    }
+
+    fn retry(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        _ending: Ending,
+        _tried: &[Name],
+    ) -> Decision {
+        self.offer(now, request)
+    }
+}
--- /dev/null
+++ b/verbenaspool_policy/benches/play/case.rs
@@ -0,0 +1,193 @@
+//! The load cases.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{
+    engine::{Engine, KNEE, SPEED},
+    job::{Job, Mix, exponential},
+};
+
+/// The size of one firm today.
+pub const ENTRIES: usize = 4;
+pub const ENGINES: usize = 16;
+pub const CUSTOMERS: usize = 10;
+pub const ZONES: usize = 3;
+
+/// Something that happens to the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Change {
+    /// An engine's speed becomes this.
+    Speed(usize, f64),
+    /// An engine is replaced by a new incarnation, cold.
+    Replace(usize),
+    /// A zone can't be reached from the others any more.
+    Cut(usize),
+    /// It can again.
+    Heal(usize),
+}
+
+#[derive(Debug, Clone)]
+pub struct Case {
+    pub name: &'static str,
+    pub seconds: u64,
+    pub seed: u64,
+    pub mix: Mix,
+    /// Offered load as a part of capacity, from each second on.
+    pub load: Vec<(u64, f64)>,
+    /// The part of requests that the first three customers send.
+    pub hot: f64,
+    pub lag: Duration,
+    /// The part of reports and cache events that get lost.
+    pub gaps: f64,
+    pub changes: Vec<(Duration, Change)>,
+}
+
+impl Case {
+    fn new(name: &'static str, seconds: u64, load: f64) -> Self {
+        Self {
+            name,
+            seconds,
+            seed: 1,
+            mix: Mix::Even,
+            load: vec![(0, load)],
+            hot: 0.3,
+            lag: Duration::from_millis(200),
+            gaps: 0.0,
+            changes: Vec::new(),
+        }
+    }
+
+    pub fn all() -> Vec<Self> {
+        let at = Duration::from_secs;
+        let mut cases = vec![
+            Self {
+                load: vec![(0, 0.7), (20, 7.0), (25, 0.7)],
+                ..Self::new("burst", 60, 0.7)
+            },
+            Self {
+                hot: 0.8,
+                ..Self::new("hot-callers", 60, 1.5)
+            },
+            Self {
+                mix: Mix::Prefix,
+                ..Self::new("hot-prefix", 60, 0.9)
+            },
+            Self {
+                changes: vec![
+                    (at(15), Change::Speed(3, 0.2)),
+                    (at(45), Change::Speed(3, 1.0)),
+                ],
+                ..Self::new("slow-upstream", 75, 0.8)
+            },
+            Self {
+                mix: Mix::Long,
+                ..Self::new("long-among-short", 120, 0.9)
+            },
+            Self::new("load-1.0", 120, 1.0),
+            Self::new("load-1.5", 120, 1.5),
+            Self::new("load-3.0", 120, 3.0),
+            Self {
+                lag: at(2),
+                gaps: 0.3,
+                ..Self::new("late-reports", 60, 0.95)
+            },
+        ];
+        let replaced = (0..ENGINES)
+            .step_by(2)
+            .map(|engine| (at(20), Change::Replace(engine)));
+        cases.push(Self {
+            changes: replaced.collect(),
+            ..Self::new("half-replaced", 60, 0.7)
+        });
+        cases.push(Self {
+            changes: vec![(at(20), Change::Cut(0)), (at(45), Change::Heal(0))],
+            ..Self::new("zone-lost", 75, 0.55)
+        });
+        cases
+    }
+
+    /// The work a second of all engines at full speed.
+    pub fn capacity() -> f64 {
+        (ENGINES * KNEE) as f64 * SPEED
+    }
+
+    pub fn engines() -> Vec<Engine> {
+        (0..ENGINES)
+            .map(|engine| Engine::new(engine % ZONES, 24))
+            .collect()
+    }
+
+    /// The work a second of all engines at a time.
+    pub fn capacity_at(&self, now: Duration) -> f64 {
+        let mut speeds = [1.0; ENGINES];
+        let past = self.changes.iter().filter(|(at, _)| *at <= now);
+        for (at, change) in past {
+            match *change {
+                Change::Speed(engine, speed) => speeds[engine] = speed,
+                Change::Replace(engine) if now < *at + super::engine::COLD_FOR => {
+                    speeds[engine] = 0.3;
+                }
+                Change::Replace(engine) => speeds[engine] = 1.0,
+                Change::Cut(zone) => (zone..ENGINES).step_by(ZONES).for_each(|e| speeds[e] = 0.0),
+                Change::Heal(zone) => (zone..ENGINES).step_by(ZONES).for_each(|e| speeds[e] = 1.0),
+            }
+        }
+        speeds.iter().sum::<f64>() * KNEE as f64 * SPEED
+    }
+
+    fn load_at(&self, second: f64) -> f64 {
+        let past = self
+            .load
+            .iter()
+            .rev()
+            .find(|(from, _)| *from as f64 <= second);
+        past.map_or(0.0, |(_, load)| *load)
+    }
+
+    /// Whether a zone is cut off.
+    pub fn is_cut(&self, now: Duration, zone: usize) -> bool {
+        let past = self.changes.iter().filter(|(at, _)| *at <= now);
+        past.fold(false, |cut, (_, change)| match change {
+            Change::Cut(z) if *z == zone => true,
+            Change::Heal(z) if *z == zone => false,
+            _ => cut,
+        })
+    }
+
+    fn customer(&self, random: &mut SmallRng) -> usize {
+        if random.random_bool(self.hot) {
+            random.random_range(0..3)
+        } else {
+            random.random_range(3..CUSTOMERS)
+        }
+    }
+
+    /// The requests, by time.
+    pub fn jobs(&self) -> Vec<Job> {
+        let mut random = SmallRng::seed_from_u64(self.seed);
+        let mut sample = SmallRng::seed_from_u64(self.seed + 1);
+        let total: f64 = (0..20_000)
+            .map(|i| self.mix.job(&mut sample, i % CUSTOMERS).work(true))
+            .sum();
+        let mean = total / 20_000.0;
+        let mut jobs = Vec::new();
+        let mut now = 0.0;
+        while now < self.seconds as f64 {
+            let rate = self.load_at(now) * Self::capacity() / mean;
+            now += exponential(&mut random, 1.0 / rate);
+            let customer = self.customer(&mut random);
+            let mut job = self.mix.job(&mut random, customer);
+            job.at = Duration::from_secs_f64(now);
+            job.deadline += job.at;
+            // The platform's balancer sends nothing to entries of a lost zone.
+            job.entry = random.random_range(0..ENTRIES);
+            while self.is_cut(job.at, job.entry % ZONES) {
+                job.entry = random.random_range(0..ENTRIES);
+            }
+            jobs.push(job);
+        }
+        jobs
+    }
+}
--- /dev/null
+++ b/verbenaspool_policy/benches/play/policy.rs
@@ -0,0 +1,69 @@
+//! What the play asks of a policy: the balancer's interface.
+
+use std::time::Duration;
+
+use verbenaspool_policy::{
+    attempt::{Ending, Id, Outcome},
+    balancer::Balancer,
+    decision::{Decision, Resolution, Ticket},
+    load::{Cache, Load},
+    member::Member,
+    request::Request,
+};
+use verbenaspool_state::name::Name;
+
+pub trait Policy {
+    fn members(&mut self, now: Duration, members: &[Member]);
+    fn offer(&mut self, now: Duration, request: &Request<'_>) -> Decision;
+    fn poll(&mut self, now: Duration) -> Vec<Resolution>;
+    fn cancel(&mut self, now: Duration, ticket: Ticket);
+    fn finish(&mut self, now: Duration, attempt: Id, outcome: &Outcome);
+    fn retry(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        ending: Ending,
+        tried: &[Name],
+    ) -> Decision;
+    fn report(&mut self, _now: Duration, _upstream: &Name, _load: &Load) {}
+    fn cache(&mut self, _now: Duration, _upstream: &Name, _event: Cache) {}
+    fn next_wake(&self) -> Option<Duration> {
+        None
+    }
+}
+
+impl Policy for Balancer {
+    fn members(&mut self, now: Duration, members: &[Member]) {
+        self.members(now, members);
+    }
+    fn offer(&mut self, now: Duration, request: &Request<'_>) -> Decision {
+        self.offer(now, request)
+    }
+    fn poll(&mut self, now: Duration) -> Vec<Resolution> {
+        self.poll(now)
+    }
+    fn cancel(&mut self, now: Duration, ticket: Ticket) {
+        self.cancel(now, ticket);
+    }
+    fn finish(&mut self, now: Duration, attempt: Id, outcome: &Outcome) {
+        self.finish(now, attempt, outcome);
+    }
+    fn retry(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        ending: Ending,
+        tried: &[Name],
+    ) -> Decision {
+        self.retry(now, request, ending, tried)
+    }
+    fn report(&mut self, now: Duration, upstream: &Name, load: &Load) {
+        self.report(now, upstream, load);
+    }
+    fn cache(&mut self, now: Duration, upstream: &Name, event: Cache) {
+        self.cache(now, upstream, event);
+    }
+    fn next_wake(&self) -> Option<Duration> {
+        self.next_wake()
+    }
+}
--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -161,7 +161,7 @@
     pub fn offer(&mut self, now: Duration, request: &Request<'_>) -> Decision {
         self.counts.offered += 1;
         let held = self.hold(request, &[]);
-        self.room.observe(held.work);
+        self.room.observe(now, held.work);
         self.admit(now, request, held)
     }
 
@@ -172,11 +172,8 @@
             self.give_up(now, ticket, Reason::Expired);
         }
         let mut resolved = std::mem::take(&mut self.given_up);
-        while let Some((ticket, start)) = self.start_next(now) {
-            resolved.push(Resolution {
-                ticket,
-                result: Ok(start),
-            });
+        while let Some(resolution) = self.start_next(now) {
+            resolved.push(resolution);
         }
         resolved
     }
@@ -306,6 +303,7 @@
         Held {
             customer,
             work: estimate::work(self.settings.prefill_weight, request.prompt_tokens, tokens),
+            deadline: request.deadline,
             prompt_tokens: request.prompt_tokens,
             max_tokens: request.max_tokens,
             prefixes: request.prefixes.to_vec(),
@@ -386,13 +384,16 @@
     }
 
     /// Starts the waiting request whose turn it is, if there is room for it.
-    fn start_next(&mut self, now: Duration) -> Option<(Ticket, Start)> {
-        let ticket = self.room.turn()?;
+    fn start_next(&mut self, now: Duration) -> Option<Resolution> {
+        let ticket = self.room.turn(self.capacity(now))?;
         let held = self.room.get(ticket)?.clone();
         let choice = self.choose(now, &held)?;
         self.room.remove(ticket);
-        let charge = held.work;
-        Some((ticket, self.start(&held, choice, charge)))
+        let start = self.start(&held, choice, held.work);
+        Some(Resolution {
+            ticket,
+            result: Ok(start),
+        })
     }
 
     /// Chooses an upstream for a request.
--- a/verbenaspool_policy/src/limit.rs
+++ b/verbenaspool_policy/src/limit.rs
@@ -6,18 +6,22 @@
 //! what the setting assumed.
 //!
 //! The limit grows while it is used and the pace stays near the best one seen,
-//! and shrinks by a tenth when the pace is worse than [`WORSE`] times that. A
-//! batching engine is no slower until its batch is full, so the pace tells where
-//! that is; above [`WORSE`] a further attempt costs the others more than it gains.
+//! doubling at first, and shrinks when the pace is worse than [`WORSE`] times
+//! that. A batching engine is no slower until its batch is full, so the pace
+//! tells where that is; beyond it a further attempt only slows the others down,
+//! and what waits here can still be refused in time or sent elsewhere.
 
 use std::time::Duration;
 
 /// Below this multiple of the best pace the limit may grow.
-const NEAR: f64 = 1.3;
-/// Above this multiple of the best pace the limit shrinks.
-const WORSE: f64 = 1.6;
-/// What a shrunk limit keeps.
-const SHRINK: f64 = 0.9;
+const NEAR: f64 = 1.15;
+/// Above this multiple of the best pace the limit shrinks, to where the pace is
+/// this multiple if it follows the number in flight.
+const WORSE: f64 = 1.3;
+/// What a limit keeps at least when it shrinks for the pace.
+const HALF: f64 = 0.5;
+/// What a limit keeps when work waits in front of the engine.
+const CROWDED: f64 = 0.9;
 /// How long a best pace counts. Two windows are kept, so the best is at least
 /// this and at most twice this old: longer than a burst, shorter than an hour's drift.
 const WINDOW: Duration = Duration::from_mins(1);
@@ -34,6 +38,8 @@
     /// Attempts that must end before the limit may shrink again: those in flight
     /// when it shrank tell nothing about the new limit.
     settle: u32,
+    /// Whether no sign of the batch's size was seen yet: the limit doubles then.
+    doubling: bool,
 }
 
 impl Limit {
@@ -45,6 +51,7 @@
             best: [f64::INFINITY; 2],
             until: Duration::ZERO,
             settle: 0,
+            doubling: true,
         }
     }
 
@@ -60,16 +67,25 @@
         self.remember(now, pace);
         let best = self.best[0].min(self.best[1]);
         self.settle = self.settle.saturating_sub(1);
+        self.doubling &= pace < NEAR * best;
         if pace > WORSE * best {
             if self.settle == 0 {
-                self.value = (self.value * SHRINK).max(1.0);
+                let keep = (WORSE * best / pace).max(HALF);
+                self.value = (self.value * keep).max(1.0);
                 self.settle = in_flight;
             }
         } else if pace < NEAR * best && f64::from(in_flight) + 1.0 > self.value {
-            self.value = (self.value + 1.0 / self.value).min(f64::from(most));
+            let more = if self.doubling { 1.0 } else { 1.0 / self.value };
+            self.value = (self.value + more).min(f64::from(most));
         }
     }
 
+    /// Learns from a load report that work waits in front of the engine: its
+    /// batch is full, so what is above it only waits there instead of here.
+    pub fn crowd(&mut self) {
+        self.value = (self.value * CROWDED).max(1.0);
+    }
+
     /// Keeps the best pace of the last two windows.
     fn remember(&mut self, now: Duration, pace: f64) {
         if now >= self.until {
--- a/verbenaspool_policy/src/pace.rs
+++ b/verbenaspool_policy/src/pace.rs
@@ -1,8 +1,8 @@
 //! How long an upstream takes for one unit of work.
 
-/// Work over which a mean pace remembers, in attempts' worth. Sixteen attempts
-/// follow a slowdown within seconds and don't swing with one odd answer.
-const MEMORY: f64 = 16.0;
+/// Attempts that a mean pace remembers. Eight follow a burst within a second or
+/// two at three attempts in flight; sixteen kept limits and waits behind it.
+const MEMORY: f64 = 8.0;
 
 /// The mean time an upstream takes for one unit of work, in seconds.
 #[derive(Debug, Clone, Copy, Default)]
@@ -40,7 +40,7 @@
         (self.work > 0.0).then(|| self.seconds / self.work)
     }
 
-    /// About how many attempts the mean rests on, at most sixteen.
+    /// About how many attempts the mean rests on, at most eight.
     #[must_use]
     pub fn attempts(&self) -> f64 {
         self.attempts
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -47,8 +47,8 @@
     limit: Limit,
     /// Its record.
     health: Health,
-    /// When it joined, or came back.
-    since: Duration,
+    /// When it joined, or came back; none where it has nothing to take up.
+    since: Option<Duration>,
     /// The last report's sequence and when it came.
     reported: Option<(u64, Duration)>,
 }
@@ -127,7 +127,6 @@
         first: bool,
     ) -> Upstream {
         self.serial += 2;
-        let ramp = Duration::from_millis(settings.ramp_ms);
         Upstream {
             member: member.clone(),
             serial: self.serial,
@@ -137,7 +136,7 @@
             pace: Pace::default(),
             limit: Limit::new(settings.initial_limit),
             health: Health::default(),
-            since: if first { now.saturating_sub(ramp) } else { now },
+            since: (!first).then_some(now),
             reported: None,
         }
     }
@@ -204,6 +203,9 @@
         }
         upstream.reported = Some((load.sequence, now));
         upstream.member.leaving |= load.leaving;
+        if load.waiting > 0 && self.mechanisms.has(Mechanism::Limits) {
+            upstream.limit.crowd();
+        }
         let total = load.running.saturating_add(load.waiting).min(ABSURD);
         upstream.others = f64::from(total.saturating_sub(upstream.in_flight));
     }
@@ -244,7 +246,7 @@
                 self.ejections += 1;
                 upstream.health.eject(now);
                 upstream.pace.reset();
-                upstream.since = upstream.health.back();
+                upstream.since = Some(upstream.health.back());
             }
         }
     }
@@ -297,10 +299,11 @@
         if upstream.member.leaving || upstream.health.is_out(now) {
             return 0.0;
         }
-        let part = if self.mechanisms.has(Mechanism::Ramp) {
-            ramp::part(now, upstream.since, Duration::from_millis(settings.ramp_ms))
-        } else {
-            1.0
+        let ramps = self.mechanisms.has(Mechanism::Ramp);
+        let ramp = Duration::from_millis(settings.ramp_ms);
+        let part = match upstream.since {
+            Some(since) if ramps => ramp::part(now, since, ramp),
+            _ => 1.0,
         };
         (upstream.limit.get() * part).max(1.0)
     }
--- a/verbenaspool_policy/src/queue.rs
+++ b/verbenaspool_policy/src/queue.rs
@@ -79,10 +79,19 @@
         self.work
     }
 
-    /// The request that starts next.
+    /// The request that starts next: the one that must start first or, where
+    /// `shortest` is set, the one with the least work among the most urgent.
     #[must_use]
-    pub fn first(&self) -> Option<&Waiting> {
-        self.waiting.first()
+    pub fn first(&self, shortest: bool) -> Option<&Waiting> {
+        let first = self.waiting.first()?;
+        if !shortest {
+            return Some(first);
+        }
+        let urgent = self
+            .waiting
+            .iter()
+            .take_while(|w| w.priority == first.priority);
+        urgent.min_by(|a, b| a.work.total_cmp(&b.work))
     }
 
     /// Adds a request at its place.
@@ -92,11 +101,6 @@
         self.waiting.insert(place, waiting);
     }
 
-    /// Takes the request that starts next.
-    pub fn pop(&mut self) -> Option<Waiting> {
-        (!self.waiting.is_empty()).then(|| self.take(0))
-    }
-
     /// Takes one request out, wherever it stands.
     pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
         let place = self.waiting.iter().position(|w| w.ticket == ticket)?;
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -18,6 +18,18 @@
 
 /// The customer whose queue everybody shares where shares are switched off.
 const EVERYBODY: u32 = 0;
+/// Seconds over which the offered work is averaged: some dozens of requests at
+/// an entry today, and well below [`STANDING`].
+const OFFERED: f64 = 2.0;
+/// Above this multiple of the capacity the offered work is an overload. Below it
+/// the queue drains or hardly grows.
+const OVER: f64 = 1.1;
+/// How long an overload lasts before it counts as standing. A burst is over by
+/// then, and what it left can still be done in the order of deadlines. In a
+/// standing overload that order starts everything at the last moment, where an
+/// answer a little longer than estimated comes too late; the shortest first
+/// leaves room for that.
+const STANDING: Duration = Duration::from_secs(10);
 /// Requests over which the mean work of one is taken.
 const MEAN: f64 = 64.0;
 
@@ -28,6 +40,8 @@
     pub customer: u32,
     /// Its estimated work, nothing cached.
     pub work: f64,
+    /// When its answer must be whole.
+    pub deadline: Duration,
     /// The length of its prompt.
     pub prompt_tokens: u32,
     /// The most tokens it may generate.
@@ -47,6 +61,12 @@
     ring: Ring,
     /// The mean work of a request.
     quantum: f64,
+    /// The work offered a second, lately.
+    offered: f64,
+    /// Since when more was offered than can be done.
+    over_since: Option<Duration>,
+    /// When a request was offered last.
+    offered_at: Duration,
     /// The work of all waiting requests.
     backlog: f64,
     /// Waiting requests.
@@ -65,6 +85,9 @@
             customers: Customers::default(),
             ring: Ring::default(),
             quantum: 1.0,
+            offered: 0.0,
+            over_since: None,
+            offered_at: Duration::ZERO,
             backlog: 0.0,
             held: HashMap::new(),
             expiries: BinaryHeap::new(),
@@ -104,7 +127,10 @@
     }
 
     /// Learns what a request's work is, for the size of a turn.
-    pub fn observe(&mut self, work: f64) {
+    pub fn observe(&mut self, now: Duration, work: f64) {
+        let passed = now.saturating_sub(self.offered_at).as_secs_f64();
+        self.offered = self.offered * (-passed / OFFERED).exp() + work / OFFERED;
+        self.offered_at = now;
         self.quantum += (work - self.quantum) / MEAN;
     }
 
@@ -152,7 +178,8 @@
     }
 
     /// The request whose turn it is to start.
-    pub fn turn(&mut self) -> Option<Ticket> {
+    pub fn turn(&mut self, capacity: f64) -> Option<Ticket> {
+        let shortest = self.overloaded(capacity);
         loop {
             let owner = self.ring.first()?;
             let customer = self.customers.get_mut(owner);
@@ -160,11 +187,21 @@
                 .ring
                 .turn(customer.share, self.quantum, &mut customer.seat)
             {
-                return customer.queue.first().map(|first| first.ticket);
+                return customer.queue.first(shortest).map(|first| first.ticket);
             }
         }
     }
 
+    /// Whether more has been offered than can be done for [`STANDING`].
+    fn overloaded(&mut self, capacity: f64) -> bool {
+        if self.offered < OVER * capacity {
+            self.over_since = None;
+            return false;
+        }
+        let since = *self.over_since.get_or_insert(self.offered_at);
+        self.offered_at >= since + STANDING
+    }
+
     /// Charges a customer for started work, or pays it back.
     pub fn charge(&mut self, customer: u32, work: f64) {
         let owner = self.owner(customer);
--- a/verbenaspool_state/src/decisions.rs
+++ b/verbenaspool_state/src/decisions.rs
@@ -37,7 +37,7 @@
             deadline_ms: 30_000,
             queue: 256,
             prefill_weight: 0.1,
-            initial_limit: 4,
+            initial_limit: 2,
             max_limit: 512,
             subset: 64,
             affinity_bound: 1.25,
