--- /dev/null
+++ b/verbenaspool/src/entry/caller.rs
@@ -0,0 +1,200 @@
+//! What a caller says about its request in the request's head.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Method, header::AUTHORIZATION};
+use verbenaspool_protocol::{
+    header,
+    problem::{Code, Problem},
+};
+use verbenaspool_state::service::{Kind, Service};
+
+/// The longest deadline a caller may name; it bounds how long anything is kept
+/// for a request.
+const LONGEST_DEADLINE: Duration = Duration::from_hours(1);
+
+/// The longest idempotency key in bytes; the key is part of an object's name.
+const LONGEST_KEY: usize = 128;
+
+/// The scheme of a credential.
+const BEARER: &str = "bearer ";
+
+/// The priorities of [`header::PRIORITY`], lowest first.
+const PRIORITIES: [&str; 3] = ["low", "normal", "high"];
+
+/// The priority of a request that names none.
+const NORMAL: u8 = 1;
+
+/// What the head says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wish {
+    /// How long the caller waits for the whole answer, where it says so.
+    pub deadline: Option<Duration>,
+    /// How urgent the request is; higher goes first.
+    pub priority: u8,
+    /// The key that makes a write run at most once.
+    pub key: Option<String>,
+}
+
+/// Reads a header that callers may send once, as text.
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad(&format!("The header {name} is there more than once.")));
+    }
+    match value.to_str() {
+        Ok(text) => Ok(Some(text.trim())),
+        Err(_) => Err(bad(&format!("The header {name} is no plain text."))),
+    }
+}
+
+/// A malformed request.
+fn bad(message: &str) -> Problem {
+    Problem::not_run(Code::BadRequest, message)
+}
+
+/// Reads what the head says about the request.
+///
+/// # Errors
+/// A header can't be understood: guessing at a deadline or a key could run a
+/// request that the caller has given up.
+///
+/// ```
+/// use http::HeaderMap;
+/// use verbenaspool::entry::caller;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("x-verbenaspool-deadline-ms", "250".parse().unwrap());
+/// assert_eq!(caller::wish(&headers).unwrap().deadline.unwrap().as_millis(), 250);
+/// headers.insert("x-verbenaspool-deadline-ms", "soon".parse().unwrap());
+/// assert!(caller::wish(&headers).is_err());
+/// ```
+pub fn wish(headers: &HeaderMap) -> Result<Wish, Problem> {
+    Ok(Wish {
+        deadline: deadline(headers)?,
+        priority: priority(headers)?,
+        key: key(headers)?,
+    })
+}
+
+/// Reads the deadline.
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    let Some(text) = text(headers, header::DEADLINE)? else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(0) | Err(_) => Err(bad(
+            "The deadline is not a whole number of milliseconds above zero.",
+        )),
+        Ok(ms) => Ok(Some(Duration::from_millis(ms).min(LONGEST_DEADLINE))),
+    }
+}
+
+/// Reads the priority.
+fn priority(headers: &HeaderMap) -> Result<u8, Problem> {
+    let Some(text) = text(headers, header::PRIORITY)? else {
+        return Ok(NORMAL);
+    };
+    (0..)
+        .zip(PRIORITIES)
+        .find(|(_, name)| *name == text)
+        .map(|(priority, _)| priority)
+        .ok_or_else(|| bad("The priority is none of high, normal and low."))
+}
+
+/// The priority as its header says it.
+///
+/// ```
+/// assert_eq!(verbenaspool::entry::caller::priority_name(2), "high");
+/// ```
+#[must_use]
+pub fn priority_name(priority: u8) -> &'static str {
+    PRIORITIES[usize::from(priority).min(PRIORITIES.len() - 1)]
+}
+
+/// Reads the idempotency key.
+fn key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(text) = text(headers, header::IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    if text.is_empty() || text.len() > LONGEST_KEY {
+        return Err(bad("The idempotency key is empty or over 128 bytes."));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+/// Reads the credential that the caller presents.
+///
+/// # Errors
+/// There is none, or it is no bearer credential.
+///
+/// ```
+/// use http::HeaderMap;
+/// use verbenaspool::entry::caller;
+///
+/// let mut headers = HeaderMap::new();
+/// assert!(caller::credential(&headers).is_err());
+/// headers.insert("authorization", "Bearer abc".parse().unwrap());
+/// assert_eq!(caller::credential(&headers).unwrap(), "abc");
+/// ```
+pub fn credential(headers: &HeaderMap) -> Result<&str, Problem> {
+    let missing = || {
+        Problem::not_run(
+            Code::Unauthorized,
+            "The request carries no bearer credential.",
+        )
+    };
+    let text = text(headers, AUTHORIZATION.as_str())?.ok_or_else(missing)?;
+    match text.get(..BEARER.len()) {
+        Some(scheme) if scheme.eq_ignore_ascii_case(BEARER) => Ok(text[BEARER.len()..].trim()),
+        _ => Err(missing()),
+    }
+}
+
+/// Whether a request may run twice. `path` is the path below the service's own.
+///
+/// ```
+/// use http::Method;
+/// use verbenaspool::entry::caller;
+/// use verbenaspool_state::service::{Kind, Plain, Service};
+///
+/// let jobs = Service {
+///     name: "jobs".parse().unwrap(),
+///     kind: Kind::Plain(Plain { idempotent: vec!["/search".into()] }),
+///     path: "/jobs/".into(),
+///     zones: Vec::new(),
+///     decisions: Default::default(),
+/// };
+/// assert!(caller::repeatable(&jobs, &Method::GET, "/bookings/1"));
+/// assert!(caller::repeatable(&jobs, &Method::POST, "/search"));
+/// assert!(!caller::repeatable(&jobs, &Method::POST, "/bookings"));
+/// ```
+#[must_use]
+pub fn repeatable(service: &Service, method: &Method, path: &str) -> bool {
+    match &service.kind {
+        Kind::Model(_) => true,
+        Kind::Plain(plain) => {
+            matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+                || plain.idempotent.iter().any(|prefix| below(path, prefix))
+        }
+    }
+}
+
+/// Whether a path is a prefix or lies below it, by whole segments.
+///
+/// ```
+/// use verbenaspool::entry::caller::below;
+///
+/// assert!(below("/loft/quotes", "/loft/"));
+/// assert!(below("/loft", "/loft/"));
+/// assert!(!below("/lofts", "/loft"));
+/// ```
+#[must_use]
+pub fn below(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
--- /dev/null
+++ b/verbenaspool/src/entry/table.rs
@@ -0,0 +1,119 @@
+//! The firm's file as the entry looks things up in it.
+
+use std::{collections::HashMap, rc::Rc};
+
+use verbenaspool_protocol::problem::{Code, Problem};
+use verbenaspool_state::{
+    credential::Digest, customer::Customer, file::File, name::Name, service::Service,
+    version::Version,
+};
+
+use super::caller::below;
+
+/// One version of the file, indexed.
+#[derive(Debug)]
+pub struct Table {
+    /// The version.
+    pub version: Version,
+    /// The firm.
+    pub firm: Name,
+    /// The services, longest path first, so that the first match is the closest.
+    pub services: Vec<Rc<Service>>,
+    /// The customers.
+    pub customers: Vec<Rc<Customer>>,
+    /// Whom each credential stands for.
+    credentials: HashMap<Digest, Rc<Customer>>,
+}
+
+impl Table {
+    /// Indexes a file.
+    ///
+    /// ```
+    /// use verbenaspool::entry::table::Table;
+    /// use verbenaspool_state::{file::File, version::Version};
+    ///
+    /// let file = File {
+    ///     firm: "quetzal".parse().unwrap(),
+    ///     places: Vec::new(),
+    ///     services: Vec::new(),
+    ///     customers: Vec::new(),
+    /// };
+    /// let table = Table::new(Version(1), &file);
+    /// assert!(table.service("/records/1").is_err());
+    /// ```
+    #[must_use]
+    pub fn new(version: Version, file: &File) -> Self {
+        let mut services: Vec<_> = file.services.iter().cloned().map(Rc::new).collect();
+        services.sort_by_key(|service| std::cmp::Reverse(service.path.len()));
+        let customers: Vec<_> = file.customers.iter().cloned().map(Rc::new).collect();
+        let credentials = customers
+            .iter()
+            .flat_map(|customer| {
+                let digests = customer.credentials.iter();
+                digests.map(|digest| (*digest, customer.clone()))
+            })
+            .collect();
+        Self {
+            version,
+            firm: file.firm.clone(),
+            services,
+            customers,
+            credentials,
+        }
+    }
+
+    /// The customer whom a credential stands for.
+    ///
+    /// # Errors
+    /// It stands for nobody of this firm. Another firm's customer gets the same
+    /// answer as a stranger, so that neither firm learns who the other's are.
+    pub fn customer(&self, credential: &str) -> Result<&Rc<Customer>, Problem> {
+        self.credentials
+            .get(&Digest::of(credential))
+            .ok_or_else(|| {
+                Problem::not_run(
+                    Code::Unauthorized,
+                    "The credential stands for no customer of this firm.",
+                )
+            })
+    }
+
+    /// The service that a path belongs to.
+    ///
+    /// # Errors
+    /// No service has the path.
+    pub fn service(&self, path: &str) -> Result<&Rc<Service>, Problem> {
+        self.services
+            .iter()
+            .find(|service| below(path, &service.path))
+            .ok_or_else(|| Problem::not_run(Code::UnknownService, "No service has this path."))
+    }
+}
+
+/// Whether a customer may use a service.
+///
+/// # Errors
+/// It may not.
+///
+/// ```
+/// use verbenaspool::entry::table::permit;
+/// use verbenaspool_state::customer::Customer;
+///
+/// let customer = Customer {
+///     name: "bowen-loft".parse().unwrap(),
+///     share: 1,
+///     credentials: Vec::new(),
+///     services: vec!["jobs".parse().unwrap()],
+/// };
+/// assert!(permit(&customer, &"jobs".parse().unwrap()).is_ok());
+/// assert!(permit(&customer, &"assistant".parse().unwrap()).is_err());
+/// ```
+pub fn permit(customer: &Customer, service: &Name) -> Result<(), Problem> {
+    if customer.services.is_empty() || customer.services.contains(service) {
+        return Ok(());
+    }
+    Err(Problem::not_run(
+        Code::Forbidden,
+        "The customer may not use this service.",
+    ))
+}
--- a/verbenaspool/src/main.rs
+++ b/verbenaspool/src/main.rs
@@ -1,3 +1,9 @@
 //! The `verbenaspool` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use verbenaspool::cli;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/verbenaspool/tests/entry/agent.rs
@@ -0,0 +1,134 @@
+//! An agent as the test plays it.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use tokio::sync::mpsc;
+use verbenaspool_protocol::{
+    header,
+    outcome::Outcome,
+    problem::{Code, Problem},
+};
+use verbenaspool_transport::{
+    http::{
+        body::{self, Body},
+        server::{self, Answer, Handler, Limits, Open},
+    },
+    shutdown::Signal,
+};
+
+/// What the agent does with a request.
+pub enum Act {
+    /// Answers 200 with the request's own body.
+    Echo,
+    /// Answers with a stream that the test feeds.
+    Stream(mpsc::UnboundedReceiver<Option<&'static str>>),
+    /// Refuses: the request did not run.
+    Refuse,
+    /// Answers as if to another attempt.
+    Crossed,
+}
+
+/// What the agent saw of a request.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// The agent: a queue of acts, and what it saw. Without an act it echoes.
+#[derive(Default)]
+pub struct Agent {
+    pub acts: RefCell<VecDeque<Act>>,
+    pub seen: RefCell<Vec<Seen>>,
+}
+
+impl Agent {
+    /// Starts the agent and tells its address.
+    pub fn start(self: &Rc<Self>, signal: Signal) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        monoio::spawn(server::serve(
+            listener,
+            Limits::default(),
+            self.clone(),
+            Open::default(),
+            signal,
+        ));
+        address
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let act = self.acts.borrow_mut().pop_front().unwrap_or(Act::Echo);
+        let (parts, body) = request.into_parts();
+        let mut id = parts.headers[header::ATTEMPT].clone();
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(_) => Bytes::from_static(b"(broken)"),
+        };
+        self.seen.borrow_mut().push(Seen {
+            path: parts.uri.to_string(),
+            headers: parts.headers,
+            body: body.clone(),
+        });
+        let mut response = match act {
+            Act::Echo => Response::new(Body::full(body)),
+            Act::Stream(feed) => Response::new(Body::wrap(Feed(feed))),
+            Act::Crossed => {
+                id = "0000000000000000-1".parse().unwrap();
+                Response::new(Body::full("another caller's answer"))
+            }
+            Act::Refuse => refusal(),
+        };
+        let headers = response.headers_mut();
+        let outcome = headers.get(header::OUTCOME).cloned();
+        let ran = Outcome::Ran.as_str().parse().unwrap();
+        headers.insert(header::OUTCOME, outcome.unwrap_or(ran));
+        headers.insert(header::ATTEMPT, id);
+        response
+    }
+}
+
+fn refusal() -> Response<Body> {
+    let problem = Problem::not_run(Code::Leaving, "The instance is leaving.");
+    verbenaspool::entry::reply::problem(&problem)
+}
+
+impl Handler for Agent {
+    fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
+        Box::pin(self.answer(request))
+    }
+}
+
+/// A body that the test feeds; none breaks it.
+struct Feed(mpsc::UnboundedReceiver<Option<&'static str>>);
+
+impl http_body::Body for Feed {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        self.0.poll_recv(cx).map(|fed| {
+            fed.map(|chunk| match chunk {
+                Some(chunk) => Ok(Frame::data(Bytes::from_static(chunk.as_bytes()))),
+                None => Err("broken by the test".into()),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/verbenaspool/tests/entry/bad_input.rs
@@ -0,0 +1,237 @@
+//! What callers may get wrong, and what they hear.
+
+use std::time::Duration;
+
+use verbenaspool::settings::Bound;
+use verbenaspool_transport::shutdown;
+
+use crate::{
+    agent::Agent,
+    site::{CREDENTIAL, Site, run, upstream},
+};
+
+/// One malformed request and the status it gets; none where the connection is
+/// closed without a word.
+struct Case {
+    name: &'static str,
+    request: String,
+    status: Option<u16>,
+    code: &'static str,
+}
+
+fn case(name: &'static str, request: String, status: u16, code: &'static str) -> Case {
+    Case {
+        name,
+        request,
+        status: Some(status),
+        code,
+    }
+}
+
+/// A head with the customer's credential and more lines.
+fn head(line: &str, more: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {CREDENTIAL}\r\n{more}\r\n")
+}
+
+fn cases() -> Vec<Case> {
+    let post = "POST /jobs/bookings";
+    vec![
+        case("no HTTP", "\u{1}\u{2}\u{3}\r\n\r\n".into(), 400, ""),
+        case("no version", "GET /jobs/\r\n\r\n".into(), 400, ""),
+        case("bad header name", head(post, "a b: c\r\n"), 400, ""),
+        case(
+            "large head",
+            head(post, &format!("x: {}\r\n", "x".repeat(70_000))),
+            431,
+            "",
+        ),
+        case("many headers", head(post, &"x: y\r\n".repeat(200)), 431, ""),
+        case(
+            "large body",
+            head(post, "Content-Length: 5000\r\n"),
+            413,
+            "too-large",
+        ),
+        case(
+            "large chunked body",
+            head(post, "Transfer-Encoding: chunked\r\n")
+                + "1000\r\n"
+                + &"x".repeat(0x1000)
+                + "\r\n",
+            413,
+            "too-large",
+        ),
+        case(
+            "bad chunk",
+            head(post, "Transfer-Encoding: chunked\r\n") + "zz\r\n",
+            400,
+            "bad-request",
+        ),
+        case(
+            "two lengths",
+            head(post, "Content-Length: 3\r\nContent-Length: 5\r\n") + "abcde",
+            400,
+            "",
+        ),
+        case(
+            "no credential",
+            "GET /jobs/ HTTP/1.1\r\nHost: a\r\n\r\n".into(),
+            401,
+            "unauthorized",
+        ),
+        case(
+            "another firm's customer",
+            "GET /jobs/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer quetzal\r\n\r\n".into(),
+            401,
+            "unauthorized",
+        ),
+        case(
+            "a service the customer may not use",
+            "GET /loft/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer tweed\r\n\r\n".into(),
+            403,
+            "forbidden",
+        ),
+        case(
+            "unknown service",
+            head("GET /nothing", ""),
+            404,
+            "unknown-service",
+        ),
+        case(
+            "near miss of a path",
+            head("GET /jobsite", ""),
+            404,
+            "unknown-service",
+        ),
+        case(
+            "no deadline",
+            head(post, "x-verbenaspool-deadline-ms: soon\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "deadline of 0",
+            head(post, "x-verbenaspool-deadline-ms: 0\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "negative deadline",
+            head(post, "x-verbenaspool-deadline-ms: -1\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "no priority",
+            head(post, "x-verbenaspool-priority: urgent\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "invalid UTF-8",
+            head(post, "idempotency-key: \u{e9}\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "empty key",
+            head(post, "idempotency-key:\r\n"),
+            400,
+            "bad-request",
+        ),
+        case(
+            "two keys",
+            head(post, "idempotency-key: a\r\nidempotency-key: b\r\n"),
+            400,
+            "bad-request",
+        ),
+    ]
+}
+
+/// Bounds that a test can reach.
+fn tight() -> Bound {
+    Bound {
+        body_bytes: 3_000,
+        head_ms: 300,
+        pause_ms: 300,
+        ..Bound::default()
+    }
+}
+
+#[test]
+fn each_gets_a_clear_error_and_others_go_on() {
+    run(async {
+        let (_stop, signal) = shutdown::channel();
+        let agent = std::rc::Rc::new(Agent::default());
+        let address = agent.start(signal);
+        let upstreams = [upstream("jobs-1", "jobs", address)];
+        let site = Site::limited(tight(), &upstreams);
+        for case in cases() {
+            let answer = site.raw(case.request).await;
+            let status = case.status.unwrap().to_string();
+            assert_eq!(
+                answer.get(9..12),
+                Some(status.as_str()),
+                "{}: {answer}",
+                case.name
+            );
+            assert!(answer.contains(case.code), "{}: {answer}", case.name);
+            let good = head("GET /jobs/1", "Connection: close\r\n");
+            let answer = site.raw(good).await;
+            assert!(
+                answer.starts_with("HTTP/1.1 200"),
+                "after {}: {answer}",
+                case.name
+            );
+        }
+    });
+}
+
+#[test]
+fn an_ambiguous_length_is_no_second_request() {
+    // A caller smuggles a request past the checks: with two ways to say the
+    // length, the entry takes one and serves the rest as a request of its own.
+    run(async {
+        let (_stop, signal) = shutdown::channel();
+        let agent = std::rc::Rc::new(Agent::default());
+        let address = agent.start(signal);
+        let site = Site::start(&[upstream("jobs-1", "jobs", address)]);
+        let more = "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n";
+        let smuggled = head("GET /jobs/smuggled", "");
+        let bytes = head("POST /jobs/bookings", more) + "0\r\n\r\n" + &smuggled;
+        let answer = site.raw(bytes).await;
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+        let seen = agent.seen.borrow();
+        assert!(seen.iter().all(|seen| seen.path != "/smuggled"));
+    });
+}
+
+#[test]
+fn slow_senders_are_closed() {
+    run(async {
+        let (_stop, signal) = shutdown::channel();
+        let agent = std::rc::Rc::new(Agent::default());
+        let address = agent.start(signal);
+        let site = Site::limited(tight(), &[upstream("jobs-1", "jobs", address)]);
+        let start = "POST /jobs/ HTTP/1.1\r\nHo";
+        let _ = site.raw(start).await;
+        let body = head("POST /jobs/bookings", "Content-Length: 10\r\n");
+        let answer = site.raw(body.clone()).await;
+        assert!(answer.contains("slow-sender"), "{answer}");
+        assert!(answer.contains("not-run"), "{answer}");
+        let answer = site.raw(body + "abc").await;
+        assert!(answer.contains("slow-sender"), "{answer}");
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(site.entry.open.count(), 0);
+    });
+}
+
+#[test]
+fn an_entry_without_configuration_serves_nobody() {
+    run(async {
+        let site = Site::bare(Bound::default());
+        let answer = site.raw(head("GET /jobs/1", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("not-ready"), "{answer}");
+    });
+}
--- /dev/null
+++ b/verbenaspool/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! The entry on real sockets, with an agent that the test plays.
+
+mod agent;
+mod bad_input;
+mod path;
+mod site;
--- /dev/null
+++ b/verbenaspool/tests/entry/path.rs
@@ -0,0 +1,191 @@
+//! The way of a request through the entry.
+
+use std::{rc::Rc, time::Duration};
+
+use http::Method;
+use http_body_util::BodyExt;
+use monoio::{
+    io::AsyncReadRent,
+    net::{TcpListener, TcpStream},
+};
+use tokio::sync::mpsc;
+use verbenaspool_protocol::header;
+use verbenaspool_transport::shutdown;
+
+use crate::{
+    agent::{Act, Agent},
+    site::{Site, code, request, run, upstream, whole},
+};
+
+/// A site with so many played agents behind each service.
+fn site(agents: usize) -> (Site, Vec<Rc<Agent>>, shutdown::Trigger) {
+    let (stop, signal) = shutdown::channel();
+    let agents: Vec<Rc<Agent>> = (0..agents).map(|_| Rc::default()).collect();
+    let mut upstreams = Vec::new();
+    for (i, agent) in agents.iter().enumerate() {
+        let address = agent.start(signal.clone());
+        upstreams.push(upstream(&format!("loft-{i}"), "assistant", address));
+        upstreams.push(upstream(&format!("jobs-{i}"), "jobs", address));
+    }
+    (Site::start(&upstreams), agents, stop)
+}
+
+#[test]
+fn a_request_reaches_its_service() {
+    run(async {
+        let (site, agents, _stop) = site(1);
+        let mut sent = request(
+            Method::POST,
+            "/loft/v1/completions?x=1",
+            "{\"prompt\":\"net\"}",
+        );
+        sent.headers_mut()
+            .insert(header::PRIORITY, "high".parse().unwrap());
+        sent.headers_mut()
+            .insert(header::AGENT, "9".parse().unwrap());
+        let (status, outcome, body) = whole(site.send(sent).await).await;
+        assert_eq!((status.as_u16(), outcome.as_str()), (200, "ran"));
+        assert_eq!(body, "{\"prompt\":\"net\"}");
+        let seen = agents[0].seen.borrow()[0].clone();
+        assert_eq!(seen.path, "/v1/completions?x=1");
+        assert_eq!(seen.body, body);
+        assert_eq!(seen.headers[header::CUSTOMER], "bowen-loft");
+        assert_eq!(seen.headers[header::PRIORITY], "high");
+        assert!(!seen.headers.contains_key("authorization"));
+        assert!(!seen.headers.contains_key(header::AGENT));
+    });
+}
+
+#[test]
+fn the_first_chunk_passes_before_the_second_exists() {
+    run(async {
+        let (site, agents, _stop) = site(1);
+        let (feed, fed) = mpsc::unbounded_channel();
+        agents[0].acts.borrow_mut().push_back(Act::Stream(fed));
+        let sent = request(Method::POST, "/loft/v1/completions", "{}");
+        feed.send(Some("data: one\n\n")).unwrap();
+        let mut body = site.send(sent).await.into_body();
+        let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
+        assert_eq!(first, "data: one\n\n");
+        feed.send(Some("data: two\n\n")).unwrap();
+        drop(feed);
+        let rest = body.collect().await.unwrap().to_bytes();
+        assert_eq!(rest, "data: two\n\n");
+    });
+}
+
+#[test]
+fn a_broken_stream_never_ends_like_a_whole_one() {
+    // A caller gets the start of a stream and then an end that looks whole,
+    // because the upstream broke off and the entry closed the message cleanly.
+    run(async {
+        let (site, agents, _stop) = site(1);
+        let (feed, fed) = mpsc::unbounded_channel();
+        agents[0].acts.borrow_mut().push_back(Act::Stream(fed));
+        feed.send(Some("data: one\n\n")).unwrap();
+        let sent = request(Method::POST, "/loft/v1/completions", "{}");
+        let mut body = site.send(sent).await.into_body();
+        body.frame().await.unwrap().unwrap();
+        feed.send(None).unwrap();
+        assert!(body.frame().await.unwrap().is_err());
+    });
+}
+
+#[test]
+fn a_confirmed_refusal_is_repeated_elsewhere() {
+    run(async {
+        let (site, agents, _stop) = site(2);
+        for agent in &agents {
+            agent.acts.borrow_mut().push_back(Act::Refuse);
+        }
+        let sent = request(Method::POST, "/jobs/bookings", "one booking");
+        // Both refuse once: the caller hears a truthful word.
+        let (status, outcome, body) = whole(site.send(sent).await).await;
+        assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
+        assert_eq!(code(&body), "no-upstream");
+        agents[0].acts.borrow_mut().push_back(Act::Refuse);
+        agents[1].acts.borrow_mut().clear();
+        for _ in 0..4 {
+            let sent = request(Method::POST, "/jobs/bookings", "one booking");
+            assert_eq!(whole(site.send(sent).await).await.2, "one booking");
+        }
+    });
+}
+
+#[test]
+fn a_crossed_answer_never_reaches_the_caller() {
+    // A caller sees another caller's answer: an agent answered on the wrong
+    // connection, and the entry passed on whatever came.
+    run(async {
+        let (site, agents, _stop) = site(1);
+        agents[0].acts.borrow_mut().push_back(Act::Crossed);
+        let sent = request(Method::POST, "/jobs/bookings", "one booking");
+        let (status, outcome, body) = whole(site.send(sent).await).await;
+        assert_eq!((status.as_u16(), outcome.as_str()), (502, "unknown"));
+        assert_eq!(code(&body), "upstream");
+        assert_eq!(agents[0].seen.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_lost_answer_to_a_write_is_not_repeated() {
+    // A skipper is charged twice: the agent took the booking and died before
+    // its answer, and the entry sent the booking again.
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (count, mut counted) = mpsc::unbounded_channel();
+        monoio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = stream.read(vec![0; 4096]).await;
+                count.send(()).unwrap();
+            }
+        });
+        let upstreams = [
+            upstream("jobs-1", "jobs", address),
+            upstream("jobs-2", "jobs", address),
+        ];
+        let site = Site::start(&upstreams);
+        let sent = request(Method::POST, "/jobs/bookings", "one booking");
+        let (status, outcome, _) = whole(site.send(sent).await).await;
+        assert_eq!((status.as_u16(), outcome.as_str()), (502, "unknown"));
+        assert!(counted.try_recv().is_ok());
+        assert!(counted.try_recv().is_err());
+    });
+}
+
+#[test]
+fn an_unreachable_upstream_is_a_truthful_not_run() {
+    run(async {
+        let gone = {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.local_addr().unwrap()
+        };
+        let site = Site::start(&[upstream("jobs-1", "jobs", gone)]);
+        let sent = request(Method::POST, "/jobs/bookings", "one booking");
+        let (status, outcome, body) = whole(site.send(sent).await).await;
+        assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
+        assert_eq!(code(&body), "no-upstream");
+    });
+}
+
+#[test]
+fn a_stopping_entry_cuts_off_no_request() {
+    // A caller's answer breaks off during an ordinary restart: the entry was
+    // told to stop while a stream was under way, and ended with it.
+    run(async {
+        let (site, agents, _stop) = site(1);
+        let (feed, fed) = mpsc::unbounded_channel();
+        agents[0].acts.borrow_mut().push_back(Act::Stream(fed));
+        let sent = request(Method::POST, "/loft/v1/completions", "{}");
+        feed.send(Some("data: one\n\n")).unwrap();
+        let mut body = site.send(sent).await.into_body();
+        body.frame().await.unwrap().unwrap();
+        site.stop.fire();
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        feed.send(Some("data: two\n\n")).unwrap();
+        drop(feed);
+        assert_eq!(body.collect().await.unwrap().to_bytes(), "data: two\n\n");
+        assert!(TcpStream::connect(site.address).await.is_err());
+    });
+}
--- /dev/null
+++ b/verbenaspool/tests/entry/site.rs
@@ -0,0 +1,177 @@
+//! A small site: one entry, played agents, and callers.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+};
+use verbenaspool::{
+    entry::Entry,
+    settings::{Bound, Settings},
+};
+use verbenaspool_protocol::{header, problem::Problem};
+use verbenaspool_state::{
+    credential::Digest,
+    file::File,
+    upstream::{State, Upstream},
+    version::Version,
+};
+use verbenaspool_transport::{
+    clock::Monotonic,
+    http::{body::Body, client::Client},
+    runtime, settings, shutdown,
+};
+
+/// The credential of the one customer.
+pub const CREDENTIAL: &str = "a-long-random-token";
+
+/// A started site.
+pub struct Site {
+    pub entry: Rc<Entry>,
+    pub address: SocketAddr,
+    pub client: Client,
+    pub stop: shutdown::Trigger,
+}
+
+/// A firm's file with a model and a plain service.
+pub fn file() -> File {
+    let text = format!(
+        "firm: tidewater
+places: [{{zone: bowen-a, region: queensland}}]
+services:
+- name: assistant
+  path: /loft/
+  kind: !model {{fences: checked, resume: true}}
+- name: jobs
+  path: /jobs/
+  kind: !plain {{idempotent: [/search]}}
+customers:
+- name: bowen-loft
+  credentials: ['{}']
+- name: tweed-loft
+  credentials: ['{}']
+  services: [jobs]
+",
+        Digest::of(CREDENTIAL),
+        Digest::of("tweed"),
+    );
+    settings::parse("tidewater.yaml".as_ref(), &text).unwrap()
+}
+
+/// An upstream of a service at an address.
+pub fn upstream(name: &str, service: &str, agent: SocketAddr) -> Upstream {
+    Upstream {
+        name: name.parse().unwrap(),
+        service: service.parse().unwrap(),
+        zone: "bowen-a".parse().unwrap(),
+        agent,
+        control: agent,
+        state: State::Live,
+        incarnation: 1,
+        rank: None,
+    }
+}
+
+/// The settings of the site's entry.
+fn options(limits: Bound) -> Settings {
+    let text = "firm: tidewater\nname: entry-1\nzone: bowen-a\nlisten: 127.0.0.1:0\n";
+    let settings: Settings = settings::parse("entry.yaml".as_ref(), text).unwrap();
+    Settings { limits, ..settings }
+}
+
+impl Site {
+    /// Starts an entry without configuration.
+    pub fn bare(limits: Bound) -> Self {
+        let entry = Entry::new(options(limits).options(), Monotonic::start());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, signal) = shutdown::channel();
+        monoio::spawn(entry.clone().serve(listener, signal));
+        Self {
+            entry,
+            address,
+            client: Client::new(Duration::from_secs(1)),
+            stop,
+        }
+    }
+
+    /// Starts an entry with the file and these upstreams.
+    pub fn start(upstreams: &[Upstream]) -> Self {
+        Self::limited(Bound::default(), upstreams)
+    }
+
+    /// The same with other limits.
+    pub fn limited(limits: Bound, upstreams: &[Upstream]) -> Self {
+        let site = Self::bare(limits);
+        site.entry.adopt(Version(1), &file());
+        site.entry.members(upstreams);
+        site
+    }
+
+    /// Sends a request as the customer.
+    pub async fn send(&self, request: Request<Body>) -> Response<Body> {
+        self.client.send(self.address, request).await.unwrap()
+    }
+
+    /// Sends bytes on a connection of their own and reads what comes back until
+    /// the entry closes it or has answered and waits.
+    pub async fn raw(&self, bytes: impl Into<Vec<u8>>) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let _ = stream.write_all(bytes.into()).await;
+        read(&mut stream, Duration::from_millis(400)).await
+    }
+}
+
+/// Reads until the end, or until nothing comes for a while.
+pub async fn read(stream: &mut TcpStream, pause: Duration) -> String {
+    let mut text = Vec::new();
+    loop {
+        match monoio::time::timeout(pause, stream.read(vec![0; 4096])).await {
+            Ok((Ok(count), chunk)) if count > 0 => text.extend_from_slice(&chunk[..count]),
+            _ => return String::from_utf8_lossy(&text).into_owned(),
+        }
+    }
+}
+
+/// A request of the customer.
+pub fn request(method: Method, path: &str, body: &'static str) -> Request<Body> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "entry")
+        .header("authorization", format!("Bearer {CREDENTIAL}"))
+        .body(Body::full(body))
+        .unwrap()
+}
+
+/// A response, read whole.
+pub async fn whole(response: Response<Body>) -> (StatusCode, String, String) {
+    let status = response.status();
+    let outcome = response.headers()[header::OUTCOME]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, outcome, String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// A problem's code as callers read it.
+pub fn code(body: &str) -> String {
+    let problem: Problem = serde_json::from_str(body).unwrap();
+    serde_json::to_value(problem.code)
+        .unwrap()
+        .as_str()
+        .unwrap()
+        .to_owned()
+}
+
+/// Runs a test, bounded in time.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let bounded = async { monoio::time::timeout(Duration::from_secs(20), test).await };
+    runtime::run(bounded)
+        .unwrap()
+        .expect("the test ends in time");
+}
--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -12,6 +12,8 @@
 pub const PRIORITY: &str = "x-verbenaspool-priority";
 /// The agent's load with each of its answers, as JSON of [`crate::load::Load`].
 pub const LOAD: &str = "x-verbenaspool-load";
+/// The customer whose request it is, as the entry found by the credential.
+pub const CUSTOMER: &str = "x-verbenaspool-customer";
 /// The caller's key that makes a write run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The W3C trace context.
--- a/verbenaspool_protocol/src/problem.rs
+++ b/verbenaspool_protocol/src/problem.rs
@@ -19,6 +19,8 @@
     UnknownService,
     /// The request's body is too large.
     TooLarge,
+    /// The request's body came too slowly.
+    SlowSender,
     /// The deadline can't be met.
     Deadline,
     /// There is no capacity for the request now.
@@ -56,6 +58,7 @@
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowSender => StatusCode::REQUEST_TIMEOUT,
             Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::KeyConflict => StatusCode::CONFLICT,
             Self::Upstream => StatusCode::BAD_GATEWAY,
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod http;
 pub mod rpc;
 pub mod runtime;
+pub mod settings;
 pub mod shutdown;
