--- /dev/null
+++ b/verbenaspool_state/src/check/tests.rs
@@ -0,0 +1,136 @@
+use expect_test::expect;
+
+use super::{Digest, File};
+
+/// A file without problems, to which the cases do one thing each.
+const SOUND: &str = "\
+firm: quetzal
+places:
+  - { zone: antigua, region: guatemala }
+services:
+  - name: reports
+    kind: !model
+      fences: checked
+      experts: { ranks: 4, experts: 8, layers: 2, slots: 3, expert_bytes: 1000 }
+    path: /reports/
+  - name: records
+    kind: !plain
+      idempotent: [/records/search/]
+    path: /records/
+customers:
+  - name: feria
+    share: 3
+    credentials: ['sha256:0000000000000000000000000000000000000000000000000000000000000001']
+";
+
+/// The problems of a file, one a line.
+fn problems(yaml: &str) -> String {
+    let problems = File::read(yaml).err().unwrap_or_default();
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn sound_file() {
+    assert_eq!(problems(SOUND), "");
+    let file = File::read(SOUND).unwrap();
+    assert_eq!(file.check(), []);
+}
+
+#[test]
+fn every_problem_at_once() {
+    let yaml = "\
+firm: Quetzal
+places:
+  - { zone: antigua, region: guatemala }
+  - { zone: antigua, region: guatemala }
+services:
+  - name: reports
+    kind: !model
+      fences: checked
+      experts: { ranks: 0, experts: 8, layers: 2, slots: 1, expert_bytes: 0 }
+    path: reports
+    zones: [coban, antigua, antigua]
+  - name: records
+    kind: !plain
+      idempotent: [/other/]
+    path: /records/
+    colour: red
+  - name: records
+    kind: !plain
+      idempotent: [/other/]
+    path: /records/
+customers:
+  - name: feria
+    share: 10001
+    credentials: []
+    services: [quotes]
+  - name: circo
+    credentials: ['sha256:0000000000000000000000000000000000000000000000000000000000000001']
+  - name: circo
+    credentials: ['sha256:0000000000000000000000000000000000000000000000000000000000000001']
+  - name: open
+    credentials: [plain-text]
+extras: 1
+";
+    expect![[r"
+        line 1: firm: the name 'Quetzal' holds 'Q'; use lowercase letters, digits and dashes
+        line 12: services[1]: unknown field `colour`, expected one of `name`, `kind`, `path`, `zones`, `decisions`
+        line 30: customers[3]: a credential is kept as 'sha256:' and 64 hex digits, never as itself
+        line 32: extras: there is no such section; known are firm, places, services, customers
+        line 4: places[1]: 'antigua' is places[0] already
+        line 6: services[0].path: a path starts and ends with '/', has neither '//' nor '..', and is ASCII without blanks, '?' or '#'
+        line 6: services[0].zones: 'coban' is no zone of the firm
+        line 6: services[0].zones: 'antigua' stands twice
+        line 6: services[0].kind.experts.ranks: 1 to 1024 are allowed, not 0
+        line 6: services[0].kind.experts.slots: 0 ranks of 1 slots hold 0 experts, too few for 8
+        line 6: services[0].kind.experts.expert_bytes: an expert has at least one byte
+        line 17: services[2].kind.idempotent: '/other/' is not below the service's path '/records/'
+        line 28: customers[2]: 'circo' is customers[1] already
+        line 22: customers[0].share: 0 to 10000 parts are allowed, not 10001
+        line 22: customers[0].credentials: without a credential the customer can't be told from others
+        line 28: customers[2].credentials: 'circo' has the same credential
+    "]]
+    .assert_eq(&(problems(yaml) + "\n"));
+}
+
+#[test]
+fn broken_syntax() {
+    let cases = [
+        ("firm: [", "line 2"),
+        ("- firm", "must hold firm"),
+        ("firm: quetzal\nfirm: tidewater\n", "duplicate"),
+        ("", "must hold firm"),
+        ("firm: quetzal\nplaces: none\n", "must be a list"),
+        ("firm: &a [*a]\n", ""),
+    ];
+    for (yaml, part) in cases {
+        let found = problems(yaml);
+        assert!(found.contains(part) && !found.is_empty(), "{yaml}: {found}");
+    }
+}
+
+#[test]
+fn examples_are_sound() {
+    let examples = [
+        include_str!("../../../examples/tidewater.yaml"),
+        include_str!("../../../examples/quetzal.yaml"),
+    ];
+    for example in examples {
+        assert_eq!(problems(example), "");
+        let file = File::read(example).unwrap();
+        for customer in &file.customers {
+            let token = format!("demo-{}-{}", file.firm, customer.name);
+            assert_eq!(customer.credentials, [Digest::of(&token)]);
+        }
+    }
+}
+
+// A service that can't be read must not make every customer who names it a
+// problem as well: the operator would look for faults that aren't there.
+#[test]
+fn one_fault_is_told_once() {
+    let yaml = SOUND.replace("path: /records/\n", "path: /records/\n    colour: red\n");
+    let yaml = format!("{yaml}    services: [records]\n");
+    assert_eq!(problems(&yaml).lines().count(), 1, "{}", problems(&yaml));
+}
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -1,6 +1,7 @@
 //! Domain types of verbenaspool: what an operator's file says and what the
 //! processes agree on. Nothing here does I/O.
 
+pub mod check;
 pub mod credential;
 pub mod customer;
 pub mod decisions;
