--- /dev/null
+++ b/verbenaspool_coordination/src/group/lead.rs
@@ -0,0 +1,634 @@
+//! The lead's side: which steps are granted on which map.
+//!
+//! A lead starts by *collecting*: every rank has to promise to refuse lower
+//! fences and to say what it was granted. Only then does it grant, above the
+//! highest step that any rank holds. A change of map is staged on all ranks
+//! first and then takes effect at the next step that nobody was granted yet.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use verbenaspool_state::expert_map::{Layer, Map, Problem, Shape};
+
+use super::{
+    message::{Ask, Command, News, Refusal, Report, Start},
+    schedule::{Schedule, Span},
+};
+
+/// How many maps one fence may bring in. An epoch is the fence times this plus
+/// a count, so two leads can't give one epoch to two maps, and an operator can
+/// read off both.
+pub const EPOCHS: u64 = 1_000_000;
+
+/// Fixed properties of a lead.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The seat of the lead's own rank.
+    pub seat: u16,
+    /// The group's layout.
+    pub shape: Shape,
+    /// How many steps are granted ahead of the last one run. A change of map
+    /// takes effect at most this many steps after it was staged; ranks run on
+    /// that long without a lead.
+    pub window: u64,
+    /// After how long an unanswered message is sent again.
+    pub resend: Duration,
+    /// How long all ranks together may take to stage a map.
+    pub patience: Duration,
+}
+
+/// What a lead does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Send to the agent of the rank at a seat.
+    Send {
+        /// The rank's seat.
+        seat: u16,
+        /// What to send.
+        command: Command,
+    },
+    /// The change is settled: this step is the first on the new map.
+    Switched {
+        /// The new map's epoch.
+        epoch: u64,
+        /// The step.
+        step: u64,
+    },
+    /// The change was given up; the map in force stays.
+    Aborted {
+        /// The epoch that is never used.
+        epoch: u64,
+        /// Why.
+        reason: Abort,
+    },
+    /// A rank's engine had a step on a map that wasn't granted.
+    Diverged {
+        /// The rank's seat.
+        seat: u16,
+        /// The step.
+        step: u64,
+        /// Whether the step was run already.
+        ran: bool,
+    },
+    /// A higher fence was heard of: this lead is over and sends nothing more.
+    Deposed {
+        /// The higher fence.
+        fence: u64,
+    },
+}
+
+/// Why a change was given up.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Abort {
+    /// Some ranks didn't stage the map in time.
+    #[error("{missing} ranks didn't stage it in time; the last failure: {last:?}")]
+    Slow {
+        /// How many.
+        missing: usize,
+        /// What an engine last said, where one did.
+        last: Option<String>,
+    },
+}
+
+/// Why a proposed map isn't taken up.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// The lead hasn't heard from all ranks yet.
+    #[error("the lead is still collecting the ranks")]
+    Collecting,
+    /// Another change is under way.
+    #[error("the change to epoch {epoch} is under way")]
+    Busy {
+        /// Its epoch.
+        epoch: u64,
+    },
+    /// The map doesn't fit the group.
+    #[error("the map doesn't fit the group: {0}")]
+    Unfit(#[from] Problem),
+    /// A lead with a higher fence took over, or this one's epochs are used up.
+    #[error("this lead is over")]
+    Over,
+}
+
+/// How far a lead is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It collects promises.
+    Collecting,
+    /// It grants steps.
+    Granting,
+    /// It is over.
+    Over,
+}
+
+/// What the lead knows of a rank.
+#[derive(Debug, Default)]
+struct Seat {
+    /// Whether it has answered the round of asking.
+    joined: bool,
+    /// The start it joined with.
+    start: Start,
+    /// The last step it ran.
+    done: u64,
+    /// The last step it has acknowledged.
+    top: u64,
+    /// The epochs its engine holds.
+    held: BTreeSet<u64>,
+    /// The last step it was sent a grant for.
+    offered: u64,
+    /// When it was last sent something.
+    sent: Option<Duration>,
+}
+
+/// A change of map under way.
+#[derive(Debug)]
+struct Change {
+    /// The new map's epoch.
+    epoch: u64,
+    /// When it was proposed.
+    since: Duration,
+    /// What an engine last said against it.
+    last: Option<String>,
+}
+
+/// The lead of a group.
+#[derive(Debug)]
+pub struct Lead {
+    /// Fixed properties.
+    settings: Settings,
+    /// The fence that the platform gave.
+    fence: u64,
+    /// How far the lead is.
+    phase: Phase,
+    /// Counts the rounds of asking.
+    round: u64,
+    /// The ranks.
+    seats: Vec<Seat>,
+    /// The steps granted to some rank and not known to be run.
+    schedule: Schedule,
+    /// The epoch of the next step to grant.
+    epoch: Option<u64>,
+    /// The highest epoch used.
+    highest: u64,
+    /// The change under way.
+    change: Option<Change>,
+    /// The placements known.
+    maps: BTreeMap<u64, Map>,
+    /// When a placement was last asked for.
+    fetched: Option<Duration>,
+}
+
+impl Lead {
+    /// A lead with the fence that the platform gave it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_coordination::group::lead::{Lead, Output, Settings};
+    /// use verbenaspool_state::expert_map::Shape;
+    ///
+    /// let shape = Shape { ranks: 2, experts: 4, layers: 1, slots: 2 };
+    /// let settings = Settings {
+    ///     seat: 0,
+    ///     shape,
+    ///     window: 256,
+    ///     resend: Duration::from_millis(200),
+    ///     patience: Duration::from_secs(60),
+    /// };
+    /// let mut lead = Lead::new(settings, 1);
+    /// // Its own rank is the first to promise.
+    /// assert!(matches!(lead.tick(Duration::ZERO)[..], [Output::Send { seat: 0, .. }]));
+    /// ```
+    #[must_use]
+    pub fn new(settings: Settings, fence: u64) -> Self {
+        let seats = 0..settings.shape.ranks;
+        Self {
+            seats: seats.map(|_| Seat::default()).collect(),
+            settings,
+            fence,
+            phase: Phase::Collecting,
+            round: 1,
+            schedule: Schedule::default(),
+            epoch: None,
+            highest: 0,
+            change: None,
+            maps: BTreeMap::new(),
+            fetched: None,
+        }
+    }
+
+    /// The lead's fence.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Whether all ranks have joined and steps are granted.
+    #[must_use]
+    pub fn is_granting(&self) -> bool {
+        self.phase == Phase::Granting
+    }
+
+    /// Whether a higher fence was heard of.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    /// The epoch of the next step to grant, where there is a map.
+    #[must_use]
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// The placement that the next step to grant runs on.
+    #[must_use]
+    pub fn map(&self) -> Option<&Map> {
+        self.maps.get(&self.epoch?)
+    }
+
+    /// The epoch of the change under way.
+    #[must_use]
+    pub fn changing(&self) -> Option<u64> {
+        self.change.as_ref().map(|change| change.epoch)
+    }
+
+    /// The last step that any rank has run, as far as is known.
+    #[must_use]
+    pub fn done(&self) -> u64 {
+        self.seats.iter().map(|seat| seat.done).max().unwrap_or(0)
+    }
+
+    /// Starts a change to a placement, under an epoch of this lead's own.
+    ///
+    /// # Errors
+    ///
+    /// Why the placement isn't taken up; the map in force stays.
+    pub fn propose(
+        &mut self,
+        now: Duration,
+        layers: Vec<Layer>,
+    ) -> Result<(u64, Vec<Output>), Refused> {
+        match self.phase {
+            Phase::Collecting => return Err(Refused::Collecting),
+            Phase::Over => return Err(Refused::Over),
+            Phase::Granting => {}
+        }
+        if let Some(change) = &self.change {
+            let epoch = change.epoch;
+            return Err(Refused::Busy { epoch });
+        }
+        let epoch = self.highest.max(self.fence * EPOCHS) + 1;
+        if epoch >= (self.fence + 1) * EPOCHS {
+            return Err(Refused::Over);
+        }
+        let map = Map { epoch, layers };
+        map.check(self.settings.shape, self.highest)?;
+        self.highest = epoch;
+        self.maps.insert(epoch, map);
+        self.change = Some(Change {
+            epoch,
+            since: now,
+            last: None,
+        });
+        Ok((epoch, self.drive(now, true)))
+    }
+
+    /// Time has passed: what has to be said, or said again.
+    pub fn tick(&mut self, now: Duration) -> Vec<Output> {
+        self.drive(now, false)
+    }
+
+    /// A rank reports.
+    pub fn report(&mut self, now: Duration, report: Report) -> Vec<Output> {
+        if self.phase == Phase::Over {
+            return Vec::new();
+        }
+        if report.fence > self.fence {
+            self.phase = Phase::Over;
+            let fence = report.fence;
+            return vec![Output::Deposed { fence }];
+        }
+        let Some(seat) = self.seats.get_mut(usize::from(report.seat)) else {
+            return Vec::new();
+        };
+        // Word of a start that was replaced says nothing about the present one.
+        if report.fence < self.fence && !matches!(report.news, News::Refused(_))
+            || report.start < seat.start
+        {
+            return Vec::new();
+        }
+        let current = seat.joined && report.start == seat.start;
+        match report.news {
+            News::Joined {
+                round,
+                done,
+                spans,
+                running,
+                held,
+            } => {
+                let restarted = report.start > seat.start;
+                if round != self.round && !(round == 0 && restarted) {
+                    return Vec::new();
+                }
+                let fresh = done == 0 && spans.is_empty();
+                let seat = report.seat;
+                let joined = Seat {
+                    joined: true,
+                    start: report.start,
+                    done,
+                    top: spans.last().map_or(done, |span| span.to),
+                    held: held.into_iter().collect(),
+                    offered: 0,
+                    sent: None,
+                };
+                self.join(seat, joined, &spans, running, fresh && round == 0)
+            }
+            News::Progress { done, top } if current => {
+                seat.done = seat.done.max(done);
+                seat.top = seat.top.max(top);
+                Vec::new()
+            }
+            News::Staged { epoch } if current => {
+                seat.held.insert(epoch);
+                Vec::new()
+            }
+            News::Failed { epoch, reason } if current => {
+                if let Some(change) = self.change.as_mut().filter(|c| c.epoch == epoch) {
+                    change.last = Some(reason);
+                }
+                Vec::new()
+            }
+            News::Held { map } => {
+                self.maps.entry(map.epoch).or_insert(map);
+                Vec::new()
+            }
+            News::Refused(refusal) => self.refused(report.seat, &refusal),
+            News::Diverged { step, epoch, ran } if current => {
+                self.adopt(step, epoch);
+                let seat = report.seat;
+                vec![Output::Diverged { seat, step, ran }]
+            }
+            _ => Vec::new(),
+        }
+        .into_iter()
+        .chain(self.drive(now, false))
+        .collect()
+    }
+
+    /// A rank didn't carry out a command.
+    fn refused(&mut self, seat: u16, refusal: &Refusal) -> Vec<Output> {
+        let rank = &mut self.seats[usize::from(seat)];
+        match *refusal {
+            Refusal::Fence { fence } if fence > self.fence => {
+                self.phase = Phase::Over;
+                vec![Output::Deposed { fence }]
+            }
+            // The rank's books end earlier than was believed.
+            Refusal::Gap { top } => {
+                rank.top = rank.top.min(top);
+                Vec::new()
+            }
+            // The rank has to say anew where it stands.
+            Refusal::Start | Refusal::Unjoined => {
+                rank.joined = false;
+                Vec::new()
+            }
+            Refusal::Conflict { step } => {
+                let ran = false;
+                vec![Output::Diverged { seat, step, ran }]
+            }
+            Refusal::Fence { .. } | Refusal::Learning | Refusal::Unknown => Vec::new(),
+        }
+    }
+
+    /// Takes in a step that an engine has from someone else. Where nobody was
+    /// granted it, granting it to all on the same map keeps the step whole.
+    fn adopt(&mut self, step: u64, epoch: u64) {
+        let next = self.top() + 1;
+        if step >= next && self.maps.contains_key(&epoch) {
+            let span = Span {
+                from: next,
+                to: step,
+                epoch,
+            };
+            // The span follows the schedule's end.
+            let _ = self.schedule.merge(&[span]);
+        }
+    }
+
+    /// A rank has promised to refuse lower fences.
+    fn join(
+        &mut self,
+        seat: u16,
+        joined: Seat,
+        spans: &[Span],
+        running: Option<u64>,
+        lost: bool,
+    ) -> Vec<Output> {
+        let known = joined.held.last().copied().max(running).unwrap_or(0);
+        self.highest = self.highest.max(known);
+        self.seats[usize::from(seat)] = joined;
+        if lost && self.done() > 0 {
+            // An engine that lost everything has to join at the step where the
+            // others wait for it, so they have to say which one that is.
+            self.recollect();
+            return Vec::new();
+        }
+        if self.phase == Phase::Collecting && running > self.epoch {
+            self.epoch = running;
+        }
+        let mut outputs = Vec::new();
+        for span in spans {
+            outputs.extend(self.note(seat, *span));
+        }
+        outputs
+    }
+
+    /// Adds what a rank was granted to the schedule. Ranks report in any order,
+    /// so a span may lie before, in or after what is listed.
+    fn note(&mut self, seat: u16, span: Span) -> Option<Output> {
+        let first = self.schedule.after(0).first().map(|span| span.from);
+        let listed = if first.is_some_and(|first| span.from < first) {
+            let mut whole = Schedule::default();
+            let rest = self.schedule.after(0);
+            let merged = whole.merge(&[span]).and_then(|()| whole.merge(&rest));
+            merged.map(|()| self.schedule = whole)
+        } else {
+            self.schedule.merge(&[span])
+        };
+        let step = span.from;
+        let ran = false;
+        listed.err().map(|_| Output::Diverged { seat, step, ran })
+    }
+
+    /// Asks all ranks anew where they stand, under the same fence.
+    fn recollect(&mut self) {
+        self.phase = Phase::Collecting;
+        self.round += 1;
+        for seat in &mut self.seats {
+            seat.joined = false;
+            seat.sent = None;
+        }
+    }
+
+    /// The last step granted to anyone.
+    fn top(&self) -> u64 {
+        self.schedule.top().unwrap_or(0).max(self.done())
+    }
+
+    /// Goes on as far as what is known allows.
+    fn drive(&mut self, now: Duration, at_once: bool) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if self.phase == Phase::Collecting && self.seats.iter().all(|seat| seat.joined) {
+            self.phase = Phase::Granting;
+        }
+        match self.phase {
+            Phase::Over => return outputs,
+            Phase::Collecting => {}
+            Phase::Granting => {
+                outputs.extend(self.settle(now));
+                self.extend();
+            }
+        }
+        for seat in 0..self.settings.shape.ranks {
+            outputs.extend(self.serve(now, seat, at_once));
+        }
+        outputs.extend(self.fetch(now));
+        outputs
+    }
+
+    /// Asks for the placement of a map that steps run on and that a new lead
+    /// doesn't know, at the first rank that holds it.
+    fn fetch(&mut self, now: Duration) -> Option<Output> {
+        let mut used = self.schedule.epochs().chain(self.epoch);
+        let epoch = used.find(|epoch| !self.maps.contains_key(epoch))?;
+        let due = self.fetched.is_none_or(|t| now >= t + self.settings.resend);
+        let holds = |seat: &Seat| seat.joined && seat.held.contains(&epoch);
+        let seat = self.seats.iter().position(holds).filter(|_| due)?;
+        self.fetched = Some(now);
+        let seat = u16::try_from(seat).expect("as many seats as ranks");
+        Some(self.send(seat, Ask::Fetch { epoch }))
+    }
+
+    /// Decides the change under way, once every rank has staged it or too long.
+    fn settle(&mut self, now: Duration) -> Vec<Output> {
+        let Some(change) = &self.change else {
+            return Vec::new();
+        };
+        let epoch = change.epoch;
+        let staged = |seat: &&Seat| seat.joined && seat.held.contains(&epoch);
+        let missing = self.seats.len() - self.seats.iter().filter(staged).count();
+        if missing == 0 {
+            self.change = None;
+            self.epoch = Some(epoch);
+            let step = self.top() + 1;
+            // The old map is kept until the schedule has left it behind.
+            return vec![Output::Switched { epoch, step }];
+        }
+        if now < change.since + self.settings.patience {
+            return Vec::new();
+        }
+        let last = change.last.clone();
+        self.change = None;
+        self.maps.remove(&epoch);
+        let mut outputs = vec![Output::Aborted {
+            epoch,
+            reason: Abort::Slow { missing, last },
+        }];
+        for seat in 0..self.settings.shape.ranks {
+            let start = self.seats[usize::from(seat)].start;
+            outputs.push(self.send(seat, Ask::Drop { start, epoch }));
+        }
+        outputs
+    }
+
+    /// Grants further steps once half of those granted are run.
+    fn extend(&mut self) {
+        let done = self.done();
+        let shortest = self.seats.iter().map(|seat| seat.top).min().unwrap_or(0);
+        self.schedule.trim(done.min(shortest));
+        let Some(epoch) = self.epoch else {
+            return;
+        };
+        let top = self.top();
+        if top >= done + self.settings.window.div_ceil(2) {
+            return;
+        }
+        let span = Span {
+            from: top + 1,
+            to: done + self.settings.window,
+            epoch,
+        };
+        // The span follows the schedule's end.
+        let _ = self.schedule.merge(&[span]);
+        let oldest = self.schedule.epochs().next().unwrap_or(epoch);
+        let oldest = oldest.min(epoch);
+        self.maps.retain(|&epoch, _| epoch >= oldest);
+    }
+
+    /// What a rank has to be told now.
+    fn serve(&mut self, now: Duration, seat: u16, at_once: bool) -> Vec<Output> {
+        let own = usize::from(self.settings.seat);
+        let rank = &self.seats[usize::from(seat)];
+        let due = rank.sent.is_none_or(|t| now >= t + self.settings.resend);
+        // The lead's own rank promises first: from then on its agent tells a
+        // rank that starts anew of this fence.
+        let held_up = usize::from(seat) != own && !self.seats[own].joined && rank.sent.is_none();
+        if held_up {
+            return Vec::new();
+        }
+        let asks = if rank.joined {
+            let extended = rank.offered < self.top();
+            self.wants(seat, due || at_once || extended)
+        } else if due {
+            vec![Ask::Collect { round: self.round }]
+        } else {
+            Vec::new()
+        };
+        if !asks.is_empty() {
+            let top = self.top();
+            let rank = &mut self.seats[usize::from(seat)];
+            rank.sent = Some(now);
+            rank.offered = if rank.joined { top } else { 0 };
+        }
+        let asks = asks.into_iter();
+        asks.map(|ask| self.send(seat, ask)).collect()
+    }
+
+    /// What a rank that has joined lacks: maps that it has to hold, steps that
+    /// it hasn't acknowledged.
+    fn wants(&self, seat: u16, due: bool) -> Vec<Ask> {
+        let rank = &self.seats[usize::from(seat)];
+        let start = rank.start;
+        let mut asks = Vec::new();
+        if !due || self.phase != Phase::Granting {
+            return asks;
+        }
+        let granted: BTreeSet<u64> = self.schedule.epochs().collect();
+        let needed = granted.into_iter().chain(self.epoch).chain(self.changing());
+        let needed: BTreeSet<u64> = needed.filter(|epoch| !rank.held.contains(epoch)).collect();
+        for map in needed.iter().filter_map(|epoch| self.maps.get(epoch)) {
+            let map = map.clone();
+            asks.push(Ask::Stage { start, map });
+        }
+        if rank.top < self.top() {
+            let from = if rank.top == 0 { self.done() } else { rank.top };
+            let spans = self.schedule.after(from);
+            asks.push(Ask::Grant { start, spans });
+        }
+        asks
+    }
+
+    /// A command under this lead's fence.
+    fn send(&self, seat: u16, ask: Ask) -> Output {
+        let command = Command {
+            fence: self.fence,
+            lead: self.settings.seat,
+            ask,
+        };
+        Output::Send { seat, command }
+    }
+}
--- /dev/null
+++ b/verbenaspool_coordination/src/group/rank.rs
@@ -0,0 +1,709 @@
+//! A rank's side: what its agent lets its engine do.
+//!
+//! The agent is the engine's only source of steps. It starts out *learning*:
+//! it may have promised a lead to refuse lower fences before it was restarted,
+//! and a promise forgotten would let an old lead's grant give a step a second
+//! map. It therefore asks the agents of all other ranks for the highest fence
+//! they know, waits until no order of its previous start can still reach the
+//! engine, and only then reads from the engine what was granted.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use verbenaspool_state::expert_map::Map;
+
+use super::{
+    message::{Ask, Command, News, Peer, Refusal, Report, Start},
+    schedule::{Error, Schedule, Span},
+};
+
+/// Fixed properties of a rank and its engine.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The rank's seat in the group, from 0.
+    pub seat: u16,
+    /// How many ranks the group has.
+    pub ranks: u16,
+    /// The start of this agent; counts up.
+    pub incarnation: u64,
+    /// Whether the engine refuses orders with an old fence. A late order to it
+    /// has no effect once it has seen a higher fence.
+    pub checked: bool,
+    /// The longest that an order may be on its way to an engine that ignores
+    /// fences. A new agent waits it out before it reads the engine.
+    pub longest: Duration,
+    /// After how long an unanswered message is sent again.
+    pub resend: Duration,
+    /// How many steps pass between two reports of progress.
+    pub stride: u64,
+}
+
+/// What happens to a rank's agent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// The lead asks something.
+    Command(Command),
+    /// Another rank's agent says something.
+    Peer(Peer),
+    /// The engine says something.
+    Engine(Event),
+    /// Time has passed.
+    Tick,
+}
+
+/// What an engine says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Where the engine stands.
+    State(Snapshot),
+    /// The engine holds all weights of a map.
+    Staged {
+        /// The map's epoch.
+        epoch: u64,
+    },
+    /// The engine couldn't load a map.
+    Failed {
+        /// The map's epoch.
+        epoch: u64,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Where an engine stands.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Snapshot {
+    /// The ticket of the [`Action::Read`] that this answers; 0 where it answers none.
+    pub ticket: u64,
+    /// The start of the engine; differs from start to start.
+    pub incarnation: u64,
+    /// The highest fence seen, where the engine checks them.
+    pub fence: Option<u64>,
+    /// The last step run; 0 where none was.
+    pub done: u64,
+    /// The epoch of that step.
+    pub running: Option<u64>,
+    /// The steps granted beyond it.
+    pub spans: Vec<Span>,
+    /// The epochs whose weights are loaded.
+    pub held: Vec<u64>,
+    /// The placements of those maps, where they were asked for.
+    pub maps: Vec<Map>,
+}
+
+/// What a rank's agent does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Tell the lead at a seat.
+    Report {
+        /// The lead's seat.
+        lead: u16,
+        /// What to tell.
+        report: Report,
+    },
+    /// Tell the agent of another rank.
+    Peer {
+        /// The rank's seat.
+        to: u16,
+        /// What to tell.
+        peer: Peer,
+    },
+    /// Have the engine do something.
+    Engine {
+        /// The fence that the order carries.
+        fence: u64,
+        /// What it is to do.
+        action: Action,
+    },
+}
+
+/// What an engine is to do. All of it may be asked again without a further effect.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Say where it stands now, with the placements of its maps.
+    Read {
+        /// Repeated in the answer, which so is known to be no older.
+        ticket: u64,
+    },
+    /// Run these steps.
+    Grant {
+        /// The steps and their maps.
+        spans: Vec<Span>,
+    },
+    /// Forget all granted steps that haven't started and run these instead.
+    Replace {
+        /// The steps and their maps.
+        spans: Vec<Span>,
+    },
+    /// Load what a map needs beside the running one.
+    Stage {
+        /// The map.
+        map: Map,
+    },
+    /// Forget a map.
+    Drop {
+        /// The map's epoch.
+        epoch: u64,
+    },
+}
+
+/// How far a rank's agent is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It collects the fence from its peers and waits out orders on their way.
+    Learning,
+    /// It reads its engine.
+    Reading,
+    /// It knows where it stands.
+    Ready,
+}
+
+/// A rank's agent.
+#[derive(Debug)]
+pub struct Rank {
+    /// Fixed properties.
+    settings: Settings,
+    /// How far the agent is.
+    phase: Phase,
+    /// When the agent started.
+    started: Option<Duration>,
+    /// The peers that have answered since.
+    floors: BTreeSet<u16>,
+    /// The highest fence heard of.
+    fence: u64,
+    /// The seat of the lead that holds it.
+    lead: Option<u16>,
+    /// Whether the rank has joined that lead.
+    joined: bool,
+    /// The round of asking to answer once the engine has been read.
+    owed: Option<u64>,
+    /// The ticket of the last reading asked for.
+    ticket: u64,
+    /// The engine's start, once read.
+    engine: Option<u64>,
+    /// Counts the engine's restarts.
+    life: u64,
+    /// The steps granted beyond `done`.
+    schedule: Schedule,
+    /// The last step run.
+    done: u64,
+    /// The epoch of the last step run.
+    running: Option<u64>,
+    /// The last step that the engine was seen to know of.
+    handed: u64,
+    /// The epochs whose weights the engine holds.
+    held: BTreeSet<u64>,
+    /// The placements known.
+    maps: BTreeMap<u64, Map>,
+    /// When the engine or the peers were last asked.
+    asked: Duration,
+    /// The step up to which progress was last reported.
+    told: u64,
+}
+
+impl Rank {
+    /// An agent that has just started.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_coordination::group::rank::{Rank, Settings};
+    ///
+    /// let rank = Rank::new(Settings {
+    ///     seat: 0,
+    ///     ranks: 8,
+    ///     incarnation: 1,
+    ///     checked: false,
+    ///     longest: Duration::from_secs(2),
+    ///     resend: Duration::from_millis(200),
+    ///     stride: 128,
+    /// });
+    /// assert!(!rank.is_ready());
+    /// ```
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            phase: Phase::Learning,
+            started: None,
+            floors: BTreeSet::new(),
+            fence: 0,
+            lead: None,
+            joined: false,
+            owed: None,
+            ticket: 0,
+            engine: None,
+            life: 0,
+            schedule: Schedule::default(),
+            done: 0,
+            running: None,
+            handed: 0,
+            held: BTreeSet::new(),
+            maps: BTreeMap::new(),
+            asked: Duration::ZERO,
+            told: 0,
+        }
+    }
+
+    /// Whether the agent knows where it stands.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+
+    /// The highest fence heard of.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// The last step run, as far as the engine has said.
+    #[must_use]
+    pub fn done(&self) -> u64 {
+        self.done
+    }
+
+    /// The epoch of the last step run.
+    #[must_use]
+    pub fn running(&self) -> Option<u64> {
+        self.running
+    }
+
+    /// The placement of a map, where it is known.
+    #[must_use]
+    pub fn map(&self, epoch: u64) -> Option<&Map> {
+        self.maps.get(&epoch)
+    }
+
+    /// Notes a fence that this agent's own lead has taken. It comes before the
+    /// lead's first message, so that a peer that starts and asks for the floor
+    /// hears of every fence that any rank may have promised to obey.
+    pub fn raise(&mut self, fence: u64) {
+        if fence > self.fence {
+            self.fence = fence;
+            self.lead = Some(self.settings.seat);
+            self.joined = false;
+        }
+    }
+
+    /// Takes in what happened and returns what to do about it.
+    pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        match input {
+            Input::Command(command) => self.command(now, command),
+            Input::Peer(peer) => self.peer(now, peer),
+            Input::Engine(event) => self.event(now, event),
+            Input::Tick => self.tick(now),
+        }
+    }
+
+    /// Time has passed.
+    fn tick(&mut self, now: Duration) -> Vec<Output> {
+        let due = self.started.is_none() || now >= self.asked + self.settings.resend;
+        let started = *self.started.get_or_insert(now);
+        let mut outputs = Vec::new();
+        if self.phase == Phase::Learning {
+            let known = self.floors.len() + 1 >= usize::from(self.settings.ranks);
+            if known && now >= started + self.settings.longest {
+                self.phase = Phase::Reading;
+                self.asked = now;
+                outputs.push(self.look());
+            } else if due {
+                self.asked = now;
+                outputs.extend(self.probes());
+            }
+        } else if due {
+            self.asked = now;
+            match self.phase {
+                Phase::Reading => outputs.push(self.look()),
+                _ if self.owed.is_some() => outputs.push(self.look()),
+                // The engine confirms a grant by the state it reports; until
+                // then the order or its answer may have been lost.
+                _ => outputs.extend(self.hand()),
+            }
+        }
+        outputs
+    }
+
+    /// Questions to the peers that haven't answered.
+    fn probes(&self) -> Vec<Output> {
+        let seat = self.settings.seat;
+        let incarnation = self.settings.incarnation;
+        let silent = |to: &u16| *to != seat && !self.floors.contains(to);
+        let probe = |to| Output::Peer {
+            to,
+            peer: Peer::Probe { seat, incarnation },
+        };
+        let seats = 0..self.settings.ranks;
+        seats.filter(silent).map(probe).collect()
+    }
+
+    /// Another rank's agent says something.
+    fn peer(&mut self, now: Duration, peer: Peer) -> Vec<Output> {
+        match peer {
+            Peer::Probe { seat, incarnation } => {
+                let answer = Peer::Floor {
+                    seat: self.settings.seat,
+                    incarnation,
+                    fence: self.fence,
+                    lead: self.lead,
+                };
+                vec![Output::Peer {
+                    to: seat,
+                    peer: answer,
+                }]
+            }
+            Peer::Floor {
+                seat,
+                incarnation,
+                fence,
+                lead,
+            } => {
+                let mine = incarnation == self.settings.incarnation;
+                if !mine || self.phase != Phase::Learning {
+                    return Vec::new();
+                }
+                self.floors.insert(seat);
+                if fence > self.fence {
+                    self.fence = fence;
+                    self.lead = lead;
+                }
+                self.tick(now)
+            }
+        }
+    }
+
+    /// The lead asks something.
+    fn command(&mut self, now: Duration, command: Command) -> Vec<Output> {
+        let lead = command.lead;
+        if let Err(refusal) = self.admit(&command) {
+            let report = self.report(News::Refused(refusal));
+            return vec![Output::Report { lead, report }];
+        }
+        match command.ask {
+            Ask::Collect { round } => {
+                self.fence = command.fence;
+                self.lead = Some(lead);
+                self.promise(round)
+            }
+            Ask::Grant { spans, .. } => self.grant(now, &spans),
+            Ask::Stage { map, .. } => self.stage(map),
+            Ask::Drop { epoch, .. } => self.forget(epoch),
+            Ask::Fetch { epoch } => {
+                let map = self.maps.get(&epoch).cloned();
+                let unknown = News::Refused(Refusal::Unknown);
+                self.tell(map.map_or(unknown, |map| News::Held { map }))
+            }
+        }
+    }
+
+    /// Whether a command may be carried out.
+    ///
+    /// An old lead that wakes from a pause, and its messages that were held up
+    /// on the way, are told by their fence. Those held up since before this
+    /// agent started are told by the start they name.
+    fn admit(&self, command: &Command) -> Result<(), Refusal> {
+        if self.phase != Phase::Ready {
+            return Err(Refusal::Learning);
+        }
+        if command.fence < self.fence {
+            return Err(Refusal::Fence { fence: self.fence });
+        }
+        let meant = match command.ask {
+            Ask::Collect { .. } => return Ok(()),
+            Ask::Fetch { .. } => self.start(),
+            Ask::Grant { start, .. } | Ask::Stage { start, .. } | Ask::Drop { start, .. } => start,
+        };
+        if meant != self.start() {
+            return Err(Refusal::Start);
+        }
+        if command.fence > self.fence || !self.joined {
+            return Err(Refusal::Unjoined);
+        }
+        Ok(())
+    }
+
+    /// Has the engine read, so as to answer a round of asking with where it
+    /// stands now. Where it checks fences, it refuses lower ones from then on.
+    fn promise(&mut self, round: u64) -> Vec<Output> {
+        self.owed = Some(round);
+        vec![self.look()]
+    }
+
+    /// Has the engine read. Answers to earlier readings no longer count.
+    fn look(&mut self) -> Output {
+        self.ticket += 1;
+        let ticket = self.ticket;
+        self.engine(Action::Read { ticket })
+    }
+
+    /// Takes a grant into the schedule and hands it on.
+    fn grant(&mut self, now: Duration, spans: &[Span]) -> Vec<Output> {
+        let refusal = match self.take(spans) {
+            Ok(()) => {
+                self.asked = now;
+                let mut outputs = self.progress();
+                outputs.extend(self.hand());
+                return outputs;
+            }
+            Err(Error::Conflict { step, .. }) => Refusal::Conflict { step },
+            Err(Error::Gap { top }) => Refusal::Gap { top },
+            Err(Error::Empty) => Refusal::Gap { top: self.top() },
+        };
+        self.tell(News::Refused(refusal))
+    }
+
+    /// Adds the granted steps that haven't run yet. Only an engine that has run
+    /// nothing may start anywhere: it joins where the others stand.
+    fn take(&mut self, spans: &[Span]) -> Result<(), Error> {
+        let mut granted = Schedule::default();
+        granted.merge(spans)?;
+        let spans = granted.after(self.done);
+        let first = spans.first().map_or(0, |span| span.from);
+        if self.done > 0 && first > self.top() + 1 {
+            return Err(Error::Gap { top: self.top() });
+        }
+        self.schedule.merge(&spans)
+    }
+
+    /// Hands the engine the granted steps that it isn't seen to know of, up to
+    /// the first whose weights it lacks: it could not run that one.
+    fn hand(&self) -> Option<Output> {
+        let mut spans = self.schedule.after(self.done);
+        let ready = |span: &Span| self.held.contains(&span.epoch);
+        spans.truncate(spans.iter().take_while(|span| ready(span)).count());
+        let top = spans.last()?.to;
+        (top > self.handed).then(|| self.engine(Action::Grant { spans }))
+    }
+
+    /// Has the engine load a map, or says that it has.
+    fn stage(&mut self, map: Map) -> Vec<Output> {
+        let epoch = map.epoch;
+        if self.held.contains(&epoch) {
+            return self.tell(News::Staged { epoch });
+        }
+        self.maps.insert(epoch, map.clone());
+        vec![self.engine(Action::Stage { map })]
+    }
+
+    /// Forgets a map, unless a step runs on it: the drop of an abandoned change
+    /// can't be meant for a map that was granted.
+    fn forget(&mut self, epoch: u64) -> Vec<Output> {
+        let used = self.running == Some(epoch) || self.schedule.epochs().any(|e| e == epoch);
+        if used || !self.maps.contains_key(&epoch) {
+            return Vec::new();
+        }
+        self.maps.remove(&epoch);
+        self.held.remove(&epoch);
+        vec![self.engine(Action::Drop { epoch })]
+    }
+
+    /// The engine says something.
+    fn event(&mut self, now: Duration, event: Event) -> Vec<Output> {
+        match event {
+            Event::State(snapshot) => self.read(now, snapshot),
+            Event::Staged { epoch } => {
+                // A map that was dropped meanwhile is of no use any more.
+                if self.phase != Phase::Ready || !self.maps.contains_key(&epoch) {
+                    return Vec::new();
+                }
+                self.held.insert(epoch);
+                let mut outputs = self.tell(News::Staged { epoch });
+                outputs.extend(self.hand());
+                outputs
+            }
+            Event::Failed { epoch, reason } => self.tell(News::Failed { epoch, reason }),
+        }
+    }
+
+    /// Takes in where the engine stands.
+    fn read(&mut self, now: Duration, snapshot: Snapshot) -> Vec<Output> {
+        match self.phase {
+            // An engine read too early might still get an order of the
+            // previous agent, which would then be in nobody's books.
+            Phase::Learning => Vec::new(),
+            // What was read before the wait ended may be out of date.
+            Phase::Reading if snapshot.ticket != self.ticket => Vec::new(),
+            Phase::Reading => {
+                self.phase = Phase::Ready;
+                self.restart(snapshot);
+                self.greet()
+            }
+            Phase::Ready if self.engine != Some(snapshot.incarnation) => {
+                self.life += 1;
+                self.restart(snapshot);
+                self.greet()
+            }
+            Phase::Ready => {
+                let mut outputs = self.advance(now, &snapshot);
+                outputs.extend(self.settle(&snapshot));
+                outputs
+            }
+        }
+    }
+
+    /// Answers the round of asking that waits for this reading.
+    fn settle(&mut self, snapshot: &Snapshot) -> Vec<Output> {
+        let refuses = snapshot.fence.is_some_and(|fence| fence >= self.fence);
+        let seen = snapshot.ticket == self.ticket && (refuses || !self.settings.checked);
+        let Some(round) = self.owed.take_if(|_| seen) else {
+            return Vec::new();
+        };
+        self.joined = true;
+        vec![self.join(round)]
+    }
+
+    /// Takes over all that the engine says.
+    fn restart(&mut self, snapshot: Snapshot) {
+        self.engine = Some(snapshot.incarnation);
+        self.done = snapshot.done;
+        self.told = snapshot.done;
+        self.running = snapshot.running;
+        self.schedule = Schedule::default();
+        // An engine's own list has no holes; one that had would be cut there.
+        let _ = self.schedule.merge(&snapshot.spans);
+        self.handed = self.top();
+        self.held = snapshot.held.into_iter().collect();
+        let maps = snapshot.maps.into_iter().map(|map| (map.epoch, map));
+        self.maps.extend(maps);
+    }
+
+    /// Tells the lead that holds the fence, where known, that the rank is here.
+    fn greet(&mut self) -> Vec<Output> {
+        if self.lead.is_none() {
+            return Vec::new();
+        }
+        self.promise(0)
+    }
+
+    /// Takes in how far the engine has come since.
+    fn advance(&mut self, now: Duration, snapshot: &Snapshot) -> Vec<Output> {
+        if snapshot.done < self.done {
+            // A report that was overtaken by a later one.
+            return Vec::new();
+        }
+        let mut outputs = self.compare(snapshot);
+        if snapshot.done > self.done {
+            self.done = snapshot.done;
+            self.running = snapshot.running;
+            self.schedule.trim(self.done);
+        }
+        let listed = snapshot.spans.last().map_or(0, |span| span.to);
+        self.handed = listed.max(self.done);
+        outputs.extend(self.retire());
+        if self.done >= self.told + self.settings.stride {
+            outputs.extend(self.progress());
+        }
+        if now >= self.asked + self.settings.resend {
+            self.asked = now;
+            outputs.extend(self.hand());
+        }
+        outputs
+    }
+
+    /// Looks for steps that the engine has from someone else.
+    ///
+    /// An engine that ignores fences may be reached by an agent that was paused
+    /// and replaced. Nothing can prevent that, so it is found here, reported,
+    /// and taken back where the step hasn't run.
+    fn compare(&self, snapshot: &Snapshot) -> Vec<Output> {
+        let granted = |step| self.schedule.epoch(step);
+        let mut odd = None;
+        if let Some(epoch) = snapshot.running {
+            let step = snapshot.done;
+            if step > self.done && granted(step) != Some(epoch) {
+                odd = Some((step, epoch, true));
+            }
+        }
+        let spans = snapshot.spans.iter();
+        let edges = spans.flat_map(|span| [(span.from, span.epoch), (span.to, span.epoch)]);
+        let mut strange = edges.filter(|&(step, epoch)| granted(step) != Some(epoch));
+        let odd = odd.or_else(|| strange.next().map(|(step, epoch)| (step, epoch, false)));
+        let Some((step, epoch, ran)) = odd else {
+            return Vec::new();
+        };
+        let mut outputs = self.tell(News::Diverged { step, epoch, ran });
+        let spans = self.schedule.after(snapshot.done);
+        outputs.push(self.engine(Action::Replace { spans }));
+        outputs
+    }
+
+    /// Has the engine forget the maps that every rank has left behind: to have
+    /// run a step of a later map takes that all ranks have started it.
+    fn retire(&mut self) -> Vec<Output> {
+        let Some(running) = self.running else {
+            return Vec::new();
+        };
+        let old: Vec<u64> = self.held.range(..running).copied().collect();
+        let mut outputs = Vec::new();
+        for epoch in old {
+            self.held.remove(&epoch);
+            self.maps.remove(&epoch);
+            outputs.push(self.engine(Action::Drop { epoch }));
+        }
+        outputs
+    }
+
+    /// The last step granted.
+    fn top(&self) -> u64 {
+        self.schedule.top().unwrap_or(self.done)
+    }
+
+    /// Says how far the rank is.
+    fn progress(&mut self) -> Vec<Output> {
+        self.told = self.done;
+        let (done, top) = (self.done, self.top());
+        self.tell(News::Progress { done, top })
+    }
+
+    /// Says where the rank stands.
+    fn join(&self, round: u64) -> Output {
+        let spans = self.schedule.after(self.done);
+        let last = spans.last().map(|span| span.epoch);
+        let news = News::Joined {
+            round,
+            done: self.done,
+            running: last.or(self.running),
+            spans,
+            held: self.held.iter().copied().collect(),
+        };
+        Output::Report {
+            lead: self.lead.unwrap_or_default(),
+            report: self.report(news),
+        }
+    }
+
+    /// A message to the lead, where there is one.
+    fn tell(&self, news: News) -> Vec<Output> {
+        let report = self.report(news);
+        let output = |lead| Output::Report { lead, report };
+        self.lead.map(output).into_iter().collect()
+    }
+
+    /// Which start of the rank this is.
+    fn start(&self) -> Start {
+        Start {
+            incarnation: self.settings.incarnation,
+            life: self.life,
+        }
+    }
+
+    /// A message that names its sender.
+    fn report(&self, news: News) -> Report {
+        Report {
+            seat: self.settings.seat,
+            fence: self.fence,
+            start: self.start(),
+            news,
+        }
+    }
+
+    /// An order to the engine.
+    fn engine(&self, action: Action) -> Output {
+        Output::Engine {
+            fence: self.fence,
+            action,
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool_coordination/src/group/schedule.rs
@@ -0,0 +1,199 @@
+//! Which step runs on which map: the contiguous list that a lead grants from
+//! and a rank steps through.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+/// Steps that run on one map.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Span {
+    /// The first step.
+    pub from: u64,
+    /// The last step, itself included.
+    pub to: u64,
+    /// The epoch of the map.
+    pub epoch: u64,
+}
+
+/// A gapless list of spans in the order of their steps.
+///
+/// It refuses to give a step a second map, which is the invariant that all of
+/// the group's protocol serves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Schedule {
+    /// The spans, each starting where the one before ended.
+    spans: VecDeque<Span>,
+}
+
+impl Schedule {
+    /// The last step on the list, or `None` where it is empty.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// assert_eq!(schedule.top(), None);
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// assert_eq!(schedule.top(), Some(8));
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    #[must_use]
+    pub fn top(&self) -> Option<u64> {
+        self.spans.back().map(|span| span.to)
+    }
+
+    /// The epoch that a step runs on, where the step is on the list.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// assert_eq!(schedule.epoch(8), Some(1));
+    /// assert_eq!(schedule.epoch(9), None);
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    #[must_use]
+    pub fn epoch(&self, step: u64) -> Option<u64> {
+        let mut spans = self.spans.iter();
+        let span = spans.find(|span| span.from <= step && step <= span.to)?;
+        Some(span.epoch)
+    }
+
+    /// Adds spans. Steps that are on the list already have to carry the same
+    /// epoch, new ones have to follow the list's end. Nothing is added on error.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Error, Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }]).unwrap();
+    /// let other = Span { from: 8, to: 9, epoch: 2 };
+    /// assert_eq!(schedule.merge(&[other]), Err(Error::Conflict { step: 8, listed: 1, found: 2 }));
+    /// let later = Span { from: 10, to: 12, epoch: 1 };
+    /// assert_eq!(schedule.merge(&[later]), Err(Error::Gap { top: 8 }));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] for a second map on a step, [`Error::Gap`] for a hole.
+    pub fn merge(&mut self, spans: &[Span]) -> Result<(), Error> {
+        let mut merged = self.clone();
+        for &span in spans {
+            merged.add(span)?;
+        }
+        *self = merged;
+        Ok(())
+    }
+
+    /// Adds one span.
+    fn add(&mut self, span: Span) -> Result<(), Error> {
+        if span.from > span.to {
+            return Err(Error::Empty);
+        }
+        for listed in &self.spans {
+            let step = span.from.max(listed.from);
+            if step <= span.to.min(listed.to) && listed.epoch != span.epoch {
+                return Err(Error::Conflict {
+                    step,
+                    listed: listed.epoch,
+                    found: span.epoch,
+                });
+            }
+        }
+        let Some(last) = self.spans.back_mut() else {
+            self.spans.push_back(span);
+            return Ok(());
+        };
+        if span.to <= last.to {
+            return Ok(());
+        }
+        if span.from > last.to + 1 {
+            return Err(Error::Gap { top: last.to });
+        }
+        if last.epoch == span.epoch {
+            last.to = span.to;
+        } else {
+            let from = last.to + 1;
+            self.spans.push_back(Span { from, ..span });
+        }
+        Ok(())
+    }
+
+    /// Forgets the steps up to and including `done`.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// schedule.trim(6);
+    /// assert_eq!(schedule.after(0), [Span { from: 7, to: 8, epoch: 1 }]);
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    pub fn trim(&mut self, done: u64) {
+        while self.spans.front().is_some_and(|span| span.to <= done) {
+            self.spans.pop_front();
+        }
+        if let Some(span) = self.spans.front_mut() {
+            span.from = span.from.max(done + 1);
+        }
+    }
+
+    /// The spans of the steps after `step`.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// assert_eq!(schedule.after(7), [Span { from: 8, to: 8, epoch: 1 }]);
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    #[must_use]
+    pub fn after(&self, step: u64) -> Vec<Span> {
+        let mut rest = self.clone();
+        rest.trim(step);
+        rest.spans.into()
+    }
+
+    /// The epochs on the list, lowest step first.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// assert_eq!(schedule.epochs().collect::<Vec<_>>(), [1]);
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    pub fn epochs(&self) -> impl Iterator<Item = u64> {
+        self.spans.iter().map(|span| span.epoch)
+    }
+}
+
+/// Why spans can't be added.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A step would get a second map.
+    #[error("step {step} runs on epoch {listed}, not on {found}")]
+    Conflict {
+        /// The first such step.
+        step: u64,
+        /// The epoch it has.
+        listed: u64,
+        /// The epoch it would get.
+        found: u64,
+    },
+    /// The span starts beyond the step after the list's end.
+    #[error("the steps right after {top} are missing")]
+    Gap {
+        /// The list's last step.
+        top: u64,
+    },
+    /// The span ends before it starts.
+    #[error("the span holds no step")]
+    Empty,
+}
--- /dev/null
+++ b/verbenaspool_coordination/tests/group/interleavings.rs
@@ -0,0 +1,1 @@
+//! Interleavings of faults, drawn at random.
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -1,1 +1,3 @@
 //! Messages, headers and codecs between the processes of verbenaspool.
+
+pub mod group;
--- /dev/null
+++ b/verbenaspool_standin/src/history/mod.rs
@@ -0,0 +1,3 @@
+//! Histories of concurrent runs, and the checkers that judge them.
+
+pub mod steps;
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,1 +1,5 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
+
+pub mod history;
+pub mod ranks;
+pub mod weights;
--- /dev/null
+++ b/verbenaspool_standin/src/ranks.rs
@@ -0,0 +1,312 @@
+//! A stand-in for the engines of a group: ranks that advance in lock-step,
+//! within the steps that they were granted.
+//!
+//! It runs on the time it is told, so tests play hours in milliseconds. A step
+//! starts when every rank is there, was granted that step and holds the
+//! weights of the map that it believes the step runs on. As in an engine's
+//! collective calls, nobody compares those maps: that they agree is what the
+//! group's protocol is for, and what the recorded history is checked for.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use verbenaspool_coordination::group::{
+    rank::{Action, Event, Snapshot},
+    schedule::Span,
+};
+use verbenaspool_state::expert_map::Map;
+
+use crate::{history::steps::Entry, weights::Store};
+
+/// Fixed properties of the group.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How many ranks the group has.
+    pub ranks: u16,
+    /// How long a step takes.
+    pub step: Duration,
+    /// Whether the engines refuse orders with an old fence.
+    pub checked: bool,
+    /// The size of one expert's weights in bytes.
+    pub expert_bytes: u64,
+}
+
+/// One rank's engine.
+#[derive(Debug, Default)]
+struct Engine {
+    /// The start of the engine.
+    incarnation: u64,
+    /// The highest fence seen.
+    fence: u64,
+    /// The last step run.
+    done: u64,
+    /// The epoch of that step.
+    running: Option<u64>,
+    /// The steps to run, with their epochs.
+    steps: VecDeque<(u64, u64)>,
+    /// The maps whose weights are loaded.
+    held: BTreeSet<u64>,
+    /// The maps known.
+    maps: BTreeMap<u64, Map>,
+    /// The maps that are being loaded, and when that ends.
+    loading: BTreeMap<u64, Duration>,
+    /// Until when it does nothing.
+    stalled: Duration,
+    /// What its agent hasn't been told yet.
+    events: Vec<Event>,
+}
+
+/// The engines of a group.
+#[derive(Debug)]
+pub struct Group {
+    /// Fixed properties.
+    settings: Settings,
+    /// The ranks.
+    engines: Vec<Engine>,
+    /// Where weights come from.
+    store: Store,
+    /// When the step that runs ends.
+    free: Duration,
+    /// What was run.
+    history: Vec<Entry>,
+    /// How long the group stood because steps hadn't been granted.
+    waited: Duration,
+}
+
+impl Group {
+    /// A group that has run nothing.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_coordination::group::{rank::Action, schedule::Span};
+    /// use verbenaspool_standin::{ranks::{Group, Settings}, weights::Store};
+    /// use verbenaspool_state::expert_map::{Map, Shape};
+    ///
+    /// let step = Duration::from_millis(25);
+    /// let settings = Settings { ranks: 1, step, checked: true, expert_bytes: 1 };
+    /// let mut group = Group::new(settings, Store::new(1_000_000));
+    /// let shape = Shape { ranks: 1, experts: 2, layers: 1, slots: 2 };
+    /// let map = Map::spread(1, shape);
+    /// group.order(Duration::ZERO, 0, 1, Action::Stage { map });
+    /// let spans = vec![Span { from: 1, to: 4, epoch: 1 }];
+    /// group.order(Duration::ZERO, 0, 1, Action::Grant { spans });
+    /// group.advance(Duration::from_secs(1));
+    /// assert_eq!(group.history().len(), 4);
+    /// ```
+    #[must_use]
+    pub fn new(settings: Settings, store: Store) -> Self {
+        let engines = (0..settings.ranks).map(|_| Engine::default());
+        Self {
+            engines: engines.collect(),
+            settings,
+            store,
+            free: Duration::ZERO,
+            history: Vec::new(),
+            waited: Duration::ZERO,
+        }
+    }
+
+    /// What was run, in order.
+    #[must_use]
+    pub fn history(&self) -> &[Entry] {
+        &self.history
+    }
+
+    /// How long the group stood because steps hadn't been granted.
+    #[must_use]
+    pub fn waited(&self) -> Duration {
+        self.waited
+    }
+
+    /// Where weights come from.
+    pub fn store(&mut self) -> &mut Store {
+        &mut self.store
+    }
+
+    /// The last step that a rank has run.
+    #[must_use]
+    pub fn done(&self, seat: u16) -> u64 {
+        self.engines[usize::from(seat)].done
+    }
+
+    /// Has a rank do nothing until then.
+    pub fn stall(&mut self, seat: u16, until: Duration) {
+        self.engines[usize::from(seat)].stalled = until;
+    }
+
+    /// Restarts a rank's engine, which loses everything.
+    pub fn restart(&mut self, seat: u16) {
+        let engine = &mut self.engines[usize::from(seat)];
+        *engine = Engine {
+            incarnation: engine.incarnation + 1,
+            ..Engine::default()
+        };
+    }
+
+    /// What a rank has to tell its agent.
+    pub fn events(&mut self, seat: u16) -> Vec<Event> {
+        std::mem::take(&mut self.engines[usize::from(seat)].events)
+    }
+
+    /// Where a rank stands. The ticket is repeated; 0 where nobody asked.
+    #[must_use]
+    pub fn state(&self, seat: u16, ticket: u64) -> Snapshot {
+        let engine = &self.engines[usize::from(seat)];
+        let mut spans: Vec<Span> = Vec::new();
+        for &(step, epoch) in &engine.steps {
+            match spans.last_mut() {
+                Some(span) if span.epoch == epoch => span.to = step,
+                _ => spans.push(Span {
+                    from: step,
+                    to: step,
+                    epoch,
+                }),
+            }
+        }
+        let maps = if ticket == 0 {
+            Vec::new()
+        } else {
+            engine.maps.values().cloned().collect()
+        };
+        Snapshot {
+            ticket,
+            incarnation: engine.incarnation,
+            fence: self.settings.checked.then_some(engine.fence),
+            done: engine.done,
+            running: engine.running,
+            spans,
+            held: engine.held.iter().copied().collect(),
+            maps,
+        }
+    }
+
+    /// A rank's engine gets an order. What it has to say comes as events.
+    pub fn order(&mut self, now: Duration, seat: u16, fence: u64, action: Action) {
+        let ignores = !self.settings.checked;
+        let engine = &mut self.engines[usize::from(seat)];
+        if fence < engine.fence && !ignores {
+            return;
+        }
+        engine.fence = engine.fence.max(fence);
+        match action {
+            Action::Read { ticket } => {
+                let state = self.state(seat, ticket);
+                let engine = &mut self.engines[usize::from(seat)];
+                engine.events.push(Event::State(state));
+            }
+            Action::Grant { spans } => engine.grant(&spans),
+            Action::Replace { spans } => {
+                engine.steps.clear();
+                engine.grant(&spans);
+            }
+            Action::Stage { map } => self.stage(now, seat, map),
+            Action::Drop { epoch } => {
+                engine.held.remove(&epoch);
+                engine.maps.remove(&epoch);
+                engine.loading.remove(&epoch);
+            }
+        }
+    }
+
+    /// A rank starts to load what a map needs.
+    fn stage(&mut self, now: Duration, seat: u16, map: Map) {
+        let engine = &mut self.engines[usize::from(seat)];
+        let epoch = map.epoch;
+        if engine.held.contains(&epoch) {
+            engine.events.push(Event::Staged { epoch });
+            return;
+        }
+        if engine.loading.contains_key(&epoch) {
+            return;
+        }
+        let before = engine.held.last().and_then(|epoch| engine.maps.get(epoch));
+        let experts = map.added(before, seat).len() as u64;
+        match self.store.load(now, experts * self.settings.expert_bytes) {
+            Ok(ready) => {
+                engine.maps.insert(epoch, map);
+                engine.loading.insert(epoch, ready);
+            }
+            Err(refused) => {
+                let reason = refused.to_string();
+                engine.events.push(Event::Failed { epoch, reason });
+            }
+        }
+    }
+
+    /// Lets time pass up to `now`: loads end, steps run.
+    pub fn advance(&mut self, now: Duration) {
+        for engine in &mut self.engines {
+            engine.load(now);
+        }
+        let latest = now.saturating_sub(self.settings.step);
+        while self.free <= latest && self.step(now) {
+            self.free += self.settings.step;
+        }
+        let idle = latest.saturating_sub(self.free);
+        self.free += idle;
+        let able = self.engines.iter().all(|engine| engine.stalled <= now);
+        if able && !self.history.is_empty() {
+            self.waited += idle;
+        }
+    }
+
+    /// Runs the next step, if every rank can.
+    fn step(&mut self, now: Duration) -> bool {
+        let next = |engine: &Engine| {
+            let &(step, epoch) = engine.steps.front()?;
+            let able = engine.stalled <= now && engine.held.contains(&epoch);
+            able.then_some(step)
+        };
+        let Some(step) = self.engines.first().and_then(next) else {
+            return false;
+        };
+        if self.engines.iter().any(|engine| next(engine) != Some(step)) {
+            return false;
+        }
+        for (seat, engine) in (0..).zip(&mut self.engines) {
+            let (_, epoch) = engine.steps.pop_front().expect("seen above");
+            engine.done = step;
+            engine.running = Some(epoch);
+            self.history.push(Entry { step, seat, epoch });
+        }
+        true
+    }
+}
+
+impl Engine {
+    /// Takes up steps. Those that haven't run get the new order's map: an
+    /// engine that doesn't check fences obeys whoever spoke last.
+    fn grant(&mut self, spans: &[Span]) {
+        let steps = spans.iter().flat_map(|span| {
+            let steps = span.from.max(self.done + 1)..=span.to;
+            steps.map(|step| (step, span.epoch))
+        });
+        for (step, epoch) in steps {
+            let top = self.steps.back().map_or(self.done, |&(step, _)| step);
+            let listed = self.steps.iter_mut().find(|listed| listed.0 == step);
+            match listed {
+                Some(listed) => listed.1 = epoch,
+                None if step == top + 1 || top == 0 => self.steps.push_back((step, epoch)),
+                None => return,
+            }
+        }
+    }
+
+    /// Ends the loads that are through by now.
+    fn load(&mut self, now: Duration) {
+        let through: Vec<u64> = self
+            .loading
+            .iter()
+            .filter(|&(_, &ready)| ready <= now)
+            .map(|(&epoch, _)| epoch)
+            .collect();
+        for epoch in through {
+            self.loading.remove(&epoch);
+            self.held.insert(epoch);
+            self.events.push(Event::Staged { epoch });
+        }
+    }
+}
--- a/verbenaspool_state/src/expert_map.rs
+++ b/verbenaspool_state/src/expert_map.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::service::Experts;
+
 /// The placement of experts on the ranks of a group, under one epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,3 +22,248 @@
     /// ranks, and its tokens are spread evenly over them.
     pub ranks: Vec<Vec<u16>>,
 }
+
+/// The layout that every map of a group has to fit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shape {
+    /// How many ranks the group has.
+    pub ranks: u16,
+    /// How many experts a layer has.
+    pub experts: u16,
+    /// How many layers carry experts.
+    pub layers: u16,
+    /// How many experts a rank holds of one layer.
+    pub slots: u16,
+}
+
+impl From<&Experts> for Shape {
+    fn from(experts: &Experts) -> Self {
+        Self {
+            ranks: experts.ranks,
+            experts: experts.experts,
+            layers: experts.layers,
+            slots: experts.slots,
+        }
+    }
+}
+
+impl Map {
+    /// The map that spreads experts over ranks in order of their numbers, the
+    /// slots that are left over holding a second round of them.
+    ///
+    /// ```
+    /// use verbenaspool_state::expert_map::{Map, Shape};
+    ///
+    /// let shape = Shape { ranks: 2, experts: 4, layers: 1, slots: 2 };
+    /// let map = Map::spread(1, shape);
+    /// assert_eq!(map.layers[0].ranks, [[0, 2], [1, 3]]);
+    /// assert_eq!(map.check(shape, 0), Ok(()));
+    /// ```
+    #[must_use]
+    pub fn spread(epoch: u64, shape: Shape) -> Self {
+        let mut numbers = (0..shape.experts.max(1)).cycle();
+        let mut ranks = vec![Vec::new(); usize::from(shape.ranks)];
+        for _ in 0..shape.slots {
+            for (experts, expert) in ranks.iter_mut().zip(&mut numbers) {
+                experts.push(expert);
+            }
+        }
+        for experts in &mut ranks {
+            experts.sort_unstable();
+            experts.dedup();
+        }
+        let layer = Layer { ranks };
+        Self {
+            epoch,
+            layers: vec![layer; usize::from(shape.layers)],
+        }
+    }
+
+    /// Whether the map fits the group's layout and counts above the epoch in force.
+    ///
+    /// ```
+    /// use verbenaspool_state::expert_map::{Map, Problem, Shape};
+    ///
+    /// let shape = Shape { ranks: 2, experts: 4, layers: 1, slots: 2 };
+    /// let mut map = Map::spread(7, shape);
+    /// assert_eq!(map.check(shape, 7), Err(Problem::Stale { epoch: 7, above: 7 }));
+    /// map.layers[0].ranks[0] = vec![0, 1];
+    /// let missing = Problem::Missing { layer: 0, expert: 2 };
+    /// assert_eq!(map.check(shape, 6), Err(missing));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// The first [`Problem`] found.
+    pub fn check(&self, shape: Shape, above: u64) -> Result<(), Problem> {
+        if self.epoch <= above {
+            let epoch = self.epoch;
+            return Err(Problem::Stale { epoch, above });
+        }
+        if self.layers.len() != usize::from(shape.layers) {
+            return Err(Problem::Layers {
+                found: self.layers.len(),
+                expected: shape.layers,
+            });
+        }
+        let mut layers = self.layers.iter().enumerate();
+        layers.try_for_each(|(number, layer)| layer.check(number, shape))
+    }
+
+    /// The experts that a rank has to hold under this map and doesn't hold
+    /// under `before`, as pairs of layer and expert.
+    ///
+    /// ```
+    /// use verbenaspool_state::expert_map::{Map, Shape};
+    ///
+    /// let shape = Shape { ranks: 2, experts: 4, layers: 1, slots: 2 };
+    /// let before = Map::spread(1, shape);
+    /// let mut after = Map::spread(2, shape);
+    /// after.layers[0].ranks = vec![vec![0, 1], vec![2, 3]];
+    /// assert_eq!(after.added(Some(&before), 0), [(0, 1)]);
+    /// ```
+    #[must_use]
+    pub fn added(&self, before: Option<&Self>, rank: u16) -> Vec<(u16, u16)> {
+        let mut added = Vec::new();
+        for (number, layer) in (0..).zip(&self.layers) {
+            let held = before.map_or(&[][..], |map| map.on(number, rank));
+            let new = layer.on(rank).iter().filter(|e| !held.contains(e));
+            added.extend(new.map(|&expert| (number, expert)));
+        }
+        added
+    }
+
+    /// The experts that a rank holds of a layer; none where the map lacks either.
+    ///
+    /// ```
+    /// use verbenaspool_state::expert_map::{Map, Shape};
+    ///
+    /// let shape = Shape { ranks: 2, experts: 4, layers: 1, slots: 2 };
+    /// assert_eq!(Map::spread(1, shape).on(0, 1), [1, 3]);
+    /// ```
+    #[must_use]
+    pub fn on(&self, layer: u16, rank: u16) -> &[u16] {
+        let layer = self.layers.get(usize::from(layer));
+        layer.map_or(&[], |layer| layer.on(rank))
+    }
+}
+
+impl Layer {
+    /// The experts on a rank.
+    fn on(&self, rank: u16) -> &[u16] {
+        self.ranks.get(usize::from(rank)).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether the layer, which is the one of this number, fits the layout.
+    fn check(&self, layer: usize, shape: Shape) -> Result<(), Problem> {
+        if self.ranks.len() != usize::from(shape.ranks) {
+            return Err(Problem::Ranks {
+                layer,
+                found: self.ranks.len(),
+                expected: shape.ranks,
+            });
+        }
+        let mut placed = vec![false; usize::from(shape.experts)];
+        for (rank, experts) in self.ranks.iter().enumerate() {
+            if experts.len() > usize::from(shape.slots) {
+                return Err(Problem::Slots {
+                    layer,
+                    rank,
+                    found: experts.len(),
+                    slots: shape.slots,
+                });
+            }
+            for (slot, &expert) in experts.iter().enumerate() {
+                let Some(seen) = placed.get_mut(usize::from(expert)) else {
+                    return Err(Problem::Unknown {
+                        layer,
+                        rank,
+                        expert,
+                    });
+                };
+                if experts[..slot].contains(&expert) {
+                    return Err(Problem::Twice {
+                        layer,
+                        rank,
+                        expert,
+                    });
+                }
+                *seen = true;
+            }
+        }
+        let missing = (0..shape.experts).find(|&expert| !placed[usize::from(expert)]);
+        missing.map_or(Ok(()), |expert| Err(Problem::Missing { layer, expert }))
+    }
+}
+
+/// Why a map can't be put in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Problem {
+    /// The epoch was used before.
+    #[error("epoch {epoch} is stale: the next one is above {above}")]
+    Stale {
+        /// The map's epoch.
+        epoch: u64,
+        /// The highest epoch used so far.
+        above: u64,
+    },
+    /// The map has another number of layers than the group.
+    #[error("the map has {found} layers, the group {expected}")]
+    Layers {
+        /// The map's layers.
+        found: usize,
+        /// The group's layers.
+        expected: u16,
+    },
+    /// A layer is laid out for another number of ranks.
+    #[error("layer {layer} places experts on {found} ranks, the group has {expected}")]
+    Ranks {
+        /// The layer.
+        layer: usize,
+        /// The ranks it names.
+        found: usize,
+        /// The group's ranks.
+        expected: u16,
+    },
+    /// A rank would hold more experts than it has slots.
+    #[error("layer {layer} gives rank {rank} {found} experts, it has {slots} slots")]
+    Slots {
+        /// The layer.
+        layer: usize,
+        /// The rank.
+        rank: usize,
+        /// The experts placed on it.
+        found: usize,
+        /// Its slots.
+        slots: u16,
+    },
+    /// An expert's number is beyond the layer's experts.
+    #[error("layer {layer} places the unknown expert {expert} on rank {rank}")]
+    Unknown {
+        /// The layer.
+        layer: usize,
+        /// The rank.
+        rank: usize,
+        /// The number.
+        expert: u16,
+    },
+    /// An expert stands twice on one rank.
+    #[error("layer {layer} places expert {expert} twice on rank {rank}")]
+    Twice {
+        /// The layer.
+        layer: usize,
+        /// The rank.
+        rank: usize,
+        /// The expert.
+        expert: u16,
+    },
+    /// An expert stands on no rank.
+    #[error("layer {layer} places expert {expert} on no rank")]
+    Missing {
+        /// The layer.
+        layer: usize,
+        /// The expert.
+        expert: u16,
+    },
+}
