--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -1,3 +1,10 @@
-//! Messages, headers and codecs between the processes of verbenaspool.
+//! Messages, headers and codecs between the processes of verbenaspool, and
+//! towards its callers.
 
+pub mod attempt;
 pub mod group;
+pub mod header;
+pub mod load;
+pub mod outcome;
+pub mod problem;
+pub mod settle;
