--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod apply;
 pub mod claim;
 pub mod collection;
+pub mod group;
 pub mod head;
 pub mod keys;
 pub mod piece;
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! towards its callers.
 
 pub mod attempt;
+pub mod group;
 pub mod header;
 pub mod load;
 pub mod outcome;
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,3 +1,6 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
 
+pub mod history;
 pub mod platform;
+pub mod ranks;
+pub mod weights;
