--- a/verbenaspool_protocol/src/attempt.rs
+++ b/verbenaspool_protocol/src/attempt.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use verbenaspool_coordination::attempt::Key;
+
 /// The id of an attempt. A repeat of the same request is another attempt.
 ///
 /// The incarnation is drawn at random when an entry process starts, so that the
@@ -49,6 +51,15 @@
     }
 }
 
+impl From<Id> for Key {
+    fn from(id: Id) -> Self {
+        Self {
+            entry: id.incarnation,
+            counter: id.counter,
+        }
+    }
+}
+
 /// The text is no attempt id.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 #[error("an attempt id is 16 hex digits, a dash and a number")]
--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -16,3 +16,7 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The W3C trace context.
 pub const TRACEPARENT: &str = "traceparent";
+/// How many tokens of a broken stream the entry holds; the answer goes on
+/// behind them. Without the engine's word for it in the answer's own copy of
+/// this header, the answer starts at the first token.
+pub const RESUME: &str = "x-verbenaspool-resume";
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -2,8 +2,11 @@
 //! towards its callers.
 
 pub mod attempt;
+pub mod engine;
 pub mod header;
 pub mod load;
 pub mod outcome;
+pub mod prefix;
 pub mod problem;
+pub mod report;
 pub mod settle;
--- /dev/null
+++ b/verbenaspool_protocol/src/report.rs
@@ -0,0 +1,54 @@
+//! What an agent tells entries when they ask: its load, and what changed in its
+//! engine's prefix cache.
+
+use serde::{Deserialize, Serialize};
+
+use crate::load::Load;
+
+/// The JSON-RPC method that asks for a report.
+pub const METHOD: &str = "agent_report";
+
+/// The JSON-RPC method that makes the instance leave; its parameter is null.
+pub const LEAVE: &str = "agent_leave";
+
+/// What the entry already knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Question {
+    /// The number of the last cache event that the entry heard; 0 for none.
+    pub since: u64,
+}
+
+/// An agent's report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The load now.
+    pub load: Load,
+    /// What changed in the prefix cache.
+    pub cache: Cache,
+}
+
+/// Changes of the prefix cache since the number that was asked for.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cache {
+    /// Whether events were lost: nothing heard before is sure to be held.
+    pub reset: bool,
+    /// The number of the last event, to ask from next time.
+    pub last: u64,
+    /// The events, oldest first.
+    pub events: Vec<Event>,
+}
+
+/// One change of the prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// Counts the engine's events up; a step of more than one is a gap.
+    pub number: u64,
+    /// The hash of the prefix.
+    pub prefix: u64,
+    /// Whether the prefix is held now, or was dropped.
+    pub held: bool,
+}
--- a/verbenaspool_protocol/src/settle.rs
+++ b/verbenaspool_protocol/src/settle.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use verbenaspool_coordination::attempt::Word;
+
 use crate::attempt;
 
 /// The JSON-RPC method.
@@ -31,3 +33,14 @@
     /// Another agent process took it or did not; this one can't tell.
     Unknown,
 }
+
+impl From<Word> for Answer {
+    fn from(word: Word) -> Self {
+        match word {
+            Word::Refused => Self::Refused,
+            Word::Running => Self::Running,
+            Word::Ended => Self::Ended,
+            Word::Unknown => Self::Unknown,
+        }
+    }
+}
