Add the log, the stop signal, and a second try for unsent requests

A request of which hyper wrote nothing on an idle connection that the peer had closed came back as not sent; it now moves on to the next connection.

--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -63,10 +63,20 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, Error> {
-        let mut sender = match self.idle(address) {
-            Some(sender) => sender,
-            None => self.open(address).await?,
-        };
+        let mut request = request;
+        // An idle connection may have been closed by the peer a moment ago. A
+        // request of which nothing was written moves on to the next connection;
+        // a new one is the last try.
+        while let Some(mut sender) = self.idle(address) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.keep(address, sender, response)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(Error::Broken(error.error().to_string())),
+                },
+            }
+        }
+        let mut sender = self.open(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.keep(address, sender, response)),
             // hyper hands the request back only where it wrote none of it.
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod http;
+pub mod log;
 pub mod rpc;
 pub mod runtime;
 pub mod shutdown;
--- a/verbenaspool_transport/src/shutdown.rs
+++ b/verbenaspool_transport/src/shutdown.rs
@@ -68,3 +68,22 @@
         }
     }
 }
+
+/// Gives the word when the process gets SIGTERM, SIGINT or SIGHUP. To be called
+/// once, on the loop.
+///
+/// # Errors
+/// The handler is set already.
+pub fn on_signal(trigger: Trigger) -> Result<(), Error> {
+    let signal = monoio::utils::CtrlC::new().map_err(|error| Error(error.to_string()))?;
+    monoio::spawn(async move {
+        signal.await;
+        trigger.fire();
+    });
+    Ok(())
+}
+
+/// The process can't hear signals.
+#[derive(Debug, thiserror::Error)]
+#[error("the signal handler can't be set: {0}")]
+pub struct Error(String);
