--- /dev/null
+++ b/verbenaspool_standin/src/engine/stream.rs
@@ -0,0 +1,102 @@
+//! The tokens of one answer, a step apart.
+
+use std::{
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame};
+use http_body_util::BodyExt;
+
+use verbenaspool_transport::{clock::Sleep, http::body::Error};
+
+use super::{Completion, Desk, batch::Place, text};
+
+/// The tokens of one answer as a body. Dropped before its end, as when the
+/// caller goes, it leaves the batch at once.
+pub struct Stream {
+    desk: Rc<Desk>,
+    place: Option<Place>,
+    prompt: String,
+    next: u32,
+    end: u32,
+    breaks: Option<u32>,
+    step: Sleep,
+    events: bool,
+}
+
+impl Stream {
+    pub(crate) fn new(desk: Rc<Desk>, place: Place, completion: &Completion, from: u32) -> Self {
+        for _ in 0..from {
+            place.generated();
+        }
+        let prompt = if desk.faults.take_crossed() {
+            format!("not {}", completion.prompt)
+        } else {
+            completion.prompt.clone()
+        };
+        Self {
+            breaks: desk.faults.take_behind(),
+            step: desk.batch.step(),
+            place: Some(place),
+            prompt,
+            next: from,
+            end: completion.max_tokens,
+            events: completion.stream,
+            desk,
+        }
+    }
+
+    /// The tokens as one text.
+    pub(crate) async fn collect(self) -> Result<String, Error> {
+        let bytes = BodyExt::collect(self).await?.to_bytes();
+        String::from_utf8(bytes.to_vec()).map_err(Into::into)
+    }
+}
+
+impl Body for Stream {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if self.breaks == Some(self.next) {
+            return Poll::Ready(Some(Err("the engine broke off".into())));
+        }
+        if self.next >= self.end {
+            let ends = self.place.take().is_some() && self.events;
+            return Poll::Ready(ends.then(|| Ok(Frame::data(text::DONE.into()))));
+        }
+        ready!(self.step.as_mut().poll(cx));
+        self.step = self.desk.batch.step();
+        if let Some(place) = &self.place {
+            place.generated();
+        }
+        let token = if self.events {
+            text::event(&self.prompt, self.next)
+        } else {
+            text::token(&self.prompt, self.next)
+        };
+        self.next += 1;
+        Poll::Ready(Some(Ok(Frame::data(token.into()))))
+    }
+}
+
+/// A body that fails at once.
+pub(crate) struct Broken;
+
+impl Body for Broken {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        Poll::Ready(Some(Err("the engine broke off".into())))
+    }
+}
--- /dev/null
+++ b/verbenaspool_standin/src/engine/text.rs
@@ -0,0 +1,76 @@
+//! The text of answers, which follows from the prompt alone.
+
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Completion;
+
+/// The token at a place of the answer to a prompt.
+///
+/// ```
+/// use verbenaspool_standin::engine::text;
+///
+/// assert_ne!(text::token("one", 0), text::token("other", 0));
+/// ```
+#[must_use]
+pub fn token(prompt: &str, index: u32) -> String {
+    format!("{:08x}.{index} ", xxh3_64(prompt.as_bytes()) >> 32)
+}
+
+/// The whole answer to a prompt, as a checker expects it.
+///
+/// ```
+/// use verbenaspool_standin::engine::text;
+///
+/// assert_eq!(text::answer("one", 1), text::token("one", 0));
+/// ```
+#[must_use]
+pub fn answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+/// A server-sent event with one token.
+pub(crate) fn event(prompt: &str, index: u32) -> String {
+    let text = token(prompt, index);
+    let data = json!({"object": "text_completion", "choices": [{"index": 0, "text": text}]});
+    format!("data: {data}\n\n")
+}
+
+/// The event that ends a stream.
+pub(crate) const DONE: &str = "data: [DONE]\n\n";
+
+/// The answer that is sent in one piece.
+pub(crate) fn whole(completion: &Completion, text: &str) -> Value {
+    json!({
+        "object": "text_completion",
+        "choices": [{"index": 0, "text": text, "finish_reason": "length"}],
+        "usage": {"completion_tokens": completion.max_tokens},
+    })
+}
+
+/// The text that a body carries, streamed or in one piece; none where it is
+/// cut off or something else.
+///
+/// ```
+/// use verbenaspool_standin::engine::text;
+///
+/// assert_eq!(text::read(b"data: [DONE]\n\n"), Some(String::new()));
+/// assert_eq!(text::read(b"data: {\"choi"), None);
+/// ```
+#[must_use]
+pub fn read(body: &[u8]) -> Option<String> {
+    let body = std::str::from_utf8(body).ok()?;
+    if !body.starts_with("data:") {
+        return piece(body);
+    }
+    let events = body.strip_suffix(DONE)?;
+    events
+        .split_terminator("\n\n")
+        .map(|event| piece(event.strip_prefix("data:")?))
+        .collect()
+}
+
+fn piece(json: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(json).ok()?;
+    value["choices"][0]["text"].as_str().map(str::to_owned)
+}
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,1 +1,4 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
+
+pub mod engine;
+pub mod service;
--- /dev/null
+++ b/verbenaspool_standin/src/service.rs
@@ -0,0 +1,143 @@
+//! A stand-in for a plain service, which records its writes so that a checker
+//! can count those that ran twice.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use monoio::net::{ListenerOpts, TcpListener};
+
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{
+        body::Body,
+        server::{self, Handler, Limits, Open},
+    },
+    shutdown::Signal,
+};
+
+/// A plain service whose listener is open.
+#[derive(Debug)]
+pub struct Service {
+    listener: TcpListener,
+    address: SocketAddr,
+    book: Rc<Book>,
+}
+
+/// What a service did, and what goes wrong in it. Instances of one service may
+/// share a book.
+#[derive(Debug)]
+pub struct Book {
+    clock: Rc<dyn Clock>,
+    /// How long a request takes.
+    pub takes: Cell<Duration>,
+    /// The bodies of the writes that ran, in their order.
+    pub writes: RefCell<Vec<String>>,
+    lost: Cell<u32>,
+}
+
+impl Book {
+    /// An empty book.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_standin::service::Book;
+    /// use verbenaspool_transport::clock::Monotonic;
+    ///
+    /// let book = Book::new(Duration::from_millis(1), Monotonic::start());
+    /// assert!(book.writes.borrow().is_empty());
+    /// ```
+    #[must_use]
+    pub fn new(takes: Duration, clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            takes: Cell::new(takes),
+            writes: RefCell::default(),
+            lost: Cell::new(0),
+        })
+    }
+
+    /// The next write runs, but its answer is lost.
+    pub fn lose_answer(&self) {
+        self.lost.set(self.lost.get() + 1);
+    }
+}
+
+impl Service {
+    /// Opens the listener.
+    ///
+    /// # Errors
+    /// The address can't be listened on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_standin::service::{Book, Service};
+    /// use verbenaspool_transport::{clock::Monotonic, runtime};
+    ///
+    /// runtime::run(async {
+    ///     let book = Book::new(Duration::ZERO, Monotonic::start());
+    ///     let service = Service::bind(([127, 0, 0, 1], 0).into(), book).unwrap();
+    ///     assert_ne!(service.address().port(), 0);
+    /// })
+    /// .unwrap();
+    /// ```
+    pub fn bind(listen: SocketAddr, book: Rc<Book>) -> io::Result<Self> {
+        let options = ListenerOpts::new().reuse_port(false);
+        let listener = TcpListener::bind_with_config(listen, &options)?;
+        Ok(Self {
+            address: listener.local_addr()?,
+            listener,
+            book,
+        })
+    }
+
+    /// Where the service listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs until the signal comes and the last request has ended.
+    pub async fn run(self, signal: Signal) {
+        let limits = Limits::default();
+        server::serve(self.listener, limits, self.book, Open::default(), signal).await;
+    }
+}
+
+impl Handler for Book {
+    fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> server::Answer {
+        Box::pin(async move {
+            let write = !matches!(*request.method(), Method::GET | Method::HEAD);
+            let path = request.uri().path().to_owned();
+            let Ok(body) = request.into_body().collect().await else {
+                return Response::new(Body::wrap(crate::engine::stream::Broken));
+            };
+            let body = body.to_bytes();
+            if write {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                self.writes.borrow_mut().push(text);
+            }
+            self.clock.sleep(self.takes.get()).await;
+            if write && self.lost.get() > 0 {
+                self.lost.set(self.lost.get() - 1);
+                return Response::new(Body::wrap(crate::engine::stream::Broken));
+            }
+            Response::new(Body::full(echo(&path, &body)))
+        })
+    }
+}
+
+/// The answer to a request, which names what was asked for.
+fn echo(path: &str, body: &Bytes) -> String {
+    format!("{path} {}", String::from_utf8_lossy(body))
+}
