Add the agent on the data path

It admits by attempt, passes the answer on as it comes, breaks it off where the upstream does, settles lost answers, and leaves without cutting requests off.

--- /dev/null
+++ b/verbenaspool_agent/src/agent.rs
@@ -0,0 +1,167 @@
+//! An agent process: its listeners, its parts and its end.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use monoio::net::{ListenerOpts, TcpListener};
+use slog::{Logger, info, warn};
+
+use verbenaspool_transport::{
+    clock::Clock,
+    http::server::{self, Limits, Open},
+    rpc::{self, Module},
+    shutdown::{self, Signal},
+};
+
+use crate::{
+    control, poll,
+    proxy::Proxy,
+    settings::{Kind, Settings},
+    shared::Shared,
+};
+
+/// How often a stopping agent looks whether its last request has ended.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// An agent whose listeners are open.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Rc<Shared>,
+    data: TcpListener,
+    control: TcpListener,
+    address: SocketAddr,
+    control_address: SocketAddr,
+    module: Module,
+}
+
+/// How an agent ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drained {
+    /// Requests that were cut off at the deadline.
+    pub cut: usize,
+}
+
+impl Agent {
+    /// Opens the listeners. To be called on the loop.
+    ///
+    /// # Errors
+    /// An address can't be listened on.
+    ///
+    /// ```
+    /// use slog::{Discard, Logger, o};
+    /// use verbenaspool_agent::{agent::Agent, settings};
+    /// use verbenaspool_transport::{clock::Monotonic, runtime};
+    ///
+    /// let settings = settings::read(
+    ///     "instance: loft-1
+    /// listen: 127.0.0.1:0
+    /// control: 127.0.0.1:0
+    /// upstream: {address: '127.0.0.1:7100', kind: plain}
+    /// ",
+    /// )
+    /// .unwrap();
+    /// runtime::run(async {
+    ///     let log = Logger::root(Discard, o!());
+    ///     let agent = Agent::bind(settings, log, Monotonic::start()).unwrap();
+    ///     assert_ne!(agent.address(), agent.control());
+    /// })
+    /// .unwrap();
+    /// ```
+    pub fn bind(settings: Settings, log: Logger, clock: Rc<dyn Clock>) -> io::Result<Self> {
+        // Two processes that share a port by mistake would split the requests
+        // between them, so the second must fail instead.
+        let options = ListenerOpts::new().reuse_port(false);
+        let data = TcpListener::bind_with_config(settings.listen, &options)?;
+        let control = TcpListener::bind_with_config(settings.control, &options)?;
+        let shared = Rc::new(Shared::new(settings, log, clock));
+        let mut module = Module::default();
+        control::register(&mut module, &shared);
+        Ok(Self {
+            address: data.local_addr()?,
+            control_address: control.local_addr()?,
+            shared,
+            data,
+            control,
+            module,
+        })
+    }
+
+    /// Where the agent takes requests.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where the agent takes control calls.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control_address
+    }
+
+    /// The number of this process, which requests to it must name.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.shared.number
+    }
+
+    /// The control methods, to add others to.
+    pub fn module(&mut self) -> &mut Module {
+        &mut self.module
+    }
+
+    /// Runs until the signal comes and the requests in flight have ended.
+    pub async fn run(self, mut signal: Signal) -> Drained {
+        let shared = self.shared;
+        let (stop_data, data) = shutdown::channel();
+        let (stop_control, control) = shutdown::channel();
+        let limits = Limits {
+            connections: shared.settings.limits.connections,
+            ..Limits::default()
+        };
+        let proxy = Rc::new(Proxy(shared.clone()));
+        let open = Open::default();
+        let served = server::serve(self.data, limits, proxy, open.clone(), data);
+        monoio::spawn(served);
+        monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
+        if shared.settings.upstream.kind == Kind::Engine {
+            monoio::spawn(poll::run(shared.clone()));
+        }
+        info!(shared.log, "Agent: Started.";
+            "instance" => shared.settings.instance.as_str(),
+            "address" => self.address,
+            "control" => self.control_address,
+            "agent" => shared.number);
+        signal.wait().await;
+        shared.leave();
+        let drained = drain(&shared, &open, &stop_data).await;
+        // Entries settle lost answers here, so this listener closes last.
+        stop_control.fire();
+        info!(shared.log, "Agent: Stopped."; "cut" => drained.cut);
+        drained
+    }
+}
+
+/// Lets the requests in flight end.
+///
+/// The data listener stays open at first: an entry that has not yet heard of
+/// the leaving gets a refusal it can act on, not a broken connection.
+async fn drain(shared: &Shared, open: &Open, stop: &shutdown::Trigger) -> Drained {
+    let clock = &shared.clock;
+    let began = clock.now();
+    let deadline = began + shared.settings.drain.deadline();
+    let linger = began + shared.settings.drain.linger();
+    while clock.now() < linger.min(deadline) || shared.ledger.borrow().running() > 0 {
+        if clock.now() >= deadline {
+            break;
+        }
+        clock.sleep(LOOK).await;
+    }
+    stop.fire();
+    while open.count() > 0 && clock.now() < deadline {
+        clock.sleep(LOOK).await;
+    }
+    let cut = shared.ledger.borrow().running();
+    if cut > 0 {
+        warn!(shared.log, "Agent: The drain's deadline cuts requests off."; "cut" => cut);
+    }
+    Drained { cut }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/answer.rs
@@ -0,0 +1,143 @@
+//! The upstream's answer on its way back, tied to its attempt.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use slog::warn;
+
+use verbenaspool_coordination::attempt::Ending;
+use verbenaspool_transport::http::body::{self, Body};
+
+use crate::{flight::Flight, settings::Kind};
+
+/// How an answer's sender marks its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By a length or a last chunk.
+    Marked,
+    /// By closing the connection, as a crash does too.
+    Closed,
+}
+
+/// The body of an upstream's answer.
+///
+/// An upstream that dies in the middle must not look as if it had finished: the
+/// body then fails, and the server breaks its own connection off without an
+/// end mark. An answer whose end is only a closed connection can't be told from
+/// one that broke off, so it counts as broken.
+pub(crate) struct Answer {
+    inner: Option<Body>,
+    flight: Option<Flight>,
+    framing: Framing,
+}
+
+impl Answer {
+    pub(crate) fn new(inner: Body, flight: Flight, framing: Framing) -> Self {
+        let mut answer = Self {
+            inner: Some(inner),
+            flight: Some(flight),
+            framing,
+        };
+        if answer.is_end_stream() {
+            answer.end(Ending::Ran);
+        }
+        answer
+    }
+
+    fn end(&mut self, ending: Ending) {
+        if let Some(flight) = self.flight.take() {
+            if ending == Ending::Broken {
+                warn!(
+                    flight.shared().log,
+                    "Proxy: The upstream broke its answer off."
+                );
+            }
+            flight.end(ending);
+        }
+    }
+
+    /// Reads the answer to its end for the ledger's sake.
+    async fn drain(mut self) {
+        while let Some(frame) = self.frame().await {
+            if frame.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl http_body::Body for Answer {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        let Some(inner) = self.inner.as_mut() else {
+            return Poll::Ready(None);
+        };
+        let frame = ready!(Pin::new(inner).poll_frame(cx));
+        match frame {
+            None if self.framing == Framing::Closed => {
+                self.end(Ending::Broken);
+                self.inner = None;
+                Poll::Ready(Some(Err("the answer's end is not marked".into())))
+            }
+            None => {
+                self.end(Ending::Ran);
+                Poll::Ready(None)
+            }
+            Some(Err(error)) => {
+                self.end(Ending::Broken);
+                Poll::Ready(Some(Err(error)))
+            }
+            Some(Ok(frame)) => {
+                if self.is_end_stream() {
+                    self.end(Ending::Ran);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let ended = self.inner.as_ref().is_none_or(Body::is_end_stream);
+        ended && self.framing == Framing::Marked
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.as_ref().map(Body::size_hint).unwrap_or_default()
+    }
+}
+
+impl Drop for Answer {
+    /// The entry has gone. An engine is told by the closed connection and stops
+    /// the work; a plain service's answer is read on, so that the ledger can
+    /// say how it ended.
+    fn drop(&mut self) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        let shared = flight.shared().clone();
+        if shared.settings.upstream.kind == Kind::Engine {
+            return;
+        }
+        let rest = Self {
+            inner: self.inner.take(),
+            flight: Some(flight),
+            framing: self.framing,
+        };
+        let longest = shared.longest();
+        monoio::spawn(async move {
+            let over = shared.clock.sleep(longest);
+            let drain = Box::pin(rest.drain());
+            futures_util::future::select(drain, over).await;
+        });
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/control.rs
@@ -0,0 +1,41 @@
+//! The agent's control methods: settling, reports and leaving.
+
+use std::rc::Rc;
+
+use verbenaspool_protocol::{report, settle};
+use verbenaspool_transport::rpc::Module;
+
+use crate::shared::Shared;
+
+/// Registers the methods.
+pub(crate) fn register(module: &mut Module, shared: &Rc<Shared>) {
+    let agent = shared.clone();
+    module.on(settle::METHOD, move |question: settle::Question| {
+        let answer = settle(&agent, &question);
+        async move { Ok::<_, String>(answer) }
+    });
+    let agent = shared.clone();
+    module.on(report::METHOD, move |question: report::Question| {
+        let report = report::Report {
+            load: agent.load(),
+            cache: agent.engine.borrow().since(question.since),
+        };
+        async move { Ok::<_, String>(report) }
+    });
+    let agent = shared.clone();
+    module.on(report::LEAVE, move |(): ()| {
+        agent.leave();
+        async move { Ok::<_, String>(()) }
+    });
+}
+
+/// Says what became of an attempt. What was sent to another process this one
+/// can't tell, and must not leave a tombstone for: the other may be running it.
+fn settle(shared: &Shared, question: &settle::Question) -> settle::Answer {
+    if question.agent != shared.number {
+        return settle::Answer::Unknown;
+    }
+    let now = shared.clock.now();
+    let key = question.attempt.into();
+    shared.ledger.borrow_mut().settle(key, now).into()
+}
--- /dev/null
+++ b/verbenaspool_agent/src/envelope.rs
@@ -0,0 +1,61 @@
+//! The headers that an entry puts on a request, read and checked.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use verbenaspool_protocol::{
+    attempt, header,
+    problem::{Code, Problem},
+};
+
+/// What an entry says about a request.
+#[derive(Debug)]
+pub(crate) struct Envelope {
+    pub(crate) attempt: attempt::Id,
+    /// How long the caller still waits, where it said so.
+    pub(crate) deadline: Option<Duration>,
+}
+
+/// Reads the headers of a request that means to reach this agent process.
+pub(crate) fn read(headers: &HeaderMap, number: u64) -> Result<Envelope, Problem> {
+    let attempt = text(headers, header::ATTEMPT)
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| bad("The attempt header is missing or no attempt id."))?;
+    // A process that took this one's address must not run what was meant for
+    // its predecessor: the entry may have settled the attempt with that one.
+    // An entry that names none has yet to learn the number, from this refusal.
+    let meant = text(headers, header::AGENT).map(str::parse);
+    if meant != Some(Ok(number)) {
+        let message = "The request was meant for another agent process.";
+        return Err(Problem::not_run(Code::StaleAttempt, message));
+    }
+    Ok(Envelope {
+        attempt,
+        deadline: deadline(headers)?,
+    })
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    let Some(value) = headers.get(header::DEADLINE) else {
+        return Ok(None);
+    };
+    let left = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| bad("The deadline header is no number of milliseconds."))?;
+    if left == 0 {
+        let message = "The deadline was over when the request arrived.";
+        return Err(Problem::not_run(Code::Deadline, message));
+    }
+    Ok(Some(Duration::from_millis(left)))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn bad(message: &str) -> Problem {
+    Problem::not_run(Code::BadRequest, message)
+}
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -1,1 +1,18 @@
 //! The agent process beside each upstream instance.
+//!
+//! It is the last hop of every request and the only sender of orders to its
+//! engine. It stands beside the upstream because only there can "this did not
+//! run" be known, work be refused while every list is out of date, and a late
+//! order be stopped.
+
+pub mod agent;
+pub mod command;
+pub mod settings;
+
+mod answer;
+mod control;
+mod envelope;
+mod flight;
+mod poll;
+mod proxy;
+mod shared;
--- /dev/null
+++ b/verbenaspool_agent/src/poll.rs
@@ -0,0 +1,136 @@
+//! What the agent knows of its engine, asked for at intervals.
+
+use std::{collections::VecDeque, rc::Rc};
+
+use bytes::Buf;
+use futures_util::future::{Either, select};
+use http::Request;
+use http_body_util::{BodyExt, Limited};
+use slog::warn;
+
+use verbenaspool_protocol::{
+    engine::{STATE, State},
+    report::{Cache, Event},
+};
+use verbenaspool_transport::http::body::Body;
+
+use crate::shared::Shared;
+
+/// How many cache events are kept for entries that ask slowly. A seat in this
+/// list is 24 bytes, and an entry that missed more starts afresh.
+const KEPT: usize = 4_096;
+
+/// The largest state that is read, in bytes.
+const LARGEST: usize = 1024 * 1024;
+
+/// What the agent knows of its engine.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    running: u32,
+    queued: u32,
+    tokens: u64,
+    events: VecDeque<Event>,
+    /// The number of the last event heard.
+    last: u64,
+    /// Up to here events are no longer held, or were never heard.
+    lost: u64,
+}
+
+impl View {
+    pub(crate) fn queued(&self) -> u32 {
+        self.queued
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Takes the engine's word in.
+    pub(crate) fn hear(&mut self, state: State) {
+        self.running = state.running;
+        self.queued = state.queued;
+        self.tokens = state.tokens;
+        // An engine that starts again counts from 1: what was held is gone.
+        if state.last < self.last {
+            self.events.clear();
+            self.last = 0;
+            self.lost = 0;
+        }
+        for event in state.events {
+            self.keep(event);
+        }
+    }
+
+    fn keep(&mut self, event: Event) {
+        if event.number <= self.last {
+            return;
+        }
+        if event.number > self.last + 1 {
+            self.lost = event.number - 1;
+        }
+        self.last = event.number;
+        self.events.push_back(event);
+        while self.events.len() > KEPT {
+            self.lost = self
+                .events
+                .pop_front()
+                .map_or(self.lost, |gone| gone.number);
+        }
+    }
+
+    /// The events behind a number.
+    pub(crate) fn since(&self, number: u64) -> Cache {
+        // A number from before the engine's restart is above all that is known.
+        let reset = number < self.lost || number > self.last;
+        let from = if reset { 0 } else { number };
+        let later = self.events.iter().filter(|event| event.number > from);
+        Cache {
+            reset,
+            last: self.last,
+            events: later.copied().collect(),
+        }
+    }
+}
+
+/// Asks the engine for its state at intervals, for as long as the loop runs.
+pub(crate) async fn run(shared: Rc<Shared>) {
+    let pause = std::time::Duration::from_millis(shared.settings.upstream.poll_ms);
+    let mut reached = true;
+    loop {
+        let asked = Box::pin(ask(&shared));
+        let state = match select(asked, shared.clock.sleep(pause)).await {
+            Either::Left((state, _)) => state,
+            Either::Right(_) => Err("the engine took too long".to_owned()),
+        };
+        match state {
+            Ok(state) => {
+                shared.engine.borrow_mut().hear(state);
+                reached = true;
+            }
+            Err(why) if reached => {
+                warn!(shared.log, "Poll: The engine's state can't be read."; "reason" => why);
+                reached = false;
+            }
+            Err(_) => {}
+        }
+        shared.clock.sleep(pause).await;
+    }
+}
+
+async fn ask(shared: &Shared) -> Result<State, String> {
+    let since = shared.engine.borrow().last;
+    let request = Request::get(format!("{STATE}?since={since}"))
+        .header(http::header::HOST, shared.upstream().to_string())
+        .body(Body::empty())
+        .map_err(|error| error.to_string())?;
+    let response = shared
+        .client
+        .send(shared.upstream(), request)
+        .await
+        .map_err(|error| error.to_string())?;
+    let body = Limited::new(response.into_body(), LARGEST)
+        .collect()
+        .await
+        .map_err(|error| error.to_string())?;
+    serde_json::from_reader(body.aggregate().reader()).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/verbenaspool_agent/src/proxy.rs
@@ -0,0 +1,233 @@
+//! The data path: admits an attempt, sends it to the upstream beside the agent,
+//! and streams the answer back.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_util::future::{Either, select};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response,
+    header::{
+        CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+        TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use http_body::Body as _;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use slog::{debug, warn};
+use tokio::sync::oneshot;
+
+use verbenaspool_coordination::attempt::{Ending, Refusal};
+use verbenaspool_protocol::{
+    attempt, header,
+    outcome::Outcome,
+    problem::{Code, Problem},
+};
+use verbenaspool_transport::http::{
+    body::Body,
+    client,
+    server::{self, Handler},
+};
+
+use crate::{
+    answer::{Answer, Framing},
+    envelope::{self, Envelope},
+    flight::Flight,
+    settings::Kind,
+    shared::Shared,
+};
+
+/// When a repeat makes sense after a refusal for want of room.
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
+/// When a repeat makes sense while the upstream can't be reached.
+const DOWN_RETRY: Duration = Duration::from_secs(1);
+
+/// Headers that concern one connection only and are not passed on.
+const HOP: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Answers the requests of entries.
+#[derive(Debug)]
+pub(crate) struct Proxy(pub(crate) Rc<Shared>);
+
+impl Handler for Proxy {
+    fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> server::Answer {
+        Box::pin(async move {
+            let shared = self.0.clone();
+            let envelope = envelope::read(request.headers(), shared.number);
+            let attempt = envelope.as_ref().ok().map(|envelope| envelope.attempt);
+            let answer = match envelope {
+                Ok(envelope) => run(&shared, envelope, request).await,
+                Err(problem) => Err(problem),
+            };
+            let mut response = answer.unwrap_or_else(|problem| refusal(&shared, &problem));
+            mark(&shared, attempt, response.headers_mut());
+            response
+        })
+    }
+}
+
+/// Admits an attempt and has the upstream answer it.
+async fn run(
+    shared: &Rc<Shared>,
+    envelope: Envelope,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    let largest = shared.settings.limits.body_bytes;
+    if request.body().size_hint().lower() > largest as u64 {
+        let message = "The request's body is larger than the instance takes.";
+        return Err(Problem::not_run(Code::TooLarge, message));
+    }
+    let key = envelope.attempt.into();
+    let admitted = shared.ledger.borrow_mut().admit(key, shared.clock.now());
+    admitted.map_err(refuse)?;
+    let flight = Flight::new(shared.clone(), key);
+    let request = outgoing(request, shared.upstream(), largest);
+    match shared.settings.upstream.kind {
+        Kind::Engine => {
+            let longest = shared.longest();
+            let wait = envelope.deadline.map_or(longest, |left| left.min(longest));
+            send(flight, request, wait).await
+        }
+        Kind::Plain => detach(flight, request).await,
+    }
+}
+
+/// Sends a request to a plain service in a task of its own: should the entry go
+/// while it runs, the request still ends, and the ledger can say how.
+async fn detach(flight: Flight, request: Request<Body>) -> Result<Response<Body>, Problem> {
+    let (answer, answered) = oneshot::channel();
+    monoio::spawn(async move {
+        let longest = flight.shared().longest();
+        let _ = answer.send(send(flight, request, longest).await);
+    });
+    answered
+        .await
+        .unwrap_or_else(|_| Err(Problem::unknown(Code::Upstream, "The answer was lost.")))
+}
+
+/// Sends a request to the upstream and waits for the head of its answer.
+async fn send(
+    flight: Flight,
+    request: Request<Body>,
+    wait: Duration,
+) -> Result<Response<Body>, Problem> {
+    let shared = flight.shared().clone();
+    let answer = Box::pin(shared.client.send(shared.upstream(), request));
+    match select(answer, shared.clock.sleep(wait)).await {
+        Either::Left((Ok(response), _)) => Ok(incoming(response, flight)),
+        Either::Left((Err(client::Error::NotSent(why)), _)) => {
+            warn!(shared.log, "Proxy: The upstream can't be reached."; "reason" => why);
+            flight.end(Ending::NotRun);
+            let message = "The upstream can't be reached.";
+            Err(Problem::not_run(Code::NoUpstream, message).after(DOWN_RETRY))
+        }
+        Either::Left((Err(client::Error::Broken(why)), _)) => {
+            warn!(shared.log, "Proxy: The upstream broke off before its answer."; "reason" => why);
+            flight.end(Ending::Broken);
+            let message = "The upstream broke off before its answer.";
+            Err(Problem::unknown(Code::Upstream, message))
+        }
+        Either::Right(_) => {
+            flight.end(Ending::Broken);
+            let message = "The upstream did not answer before the deadline.";
+            Err(Problem::unknown(Code::Deadline, message))
+        }
+    }
+}
+
+/// The request as the upstream gets it.
+fn outgoing(request: Request<Incoming>, upstream: SocketAddr, largest: usize) -> Request<Body> {
+    let (mut parts, body) = request.into_parts();
+    strip(&mut parts.headers);
+    parts.headers.remove(header::AGENT);
+    if let Ok(host) = HeaderValue::from_str(&upstream.to_string()) {
+        parts.headers.insert(HOST, host);
+    }
+    Request::from_parts(parts, Body::wrap(Limited::new(body, largest)))
+}
+
+/// The upstream's answer as the entry gets it.
+fn incoming(response: Response<Body>, flight: Flight) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    let marked = parts.headers.contains_key(CONTENT_LENGTH)
+        || parts.headers.contains_key(TRANSFER_ENCODING)
+        || body.is_end_stream();
+    let framing = if marked {
+        Framing::Marked
+    } else {
+        Framing::Closed
+    };
+    strip(&mut parts.headers);
+    let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
+    parts.headers.insert(header::OUTCOME, outcome);
+    Response::from_parts(parts, Body::wrap(Answer::new(body, flight, framing)))
+}
+
+/// Takes out the headers that concern one connection only.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|list| list.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// The problem that goes with a refusal. A repeated attempt may have run, so
+/// only for that one the word is not "not run".
+fn refuse(refusal: Refusal) -> Problem {
+    match refusal {
+        Refusal::Leaving => Problem::not_run(Code::Leaving, "The instance is leaving."),
+        Refusal::Full => {
+            let message = "The instance runs as many requests as it may.";
+            Problem::not_run(Code::Overloaded, message).after(FULL_RETRY)
+        }
+        Refusal::Tombstone => {
+            Problem::not_run(Code::StaleAttempt, "The attempt was refused before.")
+        }
+        Refusal::Repeated => {
+            Problem::unknown(Code::StaleAttempt, "The attempt was admitted before.")
+        }
+    }
+}
+
+/// A problem as an answer.
+fn refusal(shared: &Shared, problem: &Problem) -> Response<Body> {
+    debug!(shared.log, "Proxy: Refused a request."; "reason" => &problem.message);
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let mut response = Response::new(Body::full(body));
+    *response.status_mut() = problem.code.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let outcome = HeaderValue::from_static(problem.outcome.as_str());
+    headers.insert(header::OUTCOME, outcome);
+    response
+}
+
+/// Echoes the attempt, so that a crossed answer shows, and tells the load.
+fn mark(shared: &Shared, attempt: Option<attempt::Id>, headers: &mut HeaderMap) {
+    headers.remove(header::ATTEMPT);
+    if let Some(attempt) = attempt
+        && let Ok(value) = HeaderValue::from_str(&attempt.to_string())
+    {
+        headers.insert(header::ATTEMPT, value);
+    }
+    let load = serde_json::to_string(&shared.load()).unwrap_or_default();
+    if let Ok(value) = HeaderValue::from_str(&load) {
+        headers.insert(header::LOAD, value);
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/shared.rs
@@ -0,0 +1,86 @@
+//! What the parts of an agent process share, all on its one loop.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use slog::{Logger, info};
+
+use verbenaspool_coordination::attempt::{Ledger, Limits};
+use verbenaspool_protocol::load::Load;
+use verbenaspool_transport::{clock::Clock, http::client::Client};
+
+use crate::{poll::View, settings::Settings};
+
+/// How long a connection to the upstream on the same instance may take.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// What the parts of an agent process share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// Drawn at random at the start, so that no two processes have the same.
+    pub(crate) number: u64,
+    pub(crate) settings: Settings,
+    pub(crate) log: Logger,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) ledger: RefCell<Ledger>,
+    pub(crate) engine: RefCell<View>,
+    pub(crate) client: Client,
+    sequence: Cell<u64>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, log: Logger, clock: Rc<dyn Clock>) -> Self {
+        let limits = Limits {
+            running: settings.limits.requests,
+            closed: settings.limits.remembered,
+            ..Limits::default()
+        };
+        Self {
+            number: rand::random(),
+            settings,
+            log,
+            clock,
+            ledger: RefCell::new(Ledger::new(limits)),
+            engine: RefCell::default(),
+            client: Client::new(CONNECT),
+            sequence: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn upstream(&self) -> SocketAddr {
+        self.settings.upstream.address
+    }
+
+    /// The longest that the upstream may take for one request.
+    pub(crate) fn longest(&self) -> Duration {
+        Duration::from_secs(self.settings.limits.longest_seconds)
+    }
+
+    /// The load now, as the agent's next word.
+    pub(crate) fn load(&self) -> Load {
+        self.sequence.set(self.sequence.get() + 1);
+        let ledger = self.ledger.borrow();
+        let engine = self.engine.borrow();
+        Load {
+            agent: self.number,
+            sequence: self.sequence.get(),
+            running: u32::try_from(ledger.running()).unwrap_or(u32::MAX),
+            queued: engine.queued(),
+            tokens: engine.tokens(),
+            leaving: ledger.leaving(),
+        }
+    }
+
+    /// Takes nothing new from now on.
+    pub(crate) fn leave(&self) {
+        if self.ledger.borrow().leaving() {
+            return;
+        }
+        self.ledger.borrow_mut().leave();
+        info!(self.log, "Agent: Leaving."; "in_flight" => self.ledger.borrow().running());
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/fault.rs
@@ -0,0 +1,127 @@
+//! Faults: each entry of the table breaks one thing, and the word that the
+//! entry gets must be true.
+
+use std::time::Duration;
+
+use verbenaspool_protocol::{outcome::Outcome, problem::Code, settle::Answer};
+use verbenaspool_standin::engine::{Config, Desk};
+
+use crate::rig::{Reply, Rig, completion, engine, run, service, settings};
+
+/// What breaks in the engine.
+type Break = fn(&Desk);
+
+#[test]
+fn a_broken_engine_never_looks_whole() {
+    // The engine dies before or inside its answer. A caller that got a cleanly
+    // ended half would take it for the whole.
+    let table: [(&str, Break); 4] = [
+        ("before its answer", |desk| desk.faults.break_before()),
+        ("before the first token", |desk| desk.faults.break_behind(0)),
+        ("between tokens", |desk| desk.faults.break_behind(2)),
+        ("before the end mark", |desk| desk.faults.break_behind(5)),
+    ];
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        for (name, breaks) in table {
+            breaks(&desk);
+            let id = rig.id();
+            let reply = rig.post(id, "/v1/completions", &completion("Net", 5)).await;
+            let whole = reply.ok().and_then(|reply| reply.text());
+            assert_eq!(whole, None, "{name}");
+            assert_eq!(rig.settle(id).await, Answer::Unknown, "{name}");
+            let next = rig.complete("Net", 5).await.unwrap();
+            assert!(
+                next.text().is_some(),
+                "{name}: the next request is unharmed"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_refused_attempt_is_refused_when_it_arrives_late() {
+    // An entry gives up on an attempt that is still on its way and asks the
+    // agent, which says "refused". The caller repeats its booking. The first
+    // copy arrives: were it run, the skipper would be charged twice.
+    run(async {
+        let (address, book) = service(Duration::ZERO);
+        let rig = Rig::start(settings(address, "plain"));
+        let late = rig.id();
+        assert_eq!(rig.settle(late).await, Answer::Refused);
+        rig.post(rig.id(), "/bookings", "net 7").await.unwrap();
+        let reply = rig.post(late, "/bookings", "net 7").await.unwrap();
+        assert_eq!(reply.outcome, Outcome::NotRun);
+        assert_eq!(reply.code(), Some(Code::StaleAttempt));
+        assert_eq!(book.writes.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_lost_answer_is_settled_as_ended_and_not_run_again() {
+    // The booking runs, and the connection with its answer breaks. The entry
+    // asks; a copy of the same attempt must not run.
+    run(async {
+        let (address, book) = service(Duration::from_millis(30));
+        let rig = Rig::start(settings(address, "plain"));
+        let id = rig.id();
+        let request = rig.request(id, "/bookings", "net 7");
+        let sent = monoio::time::timeout(Duration::from_millis(15), rig.send(request)).await;
+        assert!(sent.is_err(), "the entry gave up");
+        while rig.settle(id).await == Answer::Running {}
+        assert_eq!(rig.settle(id).await, Answer::Ended);
+        let again = rig.post(id, "/bookings", "net 7").await.unwrap();
+        assert_eq!(again.outcome, Outcome::Unknown);
+        assert_eq!(book.writes.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn an_engine_stops_when_the_entry_goes() {
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        let id = rig.id();
+        let request = rig.request(id, "/v1/completions", &completion("Net", 100_000));
+        let response = rig.client.send(rig.data, request).await.unwrap();
+        drop(response);
+        rig.until(|| desk.batch.cancelled() == 1).await;
+        rig.until(|| desk.batch.running() == 0).await;
+        assert_eq!(rig.settle(id).await, Answer::Unknown);
+    });
+}
+
+#[test]
+fn a_leaving_agent_refuses_new_work_and_ends_what_it_has() {
+    // The platform's list still names the instance as live, so entries go on
+    // choosing it. Each must get a word that lets it go elsewhere at once.
+    run(async {
+        let (address, _) = engine(Config::default());
+        let mut rig = Rig::start(settings(address, "engine"));
+        let request = rig.request(rig.id(), "/v1/completions", &completion("Net", 30));
+        let response = rig.client.send(rig.data, request).await.unwrap();
+        rig.leave().await;
+        let refused = rig.complete("Net", 1).await.unwrap();
+        assert_eq!(refused.code(), Some(Code::Leaving));
+        assert_eq!(refused.status, Code::Leaving.status());
+        assert_eq!(refused.outcome, Outcome::NotRun);
+        assert!(refused.load.unwrap().leaving);
+        assert!(rig.report(0).await.load.leaving);
+        rig.stop.fire();
+        let body = http_body_util::BodyExt::collect(response.into_body()).await;
+        assert!(body.is_ok(), "the answer in flight ended");
+        assert_eq!(rig.drained.take().unwrap().await.cut, 0);
+    });
+}
+
+#[test]
+fn an_upstream_that_is_down_ran_nothing() {
+    run(async {
+        let rig = Rig::start(settings(([127, 0, 0, 1], 1).into(), "plain"));
+        let id = rig.id();
+        let reply: Reply = rig.post(id, "/bookings", "net 7").await.unwrap();
+        assert_eq!(reply.code(), Some(Code::NoUpstream));
+        assert_eq!(rig.settle(id).await, Answer::Refused);
+    });
+}
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -0,0 +1,6 @@
+//! The agent over real sockets, between a stand-in of an entry and one of an
+//! upstream.
+
+mod fault;
+mod path;
+mod rig;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/rig.rs
@@ -0,0 +1,233 @@
+//! An upstream, an agent beside it, and an entry's side of the contract.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use slog::{Discard, Logger, o};
+
+use verbenaspool_agent::{
+    agent::{Agent, Drained},
+    settings::{self, Settings},
+};
+use verbenaspool_protocol::{
+    attempt, header,
+    load::Load,
+    outcome::Outcome,
+    problem::{Code, Problem},
+    report,
+    settle::{self, Answer, Question},
+};
+use verbenaspool_standin::{
+    engine::{Config, Desk, Engine, text},
+    service::{Book, Service},
+};
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    http::{
+        body::Body,
+        client::{Client, Error},
+    },
+    rpc, runtime, shutdown,
+};
+
+/// How long a control call may take.
+const CALL: Duration = Duration::from_secs(5);
+
+/// An agent that runs, and what an entry needs to reach it.
+pub struct Rig {
+    pub data: SocketAddr,
+    pub control: SocketAddr,
+    pub agent: u64,
+    pub clock: Rc<dyn Clock>,
+    pub client: Client,
+    pub rpc: rpc::Client,
+    pub stop: shutdown::Trigger,
+    pub drained: Option<monoio::task::JoinHandle<Drained>>,
+    counter: Cell<u64>,
+}
+
+/// What an entry got.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub outcome: Outcome,
+    pub attempt: Option<attempt::Id>,
+    pub load: Option<Load>,
+    /// The whole body; none where it broke off.
+    pub body: Option<Bytes>,
+}
+
+impl Reply {
+    pub fn code(&self) -> Option<Code> {
+        let problem: Problem = serde_json::from_slice(self.body.as_ref()?).ok()?;
+        Some(problem.code)
+    }
+
+    pub fn text(&self) -> Option<String> {
+        text::read(self.body.as_ref()?)
+    }
+}
+
+/// Runs a test on a loop of its own.
+pub fn run<F: Future>(test: F) -> F::Output {
+    let bounded = async {
+        monoio::time::timeout(Duration::from_secs(30), test)
+            .await
+            .expect("the test ends")
+    };
+    runtime::run(bounded).expect("a loop")
+}
+
+pub fn read(text: &str) -> Settings {
+    settings::read(text).expect("sound settings")
+}
+
+/// Settings for an upstream of a kind, with a short linger.
+pub fn settings(upstream: SocketAddr, kind: &str) -> Settings {
+    read(&format!(
+        "instance: loft-1\n\
+         listen: 127.0.0.1:0\n\
+         control: 127.0.0.1:0\n\
+         upstream: {{address: '{upstream}', kind: {kind}, poll_ms: 20}}\n\
+         drain: {{deadline_seconds: 20, linger_ms: 100}}\n"
+    ))
+}
+
+/// Starts an engine.
+pub fn engine(config: Config) -> (SocketAddr, Rc<Desk>) {
+    let engine = Engine::bind(config, Monotonic::start()).expect("an engine");
+    let (address, desk) = (engine.address(), engine.desk());
+    let (trigger, signal) = shutdown::channel();
+    monoio::spawn(async move {
+        engine.run(signal).await;
+        drop(trigger);
+    });
+    (address, desk)
+}
+
+/// Starts a plain service.
+pub fn service(takes: Duration) -> (SocketAddr, Rc<Book>) {
+    let book = Book::new(takes, Monotonic::start());
+    let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone()).expect("a service");
+    let address = service.address();
+    let (trigger, signal) = shutdown::channel();
+    monoio::spawn(async move {
+        service.run(signal).await;
+        drop(trigger);
+    });
+    (address, book)
+}
+
+impl Rig {
+    /// Starts an agent.
+    pub fn start(settings: Settings) -> Self {
+        let clock = Monotonic::start();
+        let log = Logger::root(Discard, o!());
+        let agent = Agent::bind(settings, log, clock.clone()).expect("an agent");
+        let (stop, signal) = shutdown::channel();
+        let (data, control, number) = (agent.address(), agent.control(), agent.number());
+        let drained = Some(monoio::spawn(agent.run(signal)));
+        let mut rig = Self::reach(data, control, number);
+        (rig.stop, rig.drained) = (stop, drained);
+        rig
+    }
+
+    /// Reaches an agent that runs already.
+    pub fn reach(data: SocketAddr, control: SocketAddr, agent: u64) -> Self {
+        Self {
+            data,
+            control,
+            agent,
+            clock: Monotonic::start(),
+            client: Client::new(CALL),
+            rpc: rpc::Client::default(),
+            stop: shutdown::channel().0,
+            drained: None,
+            counter: Cell::new(0),
+        }
+    }
+
+    pub fn id(&self) -> attempt::Id {
+        self.counter.set(self.counter.get() + 1);
+        attempt::Id {
+            incarnation: 0xa,
+            counter: self.counter.get(),
+        }
+    }
+
+    /// A request with the headers that an entry sets.
+    pub fn request(&self, id: attempt::Id, path: &str, body: &str) -> Request<Body> {
+        Request::post(path)
+            .header(http::header::HOST, "verbenaspool")
+            .header(header::ATTEMPT, id.to_string())
+            .header(header::AGENT, self.agent)
+            .body(Body::full(body.to_owned()))
+            .expect("a request")
+    }
+
+    pub async fn post(&self, id: attempt::Id, path: &str, body: &str) -> Result<Reply, Error> {
+        self.send(self.request(id, path, body)).await
+    }
+
+    pub async fn send(&self, request: Request<Body>) -> Result<Reply, Error> {
+        let response = self.client.send(self.data, request).await?;
+        let (parts, body) = response.into_parts();
+        let read = |name| parts.headers.get(name)?.to_str().ok();
+        Ok(Reply {
+            status: parts.status,
+            outcome: Outcome::read(read(header::OUTCOME)),
+            attempt: read(header::ATTEMPT).and_then(|text| text.parse().ok()),
+            load: read(header::LOAD).and_then(|text| serde_json::from_str(text).ok()),
+            body: body
+                .collect()
+                .await
+                .ok()
+                .map(http_body_util::Collected::to_bytes),
+        })
+    }
+
+    /// A request for a streamed completion.
+    pub async fn complete(&self, prompt: &str, tokens: u32) -> Result<Reply, Error> {
+        let body = completion(prompt, tokens);
+        self.post(self.id(), "/v1/completions", &body).await
+    }
+
+    pub async fn settle(&self, attempt: attempt::Id) -> Answer {
+        let question = Question {
+            attempt,
+            agent: self.agent,
+        };
+        self.call(settle::METHOD, &question).await
+    }
+
+    pub async fn report(&self, since: u64) -> report::Report {
+        self.call(report::METHOD, &report::Question { since }).await
+    }
+
+    pub async fn leave(&self) {
+        self.call::<(), ()>(report::LEAVE, &()).await;
+    }
+
+    async fn call<P: serde::Serialize, R: serde::de::DeserializeOwned>(
+        &self,
+        method: &str,
+        params: &P,
+    ) -> R {
+        let called = self.rpc.call(self.control, method, params, CALL).await;
+        called.expect("the control call is answered")
+    }
+
+    /// Waits until something holds.
+    pub async fn until(&self, holds: impl Fn() -> bool) {
+        while !holds() {
+            self.clock.sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+/// The body of a request for a streamed completion.
+pub fn completion(prompt: &str, tokens: u32) -> String {
+    serde_json::json!({"prompt": prompt, "max_tokens": tokens, "stream": true}).to_string()
+}
