--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod engine;
+pub mod group;
 pub mod header;
 pub mod load;
 pub mod outcome;
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,4 +1,8 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
 
 pub mod engine;
+pub mod history;
+pub mod platform;
+pub mod ranks;
 pub mod service;
+pub mod weights;
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -2,8 +2,11 @@
 //! verbenaspool.
 
 pub mod clock;
+pub mod config;
 pub mod http;
 pub mod log;
+pub mod platform;
 pub mod rpc;
 pub mod runtime;
+pub mod settings;
 pub mod shutdown;
