--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod adoption;
 pub mod apply;
+pub mod attempt;
 pub mod claim;
 pub mod collection;
 pub mod group;
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod clock;
 pub mod config;
 pub mod http;
-pub mod logs;
+pub mod log;
 pub mod metrics;
 pub mod platform;
 pub mod rpc;
