--- /dev/null
+++ b/verbenaspool/src/entry/admin.rs
@@ -0,0 +1,167 @@
+//! Health, readiness and metrics, on a listener of their own.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use verbenaspool_policy::decision::Reason;
+use verbenaspool_policy::snapshot::Snapshot;
+use verbenaspool_transport::{
+    http::{
+        body::Body,
+        server::{self, Answer, Handler, Limits, Open},
+    },
+    shutdown::Signal,
+};
+
+use super::Entry;
+
+/// The media type of the Prometheus text format.
+const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Connections at once; only probes and a scraper come here.
+const CONNECTIONS: usize = 64;
+
+/// The listener for operators' tools.
+#[derive(Debug)]
+pub struct Admin(pub Rc<Entry>);
+
+impl Admin {
+    /// Serves until the signal comes.
+    pub async fn serve(self, listener: TcpListener, signal: Signal) {
+        let limits = Limits {
+            connections: CONNECTIONS,
+            ..Limits::default()
+        };
+        server::serve(listener, limits, Rc::new(self), Open::default(), signal).await;
+    }
+
+    /// Answers by path.
+    fn answer(&self, path: &str) -> Response<Body> {
+        match path {
+            "/healthz" => text(StatusCode::OK, "ok\n"),
+            "/readyz" if self.0.ready() => text(StatusCode::OK, "ready\n"),
+            "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/metrics" => text(StatusCode::OK, self.0.scrape()),
+            _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+}
+
+impl Handler for Admin {
+    fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
+        let response = self.answer(request.uri().path());
+        Box::pin(std::future::ready(response))
+    }
+}
+
+/// A plain answer.
+fn text(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::full(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, TEXT);
+    response
+}
+
+/// A count in a gauge.
+#[allow(clippy::cast_precision_loss)] // Counts stay far below 2^53.
+fn count(number: u64) -> f64 {
+    number as f64
+}
+
+impl Entry {
+    /// All metrics, with the balancers' own counts taken over.
+    #[must_use]
+    pub fn scrape(&self) -> String {
+        let metrics = &self.metrics;
+        let gauge = |name, help, value| metrics.gauge(name, help, &[]).set(value);
+        let open = self.open.count() as u64;
+        gauge(
+            "verbenaspool_connections",
+            "Callers' open connections.",
+            count(open),
+        );
+        let version = count(self.version().0);
+        gauge(
+            "verbenaspool_config_version",
+            "The version in force.",
+            version,
+        );
+        let dropped = metrics.counter(
+            "verbenaspool_spans_dropped_total",
+            "Spans dropped because too many waited for the collector.",
+            &[],
+        );
+        dropped.set(self.tracer.dropped());
+        for (service, snapshot) in self.snapshots() {
+            self.show(service.as_str(), &snapshot);
+        }
+        metrics.text()
+    }
+
+    /// Takes over one balancer's counts.
+    fn show(&self, service: &str, snapshot: &Snapshot) {
+        let metrics = &self.metrics;
+        let pairs = [("service", service)];
+        let total = |name, help, value| metrics.counter(name, help, &pairs).set(value);
+        total(
+            "verbenaspool_offered_total",
+            "Requests offered.",
+            snapshot.offered,
+        );
+        total(
+            "verbenaspool_started_total",
+            "Attempts started.",
+            snapshot.started,
+        );
+        total(
+            "verbenaspool_waited_total",
+            "Requests that waited.",
+            snapshot.waited,
+        );
+        total(
+            "verbenaspool_retried_total",
+            "Retries allowed.",
+            snapshot.retried,
+        );
+        total(
+            "verbenaspool_affine_total",
+            "Starts at a cached prefix.",
+            snapshot.affine,
+        );
+        total(
+            "verbenaspool_spilled_total",
+            "Starts in another zone.",
+            snapshot.spilled,
+        );
+        total(
+            "verbenaspool_ejections_total",
+            "Upstreams ejected.",
+            snapshot.ejections,
+        );
+        for (reason, refused) in Reason::ALL.iter().zip(snapshot.refused) {
+            let pairs = [("service", service), ("reason", reason.name())];
+            let help = "Requests refused, by reason.";
+            metrics
+                .counter("verbenaspool_refused_total", help, &pairs)
+                .set(refused);
+        }
+        let waiting = snapshot.waiting as u64;
+        metrics
+            .gauge("verbenaspool_waiting", "Requests that wait now.", &pairs)
+            .set(count(waiting));
+        let upstreams = snapshot.upstreams.len() as u64;
+        metrics
+            .gauge("verbenaspool_upstreams", "Upstreams worked with.", &pairs)
+            .set(count(upstreams));
+        let in_flight = snapshot
+            .upstreams
+            .iter()
+            .map(|u| u64::from(u.in_flight))
+            .sum();
+        metrics
+            .gauge("verbenaspool_in_flight", "Attempts in flight.", &pairs)
+            .set(count(in_flight));
+    }
+}
--- a/verbenaspool/src/entry/answer.rs
+++ b/verbenaspool/src/entry/answer.rs
@@ -1,49 +1,200 @@
 //! The upstream's answer on its way to the caller.
+//!
+//! A broken stream goes on where the engine can resume it, at the last token
+//! that the caller got whole. Otherwise the caller's connection is broken as
+//! well: a broken answer must never end like a whole one.
 
 use std::{
+    future::Future,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body as _, Frame, SizeHint};
 use verbenaspool_policy::attempt::Ending;
-use verbenaspool_transport::http::body::{self, Body};
+use verbenaspool_protocol::outcome::Outcome;
+use verbenaspool_state::name::Name;
+use verbenaspool_transport::{
+    clock::Sleep,
+    http::body::{self, Body},
+    trace::span::Span,
+};
+
+use super::{events::Events, exchange::Exchange, forward::Forward, observe::Ended, queue::Attempt};
+
+/// How many bytes of an event that isn't whole are held back, in streams that
+/// can be resumed. A longer event passes as it comes, and its stream can't be
+/// resumed any more.
+const HELD: usize = 16 * 1024;
 
-use super::queue::Attempt;
+/// How often one stream is resumed; engines that break it more often are sick.
+const RESUMES: usize = 3;
+
+/// The moment when an answer is of no use any more.
+pub struct Limit(pub Sleep);
+
+/// An attempt that answers.
+pub struct Source {
+    /// What comes from the agent.
+    pub body: Body,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The hop.
+    pub span: Span,
+}
 
-/// An answer's body with the attempt it belongs to.
-///
-/// It ends the attempt in the balancer when the last byte has passed. A caller
-/// that leaves drops it, which closes the connection to the agent and so
-/// cancels the work there.
+/// Another attempt that is to go on with the answer.
+type Resuming = Pin<Box<dyn Future<Output = Option<(Exchange, Vec<Name>)>>>>;
+
+/// Where the answer comes from at this time.
+enum State {
+    /// From an attempt.
+    Reading(Source),
+    /// From nowhere, until another attempt goes on.
+    Resuming(Resuming),
+    /// It ended, well or badly.
+    Ended,
+}
+
+/// An answer's body with the request it belongs to. A caller that leaves drops
+/// it, which closes the connection to the agent and so cancels the work there.
 pub struct Answer {
-    inner: Body,
-    attempt: Attempt,
-    prompt_tokens: u32,
+    forward: Rc<Forward>,
+    state: State,
+    limit: Option<Limit>,
     events: Option<Events>,
+    /// The upstreams tried, while the answer can be resumed.
+    tried: Option<Vec<Name>>,
+    resumes: usize,
+    held: BytesMut,
 }
 
 impl Answer {
-    /// Wraps an answer's body; `events` where it is a stream of tokens.
+    /// Wraps the answer that a source brings. `events` says whether it is a
+    /// stream of events, `tried` which upstreams were tried, if it can be resumed.
+    #[must_use]
+    pub fn new(
+        forward: Rc<Forward>,
+        source: Source,
+        limit: Option<Limit>,
+        events: bool,
+        tried: Option<Vec<Name>>,
+    ) -> Self {
+        Self {
+            forward,
+            state: State::Reading(source),
+            limit,
+            events: events.then(Events::default),
+            tried,
+            resumes: 0,
+            held: BytesMut::new(),
+        }
+    }
+
+    /// The answer as a body; one without a byte has ended already.
     #[must_use]
-    pub fn new(inner: Body, attempt: Attempt, prompt_tokens: u32, events: Option<Events>) -> Self {
-        let answer = Self {
-            inner,
-            attempt,
-            prompt_tokens,
-            events,
+    pub fn into_body(mut self) -> Body {
+        if self.is_end_stream() {
+            self.finish();
+            return Body::empty();
+        }
+        Body::wrap(self)
+    }
+
+    /// Ends well.
+    fn finish(&mut self) {
+        self.close(Ending::Ran, Outcome::Ran);
+    }
+
+    /// Ends, and says how.
+    fn close(&mut self, ending: Ending, outcome: Outcome) {
+        self.end_attempt(ending);
+        self.forward.observation.end(Ended::Outcome(outcome));
+    }
+
+    /// Ends the attempt at hand.
+    fn end_attempt(&mut self, ending: Ending) {
+        let state = std::mem::replace(&mut self.state, State::Ended);
+        if let State::Reading(mut source) = state {
+            if ending != Ending::Ran {
+                source.span.fail("the answer broke off");
+            }
+            let tokens = self.events.as_ref().map_or(0, |events| events.count);
+            let prompt = self.forward.prompt.tokens;
+            source.attempt.finish(ending, prompt, tokens);
+        }
+    }
+
+    /// Takes a chunk in and gives what may pass.
+    fn chunk(&mut self, data: Bytes) -> Bytes {
+        let Some(events) = &mut self.events else {
+            return data;
         };
-        if answer.inner.is_end_stream() {
-            answer.finish(Ending::Ran);
+        let end = events.read(&data);
+        if self.tried.is_none() || end == data.len() && self.held.is_empty() {
+            return data;
+        }
+        if self.held.len() + data.len() > HELD {
+            self.tried = None;
+            self.held.extend_from_slice(&data);
+            return self.held.split().freeze();
         }
-        answer
+        // A part of an event that has passed can't be taken back, so it waits
+        // for its rest: a resumed stream begins with a whole event.
+        self.held.extend_from_slice(&data[..end]);
+        let whole = if end > 0 {
+            self.held.split().freeze()
+        } else {
+            Bytes::new()
+        };
+        self.held.extend_from_slice(&data[end..]);
+        whole
+    }
+
+    /// Starts to go on with a broken answer, if that is possible.
+    fn resume(&mut self) -> bool {
+        let Some(tried) = self.tried.take() else {
+            return false;
+        };
+        if self.resumes >= RESUMES {
+            return false;
+        }
+        self.resumes += 1;
+        self.end_attempt(Ending::Unknown);
+        // Of an event that isn't whole the caller has got nothing.
+        self.held.clear();
+        let events = self.events.get_or_insert_default();
+        events.restart();
+        let resumed = self.forward.clone().resume(events.count, tried);
+        self.state = State::Resuming(Box::pin(resumed));
+        true
+    }
+
+    /// Takes over what another attempt goes on with.
+    fn resumed(&mut self, exchange: Exchange, tried: Vec<Name>) {
+        self.forward.observation.meter().resumed.count();
+        self.tried = Some(tried);
+        self.state = State::Reading(Source {
+            body: exchange.response.into_body(),
+            attempt: exchange.attempt,
+            span: exchange.span,
+        });
+    }
+
+    /// Whether the caller's deadline is over.
+    fn late(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(limit) = &mut self.limit else {
+            return false;
+        };
+        limit.0.as_mut().poll(cx).is_ready()
     }
 
-    /// Tells the balancer how the attempt ended.
-    fn finish(&self, ending: Ending) {
-        let tokens = self.events.as_ref().map_or(0, |events| events.count);
-        self.attempt.finish(ending, self.prompt_tokens, tokens);
+    /// Breaks off.
+    fn fail(&mut self, why: body::Error) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        self.close(Ending::Unknown, Outcome::Unknown);
+        Poll::Ready(Some(Err(why)))
     }
 }
 
@@ -55,62 +206,62 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
-        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
-        match &frame {
-            None => self.finish(Ending::Ran),
-            Some(Err(_)) => self.finish(Ending::Unknown),
-            Some(Ok(frame)) => {
-                if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
-                    events.read(data);
+        loop {
+            let frame = match &mut self.state {
+                State::Ended => return Poll::Ready(None),
+                State::Reading(source) => Pin::new(&mut source.body).poll_frame(cx),
+                State::Resuming(resuming) => match resuming.as_mut().poll(cx) {
+                    Poll::Ready(Some((exchange, tried))) => {
+                        self.resumed(exchange, tried);
+                        continue;
+                    }
+                    Poll::Ready(None) => {
+                        return self.fail("the answer broke off".into());
+                    }
+                    Poll::Pending => Poll::Pending,
+                },
+            };
+            if frame.is_pending() && self.late(cx) {
+                self.end_attempt(Ending::Cancelled);
+                return self.fail("the deadline is over".into());
+            }
+            match ready!(frame) {
+                None => {
+                    self.finish();
+                    let rest = self.held.split().freeze();
+                    return Poll::Ready((!rest.is_empty()).then(|| Ok(Frame::data(rest))));
                 }
-                if self.inner.is_end_stream() {
-                    self.finish(Ending::Ran);
+                Some(Err(_)) if self.resume() => {}
+                Some(Err(why)) => return self.fail(why),
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        // Trailers are dropped: nothing of ours sends any.
+                        continue;
+                    };
+                    let data = self.chunk(data);
+                    if self.is_end_stream() {
+                        self.finish();
+                    }
+                    if !data.is_empty() {
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
                 }
             }
         }
-        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        match &self.state {
+            State::Reading(source) => source.body.is_end_stream() && self.held.is_empty(),
+            State::Resuming(_) => false,
+            State::Ended => self.held.is_empty(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
-/// Counts the server-sent events that have passed whole.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Events {
-    /// How many have passed.
-    pub count: u32,
-    /// Whether the last byte was a line's end, carriage returns aside.
-    newline: bool,
-}
-
-impl Events {
-    /// Reads a chunk; an event ends with an empty line, wherever chunks are cut.
-    ///
-    /// ```
-    /// use verbenaspool::entry::answer::Events;
-    ///
-    /// let mut events = Events::default();
-    /// events.read(b"data: net\n");
-    /// events.read(b"\ndata: mended\r\n\r\ndata: to");
-    /// assert_eq!(events.count, 2);
-    /// ```
-    pub fn read(&mut self, chunk: &[u8]) {
-        for &byte in chunk {
-            match byte {
-                b'\n' if self.newline => {
-                    self.count += 1;
-                    self.newline = false;
-                }
-                b'\n' => self.newline = true,
-                b'\r' => {}
-                _ => self.newline = false,
-            }
+        match &self.state {
+            State::Reading(source) if self.tried.is_none() => source.body.size_hint(),
+            _ => SizeHint::default(),
         }
     }
 }
--- /dev/null
+++ b/verbenaspool/src/entry/exchange.rs
@@ -0,0 +1,257 @@
+//! One attempt: what goes to the agent, and what its answer means.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{
+    HeaderMap, HeaderValue, Request, Response, Version,
+    header::{AUTHORIZATION, EXPECT, HOST},
+};
+use verbenaspool_policy::attempt::Ending;
+use verbenaspool_protocol::{
+    attempt, header,
+    load::Load,
+    outcome::Outcome,
+    problem::{Code, Problem},
+    settle,
+};
+use verbenaspool_transport::{
+    http::{body::Body, client, hop},
+    trace::span::{Kind, Span},
+};
+
+use super::{caller::priority_name, forward::Forward, queue::Attempt, upstreams::Address};
+
+/// How long an agent may take to say what became of an attempt. It answers from
+/// memory; a silent one is as good as dead, and the caller waits.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// What the names of our own headers begin with.
+const OWN: &str = "x-verbenaspool-";
+
+/// Our own headers to an agent, for the size of the map.
+const ADDED: usize = 8;
+
+/// An answer with the attempt that brought it.
+pub struct Exchange {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The answer.
+    pub response: Response<Body>,
+    /// The hop, which ends with the answer's body.
+    pub span: Span,
+}
+
+/// How an attempt that brought no answer ended.
+pub struct Failure {
+    /// How it ended.
+    pub ending: Ending,
+    /// What to tell the caller, should no other attempt be made.
+    pub problem: Problem,
+}
+
+/// What an answer's head says of the attempt.
+enum Verdict {
+    /// It ran, and this is its answer.
+    Answered,
+    /// It was refused.
+    Refused,
+    /// The agent can't say.
+    Unknown,
+    /// The answer is another attempt's, or says nothing.
+    Foreign,
+}
+
+/// Makes one attempt; `resume` is how many tokens the caller has already.
+///
+/// # Errors
+/// It brought no answer.
+pub async fn make(
+    forward: &Rc<Forward>,
+    attempt: Attempt,
+    resume: Option<u32>,
+) -> Result<Exchange, Failure> {
+    let upstream = attempt.upstream().clone();
+    let mut span = forward.observation.step("entry to agent", Kind::Client);
+    span.set("upstream", upstream.as_str());
+    let result = try_once(forward, &attempt, &span, resume).await;
+    match result {
+        Ok(response) => Ok(Exchange {
+            attempt,
+            response,
+            span,
+        }),
+        Err(failure) => {
+            span.fail(failure.problem.outcome.as_str());
+            attempt.finish(failure.ending, forward.prompt.tokens, 0);
+            Err(failure)
+        }
+    }
+}
+
+/// Sends the attempt and judges what comes back.
+async fn try_once(
+    forward: &Forward,
+    attempt: &Attempt,
+    span: &Span,
+    resume: Option<u32>,
+) -> Result<Response<Body>, Failure> {
+    let address = locate(forward, attempt).await?;
+    let id = forward.entry.attempts.next();
+    let request = request(forward, id, &address, span, resume);
+    forward.observation.meter().attempts.count();
+    let sent = forward.entry.client.send(address.agent, request);
+    match monoio::time::timeout(forward.left(), sent).await {
+        Ok(Ok(response)) => {
+            learn(forward, attempt, response.headers());
+            match judge(id, response.headers()) {
+                Verdict::Answered => Ok(response),
+                Verdict::Refused => Err(not_run("The upstream refused the request.")),
+                Verdict::Unknown => Err(lost()),
+                Verdict::Foreign => Err(settle(forward, id, &address).await),
+            }
+        }
+        Ok(Err(client::Error::NotSent(_))) => Err(not_run("The upstream can't be reached.")),
+        Ok(Err(client::Error::Broken(_))) => Err(settle(forward, id, &address).await),
+        // The final answer goes out at once; dropping the request cancels it.
+        Err(_) => Err(Failure {
+            ending: Ending::Cancelled,
+            problem: Problem::unknown(Code::Deadline, "The answer did not come in time."),
+        }),
+    }
+}
+
+/// Finds the upstream, and which agent process answers beside it: an attempt
+/// that names none would be refused.
+async fn locate(forward: &Forward, attempt: &Attempt) -> Result<Address, Failure> {
+    let name = attempt.upstream();
+    let entry = &forward.entry;
+    let gone = || not_run("The upstream is gone.");
+    let address = entry.upstreams.address(name).ok_or_else(gone)?;
+    if address.process.is_some() {
+        return Ok(address);
+    }
+    entry.ask(name).await;
+    let address = entry.upstreams.address(name).ok_or_else(gone)?;
+    match address.process {
+        Some(_) => Ok(address),
+        None => Err(not_run("The upstream can't be reached.")),
+    }
+}
+
+/// The request as the agent gets it.
+fn request(
+    forward: &Forward,
+    id: attempt::Id,
+    address: &Address,
+    span: &Span,
+    resume: Option<u32>,
+) -> Request<Body> {
+    let mut request = Request::new(Body::wrap(forward.upload.body()));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = forward.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    let headers = request.headers_mut();
+    headers.reserve(forward.headers.len() + ADDED);
+    headers.extend(forward.headers.clone());
+    headers.insert(HOST, address.host.clone());
+    headers.insert(header::ATTEMPT, value(&id.to_string()));
+    headers.insert(header::CUSTOMER, value(forward.customer.as_str()));
+    let left = u64::try_from(forward.left().as_millis()).unwrap_or(u64::MAX);
+    headers.insert(header::DEADLINE, left.into());
+    let priority = HeaderValue::from_static(priority_name(forward.priority));
+    headers.insert(header::PRIORITY, priority);
+    headers.insert(header::TRACEPARENT, value(&span.context().to_string()));
+    if let Some(process) = address.process {
+        headers.insert(header::AGENT, process.into());
+    }
+    if let Some(tokens) = resume {
+        headers.insert(header::RESUME, tokens.into());
+    }
+    request
+}
+
+/// Takes out of a caller's headers what is not passed on: what concerns its
+/// connection, its credential, and words that only we may say.
+pub fn strip(headers: &mut HeaderMap) {
+    hop::strip(headers);
+    headers.remove(AUTHORIZATION);
+    headers.remove(EXPECT);
+    let own: Vec<_> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// What an answer's head says of an attempt.
+fn judge(id: attempt::Id, headers: &HeaderMap) -> Verdict {
+    // An answer to another attempt, late or crossed, must never reach this caller.
+    if read(headers, header::ATTEMPT).and_then(|text| text.parse().ok()) != Some(id) {
+        return Verdict::Foreign;
+    }
+    match Outcome::read(read(headers, header::OUTCOME)) {
+        Outcome::Ran => Verdict::Answered,
+        Outcome::NotRun => Verdict::Refused,
+        Outcome::Unknown => Verdict::Unknown,
+    }
+}
+
+/// Takes in the load that came with an answer.
+fn learn(forward: &Forward, attempt: &Attempt, headers: &HeaderMap) {
+    let load = read(headers, header::LOAD).and_then(|text| serde_json::from_str(text).ok());
+    if let Some(load) = load {
+        let load: Load = load;
+        forward.entry.heard(attempt.upstream(), &load);
+    }
+}
+
+/// Asks the agent what became of an attempt whose answer was lost.
+async fn settle(forward: &Forward, id: attempt::Id, address: &Address) -> Failure {
+    let Some(agent) = address.process else {
+        return lost();
+    };
+    forward.observation.meter().settled.count();
+    let question = settle::Question { attempt: id, agent };
+    let wait = SETTLE.min(forward.left());
+    let rpc = &forward.entry.rpc;
+    let answer = rpc
+        .call(address.control, settle::METHOD, &question, wait)
+        .await;
+    match answer {
+        Ok(settle::Answer::Refused) => not_run("The upstream broke off before the request."),
+        _ => lost(),
+    }
+}
+
+/// A header as text, where it is text.
+#[must_use]
+pub fn read<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header value of our own making, which is plain ASCII.
+fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("ids and names are plain ASCII")
+}
+
+/// An attempt that did not run.
+fn not_run(message: &str) -> Failure {
+    Failure {
+        ending: Ending::NotRun,
+        problem: Problem::not_run(Code::NoUpstream, message),
+    }
+}
+
+/// An attempt whose answer was lost.
+fn lost() -> Failure {
+    Failure {
+        ending: Ending::Unknown,
+        problem: Problem::unknown(
+            Code::Upstream,
+            "The answer was lost; the request may have run.",
+        ),
+    }
+}
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -1,10 +1,17 @@
 //! The entry: takes callers' requests and passes each to an upstream.
 
+pub mod admin;
 pub mod answer;
 pub mod caller;
+pub mod claim;
+pub mod events;
+pub mod exchange;
 pub mod forward;
+pub mod observe;
+pub mod prompt;
 pub mod queue;
 pub mod reply;
+pub mod reports;
 pub mod table;
 pub mod upload;
 pub mod upstreams;
@@ -17,15 +24,17 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Request, Response, Uri, request::Parts};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
 use rand::Rng;
-use verbenaspool_policy::balancer::Balancer;
+use slog::{Logger, info};
+use verbenaspool_policy::{balancer::Balancer, snapshot::Snapshot};
 use verbenaspool_protocol::{
-    attempt,
+    attempt, header,
+    load::Load,
+    outcome::Outcome,
     problem::{Code, Problem},
 };
 use verbenaspool_state::{
@@ -38,20 +47,25 @@
         client::Client,
         server::{self, Answer, Handler, Limits, Open},
     },
+    metrics::Registry,
+    platform::Store,
     rpc,
     shutdown::Signal,
+    trace::{Tracer, context::Context, span},
 };
 
 use self::{
     forward::Forward,
+    observe::{Ended, Meter, Observation},
+    prompt::Prompt,
     queue::Queue,
     table::Table,
     upload::{Bounds, Fault, Upload},
     upstreams::Book,
 };
 
-/// Bytes of a prompt to a token, roughly, for the estimate of its work.
-const BYTES_PER_TOKEN: u64 = 4;
+/// The part of the process that log lines name.
+const PART: &str = "Entry";
 
 /// What an entry process is told at its start.
 #[derive(Debug, Clone)]
@@ -70,6 +84,42 @@
     pub connect: Duration,
 }
 
+/// What the entry uses of the process around it.
+#[derive(Clone)]
+pub struct Surroundings {
+    /// The source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The log.
+    pub log: Logger,
+    /// The spans.
+    pub tracer: Rc<Tracer>,
+    /// The metrics.
+    pub metrics: Registry,
+    /// The platform, where there is one.
+    pub store: Option<Rc<dyn Store>>,
+}
+
+impl Surroundings {
+    /// No log, no spans and no platform, as in trials.
+    ///
+    /// ```
+    /// use verbenaspool::entry::Surroundings;
+    /// use verbenaspool_transport::clock::Monotonic;
+    ///
+    /// assert!(Surroundings::bare(Monotonic::start()).store.is_none());
+    /// ```
+    #[must_use]
+    pub fn bare(clock: Rc<dyn Clock>) -> Self {
+        Self {
+            log: Logger::root(slog::Discard, slog::o!()),
+            tracer: Tracer::new(None, clock.clone()),
+            metrics: Registry::default(),
+            store: None,
+            clock,
+        }
+    }
+}
+
 /// Counts the attempts of this process.
 #[derive(Debug)]
 pub struct Attempts {
@@ -94,6 +144,18 @@
             counter: self.counter.get(),
         }
     }
+
+    /// A number that differs between processes and between calls.
+    ///
+    /// ```
+    /// use verbenaspool::entry::Attempts;
+    ///
+    /// let _ = Attempts::default().seed();
+    /// ```
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        self.incarnation ^ self.counter.get()
+    }
 }
 
 impl Default for Attempts {
@@ -106,11 +168,18 @@
 }
 
 /// The entry process's state.
-#[derive(Debug)]
 pub struct Entry {
     options: Options,
     /// The source of time.
     pub clock: Rc<dyn Clock>,
+    /// The log.
+    pub log: Logger,
+    /// The spans.
+    pub tracer: Rc<Tracer>,
+    /// The metrics.
+    pub metrics: Registry,
+    /// The platform, where there is one.
+    pub store: Option<Rc<dyn Store>>,
     /// Connections to agents.
     pub client: Client,
     /// Control calls to agents.
@@ -122,27 +191,70 @@
     /// The callers' open connections.
     pub open: Open,
     table: RefCell<Option<Rc<Table>>>,
-    queues: RefCell<HashMap<Name, Rc<Queue>>>,
+    services: RefCell<HashMap<Name, Running>>,
+    draining: Cell<bool>,
+}
+
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").finish_non_exhaustive()
+    }
+}
+
+/// What runs for one service.
+#[derive(Clone)]
+struct Running {
+    queue: Rc<Queue>,
+    meter: Rc<Meter>,
 }
 
 impl Entry {
     /// An entry without a configuration, which refuses all requests.
     #[must_use]
     pub fn new(options: Options, clock: Rc<dyn Clock>) -> Rc<Self> {
+        Self::with(options, Surroundings::bare(clock))
+    }
+
+    /// The same with a log, spans, metrics and the platform.
+    #[must_use]
+    pub fn with(options: Options, around: Surroundings) -> Rc<Self> {
         let client = Client::new(options.connect);
         Rc::new(Self {
             options,
-            clock,
+            clock: around.clock,
+            log: around.log,
+            tracer: around.tracer,
+            metrics: around.metrics,
+            store: around.store,
             client,
             rpc: rpc::Client::default(),
             upstreams: Book::default(),
             attempts: Attempts::default(),
             open: Open::default(),
             table: RefCell::default(),
-            queues: RefCell::default(),
+            services: RefCell::default(),
+            draining: Cell::new(false),
         })
     }
 
+    /// The firm that the entry serves.
+    #[must_use]
+    pub fn firm(&self) -> &Name {
+        &self.options.firm
+    }
+
+    /// Whether new callers may be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.draining.get() && self.version() > Version::default()
+    }
+
+    /// Says that the process is about to stop: it is not ready any more, and
+    /// goes on serving who comes all the same.
+    pub fn leave(&self) {
+        self.draining.set(true);
+    }
+
     /// The version in force; zero before the first.
     #[must_use]
     pub fn version(&self) -> Version {
@@ -161,19 +273,23 @@
         let table = Rc::new(Table::new(version, file));
         self.requeue(&table);
         self.table.replace(Some(table));
+        info!(self.log, "{}: Put a version in force.", PART; "version" => version.0);
     }
 
     /// Takes the firm's whole list of upstreams.
     pub fn members(&self, upstreams: &[Upstream]) {
         self.upstreams.replace(upstreams);
-        for (service, queue) in self.queues.borrow().iter() {
+        for (service, running) in self.services.borrow().iter() {
             let members = self.upstreams.members(service);
-            queue.with(|balancer, now| balancer.members(now, &members));
+            running
+                .queue
+                .with(|balancer, now| balancer.members(now, &members));
         }
     }
 
     /// Serves callers until the signal comes and the last request has ended.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, signal: Signal) {
+        monoio::spawn(reports::run(Rc::downgrade(&self), signal.clone()));
         let limits = self.options.limits.clone();
         let open = self.open.clone();
         server::serve(listener, limits, self, open, signal).await;
@@ -187,22 +303,57 @@
             .iter()
             .map(|customer| (customer.name.clone(), customer.share))
             .collect();
-        let mut queues = self.queues.borrow_mut();
-        let mut before = std::mem::take(&mut *queues);
+        let mut services = self.services.borrow_mut();
+        let mut before = std::mem::take(&mut *services);
         for service in &table.services {
             let kept = before.remove(&service.name);
-            let queue = kept.unwrap_or_else(|| self.queue(service));
+            let running = kept.unwrap_or_else(|| self.running(service));
             let members = self.upstreams.members(&service.name);
-            queue.with(|balancer, now| {
+            running.queue.with(|balancer, now| {
                 balancer.configure(now, &service.decisions, &shares);
                 balancer.members(now, &members);
             });
-            queues.insert(service.name.clone(), queue);
+            services.insert(service.name.clone(), running);
+        }
+    }
+
+    /// The upstreams that the balancers work with.
+    #[must_use]
+    pub fn working(&self) -> Vec<Name> {
+        let snapshots = self.snapshots().into_iter();
+        let upstreams = snapshots.flat_map(|(_, snapshot)| snapshot.upstreams);
+        upstreams.map(|upstream| upstream.name).collect()
+    }
+
+    /// What each service's balancer has decided so far.
+    #[must_use]
+    pub fn snapshots(&self) -> Vec<(Name, Snapshot)> {
+        let services = self.services.borrow();
+        let shown = services.iter().map(|(name, running)| {
+            let snapshot = running.queue.snapshot();
+            (name.clone(), snapshot)
+        });
+        shown.collect()
+    }
+
+    /// Takes in an agent's word about its load.
+    pub fn heard(&self, upstream: &Name, load: &Load) {
+        let Some((service, load)) = self.upstreams.heard(upstream, load) else {
+            return;
+        };
+        if let Some(queue) = self.queue_of(&service) {
+            queue.with(|balancer, now| balancer.report(now, upstream, &load));
         }
     }
 
-    /// A new queue for a service.
-    fn queue(&self, service: &Service) -> Rc<Queue> {
+    /// The queue of a service.
+    fn queue_of(&self, service: &Name) -> Option<Rc<Queue>> {
+        let services = self.services.borrow();
+        services.get(service).map(|running| running.queue.clone())
+    }
+
+    /// A new queue and new metrics for a service.
+    fn running(&self, service: &Service) -> Running {
         let options = &self.options;
         let seed = rand::rng().random();
         let balancer = Balancer::new(
@@ -211,13 +362,16 @@
             options.zone.clone(),
             seed,
         );
-        Queue::start(balancer, self.clock.clone())
+        Running {
+            queue: Queue::start(balancer, self.clock.clone()),
+            meter: Meter::new(&self.metrics, service.name.as_str()),
+        }
     }
 
     /// Answers one request.
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         match self.admit(request).await {
-            Ok(forward) => forward.run().await,
+            Ok(forward) => Rc::new(forward).run().await,
             Err(problem) => reply::problem(&problem),
         }
     }
@@ -230,8 +384,58 @@
         let customer = table.customer(caller::credential(&parts.headers)?)?;
         let service = table.service(parts.uri.path())?;
         table::permit(customer, &service.name)?;
+        let running = self.services.borrow().get(&service.name).cloned();
+        let running = running.ok_or_else(not_ready)?;
+        let observation = self.observe(&running, began, &parts);
+        let admitted = self.check(&parts, body, service).await;
+        let (wish, uri, upload, prompt) = match admitted {
+            Ok(admitted) => admitted,
+            Err(problem) => {
+                observation.end(Ended::Outcome(Outcome::NotRun));
+                return Err(problem);
+            }
+        };
+        observation.set("customer", customer.name.as_str());
+        let own = Duration::from_millis(service.decisions.deadline_ms);
+        let mut headers = parts.headers;
+        exchange::strip(&mut headers);
+        Ok(Forward {
+            idempotent: caller::repeatable(service, &parts.method, uri.path()),
+            service: service.clone(),
+            customer: customer.name.clone(),
+            priority: wish.priority,
+            deadline: began + wish.deadline.unwrap_or(own),
+            named: wish.deadline.is_some(),
+            key: wish.key,
+            queue: running.queue,
+            method: parts.method,
+            entry: self,
+            uri,
+            headers,
+            upload,
+            prompt,
+            observation,
+        })
+    }
+
+    /// Starts to observe a request.
+    fn observe(&self, running: &Running, began: Duration, parts: &Parts) -> Observation {
+        let remote = exchange::read(&parts.headers, header::TRACEPARENT).and_then(Context::parse);
+        let span = self
+            .tracer
+            .root(remote, "caller to entry", span::Kind::Server);
+        Observation::new(running.meter.clone(), self.clock.clone(), began, span)
+    }
+
+    /// Checks what the caller says and begins to read its body.
+    async fn check(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        service: &Service,
+    ) -> Result<(caller::Wish, Uri, Upload, Prompt), Problem> {
         let wish = caller::wish(&parts.headers)?;
-        let uri = below(&parts, service)?;
+        let uri = below(parts, service)?;
         let length = body.size_hint().exact();
         if length.is_some_and(|length| length > self.options.bounds.bytes) {
             return Err(Problem::not_run(Code::TooLarge, "The body is too large."));
@@ -240,25 +444,11 @@
         // A sender that gives only a head takes no place in the queue and no
         // slot of an upstream: the first of the body must be here.
         let first = upload.first().await.map_err(faulty)?;
-        let wait = wish
-            .deadline
-            .unwrap_or(Duration::from_millis(service.decisions.deadline_ms));
-        let queue = self.queues.borrow().get(&service.name).cloned();
-        Ok(Forward {
-            idempotent: caller::repeatable(service, &parts.method, uri.path()),
-            prompt_tokens: prompt_tokens(service, length, first.as_ref()),
-            max_tokens: max_tokens(service, first.as_ref()),
-            prefixes: Vec::new(),
-            customer: customer.name.clone(),
-            priority: wish.priority,
-            deadline: began + wait,
-            queue: queue.ok_or_else(not_ready)?,
-            method: parts.method,
-            uri,
-            headers: parts.headers,
-            upload,
-            entry: self,
-        })
+        let prompt = match (&service.kind, first) {
+            (Kind::Model(_), Some(first)) => prompt::read(&first, length),
+            _ => Prompt::default(),
+        };
+        Ok((wish, uri, upload, prompt))
     }
 }
 
@@ -296,33 +486,3 @@
     uri.parse()
         .map_err(|_| Problem::not_run(Code::BadRequest, "The path can't be understood."))
 }
-
-/// The estimated length of a prompt.
-fn prompt_tokens(service: &Service, length: Option<u64>, first: Option<&Bytes>) -> u32 {
-    if !matches!(service.kind, Kind::Model(_)) {
-        return 0;
-    }
-    let bytes = length.unwrap_or_else(|| first.map_or(0, |first| first.len() as u64));
-    u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX)
-}
-
-/// The most tokens that a request may generate, where its body says it early.
-fn max_tokens(service: &Service, first: Option<&Bytes>) -> u32 {
-    const KEY: &[u8] = b"\"max_tokens\"";
-    if !matches!(service.kind, Kind::Model(_)) {
-        return 0;
-    }
-    let Some(first) = first else { return 0 };
-    let Some(at) = first.windows(KEY.len()).position(|window| window == KEY) else {
-        return 0;
-    };
-    first[at + KEY.len()..]
-        .iter()
-        .skip_while(|byte| byte.is_ascii_whitespace() || **byte == b':')
-        .take_while(|byte| byte.is_ascii_digit())
-        .fold(0_u32, |number, byte| {
-            number
-                .saturating_mul(10)
-                .saturating_add(u32::from(byte - b'0'))
-        })
-}
--- a/verbenaspool/src/entry/queue.rs
+++ b/verbenaspool/src/entry/queue.rs
@@ -14,6 +14,7 @@
     balancer::Balancer,
     decision::{Decision, Refusal, Start, Ticket},
     request::Request,
+    snapshot::Snapshot,
 };
 use verbenaspool_state::name::Name;
 use verbenaspool_transport::clock::Clock;
@@ -60,6 +61,12 @@
         result
     }
 
+    /// What the balancer has decided so far.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        self.balancer.borrow().snapshot(self.clock.now())
+    }
+
     /// Waits until a request may start.
     ///
     /// # Errors
@@ -111,6 +118,9 @@
             receiver,
             heard: false,
         };
+        // The balancer resolves a ticket on the next poll, perhaps at once, and
+        // may want to be woken sooner than before.
+        self.pump();
         self.changed.notify_one();
         place.verdict().await
     }
--- /dev/null
+++ b/verbenaspool/src/entry/reports.rs
@@ -0,0 +1,87 @@
+//! Reports of the agents that the entry works with.
+//!
+//! Load: load words ride on answers for free, so only upstreams that haven't
+//! been heard from for a while are asked. Without the asking an idle upstream
+//! would look as loaded as it was last, and one that leaves would be noticed
+//! only by its refusals. Asking is bounded by a rate for the whole entry, not
+//! by a period for each upstream: with many upstreams the words get older,
+//! and the cost stays the same.
+
+use std::{rc::Weak, time::Duration};
+
+use rand::Rng;
+use verbenaspool_policy::load::Cache;
+use verbenaspool_protocol::report;
+use verbenaspool_state::name::Name;
+use verbenaspool_transport::shutdown::Signal;
+
+use super::Entry;
+
+/// The mean pause between two questions. A question and its answer take about
+/// 400 bytes, so that 8 a second stay under 4 KB a second.
+const PAUSE: Duration = Duration::from_millis(125);
+
+/// How old the last report of an upstream may get before it is asked again.
+const AGE: Duration = Duration::from_secs(1);
+
+/// How long an agent may take.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks agents for reports until the signal comes or the entry is gone.
+pub async fn run(entry: Weak<Entry>, signal: Signal) {
+    while !signal.fired() {
+        let Some(entry) = entry.upgrade() else { return };
+        let jitter = rand::rng().random_range(0.5..1.5);
+        entry.clock.sleep(PAUSE.mul_f64(jitter)).await;
+        if let Some(name) = entry
+            .upstreams
+            .oldest(&entry.working(), entry.clock.now(), AGE)
+        {
+            monoio::spawn(async move { entry.ask(&name).await });
+        }
+    }
+}
+
+impl Entry {
+    /// Asks an upstream's agent for its report.
+    pub async fn ask(&self, name: &Name) {
+        let now = self.clock.now();
+        let Some((address, since)) = self.upstreams.asked(name, now) else {
+            return;
+        };
+        let question = report::Question { since };
+        let asked = self
+            .rpc
+            .call(address.control, report::METHOD, &question, TIMEOUT)
+            .await;
+        if let Ok(report) = asked {
+            let report: report::Report = report;
+            self.heard(name, &report.load);
+            self.cached(name, &report.cache);
+        }
+    }
+
+    /// Takes in what an agent says of its engine's cache.
+    fn cached(&self, name: &Name, cache: &report::Cache) {
+        let Some(queue) = self
+            .upstreams
+            .cached(name, cache.last)
+            .and_then(|service| self.queue_of(&service))
+        else {
+            return;
+        };
+        queue.with(|balancer, now| {
+            if cache.reset {
+                balancer.cache(now, name, Cache::Reset);
+            }
+            for event in &cache.events {
+                let change = if event.held {
+                    Cache::Held(event.prefix)
+                } else {
+                    Cache::Dropped(event.prefix)
+                };
+                balancer.cache(now, name, change);
+            }
+        });
+    }
+}
--- a/verbenaspool/src/entry/upload.rs
+++ b/verbenaspool/src/entry/upload.rs
@@ -102,9 +102,22 @@
         inner.kept.is_some() && inner.fault.is_none()
     }
 
-    /// Stops keeping what passes, once the request runs.
-    pub fn settle(&self) {
-        self.0.borrow_mut().kept = None;
+    /// The request runs: what passed is let go, or, where it may be sent again,
+    /// copied. A chunk is a window into the whole buffer that it was read into,
+    /// which would live as long as the answer.
+    pub fn settle(&self, keep: bool) {
+        let mut inner = self.0.borrow_mut();
+        let kept = inner.kept.take();
+        if keep {
+            let copied = |kept: Vec<Bytes>| kept.iter().map(|data| data.to_vec().into()).collect();
+            inner.kept = kept.map(copied);
+        }
+    }
+
+    /// What has passed so far and is kept.
+    #[must_use]
+    pub fn kept(&self) -> Vec<Bytes> {
+        self.0.borrow().kept.clone().unwrap_or_default()
     }
 
     /// The first chunk, which stays part of the body; none for an empty body.
--- a/verbenaspool/src/entry/upstreams.rs
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -1,6 +1,6 @@
 //! Where upstreams are, and which agent process answers beside each.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
 
 use http::HeaderValue;
 use verbenaspool_policy::{load::Load, member::Member};
@@ -31,6 +31,10 @@
 struct Known {
     upstream: Upstream,
     address: Address,
+    /// When the agent was last asked or heard from.
+    at: Option<Duration>,
+    /// The number of the last cache event heard.
+    events: u64,
 }
 
 impl Book {
@@ -43,23 +47,23 @@
         let mut book = self.0.borrow_mut();
         let mut before = std::mem::take(&mut *book);
         for upstream in upstreams {
-            let process = before
-                .remove(&upstream.name)
-                .filter(|known| known.upstream.incarnation == upstream.incarnation)
-                .and_then(|known| known.address.process);
             // An address is plain ASCII, so this holds for every upstream.
             let Ok(host) = HeaderValue::from_str(&upstream.agent.to_string()) else {
                 continue;
             };
-            let address = Address {
-                agent: upstream.agent,
-                host,
-                control: upstream.control,
-                process,
-            };
+            let kept = before
+                .remove(&upstream.name)
+                .filter(|known| known.upstream.incarnation == upstream.incarnation);
             let known = Known {
                 upstream: upstream.clone(),
-                address,
+                address: Address {
+                    agent: upstream.agent,
+                    host,
+                    control: upstream.control,
+                    process: kept.as_ref().and_then(|known| known.address.process),
+                },
+                at: kept.as_ref().and_then(|known| known.at),
+                events: kept.map_or(0, |known| known.events),
             };
             book.insert(upstream.name.clone(), known);
         }
@@ -71,24 +75,51 @@
         Some(self.0.borrow().get(name)?.address.clone())
     }
 
-    /// Notes which agent process answers beside an upstream.
-    pub fn heard(&self, name: &Name, process: u64) {
-        if let Some(known) = self.0.borrow_mut().get_mut(name) {
-            known.address.process = Some(process);
-        }
+    /// The upstream of these that was not heard from for the longest time, if
+    /// that is longer than `age`.
+    #[must_use]
+    pub fn oldest(&self, names: &[Name], now: Duration, age: Duration) -> Option<Name> {
+        let book = self.0.borrow();
+        let known = names.iter().filter_map(|name| book.get(name));
+        let oldest = known.min_by_key(|known| known.at)?;
+        let due = oldest.at.is_none_or(|at| now.saturating_sub(at) >= age);
+        due.then(|| oldest.upstream.name.clone())
     }
 
-    /// An agent's word in the balancer's terms.
+    /// Notes that an upstream's agent is asked for its report; gives where, and
+    /// the last cache event heard.
     #[must_use]
-    pub fn load(&self, name: &Name, load: &load::Load) -> Option<Load> {
-        let book = self.0.borrow();
-        Some(Load {
-            incarnation: book.get(name)?.upstream.incarnation,
+    pub fn asked(&self, name: &Name, now: Duration) -> Option<(Address, u64)> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.at = Some(now);
+        Some((known.address.clone(), known.events))
+    }
+
+    /// Takes in an agent's word: notes which process answers, and gives the
+    /// upstream's service and the load in the balancer's terms.
+    #[must_use]
+    pub fn heard(&self, name: &Name, load: &load::Load) -> Option<(Name, Load)> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.address.process = Some(load.agent);
+        let load = Load {
+            incarnation: known.upstream.incarnation,
             sequence: load.sequence,
             running: load.running,
             waiting: load.queued,
             leaving: load.leaving,
-        })
+        };
+        Some((known.upstream.service.clone(), load))
+    }
+
+    /// Notes the last cache event heard; gives the upstream's service.
+    #[must_use]
+    pub fn cached(&self, name: &Name, last: u64) -> Option<Name> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.events = last;
+        Some(known.upstream.service.clone())
     }
 
     /// The upstreams of a service as the balancer sees them.
--- a/verbenaspool_transport/src/http/mod.rs
+++ b/verbenaspool_transport/src/http/mod.rs
@@ -7,4 +7,5 @@
 
 pub mod body;
 pub mod client;
+pub mod hop;
 pub mod server;
