Pass changes between versions on as differences

A change of one customer among 16,000 costs five pieces; the changed customer alone is smaller still, and the receiver has the root's hash to check by.

--- a/verbenaspool_coordination/src/adoption.rs
+++ b/verbenaspool_coordination/src/adoption.rs
@@ -12,15 +12,23 @@
 //! [`Settings::wait`], because a zone whose other instances can't be reached
 //! has to go on; what remains possible then is the loss of all holders at once.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use verbenaspool_state::{file::File, name::Name, version::Version};
 
 use crate::{
     head::Head,
-    piece::{self, Hash, Pieces},
+    piece::{self, Delta, Hash, Pieces},
 };
 
+/// Versions whose pieces are kept. Peers of a zone are a few versions apart at
+/// most; one that is further behind is sent pieces in place of differences.
+const KEPT: usize = 8;
+
 /// Settings of adoption.
 #[derive(Debug, Clone, Copy)]
 pub struct Settings {
@@ -77,6 +85,8 @@
     next: Option<Next>,
     /// The file in force.
     current: Option<Rc<Adopted>>,
+    /// Roots whose pieces are kept, the latest last.
+    kept: VecDeque<Hash>,
 }
 
 /// A head on its way to be in force.
@@ -142,6 +152,7 @@
             pieces: Pieces::default(),
             next: None,
             current: None,
+            kept: VecDeque::new(),
         }
     }
 
@@ -261,6 +272,35 @@
         self.pieces.get(hash)
     }
 
+    /// What a peer that holds `from` has to be told to hold `to` as well, if both
+    /// are held here.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::{adoption::{Adoption, Settings}, piece::Hash};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert!(adoption.delta(Hash::of(b"one"), Hash::of(b"two")).is_none());
+    /// ```
+    #[must_use]
+    pub fn delta(&self, from: Hash, to: Hash) -> Option<Delta> {
+        self.pieces.delta(from, to)
+    }
+
+    /// Takes in what differs from a version held here.
+    ///
+    /// # Errors
+    /// When that version isn't held or the changes don't lead to the next one.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::{adoption::{Adoption, Settings}, piece::{Delta, Hash}};
+    /// # let mut adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// # let (from, to) = (Hash::of(b"one"), Hash::of(b"two"));
+    /// let delta = Delta { from, to, base: None, changed: vec![], removed: vec![] };
+    /// assert!(adoption.follow(&delta).is_err());
+    /// ```
+    pub fn follow(&mut self, delta: &Delta) -> Result<(), piece::Error> {
+        self.pieces.follow(delta)
+    }
+
     /// Takes in that a peer of the zone holds `version`.
     ///
     /// ```
@@ -324,12 +364,22 @@
             let (version, firm) = (head.version, file.firm);
             return Err(Error::Firm { version, firm });
         }
-        self.pieces.retain(&[head.root]);
+        self.keep(head.root);
         let adopted = Rc::new(Adopted { head, file });
         self.current = Some(Rc::clone(&adopted));
         Ok(Some(adopted))
     }
 
+    /// Keeps the pieces of `root` and of some versions before, so that a peer that
+    /// holds one of those can be told what differs.
+    fn keep(&mut self, root: Hash) {
+        if self.kept.len() == KEPT {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(root);
+        self.pieces.retain(self.kept.make_contiguous());
+    }
+
     /// Gives the next file up because of `cause`.
     fn reject(&mut self, cause: piece::Error) -> Error {
         let next = self.next.take();
--- a/verbenaspool_coordination/src/piece.rs
+++ b/verbenaspool_coordination/src/piece.rs
@@ -13,9 +13,13 @@
     customer::Customer, file::File, name::Name, place::Place, service::Service,
 };
 
+pub use delta::Delta;
 pub use pieces::Pieces;
 
+mod delta;
 mod pieces;
+#[cfg(test)]
+mod tests;
 
 /// Children of a node. Sixteen keeps the bytes of one change lowest for trees
 /// of thousands of customers: wider nodes carry more hashes that stay the same,
--- /dev/null
+++ b/verbenaspool_coordination/src/piece/delta.rs
@@ -0,0 +1,196 @@
+//! What differs between two versions, for a peer that holds the first.
+//!
+//! Passing the changed customers on costs a few hundred bytes, where the changed
+//! pieces with the nodes above them cost some thousand. The receiver builds the
+//! pieces itself and has the root's hash to tell that they came out right.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use verbenaspool_state::{customer::Customer, name::Name};
+
+use super::{Error, FANOUT, Hash, Pieces, Root, leaf};
+
+/// The most changes in one delta; more are cheaper sent as pieces.
+const LONGEST: usize = 1_000;
+
+/// What differs between the files of two roots.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    /// The root that the changes start from.
+    pub from: Hash,
+    /// The root that they lead to.
+    pub to: Hash,
+    /// The new base piece, where it differs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<String>,
+    /// Customers that are new or differ.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changed: Vec<Customer>,
+    /// Customers that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<Name>,
+}
+
+impl Pieces {
+    /// What differs between two roots that are both held; `None` if one isn't, if
+    /// the trees differ in depth, or if too much differs to be worth it.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::piece::{Hash, Pieces};
+    /// assert!(Pieces::default().delta(Hash::of(b"one"), Hash::of(b"two")).is_none());
+    /// ```
+    #[must_use]
+    pub fn delta(&self, from: Hash, to: Hash) -> Option<Delta> {
+        let old: Root = self.read(from).ok()?;
+        let new: Root = self.read(to).ok()?;
+        if old.depth != new.depth {
+            return None;
+        }
+        let base = (old.base != new.base).then(|| self.get(new.base));
+        let base = match base {
+            Some(bytes) => Some(String::from_utf8(bytes?.to_vec()).ok()?),
+            None => None,
+        };
+        let mut delta = Delta {
+            from,
+            to,
+            base,
+            changed: Vec::new(),
+            removed: Vec::new(),
+        };
+        let mut level = vec![(old.customers, new.customers)];
+        for _ in 0..old.depth {
+            let mut below = Vec::new();
+            for (old, new) in level.into_iter().filter(|(old, new)| old != new) {
+                let old: Vec<Hash> = self.read(old).ok()?;
+                let new: Vec<Hash> = self.read(new).ok()?;
+                below.extend(old.into_iter().zip(new));
+            }
+            level = below;
+        }
+        for (old, new) in level.into_iter().filter(|(old, new)| old != new) {
+            let old: Vec<Customer> = self.read(old).ok()?;
+            delta.compare(&old, self.read(new).ok()?);
+        }
+        let changes = delta.changed.len() + delta.removed.len();
+        (changes <= LONGEST).then_some(delta)
+    }
+
+    /// Builds the pieces of a delta's new root from those of its old one. What
+    /// was built is kept only if the new root's hash comes out.
+    ///
+    /// # Errors
+    /// When the old root isn't held or the delta doesn't lead to the new one.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::piece::{Delta, Error, Hash, Pieces};
+    ///
+    /// let (from, to) = (Hash::of(b"one"), Hash::of(b"two"));
+    /// let delta = Delta { from, to, base: None, changed: vec![], removed: vec![] };
+    /// assert_eq!(Pieces::default().follow(&delta), Err(Error::Missing(from)));
+    /// ```
+    pub fn follow(&mut self, delta: &Delta) -> Result<(), Error> {
+        let mut root: Root = self.read(delta.from)?;
+        let mut built = BTreeMap::new();
+        if let Some(base) = &delta.base {
+            root.base = add(&mut built, base.as_bytes().to_vec());
+        }
+        let depth = root.depth;
+        let mut leaves: BTreeMap<usize, Changes> = BTreeMap::new();
+        for customer in &delta.changed {
+            let changes = leaves.entry(leaf(&customer.name, depth)).or_default();
+            changes.changed.push(customer);
+        }
+        for name in &delta.removed {
+            let changes = leaves.entry(leaf(name, depth)).or_default();
+            changes.removed.push(name);
+        }
+        let leaves: Vec<_> = leaves.into_iter().collect();
+        root.customers = self.rebuild(&mut built, root.customers, depth, &leaves)?;
+        let to = add(&mut built, write(&root)?);
+        if to != delta.to {
+            return Err(Error::Mismatch(delta.to));
+        }
+        for (hash, bytes) in built {
+            self.insert(hash, &bytes)?;
+        }
+        Ok(())
+    }
+
+    /// Builds the part of the tree at `old`, `depth` levels above its leaves,
+    /// with changes to some leaves, numbered within that part.
+    fn rebuild(
+        &self,
+        built: &mut BTreeMap<Hash, Vec<u8>>,
+        old: Hash,
+        depth: u8,
+        leaves: &[(usize, Changes<'_>)],
+    ) -> Result<Hash, Error> {
+        if leaves.is_empty() {
+            return Ok(old);
+        }
+        if depth == 0 {
+            let customers = leaves[0].1.edit(self.read(old)?);
+            return Ok(add(built, write(&customers)?));
+        }
+        let mut children: Vec<Hash> = self.read(old)?;
+        if children.len() != FANOUT {
+            return Err(Error::Content);
+        }
+        let width = FANOUT.pow(u32::from(depth) - 1);
+        for part in leaves.chunk_by(|(a, _), (b, _)| a / width == b / width) {
+            let child = part[0].0 / width;
+            let below: Vec<_> = part.iter().map(|(i, c)| (i % width, c.clone())).collect();
+            children[child] = self.rebuild(built, children[child], depth - 1, &below)?;
+        }
+        Ok(add(built, write(&children)?))
+    }
+}
+
+/// Changes to one leaf.
+#[derive(Debug, Clone, Default)]
+struct Changes<'a> {
+    /// Customers that are new or differ.
+    changed: Vec<&'a Customer>,
+    /// Customers that are gone.
+    removed: Vec<&'a Name>,
+}
+
+impl Changes<'_> {
+    /// A leaf's customers after the changes.
+    fn edit(&self, mut customers: Vec<Customer>) -> Vec<Customer> {
+        let gone = |name: &Name| {
+            self.removed.contains(&name) || self.changed.iter().any(|c| c.name == *name)
+        };
+        customers.retain(|customer| !gone(&customer.name));
+        customers.extend(self.changed.iter().map(|&customer| customer.clone()));
+        customers.sort_by(|a, b| a.name.cmp(&b.name));
+        customers
+    }
+}
+
+impl Delta {
+    /// Adds what differs between two leaves.
+    fn compare(&mut self, old: &[Customer], new: Vec<Customer>) {
+        let kept = |name: &Name| new.iter().any(|customer| customer.name == *name);
+        let gone = old.iter().filter(|customer| !kept(&customer.name));
+        self.removed
+            .extend(gone.map(|customer| customer.name.clone()));
+        let fresh = new.into_iter().filter(|customer| !old.contains(customer));
+        self.changed.extend(fresh);
+    }
+}
+
+/// Adds a built piece.
+fn add(built: &mut BTreeMap<Hash, Vec<u8>>, bytes: Vec<u8>) -> Hash {
+    let hash = Hash::of(&bytes);
+    built.insert(hash, bytes);
+    hash
+}
+
+/// The bytes of a piece.
+fn write<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(value).map_err(|_| Error::Content)
+}
--- a/verbenaspool_coordination/src/piece/pieces.rs
+++ b/verbenaspool_coordination/src/piece/pieces.rs
@@ -110,6 +110,7 @@
             if !seen.held {
                 missing.insert(seen.hash);
             }
+            true
         })?;
         Ok(missing)
     }
@@ -131,6 +132,7 @@
             if !seen.held && seen.inner {
                 unread = Some(seen.hash);
             }
+            true
         })?;
         Ok(unread)
     }
@@ -149,6 +151,7 @@
         let mut all = BTreeSet::new();
         self.walk(root, &mut |seen| {
             all.insert(seen.hash);
+            true
         })?;
         Ok(all)
     }
@@ -165,7 +168,8 @@
     pub fn retain(&mut self, roots: &[Hash]) {
         let mut kept = BTreeSet::new();
         for root in roots {
-            kept.extend(self.referenced(*root).unwrap_or_default());
+            // What can't be read isn't walked further, and so is dropped.
+            let _ = self.walk(*root, &mut |seen| kept.insert(seen.hash));
         }
         self.held.retain(|hash, _| kept.contains(hash));
         self.leaves.retain(|hash, _| kept.contains(hash));
@@ -222,15 +226,16 @@
         Ok(leaf)
     }
 
-    /// Calls `visit` with each piece below `root`, as far as can be seen.
-    fn walk(&self, root: Hash, visit: &mut dyn FnMut(Seen)) -> Result<(), Error> {
+    /// Calls `visit` with each piece below `root`, as far as can be seen. Below
+    /// a piece for which it returns false, nothing is visited.
+    fn walk(&self, root: Hash, visit: &mut dyn FnMut(Seen) -> bool) -> Result<(), Error> {
         let see = |hash, inner| Seen {
             hash,
             held: self.held.contains_key(&hash),
             inner,
         };
-        visit(see(root, true));
-        if !self.held.contains_key(&root) {
+        let go_on = visit(see(root, true));
+        if !go_on || !self.held.contains_key(&root) {
             return Ok(());
         }
         let Root {
@@ -244,8 +249,7 @@
             let mut below = Vec::new();
             for hash in level {
                 let seen = see(hash, left > 0);
-                visit(seen);
-                if seen.held && seen.inner {
+                if visit(seen) && seen.held && seen.inner {
                     below.extend(self.read::<Vec<Hash>>(hash)?);
                 }
             }
@@ -255,7 +259,7 @@
     }
 
     /// Reads a held piece.
-    fn read<T: DeserializeOwned>(&self, hash: Hash) -> Result<T, Error> {
+    pub(super) fn read<T: DeserializeOwned>(&self, hash: Hash) -> Result<T, Error> {
         let bytes = self.held.get(&hash).ok_or(Error::Missing(hash))?;
         serde_json::from_slice(bytes).map_err(|_| Error::Content)
     }
