--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod group;
 pub mod head;
 pub mod keys;
+pub mod membership;
 pub mod piece;
 pub mod store;
--- /dev/null
+++ b/verbenaspool_coordination/src/membership.rs
@@ -0,0 +1,521 @@
+//! Who of a zone's entry instances is alive, and who talks to whom.
+//!
+//! The live instances stand in an order that each works out by itself from the
+//! hash of their names: nobody is elected. The first few watch the platform;
+//! each instance has one parent and a few children in the tree that the order
+//! makes, exchanges heartbeats with these alone, and so spends the same bytes a
+//! second in a zone of three as in one of a hundred.
+//!
+//! The table of members travels along the tree whenever digests differ. An entry
+//! of a higher incarnation replaces one of a lower, whatever it says: a process
+//! that was paused and comes back finds its successor there and leaves, instead
+//! of overwriting it. At one incarnation a later state (live, leaving, dead)
+//! replaces an earlier one; a process that finds itself called dead by mistake
+//! takes a higher incarnation.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use verbenaspool_state::{name::Name, version::Version};
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use summary::{Seen, Summary};
+
+mod summary;
+#[cfg(test)]
+mod tests;
+
+/// Settings of membership.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// The time between heartbeats to the parent. With 4 children an instance
+    /// exchanges 5 of about 600 bytes each way in this time.
+    pub beat: Duration,
+    /// Heartbeats that may be missed before a neighbour counts as dead. Three
+    /// ride out a lost packet or a stalled loop, and find a death within 4 s.
+    pub missed: u32,
+    /// Children of an instance. Four reach a hundred instances in four hops and
+    /// make an instance send a change four times at most.
+    pub fanout: usize,
+    /// Instances that watch the platform. Two, so that one may die unnoticed.
+    pub watchers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            beat: Duration::from_secs(1),
+            missed: 3,
+            fanout: 4,
+            watchers: 2,
+        }
+    }
+}
+
+/// An instance as the table holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// The instance's name, which its successor takes over.
+    pub name: Name,
+    /// Counts the processes under this name; the highest one stands.
+    pub incarnation: u64,
+    /// Where the process takes calls from its peers.
+    pub address: SocketAddr,
+    /// Whether the process is there.
+    pub state: State,
+}
+
+/// Whether a process is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It takes part.
+    Live,
+    /// It finishes what it has and goes.
+    Leaving,
+    /// It hasn't been heard of for too long, or said goodbye.
+    Dead,
+}
+
+/// What a heartbeat and its answer say.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Word {
+    /// Who says it.
+    pub from: Member,
+    /// The digest of the sender's table.
+    pub digest: u64,
+    /// The highest version whose pieces the sender holds.
+    pub held: Version,
+    /// Whether the sender knows, from the platform or its parent, that no higher
+    /// version stood there a moment ago.
+    pub fresh: bool,
+    /// The versions in force at the sender and below it.
+    pub summary: Summary,
+}
+
+/// What became of a heard word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// The sender stands in the table as it says.
+    Current,
+    /// A successor of the sender stands in the table. The sender is told so by
+    /// the table and leaves; nothing it says is taken in.
+    Superseded,
+}
+
+/// What the table says about the process itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// The process stands there as it is.
+    Good,
+    /// Another process has taken over under the same name: this one must take no
+    /// more work.
+    Replaced,
+}
+
+/// The members of a zone, as one of them knows them.
+#[derive(Debug)]
+pub struct Membership {
+    /// The settings.
+    settings: Settings,
+    /// The instance itself.
+    me: Name,
+    /// Everyone ever heard of, by name.
+    table: BTreeMap<Name, Member>,
+    /// What each neighbour said last, and when.
+    heard: BTreeMap<Name, (Duration, Word)>,
+    /// Since when each neighbour is expected to be heard of.
+    expected: BTreeMap<Name, Duration>,
+    /// When the next heartbeat is due.
+    due: Duration,
+    /// Whether a peer has taken this process in. Before, a higher incarnation in
+    /// the table is a predecessor's; after, a successor's.
+    settled: bool,
+}
+
+impl Membership {
+    /// An instance that knows nobody but itself.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::membership::{Member, Membership, Settings, State};
+    ///
+    /// let me = Member {
+    ///     name: "entry-1".parse().unwrap(),
+    ///     incarnation: 1,
+    ///     address: ([127, 0, 0, 1], 7001).into(),
+    ///     state: State::Live,
+    /// };
+    /// let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.watcher());
+    /// ```
+    #[must_use]
+    pub fn new(me: Member, settings: Settings) -> Self {
+        Self {
+            settings,
+            me: me.name.clone(),
+            table: BTreeMap::from([(me.name.clone(), me)]),
+            heard: BTreeMap::new(),
+            expected: BTreeMap::new(),
+            due: Duration::ZERO,
+            settled: false,
+        }
+    }
+
+    /// The instance itself.
+    #[must_use]
+    fn own(&self) -> &Member {
+        // It is put in when the table is made and never taken out.
+        &self.table[&self.me]
+    }
+
+    /// Everyone in the table.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// println!("{} members", membership.table().count());
+    /// ```
+    pub fn table(&self) -> impl Iterator<Item = &Member> {
+        self.table.values()
+    }
+
+    /// How many instances of the zone are alive, this one included.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// assert!(membership.alive() >= 1);
+    /// ```
+    #[must_use]
+    pub fn alive(&self) -> usize {
+        self.order().len()
+    }
+
+    /// The live instances in their order; leaving ones last, so that little hangs
+    /// on them.
+    fn order(&self) -> Vec<&Member> {
+        let live = self
+            .table
+            .values()
+            .filter(|member| member.state != State::Dead);
+        let mut order: Vec<&Member> = live.collect();
+        order.sort_by_cached_key(|member| (member.state, xxh3_64(member.name.as_str().as_bytes())));
+        order
+    }
+
+    /// This instance's place in the order.
+    fn position(&self, order: &[&Member]) -> usize {
+        let found = order.iter().position(|member| member.name == self.me);
+        found.unwrap_or(order.len())
+    }
+
+    /// Whether this instance is among the first, who watch the platform.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// let watch = membership.watcher();
+    /// ```
+    #[must_use]
+    pub fn watcher(&self) -> bool {
+        self.position(&self.order()) < self.settings.watchers
+    }
+
+    /// Whether this instance is the first of all, who writes the zone's status.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// let write = membership.first();
+    /// ```
+    #[must_use]
+    pub fn first(&self) -> bool {
+        self.position(&self.order()) == 0
+    }
+
+    /// Whether this instance has to watch the platform: it is a watcher, or its
+    /// parent has no fresh word from one.
+    ///
+    /// Failure guarded against: the watchers are cut off from the platform, or
+    /// dead and not yet missed, while others could reach it; an accepted version
+    /// would not come in force in the zone. Each level of the tree takes over
+    /// from the one above and stands down when that has fresh word again.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let now = std::time::Duration::ZERO;
+    /// let watch = membership.watching(now);
+    /// ```
+    #[must_use]
+    pub fn watching(&self, now: Duration) -> bool {
+        self.watcher() || !self.informed(now)
+    }
+
+    /// Whether the parent said lately that it has fresh word of the platform.
+    fn informed(&self, now: Duration) -> bool {
+        let Some(parent) = self.parent() else {
+            return false;
+        };
+        let said = self.heard.get(&parent.name);
+        said.is_some_and(|(at, word)| word.fresh && now.saturating_sub(*at) < self.patience())
+    }
+
+    /// How long a neighbour may be silent.
+    fn patience(&self) -> Duration {
+        self.settings.beat * (self.settings.missed + 1)
+    }
+
+    /// The instance above this one in the tree; the first has none.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// let parent = membership.parent();
+    /// ```
+    #[must_use]
+    pub fn parent(&self) -> Option<&Member> {
+        let order = self.order();
+        let position = self.position(&order).checked_sub(1)?;
+        order.get(position / self.settings.fanout).copied()
+    }
+
+    /// The instances below `member` in the tree.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let me = "entry-1".parse().unwrap();
+    /// let children = membership.children(&me);
+    /// ```
+    #[must_use]
+    pub fn children(&self, member: &Name) -> Vec<Member> {
+        let order = self.order();
+        let Some(position) = order.iter().position(|other| other.name == *member) else {
+            return Vec::new();
+        };
+        let first = position * self.settings.fanout + 1;
+        let below = order.iter().skip(first).take(self.settings.fanout);
+        below.map(|&member| member.clone()).collect()
+    }
+
+    /// The instances that heartbeats and changes are exchanged with.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// let neighbours = membership.neighbours();
+    /// ```
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<Member> {
+        let mut neighbours = self.children(&self.me);
+        neighbours.extend(self.parent().cloned());
+        neighbours
+    }
+
+    /// Whom to send a heartbeat now: once in [`Settings::beat`] the parent, and
+    /// any child that should have sent one and hasn't. An instance that nobody
+    /// has taken in yet sends to everyone it knows.
+    ///
+    /// Failure guarded against: two instances know different members, so that
+    /// one waits for a heartbeat that the other sends elsewhere. Asked before it
+    /// is given up, the silent one answers, and the tables come together.
+    ///
+    /// ```no_run
+    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let now = std::time::Duration::ZERO;
+    /// for peer in membership.beat(now) {
+    ///     println!("to {}", peer.address);
+    /// }
+    /// ```
+    pub fn beat(&mut self, now: Duration) -> Vec<Member> {
+        if now < self.due {
+            return Vec::new();
+        }
+        self.due = now + self.settings.beat;
+        if !self.settled {
+            let others = self.order().into_iter().filter(|m| m.name != self.me);
+            return others.cloned().collect();
+        }
+        let mut peers: Vec<Member> = self.parent().cloned().into_iter().collect();
+        let children = self.children(&self.me).into_iter();
+        let late = |child: &Member| {
+            let last = self.last(child);
+            last.is_none_or(|last| now.saturating_sub(last) > self.settings.beat * 2)
+        };
+        peers.extend(children.filter(late));
+        peers
+    }
+
+    /// When a neighbour was heard of last, or was first expected to be.
+    fn last(&self, neighbour: &Member) -> Option<Duration> {
+        let heard = self.heard.get(&neighbour.name).map(|(at, _)| *at);
+        heard.max(self.expected.get(&neighbour.name).copied())
+    }
+
+    /// What this instance says of itself.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # use verbenaspool_state::version::Version;
+    /// # let now = std::time::Duration::ZERO;
+    /// let word = membership.word(now, Version(7), Version(7), true);
+    /// ```
+    #[must_use]
+    pub fn word(&self, now: Duration, held: Version, in_force: Version, reaches: bool) -> Word {
+        Word {
+            from: self.own().clone(),
+            digest: self.digest(),
+            held,
+            fresh: reaches || self.informed(now),
+            summary: self.summary(now, in_force),
+        }
+    }
+
+    /// The versions in force here and below.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # use verbenaspool_state::version::Version;
+    /// # let now = std::time::Duration::ZERO;
+    /// let summary = membership.summary(now, Version(7));
+    /// ```
+    #[must_use]
+    pub fn summary(&self, now: Duration, in_force: Version) -> Summary {
+        let mut summary = Summary::of(&self.me, in_force);
+        for child in self.children(&self.me) {
+            if let Some((at, word)) = self.heard.get(&child.name) {
+                summary.add(&word.summary, now.saturating_sub(*at));
+            }
+        }
+        summary
+    }
+
+    /// The digest of the table.
+    fn digest(&self) -> u64 {
+        let members = self.table.values().map(|member| {
+            let Member {
+                name,
+                incarnation,
+                state,
+                ..
+            } = member;
+            format!("{name} {incarnation} {state:?};")
+        });
+        xxh3_64(members.collect::<Vec<_>>().concat().as_bytes())
+    }
+
+    /// Whether a peer's table differs from this one, so that it has to be told.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let word: verbenaspool_coordination::membership::Word = unimplemented!();
+    /// let tell = membership.differs(&word);
+    /// ```
+    #[must_use]
+    pub fn differs(&self, word: &Word) -> bool {
+        word.digest != self.digest()
+    }
+
+    /// Takes in a heartbeat or the answer to one.
+    ///
+    /// ```no_run
+    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let word: verbenaspool_coordination::membership::Word = unimplemented!();
+    /// # let now = std::time::Duration::ZERO;
+    /// let heard = membership.hear(now, word);
+    /// ```
+    pub fn hear(&mut self, now: Duration, word: Word) -> Heard {
+        let name = word.from.name.clone();
+        if let Some(known) = self.table.get(&name)
+            && known.incarnation > word.from.incarnation
+        {
+            return Heard::Superseded;
+        }
+        // What a process says of itself goes before what others said of it,
+        // except that a dead one has to come back under a higher incarnation.
+        self.merge(std::slice::from_ref(&word.from));
+        self.heard.insert(name, (now, word));
+        Heard::Current
+    }
+
+    /// Takes a peer's table in.
+    ///
+    /// ```no_run
+    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let members = vec![];
+    /// let standing = membership.merge(&members);
+    /// ```
+    pub fn merge(&mut self, members: &[Member]) -> Standing {
+        let mut standing = Standing::Good;
+        for member in members {
+            if member.name == self.me {
+                standing = self.reconsider(member, standing);
+                continue;
+            }
+            let newer = self.table.get(&member.name).is_none_or(|known| {
+                let rank = |member: &Member| (member.incarnation, member.state);
+                rank(member) > rank(known)
+            });
+            if newer {
+                self.heard.remove(&member.name);
+                self.expected.remove(&member.name);
+                self.table.insert(member.name.clone(), member.clone());
+            }
+        }
+        standing
+    }
+
+    /// Takes in what a peer holds of this instance itself.
+    fn reconsider(&mut self, said: &Member, standing: Standing) -> Standing {
+        let settled = self.settled;
+        let own = self.own().clone();
+        if said.incarnation > own.incarnation && settled && said.address != own.address {
+            return Standing::Replaced;
+        }
+        let mistaken = said.incarnation == own.incarnation
+            && (said.state > own.state || (said.address != own.address && !settled));
+        if said.incarnation > own.incarnation || mistaken {
+            let incarnation = said.incarnation + 1;
+            self.table
+                .insert(self.me.clone(), Member { incarnation, ..own });
+        } else if *said == own {
+            self.settled = true;
+        }
+        standing
+    }
+
+    /// Notes that this process goes.
+    ///
+    /// ```no_run
+    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// membership.leave();
+    /// ```
+    pub fn leave(&mut self) {
+        let me = self.me.clone();
+        if let Some(own) = self.table.get_mut(&me) {
+            own.state = State::Leaving;
+        }
+    }
+
+    /// Notes that a neighbour can't be reached or has been silent for too long.
+    /// Returns who was declared dead.
+    ///
+    /// ```no_run
+    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// # let now = std::time::Duration::ZERO;
+    /// let dead = membership.miss(now);
+    /// ```
+    pub fn miss(&mut self, now: Duration) -> Vec<Name> {
+        let patience = self.patience();
+        let neighbours = self.neighbours();
+        self.expected
+            .retain(|name, _| neighbours.iter().any(|n| n.name == *name));
+        let mut dead = Vec::new();
+        for neighbour in neighbours {
+            self.expected.entry(neighbour.name.clone()).or_insert(now);
+            let last = self.last(&neighbour).unwrap_or(now);
+            if now.saturating_sub(last) >= patience
+                && let Some(member) = self.table.get_mut(&neighbour.name)
+            {
+                member.state = State::Dead;
+                dead.push(neighbour.name);
+            }
+        }
+        dead
+    }
+}
--- /dev/null
+++ b/verbenaspool_coordination/src/membership/tests.rs
@@ -0,0 +1,157 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{Heard, Member, Membership, Settings, Standing, State};
+use verbenaspool_state::version::Version;
+
+/// A member by number.
+fn member(number: u16, incarnation: u64) -> Member {
+    Member {
+        name: format!("entry-{number}").parse().unwrap(),
+        incarnation,
+        address: ([127, 0, 0, 1], 7000 + number).into(),
+        state: State::Live,
+    }
+}
+
+/// A zone of members that talk without loss, some of them silent.
+struct Zone {
+    now: Duration,
+    members: BTreeMap<u16, Membership>,
+}
+
+impl Zone {
+    /// A zone whose members know the first of them.
+    fn new(count: u16) -> Self {
+        let mut members = BTreeMap::new();
+        for number in 0..count {
+            let mut one = Membership::new(member(number, 1), Settings::default());
+            one.merge(&[member(0, 1)]);
+            members.insert(number, one);
+        }
+        let now = Duration::ZERO;
+        Self { now, members }
+    }
+
+    /// Lets `seconds` pass, with the heartbeats that fall due.
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds * 2 {
+            self.now += Duration::from_millis(500);
+            let numbers: Vec<u16> = self.members.keys().copied().collect();
+            for number in numbers {
+                self.turn(number);
+            }
+        }
+    }
+
+    /// One member's turn: a heartbeat to its parent, and whom it misses.
+    fn turn(&mut self, number: u16) {
+        let now = self.now;
+        let one = self.members.get_mut(&number).unwrap();
+        one.miss(now);
+        for peer in one.beat(now) {
+            self.exchange(number, peer.address.port() - 7000);
+        }
+    }
+
+    /// A heartbeat and its answer; nothing comes back from who isn't there.
+    fn exchange(&mut self, number: u16, other: u16) {
+        let now = self.now;
+        let one = self.members.get_mut(&number).unwrap();
+        let word = one.word(now, Version(1), Version(1), false);
+        let table: Vec<Member> = one.table().cloned().collect();
+        let Some(other) = self.members.get_mut(&other) else {
+            return;
+        };
+        if other.differs(&word) {
+            other.merge(&table);
+        }
+        other.hear(now, word);
+        let answer = other.word(now, Version(1), Version(1), false);
+        let table: Vec<Member> = other.table().cloned().collect();
+        let one = self.members.get_mut(&number).unwrap();
+        one.merge(&table);
+        one.hear(now, answer);
+    }
+}
+
+#[test]
+fn zone_finds_itself() {
+    for count in [1, 2, 3, 9, 91] {
+        let mut zone = Zone::new(count);
+        zone.pass(30);
+        let watchers = zone.members.values().filter(|one| one.watcher()).count();
+        assert_eq!(watchers, usize::from(count.min(2)), "{count} members");
+        for one in zone.members.values() {
+            assert_eq!(one.alive(), usize::from(count), "{count} members");
+            assert!(one.neighbours().len() <= 5);
+        }
+        let first = zone.members.values().find(|one| one.first()).unwrap();
+        let summary = first.summary(zone.now, Version(1));
+        assert_eq!(summary.instances, u32::from(count));
+    }
+}
+
+// Machines die, the first of the order among them. The others must find that
+// out from their neighbours alone and close the gap, or whatever passes along
+// the tree ends there.
+#[test]
+fn dead_members_are_missed() {
+    let mut zone = Zone::new(20);
+    zone.pass(30);
+    let first = zone.members.values().find(|one| one.first()).unwrap();
+    let first = first.own().address.port() - 7000;
+    for gone in [first, (first + 1) % 20, (first + 7) % 20] {
+        zone.members.remove(&gone);
+    }
+    zone.pass(40);
+    for one in zone.members.values() {
+        assert_eq!(one.alive(), 17);
+    }
+    assert_eq!(zone.members.values().filter(|one| one.first()).count(), 1);
+}
+
+// A process is paused for minutes; the platform replaces it under the same name
+// and then it wakes up. Were its word taken in, its peers would call the wrong
+// address and callers would get answers from a process that was given up.
+#[test]
+fn paused_process_returns() {
+    let mut zone = Zone::new(3);
+    zone.pass(10);
+    let mut paused = zone.members.remove(&1).unwrap();
+    zone.pass(10);
+    let mut successor = member(1, 1);
+    successor.address.set_port(7003);
+    let mut one = Membership::new(successor, Settings::default());
+    one.merge(&[member(0, 1)]);
+    zone.members.insert(3, one);
+    zone.pass(20);
+    assert_eq!(zone.members[&3].alive(), 3);
+    let word = paused.word(zone.now, Version(9), Version(9), true);
+    let other = zone.members.get_mut(&0).unwrap();
+    assert_eq!(other.hear(zone.now, word), Heard::Superseded);
+    let table: Vec<Member> = other.table().cloned().collect();
+    assert_eq!(paused.merge(&table), Standing::Replaced);
+    let successor = &other.table[&member(1, 1).name];
+    assert_eq!(successor.address.port(), 7003);
+}
+
+// Both watchers lose the platform while an instance below them could reach it.
+// It must take over, or an accepted version doesn't come in force in the zone.
+#[test]
+fn watchers_cut_off() {
+    let mut zone = Zone::new(3);
+    zone.pass(10);
+    let now = zone.now;
+    let below = zone.members.values().find(|one| !one.watcher()).unwrap();
+    assert!(below.watching(now));
+    let parent = below.parent().unwrap().address.port() - 7000;
+    let word = zone.members[&parent].word(now, Version(1), Version(1), true);
+    let below = zone
+        .members
+        .values_mut()
+        .find(|one| !one.watcher())
+        .unwrap();
+    below.hear(now, word);
+    assert!(!below.watching(now));
+    assert!(below.watching(now + Duration::from_secs(4)));
+}
