--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -12,7 +12,13 @@
 pub const PRIORITY: &str = "x-verbenaspool-priority";
 /// The agent's load with each of its answers, as JSON of [`crate::load::Load`].
 pub const LOAD: &str = "x-verbenaspool-load";
+/// The customer whose request it is, as the entry found by the credential.
+pub const CUSTOMER: &str = "x-verbenaspool-customer";
 /// The caller's key that makes a write run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The W3C trace context.
 pub const TRACEPARENT: &str = "traceparent";
+/// How many tokens of a broken stream the entry holds; the answer goes on
+/// behind them. Without the engine's word for it in the answer's own copy of
+/// this header, the answer starts at the first token.
+pub const RESUME: &str = "x-verbenaspool-resume";
