Pass heads and pieces between the peers of a zone

Only a zone's first instances watch the platform; changes go on along the tree and come in force once a second peer holds them. Histories of races, lying watches, outages with replacements, partial cuts and a paused process pass the checks for reverts and for what is accepted; both checkers refuse bad ones.

--- a/verbenaspool_coordination/src/adoption.rs
+++ b/verbenaspool_coordination/src/adoption.rs
@@ -272,6 +272,20 @@
         self.pieces.get(hash)
     }
 
+    /// The root that was held before the latest, which most peers hold as well.
+    ///
+    /// ```
+    /// # use verbenaspool_coordination::adoption::{Adoption, Settings};
+    /// # let adoption = Adoption::new("quetzal".parse().unwrap(), Settings::default());
+    /// assert_eq!(adoption.before(), None);
+    /// ```
+    #[must_use]
+    pub fn before(&self) -> Option<Hash> {
+        let back = if self.next.is_some() { 1 } else { 2 };
+        let index = self.kept.len().checked_sub(back)?;
+        self.kept.get(index).copied()
+    }
+
     /// What a peer that holds `from` has to be told to hold `to` as well, if both
     /// are held here.
     ///
--- a/verbenaspool_coordination/src/membership.rs
+++ b/verbenaspool_coordination/src/membership.rs
@@ -164,12 +164,28 @@
     }
 
     /// The instance itself.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// println!("incarnation {}", membership.own().incarnation);
+    /// ```
     #[must_use]
-    fn own(&self) -> &Member {
+    pub fn own(&self) -> &Member {
         // It is put in when the table is made and never taken out.
         &self.table[&self.me]
     }
 
+    /// What a neighbour said last.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// let word = membership.heard(&"entry-2".parse().unwrap());
+    /// ```
+    #[must_use]
+    pub fn heard(&self, neighbour: &Name) -> Option<&Word> {
+        self.heard.get(neighbour).map(|(_, word)| word)
+    }
+
     /// Everyone in the table.
     ///
     /// ```no_run
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod header;
 pub mod load;
 pub mod outcome;
+pub mod peer;
 pub mod prefix;
 pub mod problem;
 pub mod report;
--- /dev/null
+++ b/verbenaspool_standin/tests/config/zone.rs
@@ -0,0 +1,364 @@
+//! A zone's instances through outages, replacements and races.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use verbenaspool_coordination::apply::Outcome;
+use verbenaspool_standin::{
+    history::{in_force, reverts},
+    platform::{Faults, Platform, Watch},
+};
+use verbenaspool_state::version::Version;
+use verbenaspool_transport::clock::{Clock, Monotonic};
+
+use crate::support::{
+    FIRM, Instance, accepted, all_reach, apply, client, client_at, mark, order, platform, run,
+};
+
+/// The bound within which an accepted file has to be in force.
+const BOUND: Duration = Duration::from_secs(9);
+
+/// What is recorded of a run, for both checkers.
+struct Record {
+    clock: Rc<Monotonic>,
+    reverts: RefCell<Vec<reverts::Event>>,
+    in_force: RefCell<Vec<in_force::Event>>,
+}
+
+impl Record {
+    fn new() -> Rc<Self> {
+        Rc::new(Self {
+            clock: Monotonic::start(),
+            reverts: RefCell::default(),
+            in_force: RefCell::default(),
+        })
+    }
+
+    /// Records what comes in force at an instance until it is dropped.
+    fn follow(self: &Rc<Self>, text: &str, instance: &Instance) {
+        let (record, source) = (Rc::clone(self), Rc::clone(&instance.source));
+        let text = text.to_owned();
+        monoio::spawn(async move {
+            let mut seen = Version(0);
+            loop {
+                let adopted = source.above(seen).await;
+                seen = adopted.version();
+                let content = mark(&adopted.file).to_string();
+                record.reverts.borrow_mut().push(reverts::Event {
+                    zone: "bowen".to_owned(),
+                    instance: text.clone(),
+                    version: seen.0,
+                    content: content.clone(),
+                });
+                record.in_force.borrow_mut().push(in_force::Event::InForce {
+                    at: record.clock.now(),
+                    instance: text.clone(),
+                    version: seen.0,
+                    content,
+                });
+            }
+        });
+    }
+
+    /// Records what an operator was told.
+    fn told(&self, mark: u32, outcome: &Outcome) {
+        let content = mark.to_string();
+        let event = match outcome {
+            Outcome::Accepted { version, .. } => in_force::Event::Accepted {
+                at: self.clock.now(),
+                version: version.0,
+                content,
+            },
+            Outcome::Conflict { .. } | Outcome::Failed(_) => in_force::Event::Refused { content },
+            Outcome::Unchanged(_) | Outcome::Unknown(_) => return,
+        };
+        self.in_force.borrow_mut().push(event);
+    }
+
+    /// Judges the run.
+    fn check(&self, instances: &[&str]) {
+        assert_eq!(reverts::check(&self.reverts.borrow()), Ok(()));
+        let events = self.in_force.borrow();
+        assert_eq!(in_force::check(&events, instances, BOUND), Ok(()));
+    }
+}
+
+/// Instances that find each other by the first one's address.
+fn zone(platform: &Platform, count: u32) -> Vec<Instance> {
+    let mut instances: Vec<Instance> = Vec::new();
+    for number in 0..count {
+        let seeds: Vec<_> = instances.iter().map(|i| i.control).take(1).collect();
+        let store = client(platform, FIRM);
+        instances.push(Instance::start(number, store, &seeds, number.into()));
+    }
+    instances
+}
+
+/// Waits until all instances know each other.
+async fn settle(instances: &[Instance]) {
+    for _ in 0..500 {
+        if instances
+            .iter()
+            .all(|i| i.source.alive() == instances.len())
+        {
+            return;
+        }
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the instances didn't find each other");
+}
+
+#[test]
+fn few_watch_and_all_adopt() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let instances = zone(&platform, 7);
+        settle(&instances).await;
+        for version in 1..=5 {
+            let outcome = apply(&*store, order(FIRM, version, &format!("{version}"))).await;
+            assert!(accepted(&outcome).is_some());
+            assert!(all_reach(&instances, version.into()).await);
+        }
+        let first = instances.iter().find(|i| i.source.first()).unwrap();
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        let summary = first.source.summary();
+        assert_eq!(summary.instances, 7);
+        assert_eq!(summary.lowest[0].version, Version(5));
+    });
+}
+
+// Operators of one firm race, and so do those of two. Each operator must hear
+// what became of the own file, and only accepted files may come in force.
+#[test]
+fn operators_race() {
+    run(async {
+        let platform = platform();
+        let instances = zone(&platform, 3);
+        let record = Record::new();
+        for (i, instance) in instances.iter().enumerate() {
+            record.follow(&format!("entry-{i}"), instance);
+        }
+        let mut operators = Vec::new();
+        for operator in 0..4_u32 {
+            let record = Rc::clone(&record);
+            let store = client(&platform, FIRM);
+            operators.push(monoio::spawn(async move {
+                for turn in 0..5 {
+                    let mark = operator * 10 + turn + 1;
+                    let order = order(FIRM, mark, &format!("apply-{mark}"));
+                    record.told(mark, &apply(&*store, order).await);
+                }
+            }));
+        }
+        let other = client(&platform, "quetzal");
+        for turn in 1..=5 {
+            let order = order("quetzal", turn, &format!("q-{turn}"));
+            let outcome = apply(&*other, order).await;
+            assert_eq!(accepted(&outcome), Some(Version(turn.into())));
+        }
+        for operator in operators {
+            operator.await;
+        }
+        let events = record.in_force.borrow().clone();
+        let accepted = |e: &&in_force::Event| matches!(e, in_force::Event::Accepted { .. });
+        let versions = events.iter().filter(accepted).count();
+        assert!(versions >= 5, "{events:?}");
+        assert!(all_reach(&instances, versions as u64).await);
+        record.check(&["entry-0", "entry-1", "entry-2"]);
+        // Nothing that the head refers to was collected, and little else is left.
+        let left = platform.with(|o| o.list("firms/tidewater/pieces/").len());
+        assert!((2..=20).contains(&left), "{left} pieces");
+    });
+}
+
+// The watch lies: it brings nothing, every other change, or changes backwards
+// and twice. Files must come in force within the bound all the same, because
+// the watch is only a hint to read.
+#[test]
+fn watch_lies() {
+    for lie in [Watch::Stale, Watch::Gaps, Watch::Reordered] {
+        run(async move {
+            let platform = platform();
+            let instances = zone(&platform, 2);
+            let record = Record::new();
+            for (i, instance) in instances.iter().enumerate() {
+                record.follow(&format!("entry-{i}"), instance);
+            }
+            platform.set(|faults| faults.watch = lie);
+            let store = client(&platform, FIRM);
+            for mark in 1..=3 {
+                let order = order(FIRM, mark, &format!("apply-{mark}"));
+                record.told(mark, &apply(&*store, order).await);
+            }
+            assert!(all_reach(&instances, 3).await, "{lie:?}");
+            record.check(&["entry-0", "entry-1"]);
+        });
+    }
+}
+
+// The platform goes down. An apply must say that nothing was accepted. Then all
+// instances are replaced one by one: each successor must come back with what
+// its zone had in force, from its peers alone.
+#[test]
+fn replaced_one_by_one_in_an_outage() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let record = Record::new();
+        let mut instances = zone(&platform, 3);
+        settle(&instances).await;
+        for (i, instance) in instances.iter().enumerate() {
+            record.follow(&format!("entry-{i}"), instance);
+        }
+        for mark in 1..=2 {
+            let order = order(FIRM, mark, &format!("apply-{mark}"));
+            record.told(mark, &apply(&*store, order).await);
+        }
+        assert!(all_reach(&instances, 2).await);
+        platform.set(|faults| faults.down = true);
+        let failed = apply(&*store, order(FIRM, 9, "apply-9")).await;
+        assert!(matches!(failed, Outcome::Failed(_)), "{failed:?}");
+        record.told(9, &failed);
+        for number in 0..3_u32 {
+            instances.remove(0).crash();
+            let seeds: Vec<_> = instances.iter().map(|i| i.control).collect();
+            let store = client(&platform, FIRM);
+            let successor = Instance::start(number, store, &seeds, 100 + u64::from(number));
+            record.follow(&format!("entry-{number}"), &successor);
+            instances.push(successor);
+            assert!(all_reach(&instances, 2).await, "entry-{number}");
+        }
+        platform.set(|faults| *faults = Faults::default());
+        record.told(3, &apply(&*store, order(FIRM, 3, "apply-3")).await);
+        assert!(all_reach(&instances, 3).await);
+        record.check(&["entry-0", "entry-1", "entry-2"]);
+    });
+}
+
+// All instances of a zone are replaced at once while the platform is down. The
+// successors have nobody to ask: they must take no traffic, say why, and come
+// back with the accepted version when the platform does.
+#[test]
+fn replaced_at_once_in_an_outage() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        assert!(accepted(&apply(&*store, order(FIRM, 1, "apply-1")).await).is_some());
+        platform.set(|faults| faults.down = true);
+        let instances = zone(&platform, 3);
+        settle(&instances).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        for instance in &instances {
+            assert!(instance.source.current().is_none());
+        }
+        let watcher = instances.iter().find(|i| i.source.first()).unwrap();
+        assert!(watcher.source.trouble().is_some());
+        platform.set(|faults| *faults = Faults::default());
+        assert!(all_reach(&instances, 1).await);
+    });
+}
+
+// All but one instance lose the platform, as by a broken switch, be the one that
+// still reaches it a watcher or not. Accepted files must come in force at all.
+#[test]
+fn one_still_reaches_the_platform() {
+    for reaching in 0..3 {
+        run(async move {
+            let platform = platform();
+            let store = client(&platform, FIRM);
+            let nowhere = ([127, 0, 0, 1], 9).into();
+            let mut instances: Vec<Instance> = Vec::new();
+            for number in 0..3_u32 {
+                let seeds: Vec<_> = instances.iter().map(|i| i.control).take(1).collect();
+                let reach = if number == reaching {
+                    platform.address()
+                } else {
+                    nowhere
+                };
+                let store = client_at(reach, FIRM);
+                instances.push(Instance::start(number, store, &seeds, number.into()));
+            }
+            settle(&instances).await;
+            for version in 1..=3 {
+                let order = order(FIRM, version, &format!("apply-{version}"));
+                assert!(accepted(&apply(&*store, order).await).is_some());
+                assert!(all_reach(&instances, version.into()).await, "{reaching}");
+            }
+        });
+    }
+}
+
+// A process is paused, given up and replaced under its name; then it wakes up.
+// It must find out that it was replaced and take no more work.
+#[test]
+fn paused_process_wakes_up() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        assert!(accepted(&apply(&*store, order(FIRM, 1, "apply-1")).await).is_some());
+        let instances = zone(&platform, 2);
+        settle(&instances).await;
+        assert!(all_reach(&instances, 1).await);
+        let seeds = [instances[0].control];
+        let successor = Instance::start(1, client(&platform, FIRM), &seeds, 50);
+        for _ in 0..500 {
+            if instances[1].source.replaced() {
+                break;
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(instances[1].source.replaced());
+        assert!(!successor.source.replaced() && !instances[0].source.replaced());
+    });
+}
+
+#[test]
+fn checkers_refuse_bad_histories() {
+    let event = |instance: &str, version, content: &str| reverts::Event {
+        zone: "bowen".to_owned(),
+        instance: instance.to_owned(),
+        version,
+        content: content.to_owned(),
+    };
+    let back = [event("a", 1, "x"), event("a", 2, "y"), event("a", 1, "x")];
+    assert!(matches!(
+        reverts::check(&back),
+        Err(reverts::Fault::Reverted { .. })
+    ));
+    let forked = [event("a", 1, "x"), event("b", 1, "y")];
+    assert_eq!(
+        reverts::check(&forked),
+        Err(reverts::Fault::Forked { version: 1 })
+    );
+
+    let at = Duration::from_secs(1);
+    let text = |content: &str| content.to_owned();
+    let accepted = |version, content| in_force::Event::Accepted {
+        at,
+        version,
+        content: text(content),
+    };
+    let reached = |at, version, content| in_force::Event::InForce {
+        at,
+        instance: text("a"),
+        version,
+        content: text(content),
+    };
+    let refused = in_force::Event::Refused { content: text("x") };
+    let late = at + BOUND + Duration::from_millis(1);
+    let cases = [
+        ("late", vec![accepted(1, "x"), reached(late, 1, "x")]),
+        ("never", vec![accepted(1, "x")]),
+        ("other file", vec![accepted(1, "x"), reached(at, 1, "y")]),
+        ("refused", vec![refused, reached(at, 1, "x")]),
+        (
+            "two as one",
+            vec![accepted(1, "x"), accepted(1, "y"), reached(at, 1, "x")],
+        ),
+    ];
+    for (story, events) in cases {
+        assert!(in_force::check(&events, &["a"], BOUND).is_err(), "{story}");
+    }
+    let good = [accepted(1, "x"), reached(at + BOUND, 1, "x")];
+    assert_eq!(in_force::check(&good, &["a"], BOUND), Ok(()));
+}
--- a/verbenaspool_transport/src/config.rs
+++ b/verbenaspool_transport/src/config.rs
@@ -12,6 +12,7 @@
 
 use crate::platform::{Store, driver};
 
+mod peers;
 pub mod source;
 
 /// Has a file accepted, within a time bound, and then collects pieces that
--- a/verbenaspool_transport/src/config/source.rs
+++ b/verbenaspool_transport/src/config/source.rs
@@ -2,75 +2,177 @@
 
 use std::{
     cell::{Cell, RefCell},
-    future,
+    fmt, future,
+    net::SocketAddr,
     rc::Rc,
     task::{Poll, Waker},
     time::Duration,
 };
 
-use monoio::time::{self, Instant};
+use monoio::time;
 use verbenaspool_coordination::{
-    adoption::{Adopted, Adoption, Settings, Verdict},
+    adoption::{self, Adopted, Adoption, Verdict},
     head::Head,
     keys,
+    membership::{self, Member, Membership, State, Summary},
 };
 use verbenaspool_state::{name::Name, version::Version};
 
-use crate::platform::{Error, Store, driver::Backoff};
+use super::peers;
+use crate::{
+    clock::Clock,
+    platform::{Error, Store, driver::Backoff},
+    rpc,
+};
+
+/// How long one watch waits. Each counts as a call, so longer is cheaper; but a
+/// watch that lost its events brings nothing until it ends, and an accepted file
+/// must be in force within 9 s all the same.
+const WATCH: Duration = Duration::from_secs(4);
+/// How old the last word from the platform may be to count as fresh: a watch
+/// with time for its answer.
+const FRESH: Duration = Duration::from_secs(6);
+/// How often a process that doesn't watch looks whether it has to.
+const LOOK: Duration = Duration::from_millis(200);
+/// How long a process waits for its peers' word before it reads the platform.
+/// Without the wait, a zone that restarts reads everything once an instance.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// What a source is for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The firm.
+    pub firm: Name,
+    /// The instance's name, unique among the firm's entry instances.
+    pub name: Name,
+    /// Where peers reach the instance's control methods.
+    pub control: SocketAddr,
+    /// Control addresses of some peers of the zone, to find the others by.
+    pub seeds: Vec<SocketAddr>,
+    /// A number that tells this process from others: it sets the jitter, and the
+    /// first guess at the incarnation, which peers correct.
+    pub seed: u64,
+    /// When a held file comes in force.
+    pub adoption: adoption::Settings,
+    /// Who counts as alive.
+    pub membership: membership::Settings,
+}
 
-/// How long one watch waits. Long, because each counts as a call.
-const WATCH: Duration = Duration::from_secs(5);
-/// How often a holder is looked for while a version waits to be in force.
-const PAUSE: Duration = Duration::from_millis(5);
+impl Options {
+    /// Options with the usual settings and no peers.
+    ///
+    /// ```
+    /// use verbenaspool_transport::config::source::Options;
+    ///
+    /// let control = ([127, 0, 0, 1], 7001).into();
+    /// let options = Options::new("quetzal".parse().unwrap(), "entry-1".parse().unwrap(), control);
+    /// assert!(options.seeds.is_empty());
+    /// ```
+    #[must_use]
+    pub fn new(firm: Name, name: Name, control: SocketAddr) -> Self {
+        Self {
+            firm,
+            name,
+            control,
+            seeds: Vec::new(),
+            seed: 1,
+            adoption: adoption::Settings::default(),
+            membership: membership::Settings::default(),
+        }
+    }
+}
 
-/// The files that come in force at this process.
+/// The files that come in force at this process, found together with the peers
+/// of its zone.
 ///
 /// A process takes no traffic before [`Source::current`] holds a file.
 pub struct Source {
-    /// The firm.
-    firm: Name,
+    /// What the source is for.
+    pub(super) options: Options,
     /// The platform.
     store: Rc<dyn Store>,
+    /// The source of time.
+    clock: Rc<dyn Clock>,
     /// What is in force and what comes next.
-    adoption: RefCell<Adoption>,
+    pub(super) adoption: RefCell<Adoption>,
+    /// The zone's members.
+    pub(super) membership: RefCell<Membership>,
+    /// Calls to peers.
+    pub(super) calls: rpc::Client,
     /// Who waits for the next version.
     waiting: RefCell<Vec<Waker>>,
+    /// When the platform last answered.
+    reached: Cell<Option<Duration>>,
     /// Why the last read of the platform brought nothing.
     trouble: RefCell<Option<String>>,
-    /// When the process started, as zero of the machines' time.
-    start: Instant,
+    /// Whether a successor has taken over under the same name.
+    pub(super) replaced: Cell<bool>,
     /// Whether the source is to end.
     ended: Cell<bool>,
 }
 
+impl fmt::Debug for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let version = self.version();
+        f.debug_struct("Source")
+            .field("version", &version)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Source {
-    /// Starts to follow a firm's configuration, within a monoio runtime.
+    /// Starts to follow a firm's configuration, within a monoio runtime. Where
+    /// the zone has other instances, serve [`Source::methods`] at the control
+    /// address as well.
     ///
     /// ```no_run
-    /// # async fn example(store: std::rc::Rc<dyn verbenaspool_transport::platform::Store>) {
+    /// # async fn example(store: std::rc::Rc<dyn verbenaspool_transport::platform::Store>,
+    /// #     options: verbenaspool_transport::config::source::Options) {
     /// use verbenaspool_state::version::Version;
-    /// use verbenaspool_transport::config::source::Source;
+    /// use verbenaspool_transport::{clock::Monotonic, config::source::Source};
     ///
-    /// let source = Source::start(store, "quetzal".parse().unwrap(), 7);
+    /// let source = Source::start(store, Monotonic::start(), options);
     /// let adopted = source.above(Version(0)).await;
     /// println!("version {} of {} is in force", adopted.version(), adopted.file.firm);
     /// # }
     /// ```
     #[must_use]
-    pub fn start(store: Rc<dyn Store>, firm: Name, seed: u64) -> Rc<Self> {
+    pub fn start(store: Rc<dyn Store>, clock: Rc<dyn Clock>, options: Options) -> Rc<Self> {
+        let me = Member {
+            name: options.name.clone(),
+            incarnation: options.seed,
+            address: options.control,
+            state: State::Live,
+        };
         let source = Rc::new(Self {
-            adoption: RefCell::new(Adoption::new(firm.clone(), Settings::default())),
-            firm,
+            adoption: RefCell::new(Adoption::new(options.firm.clone(), options.adoption)),
+            membership: RefCell::new(Membership::new(me, options.membership)),
+            options,
             store,
+            clock,
+            calls: rpc::Client::default(),
             waiting: RefCell::default(),
+            reached: Cell::default(),
             trouble: RefCell::default(),
-            start: Instant::now(),
-            ended: Cell::new(false),
+            replaced: Cell::default(),
+            ended: Cell::default(),
         });
-        monoio::spawn(Rc::clone(&source).follow(seed));
+        monoio::spawn(Rc::clone(&source).follow());
+        monoio::spawn(peers::talk(Rc::clone(&source)));
         source
     }
 
+    /// Adds the methods that peers call to a module.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// let mut module = verbenaspool_transport::rpc::Module::default();
+    /// source.methods(&mut module);
+    /// ```
+    pub fn methods(self: &Rc<Self>, module: &mut rpc::Module) {
+        peers::methods(self, module);
+    }
+
     /// The file in force; `None` until the first, while no traffic may be taken.
     ///
     /// ```no_run
@@ -82,6 +184,21 @@
         self.adoption.borrow().current().cloned()
     }
 
+    /// The version in force, 0 for none.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// println!("{}", source.version());
+    /// ```
+    #[must_use]
+    pub fn version(&self) -> Version {
+        let adoption = self.adoption.borrow();
+        adoption
+            .current()
+            .map(|adopted| adopted.version())
+            .unwrap_or_default()
+    }
+
     /// Waits until a version above `seen` is in force.
     ///
     /// ```no_run
@@ -112,6 +229,65 @@
         self.trouble.borrow().clone()
     }
 
+    /// Whether another process has taken over under this instance's name. This
+    /// one was paused for so long that it was given up: it must take no more work.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// if source.replaced() {
+    ///     source.end();
+    /// }
+    /// ```
+    #[must_use]
+    pub fn replaced(&self) -> bool {
+        self.replaced.get()
+    }
+
+    /// The versions in force at this instance and those it gathers word of; the
+    /// zone's whole where [`Source::first`] holds.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// println!("{} instances", source.summary().instances);
+    /// ```
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let membership = self.membership.borrow();
+        membership.summary(self.clock.now(), self.version())
+    }
+
+    /// Whether this instance is the zone's first, who writes its status.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// println!("{}", source.first());
+    /// ```
+    #[must_use]
+    pub fn first(&self) -> bool {
+        self.membership.borrow().first()
+    }
+
+    /// How many instances of the zone are alive, as far as this one knows.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// println!("{}", source.alive());
+    /// ```
+    #[must_use]
+    pub fn alive(&self) -> usize {
+        self.membership.borrow().alive()
+    }
+
+    /// Tells the zone that this instance goes; what it holds stays to be fetched.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// source.leave();
+    /// ```
+    pub fn leave(&self) {
+        self.membership.borrow_mut().leave();
+    }
+
     /// Ends the source's work; the file in force stays.
     ///
     /// ```no_run
@@ -122,11 +298,57 @@
         self.ended.set(true);
     }
 
-    /// Follows the head until the source ends.
-    async fn follow(self: Rc<Self>, seed: u64) {
-        let mut backoff = Backoff::new(seed);
+    /// Whether the source's work has ended.
+    pub(super) fn ended(&self) -> bool {
+        self.ended.get() || self.replaced.get()
+    }
+
+    /// The time since the process started.
+    pub(super) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Waits by the source's clock.
+    pub(super) async fn sleep(&self, wait: Duration) {
+        self.clock.sleep(wait).await;
+    }
+
+    /// Whether the platform answered a moment ago.
+    pub(super) fn reaches(&self) -> bool {
+        let age = |at| self.now().saturating_sub(at);
+        self.reached.get().is_some_and(|at| age(at) < FRESH)
+    }
+
+    /// Takes in a head, wherever it comes from.
+    pub(super) fn offer(&self, head: Head) -> Verdict {
+        self.adoption.borrow_mut().offer(head)
+    }
+
+    /// Puts in force what is ready, and tells who waits for it.
+    pub(super) fn enforce(&self) {
+        let alive = self.alive();
+        let polled = self.adoption.borrow_mut().poll(self.now(), alive);
+        match polled {
+            Ok(Some(_)) => self.waiting.take().into_iter().for_each(Waker::wake),
+            Ok(None) => {}
+            Err(e) => {
+                self.trouble.replace(Some(e.to_string()));
+            }
+        }
+    }
+
+    /// Follows the head in the platform, as long as it falls to this instance.
+    async fn follow(self: Rc<Self>) {
+        let mut backoff = Backoff::new(self.options.seed);
         let mut since = 0;
-        while !self.ended.get() {
+        if !self.options.seeds.is_empty() {
+            self.sleep(PATIENCE).await;
+        }
+        while !self.ended() {
+            if !self.membership.borrow().watching(self.now()) {
+                self.sleep(LOOK).await;
+                continue;
+            }
             match self.round(since).await {
                 Ok(revision) => {
                     backoff.reset();
@@ -134,6 +356,7 @@
                     since = revision;
                 }
                 Err(e) => {
+                    self.reached.take();
                     self.trouble.replace(Some(e.to_string()));
                     time::sleep(backoff.pause()).await;
                 }
@@ -144,24 +367,30 @@
     /// Reads the head, adopts it, and waits for the next change. The watch is
     /// only a hint when to read, so gaps and stale or reordered events cost time
     /// and nothing else.
-    async fn round(&self, since: u64) -> Result<u64, Error> {
-        let key = keys::head(&self.firm);
+    async fn round(self: &Rc<Self>, since: u64) -> Result<u64, Error> {
+        let key = keys::head(&self.options.firm);
         if let Some(object) = self.store.get(&key).await? {
             self.take(&object.value).await?;
         }
+        self.reached.set(Some(self.now()));
         let events = self.store.watch(&key, since, WATCH).await?;
+        self.reached.set(Some(self.now()));
         Ok(events.revision.max(since))
     }
 
     /// Takes a stored head and all that it names.
-    async fn take(&self, value: &[u8]) -> Result<(), Error> {
+    async fn take(self: &Rc<Self>, value: &[u8]) -> Result<(), Error> {
         let head = Head::read(value).ok_or_else(|| garbled("the head"))?;
-        if self.adoption.borrow_mut().offer(head) == Verdict::Garbled {
-            return Err(garbled("the head"));
+        match self.offer(head.clone()) {
+            Verdict::Garbled => return Err(garbled("the head")),
+            Verdict::Old => return Ok(()),
+            Verdict::New | Verdict::Known => {}
         }
+        let fresh = self.adoption.borrow().held() != Some(&head);
         self.fetch().await?;
-        while self.poll()? {
-            time::sleep(PAUSE).await;
+        self.enforce();
+        if fresh {
+            peers::pass_on(self, None);
         }
         Ok(())
     }
@@ -174,7 +403,7 @@
                 return Ok(());
             }
             for hash in missing {
-                let key = keys::piece(&self.firm, hash);
+                let key = keys::piece(&self.options.firm, hash);
                 let object = self.store.get(&key).await?;
                 // Collected, because a later head stands by now: read that.
                 let object = object.ok_or_else(|| garbled("a piece"))?;
@@ -183,21 +412,6 @@
             }
         }
     }
-
-    /// Puts in force what is ready; whether something is still waiting.
-    fn poll(&self) -> Result<bool, Error> {
-        let mut adoption = self.adoption.borrow_mut();
-        let adopted = adoption
-            .poll(self.start.elapsed(), 1)
-            .map_err(|e| Error::Unknown(e.to_string()))?;
-        let current = adoption.current().map(|adopted| adopted.version());
-        let highest = adoption.highest().map(|head| head.version);
-        drop(adoption);
-        if adopted.is_some() {
-            self.waiting.take().into_iter().for_each(Waker::wake);
-        }
-        Ok(highest != current)
-    }
 }
 
 /// The error for something stored that can't be read.
