--- a/verbenaspool_coordination/src/attempt.rs
+++ b/verbenaspool_coordination/src/attempt.rs
@@ -160,6 +160,11 @@
 
     /// Admits an attempt that just arrived.
     ///
+    /// An entry sends an attempt once and on one connection, so an attempt that
+    /// arrived has no second copy on its way, and its refusal needs no
+    /// tombstone. Under overload these would push out the records of attempts
+    /// that ran.
+    ///
     /// # Errors
     /// The attempt may not run. Only [`Refusal::Repeated`] leaves open whether
     /// it ran before.
@@ -283,6 +288,16 @@
         self.running + self.closed.len()
     }
 
+    /// How many entry processes are known, as a measure of memory.
+    ///
+    /// ```
+    /// assert_eq!(verbenaspool_coordination::attempt::Ledger::default().entries(), 0);
+    /// ```
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        self.entries.len()
+    }
+
     fn entry(&mut self, incarnation: u64, now: Duration) -> &mut Entry {
         if !self.entries.contains_key(&incarnation) {
             let silence = self.limits.silence;
