--- a/verbenaspool_protocol/src/engine.rs
+++ b/verbenaspool_protocol/src/engine.rs
@@ -1,6 +1,7 @@
 //! What a model engine tells its agent, as far as verbenaspool reads it.
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::report::Event;
 
@@ -22,3 +23,16 @@
     /// The cache events after the one asked for that the engine still has.
     pub events: Vec<Event>,
 }
+
+/// The path of the engine's orders.
+pub const ORDER: &str = "/order";
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// The sender's fencing number.
+    pub fence: u64,
+    /// What to do, in the engine's own words.
+    pub action: Value,
+}
--- a/verbenaspool_standin/src/engine.rs
+++ b/verbenaspool_standin/src/engine.rs
@@ -10,7 +10,10 @@
 use monoio::net::{ListenerOpts, TcpListener};
 use serde::{Deserialize, Serialize};
 
-use verbenaspool_protocol::{engine::STATE, header};
+use verbenaspool_protocol::{
+    engine::{ORDER, STATE},
+    header,
+};
 use verbenaspool_transport::{
     clock::Clock,
     http::{
@@ -172,7 +175,7 @@
             match (request.method(), request.uri().path()) {
                 (&Method::POST, "/v1/completions") => self.complete(request).await,
                 (&Method::GET, STATE) => self.state(request.uri().query()),
-                (&Method::POST, "/order") => self.order(request).await,
+                (&Method::POST, ORDER) => self.order(request).await,
                 _ => error(StatusCode::NOT_FOUND, "no such path"),
             }
         })
--- a/verbenaspool_standin/src/engine/orders.rs
+++ b/verbenaspool_standin/src/engine/orders.rs
@@ -2,17 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
-
-/// An order.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Order {
-    /// The sender's fencing number.
-    pub fence: u64,
-    /// What to do.
-    pub action: Value,
-}
+use verbenaspool_protocol::engine::Order;
 
 /// The orders that an engine carried out.
 #[derive(Debug)]
--- a/verbenaspool_standin/src/service.rs
+++ b/verbenaspool_standin/src/service.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use monoio::net::{ListenerOpts, TcpListener};
 
+use verbenaspool_protocol::engine::{STATE, State};
 use verbenaspool_transport::{
     clock::Clock,
     http::{
@@ -42,6 +43,23 @@
     /// The bodies of the writes that ran, in their order.
     pub writes: RefCell<Vec<String>>,
     lost: Cell<u32>,
+    running: Rc<Cell<u32>>,
+}
+
+/// A request that runs.
+struct Running(Rc<Cell<u32>>);
+
+impl Running {
+    fn enter(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Book {
@@ -63,9 +81,19 @@
             takes: Cell::new(takes),
             writes: RefCell::default(),
             lost: Cell::new(0),
+            running: Rc::default(),
         })
     }
 
+    /// The load.
+    fn state(&self) -> Response<Body> {
+        let state = State {
+            running: self.running.get(),
+            ..State::default()
+        };
+        Response::new(Body::full(serde_json::to_vec(&state).expect("plain data")))
+    }
+
     /// The next write runs, but its answer is lost.
     pub fn lose_answer(&self) {
         self.lost.set(self.lost.get() + 1);
@@ -119,6 +147,10 @@
         Box::pin(async move {
             let write = !matches!(*request.method(), Method::GET | Method::HEAD);
             let path = request.uri().path().to_owned();
+            if path == STATE {
+                return self.state();
+            }
+            let _running = Running::enter(&self.running);
             let Ok(body) = request.into_body().collect().await else {
                 return Response::new(Body::wrap(crate::engine::stream::Broken));
             };
