Keep callers off the engine's orders; check settings whole; table of bad input

An engine takes orders on the port of its requests, so a caller's path could have reached them around the gate. Only paths of requests pass now, and paths that read two ways are refused.

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -12,12 +12,7 @@
     shutdown::{self, Signal},
 };
 
-use crate::{
-    control, poll,
-    proxy::Proxy,
-    settings::{Kind, Settings},
-    shared::Shared,
-};
+use crate::{control, orders::Gate, poll, proxy::Proxy, settings::Settings, shared::Shared};
 
 /// How often a stopping agent looks whether its last request has ended.
 const LOOK: Duration = Duration::from_millis(10);
@@ -31,6 +26,7 @@
     address: SocketAddr,
     control_address: SocketAddr,
     module: Module,
+    orders: Rc<Gate>,
 }
 
 /// How an agent ended.
@@ -72,6 +68,7 @@
         let options = ListenerOpts::new().reuse_port(false);
         let data = TcpListener::bind_with_config(settings.listen, &options)?;
         let control = TcpListener::bind_with_config(settings.control, &options)?;
+        let orders = Rc::new(Gate::new(settings.upstream.address, clock.clone()));
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
         control::register(&mut module, &shared);
@@ -82,6 +79,7 @@
             data,
             control,
             module,
+            orders,
         })
     }
 
@@ -108,6 +106,12 @@
         &mut self.module
     }
 
+    /// The only way to the engine's orders.
+    #[must_use]
+    pub fn orders(&self) -> Rc<Gate> {
+        self.orders.clone()
+    }
+
     /// Runs until the signal comes and the requests in flight have ended.
     pub async fn run(self, mut signal: Signal) -> Drained {
         let shared = self.shared;
@@ -122,8 +126,8 @@
         let served = server::serve(self.data, limits, proxy, open.clone(), data);
         monoio::spawn(served);
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
-        if shared.settings.upstream.kind == Kind::Engine {
-            monoio::spawn(poll::run(shared.clone()));
+        if let Some(path) = shared.settings.upstream.state.clone() {
+            monoio::spawn(poll::run(shared.clone(), path));
         }
         info!(shared.log, "Agent: Started.";
             "instance" => shared.settings.instance.as_str(),
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod command;
+pub mod orders;
 pub mod settings;
 
 mod answer;
@@ -15,4 +16,5 @@
 mod flight;
 mod poll;
 mod proxy;
+mod route;
 mod shared;
--- a/verbenaspool_agent/src/main.rs
+++ b/verbenaspool_agent/src/main.rs
@@ -1,6 +1,6 @@
 //! The `verbenaspool-agent` program.
 
-use std::{path::Path, process::ExitCode};
+use std::process::ExitCode;
 
 use clap::Parser;
 use slog::crit;
@@ -22,10 +22,10 @@
 fn main() -> ExitCode {
     let command = Command::parse();
     let (Action::Run(source) | Action::Check(source)) = &command.action;
-    let settings = match load(&source.settings) {
+    let settings = match settings::load(&source.settings) {
         Ok(settings) => settings,
         Err(why) => {
-            eprintln!("{}: {why}", source.settings.display());
+            eprintln!("{why}");
             return ExitCode::from(SETTINGS);
         }
     };
@@ -38,11 +38,6 @@
     }
 }
 
-fn load(path: &Path) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
-    settings::read(&text).map_err(|error| error.to_string())
-}
-
 fn run(settings: Settings) -> ExitCode {
     let log = log::open(settings.log);
     let served = runtime::run(async {
--- a/verbenaspool_agent/src/poll.rs
+++ b/verbenaspool_agent/src/poll.rs
@@ -1,4 +1,4 @@
-//! What the agent knows of its engine, asked for at intervals.
+//! What the agent knows of its upstream, asked for at intervals.
 
 use std::{collections::VecDeque, rc::Rc};
 
@@ -9,7 +9,7 @@
 use slog::warn;
 
 use verbenaspool_protocol::{
-    engine::{STATE, State},
+    engine::State,
     report::{Cache, Event},
 };
 use verbenaspool_transport::http::body::Body;
@@ -93,11 +93,11 @@
 }
 
 /// Asks the engine for its state at intervals, for as long as the loop runs.
-pub(crate) async fn run(shared: Rc<Shared>) {
+pub(crate) async fn run(shared: Rc<Shared>, path: String) {
     let pause = std::time::Duration::from_millis(shared.settings.upstream.poll_ms);
     let mut reached = true;
     loop {
-        let asked = Box::pin(ask(&shared));
+        let asked = Box::pin(ask(&shared, &path));
         let state = match select(asked, shared.clock.sleep(pause)).await {
             Either::Left((state, _)) => state,
             Either::Right(_) => Err("the engine took too long".to_owned()),
@@ -117,9 +117,9 @@
     }
 }
 
-async fn ask(shared: &Shared) -> Result<State, String> {
+async fn ask(shared: &Shared, path: &str) -> Result<State, String> {
     let since = shared.engine.borrow().last;
-    let request = Request::get(format!("{STATE}?since={since}"))
+    let request = Request::get(format!("{path}?since={since}"))
         .header(http::header::HOST, shared.upstream().to_string())
         .body(Body::empty())
         .map_err(|error| error.to_string())?;
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::{Either, select};
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response,
+    HeaderMap, HeaderName, HeaderValue, Request, Response, Uri,
     header::{
         CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
         TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -33,6 +33,7 @@
     answer::{Answer, Framing},
     envelope::{self, Envelope},
     flight::Flight,
+    route,
     settings::Kind,
     shared::Shared,
 };
@@ -82,6 +83,7 @@
     envelope: Envelope,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
+    route::permit(&shared.settings.upstream, request.uri().path())?;
     let largest = shared.settings.limits.body_bytes;
     if request.body().size_hint().lower() > largest as u64 {
         let message = "The request's body is larger than the instance takes.";
@@ -148,6 +150,10 @@
 /// The request as the upstream gets it.
 fn outgoing(request: Request<Incoming>, upstream: SocketAddr, largest: usize) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
+    // The path was checked; a target with a host of its own would name another.
+    if let Some(target) = parts.uri.path_and_query() {
+        parts.uri = Uri::from(target.clone());
+    }
     strip(&mut parts.headers);
     parts.headers.remove(header::AGENT);
     if let Ok(host) = HeaderValue::from_str(&upstream.to_string()) {
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -1,11 +1,14 @@
 //! The settings of an agent process, a YAML file.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+use verbenaspool_protocol::engine::STATE;
 use verbenaspool_state::name::Name;
-use verbenaspool_transport::log;
+use verbenaspool_transport::{log, settings};
+
+pub use verbenaspool_transport::settings::Error;
 
 /// The settings of an agent process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,9 +41,17 @@
     pub address: SocketAddr,
     /// What the upstream is.
     pub kind: Kind,
-    /// How often a model engine is asked for its state, in milliseconds.
+    /// The path where the upstream tells its state; none to ask for nothing.
+    /// An engine tells it at [`STATE`] if not told otherwise.
+    #[serde(default)]
+    pub state: Option<String>,
+    /// How often the state is asked for, in milliseconds.
     #[serde(default = "Upstream::poll_ms")]
     pub poll_ms: u64,
+    /// What the paths of requests start with; empty for any. An engine takes
+    /// requests below `/v1/` if not told otherwise, and orders nowhere there.
+    #[serde(default)]
+    pub paths: Vec<String>,
 }
 
 impl Upstream {
@@ -49,6 +60,17 @@
     fn poll_ms() -> u64 {
         250
     }
+
+    /// Fills in what depends on the kind.
+    fn complete(&mut self) {
+        if self.kind == Kind::Plain {
+            return;
+        }
+        self.state.get_or_insert_with(|| STATE.to_owned());
+        if self.paths.is_empty() {
+            self.paths.push("/v1/".to_owned());
+        }
+    }
 }
 
 /// What an upstream is.
@@ -136,11 +158,19 @@
     }
 }
 
-/// Reads settings.
+/// Reads settings from a file.
 ///
 /// # Errors
-/// The text is no YAML, or a key is unknown, missing or holds the wrong thing;
-/// the error names the key, the line and the reason.
+/// As for [`read`].
+pub fn load(path: &Path) -> Result<Settings, Error> {
+    finish(path, settings::load(path)?)
+}
+
+/// Reads settings from text.
+///
+/// # Errors
+/// The text is no YAML, or a key is unknown, missing or holds what it can't;
+/// the error names the line, the key and the reason.
 ///
 /// ```
 /// use verbenaspool_agent::settings;
@@ -156,10 +186,69 @@
 /// # Ok::<(), settings::Error>(())
 /// ```
 pub fn read(text: &str) -> Result<Settings, Error> {
-    serde_norway::from_str(text).map_err(Error)
+    let path = Path::new("settings");
+    finish(path, settings::parse(path, text)?)
 }
 
-/// The settings can't be read.
-#[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct Error(serde_norway::Error);
+/// Fills in and checks what one key alone doesn't show.
+fn finish(path: &Path, mut settings: Settings) -> Result<Settings, Error> {
+    settings.upstream.complete();
+    let problems = problems(&settings);
+    if problems.is_empty() {
+        return Ok(settings);
+    }
+    Err(Error {
+        path: path.to_owned(),
+        line: None,
+        reason: problems.join("; "),
+    })
+}
+
+/// Everything that is wrong, so that it can be put right in one go.
+fn problems(settings: &Settings) -> Vec<&'static str> {
+    let limits = &settings.limits;
+    let same = |a: SocketAddr, b: SocketAddr| a == b && a.port() != 0;
+    let checks = [
+        (
+            same(settings.listen, settings.control),
+            "control: is the same address as listen",
+        ),
+        (
+            same(settings.listen, settings.upstream.address),
+            "upstream.address: is the agent's own listen",
+        ),
+        (
+            settings.upstream.poll_ms == 0,
+            "upstream.poll_ms: must be at least 1",
+        ),
+        (
+            settings
+                .upstream
+                .paths
+                .iter()
+                .any(|path| !path.starts_with('/')),
+            "upstream.paths: a path starts with '/'",
+        ),
+        (limits.requests == 0, "limits.requests: must be at least 1"),
+        (
+            limits.connections == 0,
+            "limits.connections: must be at least 1",
+        ),
+        (
+            limits.remembered < limits.requests,
+            "limits.remembered: must be at least limits.requests",
+        ),
+        (
+            limits.longest_seconds == 0,
+            "limits.longest_seconds: must be at least 1",
+        ),
+        (
+            settings.drain.linger() > settings.drain.deadline(),
+            "drain.linger_ms: is longer than the deadline",
+        ),
+    ];
+    checks
+        .into_iter()
+        .filter_map(|(wrong, problem)| wrong.then_some(problem))
+        .collect()
+}
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/input.rs
@@ -0,0 +1,272 @@
+//! Bad input: each gets a clear error or a closed connection, and the next
+//! request is unharmed.
+
+use std::{net::SocketAddr, time::Duration};
+
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
+
+use verbenaspool_agent::settings;
+use verbenaspool_protocol::{attempt, settle::Answer};
+use verbenaspool_standin::engine::Config;
+
+use crate::rig::{Rig, engine, run, service, settings};
+
+/// Sends bytes and returns what comes back until the peer closes or falls silent.
+async fn say(address: SocketAddr, bytes: Vec<u8>) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut heard = Vec::new();
+    let pause = Duration::from_millis(100);
+    loop {
+        let read = monoio::time::timeout(pause, stream.read(vec![0; 4096])).await;
+        match read {
+            Ok((Ok(read), chunk)) if read > 0 => heard.extend_from_slice(&chunk[..read]),
+            _ => return String::from_utf8_lossy(&heard).into_owned(),
+        }
+    }
+}
+
+/// A request whose bad part is one line of its head.
+fn head(agent: u64, line: &str) -> Vec<u8> {
+    let mut lines = vec![
+        "x-verbenaspool-attempt: 00000000000000ff-1".to_owned(),
+        format!("x-verbenaspool-agent: {agent}"),
+        "content-length: 0".to_owned(),
+    ];
+    let name = line.split(':').next().unwrap_or_default();
+    lines.retain(|other| !other.starts_with(name));
+    if line.contains(':') {
+        lines.push(line.to_owned());
+    }
+    let lines = lines.join("\r\n");
+    format!("POST /v1/completions HTTP/1.1\r\nhost: a\r\n{lines}\r\n\r\n").into_bytes()
+}
+
+#[test]
+fn bad_requests() {
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        let with = |line: &str| head(rig.agent, line);
+        let path = |path: &str| {
+            let text = String::from_utf8(with("accept: *")).unwrap();
+            text.replace("/v1/completions", path).into_bytes()
+        };
+        let mut odd = with("x-verbenaspool-attempt: odd");
+        let at = odd.windows(3).position(|three| three == b"odd").unwrap();
+        odd[at] = 0xff;
+        let long = format!("x-long: {}", "a".repeat(70_000));
+        let table: [(&str, Vec<u8>, &str, &str); 16] = [
+            ("no HTTP", b"\0\xff\r\n\r\n".to_vec(), "400", ""),
+            ("long head", with(&long), "431", ""),
+            (
+                "no attempt",
+                with("x-verbenaspool-attempt"),
+                "400",
+                "bad-request",
+            ),
+            (
+                "odd attempt",
+                with("x-verbenaspool-attempt: 1"),
+                "400",
+                "bad-request",
+            ),
+            ("no UTF-8", odd, "400", "bad-request"),
+            (
+                "no agent",
+                with("x-verbenaspool-agent"),
+                "503",
+                "stale-attempt",
+            ),
+            (
+                "another agent",
+                with("x-verbenaspool-agent: 1"),
+                "503",
+                "stale-attempt",
+            ),
+            (
+                "odd deadline",
+                with("x-verbenaspool-deadline-ms: soon"),
+                "400",
+                "bad-request",
+            ),
+            (
+                "no time left",
+                with("x-verbenaspool-deadline-ms: 0"),
+                "504",
+                "deadline",
+            ),
+            (
+                "large body",
+                with("content-length: 99999999"),
+                "413",
+                "too-large",
+            ),
+            (
+                "two lengths",
+                with("content-length: 1\r\ncontent-length: 2"),
+                "400",
+                "",
+            ),
+            ("orders", path("/order"), "403", "forbidden"),
+            ("orders by dots", path("/v1/../order"), "403", "forbidden"),
+            (
+                "orders by escapes",
+                path("/v1/%2e%2e/order"),
+                "403",
+                "forbidden",
+            ),
+            ("orders by slashes", path("/v1//order"), "403", "forbidden"),
+            (
+                "orders by a host",
+                path("http://a/order"),
+                "403",
+                "forbidden",
+            ),
+        ];
+        for (name, bytes, status, code) in table {
+            let heard = say(rig.data, bytes).await;
+            let line = format!("HTTP/1.1 {status}");
+            assert!(heard.starts_with(&line), "{name}: {heard}");
+            assert!(heard.contains(code), "{name}: {heard}");
+            let ours = !code.is_empty();
+            let not_run = heard.contains("x-verbenaspool-outcome: not-run");
+            assert_eq!(not_run, ours, "{name}: {heard}");
+            assert!(
+                rig.complete("Net", 1).await.unwrap().text().is_some(),
+                "{name}"
+            );
+        }
+        assert_eq!(desk.orders.done(), []);
+    });
+}
+
+#[test]
+fn an_ambiguous_length_smuggles_nothing() {
+    // Two lengths that disagree: a reader that takes the other one would serve
+    // the rest of the body as another caller's request.
+    run(async {
+        let (address, book) = service(Duration::ZERO);
+        let rig = Rig::start(settings(address, "plain"));
+        let inner = String::from_utf8(head(rig.agent, "x-inner: 1")).unwrap();
+        let outer = head(rig.agent, "content-length: 5\r\ntransfer-encoding: chunked");
+        let mut bytes = outer;
+        bytes.extend_from_slice(format!("0\r\n\r\n{inner}").as_bytes());
+        let heard = say(rig.data, bytes).await;
+        assert!(heard.matches("HTTP/1.1").count() <= 1, "{heard}");
+        assert!(book.writes.borrow().len() <= 1);
+    });
+}
+
+#[test]
+fn a_half_sent_write_does_not_run() {
+    // The entry dies while it passes a booking on. Were the half taken for the
+    // whole, a booking would run that nobody asked for.
+    run(async {
+        let (address, book) = service(Duration::ZERO);
+        let rig = Rig::start(settings(address, "plain"));
+        let mut bytes = head(rig.agent, "content-length: 10");
+        bytes.extend_from_slice(b"net");
+        say(rig.data, bytes).await;
+        assert!(rig.post(rig.id(), "/bookings", "net 7").await.is_ok());
+        assert_eq!(*book.writes.borrow(), ["net 7"]);
+    });
+}
+
+#[test]
+fn bad_frames() {
+    run(async {
+        let (address, _) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        let frame = |text: &[u8]| {
+            let length = u32::try_from(text.len()).unwrap();
+            [length.to_be_bytes().as_slice(), text].concat()
+        };
+        let call = |method: &str, param: &str| {
+            let text =
+                format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{method}","params":[{param}]}}"#);
+            frame(text.as_bytes())
+        };
+        let odd = r#"{"attempt":"zz-1","agent":1}"#;
+        let more = r#"{"since":1,"more":2}"#;
+        let table = [
+            ("too long", vec![0xff; 8], ""),
+            ("cut off", vec![0, 0, 0, 9, b'{'], ""),
+            ("no UTF-8", frame(b"\xff\xfe"), ""),
+            ("no JSON", frame(b"{]"), ""),
+            ("no call", frame(b"7"), ""),
+            ("unknown method", call("group_none", "1"), "error"),
+            ("odd attempt", call("attempt_settle", odd), "error"),
+            ("unknown key", call("agent_report", more), "error"),
+        ];
+        for (name, bytes, word) in table {
+            let heard = say(rig.control, bytes).await;
+            assert_eq!(heard.is_empty(), word.is_empty(), "{name}: {heard}");
+            assert!(heard.contains(word), "{name}: {heard}");
+            assert_eq!(rig.report(0).await.load.agent, rig.agent, "{name}");
+        }
+    });
+}
+
+#[test]
+fn a_question_for_another_process_leaves_no_tombstone() {
+    run(async {
+        let (address, _) = service(Duration::ZERO);
+        let mut rig = Rig::start(settings(address, "plain"));
+        let attempt = attempt::Id {
+            incarnation: 9,
+            counter: 1,
+        };
+        let right = rig.agent;
+        rig.agent = right.wrapping_add(1);
+        assert_eq!(rig.settle(attempt).await, Answer::Unknown);
+        rig.agent = right;
+        assert!(
+            rig.post(attempt, "/bookings", "net 7")
+                .await
+                .unwrap()
+                .code()
+                .is_none()
+        );
+    });
+}
+
+#[test]
+fn bad_settings() {
+    const GOOD: &str = "instance: loft-1\nlisten: 127.0.0.1:7101\ncontrol: 127.0.0.1:7102\n\
+                        upstream: {address: '127.0.0.1:7100', kind: engine}\n";
+    let table = [
+        ("", "missing field `instance`"),
+        ("more: 1\n", "settings:5: unknown field `more`"),
+        (
+            "limits: {requests: many}\n",
+            "settings:5: limits.requests: invalid type",
+        ),
+        (
+            "limits: {requests: 0}\n",
+            "limits.requests: must be at least 1",
+        ),
+        (
+            "limits: {remembered: 1}\ndrain: {deadline_seconds: 1}\n",
+            "limits.remembered: must be at least limits.requests; drain.linger_ms: is longer",
+        ),
+        (
+            "log: {form: xml}\n",
+            "settings:5: log.form: unknown variant `xml`",
+        ),
+        ("drain: [\n", "settings:"),
+    ];
+    assert!(settings::read(GOOD).is_ok());
+    for (lines, reason) in table {
+        let text = if lines.is_empty() {
+            "{}".to_owned()
+        } else {
+            format!("{GOOD}{lines}")
+        };
+        let error = settings::read(&text).unwrap_err().to_string();
+        assert!(error.contains(reason), "{lines}: {error}");
+    }
+}
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,5 +2,6 @@
 //! upstream.
 
 mod fault;
+mod input;
 mod path;
 mod rig;
