Say unknown where an earlier attempt may have run

Cause: the outcome of the last attempt was passed on as the request's, so a lost answer followed by a refused repeat told the caller 'not-run'. Before: the new test got 'not-run' for a request whose first attempt had reached an upstream. After: 'unknown'. Ruled out: a wrong word from the agent, which refused truthfully its own attempt.

--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -110,7 +110,12 @@
     }
 
     /// Makes attempts, each decided by the balancer.
+    ///
+    /// Once an attempt may have run, so may the request: a later attempt's
+    /// refusal is true of that attempt only. Passed on as it is, it would tell
+    /// the caller that nothing ran, and the caller would send the work again.
     async fn attempts(&self) -> Result<Response<Body>, Problem> {
+        let mut perhaps = false;
         let mut tried = Vec::new();
         let mut attempt = self
             .queue
@@ -123,6 +128,11 @@
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
+            perhaps |= failure.ending != Ending::NotRun;
+            let problem = match failure.problem.outcome {
+                Outcome::NotRun if perhaps => lost(),
+                _ => failure.problem,
+            };
             if let Some(problem) = self.fault() {
                 return Err(problem);
             }
@@ -130,12 +140,12 @@
             let safe = failure.ending == Ending::NotRun
                 || failure.ending == Ending::Unknown && self.idempotent;
             if !safe || !self.upload.replayable() {
-                return Err(failure.problem);
+                return Err(problem);
             }
             let next = self.queue.retry(&self.work(), failure.ending, &tried).await;
             attempt = match next {
                 Ok(attempt) => attempt,
-                Err(refusal) => return Err(failure.problem.after(refusal.retry_after)),
+                Err(refusal) => return Err(problem.after(refusal.retry_after)),
             };
         }
     }
--- a/verbenaspool/tests/entry/main.rs
+++ b/verbenaspool/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod agent;
 mod bad_input;
 mod path;
+mod repeats;
 mod site;
