--- a/verbenaspool/tests/entry/repeats.rs
+++ b/verbenaspool/tests/entry/repeats.rs
@@ -13,6 +13,13 @@
 /// How many requests are sent, so that each order of the two agents occurs.
 const REQUESTS: usize = 12;
 
+/// Lets an agent act in one way for as many attempts as a request may take.
+fn fill(agent: &Agent, act: impl FnMut() -> Act) {
+    let mut acts = agent.acts.borrow_mut();
+    acts.clear();
+    acts.extend(std::iter::repeat_with(act).take(20));
+}
+
 #[test]
 fn a_refused_repeat_does_not_take_back_an_unknown_attempt() {
     // A caller is told `not-run` and books again, though its request ran: the
@@ -31,14 +38,8 @@
             .collect();
         let site = Site::start(&upstreams);
         for _ in 0..REQUESTS {
-            agents[0]
-                .acts
-                .borrow_mut()
-                .extend([Act::Crossed, Act::Crossed]);
-            agents[1]
-                .acts
-                .borrow_mut()
-                .extend([Act::Refuse, Act::Refuse]);
+            fill(&agents[0], || Act::Crossed);
+            fill(&agents[1], || Act::Refuse);
             let before = agents[0].seen.borrow().len();
             let sent = request(Method::POST, "/loft/v1/completions", "{}");
             let (_, outcome, _) = whole(site.send(sent).await).await;
--- a/verbenaspool_transport/src/lib.rs
+++ b/verbenaspool_transport/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod config;
 pub mod http;
+pub mod log;
 pub mod platform;
 pub mod rpc;
 pub mod runtime;
