--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -246,7 +246,7 @@
 }
 
 /// An attempt whose answer was lost.
-fn lost() -> Failure {
+pub fn lost() -> Failure {
     Failure {
         ending: Ending::Unknown,
         problem: Problem::unknown(
--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -140,15 +140,24 @@
     }
 
     /// Makes attempts, each decided by the balancer.
+    ///
+    /// Once an attempt may have run, so may the request: a later attempt's
+    /// refusal is true of that attempt only. Passed on as it is, it would tell
+    /// the caller that nothing ran, and the caller would send the work again.
     async fn send(self: &Rc<Self>, first: Attempt) -> Result<Response<Body>, Problem> {
         let mut attempt = first;
+        let mut perhaps = false;
         let mut tried = Vec::new();
         loop {
             tried.push(attempt.upstream().clone());
-            let failure = match exchange::make(self, attempt, None).await {
+            let mut failure = match exchange::make(self, attempt, None).await {
                 Ok(exchange) => return Ok(self.pass(exchange, tried)),
                 Err(failure) => failure,
             };
+            perhaps |= failure.ending != Ending::NotRun;
+            if perhaps && failure.problem.outcome == Outcome::NotRun {
+                failure.problem = exchange::lost().problem;
+            }
             attempt = self.again(failure, &tried).await?;
         }
     }
