--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -1,17 +1,17 @@
 //! The entry: takes callers' requests and passes each to an upstream.
 
 pub mod admin;
-pub mod answer;
+mod answer;
 pub mod caller;
-pub mod claim;
+mod claim;
 pub mod events;
-pub mod exchange;
-pub mod forward;
+mod exchange;
+mod forward;
 pub mod observe;
 pub mod prompt;
-pub mod queue;
+mod queue;
 pub mod reply;
-pub mod reports;
+mod reports;
 pub mod table;
 pub mod upload;
 pub mod upstreams;
