--- /dev/null
+++ b/verbenaspool/src/entry/mod.rs
@@ -0,0 +1,488 @@
+//! The entry: takes callers' requests and passes each to an upstream.
+
+pub mod admin;
+mod answer;
+pub mod caller;
+mod claim;
+pub mod events;
+mod exchange;
+mod forward;
+pub mod observe;
+pub mod prompt;
+mod queue;
+pub mod reply;
+mod reports;
+pub mod table;
+pub mod upload;
+pub mod upstreams;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use http::{Request, Response, Uri, request::Parts};
+use http_body::Body as _;
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use rand::Rng;
+use slog::{Logger, info};
+use verbenaspool_policy::{balancer::Balancer, snapshot::Snapshot};
+use verbenaspool_protocol::{
+    attempt, header,
+    load::Load,
+    outcome::Outcome,
+    problem::{Code, Problem},
+};
+use verbenaspool_state::{
+    file::File, name::Name, service::Kind, service::Service, upstream::Upstream, version::Version,
+};
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{
+        body::Body,
+        client::Client,
+        server::{self, Answer, Handler, Limits, Open},
+    },
+    metrics::Registry,
+    platform::Store,
+    rpc,
+    shutdown::Signal,
+    trace::{Tracer, context::Context, span},
+};
+
+use self::{
+    forward::Forward,
+    observe::{Ended, Meter, Observation},
+    prompt::Prompt,
+    queue::Queue,
+    table::Table,
+    upload::{Bounds, Fault, Upload},
+    upstreams::Book,
+};
+
+/// The part of the process that log lines name.
+const PART: &str = "Entry";
+
+/// What an entry process is told at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The firm it serves.
+    pub firm: Name,
+    /// Its own name among the firm's entry instances.
+    pub name: Name,
+    /// The availability zone it stands in.
+    pub zone: Name,
+    /// Bounds on connections and heads.
+    pub limits: Limits,
+    /// Bounds on bodies.
+    pub bounds: Bounds,
+    /// How long a connection to an agent may take.
+    pub connect: Duration,
+}
+
+/// What the entry uses of the process around it.
+#[derive(Clone)]
+pub struct Surroundings {
+    /// The source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The log.
+    pub log: Logger,
+    /// The spans.
+    pub tracer: Rc<Tracer>,
+    /// The metrics.
+    pub metrics: Registry,
+    /// The platform, where there is one.
+    pub store: Option<Rc<dyn Store>>,
+}
+
+impl Surroundings {
+    /// No log, no spans and no platform, as in trials.
+    ///
+    /// ```
+    /// use verbenaspool::entry::Surroundings;
+    /// use verbenaspool_transport::clock::Monotonic;
+    ///
+    /// assert!(Surroundings::bare(Monotonic::start()).store.is_none());
+    /// ```
+    #[must_use]
+    pub fn bare(clock: Rc<dyn Clock>) -> Self {
+        Self {
+            log: Logger::root(slog::Discard, slog::o!()),
+            tracer: Tracer::new(None, clock.clone()),
+            metrics: Registry::default(),
+            store: None,
+            clock,
+        }
+    }
+}
+
+/// Counts the attempts of this process.
+#[derive(Debug)]
+pub struct Attempts {
+    incarnation: u64,
+    counter: Cell<u64>,
+}
+
+impl Attempts {
+    /// The next attempt's id.
+    ///
+    /// ```
+    /// use verbenaspool::entry::Attempts;
+    ///
+    /// let attempts = Attempts::default();
+    /// assert_ne!(attempts.next(), attempts.next());
+    /// ```
+    #[must_use]
+    pub fn next(&self) -> attempt::Id {
+        self.counter.set(self.counter.get() + 1);
+        attempt::Id {
+            incarnation: self.incarnation,
+            counter: self.counter.get(),
+        }
+    }
+
+    /// A number that differs between processes and between calls.
+    ///
+    /// ```
+    /// use verbenaspool::entry::Attempts;
+    ///
+    /// let _ = Attempts::default().seed();
+    /// ```
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        self.incarnation ^ self.counter.get()
+    }
+}
+
+impl Default for Attempts {
+    fn default() -> Self {
+        Self {
+            incarnation: rand::rng().random(),
+            counter: Cell::new(0),
+        }
+    }
+}
+
+/// The entry process's state.
+pub struct Entry {
+    options: Options,
+    /// The source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The log.
+    pub log: Logger,
+    /// The spans.
+    pub tracer: Rc<Tracer>,
+    /// The metrics.
+    pub metrics: Registry,
+    /// The platform, where there is one.
+    pub store: Option<Rc<dyn Store>>,
+    /// Connections to agents.
+    pub client: Client,
+    /// Control calls to agents.
+    pub rpc: rpc::Client,
+    /// The upstreams.
+    pub upstreams: Book,
+    /// The ids of attempts.
+    pub attempts: Attempts,
+    /// The callers' open connections.
+    pub open: Open,
+    table: RefCell<Option<Rc<Table>>>,
+    services: RefCell<HashMap<Name, Running>>,
+    draining: Cell<bool>,
+}
+
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").finish_non_exhaustive()
+    }
+}
+
+/// What runs for one service.
+#[derive(Clone)]
+struct Running {
+    queue: Rc<Queue>,
+    meter: Rc<Meter>,
+}
+
+impl Entry {
+    /// An entry without a configuration, which refuses all requests.
+    #[must_use]
+    pub fn new(options: Options, clock: Rc<dyn Clock>) -> Rc<Self> {
+        Self::with(options, Surroundings::bare(clock))
+    }
+
+    /// The same with a log, spans, metrics and the platform.
+    #[must_use]
+    pub fn with(options: Options, around: Surroundings) -> Rc<Self> {
+        let client = Client::new(options.connect);
+        Rc::new(Self {
+            options,
+            clock: around.clock,
+            log: around.log,
+            tracer: around.tracer,
+            metrics: around.metrics,
+            store: around.store,
+            client,
+            rpc: rpc::Client::default(),
+            upstreams: Book::default(),
+            attempts: Attempts::default(),
+            open: Open::default(),
+            table: RefCell::default(),
+            services: RefCell::default(),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// The firm that the entry serves.
+    #[must_use]
+    pub fn firm(&self) -> &Name {
+        &self.options.firm
+    }
+
+    /// Whether new callers may be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.draining.get() && self.version() > Version::default()
+    }
+
+    /// Says that the process is about to stop: it is not ready any more, and
+    /// goes on serving who comes all the same.
+    pub fn leave(&self) {
+        self.draining.set(true);
+    }
+
+    /// The version in force; zero before the first.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.table
+            .borrow()
+            .as_ref()
+            .map_or(Version::default(), |table| table.version)
+    }
+
+    /// Puts a version of the firm's file in force. An older one than is in
+    /// force, or another firm's, changes nothing.
+    pub fn adopt(&self, version: Version, file: &File) {
+        if version <= self.version() || file.firm != self.options.firm {
+            return;
+        }
+        let table = Rc::new(Table::new(version, file));
+        self.requeue(&table);
+        self.table.replace(Some(table));
+        info!(self.log, "{}: Put a version in force.", PART; "version" => version.0);
+    }
+
+    /// Takes the firm's whole list of upstreams.
+    pub fn members(&self, upstreams: &[Upstream]) {
+        self.upstreams.replace(upstreams);
+        for (service, running) in self.services.borrow().iter() {
+            let members = self.upstreams.members(service);
+            running
+                .queue
+                .with(|balancer, now| balancer.members(now, &members));
+        }
+    }
+
+    /// Serves callers until the signal comes and the last request has ended.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, signal: Signal) {
+        monoio::spawn(reports::run(Rc::downgrade(&self), signal.clone()));
+        let limits = self.options.limits.clone();
+        let open = self.open.clone();
+        server::serve(listener, limits, self, open, signal).await;
+    }
+
+    /// Gives each service of a file its queue; a queue that was there goes on
+    /// with the new settings, and so do those who wait in it.
+    fn requeue(&self, table: &Table) {
+        let shares: Vec<_> = table
+            .customers
+            .iter()
+            .map(|customer| (customer.name.clone(), customer.share))
+            .collect();
+        let mut services = self.services.borrow_mut();
+        let mut before = std::mem::take(&mut *services);
+        for service in &table.services {
+            let kept = before.remove(&service.name);
+            let running = kept.unwrap_or_else(|| self.running(service));
+            let members = self.upstreams.members(&service.name);
+            running.queue.with(|balancer, now| {
+                balancer.configure(now, &service.decisions, &shares);
+                balancer.members(now, &members);
+            });
+            services.insert(service.name.clone(), running);
+        }
+    }
+
+    /// The upstreams that the balancers work with.
+    #[must_use]
+    pub fn working(&self) -> Vec<Name> {
+        let snapshots = self.snapshots().into_iter();
+        let upstreams = snapshots.flat_map(|(_, snapshot)| snapshot.upstreams);
+        upstreams.map(|upstream| upstream.name).collect()
+    }
+
+    /// What each service's balancer has decided so far.
+    #[must_use]
+    pub fn snapshots(&self) -> Vec<(Name, Snapshot)> {
+        let services = self.services.borrow();
+        let shown = services.iter().map(|(name, running)| {
+            let snapshot = running.queue.snapshot();
+            (name.clone(), snapshot)
+        });
+        shown.collect()
+    }
+
+    /// Takes in an agent's word about its load.
+    pub fn heard(&self, upstream: &Name, load: &Load) {
+        let Some((service, load)) = self.upstreams.heard(upstream, load) else {
+            return;
+        };
+        if let Some(queue) = self.queue_of(&service) {
+            queue.with(|balancer, now| balancer.report(now, upstream, &load));
+        }
+    }
+
+    /// The queue of a service.
+    fn queue_of(&self, service: &Name) -> Option<Rc<Queue>> {
+        let services = self.services.borrow();
+        services.get(service).map(|running| running.queue.clone())
+    }
+
+    /// A new queue and new metrics for a service.
+    fn running(&self, service: &Service) -> Running {
+        let options = &self.options;
+        let seed = rand::rng().random();
+        let balancer = Balancer::new(
+            &service.decisions,
+            options.name.clone(),
+            options.zone.clone(),
+            seed,
+        );
+        Running {
+            queue: Queue::start(balancer, self.clock.clone()),
+            meter: Meter::new(&self.metrics, service.name.as_str()),
+        }
+    }
+
+    /// Answers one request.
+    async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match self.admit(request).await {
+            Ok(forward) => Rc::new(forward).run().await,
+            Err(problem) => reply::problem(&problem),
+        }
+    }
+
+    /// Checks a request and finds its service.
+    async fn admit(self: Rc<Self>, request: Request<Incoming>) -> Result<Forward, Problem> {
+        let began = self.clock.now();
+        let table = self.table.borrow().clone().ok_or_else(not_ready)?;
+        let (parts, body) = request.into_parts();
+        let customer = table.customer(caller::credential(&parts.headers)?)?;
+        let service = table.service(parts.uri.path())?;
+        table::permit(customer, &service.name)?;
+        let running = self.services.borrow().get(&service.name).cloned();
+        let running = running.ok_or_else(not_ready)?;
+        let observation = self.observe(&running, began, &parts);
+        let admitted = self.check(&parts, body, service).await;
+        let (wish, uri, upload, prompt) = match admitted {
+            Ok(admitted) => admitted,
+            Err(problem) => {
+                observation.end(Ended::Outcome(Outcome::NotRun));
+                return Err(problem);
+            }
+        };
+        observation.set("customer", customer.name.as_str());
+        let own = Duration::from_millis(service.decisions.deadline_ms);
+        let mut headers = parts.headers;
+        exchange::strip(&mut headers);
+        Ok(Forward {
+            idempotent: caller::repeatable(service, &parts.method, uri.path()),
+            service: service.clone(),
+            customer: customer.name.clone(),
+            priority: wish.priority,
+            deadline: began + wish.deadline.unwrap_or(own),
+            named: wish.deadline.is_some(),
+            key: wish.key,
+            queue: running.queue,
+            method: parts.method,
+            entry: self,
+            uri,
+            headers,
+            upload,
+            prompt,
+            observation,
+        })
+    }
+
+    /// Starts to observe a request.
+    fn observe(&self, running: &Running, began: Duration, parts: &Parts) -> Observation {
+        let remote = exchange::read(&parts.headers, header::TRACEPARENT).and_then(Context::parse);
+        let span = self
+            .tracer
+            .root(remote, "caller to entry", span::Kind::Server);
+        Observation::new(running.meter.clone(), self.clock.clone(), began, span)
+    }
+
+    /// Checks what the caller says and begins to read its body.
+    async fn check(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        service: &Service,
+    ) -> Result<(caller::Wish, Uri, Upload, Prompt), Problem> {
+        let wish = caller::wish(&parts.headers)?;
+        let uri = below(parts, service)?;
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > self.options.bounds.bytes) {
+            return Err(Problem::not_run(Code::TooLarge, "The body is too large."));
+        }
+        let upload = Upload::new(body.into(), self.options.bounds, self.clock.clone());
+        // A sender that gives only a head takes no place in the queue and no
+        // slot of an upstream: the first of the body must be here.
+        let first = upload.first().await.map_err(faulty)?;
+        let prompt = match (&service.kind, first) {
+            (Kind::Model(_), Some(first)) => prompt::read(&first, length),
+            _ => Prompt::default(),
+        };
+        Ok((wish, uri, upload, prompt))
+    }
+}
+
+impl Handler for Entry {
+    fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> Answer {
+        Box::pin(self.respond(request))
+    }
+}
+
+/// The entry has no configuration yet.
+fn not_ready() -> Problem {
+    Problem::not_run(Code::NotReady, "The instance has no configuration yet.")
+        .after(Duration::from_secs(1))
+}
+
+/// A body that was faulty before any of it was passed on.
+fn faulty(fault: Fault) -> Problem {
+    let (code, message) = match fault {
+        Fault::TooLarge => (Code::TooLarge, "The body is too large."),
+        Fault::Slow => (Code::SlowSender, "The body did not come in time."),
+        Fault::Broken | Fault::Gone => (Code::BadRequest, "The body broke off."),
+    };
+    Problem::not_run(code, message)
+}
+
+/// The path and query below the service's own path.
+fn below(parts: &Parts, service: &Service) -> Result<Uri, Problem> {
+    let path = parts.uri.path();
+    let rest = &path[service.path.trim_end_matches('/').len()..];
+    let rest = if rest.is_empty() { "/" } else { rest };
+    let uri = match parts.uri.query() {
+        Some(query) => format!("{rest}?{query}"),
+        None => rest.to_owned(),
+    };
+    uri.parse()
+        .map_err(|_| Problem::not_run(Code::BadRequest, "The path can't be understood."))
+}
--- /dev/null
+++ b/verbenaspool/tests/entry/main.rs
@@ -0,0 +1,7 @@
+//! The entry on real sockets, with an agent that the test plays.
+
+mod agent;
+mod bad_input;
+mod path;
+mod repeats;
+mod site;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -0,0 +1,7 @@
+//! The agent over real sockets, between a stand-in of an entry and one of an
+//! upstream.
+
+mod fault;
+mod input;
+mod path;
+mod rig;
--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -2,9 +2,12 @@
 
 pub mod adoption;
 pub mod apply;
+pub mod attempt;
 pub mod claim;
 pub mod collection;
+pub mod group;
 pub mod head;
 pub mod keys;
+pub mod membership;
 pub mod piece;
 pub mod store;
