Kill, stop and restart the agent's program; tables of reports and orders

The engine stand-in had told its queue only when a request entered or left the batch; it now tells it when one starts to wait.

--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -4,4 +4,6 @@
 mod fault;
 mod input;
 mod path;
+mod process;
+mod report;
 mod rig;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/process.rs
@@ -0,0 +1,245 @@
+//! The program itself: started, killed, told to stop, and started again.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use http_body_util::BodyExt;
+use serde_json::Value;
+
+use verbenaspool_protocol::{outcome::Outcome, problem::Code, settle::Answer};
+use verbenaspool_standin::engine::Config;
+use verbenaspool_transport::http::client::Error;
+
+use crate::rig::{Rig, completion, engine, run, service};
+
+/// The program with its settings, killed if a test forgets it.
+struct Process {
+    child: Child,
+    rig: Rig,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
+    std::fs::write(&path, text).expect("a settings file");
+    path
+}
+
+fn program(action: &str, settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaspool-agent"));
+    command.arg(action).arg("--settings").arg(settings);
+    command.stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+impl Process {
+    /// Starts the program and reads its addresses from its log.
+    fn start(name: &str, upstream: SocketAddr, kind: &str, deadline: u64) -> Self {
+        let text = format!(
+            "instance: loft-1\n\
+             listen: 127.0.0.1:0\n\
+             control: 127.0.0.1:0\n\
+             upstream: {{address: '{upstream}', kind: {kind}}}\n\
+             drain: {{deadline_seconds: {deadline}, linger_ms: 50}}\n\
+             log: {{form: json}}\n"
+        );
+        let mut child = program("run", &file(name, &text))
+            .spawn()
+            .expect("a process");
+        let stderr = child.stderr.take().expect("its log");
+        let started = BufReader::new(stderr)
+            .lines()
+            .map_while(Result::ok)
+            .filter_map(|line| serde_json::from_str::<Value>(&line).ok())
+            .find(|line| line["msg"] == "Agent: Started.")
+            .expect("the word that it started");
+        let address = |key: &str| started[key].as_str().and_then(|text| text.parse().ok());
+        let rig = Rig::reach(
+            address("address").expect("an address"),
+            address("control").expect("an address"),
+            started["agent"].as_u64().expect("a number"),
+        );
+        Self { child, rig }
+    }
+
+    fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for the end without holding the loop up.
+    async fn ended(&mut self) -> ExitStatus {
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the status") {
+                return status;
+            }
+            self.rig.clock.sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+#[test]
+fn killed_before_the_engine_began() {
+    // The agent dies before a request reaches it; the platform's list still has
+    // it. The entry must be able to say "not run" and go elsewhere.
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let mut process = Process::start("before", address, "engine", 5);
+        process.child.kill().unwrap();
+        process.ended().await;
+        let sent = process.rig.complete("Net", 3).await;
+        assert!(matches!(sent, Err(Error::NotSent(_))), "{sent:?}");
+        assert_eq!(desk.batch.running(), 0);
+    });
+}
+
+#[test]
+fn killed_after_the_engine_began() {
+    // The agent dies between two tokens. The caller must see a broken stream,
+    // the engine must stop, and the agent that follows must not claim to know
+    // what became of the attempt.
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let mut process = Process::start("after", address, "engine", 5);
+        let rig = &process.rig;
+        let id = rig.id();
+        let request = rig.request(id, "/v1/completions", &completion("Net", 10_000));
+        let mut body = rig
+            .client
+            .send(rig.data, request)
+            .await
+            .unwrap()
+            .into_body();
+        body.frame().await.unwrap().unwrap();
+        process.child.kill().unwrap();
+        assert!(body.collect().await.is_err(), "the stream broke");
+        process.ended().await;
+        process.rig.until(|| desk.batch.cancelled() == 1).await;
+        let mut next = Process::start("after-next", address, "engine", 5);
+        let number = std::mem::replace(&mut next.rig.agent, process.rig.agent);
+        assert_ne!(number, process.rig.agent);
+        assert_eq!(next.rig.settle(id).await, Answer::Unknown);
+        let late = next.rig.complete("Net", 1).await.unwrap();
+        assert_eq!(late.code(), Some(Code::StaleAttempt));
+        next.rig.agent = number;
+        assert!(next.rig.complete("Net", 1).await.unwrap().text().is_some());
+    });
+}
+
+#[test]
+fn killed_while_a_write_runs() {
+    // The booking runs, and the agent dies before the answer. Whoever asks the
+    // next agent must not hear "refused", or the booking would run twice.
+    run(async {
+        let (address, book) = service(Duration::from_millis(200));
+        let mut process = Process::start("write", address, "plain", 5);
+        let rig = &process.rig;
+        let id = rig.id();
+        let sent = Box::pin(rig.post(id, "/bookings", "net 7"));
+        let begun = Box::pin(rig.until(|| book.writes.borrow().len() == 1));
+        let (sent, ()) = match futures_util::future::select(sent, begun).await {
+            futures_util::future::Either::Right(((), sent)) => (sent, ()),
+            futures_util::future::Either::Left(_) => panic!("the write was answered"),
+        };
+        process.child.kill().unwrap();
+        assert!(matches!(sent.await, Err(Error::Broken(_))));
+        process.ended().await;
+        let mut next = Process::start("write-next", address, "plain", 5);
+        next.rig.agent = process.rig.agent;
+        assert_eq!(next.rig.settle(id).await, Answer::Unknown);
+        assert_eq!(book.writes.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn stopped_while_a_stream_runs() {
+    // The platform replaces the instance. The skipper's quote is half written;
+    // it must come whole, while new work is refused with the reason.
+    run(async {
+        let (address, _) = engine(Config::default());
+        let mut process = Process::start("drain", address, "engine", 20);
+        let rig = &process.rig;
+        let request = rig.request(rig.id(), "/v1/completions", &completion("Net", 200));
+        let mut body = rig
+            .client
+            .send(rig.data, request)
+            .await
+            .unwrap()
+            .into_body();
+        body.frame().await.unwrap().unwrap();
+        process.terminate();
+        while !rig.report(0).await.load.leaving {}
+        // Behind the linger new connections are refused, which is "not sent".
+        if let Ok(refused) = rig.complete("Net", 1).await {
+            assert_eq!(refused.outcome, Outcome::NotRun);
+        }
+        let rest = body.collect().await.expect("the whole rest").to_bytes();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"));
+        assert_eq!(process.ended().await.code(), Some(0));
+    });
+}
+
+#[test]
+fn stopped_while_an_endless_stream_runs() {
+    run(async {
+        let (address, _) = engine(Config::default());
+        let mut process = Process::start("cut", address, "engine", 1);
+        let rig = &process.rig;
+        let request = rig.request(rig.id(), "/v1/completions", &completion("Net", 1_000_000));
+        let body = rig
+            .client
+            .send(rig.data, request)
+            .await
+            .unwrap()
+            .into_body();
+        process.terminate();
+        assert!(body.collect().await.is_err(), "cut off visibly");
+        assert_eq!(process.ended().await.code(), Some(3));
+    });
+}
+
+#[test]
+fn two_agents_never_share_a_port() {
+    run(async {
+        let (address, _) = engine(Config::default());
+        let process = Process::start("first", address, "engine", 5);
+        let (data, control) = (process.rig.data, process.rig.control);
+        let text = format!(
+            "instance: loft-1\nlisten: {data}\ncontrol: {control}\n\
+             upstream: {{address: '{address}', kind: engine}}\n"
+        );
+        let second = program("run", &file("second", &text)).status();
+        assert_eq!(second.expect("it ran").code(), Some(1));
+    });
+}
+
+#[test]
+fn the_command_line() {
+    let sound = "instance: loft-1\nlisten: 127.0.0.1:1\ncontrol: 127.0.0.1:2\n\
+                 upstream: {address: '127.0.0.1:3', kind: plain}\n";
+    let table = [
+        ("check", sound, Some(0), ""),
+        ("check", "more: 1\n", Some(2), "unknown field `more`"),
+        ("run", "listen: [\n", Some(2), ".yaml"),
+        ("walk", sound, Some(2), "unrecognized subcommand"),
+    ];
+    for (i, (action, text, code, word)) in table.into_iter().enumerate() {
+        let output = program(action, &file(&format!("line-{i}"), text)).output();
+        let output = output.expect("it ran");
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), code, "{action}: {stderr}");
+        assert!(stderr.contains(word), "{action}: {stderr}");
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/report.rs
@@ -0,0 +1,136 @@
+//! What entries hear of load, cache and orders.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use verbenaspool_agent::orders::{Error, Gate};
+use verbenaspool_protocol::{
+    engine::Order,
+    header,
+    prefix::{self, BLOCK},
+};
+use verbenaspool_standin::engine::{Config, text};
+use verbenaspool_transport::clock::{Clock, Monotonic};
+
+use crate::rig::{Rig, completion, engine, run, service, settings};
+
+#[test]
+fn the_load_is_told_and_counted_up() {
+    run(async {
+        let (address, _) = engine(Config {
+            places: 1,
+            lag: Duration::ZERO,
+            ..Config::default()
+        });
+        let rig = Rig::start(settings(address, "engine"));
+        let start = |tokens| {
+            let request = rig.request(rig.id(), "/v1/completions", &completion("Net", tokens));
+            rig.client.send(rig.data, request)
+        };
+        let first = start(10_000).await.unwrap();
+        let (client, data) = (rig.client.clone(), rig.data);
+        let request = rig.request(rig.id(), "/v1/completions", &completion("Net", 1));
+        let second = monoio::spawn(async move { client.send(data, request).await.is_ok() });
+        let mut last = 0;
+        loop {
+            let load = rig.report(0).await.load;
+            assert!(load.sequence > last, "each word has a higher number");
+            last = load.sequence;
+            if load.running == 2 && load.queued == 1 && load.tokens > 9_000 {
+                break;
+            }
+            rig.clock.sleep(Duration::from_millis(2)).await;
+        }
+        drop(first);
+        assert!(second.await, "the freed place went to the second");
+    });
+}
+
+#[test]
+fn cache_events_come_once_and_gaps_are_told() {
+    run(async {
+        let (address, _) = engine(Config {
+            lag: Duration::ZERO,
+            gap: 3,
+            ..Config::default()
+        });
+        let rig = Rig::start(settings(address, "engine"));
+        let prompt = "a".repeat(2 * BLOCK);
+        rig.complete(&prompt, 1).await.unwrap();
+        while rig.report(0).await.cache.last < 2 {
+            rig.clock.sleep(Duration::from_millis(2)).await;
+        }
+        let cache = rig.report(0).await.cache;
+        let held: Vec<u64> = cache.events.iter().map(|event| event.prefix).collect();
+        assert_eq!((held, cache.reset), (prefix::hashes(&prompt), false));
+        assert!(rig.report(2).await.cache.events.is_empty());
+        // The engine loses the third event; whoever stands before it hears so.
+        rig.complete(&"b".repeat(2 * BLOCK), 1).await.unwrap();
+        while rig.report(2).await.cache.last < 4 {
+            rig.clock.sleep(Duration::from_millis(2)).await;
+        }
+        assert!(rig.report(2).await.cache.reset);
+        assert!(!rig.report(4).await.cache.reset);
+    });
+}
+
+#[test]
+fn a_broken_stream_goes_on_behind_the_tokens_that_arrived() {
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        desk.faults.break_behind(3);
+        let broken = rig.complete("Net", 8).await.unwrap();
+        assert!(broken.body.is_none());
+        let mut request = rig.request(rig.id(), "/v1/completions", &completion("Net", 8));
+        request.headers_mut().insert(header::RESUME, 3.into());
+        let rest = rig.send(request).await.unwrap();
+        let expected: String = (3..8).map(|token| text::token("Net", token)).collect();
+        assert_eq!(rest.text(), Some(expected));
+        assert_eq!(rest.resumed, Some(3));
+    });
+}
+
+#[test]
+fn orders_pass_one_gate() {
+    // An old sender wakes up and repeats its order. With an engine that ignores
+    // fences only the gate stands before a second model being loaded.
+    let order = |fence| Order {
+        fence,
+        action: json!({"load": "loft", "version": fence}),
+    };
+    for checks_fences in [true, false] {
+        run(async {
+            let (address, desk) = engine(Config {
+                checks_fences,
+                ..Config::default()
+            });
+            let clock = Monotonic::start();
+            let soon = || clock.now() + Duration::from_secs(5);
+            let gate = Gate::new(address, clock.clone());
+            assert!(gate.send(&order(2), soon()).await.is_ok());
+            assert_eq!(gate.send(&order(1), soon()).await, Err(Error::Fenced(2)));
+            let late = gate.send(&order(3), clock.now()).await;
+            assert_eq!(late, Err(Error::Late));
+            assert_eq!(desk.orders.done(), [order(2)]);
+            // A gate of a successor that knows no fence yet.
+            let sent = Gate::new(address, clock.clone())
+                .send(&order(1), soon())
+                .await;
+            assert_eq!(matches!(sent, Err(Error::Refused(_))), checks_fences);
+        });
+    }
+}
+
+#[test]
+fn a_plain_service_tells_its_load_too() {
+    run(async {
+        let (address, _) = service(Duration::from_millis(1));
+        let mut settings = settings(address, "plain");
+        settings.upstream.state = Some("/state".to_owned());
+        let rig = Rig::start(settings);
+        rig.post(rig.id(), "/bookings", "net 7").await.unwrap();
+        assert_eq!(rig.report(0).await.load.running, 0);
+    });
+}
--- a/verbenaspool_agent/tests/agent/rig.rs
+++ b/verbenaspool_agent/tests/agent/rig.rs
@@ -55,6 +55,8 @@
     pub outcome: Outcome,
     pub attempt: Option<attempt::Id>,
     pub load: Option<Load>,
+    /// The tokens behind which the answer goes on, where the engine said so.
+    pub resumed: Option<u32>,
     /// The whole body; none where it broke off.
     pub body: Option<Bytes>,
 }
@@ -180,6 +182,7 @@
             outcome: Outcome::read(read(header::OUTCOME)),
             attempt: read(header::ATTEMPT).and_then(|text| text.parse().ok()),
             load: read(header::LOAD).and_then(|text| serde_json::from_str(text).ok()),
+            resumed: read(header::RESUME).and_then(|text| text.parse().ok()),
             body: body
                 .collect()
                 .await
--- a/verbenaspool_standin/src/engine/batch.rs
+++ b/verbenaspool_standin/src/engine/batch.rs
@@ -68,6 +68,7 @@
         while self.running.get() >= self.places {
             let (call, called) = oneshot::channel();
             self.waiting.borrow_mut().push(Waiter { priority, call });
+            self.note();
             let _ = called.await;
         }
         self.running.set(self.running.get() + 1);
