--- a/verbenaspool_policy/src/affinity.rs
+++ b/verbenaspool_policy/src/affinity.rs
@@ -6,7 +6,7 @@
 //! taken as a hint: the answer's count of computed tokens corrects it, and the
 //! router leaves a holder that is loaded above its bound.
 
-use std::collections::HashMap;
+use crate::hash::Map;
 
 /// Prefixes remembered: about 1 MB at 56 bytes each, for each service.
 const MOST: usize = 16_384;
@@ -21,16 +21,16 @@
 pub struct Key(pub u64);
 
 /// The holders of one prefix, latest first.
-type Holders = [Option<Key>; HOLDERS];
+pub type Holders = [Option<Key>; HOLDERS];
 
 /// What is known about prefixes. Two generations bound it: the old one is
 /// dropped when the young one is full, and prefixes in use move to the young.
 #[derive(Debug, Default)]
 pub struct Affinity {
     /// Prefixes seen lately.
-    young: HashMap<u64, Holders>,
+    young: Map<u64, Holders>,
     /// Prefixes of the generation before.
-    old: HashMap<u64, Holders>,
+    old: Map<u64, Holders>,
 }
 
 impl Affinity {
@@ -72,9 +72,9 @@
         }
     }
 
-    /// The holders of the longest known prefix, and its place in `prefixes`.
+    /// The place of the longest known prefix in `prefixes`, and its holders.
     #[must_use]
-    pub fn find(&self, prefixes: &[u64]) -> Option<(usize, impl Iterator<Item = Key>)> {
+    pub fn find(&self, prefixes: &[u64]) -> Option<(usize, &Holders)> {
         prefixes
             .iter()
             .enumerate()
@@ -82,7 +82,7 @@
             .find_map(|(place, prefix)| {
                 let holders = self.young.get(prefix).or_else(|| self.old.get(prefix))?;
                 let known = holders.iter().any(Option::is_some);
-                known.then(|| (place, holders.iter().flatten().copied()))
+                known.then_some((place, holders))
             })
     }
 }
--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -1,16 +1,15 @@
 //! The decisions for one service at one entry instance, joined.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 use verbenaspool_state::{decisions::Decisions, name::Name};
 
 use crate::{
-    affinity::Affinity,
     attempt::{Ending, Id, Outcome},
     decision::{Decision, Reason, Refusal, Resolution, Start, Ticket},
-    estimate::{self, Ratio},
+    estimate::{Habit, Size},
     flight::Flight,
+    hash::Map,
     load::{Cache, Load},
     mechanism::{Mechanism, Set},
     member::{Member, Peer},
@@ -18,7 +17,7 @@
     queue::Waiting,
     request::Request,
     room::{Held, Room},
-    route::{Choice, Route},
+    route::{Choice, Router},
     snapshot::{Snapshot, Upstream as Shown},
     subset,
 };
@@ -78,28 +77,22 @@
     mechanisms: Set,
     /// The entry's own name.
     entry: Name,
-    /// The entry's own zone.
-    zone: Name,
     /// The service's entry instances.
     peers: Vec<Peer>,
     /// The service's upstreams that take work.
     members: Vec<Member>,
-    /// The upstreams worked with.
-    pool: Pool,
+    /// The upstreams worked with, and which is chosen.
+    router: Router,
     /// The requests that wait.
     room: Room,
-    /// What the answers of all customers have of `max_tokens`.
-    ratio: Ratio,
-    /// What is known about prefixes.
-    affinity: Affinity,
+    /// What the requests of all customers turn out to be.
+    habit: Habit,
     /// Requests given up since the last poll.
     given_up: Vec<Resolution>,
     /// Attempts in flight.
-    flights: HashMap<Id, Flight>,
+    flights: Map<Id, Flight>,
     /// The number of the next ticket or attempt.
     next: u64,
-    /// Chooses among equals; seeded, so that runs repeat.
-    random: SmallRng,
     /// Counts for metrics.
     counts: Snapshot,
 }
@@ -119,17 +112,14 @@
             settings: settings.clone(),
             mechanisms,
             entry,
-            zone,
             peers: Vec::new(),
             members: Vec::new(),
-            pool: Pool::new(mechanisms),
+            router: Router::new(Pool::new(zone, mechanisms), seed),
             room: Room::new(mechanisms),
-            ratio: Ratio::default(),
-            affinity: Affinity::default(),
+            habit: Habit::default(),
             given_up: Vec::new(),
-            flights: HashMap::new(),
+            flights: Map::default(),
             next: 0,
-            random: SmallRng::seed_from_u64(seed),
             counts: Snapshot::default(),
         }
     }
@@ -167,9 +157,9 @@
 
     /// The waiting requests that start or are given up now.
     pub fn poll(&mut self, now: Duration) -> Vec<Resolution> {
-        self.pool.refresh(now, &self.settings);
+        self.refresh(now);
         while let Some(ticket) = self.room.expired(now) {
-            self.give_up(now, ticket, Reason::Expired);
+            self.give_up(ticket, Reason::Expired);
         }
         let mut resolved = std::mem::take(&mut self.given_up);
         while let Some(resolution) = self.start_next(now) {
@@ -188,14 +178,16 @@
         let Some(flight) = self.flights.remove(&attempt) else {
             return;
         };
-        let done = estimate::work(
-            self.settings.prefill_weight,
-            outcome.prompt_tokens.min(flight.prompt_tokens),
-            f64::from(outcome.tokens.min(flight.max_tokens)),
-        );
-        if let Some(place) = self.pool.find(&flight.upstream, flight.serial) {
+        self.router.free();
+        let size = Size {
+            prompt_tokens: outcome.prompt_tokens,
+            tokens: outcome.tokens,
+        };
+        let size = size.within(flight.asked);
+        let done = size.work(self.settings.prefill_weight);
+        if let Some(place) = self.router.pool.find(&flight.upstream, flight.serial) {
             let seconds = outcome.took.as_secs_f64();
-            self.pool.finish(
+            self.router.pool.finish(
                 now,
                 place,
                 outcome.ending,
@@ -206,7 +198,7 @@
             self.correct_cache(place, &flight, outcome);
         }
         match outcome.ending {
-            Ending::Ran => self.learn(&flight, outcome.tokens, done),
+            Ending::Ran => self.learn(&flight, size, done),
             Ending::NotRun => self.room.charge(flight.customer, -flight.charged),
             Ending::Unknown | Ending::Cancelled => {}
         }
@@ -230,7 +222,7 @@
         let held = self.hold(request, tried);
         let late = self.latest(request.deadline, held.work) < now;
         if !safe || late || !self.spend(held.customer) {
-            return Decision::Refuse(self.refuse(now, Reason::NoRetry, held.customer));
+            return Decision::Refuse(self.refuse(Reason::NoRetry, held.customer));
         }
         self.counts.retried += 1;
         self.admit(now, request, held)
@@ -239,19 +231,20 @@
     /// Learns from a load report, however late. Reports of another incarnation,
     /// and reordered ones, are ignored.
     pub fn report(&mut self, now: Duration, upstream: &Name, load: &Load) {
-        self.pool.report(now, upstream, load);
+        self.router.free();
+        self.router.pool.report(now, upstream, load);
     }
 
     /// Learns from a cache event, however late.
     pub fn cache(&mut self, _now: Duration, upstream: &Name, event: Cache) {
-        let Some(place) = self.pool.place(upstream) else {
+        let Some(place) = self.router.pool.place(upstream) else {
             return;
         };
-        let key = self.pool.list()[place].cache;
+        let key = self.router.pool.list()[place].cache;
         match event {
-            Cache::Held(prefix) => self.affinity.hold(prefix, key),
-            Cache::Dropped(prefix) => self.affinity.drop(prefix, key),
-            Cache::Reset => self.pool.reset_cache(place),
+            Cache::Held(prefix) => self.router.affinity.hold(prefix, key),
+            Cache::Dropped(prefix) => self.router.affinity.drop(prefix, key),
+            Cache::Reset => self.router.pool.reset_cache(place),
         }
     }
 
@@ -268,11 +261,11 @@
     /// Counts and state for metrics and status.
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Snapshot {
-        let wait = self.room.backlog() / self.capacity(now);
-        let list = self.pool.list();
+        let wait = self.room.backlog() / self.capacity();
+        let list = self.router.pool.list();
         Snapshot {
-            ejections: self.pool.ejections,
-            ignored_reports: self.pool.ignored,
+            ejections: self.router.pool.ejections,
+            ignored_reports: self.router.pool.ignored,
             waiting: self.room.len(),
             wait: Duration::try_from_secs_f64(wait).unwrap_or_default(),
             upstreams: list
@@ -283,29 +276,47 @@
         }
     }
 
+    /// Looks at what changes with time.
+    fn refresh(&mut self, now: Duration) {
+        if self.router.pool.refresh(now, &self.settings) {
+            self.router.free();
+        }
+    }
+
     /// Chooses the upstreams to work with.
     fn choose_subset(&mut self, now: Duration) {
         let size = self.settings.subset as usize;
-        let places = subset::choose(&self.entry, &self.zone, &self.peers, &self.members, size);
+        let places = subset::choose(
+            &self.entry,
+            self.router.pool.zone(),
+            &self.peers,
+            &self.members,
+            size,
+        );
         let members: Vec<&Member> = places.iter().map(|&place| &self.members[place]).collect();
-        self.pool.set(now, &members, &self.settings);
+        self.router.free();
+        self.router.pool.set(now, &members, &self.settings);
     }
 
     /// What is kept of a request.
     fn hold(&mut self, request: &Request<'_>, tried: &[Name]) -> Held {
         let customer = self.room.customers.number(request.customer);
-        let ratio = if self.mechanisms.has(Mechanism::Learning) {
-            self.room.customers.get(customer).ratio.within(&self.ratio)
+        let asked = Size {
+            prompt_tokens: request.prompt_tokens,
+            tokens: request.max_tokens,
+        };
+        let weight = self.settings.prefill_weight;
+        let work = if self.mechanisms.has(Mechanism::Learning) {
+            let own = &self.room.customers.get(customer).habit;
+            own.work(&self.habit, asked, weight)
         } else {
-            1.0
+            asked.work(weight)
         };
-        let tokens = f64::from(request.max_tokens) * ratio;
         Held {
             customer,
-            work: estimate::work(self.settings.prefill_weight, request.prompt_tokens, tokens),
+            work,
             deadline: request.deadline,
-            prompt_tokens: request.prompt_tokens,
-            max_tokens: request.max_tokens,
+            asked,
             prefixes: request.prefixes.to_vec(),
             tried: tried.to_vec(),
         }
@@ -313,12 +324,12 @@
 
     /// Starts a request, or lets it wait, or refuses it.
     fn admit(&mut self, now: Duration, request: &Request<'_>, held: Held) -> Decision {
-        self.pool.refresh(now, &self.settings);
-        if self.pool.list().is_empty() {
-            return Decision::Refuse(self.refuse(now, Reason::NoUpstream, held.customer));
+        self.refresh(now);
+        if self.router.pool.list().is_empty() {
+            return Decision::Refuse(self.refuse(Reason::NoUpstream, held.customer));
         }
         if request.deadline <= now {
-            return Decision::Refuse(self.refuse(now, Reason::Late, held.customer));
+            return Decision::Refuse(self.refuse(Reason::Late, held.customer));
         }
         if self.room.is_empty()
             && let Some(choice) = self.choose(now, &held)
@@ -327,7 +338,7 @@
             return Decision::Admit(self.start(&held, choice, 0.0));
         }
         if self.room.queued(held.customer) >= self.settings.queue as usize {
-            return Decision::Refuse(self.refuse(now, Reason::QueueFull, held.customer));
+            return Decision::Refuse(self.refuse(Reason::QueueFull, held.customer));
         }
         self.enqueue(now, request, held)
     }
@@ -344,25 +355,25 @@
         };
         self.room.push(waiting, held);
         while self.mechanisms.has(Mechanism::Refusal)
-            && let Some(excess) = self.room.excess(now, customer, self.capacity(now))
+            && let Some(excess) = self.room.excess(now, customer, self.capacity())
         {
             if excess == ticket || !self.mechanisms.has(Mechanism::Displacement) {
-                let refusal = self.refuse(now, Reason::Late, customer);
+                let refusal = self.refuse(Reason::Late, customer);
                 self.room.remove(ticket);
                 return Decision::Refuse(refusal);
             }
-            self.give_up(now, excess, Reason::Displaced);
+            self.give_up(excess, Reason::Displaced);
         }
         self.counts.waited += 1;
         Decision::Wait(ticket)
     }
 
     /// Gives a waiting request up; the next poll says so.
-    fn give_up(&mut self, now: Duration, ticket: Ticket, reason: Reason) {
+    fn give_up(&mut self, ticket: Ticket, reason: Reason) {
         let Some(customer) = self.room.get(ticket).map(|held| held.customer) else {
             return;
         };
-        let refusal = self.refuse(now, reason, customer);
+        let refusal = self.refuse(reason, customer);
         self.room.remove(ticket);
         self.given_up.push(Resolution {
             ticket,
@@ -372,23 +383,21 @@
 
     /// The latest start that meets a deadline.
     fn latest(&self, deadline: Duration, work: f64) -> Duration {
-        let service = work * self.pool.pace().unwrap_or(0.0);
+        let service = work * self.router.pool.pace().unwrap_or(0.0);
         deadline.saturating_sub(Duration::try_from_secs_f64(service).unwrap_or(Duration::MAX))
     }
 
     /// The work a second that is done for this entry; without bound while unknown.
-    fn capacity(&self, now: Duration) -> f64 {
-        self.pool
-            .capacity(now, &self.settings)
-            .unwrap_or(f64::INFINITY)
+    fn capacity(&self) -> f64 {
+        self.router.pool.capacity().unwrap_or(f64::INFINITY)
     }
 
     /// Starts the waiting request whose turn it is, if there is room for it.
     fn start_next(&mut self, now: Duration) -> Option<Resolution> {
-        let ticket = self.room.turn(self.capacity(now))?;
-        let held = self.room.get(ticket)?.clone();
-        let choice = self.choose(now, &held)?;
-        self.room.remove(ticket);
+        let ticket = self.room.turn(self.capacity())?;
+        let search = self.room.get(ticket)?.search(now, &self.settings);
+        let choice = self.router.choose(&search)?;
+        let held = self.room.remove(ticket)?;
         let start = self.start(&held, choice, held.work);
         Some(Resolution {
             ticket,
@@ -398,35 +407,26 @@
 
     /// Chooses an upstream for a request.
     fn choose(&mut self, now: Duration, held: &Held) -> Option<Choice> {
-        let route = Route {
-            now,
-            pool: &self.pool,
-            settings: &self.settings,
-            zone: &self.zone,
-            affinity: &self.affinity,
-            tried: &held.tried,
-        };
-        route.choose(&held.prefixes, &mut self.random)
+        self.router.choose(&held.search(now, &self.settings))
     }
 
     /// Starts an attempt at the chosen upstream.
     fn start(&mut self, held: &Held, choice: Choice, charge: f64) -> Start {
         let attempt = Id(self.number());
-        let upstream = &self.pool.list()[choice.place];
+        let upstream = &self.router.pool.list()[choice.place];
         let flight = Flight {
             customer: held.customer,
             upstream: upstream.member.name.clone(),
             serial: upstream.serial,
             charged: charge,
-            prompt_tokens: held.prompt_tokens,
-            max_tokens: held.max_tokens,
+            asked: held.asked,
             prefix: choice.prefix.map(|place| held.prefixes[place]),
         };
         self.counts.started += 1;
-        self.counts.spilled += u64::from(upstream.member.zone != self.zone);
+        self.counts.spilled += u64::from(!upstream.local);
         self.counts.affine += u64::from(choice.prefix.is_some());
-        self.affinity.learn(&held.prefixes, upstream.cache);
-        self.pool.start(choice.place);
+        self.router.affinity.learn(&held.prefixes, upstream.cache);
+        self.router.pool.start(choice.place);
         self.room.charge(held.customer, charge);
         if held.tried.is_empty() {
             let ratio = self.settings.retry_ratio;
@@ -444,11 +444,11 @@
         }
     }
 
-    /// Learns a customer's answers from one that ran and did `done` work.
-    fn learn(&mut self, flight: &Flight, tokens: u32, done: f64) {
+    /// Learns a customer's habit from an answer, which took `done` work.
+    fn learn(&mut self, flight: &Flight, size: Size, done: f64) {
         let customer = self.room.customers.get_mut(flight.customer);
-        customer.ratio.learn(tokens, flight.max_tokens);
-        self.ratio.learn(tokens, flight.max_tokens);
+        customer.habit.learn(size, flight.asked);
+        self.habit.learn(size, flight.asked);
         if flight.charged > 0.0 {
             self.room.charge(flight.customer, done - flight.charged);
         }
@@ -456,9 +456,12 @@
 
     /// Forgets a prefix that the answer shows not to have been held.
     fn correct_cache(&mut self, place: usize, flight: &Flight, outcome: &Outcome) {
-        let missed = outcome.ending == Ending::Ran && outcome.prompt_tokens >= flight.prompt_tokens;
+        let missed =
+            outcome.ending == Ending::Ran && outcome.prompt_tokens >= flight.asked.prompt_tokens;
         if let Some(prefix) = flight.prefix.filter(|_| missed) {
-            self.affinity.drop(prefix, self.pool.list()[place].cache);
+            self.router
+                .affinity
+                .drop(prefix, self.router.pool.list()[place].cache);
         }
     }
 
@@ -469,13 +472,13 @@
     }
 
     /// A refusal, counted, with the time until what the customer has waiting is done.
-    fn refuse(&mut self, now: Duration, reason: Reason, customer: u32) -> Refusal {
+    fn refuse(&mut self, reason: Reason, customer: u32) -> Refusal {
         self.counts.refused[reason as usize] += 1;
         let wait = match reason {
             Reason::NoUpstream => NO_UPSTREAM,
-            _ => self.room.wait(customer, self.capacity(now)),
+            _ => self.room.wait(customer, self.capacity()),
         };
-        let jitter = 1.0 + JITTER * self.random.random::<f64>();
+        let jitter = 1.0 + JITTER * self.router.random();
         let seconds = (wait * jitter).clamp(SOONEST, LATEST);
         Refusal {
             reason,
@@ -489,8 +492,8 @@
         Shown {
             name: upstream.member.name.clone(),
             in_flight: upstream.in_flight,
-            limit: self.pool.limit(now, upstream, &self.settings) as u32,
-            ejected: self.pool.is_out(now, upstream),
+            limit: self.router.pool.limit(now, upstream, &self.settings) as u32,
+            ejected: self.router.pool.is_out(now, upstream),
         }
     }
 
--- a/verbenaspool_policy/src/customers.rs
+++ b/verbenaspool_policy/src/customers.rs
@@ -4,7 +4,7 @@
 
 use verbenaspool_state::name::Name;
 
-use crate::{budget::Budget, estimate::Ratio, fair::Seat, queue::Queue};
+use crate::{budget::Budget, estimate::Habit, fair::Seat, queue::Queue};
 
 /// The share of a customer that the configuration doesn't name.
 const UNNAMED: u32 = 1;
@@ -14,8 +14,8 @@
 pub struct Customer {
     /// Its weight when capacity is short.
     pub share: u32,
-    /// How much of `max_tokens` its answers have.
-    pub ratio: Ratio,
+    /// What its requests turn out to be.
+    pub habit: Habit,
     /// Its waiting requests.
     pub queue: Queue,
     /// Its seat among those that wait.
--- a/verbenaspool_policy/src/flight.rs
+++ b/verbenaspool_policy/src/flight.rs
@@ -2,6 +2,8 @@
 
 use verbenaspool_state::name::Name;
 
+use crate::estimate::Size;
+
 /// An attempt in flight.
 #[derive(Debug)]
 pub struct Flight {
@@ -13,10 +15,8 @@
     pub serial: u64,
     /// The work charged for it; 0 where nobody waited.
     pub charged: f64,
-    /// The length of its prompt.
-    pub prompt_tokens: u32,
-    /// The most tokens it may generate.
-    pub max_tokens: u32,
+    /// What it asked for.
+    pub asked: Size,
     /// The prefix that its upstream was chosen for.
     pub prefix: Option<u64>,
 }
--- /dev/null
+++ b/verbenaspool_policy/src/hash.rs
@@ -0,0 +1,34 @@
+//! A hash for tables keyed by the balancer's own numbers.
+//!
+//! Tickets, attempts and prefix hashes aren't chosen by callers, so that the
+//! standard hash's guard against chosen keys isn't needed, and every decision
+//! looks several of them up.
+
+use std::hash::{BuildHasherDefault, Hasher};
+
+/// An odd multiplier that spreads the low bits over the high ones (Fibonacci hashing).
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Hashes one number.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Number(u64);
+
+impl Hasher for Number {
+    fn finish(&self) -> u64 {
+        // The table takes its bucket from the low bits and its tag from the high ones.
+        self.0 ^ (self.0 >> 32)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.write_u64(byte.into());
+        }
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        self.0 = (self.0 ^ number).wrapping_mul(SPREAD);
+    }
+}
+
+/// A table keyed by a number.
+pub type Map<K, V> = std::collections::HashMap<K, V, BuildHasherDefault<Number>>;
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod estimate;
 pub mod fair;
 pub mod flight;
+pub mod hash;
 pub mod health;
 pub mod limit;
 pub mod load;
--- a/verbenaspool_policy/src/limit.rs
+++ b/verbenaspool_policy/src/limit.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Below this multiple of the best pace the limit may grow.
-const NEAR: f64 = 1.15;
+const NEAR: f64 = 1.1;
 /// Above this multiple of the best pace the limit shrinks, to where the pace is
 /// this multiple if it follows the number in flight.
 const WORSE: f64 = 1.3;
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -25,6 +25,8 @@
 /// The most running and waiting requests that a report may claim; more is taken
 /// as this, so that an absurd report can't shut an upstream out for good.
 const ABSURD: u32 = 100_000;
+/// Upstreams needed to tell which one is the outlier.
+const FEW: usize = 3;
 /// The bounds of a member's speed; outside them the figure is no measurement.
 const SPEEDS: (f64, f64) = (0.05, 20.0);
 
@@ -33,6 +35,8 @@
 pub struct Upstream {
     /// What the list says of it.
     pub member: Member,
+    /// Whether it stands in the entry's own zone.
+    pub local: bool,
     /// Stands for this upstream; a later one in the same place has another.
     pub serial: u64,
     /// Stands for its cache; changes when the cache is emptied.
@@ -56,6 +60,10 @@
 /// The upstreams, in the order of the chosen subset.
 #[derive(Debug)]
 pub struct Pool {
+    /// The entry's own zone.
+    zone: Name,
+    /// The work a second that the upstreams do for this entry, once a pace is known.
+    capacity: Option<f64>,
     /// The upstreams.
     list: Vec<Upstream>,
     /// Where each stands.
@@ -77,8 +85,10 @@
 impl Pool {
     /// A pool without upstreams.
     #[must_use]
-    pub fn new(mechanisms: Set) -> Self {
+    pub fn new(zone: Name, mechanisms: Set) -> Self {
         Self {
+            zone,
+            capacity: None,
             list: Vec::new(),
             places: HashMap::new(),
             pace: Pace::default(),
@@ -90,6 +100,12 @@
         }
     }
 
+    /// The entry's own zone.
+    #[must_use]
+    pub fn zone(&self) -> &Name {
+        &self.zone
+    }
+
     /// The upstreams.
     #[must_use]
     pub fn list(&self) -> &[Upstream] {
@@ -111,10 +127,12 @@
                 .filter(|kept| kept.member.incarnation == member.incarnation);
             let mut upstream = kept.unwrap_or_else(|| self.join(now, member, settings, first));
             upstream.member = member.clone();
+            upstream.local = member.zone == self.zone;
             upstream.member.speed = speed(member.speed);
             self.places.insert(member.name.clone(), self.list.len());
             self.list.push(upstream);
         }
+        self.measure(now, settings);
     }
 
     /// An upstream that joins. The very first list has nobody to spare it, so
@@ -129,6 +147,7 @@
         self.serial += 2;
         Upstream {
             member: member.clone(),
+            local: member.zone == self.zone,
             serial: self.serial,
             cache: Key(self.serial),
             in_flight: 0,
@@ -216,15 +235,22 @@
         self.list[place].cache = Key(self.serial);
     }
 
-    /// Looks for outliers, at most once a [`TICK`].
-    pub fn refresh(&mut self, now: Duration, settings: &Decisions) {
+    /// Looks for outliers and adds the capacity up, at most once a [`TICK`];
+    /// whether it did.
+    pub fn refresh(&mut self, now: Duration, settings: &Decisions) -> bool {
         if now < self.tick {
-            return;
+            return false;
         }
         self.tick = now + TICK;
-        if !self.mechanisms.has(Mechanism::Ejection) || self.list.len() < 3 {
-            return;
+        if self.mechanisms.has(Mechanism::Ejection) && self.list.len() >= FEW {
+            self.eject(now, settings);
         }
+        self.measure(now, settings);
+        true
+    }
+
+    /// Ejects outliers.
+    fn eject(&mut self, now: Duration, settings: &Decisions) {
         let median = self.median();
         let mut room = self.ejectable(now, settings);
         for upstream in &mut self.list {
@@ -336,16 +362,20 @@
 
     /// The work a second that the upstreams do for this entry, once a pace is known.
     #[must_use]
-    pub fn capacity(&self, now: Duration, settings: &Decisions) -> Option<f64> {
-        let common = self.pace()?;
+    pub fn capacity(&self) -> Option<f64> {
+        self.capacity
+    }
+
+    /// Adds the capacity up.
+    fn measure(&mut self, now: Duration, settings: &Decisions) {
+        let Some(common) = self.pace() else {
+            return;
+        };
         let rate = |upstream: &Upstream| {
-            let pace = upstream
-                .pace
-                .mean()
-                .unwrap_or(common / upstream.member.speed);
-            self.limit(now, upstream, settings) / pace
+            let expected = common / upstream.member.speed;
+            self.limit(now, upstream, settings) / upstream.pace.mean().unwrap_or(expected)
         };
-        Some(self.list.iter().map(rate).sum())
+        self.capacity = Some(self.list.iter().map(rate).sum());
     }
 }
 
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -1,19 +1,18 @@
 //! The requests that wait, of every customer.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{decisions::Decisions, name::Name};
 
 use crate::{
     customers::Customers,
     decision::Ticket,
+    estimate::Size,
     fair::Ring,
+    hash::Map,
     mechanism::{Mechanism, Set},
     queue::{Drain, Waiting},
+    route::Search,
 };
 
 /// The customer whose queue everybody shares where shares are switched off.
@@ -38,20 +37,31 @@
 pub struct Held {
     /// Its customer's number.
     pub customer: u32,
-    /// Its estimated work, nothing cached.
+    /// Its estimated work.
     pub work: f64,
     /// When its answer must be whole.
     pub deadline: Duration,
-    /// The length of its prompt.
-    pub prompt_tokens: u32,
-    /// The most tokens it may generate.
-    pub max_tokens: u32,
+    /// What it asks for.
+    pub asked: Size,
     /// The hashes of its prompt's prefixes.
     pub prefixes: Vec<u64>,
     /// Upstreams to stay away from.
     pub tried: Vec<Name>,
 }
 
+impl Held {
+    /// What an upstream is sought for.
+    #[must_use]
+    pub fn search<'a>(&'a self, now: Duration, settings: &'a Decisions) -> Search<'a> {
+        Search {
+            now,
+            settings,
+            prefixes: &self.prefixes,
+            tried: &self.tried,
+        }
+    }
+}
+
 /// The waiting requests.
 #[derive(Debug)]
 pub struct Room {
@@ -70,7 +80,7 @@
     /// The work of all waiting requests.
     backlog: f64,
     /// Waiting requests.
-    held: HashMap<Ticket, Held>,
+    held: Map<Ticket, Held>,
     /// The latest starts of waiting requests, and of some that wait no more.
     expiries: BinaryHeap<Reverse<(Duration, Ticket)>>,
     /// The mechanisms in use.
@@ -89,7 +99,7 @@
             over_since: None,
             offered_at: Duration::ZERO,
             backlog: 0.0,
-            held: HashMap::new(),
+            held: Map::default(),
             expiries: BinaryHeap::new(),
             mechanisms,
         }
--- a/verbenaspool_policy/src/route.rs
+++ b/verbenaspool_policy/src/route.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use verbenaspool_state::{decisions::Decisions, name::Name};
 
 use crate::{affinity::Affinity, mechanism::Mechanism, pool::Pool};
@@ -27,119 +27,151 @@
     pub prefix: Option<usize>,
 }
 
-/// What a choice is made from.
-#[derive(Debug)]
-pub struct Route<'a> {
+/// What an upstream is sought for.
+#[derive(Debug, Clone, Copy)]
+pub struct Search<'a> {
     /// The time.
     pub now: Duration,
-    /// The upstreams.
-    pub pool: &'a Pool,
     /// The settings.
     pub settings: &'a Decisions,
-    /// The entry's own zone.
-    pub zone: &'a Name,
-    /// What is known about prefixes.
-    pub affinity: &'a Affinity,
+    /// Hashes of the prompt's prefixes, shortest first.
+    pub prefixes: &'a [u64],
     /// Upstreams to stay away from.
     pub tried: &'a [Name],
 }
 
-impl Route<'_> {
-    /// The upstream for a request with these prefixes, if any has room.
-    pub fn choose(&self, prefixes: &[u64], random: &mut SmallRng) -> Option<Choice> {
-        if let Some(choice) = self.holder(prefixes) {
+/// Chooses upstreams.
+#[derive(Debug)]
+pub struct Router {
+    /// The upstreams worked with.
+    pub pool: Pool,
+    /// What is known about prefixes.
+    pub affinity: Affinity,
+    /// Chooses among equals; seeded, so that runs repeat.
+    random: SmallRng,
+    /// Whether no upstream had room when last asked, and nothing changed since.
+    full: bool,
+}
+
+impl Router {
+    /// A router for these upstreams.
+    #[must_use]
+    pub fn new(pool: Pool, seed: u64) -> Self {
+        Self {
+            pool,
+            affinity: Affinity::default(),
+            random: SmallRng::seed_from_u64(seed),
+            full: false,
+        }
+    }
+
+    /// Notes that an upstream may have room again.
+    pub fn free(&mut self) {
+        self.full = false;
+    }
+
+    /// A random number from 0 to 1.
+    pub fn random(&mut self) -> f64 {
+        self.random.random()
+    }
+
+    /// The upstream for a request, if any takes it.
+    pub fn choose(&mut self, search: &Search<'_>) -> Option<Choice> {
+        if let Some(choice) = self.holder(search) {
             return Some(choice);
         }
-        let place = self.place(random)?;
+        if self.full {
+            return None;
+        }
+        let place = self.place(search);
+        self.full = place.is_none() && search.tried.is_empty();
         Some(Choice {
-            place,
+            place: place?,
             prefix: None,
         })
     }
 
-    /// The least loaded holder of the longest known prefix, unless it is loaded
-    /// above the bound.
-    fn holder(&self, prefixes: &[u64]) -> Option<Choice> {
-        if !self.pool.mechanisms.has(Mechanism::Affinity) || prefixes.is_empty() {
+    /// The least loaded holder of the longest known prefix that bears one more.
+    fn holder(&self, search: &Search<'_>) -> Option<Choice> {
+        if !self.pool.mechanisms.has(Mechanism::Affinity) || search.prefixes.is_empty() {
             return None;
         }
-        let (prefix, keys) = self.affinity.find(prefixes)?;
-        let keys: Vec<_> = keys.collect();
+        let (prefix, holders) = self.affinity.find(search.prefixes)?;
         let list = self.pool.list();
-        let best = (0..list.len())
-            .filter(|&place| keys.contains(&list[place].cache) && self.open(place))
-            .min_by(|&a, &b| self.score(a).total_cmp(&self.score(b)))?;
-        (self.score(best) <= self.settings.affinity_bound * self.mean()).then_some(Choice {
-            place: best,
+        let place = (0..list.len())
+            .filter(|&place| holders.contains(&Some(list[place].cache)))
+            .filter(|&place| self.bears(search, place))
+            .min_by(|&a, &b| self.score(search, a).total_cmp(&self.score(search, b)))?;
+        Some(Choice {
+            place,
             prefix: Some(prefix),
         })
     }
 
-    /// The mean score of the upstreams that take work.
-    #[allow(clippy::cast_precision_loss)] // A subset is some thousands at most.
-    fn mean(&self) -> f64 {
-        let list = self.pool.list();
-        let scores = (0..list.len())
-            .filter(|&place| !self.pool.is_out(self.now, &list[place]))
-            .map(|place| self.score(place));
-        let (sum, count) = scores.fold((0.0, 0_usize), |(sum, count), score| {
-            (sum + score, count + 1)
-        });
-        sum / count.max(1) as f64
+    /// Whether a holder takes one more: up to the bound above its limit, as
+    /// computing the prefix anew elsewhere would take more than it slows down here.
+    fn bears(&self, search: &Search<'_>, place: usize) -> bool {
+        let upstream = &self.pool.list()[place];
+        let limit = self.pool.limit(search.now, upstream, search.settings);
+        let most = search.settings.affinity_bound * limit;
+        f64::from(upstream.in_flight) + 1.0 <= most && !self.shuns(search, place)
     }
 
     /// The better of two random upstreams of the own zone, or of another where
     /// the own one is full or much more loaded.
-    fn place(&self, random: &mut SmallRng) -> Option<usize> {
+    fn place(&mut self, search: &Search<'_>) -> Option<usize> {
         if !self.pool.mechanisms.has(Mechanism::Zones) {
-            return self.better(random, |_| true);
+            return self.better(search, None);
         }
-        let own = |place: usize| self.pool.list()[place].member.zone == *self.zone;
-        let local = self.better(random, own);
-        let Some(local) = local else {
-            return self.better(random, |place| !own(place));
+        let Some(local) = self.better(search, Some(true)) else {
+            return self.better(search, Some(false));
         };
-        let remote = self.sample(random, |place| !own(place));
-        let spills = |&remote: &usize| self.score(remote) * SPILL < self.score(local);
+        let remote = self.sample(search, Some(false));
+        let spills =
+            |remote: &usize| self.score(search, *remote) * SPILL < self.score(search, local);
         Some(remote.filter(spills).unwrap_or(local))
     }
 
-    /// The better of two random open upstreams.
-    fn better(&self, random: &mut SmallRng, fits: impl Fn(usize) -> bool) -> Option<usize> {
-        let first = self.sample(random, &fits)?;
-        let second = self.sample(random, &fits)?;
-        Some(if self.score(second) < self.score(first) {
-            second
-        } else {
-            first
-        })
+    /// The better of two random upstreams with room, in the own zone or not.
+    fn better(&mut self, search: &Search<'_>, local: Option<bool>) -> Option<usize> {
+        let first = self.sample(search, local)?;
+        let second = self.sample(search, local)?;
+        let better = self.score(search, second) < self.score(search, first);
+        Some(if better { second } else { first })
     }
 
-    /// A random open upstream.
-    fn sample(&self, random: &mut SmallRng, fits: impl Fn(usize) -> bool) -> Option<usize> {
+    /// A random upstream with room, in the own zone or not.
+    fn sample(&mut self, search: &Search<'_>, local: Option<bool>) -> Option<usize> {
         let count = self.pool.list().len();
         if count == 0 {
             return None;
         }
-        let fits = |&place: &usize| fits(place) && self.open(place);
-        (0..TRIES)
-            .map(|_| random.random_range(0..count))
-            .find(fits)
-            .or_else(|| {
-                let from = random.random_range(0..count);
-                (from..count).chain(0..from).find(fits)
-            })
+        for _ in 0..TRIES {
+            let place = self.random.random_range(0..count);
+            if self.fits(search, place, local) {
+                return Some(place);
+            }
+        }
+        let from = self.random.random_range(0..count);
+        let mut places = (from..count).chain(0..from);
+        places.find(|&place| self.fits(search, place, local))
     }
 
-    /// Whether an upstream takes this attempt.
-    fn open(&self, place: usize) -> bool {
-        self.pool.has_room(self.now, place, self.settings)
-            && (self.tried.len() >= self.pool.list().len()
-                || !self.tried.contains(&self.pool.list()[place].member.name))
+    /// Whether an upstream has room, in the own zone or not.
+    fn fits(&self, search: &Search<'_>, place: usize, local: Option<bool>) -> bool {
+        local.is_none_or(|local| self.pool.list()[place].local == local)
+            && self.pool.has_room(search.now, place, search.settings)
+            && !self.shuns(search, place)
+    }
+
+    /// Whether to stay away from an upstream that was tried, while there are others.
+    fn shuns(&self, search: &Search<'_>, place: usize) -> bool {
+        let list = self.pool.list();
+        search.tried.len() < list.len() && search.tried.contains(&list[place].member.name)
     }
 
     /// How loaded an upstream looks.
-    fn score(&self, place: usize) -> f64 {
-        self.pool.score(self.now, place)
+    fn score(&self, search: &Search<'_>, place: usize) -> f64 {
+        self.pool.score(search.now, place)
     }
 }
--- a/verbenaspool_state/src/decisions.rs
+++ b/verbenaspool_state/src/decisions.rs
@@ -18,7 +18,7 @@
     pub max_limit: u32,
     /// How many upstreams one entry instance works with.
     pub subset: u32,
-    /// How far above the mean a cached prefix may load its upstream; 1.25 is a quarter above.
+    /// How far above its limit a cached prefix may load its upstream; 2 is twice the limit.
     pub affinity_bound: f64,
     /// How many times slower than its peers an upstream must be to be ejected.
     pub ejection_factor: f64,
@@ -40,7 +40,7 @@
             initial_limit: 2,
             max_limit: 512,
             subset: 64,
-            affinity_bound: 1.25,
+            affinity_bound: 2.0,
             ejection_factor: 3.0,
             ejection_share: 0.3,
             retry_ratio: 0.1,
