--- a/verbenaspool_policy/benches/decisions.rs
+++ b/verbenaspool_policy/benches/decisions.rs
@@ -4,10 +4,12 @@
 
 mod play;
 
+use std::time::Duration;
+
 use play::{
     baseline::{Baseline, Kind},
     case::Case,
-    oracle,
+    fleet, oracle,
     policy::Policy,
     score::Score,
     world,
@@ -31,16 +33,11 @@
         }
         let row = |policy: &str, score: Score| show(has("--json"), case.name, policy, &score);
         row("verbenaspool", ours(&case, Set::all()));
-        if has("--mine") {
-            continue;
-        }
         for kind in Kind::ALL {
-            row(
-                kind.name(),
-                world::run(&case, &|entry, _| {
-                    Box::new(Baseline::new(kind, entry as u64))
-                }),
-            );
+            let baseline = |entry, _: &Name| -> Box<dyn Policy> {
+                Box::new(Baseline::new(kind, entry as u64))
+            };
+            row(kind.name(), world::run(&case, &baseline));
         }
         row("oracle", oracle::run(&case));
         if has("--ablation") {
@@ -50,6 +47,36 @@
             }
         }
     }
+    if only.is_none_or(|only| only == "fleet") {
+        fleet(&|case, policy, score| show(has("--json"), case, policy, &score));
+    }
+}
+
+/// Measures a decision at the size of two years from now.
+fn fleet(show: &dyn Fn(&str, &str, Score)) {
+    let (members, peers) = (fleet::members(), fleet::peers());
+    let narrow = Decisions {
+        initial_limit: 1,
+        max_limit: 1,
+        ..Decisions::default()
+    };
+    // 64 attempts of 4 s at once are 16 a second, where 34 or 272 are offered.
+    let cases = [
+        ("fleet", 1, Decisions::default()),
+        ("fleet-overload", 8, narrow),
+    ];
+    for (case, load, settings) in cases {
+        let zone = world::name("zone", 0);
+        let mut balancer = Balancer::new(&settings, world::name("entry", 0), zone, 1);
+        balancer.peers(Duration::ZERO, &peers);
+        balancer.members(Duration::ZERO, &members);
+        show(case, "verbenaspool", fleet::run(&mut balancer, load));
+        for kind in Kind::ALL {
+            let mut baseline = Baseline::new(kind, 1);
+            baseline.members(Duration::ZERO, &members);
+            show(case, kind.name(), fleet::run(&mut baseline, load));
+        }
+    }
 }
 
 /// Plays a case with the balancer.
--- a/verbenaspool_policy/benches/play/case.rs
+++ b/verbenaspool_policy/benches/play/case.rs
@@ -20,6 +20,8 @@
 pub enum Change {
     /// An engine's speed becomes this.
     Speed(usize, f64),
+    /// A part of an engine's attempts fail at once.
+    Fail(usize, f64),
     /// An engine is replaced by a new incarnation, cold.
     Replace(usize),
     /// A zone can't be reached from the others any more.
@@ -42,6 +44,12 @@
     /// The part of reports and cache events that get lost.
     pub gaps: f64,
     pub changes: Vec<(Duration, Change)>,
+    /// The part of requests that arrive at the first entry.
+    pub first_entry: f64,
+    /// Whether half of the engines are three times as large as the others.
+    pub mixed: bool,
+    /// Whether every third customer always asks for the longest answer.
+    pub untold: bool,
 }
 
 impl Case {
@@ -56,6 +64,9 @@
             lag: Duration::from_millis(200),
             gaps: 0.0,
             changes: Vec::new(),
+            first_entry: 1.0 / ENTRIES as f64,
+            mixed: false,
+            untold: true,
         }
     }
 
@@ -83,7 +94,7 @@
             },
             Self {
                 mix: Mix::Long,
-                ..Self::new("long-among-short", 120, 0.9)
+                ..Self::new("long-among-short", 120, 1.2)
             },
             Self::new("load-1.0", 120, 1.0),
             Self::new("load-1.5", 120, 1.5),
@@ -105,20 +116,63 @@
             changes: vec![(at(20), Change::Cut(0)), (at(45), Change::Heal(0))],
             ..Self::new("zone-lost", 75, 0.55)
         });
+        cases.extend(Self::failures());
+        cases.extend([
+            Self {
+                first_entry: 0.7,
+                ..Self::new("uneven-entries", 60, 0.8)
+            },
+            Self {
+                mixed: true,
+                ..Self::new("mixed-engines", 60, 0.95)
+            },
+            Self {
+                untold: false,
+                ..Self::new("load-3.0-told", 120, 3.0)
+            },
+        ]);
         cases
     }
 
+    /// Cases of upstreams that fail what they get.
+    fn failures() -> [Self; 2] {
+        let at = Duration::from_secs;
+        let all = |second, part| (0..ENGINES).map(move |e| (at(second), Change::Fail(e, part)));
+        [
+            Self {
+                changes: vec![
+                    (at(15), Change::Fail(3, 1.0)),
+                    (at(45), Change::Fail(3, 0.0)),
+                ],
+                ..Self::new("failing-upstream", 60, 0.7)
+            },
+            Self {
+                changes: all(20, 1.0).chain(all(30, 0.0)).collect(),
+                ..Self::new("outage", 60, 0.7)
+            },
+        ]
+    }
+
     /// The work a second of all engines at full speed.
     pub fn capacity() -> f64 {
         (ENGINES * KNEE) as f64 * SPEED
     }
 
-    pub fn engines() -> Vec<Engine> {
+    pub fn engines(&self) -> Vec<Engine> {
         (0..ENGINES)
-            .map(|engine| Engine::new(engine % ZONES, 24))
+            .map(|engine| Engine::new(engine % ZONES, 24, self.knee(engine)))
             .collect()
     }
 
+    /// The requests that an engine runs at full speed.
+    pub fn knee(&self, engine: usize) -> usize {
+        match (self.mixed, engine % 2) {
+            (false, _) => KNEE,
+            (true, 0) => KNEE / 2,
+            (true, _) => KNEE * 3 / 2,
+        }
+    }
+
     /// The work a second of all engines at a time.
     pub fn capacity_at(&self, now: Duration) -> f64 {
         let mut speeds = [1.0; ENGINES];
@@ -130,11 +184,13 @@
                     speeds[engine] = 0.3;
                 }
                 Change::Replace(engine) => speeds[engine] = 1.0,
+                Change::Fail(engine, failing) => speeds[engine] = 1.0 - failing,
                 Change::Cut(zone) => (zone..ENGINES).step_by(ZONES).for_each(|e| speeds[e] = 0.0),
                 Change::Heal(zone) => (zone..ENGINES).step_by(ZONES).for_each(|e| speeds[e] = 1.0),
             }
         }
-        speeds.iter().sum::<f64>() * KNEE as f64 * SPEED
+        let speed = |engine: usize| speeds[engine] * self.knee(engine) as f64 * SPEED;
+        (0..ENGINES).map(speed).sum()
     }
 
     fn load_at(&self, second: f64) -> f64 {
@@ -156,6 +212,14 @@
         })
     }
 
+    fn entry(&self, random: &mut SmallRng) -> usize {
+        if random.random_bool(self.first_entry) {
+            0
+        } else {
+            random.random_range(1..ENTRIES)
+        }
+    }
+
     fn customer(&self, random: &mut SmallRng) -> usize {
         if random.random_bool(self.hot) {
             random.random_range(0..3)
@@ -169,7 +233,11 @@
         let mut random = SmallRng::seed_from_u64(self.seed);
         let mut sample = SmallRng::seed_from_u64(self.seed + 1);
         let total: f64 = (0..20_000)
-            .map(|i| self.mix.job(&mut sample, i % CUSTOMERS).work(true))
+            .map(|i| {
+                self.mix
+                    .job(&mut sample, i % CUSTOMERS, self.untold)
+                    .work(true)
+            })
             .sum();
         let mean = total / 20_000.0;
         let mut jobs = Vec::new();
@@ -178,13 +246,13 @@
             let rate = self.load_at(now) * Self::capacity() / mean;
             now += exponential(&mut random, 1.0 / rate);
             let customer = self.customer(&mut random);
-            let mut job = self.mix.job(&mut random, customer);
+            let mut job = self.mix.job(&mut random, customer, self.untold);
             job.at = Duration::from_secs_f64(now);
             job.deadline += job.at;
             // The platform's balancer sends nothing to entries of a lost zone.
-            job.entry = random.random_range(0..ENTRIES);
+            job.entry = self.entry(&mut random);
             while self.is_cut(job.at, job.entry % ZONES) {
-                job.entry = random.random_range(0..ENTRIES);
+                job.entry = self.entry(&mut random);
             }
             jobs.push(job);
         }
--- a/verbenaspool_policy/benches/play/engine.rs
+++ b/verbenaspool_policy/benches/play/engine.rs
@@ -4,10 +4,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Requests that run together without slowing each other down.
+/// Requests that run together without slowing each other down, as a rule.
 pub const KNEE: usize = 8;
-/// Requests that run together at most.
-pub const BATCH: usize = 16;
+/// Requests that run together at most, as a multiple of those at full speed.
+const BATCH: usize = 2;
 /// Work that one request gets done a second.
 pub const SPEED: f64 = 100.0;
 /// The speed of an engine that has just started, and how long that lasts.
@@ -28,16 +28,19 @@
     pub version: u64,
     pub speed: f64,
     pub sequence: u64,
+    /// The part of attempts that fail at once.
+    pub failing: f64,
     cold_until: Duration,
     at: Duration,
     running: Vec<Running>,
     waiting: VecDeque<Running>,
     cache: VecDeque<u64>,
     cached: usize,
+    knee: usize,
 }
 
 impl Engine {
-    pub fn new(zone: usize, cached: usize) -> Self {
+    pub fn new(zone: usize, cached: usize, knee: usize) -> Self {
         Self {
             zone,
             up: true,
@@ -51,6 +54,8 @@
             waiting: VecDeque::new(),
             cache: VecDeque::new(),
             cached,
+            knee,
+            failing: 0.0,
         }
     }
 
@@ -74,7 +79,7 @@
     /// The work a second that each running request gets.
     fn rate(&self, now: Duration) -> f64 {
         let cold = if now < self.cold_until { COLD } else { 1.0 };
-        let shared = (KNEE as f64 / self.running.len().max(1) as f64).min(1.0);
+        let shared = (self.knee as f64 / self.running.len().max(1) as f64).min(1.0);
         SPEED * self.speed * cold * shared
     }
 
@@ -117,7 +122,7 @@
     }
 
     fn fill(&mut self) {
-        while self.running.len() < BATCH
+        while self.running.len() < BATCH * self.knee
             && let Some(next) = self.waiting.pop_front()
         {
             self.running.push(next);
--- a/verbenaspool_policy/benches/play/job.rs
+++ b/verbenaspool_policy/benches/play/job.rs
@@ -50,7 +50,7 @@
 
 impl Mix {
     /// A request; times are set by the caller, the deadline from 0.
-    pub fn job(self, random: &mut SmallRng, customer: usize) -> Job {
+    pub fn job(self, random: &mut SmallRng, customer: usize, untold: bool) -> Job {
         let (prompt, prefix, tokens) = match self {
             Self::Even => (
                 exponential(random, 300.0),
@@ -79,7 +79,7 @@
         let ask = random.random_range(1.0..3.0);
         // Every third customer always asks for the most there is.
         let max_tokens = match self {
-            Self::Even if customer % 3 == 1 => 800,
+            Self::Even if untold && customer % 3 == 1 => 800,
             _ => (f64::from(tokens) * ask) as u32 + 1,
         };
         let mut job = Job {
--- a/verbenaspool_policy/benches/play/mod.rs
+++ b/verbenaspool_policy/benches/play/mod.rs
@@ -12,6 +12,7 @@
 pub mod baseline;
 pub mod case;
 pub mod engine;
+pub mod fleet;
 pub mod job;
 pub mod oracle;
 pub mod policy;
--- a/verbenaspool_policy/benches/play/world.rs
+++ b/verbenaspool_policy/benches/play/world.rs
@@ -32,6 +32,8 @@
 const BROKEN: Duration = Duration::from_secs(1);
 /// How long a refused connection takes.
 const REFUSED: Duration = Duration::from_millis(100);
+/// How long an attempt takes to fail.
+const FAILED: Duration = Duration::from_millis(50);
 /// How often a refused caller asks at most.
 const ASKS: u32 = 4;
 
@@ -122,7 +124,7 @@
             tried: HashMap::new(),
             answered: vec![None; jobs.len()],
             jobs,
-            engines: Case::engines(),
+            engines: case.engines(),
             engine_names: (0..ENGINES).map(|engine| name("engine", engine)).collect(),
             customer_names: (0..CUSTOMERS)
                 .map(|customer| name("customer", customer))
@@ -250,6 +252,7 @@
         let started = Instant::now();
         let resolved = self.policies[entry].poll(now);
         self.deciding += started.elapsed();
+        self.decisions += resolved.len() as u64;
         for resolution in resolved {
             let Some(job) = self.tickets[entry].remove(&resolution.ticket) else {
                 continue;
@@ -301,6 +304,11 @@
             self.at(now + REFUSED, Event::Fail(number, Ending::NotRun));
             return;
         }
+        if self.random.random_bool(self.engines[engine].failing) {
+            self.attempts.insert(number, attempt);
+            self.at(now + FAILED, Event::Fail(number, Ending::Unknown));
+            return;
+        }
         let cached = self.touch(now, job, engine);
         if cached {
             attempt.computed -= self.jobs[job].prefix.map_or(0, |(_, tokens)| tokens);
@@ -441,6 +449,7 @@
                 self.engines[engine].version += 1;
                 self.schedule(engine);
             }
+            Change::Fail(engine, part) => self.engines[engine].failing = part,
             Change::Replace(engine) => {
                 for lost in self.engines[engine].restart(now) {
                     self.at(now + BROKEN, Event::Fail(lost, Ending::Unknown));
--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     attempt::{Ending, Id, Outcome},
+    budget::{self, Budget},
     decision::{Decision, Reason, Refusal, Resolution, Start, Ticket},
     estimate::{Habit, Size},
     flight::Flight,
@@ -15,6 +16,7 @@
     member::{Member, Peer},
     pool::{Pool, Upstream},
     queue::Waiting,
+    refusal,
     request::Request,
     room::{Held, Room},
     route::{Choice, Router},
@@ -22,19 +24,8 @@
     subset,
 };
 
-/// The least time a refused caller stays away, so that a refusal is never an
-/// invitation to ask again at once.
-const SOONEST: f64 = 0.1;
-/// The most time a refused caller is told to stay away. What is known about the
-/// load says nothing about a time beyond a minute.
-const LATEST: f64 = 60.0;
-/// How much longer than estimated a caller may be told to stay away, at random,
-/// so that callers refused together don't come back together.
-const JITTER: f64 = 0.5;
-/// How long a caller stays away where no upstream is known: about the time a
-/// list of members takes to arrive.
-const NO_UPSTREAM: f64 = 2.0;
-
+/// Retries saved up for the service: what three customers may save.
+const SERVICE_RETRIES: f64 = 30.0;
 /// Decides for one service at one entry instance.
 ///
 /// The entry calls `offer` for each request, `finish` for each attempt's end, and
@@ -87,6 +78,8 @@
     room: Room,
     /// What the requests of all customers turn out to be.
     habit: Habit,
+    /// The service's retries.
+    budget: Budget,
     /// Requests given up since the last poll.
     given_up: Vec<Resolution>,
     /// Attempts in flight.
@@ -117,6 +110,7 @@
             router: Router::new(Pool::new(zone, mechanisms), seed),
             room: Room::new(mechanisms),
             habit: Habit::default(),
+            budget: Budget::new(SERVICE_RETRIES),
             given_up: Vec::new(),
             flights: Map::default(),
             next: 0,
@@ -430,6 +424,7 @@
         self.room.charge(held.customer, charge);
         if held.tried.is_empty() {
             let ratio = self.settings.retry_ratio;
+            self.budget.earn(ratio);
             self.room
                 .customers
                 .get_mut(held.customer)
@@ -465,24 +460,19 @@
         }
     }
 
-    /// Takes one retry off the customer's budget.
+    /// Takes one retry off the budgets of the customer and of the service.
     fn spend(&mut self, customer: u32) -> bool {
-        !self.mechanisms.has(Mechanism::Budget)
-            || self.room.customers.get_mut(customer).budget.spend()
+        let own = &mut self.room.customers.get_mut(customer).budget;
+        !self.mechanisms.has(Mechanism::Budget) || budget::spend(own, &mut self.budget)
     }
 
     /// A refusal, counted, with the time until what the customer has waiting is done.
     fn refuse(&mut self, reason: Reason, customer: u32) -> Refusal {
         self.counts.refused[reason as usize] += 1;
-        let wait = match reason {
-            Reason::NoUpstream => NO_UPSTREAM,
-            _ => self.room.wait(customer, self.capacity()),
-        };
-        let jitter = 1.0 + JITTER * self.router.random();
-        let seconds = (wait * jitter).clamp(SOONEST, LATEST);
+        let wait = self.room.wait(customer, self.capacity());
         Refusal {
             reason,
-            retry_after: Duration::from_secs_f64(seconds),
+            retry_after: refusal::retry_after(reason, wait, self.router.random()),
         }
     }
 
@@ -492,7 +482,7 @@
         Shown {
             name: upstream.member.name.clone(),
             in_flight: upstream.in_flight,
-            limit: self.router.pool.limit(now, upstream, &self.settings) as u32,
+            limit: self.router.pool.limit(now, upstream) as u32,
             ejected: self.router.pool.is_out(now, upstream),
         }
     }
--- a/verbenaspool_policy/src/budget.rs
+++ b/verbenaspool_policy/src/budget.rs
@@ -4,40 +4,53 @@
 //! failure adds a request, the load grows with the failures, and the service
 //! stays down after the cause is gone.
 
-/// Retries that may be saved up. Ten cover one upstream's loss at today's size;
-/// more would be a burst of their own.
-const MOST: f64 = 10.0;
+/// Retries that a customer may save up. Ten cover one upstream's loss at today's
+/// size; more would be a burst of their own.
+const CUSTOMER: f64 = 10.0;
 
 /// Retries allowed, earned as a part of first attempts.
 #[derive(Debug, Clone, Copy)]
 pub struct Budget {
     /// Retries that may be made now.
     saved: f64,
+    /// Retries that may be saved up.
+    most: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { saved: MOST }
+        Self::new(CUSTOMER)
     }
 }
 
 impl Budget {
+    /// A budget that has saved up all it may.
+    #[must_use]
+    pub fn new(most: f64) -> Self {
+        Self { saved: most, most }
+    }
+
     /// Earns the part of a retry that one first attempt allows.
     pub fn earn(&mut self, ratio: f64) {
-        self.saved = (self.saved + ratio).min(MOST);
+        self.saved = (self.saved + ratio).min(self.most);
     }
+}
 
-    /// Takes one retry, if there is one.
-    ///
-    /// ```
-    /// let mut budget = verbenaspool_policy::budget::Budget::default();
-    /// assert!((0..10).all(|_| budget.spend()) && !budget.spend());
-    /// ```
-    pub fn spend(&mut self) -> bool {
-        let allowed = self.saved >= 1.0;
-        if allowed {
-            self.saved -= 1.0;
-        }
-        allowed
+/// Takes one retry off two budgets, if both have one.
+///
+/// ```
+/// use verbenaspool_policy::budget::{self, Budget};
+///
+/// let (mut own, mut common) = (Budget::new(10.0), Budget::new(1.0));
+/// assert!(budget::spend(&mut own, &mut common));
+/// common.earn(0.1);
+/// assert!(!budget::spend(&mut own, &mut common));
+/// ```
+pub fn spend(own: &mut Budget, common: &mut Budget) -> bool {
+    let allowed = own.saved >= 1.0 && common.saved >= 1.0;
+    if allowed {
+        own.saved -= 1.0;
+        common.saved -= 1.0;
     }
+    allowed
 }
--- a/verbenaspool_policy/src/health.rs
+++ b/verbenaspool_policy/src/health.rs
@@ -8,7 +8,7 @@
 //! or after a run of failures. Never more than a set share is out: when all are
 //! bad the cause is elsewhere, and sending everything to the few left would only
 //! break those too. Time out doubles with each ejection in a row, and on return
-//! an upstream takes work up gradually.
+//! an upstream's limit starts over from one attempt.
 
 use std::time::Duration;
 
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod pace;
 pub mod pool;
 pub mod queue;
-pub mod ramp;
+pub mod refusal;
 pub mod request;
 pub mod room;
 pub mod route;
--- a/verbenaspool_policy/src/limit.rs
+++ b/verbenaspool_policy/src/limit.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Starts over from one attempt, for an upstream that comes back. What was
+    /// its best pace still holds, so it grows no further than that allows.
+    pub fn restart(&mut self) {
+        self.value = 1.0;
+        self.settle = 0;
+        self.doubling = true;
+    }
+
     /// Learns from a load report that work waits in front of the engine: its
     /// batch is full, so what is above it only waits there instead of here.
     pub fn crowd(&mut self) {
--- a/verbenaspool_policy/src/mechanism.rs
+++ b/verbenaspool_policy/src/mechanism.rs
@@ -24,15 +24,13 @@
     Zones,
     /// Outliers are ejected.
     Ejection,
-    /// New and returned upstreams take work up gradually.
-    Ramp,
     /// Retries draw on a budget.
     Budget,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::Learning,
         Self::Shares,
         Self::Refusal,
@@ -43,7 +41,6 @@
         Self::Affinity,
         Self::Zones,
         Self::Ejection,
-        Self::Ramp,
         Self::Budget,
     ];
 }
@@ -58,8 +55,8 @@
     /// ```
     /// use verbenaspool_policy::mechanism::{Mechanism, Set};
     ///
-    /// let set = Set::all().without(Mechanism::Ramp);
-    /// assert!(!set.has(Mechanism::Ramp) && set.has(Mechanism::Pace));
+    /// let set = Set::all().without(Mechanism::Budget);
+    /// assert!(!set.has(Mechanism::Budget) && set.has(Mechanism::Pace));
     /// ```
     #[must_use]
     pub const fn all() -> Self {
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -13,7 +13,6 @@
     mechanism::{Mechanism, Set},
     member::Member,
     pace::Pace,
-    ramp,
 };
 
 /// How often outliers are looked for: often enough to act within a second, and
@@ -22,6 +21,10 @@
 /// The age at which a load report no longer counts. Reports are seconds late as
 /// a rule; after ten the load they speak of is gone.
 const STALE: Duration = Duration::from_secs(10);
+/// How much of a report's difference from the mean counts. Reports are late, so
+/// a part of it is gone when they arrive; with all of it, entries that see the
+/// same report move together, and with none they leave their zone by chance.
+const TRUST: f64 = 0.5;
 /// The most running and waiting requests that a report may claim; more is taken
 /// as this, so that an absurd report can't shut an upstream out for good.
 const ABSURD: u32 = 100_000;
@@ -51,8 +54,6 @@
     limit: Limit,
     /// Its record.
     health: Health,
-    /// When it joined, or came back; none where it has nothing to take up.
-    since: Option<Duration>,
     /// The last report's sequence and when it came.
     reported: Option<(u64, Duration)>,
 }
@@ -60,6 +61,8 @@
 /// The upstreams, in the order of the chosen subset.
 #[derive(Debug)]
 pub struct Pool {
+    /// The mean of what other entries have at an upstream.
+    others: f64,
     /// The entry's own zone.
     zone: Name,
     /// The work a second that the upstreams do for this entry, once a pace is known.
@@ -88,6 +91,7 @@
     pub fn new(zone: Name, mechanisms: Set) -> Self {
         Self {
             zone,
+            others: 0.0,
             capacity: None,
             list: Vec::new(),
             places: HashMap::new(),
@@ -114,7 +118,6 @@
 
     /// Takes the members to work with; leaving ones are left out by the caller.
     pub fn set(&mut self, now: Duration, members: &[&Member], settings: &Decisions) {
-        let first = self.list.is_empty();
         let mut before: HashMap<Name, Upstream> = self
             .list
             .drain(..)
@@ -125,25 +128,18 @@
             let kept = before
                 .remove(&member.name)
                 .filter(|kept| kept.member.incarnation == member.incarnation);
-            let mut upstream = kept.unwrap_or_else(|| self.join(now, member, settings, first));
+            let mut upstream = kept.unwrap_or_else(|| self.join(member, settings));
             upstream.member = member.clone();
             upstream.local = member.zone == self.zone;
             upstream.member.speed = speed(member.speed);
             self.places.insert(member.name.clone(), self.list.len());
             self.list.push(upstream);
         }
-        self.measure(now, settings);
+        self.measure(now);
     }
 
-    /// An upstream that joins. The very first list has nobody to spare it, so
-    /// its members start without a ramp.
-    fn join(
-        &mut self,
-        now: Duration,
-        member: &Member,
-        settings: &Decisions,
-        first: bool,
-    ) -> Upstream {
+    /// An upstream that joins, with the limit that new ones start with.
+    fn join(&mut self, member: &Member, settings: &Decisions) -> Upstream {
         self.serial += 2;
         Upstream {
             member: member.clone(),
@@ -155,7 +151,6 @@
             pace: Pace::default(),
             limit: Limit::new(settings.initial_limit),
             health: Health::default(),
-            since: (!first).then_some(now),
             reported: None,
         }
     }
@@ -245,7 +240,7 @@
         if self.mechanisms.has(Mechanism::Ejection) && self.list.len() >= FEW {
             self.eject(now, settings);
         }
-        self.measure(now, settings);
+        self.measure(now);
         true
     }
 
@@ -272,7 +267,7 @@
                 self.ejections += 1;
                 upstream.health.eject(now);
                 upstream.pace.reset();
-                upstream.since = Some(upstream.health.back());
+                upstream.limit.restart();
             }
         }
     }
@@ -321,17 +316,11 @@
 
     /// The most attempts in flight at an upstream now; 0 while it is out.
     #[must_use]
-    pub fn limit(&self, now: Duration, upstream: &Upstream, settings: &Decisions) -> f64 {
+    pub fn limit(&self, now: Duration, upstream: &Upstream) -> f64 {
         if upstream.member.leaving || upstream.health.is_out(now) {
             return 0.0;
         }
-        let ramps = self.mechanisms.has(Mechanism::Ramp);
-        let ramp = Duration::from_millis(settings.ramp_ms);
-        let part = match upstream.since {
-            Some(since) if ramps => ramp::part(now, since, ramp),
-            _ => 1.0,
-        };
-        (upstream.limit.get() * part).max(1.0)
+        upstream.limit.get()
     }
 
     /// Whether an upstream is out.
@@ -342,9 +331,9 @@
 
     /// Whether an upstream takes another attempt.
     #[must_use]
-    pub fn has_room(&self, now: Duration, place: usize, settings: &Decisions) -> bool {
+    pub fn has_room(&self, now: Duration, place: usize) -> bool {
         let upstream = &self.list[place];
-        f64::from(upstream.in_flight) + 1.0 <= self.limit(now, upstream, settings)
+        f64::from(upstream.in_flight) + 1.0 <= self.limit(now, upstream)
     }
 
     /// How loaded an upstream looks: what is there and one more, by its pace.
@@ -352,10 +341,12 @@
     pub fn score(&self, now: Duration, place: usize) -> f64 {
         let upstream = &self.list[place];
         let fresh = upstream.reported.is_some_and(|(_, at)| now < at + STALE);
-        let others = if fresh && self.mechanisms.has(Mechanism::Reports) {
-            upstream.others
-        } else {
+        let others = if !self.mechanisms.has(Mechanism::Reports) {
             0.0
+        } else if fresh {
+            self.others + TRUST * (upstream.others - self.others)
+        } else {
+            self.others
         };
         (f64::from(upstream.in_flight) + others + 1.0) * self.pace_of(upstream)
     }
@@ -366,14 +357,22 @@
         self.capacity
     }
 
+    /// The mean of what other entries have at an upstream.
+    #[allow(clippy::cast_precision_loss)] // A subset is some thousands at most.
+    fn mean_others(&self) -> f64 {
+        let sum: f64 = self.list.iter().map(|upstream| upstream.others).sum();
+        sum / self.list.len().max(1) as f64
+    }
+
     /// Adds the capacity up.
-    fn measure(&mut self, now: Duration, settings: &Decisions) {
+    fn measure(&mut self, now: Duration) {
+        self.others = self.mean_others();
         let Some(common) = self.pace() else {
             return;
         };
         let rate = |upstream: &Upstream| {
             let expected = common / upstream.member.speed;
-            self.limit(now, upstream, settings) / upstream.pace.mean().unwrap_or(expected)
+            self.limit(now, upstream) / upstream.pace.mean().unwrap_or(expected)
         };
         self.capacity = Some(self.list.iter().map(rate).sum());
     }
--- a/verbenaspool_policy/src/route.rs
+++ b/verbenaspool_policy/src/route.rs
@@ -112,7 +112,7 @@
     /// computing the prefix anew elsewhere would take more than it slows down here.
     fn bears(&self, search: &Search<'_>, place: usize) -> bool {
         let upstream = &self.pool.list()[place];
-        let limit = self.pool.limit(search.now, upstream, search.settings);
+        let limit = self.pool.limit(search.now, upstream);
         let most = search.settings.affinity_bound * limit;
         f64::from(upstream.in_flight) + 1.0 <= most && !self.shuns(search, place)
     }
@@ -160,7 +160,7 @@
     /// Whether an upstream has room, in the own zone or not.
     fn fits(&self, search: &Search<'_>, place: usize, local: Option<bool>) -> bool {
         local.is_none_or(|local| self.pool.list()[place].local == local)
-            && self.pool.has_room(search.now, place, search.settings)
+            && self.pool.has_room(search.now, place)
             && !self.shuns(search, place)
     }
 
--- a/verbenaspool_state/src/decisions.rs
+++ b/verbenaspool_state/src/decisions.rs
@@ -26,9 +26,6 @@
     pub ejection_share: f64,
     /// Retries allowed as a part of the requests that were let in.
     pub retry_ratio: f64,
-    /// How long a new or returned upstream takes to reach its whole part of the work, in
-    /// milliseconds.
-    pub ramp_ms: u64,
 }
 
 impl Default for Decisions {
@@ -44,7 +41,6 @@
             ejection_factor: 3.0,
             ejection_share: 0.3,
             retry_ratio: 0.1,
-            ramp_ms: 5_000,
         }
     }
 }
@@ -79,7 +75,6 @@
             range("ejection_factor", part(self.ejection_factor), 1.5, 100.0),
             range("ejection_share", part(self.ejection_share), 0.0, 0.9),
             range("retry_ratio", part(self.retry_ratio), 0.0, 1.0),
-            range("ramp_ms", whole(self.ramp_ms), 0.0, 600_000.0),
         ]
         .into_iter()
         .flatten()
