--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod group;
 pub mod head;
 pub mod keys;
+pub mod lease;
 pub mod membership;
 pub mod piece;
 pub mod store;
