Run applies, collections and claims through every order of loss

Three operators apply and collect while calls are lost, late or answered to nobody: 400 runs of up to 300 events hold.

--- /dev/null
+++ b/verbenaspool_coordination/tests/store/apply.rs
@@ -0,0 +1,247 @@
+//! Applies that race, and collections after them.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use verbenaspool_coordination::{
+    apply::{Apply, Order, Outcome},
+    collection::Collection,
+    head::Head,
+    keys,
+    piece::{self, Pieces},
+    store::{Answer, Call, Machine, Step},
+};
+use verbenaspool_state::{customer::Customer, file::File, name::Name, version::Version};
+
+use crate::model::{Event, Store, runner, runs};
+
+/// The firm whose files are applied.
+fn firm() -> Name {
+    "tidewater".parse().unwrap()
+}
+
+/// A file of some customers, told apart by their shares. Every third one is the
+/// same as another, so that pieces are dropped and come back.
+fn file(mark: u32) -> File {
+    let customer = |i: u32| Customer {
+        name: format!("customer-{i}").parse().unwrap(),
+        share: if i == mark % 12 { 1 + mark % 9 } else { 1 },
+        credentials: Vec::new(),
+        services: Vec::new(),
+    };
+    File {
+        firm: firm(),
+        places: Vec::new(),
+        services: Vec::new(),
+        customers: (0..12).map(customer).collect(),
+    }
+}
+
+/// An apply under an id of its own.
+fn apply(id: &str, mark: u32) -> Apply {
+    Apply::new(Order {
+        firm: firm(),
+        id: id.to_owned(),
+        expect: None,
+        split: piece::split(&file(mark)).unwrap(),
+    })
+}
+
+/// An operator: an apply under way, then the collection after it.
+struct Operator {
+    id: String,
+    mark: u32,
+    apply: Apply,
+    collection: Option<Collection>,
+}
+
+impl Operator {
+    fn new(id: String, mark: u32) -> Self {
+        let apply = apply(&id, mark);
+        Self {
+            id,
+            mark,
+            apply,
+            collection: None,
+        }
+    }
+}
+
+/// The stored head.
+fn head(store: &Store) -> Option<Head> {
+    let (_, value) = store.objects.get(&keys::head(&firm()))?;
+    Head::read(value)
+}
+
+/// Whether everything that the head refers to is there.
+fn whole(store: &Store) -> bool {
+    let Some(head) = head(store) else {
+        return true;
+    };
+    let mut pieces = Pieces::default();
+    let prefix = keys::pieces(&firm());
+    for (key, (_, value)) in &store.objects {
+        if let Some(hash) = key.strip_prefix(&prefix) {
+            pieces.insert(hash.parse().unwrap(), value).unwrap();
+        }
+    }
+    pieces
+        .missing(head.root)
+        .is_ok_and(|missing| missing.is_empty())
+}
+
+// Three operators apply files at once, calls are lost, late and answered to
+// nobody, operators give up, and collections run in between. Each operator must
+// be told what really happened, versions must count up one by one, and nothing
+// that the head refers to may ever be missing.
+#[test]
+fn operators_are_told_the_truth() {
+    let outcome = runner(400).run(&runs(), |events| {
+        let mut store = Store::default();
+        let mut seen = 0;
+        let mut operators: Vec<Operator> = (0..3)
+            .map(|i| Operator::new(format!("{i}-first"), i))
+            .collect();
+        let mut accepted: BTreeMap<u64, String> = BTreeMap::new();
+        let mut refused: Vec<String> = Vec::new();
+        let mut told: Vec<(String, u64)> = Vec::new();
+        for (number, event) in events.into_iter().enumerate() {
+            let next = u32::try_from(number).unwrap();
+            match event {
+                Event::Arrive => {
+                    if !store.delayed.is_empty() {
+                        let call = store.delayed.remove(0);
+                        store.make(call);
+                    }
+                }
+                Event::Turn(who, fault) => {
+                    let one = &mut operators[who];
+                    if let Some(collection) = &mut one.collection {
+                        if store.turn(collection, fault).is_some() {
+                            *one = Operator::new(format!("{who}-{number}"), next);
+                        }
+                    } else if let Some(outcome) = store.turn(&mut one.apply, fault) {
+                        match outcome {
+                            Outcome::Accepted { version, object } => {
+                                told.push((one.id.clone(), version.0));
+                                let split = piece::split(&file(one.mark)).unwrap();
+                                let kept = split.pieces.keys().copied().collect();
+                                let object = object.unwrap_or_default();
+                                one.collection = Some(Collection::new(firm(), object, kept));
+                            }
+                            Outcome::Conflict { .. } | Outcome::Failed(_) => {
+                                refused.push(one.id.clone());
+                                *one = Operator::new(format!("{who}-{number}"), next);
+                            }
+                            Outcome::Unchanged(_) | Outcome::Unknown(_) => {
+                                *one = Operator::new(format!("{who}-{number}"), next);
+                            }
+                        }
+                    }
+                }
+                Event::Abandon(who) => {
+                    let one = &mut operators[who];
+                    if let Outcome::Failed(_) = one.apply.abandon() {
+                        refused.push(one.id.clone());
+                    }
+                    *one = Operator::new(format!("{who}-{number}"), next);
+                }
+            }
+            if let Some(head) = head(&store) {
+                let last = accepted.last_key_value().map_or(0, |(version, _)| *version);
+                prop_assert!(head.version.0 == last || head.version.0 == last + 1);
+                let id = accepted.entry(head.version.0).or_insert(head.apply.clone());
+                prop_assert_eq!(&*id, &head.apply);
+            }
+            if seen != store.revision {
+                prop_assert!(whole(&store), "the head refers to a piece that is gone");
+                seen = store.revision;
+            }
+        }
+        for (id, version) in told {
+            prop_assert_eq!(accepted.get(&version), Some(&id));
+        }
+        for id in refused {
+            prop_assert!(!accepted.values().any(|a| *a == id), "{} was refused", id);
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// Drives a machine without faults.
+fn drive<T>(store: &mut Store, machine: &mut dyn Machine<Outcome = T>) -> T {
+    loop {
+        match machine.step() {
+            Step::Done(outcome) => return outcome,
+            Step::Call(call) | Step::Retry(call) => {
+                let answer = store.make(call);
+                machine.answer(answer);
+            }
+        }
+    }
+}
+
+#[test]
+fn expected_version() {
+    let mut store = Store::default();
+    let mut order = Order {
+        firm: firm(),
+        id: "one".to_owned(),
+        expect: Some(Version(0)),
+        split: piece::split(&file(1)).unwrap(),
+    };
+    let first = drive(&mut store, &mut Apply::new(order.clone()));
+    assert!(matches!(
+        first,
+        Outcome::Accepted {
+            version: Version(1),
+            ..
+        }
+    ));
+    "two".clone_into(&mut order.id);
+    order.split = piece::split(&file(2)).unwrap();
+    let stale = drive(&mut store, &mut Apply::new(order.clone()));
+    let (expected, current) = (Version(0), Version(1));
+    assert_eq!(stale, Outcome::Conflict { expected, current });
+    order.expect = Some(Version(1));
+    let second = drive(&mut store, &mut Apply::new(order.clone()));
+    assert!(matches!(
+        second,
+        Outcome::Accepted {
+            version: Version(2),
+            ..
+        }
+    ));
+    // The file that stands already needs no new version.
+    order.expect = None;
+    "three".clone_into(&mut order.id);
+    let same = drive(&mut store, &mut Apply::new(order));
+    assert_eq!(same, Outcome::Unchanged(Version(2)));
+}
+
+// A swap's answer is lost and ten more versions are accepted before its operator
+// asks again. The head has forgotten by then, and the operator must not be told
+// that the file was refused, because it had been accepted.
+#[test]
+fn forgotten_apply_is_unknown() {
+    let mut store = Store::default();
+    let mut lost = apply("lost", 100);
+    while !matches!(lost.step(), Step::Call(Call::Put { key, .. }) if key.ends_with("head")) {
+        let Step::Call(call) = lost.step() else {
+            unreachable!("no call fails here");
+        };
+        let answer = store.make(call);
+        lost.answer(answer);
+    }
+    let Step::Call(swap) = lost.step() else {
+        unreachable!("the loop ended on it");
+    };
+    store.make(swap);
+    lost.answer(Answer::Lost("lost".to_owned()));
+    for mark in 0..10 {
+        let outcome = drive(&mut store, &mut apply(&format!("later-{mark}"), mark + 20));
+        assert!(matches!(outcome, Outcome::Accepted { .. }));
+    }
+    assert!(matches!(drive(&mut store, &mut lost), Outcome::Unknown(_)));
+}
--- /dev/null
+++ b/verbenaspool_coordination/tests/store/main.rs
@@ -0,0 +1,5 @@
+//! The machines that call the platform, through every order of loss and delay.
+
+mod apply;
+mod claim;
+mod model;
--- /dev/null
+++ b/verbenaspool_coordination/tests/store/model.rs
@@ -0,0 +1,148 @@
+//! A model of the platform's store, and what may happen to calls to it.
+
+use std::collections::BTreeMap;
+
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
+use verbenaspool_coordination::store::{Answer, Call, Entry, Machine, Step, When};
+
+/// The store: value and version by key, and a revision that counts all changes.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub objects: BTreeMap<String, (u64, Vec<u8>)>,
+    pub revision: u64,
+    /// Calls that were sent and haven't arrived yet.
+    pub delayed: Vec<Call>,
+}
+
+impl Store {
+    /// Carries a call out.
+    pub fn make(&mut self, call: Call) -> Answer {
+        match call {
+            Call::Get { key } => match self.objects.get(&key) {
+                Some((version, value)) => Answer::Found {
+                    version: *version,
+                    value: value.clone(),
+                },
+                None => Answer::Absent,
+            },
+            Call::Put { key, value, when } => {
+                if let Some(conflict) = self.conflict(&key, when) {
+                    return conflict;
+                }
+                self.revision += 1;
+                self.objects.insert(key, (self.revision, value));
+                Answer::Changed(self.revision)
+            }
+            Call::Delete { key, when } => {
+                if let Some(conflict) = self.conflict(&key, when) {
+                    return conflict;
+                }
+                self.revision += 1;
+                self.objects.remove(&key);
+                Answer::Changed(self.revision)
+            }
+            Call::List { prefix } => {
+                let below = self
+                    .objects
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix));
+                let entries = below.map(|(key, (version, _))| Entry {
+                    key: key.clone(),
+                    version: *version,
+                });
+                Answer::Listed(entries.collect())
+            }
+        }
+    }
+
+    /// The conflict that a condition meets, if it does.
+    fn conflict(&self, key: &str, when: When) -> Option<Answer> {
+        let current = self.objects.get(key).map_or(0, |(version, _)| *version);
+        let holds = match when {
+            When::Always => true,
+            When::Absent => current == 0,
+            When::Version(version) => version == current,
+        };
+        (!holds).then_some(Answer::Conflict(current))
+    }
+
+    /// Makes a machine's next call under a fault; the outcome if it has one.
+    pub fn turn<T>(&mut self, machine: &mut dyn Machine<Outcome = T>, fault: Fault) -> Option<T> {
+        let call = match machine.step() {
+            Step::Done(outcome) => return Some(outcome),
+            Step::Call(call) | Step::Retry(call) => call,
+        };
+        let answer = match fault {
+            Fault::None => self.make(call),
+            Fault::Unsent => Answer::Failed("down".to_owned()),
+            Fault::Dropped => Answer::Lost("dropped".to_owned()),
+            Fault::AnswerLost => {
+                self.make(call);
+                Answer::Lost("lost".to_owned())
+            }
+            Fault::Late => {
+                self.delayed.push(call);
+                Answer::Lost("late".to_owned())
+            }
+        };
+        machine.answer(answer);
+        None
+    }
+}
+
+/// What happens to a call.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// It is never sent, and its caller knows.
+    Unsent,
+    /// It is sent and never arrives.
+    Dropped,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// It takes effect after its caller gave up on it.
+    Late,
+}
+
+/// What may happen in a step of a run.
+#[derive(Debug, Clone, Copy)]
+pub enum Event {
+    /// A caller's next call is made.
+    Turn(usize, Fault),
+    /// What was held up longest takes effect.
+    Arrive,
+    /// A caller gives up what it does and goes on to the next.
+    Abandon(usize),
+}
+
+/// Runs of events among three callers.
+pub fn runs() -> impl Strategy<Value = Vec<Event>> {
+    let who = 0_usize..3;
+    let fault = prop_oneof![
+        12 => Just(Fault::None),
+        1 => Just(Fault::Unsent),
+        1 => Just(Fault::Dropped),
+        2 => Just(Fault::AnswerLost),
+        1 => Just(Fault::Late),
+    ];
+    let event = prop_oneof![
+        20 => (who.clone(), fault).prop_map(|(who, fault)| Event::Turn(who, fault)),
+        1 => Just(Event::Arrive),
+        1 => who.prop_map(Event::Abandon),
+    ];
+    prop::collection::vec(event, 1..300)
+}
+
+/// A runner whose cases are the same each time.
+pub fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(cases)
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::default());
+    TestRunner::new_with_rng(config, rng)
+}
