Let the recorder catch up before a run is judged

The watch_lies run failed 5 times of 8: the recorder is woken by the event that the test waits for, and the check could come first. The check waits until the version is recorded, and is as strict about its time as before.

--- a/verbenaspool_standin/tests/config/zone.rs
+++ b/verbenaspool_standin/tests/config/zone.rs
@@ -74,8 +74,20 @@
         self.in_force.borrow_mut().push(event);
     }
 
-    /// Judges the run.
-    fn check(&self, instances: &[&str]) {
+    /// Judges the run, once what came in force is recorded as well: the recorder
+    /// is woken by the same event that a test waits for, and may run after it.
+    async fn check(&self, instances: &[&str], version: u64) {
+        let recorded = |wanted: &str| {
+            let events = self.reverts.borrow();
+            let mut own = events.iter().filter(|event| event.instance == wanted);
+            own.any(|event| event.version >= version)
+        };
+        for _ in 0..100 {
+            if instances.iter().all(|instance| recorded(instance)) {
+                break;
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
         assert_eq!(reverts::check(&self.reverts.borrow()), Ok(()));
         let events = self.in_force.borrow();
         assert_eq!(in_force::check(&events, instances, BOUND), Ok(()));
@@ -164,7 +176,9 @@
         let versions = events.iter().filter(accepted).count();
         assert!(versions >= 5, "{events:?}");
         assert!(all_reach(&instances, versions as u64).await);
-        record.check(&["entry-0", "entry-1", "entry-2"]);
+        record
+            .check(&["entry-0", "entry-1", "entry-2"], versions as u64)
+            .await;
         // Nothing that the head refers to was collected, and little else is left.
         let left = platform.with(|o| o.list("firms/tidewater/pieces/").len());
         assert!((2..=20).contains(&left), "{left} pieces");
@@ -191,7 +205,7 @@
                 record.told(mark, &apply(&*store, order).await);
             }
             assert!(all_reach(&instances, 3).await, "{lie:?}");
-            record.check(&["entry-0", "entry-1"]);
+            record.check(&["entry-0", "entry-1"], 3).await;
         });
     }
 }
@@ -231,7 +245,7 @@
         platform.set(|faults| *faults = Faults::default());
         record.told(3, &apply(&*store, order(FIRM, 3, "apply-3")).await);
         assert!(all_reach(&instances, 3).await);
-        record.check(&["entry-0", "entry-1", "entry-2"]);
+        record.check(&["entry-0", "entry-1", "entry-2"], 3).await;
     });
 }
 
