Tell the agent's metrics, spans and health; keep cache knowledge over gaps

A gap in the engine's cache events no longer makes entries start afresh. A report carries 64 events at most.

--- /dev/null
+++ b/verbenaspool_agent/src/admin.rs
@@ -0,0 +1,46 @@
+//! Health, readiness and metrics, on a listener of their own.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+
+use verbenaspool_transport::http::{
+    body::Body,
+    server::{Answer, Handler},
+};
+
+use crate::shared::Shared;
+
+/// Connections at once; only probes and a scraper come here.
+pub(crate) const CONNECTIONS: usize = 32;
+
+/// The media type of the Prometheus text format.
+const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Answers operators' tools.
+#[derive(Debug)]
+pub(crate) struct Admin(pub(crate) Rc<Shared>);
+
+impl Handler for Admin {
+    fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> Answer {
+        let (status, text) = self.answer(request.uri().path());
+        let mut response = Response::new(Body::full(text));
+        *response.status_mut() = status;
+        response.headers_mut().insert(CONTENT_TYPE, TEXT);
+        Box::pin(std::future::ready(response))
+    }
+}
+
+impl Admin {
+    fn answer(&self, path: &str) -> (StatusCode, String) {
+        let leaving = self.0.ledger.borrow().leaving();
+        match path {
+            "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
+            "/readyz" if leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
+            "/readyz" => (StatusCode::OK, "ready\n".to_owned()),
+            "/metrics" => (StatusCode::OK, self.0.meter.text(&self.0)),
+            _ => (StatusCode::NOT_FOUND, "no such path\n".to_owned()),
+        }
+    }
+}
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -10,9 +10,18 @@
     http::server::{self, Limits, Open},
     rpc::{self, Module},
     shutdown::{self, Signal},
+    trace::export::Exporter,
 };
 
-use crate::{control, orders::Gate, poll, proxy::Proxy, settings::Settings, shared::Shared};
+use crate::{
+    admin::{self, Admin},
+    control,
+    orders::Gate,
+    poll,
+    proxy::Proxy,
+    settings::Settings,
+    shared::Shared,
+};
 
 /// How often a stopping agent looks whether its last request has ended.
 const LOOK: Duration = Duration::from_millis(10);
@@ -27,6 +36,7 @@
     control_address: SocketAddr,
     module: Module,
     orders: Rc<Gate>,
+    admin: Option<TcpListener>,
 }
 
 /// How an agent ended.
@@ -68,6 +78,10 @@
         let options = ListenerOpts::new().reuse_port(false);
         let data = TcpListener::bind_with_config(settings.listen, &options)?;
         let control = TcpListener::bind_with_config(settings.control, &options)?;
+        let admin = settings
+            .admin
+            .map(|address| TcpListener::bind_with_config(address, &options))
+            .transpose()?;
         let orders = Rc::new(Gate::new(settings.upstream.address, clock.clone()));
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
@@ -80,6 +94,7 @@
             control,
             module,
             orders,
+            admin,
         })
     }
 
@@ -117,6 +132,7 @@
         let shared = self.shared;
         let (stop_data, data) = shutdown::channel();
         let (stop_control, control) = shutdown::channel();
+        let admin_stop = control.clone();
         let limits = Limits {
             connections: shared.settings.limits.connections,
             ..Limits::default()
@@ -129,6 +145,16 @@
         if let Some(path) = shared.settings.upstream.state.clone() {
             monoio::spawn(poll::run(shared.clone(), path));
         }
+        if let Some(listener) = self.admin {
+            let limits = Limits {
+                connections: admin::CONNECTIONS,
+                ..Limits::default()
+            };
+            let admin = Rc::new(Admin(shared.clone()));
+            let served = server::serve(listener, limits, admin, Open::default(), admin_stop);
+            monoio::spawn(served);
+        }
+        export(&shared);
         info!(shared.log, "Agent: Started.";
             "instance" => shared.settings.instance.as_str(),
             "address" => self.address,
@@ -144,6 +170,19 @@
     }
 }
 
+/// Sends spans to their collector, where there is one.
+fn export(shared: &Shared) {
+    let Some(traces) = &shared.settings.traces else {
+        return;
+    };
+    let resource = vec![
+        ("service.name", "verbenaspool-agent".to_owned()),
+        ("service.instance.id", shared.settings.instance.to_string()),
+    ];
+    let exporter = Exporter::new(shared.tracer.clone(), traces.collector, resource);
+    monoio::spawn(exporter.run(shared.clock.clone()));
+}
+
 /// Lets the requests in flight end.
 ///
 /// The data listener stays open at first: an entry that has not yet heard of
--- a/verbenaspool_agent/src/control.rs
+++ b/verbenaspool_agent/src/control.rs
@@ -37,5 +37,7 @@
     }
     let now = shared.clock.now();
     let key = question.attempt.into();
-    shared.ledger.borrow_mut().settle(key, now).into()
+    let word = shared.ledger.borrow_mut().settle(key, now);
+    shared.meter.settled(word);
+    word.into()
 }
--- a/verbenaspool_agent/src/flight.rs
+++ b/verbenaspool_agent/src/flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use verbenaspool_coordination::attempt::{Ending, Key};
+use verbenaspool_transport::trace::span::{Kind, Span};
 
 use crate::shared::Shared;
 
@@ -13,14 +14,20 @@
     shared: Rc<Shared>,
     key: Key,
     ending: Ending,
+    /// The hop to the upstream, which ends with the answer's last byte.
+    upstream: Span,
+    /// The agent's part of the trace; it ends behind the hop.
+    _agent: Span,
 }
 
 impl Flight {
-    pub(crate) fn new(shared: Rc<Shared>, key: Key) -> Self {
+    pub(crate) fn new(shared: Rc<Shared>, key: Key, agent: Span) -> Self {
         Self {
             shared,
             key,
             ending: Ending::Broken,
+            upstream: agent.child("agent to upstream", Kind::Client),
+            _agent: agent,
         }
     }
 
@@ -32,10 +39,21 @@
     pub(crate) fn shared(&self) -> &Rc<Shared> {
         &self.shared
     }
+
+    /// The trace context that the upstream gets.
+    pub(crate) fn context(&self) -> String {
+        self.upstream.context().to_string()
+    }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        match self.ending {
+            Ending::Ran => {}
+            Ending::NotRun => self.upstream.fail("not sent"),
+            Ending::Broken => self.upstream.fail("broke off"),
+        }
+        self.shared.meter.end(self.ending);
         let mut ledger = self.shared.ledger.borrow_mut();
         ledger.finish(self.key, self.ending);
     }
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod orders;
 pub mod settings;
 
+mod admin;
 mod answer;
 mod control;
 mod envelope;
 mod flight;
+mod meter;
 mod poll;
 mod proxy;
 mod route;
--- /dev/null
+++ b/verbenaspool_agent/src/meter.rs
@@ -0,0 +1,98 @@
+//! What the agent counts and times.
+
+use verbenaspool_coordination::attempt::{Ending, Word};
+use verbenaspool_protocol::problem::Code;
+use verbenaspool_transport::metrics::{Counter, Histogram, Registry};
+
+use crate::shared::Shared;
+
+/// The agent's counters. Those of the data path are looked up once.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    registry: Registry,
+    ran: Counter,
+    not_sent: Counter,
+    broken: Counter,
+    /// From sending a request to the head of its answer.
+    pub(crate) head: Histogram,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        let registry = Registry::default();
+        let ended = |ending| {
+            let help = "Admitted attempts by how they ended.";
+            registry.counter(
+                "verbenaspool_agent_ended_total",
+                help,
+                &[("ending", ending)],
+            )
+        };
+        Self {
+            ran: ended("ran"),
+            not_sent: ended("not-sent"),
+            broken: ended("broken"),
+            head: registry.histogram(
+                "verbenaspool_agent_upstream_seconds",
+                "From sending a request to the head of its answer.",
+                &[],
+            ),
+            registry,
+        }
+    }
+}
+
+impl Meter {
+    /// Counts the end of an admitted attempt.
+    pub(crate) fn end(&self, ending: Ending) {
+        match ending {
+            Ending::Ran => self.ran.count(),
+            Ending::NotRun => self.not_sent.count(),
+            Ending::Broken => self.broken.count(),
+        }
+    }
+
+    /// Counts a request that got no answer of the upstream.
+    pub(crate) fn problem(&self, code: Code) {
+        let code = serde_json::to_value(code).unwrap_or_default();
+        let help = "Requests that got a problem for an answer, by its code.";
+        let labels = [("code", code.as_str().unwrap_or_default())];
+        self.registry
+            .counter("verbenaspool_agent_problems_total", help, &labels)
+            .count();
+    }
+
+    /// Counts a question about an attempt.
+    pub(crate) fn settled(&self, word: Word) {
+        let word = match word {
+            Word::Refused => "refused",
+            Word::Running => "running",
+            Word::Ended => "ended",
+            Word::Unknown => "unknown",
+        };
+        let help = "Questions about an attempt, by the answer.";
+        self.registry
+            .counter(
+                "verbenaspool_agent_settled_total",
+                help,
+                &[("answer", word)],
+            )
+            .count();
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn text(&self, shared: &Shared) -> String {
+        let gauge = |name, help, value| self.registry.gauge(name, help, &[]).set(value);
+        let ledger = shared.ledger.borrow();
+        let running = u32::try_from(ledger.running()).unwrap_or(u32::MAX);
+        let records = u32::try_from(ledger.records()).unwrap_or(u32::MAX);
+        let help = "Attempts that run.";
+        gauge("verbenaspool_agent_running", help, running.into());
+        let help = "Attempts that the ledger remembers.";
+        gauge("verbenaspool_agent_records", help, records.into());
+        let help = "Whether the instance is leaving.";
+        let leaving = u32::from(ledger.leaving());
+        gauge("verbenaspool_agent_leaving", help, leaving.into());
+        self.registry.text()
+    }
+}
--- a/verbenaspool_agent/src/poll.rs
+++ b/verbenaspool_agent/src/poll.rs
@@ -20,6 +20,10 @@
 /// list is 24 bytes, and an entry that missed more starts afresh.
 const KEPT: usize = 4_096;
 
+/// The most events in one report, some 4 KB. An entry asks an agent about once
+/// a second; a new one that must catch up takes several reports for it.
+const MOST: usize = 64;
+
 /// The largest state that is read, in bytes.
 const LARGEST: usize = 1024 * 1024;
 
@@ -32,8 +36,8 @@
     events: VecDeque<Event>,
     /// The number of the last event heard.
     last: u64,
-    /// Up to here events are no longer held, or were never heard.
-    lost: u64,
+    /// Up to here events are no longer kept.
+    gone: u64,
 }
 
 impl View {
@@ -54,7 +58,7 @@
         if state.last < self.last {
             self.events.clear();
             self.last = 0;
-            self.lost = 0;
+            self.gone = 0;
         }
         for event in state.events {
             self.keep(event);
@@ -65,29 +69,28 @@
         if event.number <= self.last {
             return;
         }
-        if event.number > self.last + 1 {
-            self.lost = event.number - 1;
-        }
         self.last = event.number;
         self.events.push_back(event);
         while self.events.len() > KEPT {
-            self.lost = self
-                .events
-                .pop_front()
-                .map_or(self.lost, |gone| gone.number);
+            self.gone = self.events.pop_front().map_or(self.gone, |old| old.number);
         }
     }
 
-    /// The events behind a number.
+    /// The events behind a number, as many as one report carries.
+    ///
+    /// An event that the engine lost makes no fresh start: a prefix whose
+    /// coming was lost is missed, and one whose going was lost draws a request
+    /// that brings it back. Forgetting all the others would cost far more.
     pub(crate) fn since(&self, number: u64) -> Cache {
         // A number from before the engine's restart is above all that is known.
-        let reset = number < self.lost || number > self.last;
-        let from = if reset { 0 } else { number };
-        let later = self.events.iter().filter(|event| event.number > from);
+        let reset = number < self.gone || number > self.last;
+        let from = if reset { self.gone } else { number };
+        let behind = self.events.partition_point(|event| event.number <= from);
+        let events: Vec<Event> = self.events.range(behind..).take(MOST).copied().collect();
         Cache {
             reset,
-            last: self.last,
-            events: later.copied().collect(),
+            last: events.last().map_or(from, |event| event.number),
+            events,
         }
     }
 }
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -5,11 +5,8 @@
 
 use futures_util::future::{Either, select};
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, Uri,
-    header::{
-        CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-        TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-    },
+    HeaderMap, HeaderValue, Request, Response, Uri,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
 };
 use http_body::Body as _;
 use http_body_util::Limited;
@@ -23,10 +20,16 @@
     outcome::Outcome,
     problem::{Code, Problem},
 };
-use verbenaspool_transport::http::{
-    body::Body,
-    client,
-    server::{self, Handler},
+use verbenaspool_transport::{
+    http::{
+        body::Body,
+        client, hop,
+        server::{self, Handler},
+    },
+    trace::{
+        context::Context,
+        span::{self, Span},
+    },
 };
 
 use crate::{
@@ -44,18 +47,6 @@
 /// When a repeat makes sense while the upstream can't be reached.
 const DOWN_RETRY: Duration = Duration::from_secs(1);
 
-/// Headers that concern one connection only and are not passed on.
-const HOP: [HeaderName; 8] = [
-    CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Answers the requests of entries.
 #[derive(Debug)]
 pub(crate) struct Proxy(pub(crate) Rc<Shared>);
@@ -90,10 +81,17 @@
         return Err(Problem::not_run(Code::TooLarge, message));
     }
     let key = envelope.attempt.into();
+    let mut span = trace(shared, request.headers());
     let admitted = shared.ledger.borrow_mut().admit(key, shared.clock.now());
-    admitted.map_err(refuse)?;
-    let flight = Flight::new(shared.clone(), key);
-    let request = outgoing(request, shared.upstream(), largest);
+    if let Err(refusal) = admitted {
+        span.fail("refused");
+        return Err(refuse(refusal));
+    }
+    let flight = Flight::new(shared.clone(), key, span);
+    let mut request = outgoing(request, shared.upstream(), largest);
+    if let Ok(context) = HeaderValue::from_str(&flight.context()) {
+        request.headers_mut().insert(header::TRACEPARENT, context);
+    }
     match shared.settings.upstream.kind {
         Kind::Engine => {
             let longest = shared.longest();
@@ -104,6 +102,15 @@
     }
 }
 
+/// The agent's span below the entry's.
+fn trace(shared: &Shared, headers: &HeaderMap) -> Span {
+    let remote = headers
+        .get(header::TRACEPARENT)
+        .and_then(|value| value.to_str().ok())
+        .and_then(Context::parse);
+    shared.tracer.root(remote, "agent", span::Kind::Server)
+}
+
 /// Sends a request to a plain service in a task of its own: should the entry go
 /// while it runs, the request still ends, and the ledger can say how.
 async fn detach(flight: Flight, request: Request<Body>) -> Result<Response<Body>, Problem> {
@@ -124,9 +131,16 @@
     wait: Duration,
 ) -> Result<Response<Body>, Problem> {
     let shared = flight.shared().clone();
+    let began = shared.clock.now();
     let answer = Box::pin(shared.client.send(shared.upstream(), request));
     match select(answer, shared.clock.sleep(wait)).await {
-        Either::Left((Ok(response), _)) => Ok(incoming(response, flight)),
+        Either::Left((Ok(response), _)) => {
+            shared
+                .meter
+                .head
+                .record(shared.clock.now().saturating_sub(began));
+            Ok(incoming(response, flight))
+        }
         Either::Left((Err(client::Error::NotSent(why)), _)) => {
             warn!(shared.log, "Proxy: The upstream can't be reached."; "reason" => why);
             flight.end(Ending::NotRun);
@@ -154,7 +168,7 @@
     if let Some(target) = parts.uri.path_and_query() {
         parts.uri = Uri::from(target.clone());
     }
-    strip(&mut parts.headers);
+    hop::strip(&mut parts.headers);
     parts.headers.remove(header::AGENT);
     if let Ok(host) = HeaderValue::from_str(&upstream.to_string()) {
         parts.headers.insert(HOST, host);
@@ -173,26 +187,12 @@
     } else {
         Framing::Closed
     };
-    strip(&mut parts.headers);
+    hop::strip(&mut parts.headers);
     let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
     parts.headers.insert(header::OUTCOME, outcome);
     Response::from_parts(parts, Body::wrap(Answer::new(body, flight, framing)))
 }
 
-/// Takes out the headers that concern one connection only.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|list| list.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP.iter().chain(&named) {
-        headers.remove(name);
-    }
-}
-
 /// The problem that goes with a refusal. A repeated attempt may have run, so
 /// only for that one the word is not "not run".
 fn refuse(refusal: Refusal) -> Problem {
@@ -213,6 +213,7 @@
 
 /// A problem as an answer.
 fn refusal(shared: &Shared, problem: &Problem) -> Response<Body> {
+    shared.meter.problem(problem.code);
     debug!(shared.log, "Proxy: Refused a request."; "reason" => &problem.message);
     let body = serde_json::to_vec(problem).unwrap_or_default();
     let mut response = Response::new(Body::full(body));
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -6,12 +6,12 @@
 
 use verbenaspool_protocol::engine::STATE;
 use verbenaspool_state::name::Name;
-use verbenaspool_transport::{log, settings};
+use verbenaspool_transport::{log, settings, trace};
 
 pub use verbenaspool_transport::settings::Error;
 
 /// The settings of an agent process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The name of the instance that the agent stands beside.
@@ -20,6 +20,9 @@
     pub listen: SocketAddr,
     /// Where entries and operators send control calls.
     pub control: SocketAddr,
+    /// Where health, readiness and metrics are told; nowhere if not given.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
     /// The upstream beside the agent.
     pub upstream: Upstream,
     /// Bounds on what entries may make the agent hold.
@@ -31,6 +34,9 @@
     /// What is logged, and how.
     #[serde(default)]
     pub log: log::Settings,
+    /// Where spans go; nowhere if not given.
+    #[serde(default)]
+    pub traces: Option<trace::Settings>,
 }
 
 /// The upstream beside the agent.
--- a/verbenaspool_agent/src/shared.rs
+++ b/verbenaspool_agent/src/shared.rs
@@ -11,9 +11,9 @@
 
 use verbenaspool_coordination::attempt::{Ledger, Limits};
 use verbenaspool_protocol::load::Load;
-use verbenaspool_transport::{clock::Clock, http::client::Client};
+use verbenaspool_transport::{clock::Clock, http::client::Client, trace::Tracer};
 
-use crate::{poll::View, settings::Settings};
+use crate::{meter::Meter, poll::View, settings::Settings};
 
 /// How long a connection to the upstream on the same instance may take.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -29,6 +29,8 @@
     pub(crate) ledger: RefCell<Ledger>,
     pub(crate) engine: RefCell<View>,
     pub(crate) client: Client,
+    pub(crate) meter: Meter,
+    pub(crate) tracer: Rc<Tracer>,
     sequence: Cell<u64>,
 }
 
@@ -41,6 +43,8 @@
         };
         Self {
             number: rand::random(),
+            meter: Meter::default(),
+            tracer: Tracer::new(settings.traces.as_ref(), clock.clone()),
             settings,
             log,
             clock,
--- a/verbenaspool_protocol/src/report.rs
+++ b/verbenaspool_protocol/src/report.rs
@@ -33,9 +33,11 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cache {
-    /// Whether events were lost: nothing heard before is sure to be held.
+    /// Whether the entry must start afresh: its number is too old, or the
+    /// engine was started again.
     pub reset: bool,
-    /// The number of the last event, to ask from next time.
+    /// The number of the last event told, to ask from next time. There may be
+    /// more behind it.
     pub last: u64,
     /// The events, oldest first.
     pub events: Vec<Event>,
@@ -45,7 +47,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Event {
-    /// Counts the engine's events up; a step of more than one is a gap.
+    /// Counts the engine's events up; a step of more than one is a gap, whose
+    /// events are lost.
     pub number: u64,
     /// The hash of the prefix.
     pub prefix: u64,
