--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -1,13 +1,35 @@
 //! `verbenaspool run`: the entry as a process.
 
-use std::{io, path::Path, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, path::Path, rc::Rc, time::Duration};
 
 use futures_util::future::{Either, select};
-use monoio::{net::TcpListener, utils::CtrlC};
-use verbenaspool_state::{file::File, upstream::Upstream, version::Version};
-use verbenaspool_transport::{clock::Monotonic, runtime, settings, shutdown};
+use monoio::net::{ListenerOpts, TcpListener};
+use slog::{Logger, info, warn};
+use verbenaspool_state::version::Version;
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    config::{
+        source::{self, Source},
+        upstreams::Follower,
+    },
+    log,
+    metrics::Registry,
+    platform::{Store, client::Client},
+    rpc, runtime, settings,
+    shutdown::{self, Signal, Trigger},
+    trace::{Tracer, export::Exporter},
+};
 
-use crate::{entry::Entry, settings::Settings};
+use crate::{
+    entry::{Entry, Surroundings, admin::Admin},
+    settings::Settings,
+};
+
+/// How often the process looks whether another has taken its name over.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// How long spans may take to go out at the end.
+const FLUSH: Duration = Duration::from_secs(1);
 
 /// Why the entry could not run.
 #[derive(Debug, thiserror::Error)]
@@ -15,40 +37,191 @@
     /// The settings can't be taken.
     #[error(transparent)]
     Settings(#[from] settings::Error),
-    /// An address can't be listened at, or the loop can't start.
-    #[error("{0}")]
-    Io(#[from] io::Error),
+    /// An address can't be listened at.
+    #[error("{address} can't be listened at: {why}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        why: io::Error,
+    },
+    /// The loop can't start.
+    #[error("the loop can't start: {0}")]
+    Loop(#[from] io::Error),
+    /// Signals can't be heard.
+    #[error(transparent)]
+    Signal(#[from] shutdown::Error),
+}
+
+/// How a process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drained {
+    /// Connections that were cut off at the drain's deadline.
+    pub cut: usize,
 }
 
-/// Runs the entry until SIGTERM or SIGINT.
+/// Runs the entry until SIGTERM, SIGINT or SIGHUP.
 ///
 /// # Errors
 /// The settings can't be taken, or an address can't be listened at.
-pub fn main(path: &Path) -> Result<(), Error> {
+pub fn main(path: &Path) -> Result<Drained, Error> {
     let settings: Settings = settings::load(path)?;
-    runtime::run(run(settings))?
-}
-
-/// Runs the entry with these settings.
-async fn run(settings: Settings) -> Result<(), Error> {
-    let entry = Entry::new(settings.options(), Monotonic::start());
-    if let Some(fixed) = &settings.fixed {
-        let file: File = settings::load(&fixed.file)?;
-        let upstreams: Vec<Upstream> = settings::load(&fixed.upstreams)?;
-        entry.adopt(Version(1), &file);
-        entry.members(&upstreams);
-    }
-    let listener = TcpListener::bind(settings.listen)?;
-    let (trigger, signal) = shutdown::channel();
-    let stop = CtrlC::new().map_err(io::Error::other)?;
-    let served = Rc::clone(&entry).serve(listener, signal);
+    let log = log::open(settings.log);
+    runtime::run(async {
+        let (trigger, signal) = shutdown::channel();
+        shutdown::on_signal(trigger)?;
+        serve(settings, log, Monotonic::start(), signal).await
+    })?
+}
+
+/// Opens an address that no other process has.
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    // Two processes that share a port by mistake would split the callers
+    // between them, so the second must fail instead.
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options).map_err(|why| Error::Listen { address, why })
+}
+
+/// Runs an entry with these settings until the signal comes, then drains.
+///
+/// # Errors
+/// An address can't be listened at.
+pub async fn serve(
+    settings: Settings,
+    log: Logger,
+    clock: Rc<dyn Clock>,
+    mut signal: Signal,
+) -> Result<Drained, Error> {
+    let callers = listen(settings.listen)?;
+    let admin = settings.admin.map(listen).transpose()?;
+    let control = settings.control.map(listen).transpose()?;
+    let store: Rc<dyn Store> = Rc::new(Client::new(settings.platform.client()));
+    let tracer = Tracer::new(settings.trace.as_ref(), clock.clone());
+    let exporter = exporter(&settings, &tracer);
+    if let Some(exporter) = &exporter {
+        monoio::spawn(exporter.clone().run(clock.clone()));
+    }
+    let around = Surroundings {
+        clock: clock.clone(),
+        log: log.clone(),
+        tracer,
+        metrics: Registry::default(),
+        store: Some(store.clone()),
+    };
+    let entry = Entry::with(settings.options(), around);
+    // What is needed until the last request has ended stops behind it.
+    let (finish, finished) = shutdown::channel();
+    if let Some(listener) = admin {
+        monoio::spawn(Admin(entry.clone()).serve(listener, finished.clone()));
+    }
+    let source = configure(&settings, &entry, store, control, &finished);
+    let (close, closed) = shutdown::channel();
+    let mut served = Box::pin(entry.clone().serve(callers, closed));
+    info!(log, "Entry: Started."; "name" => settings.name.as_str(), "listen" => settings.listen);
+    let stop = Box::pin(stopped(&mut signal, &source, &log));
+    if let Either::Left(_) = select(served.as_mut(), stop).await {
+        return Ok(Drained { cut: 0 });
+    }
+    source.leave();
+    let drained = drain(&settings, &entry, &close, served, &log).await;
+    if let Some(exporter) = exporter {
+        let _ = monoio::time::timeout(FLUSH, exporter.flush()).await;
+    }
+    source.end();
+    finish.fire();
+    info!(log, "Entry: Stopped."; "cut" => drained.cut);
+    Ok(drained)
+}
+
+/// The exporter of spans, where there is a collector.
+fn exporter(settings: &Settings, tracer: &Rc<Tracer>) -> Option<Rc<Exporter>> {
+    let collector = settings.trace.as_ref()?.collector;
+    let resource = vec![
+        ("service.name", "verbenaspool".to_owned()),
+        ("service.instance.id", settings.name.to_string()),
+        ("service.namespace", settings.firm.to_string()),
+        ("cloud.availability_zone", settings.zone.to_string()),
+    ];
+    Some(Exporter::new(tracer.clone(), collector, resource))
+}
+
+/// Follows the firm's configuration and its upstreams.
+fn configure(
+    settings: &Settings,
+    entry: &Rc<Entry>,
+    store: Rc<dyn Store>,
+    control: Option<TcpListener>,
+    finished: &Signal,
+) -> Rc<Source> {
+    let seed = entry.attempts.seed();
+    let own = settings.control.unwrap_or(settings.listen);
+    let options = source::Options {
+        seeds: settings.peers.clone(),
+        seed,
+        ..source::Options::new(settings.firm.clone(), settings.name.clone(), own)
+    };
+    let source = Source::start(store.clone(), entry.clock.clone(), options);
+    if let Some(listener) = control {
+        let mut module = rpc::Module::default();
+        source.methods(&mut module);
+        monoio::spawn(rpc::serve(listener, Rc::new(module), finished.clone()));
+    }
+    monoio::spawn(adopt(source.clone(), entry.clone()));
+    let follower = Follower::new(store, &settings.firm);
+    let (entry, clock) = (entry.clone(), entry.clock.clone());
+    let changed = move |list: &[_]| entry.members(list);
+    monoio::spawn(follower.run(clock, seed, finished.clone(), changed));
+    source
+}
+
+/// Puts in force what the source brings.
+async fn adopt(source: Rc<Source>, entry: Rc<Entry>) {
+    let mut seen = Version::default();
+    loop {
+        let adopted = source.above(seen).await;
+        seen = adopted.version();
+        entry.adopt(seen, &adopted.file);
+    }
+}
+
+/// Waits for the word to stop, or for a successor of the same name.
+async fn stopped(signal: &mut Signal, source: &Source, log: &Logger) {
+    loop {
+        if source.replaced() {
+            warn!(log, "Entry: Another process has taken over this name.");
+            return;
+        }
+        let heard = monoio::time::timeout(LOOK, signal.wait()).await;
+        if heard.is_ok() {
+            return;
+        }
+    }
+}
+
+/// Lets the requests in flight end.
+async fn drain(
+    settings: &Settings,
+    entry: &Rc<Entry>,
+    close: &Trigger,
+    served: impl Future<Output = ()>,
+    log: &Logger,
+) -> Drained {
+    info!(log, "Entry: Draining."; "connections" => entry.open.count());
+    entry.leave();
     let mut served = Box::pin(served);
-    match select(stop, served.as_mut()).await {
-        Either::Right(_) => return Ok(()),
-        Either::Left(_) => trigger.fire(),
-    }
-    let drain = Duration::from_millis(settings.drain_ms);
-    // What is still in flight behind the deadline is cut off.
-    let _ = monoio::time::timeout(drain, served).await;
-    Ok(())
+    let linger = Box::pin(
+        entry
+            .clock
+            .sleep(Duration::from_millis(settings.drain.linger_ms)),
+    );
+    // Until the platform's balancer has noticed, callers still come and are served.
+    select(served.as_mut(), linger).await;
+    close.fire();
+    let deadline = Duration::from_millis(settings.drain.deadline_ms);
+    if monoio::time::timeout(deadline, served).await.is_ok() {
+        return Drained { cut: 0 };
+    }
+    let cut = entry.open.count();
+    warn!(log, "Entry: The drain's deadline cuts requests off."; "connections" => cut);
+    Drained { cut }
 }
--- a/verbenaspool/src/settings.rs
+++ b/verbenaspool/src/settings.rs
@@ -1,10 +1,10 @@
 //! The entry's settings file.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use verbenaspool_state::name::Name;
-use verbenaspool_transport::http::server::Limits;
+use verbenaspool_transport::{http::server::Limits, log, platform::client, trace};
 
 use crate::entry::{Options, upload::Bounds};
 
@@ -20,25 +20,88 @@
     pub zone: Name,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where the zone's other entries connect.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// Control addresses of some other entries of the zone.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Where health, readiness and metrics are told.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
+    /// The platform's object API.
+    pub platform: Platform,
     /// Bounds on what callers may send.
     #[serde(default)]
     pub limits: Bound,
-    /// How long requests in flight may go on after SIGTERM, in milliseconds.
-    #[serde(default = "drain_ms")]
-    pub drain_ms: u64,
-    /// A fixed file and list of upstreams, for trials without the platform.
+    /// What happens at SIGTERM.
+    #[serde(default)]
+    pub drain: Drain,
+    /// What is logged, and how.
     #[serde(default)]
-    pub fixed: Option<Fixed>,
+    pub log: log::Settings,
+    /// Where spans go; none are recorded without it.
+    #[serde(default)]
+    pub trace: Option<trace::Settings>,
 }
 
-/// A fixed configuration.
+/// How the platform is reached.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Fixed {
-    /// The firm's file.
-    pub file: PathBuf,
-    /// The list of upstreams.
-    pub upstreams: PathBuf,
+pub struct Platform {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The token that stands for the firm.
+    pub token: String,
+    /// How long a call may take, in milliseconds.
+    #[serde(default = "Platform::timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+impl Platform {
+    /// The default of [`Platform::timeout_ms`]: the platform answers in
+    /// milliseconds, and a slow answer is waited for this long.
+    fn timeout_ms() -> u64 {
+        2_000
+    }
+
+    /// The settings in the client's terms.
+    ///
+    /// ```
+    /// use verbenaspool::settings::Platform;
+    ///
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let platform = Platform { address, token: "t".into(), timeout_ms: 5 };
+    /// assert_eq!(platform.client().timeout.as_millis(), 5);
+    /// ```
+    #[must_use]
+    pub fn client(&self) -> client::Settings {
+        client::Settings {
+            address: self.address,
+            token: self.token.clone(),
+            timeout: Duration::from_millis(self.timeout_ms),
+        }
+    }
+}
+
+/// What happens at SIGTERM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Drain {
+    /// How long the entry is unready before it accepts no more connections, in
+    /// milliseconds: the platform's balancer has to notice first.
+    pub linger_ms: u64,
+    /// How long requests in flight may go on, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            linger_ms: 2_000,
+            deadline_ms: 60_000,
+        }
+    }
 }
 
 /// Bounds on what callers may send.
@@ -76,11 +139,6 @@
     }
 }
 
-/// The default of [`Settings::drain_ms`].
-fn drain_ms() -> u64 {
-    60_000
-}
-
 impl Settings {
     /// The settings in the entry's terms.
     ///
@@ -90,7 +148,13 @@
     /// use verbenaspool::settings::Settings;
     /// use verbenaspool_transport::settings;
     ///
-    /// let text = "firm: quetzal\nname: entry-1\nzone: xela-a\nlisten: 127.0.0.1:8080\n";
+    /// let text = "
+    /// firm: quetzal
+    /// name: entry-1
+    /// zone: xela-a
+    /// listen: 127.0.0.1:8080
+    /// platform: {address: '127.0.0.1:7000', token: secret}
+    /// ";
     /// let settings: Settings = settings::parse(Path::new("entry.yaml"), text).unwrap();
     /// assert_eq!(settings.options().name.as_str(), "entry-1");
     /// ```
--- a/verbenaspool/tests/entry/site.rs
+++ b/verbenaspool/tests/entry/site.rs
@@ -86,7 +86,12 @@
 
 /// The settings of the site's entry.
 fn options(limits: Bound) -> Settings {
-    let text = "firm: tidewater\nname: entry-1\nzone: bowen-a\nlisten: 127.0.0.1:0\n";
+    let text = "firm: tidewater
+name: entry-1
+zone: bowen-a
+listen: 127.0.0.1:0
+platform: {address: '127.0.0.1:1', token: none}
+";
     let settings: Settings = settings::parse("entry.yaml".as_ref(), text).unwrap();
     Settings { limits, ..settings }
 }
