--- a/verbenaspool/tests/entry/main.rs
+++ b/verbenaspool/tests/entry/main.rs
@@ -3,5 +3,6 @@
 mod agent;
 mod bad_input;
 mod path;
+mod process;
 mod repeats;
 mod site;
--- /dev/null
+++ b/verbenaspool/tests/entry/process.rs
@@ -0,0 +1,280 @@
+//! The entry as a process: configured by the platform, with real agents.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use http::{Method, Request, Response};
+use http_body_util::BodyExt;
+use monoio::net::TcpListener;
+use verbenaspool::{
+    run::{self, Drained},
+    settings::Settings,
+};
+use verbenaspool_agent::{agent::Agent, settings as agent_settings};
+use verbenaspool_coordination::{apply::Order, piece};
+use verbenaspool_protocol::header;
+use verbenaspool_standin::{
+    engine::{Config, Engine},
+    platform::Platform,
+    service::{Book, Service},
+};
+use verbenaspool_transport::{
+    clock::Monotonic,
+    config,
+    http::{body::Body, client::Client},
+    platform::client,
+    settings,
+    shutdown::{self, Signal, Trigger},
+};
+
+use crate::site::{code, file, request, run as bounded, upstream, whole};
+
+/// A firm's platform, upstreams and entries.
+struct Firm {
+    platform: Platform,
+    book: Rc<Book>,
+    client: Client,
+    signal: Signal,
+    _stop: Trigger,
+}
+
+/// A running entry process.
+struct Process {
+    listen: SocketAddr,
+    admin: SocketAddr,
+    stop: Trigger,
+    ended: monoio::task::JoinHandle<Drained>,
+}
+
+/// An address that is free.
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Firm {
+    /// A platform with an accepted file, one engine and one plain service.
+    async fn start() -> Self {
+        let platform = Platform::start().unwrap();
+        platform.allow("token", "tidewater");
+        let (stop, signal) = shutdown::channel();
+        let clock = Monotonic::start();
+        let book = Book::new(Duration::ZERO, clock.clone());
+        let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone()).unwrap();
+        let engine = Engine::bind(Config::default(), clock).unwrap();
+        let firm = Self {
+            platform,
+            book,
+            client: Client::new(Duration::from_secs(1)),
+            signal: signal.clone(),
+            _stop: stop,
+        };
+        firm.agent("jobs-1", "jobs", service.address(), "plain");
+        firm.agent("loft-1", "assistant", engine.address(), "engine");
+        monoio::spawn(service.run(signal.clone()));
+        monoio::spawn(engine.run(signal));
+        firm.apply().await;
+        firm
+    }
+
+    /// Starts an agent beside an upstream and lists it.
+    fn agent(&self, name: &str, service: &str, beside: SocketAddr, kind: &str) {
+        let text = format!(
+            "instance: {name}
+listen: 127.0.0.1:0
+control: 127.0.0.1:0
+upstream: {{address: '{beside}', kind: {kind}}}
+"
+        );
+        let settings = agent_settings::read(&text).unwrap();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let agent = Agent::bind(settings, log, Monotonic::start()).unwrap();
+        let listed = upstream(name, service, agent.address(), agent.control());
+        monoio::spawn(agent.run(self.signal.clone()));
+        let key = format!("firms/tidewater/instances/{name}");
+        let value = serde_json::to_vec(&listed).unwrap();
+        self.platform
+            .with(|objects| objects.put(&key, value.into()));
+    }
+
+    /// Has the file accepted.
+    async fn apply(&self) {
+        let store = client::Client::new(client::Settings {
+            address: self.platform.address(),
+            token: "token".to_owned(),
+            timeout: Duration::from_secs(1),
+        });
+        let order = Order {
+            firm: "tidewater".parse().unwrap(),
+            id: "apply-1".to_owned(),
+            expect: None,
+            split: piece::split(&file()).unwrap(),
+        };
+        config::apply(&store, order, Duration::from_secs(5), 7).await;
+    }
+
+    /// Starts an entry and waits until it is ready.
+    async fn entry(&self, name: &str) -> Process {
+        let (listen, admin) = (free(), free());
+        let text = format!(
+            "firm: tidewater
+name: {name}
+zone: bowen-a
+listen: {listen}
+admin: {admin}
+platform: {{address: '{}', token: token, timeout_ms: 300}}
+drain: {{linger_ms: 50, deadline_ms: 5000}}
+",
+            self.platform.address()
+        );
+        let settings: Settings = settings::parse("entry.yaml".as_ref(), &text).unwrap();
+        let (stop, signal) = shutdown::channel();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let served = run::serve(settings, log, Monotonic::start(), signal);
+        let ended = monoio::spawn(async { served.await.unwrap() });
+        let process = Process {
+            listen,
+            admin,
+            stop,
+            ended,
+        };
+        while !self.ready(&process).await {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        process
+    }
+
+    /// Whether an entry is ready and knows its upstreams.
+    async fn ready(&self, process: &Process) -> bool {
+        let metrics = self.look(process, "/metrics").await;
+        self.look(process, "/readyz").await == "ready\n"
+            && metrics.contains("verbenaspool_upstreams{service=\"jobs\"} 1\n")
+            && metrics.contains("verbenaspool_upstreams{service=\"assistant\"} 1\n")
+    }
+
+    /// What an entry says on its admin listener; nothing before it listens.
+    async fn look(&self, process: &Process, path: &str) -> String {
+        let mut get = Request::new(Body::empty());
+        *get.uri_mut() = path.parse().unwrap();
+        get.headers_mut().insert("host", "entry".parse().unwrap());
+        let Ok(response) = self.client.send(process.admin, get).await else {
+            return String::new();
+        };
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        String::from_utf8(body.to_vec()).unwrap()
+    }
+
+    /// Sends a booking under a key.
+    async fn book(
+        &self,
+        process: &Process,
+        key: &str,
+        body: &'static str,
+    ) -> (u16, String, String) {
+        let mut sent = request(Method::POST, "/jobs/bookings", body);
+        let headers = sent.headers_mut();
+        headers.insert(header::IDEMPOTENCY_KEY, key.parse().unwrap());
+        let (status, outcome, body) = whole(self.send(process, sent).await).await;
+        let word = if status == 200 { body } else { code(&body) };
+        (status.as_u16(), outcome, word)
+    }
+
+    async fn send(&self, process: &Process, request: Request<Body>) -> Response<Body> {
+        self.client.send(process.listen, request).await.unwrap()
+    }
+}
+
+/// What a booking is answered with.
+fn answer(status: u16, outcome: &str, word: &str) -> (u16, String, String) {
+    (status, outcome.to_owned(), word.to_owned())
+}
+
+#[test]
+fn a_key_runs_a_write_at_most_once() {
+    // A skipper is charged twice: the answer to a booking was lost, and the
+    // caller sent it again, with the same key, through another entry.
+    bounded(async {
+        let firm = Firm::start().await;
+        let (one, other) = (firm.entry("entry-1").await, firm.entry("entry-2").await);
+        let first = firm.book(&one, "key-1", "one booking").await;
+        assert_eq!(first, answer(200, "ran", "/bookings one booking"));
+        let repeat = firm.book(&other, "key-1", "one booking").await;
+        assert_eq!(repeat, answer(409, "unknown", "key-conflict"));
+        let another = firm.book(&other, "key-1", "another booking").await;
+        assert_eq!(another, answer(409, "not-run", "key-conflict"));
+        firm.book.lose_answer();
+        let lost = firm.book(&one, "key-2", "lost booking").await;
+        assert_eq!(lost.1, "unknown");
+        let repeat = firm.book(&other, "key-2", "lost booking").await;
+        assert_eq!(repeat, answer(409, "unknown", "key-conflict"));
+        assert_eq!(firm.book.writes.borrow().len(), 2);
+    });
+}
+
+#[test]
+fn a_lost_claim_is_read_back() {
+    // A booking is refused for ever: its claim took effect, the platform's
+    // answer was lost, and the entry took its own claim for another's.
+    bounded(async {
+        let firm = Firm::start().await;
+        let entry = firm.entry("entry-1").await;
+        firm.platform.set(|faults| faults.lose_answers = 1);
+        let first = firm.book(&entry, "key-1", "one booking").await;
+        assert_eq!(first, answer(200, "ran", "/bookings one booking"));
+        assert_eq!(firm.book.writes.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn without_the_platform_only_keyed_writes_are_refused() {
+    bounded(async {
+        let firm = Firm::start().await;
+        let entry = firm.entry("entry-1").await;
+        firm.platform.set(|faults| faults.down = true);
+        let keyed = firm.book(&entry, "key-1", "one booking").await;
+        assert_eq!(keyed, answer(503, "not-run", "platform"));
+        let plain = request(Method::GET, "/jobs/bookings", "");
+        assert_eq!(whole(firm.send(&entry, plain).await).await.0, 200);
+        assert!(firm.book.writes.borrow().is_empty());
+        firm.platform.set(|faults| faults.down = false);
+        let keyed = firm.book(&entry, "key-2", "one booking").await;
+        assert_eq!(keyed, answer(200, "ran", "/bookings one booking"));
+    });
+}
+
+#[test]
+fn a_stopped_process_ends_its_streams_first() {
+    bounded(async {
+        let firm = Firm::start().await;
+        let entry = firm.entry("entry-1").await;
+        let body = r#"{"prompt":"Mend the net.","max_tokens":100,"stream":true}"#;
+        let sent = request(Method::POST, "/loft/v1/completions", body);
+        let mut stream = firm.send(&entry, sent).await.into_body();
+        stream.frame().await.unwrap().unwrap();
+        entry.stop.fire();
+        monoio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(firm.look(&entry, "/readyz").await, "not ready\n");
+        let rest = stream.collect().await.unwrap().to_bytes();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"));
+        assert_eq!(entry.ended.await, Drained { cut: 0 });
+    });
+}
+
+#[test]
+fn metrics_tell_what_became_of_requests() {
+    bounded(async {
+        let firm = Firm::start().await;
+        let entry = firm.entry("entry-1").await;
+        firm.book(&entry, "key-1", "one booking").await;
+        firm.book(&entry, "key-1", "one booking").await;
+        let metrics = firm.look(&entry, "/metrics").await;
+        for line in [
+            "verbenaspool_requests_total{service=\"jobs\",outcome=\"ran\"} 1\n",
+            "verbenaspool_requests_total{service=\"jobs\",outcome=\"unknown\"} 1\n",
+            "verbenaspool_request_seconds_count{service=\"jobs\"} 1\n",
+            "verbenaspool_config_version 1\n",
+        ] {
+            assert!(metrics.contains(line), "{line} in {metrics}");
+        }
+        assert_eq!(firm.look(&entry, "/healthz").await, "ok\n");
+    });
+}
