Add check, apply and status for operators, and a budget of platform calls

A zone's first instance writes the status that its tree gathered; who reads it twice and finds it unchanged hasn't heard from the zone, so no clocks are compared. Calls to the platform stay within 45 a second, of 90 at once, and statuses are dropped first.

--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -3,11 +3,18 @@
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 
 use clap::{CommandFactory, Parser, Subcommand};
+use serde::Serialize;
 
-use crate::run::{self, Drained};
+use verbenaspool_state::version::Version;
+
+use crate::{
+    operate::{self, apply, status},
+    run::{self, Drained},
+};
 
 /// The process could not do what it was told.
 const FAILED: u8 = 1;
@@ -16,16 +23,29 @@
 /// The drain's deadline cut requests off.
 const CUT: u8 = 3;
 
+/// The file has problems.
+const PROBLEMS: u8 = 4;
+/// Another apply came first.
+const CONFLICT: u8 = 5;
+/// It isn't known whether the file was accepted.
+const UNKNOWN: u8 = 6;
+
 /// What `--help` says below the options.
 const EXAMPLES: &str = "\
 Examples:
   verbenaspool run --settings /etc/verbenaspool/entry.yaml
+  verbenaspool check quetzal.yaml
+  verbenaspool apply --settings operator.yaml --expect 7 quetzal.yaml
+  verbenaspool status --settings operator.yaml --json
 
 Exit codes:
   0  done
   1  it could not be done
   2  the command line or the settings are wrong
-  3  the drain's deadline cut requests off";
+  3  the drain's deadline cut requests off
+  4  the file has problems; all of them are told
+  5  another apply came first; nothing of this file is in force
+  6  it isn't known whether the file was accepted; apply it again with --id";
 
 /// Balances requests across expert-parallel model groups.
 #[derive(Debug, Parser)]
@@ -45,6 +65,42 @@
         #[arg(long, short, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Check a firm's file and tell everything that is wrong with it.
+    Check {
+        /// The firm's file.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Apply a firm's file, whole or not at all.
+    Apply {
+        /// The operator's settings file.
+        #[arg(long, short, value_name = "FILE")]
+        settings: PathBuf,
+        /// The firm's file.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Apply only if this version is the accepted one; 0 if none is.
+        #[arg(long, value_name = "VERSION")]
+        expect: Option<u64>,
+        /// The apply's id, to settle an apply whose fate is unknown.
+        #[arg(long, value_name = "ID")]
+        id: Option<String>,
+        /// How long to go on trying, in milliseconds.
+        #[arg(long, value_name = "MS", default_value_t = 20_000)]
+        timeout_ms: u64,
+        /// Tell the result as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tell what is accepted, and where it is in force.
+    Status {
+        /// The operator's settings file.
+        #[arg(long, short, value_name = "FILE")]
+        settings: PathBuf,
+        /// Tell it as JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// The command line for clap's companions, which write completions and manual
@@ -63,9 +119,68 @@
 pub fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Run { settings } => run(&settings),
+        Command::Check { file } => match operate::check(&file) {
+            Ok(file) => {
+                println!("{}: the file is sound", file.firm);
+                ExitCode::SUCCESS
+            }
+            Err(error) => fail(&error),
+        },
+        Command::Apply {
+            settings,
+            file,
+            expect,
+            id,
+            timeout_ms,
+            json,
+        } => {
+            let options = apply::Options {
+                expect: expect.map(Version),
+                id,
+                within: Duration::from_millis(timeout_ms),
+            };
+            match apply::main(&settings, &file, options) {
+                Ok(result) => applied(&result, json),
+                Err(error) => fail(&error),
+            }
+        }
+        Command::Status { settings, json } => match status::main(&settings) {
+            Ok(report) => {
+                let table = || status::table(&report);
+                println!("{}", if json { text(&report) } else { table() });
+                ExitCode::SUCCESS
+            }
+            Err(error) => fail(&error),
+        },
     }
 }
 
+/// A report as JSON.
+fn text<T: Serialize>(report: &T) -> String {
+    serde_json::to_string(report).unwrap_or_default()
+}
+
+/// Tells the result of an apply.
+fn applied(result: &apply::Result, json: bool) -> ExitCode {
+    println!("{}", if json { text(result) } else { result.text() });
+    match result {
+        apply::Result::Accepted { .. } | apply::Result::Unchanged { .. } => ExitCode::SUCCESS,
+        apply::Result::Conflict { .. } => ExitCode::from(CONFLICT),
+        apply::Result::Failed { .. } => ExitCode::from(FAILED),
+        apply::Result::Unknown { .. } => ExitCode::from(UNKNOWN),
+    }
+}
+
+/// Tells why an operator's command did nothing.
+fn fail(error: &operate::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(match error {
+        operate::Error::Settings(_) => SETTINGS,
+        operate::Error::Problems { .. } | operate::Error::Firm { .. } => PROBLEMS,
+        _ => FAILED,
+    })
+}
+
 /// Runs the entry.
 fn run(settings: &Path) -> ExitCode {
     match run::main(settings) {
--- a/verbenaspool/src/lib.rs
+++ b/verbenaspool/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod cli;
 pub mod entry;
+pub mod operate;
 pub mod run;
 pub mod settings;
--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -10,11 +10,16 @@
     clock::{Clock, Monotonic},
     config::{
         source::{self, Source},
+        status,
         upstreams::Follower,
     },
     log,
     metrics::Registry,
-    platform::{Store, client::Client},
+    platform::{
+        Store,
+        budget::{self, Budget},
+        client::Client,
+    },
     rpc, runtime, settings,
     shutdown::{self, Signal, Trigger},
     trace::{Tracer, export::Exporter},
@@ -114,7 +119,9 @@
     if let Some(listener) = admin {
         monoio::spawn(Admin(entry.clone()).serve(listener, finished.clone()));
     }
-    let source = configure(&settings, &entry, store, control, &finished);
+    // Claims of callers' writes go past the budget: they have deadlines.
+    let budget = Budget::new(store, clock.clone(), budget::Settings::default());
+    let source = configure(&settings, &entry, budget, control, &finished);
     let (close, closed) = shutdown::channel();
     let mut served = Box::pin(entry.clone().serve(callers, closed));
     info!(log, "Entry: Started."; "name" => settings.name.as_str(), "listen" => settings.listen);
@@ -167,6 +174,8 @@
         monoio::spawn(rpc::serve(listener, Rc::new(module), finished.clone()));
     }
     monoio::spawn(adopt(source.clone(), entry.clone()));
+    let zone = settings.zone.clone();
+    monoio::spawn(status::publish(source.clone(), store.clone(), zone));
     let follower = Follower::new(store, &settings.firm);
     let (entry, clock) = (entry.clone(), entry.clock.clone());
     let changed = move |list: &[_]| entry.members(list);
--- /dev/null
+++ b/verbenaspool_standin/tests/config/limits.rs
@@ -0,0 +1,255 @@
+//! Bounds: what the platform is asked for, and how large a file may be.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use verbenaspool_coordination::{
+    adoption::{Adoption, Error, Settings, Verdict},
+    apply::{Order, Outcome},
+    head::Head,
+    piece::{self, Hash},
+};
+use verbenaspool_standin::platform::Faults;
+use verbenaspool_state::{
+    decisions::Decisions,
+    service::{Kind, Plain, Service},
+    version::Version,
+};
+use verbenaspool_transport::{
+    clock::Paused,
+    config::{status, status::publish},
+    platform::{
+        self, Answer, Entry, Events, Object, Store, When,
+        budget::{self, Budget},
+    },
+};
+
+use crate::support::{
+    FIRM, Instance, accepted, all_reach, apply, client, file, name, order, platform, run,
+};
+
+/// A store that counts its calls.
+#[derive(Default)]
+struct Counter(Cell<u32>);
+
+impl Counter {
+    fn count<'a, T: 'a>(&'a self, answer: T) -> Answer<'a, T> {
+        self.0.set(self.0.get() + 1);
+        Box::pin(async move { Ok(answer) })
+    }
+}
+
+impl Store for Counter {
+    fn get<'a>(&'a self, _: &'a str) -> Answer<'a, Option<Object>> {
+        self.count(None)
+    }
+
+    fn put<'a>(&'a self, _: &'a str, _: Bytes, _: When) -> Answer<'a, u64> {
+        self.count(1)
+    }
+
+    fn delete<'a>(&'a self, _: &'a str, _: When) -> Answer<'a, ()> {
+        self.count(())
+    }
+
+    fn list<'a>(&'a self, _: &'a str) -> Answer<'a, Vec<Entry>> {
+        self.count(Vec::new())
+    }
+
+    fn watch<'a>(&'a self, _: &'a str, _: u64, _: Duration) -> Answer<'a, Events> {
+        self.count(Events {
+            revision: 0,
+            events: Vec::new(),
+        })
+    }
+}
+
+// The platform comes back after an outage and an instance has a thousand pieces
+// to read. Read all at once, by every instance, they would take it down again.
+#[test]
+fn calls_stay_within_the_budget() {
+    run(async {
+        let (counter, clock) = (Rc::new(Counter::default()), Rc::new(Paused::default()));
+        let settings = budget::Settings::default();
+        let store = Budget::new(counter.clone(), clock.clone(), settings);
+        for _ in 0..1_000 {
+            let store = store.clone();
+            monoio::spawn(async move {
+                store.get("firms/tidewater/pieces/1").await.unwrap();
+            });
+        }
+        for (seconds, most) in [(0, 90), (1, 135), (2, 180)] {
+            if seconds > 0 {
+                clock.advance(Duration::from_secs(1));
+            }
+            monoio::time::sleep(Duration::from_millis(5)).await;
+            assert_eq!(counter.0.get(), most, "after {seconds} s");
+        }
+        // A status is dropped rather than queued behind them.
+        let key = "firms/tidewater/status/bowen";
+        let dropped = store.put(key, Bytes::new(), When::Always).await;
+        assert_eq!(dropped, Err(platform::Error::Busy));
+        clock.advance(Duration::from_mins(1));
+        let written = store.put(key, Bytes::new(), When::Always).await;
+        assert_eq!(written, Ok(1));
+    });
+}
+
+#[test]
+fn status_tells_where_a_version_is_in_force() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let first = apply(&*store, order(FIRM, 1, "apply-1")).await;
+        assert!(accepted(&first).is_some());
+        let instances = [Instance::start(1, client(&platform, FIRM), &[], 1)];
+        assert!(all_reach(&instances, 1).await);
+        let source = instances[0].source.clone();
+        monoio::spawn(publish(source, client(&platform, FIRM), name("bowen")));
+        monoio::time::sleep(status::PERIOD + Duration::from_millis(300)).await;
+        let firm = name(FIRM);
+        let pause = status::PERIOD * 3 / 2;
+        let report = status::read(&*store, &firm, pause).await.unwrap();
+        assert_eq!((report.accepted, report.in_force), (Version(1), true));
+        assert!(report.zones[0].heard);
+        // The instance dies: its last status stands, and is told to be old.
+        let [instance] = instances;
+        instance.crash();
+        monoio::time::sleep(status::PERIOD).await;
+        let report = status::read(&*store, &firm, pause).await.unwrap();
+        assert!(!report.zones[0].heard && !report.in_force);
+    });
+}
+
+// Files grow until they don't fit. At the limit they must be accepted and come
+// in force; over it nothing may be accepted, in part or whole.
+#[test]
+fn large_files() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let mut large = file(FIRM, 1);
+        let service = Service {
+            name: name("job-booking"),
+            kind: Kind::Plain(Plain::default()),
+            path: "/".to_owned(),
+            zones: Vec::new(),
+            decisions: Decisions::default(),
+        };
+        large.services = vec![service];
+        let room = piece::LARGEST - 600;
+        large.services[0].path = format!("/{}/", "x".repeat(room));
+        let mut fits = order(FIRM, 1, "apply-1");
+        fits.split = piece::split(&large).unwrap();
+        assert_eq!(accepted(&apply(&*store, fits).await), Some(Version(1)));
+        let instance = Instance::start(1, client(&platform, FIRM), &[], 1);
+        let adopted = instance.source.above(Version(0)).await;
+        assert_eq!(adopted.file.services, large.services);
+        large.services[0].path = format!("/{}/", "x".repeat(piece::LARGEST));
+        assert!(matches!(
+            piece::split(&large),
+            Err(piece::Error::Large { .. })
+        ));
+        instance.source.end();
+    });
+}
+
+// The platform refuses the pieces of an apply as too large or not ours. Nothing
+// may be accepted, and the operator hears why.
+#[test]
+fn refused_pieces() {
+    run(async {
+        let platform = platform();
+        let other = client(&platform, "quetzal");
+        let outcome = apply(&*other, order(FIRM, 1, "apply-1")).await;
+        assert!(matches!(outcome, Outcome::Failed(_)), "{outcome:?}");
+        platform.set(|faults| *faults = Faults::default());
+        platform.with(|objects| assert!(objects.list("firms/").is_empty()));
+    });
+}
+
+// A peer passes on what is old, garbled, or another firm's. What is in force
+// must stay, whatever comes.
+#[test]
+fn garbage_from_peers() {
+    let split = piece::split(&file(FIRM, 1)).unwrap();
+    let head = |version: u64, root: Hash| {
+        let first = Head::first("apply", root);
+        (1..version).fold(first, |head, _| head.next("apply", root))
+    };
+    let mut adoption = Adoption::new(name(FIRM), Settings::default());
+    assert_eq!(adoption.offer(head(5, split.root)), Verdict::New);
+    for (hash, bytes) in &split.pieces {
+        adoption.insert(*hash, bytes).unwrap();
+    }
+    assert!(adoption.poll(Duration::ZERO, 1).unwrap().is_some());
+    let mut raised = head(4, split.root);
+    raised.version = Version(99);
+    let other = piece::split(&file("quetzal", 1)).unwrap();
+    let cases = [
+        ("old", head(4, split.root), Verdict::Old),
+        ("same", head(5, split.root), Verdict::Known),
+        ("other file", head(5, other.root), Verdict::Garbled),
+        ("raised version", raised, Verdict::Garbled),
+    ];
+    for (story, head, verdict) in cases {
+        assert_eq!(adoption.offer(head), verdict, "{story}");
+    }
+    assert_eq!(adoption.offer(head(6, other.root)), Verdict::New);
+    for (hash, bytes) in &other.pieces {
+        adoption.insert(*hash, bytes).unwrap();
+    }
+    let refused = adoption.poll(Duration::ZERO, 1);
+    assert!(matches!(refused, Err(Error::Firm { .. })), "{refused:?}");
+    let current = adoption.current().map(|adopted| adopted.version());
+    assert_eq!(current, Some(Version(5)));
+    // A later version of the firm still comes in force.
+    assert_eq!(adoption.offer(head(7, split.root)), Verdict::New);
+    assert!(adoption.poll(Duration::ZERO, 1).unwrap().is_some());
+}
+
+// A version waits until a second instance holds it, and no longer than the bound
+// when the other can't be reached.
+#[test]
+fn second_holder() {
+    let cases = [
+        ("alone", 1, false, 0, true),
+        ("other silent", 2, false, 999, false),
+        ("other silent for the bound", 2, false, 1_000, true),
+        ("other holds it", 2, true, 0, true),
+    ];
+    for (story, alive, holds, at, in_force) in cases {
+        let split = piece::split(&file(FIRM, 1)).unwrap();
+        let mut adoption = Adoption::new(name(FIRM), Settings::default());
+        adoption.offer(Head::first("apply", split.root));
+        for (hash, bytes) in &split.pieces {
+            adoption.insert(*hash, bytes).unwrap();
+        }
+        let early = adoption.poll(Duration::ZERO, alive.max(2)).unwrap();
+        assert!(early.is_none(), "{story}");
+        if holds {
+            adoption.hold(&name("entry-2"), Version(1));
+        }
+        let adopted = adoption.poll(Duration::from_millis(at), alive).unwrap();
+        assert_eq!(adopted.is_some(), in_force, "{story}");
+    }
+}
+
+// The order's type is what the operators' command builds; its id settles it.
+#[test]
+fn same_id_settles() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let first: Order = order(FIRM, 1, "apply-1");
+        platform.set(|faults| {
+            faults.lose_after = 3;
+            faults.lose_answers = 50;
+        });
+        let within = Duration::from_millis(400);
+        let lost = verbenaspool_transport::config::apply(&*store, first.clone(), within, 7).await;
+        platform.set(|faults| *faults = Faults::default());
+        let settled = apply(&*store, first).await;
+        assert_eq!(accepted(&settled), Some(Version(1)), "{lost:?}");
+    });
+}
--- a/verbenaspool_standin/tests/config/main.rs
+++ b/verbenaspool_standin/tests/config/main.rs
@@ -7,6 +7,7 @@
 use verbenaspool_state::version::Version;
 use verbenaspool_transport::platform::{Error, Store, When};
 
+mod limits;
 mod support;
 mod zone;
 
--- a/verbenaspool_transport/src/config.rs
+++ b/verbenaspool_transport/src/config.rs
@@ -14,6 +14,7 @@
 
 mod peers;
 pub mod source;
+pub mod status;
 pub mod upstreams;
 
 /// Has a file accepted, within a time bound, and then collects pieces that
--- /dev/null
+++ b/verbenaspool_transport/src/config/status.rs
@@ -0,0 +1,224 @@
+//! The status of a zone, gathered along the tree and written by its first instance.
+
+use std::{rc::Rc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use verbenaspool_coordination::{
+    head::Head,
+    keys,
+    membership::{Seen, Summary},
+    piece::{Base, Root},
+};
+use verbenaspool_state::{name::Name, place::Place, version::Version};
+
+use super::source::Source;
+use crate::platform::{Error, Store, When};
+
+/// The time between two writes. Eleven zones then write 5.5 times a second, of
+/// several hundred that the platform takes.
+pub const PERIOD: Duration = Duration::from_secs(2);
+/// What the time grows by when the platform is slow, busy or away: nothing waits
+/// for a status, so its writes are the first to be dropped.
+const GROWTH: u32 = 2;
+/// The longest time between two writes.
+const LONGEST: Duration = Duration::from_mins(1);
+
+/// The status of a zone as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Status {
+    /// The availability zone.
+    pub zone: Name,
+    /// Who wrote it.
+    pub writer: Name,
+    /// Counts the writer's writes. Who reads it twice and finds it unchanged hasn't
+    /// heard from the zone; clocks, which may step, aren't compared.
+    pub count: u64,
+    /// Instances alive.
+    pub alive: u32,
+    /// The versions in force.
+    pub summary: Summary,
+    /// Why the zone learns nothing newer from the platform, if so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trouble: Option<String>,
+}
+
+impl Status {
+    /// Whether every live instance has `version` or a later one in force.
+    ///
+    /// ```no_run
+    /// # let status: verbenaspool_transport::config::status::Status = unimplemented!();
+    /// let in_force = status.has(verbenaspool_state::version::Version(7));
+    /// ```
+    #[must_use]
+    pub fn has(&self, version: Version) -> bool {
+        let lowest = self.summary.lowest.first();
+        self.summary.instances >= self.alive && lowest.is_some_and(|seen| seen.version >= version)
+    }
+
+    /// The named instances that are behind `version`.
+    ///
+    /// ```no_run
+    /// # let status: verbenaspool_transport::config::status::Status = unimplemented!();
+    /// let behind = status.behind(verbenaspool_state::version::Version(7)).count();
+    /// ```
+    pub fn behind(&self, version: Version) -> impl Iterator<Item = &Seen> {
+        let lowest = self.summary.lowest.iter();
+        lowest.filter(move |seen| seen.version < version)
+    }
+}
+
+/// Writes the zone's status for as long as the source runs, while this instance
+/// is the zone's first.
+///
+/// ```no_run
+/// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>,
+/// #     store: std::rc::Rc<dyn verbenaspool_transport::platform::Store>) {
+/// use verbenaspool_transport::config::status;
+///
+/// monoio::spawn(status::publish(source, store, "antigua".parse().unwrap()));
+/// # }
+/// ```
+pub async fn publish(source: Rc<Source>, store: Rc<dyn Store>, zone: Name) {
+    let key = keys::status(&source.options.firm, &zone);
+    let mut period = PERIOD;
+    let mut count = 0;
+    while !source.ended() {
+        source.sleep(period).await;
+        if !source.first() {
+            continue;
+        }
+        count += 1;
+        let status = Status {
+            zone: zone.clone(),
+            writer: source.options.name.clone(),
+            count,
+            alive: u32::try_from(source.alive()).unwrap_or(u32::MAX),
+            summary: source.summary(),
+            trouble: source.trouble(),
+        };
+        let Ok(text) = serde_json::to_vec(&status) else {
+            continue;
+        };
+        period = match store.put(&key, text.into(), When::Always).await {
+            Ok(_) => PERIOD,
+            Err(_) => (period * GROWTH).min(LONGEST),
+        };
+    }
+}
+
+/// What operators are told of a firm.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// The firm.
+    pub firm: Name,
+    /// The accepted version, 0 for none.
+    pub accepted: Version,
+    /// The apply that it was accepted under.
+    pub apply: Option<String>,
+    /// Whether the accepted version is in force at every live instance of every
+    /// zone. A zone that isn't heard from leaves that open, which counts as no.
+    pub in_force: bool,
+    /// The zones of the accepted file, and any other that wrote a status.
+    pub zones: Vec<Zone>,
+}
+
+/// What operators are told of a zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Zone {
+    /// The availability zone.
+    pub zone: Name,
+    /// Whether the zone wrote a status while it was watched.
+    pub heard: bool,
+    /// The last status that the zone wrote.
+    pub status: Option<Status>,
+}
+
+/// Reads the report of a firm. The zones' statuses are read twice, `pause` apart,
+/// to tell which zones are still heard from; [`PERIOD`] and a half is enough.
+///
+/// # Errors
+/// When the platform can't be read.
+///
+/// ```no_run
+/// # async fn example(store: &dyn verbenaspool_transport::platform::Store) {
+/// use verbenaspool_transport::config::status;
+///
+/// let firm = "quetzal".parse().unwrap();
+/// let report = status::read(store, &firm, status::PERIOD * 3 / 2).await;
+/// # }
+/// ```
+pub async fn read(store: &dyn Store, firm: &Name, pause: Duration) -> Result<Report, Error> {
+    let before = statuses(store, firm).await?;
+    monoio::time::sleep(pause).await;
+    let after = statuses(store, firm).await?;
+    let head = match store.get(&keys::head(firm)).await? {
+        Some(object) => Head::read(&object.value),
+        None => None,
+    };
+    let places = match &head {
+        Some(head) => places(store, firm, head).await?,
+        None => Vec::new(),
+    };
+    let mut names: Vec<Name> = places.into_iter().map(|place| place.zone).collect();
+    names.extend(after.iter().map(|status| status.zone.clone()));
+    names.sort();
+    names.dedup();
+    let zones: Vec<Zone> = names
+        .into_iter()
+        .map(|zone| told(zone, &before, &after))
+        .collect();
+    let accepted = head.as_ref().map(|head| head.version).unwrap_or_default();
+    let there = |zone: &Zone| {
+        let status = zone.status.as_ref();
+        zone.heard && status.is_some_and(|status| status.has(accepted))
+    };
+    Ok(Report {
+        firm: firm.clone(),
+        accepted,
+        apply: head.map(|head| head.apply),
+        in_force: !zones.is_empty() && zones.iter().all(there),
+        zones,
+    })
+}
+
+/// What is told of a zone, of two readings.
+fn told(zone: Name, before: &[Status], after: &[Status]) -> Zone {
+    let of = |statuses: &[Status]| statuses.iter().find(|s| s.zone == zone).cloned();
+    let (first, last) = (of(before), of(after));
+    Zone {
+        heard: last.is_some() && first != last,
+        status: last,
+        zone,
+    }
+}
+
+/// The statuses that a firm's zones wrote last.
+async fn statuses(store: &dyn Store, firm: &Name) -> Result<Vec<Status>, Error> {
+    let mut statuses = Vec::new();
+    for entry in store.list(&format!("firms/{firm}/status/")).await? {
+        let object = store.get(&entry.key).await?;
+        let status = object.and_then(|object| serde_json::from_slice(&object.value).ok());
+        statuses.extend(status);
+    }
+    Ok(statuses)
+}
+
+/// The places of the accepted file, read without its customers.
+async fn places(store: &dyn Store, firm: &Name, head: &Head) -> Result<Vec<Place>, Error> {
+    let root: Option<Root> = piece(store, &keys::piece(firm, head.root)).await?;
+    let Some(root) = root else {
+        return Ok(Vec::new());
+    };
+    let base: Option<Base> = piece(store, &keys::piece(firm, root.base)).await?;
+    Ok(base.map(|base| base.places).unwrap_or_default())
+}
+
+/// A stored piece's content.
+async fn piece<T: serde::de::DeserializeOwned>(
+    store: &dyn Store,
+    key: &str,
+) -> Result<Option<T>, Error> {
+    let object = store.get(key).await?;
+    Ok(object.and_then(|object| serde_json::from_slice(&object.value).ok()))
+}
--- a/verbenaspool_transport/src/platform.rs
+++ b/verbenaspool_transport/src/platform.rs
@@ -12,6 +12,7 @@
 
 pub use verbenaspool_coordination::store::When;
 
+pub mod budget;
 pub mod client;
 pub mod driver;
 
