Run the whole path in a demo

Two firms on loopback: platform, engines, plain services, agents and entries in two zones each; racing operators, leaving instances and an outage of the platform under traffic. Cause: an agent that refused a request for the wrong process number didn't echo the attempt, so that the entry took the refusal for a crossed answer and never learnt the number. Ruled out: the settling, which rightly answered unknown.

--- /dev/null
+++ b/examples/demo/main.rs
@@ -0,0 +1,40 @@
+//! A demo of the whole path on loopback, in one process and about ten seconds:
+//! two firms, two availability zones, real HTTP traffic, changes and failures
+//! under it, and a count of what callers got.
+
+mod events;
+mod report;
+mod traffic;
+mod world;
+
+use clap::Parser;
+use verbenaspool_transport::runtime;
+
+use crate::{report::Report, world::World};
+
+/// Shows verbenaspool at work between stand-ins, on loopback.
+#[derive(Debug, Parser)]
+struct Options {
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options = Options::parse();
+    let report = runtime::run(run())??;
+    println!("{report}");
+    if options.json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
+}
+
+/// Starts the world, lets callers and operators at it, and counts.
+async fn run() -> Result<Report, Box<dyn std::error::Error>> {
+    let world = World::start().await?;
+    let callers = traffic::start(&world);
+    let events = events::play(&world).await;
+    let calls = callers.stop().await;
+    Ok(Report::new(&world, &calls, &events))
+}
--- /dev/null
+++ b/examples/demo/report.rs
@@ -0,0 +1,130 @@
+//! What callers got, counted from what happened.
+
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use verbenaspool_protocol::outcome::Outcome;
+
+use crate::{events::Events, traffic::Call, world::World};
+
+/// The demo's result.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Requests sent; the sum of the next three.
+    requests: usize,
+    /// Whole answers.
+    whole: usize,
+    /// Requests that callers were told did not run.
+    not_run: usize,
+    /// Requests whose fate callers were not told.
+    unknown: usize,
+    /// Whole answers that were not the request's own.
+    wrong_answers: usize,
+    /// Writes that ran more than once.
+    duplicate_writes: usize,
+    /// Writes reported as not run that did run.
+    false_not_run: usize,
+    /// The longest time until an accepted version was in force everywhere.
+    config_in_force_ms: f64,
+    /// Applies that lost a race and were told so.
+    conflicts: u32,
+    /// Instances that left while they served.
+    left: u32,
+    /// Changes of expert maps that came in force.
+    map_changes: usize,
+    /// Steps whose ranks did not all use one map.
+    steps_on_mixed_maps: usize,
+    /// Half of the whole answers took at most so long, in microseconds.
+    p50_us: u64,
+    /// 99 of 100 whole answers took at most so long, in microseconds.
+    p99_us: u64,
+}
+
+impl Report {
+    /// Counts.
+    pub fn new(world: &World, calls: &[Call], events: &Events) -> Self {
+        let count = |outcome| calls.iter().filter(|call| call.outcome == outcome).count();
+        let mut times: Histogram<u64> = Histogram::new(3).expect("three digits are allowed");
+        for call in calls.iter().filter(|call| call.outcome == Outcome::Ran) {
+            let micros = u64::try_from(call.took.as_micros()).unwrap_or(u64::MAX);
+            times.record(micros).expect("the histogram grows");
+        }
+        let written = written(world);
+        let refused = calls.iter().filter(|call| call.outcome == Outcome::NotRun);
+        let refused: HashSet<_> = refused.filter_map(|call| call.write.as_ref()).collect();
+        Self {
+            requests: calls.len(),
+            whole: count(Outcome::Ran),
+            not_run: count(Outcome::NotRun),
+            unknown: count(Outcome::Unknown),
+            wrong_answers: calls.iter().filter(|call| call.wrong).count(),
+            duplicate_writes: written.values().filter(|&&times| times > 1).count(),
+            false_not_run: refused
+                .iter()
+                .filter(|write| written.contains_key(**write))
+                .count(),
+            config_in_force_ms: events.in_force.as_secs_f64() * 1e3,
+            conflicts: events.conflicts,
+            left: events.left,
+            map_changes: 0,
+            steps_on_mixed_maps: 0,
+            p50_us: times.value_at_quantile(0.5),
+            p99_us: times.value_at_quantile(0.99),
+        }
+    }
+}
+
+/// How often each write ran.
+fn written(world: &World) -> HashMap<String, u32> {
+    let mut written = HashMap::new();
+    for firm in &world.firms {
+        for write in firm.book.writes.borrow().iter() {
+            *written.entry(write.clone()).or_default() += 1;
+        }
+    }
+    written
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "\n{} requests:", self.requests)?;
+        writeln!(f, "  {:>6} got their whole answer", self.whole)?;
+        writeln!(
+            f,
+            "  {:>6} did not run, and the caller was told so",
+            self.not_run
+        )?;
+        writeln!(f, "  {:>6} ended unknown", self.unknown)?;
+        writeln!(f, "  {:>6} got a wrong answer", self.wrong_answers)?;
+        writeln!(f, "  {:>6} writes ran twice", self.duplicate_writes)?;
+        writeln!(
+            f,
+            "  {:>6} writes ran though the caller was told otherwise",
+            self.false_not_run
+        )?;
+        writeln!(
+            f,
+            "A version was in force everywhere after {:.1} ms.",
+            self.config_in_force_ms
+        )?;
+        writeln!(
+            f,
+            "{} applies lost a race; {} instances left.",
+            self.conflicts, self.left
+        )?;
+        writeln!(
+            f,
+            "{} expert maps changed; {} steps ran on mixed maps.",
+            self.map_changes, self.steps_on_mixed_maps
+        )?;
+        write!(
+            f,
+            "Answers took {} µs (median), {} µs (99 in 100).",
+            self.p50_us, self.p99_us
+        )
+    }
+}
--- /dev/null
+++ b/examples/demo/traffic.rs
@@ -0,0 +1,222 @@
+//! Callers that send requests one after the other and check each answer.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use http::{Method, Request};
+use http_body_util::BodyExt;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use verbenaspool_protocol::{header, outcome::Outcome};
+use verbenaspool_standin::engine::text;
+use verbenaspool_state::{file::File, service::Kind};
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{body::Body, client::Client},
+};
+
+use crate::world::World;
+
+/// Callers of each firm.
+const CALLERS: usize = 24;
+/// The share of requests that go to the plain service.
+const PLAIN: f64 = 0.3;
+/// How long a caller pauses between requests.
+const PAUSE: Duration = Duration::from_millis(5);
+/// How long a caller waits after a refusal.
+const REFUSED: Duration = Duration::from_millis(50);
+
+/// What came of one request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What became of it, as the caller was told.
+    pub outcome: Outcome,
+    /// Whether the answer was another's or altered.
+    pub wrong: bool,
+    /// The body of a write, which names it.
+    pub write: Option<String>,
+    /// How long the whole answer took.
+    pub took: Duration,
+}
+
+/// The callers at work.
+pub struct Callers {
+    stop: Rc<Cell<bool>>,
+    busy: Rc<Cell<usize>>,
+    calls: Rc<RefCell<Vec<Call>>>,
+}
+
+/// One caller.
+struct Caller {
+    name: String,
+    entry: SocketAddr,
+    token: String,
+    model: String,
+    plain: String,
+    client: Client,
+    clock: Rc<dyn Clock>,
+    random: SmallRng,
+    sent: u64,
+}
+
+/// Starts the callers of all firms.
+pub fn start(world: &World) -> Callers {
+    let callers = Callers {
+        stop: Rc::default(),
+        busy: Rc::default(),
+        calls: Rc::default(),
+    };
+    for firm in &world.firms {
+        let client = Client::new(Duration::from_secs(1));
+        for number in 0..CALLERS {
+            let (_, entry) = firm.entries[number % firm.entries.len()];
+            let caller = Caller::new(world, &firm.file, number, entry, client.clone());
+            callers.busy.set(callers.busy.get() + 1);
+            monoio::spawn(caller.run(
+                callers.stop.clone(),
+                callers.busy.clone(),
+                callers.calls.clone(),
+            ));
+        }
+    }
+    callers
+}
+
+impl Callers {
+    /// Lets the callers end their last requests, and gives all that came.
+    pub async fn stop(self) -> Vec<Call> {
+        self.stop.set(true);
+        while self.busy.get() > 0 {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        self.calls.take()
+    }
+}
+
+impl Caller {
+    fn new(world: &World, file: &File, number: usize, entry: SocketAddr, client: Client) -> Self {
+        let all: Vec<_> = file
+            .customers
+            .iter()
+            .filter(|customer| customer.services.is_empty())
+            .collect();
+        let customer = &all[number % all.len()].name;
+        let path = |model: bool| {
+            let service = file
+                .services
+                .iter()
+                .find(|service| matches!(service.kind, Kind::Model(_)) == model);
+            service.expect("the examples have both kinds").path.clone()
+        };
+        Self {
+            name: format!("{}-{number}", file.firm),
+            entry,
+            token: format!("demo-{}-{customer}", file.firm),
+            model: path(true),
+            plain: path(false),
+            client,
+            clock: world.clock.clone(),
+            random: SmallRng::seed_from_u64(number as u64),
+            sent: 0,
+        }
+    }
+
+    async fn run(
+        mut self,
+        stop: Rc<Cell<bool>>,
+        busy: Rc<Cell<usize>>,
+        calls: Rc<RefCell<Vec<Call>>>,
+    ) {
+        while !stop.get() {
+            self.sent += 1;
+            let call = if self.random.random_bool(PLAIN) {
+                self.write().await
+            } else {
+                self.complete().await
+            };
+            let pause = if call.outcome == Outcome::NotRun {
+                REFUSED
+            } else {
+                PAUSE
+            };
+            calls.borrow_mut().push(call);
+            self.clock.sleep(pause).await;
+        }
+        busy.set(busy.get() - 1);
+    }
+
+    /// A request's frame.
+    fn request(&self, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header("host", "entry")
+            .header("authorization", format!("Bearer {}", self.token))
+    }
+
+    /// Asks the model for a completion and checks that it is this prompt's.
+    async fn complete(&mut self) -> Call {
+        let prompt = format!("{} asks for the {}th time", self.name, self.sent);
+        let tokens = self.random.random_range(4..32);
+        let body = serde_json::json!({
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": self.random.random_bool(0.5),
+        });
+        let request = self
+            .request(&format!("{}v1/completions", self.model))
+            .header("content-type", "application/json")
+            .body(Body::full(body.to_string()))
+            .expect("a plain request");
+        let expected = text::answer(&prompt, tokens);
+        self.send(
+            request,
+            |body| text::read(body).as_deref() == Some(&expected),
+            None,
+        )
+        .await
+    }
+
+    /// Sends a write that must run at most once.
+    async fn write(&mut self) -> Call {
+        let body = format!("{} writes {}", self.name, self.sent);
+        let request = self
+            .request(&format!("{}records", self.plain))
+            .header(header::IDEMPOTENCY_KEY, body.replace(' ', "-"))
+            .body(Body::full(body.clone()))
+            .expect("a plain request");
+        let expected = format!("/records {body}");
+        self.send(request, |answer| answer == expected.as_bytes(), Some(body))
+            .await
+    }
+
+    /// Sends a request, reads its answer whole and judges it.
+    async fn send(
+        &self,
+        request: Request<Body>,
+        own: impl Fn(&[u8]) -> bool,
+        write: Option<String>,
+    ) -> Call {
+        let began = self.clock.now();
+        let (outcome, wrong) = match self.client.send(self.entry, request).await {
+            Err(_) => (Outcome::Unknown, false),
+            Ok(response) => {
+                let told = response.headers().get(header::OUTCOME);
+                let outcome = Outcome::read(told.and_then(|value| value.to_str().ok()));
+                match response.into_body().collect().await {
+                    Err(_) => (Outcome::Unknown, false),
+                    Ok(body) => (outcome, outcome == Outcome::Ran && !own(&body.to_bytes())),
+                }
+            }
+        };
+        Call {
+            outcome,
+            wrong,
+            write,
+            took: self.clock.now().saturating_sub(began),
+        }
+    }
+}
--- a/verbenaspool_agent/src/envelope.rs
+++ b/verbenaspool_agent/src/envelope.rs
@@ -19,9 +19,8 @@
 
 /// Reads the headers of a request that means to reach this agent process.
 pub(crate) fn read(headers: &HeaderMap, number: u64) -> Result<Envelope, Problem> {
-    let attempt = text(headers, header::ATTEMPT)
-        .and_then(|text| text.parse().ok())
-        .ok_or_else(|| bad("The attempt header is missing or no attempt id."))?;
+    let attempt =
+        attempt(headers).ok_or_else(|| bad("The attempt header is missing or no attempt id."))?;
     // A process that took this one's address must not run what was meant for
     // its predecessor: the entry may have settled the attempt with that one.
     // An entry that names none has yet to learn the number, from this refusal.
@@ -36,6 +35,11 @@
     })
 }
 
+/// The attempt that a request is, whatever else is wrong with it.
+pub(crate) fn attempt(headers: &HeaderMap) -> Option<attempt::Id> {
+    text(headers, header::ATTEMPT)?.parse().ok()
+}
+
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
     let Some(value) = headers.get(header::DEADLINE) else {
         return Ok(None);
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -65,7 +65,9 @@
         Box::pin(async move {
             let shared = self.0.clone();
             let envelope = envelope::read(request.headers(), shared.number);
-            let attempt = envelope.as_ref().ok().map(|envelope| envelope.attempt);
+            // A refused attempt is echoed too: to the entry, an answer without
+            // the attempt's id is a crossed one and says nothing about it.
+            let attempt = envelope::attempt(request.headers());
             let answer = match envelope {
                 Ok(envelope) => run(&shared, envelope, request).await,
                 Err(problem) => Err(problem),
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -4,4 +4,5 @@
 mod fault;
 mod input;
 mod path;
+mod refusal;
 mod rig;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/refusal.rs
@@ -0,0 +1,40 @@
+//! What a refusal tells the entry.
+
+use std::time::Duration;
+
+use verbenaspool_protocol::{header, outcome::Outcome, problem::Code};
+
+use crate::rig::{Rig, run, service, settings};
+
+#[test]
+fn every_refusal_names_its_attempt() {
+    // No request of a new entry gets through, and each ends unknown: the entry
+    // doesn't know the agent's number yet, the agent refuses without naming the
+    // attempt, and the entry takes that for a crossed answer.
+    run(async {
+        let (upstream, book) = service(Duration::ZERO);
+        let rig = Rig::start(settings(upstream, "plain"));
+        let cases = [
+            (header::AGENT, None, Code::StaleAttempt),
+            (header::AGENT, Some("7"), Code::StaleAttempt),
+            (header::DEADLINE, Some("soon"), Code::BadRequest),
+            (header::DEADLINE, Some("0"), Code::Deadline),
+        ];
+        for (name, value, code) in cases {
+            let id = rig.id();
+            let mut request = rig.request(id, "/bookings", "one");
+            request.headers_mut().remove(name);
+            if let Some(value) = value {
+                request
+                    .headers_mut()
+                    .insert(name, value.parse().expect("a value"));
+            }
+            let reply = rig.send(request).await.expect("an answer");
+            assert_eq!(reply.attempt, Some(id), "{name} {value:?}");
+            assert_eq!(reply.outcome, Outcome::NotRun, "{name} {value:?}");
+            assert_eq!(reply.code(), Some(code), "{name} {value:?}");
+            assert_eq!(reply.load.map(|load| load.agent), Some(rig.agent));
+        }
+        assert!(book.writes.borrow().is_empty());
+    });
+}
