--- a/verbenaspool/tests/entry/repeats.rs
+++ b/verbenaspool/tests/entry/repeats.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     agent::{Act, Agent},
-    site::{Site, request, run, upstream, whole},
+    site::{Site, played, request, run, whole},
 };
 
 /// How many requests are sent, so that each order of the two agents occurs.
@@ -31,10 +31,7 @@
         let upstreams: Vec<_> = agents
             .iter()
             .enumerate()
-            .map(|(i, agent)| {
-                let address = agent.start(signal.clone());
-                upstream(&format!("loft-{i}"), "assistant", address)
-            })
+            .map(|(i, agent)| played(&format!("loft-{i}"), "assistant", agent, &signal))
             .collect();
         let site = Site::start(&upstreams);
         for _ in 0..REQUESTS {
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -4,5 +4,7 @@
 mod fault;
 mod input;
 mod path;
+mod process;
 mod refusal;
+mod report;
 mod rig;
