--- a/examples/demo/traffic.rs
+++ b/examples/demo/traffic.rs
@@ -72,7 +72,7 @@
     for firm in &world.firms {
         let client = Client::new(Duration::from_secs(1));
         for number in 0..CALLERS {
-            let (_, entry) = firm.entries[number % firm.entries.len()];
+            let entry = firm.entries[number % firm.entries.len()].listen;
             let caller = Caller::new(world, &firm.file, number, entry, client.clone());
             callers.busy.set(callers.busy.get() + 1);
             monoio::spawn(caller.run(
