Check expert maps and repeatable paths of a file

A prefix of '/' would let every booking run twice, and one that repeats the service's path covers nothing because paths are read below it; both are refused now. A service may name the map that its groups start with.

--- a/verbenaspool_state/src/check.rs
+++ b/verbenaspool_state/src/check.rs
@@ -15,6 +15,7 @@
 use crate::{
     credential::Digest,
     customer::Customer,
+    expert_map::Map,
     file::File,
     name::Name,
     place::Place,
@@ -368,11 +369,19 @@
     }
 
     /// Checks a plain service's prefixes.
+    ///
+    /// Failure guarded against: a prefix that covers more than its writer meant.
+    /// `/` would let every booking be repeated, and a prefix that repeats the
+    /// service's path would cover nothing, since paths are read below it.
     fn plain(&mut self, path: &str, service: &str, plain: &Plain) {
         for prefix in &plain.idempotent {
-            let below = prefix.starts_with(service) && !prefix.contains("..");
-            let text = format!("'{prefix}' is not below the service's path '{service}'");
-            self.hold(below, path, text);
+            let trimmed = prefix.trim_end_matches('/');
+            let sound = trimmed.starts_with('/') && clean(prefix);
+            let text = format!("'{prefix}' must start with '/' and name something below it");
+            self.hold(sound, path, text);
+            let within = !prefix.starts_with(service) || service == "/";
+            let text = format!("'{prefix}' is read below '{service}': leave that part out");
+            self.hold(within, path, text);
         }
     }
 
@@ -398,6 +407,17 @@
             experts.ranks, experts.slots, experts.experts
         );
         self.hold(room >= experts.experts.into(), format!("{at}.slots"), text);
+        for problem in experts.rebalancing.check() {
+            let path = format!("{at}.rebalancing.{}", problem.key);
+            self.note(path, problem.reason);
+        }
+        if !experts.placement.is_empty() {
+            let layers = experts.placement.clone();
+            let map = Map { epoch: 1, layers };
+            if let Err(problem) = map.check(experts.into(), 0) {
+                self.note(format!("{at}.placement"), problem);
+            }
+        }
         let text = "an expert has at least one byte";
         self.hold(experts.expert_bytes > 0, format!("{at}.expert_bytes"), text);
     }
@@ -440,10 +460,13 @@
 
 /// Whether a text is a path prefix that requests can be matched by.
 fn prefix(path: &str) -> bool {
-    let clean = |c: char| c.is_ascii_graphic() && c != '?' && c != '#';
-    path.starts_with('/')
-        && path.ends_with('/')
-        && path.chars().all(clean)
+    path.starts_with('/') && path.ends_with('/') && clean(path)
+}
+
+/// Whether a path can be compared with requests' paths as it stands.
+fn clean(path: &str) -> bool {
+    let plain = |c: char| c.is_ascii_graphic() && c != '?' && c != '#';
+    path.chars().all(plain)
         && !path.contains("//")
         && !path.split('/').any(|part| part == "." || part == "..")
 }
--- a/verbenaspool_state/src/check/tests.rs
+++ b/verbenaspool_state/src/check/tests.rs
@@ -15,7 +15,7 @@
     path: /reports/
   - name: records
     kind: !plain
-      idempotent: [/records/search/]
+      idempotent: [/search]
     path: /records/
 customers:
   - name: feria
@@ -58,7 +58,7 @@
     colour: red
   - name: records
     kind: !plain
-      idempotent: [/other/]
+      idempotent: [/, /records/search, search]
     path: /records/
 customers:
   - name: feria
@@ -85,7 +85,9 @@
         line 6: services[0].kind.experts.ranks: 1 to 1024 are allowed, not 0
         line 6: services[0].kind.experts.slots: 0 ranks of 1 slots hold 0 experts, too few for 8
         line 6: services[0].kind.experts.expert_bytes: an expert has at least one byte
-        line 17: services[2].kind.idempotent: '/other/' is not below the service's path '/records/'
+        line 17: services[2].kind.idempotent: '/' must start with '/' and name something below it
+        line 17: services[2].kind.idempotent: '/records/search' is read below '/records/': leave that part out
+        line 17: services[2].kind.idempotent: 'search' must start with '/' and name something below it
         line 28: customers[2]: 'circo' is customers[1] already
         line 22: customers[0].share: 0 to 10000 parts are allowed, not 10001
         line 22: customers[0].credentials: without a credential the customer can't be told from others
@@ -134,3 +136,29 @@
     let yaml = format!("{yaml}    services: [records]\n");
     assert_eq!(problems(&yaml).lines().count(), 1, "{}", problems(&yaml));
 }
+
+#[test]
+fn expert_maps() {
+    let layer = "{ ranks: [[0, 1], [2, 3], [4, 5], [6, 7]] }";
+    let cases = [
+        (format!("[{layer}, {layer}]"), ""),
+        (format!("[{layer}]"), "the map has 1 layers"),
+        (
+            format!("[{layer}, {{ ranks: [[0]] }}]"),
+            "layer 1 places experts on 1 ranks",
+        ),
+    ];
+    for (placement, part) in cases {
+        let with = format!("expert_bytes: 1000, placement: {placement} }}");
+        let found = problems(&SOUND.replace("expert_bytes: 1000 }", &with));
+        assert!(
+            found.contains(part) && found.is_empty() == part.is_empty(),
+            "{found}"
+        );
+    }
+    let skewed = SOUND.replace(
+        "expert_bytes: 1000 }",
+        "expert_bytes: 1, rebalancing: { skew: -1 } }",
+    );
+    assert!(problems(&skewed).contains("rebalancing.skew"));
+}
--- a/verbenaspool_state/src/service.rs
+++ b/verbenaspool_state/src/service.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{decisions::Decisions, name::Name, rebalancing::Rebalancing};
+use crate::{decisions::Decisions, expert_map::Layer, name::Name, rebalancing::Rebalancing};
 
 /// A service: a model or a plain one, found by its path prefix.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -74,13 +74,18 @@
     /// When experts move.
     #[serde(default)]
     pub rebalancing: Rebalancing,
+    /// The expert map that a group starts with, one placement a layer; empty to
+    /// spread experts in order of their numbers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub placement: Vec<Layer>,
 }
 
 /// How a plain service's calls behave.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Plain {
-    /// Path prefixes, below the service's own, whose calls may be repeated
-    /// whatever their method. GET, HEAD and OPTIONS always may.
+    /// Path prefixes, read below the service's own path, whose calls may be
+    /// repeated whatever their method: `/search` covers `/jobs/search` of a
+    /// service at `/jobs/`. GET, HEAD and OPTIONS always may.
     pub idempotent: Vec<String>,
 }
