Judge histories of the real programs under faults

Twelve cases: entries and agents as processes, killed, stopped, paused and started again, the platform down or losing answers, alone and together, under callers that repeat keyed writes through either entry.

--- /dev/null
+++ b/verbenaspool/tests/history/callers.rs
@@ -0,0 +1,201 @@
+//! Callers that keep at their requests, and what they were told.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use http::Request;
+use http_body_util::BodyExt;
+use serde_json::json;
+use verbenaspool_protocol::{header, outcome::Outcome};
+use verbenaspool_standin::{
+    engine::text,
+    history::{answers, outcomes},
+};
+use verbenaspool_transport::http::{body::Body, client::Client};
+
+use crate::site::{CREDENTIAL, Site};
+
+/// Callers at work.
+const CALLERS: u64 = 10;
+/// How often a caller sends one write under one key, through either entry.
+const REPEATS: usize = 3;
+/// How long a caller pauses behind each request.
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// What the callers were told.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Answers to completions.
+    pub answers: Vec<answers::Entry>,
+    /// The final word on each write.
+    pub writes: Vec<outcomes::Entry>,
+    /// Streams that broke off.
+    pub broken: usize,
+}
+
+/// One answer as it came.
+struct Reply {
+    outcome: Outcome,
+    body: Vec<u8>,
+    ended: bool,
+}
+
+/// One caller.
+struct Caller {
+    number: u64,
+    addresses: Vec<SocketAddr>,
+    client: Client,
+    sent: u64,
+}
+
+/// The callers at work.
+pub struct Callers {
+    stop: Rc<Cell<bool>>,
+    busy: Rc<Cell<u64>>,
+    history: Rc<RefCell<History>>,
+}
+
+impl Callers {
+    /// Starts them.
+    pub fn start(site: &Site) -> Self {
+        let callers = Self {
+            stop: Rc::default(),
+            busy: Rc::new(Cell::new(CALLERS)),
+            history: Rc::default(),
+        };
+        for number in 0..CALLERS {
+            let mut caller = Caller {
+                number,
+                addresses: site.addresses.clone(),
+                client: Client::new(Duration::from_secs(1)),
+                sent: 0,
+            };
+            let (stop, busy) = (callers.stop.clone(), callers.busy.clone());
+            let history = callers.history.clone();
+            monoio::spawn(async move {
+                while !stop.get() {
+                    caller.turn(&history).await;
+                    monoio::time::sleep(PAUSE).await;
+                }
+                busy.set(busy.get() - 1);
+            });
+        }
+        callers
+    }
+
+    /// Lets the last requests end and gives what was told.
+    pub async fn stop(self) -> History {
+        self.stop.set(true);
+        while self.busy.get() > 0 {
+            monoio::time::sleep(PAUSE).await;
+        }
+        self.history.take()
+    }
+}
+
+impl Caller {
+    /// One write or one completion.
+    async fn turn(&mut self, history: &RefCell<History>) {
+        self.sent += 1;
+        if (self.sent + self.number).is_multiple_of(2) {
+            let entry = self.write().await;
+            history.borrow_mut().writes.push(entry);
+        } else {
+            let entry = self.complete().await;
+            let mut history = history.borrow_mut();
+            history.broken += usize::from(!entry.ended);
+            history.answers.push(entry);
+        }
+    }
+
+    /// Sends one write under one key until it is told that it ran. What was
+    /// unknown once stays unknown, whatever a repeat is told.
+    async fn write(&self) -> outcomes::Entry {
+        let name = format!("write-{}-{}", self.number, self.sent);
+        let mut told = Outcome::NotRun;
+        for repeat in 0..REPEATS {
+            let sent = request("/jobs/bookings")
+                .header(header::IDEMPOTENCY_KEY, &name)
+                .body(Body::full(name.clone()))
+                .expect("a request");
+            told = match (told, self.send(repeat, sent).await.outcome) {
+                (_, Outcome::Ran) => Outcome::Ran,
+                (Outcome::Unknown, _) | (_, Outcome::Unknown) => Outcome::Unknown,
+                _ => Outcome::NotRun,
+            };
+            if told == Outcome::Ran {
+                break;
+            }
+            monoio::time::sleep(PAUSE).await;
+        }
+        outcomes::Entry {
+            request: name,
+            outcome: told,
+        }
+    }
+
+    /// Asks for a streamed completion.
+    async fn complete(&self) -> answers::Entry {
+        let prompt = format!("prompt-{}-{}", self.number, self.sent);
+        let tokens = 3 + u32::try_from(self.sent % 20).expect("a small number");
+        let body = json!({"prompt": prompt, "max_tokens": tokens, "stream": true});
+        let sent = request("/loft/v1/completions")
+            .body(Body::full(body.to_string()))
+            .expect("a request");
+        let reply = self.send(0, sent).await;
+        let got = if reply.outcome == Outcome::Ran && reply.ended {
+            text::read(&reply.body).unwrap_or_else(|| "no answer".to_owned())
+        } else {
+            String::new()
+        };
+        answers::Entry {
+            request: self.number * 1_000_000 + self.sent,
+            expected: text::answer(&prompt, tokens),
+            outcome: reply.outcome,
+            got,
+            ended: reply.ended,
+        }
+    }
+
+    /// Sends a request through one of the entries and reads its answer.
+    async fn send(&self, repeat: usize, request: Request<Body>) -> Reply {
+        let turn = usize::try_from(self.number).expect("a small number") + repeat;
+        let entry = self.addresses[turn % self.addresses.len()];
+        let lost = |outcome| Reply {
+            outcome,
+            body: Vec::new(),
+            ended: false,
+        };
+        let response = match self.client.send(entry, request).await {
+            Ok(response) => response,
+            Err(verbenaspool_transport::http::client::Error::NotSent(_)) => {
+                return lost(Outcome::NotRun);
+            }
+            Err(_) => return lost(Outcome::Unknown),
+        };
+        let told = response.headers().get(header::OUTCOME);
+        let outcome = Outcome::read(told.and_then(|value| value.to_str().ok()));
+        match response.into_body().collect().await {
+            Ok(body) => Reply {
+                outcome,
+                body: body.to_bytes().to_vec(),
+                ended: true,
+            },
+            Err(_) => lost(match outcome {
+                Outcome::NotRun => Outcome::NotRun,
+                _ => Outcome::Unknown,
+            }),
+        }
+    }
+}
+
+/// The head of a request.
+fn request(path: &str) -> http::request::Builder {
+    Request::post(path)
+        .header("host", "entry")
+        .header("authorization", format!("Bearer {CREDENTIAL}"))
+}
--- /dev/null
+++ b/verbenaspool/tests/history/site.rs
@@ -0,0 +1,213 @@
+//! One firm: stand-ins in the test, two entries and four agents as processes.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::Request;
+use http_body_util::BodyExt;
+use verbenaspool_coordination::{apply::Order, keys, piece};
+use verbenaspool_standin::{
+    engine::{Config, Desk, Engine},
+    platform::Platform,
+    service::{Book, Service},
+};
+use verbenaspool_state::{
+    credential::Digest,
+    file::File,
+    name::Name,
+    upstream::{State, Upstream},
+};
+use verbenaspool_transport::{
+    clock::Monotonic,
+    config,
+    http::{body::Body, client::Client},
+    platform::client,
+    settings,
+    shutdown::{self, Trigger},
+};
+
+use crate::process::{Process, address, agent, entry};
+
+/// The customer's credential.
+pub const CREDENTIAL: &str = "a-long-random-token";
+/// Entries of the site.
+pub const ENTRIES: u8 = 2;
+/// Upstreams of each of the two services.
+pub const UPSTREAMS: u8 = 2;
+
+/// The ports of a process.
+const LISTEN: u16 = 19_080;
+const CONTROL: u16 = 19_081;
+const ADMIN: u16 = 19_082;
+
+/// Everything that runs.
+pub struct Site {
+    /// The platform.
+    pub platform: Platform,
+    /// What the plain service wrote.
+    pub book: Rc<Book>,
+    /// The engines.
+    pub engines: Vec<Rc<Desk>>,
+    /// The entries.
+    pub entries: RefCell<Vec<Process>>,
+    /// The agents: those of the engines, then those of the plain service.
+    pub agents: RefCell<Vec<Process>>,
+    /// Where callers connect.
+    pub addresses: Vec<SocketAddr>,
+    client: Client,
+    admins: Vec<SocketAddr>,
+    _stop: Trigger,
+}
+
+/// The firm's file.
+fn file() -> File {
+    let text = format!(
+        "firm: tidewater
+places: [{{zone: bowen, region: queensland}}]
+services:
+- name: assistant
+  path: /loft/
+  kind: !model {{fences: checked, resume: true}}
+- name: jobs
+  path: /jobs/
+  kind: !plain {{}}
+customers:
+- name: bowen-loft
+  credentials: ['{}']
+",
+        Digest::of(CREDENTIAL)
+    );
+    settings::parse("tidewater.yaml".as_ref(), &text).expect("a sound file")
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a name")
+}
+
+impl Site {
+    /// Starts everything and waits until the entries are ready. Tests that run
+    /// at once differ in their number.
+    pub async fn start(test: u8) -> Self {
+        let clock = Monotonic::start();
+        let platform = Platform::start().expect("a port");
+        platform.allow("token", "tidewater");
+        let (stop, signal) = shutdown::channel();
+        let book = Book::new(Duration::from_millis(3), clock.clone());
+        let mut site = Self {
+            platform,
+            book: book.clone(),
+            engines: Vec::new(),
+            entries: RefCell::default(),
+            agents: RefCell::default(),
+            addresses: Vec::new(),
+            client: Client::new(Duration::from_secs(1)),
+            admins: Vec::new(),
+            _stop: stop,
+        };
+        for number in 0..UPSTREAMS {
+            let engine = Engine::bind(Config::default(), clock.clone()).expect("a port");
+            site.engines.push(engine.desk());
+            site.agent(test, number, "assistant", engine.address(), "engine");
+            monoio::spawn(engine.run(signal.clone()));
+        }
+        for number in UPSTREAMS..2 * UPSTREAMS {
+            let any = ([127, 0, 0, 1], 0).into();
+            let service = Service::bind(any, book.clone()).expect("a port");
+            site.agent(test, number, "jobs", service.address(), "plain");
+            monoio::spawn(service.run(signal.clone()));
+        }
+        site.apply().await;
+        for number in 0..ENTRIES {
+            site.entry(test, number);
+        }
+        for admin in site.admins.clone() {
+            while !site.ready(admin).await {
+                monoio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        site
+    }
+
+    /// Starts an agent and enters its instance in the platform's list.
+    fn agent(&self, test: u8, number: u8, service: &str, beside: SocketAddr, kind: &str) {
+        let at = |port| address(test, number + 1, port);
+        let (listen, control) = (at(LISTEN), at(CONTROL));
+        let instance = format!("{service}-{number}");
+        let yaml = format!(
+            "instance: {instance}\nlisten: {listen}\ncontrol: {control}\n\
+             upstream: {{address: '{beside}', kind: {kind}}}\n\
+             drain: {{deadline_seconds: 10, linger_ms: 300}}\n"
+        );
+        let process = Process::start(agent(), &format!("history-{test}-{instance}"), &yaml);
+        self.agents.borrow_mut().push(process);
+        let upstream = Upstream {
+            name: name(&instance),
+            service: name(service),
+            zone: name("bowen"),
+            agent: listen,
+            control,
+            state: State::Live,
+            incarnation: 1,
+            rank: None,
+        };
+        let key = format!("{}{instance}", keys::instances(&name("tidewater")));
+        let value = serde_json::to_vec(&upstream).expect("plain data");
+        self.platform
+            .with(|objects| objects.put(&key, value.into()));
+    }
+
+    /// Starts an entry.
+    fn entry(&mut self, test: u8, number: u8) {
+        let at = |port| address(test, 100 + number, port);
+        let peers: Vec<String> = (0..ENTRIES)
+            .map(|peer| address(test, 100 + peer, CONTROL).to_string())
+            .collect();
+        let yaml = format!(
+            "firm: tidewater\nname: entry-{number}\nzone: bowen\n\
+             listen: {}\ncontrol: {}\nadmin: {}\npeers: {peers:?}\n\
+             platform: {{address: '{}', token: token, timeout_ms: 300}}\n\
+             drain: {{linger_ms: 300, deadline_ms: 10000}}\n",
+            at(LISTEN),
+            at(CONTROL),
+            at(ADMIN),
+            self.platform.address(),
+        );
+        let process = Process::start(entry(), &format!("history-{test}-entry-{number}"), &yaml);
+        self.entries.borrow_mut().push(process);
+        self.addresses.push(at(LISTEN));
+        self.admins.push(at(ADMIN));
+    }
+
+    /// Has the file accepted.
+    async fn apply(&self) {
+        let store = client::Client::new(client::Settings {
+            address: self.platform.address(),
+            token: "token".to_owned(),
+            timeout: Duration::from_secs(1),
+        });
+        let order = Order {
+            firm: name("tidewater"),
+            id: "first".to_owned(),
+            expect: None,
+            split: piece::split(&file()).expect("the file fits"),
+        };
+        config::apply(&store, order, Duration::from_secs(5), 7).await;
+    }
+
+    /// Whether an entry is ready and has heard of all upstreams.
+    async fn ready(&self, admin: SocketAddr) -> bool {
+        let request = Request::get("/metrics").header("host", "entry");
+        let request = request.body(Body::empty()).expect("a request");
+        let Ok(response) = self.client.send(admin, request).await else {
+            return false;
+        };
+        let Ok(body) = response.into_body().collect().await else {
+            return false;
+        };
+        let body = body.to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        ["assistant", "jobs"].iter().all(|service| {
+            let line = format!("verbenaspool_upstreams{{service=\"{service}\"}} {UPSTREAMS}\n");
+            text.contains(&line)
+        })
+    }
+}
