--- /dev/null
+++ b/verbenaspool_agent/benches/agent.rs
@@ -0,0 +1,244 @@
+//! What the agent's hop costs: time added to a request, processor time and
+//! requests a second, and memory idle and with 1,000 open streams.
+//!
+//! `cargo bench -p verbenaspool_agent --bench agent -- --json` prints one JSON
+//! object a line. The agent is a process of its own, the upstream a thread.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use http::{Request, header::HOST};
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+
+use verbenaspool_protocol::{attempt, header};
+use verbenaspool_standin::{
+    engine::{Config, Engine},
+    service::{Book, Service},
+};
+use verbenaspool_transport::{
+    clock::Monotonic,
+    http::{body::Body, client::Client},
+    runtime, shutdown,
+};
+
+/// Requests one after the other, for the added time.
+const SINGLE: u64 = 5_000;
+/// Requests side by side, for the most a second.
+const MANY: u64 = 40_000;
+/// How many of these are under way at once.
+const ABREAST: u64 = 32;
+/// Open streams while memory is read.
+const STREAMS: u64 = 1_000;
+/// Clock ticks a second in the kernel's process statistics.
+const TICKS: f64 = 100.0;
+
+/// The agent's program.
+struct Agent {
+    child: Child,
+    address: SocketAddr,
+    number: u64,
+}
+
+impl Agent {
+    fn start(upstream: SocketAddr, kind: &str) -> Self {
+        let text = format!(
+            "{{instance: bench, listen: '127.0.0.1:0', control: '127.0.0.1:0', \
+             upstream: {{address: '{upstream}', kind: {kind}}}, log: {{form: json}}}}"
+        );
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("bench.yaml");
+        std::fs::write(&path, text).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_verbenaspool-agent"))
+            .args(["run", "--settings"])
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the agent");
+        let mut line = String::new();
+        let log = child.stderr.as_mut().expect("its log");
+        BufReader::new(log).read_line(&mut line).expect("a line");
+        let started: Value = serde_json::from_str(&line).expect("a JSON line");
+        let address = started["address"]
+            .as_str()
+            .and_then(|text| text.parse().ok());
+        Self {
+            child,
+            address: address.expect("an address"),
+            number: started["agent"].as_u64().expect("a number"),
+        }
+    }
+
+    fn read(&self, file: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).expect("statistics")
+    }
+
+    /// Processor time so far, in seconds.
+    fn cpu(&self) -> f64 {
+        let stat = self.read("stat");
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split(' ').collect();
+        let ticks = |i: usize| fields[i].parse::<f64>().expect("ticks");
+        (ticks(12) + ticks(13)) / TICKS
+    }
+
+    /// A line of the memory statistics, in kilobytes.
+    fn memory(&self, name: &str) -> u64 {
+        let status = self.read("status");
+        let line = status.lines().find(|line| line.starts_with(name));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|text| text.parse().ok()).expect("memory")
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Serves an upstream on a thread of its own until the program ends.
+fn upstream(engine: bool) -> SocketAddr {
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        runtime::run(async move {
+            let (_trigger, signal) = shutdown::channel();
+            let clock = Monotonic::start();
+            if engine {
+                let config = Config {
+                    places: 2_000,
+                    step: Duration::from_millis(200),
+                    ..Config::default()
+                };
+                let engine = Engine::bind(config, clock).expect("an engine");
+                tell.send(engine.address()).expect("the bench listens");
+                engine.run(signal).await;
+            } else {
+                let book = Book::new(Duration::ZERO, clock);
+                let service = Service::bind(([127, 0, 0, 1], 0).into(), book);
+                let service = service.expect("a service");
+                tell.send(service.address()).expect("the bench listens");
+                service.run(signal).await;
+            }
+        })
+    });
+    told.recv().expect("an address")
+}
+
+fn request(agent: u64, counter: u64, path: &str, body: &'static str) -> Request<Body> {
+    let id = attempt::Id {
+        incarnation: 0xb,
+        counter,
+    };
+    Request::get(path)
+        .method(if body.is_empty() { "GET" } else { "POST" })
+        .header(HOST, "bench")
+        .header(header::ATTEMPT, id.to_string())
+        .header(header::AGENT, agent)
+        .body(Body::full(body))
+        .expect("a request")
+}
+
+/// Sends so many requests abreast; returns their times and the time of all.
+async fn load(
+    address: SocketAddr,
+    agent: u64,
+    first: u64,
+    count: u64,
+    abreast: u64,
+) -> (Histogram<u64>, Duration) {
+    let client = Client::new(Duration::from_secs(5));
+    let began = Instant::now();
+    let lanes: Vec<_> = (0..abreast)
+        .map(|lane| {
+            let client = client.clone();
+            monoio::spawn(async move {
+                let mut times = Histogram::<u64>::new(3).expect("a histogram");
+                for i in 0..count / abreast {
+                    let sent = Instant::now();
+                    let request = request(agent, first + i * abreast + lane, "/", "");
+                    let response = client.send(address, request).await.expect("an answer");
+                    let whole = response.into_body().collect().await;
+                    whole.expect("a whole answer");
+                    let ns = u64::try_from(sent.elapsed().as_nanos()).expect("a short time");
+                    times.record(ns).expect("a time");
+                }
+                times
+            })
+        })
+        .collect();
+    let mut times = Histogram::<u64>::new(3).expect("a histogram");
+    for lane in lanes {
+        times.add(lane.await).expect("histograms alike");
+    }
+    (times, began.elapsed())
+}
+
+#[allow(clippy::cast_precision_loss)] // Times and counts are far below 2^53.
+fn main() {
+    let json_only = std::env::args().any(|arg| arg == "--json");
+    let service = upstream(false);
+    let agent = Agent::start(service, "plain");
+    let idle = agent.memory("VmRSS");
+    let us = |times: &Histogram<u64>, part| times.value_at_quantile(part) as f64 / 1e3;
+    let mut lines = Vec::new();
+    for (way, address) in [("direct", service), ("agent", agent.address)] {
+        let (number, cpu) = (agent.number, agent.cpu());
+        let (single, _) = runtime::run(load(address, number, 1, SINGLE, 1)).expect("a loop");
+        let from = SINGLE + 1;
+        let before = agent.cpu();
+        let (_, took) = runtime::run(load(address, number, from, MANY, ABREAST)).expect("a loop");
+        lines.push(json!({
+            "way": way,
+            "p50_us": us(&single, 0.5),
+            "p99_us": us(&single, 0.99),
+            "requests_s": (MANY as f64 / took.as_secs_f64()).round(),
+            "agent_cpu_us_single": (before - cpu) * 1e6 / SINGLE as f64,
+            "agent_cpu_us": (agent.cpu() - before) * 1e6 / MANY as f64,
+        }));
+    }
+    let loaded = agent.memory("VmRSS");
+    drop(agent);
+    let streams = runtime::run(streams()).expect("a loop");
+    lines.push(json!({
+        "idle_kb": idle,
+        "after_load_kb": loaded,
+        "streams": STREAMS,
+        "streams_kb": streams.0,
+        "after_streams_kb": streams.1,
+    }));
+    for line in lines {
+        println!("{line}");
+    }
+    if !json_only {
+        println!("Times in microseconds; processor time a request; memory resident.");
+    }
+}
+
+/// Opens streams, reads a token of each, and returns the agent's memory then
+/// and after they are closed.
+async fn streams() -> (u64, u64) {
+    const BODY: &str = r#"{"prompt": "Net", "max_tokens": 1000, "stream": true}"#;
+    let agent = Agent::start(upstream(true), "engine");
+    let client = Client::new(Duration::from_secs(5));
+    let mut open = Vec::new();
+    for counter in 1..=STREAMS {
+        let request = request(agent.number, counter, "/v1/completions", BODY);
+        let response = client.send(agent.address, request).await;
+        open.push(response.expect("an answer").into_body());
+    }
+    for body in &mut open {
+        body.frame().await.expect("a token").expect("a token");
+    }
+    let during = agent.memory("VmRSS");
+    drop(open);
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    (during, agent.memory("VmRSS"))
+}
--- a/verbenaspool_standin/src/service.rs
+++ b/verbenaspool_standin/src/service.rs
@@ -159,7 +159,10 @@
                 let text = String::from_utf8_lossy(&body).into_owned();
                 self.writes.borrow_mut().push(text);
             }
-            self.clock.sleep(self.takes.get()).await;
+            // A sleep of no time would still cost a turn of the timer, a millisecond.
+            if !self.takes.get().is_zero() {
+                self.clock.sleep(self.takes.get()).await;
+            }
             if write && self.lost.get() > 0 {
                 self.lost.set(self.lost.get() - 1);
                 return Response::new(Body::wrap(crate::engine::stream::Broken));
