--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -5,5 +5,6 @@
 mod input;
 mod path;
 mod process;
+mod refusal;
 mod report;
 mod rig;
