--- a/verbenaspool_agent/tests/agent/fault.rs
+++ b/verbenaspool_agent/tests/agent/fault.rs
@@ -125,3 +125,60 @@
         assert_eq!(rig.settle(id).await, Answer::Refused);
     });
 }
+
+#[test]
+fn an_answer_whose_end_is_not_marked_counts_as_broken() {
+    // A service that ends its answers by closing the connection dies in the
+    // middle of one. Nothing tells that half from a whole, so neither passes.
+    run(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let served = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = std::io::Read::read(&mut stream, &mut [0; 4096]);
+            std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\n\r\nbook").unwrap();
+        });
+        let rig = Rig::start(settings(address, "plain"));
+        let id = rig.id();
+        let reply = rig.post(id, "/bookings", "net 7").await.unwrap();
+        assert_eq!(reply.body, None);
+        assert_eq!(rig.settle(id).await, Answer::Unknown);
+        served.join().unwrap();
+    });
+}
+
+#[test]
+fn a_stalled_engine_is_given_up_at_the_deadline() {
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let rig = Rig::start(settings(address, "engine"));
+        desk.batch.stall();
+        let body = completion("Net", 5).replace("true", "false");
+        let mut request = rig.request(rig.id(), "/v1/completions", &body);
+        let deadline = verbenaspool_protocol::header::DEADLINE;
+        request.headers_mut().insert(deadline, 50.into());
+        let reply = rig.send(request).await.unwrap();
+        assert_eq!(reply.code(), Some(Code::Deadline));
+        assert_eq!(reply.outcome, Outcome::Unknown);
+        rig.until(|| desk.batch.cancelled() == 1).await;
+    });
+}
+
+#[test]
+fn a_full_instance_refuses_and_says_when_to_come_back() {
+    run(async {
+        let (address, desk) = engine(Config::default());
+        let mut settings = settings(address, "engine");
+        settings.limits.requests = 1;
+        let rig = Rig::start(settings);
+        let request = rig.request(rig.id(), "/v1/completions", &completion("Net", 10_000));
+        let first = rig.client.send(rig.data, request).await.unwrap();
+        let refused = rig.complete("Net", 1).await.unwrap();
+        assert_eq!(refused.code(), Some(Code::Overloaded));
+        let text = String::from_utf8(refused.body.unwrap().to_vec()).unwrap();
+        assert!(text.contains("retry_after_ms"), "{text}");
+        drop(first);
+        rig.until(|| desk.batch.running() == 0).await;
+        assert!(rig.complete("Net", 1).await.unwrap().text().is_some());
+    });
+}
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,6 +2,7 @@
 //! upstream.
 
 mod fault;
+mod history;
 mod input;
 mod path;
 mod process;
