--- /dev/null
+++ b/examples/demo/world.rs
@@ -0,0 +1,337 @@
+//! What the demo runs: the platform, and for each firm its upstreams with their
+//! agents and its entries.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::Request;
+use http_body_util::BodyExt;
+use slog::{Discard, Logger, o};
+use verbenaspool::{run, settings::Settings};
+use verbenaspool_agent::{agent::Agent, settings as agent_settings};
+use verbenaspool_coordination::{
+    apply::{Order, Outcome},
+    keys, piece,
+};
+use verbenaspool_standin::{
+    engine::{self, Engine},
+    platform::Platform,
+    service::{Book, Service},
+};
+use verbenaspool_state::{
+    file::File,
+    name::Name,
+    service::Kind,
+    upstream::{State, Upstream},
+    version::Version,
+};
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    config,
+    http::{self as wire, body::Body},
+    platform::{
+        Store,
+        client::{Client, Settings as StoreSettings},
+    },
+    settings,
+    shutdown::{self, Trigger},
+};
+
+/// The firms and their files.
+const FILES: [&str; 2] = [
+    include_str!("../tidewater.yaml"),
+    include_str!("../quetzal.yaml"),
+];
+/// How many of a firm's zones the demo plays.
+const ZONES: usize = 2;
+/// Entries of a firm in each zone.
+const ENTRIES: u8 = 2;
+/// The ports of an entry.
+const LISTEN: u16 = 18_080;
+const ADMIN: u16 = 18_081;
+const CONTROL: u16 = 18_082;
+/// Model replicas of a firm in each zone.
+const REPLICAS: usize = 8;
+/// Plain instances of a firm in each zone.
+const PLAIN: usize = 2;
+/// How long an apply may take.
+const APPLY: Duration = Duration::from_secs(5);
+
+/// Everything that runs.
+pub struct World {
+    /// The source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The platform.
+    pub platform: Platform,
+    /// The firms.
+    pub firms: Vec<Firm>,
+    applies: Cell<u64>,
+}
+
+/// One firm's part.
+pub struct Firm {
+    /// The firm's first file.
+    pub file: File,
+    /// The platform as the firm's operators reach it.
+    pub store: Rc<dyn Store>,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The upstreams, each with the trigger that tells its agent to stop.
+    pub upstreams: Vec<(Upstream, Trigger)>,
+    /// What the plain service wrote.
+    pub book: Rc<Book>,
+}
+
+/// An entry that runs.
+pub struct Entry {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where its metrics are told.
+    pub admin: SocketAddr,
+}
+
+/// Where an entry is to run.
+struct Place {
+    name: String,
+    listen: SocketAddr,
+    admin: SocketAddr,
+    control: SocketAddr,
+    peers: Vec<String>,
+}
+
+impl World {
+    /// Starts everything and has the firms' files accepted.
+    pub async fn start() -> Result<Self, Box<dyn std::error::Error>> {
+        let clock = Monotonic::start();
+        let platform = Platform::start()?;
+        let mut world = Self {
+            clock: clock.clone(),
+            platform,
+            firms: Vec::new(),
+            applies: Cell::new(0),
+        };
+        for (number, text) in (0..).zip(FILES) {
+            let file: File = settings::parse("example".as_ref(), text)?;
+            let firm = Firm::start(&world.platform, &clock, file, number)?;
+            world.firms.push(firm);
+        }
+        for firm in &world.firms {
+            let outcome = world.apply(firm, &firm.file).await;
+            println!("{}: first file: {outcome:?}", firm.file.firm);
+        }
+        for firm in &world.firms {
+            firm.in_force(Version(1)).await;
+        }
+        Ok(world)
+    }
+
+    /// Applies a file as one operator.
+    pub async fn apply(&self, firm: &Firm, file: &File) -> Outcome {
+        let number = self.applies.get() + 1;
+        self.applies.set(number);
+        let split = match piece::split(file) {
+            Ok(split) => split,
+            Err(error) => return Outcome::Failed(error.to_string()),
+        };
+        let order = Order {
+            firm: file.firm.clone(),
+            id: format!("demo-{number}"),
+            expect: None,
+            split,
+        };
+        config::apply(&*firm.store, order, APPLY, number).await
+    }
+}
+
+impl Firm {
+    /// Starts a firm's upstreams and entries.
+    fn start(
+        platform: &Platform,
+        clock: &Rc<Monotonic>,
+        file: File,
+        number: u8,
+    ) -> io::Result<Self> {
+        let token = format!("demo-{}", file.firm);
+        platform.allow(&token, file.firm.as_str());
+        let store: Rc<dyn Store> = Rc::new(Client::new(StoreSettings {
+            address: platform.address(),
+            token,
+            timeout: Duration::from_secs(1),
+        }));
+        let book = Book::new(Duration::from_millis(2), clock.clone());
+        let mut firm = Self {
+            file,
+            store,
+            entries: Vec::new(),
+            upstreams: Vec::new(),
+            book,
+        };
+        let zones: Vec<Name> = firm
+            .file
+            .places
+            .iter()
+            .map(|place| place.zone.clone())
+            .collect();
+        for (index, zone) in (0..).zip(zones.iter().take(ZONES)) {
+            firm.start_upstreams(platform, clock, zone)?;
+            for place in Place::lay(number, zone, index) {
+                firm.start_entry(platform, clock, zone, &place)?;
+            }
+        }
+        Ok(firm)
+    }
+
+    /// Starts the upstream instances of a zone, each with its agent, and enters
+    /// them in the platform's list.
+    fn start_upstreams(
+        &mut self,
+        platform: &Platform,
+        clock: &Rc<Monotonic>,
+        zone: &Name,
+    ) -> io::Result<()> {
+        for service in self.file.services.clone() {
+            let model = matches!(service.kind, Kind::Model(_));
+            for number in 0..if model { REPLICAS } else { PLAIN } {
+                let address = if model {
+                    start_engine(clock)?
+                } else {
+                    start_plain(&self.book)?
+                };
+                let kind = if model { "engine" } else { "plain" };
+                let text = format!(
+                    "instance: {}-{zone}-{number}\nlisten: 127.0.0.1:0\ncontrol: 127.0.0.1:0\n\
+                     upstream: {{address: '{address}', kind: {kind}}}\n",
+                    service.name
+                );
+                let settings = agent_settings::read(&text).map_err(io::Error::other)?;
+                let name = settings.instance.clone();
+                let agent = Agent::bind(settings, Logger::root(Discard, o!()), clock.clone())?;
+                let upstream = Upstream {
+                    name,
+                    service: service.name.clone(),
+                    zone: zone.clone(),
+                    agent: agent.address(),
+                    control: agent.control(),
+                    state: State::Live,
+                    incarnation: 1,
+                    rank: None,
+                };
+                list(platform, &self.file.firm, &upstream);
+                let (trigger, signal) = shutdown::channel();
+                monoio::spawn(agent.run(signal));
+                self.upstreams.push((upstream, trigger));
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts an entry, which finds the others of its zone by their control
+    /// addresses.
+    fn start_entry(
+        &mut self,
+        platform: &Platform,
+        clock: &Rc<Monotonic>,
+        zone: &Name,
+        place: &Place,
+    ) -> io::Result<()> {
+        let (firm, name) = (&self.file.firm, &place.name);
+        let Place {
+            listen,
+            admin,
+            control,
+            peers,
+            ..
+        } = place;
+        let text = format!(
+            "firm: {firm}\nname: {name}\nzone: {zone}\nlisten: {listen}\nadmin: {admin}\n\
+             control: {control}\npeers: {peers:?}\n\
+             platform: {{address: '{}', token: demo-{firm}}}\n",
+            platform.address(),
+        );
+        let settings: Settings =
+            settings::parse("entry".as_ref(), &text).map_err(io::Error::other)?;
+        let log = Logger::root(Discard, o!());
+        let (_, signal) = shutdown::channel();
+        let clock: Rc<dyn Clock> = clock.clone();
+        monoio::spawn(async move {
+            let ended = run::serve(settings, log, clock, signal).await;
+            if let Err(error) = ended {
+                println!("An entry could not run: {error}");
+            }
+        });
+        self.entries.push(Entry {
+            listen: *listen,
+            admin: *admin,
+        });
+        Ok(())
+    }
+
+    /// Waits until every entry has this version in force, as its metrics say.
+    pub async fn in_force(&self, version: Version) {
+        let client = wire::client::Client::new(Duration::from_secs(1));
+        for entry in &self.entries {
+            while entry.version(&client).await < version {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    }
+}
+
+impl Entry {
+    /// The version in force at the entry; zero while it can't be asked.
+    async fn version(&self, client: &wire::client::Client) -> Version {
+        let request = Request::get("/metrics").header("host", "entry");
+        let request = request.body(Body::empty()).expect("a plain request");
+        let Ok(response) = client.send(self.admin, request).await else {
+            return Version::default();
+        };
+        let Ok(body) = response.into_body().collect().await else {
+            return Version::default();
+        };
+        let body = body.to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        let told = text
+            .lines()
+            .find_map(|line| line.strip_prefix("verbenaspool_config_version "));
+        Version(told.and_then(|number| number.parse().ok()).unwrap_or(0))
+    }
+}
+
+impl Place {
+    /// Places for the entries of a zone, each with the others as peers. Every
+    /// instance has a loopback address of its own, as it would have an IP.
+    fn lay(firm: u8, zone: &Name, index: u8) -> Vec<Self> {
+        let at = |number: u8, port| ([127, 0, firm + 1, index * 16 + number + 1], port).into();
+        let controls: Vec<SocketAddr> = (0..ENTRIES).map(|n| at(n, CONTROL)).collect();
+        let place = |number| Self {
+            name: format!("entry-{zone}-{number}"),
+            listen: at(number, LISTEN),
+            admin: at(number, ADMIN),
+            control: at(number, CONTROL),
+            peers: controls.iter().map(ToString::to_string).collect(),
+        };
+        (0..ENTRIES).map(place).collect()
+    }
+}
+
+/// Starts a model engine.
+fn start_engine(clock: &Rc<Monotonic>) -> io::Result<SocketAddr> {
+    let engine = Engine::bind(engine::Config::default(), clock.clone())?;
+    let address = engine.address();
+    monoio::spawn(engine.run(shutdown::channel().1));
+    Ok(address)
+}
+
+/// Starts an instance of the plain service.
+fn start_plain(book: &Rc<Book>) -> io::Result<SocketAddr> {
+    let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone())?;
+    let address = service.address();
+    monoio::spawn(service.run(shutdown::channel().1));
+    Ok(address)
+}
+
+/// Enters an upstream in the platform's list, as the platform itself does.
+fn list(platform: &Platform, firm: &Name, upstream: &Upstream) {
+    let key = format!("{}{}", keys::instances(firm), upstream.name);
+    let value = serde_json::to_vec(upstream).expect("plain data");
+    platform.with(|objects| objects.put(&key, value.into()));
+}
