--- a/verbenaspool_agent/benches/agent.rs
+++ b/verbenaspool_agent/benches/agent.rs
@@ -19,7 +19,7 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 
-use verbenaspool_protocol::{attempt, header};
+use verbenaspool_protocol::{attempt, header, report};
 use verbenaspool_standin::{
     engine::{Config, Engine},
     service::{Book, Service},
@@ -27,7 +27,7 @@
 use verbenaspool_transport::{
     clock::Monotonic,
     http::{body::Body, client::Client},
-    runtime, shutdown,
+    rpc, runtime, shutdown,
 };
 
 /// Requests one after the other, for the added time.
@@ -36,6 +36,10 @@
 const MANY: u64 = 40_000;
 /// How many of these are under way at once.
 const ABREAST: u64 = 32;
+/// Reports asked for.
+const REPORTS: u64 = 10_000;
+/// How long a control call may take.
+const WAIT: Duration = Duration::from_secs(5);
 /// Open streams while memory is read.
 const STREAMS: u64 = 1_000;
 /// Clock ticks a second in the kernel's process statistics.
@@ -45,6 +49,7 @@
 struct Agent {
     child: Child,
     address: SocketAddr,
+    control: SocketAddr,
     number: u64,
 }
 
@@ -66,12 +71,11 @@
         let log = child.stderr.as_mut().expect("its log");
         BufReader::new(log).read_line(&mut line).expect("a line");
         let started: Value = serde_json::from_str(&line).expect("a JSON line");
-        let address = started["address"]
-            .as_str()
-            .and_then(|text| text.parse().ok());
+        let address = |key: &str| started[key].as_str().and_then(|text| text.parse().ok());
         Self {
             child,
-            address: address.expect("an address"),
+            address: address("address").expect("an address"),
+            control: address("control").expect("an address"),
             number: started["agent"].as_u64().expect("a number"),
         }
     }
@@ -204,6 +208,7 @@
             "agent_cpu_us": (agent.cpu() - before) * 1e6 / MANY as f64,
         }));
     }
+    lines.push(runtime::run(reports(&agent)).expect("a loop"));
     let loaded = agent.memory("VmRSS");
     drop(agent);
     let streams = runtime::run(streams()).expect("a loop");
@@ -222,6 +227,27 @@
     }
 }
 
+/// Asks for reports one after the other, as entries do between answers.
+#[allow(clippy::cast_precision_loss)] // Counts are far below 2^53.
+async fn reports(agent: &Agent) -> Value {
+    let client = rpc::Client::default();
+    let question = report::Question::default();
+    let (cpu, began) = (agent.cpu(), Instant::now());
+    let mut bytes = 0;
+    for _ in 0..REPORTS {
+        let answer: Value = client
+            .call(agent.control, report::METHOD, &question, WAIT)
+            .await
+            .expect("a report");
+        bytes = answer.to_string().len();
+    }
+    json!({
+        "report_us": began.elapsed().as_secs_f64() * 1e6 / REPORTS as f64,
+        "report_cpu_us": (agent.cpu() - cpu) * 1e6 / REPORTS as f64,
+        "report_bytes": bytes,
+    })
+}
+
 /// Opens streams, reads a token of each, and returns the agent's memory then
 /// and after they are closed.
 async fn streams() -> (u64, u64) {
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -202,7 +202,8 @@
     while open.count() > 0 && clock.now() < deadline {
         clock.sleep(LOOK).await;
     }
-    let cut = shared.ledger.borrow().running();
+    // A connection that is still open has an answer that its entry has not read.
+    let cut = shared.ledger.borrow().running().max(open.count());
     if cut > 0 {
         warn!(shared.log, "Agent: The drain's deadline cuts requests off."; "cut" => cut);
     }
--- a/verbenaspool_agent/tests/agent/input.rs
+++ b/verbenaspool_agent/tests/agent/input.rs
@@ -260,6 +260,7 @@
         ("drain: [\n", "settings:"),
     ];
     assert!(settings::read(GOOD).is_ok());
+    assert!(settings::read(include_str!("../../../examples/agent.yaml")).is_ok());
     for (lines, reason) in table {
         let text = if lines.is_empty() {
             "{}".to_owned()
