Answer questions about lost answers until the agent's very end

A request on its way into a connection as the draining agent closed it broke, and nobody was left to say that it did not run: its caller got "unknown". The control listener now stays for one more linger, and the same question gets "refused".

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -186,7 +186,10 @@
 /// Lets the requests in flight end.
 ///
 /// The data listener stays open at first: an entry that has not yet heard of
-/// the leaving gets a refusal it can act on, not a broken connection.
+/// the leaving gets a refusal it can act on, not a broken connection. A request
+/// that was on its way into a connection as it closed breaks all the same, and
+/// its entry asks what became of it; so the process stays to answer for as long
+/// again, and the request is "refused" and not "unknown".
 async fn drain(shared: &Shared, open: &Open, stop: &shutdown::Trigger) -> Drained {
     let clock = &shared.clock;
     let began = clock.now();
@@ -207,5 +210,6 @@
     if cut > 0 {
         warn!(shared.log, "Agent: The drain's deadline cuts requests off."; "cut" => cut);
     }
+    clock.sleep(shared.settings.drain.linger()).await;
     Drained { cut }
 }
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -126,6 +126,8 @@
     pub deadline_seconds: u64,
     /// How long the agent stays to refuse new work before it closes its
     /// listener, in milliseconds. Entries hear of the leaving in this time.
+    /// Behind the last request it stays for as long again, to tell entries
+    /// whose connections broke that their requests did not run.
     pub linger_ms: u64,
 }
 
--- a/verbenaspool_agent/tests/agent/fault.rs
+++ b/verbenaspool_agent/tests/agent/fault.rs
@@ -182,3 +182,23 @@
         assert!(rig.complete("Net", 1).await.unwrap().text().is_some());
     });
 }
+
+#[test]
+fn a_booking_on_its_way_into_a_closing_agent_is_settled() {
+    // The agent closes its connections just as an entry writes a booking to
+    // one. The entry sees it break and asks; with nobody left to answer, the
+    // skipper would be told "unknown" of a booking that never ran.
+    run(async {
+        let (address, book) = service(Duration::ZERO);
+        let mut settings = settings(address, "plain");
+        settings.drain.linger_ms = 1_000;
+        let rig = Rig::start(settings);
+        rig.stop.fire();
+        let id = rig.id();
+        while rig.post(id, "/bookings", "net 7").await.is_ok() {
+            rig.clock.sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(rig.settle(id).await, Answer::Refused);
+        assert!(book.writes.borrow().is_empty());
+    });
+}
