Settle an earlier claim with the agent it names

Cause: a claim whose entry died before it sent the write kept its key for ever; every repeat was told 'unknown' for a write that never ran. Now the claim names the agent process, a repeat settles the attempt there, and only behind a tombstone replaces the claim; further attempts of a request replace it first.

--- a/verbenaspool/src/entry/claim.rs
+++ b/verbenaspool/src/entry/claim.rs
@@ -3,33 +3,48 @@
 use std::{rc::Rc, time::Duration};
 
 use verbenaspool_coordination::{
-    claim::{Claim, Outcome, Record},
+    claim::{Agent, Claim, Outcome, Record},
     keys,
     piece::Hash,
     store::When,
 };
-use verbenaspool_protocol::problem::{Code, Problem};
+use verbenaspool_protocol::{
+    problem::{Code, Problem},
+    settle,
+};
 use verbenaspool_transport::platform::{Store, driver};
 
-use super::forward::Forward;
+use super::{
+    exchange::{self, Ticket},
+    forward::Forward,
+};
 
 /// How long a claim may take. The platform answers in milliseconds; a caller of
 /// a write is told soon that it can't be reached.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// When a repeat of a running request makes sense: a write takes this order.
+const RUNNING: Duration = Duration::from_millis(500);
+
 /// How often a release is tried before the caller is answered all the same.
 const RELEASES: usize = 3;
 
+/// How often a claim is replaced before the caller is told that its key is
+/// contended: each time another repeat of the same request came first.
+const ROUNDS: usize = 4;
+
 /// A claim that stands.
 pub struct Claimed {
     store: Rc<dyn Store>,
     key: String,
     version: u64,
+    /// The one attempt that may be sent under it.
+    pub ticket: Ticket,
 }
 
 impl Claimed {
     /// Gives the key back, because its request did not run. If that fails the
-    /// key stays taken, which is safe: a repeat is then told that it may have run.
+    /// claim stays, which is safe: a repeat settles it with the agent it names.
     pub async fn release(self) {
         for _ in 0..RELEASES {
             let when = When::Version(self.version);
@@ -39,45 +54,120 @@
             }
         }
     }
+
+    /// Has the claim name the request's next attempt, once the last one is
+    /// confirmed as not run. An attempt that no claim names could run beside
+    /// that of a repeat, which settles only what the claim names.
+    ///
+    /// # Errors
+    /// A repeat of the request holds the key by now, or the platform can't be
+    /// reached; the attempt must not be sent then.
+    pub async fn renew(&mut self, forward: &Forward, ticket: Ticket) -> Result<(), Problem> {
+        let record = record(forward, &ticket);
+        let claim = Claim::over(self.key.clone(), self.version, record);
+        match drive(forward, self.store.as_ref(), claim).await {
+            Outcome::Mine { version } => {
+                self.version = version;
+                self.ticket = ticket;
+                Ok(())
+            }
+            Outcome::Other { .. } => Err(came_before()),
+            Outcome::Failed { .. } => Err(unreachable()),
+        }
+    }
 }
 
-/// Claims a key for a request.
+/// Claims a key for a request's first attempt.
 ///
 /// # Errors
 /// The key is taken, or the platform can't be reached; the request must not be
 /// sent then.
-pub async fn take(forward: &Forward, key: &str) -> Result<Claimed, Problem> {
+pub async fn take(forward: &Forward, key: &str, ticket: Ticket) -> Result<Claimed, Problem> {
     let entry = &forward.entry;
     let Some(store) = entry.store.clone() else {
         return Err(unreachable());
     };
     let key = keys::claim(entry.firm(), &forward.customer, key);
-    let record = Record {
-        attempt: entry.attempts.next().to_string(),
-        request: fingerprint(forward),
+    let record = record(forward, &ticket);
+    let mut claim = Claim::new(key.clone(), record.clone());
+    for _ in 0..ROUNDS {
+        match drive(forward, store.as_ref(), claim).await {
+            Outcome::Mine { version } => {
+                return Ok(Claimed {
+                    store,
+                    key,
+                    version,
+                    ticket,
+                });
+            }
+            Outcome::Other { record: other, .. } if other.request != record.request => {
+                let message = "The key was used for another request.";
+                return Err(Problem::not_run(Code::KeyConflict, message));
+            }
+            Outcome::Other {
+                record: other,
+                version,
+            } => {
+                settled(forward, &other).await?;
+                claim = Claim::over(key.clone(), version, record.clone());
+            }
+            Outcome::Failed { .. } => return Err(unreachable()),
+        }
+    }
+    Err(came_before())
+}
+
+/// Makes sure that the attempt of an earlier claim will never run.
+///
+/// Its entry may have died before it sent the attempt, or lost the platform's
+/// answer to the claim. Without this the key would be taken for ever.
+async fn settled(forward: &Forward, earlier: &Record) -> Result<(), Problem> {
+    let Ok(attempt) = earlier.attempt.parse() else {
+        return Err(came_before());
     };
-    let ours = record.request;
-    let mut claim = Claim::new(key.clone(), record);
-    let within = TIMEOUT.min(forward.left());
-    let outcome = driver::drive(store.as_ref(), &mut claim, within, entry.attempts.seed()).await;
-    match outcome.unwrap_or_else(|| claim.abandon()) {
-        Outcome::Mine { version } => Ok(Claimed {
-            store,
-            key,
-            version,
-        }),
-        Outcome::Other(other) if other.request == ours => Err(Problem::unknown(
-            Code::KeyConflict,
-            "A request with this key came before and may have run.",
-        )),
-        Outcome::Other(_) => Err(Problem::not_run(
-            Code::KeyConflict,
-            "The key was used for another request.",
-        )),
-        Outcome::Failed { .. } => Err(unreachable()),
+    let agent = earlier.agent;
+    match exchange::ask(forward, attempt, agent.control, agent.process).await {
+        Some(settle::Answer::Refused) => Ok(()),
+        Some(settle::Answer::Running) => {
+            let message = "A request with this key is running.";
+            Err(Problem::unknown(Code::KeyConflict, message).after(RUNNING))
+        }
+        Some(settle::Answer::Ended) => {
+            let message = "A request with this key came before and ran; its answer is not kept.";
+            Err(Problem::unknown(Code::KeyConflict, message))
+        }
+        Some(settle::Answer::Unknown) | None => Err(came_before()),
     }
 }
 
+/// What the claim of an attempt says.
+fn record(forward: &Forward, ticket: &Ticket) -> Record {
+    Record {
+        attempt: ticket.id.to_string(),
+        agent: Agent {
+            control: ticket.address.control,
+            process: ticket.process,
+        },
+        request: fingerprint(forward),
+    }
+}
+
+/// Drives a claim to its outcome within the caller's time.
+async fn drive(forward: &Forward, store: &dyn Store, mut claim: Claim) -> Outcome {
+    let within = TIMEOUT.min(forward.left());
+    let seed = forward.entry.attempts.seed();
+    let outcome = driver::drive(store, &mut claim, within, seed).await;
+    outcome.unwrap_or_else(|| claim.abandon())
+}
+
+/// A repeat whose request may have run.
+fn came_before() -> Problem {
+    Problem::unknown(
+        Code::KeyConflict,
+        "A request with this key came before and may have run.",
+    )
+}
+
 /// Tells a repeat of a request from another one under the same key.
 fn fingerprint(forward: &Forward) -> Hash {
     let mut text = format!("{} {}\n", forward.method, forward.uri).into_bytes();
--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt: what goes to the agent, and what its answer means.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{
     HeaderMap, HeaderValue, Request, Response, Version,
@@ -41,6 +41,17 @@
     pub span: Span,
 }
 
+/// Where an attempt is to go, and the id that it goes under.
+#[derive(Clone)]
+pub struct Ticket {
+    /// The attempt's id.
+    pub id: attempt::Id,
+    /// The upstream.
+    pub address: Address,
+    /// The agent process that is meant; another refuses the attempt.
+    pub process: u64,
+}
+
 /// How an attempt that brought no answer ended.
 pub struct Failure {
     /// How it ended.
@@ -69,11 +80,30 @@
     forward: &Rc<Forward>,
     attempt: Attempt,
     resume: Option<u32>,
+) -> Result<Exchange, Failure> {
+    match ticket(forward, &attempt).await {
+        Ok(ticket) => make_under(forward, attempt, ticket, resume).await,
+        Err(failure) => {
+            attempt.finish(failure.ending, forward.prompt.tokens, 0);
+            Err(failure)
+        }
+    }
+}
+
+/// Makes one attempt under a ticket that it has already.
+///
+/// # Errors
+/// It brought no answer.
+pub async fn make_under(
+    forward: &Rc<Forward>,
+    attempt: Attempt,
+    ticket: Ticket,
+    resume: Option<u32>,
 ) -> Result<Exchange, Failure> {
     let upstream = attempt.upstream().clone();
     let mut span = forward.observation.step("entry to agent", Kind::Client);
     span.set("upstream", upstream.as_str());
-    let result = try_once(forward, &attempt, &span, resume).await;
+    let result = try_once(forward, &attempt, ticket, &span, resume).await;
     match result {
         Ok(response) => Ok(Exchange {
             attempt,
@@ -92,14 +122,14 @@
 async fn try_once(
     forward: &Forward,
     attempt: &Attempt,
+    ticket: Ticket,
     span: &Span,
     resume: Option<u32>,
 ) -> Result<Response<Body>, Failure> {
-    let address = locate(forward, attempt).await?;
-    let id = forward.entry.attempts.next();
-    let request = request(forward, id, &address, span, resume);
+    let id = ticket.id;
+    let request = request(forward, &ticket, span, resume);
     forward.observation.meter().attempts.count();
-    let sent = forward.entry.client.send(address.agent, request);
+    let sent = forward.entry.client.send(ticket.address.agent, request);
     match monoio::time::timeout(forward.left(), sent).await {
         Ok(Ok(response)) => {
             learn(forward, attempt, response.headers());
@@ -107,11 +137,11 @@
                 Verdict::Answered => Ok(response),
                 Verdict::Refused => Err(not_run("The upstream refused the request.")),
                 Verdict::Unknown => Err(lost()),
-                Verdict::Foreign => Err(settle(forward, id, &address).await),
+                Verdict::Foreign => Err(settle(forward, &ticket).await),
             }
         }
         Ok(Err(client::Error::NotSent(_))) => Err(not_run("The upstream can't be reached.")),
-        Ok(Err(client::Error::Broken(_))) => Err(settle(forward, id, &address).await),
+        Ok(Err(client::Error::Broken(_))) => Err(settle(forward, &ticket).await),
         // The final answer goes out at once; dropping the request cancels it.
         Err(_) => Err(Failure {
             ending: Ending::Cancelled,
@@ -122,30 +152,28 @@
 
 /// Finds the upstream, and which agent process answers beside it: an attempt
 /// that names none would be refused.
-async fn locate(forward: &Forward, attempt: &Attempt) -> Result<Address, Failure> {
+///
+/// # Errors
+/// The upstream is gone or silent, and nothing was sent.
+pub async fn ticket(forward: &Forward, attempt: &Attempt) -> Result<Ticket, Failure> {
     let name = attempt.upstream();
     let entry = &forward.entry;
     let gone = || not_run("The upstream is gone.");
-    let address = entry.upstreams.address(name).ok_or_else(gone)?;
-    if address.process.is_some() {
-        return Ok(address);
-    }
-    entry.ask(name).await;
-    let address = entry.upstreams.address(name).ok_or_else(gone)?;
-    match address.process {
-        Some(_) => Ok(address),
-        None => Err(not_run("The upstream can't be reached.")),
+    let mut address = entry.upstreams.address(name).ok_or_else(gone)?;
+    if address.process.is_none() {
+        entry.ask(name).await;
+        address = entry.upstreams.address(name).ok_or_else(gone)?;
     }
+    let silent = || not_run("The upstream can't be reached.");
+    Ok(Ticket {
+        id: entry.attempts.next(),
+        process: address.process.ok_or_else(silent)?,
+        address,
+    })
 }
 
 /// The request as the agent gets it.
-fn request(
-    forward: &Forward,
-    id: attempt::Id,
-    address: &Address,
-    span: &Span,
-    resume: Option<u32>,
-) -> Request<Body> {
+fn request(forward: &Forward, ticket: &Ticket, span: &Span, resume: Option<u32>) -> Request<Body> {
     let mut request = Request::new(Body::wrap(forward.upload.body()));
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.uri.clone();
@@ -153,17 +181,15 @@
     let headers = request.headers_mut();
     headers.reserve(forward.headers.len() + ADDED);
     headers.extend(forward.headers.clone());
-    headers.insert(HOST, address.host.clone());
-    headers.insert(header::ATTEMPT, value(&id.to_string()));
+    headers.insert(HOST, ticket.address.host.clone());
+    headers.insert(header::ATTEMPT, value(&ticket.id.to_string()));
+    headers.insert(header::AGENT, ticket.process.into());
     headers.insert(header::CUSTOMER, value(forward.customer.as_str()));
     let left = u64::try_from(forward.left().as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::DEADLINE, left.into());
     let priority = HeaderValue::from_static(priority_name(forward.priority));
     headers.insert(header::PRIORITY, priority);
     headers.insert(header::TRACEPARENT, value(&span.context().to_string()));
-    if let Some(process) = address.process {
-        headers.insert(header::AGENT, process.into());
-    }
     if let Some(tokens) = resume {
         headers.insert(header::RESUME, tokens.into());
     }
@@ -209,23 +235,30 @@
 }
 
 /// Asks the agent what became of an attempt whose answer was lost.
-async fn settle(forward: &Forward, id: attempt::Id, address: &Address) -> Failure {
-    let Some(agent) = address.process else {
-        return lost();
-    };
+async fn settle(forward: &Forward, ticket: &Ticket) -> Failure {
     forward.observation.meter().settled.count();
-    let question = settle::Question { attempt: id, agent };
-    let wait = SETTLE.min(forward.left());
-    let rpc = &forward.entry.rpc;
-    let answer = rpc
-        .call(address.control, settle::METHOD, &question, wait)
-        .await;
-    match answer {
-        Ok(settle::Answer::Refused) => not_run("The upstream broke off before the request."),
+    let control = ticket.address.control;
+    match ask(forward, ticket.id, control, ticket.process).await {
+        Some(settle::Answer::Refused) => not_run("The upstream broke off before the request."),
         _ => lost(),
     }
 }
 
+/// Asks an agent what became of an attempt; none where it doesn't answer.
+pub async fn ask(
+    forward: &Forward,
+    attempt: attempt::Id,
+    control: SocketAddr,
+    agent: u64,
+) -> Option<settle::Answer> {
+    let question = settle::Question { attempt, agent };
+    let wait = SETTLE.min(forward.left());
+    let rpc = &forward.entry.rpc;
+    rpc.call(control, settle::METHOD, &question, wait)
+        .await
+        .ok()
+}
+
 /// A header as text, where it is text.
 #[must_use]
 pub fn read<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -102,8 +102,8 @@
     /// Gets a place, claims the key where there is one, and makes attempts.
     async fn attempts(self: &Rc<Self>) -> Result<Response<Body>, Problem> {
         let attempt = self.admit().await?;
-        let claimed = self.claim(&attempt).await?;
-        let result = self.send(attempt).await;
+        let mut claimed = self.claim(&attempt).await?;
+        let result = self.send(attempt, &mut claimed).await;
         if let (Some(claimed), Err(problem)) = (claimed, &result)
             && problem.outcome == Outcome::NotRun
         {
@@ -124,14 +124,17 @@
         Ok(attempt)
     }
 
-    /// Claims the caller's key. That comes behind the place, so that a crowd
-    /// that is turned away costs the platform no writes.
+    /// Claims the caller's key for the first attempt. That comes behind the
+    /// place, so that a crowd that is turned away costs the platform no writes.
     async fn claim(&self, attempt: &Attempt) -> Result<Option<Claimed>, Problem> {
         let Some(key) = self.key.as_ref().filter(|_| !self.idempotent) else {
             return Ok(None);
         };
         let span = self.observation.step("platform call", span::Kind::Client);
-        let claimed = claim::take(self, key).await;
+        let claimed = match exchange::ticket(self, attempt).await {
+            Ok(ticket) => claim::take(self, key, ticket).await,
+            Err(failure) => Err(failure.problem),
+        };
         drop(span);
         if claimed.is_err() {
             attempt.finish(Ending::Cancelled, 0, 0);
@@ -139,18 +142,43 @@
         claimed.map(Some)
     }
 
+    /// Has the claim name the next attempt.
+    async fn renew(&self, attempt: &Attempt, claimed: &mut Claimed) -> Result<(), Problem> {
+        let span = self.observation.step("platform call", span::Kind::Client);
+        let renewed = match exchange::ticket(self, attempt).await {
+            Ok(ticket) => claimed.renew(self, ticket).await,
+            Err(failure) => Err(failure.problem),
+        };
+        drop(span);
+        if renewed.is_err() {
+            attempt.finish(Ending::Cancelled, 0, 0);
+        }
+        renewed
+    }
+
     /// Makes attempts, each decided by the balancer.
     ///
     /// Once an attempt may have run, so may the request: a later attempt's
     /// refusal is true of that attempt only. Passed on as it is, it would tell
     /// the caller that nothing ran, and the caller would send the work again.
-    async fn send(self: &Rc<Self>, first: Attempt) -> Result<Response<Body>, Problem> {
+    async fn send(
+        self: &Rc<Self>,
+        first: Attempt,
+        claimed: &mut Option<Claimed>,
+    ) -> Result<Response<Body>, Problem> {
         let mut attempt = first;
         let mut perhaps = false;
         let mut tried = Vec::new();
         loop {
             tried.push(attempt.upstream().clone());
-            let mut failure = match exchange::make(self, attempt, None).await {
+            let made = match claimed {
+                Some(claimed) => {
+                    let ticket = claimed.ticket.clone();
+                    exchange::make_under(self, attempt, ticket, None).await
+                }
+                None => exchange::make(self, attempt, None).await,
+            };
+            let mut failure = match made {
                 Ok(exchange) => return Ok(self.pass(exchange, tried)),
                 Err(failure) => failure,
             };
@@ -159,6 +187,9 @@
                 failure.problem = exchange::lost().problem;
             }
             attempt = self.again(failure, &tried).await?;
+            if let Some(claimed) = claimed {
+                self.renew(&attempt, claimed).await?;
+            }
         }
     }
 
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -10,8 +10,8 @@
     settings::Settings,
 };
 use verbenaspool_agent::{agent::Agent, settings as agent_settings};
-use verbenaspool_coordination::{apply::Order, piece};
-use verbenaspool_protocol::header;
+use verbenaspool_coordination::{apply::Order, claim, keys, piece};
+use verbenaspool_protocol::{header, settle};
 use verbenaspool_standin::{
     engine::{Config, Engine},
     platform::Platform,
@@ -22,7 +22,7 @@
     config,
     http::{body::Body, client::Client},
     platform::client,
-    settings,
+    rpc, settings,
     shutdown::{self, Signal, Trigger},
 };
 
@@ -31,6 +31,7 @@
 /// A firm's platform, upstreams and entries.
 struct Firm {
     platform: Platform,
+    jobs: Option<claim::Agent>,
     book: Rc<Book>,
     client: Client,
     signal: Signal,
@@ -61,14 +62,15 @@
         let book = Book::new(Duration::ZERO, clock.clone());
         let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone()).unwrap();
         let engine = Engine::bind(Config::default(), clock).unwrap();
-        let firm = Self {
+        let mut firm = Self {
             platform,
+            jobs: None,
             book,
             client: Client::new(Duration::from_secs(1)),
             signal: signal.clone(),
             _stop: stop,
         };
-        firm.agent("jobs-1", "jobs", service.address(), "plain");
+        firm.jobs = Some(firm.agent("jobs-1", "jobs", service.address(), "plain"));
         firm.agent("loft-1", "assistant", engine.address(), "engine");
         monoio::spawn(service.run(signal.clone()));
         monoio::spawn(engine.run(signal));
@@ -77,7 +79,7 @@
     }
 
     /// Starts an agent beside an upstream and lists it.
-    fn agent(&self, name: &str, service: &str, beside: SocketAddr, kind: &str) {
+    fn agent(&self, name: &str, service: &str, beside: SocketAddr, kind: &str) -> claim::Agent {
         let text = format!(
             "instance: {name}
 listen: 127.0.0.1:0
@@ -89,11 +91,13 @@
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let agent = Agent::bind(settings, log, Monotonic::start()).unwrap();
         let listed = upstream(name, service, agent.address(), agent.control());
+        let (control, process) = (agent.control(), agent.number());
         monoio::spawn(agent.run(self.signal.clone()));
         let key = format!("firms/tidewater/instances/{name}");
         let value = serde_json::to_vec(&listed).unwrap();
         self.platform
             .with(|objects| objects.put(&key, value.into()));
+        claim::Agent { control, process }
     }
 
     /// Has the file accepted.
@@ -210,6 +214,39 @@
     });
 }
 
+#[test]
+fn a_dead_entrys_claim_does_not_keep_the_key() {
+    // A skipper can never book under a key again: an entry claimed it and died
+    // before it sent the booking, and every repeat is told that it may have run.
+    bounded(async {
+        let firm = Firm::start().await;
+        let entry = firm.entry("entry-1").await;
+        let customer = "bowen-loft".parse().unwrap();
+        let key = keys::claim(&"tidewater".parse().unwrap(), &customer, "key-1");
+        let record = claim::Record {
+            attempt: "00000000000000aa-1".to_owned(),
+            agent: firm.jobs.unwrap(),
+            request: piece::Hash::of(b"POST /bookings\none booking"),
+        };
+        let value = serde_json::to_vec(&record).unwrap();
+        firm.platform
+            .with(|objects| objects.put(&key, value.into()));
+        let repeat = firm.book(&entry, "key-1", "one booking").await;
+        assert_eq!(repeat, answer(200, "ran", "/bookings one booking"));
+        // The dead entry's attempt arrives after all.
+        let agent = firm.jobs.unwrap();
+        let late = settle::Question {
+            attempt: record.attempt.parse().unwrap(),
+            agent: agent.process,
+        };
+        let rpc = rpc::Client::default();
+        let told = rpc.call(agent.control, settle::METHOD, &late, Duration::from_secs(1));
+        let told: settle::Answer = told.await.unwrap();
+        assert_eq!(told, settle::Answer::Refused);
+        assert_eq!(firm.book.writes.borrow().len(), 1);
+    });
+}
+
 #[test]
 fn a_lost_claim_is_read_back() {
     // A booking is refused for ever: its claim took effect, the platform's
--- a/verbenaspool_coordination/src/claim.rs
+++ b/verbenaspool_coordination/src/claim.rs
@@ -5,6 +5,16 @@
 //! back tells whose it is. While the store can't be reached no claim is made
 //! and the call isn't sent: a write that didn't run can be repeated, one that
 //! ran twice can't be undone.
+//!
+//! A claim whose attempt was never sent, because its entry died or lost the
+//! answer, would keep its key for ever. So the claim also names the agent that
+//! the attempt is meant for. Whoever finds it asks that agent; one that never
+//! admitted the attempt leaves a tombstone, and from then on the attempt can't
+//! run. Only then is the claim replaced, under the version that was read. Each
+//! further attempt of the same request replaces the claim first as well, so
+//! that the claim always names the one attempt that may be on its way.
+
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -19,10 +29,22 @@
 pub struct Record {
     /// The attempt that may run: its entry's incarnation and counter.
     pub attempt: String,
+    /// Where it may run, and where it can be settled.
+    pub agent: Agent,
     /// The hash of the request, by which a key used for another one is told.
     pub request: Hash,
 }
 
+/// The agent process that an attempt is meant for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agent {
+    /// Where the agent takes control calls.
+    pub control: SocketAddr,
+    /// The number of its process.
+    pub process: u64,
+}
+
 /// One try to claim a key.
 #[derive(Debug)]
 pub struct Claim {
@@ -30,6 +52,8 @@
     key: String,
     /// What the claim is to say.
     record: Record,
+    /// What must stand there for the claim to be written.
+    when: When,
     /// How far the claim has come.
     state: State,
     /// Whether the last call has to be made again after a pause.
@@ -59,7 +83,12 @@
         version: u64,
     },
     /// Another attempt holds the key.
-    Other(Record),
+    Other {
+        /// What its claim says.
+        record: Record,
+        /// The version of the claim's object.
+        version: u64,
+    },
     /// No claim could be made; the call mustn't be sent.
     Failed {
         /// The last trouble met.
@@ -73,9 +102,12 @@
     /// A claim on `key`, as made by [`crate::keys::claim`].
     ///
     /// ```
-    /// use verbenaspool_coordination::{claim::{Claim, Record}, piece::Hash, store::{Machine, Step}};
+    /// use verbenaspool_coordination::{
+    ///     claim::{Agent, Claim, Record}, piece::Hash, store::{Machine, Step},
+    /// };
     ///
-    /// let record = Record { attempt: "3.17".into(), request: Hash::of(b"POST /bookings") };
+    /// let agent = Agent { control: ([127, 0, 0, 1], 7102).into(), process: 9 };
+    /// let record = Record { attempt: "3.17".into(), agent, request: Hash::of(b"POST /bookings") };
     /// let claim = Claim::new("firms/quetzal/claims/1f".into(), record);
     /// assert!(matches!(claim.step(), Step::Call(_)));
     /// ```
@@ -84,17 +116,40 @@
         Self {
             key,
             record,
+            when: When::Absent,
             state: State::Write,
             again: false,
             open: false,
         }
     }
 
+    /// A claim that replaces the one at `version`, whose attempt is confirmed
+    /// as never to run.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::{
+    ///     claim::{Agent, Claim, Record}, piece::Hash, store::{Call, Machine, Step, When},
+    /// };
+    ///
+    /// let agent = Agent { control: ([127, 0, 0, 1], 7102).into(), process: 9 };
+    /// let record = Record { attempt: "3.18".into(), agent, request: Hash::of(b"POST /bookings") };
+    /// let claim = Claim::over("firms/quetzal/claims/1f".into(), 7, record);
+    /// assert!(matches!(claim.step(), Step::Call(Call::Put { when: When::Version(7), .. })));
+    /// ```
+    #[must_use]
+    pub fn over(key: String, version: u64, record: Record) -> Self {
+        Self {
+            when: When::Version(version),
+            ..Self::new(key, record)
+        }
+    }
+
     /// The outcome if the claim is given up now, at the call's deadline.
     ///
     /// ```
-    /// # use verbenaspool_coordination::{claim::{Claim, Outcome, Record}, piece::Hash};
-    /// let record = Record { attempt: "3.17".into(), request: Hash::of(b"POST /bookings") };
+    /// # use verbenaspool_coordination::{claim::{Agent, Claim, Outcome, Record}, piece::Hash};
+    /// let agent = Agent { control: ([127, 0, 0, 1], 7102).into(), process: 9 };
+    /// let record = Record { attempt: "3.17".into(), agent, request: Hash::of(b"POST /bookings") };
     /// let claim = Claim::new("firms/quetzal/claims/1f".into(), record);
     /// assert!(matches!(claim.abandon(), Outcome::Failed { open: false, .. }));
     /// ```
@@ -130,7 +185,7 @@
     fn settle(&mut self, version: u64, value: &[u8]) {
         let outcome = match serde_json::from_slice::<Record>(value) {
             Ok(record) if record == self.record => Outcome::Mine { version },
-            Ok(record) => Outcome::Other(record),
+            Ok(record) => Outcome::Other { record, version },
             Err(_) => Outcome::Failed {
                 why: "the stored claim is garbled".to_owned(),
                 open: false,
@@ -149,7 +204,7 @@
                 key: self.key.clone(),
                 // A record holds nothing that JSON can't say.
                 value: serde_json::to_vec(&self.record).expect("a claim is written as JSON"),
-                when: When::Absent,
+                when: self.when,
             },
             State::Read => Call::Get {
                 key: self.key.clone(),
@@ -181,7 +236,10 @@
             (State::Write, _) => self.state = State::Read,
             (State::Read, Answer::Found { version, value }) => self.settle(version, &value),
             // Its holder released it in between.
-            (State::Read, _) => self.state = State::Write,
+            (State::Read, _) => {
+                self.when = When::Absent;
+                self.state = State::Write;
+            }
             (State::Done(_), _) => {}
         }
     }
--- a/verbenaspool_coordination/tests/store/claim.rs
+++ b/verbenaspool_coordination/tests/store/claim.rs
@@ -1,20 +1,33 @@
 //! Claims on one idempotency key.
 
+use std::collections::HashSet;
+
 use proptest::prelude::*;
 use verbenaspool_coordination::{
-    claim::{Claim, Outcome, Record},
+    claim::{Agent, Claim, Outcome, Record},
     piece::Hash,
 };
 
 use crate::model::{Event, Store, runner, runs};
 
-/// The claim of a caller's attempt.
-fn claim(caller: usize, attempt: usize) -> Claim {
-    let record = Record {
+/// The key's claim in the store.
+const KEY: &str = "firms/tidewater/claims/1";
+
+/// What the claim of a caller's attempt says.
+fn record(caller: usize, attempt: usize) -> Record {
+    Record {
         attempt: format!("{caller}.{attempt}"),
+        agent: Agent {
+            control: ([127, 0, 0, 1], 7102).into(),
+            process: 9,
+        },
         request: Hash::of(b"POST /jobs/bookings"),
-    };
-    Claim::new("firms/tidewater/claims/1".to_owned(), record)
+    }
+}
+
+/// The claim of a caller's attempt.
+fn claim(caller: usize, attempt: usize) -> Claim {
+    Claim::new(KEY.to_owned(), record(caller, attempt))
 }
 
 // A caller repeats a booking under its key through three entries, while calls
@@ -52,3 +65,95 @@
     });
     outcome.unwrap();
 }
+
+/// The agent's word on attempts.
+#[derive(Debug, Default)]
+struct Ledger {
+    ran: HashSet<String>,
+    tombstones: HashSet<String>,
+}
+
+/// How far an entry has come with one caller's booking.
+enum Entry {
+    Claiming(Box<Claim>, String),
+    /// The key is its own, and the attempt is about to be sent.
+    Sending(String),
+}
+
+impl Ledger {
+    /// An attempt arrives.
+    fn send(&mut self, attempt: String) {
+        if !self.tombstones.contains(&attempt) {
+            self.ran.insert(attempt);
+        }
+    }
+
+    /// Whether an attempt will never run; asking makes sure of it.
+    fn refuses(&mut self, attempt: &str) -> bool {
+        if self.ran.contains(attempt) {
+            return false;
+        }
+        self.tombstones.insert(attempt.to_owned());
+        true
+    }
+}
+
+// An entry claims a key and dies, or its answer is lost; callers repeat the
+// booking through others, which settle the claimed attempt with its agent and
+// replace the claim, while the first entry wakes up and sends after all. Were a
+// claim replaced without the agent's word, or an attempt sent that the claim
+// doesn't name, the booking would run twice.
+#[test]
+fn a_replaced_claim_lets_one_attempt_run() {
+    let outcome = runner(1_000).run(&runs(), |events| {
+        let mut store = Store::default();
+        let mut ledger = Ledger::default();
+        let start = |caller, attempt| {
+            Entry::Claiming(
+                Box::new(claim(caller, attempt)),
+                format!("{caller}.{attempt}"),
+            )
+        };
+        let mut entries: Vec<Entry> = (0..3).map(|caller| start(caller, 0)).collect();
+        for (number, event) in events.into_iter().enumerate() {
+            let number = number + 1;
+            match event {
+                Event::Arrive => {
+                    if !store.delayed.is_empty() {
+                        let call = store.delayed.remove(0);
+                        store.make(call);
+                    }
+                }
+                Event::Abandon(caller) => entries[caller] = start(caller, number),
+                Event::Turn(caller, fault) => match &mut entries[caller] {
+                    Entry::Sending(attempt) => {
+                        ledger.send(attempt.clone());
+                        entries[caller] = start(caller, number);
+                    }
+                    Entry::Claiming(claim, attempt) => {
+                        let attempt = attempt.clone();
+                        match store.turn(claim.as_mut(), fault) {
+                            None => {}
+                            Some(Outcome::Mine { .. }) => {
+                                entries[caller] = Entry::Sending(attempt);
+                            }
+                            Some(Outcome::Other {
+                                record: other,
+                                version,
+                            }) if ledger.refuses(&other.attempt) => {
+                                let own = record(caller, number);
+                                let name = own.attempt.clone();
+                                let over = Claim::over(KEY.to_owned(), version, own);
+                                entries[caller] = Entry::Claiming(Box::new(over), name);
+                            }
+                            Some(_) => entries[caller] = start(caller, number),
+                        }
+                    }
+                },
+            }
+            prop_assert!(ledger.ran.len() <= 1, "{:?} ran", ledger.ran);
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
