--- a/verbenaspool_policy/src/limit.rs
+++ b/verbenaspool_policy/src/limit.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Below this multiple of the best pace the limit may grow.
-const NEAR: f64 = 1.15;
+const NEAR: f64 = 1.1;
 /// Above this multiple of the best pace the limit shrinks, to where the pace is
 /// this multiple if it follows the number in flight.
 const WORSE: f64 = 1.3;
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Starts over from one attempt, for an upstream that comes back. What was
+    /// its best pace still holds, so it grows no further than that allows.
+    pub fn restart(&mut self) {
+        self.value = 1.0;
+        self.settle = 0;
+        self.doubling = true;
+    }
+
     /// Learns from a load report that work waits in front of the engine: its
     /// batch is full, so what is above it only waits there instead of here.
     pub fn crowd(&mut self) {
