Bear broken and idle connections between our processes

The call now moves on to a new connection. Connections idle for a minute are closed, where each replaced peer had left up to four sockets behind for good, and a server holds 4,096 at once.

--- a/verbenaspool_transport/src/rpc.rs
+++ b/verbenaspool_transport/src/rpc.rs
@@ -5,7 +5,12 @@
 //! answers raw requests and the frames are ours, cut by tokio-util's codec.
 
 use std::{
-    cell::RefCell, collections::HashMap, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    cell::RefCell,
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -26,12 +31,27 @@
 /// its envelope.
 const LARGEST: usize = 2 * 1024 * 1024;
 
-/// How many bytes one read asks for.
+/// How many bytes a read asks for that waits for the next frame. The memory is
+/// held while it waits, by each idle connection, and most frames are shorter.
+const FIRST: usize = 512;
+
+/// How many bytes a read asks for inside a frame.
 const READ: usize = 16 * 1024;
 
 /// How many idle connections are kept to one address.
 const IDLE: usize = 4;
 
+/// How long a connection is kept that carries no call. Without an end, each
+/// peer that is replaced would leave a socket behind for good.
+const KEPT: Duration = Duration::from_mins(1);
+
+/// How long a server waits for a whole frame. It is longer than [`KEPT`], so
+/// that a client takes no connection that the server is about to close.
+const SILENCE: Duration = Duration::from_mins(2);
+
+/// Connections that a server holds at once; one more is closed at once.
+const CONNECTIONS: usize = 4_096;
+
 /// Why a call got no result.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -79,7 +99,8 @@
             if let Some(frame) = self.codec.decode(&mut self.buffer)? {
                 return Ok(Some(frame));
             }
-            let (read, chunk) = self.stream.read(vec![0_u8; READ]).await;
+            let wanted = if self.buffer.is_empty() { FIRST } else { READ };
+            let (read, chunk) = self.stream.read(vec![0_u8; wanted]).await;
             match read? {
                 0 if self.buffer.is_empty() => return Ok(None),
                 0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
@@ -155,6 +176,8 @@
         let stop = Box::pin(signal.wait());
         match select(stop, accept).await {
             Either::Left(_) => return,
+            // The task holds a clone of the module for as long as it runs.
+            Either::Right((Ok(_), _)) if Rc::strong_count(&module) > CONNECTIONS => {}
             Either::Right((Ok((stream, _)), _)) => {
                 monoio::spawn(answer(Framed::new(stream), module.clone()));
             }
@@ -165,7 +188,7 @@
 
 /// Answers the calls of one connection, one after the other.
 async fn answer(mut framed: Framed, module: Rc<Module>) {
-    while let Ok(Some(frame)) = framed.read().await {
+    while let Ok(Ok(Some(frame))) = monoio::time::timeout(SILENCE, framed.read()).await {
         let Ok(request) = std::str::from_utf8(&frame) else {
             return;
         };
@@ -182,9 +205,12 @@
 /// Calls methods of other processes.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Framed>>>>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
 }
 
+/// A connection that carries no call, and since when.
+type Idle = (Framed, Instant);
+
 impl std::fmt::Debug for Client {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Client").finish_non_exhaustive()
@@ -202,7 +228,8 @@
 }
 
 impl Client {
-    /// Calls a method with one typed parameter.
+    /// Calls a method with one typed parameter. The call may reach the peer
+    /// twice, so that only methods are served here that bear it.
     ///
     /// # Errors
     /// The peer can't be reached, is late, garbles its answer or refuses.
@@ -231,15 +258,18 @@
             params: [params],
         };
         let text = serde_json::to_vec(&call).map_err(|error| Error::Garbled(error.to_string()))?;
-        let mut framed = match self.take(address) {
-            Some(framed) => framed,
-            None => Framed::new(TcpStream::connect(address).await?),
+        // A peer that was started again has left broken connections behind. Every
+        // method may be called twice, so the call moves on to a new connection.
+        let kept = match self.take(address) {
+            Some(framed) => converse(framed, &text).await.ok(),
+            None => None,
+        };
+        let (framed, frame) = if let Some(answered) = kept {
+            answered
+        } else {
+            let framed = Framed::new(TcpStream::connect(address).await?);
+            converse(framed, &text).await?
         };
-        framed.write(text.into()).await?;
-        let frame = framed
-            .read()
-            .await?
-            .ok_or_else(|| std::io::Error::from(std::io::ErrorKind::UnexpectedEof))?;
         let result = read_answer(&frame);
         // Only a connection whose answer was read whole may carry the next call.
         self.put(address, framed);
@@ -247,18 +277,32 @@
     }
 
     fn take(&self, address: SocketAddr) -> Option<Framed> {
-        self.idle.borrow_mut().get_mut(&address)?.pop()
+        let mut idle = self.idle.borrow_mut();
+        let (framed, since) = idle.get_mut(&address)?.pop()?;
+        (since.elapsed() < KEPT).then_some(framed)
     }
 
     fn put(&self, address: SocketAddr, framed: Framed) {
         let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, kept| {
+            kept.retain(|(_, since)| since.elapsed() < KEPT);
+            !kept.is_empty()
+        });
         let kept = idle.entry(address).or_default();
         if kept.len() < IDLE {
-            kept.push(framed);
+            kept.push((framed, Instant::now()));
         }
     }
 }
 
+/// Sends a request and reads its answer.
+async fn converse(mut framed: Framed, request: &[u8]) -> std::io::Result<(Framed, BytesMut)> {
+    framed.write(Bytes::copy_from_slice(request)).await?;
+    let answer = framed.read().await?;
+    let answer = answer.ok_or(std::io::ErrorKind::UnexpectedEof)?;
+    Ok((framed, answer))
+}
+
 /// Reads a JSON-RPC answer.
 fn read_answer<R: DeserializeOwned>(frame: &[u8]) -> Result<R, Error> {
     let garbled = |error: serde_json::Error| Error::Garbled(error.to_string());
