--- a/verbenaspool_coordination/src/group/rank.rs
+++ b/verbenaspool_coordination/src/group/rank.rs
@@ -193,6 +193,8 @@
     running: Option<u64>,
     /// The last step that the engine was seen to know of.
     handed: u64,
+    /// The last step that an order to the engine has named.
+    ordered: u64,
     /// The epochs whose weights the engine holds.
     held: BTreeSet<u64>,
     /// The placements known.
@@ -240,6 +242,7 @@
             done: 0,
             running: None,
             handed: 0,
+            ordered: 0,
             held: BTreeSet::new(),
             maps: BTreeMap::new(),
             asked: Duration::ZERO,
@@ -454,27 +457,48 @@
         self.tell(News::Refused(refusal))
     }
 
-    /// Adds the granted steps that haven't run yet. Only an engine that has run
-    /// nothing may start anywhere: it joins where the others stand.
+    /// Adds the granted steps that haven't run yet.
     fn take(&mut self, spans: &[Span]) -> Result<(), Error> {
         let mut granted = Schedule::default();
         granted.merge(spans)?;
         let spans = granted.after(self.done);
-        let first = spans.first().map_or(0, |span| span.from);
-        if self.done > 0 && first > self.top() + 1 {
-            return Err(Error::Gap { top: self.top() });
+        let Some(first) = spans.first().map(|span| span.from) else {
+            return Ok(());
+        };
+        if self.done > 0 {
+            let top = self.top();
+            if first > top + 1 {
+                return Err(Error::Gap { top });
+            }
+            return self.schedule.merge(&spans);
+        }
+        // An engine that has run nothing starts where the grant does: that is
+        // where the others wait for it. It may have been handed an earlier
+        // start, by an order that was on its way when it was restarted.
+        granted.merge(&self.schedule.after(first - 1))?;
+        if granted != self.schedule {
+            self.schedule = granted;
+            self.handed = 0;
         }
-        self.schedule.merge(&spans)
+        Ok(())
     }
 
     /// Hands the engine the granted steps that it isn't seen to know of, up to
     /// the first whose weights it lacks: it could not run that one.
-    fn hand(&self) -> Option<Output> {
+    fn hand(&mut self) -> Option<Output> {
         let mut spans = self.schedule.after(self.done);
         let ready = |span: &Span| self.held.contains(&span.epoch);
         spans.truncate(spans.iter().take_while(|span| ready(span)).count());
         let top = spans.last()?.to;
-        (top > self.handed).then(|| self.engine(Action::Grant { spans }))
+        if top <= self.handed {
+            return None;
+        }
+        self.ordered = self.ordered.max(top);
+        let action = match self.done {
+            0 => Action::Replace { spans },
+            _ => Action::Grant { spans },
+        };
+        Some(self.engine(action))
     }
 
     /// Has the engine load a map, or says that it has.
@@ -557,6 +581,12 @@
     /// Takes over all that the engine says.
     fn restart(&mut self, snapshot: Snapshot) {
         self.engine = Some(snapshot.incarnation);
+        self.joined = false;
+        if let Some(fence) = snapshot.fence.filter(|&fence| fence > self.fence) {
+            // The engine saw a promise that this agent's forerunner made.
+            self.fence = fence;
+            self.lead = None;
+        }
         self.done = snapshot.done;
         self.told = snapshot.done;
         self.running = snapshot.running;
@@ -564,6 +594,7 @@
         // An engine's own list has no holes; one that had would be cut there.
         let _ = self.schedule.merge(&snapshot.spans);
         self.handed = self.top();
+        self.ordered = self.top();
         self.held = snapshot.held.into_iter().collect();
         let maps = snapshot.maps.into_iter().map(|map| (map.epoch, map));
         self.maps.extend(maps);
@@ -583,6 +614,11 @@
             // A report that was overtaken by a later one.
             return Vec::new();
         }
+        if snapshot.done == 0 {
+            let same = snapshot.spans == self.schedule.after(0);
+            self.handed = if same { self.top() } else { 0 };
+            return Vec::new();
+        }
         let mut outputs = self.compare(snapshot);
         if snapshot.done > self.done {
             self.done = snapshot.done;
@@ -658,7 +694,11 @@
     }
 
     /// Says where the rank stands.
-    fn join(&self, round: u64) -> Output {
+    ///
+    /// Steps that no order to the engine has named can't be run any more once
+    /// the fence is promised, so the lead is free to decide them anew.
+    fn join(&mut self, round: u64) -> Output {
+        self.schedule.cut(self.ordered.max(self.done));
         let spans = self.schedule.after(self.done);
         let last = spans.last().map(|span| span.epoch);
         let news = News::Joined {
--- a/verbenaspool_coordination/src/group/schedule.rs
+++ b/verbenaspool_coordination/src/group/schedule.rs
@@ -44,6 +44,18 @@
         self.spans.back().map(|span| span.to)
     }
 
+    /// The first step on the list, or `None` where it is empty.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::Schedule;
+    ///
+    /// assert_eq!(Schedule::default().first(), None);
+    /// ```
+    #[must_use]
+    pub fn first(&self) -> Option<u64> {
+        self.spans.front().map(|span| span.from)
+    }
+
     /// The epoch that a step runs on, where the step is on the list.
     ///
     /// ```
@@ -142,6 +154,26 @@
         }
     }
 
+    /// Forgets the steps after `top`.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::group::schedule::{Schedule, Span};
+    ///
+    /// let mut schedule = Schedule::default();
+    /// schedule.merge(&[Span { from: 1, to: 8, epoch: 1 }])?;
+    /// schedule.cut(6);
+    /// assert_eq!(schedule.top(), Some(6));
+    /// # Ok::<(), verbenaspool_coordination::group::schedule::Error>(())
+    /// ```
+    pub fn cut(&mut self, top: u64) {
+        while self.spans.back().is_some_and(|span| span.from > top) {
+            self.spans.pop_back();
+        }
+        if let Some(span) = self.spans.back_mut() {
+            span.to = span.to.min(top);
+        }
+    }
+
     /// The spans of the steps after `step`.
     ///
     /// ```
