--- /dev/null
+++ b/verbenaspool_policy/benches/rebalance.rs
@@ -0,0 +1,336 @@
+//! Rebalancing policies under drifting popularity: `cargo bench --bench
+//! rebalance`, with `-- --json` for one JSON object a line.
+//!
+//! Time is played. Each interval of 200 steps ends with a sample, which arrives
+//! one interval late, every seventh not at all. Skew is measured on single
+//! steps, whose tokens are drawn by chance around the popularity of the moment.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use verbenaspool_policy::rebalancer::{
+    LINK, Rebalancer, history::History, packing::pack, sample::Sample, skew,
+};
+use verbenaspool_state::{
+    expert_map::{Layer, Map, Shape},
+    rebalancing::Rebalancing,
+};
+
+/// How long a step takes at no skew.
+const STEP: Duration = Duration::from_millis(25);
+/// Steps of one interval.
+const STEPS: u32 = 200;
+/// Intervals of one run: 20 minutes.
+const INTERVALS: u32 = 240;
+/// Steps of an interval on which skew is measured.
+const MEASURED: usize = 4;
+/// Layers that carry experts.
+const LAYERS: u16 = 4;
+/// The size of one expert's weights: three matrices of 7168 by 2048 bytes.
+const EXPERT_BYTES: u64 = 44_040_192;
+/// The part of the host links that steps leave free.
+const SPARE: f64 = 0.02;
+/// How many tokens a rank brings into a step, each going to 8 experts.
+const TOKENS: f64 = 512.0 * 8.0;
+
+/// How popularity goes.
+#[derive(Debug, Clone, Copy)]
+enum Drift {
+    /// One set of experts slowly gives way to another.
+    Season,
+    /// It does so overnight.
+    Festival,
+    /// It swings to and fro.
+    Oscillation,
+    /// One expert of each layer becomes hot.
+    Hot,
+    /// All experts are alike.
+    Uniform,
+}
+
+/// What decides.
+#[derive(Debug, Clone, Copy)]
+enum Policy {
+    Skew,
+    Cost,
+    Static,
+    EveryInterval,
+    GreedyLastSample,
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+struct Outcome {
+    skews: Vec<f64>,
+    moves: u64,
+    bytes: u64,
+    delayed: f64,
+    stall: Duration,
+    decisions: Vec<u128>,
+}
+
+/// The popularity of experts over a run.
+struct Load {
+    drift: Drift,
+    first: Vec<Vec<f64>>,
+    second: Vec<Vec<f64>>,
+    tokens: f64,
+}
+
+impl Load {
+    fn new(drift: Drift, shape: Shape, rng: &mut SmallRng) -> Self {
+        let mut draw = || -> Vec<Vec<f64>> {
+            let layer = |rng: &mut SmallRng| -> Vec<f64> {
+                let weights = (0..shape.experts).map(|_| match drift {
+                    Drift::Uniform => 1.0,
+                    _ => (0.8 * normal(rng)).exp(),
+                });
+                let weights: Vec<f64> = weights.collect();
+                let sum: f64 = weights.iter().sum();
+                weights.iter().map(|weight| weight / sum).collect()
+            };
+            (0..shape.layers).map(|_| layer(rng)).collect()
+        };
+        let (first, mut second) = (draw(), draw());
+        if let Drift::Hot = drift {
+            second.clone_from(&first);
+            for layer in &mut second {
+                for part in layer.iter_mut() {
+                    *part *= 0.9;
+                }
+                layer[3] += 0.1;
+            }
+        }
+        let tokens = TOKENS * f64::from(shape.ranks);
+        Self {
+            drift,
+            first,
+            second,
+            tokens,
+        }
+    }
+
+    /// The tokens of each expert in a step, at a part of the run.
+    fn at(&self, time: f64) -> Vec<Vec<f64>> {
+        let part = match self.drift {
+            Drift::Season => time,
+            Drift::Festival => f64::from(time > 0.33),
+            Drift::Oscillation => 0.5 - 0.5 * (time * 10.0 * std::f64::consts::TAU).cos(),
+            Drift::Hot => f64::from(time > 0.25),
+            Drift::Uniform => 0.0,
+        };
+        let mix = |(a, b): (&f64, &f64)| self.tokens * (a * (1.0 - part) + b * part);
+        let layer = |(a, b): (&Vec<f64>, &Vec<f64>)| a.iter().zip(b).map(mix).collect();
+        self.first.iter().zip(&self.second).map(layer).collect()
+    }
+}
+
+/// A number drawn from the standard normal distribution.
+fn normal(rng: &mut SmallRng) -> f64 {
+    let (a, b): (f64, f64) = (rng.random_range(f64::EPSILON..1.0), rng.random());
+    (-2.0 * a.ln()).sqrt() * (b * std::f64::consts::TAU).cos()
+}
+
+/// Counts drawn around their mean, over so many steps.
+fn draw(loads: &[Vec<f64>], steps: f64, rng: &mut SmallRng) -> Vec<Vec<f64>> {
+    let count = |&mean: &f64, rng: &mut SmallRng| {
+        let mean = mean * steps;
+        (mean + mean.sqrt() * normal(rng)).max(0.0)
+    };
+    let layer =
+        |layer: &Vec<f64>, rng: &mut SmallRng| layer.iter().map(|m| count(m, rng)).collect();
+    loads.iter().map(|loads| layer(loads, rng)).collect()
+}
+
+fn settings(policy: Policy) -> Rebalancing {
+    match policy {
+        Policy::Cost => Rebalancing {
+            skew: 1.0,
+            cost: 2.0,
+            most_delay: 0.0,
+            ..Rebalancing::default()
+        },
+        _ => Rebalancing {
+            skew: 2.0,
+            cost: 1.0,
+            ..Rebalancing::default()
+        },
+    }
+}
+
+/// A change that loads.
+struct Staging {
+    layers: Vec<Layer>,
+    left: f64,
+    slowdown: f64,
+}
+
+/// Plays one run.
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss
+)]
+// Counts and bytes are far below 2^52, drawn counts not negative.
+fn run(drift: Drift, policy: Policy, shape: Shape) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let load = Load::new(drift, shape, &mut rng);
+    let settings = settings(policy);
+    let mut ours = Rebalancer::new(settings.clone(), shape, EXPERT_BYTES);
+    let mut history = History::default();
+    // All start from the map that is best for the first popularity.
+    let layers = load
+        .at(0.0)
+        .iter()
+        .map(|loads| pack(loads, shape))
+        .collect();
+    let mut map = Map { epoch: 1, layers };
+    let mut staging: Option<Staging> = None;
+    let mut outcome = Outcome::default();
+    let mut late: Option<Sample> = None;
+    for interval in 1..=INTERVALS {
+        let truth = load.at(f64::from(interval) / f64::from(INTERVALS));
+        for _ in 0..MEASURED {
+            let step = draw(&truth, 1.0, &mut rng);
+            outcome.skews.push(skew(&map.layers, &step, shape));
+        }
+        let counts = draw(&truth, f64::from(STEPS), &mut rng);
+        let count = |layer: &Vec<f64>| layer.iter().map(|&count| count as u64).collect();
+        let sample = Sample {
+            epoch: map.epoch,
+            step: u64::from(interval * STEPS),
+            steps: STEPS,
+            spare: SPARE,
+            layers: counts.iter().map(count).collect(),
+        };
+        let arrived = late.replace(sample).filter(|_| interval % 7 != 0);
+        if let Some(sample) = &arrived {
+            let _ = ours.observe(sample);
+            history.add(sample);
+        }
+        let seconds = STEP.as_secs_f64() * f64::from(STEPS);
+        if let Some(change) = &mut staging {
+            let loading = change.left.min(seconds);
+            let lost = loading * change.slowdown;
+            outcome.delayed += lost / STEP.as_secs_f64() * load.tokens;
+            outcome.stall += Duration::from_secs_f64(lost);
+            change.left -= loading;
+        }
+        if let Some(change) = staging.take_if(|change| change.left <= 0.0) {
+            map.layers = change.layers;
+            map.epoch += 1;
+        }
+        if staging.is_some() || history.is_empty() {
+            continue;
+        }
+        let now = Duration::from_secs_f64(f64::from(interval) * seconds);
+        let start = Instant::now();
+        let next = match policy {
+            Policy::Static => None,
+            Policy::Skew | Policy::Cost => {
+                let plan = ours.decide(now, &map);
+                plan.map(|plan| (plan.layers, plan.rate as f64))
+            }
+            Policy::EveryInterval => {
+                let pack = |loads: &Vec<f64>| pack(loads, shape);
+                let layers = history.expect().iter().map(pack).collect();
+                Some((layers, settings.bytes_a_second as f64))
+            }
+            Policy::GreedyLastSample => arrived.map(|sample| {
+                let loads = |layer: &Vec<u64>| layer.iter().map(|&n| n as f64).collect();
+                let loads: Vec<Vec<f64>> = sample.layers.iter().map(loads).collect();
+                let layers = loads.iter().map(|loads| pack(loads, shape)).collect();
+                (layers, settings.bytes_a_second as f64)
+            }),
+        };
+        outcome.decisions.push(start.elapsed().as_nanos());
+        if let Some((layers, rate)) = next {
+            let new = Map {
+                epoch: map.epoch,
+                layers,
+            };
+            let moves = |rank| new.added(Some(&map), rank).len() as u64;
+            let moves: Vec<u64> = (0..shape.ranks).map(moves).collect();
+            let most = moves.iter().max().copied().unwrap_or(0);
+            outcome.moves += moves.iter().sum::<u64>();
+            outcome.bytes += moves.iter().sum::<u64>() * EXPERT_BYTES;
+            staging = Some(Staging {
+                layers: new.layers,
+                left: (most * EXPERT_BYTES) as f64 / rate,
+                slowdown: (rate / LINK - SPARE).max(0.0),
+            });
+        }
+    }
+    outcome
+}
+
+/// The value below which this part of the values lie.
+fn quantile<T: Copy + PartialOrd>(values: &mut [T], part: f64) -> T {
+    values.sort_by(|a, b| a.partial_cmp(b).expect("no value is no number"));
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    // An index of a short list.
+    let index = ((values.len() - 1) as f64 * part) as usize;
+    values[index]
+}
+
+fn main() {
+    let json = std::env::args().any(|argument| argument == "--json");
+    let drifts = [
+        Drift::Season,
+        Drift::Festival,
+        Drift::Oscillation,
+        Drift::Hot,
+        Drift::Uniform,
+    ];
+    let policies = [
+        (Policy::Skew, "verbenaspool-skew"),
+        (Policy::Cost, "verbenaspool-cost"),
+        (Policy::Static, "static"),
+        (Policy::EveryInterval, "every-interval"),
+        (Policy::GreedyLastSample, "greedy-last-sample"),
+    ];
+    for (ranks, experts, slots) in [(8, 64, 10), (128, 256, 3)] {
+        let shape = Shape {
+            ranks,
+            experts,
+            layers: LAYERS,
+            slots,
+        };
+        for drift in drifts {
+            let case = format!("{drift:?}-{ranks}").to_lowercase();
+            for (policy, name) in policies {
+                print(json, &case, name, run(drift, policy, shape));
+            }
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // A mean of a short list.
+fn print(json: bool, case: &str, policy: &str, mut outcome: Outcome) {
+    let mean = outcome.skews.iter().sum::<f64>() / outcome.skews.len() as f64;
+    let p50 = quantile(&mut outcome.skews, 0.5);
+    let p99 = quantile(&mut outcome.skews, 0.99);
+    let ns = quantile(&mut outcome.decisions, 0.99);
+    let stall = outcome.stall.as_secs_f64() * 1e3;
+    let (moves, bytes, delayed) = (outcome.moves, outcome.bytes, outcome.delayed);
+    if json {
+        println!(
+            "{{\"case\":\"{case}\",\"policy\":\"{policy}\",\"skew_mean\":{mean:.4},\
+             \"skew_p50\":{p50:.4},\"skew_p99\":{p99:.4},\"moves\":{moves},\
+             \"bytes_moved\":{bytes},\"tokens_delayed\":{delayed:.0},\
+             \"stall_ms\":{stall:.1},\"ns_per_decision\":{ns}}}"
+        );
+    } else {
+        let gigabytes = bytes as f64 / 1e9;
+        println!(
+            "{case:15} {policy:18} skew mean {mean:.3} p50 {p50:.3} p99 {p99:.3}  \
+             {moves:6} moves {gigabytes:8.1} GB  {delayed:10.0} tokens delayed  \
+             stall {stall:7.0} ms  {:8.3} ms a decision",
+            ns as f64 / 1e6
+        );
+    }
+}
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod queue;
 pub mod ramp;
+pub mod rebalancer;
 pub mod request;
 pub mod room;
 pub mod route;
