--- /dev/null
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -0,0 +1,150 @@
+//! Where upstreams are, and which agent process answers beside each.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use http::HeaderValue;
+use verbenaspool_policy::{load::Load, member::Member};
+use verbenaspool_protocol::load;
+use verbenaspool_state::{
+    name::Name,
+    upstream::{State, Upstream},
+};
+
+/// How to reach an upstream.
+#[derive(Debug, Clone)]
+pub struct Address {
+    /// Where its agent takes requests.
+    pub agent: SocketAddr,
+    /// The same as a header's value.
+    pub host: HeaderValue,
+    /// Where its agent takes control calls.
+    pub control: SocketAddr,
+    /// The agent process, once it was heard from.
+    pub process: Option<u64>,
+}
+
+/// The upstreams that the entry knows.
+#[derive(Debug, Default)]
+pub struct Book(RefCell<HashMap<Name, Known>>);
+
+#[derive(Debug)]
+struct Known {
+    upstream: Upstream,
+    address: Address,
+    /// When the agent was last asked or heard from.
+    at: Option<Duration>,
+    /// The number of the last cache event heard.
+    events: u64,
+}
+
+impl Book {
+    /// Takes the firm's whole list of upstreams.
+    ///
+    /// ```
+    /// verbenaspool::entry::upstreams::Book::default().replace(&[]);
+    /// ```
+    pub fn replace(&self, upstreams: &[Upstream]) {
+        let mut book = self.0.borrow_mut();
+        let mut before = std::mem::take(&mut *book);
+        for upstream in upstreams {
+            // An address is plain ASCII, so this holds for every upstream.
+            let Ok(host) = HeaderValue::from_str(&upstream.agent.to_string()) else {
+                continue;
+            };
+            let kept = before
+                .remove(&upstream.name)
+                .filter(|known| known.upstream.incarnation == upstream.incarnation);
+            let known = Known {
+                upstream: upstream.clone(),
+                address: Address {
+                    agent: upstream.agent,
+                    host,
+                    control: upstream.control,
+                    process: kept.as_ref().and_then(|known| known.address.process),
+                },
+                at: kept.as_ref().and_then(|known| known.at),
+                events: kept.map_or(0, |known| known.events),
+            };
+            book.insert(upstream.name.clone(), known);
+        }
+    }
+
+    /// How to reach an upstream, while it is listed.
+    #[must_use]
+    pub fn address(&self, name: &Name) -> Option<Address> {
+        Some(self.0.borrow().get(name)?.address.clone())
+    }
+
+    /// The upstream of these that was not heard from for the longest time, if
+    /// that is longer than `age`.
+    #[must_use]
+    pub fn oldest(&self, names: &[Name], now: Duration, age: Duration) -> Option<Name> {
+        let book = self.0.borrow();
+        let known = names.iter().filter_map(|name| book.get(name));
+        let oldest = known.min_by_key(|known| known.at)?;
+        let due = oldest.at.is_none_or(|at| now.saturating_sub(at) >= age);
+        due.then(|| oldest.upstream.name.clone())
+    }
+
+    /// Notes that an upstream's agent is asked for its report; gives where, and
+    /// the last cache event heard.
+    #[must_use]
+    pub fn asked(&self, name: &Name, now: Duration) -> Option<(Address, u64)> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.at = Some(now);
+        Some((known.address.clone(), known.events))
+    }
+
+    /// Takes in an agent's word: notes which process answers, and gives the
+    /// upstream's service and the load in the balancer's terms.
+    #[must_use]
+    pub fn heard(&self, name: &Name, load: &load::Load) -> Option<(Name, Load)> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.address.process = Some(load.agent);
+        let load = Load {
+            incarnation: known.upstream.incarnation,
+            sequence: load.sequence,
+            running: load.running,
+            waiting: load.queued,
+            leaving: load.leaving,
+        };
+        Some((known.upstream.service.clone(), load))
+    }
+
+    /// Notes the last cache event heard; gives the upstream's service.
+    #[must_use]
+    pub fn cached(&self, name: &Name, last: u64) -> Option<Name> {
+        let mut book = self.0.borrow_mut();
+        let known = book.get_mut(name)?;
+        known.events = last;
+        Some(known.upstream.service.clone())
+    }
+
+    /// The upstreams of a service as the balancer sees them.
+    #[must_use]
+    pub fn members(&self, service: &Name) -> Vec<Member> {
+        let book = self.0.borrow();
+        let mut members: Vec<_> = book
+            .values()
+            .map(|known| &known.upstream)
+            .filter(|upstream| upstream.service == *service)
+            .map(member)
+            .collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+}
+
+/// An upstream as the balancer sees it.
+fn member(upstream: &Upstream) -> Member {
+    Member {
+        name: upstream.name.clone(),
+        zone: upstream.zone.clone(),
+        group: upstream.rank.as_ref().map(|rank| rank.group.clone()),
+        incarnation: upstream.incarnation,
+        speed: 1.0,
+        leaving: upstream.state == State::Leaving,
+    }
+}
--- a/verbenaspool/src/lib.rs
+++ b/verbenaspool/src/lib.rs
@@ -1,1 +1,7 @@
 //! The entry process and the operators' commands of verbenaspool.
+
+pub mod cli;
+pub mod entry;
+pub mod operate;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/verbenaspool/tests/entry/main.rs
@@ -0,0 +1,8 @@
+//! The entry on real sockets, with an agent that the test plays.
+
+mod agent;
+mod bad_input;
+mod path;
+mod process;
+mod repeats;
+mod site;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -0,0 +1,11 @@
+//! The agent over real sockets, between a stand-in of an entry and one of an
+//! upstream.
+
+mod fault;
+mod history;
+mod input;
+mod path;
+mod process;
+mod refusal;
+mod report;
+mod rig;
--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -2,10 +2,13 @@
 
 pub mod adoption;
 pub mod apply;
+pub mod attempt;
 pub mod claim;
 pub mod collection;
 pub mod group;
 pub mod head;
 pub mod keys;
+pub mod lease;
+pub mod membership;
 pub mod piece;
 pub mod store;
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -1,23 +1,34 @@
 //! The requests that wait, of every customer.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{decisions::Decisions, name::Name};
 
 use crate::{
     customers::Customers,
     decision::Ticket,
+    estimate::Size,
     fair::Ring,
+    hash::Map,
     mechanism::{Mechanism, Set},
     queue::{Drain, Waiting},
+    route::Search,
 };
 
 /// The customer whose queue everybody shares where shares are switched off.
 const EVERYBODY: u32 = 0;
+/// Seconds over which the offered work is averaged: some dozens of requests at
+/// an entry today, and well below [`STANDING`].
+const OFFERED: f64 = 2.0;
+/// Above this multiple of the capacity the offered work is an overload. Below it
+/// the queue drains or hardly grows.
+const OVER: f64 = 1.1;
+/// How long an overload lasts before it counts as standing. A burst is over by
+/// then, and what it left can still be done in the order of deadlines. In a
+/// standing overload that order starts everything at the last moment, where an
+/// answer a little longer than estimated comes too late; the shortest first
+/// leaves room for that.
+const STANDING: Duration = Duration::from_secs(10);
 /// Requests over which the mean work of one is taken.
 const MEAN: f64 = 64.0;
 
@@ -26,18 +37,31 @@
 pub struct Held {
     /// Its customer's number.
     pub customer: u32,
-    /// Its estimated work, nothing cached.
+    /// Its estimated work.
     pub work: f64,
-    /// The length of its prompt.
-    pub prompt_tokens: u32,
-    /// The most tokens it may generate.
-    pub max_tokens: u32,
+    /// When its answer must be whole.
+    pub deadline: Duration,
+    /// What it asks for.
+    pub asked: Size,
     /// The hashes of its prompt's prefixes.
     pub prefixes: Vec<u64>,
     /// Upstreams to stay away from.
     pub tried: Vec<Name>,
 }
 
+impl Held {
+    /// What an upstream is sought for.
+    #[must_use]
+    pub fn search<'a>(&'a self, now: Duration, settings: &'a Decisions) -> Search<'a> {
+        Search {
+            now,
+            settings,
+            prefixes: &self.prefixes,
+            tried: &self.tried,
+        }
+    }
+}
+
 /// The waiting requests.
 #[derive(Debug)]
 pub struct Room {
@@ -47,10 +71,16 @@
     ring: Ring,
     /// The mean work of a request.
     quantum: f64,
+    /// The work offered a second, lately.
+    offered: f64,
+    /// Since when more was offered than can be done.
+    over_since: Option<Duration>,
+    /// When a request was offered last.
+    offered_at: Duration,
     /// The work of all waiting requests.
     backlog: f64,
     /// Waiting requests.
-    held: HashMap<Ticket, Held>,
+    held: Map<Ticket, Held>,
     /// The latest starts of waiting requests, and of some that wait no more.
     expiries: BinaryHeap<Reverse<(Duration, Ticket)>>,
     /// The mechanisms in use.
@@ -65,8 +95,11 @@
             customers: Customers::default(),
             ring: Ring::default(),
             quantum: 1.0,
+            offered: 0.0,
+            over_since: None,
+            offered_at: Duration::ZERO,
             backlog: 0.0,
-            held: HashMap::new(),
+            held: Map::default(),
             expiries: BinaryHeap::new(),
             mechanisms,
         }
@@ -104,7 +137,10 @@
     }
 
     /// Learns what a request's work is, for the size of a turn.
-    pub fn observe(&mut self, work: f64) {
+    pub fn observe(&mut self, now: Duration, work: f64) {
+        let passed = now.saturating_sub(self.offered_at).as_secs_f64();
+        self.offered = self.offered * (-passed / OFFERED).exp() + work / OFFERED;
+        self.offered_at = now;
         self.quantum += (work - self.quantum) / MEAN;
     }
 
@@ -152,7 +188,8 @@
     }
 
     /// The request whose turn it is to start.
-    pub fn turn(&mut self) -> Option<Ticket> {
+    pub fn turn(&mut self, capacity: f64) -> Option<Ticket> {
+        let shortest = self.overloaded(capacity);
         loop {
             let owner = self.ring.first()?;
             let customer = self.customers.get_mut(owner);
@@ -160,11 +197,21 @@
                 .ring
                 .turn(customer.share, self.quantum, &mut customer.seat)
             {
-                return customer.queue.first().map(|first| first.ticket);
+                return customer.queue.first(shortest).map(|first| first.ticket);
             }
         }
     }
 
+    /// Whether more has been offered than can be done for [`STANDING`].
+    fn overloaded(&mut self, capacity: f64) -> bool {
+        if self.offered < OVER * capacity {
+            self.over_since = None;
+            return false;
+        }
+        let since = *self.over_since.get_or_insert(self.offered_at);
+        self.offered_at >= since + STANDING
+    }
+
     /// Charges a customer for started work, or pays it back.
     pub fn charge(&mut self, customer: u32, work: f64) {
         let owner = self.owner(customer);
--- a/verbenaspool_state/src/decisions.rs
+++ b/verbenaspool_state/src/decisions.rs
@@ -18,7 +18,7 @@
     pub max_limit: u32,
     /// How many upstreams one entry instance works with.
     pub subset: u32,
-    /// How far above the mean a cached prefix may load its upstream; 1.25 is a quarter above.
+    /// How far above its limit a cached prefix may load its upstream; 2 is twice the limit.
     pub affinity_bound: f64,
     /// How many times slower than its peers an upstream must be to be ejected.
     pub ejection_factor: f64,
@@ -26,9 +26,6 @@
     pub ejection_share: f64,
     /// Retries allowed as a part of the requests that were let in.
     pub retry_ratio: f64,
-    /// How long a new or returned upstream takes to reach its whole part of the work, in
-    /// milliseconds.
-    pub ramp_ms: u64,
 }
 
 impl Default for Decisions {
@@ -37,14 +34,13 @@
             deadline_ms: 30_000,
             queue: 256,
             prefill_weight: 0.1,
-            initial_limit: 4,
+            initial_limit: 2,
             max_limit: 512,
             subset: 64,
-            affinity_bound: 1.25,
+            affinity_bound: 2.0,
             ejection_factor: 3.0,
             ejection_share: 0.3,
             retry_ratio: 0.1,
-            ramp_ms: 5_000,
         }
     }
 }
@@ -79,7 +75,6 @@
             range("ejection_factor", part(self.ejection_factor), 1.5, 100.0),
             range("ejection_share", part(self.ejection_share), 0.0, 0.9),
             range("retry_ratio", part(self.retry_ratio), 0.0, 1.0),
-            range("ramp_ms", whole(self.ramp_ms), 0.0, 600_000.0),
         ]
         .into_iter()
         .flatten()
--- a/verbenaspool_transport/src/config.rs
+++ b/verbenaspool_transport/src/config.rs
@@ -12,7 +12,10 @@
 
 use crate::platform::{Store, driver};
 
+mod peers;
 pub mod source;
+pub mod status;
+pub mod upstreams;
 
 /// Has a file accepted, within a time bound, and then collects pieces that
 /// nothing refers to any more.
