--- a/verbenaspool_coordination/src/keys.rs
+++ b/verbenaspool_coordination/src/keys.rs
@@ -38,6 +38,17 @@
     format!("firms/{firm}/pieces/{hash}")
 }
 
+/// What the keys of a firm's bundles of pieces start with.
+///
+/// ```
+/// # use verbenaspool_coordination::keys;
+/// assert_eq!(keys::bundles(&"quetzal".parse().unwrap()), "firms/quetzal/bundles/");
+/// ```
+#[must_use]
+pub fn bundles(firm: &Name) -> String {
+    format!("firms/{firm}/bundles/")
+}
+
 /// The key of a lease.
 ///
 /// ```
--- a/verbenaspool_standin/tests/config/limits.rs
+++ b/verbenaspool_standin/tests/config/limits.rs
@@ -253,3 +253,32 @@
         assert_eq!(accepted(&settled), Some(Version(1)), "{lost:?}");
     });
 }
+
+// Every instance of a large firm's zone was replaced. Reading thousands of
+// pieces one by one within the budget would keep it from serving for minutes.
+#[test]
+fn large_firm_is_read_in_few_calls() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let mut large = file(FIRM, 1);
+        let customer = |i: u32| verbenaspool_state::customer::Customer {
+            name: name(&format!("customer-{i}")),
+            ..large.customers[0].clone()
+        };
+        large.customers = (0..3_000).map(customer).collect();
+        for mark in 1..=3 {
+            large.customers[7].share = mark;
+            let mut order = order(FIRM, mark, &format!("apply-{mark}"));
+            order.split = piece::split(&large).unwrap();
+            assert!(accepted(&apply(&*store, order).await).is_some());
+        }
+        let before = platform.calls().reads;
+        let instance = Instance::start(1, client(&platform, FIRM), &[], 1);
+        let adopted = instance.source.above(Version(2)).await;
+        assert_eq!(adopted.file.customers.len(), 3_000);
+        // The bundles are two versions old; what changed since is read besides.
+        let reads = platform.calls().reads - before;
+        assert!(reads <= 40, "{reads} reads");
+    });
+}
--- a/verbenaspool_transport/src/config.rs
+++ b/verbenaspool_transport/src/config.rs
@@ -12,6 +12,7 @@
 
 use crate::platform::{Store, driver};
 
+pub mod bundle;
 mod peers;
 pub mod source;
 pub mod status;
@@ -31,16 +32,19 @@
 /// ```
 pub async fn apply(store: &dyn Store, order: Order, within: Duration, seed: u64) -> Outcome {
     let firm = order.firm.clone();
-    let kept = order.split.pieces.keys().copied().collect();
+    let split = order.split.clone();
+    let kept = split.pieces.keys().copied().collect();
     let mut apply = Apply::new(order);
     let Some(outcome) = driver::drive(store, &mut apply, within, seed).await else {
         return apply.abandon();
     };
     if let Outcome::Accepted {
         object: Some(object),
-        ..
+        version,
     } = outcome
     {
+        // Without the bundles reading the file is slower, and no less right.
+        let _ = bundle::pack(store, &firm, version, &split).await;
         let mut collection = Collection::new(firm, object, kept);
         // What can't be collected now is left to the next apply.
         driver::drive(store, &mut collection, within, seed).await;
--- a/verbenaspool_transport/src/config/source.rs
+++ b/verbenaspool_transport/src/config/source.rs
@@ -18,7 +18,7 @@
 };
 use verbenaspool_state::{name::Name, version::Version};
 
-use super::peers;
+use super::{bundle, peers};
 use crate::{
     clock::Clock,
     platform::{Error, Store, driver::Backoff},
@@ -395,13 +395,30 @@
         Ok(())
     }
 
+    /// Takes the pieces of the bundles, for who holds next to none. Those that the
+    /// head doesn't refer to go once its file is in force.
+    async fn unpack(&self) -> Result<(), Error> {
+        bundle::read(&*self.store, &self.options.firm, |piece| {
+            let mut adoption = self.adoption.borrow_mut();
+            // One that doesn't fit its hash is read by itself.
+            let _ = adoption.insert(piece.hash, piece.text.as_bytes());
+        })
+        .await
+    }
+
     /// Fetches what is missing from the platform.
     async fn fetch(&self) -> Result<(), Error> {
+        let mut bundles = true;
         loop {
             let missing = self.adoption.borrow().missing();
             if missing.is_empty() {
                 return Ok(());
             }
+            if bundles && missing.len() >= bundle::LEVEL {
+                bundles = false;
+                self.unpack().await?;
+                continue;
+            }
             for hash in missing {
                 let key = keys::piece(&self.options.firm, hash);
                 let object = self.store.get(&key).await?;
