Test the decisions: load cases, bad input, budgets, subsets

Bad input found a tick, a time out and a window that never end after a clock went back; they are void now.

--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -319,7 +319,7 @@
     /// Starts a request, or lets it wait, or refuses it.
     fn admit(&mut self, now: Duration, request: &Request<'_>, held: Held) -> Decision {
         self.refresh(now);
-        if self.router.pool.list().is_empty() {
+        if !self.router.pool.is_open() {
             return Decision::Refuse(self.refuse(Reason::NoUpstream, held.customer));
         }
         if request.deadline <= now {
@@ -331,6 +331,9 @@
             // Capacity that nobody waits for isn't charged.
             return Decision::Admit(self.start(&held, choice, 0.0));
         }
+        if self.latest(request.deadline, held.work) < now {
+            return Decision::Refuse(self.refuse(Reason::Late, held.customer));
+        }
         if self.room.queued(held.customer) >= self.settings.queue as usize {
             return Decision::Refuse(self.refuse(Reason::QueueFull, held.customer));
         }
--- a/verbenaspool_policy/src/customers.rs
+++ b/verbenaspool_policy/src/customers.rs
@@ -43,7 +43,9 @@
             changed.insert(self.number(name), *share);
         }
         changed.retain(|&number, share| self.get(number).share != *share);
-        changed.into_iter().collect()
+        let mut changed: Vec<(u32, u32)> = changed.into_iter().collect();
+        changed.sort_unstable();
+        changed
     }
 
     /// A customer's number, given out on first sight.
--- a/verbenaspool_policy/src/health.rs
+++ b/verbenaspool_policy/src/health.rs
@@ -21,6 +21,9 @@
 const OUT: Duration = Duration::from_secs(5);
 /// Doublings of the time out at most, to about a minute and a half.
 const DOUBLINGS: u32 = 4;
+/// The longest time out. A clock that jumps back would make one longer; such a
+/// time out is void.
+const LONGEST: Duration = OUT.saturating_mul(2_u32.pow(DOUBLINGS));
 /// Time without ejection after which the next one starts with [`OUT`] again.
 const FORGIVEN: Duration = Duration::from_mins(1);
 
@@ -39,13 +42,7 @@
     /// Whether the upstream is out.
     #[must_use]
     pub fn is_out(&self, now: Duration) -> bool {
-        now < self.until
-    }
-
-    /// When the upstream is back in.
-    #[must_use]
-    pub fn back(&self) -> Duration {
-        self.until
+        now < self.until && self.until.saturating_sub(now) <= LONGEST
     }
 
     /// Records an attempt that ran.
@@ -77,10 +74,11 @@
 
     /// Takes the upstream out for a while.
     pub fn eject(&mut self, now: Duration) {
-        if now > self.until + FORGIVEN {
+        if now > self.until.saturating_add(FORGIVEN) {
             self.ejections = 0;
         }
-        self.until = now + OUT * 2_u32.pow(self.ejections.min(DOUBLINGS));
+        let out = OUT * 2_u32.pow(self.ejections.min(DOUBLINGS));
+        self.until = now.saturating_add(out);
         self.ejections = self.ejections.saturating_add(1);
         self.failures = 0;
     }
--- a/verbenaspool_policy/src/limit.rs
+++ b/verbenaspool_policy/src/limit.rs
@@ -96,9 +96,10 @@
 
     /// Keeps the best pace of the last two windows.
     fn remember(&mut self, now: Duration, pace: f64) {
-        if now >= self.until {
+        // A clock that jumped back would leave a window that never ends.
+        if now >= self.until || self.until.saturating_sub(now) > WINDOW {
             self.best = [f64::INFINITY, self.best[0]];
-            self.until = now + WINDOW;
+            self.until = now.saturating_add(WINDOW);
         }
         self.best[0] = self.best[0].min(pace);
     }
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -155,6 +155,12 @@
         }
     }
 
+    /// Whether any upstream takes new work at all.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.list.iter().any(|upstream| !upstream.member.leaving)
+    }
+
     /// The place of an upstream by name.
     #[must_use]
     pub fn place(&self, name: &Name) -> Option<usize> {
@@ -233,10 +239,11 @@
     /// Looks for outliers and adds the capacity up, at most once a [`TICK`];
     /// whether it did.
     pub fn refresh(&mut self, now: Duration, settings: &Decisions) -> bool {
-        if now < self.tick {
+        // A clock that jumped back would leave a tick that is far off.
+        if now < self.tick && self.tick.saturating_sub(now) <= TICK {
             return false;
         }
-        self.tick = now + TICK;
+        self.tick = now.saturating_add(TICK);
         if self.mechanisms.has(Mechanism::Ejection) && self.list.len() >= FEW {
             self.eject(now, settings);
         }
@@ -340,7 +347,9 @@
     #[must_use]
     pub fn score(&self, now: Duration, place: usize) -> f64 {
         let upstream = &self.list[place];
-        let fresh = upstream.reported.is_some_and(|(_, at)| now < at + STALE);
+        let fresh = upstream
+            .reported
+            .is_some_and(|(_, at)| now.saturating_sub(at) < STALE);
         let others = if !self.mechanisms.has(Mechanism::Reports) {
             0.0
         } else if fresh {
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -237,7 +237,7 @@
     #[must_use]
     pub fn next_expiry(&self) -> Option<Duration> {
         let Reverse((latest, _)) = self.expiries.peek()?;
-        Some(*latest + Duration::from_nanos(1))
+        Some(latest.saturating_add(Duration::from_nanos(1)))
     }
 
     /// The request of a customer that must yield for the others to start in
--- a/verbenaspool_policy/src/subset.rs
+++ b/verbenaspool_policy/src/subset.rs
@@ -38,65 +38,79 @@
         .len()
         .min(part(size, OWN))
         .max(size.saturating_sub(other.len()));
-    let mut chosen = pick(entry, peers, members, &own, own_size, |peer| {
-        peer.zone == *zone
-    });
-    chosen.extend(pick(entry, peers, members, &other, size - own_size, |_| {
-        true
-    }));
+    let seats = seats(entry, zone, peers);
+    let mut chosen = pick(&seats, members, &own, own_size);
+    chosen.extend(pick(&seats, members, &other, size - own_size));
     chosen
 }
 
-/// Of the members at `among`, those whose pick of the `eligible` entries holds this one.
-fn pick(
-    entry: &Name,
-    peers: &[Peer],
-    members: &[Member],
-    among: &[usize],
-    size: usize,
-    eligible: impl Fn(&Peer) -> bool,
-) -> Vec<usize> {
+/// An entry as the picks see it.
+#[derive(Debug)]
+struct Seat<'a> {
+    /// The hash of its name.
+    hash: u64,
+    /// Its zone.
+    zone: &'a Name,
+}
+
+/// This entry first, then the others.
+fn seats<'a>(entry: &Name, zone: &'a Name, peers: &'a [Peer]) -> Vec<Seat<'a>> {
+    let others = peers.iter().filter(|peer| peer.name != *entry);
+    let others = others.map(|peer| Seat {
+        hash: hash(&peer.name),
+        zone: &peer.zone,
+    });
+    let own = Seat {
+        hash: hash(entry),
+        zone,
+    };
+    std::iter::once(own).chain(others).collect()
+}
+
+/// Of the members at `among`, those that pick this entry.
+fn pick(seats: &[Seat<'_>], members: &[Member], among: &[usize], size: usize) -> Vec<usize> {
     if among.len() <= size {
         return among.to_vec();
     }
-    let seeds: Vec<(u64, bool)> = peers
-        .iter()
-        .filter(|peer| eligible(peer) && peer.name != *entry)
-        .map(|peer| (hash(&peer.name), false))
-        .chain([(hash(entry), true)])
-        .collect();
-    let entries = size * seeds.len();
     let mut ranked: Vec<(bool, u64, usize)> = among
         .iter()
-        .map(|&i| {
-            let member = hash(&members[i].name);
-            // Where the entries don't divide evenly, some members take one more.
-            let takes = entries / among.len()
-                + usize::from(member % (among.len() as u64) < (entries % among.len()) as u64);
-            (!picks(member, &seeds, takes), score(member, hash(entry)), i)
-        })
+        .map(|&i| rank(seats, &members[i], size, among.len(), i))
         .collect();
     ranked.sort_unstable();
     let picked = ranked.iter().filter(|(out, ..)| !out).count();
     // Chance leaves an entry with fewer or more; the bounds keep it useful and small.
-    let count = picked.clamp(size / 2, size + size / 2);
-    ranked[..count.min(ranked.len())]
-        .iter()
-        .map(|&(.., i)| i)
-        .collect()
+    let count = picked.clamp(size / 2, size + size / 2).min(ranked.len());
+    ranked[..count].iter().map(|&(.., i)| i).collect()
 }
 
-/// Whether this entry is among the `takes` entries that a member ranks first.
-fn picks(member: u64, seeds: &[(u64, bool)], takes: usize) -> bool {
-    let own = seeds
-        .iter()
-        .find(|(_, own)| *own)
-        .map_or(0, |&(seed, _)| score(member, seed));
-    let ahead = seeds
+/// Whether a member leaves this entry out, and how far back it ranks it. Members
+/// pick entries of their own zone and of the others apart.
+fn rank(
+    seats: &[Seat<'_>],
+    member: &Member,
+    size: usize,
+    among: usize,
+    place: usize,
+) -> (bool, u64, usize) {
+    let key = hash(&member.name);
+    let local = seats[0].zone == &member.zone;
+    let own = score(key, seats[0].hash);
+    let eligible = seats
         .iter()
-        .filter(|&&(seed, _)| score(member, seed) < own)
-        .count();
-    ahead < takes
+        .filter(|seat| (seat.zone == &member.zone) == local);
+    let (count, ahead) = eligible.fold((0, 0), |(count, ahead), seat| {
+        (count + 1, ahead + usize::from(score(key, seat.hash) < own))
+    });
+    (ahead >= takes(key, size * count, among), own, place)
+}
+
+/// How many entries a member picks, so that all members together make `picks`.
+/// Where they don't divide evenly some members take one more, always the same
+/// ones, so that a change of the list moves few.
+#[allow(clippy::cast_possible_truncation)] // A remainder of a `usize` fits.
+fn takes(key: u64, picks: usize, members: usize) -> usize {
+    let chance = (u128::from(key) * members as u128) >> 64;
+    picks / members + usize::from((chance as usize) < picks % members)
 }
 
 /// The rank of a pair; lower is first.
--- /dev/null
+++ b/verbenaspool_policy/tests/decisions/balancer.rs
@@ -0,0 +1,269 @@
+use std::time::Duration;
+
+use verbenaspool_policy::{
+    attempt::Ending,
+    decision::{Decision, Reason, Ticket},
+    load::{Cache, Load},
+    request::Request,
+};
+
+use super::world::{
+    RAN, SECOND, admitted, balancer, ended, member, name, narrow, refused, request, teach, waiting,
+};
+
+/// A skipper's request can't be answered in time, as work is ahead of it. It is
+/// held back all the same and refused ten seconds later, when the tide is gone.
+/// The refusal has to come with the request, and say when the work is done.
+#[test]
+fn late_requests_are_refused_at_once() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("loft-1")]);
+    let now = teach(&mut balancer, &customer, 20);
+    admitted(balancer.offer(now, &request(&customer, now)));
+    let mut refusals = Vec::new();
+    for _ in 0..20 {
+        match balancer.offer(now, &request(&customer, now)) {
+            Decision::Wait(_) => {}
+            other => refusals.push(refused(other)),
+        }
+    }
+    assert!(refusals.len() >= 8, "{} of 20 refused", refusals.len());
+    for refusal in refusals {
+        assert_eq!(refusal.reason, Reason::Late);
+        assert!(refusal.retry_after > 4 * SECOND && refusal.retry_after < 20 * SECOND);
+    }
+}
+
+/// A long report waits, and short ones arrive that could all be in time without
+/// it. Kept, it makes several of them late; it yields, and is told in the next poll.
+#[test]
+fn the_largest_work_yields_and_is_told_at_once() {
+    let customer = name("quetzal");
+    let mut balancer = balancer(&narrow(), &[member("report-1")]);
+    let now = teach(&mut balancer, &customer, 20);
+    admitted(balancer.offer(now, &request(&customer, now)));
+    let long = Request {
+        max_tokens: 800,
+        ..request(&customer, now)
+    };
+    let long = waiting(balancer.offer(now, &long));
+    let mut given_up = None;
+    for _ in 0..8 {
+        waiting(balancer.offer(now, &request(&customer, now)));
+        let wake = balancer.next_wake();
+        let resolved = balancer.poll(now);
+        if let Some(resolution) = resolved.first() {
+            assert!(wake.is_some_and(|wake| wake <= now), "{wake:?}");
+            given_up = Some(resolution.clone());
+        }
+    }
+    let given_up = given_up.expect("the long one yields");
+    assert_eq!(given_up.ticket, long);
+    assert_eq!(
+        given_up.result.map_err(|refusal| refusal.reason),
+        Err(Reason::Displaced)
+    );
+}
+
+/// Urgent work goes first among the same customer's, not before another's turn.
+#[test]
+fn priority_counts_within_a_customer() {
+    let (one, two) = (name("one"), name("two"));
+    let mut balancer = balancer(&narrow(), &[member("loft-1")]);
+    let now = teach(&mut balancer, &one, 3);
+    let running = admitted(balancer.offer(now, &request(&one, now)));
+    let plain = waiting(balancer.offer(now, &request(&one, now)));
+    let other = waiting(balancer.offer(now, &request(&two, now)));
+    let urgent = Request {
+        priority: 9,
+        ..request(&one, now)
+    };
+    let urgent = waiting(balancer.offer(now, &urgent));
+    assert_eq!(
+        order(&mut balancer, running.attempt, now),
+        [urgent, other, plain]
+    );
+}
+
+/// The tickets in the order they start, one a second.
+fn order(
+    balancer: &mut verbenaspool_policy::balancer::Balancer,
+    mut running: verbenaspool_policy::attempt::Id,
+    mut now: Duration,
+) -> Vec<Ticket> {
+    let mut order = Vec::new();
+    for _ in 0..10 {
+        now += SECOND;
+        balancer.finish(now, running, &RAN);
+        for resolution in balancer.poll(now) {
+            if let Ok(start) = resolution.result {
+                running = start.attempt;
+                order.push(resolution.ticket);
+            }
+        }
+    }
+    order
+}
+
+/// A customer with share 0 is served only when nobody else waits.
+#[test]
+fn share_zero_takes_what_is_left() {
+    let (guest, paying) = (name("guest"), name("paying"));
+    let mut balancer = balancer(&narrow(), &[member("loft-1")]);
+    balancer.configure(
+        Duration::ZERO,
+        &narrow(),
+        &[(guest.clone(), 0), (paying.clone(), 2)],
+    );
+    let now = teach(&mut balancer, &paying, 3);
+    let running = admitted(balancer.offer(now, &request(&paying, now)));
+    let last = waiting(balancer.offer(now, &request(&guest, now)));
+    let first = waiting(balancer.offer(now, &request(&paying, now)));
+    let second = waiting(balancer.offer(now, &request(&paying, now)));
+    assert_eq!(
+        order(&mut balancer, running.attempt, now),
+        [first, second, last]
+    );
+}
+
+/// A booking's answer is lost on the way. Sent again, the skipper is charged
+/// twice: only an attempt that was confirmed as not run may be repeated.
+#[test]
+fn retries_keep_non_idempotent_work_from_running_twice() {
+    let customer = name("bowen");
+    let table = [
+        (true, Ending::NotRun, true),
+        (true, Ending::Unknown, true),
+        (false, Ending::NotRun, true),
+        (false, Ending::Unknown, false),
+        (true, Ending::Cancelled, false),
+        (true, Ending::Ran, false),
+    ];
+    for (idempotent, ending, again) in table {
+        let mut balancer = balancer(&narrow(), &[member("a"), member("b")]);
+        let request = Request {
+            idempotent,
+            ..request(&customer, SECOND)
+        };
+        let start = admitted(balancer.offer(SECOND, &request));
+        balancer.finish(SECOND, start.attempt, &ended(ending));
+        let tried = [start.upstream.clone()];
+        match balancer.retry(SECOND, &request, ending, &tried) {
+            Decision::Admit(second) => {
+                assert!(again, "{idempotent} {ending:?}");
+                assert_ne!(second.upstream, start.upstream);
+            }
+            other => {
+                assert!(!again, "{idempotent} {ending:?}");
+                assert_eq!(refused(other).reason, Reason::NoRetry);
+            }
+        }
+    }
+}
+
+/// Every upstream fails. Each caller's request is sent again and again, so the
+/// upstreams get many times the load while they come back, and go down again.
+#[test]
+fn retries_stay_within_their_budget() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a"), member("b"), member("c")]);
+    for _ in 0..100 {
+        let request = request(&customer, SECOND);
+        let Decision::Admit(mut start) = balancer.offer(SECOND, &request) else {
+            continue;
+        };
+        let mut tried = Vec::new();
+        loop {
+            balancer.finish(SECOND, start.attempt, &ended(Ending::Unknown));
+            tried.push(start.upstream.clone());
+            match balancer.retry(SECOND, &request, Ending::Unknown, &tried) {
+                Decision::Admit(again) => start = again,
+                _ => break,
+            }
+        }
+    }
+    let snapshot = balancer.snapshot(SECOND);
+    // Ten saved up, and one for every ten first attempts.
+    assert!(snapshot.retried <= 20, "{} retries", snapshot.retried);
+}
+
+/// One of four upstreams fails everything at once, and so always looks idle.
+#[test]
+fn a_failing_upstream_is_ejected_but_never_all() {
+    let customer = name("bowen");
+    let members = ["a", "b", "c", "d"].map(member);
+    for (failing, ejected) in [(1, 1), (4, 1)] {
+        let mut balancer = balancer(&narrow(), &members);
+        let mut now = SECOND;
+        for _ in 0..100 {
+            now += SECOND / 20;
+            if let Decision::Admit(start) = balancer.offer(now, &request(&customer, now)) {
+                let fails = members[..failing].iter().any(|m| m.name == start.upstream);
+                let ending = if fails { Ending::Unknown } else { Ending::Ran };
+                balancer.finish(now, start.attempt, &ended(ending));
+            }
+        }
+        let out = balancer
+            .snapshot(now)
+            .upstreams
+            .iter()
+            .filter(|u| u.ejected)
+            .count();
+        assert_eq!(out, ejected, "{failing} failing");
+    }
+}
+
+/// An agent says that its instance leaves, before the list does.
+#[test]
+fn a_leaving_upstream_gets_nothing_new() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a"), member("b")]);
+    let load = Load {
+        incarnation: 1,
+        sequence: 1,
+        running: 0,
+        waiting: 0,
+        leaving: true,
+    };
+    balancer.report(SECOND, &name("a"), &load);
+    for _ in 0..20 {
+        let start = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+        assert_eq!(start.upstream, name("b"));
+        balancer.finish(SECOND, start.attempt, &ended(Ending::Cancelled));
+    }
+}
+
+/// A prompt's beginning is cached at one upstream, until that says otherwise.
+#[test]
+fn requests_follow_their_prefix() {
+    let customer = name("bowen");
+    let members = ["a", "b", "c", "d", "e", "f", "g", "h"].map(member);
+    let mut balancer = balancer(&narrow(), &members);
+    let request = Request {
+        prefixes: &[1, 2],
+        ..request(&customer, SECOND)
+    };
+    balancer.cache(SECOND, &name("f"), Cache::Held(2));
+    for _ in 0..5 {
+        let start = admitted(balancer.offer(SECOND, &request));
+        assert_eq!(start.upstream, name("f"));
+        balancer.finish(SECOND, start.attempt, &ended(Ending::Cancelled));
+    }
+    balancer.cache(SECOND, &name("f"), Cache::Reset);
+    let affine = balancer.snapshot(SECOND).affine;
+    admitted(balancer.offer(SECOND, &request));
+    assert_eq!(balancer.snapshot(SECOND).affine, affine);
+}
+
+/// A caller hangs up while it waits; its place goes to the next.
+#[test]
+fn cancelled_requests_wait_no_longer() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a")]);
+    let running = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+    let gone = waiting(balancer.offer(SECOND, &request(&customer, SECOND)));
+    let next = waiting(balancer.offer(SECOND, &request(&customer, SECOND)));
+    balancer.cancel(SECOND, gone);
+    balancer.cancel(SECOND, gone);
+    assert_eq!(order(&mut balancer, running.attempt, SECOND), [next]);
+}
--- /dev/null
+++ b/verbenaspool_policy/tests/decisions/input.rs
@@ -0,0 +1,296 @@
+//! Input that is wrong, late, repeated or absurd has a defined result.
+
+use std::time::Duration;
+
+use verbenaspool_policy::{
+    attempt::{Ending, Outcome},
+    decision::{Decision, Reason},
+    load::Load,
+    member::Member,
+    request::Request,
+};
+use verbenaspool_state::decisions::{Decisions, Number, Reason as Wrong};
+
+use super::world::{
+    RAN, SECOND, UNKNOWN, admitted, balancer, ended, member, name, narrow, refused, request, teach,
+};
+
+const LOAD: Load = Load {
+    incarnation: 1,
+    sequence: 5,
+    running: 3,
+    waiting: 0,
+    leaving: false,
+};
+
+#[test]
+fn reports_that_say_nothing_new_are_ignored() {
+    let table = [
+        (
+            "the next",
+            "a",
+            Load {
+                sequence: 6,
+                ..LOAD
+            },
+            0,
+        ),
+        ("repeated", "a", LOAD, 1),
+        (
+            "reordered",
+            "a",
+            Load {
+                sequence: 4,
+                ..LOAD
+            },
+            1,
+        ),
+        (
+            "earlier incarnation",
+            "a",
+            Load {
+                incarnation: 0,
+                sequence: 9,
+                ..LOAD
+            },
+            1,
+        ),
+        (
+            "later incarnation",
+            "a",
+            Load {
+                incarnation: 2,
+                sequence: 9,
+                ..LOAD
+            },
+            1,
+        ),
+        ("unknown upstream", "z", LOAD, 1),
+        (
+            "absurd",
+            "a",
+            Load {
+                sequence: 6,
+                running: u32::MAX,
+                waiting: u32::MAX,
+                ..LOAD
+            },
+            0,
+        ),
+    ];
+    let customer = name("bowen");
+    for (case, upstream, load, ignored) in table {
+        let mut balancer = balancer(&Decisions::default(), &[member("a")]);
+        balancer.report(SECOND, &name("a"), &LOAD);
+        balancer.report(SECOND, &name(upstream), &load);
+        assert_eq!(balancer.snapshot(SECOND).ignored_reports, ignored, "{case}");
+        // Whatever it says, the only upstream is still used.
+        admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+    }
+}
+
+#[test]
+fn without_upstreams_callers_are_told_when_to_come_back() {
+    let customer = name("bowen");
+    let leaving = Member {
+        leaving: true,
+        ..member("a")
+    };
+    for members in [vec![], vec![leaving]] {
+        let mut balancer = balancer(&Decisions::default(), &members);
+        let refusal = refused(balancer.offer(SECOND, &request(&customer, SECOND)));
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+        assert!(refusal.retry_after >= 2 * SECOND);
+    }
+}
+
+#[test]
+fn absurd_requests_get_an_answer() {
+    let customer = name("bowen");
+    let plain = request(&customer, SECOND);
+    let table = [
+        Request {
+            max_tokens: u32::MAX,
+            prompt_tokens: u32::MAX,
+            ..plain
+        },
+        Request {
+            max_tokens: 0,
+            prompt_tokens: 0,
+            ..plain
+        },
+        Request {
+            deadline: Duration::MAX,
+            ..plain
+        },
+        Request {
+            deadline: Duration::ZERO,
+            ..plain
+        },
+        Request {
+            priority: u8::MAX,
+            prefixes: &[0, 0, u64::MAX],
+            ..plain
+        },
+    ];
+    for request in table {
+        let mut balancer = balancer(&narrow(), &[member("a")]);
+        teach(&mut balancer, &customer, 3);
+        let now = 4 * SECOND;
+        for _ in 0..3 {
+            balancer.offer(now, &request);
+            balancer.poll(now);
+            assert!(balancer.next_wake() <= Some(Duration::MAX));
+        }
+        let after = balancer.snapshot(now);
+        assert!(after.waiting <= 2, "{request:?}");
+    }
+}
+
+#[test]
+fn outcomes_nobody_waits_for_change_nothing() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a")]);
+    let start = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+    balancer.finish(SECOND, start.attempt, &ended(Ending::Cancelled));
+    let before = balancer.snapshot(SECOND);
+    balancer.finish(SECOND, start.attempt, &RAN);
+    balancer.finish(SECOND, UNKNOWN, &RAN);
+    assert_eq!(balancer.snapshot(SECOND), before);
+}
+
+/// An answer claims more than was asked for, or no time at all; one that took an
+/// hour comes from an upstream replaced meanwhile.
+#[test]
+fn absurd_outcomes_leave_the_balancer_working() {
+    let customer = name("bowen");
+    let table = [
+        Outcome {
+            tokens: u32::MAX,
+            prompt_tokens: u32::MAX,
+            ..RAN
+        },
+        Outcome {
+            took: Duration::ZERO,
+            tokens: 0,
+            ..RAN
+        },
+        Outcome {
+            took: Duration::MAX,
+            ..RAN
+        },
+        Outcome {
+            took: 3_600 * SECOND,
+            ..RAN
+        },
+    ];
+    for outcome in table {
+        let mut balancer = balancer(&narrow(), &[member("a"), member("b"), member("c")]);
+        let start = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+        balancer.finish(SECOND, start.attempt, &outcome);
+        let now = teach(&mut balancer, &customer, 40);
+        admitted(balancer.offer(now, &request(&customer, now)));
+    }
+}
+
+/// A replaced instance's old attempts end after the new one has its own.
+#[test]
+fn an_earlier_incarnation_frees_no_room() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a")]);
+    let old = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+    balancer.members(
+        SECOND,
+        &[Member {
+            incarnation: 2,
+            ..member("a")
+        }],
+    );
+    admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+    balancer.finish(SECOND, old.attempt, &RAN);
+    let decision = balancer.offer(SECOND, &request(&customer, SECOND));
+    assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+}
+
+/// The clock jumps a day ahead and back, as after a suspended machine.
+#[test]
+fn clocks_that_jump_stop_nothing() {
+    let customer = name("bowen");
+    let mut balancer = balancer(&narrow(), &[member("a"), member("b"), member("c")]);
+    for now in [
+        SECOND,
+        86_400 * SECOND,
+        2 * SECOND,
+        Duration::MAX,
+        3 * SECOND,
+    ] {
+        let request = Request {
+            deadline: now.saturating_add(10 * SECOND),
+            ..request(&customer, SECOND)
+        };
+        if let Decision::Admit(start) = balancer.offer(now, &request) {
+            balancer.finish(now, start.attempt, &ended(Ending::Unknown));
+        }
+        balancer.report(now, &name("a"), &LOAD);
+        balancer.poll(now);
+    }
+    let now = teach(&mut balancer, &customer, 20);
+    admitted(balancer.offer(now, &request(&customer, now)));
+    assert_eq!(
+        balancer
+            .snapshot(now)
+            .upstreams
+            .iter()
+            .filter(|u| u.ejected)
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn absurd_speeds_count_as_even() {
+    let customer = name("bowen");
+    for speed in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300, 1e-300] {
+        let odd = Member {
+            speed,
+            ..member("a")
+        };
+        let mut balancer = balancer(&narrow(), &[odd, member("b")]);
+        let first = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+        let second = admitted(balancer.offer(SECOND, &request(&customer, SECOND)));
+        assert_ne!(first.upstream, second.upstream, "{speed}");
+    }
+}
+
+#[test]
+fn settings_out_of_range_are_named() {
+    let settings = Decisions {
+        deadline_ms: 0,
+        prefill_weight: f64::NAN,
+        ejection_share: 1.0,
+        initial_limit: 600,
+        ..Decisions::default()
+    };
+    let problems = settings.check();
+    let keys: Vec<&str> = problems.iter().map(|problem| problem.key).collect();
+    assert_eq!(
+        keys,
+        [
+            "deadline_ms",
+            "prefill_weight",
+            "initial_limit",
+            "ejection_share"
+        ]
+    );
+    assert_eq!(problems[1].reason, Wrong::NotFinite);
+    let range = Wrong::Range {
+        value: Number::Part(1.0),
+        least: 0.0,
+        most: 0.9,
+    };
+    assert_eq!(problems[3].reason, range);
+    assert_eq!(
+        problems[3].to_string(),
+        "ejection_share: must lie from 0 to 0.9"
+    );
+}
--- /dev/null
+++ b/verbenaspool_policy/tests/decisions/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the decisions through the balancer's interface.
+
+mod balancer;
+mod cases;
+mod input;
+mod subset;
+mod world;
+
+#[path = "../../benches/play/mod.rs"]
+mod play;
--- /dev/null
+++ b/verbenaspool_policy/tests/decisions/world.rs
@@ -0,0 +1,102 @@
+//! What the tests share: a balancer with a few upstreams, and requests for it.
+
+use std::time::Duration;
+
+use verbenaspool_policy::{
+    attempt::{Ending, Id, Outcome},
+    balancer::Balancer,
+    decision::{Decision, Refusal, Start, Ticket},
+    member::Member,
+    request::Request,
+};
+use verbenaspool_state::{decisions::Decisions, name::Name};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+
+pub fn name(text: &str) -> Name {
+    text.parse().expect("a name")
+}
+
+pub fn member(text: &str) -> Member {
+    Member {
+        name: name(text),
+        zone: name("zone-a"),
+        group: None,
+        incarnation: 1,
+        speed: 1.0,
+        leaving: false,
+    }
+}
+
+/// Settings under which each upstream takes one attempt.
+pub fn narrow() -> Decisions {
+    Decisions {
+        initial_limit: 1,
+        max_limit: 1,
+        ..Decisions::default()
+    }
+}
+
+pub fn balancer(settings: &Decisions, members: &[Member]) -> Balancer {
+    let mut balancer = Balancer::new(settings, name("entry-1"), name("zone-a"), 7);
+    balancer.members(Duration::ZERO, members);
+    balancer
+}
+
+/// A request of 100 tokens that must be answered 10 s from now.
+pub fn request(customer: &Name, now: Duration) -> Request<'_> {
+    Request {
+        customer,
+        priority: 0,
+        deadline: now + 10 * SECOND,
+        idempotent: true,
+        prompt_tokens: 0,
+        max_tokens: 100,
+        prefixes: &[],
+    }
+}
+
+pub fn admitted(decision: Decision) -> Start {
+    match decision {
+        Decision::Admit(start) => start,
+        other => panic!("not admitted: {other:?}"),
+    }
+}
+
+pub fn waiting(decision: Decision) -> Ticket {
+    match decision {
+        Decision::Wait(ticket) => ticket,
+        other => panic!("doesn't wait: {other:?}"),
+    }
+}
+
+pub fn refused(decision: Decision) -> Refusal {
+    match decision {
+        Decision::Refuse(refusal) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// An answer of 100 tokens after a second.
+pub const RAN: Outcome = Outcome {
+    ending: Ending::Ran,
+    took: SECOND,
+    prompt_tokens: 0,
+    tokens: 100,
+};
+
+pub fn ended(ending: Ending) -> Outcome {
+    Outcome { ending, ..RAN }
+}
+
+/// Lets the balancer learn that 100 tokens take a second.
+pub fn teach(balancer: &mut Balancer, customer: &Name, times: u32) -> Duration {
+    for second in 0..times {
+        let now = SECOND * second;
+        let start = admitted(balancer.offer(now, &request(customer, now)));
+        balancer.finish(now + SECOND, start.attempt, &RAN);
+    }
+    SECOND * times
+}
+
+pub const UNKNOWN: Id = Id(u64::MAX);
