--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -186,7 +186,10 @@
 /// Lets the requests in flight end.
 ///
 /// The data listener stays open at first: an entry that has not yet heard of
-/// the leaving gets a refusal it can act on, not a broken connection.
+/// the leaving gets a refusal it can act on, not a broken connection. A request
+/// that was on its way into a connection as it closed breaks all the same, and
+/// its entry asks what became of it; so the process stays to answer for as long
+/// again, and the request is "refused" and not "unknown".
 async fn drain(shared: &Shared, open: &Open, stop: &shutdown::Trigger) -> Drained {
     let clock = &shared.clock;
     let began = clock.now();
@@ -202,9 +205,11 @@
     while open.count() > 0 && clock.now() < deadline {
         clock.sleep(LOOK).await;
     }
-    let cut = shared.ledger.borrow().running();
+    // A connection that is still open has an answer that its entry has not read.
+    let cut = shared.ledger.borrow().running().max(open.count());
     if cut > 0 {
         warn!(shared.log, "Agent: The drain's deadline cuts requests off."; "cut" => cut);
     }
+    clock.sleep(shared.settings.drain.linger()).await;
     Drained { cut }
 }
