Carry a group's protocol between agents over real sockets

Each agent drives its member of the group against its rank's engine, wants the lead's lease from the platform, and the lead decides on changes of map. With three agents as processes, maps change under way without a mixed or waiting step, for engines that check fences and for those that ignore them; a rank's agent and the lead's agent are killed in between.

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     admin::{self, Admin},
-    control,
+    control, group,
     orders::Gate,
     poll,
     proxy::Proxy,
@@ -37,6 +37,7 @@
     module: Module,
     orders: Rc<Gate>,
     admin: Option<TcpListener>,
+    group: Option<Rc<group::Driver>>,
 }
 
 /// How an agent ended.
@@ -86,6 +87,12 @@
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
         control::register(&mut module, &shared);
+        let group = shared.settings.group.clone();
+        let group = group.map(|group| {
+            let driver = group::Driver::new(group, shared.log.clone(), shared.clock.clone());
+            driver.register(&mut module);
+            driver
+        });
         Ok(Self {
             address: data.local_addr()?,
             control_address: control.local_addr()?,
@@ -95,6 +102,7 @@
             module,
             orders,
             admin,
+            group,
         })
     }
 
@@ -142,6 +150,9 @@
         let served = server::serve(self.data, limits, proxy, open.clone(), data);
         monoio::spawn(served);
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
+        if let Some(group) = self.group {
+            monoio::spawn(group.run());
+        }
         if let Some(path) = shared.settings.upstream.state.clone() {
             monoio::spawn(poll::run(shared.clone(), path));
         }
--- /dev/null
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -0,0 +1,375 @@
+//! Carries what the group's machines say to the other agents and the engine,
+//! and what those say back.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::{Buf, Bytes};
+use http::Request;
+use http_body_util::{BodyExt, Limited};
+use slog::{Logger, info, warn};
+
+use verbenaspool_coordination::group::{
+    engine::{Action, Event},
+    lead,
+    member::{Input, Member, Message, Output},
+    rank,
+};
+use verbenaspool_policy::rebalancer::Rebalancer;
+use verbenaspool_protocol::{
+    engine::Order,
+    group::{ENGINE, Envelope, METHOD, STATUS, State, Status},
+};
+use verbenaspool_state::{
+    expert_map::{Map, Shape},
+    service::Fences,
+};
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{body::Body, client::Client},
+    rpc::{self, Module},
+};
+
+use super::{lease, settings::Settings};
+use crate::orders::Gate;
+
+/// How often the engine is read and the machines are told the time. Half a
+/// window of steps passes between grants, so this adds little to any of it.
+const BEAT: Duration = Duration::from_millis(50);
+
+/// How long an order may be on its way to the engine. A new agent waits this
+/// long before its first order to an engine that ignores fences.
+const LONGEST: Duration = Duration::from_secs(2);
+
+/// After how long an unanswered message is sent again.
+const RESEND: Duration = Duration::from_millis(500);
+
+/// How long a message may take to another agent.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long all ranks may take to stage a map: the weight store serves all of
+/// them at its own rate.
+const PATIENCE: Duration = Duration::from_mins(10);
+
+/// The largest state of an engine that is read, in bytes: maps of 128 ranks,
+/// 256 experts and some 60 layers.
+const LARGEST: usize = 16 * 1024 * 1024;
+
+/// How long the engine's connection may take to open.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// How often the lead thinks about a change of map.
+const DECIDE: Duration = Duration::from_secs(1);
+
+/// An agent's part in its group.
+#[derive(Debug)]
+pub(crate) struct Driver {
+    settings: Settings,
+    shape: Shape,
+    log: Logger,
+    clock: Rc<dyn Clock>,
+    member: RefCell<Member>,
+    rebalancer: RefCell<Rebalancer>,
+    gate: Gate,
+    client: Client,
+    peers: rpc::Client,
+    counts: Counts,
+}
+
+/// What operators see of the group's changes.
+#[derive(Debug, Default)]
+struct Counts {
+    changes: Cell<u64>,
+    aborts: Cell<u64>,
+    diverged: Cell<u64>,
+    moves: Cell<u64>,
+    bytes: Cell<u64>,
+    ignored: Cell<u64>,
+    slowdown: Cell<f64>,
+}
+
+/// Adds to a count.
+fn add(count: &Cell<u64>, more: u64) {
+    count.set(count.get() + more);
+}
+
+impl Driver {
+    /// A driver that has yet to [run](Self::run).
+    pub(crate) fn new(settings: Settings, log: Logger, clock: Rc<dyn Clock>) -> Rc<Self> {
+        let shape = Shape::from(&settings.experts);
+        let checked = settings.fences == Fences::Checked;
+        let rank = rank::Settings {
+            seat: settings.seat,
+            ranks: shape.ranks,
+            incarnation: incarnation(),
+            checked,
+            longest: if checked { Duration::ZERO } else { LONGEST },
+            resend: RESEND,
+            stride: (settings.window / 8).max(1),
+        };
+        let lead = lead::Settings {
+            seat: settings.seat,
+            shape,
+            window: settings.window,
+            resend: RESEND,
+            patience: PATIENCE,
+        };
+        let rebalancing = settings.experts.rebalancing.clone();
+        let rebalancer = Rebalancer::new(rebalancing, shape, settings.experts.expert_bytes);
+        Rc::new(Self {
+            shape,
+            log,
+            member: RefCell::new(Member::new(rank, lead)),
+            rebalancer: RefCell::new(rebalancer),
+            gate: Gate::new(settings.engine, clock.clone()),
+            client: Client::new(CONNECT),
+            peers: rpc::Client::default(),
+            counts: Counts::default(),
+            clock,
+            settings,
+        })
+    }
+
+    /// Registers the group's control methods.
+    pub(crate) fn register(self: &Rc<Self>, module: &mut Module) {
+        let driver = self.clone();
+        module.on(METHOD, move |envelope: Envelope| {
+            let taken = driver.receive(envelope);
+            async move { taken }
+        });
+        let driver = self.clone();
+        module.on(STATUS, move |(): ()| {
+            let status = driver.status();
+            async move { Ok::<_, String>(status) }
+        });
+    }
+
+    /// Carries on for as long as the loop runs.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let leading = self.clone();
+        monoio::spawn(lease::run(
+            self.settings.clone(),
+            self.clock.clone(),
+            move |fence| leading.input(Input::Lead { fence }),
+        ));
+        let mut decided = Duration::ZERO;
+        loop {
+            if let Ok(state) = self.read().await {
+                self.observe(&state);
+                self.input(Input::Engine(Event::State(state.snapshot)));
+                for event in state.events {
+                    self.input(Input::Engine(event));
+                }
+            }
+            self.input(Input::Tick);
+            let now = self.clock.now();
+            if now >= decided + DECIDE {
+                decided = now;
+                self.decide(now);
+            }
+            self.clock.sleep(BEAT).await;
+        }
+    }
+
+    /// Takes in a message of another agent.
+    fn receive(self: &Rc<Self>, envelope: Envelope) -> Result<(), String> {
+        let own = &self.settings;
+        let here = (&envelope.firm, &envelope.group, envelope.to);
+        if here != (&own.firm, &own.name, own.seat) {
+            return Err("the message is for another agent".to_owned());
+        }
+        self.input(Input::Message(envelope.message));
+        Ok(())
+    }
+
+    /// Tells the machines and carries out what they say.
+    fn input(self: &Rc<Self>, input: Input) {
+        let now = self.clock.now();
+        let outputs = self.member.borrow_mut().handle(now, input);
+        self.carry(outputs);
+    }
+
+    /// Carries out what the machines say.
+    fn carry(self: &Rc<Self>, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } if to == self.settings.seat => {
+                    self.input(Input::Message(message));
+                }
+                Output::Send { to, message } => self.send(to, message),
+                Output::Engine { fence, action } => {
+                    monoio::spawn(self.clone().order(fence, action));
+                }
+                Output::Notice(notice) => self.notice(&notice),
+            }
+        }
+    }
+
+    /// Sends a message to another agent, once.
+    fn send(self: &Rc<Self>, to: u16, message: Message) {
+        let Some(&address) = self.settings.members.get(usize::from(to)) else {
+            return;
+        };
+        let envelope = Envelope {
+            firm: self.settings.firm.clone(),
+            group: self.settings.name.clone(),
+            to,
+            message,
+        };
+        monoio::spawn(deliver(self.clone(), address, envelope));
+    }
+
+    /// Sends an order to the engine and takes in what a reading says.
+    async fn order(self: Rc<Self>, fence: u64, action: Action) {
+        let reads = matches!(action, Action::Read { .. });
+        let action = serde_json::to_value(&action).expect("an action has only plain keys");
+        let order = Order { fence, action };
+        let deadline = self.clock.now() + LONGEST;
+        match self.gate.send(&order, deadline).await {
+            Ok(answer) if reads => {
+                if let Ok(snapshot) = serde_json::from_slice(&answer) {
+                    self.input(Input::Engine(Event::State(snapshot)));
+                }
+            }
+            Ok(_) => {}
+            // The machine reads the engine's state and asks again.
+            Err(why) => warn!(self.log, "Group: An order failed."; "reason" => why.to_string()),
+        }
+    }
+
+    /// Reads where the engine stands and what it has to tell.
+    async fn read(&self) -> Result<State, String> {
+        let request = Request::get(ENGINE)
+            .header(http::header::HOST, self.settings.engine.to_string())
+            .body(Body::empty())
+            .map_err(|error| error.to_string())?;
+        let answer = async {
+            let response = self.client.send(self.settings.engine, request).await;
+            let response = response.map_err(|error| error.to_string())?;
+            let body = Limited::new(response.into_body(), LARGEST).collect().await;
+            body.map_err(|error| error.to_string())
+        };
+        let answer = monoio::time::timeout(TIMEOUT, answer).await;
+        let body = answer.map_err(|error| error.to_string())??;
+        let bytes: Bytes = body.to_bytes();
+        serde_json::from_reader(bytes.reader()).map_err(|error| error.to_string())
+    }
+
+    /// Takes in the engine's samples.
+    fn observe(&self, state: &State) {
+        let mut rebalancer = self.rebalancer.borrow_mut();
+        for sample in &state.samples {
+            if let Err(why) = rebalancer.observe(sample) {
+                add(&self.counts.ignored, 1);
+                info!(self.log, "Group: A sample was ignored."; "reason" => why.to_string());
+            }
+        }
+    }
+
+    /// Has the lead change the map where that pays.
+    fn decide(self: &Rc<Self>, now: Duration) {
+        let layers = {
+            let member = self.member.borrow();
+            let Some(lead) = member.lead() else {
+                return;
+            };
+            if !lead.is_granting() || lead.changing().is_some() {
+                return;
+            }
+            match (lead.epoch(), lead.map()) {
+                (None, _) => Map::spread(1, self.shape).layers,
+                (Some(_), Some(map)) => {
+                    let Some(plan) = self.rebalancer.borrow_mut().decide(now, map) else {
+                        return;
+                    };
+                    info!(self.log, "Group: A change of map pays.";
+                        "moves" => plan.moves, "bytes" => plan.bytes,
+                        "skew_before" => plan.before, "skew_after" => plan.after);
+                    add(&self.counts.moves, u64::from(plan.moves));
+                    add(&self.counts.bytes, plan.bytes);
+                    self.counts.slowdown.set(plan.slowdown);
+                    plan.layers
+                }
+                (Some(_), None) => return,
+            }
+        };
+        let proposed = self.member.borrow_mut().propose(now, layers);
+        match proposed {
+            Ok((_, outputs)) => self.carry(outputs),
+            Err(why) => {
+                info!(self.log, "Group: The change is refused."; "reason" => why.to_string());
+            }
+        }
+    }
+
+    /// Counts and logs what operators want to know.
+    fn notice(&self, notice: &lead::Output) {
+        match notice {
+            lead::Output::Switched { epoch, step } => {
+                add(&self.counts.changes, 1);
+                info!(self.log, "Group: The map changes."; "epoch" => epoch, "step" => step);
+            }
+            lead::Output::Aborted { epoch, reason } => {
+                add(&self.counts.aborts, 1);
+                warn!(self.log, "Group: The change is given up.";
+                    "epoch" => epoch, "reason" => reason.to_string());
+            }
+            lead::Output::Diverged { seat, step, ran } => {
+                add(&self.counts.diverged, 1);
+                warn!(self.log, "Group: A rank had a step from someone else.";
+                    "seat" => seat, "step" => step, "ran" => ran);
+            }
+            lead::Output::Deposed { fence } => {
+                info!(self.log, "Group: Another agent leads."; "fence" => fence);
+            }
+            lead::Output::Send { .. } => {}
+        }
+    }
+
+    /// What the agent knows of the group.
+    pub(crate) fn status(&self) -> Status {
+        let member = self.member.borrow();
+        let rank = member.rank();
+        let map = rank.running().and_then(|epoch| rank.map(epoch));
+        Status {
+            group: self.settings.name.clone(),
+            seat: self.settings.seat,
+            leads: member.lead().is_some_and(lead::Lead::is_granting),
+            ready: rank.is_ready(),
+            fence: rank.fence(),
+            step: rank.done(),
+            epoch: rank.running(),
+            changing: member.lead().and_then(lead::Lead::changing),
+            skew: map.and_then(|map| self.rebalancer.borrow().skew(map)),
+            changes: self.counts.changes.get(),
+            aborts: self.counts.aborts.get(),
+            diverged: self.counts.diverged.get(),
+            moves: self.counts.moves.get(),
+            bytes_moved: self.counts.bytes.get(),
+            samples_ignored: self.counts.ignored.get(),
+            slowdown: self.counts.slowdown.get(),
+        }
+    }
+}
+
+/// Delivers a message, or drops it: its sender says it again.
+async fn deliver(driver: Rc<Driver>, address: SocketAddr, envelope: Envelope) {
+    let called = driver
+        .peers
+        .call::<_, ()>(address, METHOD, &envelope, TIMEOUT);
+    let _ = called.await;
+}
+
+/// A number that is higher for each start of this agent: the wall clock's
+/// milliseconds. Were the clock set back between two starts, the lead would
+/// take the new start for an old one and the group would wait until the clock
+/// has caught up; no step could be mixed.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(1, |since| since.as_millis());
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -8,6 +8,8 @@
 use verbenaspool_state::name::Name;
 use verbenaspool_transport::{log, settings, trace};
 
+use crate::group;
+
 pub use verbenaspool_transport::settings::Error;
 
 /// The settings of an agent process.
@@ -25,6 +27,9 @@
     pub admin: Option<SocketAddr>,
     /// The upstream beside the agent.
     pub upstream: Upstream,
+    /// The group of ranks that the engine belongs to, where it does.
+    #[serde(default)]
+    pub group: Option<group::Settings>,
     /// Bounds on what entries may make the agent hold.
     #[serde(default)]
     pub limits: Limits,
@@ -201,7 +206,9 @@
 /// Fills in and checks what one key alone doesn't show.
 fn finish(path: &Path, mut settings: Settings) -> Result<Settings, Error> {
     settings.upstream.complete();
-    let problems = problems(&settings);
+    let mut problems = problems(&settings);
+    let group = settings.group.as_ref();
+    problems.extend(group.map(group::Settings::problems).unwrap_or_default());
     if problems.is_empty() {
         return Ok(settings);
     }
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -0,0 +1,247 @@
+//! A group of ranks with its agents as real processes.
+
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, TcpListener as Reserved},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    rc::Rc,
+    time::Duration,
+};
+
+use monoio::net::{ListenerOpts, TcpListener};
+
+use verbenaspool_protocol::group::{STATUS, Status};
+use verbenaspool_standin::{
+    history::steps,
+    platform::Platform,
+    ranks::{Group, Settings},
+    seat::{self, Seat},
+    weights::Store,
+};
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    rpc, shutdown,
+};
+
+use crate::rig;
+
+/// How many ranks the group has.
+const RANKS: u16 = 3;
+/// How long a step takes.
+const STEP: Duration = Duration::from_millis(10);
+
+/// A group, its agents and the platform.
+struct Fleet {
+    name: &'static str,
+    group: Rc<RefCell<Group>>,
+    platform: Platform,
+    engines: Vec<SocketAddr>,
+    controls: Vec<SocketAddr>,
+    agents: Vec<Child>,
+    clock: Rc<dyn Clock>,
+    rpc: rpc::Client,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for agent in &mut self.agents {
+            let _ = agent.kill();
+            let _ = agent.wait();
+        }
+    }
+}
+
+/// An address that nobody listens on.
+fn free() -> SocketAddr {
+    let reserved = Reserved::bind("127.0.0.1:0").expect("a port");
+    reserved.local_addr().expect("an address")
+}
+
+impl Fleet {
+    fn start(name: &'static str, checked: bool) -> Self {
+        let clock: Rc<dyn Clock> = Monotonic::start();
+        let settings = Settings {
+            ranks: RANKS,
+            step: STEP,
+            checked,
+            expert_bytes: 1_000,
+        };
+        let group = Rc::new(RefCell::new(Group::new(settings, Store::new(1_000_000))));
+        monoio::spawn(seat::advance(group.clone(), clock.clone()));
+        let engine = |index| {
+            let options = ListenerOpts::new().reuse_port(false);
+            let listener = TcpListener::bind_with_config("127.0.0.1:0", &options).expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let (trigger, signal) = shutdown::channel();
+            let seat = Seat::new(group.clone(), index, clock.clone());
+            monoio::spawn(async move {
+                seat.serve(listener, signal).await;
+                drop(trigger);
+            });
+            address
+        };
+        let platform = Platform::start().expect("a platform");
+        platform.allow("token", "quetzal");
+        let mut fleet = Self {
+            name,
+            engines: (0..RANKS).map(engine).collect(),
+            controls: (0..RANKS).map(|_| free()).collect(),
+            agents: Vec::new(),
+            group,
+            platform,
+            clock,
+            rpc: rpc::Client::default(),
+        };
+        for seat in 0..RANKS {
+            let agent = fleet.agent(seat, checked);
+            fleet.agents.push(agent);
+        }
+        fleet
+    }
+
+    /// Starts the agent at a seat.
+    fn agent(&self, seat: u16, checked: bool) -> Child {
+        let index = usize::from(seat);
+        let members: Vec<String> = self.controls.iter().map(|a| format!("'{a}'")).collect();
+        let fences = if checked { "checked" } else { "ignored" };
+        let text = format!(
+            "instance: rank-{seat}\n\
+             listen: 127.0.0.1:0\n\
+             control: {control}\n\
+             upstream: {{address: '{engine}', kind: plain}}\n\
+             group:\n\
+            \x20 firm: quetzal\n\
+            \x20 name: inspection-1\n\
+            \x20 seat: {seat}\n\
+            \x20 members: [{members}]\n\
+            \x20 engine: {engine}\n\
+            \x20 fences: {fences}\n\
+            \x20 platform: {{address: '{platform}', token: token, lease_seconds: 3}}\n\
+            \x20 experts:\n\
+            \x20   ranks: {RANKS}\n\
+            \x20   experts: 6\n\
+            \x20   layers: 1\n\
+            \x20   slots: 3\n\
+            \x20   expert_bytes: 1000\n\
+            \x20   rebalancing: {{pause_s: 1}}\n",
+            control = self.controls[index],
+            engine = self.engines[index],
+            members = members.join(", "),
+            platform = self.platform.address(),
+        );
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let path = folder.join(format!("group-{}-{seat}.yaml", self.name));
+        std::fs::write(&path, text).expect("settings are written");
+        let program = Command::new(env!("CARGO_BIN_EXE_verbenaspool-agent"))
+            .args(["run", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        program.expect("the program starts")
+    }
+
+    /// What the agent at a seat says, if it answers.
+    async fn status(&self, seat: u16) -> Option<Status> {
+        let address = self.controls[usize::from(seat)];
+        let timeout = Duration::from_secs(1);
+        self.rpc.call(address, STATUS, &(), timeout).await.ok()
+    }
+
+    /// Waits for an agent that leads, and returns its status.
+    async fn lead(&self) -> Status {
+        loop {
+            for seat in 0..RANKS {
+                if let Some(status) = self.status(seat).await.filter(|status| status.leads) {
+                    return status;
+                }
+            }
+            self.clock.sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until all engines run on a map other than this one.
+    async fn changed(&self, epoch: Option<u64>) -> Option<u64> {
+        loop {
+            let running = self.group.borrow().state(RANKS - 1, 0).running;
+            if running.is_some() && running != epoch {
+                return running;
+            }
+            self.clock.sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Has one expert of the first rank take most tokens.
+    fn shift(&self, hot: usize) {
+        let mut tokens = vec![100; 6];
+        tokens[hot] = 2_000;
+        tokens[(hot + 3) % 6] = 1_000;
+        self.group.borrow_mut().drift(vec![tokens]);
+    }
+
+    /// Judges the history and returns how many steps were run.
+    fn check(&self) -> usize {
+        let group = self.group.borrow();
+        steps::check(group.history()).expect("every step is run on one map")
+    }
+}
+
+/// Popularity shifts while a group serves: the map follows without a mixed or
+/// waiting step. A rank's agent is killed and started anew in between; it
+/// learns where it stands from its engine and its peers.
+#[test]
+fn maps_change_under_way() {
+    for checked in [true, false] {
+        rig::run(async {
+            let name = if checked { "checked" } else { "ignored" };
+            let mut fleet = Fleet::start(name, checked);
+            let lead = fleet.lead().await;
+            let first = fleet.changed(None).await;
+            fleet.shift(0);
+            let second = fleet.changed(first).await;
+            assert_eq!(fleet.group.borrow().waited(), Duration::ZERO);
+            let other = (lead.seat + 1) % RANKS;
+            let agent = &mut fleet.agents[usize::from(other)];
+            agent.kill().expect("the agent is killed");
+            agent.wait().expect("the agent ends");
+            fleet.agents[usize::from(other)] = fleet.agent(other, checked);
+            fleet.shift(1);
+            fleet.changed(second).await;
+            assert!(fleet.check() > 300);
+            let status = fleet.status(lead.seat).await.expect("the lead answers");
+            assert!(status.changes >= 3, "{status:?}");
+            assert_eq!(status.diverged, 0);
+        });
+    }
+}
+
+/// The lead's agent is killed for good. The group runs on what was granted,
+/// waits for another agent to get the lease, and goes on with it; the lead
+/// then changes the map.
+#[test]
+fn lead_dies_and_another_takes_over() {
+    rig::run(async {
+        let mut fleet = Fleet::start("lead", true);
+        let lead = fleet.lead().await;
+        let first = fleet.changed(None).await;
+        let agent = &mut fleet.agents[usize::from(lead.seat)];
+        agent.kill().expect("the agent is killed");
+        agent.wait().expect("the agent ends");
+        fleet.agents[usize::from(lead.seat)] = fleet.agent(lead.seat, true);
+        let next = loop {
+            let next = fleet.lead().await;
+            if next.fence > lead.fence {
+                break next;
+            }
+            fleet.clock.sleep(Duration::from_millis(50)).await;
+        };
+        fleet.shift(0);
+        let second = fleet.changed(first).await;
+        assert!(
+            second.is_some_and(|epoch| epoch / 1_000_000 == next.fence),
+            "{second:?}"
+        );
+        assert!(fleet.check() > 300);
+    });
+}
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,6 +2,7 @@
 //! upstream.
 
 mod fault;
+mod group;
 mod history;
 mod input;
 mod path;
--- a/verbenaspool_coordination/src/group/member.rs
+++ b/verbenaspool_coordination/src/group/member.rs
@@ -9,9 +9,10 @@
 use verbenaspool_state::expert_map::Layer;
 
 use super::{
+    engine::{Action, Event},
     lead::{self, Lead, Refused},
     message::{Command, Peer, Report},
-    rank::{self, Action, Event, Rank},
+    rank::{self, Rank},
 };
 
 /// What happens to an agent of a group.
--- a/verbenaspool_coordination/src/group/mod.rs
+++ b/verbenaspool_coordination/src/group/mod.rs
@@ -7,8 +7,12 @@
 //! the lower ones, learns from every rank what it was granted, and goes on
 //! above that. A rank that can't follow makes its group wait, never diverge.
 
+pub mod engine;
 pub mod lead;
 pub mod member;
 pub mod message;
 pub mod rank;
 pub mod schedule;
+
+mod outcome;
+mod port;
--- a/verbenaspool_coordination/tests/group/faults.rs
+++ b/verbenaspool_coordination/tests/group/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use verbenaspool_coordination::group::{lead, message::Refusal, rank::Action, schedule::Span};
+use verbenaspool_coordination::group::{engine::Action, lead, message::Refusal, schedule::Span};
 use verbenaspool_standin::history::steps::Violation;
 
 use crate::world::{Fate, PATIENCE, World, commits, staged};
--- a/verbenaspool_coordination/tests/group/world.rs
+++ b/verbenaspool_coordination/tests/group/world.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use verbenaspool_coordination::group::{
+    engine::{Action, Event},
     lead,
     member::{Input, Member, Message, Output},
     message::{Ask, Command, News, Report},
-    rank::{self, Action},
+    rank,
 };
 use verbenaspool_standin::{
     history::steps,
@@ -211,7 +212,7 @@
         for (_, to, cargo) in due {
             match cargo {
                 Cargo::Message(message) => self.inbox[usize::from(to)].push(message),
-                Cargo::Order(fence, action) => self.group.order(now, to, fence, action),
+                Cargo::Order(fence, action) => drop(self.group.order(now, to, fence, action)),
             }
         }
     }
@@ -225,7 +226,7 @@
             self.input(seat, Input::Message(message));
         }
         let state = self.group.state(seat, 0);
-        self.input(seat, Input::Engine(rank::Event::State(state)));
+        self.input(seat, Input::Engine(Event::State(state)));
         for event in self.group.events(seat) {
             self.input(seat, Input::Engine(event));
         }
--- a/verbenaspool_policy/src/rebalancer/sample.rs
+++ b/verbenaspool_policy/src/rebalancer/sample.rs
@@ -1,5 +1,6 @@
 //! Tokens per expert, as engines report them: late, with gaps, sometimes wrong.
 
+use serde::{Deserialize, Serialize};
 use verbenaspool_state::expert_map::Shape;
 
 /// The most tokens a step that a sample may claim for one expert. No engine
@@ -7,7 +8,7 @@
 const MOST: u64 = 1 << 32;
 
 /// What a group's engines counted over some steps.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
     /// The epoch of the map that the steps ran on.
     pub epoch: u64,
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod history;
 pub mod platform;
 pub mod ranks;
+pub mod seat;
 pub mod service;
 pub mod weights;
--- a/verbenaspool_standin/src/ranks.rs
+++ b/verbenaspool_standin/src/ranks.rs
@@ -13,9 +13,10 @@
 };
 
 use verbenaspool_coordination::group::{
-    rank::{Action, Event, Snapshot},
+    engine::{Action, Event, Snapshot},
     schedule::Span,
 };
+use verbenaspool_policy::rebalancer::sample::Sample;
 use verbenaspool_state::expert_map::Map;
 
 use crate::{history::steps::Entry, weights::Store};
@@ -56,8 +57,19 @@
     stalled: Duration,
     /// What its agent hasn't been told yet.
     events: Vec<Event>,
+    /// Samples, and when they are told.
+    samples: Vec<(Duration, Sample)>,
 }
 
+/// The steps of one sample.
+const SAMPLED: u32 = 100;
+/// Every so many samples one is lost.
+const GAP: u64 = 7;
+/// How late samples are told.
+const LAG: Duration = Duration::from_millis(500);
+/// How many samples are kept for an agent that doesn't ask.
+const KEPT: usize = 16;
+
 /// The engines of a group.
 #[derive(Debug)]
 pub struct Group {
@@ -73,6 +85,8 @@
     history: Vec<Entry>,
     /// How long the group stood because steps hadn't been granted.
     waited: Duration,
+    /// The tokens of each expert in a step, by layer.
+    popularity: Vec<Vec<u64>>,
 }
 
 impl Group {
@@ -81,7 +95,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_coordination::group::{rank::Action, schedule::Span};
+    /// use verbenaspool_coordination::group::{engine::Action, schedule::Span};
     /// use verbenaspool_standin::{ranks::{Group, Settings}, weights::Store};
     /// use verbenaspool_state::expert_map::{Map, Shape};
     ///
@@ -106,9 +120,22 @@
             free: Duration::ZERO,
             history: Vec::new(),
             waited: Duration::ZERO,
+            popularity: Vec::new(),
         }
     }
 
+    /// Sets how many tokens each expert of each layer gets in a step.
+    pub fn drift(&mut self, popularity: Vec<Vec<u64>>) {
+        self.popularity = popularity;
+    }
+
+    /// The samples that a rank's engine tells by now, once.
+    pub fn samples(&mut self, now: Duration, seat: u16) -> Vec<Sample> {
+        let samples = &mut self.engines[usize::from(seat)].samples;
+        let told = samples.extract_if(.., |(due, _)| *due <= now);
+        told.map(|(_, sample)| sample).collect()
+    }
+
     /// What was run, in order.
     #[must_use]
     pub fn history(&self) -> &[Entry] {
@@ -183,23 +210,32 @@
         }
     }
 
-    /// A rank's engine gets an order. What it has to say comes as events.
-    pub fn order(&mut self, now: Duration, seat: u16, fence: u64, action: Action) {
+    /// A rank's engine is read under a fence, which it refuses lower ones from
+    /// then on if it checks them. It is answered in any case: that is how an
+    /// agent learns that its fence is old.
+    pub fn read(&mut self, seat: u16, fence: u64, ticket: u64) -> Snapshot {
+        let engine = &mut self.engines[usize::from(seat)];
+        engine.fence = engine.fence.max(fence);
+        self.state(seat, ticket)
+    }
+
+    /// A rank's engine gets an order, and returns whether it took it. What else
+    /// it has to say comes as events.
+    pub fn order(&mut self, now: Duration, seat: u16, fence: u64, action: Action) -> bool {
         let ignores = !self.settings.checked;
+        if let Action::Read { ticket } = action {
+            let state = self.read(seat, fence, ticket);
+            let engine = &mut self.engines[usize::from(seat)];
+            engine.events.push(Event::State(state));
+            return true;
+        }
         let engine = &mut self.engines[usize::from(seat)];
-        // A reading is answered in any case: it is how an agent learns that
-        // its fence is old.
-        let reads = matches!(action, Action::Read { .. });
-        if fence < engine.fence && !ignores && !reads {
-            return;
+        if fence < engine.fence && !ignores {
+            return false;
         }
         engine.fence = engine.fence.max(fence);
         match action {
-            Action::Read { ticket } => {
-                let state = self.state(seat, ticket);
-                let engine = &mut self.engines[usize::from(seat)];
-                engine.events.push(Event::State(state));
-            }
+            Action::Read { .. } => {}
             Action::Grant { spans } => engine.grant(&spans),
             Action::Replace { spans } => {
                 engine.steps.clear();
@@ -212,6 +248,7 @@
                 engine.loading.remove(&epoch);
             }
         }
+        true
     }
 
     /// A rank starts to load what a map needs.
@@ -256,6 +293,29 @@
         }
     }
 
+    /// Counts the tokens of the steps up to this one, now and then.
+    fn sample(&mut self, now: Duration, step: u64) {
+        let steps = u64::from(SAMPLED);
+        let lost = (step / steps).is_multiple_of(GAP);
+        if self.popularity.is_empty() || !step.is_multiple_of(steps) || lost {
+            return;
+        }
+        let count = |layer: &Vec<u64>| layer.iter().map(|tokens| tokens * steps).collect();
+        let layers: Vec<Vec<u64>> = self.popularity.iter().map(count).collect();
+        for engine in &mut self.engines {
+            let sample = Sample {
+                epoch: engine.running.unwrap_or(0),
+                step,
+                steps: SAMPLED,
+                spare: 0.1,
+                layers: layers.clone(),
+            };
+            engine.samples.push((now + LAG, sample));
+            let over = engine.samples.len().saturating_sub(KEPT);
+            engine.samples.drain(..over);
+        }
+    }
+
     /// Runs the next step, if every rank can.
     fn step(&mut self, now: Duration) -> bool {
         let next = |engine: &Engine| {
@@ -275,6 +335,7 @@
             engine.running = Some(epoch);
             self.history.push(Entry { step, seat, epoch });
         }
+        self.sample(now, step);
         true
     }
 }
--- /dev/null
+++ b/verbenaspool_standin/src/seat.rs
@@ -0,0 +1,127 @@
+//! A rank's engine over HTTP: orders and state, as its agent sees them.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+
+use verbenaspool_coordination::group::engine::Action;
+use verbenaspool_protocol::{
+    engine::{ORDER, Order},
+    group::{ENGINE, State},
+};
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{
+        body::Body,
+        server::{self, Handler, Limits, Open},
+    },
+    shutdown::Signal,
+};
+
+use crate::ranks::Group;
+
+/// How often time passes for the engines of a group.
+const BEAT: Duration = Duration::from_millis(2);
+
+/// One rank's engine.
+#[derive(Debug)]
+pub struct Seat {
+    /// The group that it belongs to.
+    group: Rc<RefCell<Group>>,
+    /// Its place in the group, from 0.
+    index: u16,
+    /// The source of time.
+    clock: Rc<dyn Clock>,
+}
+
+impl Seat {
+    /// The engine at a seat of a group.
+    #[must_use]
+    pub fn new(group: Rc<RefCell<Group>>, seat: u16, clock: Rc<dyn Clock>) -> Self {
+        Self {
+            group,
+            index: seat,
+            clock,
+        }
+    }
+
+    /// Serves until the signal comes.
+    pub async fn serve(self, listener: TcpListener, signal: Signal) {
+        let (limits, open) = (Limits::default(), Open::default());
+        server::serve(listener, limits, Rc::new(self), open, signal).await;
+    }
+
+    /// Carries out an order.
+    fn order(&self, order: Order) -> Response<Body> {
+        let Ok(action) = serde_json::from_value(order.action) else {
+            return answer(StatusCode::BAD_REQUEST, &"the body is no order");
+        };
+        let now = self.clock.now();
+        let mut group = self.group.borrow_mut();
+        let Action::Read { ticket } = action else {
+            let taken = group.order(now, self.index, order.fence, action);
+            let status = if taken {
+                StatusCode::OK
+            } else {
+                StatusCode::CONFLICT
+            };
+            return answer(status, &taken);
+        };
+        let snapshot = group.read(self.index, order.fence, ticket);
+        answer(StatusCode::OK, &snapshot)
+    }
+
+    /// Tells what there is to tell.
+    fn state(&self) -> Response<Body> {
+        let now = self.clock.now();
+        let mut group = self.group.borrow_mut();
+        let state = State {
+            snapshot: group.state(self.index, 0),
+            events: group.events(self.index),
+            samples: group.samples(now, self.index),
+        };
+        answer(StatusCode::OK, &state)
+    }
+}
+
+impl Handler for Seat {
+    fn handle(
+        self: Rc<Self>,
+        _: std::net::SocketAddr,
+        request: Request<Incoming>,
+    ) -> server::Answer {
+        Box::pin(async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::GET, ENGINE) => self.state(),
+                (&Method::POST, ORDER) => {
+                    let body = request.into_body().collect().await;
+                    let order = body.ok().map(http_body_util::Collected::to_bytes);
+                    match order.and_then(|body| serde_json::from_slice(&body).ok()) {
+                        Some(order) => self.order(order),
+                        None => answer(StatusCode::BAD_REQUEST, &"the body is no order"),
+                    }
+                }
+                _ => answer(StatusCode::NOT_FOUND, &"no such path"),
+            }
+        })
+    }
+}
+
+/// Lets time pass for the engines of a group, for as long as the loop runs.
+pub async fn advance(group: Rc<RefCell<Group>>, clock: Rc<dyn Clock>) {
+    loop {
+        group.borrow_mut().advance(clock.now());
+        clock.sleep(BEAT).await;
+    }
+}
+
+/// An answer in JSON.
+fn answer(status: StatusCode, body: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(body).expect("an answer has only plain keys");
+    let mut response = Response::new(Body::full(text));
+    *response.status_mut() = status;
+    response
+}
