--- a/verbenaspool_coordination/src/group/rank.rs
+++ b/verbenaspool_coordination/src/group/rank.rs
@@ -15,139 +15,12 @@
 use verbenaspool_state::expert_map::Map;
 
 use super::{
+    engine::{Action, Event, Snapshot},
     message::{Ask, Command, News, Peer, Refusal, Report, Start},
     schedule::{Error, Schedule, Span},
 };
 
-/// Fixed properties of a rank and its engine.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// The rank's seat in the group, from 0.
-    pub seat: u16,
-    /// How many ranks the group has.
-    pub ranks: u16,
-    /// The start of this agent; counts up.
-    pub incarnation: u64,
-    /// Whether the engine refuses orders with an old fence. A late order to it
-    /// has no effect once it has seen a higher fence.
-    pub checked: bool,
-    /// The longest that an order may be on its way to an engine that ignores
-    /// fences. A new agent waits it out before it reads the engine.
-    pub longest: Duration,
-    /// After how long an unanswered message is sent again.
-    pub resend: Duration,
-    /// How many steps pass between two reports of progress.
-    pub stride: u64,
-}
-
-/// What happens to a rank's agent.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Input {
-    /// The lead asks something.
-    Command(Command),
-    /// Another rank's agent says something.
-    Peer(Peer),
-    /// The engine says something.
-    Engine(Event),
-    /// Time has passed.
-    Tick,
-}
-
-/// What an engine says.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// Where the engine stands.
-    State(Snapshot),
-    /// The engine holds all weights of a map.
-    Staged {
-        /// The map's epoch.
-        epoch: u64,
-    },
-    /// The engine couldn't load a map.
-    Failed {
-        /// The map's epoch.
-        epoch: u64,
-        /// Why.
-        reason: String,
-    },
-}
-
-/// Where an engine stands.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Snapshot {
-    /// The ticket of the [`Action::Read`] that this answers; 0 where it answers none.
-    pub ticket: u64,
-    /// The start of the engine; differs from start to start.
-    pub incarnation: u64,
-    /// The highest fence seen, where the engine checks them.
-    pub fence: Option<u64>,
-    /// The last step run; 0 where none was.
-    pub done: u64,
-    /// The epoch of that step.
-    pub running: Option<u64>,
-    /// The steps granted beyond it.
-    pub spans: Vec<Span>,
-    /// The epochs whose weights are loaded.
-    pub held: Vec<u64>,
-    /// The placements of those maps, where they were asked for.
-    pub maps: Vec<Map>,
-}
-
-/// What a rank's agent does.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Output {
-    /// Tell the lead at a seat.
-    Report {
-        /// The lead's seat.
-        lead: u16,
-        /// What to tell.
-        report: Report,
-    },
-    /// Tell the agent of another rank.
-    Peer {
-        /// The rank's seat.
-        to: u16,
-        /// What to tell.
-        peer: Peer,
-    },
-    /// Have the engine do something.
-    Engine {
-        /// The fence that the order carries.
-        fence: u64,
-        /// What it is to do.
-        action: Action,
-    },
-}
-
-/// What an engine is to do. All of it may be asked again without a further effect.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Say where it stands now, with the placements of its maps.
-    Read {
-        /// Repeated in the answer, which so is known to be no older.
-        ticket: u64,
-    },
-    /// Run these steps.
-    Grant {
-        /// The steps and their maps.
-        spans: Vec<Span>,
-    },
-    /// Forget all granted steps that haven't started and run these instead.
-    Replace {
-        /// The steps and their maps.
-        spans: Vec<Span>,
-    },
-    /// Load what a map needs beside the running one.
-    Stage {
-        /// The map.
-        map: Map,
-    },
-    /// Forget a map.
-    Drop {
-        /// The map's epoch.
-        epoch: u64,
-    },
-}
+pub use super::port::{Input, Output, Settings};
 
 /// How far a rank's agent is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -193,6 +66,8 @@
     running: Option<u64>,
     /// The last step that the engine was seen to know of.
     handed: u64,
+    /// The last step that an order to the engine has named.
+    ordered: u64,
     /// The epochs whose weights the engine holds.
     held: BTreeSet<u64>,
     /// The placements known.
@@ -240,6 +115,7 @@
             done: 0,
             running: None,
             handed: 0,
+            ordered: 0,
             held: BTreeSet::new(),
             maps: BTreeMap::new(),
             asked: Duration::ZERO,
@@ -454,27 +330,48 @@
         self.tell(News::Refused(refusal))
     }
 
-    /// Adds the granted steps that haven't run yet. Only an engine that has run
-    /// nothing may start anywhere: it joins where the others stand.
+    /// Adds the granted steps that haven't run yet.
     fn take(&mut self, spans: &[Span]) -> Result<(), Error> {
         let mut granted = Schedule::default();
         granted.merge(spans)?;
         let spans = granted.after(self.done);
-        let first = spans.first().map_or(0, |span| span.from);
-        if self.done > 0 && first > self.top() + 1 {
-            return Err(Error::Gap { top: self.top() });
+        let Some(first) = spans.first().map(|span| span.from) else {
+            return Ok(());
+        };
+        if self.done > 0 {
+            let top = self.top();
+            if first > top + 1 {
+                return Err(Error::Gap { top });
+            }
+            return self.schedule.merge(&spans);
         }
-        self.schedule.merge(&spans)
+        // An engine that has run nothing starts where the grant does: that is
+        // where the others wait for it. It may have been handed an earlier
+        // start, by an order that was on its way when it was restarted.
+        granted.merge(&self.schedule.after(first - 1))?;
+        if granted != self.schedule {
+            self.schedule = granted;
+            self.handed = 0;
+        }
+        Ok(())
     }
 
     /// Hands the engine the granted steps that it isn't seen to know of, up to
     /// the first whose weights it lacks: it could not run that one.
-    fn hand(&self) -> Option<Output> {
+    fn hand(&mut self) -> Option<Output> {
         let mut spans = self.schedule.after(self.done);
         let ready = |span: &Span| self.held.contains(&span.epoch);
         spans.truncate(spans.iter().take_while(|span| ready(span)).count());
         let top = spans.last()?.to;
-        (top > self.handed).then(|| self.engine(Action::Grant { spans }))
+        if top <= self.handed {
+            return None;
+        }
+        self.ordered = self.ordered.max(top);
+        let action = match self.done {
+            0 => Action::Replace { spans },
+            _ => Action::Grant { spans },
+        };
+        Some(self.engine(action))
     }
 
     /// Has the engine load a map, or says that it has.
@@ -557,6 +454,12 @@
     /// Takes over all that the engine says.
     fn restart(&mut self, snapshot: Snapshot) {
         self.engine = Some(snapshot.incarnation);
+        self.joined = false;
+        if let Some(fence) = snapshot.fence.filter(|&fence| fence > self.fence) {
+            // The engine saw a promise that this agent's forerunner made.
+            self.fence = fence;
+            self.lead = None;
+        }
         self.done = snapshot.done;
         self.told = snapshot.done;
         self.running = snapshot.running;
@@ -564,6 +467,7 @@
         // An engine's own list has no holes; one that had would be cut there.
         let _ = self.schedule.merge(&snapshot.spans);
         self.handed = self.top();
+        self.ordered = self.top();
         self.held = snapshot.held.into_iter().collect();
         let maps = snapshot.maps.into_iter().map(|map| (map.epoch, map));
         self.maps.extend(maps);
@@ -583,6 +487,11 @@
             // A report that was overtaken by a later one.
             return Vec::new();
         }
+        if snapshot.done == 0 {
+            let same = snapshot.spans == self.schedule.after(0);
+            self.handed = if same { self.top() } else { 0 };
+            return Vec::new();
+        }
         let mut outputs = self.compare(snapshot);
         if snapshot.done > self.done {
             self.done = snapshot.done;
@@ -658,7 +567,11 @@
     }
 
     /// Says where the rank stands.
-    fn join(&self, round: u64) -> Output {
+    ///
+    /// Steps that no order to the engine has named can't be run any more once
+    /// the fence is promised, so the lead is free to decide them anew.
+    fn join(&mut self, round: u64) -> Output {
+        self.schedule.cut(self.ordered.max(self.done));
         let spans = self.schedule.after(self.done);
         let last = spans.last().map(|span| span.epoch);
         let news = News::Joined {
