Give idle connections up before their server closes them

A write on its way into a connection that its upstream closes for idleness ends unknown. The agent keeps connections to its upstream for a second, entries theirs for ten, and connections to replaced peers are closed at last.

--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -59,6 +59,11 @@
     /// How often the state is asked for, in milliseconds.
     #[serde(default = "Upstream::poll_ms")]
     pub poll_ms: u64,
+    /// How long a connection to the upstream is kept idle, in milliseconds. It
+    /// must be less than the upstream's own bound, or a request could be on its
+    /// way into a connection that the upstream closes, and end unknown.
+    #[serde(default = "Upstream::idle_ms")]
+    pub idle_ms: u64,
     /// What the paths of requests start with; empty for any. An engine takes
     /// requests below `/v1/` if not told otherwise, and orders nowhere there.
     #[serde(default)]
@@ -72,6 +77,12 @@
         250
     }
 
+    /// Widespread servers close idle connections after 2 seconds or more, and a
+    /// new one on the same instance costs some 50 microseconds.
+    fn idle_ms() -> u64 {
+        1_000
+    }
+
     /// Fills in what depends on the kind.
     fn complete(&mut self) {
         if self.kind == Kind::Plain {
--- a/verbenaspool_agent/src/shared.rs
+++ b/verbenaspool_agent/src/shared.rs
@@ -41,16 +41,17 @@
             closed: settings.limits.remembered,
             ..Limits::default()
         };
+        let idle = Duration::from_millis(settings.upstream.idle_ms);
         Self {
             number: rand::random(),
             meter: Meter::default(),
             tracer: Tracer::new(settings.traces.as_ref(), clock.clone()),
+            client: Client::new(CONNECT).keep_for(idle),
             settings,
             log,
             clock,
             ledger: RefCell::new(Ledger::new(limits)),
             engine: RefCell::default(),
-            client: Client::new(CONNECT),
             sequence: Cell::new(0),
         }
     }
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -1,6 +1,12 @@
 //! The client: pooled connections, one answer outstanding on each.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -17,6 +23,10 @@
 /// How many idle connections are kept to one address.
 const IDLE: usize = 32;
 
+/// How long a connection is kept that carries no request; our own servers close
+/// theirs after 30 seconds.
+const KEPT: Duration = Duration::from_secs(10);
+
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -31,10 +41,16 @@
 /// Connections to other processes.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pool: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    pool: Rc<RefCell<HashMap<SocketAddr, Vec<Kept>>>>,
     connect: Duration,
+    kept: Duration,
+    /// When connections that are kept too long were last looked for.
+    pruned: Rc<Cell<Instant>>,
 }
 
+/// A connection that carries no request, and since when.
+type Kept = (SendRequest<Body>, Instant);
+
 impl Client {
     /// A client that waits so long for a connection.
     ///
@@ -51,9 +67,31 @@
         Self {
             pool: Rc::default(),
             connect,
+            kept: KEPT,
+            pruned: Rc::new(Cell::new(Instant::now())),
         }
     }
 
+    /// Keeps connections for so long while they carry no request.
+    ///
+    /// A server that closes idle connections may do so just as a request is on
+    /// its way into one. Nobody can then tell whether it ran, so a connection
+    /// must be given up before its server does that.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::http::client::Client;
+    ///
+    /// let client = Client::new(Duration::from_secs(1)).keep_for(Duration::from_secs(2));
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn keep_for(mut self, kept: Duration) -> Self {
+        self.kept = kept;
+        self
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
@@ -104,8 +142,8 @@
     fn idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
         let mut pool = self.pool.borrow_mut();
         let senders = pool.get_mut(&address)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
+        while let Some((sender, since)) = senders.pop() {
+            if sender.is_ready() && since.elapsed() < self.kept {
                 return Some(sender);
             }
         }
@@ -159,11 +197,25 @@
     /// Puts a connection back for the next request.
     fn release(&self, address: SocketAddr, sender: SendRequest<Body>) {
         let mut pool = self.pool.borrow_mut();
+        self.prune(&mut pool);
         let senders = pool.entry(address).or_default();
         if senders.len() < IDLE {
-            senders.push(sender);
+            senders.push((sender, Instant::now()));
         }
     }
+
+    /// Closes what is kept too long, now and then. Peers that were replaced are
+    /// never asked again, so nothing else would.
+    fn prune(&self, pool: &mut HashMap<SocketAddr, Vec<Kept>>) {
+        if self.pruned.get().elapsed() < self.kept {
+            return;
+        }
+        self.pruned.set(Instant::now());
+        pool.retain(|_, senders| {
+            senders.retain(|(_, since)| since.elapsed() < self.kept);
+            !senders.is_empty()
+        });
+    }
 }
 
 /// An answer's body with the connection it comes on.
