--- a/verbenaspool_policy/benches/decisions.rs
+++ b/verbenaspool_policy/benches/decisions.rs
@@ -1,6 +1,6 @@
 //! Measures the decisions in each load case beside the baselines and the oracle.
 //! `--json` prints one object a line; `--ablation` adds a row for each mechanism
-//! left out; `--case NAME` plays only one.
+//! left out; `--case NAME` plays only one; `--subset` compares ways to choose subsets.
 
 mod play;
 
@@ -12,6 +12,7 @@
     fleet, oracle,
     policy::Policy,
     score::Score,
+    spread::{self, Way},
     world,
 };
 use verbenaspool_policy::{
@@ -23,6 +24,12 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let has = |flag: &str| arguments.iter().any(|argument| argument == flag);
+    if has("--subset") {
+        for way in Way::ALL {
+            println!("{way:?} {:?}", spread::measure(way));
+        }
+        return;
+    }
     let only = arguments
         .iter()
         .position(|a| a == "--case")
--- /dev/null
+++ b/verbenaspool_policy/benches/play/spread.rs
@@ -0,0 +1,117 @@
+//! How evenly the subsets of all entries load the upstreams of one service, and
+//! how many picks a change of the list moves.
+
+use std::collections::{HashMap, HashSet};
+
+use verbenaspool_policy::{
+    member::{Member, Peer},
+    subset,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::fleet::{members, peers};
+
+/// The upstreams of one of nine services.
+const UPSTREAMS: usize = 1_333;
+const SIZE: usize = 64;
+/// Upstreams replaced at once: one in a hundred.
+const REPLACED: usize = 13;
+
+/// How subsets are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Upstreams pick entries, as the decisions do.
+    Upstreams,
+    /// Entries pick upstreams by rendezvous hash.
+    Entries,
+    /// Entries take even arcs of the sorted upstreams.
+    Arcs,
+}
+
+impl Way {
+    pub const ALL: [Self; 3] = [Self::Upstreams, Self::Entries, Self::Arcs];
+}
+
+#[derive(Debug)]
+pub struct Spread {
+    /// The load of the most loaded upstream, as a multiple of the mean.
+    pub most: f64,
+    /// The standard deviation of the load, as a part of the mean.
+    pub deviation: f64,
+    /// Upstreams in the smallest and the largest subset.
+    pub sizes: (usize, usize),
+    /// The part of picks that replacing one upstream in a hundred moves.
+    pub moved: f64,
+}
+
+pub fn measure(way: Way) -> Spread {
+    let peers = peers();
+    let mut list = members();
+    let later = list.split_off(UPSTREAMS);
+    let before = choose(way, &peers, &list);
+    let mut replaced = list[REPLACED..].to_vec();
+    replaced.extend_from_slice(&later[..REPLACED]);
+    let after = choose(way, &peers, &replaced);
+    let moved: usize = before
+        .iter()
+        .zip(&after)
+        .map(|(b, a)| a.difference(b).count())
+        .sum();
+    let all: usize = before.iter().map(HashSet::len).sum();
+    let sizes = before.iter().map(HashSet::len);
+    let (most, deviation) = loads(&list, &before);
+    Spread {
+        most,
+        deviation,
+        sizes: (sizes.clone().min().unwrap_or(0), sizes.max().unwrap_or(0)),
+        moved: moved as f64 / all as f64,
+    }
+}
+
+/// The greatest load and the deviation, where each entry spreads its part evenly.
+fn loads(members: &[Member], chosen: &[HashSet<String>]) -> (f64, f64) {
+    let mut loads: HashMap<&str, f64> = members.iter().map(|m| (m.name.as_str(), 0.0)).collect();
+    for subset in chosen {
+        for upstream in subset {
+            *loads.entry(upstream).or_default() += 1.0 / subset.len() as f64;
+        }
+    }
+    let mean = loads.values().sum::<f64>() / loads.len() as f64;
+    let most = loads.values().copied().fold(0.0, f64::max);
+    let variance = loads.values().map(|l| (l - mean).powi(2)).sum::<f64>() / loads.len() as f64;
+    (most / mean, variance.sqrt() / mean)
+}
+
+fn choose(way: Way, peers: &[Peer], members: &[Member]) -> Vec<HashSet<String>> {
+    let named = |places: Vec<usize>| {
+        places
+            .iter()
+            .map(|&i| members[i].name.to_string())
+            .collect()
+    };
+    let one = |(i, peer): (usize, &Peer)| match way {
+        Way::Upstreams => subset::choose(&peer.name, &peer.zone, peers, members, SIZE),
+        Way::Entries => rendezvous(peer, members),
+        Way::Arcs => arc(i, peers.len(), members),
+    };
+    peers.iter().enumerate().map(one).map(named).collect()
+}
+
+/// Three quarters from the own zone, the rest from the others, by lowest hash.
+fn rendezvous(peer: &Peer, members: &[Member]) -> Vec<usize> {
+    let key = |i: usize| xxh3_64(format!("{} {}", peer.name, members[i].name).as_bytes());
+    let (mut own, mut other): (Vec<usize>, Vec<usize>) =
+        (0..members.len()).partition(|&i| members[i].zone == peer.zone);
+    own.sort_unstable_by_key(|&i| key(i));
+    other.sort_unstable_by_key(|&i| key(i));
+    own.truncate(SIZE * 3 / 4);
+    other.truncate(SIZE / 4);
+    own.extend(other);
+    own
+}
+
+/// An even arc, whatever the zones.
+fn arc(entry: usize, entries: usize, members: &[Member]) -> Vec<usize> {
+    let start = entry * members.len() / entries;
+    (start..start + SIZE).map(|i| i % members.len()).collect()
+}
