--- /dev/null
+++ b/verbenaspool/benches/path/child.rs
@@ -0,0 +1,85 @@
+//! Processes that the bench starts and ends.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    process::{Child as Process, Command, Stdio},
+};
+
+/// Clock ticks a second in `/proc`, which is fixed on Linux.
+const TICKS: f64 = 100.0;
+
+/// A process of the bench; it ends with this value.
+pub struct Child {
+    process: Process,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+}
+
+/// An address that is free.
+pub fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener's address")
+}
+
+impl Child {
+    /// Starts a binary with a settings file.
+    pub fn start(binary: &Path, settings: &Path, address: SocketAddr) -> Self {
+        let process = Command::new(binary)
+            .args(["run", "--settings"])
+            .arg(settings)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the binary starts");
+        Self { process, address }
+    }
+
+    /// Starts this program as the bare echo.
+    pub fn echo() -> Self {
+        let this = std::env::current_exe().expect("this program's path");
+        let mut process = Command::new(this)
+            .arg(super::echo::ROLE)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("this program starts");
+        let mut line = String::new();
+        let stdout = process.stdout.take().expect("a piped stdout");
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the echo tells its address");
+        let address = line.trim().parse().expect("an address");
+        Self { process, address }
+    }
+
+    /// Processor time used so far, in seconds.
+    pub fn processor(&self) -> f64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.process.id()));
+        let stat = stat.expect("the process runs");
+        // The name in brackets may hold spaces; fields are counted behind it.
+        let fields = stat.rsplit(')').next().expect("the end of the line");
+        let fields: Vec<_> = fields.split_whitespace().collect();
+        let ticks = |index: usize| fields[index].parse::<f64>().expect("a number");
+        (ticks(11) + ticks(12)) / TICKS
+    }
+
+    /// Resident memory in kilobytes.
+    pub fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number
+            .and_then(|number| number.parse().ok())
+            .expect("a number")
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/verbenaspool/benches/path/load.rs
@@ -0,0 +1,237 @@
+//! Load: callers that each send the next request when the last is answered.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use http::{Method, Request, Uri};
+use http_body_util::BodyExt;
+use verbenaspool_transport::{
+    http::{body::Body, client::Client},
+    runtime,
+};
+
+use super::site::CREDENTIAL;
+
+/// The body of each request: a short search.
+const BODY: &str = r#"{"loft":"bowen","net":"prawn trawl, 45 mm mesh","tear_m":2.4}"#;
+
+/// How long all streams may take to open.
+const OPENING: Duration = Duration::from_secs(20);
+
+/// Where requests go.
+#[derive(Clone)]
+pub struct Target {
+    address: SocketAddr,
+    path: Uri,
+    credential: bool,
+}
+
+impl Target {
+    /// A server behind nothing.
+    pub fn direct(address: SocketAddr, path: &str) -> Self {
+        let path = path.parse().expect("a path");
+        Self {
+            address,
+            path,
+            credential: false,
+        }
+    }
+
+    /// The entry.
+    pub fn entry(address: SocketAddr, path: &str) -> Self {
+        Self {
+            credential: true,
+            ..Self::direct(address, path)
+        }
+    }
+
+    fn request(&self, body: &'static str) -> Request<Body> {
+        let mut request = Request::new(Body::full(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.path.clone();
+        let headers = request.headers_mut();
+        headers.insert("host", "bench".parse().expect("a header value"));
+        if self.credential {
+            let value = format!("Bearer {CREDENTIAL}");
+            headers.insert("authorization", value.parse().expect("a header value"));
+        }
+        request
+    }
+}
+
+/// What a round brought.
+pub struct Load {
+    times: Histogram<u64>,
+    /// Requests that were not answered with 200.
+    pub failed: u64,
+    /// How long the rounds took.
+    pub seconds: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            times: Histogram::new_with_bounds(1, 60_000_000, 3).expect("fixed bounds"),
+            failed: 0,
+            seconds: 0.0,
+        }
+    }
+}
+
+impl Load {
+    /// Adds a later round.
+    pub fn add(&mut self, other: &Self) {
+        self.merge(other);
+        self.seconds += other.seconds;
+    }
+
+    fn merge(&mut self, other: &Self) {
+        self.times.add(&other.times).expect("the same bounds");
+        self.failed += other.failed;
+    }
+
+    /// Requests that were answered.
+    pub fn count(&self) -> u64 {
+        self.times.len()
+    }
+
+    /// Requests a second.
+    pub fn rate(&self) -> f64 {
+        self.count() as f64 / self.seconds
+    }
+
+    /// The time in microseconds that a part of the requests stays within.
+    pub fn quantile(&self, part: f64) -> f64 {
+        self.times.value_at_quantile(part) as f64
+    }
+}
+
+/// Runs a round with so many connections over so many threads.
+pub fn run(target: &Target, threads: usize, connections: usize, time: Duration) -> Load {
+    let began = Instant::now();
+    let each = connections / threads;
+    let workers: Vec<_> = (0..threads)
+        .map(|_| {
+            let target = target.clone();
+            thread::spawn(move || runtime::run(worker(target, each, time)))
+        })
+        .collect();
+    let mut load = Load::default();
+    for worker in workers {
+        let part = worker
+            .join()
+            .expect("a worker ends")
+            .expect("a loop starts");
+        load.merge(&part);
+    }
+    load.seconds = began.elapsed().as_secs_f64();
+    load
+}
+
+/// The callers of one thread.
+async fn worker(target: Target, connections: usize, time: Duration) -> Load {
+    let end = Instant::now() + time;
+    let callers: Vec<_> = (0..connections)
+        .map(|_| monoio::spawn(caller(target.clone(), end)))
+        .collect();
+    let mut load = Load::default();
+    for caller in callers {
+        load.merge(&caller.await);
+    }
+    load
+}
+
+/// One caller on a connection of its own.
+async fn caller(target: Target, end: Instant) -> Load {
+    let client = Client::new(Duration::from_secs(1));
+    let mut load = Load::default();
+    while Instant::now() < end {
+        let began = Instant::now();
+        let good = match client.send(target.address, target.request(BODY)).await {
+            Ok(response) => {
+                let good = response.status() == 200;
+                response.into_body().collect().await.is_ok() && good
+            }
+            Err(_) => false,
+        };
+        if good {
+            let us = u64::try_from(began.elapsed().as_micros()).expect("a short time");
+            load.times.saturating_record(us.max(1));
+        } else {
+            load.failed += 1;
+        }
+    }
+    load
+}
+
+/// Streams that stay open until this value is dropped.
+pub struct Streams {
+    stop: Option<mpsc::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Streams {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Opens so many streams and waits until each has brought a token.
+pub fn streams(entry: SocketAddr, count: usize) -> Streams {
+    let (stop, stopped) = mpsc::channel();
+    let (tell, told) = mpsc::channel();
+    let thread = thread::spawn(move || {
+        runtime::run(hold(entry, count, &tell, &stopped)).expect("a loop starts");
+    });
+    let open = told
+        .recv_timeout(OPENING)
+        .expect("the streams open in time");
+    assert_eq!(open, count, "streams are open");
+    Streams {
+        stop: Some(stop),
+        thread: Some(thread),
+    }
+}
+
+/// Holds streams open until it is told to stop.
+async fn hold(
+    entry: SocketAddr,
+    count: usize,
+    tell: &mpsc::Sender<usize>,
+    stop: &mpsc::Receiver<()>,
+) {
+    let open = Rc::new(Cell::new(0));
+    let bodies = Rc::new(RefCell::new(Vec::new()));
+    let target = Target::entry(entry, "/loft/v1/completions");
+    for _ in 0..count {
+        let (target, open, bodies) = (target.clone(), open.clone(), bodies.clone());
+        monoio::spawn(async move {
+            let client = Client::new(Duration::from_secs(5));
+            let body = r#"{"prompt":"Splice the net.","max_tokens":200,"stream":true}"#;
+            let sent = client.send(target.address, target.request(body)).await;
+            let mut body = sent.expect("an answer").into_body();
+            if matches!(body.frame().await, Some(Ok(_))) {
+                open.set(open.get() + 1);
+            }
+            bodies.borrow_mut().push((client, body));
+        });
+    }
+    let end = Instant::now() + OPENING;
+    while bodies.borrow().len() < count && Instant::now() < end {
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let _ = tell.send(open.get());
+    while matches!(stop.try_recv(), Err(mpsc::TryRecvError::Empty)) {
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/verbenaspool/benches/path/site.rs
@@ -0,0 +1,275 @@
+//! The site that is measured: the platform, the upstreams and the processes.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpStream},
+    path::{Path, PathBuf},
+    process::Command,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use std::io::{Read, Write};
+
+use verbenaspool_coordination::{apply::Order, piece};
+use verbenaspool_standin::{
+    engine::{Config, Engine},
+    platform::Platform,
+    service::{Book, Service},
+};
+use verbenaspool_state::{
+    credential::Digest,
+    file::File,
+    upstream::{State, Upstream},
+};
+use verbenaspool_transport::{
+    clock::Monotonic, config, platform::client, runtime, settings, shutdown,
+};
+
+use super::child::{Child, free};
+
+/// The customer's credential.
+pub const CREDENTIAL: &str = "a-long-random-token";
+
+/// Instances of the service whose throughput is measured, so that these and
+/// their agents are not the bottleneck.
+const JOBS: usize = 3;
+
+/// How long the entry may take to be ready.
+const READY: Duration = Duration::from_secs(10);
+
+/// The running site.
+pub struct Site {
+    /// The entry.
+    pub entry: Child,
+    /// The agent beside the engine.
+    pub engine: Child,
+    /// One instance of the service that answers at once.
+    pub jobs: SocketAddr,
+    /// The service that takes 1 ms.
+    pub slow: SocketAddr,
+    _agents: Vec<Child>,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Starts everything and waits until the entry is ready.
+    pub fn start() -> Self {
+        let folder = std::env::temp_dir().join(format!("verbenaspool-path-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let agent = agent_binary();
+        let mut upstreams = Vec::new();
+        let mut start = |name: &str, service: &str, beside: SocketAddr, kind: &str| {
+            let (child, upstream) = start_agent(&folder, &agent, name, service, beside, kind);
+            upstreams.push(upstream);
+            child
+        };
+        let mut agents = Vec::new();
+        let mut jobs = Vec::new();
+        for i in 0..JOBS {
+            let service = plain(Duration::ZERO);
+            agents.push(start(&format!("jobs-{i}"), "jobs", service, "plain"));
+            jobs.push(service);
+        }
+        let slow = plain(Duration::from_millis(1));
+        agents.push(start("slow-1", "slow", slow, "plain"));
+        let engine = start("loft-1", "assistant", model(), "engine");
+        let platform = platform(upstreams);
+        let entry = start_entry(&folder, platform);
+        Self {
+            entry,
+            engine,
+            jobs: jobs[0],
+            slow,
+            _agents: agents,
+            folder,
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The firm's file: limits wide enough that only the path is measured.
+fn file() -> File {
+    let decisions = "{initial_limit: 2000, max_limit: 2000, queue: 4096, deadline_ms: 60000}";
+    let text = format!(
+        "firm: tidewater
+places: [{{zone: bowen-a, region: queensland}}]
+services:
+- {{name: jobs, path: /jobs/, kind: !plain {{idempotent: [/search]}}, decisions: {decisions}}}
+- {{name: slow, path: /slow/, kind: !plain {{idempotent: [/search]}}, decisions: {decisions}}}
+- {{name: assistant, path: /loft/, kind: !model {{fences: checked, resume: true}}, decisions: {decisions}}}
+customers:
+- {{name: bowen-loft, credentials: ['{}']}}
+",
+        Digest::of(CREDENTIAL),
+    );
+    settings::parse("tidewater.yaml".as_ref(), &text).expect("a sound file")
+}
+
+/// Starts a thread that serves and tells its address.
+fn serving<F>(serve: F) -> SocketAddr
+where
+    F: FnOnce(mpsc::Sender<SocketAddr>) + Send + 'static,
+{
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || serve(tell));
+    told.recv().expect("a stand-in starts")
+}
+
+/// Starts a plain service whose calls take so long.
+fn plain(takes: Duration) -> SocketAddr {
+    serving(move |tell| {
+        let served = runtime::run(async {
+            let (_stop, signal) = shutdown::channel();
+            let book = Book::new(takes, Monotonic::start());
+            let service = Service::bind(([127, 0, 0, 1], 0).into(), book).expect("a free port");
+            tell.send(service.address()).expect("the bench waits");
+            service.run(signal).await;
+        });
+        served.expect("the loop starts");
+    })
+}
+
+/// Starts an engine whose streams stay open long enough to be counted.
+fn model() -> SocketAddr {
+    serving(|tell| {
+        let served = runtime::run(async {
+            let (_stop, signal) = shutdown::channel();
+            let config = Config {
+                places: 4_000,
+                step: Duration::from_millis(200),
+                crowding: Duration::ZERO,
+                ..Config::default()
+            };
+            let engine = Engine::bind(config, Monotonic::start()).expect("a free port");
+            tell.send(engine.address()).expect("the bench waits");
+            engine.run(signal).await;
+        });
+        served.expect("the loop starts");
+    })
+}
+
+/// Starts the platform with an accepted file and these upstreams.
+fn platform(upstreams: Vec<Upstream>) -> SocketAddr {
+    serving(move |tell| {
+        let served = runtime::run(async {
+            let platform = Platform::start().expect("a free port");
+            platform.allow("token", "tidewater");
+            for upstream in upstreams {
+                let key = format!("firms/tidewater/instances/{}", upstream.name);
+                let value = serde_json::to_vec(&upstream).expect("plain data");
+                platform.with(|objects| objects.put(&key, value.into()));
+            }
+            let store = client::Client::new(client::Settings {
+                address: platform.address(),
+                token: "token".to_owned(),
+                timeout: Duration::from_secs(1),
+            });
+            let order = Order {
+                firm: "tidewater".parse().expect("a name"),
+                id: "apply-1".to_owned(),
+                expect: None,
+                split: piece::split(&file()).expect("a file that can be split"),
+            };
+            config::apply(&store, order, Duration::from_secs(5), 7).await;
+            tell.send(platform.address()).expect("the bench waits");
+            std::future::pending::<()>().await;
+        });
+        served.expect("the loop starts");
+    })
+}
+
+/// The agent's binary, built as the bench itself is.
+fn agent_binary() -> PathBuf {
+    let built = Command::new(env!("CARGO"))
+        .args([
+            "build",
+            "--release",
+            "--quiet",
+            "--locked",
+            "-p",
+            "verbenaspool_agent",
+        ])
+        .status();
+    assert!(built.expect("cargo runs").success(), "the agent is built");
+    Path::new(env!("CARGO_BIN_EXE_verbenaspool")).with_file_name("verbenaspool-agent")
+}
+
+/// Starts an agent beside an upstream.
+fn start_agent(
+    folder: &Path,
+    binary: &Path,
+    name: &str,
+    service: &str,
+    beside: SocketAddr,
+    kind: &str,
+) -> (Child, Upstream) {
+    let (agent, control) = (free(), free());
+    let text = format!(
+        "instance: {name}
+listen: {agent}
+control: {control}
+upstream: {{address: '{beside}', kind: {kind}}}
+log: {{level: error}}
+"
+    );
+    let path = folder.join(format!("{name}.yaml"));
+    fs::write(&path, text).expect("a written file");
+    let upstream = Upstream {
+        name: name.parse().expect("a name"),
+        service: service.parse().expect("a name"),
+        zone: "bowen-a".parse().expect("a name"),
+        agent,
+        control,
+        state: State::Live,
+        incarnation: 1,
+        rank: None,
+    };
+    (Child::start(binary, &path, agent), upstream)
+}
+
+/// Starts the entry and waits until it serves.
+fn start_entry(folder: &Path, platform: SocketAddr) -> Child {
+    let (listen, admin) = (free(), free());
+    let text = format!(
+        "firm: tidewater
+name: entry-1
+zone: bowen-a
+listen: {listen}
+admin: {admin}
+platform: {{address: '{platform}', token: token}}
+log: {{level: error}}
+"
+    );
+    let path = folder.join("entry.yaml");
+    fs::write(&path, text).expect("a written file");
+    let binary = Path::new(env!("CARGO_BIN_EXE_verbenaspool"));
+    let child = Child::start(binary, &path, listen);
+    let end = Instant::now() + READY;
+    while !ready(admin) {
+        assert!(Instant::now() < end, "the entry is ready in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+    child
+}
+
+/// Whether the entry is ready and knows its upstreams.
+fn ready(admin: SocketAddr) -> bool {
+    let get = |path: &str| {
+        let mut stream = TcpStream::connect(admin).ok()?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    };
+    let known = format!("verbenaspool_upstreams{{service=\"jobs\"}} {JOBS}\n");
+    get("/readyz").is_some_and(|answer| answer.contains(" 200 "))
+        && get("/metrics").is_some_and(|answer| answer.contains(&known))
+}
