--- /dev/null
+++ b/verbenaspool/tests/rules/extra.rs
@@ -0,0 +1,54 @@
+//! Completions and manual pages are committed, so that packages need no
+//! generator. `UPDATE_EXPECT=1 cargo test -p verbenaspool --test rules` writes
+//! them anew.
+
+use clap::Command;
+use clap_complete::Shell;
+use expect_test::expect_file;
+
+/// The two programs.
+fn programs() -> [Command; 2] {
+    [
+        verbenaspool::cli::command(),
+        verbenaspool_agent::command::command(),
+    ]
+}
+
+/// A page of the manual.
+fn page(command: Command) -> String {
+    let mut text = Vec::new();
+    clap_mangen::Man::new(command).render(&mut text).unwrap();
+    String::from_utf8(text).unwrap()
+}
+
+#[test]
+fn completions_are_current() {
+    for mut command in programs() {
+        let name = command.get_name().to_owned();
+        for shell in [Shell::Bash, Shell::Fish, Shell::Zsh] {
+            let mut text = Vec::new();
+            clap_complete::generate(shell, &mut command, &name, &mut text);
+            let path = format!("../../../extra/completions/{name}.{shell}");
+            expect_file![path].assert_eq(&String::from_utf8(text).unwrap());
+        }
+    }
+}
+
+#[test]
+fn manual_pages_are_current() {
+    for mut command in programs() {
+        command.build();
+        let name = command.get_name().to_owned();
+        let path = format!("../../../extra/man/{name}.1");
+        expect_file![path].assert_eq(&page(command.clone()));
+        for part in command.get_subcommands() {
+            if part.get_name() == "help" {
+                continue;
+            }
+            let title = format!("{name}-{}", part.get_name());
+            let path = format!("../../../extra/man/{title}.1");
+            let part = part.clone().display_name(&title);
+            expect_file![path].assert_eq(&page(part));
+        }
+    }
+}
