--- a/verbenaspool/benches/path/load.rs
+++ b/verbenaspool/benches/path/load.rs
@@ -104,15 +104,21 @@
 
     /// Requests a second.
     pub fn rate(&self) -> f64 {
-        self.count() as f64 / self.seconds
+        float(self.count()) / self.seconds
     }
 
     /// The time in microseconds that a part of the requests stays within.
     pub fn quantile(&self, part: f64) -> f64 {
-        self.times.value_at_quantile(part) as f64
+        float(self.times.value_at_quantile(part))
     }
 }
 
+/// A count as a number to divide.
+#[allow(clippy::cast_precision_loss)] // Counts stay far below 2^53.
+pub fn float(count: u64) -> f64 {
+    count as f64
+}
+
 /// Runs a round with so many connections over so many threads.
 pub fn run(target: &Target, threads: usize, connections: usize, time: Duration) -> Load {
     let began = Instant::now();
--- a/verbenaspool/benches/path/main.rs
+++ b/verbenaspool/benches/path/main.rs
@@ -29,7 +29,7 @@
 const LATENCY: Duration = Duration::from_millis(1_500);
 
 /// How long one round of throughput takes.
-const THROUGHPUT: Duration = Duration::from_millis(2_000);
+const THROUGHPUT: Duration = Duration::from_secs(2);
 
 /// Connections in a round of throughput, over all threads.
 const CONNECTIONS: usize = 64;
@@ -143,7 +143,7 @@
         straight.add(&many(&direct));
     }
     let [(bare, bare_used), (path, path_used)] = &totals;
-    let per_core = |load: &Load, used: f64| load.count() as f64 / used;
+    let per_core = |load: &Load, used: f64| load::float(load.count()) / used;
     json!({
         "bench": "path",
         "measure": "throughput",
--- a/verbenaspool/tests/rules/driver.rs
+++ b/verbenaspool/tests/rules/driver.rs
@@ -40,13 +40,15 @@
     let mut named = 0;
     for path in found {
         let text = fs::read_to_string(&path).unwrap();
-        let code = text.lines().filter(|line| !line.trim_start().starts_with("//"));
+        let code = text
+            .lines()
+            .filter(|line| !line.trim_start().starts_with("//"));
         for (i, line) in code.enumerate() {
             for (start, end) in REFUSED {
                 let word = format!("{start}{end}");
                 assert!(!line.contains(&word), "{}: {i}: {word}", path.display());
             }
-            named += usize::from(line.contains("RuntimeBuilder::<"));
+            named += usize::from(line.contains(&format!("{}::<", "RuntimeBuilder")));
         }
     }
     assert_eq!(named, 1, "the loop is built in one place");
--- a/verbenaspool/tests/rules/main.rs
+++ b/verbenaspool/tests/rules/main.rs
@@ -1,5 +1,6 @@
-//! What holds of the repository as a whole: committed companions of the command
-//! lines, and the loop's driver.
+//! What holds of the repository as a whole: the commands, their committed
+//! companions, and the loop's driver.
 
+mod commands;
 mod driver;
 mod extra;
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,8 +2,10 @@
 //! upstream.
 
 mod fault;
+mod history;
 mod input;
 mod path;
 mod process;
+mod refusal;
 mod report;
 mod rig;
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -13,7 +13,6 @@
     mechanism::{Mechanism, Set},
     member::Member,
     pace::Pace,
-    ramp,
 };
 
 /// How often outliers are looked for: often enough to act within a second, and
@@ -22,9 +21,15 @@
 /// The age at which a load report no longer counts. Reports are seconds late as
 /// a rule; after ten the load they speak of is gone.
 const STALE: Duration = Duration::from_secs(10);
+/// How much of a report's difference from the mean counts. Reports are late, so
+/// a part of it is gone when they arrive; with all of it, entries that see the
+/// same report move together, and with none they leave their zone by chance.
+const TRUST: f64 = 0.5;
 /// The most running and waiting requests that a report may claim; more is taken
 /// as this, so that an absurd report can't shut an upstream out for good.
 const ABSURD: u32 = 100_000;
+/// Upstreams needed to tell which one is the outlier.
+const FEW: usize = 3;
 /// The bounds of a member's speed; outside them the figure is no measurement.
 const SPEEDS: (f64, f64) = (0.05, 20.0);
 
@@ -33,6 +38,8 @@
 pub struct Upstream {
     /// What the list says of it.
     pub member: Member,
+    /// Whether it stands in the entry's own zone.
+    pub local: bool,
     /// Stands for this upstream; a later one in the same place has another.
     pub serial: u64,
     /// Stands for its cache; changes when the cache is emptied.
@@ -47,8 +54,6 @@
     limit: Limit,
     /// Its record.
     health: Health,
-    /// When it joined, or came back; none where it has nothing to take up.
-    since: Option<Duration>,
     /// The last report's sequence and when it came.
     reported: Option<(u64, Duration)>,
 }
@@ -56,6 +61,12 @@
 /// The upstreams, in the order of the chosen subset.
 #[derive(Debug)]
 pub struct Pool {
+    /// The mean of what other entries have at an upstream.
+    others: f64,
+    /// The entry's own zone.
+    zone: Name,
+    /// The work a second that the upstreams do for this entry, once a pace is known.
+    capacity: Option<f64>,
     /// The upstreams.
     list: Vec<Upstream>,
     /// Where each stands.
@@ -77,8 +88,11 @@
 impl Pool {
     /// A pool without upstreams.
     #[must_use]
-    pub fn new(mechanisms: Set) -> Self {
+    pub fn new(zone: Name, mechanisms: Set) -> Self {
         Self {
+            zone,
+            others: 0.0,
+            capacity: None,
             list: Vec::new(),
             places: HashMap::new(),
             pace: Pace::default(),
@@ -90,6 +104,12 @@
         }
     }
 
+    /// The entry's own zone.
+    #[must_use]
+    pub fn zone(&self) -> &Name {
+        &self.zone
+    }
+
     /// The upstreams.
     #[must_use]
     pub fn list(&self) -> &[Upstream] {
@@ -98,7 +118,6 @@
 
     /// Takes the members to work with; leaving ones are left out by the caller.
     pub fn set(&mut self, now: Duration, members: &[&Member], settings: &Decisions) {
-        let first = self.list.is_empty();
         let mut before: HashMap<Name, Upstream> = self
             .list
             .drain(..)
@@ -109,26 +128,22 @@
             let kept = before
                 .remove(&member.name)
                 .filter(|kept| kept.member.incarnation == member.incarnation);
-            let mut upstream = kept.unwrap_or_else(|| self.join(now, member, settings, first));
+            let mut upstream = kept.unwrap_or_else(|| self.join(member, settings));
             upstream.member = member.clone();
+            upstream.local = member.zone == self.zone;
             upstream.member.speed = speed(member.speed);
             self.places.insert(member.name.clone(), self.list.len());
             self.list.push(upstream);
         }
+        self.measure(now);
     }
 
-    /// An upstream that joins. The very first list has nobody to spare it, so
-    /// its members start without a ramp.
-    fn join(
-        &mut self,
-        now: Duration,
-        member: &Member,
-        settings: &Decisions,
-        first: bool,
-    ) -> Upstream {
+    /// An upstream that joins, with the limit that new ones start with.
+    fn join(&mut self, member: &Member, settings: &Decisions) -> Upstream {
         self.serial += 2;
         Upstream {
             member: member.clone(),
+            local: member.zone == self.zone,
             serial: self.serial,
             cache: Key(self.serial),
             in_flight: 0,
@@ -136,11 +151,16 @@
             pace: Pace::default(),
             limit: Limit::new(settings.initial_limit),
             health: Health::default(),
-            since: (!first).then_some(now),
             reported: None,
         }
     }
 
+    /// Whether any upstream takes new work at all.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.list.iter().any(|upstream| !upstream.member.leaving)
+    }
+
     /// The place of an upstream by name.
     #[must_use]
     pub fn place(&self, name: &Name) -> Option<usize> {
@@ -216,15 +236,23 @@
         self.list[place].cache = Key(self.serial);
     }
 
-    /// Looks for outliers, at most once a [`TICK`].
-    pub fn refresh(&mut self, now: Duration, settings: &Decisions) {
-        if now < self.tick {
-            return;
+    /// Looks for outliers and adds the capacity up, at most once a [`TICK`];
+    /// whether it did.
+    pub fn refresh(&mut self, now: Duration, settings: &Decisions) -> bool {
+        // A clock that jumped back would leave a tick that is far off.
+        if now < self.tick && self.tick.saturating_sub(now) <= TICK {
+            return false;
         }
-        self.tick = now + TICK;
-        if !self.mechanisms.has(Mechanism::Ejection) || self.list.len() < 3 {
-            return;
+        self.tick = now.saturating_add(TICK);
+        if self.mechanisms.has(Mechanism::Ejection) && self.list.len() >= FEW {
+            self.eject(now, settings);
         }
+        self.measure(now);
+        true
+    }
+
+    /// Ejects outliers.
+    fn eject(&mut self, now: Duration, settings: &Decisions) {
         let median = self.median();
         let mut room = self.ejectable(now, settings);
         for upstream in &mut self.list {
@@ -246,7 +274,7 @@
                 self.ejections += 1;
                 upstream.health.eject(now);
                 upstream.pace.reset();
-                upstream.since = Some(upstream.health.back());
+                upstream.limit.restart();
             }
         }
     }
@@ -295,17 +323,11 @@
 
     /// The most attempts in flight at an upstream now; 0 while it is out.
     #[must_use]
-    pub fn limit(&self, now: Duration, upstream: &Upstream, settings: &Decisions) -> f64 {
+    pub fn limit(&self, now: Duration, upstream: &Upstream) -> f64 {
         if upstream.member.leaving || upstream.health.is_out(now) {
             return 0.0;
         }
-        let ramps = self.mechanisms.has(Mechanism::Ramp);
-        let ramp = Duration::from_millis(settings.ramp_ms);
-        let part = match upstream.since {
-            Some(since) if ramps => ramp::part(now, since, ramp),
-            _ => 1.0,
-        };
-        (upstream.limit.get() * part).max(1.0)
+        upstream.limit.get()
     }
 
     /// Whether an upstream is out.
@@ -316,36 +338,52 @@
 
     /// Whether an upstream takes another attempt.
     #[must_use]
-    pub fn has_room(&self, now: Duration, place: usize, settings: &Decisions) -> bool {
+    pub fn has_room(&self, now: Duration, place: usize) -> bool {
         let upstream = &self.list[place];
-        f64::from(upstream.in_flight) + 1.0 <= self.limit(now, upstream, settings)
+        f64::from(upstream.in_flight) + 1.0 <= self.limit(now, upstream)
     }
 
     /// How loaded an upstream looks: what is there and one more, by its pace.
     #[must_use]
     pub fn score(&self, now: Duration, place: usize) -> f64 {
         let upstream = &self.list[place];
-        let fresh = upstream.reported.is_some_and(|(_, at)| now < at + STALE);
-        let others = if fresh && self.mechanisms.has(Mechanism::Reports) {
-            upstream.others
-        } else {
+        let fresh = upstream
+            .reported
+            .is_some_and(|(_, at)| now.saturating_sub(at) < STALE);
+        let others = if !self.mechanisms.has(Mechanism::Reports) {
             0.0
+        } else if fresh {
+            self.others + TRUST * (upstream.others - self.others)
+        } else {
+            self.others
         };
         (f64::from(upstream.in_flight) + others + 1.0) * self.pace_of(upstream)
     }
 
     /// The work a second that the upstreams do for this entry, once a pace is known.
     #[must_use]
-    pub fn capacity(&self, now: Duration, settings: &Decisions) -> Option<f64> {
-        let common = self.pace()?;
+    pub fn capacity(&self) -> Option<f64> {
+        self.capacity
+    }
+
+    /// The mean of what other entries have at an upstream.
+    #[allow(clippy::cast_precision_loss)] // A subset is some thousands at most.
+    fn mean_others(&self) -> f64 {
+        let sum: f64 = self.list.iter().map(|upstream| upstream.others).sum();
+        sum / self.list.len().max(1) as f64
+    }
+
+    /// Adds the capacity up.
+    fn measure(&mut self, now: Duration) {
+        self.others = self.mean_others();
+        let Some(common) = self.pace() else {
+            return;
+        };
         let rate = |upstream: &Upstream| {
-            let pace = upstream
-                .pace
-                .mean()
-                .unwrap_or(common / upstream.member.speed);
-            self.limit(now, upstream, settings) / pace
+            let expected = common / upstream.member.speed;
+            self.limit(now, upstream) / upstream.pace.mean().unwrap_or(expected)
         };
-        Some(self.list.iter().map(rate).sum())
+        self.capacity = Some(self.list.iter().map(rate).sum());
     }
 }
 
