--- a/verbenaspool_standin/tests/config/limits.rs
+++ b/verbenaspool_standin/tests/config/limits.rs
@@ -199,13 +199,13 @@
     for (hash, bytes) in &other.pieces {
         adoption.insert(*hash, bytes).unwrap();
     }
-    let refused = adoption.poll(Duration::ZERO, 1);
+    let refused = adoption.poll(Duration::from_secs(1), 1);
     assert!(matches!(refused, Err(Error::Firm { .. })), "{refused:?}");
     let current = adoption.current().map(|adopted| adopted.version());
     assert_eq!(current, Some(Version(5)));
     // A later version of the firm still comes in force.
     assert_eq!(adoption.offer(head(7, split.root)), Verdict::New);
-    assert!(adoption.poll(Duration::ZERO, 1).unwrap().is_some());
+    assert!(adoption.poll(Duration::from_secs(2), 1).unwrap().is_some());
 }
 
 // A version waits until a second instance holds it, and no longer than the bound
@@ -253,3 +253,67 @@
         assert_eq!(accepted(&settled), Some(Version(1)), "{lost:?}");
     });
 }
+
+// Every instance of a large firm's zone was replaced. Reading thousands of
+// pieces one by one within the budget would keep it from serving for minutes.
+#[test]
+fn large_firm_is_read_in_few_calls() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let mut large = file(FIRM, 1);
+        let customer = |i: u32| verbenaspool_state::customer::Customer {
+            name: name(&format!("customer-{i}")),
+            ..large.customers[0].clone()
+        };
+        large.customers = (0..3_000).map(customer).collect();
+        for mark in 1..=3 {
+            large.customers[7].share = mark;
+            let mut order = order(FIRM, mark, &format!("apply-{mark}"));
+            order.split = piece::split(&large).unwrap();
+            assert!(accepted(&apply(&*store, order).await).is_some());
+        }
+        let before = platform.calls().reads;
+        let instance = Instance::start(1, client(&platform, FIRM), &[], 1);
+        let adopted = instance.source.above(Version(2)).await;
+        assert_eq!(adopted.file.customers.len(), 3_000);
+        // The bundles are two versions old; what changed since is read besides.
+        let reads = platform.calls().reads - before;
+        assert!(reads <= 40, "{reads} reads");
+    });
+}
+
+// Operators change a file a hundred times a second and no peer answers. Each
+// version that comes in must not push out the one that waits, or none is ever in
+// force; nor may a large firm's instances do nothing but adopt.
+#[test]
+fn stream_of_changes() {
+    // Customers, and versions that may come in force within ten seconds.
+    for (customers, least, most) in [(10_u32, 9, 10), (16_000, 3, 6)] {
+        let firm = name(FIRM);
+        let mut large = file(FIRM, 1);
+        let customer = |i: u32| verbenaspool_state::customer::Customer {
+            name: name(&format!("customer-{i}")),
+            ..large.customers[0].clone()
+        };
+        large.customers = (0..customers).map(customer).collect();
+        let split = piece::split(&large).unwrap();
+        let mut adoption = Adoption::new(firm, Settings::default());
+        let mut head = Head::first("apply", split.root);
+        let mut versions = Vec::new();
+        for turn in 0..1_000_u64 {
+            adoption.offer(head.clone());
+            for (hash, bytes) in split.pieces.iter().filter(|_| turn == 0) {
+                adoption.insert(*hash, bytes).unwrap();
+            }
+            let now = Duration::from_millis(turn * 10);
+            if let Some(adopted) = adoption.poll(now, 2).unwrap() {
+                versions.push(adopted.version().0);
+            }
+            head = head.next("apply", split.root);
+        }
+        assert!(versions.is_sorted(), "{versions:?}");
+        let count = versions.len();
+        assert!((least..=most).contains(&count), "{customers}: {versions:?}");
+    }
+}
