--- a/verbenaspool_state/src/check.rs
+++ b/verbenaspool_state/src/check.rs
@@ -9,7 +9,7 @@
     fmt,
 };
 
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use serde_norway::{Mapping, Value};
 
 use crate::{
@@ -43,7 +43,7 @@
 const SECTIONS: [&str; 4] = ["firm", "places", "services", "customers"];
 
 /// One thing wrong with a file.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// Where it stands, such as `services[2].zones`; empty for the whole file.
     pub path: String,
