--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -9,7 +9,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 use serde::Serialize;
 
-use verbenaspool_state::version::Version;
+use verbenaspool_state::{check::Problem, file::File, name::Name, version::Version};
 
 use crate::{
     operate::{self, apply, status},
@@ -70,6 +70,9 @@
         /// The firm's file.
         #[arg(value_name = "FILE")]
         file: PathBuf,
+        /// Tell the result as JSON.
+        #[arg(long)]
+        json: bool,
     },
     /// Apply a firm's file, whole or not at all.
     Apply {
@@ -119,13 +122,7 @@
 pub fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Run { settings } => run(&settings),
-        Command::Check { file } => match operate::check(&file) {
-            Ok(file) => {
-                println!("{}: the file is sound", file.firm);
-                ExitCode::SUCCESS
-            }
-            Err(error) => fail(&error),
-        },
+        Command::Check { file, json } => checked(&operate::check(&file), json),
         Command::Apply {
             settings,
             file,
@@ -160,6 +157,41 @@
     serde_json::to_string(report).unwrap_or_default()
 }
 
+/// The result of a check as JSON.
+#[derive(Debug, Serialize)]
+struct Checked<'a> {
+    /// Whether the file can be applied.
+    sound: bool,
+    /// The firm, where the file is sound.
+    firm: Option<&'a Name>,
+    /// Everything that is wrong.
+    problems: &'a [Problem],
+}
+
+/// Tells the result of a check.
+fn checked(result: &Result<File, operate::Error>, json: bool) -> ExitCode {
+    let (firm, problems): (_, &[Problem]) = match result {
+        Ok(file) => (Some(&file.firm), &[]),
+        Err(operate::Error::Problems { problems, .. }) if json => (None, problems),
+        Err(error) => return fail(error),
+    };
+    let checked = Checked {
+        sound: firm.is_some(),
+        firm,
+        problems,
+    };
+    match firm {
+        _ if json => println!("{}", text(&checked)),
+        Some(firm) => println!("{firm}: the file is sound"),
+        None => {}
+    }
+    if checked.sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(PROBLEMS)
+    }
+}
+
 /// Tells the result of an apply.
 fn applied(result: &apply::Result, json: bool) -> ExitCode {
     println!("{}", if json { text(result) } else { result.text() });
--- /dev/null
+++ b/verbenaspool/tests/rules/main.rs
@@ -0,0 +1,6 @@
+//! What holds of the repository as a whole: the commands, their committed
+//! companions, and the loop's driver.
+
+mod commands;
+mod driver;
+mod extra;
