Keep runs of the agent's tests apart, and off the clock

Runs side by side shared settings files by name: one of four failed with another run's upstream. Waits for a silence became waits for an end.

--- a/verbenaspool_agent/tests/agent/fault.rs
+++ b/verbenaspool_agent/tests/agent/fault.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use futures_util::future::Either;
+
 use verbenaspool_protocol::{outcome::Outcome, problem::Code, settle::Answer};
 use verbenaspool_standin::engine::{Config, Desk};
 
@@ -67,8 +69,11 @@
         let rig = Rig::start(settings(address, "plain"));
         let id = rig.id();
         let request = rig.request(id, "/bookings", "net 7");
-        let sent = monoio::time::timeout(Duration::from_millis(15), rig.send(request)).await;
-        assert!(sent.is_err(), "the entry gave up");
+        let sent = Box::pin(rig.send(request));
+        let begun = Box::pin(rig.until(|| book.writes.borrow().len() == 1));
+        let first = futures_util::future::select(sent, begun).await;
+        assert!(matches!(first, Either::Right(_)), "the entry gave up");
+        drop(first);
         while rig.settle(id).await == Answer::Running {}
         assert_eq!(rig.settle(id).await, Answer::Ended);
         let again = rig.post(id, "/bookings", "net 7").await.unwrap();
--- a/verbenaspool_agent/tests/agent/input.rs
+++ b/verbenaspool_agent/tests/agent/input.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use monoio::{
-    io::{AsyncReadRent, AsyncWriteRentExt},
+    io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt},
     net::TcpStream,
 };
 
@@ -14,14 +14,32 @@
 
 use crate::rig::{Rig, engine, run, service, settings};
 
+/// How long a peer may take to say something.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// After this long without another word a peer has said all.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// Sends bytes and returns what comes back until the peer closes or falls silent.
 async fn say(address: SocketAddr, bytes: Vec<u8>) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let _ = stream.write_all(bytes).await;
+    listen(stream).await
+}
+
+/// The same, and says no more: what was sent is cut off.
+async fn cut(address: SocketAddr, bytes: Vec<u8>) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    listen(stream).await
+}
+
+async fn listen(mut stream: TcpStream) -> String {
     let mut heard = Vec::new();
-    let pause = Duration::from_millis(100);
     loop {
-        let read = monoio::time::timeout(pause, stream.read(vec![0; 4096])).await;
+        let wait = if heard.is_empty() { PATIENCE } else { PAUSE };
+        let read = monoio::time::timeout(wait, stream.read(vec![0; 4096])).await;
         match read {
             Ok((Ok(read), chunk)) if read > 0 => heard.extend_from_slice(&chunk[..read]),
             _ => return String::from_utf8_lossy(&heard).into_owned(),
@@ -170,7 +188,7 @@
         let rig = Rig::start(settings(address, "plain"));
         let mut bytes = head(rig.agent, "content-length: 10");
         bytes.extend_from_slice(b"net");
-        say(rig.data, bytes).await;
+        cut(rig.data, bytes).await;
         assert!(rig.post(rig.id(), "/bookings", "net 7").await.is_ok());
         assert_eq!(*book.writes.borrow(), ["net 7"]);
     });
@@ -181,6 +199,8 @@
     run(async {
         let (address, _) = engine(Config::default());
         let rig = Rig::start(settings(address, "engine"));
+        let part = vec![0, 0, 0, 9, b'{'];
+        assert_eq!(cut(rig.control, part).await, "", "cut off");
         let frame = |text: &[u8]| {
             let length = u32::try_from(text.len()).unwrap();
             [length.to_be_bytes().as_slice(), text].concat()
@@ -194,7 +214,6 @@
         let more = r#"{"since":1,"more":2}"#;
         let table = [
             ("too long", vec![0xff; 8], ""),
-            ("cut off", vec![0, 0, 0, 9, b'{'], ""),
             ("no UTF-8", frame(b"\xff\xfe"), ""),
             ("no JSON", frame(b"{]"), ""),
             ("no call", frame(b"7"), ""),
--- a/verbenaspool_agent/tests/agent/process.rs
+++ b/verbenaspool_agent/tests/agent/process.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use serde_json::Value;
 
@@ -31,7 +32,8 @@
 }
 
 fn file(name: &str, text: &str) -> PathBuf {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("{name}-{}.yaml", std::process::id()));
     std::fs::write(&path, text).expect("a settings file");
     path
 }
@@ -149,9 +151,8 @@
         let id = rig.id();
         let sent = Box::pin(rig.post(id, "/bookings", "net 7"));
         let begun = Box::pin(rig.until(|| book.writes.borrow().len() == 1));
-        let (sent, ()) = match futures_util::future::select(sent, begun).await {
-            futures_util::future::Either::Right(((), sent)) => (sent, ()),
-            futures_util::future::Either::Left(_) => panic!("the write was answered"),
+        let Either::Right(((), sent)) = select(sent, begun).await else {
+            panic!("the write was answered");
         };
         process.child.kill().unwrap();
         assert!(matches!(sent.await, Err(Error::Broken(_))));
