--- a/verbenaspool_standin/src/engine/batch.rs
+++ b/verbenaspool_standin/src/engine/batch.rs
@@ -38,11 +38,12 @@
     call: oneshot::Sender<()>,
 }
 
-/// A place in the batch, given back when the request ends.
+/// A place in the batch or in the queue, given back when the request ends.
 #[derive(Debug)]
 pub struct Place {
     batch: Rc<Batch>,
     left: Cell<u32>,
+    runs: Cell<bool>,
 }
 
 impl Batch {
@@ -65,19 +66,22 @@
 
     /// Waits for a place.
     pub(crate) async fn enter(self: &Rc<Self>, priority: u8, tokens: u32) -> Place {
+        self.tokens.set(self.tokens.get() + u64::from(tokens));
+        let place = Place {
+            batch: self.clone(),
+            left: Cell::new(tokens),
+            runs: Cell::new(false),
+        };
         while self.running.get() >= self.places {
             let (call, called) = oneshot::channel();
             self.waiting.borrow_mut().push(Waiter { priority, call });
             self.note();
             let _ = called.await;
         }
+        place.runs.set(true);
         self.running.set(self.running.get() + 1);
-        self.tokens.set(self.tokens.get() + u64::from(tokens));
         self.note();
-        Place {
-            batch: self.clone(),
-            left: Cell::new(tokens),
-        }
+        place
     }
 
     /// The time to read so many prompt tokens.
@@ -175,7 +179,10 @@
         self.batch
             .tokens
             .set(self.batch.tokens.get().saturating_sub(left));
-        self.batch.running.set(self.batch.running.get() - 1);
+        if self.runs.get() {
+            self.batch.running.set(self.batch.running.get() - 1);
+        }
+        // A waiter that was called and went before it came passes the call on.
         self.batch.call();
         self.batch.note();
     }
