--- /dev/null
+++ b/verbenaspool_coordination/benches/lead.rs
@@ -0,0 +1,174 @@
+//! What a lead costs: messages, bytes and processor time, by the group's size and
+//! window: `cargo bench --bench lead`. All ranks are healthy; time is played.
+
+use std::time::{Duration, Instant};
+
+use verbenaspool_coordination::group::{
+    lead::{Lead, Output, Settings},
+    member::Message,
+    message::{Ask, News, Report, Start},
+    schedule::Span,
+};
+use verbenaspool_state::expert_map::{Map, Shape};
+
+/// How long a step takes.
+const STEP: Duration = Duration::from_millis(25);
+/// How many steps are played.
+const STEPS: u64 = 40_000;
+/// How often the lead is told the time, in steps.
+const BEAT: usize = 2;
+
+/// What a run came to.
+#[derive(Debug, Default)]
+struct Cost {
+    messages: usize,
+    bytes: usize,
+    busy: Duration,
+}
+
+/// The JSON bytes of a message.
+fn size(message: &Message) -> usize {
+    serde_json::to_vec(message).map_or(0, |text| text.len())
+}
+
+/// A rank's answer to what the lead asks.
+fn answer(seat: u16, done: u64, ask: Ask) -> Option<Report> {
+    let start = Start {
+        incarnation: 1_764_720_000_000,
+        life: 0,
+    };
+    let news = match ask {
+        Ask::Collect { round } => News::Joined {
+            round,
+            done,
+            spans: Vec::new(),
+            running: None,
+            held: Vec::new(),
+        },
+        Ask::Grant { spans, .. } => {
+            let top = spans.last().map_or(done, |span: &Span| span.to);
+            News::Progress { done, top }
+        }
+        Ask::Stage { map, .. } => News::Staged { epoch: map.epoch },
+        Ask::Drop { .. } | Ask::Fetch { .. } => return None,
+    };
+    Some(Report {
+        seat,
+        fence: 3,
+        start,
+        news,
+    })
+}
+
+/// Plays a healthy group under one lead.
+fn play(ranks: u16, window: u64) -> Cost {
+    let shape = Shape {
+        ranks,
+        experts: 256,
+        layers: 1,
+        slots: 256_u16.div_ceil(ranks),
+    };
+    let settings = Settings {
+        seat: 0,
+        shape,
+        window,
+        resend: Duration::from_millis(500),
+        patience: Duration::from_mins(10),
+    };
+    let mut lead = Lead::new(settings, 3);
+    let mut cost = Cost::default();
+    let (mut first, mut done, mut ready) = (0, 0, false);
+    for step in (0..STEPS).step_by(BEAT) {
+        let now = STEP * u32::try_from(step).expect("a small number");
+        let start = Instant::now();
+        let mut outputs = lead.tick(now);
+        if lead.is_granting() && lead.epoch().is_none() && lead.changing().is_none() {
+            let map = Map::spread(1, shape);
+            let (_, more) = lead.propose(now, map.layers).expect("a map that fits");
+            outputs.extend(more);
+        }
+        cost.busy += start.elapsed();
+        if first > 0 && !ready {
+            // The first grants are through; what comes now is the steady state.
+            (ready, cost) = (true, Cost::default());
+        }
+        while let Some(output) = outputs.pop() {
+            let Output::Send { seat, command } = output else {
+                continue;
+            };
+            if let (0, Ask::Grant { spans, .. }) = (first, &command.ask) {
+                first = spans[0].from;
+                done = first;
+            }
+            let ask = command.ask.clone();
+            if seat > 0 {
+                cost.messages += 1;
+                cost.bytes += size(&Message::Command(command));
+            }
+            let Some(report) = answer(seat, done, ask) else {
+                continue;
+            };
+            if seat > 0 {
+                cost.messages += 1;
+                cost.bytes += size(&Message::Report(report.clone()));
+            }
+            let start = Instant::now();
+            outputs.extend(lead.report(now, report));
+            cost.busy += start.elapsed();
+        }
+        if first > 0 {
+            done += 2;
+            let spans = Vec::new();
+            let own = answer(
+                0,
+                done,
+                Ask::Grant {
+                    start: Start::default(),
+                    spans,
+                },
+            );
+            let mut own = own.expect("an answer");
+            if let News::Progress { top, .. } = &mut own.news {
+                *top = 0;
+            }
+            let start = Instant::now();
+            // What it grants is sent with the next beat's.
+            for output in lead.report(now, own) {
+                if let Output::Send { seat, command } = output {
+                    cost.messages += 1;
+                    cost.bytes += size(&Message::Command(command.clone()));
+                    if let Some(report) = answer(seat, done, command.ask) {
+                        cost.messages += 1;
+                        cost.bytes += size(&Message::Report(report.clone()));
+                        lead.report(now, report);
+                    }
+                }
+            }
+            cost.busy += start.elapsed();
+        }
+    }
+    cost
+}
+
+fn main() {
+    let json = std::env::args().any(|argument| argument == "--json");
+    for (ranks, window) in [(8, 256), (128, 256), (128, 1024), (128, 2048)] {
+        let cost = play(ranks, window);
+        let steps = u32::try_from(STEPS).expect("a small number");
+        let seconds = (STEP * steps).as_secs_f64();
+        #[allow(clippy::cast_precision_loss)] // Small counts.
+        let (messages, bytes) = (cost.messages as f64 / seconds, cost.bytes as f64 / seconds);
+        let core = 100.0 * cost.busy.as_secs_f64() / seconds;
+        if json {
+            println!(
+                "{{\"ranks\":{ranks},\"window\":{window},\"messages_a_second\":{messages:.2},\
+                 \"bytes_a_second\":{bytes:.0},\"core_percent\":{core:.4}}}"
+            );
+        } else {
+            println!(
+                "{ranks:4} ranks, window {window:5}: {messages:7.2} messages/s, \
+                 {bytes:7.0} B/s, {core:.4}% of a core"
+            );
+        }
+    }
+}
--- a/verbenaspool_coordination/src/group/lead.rs
+++ b/verbenaspool_coordination/src/group/lead.rs
@@ -17,6 +17,9 @@
     schedule::{Schedule, Span},
 };
 
+mod assembly;
+mod service;
+
 pub use super::outcome::{Abort, Output, Refused, Settings};
 
 /// How many maps one fence may bring in. An epoch is the fence times this plus
@@ -383,45 +386,6 @@
         listed.err().map(|_| Output::Diverged { seat, step, ran })
     }
 
-    /// Whether all ranks have joined, each engine that has lost everything
-    /// before the others last said where they stand.
-    ///
-    /// Such an engine has to join at the step where the others wait for it.
-    /// What they said before it was lost may be many steps old: the engine
-    /// would start at a step that the others have left behind, and the group
-    /// would stand for good. So they are asked once more.
-    fn assemble(&mut self) -> bool {
-        if !self.seats.iter().all(|seat| seat.joined) {
-            return false;
-        }
-        let stands = self.done() > 0;
-        let base = self.base();
-        let mut anew = false;
-        for seat in self.seats.iter_mut().filter(|seat| seat.done == 0) {
-            if stands && seat.lost != Some(seat.start) {
-                seat.lost = Some(seat.start);
-                anew = true;
-            }
-            if seat.place == 0 {
-                seat.place = base;
-            }
-        }
-        if anew {
-            self.recollect();
-        }
-        !anew
-    }
-
-    /// Asks all ranks anew where they stand, under the same fence.
-    fn recollect(&mut self) {
-        self.phase = Phase::Collecting;
-        self.round += 1;
-        for seat in &mut self.seats {
-            seat.joined = false;
-            seat.sent = None;
-        }
-    }
-
     /// The last step granted to anyone.
     fn top(&self) -> u64 {
         self.schedule.top().unwrap_or(0).max(self.base())
@@ -458,20 +422,6 @@
         outputs
     }
 
-    /// Asks for the placement of a map that steps run on and that a new lead
-    /// doesn't know, at one rank after the other: an agent may know it whose
-    /// engine has lost the weights.
-    fn fetch(&mut self, now: Duration) -> Option<Output> {
-        let mut used = self.schedule.epochs().chain(self.epoch);
-        let epoch = used.find(|epoch| !self.maps.contains_key(epoch))?;
-        if self.fetched.is_some_and(|t| now < t + self.settings.resend) {
-            return None;
-        }
-        self.fetched = Some(now);
-        self.asked = (self.asked + 1) % self.settings.shape.ranks;
-        Some(self.send(self.asked, Ask::Fetch { epoch }))
-    }
-
     /// Decides the change under way, once every rank has staged it or too long.
     fn settle(&mut self, now: Duration) -> Vec<Output> {
         let Some(change) = &self.change else {
@@ -531,63 +481,6 @@
         self.maps.retain(|&epoch, _| epoch >= oldest);
     }
 
-    /// What a rank has to be told now.
-    fn serve(&mut self, now: Duration, seat: u16, at_once: bool) -> Vec<Output> {
-        let own = usize::from(self.settings.seat);
-        let rank = &self.seats[usize::from(seat)];
-        let due = rank.sent.is_none_or(|t| now >= t + self.settings.resend);
-        // The lead's own rank promises first: from then on its agent tells a
-        // rank that starts anew of this fence.
-        let held_up = usize::from(seat) != own && !self.seats[own].joined && rank.sent.is_none();
-        if held_up {
-            return Vec::new();
-        }
-        let asks = if rank.joined {
-            let extended = rank.offered < self.top();
-            self.wants(seat, due || at_once || extended)
-        } else if due {
-            vec![Ask::Collect { round: self.round }]
-        } else {
-            Vec::new()
-        };
-        if !asks.is_empty() {
-            let top = self.top();
-            let rank = &mut self.seats[usize::from(seat)];
-            rank.sent = Some(now);
-            rank.offered = if rank.joined { top } else { 0 };
-        }
-        let asks = asks.into_iter();
-        asks.map(|ask| self.send(seat, ask)).collect()
-    }
-
-    /// What a rank that has joined lacks: maps that it has to hold, steps that
-    /// it hasn't acknowledged.
-    fn wants(&self, seat: u16, due: bool) -> Vec<Ask> {
-        let rank = &self.seats[usize::from(seat)];
-        let start = rank.start;
-        let mut asks = Vec::new();
-        if !due || self.phase != Phase::Granting {
-            return asks;
-        }
-        let granted: BTreeSet<u64> = self.schedule.epochs().collect();
-        let needed = granted.into_iter().chain(self.epoch).chain(self.changing());
-        let needed: BTreeSet<u64> = needed.filter(|epoch| !rank.held.contains(epoch)).collect();
-        for map in needed.iter().filter_map(|epoch| self.maps.get(epoch)) {
-            let map = map.clone();
-            asks.push(Ask::Stage { start, map });
-        }
-        // An engine that has run nothing starts where the others wait for it,
-        // and isn't granted steps before they have said where that is.
-        let from = if rank.done == 0 { rank.place } else { rank.top };
-        if from > 0 && (rank.top < self.top() || rank.done == 0) {
-            let spans = self.schedule.after(from);
-            if !spans.is_empty() {
-                asks.push(Ask::Grant { start, spans });
-            }
-        }
-        asks
-    }
-
     /// A command under this lead's fence.
     fn send(&self, seat: u16, ask: Ask) -> Output {
         let command = Command {
--- a/verbenaspool_coordination/src/group/mod.rs
+++ b/verbenaspool_coordination/src/group/mod.rs
@@ -11,6 +11,7 @@
 pub mod lead;
 pub mod member;
 pub mod message;
+pub mod order;
 pub mod rank;
 pub mod schedule;
 
--- a/verbenaspool_coordination/src/group/port.rs
+++ b/verbenaspool_coordination/src/group/port.rs
@@ -24,7 +24,8 @@
     pub longest: Duration,
     /// After how long an unanswered message is sent again.
     pub resend: Duration,
-    /// How many steps pass between two reports of progress.
+    /// How many steps pass between two reports of progress to a lead beside the
+    /// rank; other ranks report when they take a grant.
     pub stride: u64,
 }
 
--- a/verbenaspool_coordination/tests/group/main.rs
+++ b/verbenaspool_coordination/tests/group/main.rs
@@ -3,4 +3,5 @@
 
 mod faults;
 mod interleavings;
+mod orders;
 mod world;
--- /dev/null
+++ b/verbenaspool_coordination/tests/group/orders.rs
@@ -0,0 +1,114 @@
+//! The gate for orders under faults.
+
+use std::time::Duration;
+
+use verbenaspool_coordination::group::order::{
+    Action, Gate, LONGEST, Order, Outcome, Reason, Role, State, Step,
+};
+
+/// When the gate has waited out the orders of its forerunner.
+const READY: Duration = LONGEST;
+
+fn order(id: &str, fence: u64) -> Order {
+    Order {
+        id: id.to_owned(),
+        fence,
+        good_ms: 500,
+        action: Action::Role(Role::Decode),
+    }
+}
+
+fn not_run(reason: Reason) -> Step {
+    Step::Answer(Outcome::NotRun(reason))
+}
+
+fn state(role: Role) -> State {
+    State {
+        role: Some(role),
+        ..State::default()
+    }
+}
+
+/// What is refused, and why, at the door.
+#[test]
+fn orders_are_refused_for_a_reason() {
+    let longest = u64::try_from(LONGEST.as_millis()).unwrap();
+    let endless = Order {
+        good_ms: longest + 1,
+        ..order("a.1", 5)
+    };
+    let stillborn = Order {
+        good_ms: 0,
+        ..order("a.1", 5)
+    };
+    let starting = Reason::Starting { wait_ms: longest };
+    let cases = [
+        (READY, order("old.1", 4), Reason::Fence { fence: 5 }),
+        (READY, endless, Reason::Deadline),
+        (READY, stillborn, Reason::Deadline),
+        (READY, order("b.1", 5), Reason::Busy),
+    ];
+    let mut gate = Gate::new(Duration::ZERO);
+    assert_eq!(
+        gate.take(Duration::ZERO, &order("a.0", 5)),
+        not_run(starting)
+    );
+    assert!(matches!(
+        gate.take(READY, &order("a.0", 5)),
+        Step::Send { .. }
+    ));
+    for (now, order, reason) in cases {
+        assert_eq!(gate.take(now, &order), not_run(reason), "{order:?}");
+    }
+}
+
+/// An operator's change of role gets no answer, so the sender says it again:
+/// while it is under way, and once it is done. The engine gets it once.
+#[test]
+fn repeated_order_is_sent_once() {
+    let mut gate = Gate::new(Duration::ZERO);
+    assert!(matches!(
+        gate.take(READY, &order("a.1", 5)),
+        Step::Send { .. }
+    ));
+    assert_eq!(gate.take(READY, &order("a.1", 5)), Step::Wait);
+    gate.answered(READY, Ok(()));
+    for fence in [5, 4] {
+        let again = gate.take(READY, &order("a.1", fence));
+        assert_eq!(again, Step::Answer(Outcome::Done));
+    }
+}
+
+/// The engine's answer is lost. Whether the order took effect is read from the
+/// engine; that it didn't is only said once it can't any more.
+#[test]
+fn lost_answer_is_settled_by_reading() {
+    let late = READY + Duration::from_millis(500);
+    let cases = [
+        (READY, state(Role::Decode), Step::Answer(Outcome::Done)),
+        (READY, state(Role::Both), Step::Read),
+        (late, state(Role::Both), not_run(Reason::Late)),
+        (late, state(Role::Decode), Step::Answer(Outcome::Done)),
+    ];
+    for (now, state, step) in cases {
+        let mut gate = Gate::new(Duration::ZERO);
+        gate.take(READY, &order("a.1", 5));
+        assert_eq!(gate.lost(), Step::Read);
+        assert_eq!(gate.read(now, &state), step, "{state:?}");
+        if now == late {
+            let again = gate.take(late, &order("a.1", 5));
+            assert_eq!(again, step, "said again, the same is answered");
+        }
+    }
+}
+
+/// The sender was replaced, and its last order comes late, by way of an agent
+/// whose engine ignores fences: the gate stops it.
+#[test]
+fn late_order_of_an_old_sender_is_stopped() {
+    let mut gate = Gate::new(Duration::ZERO);
+    gate.take(READY, &order("new.1", 6));
+    gate.answered(READY, Ok(()));
+    let late = gate.take(READY, &order("old.9", 5));
+    assert_eq!(late, not_run(Reason::Fence { fence: 6 }));
+}
--- a/verbenaspool_standin/src/ranks.rs
+++ b/verbenaspool_standin/src/ranks.rs
@@ -281,11 +281,12 @@
         for engine in &mut self.engines {
             engine.load(now);
         }
-        let latest = now.saturating_sub(self.settings.step);
-        while self.free <= latest && self.step(now) {
+        // A step counts as run from its start, which needs the grant; counted
+        // at its end, a grant that came too late for its start would pass.
+        while self.free <= now && self.step(now) {
             self.free += self.settings.step;
         }
-        let idle = latest.saturating_sub(self.free);
+        let idle = now.saturating_sub(self.free);
         self.free += idle;
         let able = self.engines.iter().all(|engine| engine.stalled <= now);
         if able && !self.history.is_empty() {
