Change maps under the demo's traffic, and load no faster than a plan allows

A staged map carries the rate at which ranks may load it, so a service that allows no delay gets none.

--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -3,6 +3,7 @@
 //! under it, and a count of what callers got.
 
 mod events;
+mod groups;
 mod report;
 mod traffic;
 mod world;
--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use verbenaspool_protocol::outcome::Outcome;
 
-use crate::{events::Events, traffic::Call, world::World};
+use crate::{events::Events, groups::Ranks, traffic::Call, world::World};
 
 /// The demo's result.
 #[derive(Debug, Serialize)]
@@ -34,6 +34,8 @@
     conflicts: u32,
     /// Instances that left while they served.
     left: u32,
+    /// Steps that groups of ranks ran.
+    steps: usize,
     /// Changes of expert maps that came in force.
     map_changes: usize,
     /// Steps whose ranks did not all use one map.
@@ -53,6 +55,7 @@
             let micros = u64::try_from(call.took.as_micros()).unwrap_or(u64::MAX);
             times.record(micros).expect("the histogram grows");
         }
+        let groups = || world.firms.iter().flat_map(|firm| &firm.groups);
         let written = written(world);
         let refused = calls.iter().filter(|call| call.outcome == Outcome::NotRun);
         let refused: HashSet<_> = refused.filter_map(|call| call.write.as_ref()).collect();
@@ -70,8 +73,9 @@
             config_in_force_ms: events.in_force.as_secs_f64() * 1e3,
             conflicts: events.conflicts,
             left: events.left,
-            map_changes: 0,
-            steps_on_mixed_maps: 0,
+            steps: groups().map(Ranks::steps).sum(),
+            map_changes: groups().map(|group| group.judge().0).sum(),
+            steps_on_mixed_maps: groups().map(|group| group.judge().1).sum(),
             p50_us: times.value_at_quantile(0.5),
             p99_us: times.value_at_quantile(0.99),
         }
@@ -118,8 +122,8 @@
         )?;
         writeln!(
             f,
-            "{} expert maps changed; {} steps ran on mixed maps.",
-            self.map_changes, self.steps_on_mixed_maps
+            "{} expert maps changed in {} steps; {} groups ran a step on mixed maps.",
+            self.map_changes, self.steps, self.steps_on_mixed_maps
         )?;
         write!(
             f,
--- a/examples/demo/world.rs
+++ b/examples/demo/world.rs
@@ -20,7 +20,7 @@
 use verbenaspool_state::{
     file::File,
     name::Name,
-    service::Kind,
+    service::{Experts, Fences, Kind},
     upstream::{State, Upstream},
     version::Version,
 };
@@ -36,6 +36,8 @@
     shutdown::{self, Trigger},
 };
 
+use crate::groups::Ranks;
+
 /// The firms and their files.
 const FILES: [&str; 2] = [
     include_str!("../tidewater.yaml"),
@@ -79,6 +81,8 @@
     pub upstreams: Vec<(Upstream, Trigger)>,
     /// What the plain service wrote.
     pub book: Rc<Book>,
+    /// Groups of ranks among the upstreams.
+    pub groups: Vec<Ranks>,
 }
 
 /// An entry that runs.
@@ -164,6 +168,7 @@
             entries: Vec::new(),
             upstreams: Vec::new(),
             book,
+            groups: Vec::new(),
         };
         let zones: Vec<Name> = firm
             .file
@@ -190,6 +195,13 @@
     ) -> io::Result<()> {
         for service in self.file.services.clone() {
             let model = matches!(service.kind, Kind::Model(_));
+            let checked = checks(&service.kind);
+            if let Some(experts) = experts(&service.kind) {
+                let (name, clock) = (format!("{}-{zone}", service.name), clock.clone());
+                let clock: Rc<dyn Clock> = clock;
+                self.groups
+                    .push(Ranks::start(name, experts, checked, &clock)?);
+            }
             for number in 0..if model { REPLICAS } else { PLAIN } {
                 let address = if model {
                     start_engine(clock)?
@@ -197,10 +209,22 @@
                     start_plain(&self.book)?
                 };
                 let kind = if model { "engine" } else { "plain" };
+                // The last replicas of a zone are a group; the first one leaves.
+                let group = self.groups.last().filter(|_| model);
+                let group = group.and_then(|group| {
+                    let seat = (number + group.len()).checked_sub(REPLICAS)?;
+                    Some((group, seat))
+                });
+                let control = group.map(|(group, seat)| group.control(seat));
+                let control = control.unwrap_or(([127, 0, 0, 1], 0).into());
+                let part = group.map(|(group, seat)| {
+                    group.settings(&self.file.firm, seat, checked, platform.address())
+                });
                 let text = format!(
-                    "instance: {}-{zone}-{number}\nlisten: 127.0.0.1:0\ncontrol: 127.0.0.1:0\n\
-                     upstream: {{address: '{address}', kind: {kind}}}\n",
-                    service.name
+                    "instance: {}-{zone}-{number}\nlisten: 127.0.0.1:0\ncontrol: {control}\n\
+                     upstream: {{address: '{address}', kind: {kind}}}\n{}",
+                    service.name,
+                    part.unwrap_or_default(),
                 );
                 let settings = agent_settings::read(&text).map_err(io::Error::other)?;
                 let name = settings.instance.clone();
@@ -315,6 +339,19 @@
     }
 }
 
+/// The experts of a model.
+fn experts(kind: &Kind) -> Option<&Experts> {
+    match kind {
+        Kind::Model(model) => model.experts.as_ref(),
+        Kind::Plain(_) => None,
+    }
+}
+
+/// Whether a model's engines refuse old fences.
+fn checks(kind: &Kind) -> bool {
+    matches!(kind, Kind::Model(model) if model.fences == Fences::Checked)
+}
+
 /// Starts a model engine.
 fn start_engine(clock: &Rc<Monotonic>) -> io::Result<SocketAddr> {
     let engine = Engine::bind(engine::Config::default(), clock.clone())?;
--- a/verbenaspool_agent/src/group/driver.rs
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -272,7 +272,7 @@
 
     /// Has the lead change the map where that pays.
     fn decide(self: &Rc<Self>, now: Duration) {
-        let layers = {
+        let (layers, rate) = {
             let member = self.member.borrow();
             let Some(lead) = member.lead() else {
                 return;
@@ -281,7 +281,7 @@
                 return;
             }
             match (lead.epoch(), lead.map()) {
-                (None, _) => Map::spread(1, self.shape).layers,
+                (None, _) => (Map::spread(1, self.shape).layers, u64::MAX),
                 (Some(_), Some(map)) => {
                     let Some(plan) = self.rebalancer.borrow_mut().decide(now, map) else {
                         return;
@@ -292,12 +292,12 @@
                     add(&self.counts.moves, u64::from(plan.moves));
                     add(&self.counts.bytes, plan.bytes);
                     self.counts.slowdown.set(plan.slowdown);
-                    plan.layers
+                    (plan.layers, plan.rate)
                 }
                 (Some(_), None) => return,
             }
         };
-        let proposed = self.member.borrow_mut().propose(now, layers);
+        let proposed = self.member.borrow_mut().propose(now, layers, rate);
         match proposed {
             Ok((_, outputs)) => self.carry(outputs),
             Err(why) => {
--- a/verbenaspool_agent/tests/agent/group.rs
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -190,30 +190,38 @@
 /// Popularity shifts while a group serves: the map follows without a mixed or
 /// waiting step. A rank's agent is killed and started anew in between; it
 /// learns where it stands from its engine and its peers.
+fn change_under_way(name: &'static str, checked: bool) {
+    rig::run(async {
+        let mut fleet = Fleet::start(name, checked);
+        let lead = fleet.lead().await;
+        let first = fleet.changed(None).await;
+        fleet.shift(0);
+        let second = fleet.changed(first).await;
+        assert_eq!(fleet.group.borrow().waited(), Duration::ZERO);
+        let other = (lead.seat + 1) % RANKS;
+        let agent = &mut fleet.agents[usize::from(other)];
+        agent.kill().expect("the agent is killed");
+        agent.wait().expect("the agent ends");
+        fleet.agents[usize::from(other)] = fleet.agent(other, checked);
+        fleet.shift(1);
+        fleet.changed(second).await;
+        assert!(fleet.check() > 300);
+        let status = fleet.status(lead.seat).await.expect("the lead answers");
+        assert!(status.changes >= 3, "{status:?}");
+        assert_eq!(status.diverged, 0);
+    });
+}
+
 #[test]
 fn maps_change_under_way() {
-    for checked in [true, false] {
-        rig::run(async {
-            let name = if checked { "checked" } else { "ignored" };
-            let mut fleet = Fleet::start(name, checked);
-            let lead = fleet.lead().await;
-            let first = fleet.changed(None).await;
-            fleet.shift(0);
-            let second = fleet.changed(first).await;
-            assert_eq!(fleet.group.borrow().waited(), Duration::ZERO);
-            let other = (lead.seat + 1) % RANKS;
-            let agent = &mut fleet.agents[usize::from(other)];
-            agent.kill().expect("the agent is killed");
-            agent.wait().expect("the agent ends");
-            fleet.agents[usize::from(other)] = fleet.agent(other, checked);
-            fleet.shift(1);
-            fleet.changed(second).await;
-            assert!(fleet.check() > 300);
-            let status = fleet.status(lead.seat).await.expect("the lead answers");
-            assert!(status.changes >= 3, "{status:?}");
-            assert_eq!(status.diverged, 0);
-        });
-    }
+    change_under_way("checked", true);
+}
+
+/// The same where engines ignore fences, so that a new agent has to wait out
+/// the orders of the one before.
+#[test]
+fn maps_change_under_way_without_fences() {
+    change_under_way("ignored", false);
 }
 
 /// The lead's agent is killed for good. The group runs on what was granted,
--- a/verbenaspool_coordination/benches/lead.rs
+++ b/verbenaspool_coordination/benches/lead.rs
@@ -84,7 +84,9 @@
         let mut outputs = lead.tick(now);
         if lead.is_granting() && lead.epoch().is_none() && lead.changing().is_none() {
             let map = Map::spread(1, shape);
-            let (_, more) = lead.propose(now, map.layers).expect("a map that fits");
+            let (_, more) = lead
+                .propose(now, map.layers, u64::MAX)
+                .expect("a map that fits");
             outputs.extend(more);
         }
         cost.busy += start.elapsed();
--- a/verbenaspool_coordination/benches/switch.rs
+++ b/verbenaspool_coordination/benches/switch.rs
@@ -84,8 +84,12 @@
     let grant = |from, to, epoch| Action::Grant {
         spans: vec![Span { from, to, epoch }],
     };
+    let stage = |map| Action::Stage {
+        map,
+        rate: u64::MAX,
+    };
     let first = Map::spread(1, SHAPE);
-    all(&mut group, now, &Action::Stage { map: first.clone() });
+    all(&mut group, now, &stage(first.clone()));
     run(&mut group, &mut now, Duration::from_mins(1));
     all(&mut group, now, &grant(1, AHEAD, 1));
     run(&mut group, &mut now, STEP * 2);
@@ -99,7 +103,7 @@
         // The group ends what was granted, and stands from then on.
         finish(&mut group, &mut now, top);
     }
-    all(&mut group, now, &Action::Stage { map: second });
+    all(&mut group, now, &stage(second));
     while !staged(&group) {
         // Steps go on while weights load, but for a group that was stopped.
         if !matches!(way, Way::Stop) && group.done(0) + AHEAD / 2 > top {
--- a/verbenaspool_coordination/src/group/engine.rs
+++ b/verbenaspool_coordination/src/group/engine.rs
@@ -70,6 +70,8 @@
     Stage {
         /// The map.
         map: Map,
+        /// The bytes a second that may be loaded.
+        rate: u64,
     },
     /// Forget a map.
     Drop {
--- a/verbenaspool_coordination/src/group/lead.rs
+++ b/verbenaspool_coordination/src/group/lead.rs
@@ -71,6 +71,8 @@
 struct Change {
     /// The new map's epoch.
     epoch: u64,
+    /// The bytes a second that each rank may load for it.
+    rate: u64,
     /// When it was proposed.
     since: Duration,
     /// What an engine last said against it.
@@ -188,7 +190,8 @@
         self.seats.iter().map(|seat| seat.done).max().unwrap_or(0)
     }
 
-    /// Starts a change to a placement, under an epoch of this lead's own.
+    /// Starts a change to a placement, under an epoch of this lead's own. Each
+    /// rank loads at most `rate` bytes a second for it.
     ///
     /// # Errors
     ///
@@ -197,6 +200,7 @@
         &mut self,
         now: Duration,
         layers: Vec<Layer>,
+        rate: u64,
     ) -> Result<(u64, Vec<Output>), Refused> {
         match self.phase {
             Phase::Collecting => return Err(Refused::Collecting),
@@ -217,6 +221,7 @@
         self.maps.insert(epoch, map);
         self.change = Some(Change {
             epoch,
+            rate,
             since: now,
             last: None,
         });
--- a/verbenaspool_coordination/src/group/lead/service.rs
+++ b/verbenaspool_coordination/src/group/lead/service.rs
@@ -47,8 +47,12 @@
         let needed = granted.into_iter().chain(self.epoch).chain(self.changing());
         let needed: BTreeSet<u64> = needed.filter(|epoch| !rank.held.contains(epoch)).collect();
         for map in needed.iter().filter_map(|epoch| self.maps.get(epoch)) {
+            // A map that steps wait for is loaded as fast as can be.
+            let changing = self.change.as_ref();
+            let change = changing.filter(|change| change.epoch == map.epoch);
+            let rate = change.map_or(u64::MAX, |change| change.rate);
             let map = map.clone();
-            asks.push(Ask::Stage { start, map });
+            asks.push(Ask::Stage { start, map, rate });
         }
         // An engine that has run nothing starts where the others wait for it,
         // and isn't granted steps before they have said where that is.
--- a/verbenaspool_coordination/src/group/member.rs
+++ b/verbenaspool_coordination/src/group/member.rs
@@ -114,7 +114,8 @@
         outputs
     }
 
-    /// Starts a change of map, where this agent is the lead.
+    /// Starts a change of map, where this agent is the lead. Each rank loads at
+    /// most `rate` bytes a second for it.
     ///
     /// # Errors
     ///
@@ -123,9 +124,10 @@
         &mut self,
         now: Duration,
         layers: Vec<Layer>,
+        rate: u64,
     ) -> Result<(u64, Vec<Output>), Refused> {
         let lead = self.lead.as_mut().ok_or(Refused::Over)?;
-        let (epoch, outputs) = lead.propose(now, layers)?;
+        let (epoch, outputs) = lead.propose(now, layers, rate)?;
         Ok((epoch, outputs.into_iter().map(from_lead).collect()))
     }
 
--- a/verbenaspool_coordination/src/group/message.rs
+++ b/verbenaspool_coordination/src/group/message.rs
@@ -54,6 +54,9 @@
         start: Start,
         /// The map.
         map: Map,
+        /// The bytes a second that the rank may load, so that loading doesn't
+        /// slow steps by more than the service allows.
+        rate: u64,
     },
     /// Forget a map that no step runs on.
     Drop {
--- a/verbenaspool_coordination/src/group/rank.rs
+++ b/verbenaspool_coordination/src/group/rank.rs
@@ -266,7 +266,7 @@
                 self.promise(round)
             }
             Ask::Grant { spans, .. } => self.grant(now, &spans),
-            Ask::Stage { map, .. } => self.stage(map),
+            Ask::Stage { map, rate, .. } => self.stage(map, rate),
             Ask::Drop { epoch, .. } => self.forget(epoch),
             Ask::Fetch { epoch } => {
                 let map = self.maps.get(&epoch).cloned();
@@ -377,13 +377,13 @@
     }
 
     /// Has the engine load a map, or says that it has.
-    fn stage(&mut self, map: Map) -> Vec<Output> {
+    fn stage(&mut self, map: Map, rate: u64) -> Vec<Output> {
         let epoch = map.epoch;
         if self.held.contains(&epoch) {
             return self.tell(News::Staged { epoch });
         }
         self.maps.insert(epoch, map.clone());
-        vec![self.engine(Action::Stage { map })]
+        vec![self.engine(Action::Stage { map, rate })]
     }
 
     /// Forgets a map, unless a step runs on it: the drop of an abandoned change
--- a/verbenaspool_coordination/tests/group/world.rs
+++ b/verbenaspool_coordination/tests/group/world.rs
@@ -159,7 +159,7 @@
         let mut map = Map::spread(1, SHAPE);
         map.layers[0].ranks.rotate_left(usize::from(turn));
         let member = &mut self.members[usize::from(seat)];
-        match member.propose(self.now, map.layers) {
+        match member.propose(self.now, map.layers, u64::MAX) {
             Ok((_, outputs)) => {
                 self.carry(seat, outputs);
                 true
--- a/verbenaspool_standin/src/ranks.rs
+++ b/verbenaspool_standin/src/ranks.rs
@@ -104,7 +104,7 @@
     /// let mut group = Group::new(settings, Store::new(1_000_000));
     /// let shape = Shape { ranks: 1, experts: 2, layers: 1, slots: 2 };
     /// let map = Map::spread(1, shape);
-    /// group.order(Duration::ZERO, 0, 1, Action::Stage { map });
+    /// group.order(Duration::ZERO, 0, 1, Action::Stage { map, rate: 1_000 });
     /// let spans = vec![Span { from: 1, to: 4, epoch: 1 }];
     /// group.order(Duration::ZERO, 0, 1, Action::Grant { spans });
     /// group.advance(Duration::from_secs(1));
@@ -241,7 +241,7 @@
                 engine.steps.clear();
                 engine.grant(&spans);
             }
-            Action::Stage { map } => self.stage(now, seat, map),
+            Action::Stage { map, rate } => self.stage(now, seat, map, rate),
             Action::Drop { epoch } => {
                 engine.held.remove(&epoch);
                 engine.maps.remove(&epoch);
@@ -252,7 +252,7 @@
     }
 
     /// A rank starts to load what a map needs.
-    fn stage(&mut self, now: Duration, seat: u16, map: Map) {
+    fn stage(&mut self, now: Duration, seat: u16, map: Map, rate: u64) {
         let engine = &mut self.engines[usize::from(seat)];
         let epoch = map.epoch;
         if engine.held.contains(&epoch) {
@@ -264,8 +264,11 @@
         }
         let before = engine.held.last().and_then(|epoch| engine.maps.get(epoch));
         let experts = map.added(before, seat).len() as u64;
-        match self.store.load(now, experts * self.settings.expert_bytes) {
+        let bytes = experts * self.settings.expert_bytes;
+        match self.store.load(now, bytes) {
             Ok(ready) => {
+                let millis = (bytes * 1_000).checked_div(rate).unwrap_or(0);
+                let ready = ready.max(now + Duration::from_millis(millis));
                 engine.maps.insert(epoch, map);
                 engine.loading.insert(epoch, ready);
             }
