--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -217,6 +217,7 @@
 ) -> Drained {
     info!(log, "Entry: Draining."; "connections" => entry.open.count());
     entry.leave();
+    entry.open.close();
     let mut served = Box::pin(served);
     let linger = Box::pin(
         entry
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -206,6 +206,7 @@
     let began = clock.now();
     let deadline = began + shared.settings.drain.deadline();
     let linger = began + shared.settings.drain.linger();
+    open.close();
     while clock.now() < linger.min(deadline) || shared.ledger.borrow().running() > 0 {
         if clock.now() >= deadline {
             break;
--- a/verbenaspool_transport/src/http/server.rs
+++ b/verbenaspool_transport/src/http/server.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use monoio::{
     io::IntoPollIo,
@@ -17,6 +17,16 @@
 use super::body::Body;
 use crate::shutdown::Signal;
 
+/// The most connections that are still accepted when a server stops.
+const BACKLOG: usize = 1_024;
+
+/// How long a stopping server waits for one more of them.
+const LAST: Duration = Duration::from_millis(1);
+
+/// How long a stopping server waits for the first request of a connection that
+/// has brought none yet.
+const GRACE: Duration = Duration::from_millis(500);
+
 /// The answer to a request, when it comes.
 pub type Answer = Pin<Box<dyn Future<Output = Response<Body>>>>;
 
@@ -51,9 +61,12 @@
     }
 }
 
-/// Counts the open connections of a server.
+/// Counts the open connections of a server, and says when they are to close.
 #[derive(Debug, Clone, Default)]
-pub struct Open(Rc<Cell<usize>>);
+pub struct Open {
+    count: Rc<Cell<usize>>,
+    closing: Rc<Cell<bool>>,
+}
 
 impl Open {
     /// The number of open connections.
@@ -65,13 +78,37 @@
     /// ```
     #[must_use]
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.count.get()
+    }
+
+    /// Closes each connection behind its next answer, which says so.
+    ///
+    /// A server that is about to stop calls this a while before. It closes idle
+    /// connections when it stops, and a request that is on its way into one at
+    /// that moment is lost: its sender sees a broken connection and can't know
+    /// whether the request ran. A sender that was told doesn't use the
+    /// connection again.
+    ///
+    /// ```
+    /// verbenaspool_transport::http::server::Open::default().close();
+    /// ```
+    pub fn close(&self) {
+        self.closing.set(true);
     }
 
     fn enter(&self) -> Guard {
-        self.0.set(self.0.get() + 1);
+        self.count.set(self.count.get() + 1);
         Guard(self.clone())
     }
+
+    /// Tells the peer, where its connection closes behind this answer.
+    fn mark(&self, mut answer: Response<Body>) -> Response<Body> {
+        if self.closing.get() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
+        answer
+    }
 }
 
 /// Gives a connection's place back when it ends, however it ends.
@@ -79,7 +116,7 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.0.set(self.0.0.get() - 1);
+        self.0.count.set(self.0.count.get() - 1);
     }
 }
 
@@ -92,48 +129,70 @@
     limits: Limits,
     handler: Rc<dyn Handler>,
     open: Open,
-    mut signal: Signal,
+    signal: Signal,
 ) {
+    let server = Server {
+        limits,
+        handler,
+        open: open.clone(),
+        signal: signal.clone(),
+    };
     let mut ended = signal.clone();
     loop {
         let accept = Box::pin(listener.accept());
         let stop = Box::pin(ended.wait());
         match select(stop, accept).await {
             Either::Left(_) => break,
-            Either::Right((Ok((stream, peer)), _)) => {
-                if open.count() >= limits.connections {
-                    continue;
-                }
-                let guard = open.enter();
-                let served = converse(
-                    stream,
-                    peer,
-                    limits.clone(),
-                    handler.clone(),
-                    signal.clone(),
-                );
-                monoio::spawn(async move {
-                    served.await;
-                    drop(guard);
-                });
-            }
+            Either::Right((Ok((stream, peer)), _)) => server.take(stream, peer),
             // Accepting fails when descriptors run out; a pause lets some close.
             Either::Right((Err(_), _)) => monoio::time::sleep(Duration::from_millis(20)).await,
         }
     }
+    // What waits to be accepted may have sent its request already, and would be
+    // reset with the listener.
+    for _ in 0..BACKLOG {
+        match monoio::time::timeout(LAST, listener.accept()).await {
+            Ok(Ok((stream, peer))) => server.take(stream, peer),
+            _ => break,
+        }
+    }
     drop(listener);
-    signal.wait().await;
     while open.count() > 0 {
         monoio::time::sleep(Duration::from_millis(5)).await;
     }
 }
 
+/// What the connections of a server share.
+struct Server {
+    limits: Limits,
+    handler: Rc<dyn Handler>,
+    open: Open,
+    signal: Signal,
+}
+
+impl Server {
+    /// Serves a connection in a task of its own, if there is room for it.
+    fn take(&self, stream: TcpStream, peer: SocketAddr) {
+        if self.open.count() >= self.limits.connections {
+            return;
+        }
+        let guard = self.open.enter();
+        let (limits, handler) = (self.limits.clone(), self.handler.clone());
+        let (open, signal) = (self.open.clone(), self.signal.clone());
+        monoio::spawn(async move {
+            converse(stream, peer, limits, handler, open, signal).await;
+            drop(guard);
+        });
+    }
+}
+
 /// Serves one connection to its end.
 async fn converse(
     stream: TcpStream,
     peer: SocketAddr,
     limits: Limits,
     handler: Rc<dyn Handler>,
+    open: Open,
     mut signal: Signal,
 ) {
     // Tokens go out in small writes, which must not wait for each other's acknowledgement.
@@ -141,9 +200,13 @@
     let Ok(stream) = stream.into_poll_io() else {
         return;
     };
+    let asked = Rc::new(Cell::new(false));
+    let seen = asked.clone();
     let service = service_fn(move |request| {
+        seen.set(true);
         let answer = handler.clone().handle(peer, request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        let open = open.clone();
+        async move { Ok::<_, std::convert::Infallible>(open.mark(answer.await)) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -158,6 +221,14 @@
         matches!(select(stop, &mut connection).await, Either::Left(_))
     };
     if stopped {
+        // hyper closes a connection that has brought no byte yet, but its first
+        // request is about to come: nobody connects for less.
+        if !asked.get() {
+            let grace = Box::pin(monoio::time::sleep(GRACE));
+            if let Either::Right(_) = select(grace, &mut connection).await {
+                return;
+            }
+        }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
