--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -1,31 +1,32 @@
 //! The decisions for one service at one entry instance, joined.
 
+mod admission;
+mod launch;
+mod signals;
+
 use std::time::Duration;
 
 use verbenaspool_state::{decisions::Decisions, name::Name};
 
 use crate::{
     attempt::{Ending, Id, Outcome},
-    budget::{self, Budget},
-    decision::{Decision, Reason, Refusal, Resolution, Start, Ticket},
+    budget::Budget,
+    decision::{Decision, Reason, Resolution, Ticket},
     estimate::{Habit, Size},
     flight::Flight,
     hash::Map,
-    load::{Cache, Load},
-    mechanism::{Mechanism, Set},
+    mechanism::Set,
     member::{Member, Peer},
-    pool::{Pool, Upstream},
-    queue::Waiting,
-    refusal,
+    pool::Pool,
     request::Request,
-    room::{Held, Room},
-    route::{Choice, Router},
-    snapshot::{Snapshot, Upstream as Shown},
-    subset,
+    room::Room,
+    route::Router,
+    snapshot::Snapshot,
 };
 
 /// Retries saved up for the service: what three customers may save.
 const SERVICE_RETRIES: f64 = 30.0;
+
 /// Decides for one service at one entry instance.
 ///
 /// The entry calls `offer` for each request, `finish` for each attempt's end, and
@@ -93,12 +94,48 @@
 impl Balancer {
     /// A balancer without members. `seed` differs between entry instances, so
     /// that they don't all choose alike.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// assert_eq!(balancer.snapshot(now).upstreams.len(), 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     #[must_use]
     pub fn new(settings: &Decisions, entry: Name, zone: Name, seed: u64) -> Self {
         Self::with(settings, entry, zone, seed, Set::all())
     }
 
     /// A balancer with only some mechanisms, to measure what each is for.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// use verbenaspool_policy::mechanism::Set;
+    ///
+    /// let set = Set::all().without(Mechanism::Affinity);
+    /// let mut balancer = Balancer::with(&one, "entry-1".parse()?, zone, 1, set);
+    /// assert!(matches!(balancer.offer(now, &request), Decision::Refuse(_)));
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     #[must_use]
     pub fn with(settings: &Decisions, entry: Name, zone: Name, seed: u64, mechanisms: Set) -> Self {
         Self {
@@ -119,6 +156,23 @@
     }
 
     /// Takes new settings and the customers' shares; a customer not named has share 1.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.configure(now, &Decisions::default(), &[(customer.clone(), 3)]);
+    /// assert_eq!(balancer.snapshot(now).upstreams.len(), 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn configure(&mut self, now: Duration, settings: &Decisions, shares: &[(Name, u32)]) {
         self.settings = settings.clone();
         self.room.set_shares(shares);
@@ -126,6 +180,23 @@
     }
 
     /// Takes the service's whole list of upstreams; what it no longer names gets no new work.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.members(now, &[]);
+    /// assert!(balancer.snapshot(now).upstreams.is_empty());
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn members(&mut self, now: Duration, members: &[Member]) {
         self.members = members
             .iter()
@@ -136,12 +207,46 @@
     }
 
     /// Takes the list of entry instances that serve the service, this one among them.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.peers(now, &[Peer { name: "entry-1".parse()?, zone }]);
+    /// assert_eq!(balancer.snapshot(now).upstreams.len(), 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn peers(&mut self, now: Duration, peers: &[Peer]) {
         self.peers = peers.to_vec();
         self.choose_subset(now);
     }
 
     /// Decides on a request.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// assert!(matches!(balancer.offer(now, &request), Decision::Admit(_)));
+    /// assert!(matches!(balancer.offer(now, &request), Decision::Wait(_)));
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn offer(&mut self, now: Duration, request: &Request<'_>) -> Decision {
         self.counts.offered += 1;
         let held = self.hold(request, &[]);
@@ -150,6 +255,27 @@
     }
 
     /// The waiting requests that start or are given up now.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// let Decision::Admit(start) = balancer.offer(now, &request) else { unreachable!() };
+    /// let Decision::Wait(ticket) = balancer.offer(now, &request) else { unreachable!() };
+    /// let outcome = Outcome { ending: Ending::Ran, took: now, prompt_tokens: 100, tokens: 80 };
+    /// balancer.finish(2 * now, start.attempt, &outcome);
+    /// let resolved = balancer.poll(2 * now);
+    /// assert!(resolved[0].ticket == ticket && resolved[0].result.is_ok());
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn poll(&mut self, now: Duration) -> Vec<Resolution> {
         self.refresh(now);
         while let Some(ticket) = self.room.expired(now) {
@@ -163,11 +289,51 @@
     }
 
     /// Takes back a waiting request whose caller left.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.offer(now, &request);
+    /// if let Decision::Wait(ticket) = balancer.offer(now, &request) {
+    ///     balancer.cancel(now, ticket);
+    /// }
+    /// assert_eq!(balancer.snapshot(now).waiting, 0);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn cancel(&mut self, _now: Duration, ticket: Ticket) {
         self.room.remove(ticket);
     }
 
     /// Learns from an attempt that ended. An unknown or repeated attempt changes nothing.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// if let Decision::Admit(start) = balancer.offer(now, &request) {
+    ///     let outcome = Outcome { ending: Ending::Ran, took: now, prompt_tokens: 100, tokens: 80 };
+    ///     balancer.finish(2 * now, start.attempt, &outcome);
+    /// }
+    /// assert_eq!(balancer.snapshot(2 * now).upstreams[0].in_flight, 0);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn finish(&mut self, now: Duration, attempt: Id, outcome: &Outcome) {
         let Some(flight) = self.flights.remove(&attempt) else {
             return;
@@ -201,6 +367,24 @@
     /// Decides whether a request whose attempt ended without an answer is tried
     /// again, away from the upstreams that were `tried`. A request that isn't
     /// idempotent is tried again only after [`Ending::NotRun`].
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// let booking = Request { idempotent: false, ..request };
+    /// let decision = balancer.retry(now, &booking, Ending::Unknown, &[]);
+    /// assert!(matches!(decision, Decision::Refuse(refusal) if refusal.reason == Reason::NoRetry));
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     pub fn retry(
         &mut self,
         now: Duration,
@@ -222,27 +406,26 @@
         self.admit(now, request, held)
     }
 
-    /// Learns from a load report, however late. Reports of another incarnation,
-    /// and reordered ones, are ignored.
-    pub fn report(&mut self, now: Duration, upstream: &Name, load: &Load) {
-        self.router.free();
-        self.router.pool.report(now, upstream, load);
-    }
-
-    /// Learns from a cache event, however late.
-    pub fn cache(&mut self, _now: Duration, upstream: &Name, event: Cache) {
-        let Some(place) = self.router.pool.place(upstream) else {
-            return;
-        };
-        let key = self.router.pool.list()[place].cache;
-        match event {
-            Cache::Held(prefix) => self.router.affinity.hold(prefix, key),
-            Cache::Dropped(prefix) => self.router.affinity.drop(prefix, key),
-            Cache::Reset => self.router.pool.reset_cache(place),
-        }
-    }
-
     /// When `poll` has something to do if nothing else happens before.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// assert_eq!(balancer.next_wake(), None);
+    /// balancer.offer(now, &request);
+    /// balancer.offer(now, &request);
+    /// assert!(balancer.next_wake().is_some());
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
     #[must_use]
     pub fn next_wake(&self) -> Option<Duration> {
         if self.given_up.is_empty() {
@@ -251,248 +434,4 @@
             Some(Duration::ZERO)
         }
     }
-
-    /// Counts and state for metrics and status.
-    #[must_use]
-    pub fn snapshot(&self, now: Duration) -> Snapshot {
-        let wait = self.room.backlog() / self.capacity();
-        let list = self.router.pool.list();
-        Snapshot {
-            ejections: self.router.pool.ejections,
-            ignored_reports: self.router.pool.ignored,
-            waiting: self.room.len(),
-            wait: Duration::try_from_secs_f64(wait).unwrap_or_default(),
-            upstreams: list
-                .iter()
-                .map(|upstream| self.show(now, upstream))
-                .collect(),
-            ..self.counts.clone()
-        }
-    }
-
-    /// Looks at what changes with time.
-    fn refresh(&mut self, now: Duration) {
-        if self.router.pool.refresh(now, &self.settings) {
-            self.router.free();
-        }
-    }
-
-    /// Chooses the upstreams to work with.
-    fn choose_subset(&mut self, now: Duration) {
-        let size = self.settings.subset as usize;
-        let places = subset::choose(
-            &self.entry,
-            self.router.pool.zone(),
-            &self.peers,
-            &self.members,
-            size,
-        );
-        let members: Vec<&Member> = places.iter().map(|&place| &self.members[place]).collect();
-        self.router.free();
-        self.router.pool.set(now, &members, &self.settings);
-    }
-
-    /// What is kept of a request.
-    fn hold(&mut self, request: &Request<'_>, tried: &[Name]) -> Held {
-        let customer = self.room.customers.number(request.customer);
-        let asked = Size {
-            prompt_tokens: request.prompt_tokens,
-            tokens: request.max_tokens,
-        };
-        let weight = self.settings.prefill_weight;
-        let work = if self.mechanisms.has(Mechanism::Learning) {
-            let own = &self.room.customers.get(customer).habit;
-            own.work(&self.habit, asked, weight)
-        } else {
-            asked.work(weight)
-        };
-        Held {
-            customer,
-            work,
-            deadline: request.deadline,
-            asked,
-            prefixes: request.prefixes.to_vec(),
-            tried: tried.to_vec(),
-        }
-    }
-
-    /// Starts a request, or lets it wait, or refuses it.
-    fn admit(&mut self, now: Duration, request: &Request<'_>, held: Held) -> Decision {
-        self.refresh(now);
-        if !self.router.pool.is_open() {
-            return Decision::Refuse(self.refuse(Reason::NoUpstream, held.customer));
-        }
-        if request.deadline <= now {
-            return Decision::Refuse(self.refuse(Reason::Late, held.customer));
-        }
-        if self.room.is_empty()
-            && let Some(choice) = self.choose(now, &held)
-        {
-            // Capacity that nobody waits for isn't charged.
-            return Decision::Admit(self.start(&held, choice, 0.0));
-        }
-        if self.latest(request.deadline, held.work) < now {
-            return Decision::Refuse(self.refuse(Reason::Late, held.customer));
-        }
-        if self.room.queued(held.customer) >= self.settings.queue as usize {
-            return Decision::Refuse(self.refuse(Reason::QueueFull, held.customer));
-        }
-        self.enqueue(now, request, held)
-    }
-
-    /// Lets a request wait, unless it or others must yield for the rest to be in time.
-    fn enqueue(&mut self, now: Duration, request: &Request<'_>, held: Held) -> Decision {
-        let ticket = Ticket(self.number());
-        let customer = held.customer;
-        let waiting = Waiting {
-            ticket,
-            priority: request.priority,
-            latest: self.latest(request.deadline, held.work),
-            work: held.work,
-        };
-        self.room.push(waiting, held);
-        while self.mechanisms.has(Mechanism::Refusal)
-            && let Some(excess) = self.room.excess(now, customer, self.capacity())
-        {
-            if excess == ticket || !self.mechanisms.has(Mechanism::Displacement) {
-                let refusal = self.refuse(Reason::Late, customer);
-                self.room.remove(ticket);
-                return Decision::Refuse(refusal);
-            }
-            self.give_up(excess, Reason::Displaced);
-        }
-        self.counts.waited += 1;
-        Decision::Wait(ticket)
-    }
-
-    /// Gives a waiting request up; the next poll says so.
-    fn give_up(&mut self, ticket: Ticket, reason: Reason) {
-        let Some(customer) = self.room.get(ticket).map(|held| held.customer) else {
-            return;
-        };
-        let refusal = self.refuse(reason, customer);
-        self.room.remove(ticket);
-        self.given_up.push(Resolution {
-            ticket,
-            result: Err(refusal),
-        });
-    }
-
-    /// The latest start that meets a deadline.
-    fn latest(&self, deadline: Duration, work: f64) -> Duration {
-        let service = work * self.router.pool.pace().unwrap_or(0.0);
-        deadline.saturating_sub(Duration::try_from_secs_f64(service).unwrap_or(Duration::MAX))
-    }
-
-    /// The work a second that is done for this entry; without bound while unknown.
-    fn capacity(&self) -> f64 {
-        self.router.pool.capacity().unwrap_or(f64::INFINITY)
-    }
-
-    /// Starts the waiting request whose turn it is, if there is room for it.
-    fn start_next(&mut self, now: Duration) -> Option<Resolution> {
-        let ticket = self.room.turn(self.capacity())?;
-        let search = self.room.get(ticket)?.search(now, &self.settings);
-        let choice = self.router.choose(&search)?;
-        let held = self.room.remove(ticket)?;
-        let start = self.start(&held, choice, held.work);
-        Some(Resolution {
-            ticket,
-            result: Ok(start),
-        })
-    }
-
-    /// Chooses an upstream for a request.
-    fn choose(&mut self, now: Duration, held: &Held) -> Option<Choice> {
-        self.router.choose(&held.search(now, &self.settings))
-    }
-
-    /// Starts an attempt at the chosen upstream.
-    fn start(&mut self, held: &Held, choice: Choice, charge: f64) -> Start {
-        let attempt = Id(self.number());
-        let upstream = &self.router.pool.list()[choice.place];
-        let flight = Flight {
-            customer: held.customer,
-            upstream: upstream.member.name.clone(),
-            serial: upstream.serial,
-            charged: charge,
-            asked: held.asked,
-            prefix: choice.prefix.map(|place| held.prefixes[place]),
-        };
-        self.counts.started += 1;
-        self.counts.spilled += u64::from(!upstream.local);
-        self.counts.affine += u64::from(choice.prefix.is_some());
-        self.router.affinity.learn(&held.prefixes, upstream.cache);
-        self.router.pool.start(choice.place);
-        self.room.charge(held.customer, charge);
-        if held.tried.is_empty() {
-            let ratio = self.settings.retry_ratio;
-            self.budget.earn(ratio);
-            self.room
-                .customers
-                .get_mut(held.customer)
-                .budget
-                .earn(ratio);
-        }
-        let name = flight.upstream.clone();
-        self.flights.insert(attempt, flight);
-        Start {
-            attempt,
-            upstream: name,
-        }
-    }
-
-    /// Learns a customer's habit from an answer, which took `done` work.
-    fn learn(&mut self, flight: &Flight, size: Size, done: f64) {
-        let customer = self.room.customers.get_mut(flight.customer);
-        customer.habit.learn(size, flight.asked);
-        self.habit.learn(size, flight.asked);
-        if flight.charged > 0.0 {
-            self.room.charge(flight.customer, done - flight.charged);
-        }
-    }
-
-    /// Forgets a prefix that the answer shows not to have been held.
-    fn correct_cache(&mut self, place: usize, flight: &Flight, outcome: &Outcome) {
-        let missed =
-            outcome.ending == Ending::Ran && outcome.prompt_tokens >= flight.asked.prompt_tokens;
-        if let Some(prefix) = flight.prefix.filter(|_| missed) {
-            self.router
-                .affinity
-                .drop(prefix, self.router.pool.list()[place].cache);
-        }
-    }
-
-    /// Takes one retry off the budgets of the customer and of the service.
-    fn spend(&mut self, customer: u32) -> bool {
-        let own = &mut self.room.customers.get_mut(customer).budget;
-        !self.mechanisms.has(Mechanism::Budget) || budget::spend(own, &mut self.budget)
-    }
-
-    /// A refusal, counted, with the time until what the customer has waiting is done.
-    fn refuse(&mut self, reason: Reason, customer: u32) -> Refusal {
-        self.counts.refused[reason as usize] += 1;
-        let wait = self.room.wait(customer, self.capacity());
-        Refusal {
-            reason,
-            retry_after: refusal::retry_after(reason, wait, self.router.random()),
-        }
-    }
-
-    /// One upstream's state.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // A limit is at most `max_limit`.
-    fn show(&self, now: Duration, upstream: &Upstream) -> Shown {
-        Shown {
-            name: upstream.member.name.clone(),
-            in_flight: upstream.in_flight,
-            limit: self.router.pool.limit(now, upstream) as u32,
-            ejected: self.router.pool.is_out(now, upstream),
-        }
-    }
-
-    /// The next unused number.
-    fn number(&mut self) -> u64 {
-        self.next += 1;
-        self.next
-    }
 }
--- /dev/null
+++ b/verbenaspool_policy/src/balancer/signals.rs
@@ -0,0 +1,114 @@
+//! What the balancer hears from upstreams and tells to metrics.
+
+use std::time::Duration;
+
+use verbenaspool_state::name::Name;
+
+use super::Balancer;
+use crate::{
+    load::{Cache, Load},
+    pool::Upstream,
+    snapshot::{Snapshot, Upstream as Shown},
+};
+
+impl Balancer {
+    /// Learns from a load report, however late. Reports of another incarnation,
+    /// and reordered ones, are ignored.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// let load = Load { incarnation: 1, sequence: 1, running: 3, waiting: 0, leaving: false };
+    /// balancer.report(now, &member.name, &load);
+    /// balancer.report(now, &member.name, &load);
+    /// assert_eq!(balancer.snapshot(now).ignored_reports, 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
+    pub fn report(&mut self, now: Duration, upstream: &Name, load: &Load) {
+        self.router.free();
+        self.router.pool.report(now, upstream, load);
+    }
+
+    /// Learns from a cache event, however late.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.cache(now, &member.name, Cache::Held(7));
+    /// balancer.offer(now, &Request { prefixes: &[7], ..request });
+    /// assert_eq!(balancer.snapshot(now).affine, 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
+    pub fn cache(&mut self, _now: Duration, upstream: &Name, event: Cache) {
+        let Some(place) = self.router.pool.place(upstream) else {
+            return;
+        };
+        let key = self.router.pool.list()[place].cache;
+        match event {
+            Cache::Held(prefix) => self.router.affinity.hold(prefix, key),
+            Cache::Dropped(prefix) => self.router.affinity.drop(prefix, key),
+            Cache::Reset => self.router.pool.reset_cache(place),
+        }
+    }
+
+    /// Counts and state for metrics and status.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_policy::{attempt::*, balancer::Balancer, decision::*, load::*, member::*, request::Request};
+    /// # use verbenaspool_state::{decisions::Decisions, name::Name};
+    /// # let zone: Name = "bowen-a".parse()?;
+    /// # let customer: Name = "bowen-loft".parse()?;
+    /// # let member = Member { name: "loft-1".parse()?, zone: zone.clone(), group: None, incarnation: 1, speed: 1.0, leaving: false };
+    /// # let one = Decisions { initial_limit: 1, max_limit: 1, ..Decisions::default() };
+    /// # let mut balancer = Balancer::new(&one, "entry-1".parse()?, zone.clone(), 1);
+    /// # balancer.members(Duration::ZERO, &[member.clone()]);
+    /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
+    /// # let now = Duration::from_secs(1);
+    /// balancer.offer(now, &request);
+    /// assert_eq!(balancer.snapshot(now).started, 1);
+    /// # Ok::<(), verbenaspool_state::name::Error>(())
+    /// ```
+    #[must_use]
+    pub fn snapshot(&self, now: Duration) -> Snapshot {
+        let wait = self.room.backlog() / self.capacity();
+        let list = self.router.pool.list();
+        Snapshot {
+            ejections: self.router.pool.ejections,
+            ignored_reports: self.router.pool.ignored,
+            waiting: self.room.len(),
+            wait: Duration::try_from_secs_f64(wait).unwrap_or_default(),
+            upstreams: list.iter().map(|upstream| show(now, upstream)).collect(),
+            ..self.counts.clone()
+        }
+    }
+}
+
+/// One upstream's state.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // A limit is at most `max_limit`.
+fn show(now: Duration, upstream: &Upstream) -> Shown {
+    Shown {
+        name: upstream.member.name.clone(),
+        in_flight: upstream.in_flight,
+        limit: upstream.limit(now) as u32,
+        ejected: upstream.is_out(now),
+    }
+}
--- a/verbenaspool_policy/src/budget.rs
+++ b/verbenaspool_policy/src/budget.rs
@@ -37,15 +37,6 @@
 }
 
 /// Takes one retry off two budgets, if both have one.
-///
-/// ```
-/// use verbenaspool_policy::budget::{self, Budget};
-///
-/// let (mut own, mut common) = (Budget::new(10.0), Budget::new(1.0));
-/// assert!(budget::spend(&mut own, &mut common));
-/// common.earn(0.1);
-/// assert!(!budget::spend(&mut own, &mut common));
-/// ```
 pub fn spend(own: &mut Budget, common: &mut Budget) -> bool {
     let allowed = own.saved >= 1.0 && common.saved >= 1.0;
     if allowed {
@@ -54,3 +45,6 @@
     }
     allowed
 }
+
+#[cfg(test)]
+mod tests;
--- a/verbenaspool_policy/src/estimate.rs
+++ b/verbenaspool_policy/src/estimate.rs
@@ -50,14 +50,6 @@
 
     /// Learns from one answer. An answer longer than asked for counts as whole,
     /// so that an absurd count can't grow the estimate without bound.
-    ///
-    /// ```
-    /// use verbenaspool_policy::estimate::Ratio;
-    ///
-    /// let (mut own, service) = (Ratio::of_answers(), Ratio::of_answers());
-    /// (0..64).for_each(|_| own.learn(10, 1000));
-    /// assert!(own.within(&service) < 0.1);
-    /// ```
     #[allow(clippy::cast_precision_loss)] // A ratio needs no more precision.
     pub fn learn(&mut self, done: u32, asked: u32) {
         if asked == 0 {
@@ -70,17 +62,13 @@
 
     /// The customer's ratio, filled up with the service's while answers are few.
     #[must_use]
-    pub fn within(&self, service: &Self) -> f64 {
+    pub fn within(self, service: Self) -> f64 {
         let own = self.mean * self.count;
         f64::from((own + service.mean * PRIOR) / (self.count + PRIOR))
     }
 }
 
 /// The work of `prompt_tokens` computed and `tokens` generated.
-///
-/// ```
-/// assert_eq!(verbenaspool_policy::estimate::work(0.1, 200.0, 100.0), 120.0);
-/// ```
 #[must_use]
 pub fn work(prefill_weight: f64, prompt_tokens: f64, tokens: f64) -> f64 {
     (prefill_weight * prompt_tokens + tokens).max(LEAST)
@@ -114,8 +102,8 @@
     /// The work to expect of a request, the service's habit filling up the customer's.
     #[must_use]
     pub fn work(&self, service: &Self, asked: Size, prefill_weight: f64) -> f64 {
-        let prompt = self.prompts.within(&service.prompts) * f64::from(asked.prompt_tokens);
-        let answer = self.answers.within(&service.answers) * f64::from(asked.tokens);
+        let prompt = self.prompts.within(service.prompts) * f64::from(asked.prompt_tokens);
+        let answer = self.answers.within(service.answers) * f64::from(asked.tokens);
         work(prefill_weight, prompt, answer)
     }
 }
@@ -132,7 +120,7 @@
 impl Size {
     /// The work of this size.
     #[must_use]
-    pub fn work(&self, prefill_weight: f64) -> f64 {
+    pub fn work(self, prefill_weight: f64) -> f64 {
         work(
             prefill_weight,
             self.prompt_tokens.into(),
@@ -142,10 +130,13 @@
 
     /// The size, but no more of either than in another.
     #[must_use]
-    pub fn within(&self, most: Self) -> Self {
+    pub fn within(self, most: Self) -> Self {
         Self {
             prompt_tokens: self.prompt_tokens.min(most.prompt_tokens),
             tokens: self.tokens.min(most.tokens),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -5,28 +5,29 @@
 //! [`balancer::Balancer`] joins the decisions for one service at one entry
 //! instance; each decision is a module of its own.
 
-pub mod affinity;
+mod affinity;
+mod budget;
+mod customers;
+mod estimate;
+mod fair;
+mod flight;
+mod hash;
+mod health;
+mod limit;
+mod pace;
+mod pool;
+mod queue;
+mod refusal;
+mod room;
+mod route;
+
 pub mod attempt;
 pub mod balancer;
-pub mod budget;
-pub mod customers;
 pub mod decision;
-pub mod estimate;
-pub mod fair;
-pub mod flight;
-pub mod hash;
-pub mod health;
-pub mod limit;
 pub mod load;
 pub mod mechanism;
 pub mod member;
-pub mod pace;
-pub mod pool;
-pub mod queue;
 pub mod rebalancer;
-pub mod refusal;
 pub mod request;
-pub mod room;
-pub mod route;
 pub mod snapshot;
 pub mod subset;
--- a/verbenaspool_policy/src/pace.rs
+++ b/verbenaspool_policy/src/pace.rs
@@ -26,15 +26,6 @@
     }
 
     /// The pace in seconds a unit of work, once anything is known.
-    ///
-    /// ```
-    /// use verbenaspool_policy::pace::Pace;
-    ///
-    /// let mut pace = Pace::default();
-    /// assert_eq!(pace.mean(), None);
-    /// pace.learn(2.0, 100.0);
-    /// assert_eq!(pace.mean(), Some(0.02));
-    /// ```
     #[must_use]
     pub fn mean(&self) -> Option<f64> {
         (self.work > 0.0).then(|| self.seconds / self.work)
@@ -51,3 +42,6 @@
         *self = Self::default();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/verbenaspool_policy/src/pool.rs
+++ b/verbenaspool_policy/src/pool.rs
@@ -58,6 +58,23 @@
     reported: Option<(u64, Duration)>,
 }
 
+impl Upstream {
+    /// The most attempts in flight now; 0 while it is out.
+    #[must_use]
+    pub fn limit(&self, now: Duration) -> f64 {
+        if self.member.leaving || self.is_out(now) {
+            return 0.0;
+        }
+        self.limit.get()
+    }
+
+    /// Whether it is ejected.
+    #[must_use]
+    pub fn is_out(&self, now: Duration) -> bool {
+        self.health.is_out(now)
+    }
+}
+
 /// The upstreams, in the order of the chosen subset.
 #[derive(Debug)]
 pub struct Pool {
@@ -321,26 +338,11 @@
         }
     }
 
-    /// The most attempts in flight at an upstream now; 0 while it is out.
-    #[must_use]
-    pub fn limit(&self, now: Duration, upstream: &Upstream) -> f64 {
-        if upstream.member.leaving || upstream.health.is_out(now) {
-            return 0.0;
-        }
-        upstream.limit.get()
-    }
-
-    /// Whether an upstream is out.
-    #[must_use]
-    pub fn is_out(&self, now: Duration, upstream: &Upstream) -> bool {
-        upstream.health.is_out(now)
-    }
-
     /// Whether an upstream takes another attempt.
     #[must_use]
     pub fn has_room(&self, now: Duration, place: usize) -> bool {
         let upstream = &self.list[place];
-        f64::from(upstream.in_flight) + 1.0 <= self.limit(now, upstream)
+        f64::from(upstream.in_flight) + 1.0 <= upstream.limit(now)
     }
 
     /// How loaded an upstream looks: what is there and one more, by its pace.
@@ -381,7 +383,7 @@
         };
         let rate = |upstream: &Upstream| {
             let expected = common / upstream.member.speed;
-            self.limit(now, upstream) / upstream.pace.mean().unwrap_or(expected)
+            upstream.limit(now) / upstream.pace.mean().unwrap_or(expected)
         };
         self.capacity = Some(self.list.iter().map(rate).sum());
     }
--- a/verbenaspool_policy/src/refusal.rs
+++ b/verbenaspool_policy/src/refusal.rs
@@ -26,14 +26,6 @@
 
 /// The time to stay away, where the customer's waiting work takes `wait` seconds
 /// and `random` is a number from 0 to 1.
-///
-/// ```
-/// use std::time::Duration;
-/// use verbenaspool_policy::{decision::Reason, refusal};
-///
-/// assert_eq!(refusal::retry_after(Reason::Late, 4.0, 0.0), Duration::from_secs(4));
-/// assert_eq!(refusal::retry_after(Reason::Late, 1e9, 1.0), Duration::from_secs(60));
-/// ```
 #[must_use]
 pub fn retry_after(reason: Reason, wait: f64, random: f64) -> Duration {
     let wait = match reason {
@@ -46,3 +38,6 @@
     let seconds = if seconds.is_nan() { LATEST } else { seconds };
     Duration::from_secs_f64(seconds.clamp(SOONEST, LATEST))
 }
+
+#[cfg(test)]
+mod tests;
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -39,8 +39,6 @@
     pub customer: u32,
     /// Its estimated work.
     pub work: f64,
-    /// When its answer must be whole.
-    pub deadline: Duration,
     /// What it asks for.
     pub asked: Size,
     /// The hashes of its prompt's prefixes.
--- a/verbenaspool_policy/src/route.rs
+++ b/verbenaspool_policy/src/route.rs
@@ -112,7 +112,7 @@
     /// computing the prefix anew elsewhere would take more than it slows down here.
     fn bears(&self, search: &Search<'_>, place: usize) -> bool {
         let upstream = &self.pool.list()[place];
-        let limit = self.pool.limit(search.now, upstream);
+        let limit = upstream.limit(search.now);
         let most = search.settings.affinity_bound * limit;
         f64::from(upstream.in_flight) + 1.0 <= most && !self.shuns(search, place)
     }
