--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -129,7 +129,7 @@
     /// # balancer.members(Duration::ZERO, &[member.clone()]);
     /// # let request = Request { customer: &customer, priority: 0, deadline: Duration::from_secs(30), idempotent: true, prompt_tokens: 100, max_tokens: 200, prefixes: &[] };
     /// # let now = Duration::from_secs(1);
-    /// use verbenaspool_policy::mechanism::Set;
+    /// use verbenaspool_policy::mechanism::{Mechanism, Set};
     ///
     /// let set = Set::all().without(Mechanism::Affinity);
     /// let mut balancer = Balancer::with(&one, "entry-1".parse()?, zone, 1, set);
