Bound what one absurd request costs; average offered work over four seconds

A request that claimed four billion tokens put its customer in debt for millions of turns, all of which one decision had to go round. A request costs a thousand turns at most now, and counts sixteen times the mean in the mean (tested). Over two seconds, chance ended the overload at 1.5 times the capacity again and again.

--- a/verbenaspool_policy/src/fair.rs
+++ b/verbenaspool_policy/src/fair.rs
@@ -26,6 +26,11 @@
 /// made its short ones late long after (2 in 100 of all, among 1 long in 100).
 const MOST_TURNS: f64 = 4.0;
 
+/// Turns that one request may cost at most. A request that claims billions of tokens
+/// would else shut its customer out for hours, and have the ring turned millions
+/// of times for one decision.
+const ABSURD_TURNS: f64 = 1_000.0;
+
 /// The rings of customers that have something waiting, by their numbers.
 #[derive(Debug, Default)]
 pub struct Ring {
@@ -101,7 +106,8 @@
 impl Seat {
     /// Charges work that was started, or, when `work` is negative, pays it back.
     pub fn charge(&mut self, work: f64, quantum: f64, share: u32) {
-        let most = MOST_TURNS * quantum * f64::from(share.max(1));
-        self.credit = (self.credit - work).clamp(-most.max(work.abs()), most);
+        let turn = quantum * f64::from(share.max(1));
+        let debt = work.clamp(MOST_TURNS * turn, ABSURD_TURNS * turn);
+        self.credit = (self.credit - work).clamp(-debt, MOST_TURNS * turn);
     }
 }
--- a/verbenaspool_policy/src/room.rs
+++ b/verbenaspool_policy/src/room.rs
@@ -17,9 +17,10 @@
 
 /// The customer whose queue everybody shares where shares are switched off.
 const EVERYBODY: u32 = 0;
-/// Seconds over which the offered work is averaged: some dozens of requests at
-/// an entry today, and well below [`STANDING`].
-const OFFERED: f64 = 2.0;
+/// Seconds over which the offered work is averaged. Over two, chance at 1.5 times
+/// the capacity ended the overload every few seconds; four ride that out and are
+/// still well below [`STANDING`].
+const OFFERED: f64 = 4.0;
 /// Above this multiple of the capacity the offered work is an overload. Below it
 /// the queue drains or hardly grows.
 const OVER: f64 = 1.1;
@@ -32,6 +33,10 @@
 /// Requests over which the mean work of one is taken.
 const MEAN: f64 = 64.0;
 
+/// Multiples of the mean that one request counts for in it, so that an absurd one
+/// can't make all turns as long as itself.
+const MOST: f64 = 16.0;
+
 /// What is kept of a request until it starts.
 #[derive(Debug, Clone)]
 pub struct Held {
@@ -139,6 +144,7 @@
         let passed = now.saturating_sub(self.offered_at).as_secs_f64();
         self.offered = self.offered * (-passed / OFFERED).exp() + work / OFFERED;
         self.offered_at = now;
+        let work = work.min(MOST * self.quantum);
         self.quantum += (work - self.quantum) / MEAN;
     }
 
--- a/verbenaspool_policy/tests/decisions/input.rs
+++ b/verbenaspool_policy/tests/decisions/input.rs
@@ -13,6 +13,7 @@
 
 use super::world::{
     RAN, SECOND, UNKNOWN, admitted, balancer, ended, member, name, narrow, refused, request, teach,
+    waiting,
 };
 
 const LOAD: Load = Load {
@@ -294,3 +295,41 @@
         "ejection_share: must lie from 0 to 0.9"
     );
 }
+
+/// A caller asks for four billion tokens before anything is known about the
+/// upstream. Its customer must not be out for as many turns afterwards.
+#[test]
+fn an_absurd_request_costs_its_customer_a_thousand_turns_at_most() {
+    let (absurd, other) = (name("absurd"), name("other"));
+    let mut balancer = balancer(&narrow(), &[member("a")]);
+    let ask = |customer, max_tokens| Request {
+        max_tokens,
+        deadline: 1_000_000 * SECOND,
+        ..request(customer, SECOND)
+    };
+    let mut running = admitted(balancer.offer(SECOND, &ask(&other, 100))).attempt;
+    let first = waiting(balancer.offer(SECOND, &ask(&absurd, u32::MAX)));
+    let second = waiting(balancer.offer(SECOND, &ask(&absurd, 100)));
+    let mut started = Vec::new();
+    for turn in 1..3_000 {
+        balancer.offer(SECOND * turn, &ask(&other, 100));
+        balancer.finish(SECOND * turn, running, &ended(Ending::Cancelled));
+        for resolution in balancer.poll(SECOND * turn) {
+            if let Ok(start) = resolution.result {
+                running = start.attempt;
+                started.push(resolution.ticket);
+            }
+        }
+    }
+    let place = |ticket| {
+        started
+            .iter()
+            .position(|&t| t == ticket)
+            .expect("it starts")
+    };
+    assert!(
+        place(second) - place(first) <= 1_100,
+        "{}",
+        place(second) - place(first)
+    );
+}
