Play lost and returned zones, and serving under every fault

The history's site now spans two zones. Three cases more: a zone paused, a zone killed, a zone paused while the platform is down.

--- a/verbenaspool/tests/history/faults.rs
+++ b/verbenaspool/tests/history/faults.rs
@@ -8,10 +8,12 @@
 use verbenaspool_standin::history::{answers, outcomes, writes};
 use verbenaspool_transport::runtime;
 
-use crate::{callers::Callers, site::Site};
+use crate::{callers::Callers, process::Process, site::Site};
 
 /// How long callers are at work before, during and after a fault, at least.
 const PART: Duration = Duration::from_millis(500);
+/// How long a run may take: a site that serves nobody ends here.
+const LONGEST: Duration = Duration::from_secs(60);
 /// Answers and writes without which a history proves nothing. The run goes on
 /// until it has them, however slow the machine is.
 const ENOUGH: usize = 30;
@@ -42,15 +44,32 @@
     PlatformDownAgentKilled,
     /// An entry is killed while the platform loses answers.
     AnswersLostEntryKilled,
+    /// A zone stands still, as when it is cut off, and comes back.
+    ZonePaused,
+    /// A zone loses its power and comes back.
+    ZoneKilled,
+    /// A zone stands still while the platform is down.
+    ZonePausedPlatformDown,
 }
 
+/// The zone that is lost.
+const LOST: usize = 1;
+
 impl Fault {
     /// Lets it begin.
     fn begin(self, site: &Site) {
+        match self {
+            Self::ZonePaused => return site.each_of(LOST, |process| process.signal("STOP")),
+            Self::ZoneKilled => return site.each_of(LOST, Process::kill),
+            Self::ZonePausedPlatformDown => {
+                site.platform.set(|faults| faults.down = true);
+                return site.each_of(LOST, |process| process.signal("STOP"));
+            }
+            _ => {}
+        }
         let first = usize::from(crate::site::UPSTREAMS);
         let (mut agents, mut entries) = (site.agents.borrow_mut(), site.entries.borrow_mut());
         match self {
-            Self::None => {}
             Self::AgentKilled => agents[first].kill(),
             Self::EngineAgentKilled => agents[0].kill(),
             Self::EntryKilled => entries[0].kill(),
@@ -68,17 +87,25 @@
                 site.platform.set(|faults| faults.lose_answers = 20);
                 entries[0].kill();
             }
+            _ => {}
         }
     }
 
     /// Lets it end.
     fn end(self, site: &Site) {
-        let first = usize::from(crate::site::UPSTREAMS);
-        let (mut agents, mut entries) = (site.agents.borrow_mut(), site.entries.borrow_mut());
         site.platform.set(|faults| {
             faults.down = false;
             faults.lose_answers = 0;
         });
+        match self {
+            Self::ZonePaused | Self::ZonePausedPlatformDown => {
+                return site.each_of(LOST, |process| process.signal("CONT"));
+            }
+            Self::ZoneKilled => return site.each_of(LOST, Process::restart),
+            _ => {}
+        }
+        let first = usize::from(crate::site::UPSTREAMS);
+        let (mut agents, mut entries) = (site.agents.borrow_mut(), site.entries.borrow_mut());
         match self {
             Self::AgentKilled | Self::PlatformDownAgentKilled => agents[first].restart(),
             Self::EngineAgentKilled => agents[0].restart(),
@@ -92,19 +119,29 @@
     fn cuts_nothing(self) -> bool {
         !matches!(
             self,
-            Self::EngineAgentKilled | Self::EntryKilled | Self::AnswersLostEntryKilled
+            Self::EngineAgentKilled
+                | Self::EntryKilled
+                | Self::AnswersLostEntryKilled
+                | Self::ZonePaused
+                | Self::ZoneKilled
+                | Self::ZonePausedPlatformDown
         )
     }
 }
 
 /// Plays a fault under traffic and judges the history.
 fn play(fault: Fault) {
-    let played = runtime::run(async {
+    let played = runtime::run(monoio::time::timeout(LONGEST, async {
         let site = Site::start(fault as u8).await;
         let callers = Callers::start(&site);
         monoio::time::sleep(PART).await;
         fault.begin(&site);
         monoio::time::sleep(PART).await;
+        // What is left goes on serving while the fault lasts.
+        let before = callers.answers();
+        while callers.answers() == before {
+            monoio::time::sleep(PART).await;
+        }
         fault.end(&site);
         monoio::time::sleep(PART).await;
         while site.book.writes.borrow().len() < ENOUGH || callers.answers() < ENOUGH {
@@ -113,8 +150,9 @@
         let history = callers.stop().await;
         let begun = site.book.writes.borrow().clone();
         (history, begun)
-    });
-    let (history, begun) = played.expect("a loop starts");
+    }));
+    let played = played.expect("a loop starts");
+    let (history, begun) = played.expect("callers are served before, during and after");
     let begun = || begun.iter().map(String::as_str);
     let whole = answers::check(&history.answers).expect("own whole answers");
     let asked = history.writes.iter().map(|write| write.request.as_str());
@@ -153,4 +191,7 @@
     the_upstream_loses_answers: UpstreamAnswersLost,
     the_platform_is_down_and_an_agent_is_killed: PlatformDownAgentKilled,
     answers_are_lost_and_an_entry_is_killed: AnswersLostEntryKilled,
+    a_zone_stands_still: ZonePaused,
+    a_zone_is_killed: ZoneKilled,
+    a_zone_stands_still_and_the_platform_is_down: ZonePausedPlatformDown,
 }
--- a/verbenaspool/tests/history/site.rs
+++ b/verbenaspool/tests/history/site.rs
@@ -1,4 +1,5 @@
-//! One firm: stand-ins in the test, two entries and four agents as processes.
+//! One firm in two zones: stand-ins in the test, two entries and four agents as
+//! processes.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -39,6 +40,14 @@
 const CONTROL: u8 = 1;
 const ADMIN: u8 = 2;
 
+/// The zones; instance by instance is in the one or the other.
+const ZONES: [&str; 2] = ["bowen", "tweed"];
+
+/// The zone of an instance.
+pub fn zone(number: u8) -> usize {
+    usize::from(number) % ZONES.len()
+}
+
 /// Everything that runs.
 pub struct Site {
     /// The platform.
@@ -62,7 +71,7 @@
 fn file() -> File {
     let text = format!(
         "firm: tidewater
-places: [{{zone: bowen, region: queensland}}]
+places: [{{zone: bowen, region: queensland}}, {{zone: tweed, region: queensland}}]
 services:
 - name: assistant
   path: /loft/
@@ -146,7 +155,7 @@
         let upstream = Upstream {
             name: name(&instance),
             service: name(service),
-            zone: name("bowen"),
+            zone: name(ZONES[zone(number)]),
             agent: listen,
             control,
             state: State::Live,
@@ -162,12 +171,10 @@
     /// Starts an entry.
     fn entry(&mut self, test: u8, number: u8) {
         let at = |port| address(test, 100 + number, port);
-        let peers: Vec<String> = (0..ENTRIES)
-            .map(|peer| address(test, 100 + peer, CONTROL).to_string())
-            .collect();
+        let zone = ZONES[zone(number)];
         let yaml = format!(
-            "firm: tidewater\nname: entry-{number}\nzone: bowen\n\
-             listen: {}\ncontrol: {}\nadmin: {}\npeers: {peers:?}\n\
+            "firm: tidewater\nname: entry-{number}\nzone: {zone}\n\
+             listen: {}\ncontrol: {}\nadmin: {}\n\
              platform: {{address: '{}', token: token, timeout_ms: 300}}\n\
              drain: {{linger_ms: 300, deadline_ms: 10000}}\n",
             at(LISTEN),
@@ -185,6 +192,17 @@
         self.admins.push(at(ADMIN));
     }
 
+    /// Does the same to every process of a zone.
+    pub fn each_of(&self, zone: usize, act: impl Fn(&mut Process)) {
+        let (mut agents, mut entries) = (self.agents.borrow_mut(), self.entries.borrow_mut());
+        let agents = agents.iter_mut().enumerate();
+        let all = agents.chain(entries.iter_mut().enumerate());
+        let numbered = all.map(|(number, process)| (number % ZONES.len(), process));
+        for (_, process) in numbered.filter(|(of, _)| *of == zone) {
+            act(process);
+        }
+    }
+
     /// Has the file accepted.
     async fn apply(&self) {
         let store = client::Client::new(client::Settings {
