--- /dev/null
+++ b/extra/completions/verbenaspool.zsh
@@ -0,0 +1,182 @@
+#compdef verbenaspool
+
+autoload -U is-at-least
+
+_verbenaspool() {
+    typeset -A opt_args
+    typeset -a _arguments_options
+    local ret=1
+
+    if is-at-least 5.2; then
+        _arguments_options=(-s -S -C)
+    else
+        _arguments_options=(-s -C)
+    fi
+
+    local context curcontext="$curcontext" state line
+    _arguments "${_arguments_options[@]}" : \
+'-h[Print help]' \
+'--help[Print help]' \
+'-V[Print version]' \
+'--version[Print version]' \
+":: :_verbenaspool_commands" \
+"*::: :->verbenaspool" \
+&& ret=0
+    case $state in
+    (verbenaspool)
+        words=($line[1] "${words[@]}")
+        (( CURRENT += 1 ))
+        curcontext="${curcontext%:*:*}:verbenaspool-command-$line[1]:"
+        case $line[1] in
+            (run)
+_arguments "${_arguments_options[@]}" : \
+'-s+[The settings file]:FILE:_files' \
+'--settings=[The settings file]:FILE:_files' \
+'-h[Print help]' \
+'--help[Print help]' \
+&& ret=0
+;;
+(check)
+_arguments "${_arguments_options[@]}" : \
+'--json[Tell the result as JSON]' \
+'-h[Print help]' \
+'--help[Print help]' \
+':file -- The firm'\''s file:_files' \
+&& ret=0
+;;
+(apply)
+_arguments "${_arguments_options[@]}" : \
+'-s+[The operator'\''s settings file]:FILE:_files' \
+'--settings=[The operator'\''s settings file]:FILE:_files' \
+'--expect=[Apply only if this version is the accepted one; 0 if none is]:VERSION:_default' \
+'--id=[The apply'\''s id, to settle an apply whose fate is unknown]:ID:_default' \
+'--timeout-ms=[How long to go on trying, in milliseconds]:MS:_default' \
+'--json[Tell the result as JSON]' \
+'-h[Print help]' \
+'--help[Print help]' \
+':file -- The firm'\''s file:_files' \
+&& ret=0
+;;
+(status)
+_arguments "${_arguments_options[@]}" : \
+'-s+[The operator'\''s settings file]:FILE:_files' \
+'--settings=[The operator'\''s settings file]:FILE:_files' \
+'--json[Tell it as JSON]' \
+'-h[Print help]' \
+'--help[Print help]' \
+&& ret=0
+;;
+(help)
+_arguments "${_arguments_options[@]}" : \
+":: :_verbenaspool__subcmd__help_commands" \
+"*::: :->help" \
+&& ret=0
+
+    case $state in
+    (help)
+        words=($line[1] "${words[@]}")
+        (( CURRENT += 1 ))
+        curcontext="${curcontext%:*:*}:verbenaspool-help-command-$line[1]:"
+        case $line[1] in
+            (run)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
+(check)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
+(apply)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
+(status)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
+(help)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
+        esac
+    ;;
+esac
+;;
+        esac
+    ;;
+esac
+}
+
+(( $+functions[_verbenaspool_commands] )) ||
+_verbenaspool_commands() {
+    local commands; commands=(
+'run:Run the entry process' \
+'check:Check a firm'\''s file and tell everything that is wrong with it' \
+'apply:Apply a firm'\''s file, whole or not at all' \
+'status:Tell what is accepted, and where it is in force' \
+'help:Print this message or the help of the given subcommand(s)' \
+    )
+    _describe -t commands 'verbenaspool commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__apply_commands] )) ||
+_verbenaspool__subcmd__apply_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool apply commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__check_commands] )) ||
+_verbenaspool__subcmd__check_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool check commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help_commands] )) ||
+_verbenaspool__subcmd__help_commands() {
+    local commands; commands=(
+'run:Run the entry process' \
+'check:Check a firm'\''s file and tell everything that is wrong with it' \
+'apply:Apply a firm'\''s file, whole or not at all' \
+'status:Tell what is accepted, and where it is in force' \
+'help:Print this message or the help of the given subcommand(s)' \
+    )
+    _describe -t commands 'verbenaspool help commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help__subcmd__apply_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__apply_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help apply commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help__subcmd__check_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__check_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help check commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help__subcmd__help_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__help_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help help commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help__subcmd__run_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__run_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help run commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__help__subcmd__status_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__status_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help status commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__run_commands] )) ||
+_verbenaspool__subcmd__run_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool run commands' commands "$@"
+}
+(( $+functions[_verbenaspool__subcmd__status_commands] )) ||
+_verbenaspool__subcmd__status_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool status commands' commands "$@"
+}
+
+if [ "$funcstack[1]" = "_verbenaspool" ]; then
+    _verbenaspool "$@"
+else
+    compdef _verbenaspool verbenaspool
+fi
--- a/verbenaspool/tests/history/callers.rs
+++ b/verbenaspool/tests/history/callers.rs
@@ -15,7 +15,10 @@
     engine::text,
     history::{answers, outcomes},
 };
-use verbenaspool_transport::http::{body::Body, client::Client};
+use verbenaspool_transport::http::{
+    body::Body,
+    client::{Client, Error},
+};
 
 use crate::site::{CREDENTIAL, Site};
 
@@ -23,6 +26,9 @@
 const CALLERS: u64 = 10;
 /// How often a caller sends one write under one key, through either entry.
 const REPEATS: usize = 3;
+/// How long a caller waits for the start of an answer. Without an end, callers of
+/// an entry that stands still would ask no other one.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// How long a caller pauses behind each request.
 const PAUSE: Duration = Duration::from_millis(4);
 
@@ -172,12 +178,11 @@
             body: Vec::new(),
             ended: false,
         };
-        let response = match self.client.send(entry, request).await {
-            Ok(response) => response,
-            Err(verbenaspool_transport::http::client::Error::NotSent(_)) => {
-                return lost(Outcome::NotRun);
-            }
-            Err(_) => return lost(Outcome::Unknown),
+        let sent = monoio::time::timeout(PATIENCE, self.client.send(entry, request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(Error::NotSent(_))) => return lost(Outcome::NotRun),
+            Ok(Err(_)) | Err(_) => return lost(Outcome::Unknown),
         };
         let told = response.headers().get(header::OUTCOME);
         let outcome = Outcome::read(told.and_then(|value| value.to_str().ok()));
--- a/verbenaspool/tests/history/faults.rs
+++ b/verbenaspool/tests/history/faults.rs
@@ -13,7 +13,7 @@
 /// How long callers are at work before, during and after a fault, at least.
 const PART: Duration = Duration::from_millis(500);
 /// How long a run may take: a site that serves nobody ends here.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 /// Answers and writes without which a history proves nothing. The run goes on
 /// until it has them, however slow the machine is.
 const ENOUGH: usize = 30;
@@ -131,7 +131,7 @@
 
 /// Plays a fault under traffic and judges the history.
 fn play(fault: Fault) {
-    let played = runtime::run(monoio::time::timeout(LONGEST, async {
+    let run = async {
         let site = Site::start(fault as u8).await;
         let callers = Callers::start(&site);
         monoio::time::sleep(PART).await;
@@ -150,7 +150,8 @@
         let history = callers.stop().await;
         let begun = site.book.writes.borrow().clone();
         (history, begun)
-    }));
+    };
+    let played = runtime::run(async { monoio::time::timeout(LONGEST, run).await });
     let played = played.expect("a loop starts");
     let (history, begun) = played.expect("callers are served before, during and after");
     let begun = || begun.iter().map(String::as_str);
