Take orders to an engine through its agent

An order said twice is carried out once; a lost answer is settled by reading the engine; an old fence is refused also where the engine would obey.

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -21,6 +21,7 @@
     proxy::Proxy,
     settings::Settings,
     shared::Shared,
+    steward::Steward,
 };
 
 /// How often a stopping agent looks whether its last request has ended.
@@ -87,6 +88,9 @@
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
         control::register(&mut module, &shared);
+        let (engine, log) = (shared.upstream(), shared.log.clone());
+        let steward = Steward::new(engine, orders.clone(), shared.clock.clone(), log);
+        steward.register(&mut module);
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
             let driver = group::Driver::new(group, shared.log.clone(), shared.clock.clone());
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -21,3 +21,4 @@
 mod proxy;
 mod route;
 mod shared;
+mod steward;
--- /dev/null
+++ b/verbenaspool_agent/src/steward.rs
@@ -0,0 +1,144 @@
+//! Takes orders to the engine from whoever controls the fleet, and finds out what
+//! came of them.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::Request;
+use http_body_util::{BodyExt, Limited};
+use slog::{Logger, info};
+
+use verbenaspool_coordination::group::order::{Gate, Order, Outcome, State, Step};
+use verbenaspool_protocol::{
+    engine,
+    order::{HELD, METHOD},
+};
+use verbenaspool_transport::{
+    clock::Clock,
+    http::{body::Body, client::Client},
+    rpc::Module,
+};
+
+use crate::orders;
+
+/// How long to wait between two readings of an engine that isn't yet what it
+/// is to become: loading a model takes seconds.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// How long a call waits for an order's outcome. An engine that can't be read
+/// for longer leaves it open, and the order has to be said again.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How long the engine's connection may take to open.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// The largest state that is read, in bytes.
+const LARGEST: usize = 64 * 1024;
+
+/// What an order that is said again while it is under way gets.
+const UNDER_WAY: &str = "the order is under way; say it again";
+
+/// The taker of orders.
+#[derive(Debug)]
+pub(crate) struct Steward {
+    gate: RefCell<Gate>,
+    sender: Rc<orders::Gate>,
+    client: Client,
+    engine: SocketAddr,
+    clock: Rc<dyn Clock>,
+    log: Logger,
+}
+
+impl Steward {
+    /// A steward of an agent that starts now.
+    pub(crate) fn new(
+        engine: SocketAddr,
+        sender: Rc<orders::Gate>,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            gate: RefCell::new(Gate::new(clock.now())),
+            sender,
+            client: Client::new(CONNECT),
+            engine,
+            clock,
+            log,
+        })
+    }
+
+    /// Registers the control method.
+    pub(crate) fn register(self: &Rc<Self>, module: &mut Module) {
+        let steward = self.clone();
+        module.on(METHOD, move |order: Order| {
+            let steward = steward.clone();
+            async move { steward.take(order).await }
+        });
+    }
+
+    /// Takes an order and says what came of it.
+    async fn take(&self, order: Order) -> Result<Outcome, String> {
+        let now = self.clock.now();
+        let step = self.gate.borrow_mut().take(now, &order);
+        let mut step = match step {
+            Step::Send { order, until } => self.send(order, until).await,
+            // Said again while it is under way: its outcome may be readable.
+            Step::Wait => Step::Read,
+            step => step,
+        };
+        while self.clock.now() < now + PATIENCE {
+            step = match step {
+                Step::Answer(outcome) => {
+                    info!(self.log, "Orders: Taken."; "order" => order.id, "fence" => order.fence,
+                        "outcome" => format!("{outcome:?}"));
+                    return Ok(outcome);
+                }
+                Step::Read => self.read().await,
+                Step::Send { .. } | Step::Wait => break,
+            };
+        }
+        Err(UNDER_WAY.to_owned())
+    }
+
+    /// Sends an order to the engine.
+    async fn send(&self, order: Order, until: Duration) -> Step {
+        let action = serde_json::to_value(&order.action).expect("an action has only plain keys");
+        let fence = order.fence;
+        let sent = self
+            .sender
+            .send(&engine::Order { fence, action }, until)
+            .await;
+        let mut gate = self.gate.borrow_mut();
+        match sent {
+            Ok(_) => gate.answered(self.clock.now(), Ok(())),
+            Err(orders::Error::Refused(why)) => gate.answered(self.clock.now(), Err(why)),
+            Err(_) => gate.lost(),
+        }
+    }
+
+    /// Reads the engine and tells the gate. An engine that can't be read tells
+    /// nothing; it is read again until it can.
+    async fn read(&self) -> Step {
+        let now = self.clock.now();
+        let step = match self.held().await {
+            Ok(state) => self.gate.borrow_mut().read(now, &state),
+            Err(_) => Step::Read,
+        };
+        if step == Step::Read {
+            self.clock.sleep(PAUSE).await;
+        }
+        step
+    }
+
+    /// What the engine is.
+    async fn held(&self) -> Result<State, String> {
+        let request = Request::get(HELD)
+            .header(http::header::HOST, self.engine.to_string())
+            .body(Body::empty())
+            .map_err(|error| error.to_string())?;
+        let response = self.client.send(self.engine, request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let body = Limited::new(response.into_body(), LARGEST).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    }
+}
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -5,6 +5,7 @@
 mod group;
 mod history;
 mod input;
+mod orders;
 mod path;
 mod process;
 mod refusal;
--- /dev/null
+++ b/verbenaspool_agent/tests/agent/orders.rs
@@ -0,0 +1,76 @@
+//! Orders to an engine by way of its agent.
+
+use std::{rc::Rc, time::Duration};
+
+use slog::{Discard, Logger, o};
+
+use verbenaspool_agent::agent::Agent;
+use verbenaspool_coordination::group::order::{Action, LONGEST, Order, Outcome, Reason, Role};
+use verbenaspool_protocol::order::METHOD;
+use verbenaspool_standin::engine::{Config, Desk};
+use verbenaspool_transport::{clock::Paused, rpc, shutdown};
+
+use crate::rig::{self, engine, run};
+
+/// An agent that has waited out its forerunner's orders, and its engine.
+struct Fleet {
+    desk: Rc<Desk>,
+    control: std::net::SocketAddr,
+    rpc: rpc::Client,
+}
+
+impl Fleet {
+    fn start(checks_fences: bool) -> Self {
+        let config = Config {
+            checks_fences,
+            ..Config::default()
+        };
+        let (address, desk) = engine(config);
+        let clock = Rc::new(Paused::default());
+        let log = Logger::root(Discard, o!());
+        let settings = rig::settings(address, "engine");
+        let agent = Agent::bind(settings, log, clock.clone()).expect("an agent");
+        let control = agent.control();
+        let (trigger, signal) = shutdown::channel();
+        monoio::spawn(async move {
+            agent.run(signal).await;
+            drop(trigger);
+        });
+        clock.advance(LONGEST);
+        let rpc = rpc::Client::default();
+        Self { desk, control, rpc }
+    }
+
+    async fn order(&self, id: &str, fence: u64, role: Role) -> Outcome {
+        let order = Order {
+            id: id.to_owned(),
+            fence,
+            good_ms: 5_000,
+            action: Action::Role(role),
+        };
+        let timeout = Duration::from_secs(5);
+        let called = self.rpc.call(self.control, METHOD, &order, timeout).await;
+        called.expect("the order is answered")
+    }
+}
+
+/// An operator changes an engine's role; the answer is lost on either hop, and
+/// the order is said again. The engine carries it out once, and the sender of
+/// an old fence is refused though the engine itself would obey.
+#[test]
+fn orders_run_once_and_in_turn() {
+    for checks_fences in [true, false] {
+        run(async {
+            let fleet = Fleet::start(checks_fences);
+            for _ in 0..2 {
+                assert_eq!(fleet.order("a.1", 5, Role::Decode).await, Outcome::Done);
+            }
+            assert_eq!(fleet.desk.orders.done().len(), 1);
+            fleet.desk.orders.lose(1);
+            assert_eq!(fleet.order("a.2", 6, Role::Prefill).await, Outcome::Done);
+            let late = fleet.order("old.7", 5, Role::Both).await;
+            assert_eq!(late, Outcome::NotRun(Reason::Fence { fence: 6 }));
+            assert_eq!(fleet.desk.orders.done().len(), 2);
+        });
+    }
+}
--- a/verbenaspool_coordination/src/group/order.rs
+++ b/verbenaspool_coordination/src/group/order.rs
@@ -23,6 +23,11 @@
 /// The longest that an order may be good for, and so the wait of a new agent.
 pub const LONGEST: Duration = Duration::from_secs(10);
 
+/// How long after an order's time its effect may still show. Its sender closed
+/// the connection then, but what had left before may lie unread at the engine,
+/// which stands on the same instance.
+const GRACE: Duration = Duration::from_secs(2);
+
 /// How long the outcome of an order is remembered after its end. A sender that
 /// got no answer asks again within seconds.
 const REMEMBERED: Duration = Duration::from_mins(10);
@@ -279,8 +284,9 @@
 
     /// The engine's state was read, as of no earlier than `now`.
     ///
-    /// Before the order's time is over, an engine that isn't yet what it is to
-    /// become may still get the order, so nothing is concluded from that.
+    /// Before the order's time and the grace are over, an engine that isn't yet
+    /// what it is to become may still get the order, so nothing is concluded
+    /// from that.
     pub fn read(&mut self, now: Duration, state: &State) -> Step {
         let Some(open) = &self.open else {
             return Step::Wait;
@@ -288,7 +294,7 @@
         if state.meets(&open.order.action) {
             return self.close(now, Outcome::Done);
         }
-        if now < open.until {
+        if now < open.until + GRACE {
             return Step::Read;
         }
         self.close(now, Outcome::NotRun(Reason::Late))
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod group;
 pub mod header;
 pub mod load;
+pub mod order;
 pub mod outcome;
 pub mod peer;
 pub mod prefix;
--- a/verbenaspool_standin/src/engine.rs
+++ b/verbenaspool_standin/src/engine.rs
@@ -13,6 +13,7 @@
 use verbenaspool_protocol::{
     engine::{ORDER, STATE},
     header,
+    order::HELD,
 };
 use verbenaspool_transport::{
     clock::Clock,
@@ -176,6 +177,7 @@
                 (&Method::POST, "/v1/completions") => self.complete(request).await,
                 (&Method::GET, STATE) => self.state(request.uri().query()),
                 (&Method::POST, ORDER) => self.order(request).await,
+                (&Method::GET, HELD) => json(&self.orders.held()),
                 _ => error(StatusCode::NOT_FOUND, "no such path"),
             }
         })
@@ -240,6 +242,7 @@
             return error(StatusCode::BAD_REQUEST, "the body is no order");
         };
         match self.orders.take(order) {
+            Ok(()) if self.orders.loses() => broken(),
             Ok(()) => json(&serde_json::json!({"done": true})),
             Err(fence) => {
                 let mut response = json(&serde_json::json!({"done": false, "fence": fence}));
