--- a/examples/demo/events.rs
+++ b/examples/demo/events.rs
@@ -2,15 +2,20 @@
 
 use std::time::Duration;
 
-use futures_util::join;
+use futures_util::{future::join_all, join};
 use verbenaspool_coordination::apply::Outcome;
 use verbenaspool_state::file::File;
+use verbenaspool_transport::config::status;
 
 use crate::world::{Firm, World};
 
 /// The time between two events.
 const BETWEEN: Duration = Duration::from_millis(1_200);
 
+/// The time between the two readings of the status. The outage has doubled the
+/// time between two writes of it.
+const READINGS: Duration = Duration::from_millis(4_500);
+
 /// What the events brought.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -39,9 +44,31 @@
     world.clock.sleep(BETWEEN).await;
     world.platform.set(|faults| faults.down = false);
     world.clock.sleep(BETWEEN).await;
+    join_all(world.firms.iter().map(read_back)).await;
     events
 }
 
+/// Reads what is in force where, as `verbenaspool status` does.
+async fn read_back(firm: &Firm) {
+    let name = &firm.file.firm;
+    match status::read(&*firm.store, name, READINGS).await {
+        Err(error) => println!("{name}: the status can't be read: {error}"),
+        Ok(report) => {
+            let version = report.accepted;
+            println!("{name}: version {version} is accepted.");
+            for zone in &report.zones {
+                let status = zone.status.as_ref().filter(|_| zone.heard);
+                let word = match status {
+                    Some(status) if status.has(version) => "has it in force everywhere",
+                    Some(_) => "has instances that lag",
+                    None => "isn't heard from (the demo plays two zones)",
+                };
+                println!("{name}: {} {word}.", zone.zone);
+            }
+        }
+    }
+}
+
 /// Two operators of a firm apply different files at once.
 async fn race(world: &World, firm: &Firm, events: &mut Events) {
     let (first, second) = (changed(&firm.file, 3), changed(&firm.file, 4));
