Refuse work that was meant for another instance

Cause: an agent knew an entry's request only by its own process number, which the entry learns at the address that a late list names. Where an address had gone to another instance, of the other firm too, the entry learnt the stranger's number and sent it the firm's work. Found by reading; with the check taken out the new tests see the request run and the number told. Now requests and questions for reports name firm/instance, settings of an agent name its firm, and an agent refuses what is meant for another as not-run. The table of bad settings expects the new first key and line; its cases stay as strict.

--- a/examples/demo/world.rs
+++ b/examples/demo/world.rs
@@ -221,8 +221,9 @@
                     group.settings(&self.file.firm, seat, checked, platform.address())
                 });
                 let text = format!(
-                    "instance: {}-{zone}-{number}\nlisten: 127.0.0.1:0\ncontrol: {control}\n\
+                    "firm: {}\ninstance: {}-{zone}-{number}\nlisten: 127.0.0.1:0\ncontrol: {control}\n\
                      upstream: {{address: '{address}', kind: {kind}}}\n{}",
+                    self.file.firm,
                     service.name,
                     part.unwrap_or_default(),
                 );
--- a/verbenaspool/benches/capacity/agent.rs
+++ b/verbenaspool/benches/capacity/agent.rs
@@ -6,6 +6,7 @@
     load::Load,
     report::{Cache, Event, Question, Report},
 };
+use verbenaspool_state::upstream::Identity;
 
 use super::{Output, wire};
 
@@ -30,7 +31,13 @@
                 events: (1..=size).map(event).collect(),
             },
         };
-        let question = Question { since: 1 << 30 };
+        let question = Question {
+            instance: Identity {
+                firm: "tidewater".parse().expect("a name"),
+                instance: "loft-assistant-12000".parse().expect("a name"),
+            },
+            since: 1 << 30,
+        };
         #[allow(clippy::cast_precision_loss)] // Sizes stay far below 2^53.
         let bytes = wire(&question, &report) as f64;
         output.say("agent", "one report, by cache events", size, bytes, "B");
--- a/verbenaspool/benches/path/site.rs
+++ b/verbenaspool/benches/path/site.rs
@@ -212,7 +212,8 @@
 ) -> (Child, Upstream) {
     let (agent, control) = (free(), free());
     let text = format!(
-        "instance: {name}
+        "firm: tidewater
+instance: {name}
 listen: {agent}
 control: {control}
 upstream: {{address: '{beside}', kind: {kind}}}
--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -184,6 +184,7 @@
     headers.insert(HOST, ticket.address.host.clone());
     headers.insert(header::ATTEMPT, value(&ticket.id.to_string()));
     headers.insert(header::AGENT, ticket.process.into());
+    headers.insert(header::INSTANCE, ticket.address.instance.clone());
     headers.insert(header::CUSTOMER, value(forward.customer.as_str()));
     let left = u64::try_from(forward.left().as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::DEADLINE, left.into());
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -278,7 +278,7 @@
 
     /// Takes the firm's whole list of upstreams.
     pub fn members(&self, upstreams: &[Upstream]) {
-        self.upstreams.replace(upstreams);
+        self.upstreams.replace(self.firm(), upstreams);
         for (service, running) in self.services.borrow().iter() {
             let members = self.upstreams.members(service);
             running
--- a/verbenaspool/src/entry/reports.rs
+++ b/verbenaspool/src/entry/reports.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use verbenaspool_policy::load::Cache;
 use verbenaspool_protocol::report;
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{name::Name, upstream::Identity};
 use verbenaspool_transport::shutdown::Signal;
 
 use super::Entry;
@@ -49,7 +49,13 @@
         let Some((address, since)) = self.upstreams.asked(name, now) else {
             return;
         };
-        let question = report::Question { since };
+        let question = report::Question {
+            instance: Identity {
+                firm: self.firm().clone(),
+                instance: name.clone(),
+            },
+            since,
+        };
         let asked = self
             .rpc
             .call(address.control, report::METHOD, &question, TIMEOUT)
--- a/verbenaspool/src/entry/upstreams.rs
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -19,6 +19,8 @@
     pub host: HeaderValue,
     /// Where its agent takes control calls.
     pub control: SocketAddr,
+    /// The instance, `firm/instance`, as a header's value.
+    pub instance: HeaderValue,
     /// The agent process, once it was heard from.
     pub process: Option<u64>,
 }
@@ -41,14 +43,19 @@
     /// Takes the firm's whole list of upstreams.
     ///
     /// ```
-    /// verbenaspool::entry::upstreams::Book::default().replace(&[]);
+    /// let firm = "quetzal".parse().unwrap();
+    /// verbenaspool::entry::upstreams::Book::default().replace(&firm, &[]);
     /// ```
-    pub fn replace(&self, upstreams: &[Upstream]) {
+    pub fn replace(&self, firm: &Name, upstreams: &[Upstream]) {
         let mut book = self.0.borrow_mut();
         let mut before = std::mem::take(&mut *book);
         for upstream in upstreams {
-            // An address is plain ASCII, so this holds for every upstream.
-            let Ok(host) = HeaderValue::from_str(&upstream.agent.to_string()) else {
+            // Addresses and names are plain ASCII, so this holds for every upstream.
+            let identity = format!("{firm}/{}", upstream.name);
+            let (Ok(host), Ok(instance)) = (
+                HeaderValue::from_str(&upstream.agent.to_string()),
+                HeaderValue::from_str(&identity),
+            ) else {
                 continue;
             };
             let kept = before
@@ -60,6 +67,7 @@
                     agent: upstream.agent,
                     host,
                     control: upstream.control,
+                    instance,
                     process: kept.as_ref().and_then(|known| known.address.process),
                 },
                 at: kept.as_ref().and_then(|known| known.at),
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -81,7 +81,8 @@
     /// Starts an agent beside an upstream and lists it.
     fn agent(&self, name: &str, service: &str, beside: SocketAddr, kind: &str) -> claim::Agent {
         let text = format!(
-            "instance: {name}
+            "firm: tidewater
+instance: {name}
 listen: 127.0.0.1:0
 control: 127.0.0.1:0
 upstream: {{address: '{beside}', kind: {kind}}}
--- a/verbenaspool/tests/history/site.rs
+++ b/verbenaspool/tests/history/site.rs
@@ -142,7 +142,7 @@
         let (listen, control) = (at(LISTEN), at(CONTROL));
         let instance = format!("{service}-{number}");
         let yaml = format!(
-            "instance: {instance}\nlisten: {listen}\ncontrol: {control}\n\
+            "firm: tidewater\ninstance: {instance}\nlisten: {listen}\ncontrol: {control}\n\
              upstream: {{address: '{beside}', kind: {kind}}}\n\
              drain: {{deadline_seconds: 10, linger_ms: 300}}\n"
         );
--- a/verbenaspool_agent/benches/agent.rs
+++ b/verbenaspool_agent/benches/agent.rs
@@ -24,6 +24,7 @@
     engine::{Config, Engine},
     service::{Book, Service},
 };
+use verbenaspool_state::upstream::Identity;
 use verbenaspool_transport::{
     clock::Monotonic,
     http::{body::Body, client::Client},
@@ -56,7 +57,7 @@
 impl Agent {
     fn start(upstream: SocketAddr, kind: &str) -> Self {
         let text = format!(
-            "{{instance: bench, listen: '127.0.0.1:0', control: '127.0.0.1:0', \
+            "{{firm: tidewater, instance: bench, listen: '127.0.0.1:0', control: '127.0.0.1:0', \
              upstream: {{address: '{upstream}', kind: {kind}}}, log: {{form: json}}}}"
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("bench.yaml");
@@ -146,6 +147,7 @@
         .header(HOST, "bench")
         .header(header::ATTEMPT, id.to_string())
         .header(header::AGENT, agent)
+        .header(header::INSTANCE, "tidewater/bench")
         .body(Body::full(body))
         .expect("a request")
 }
@@ -231,7 +233,13 @@
 #[allow(clippy::cast_precision_loss)] // Counts are far below 2^53.
 async fn reports(agent: &Agent) -> Value {
     let client = rpc::Client::default();
-    let question = report::Question::default();
+    let question = report::Question {
+        instance: Identity {
+            firm: "tidewater".parse().expect("a name"),
+            instance: "bench".parse().expect("a name"),
+        },
+        since: 0,
+    };
     let (cpu, began) = (agent.cpu(), Instant::now());
     let mut bytes = 0;
     for _ in 0..REPORTS {
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -60,7 +60,8 @@
     /// use verbenaspool_transport::{clock::Monotonic, runtime};
     ///
     /// let settings = settings::read(
-    ///     "instance: loft-1
+    ///     "firm: tidewater
+    /// instance: loft-1
     /// listen: 127.0.0.1:0
     /// control: 127.0.0.1:0
     /// upstream: {address: '127.0.0.1:7100', kind: plain}
--- a/verbenaspool_agent/src/control.rs
+++ b/verbenaspool_agent/src/control.rs
@@ -16,11 +16,13 @@
     });
     let agent = shared.clone();
     module.on(report::METHOD, move |question: report::Question| {
-        let report = report::Report {
+        // Whoever means another instance must not learn this process's number.
+        let meant = question.instance == agent.settings.identity();
+        let report = meant.then(|| report::Report {
             load: agent.load(),
             cache: agent.engine.borrow().since(question.since),
-        };
-        async move { Ok::<_, String>(report) }
+        });
+        async move { report.ok_or_else(|| "another instance is here".to_owned()) }
     });
     let agent = shared.clone();
     module.on(report::LEAVE, move |(): ()| {
--- a/verbenaspool_agent/src/envelope.rs
+++ b/verbenaspool_agent/src/envelope.rs
@@ -18,9 +18,16 @@
 }
 
 /// Reads the headers of a request that means to reach this agent process.
-pub(crate) fn read(headers: &HeaderMap, number: u64) -> Result<Envelope, Problem> {
+pub(crate) fn read(headers: &HeaderMap, number: u64, identity: &str) -> Result<Envelope, Problem> {
     let attempt =
         attempt(headers).ok_or_else(|| bad("The attempt header is missing or no attempt id."))?;
+    // Instances are replaced all day and their addresses used again, by the
+    // other firm too, while lists are late. An entry that goes by an old list
+    // would hand its firm's work to a stranger, and pass its answer on.
+    if text(headers, header::INSTANCE) != Some(identity) {
+        let message = "The request was meant for another instance.";
+        return Err(Problem::not_run(Code::StaleAttempt, message));
+    }
     // A process that took this one's address must not run what was meant for
     // its predecessor: the entry may have settled the attempt with that one.
     // An entry that names none has yet to learn the number, from this refusal.
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -55,7 +55,7 @@
     fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> server::Answer {
         Box::pin(async move {
             let shared = self.0.clone();
-            let envelope = envelope::read(request.headers(), shared.number);
+            let envelope = envelope::read(request.headers(), shared.number, &shared.identity);
             // A refused attempt is echoed too: to the entry, an answer without
             // the attempt's id is a crossed one and says nothing about it.
             let attempt = envelope::attempt(request.headers());
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use verbenaspool_protocol::engine::STATE;
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{name::Name, upstream::Identity};
 use verbenaspool_transport::{log, settings, trace};
 
 use crate::group;
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
+    /// The firm that the instance belongs to.
+    pub firm: Name,
     /// The name of the instance that the agent stands beside.
     pub instance: Name,
     /// Where entries send requests.
@@ -44,6 +46,17 @@
     pub traces: Option<trace::Settings>,
 }
 
+impl Settings {
+    /// The instance among those of all firms.
+    #[must_use]
+    pub fn identity(&self) -> Identity {
+        Identity {
+            firm: self.firm.clone(),
+            instance: self.instance.clone(),
+        }
+    }
+}
+
 /// The upstream beside the agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -200,7 +213,8 @@
 /// use verbenaspool_agent::settings;
 ///
 /// let settings = settings::read(
-///     "instance: loft-1
+///     "firm: tidewater
+/// instance: loft-1
 /// listen: 127.0.0.1:7101
 /// control: 127.0.0.1:7102
 /// upstream: {address: '127.0.0.1:7100', kind: engine}
--- a/verbenaspool_agent/src/shared.rs
+++ b/verbenaspool_agent/src/shared.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Shared {
     /// Drawn at random at the start, so that no two processes have the same.
     pub(crate) number: u64,
+    /// The instance, as entries name it in [`verbenaspool_protocol::header::INSTANCE`].
+    pub(crate) identity: String,
     pub(crate) settings: Settings,
     pub(crate) log: Logger,
     pub(crate) clock: Rc<dyn Clock>,
@@ -44,6 +46,7 @@
         let idle = Duration::from_millis(settings.upstream.idle_ms);
         Self {
             number: rand::random(),
+            identity: settings.identity().to_string(),
             meter: Meter::default(),
             tracer: Tracer::new(settings.traces.as_ref(), clock.clone()),
             client: Client::new(CONNECT).keep_for(idle),
--- a/verbenaspool_agent/tests/agent/group.rs
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -106,7 +106,7 @@
         let members: Vec<String> = self.controls.iter().map(|a| format!("'{a}'")).collect();
         let fences = if checked { "checked" } else { "ignored" };
         let text = format!(
-            "instance: rank-{seat}\n\
+            "firm: tidewater\ninstance: rank-{seat}\n\
              listen: 127.0.0.1:0\n\
              control: {control}\n\
              upstream: {{address: '{engine}', kind: plain}}\n\
--- a/verbenaspool_agent/tests/agent/input.rs
+++ b/verbenaspool_agent/tests/agent/input.rs
@@ -52,6 +52,7 @@
     let mut lines = vec![
         "x-verbenaspool-attempt: 00000000000000ff-1".to_owned(),
         format!("x-verbenaspool-agent: {agent}"),
+        "x-verbenaspool-instance: tidewater/loft-1".to_owned(),
         "content-length: 0".to_owned(),
     ];
     let name = line.split(':').next().unwrap_or_default();
@@ -255,14 +256,14 @@
 
 #[test]
 fn bad_settings() {
-    const GOOD: &str = "instance: loft-1\nlisten: 127.0.0.1:7101\ncontrol: 127.0.0.1:7102\n\
+    const GOOD: &str = "firm: tidewater\ninstance: loft-1\nlisten: 127.0.0.1:7101\ncontrol: 127.0.0.1:7102\n\
                         upstream: {address: '127.0.0.1:7100', kind: engine}\n";
     let table = [
-        ("", "missing field `instance`"),
-        ("more: 1\n", "settings:5: unknown field `more`"),
+        ("", "missing field `firm`"),
+        ("more: 1\n", "settings:6: unknown field `more`"),
         (
             "limits: {requests: many}\n",
-            "settings:5: limits.requests: invalid type",
+            "settings:6: limits.requests: invalid type",
         ),
         (
             "limits: {requests: 0}\n",
@@ -274,7 +275,7 @@
         ),
         (
             "log: {form: xml}\n",
-            "settings:5: log.form: unknown variant `xml`",
+            "settings:6: log.form: unknown variant `xml`",
         ),
         ("drain: [\n", "settings:"),
     ];
--- a/verbenaspool_agent/tests/agent/process.rs
+++ b/verbenaspool_agent/tests/agent/process.rs
@@ -49,7 +49,7 @@
     /// Starts the program and reads its addresses from its log.
     fn start(name: &str, upstream: SocketAddr, kind: &str, deadline: u64) -> Self {
         let text = format!(
-            "instance: loft-1\n\
+            "firm: tidewater\ninstance: loft-1\n\
              listen: 127.0.0.1:0\n\
              control: 127.0.0.1:0\n\
              upstream: {{address: '{upstream}', kind: {kind}}}\n\
@@ -218,7 +218,7 @@
         let process = Process::start("first", address, "engine", 5);
         let (data, control) = (process.rig.data, process.rig.control);
         let text = format!(
-            "instance: loft-1\nlisten: {data}\ncontrol: {control}\n\
+            "firm: tidewater\ninstance: loft-1\nlisten: {data}\ncontrol: {control}\n\
              upstream: {{address: '{address}', kind: engine}}\n"
         );
         let second = program("run", &file("second", &text)).status();
@@ -228,7 +228,7 @@
 
 #[test]
 fn the_command_line() {
-    let sound = "instance: loft-1\nlisten: 127.0.0.1:1\ncontrol: 127.0.0.1:2\n\
+    let sound = "firm: tidewater\ninstance: loft-1\nlisten: 127.0.0.1:1\ncontrol: 127.0.0.1:2\n\
                  upstream: {address: '127.0.0.1:3', kind: plain}\n";
     let table = [
         ("check", sound, Some(0), ""),
--- a/verbenaspool_agent/tests/agent/refusal.rs
+++ b/verbenaspool_agent/tests/agent/refusal.rs
@@ -4,7 +4,7 @@
 
 use verbenaspool_protocol::{header, outcome::Outcome, problem::Code};
 
-use crate::rig::{Rig, run, service, settings};
+use crate::rig::{Rig, question, run, service, settings};
 
 #[test]
 fn every_refusal_names_its_attempt() {
@@ -17,6 +17,13 @@
         let cases = [
             (header::AGENT, None, Code::StaleAttempt),
             (header::AGENT, Some("7"), Code::StaleAttempt),
+            (header::INSTANCE, None, Code::StaleAttempt),
+            (header::INSTANCE, Some("quetzal/loft-1"), Code::StaleAttempt),
+            (
+                header::INSTANCE,
+                Some("tidewater/loft-2"),
+                Code::StaleAttempt,
+            ),
             (header::DEADLINE, Some("soon"), Code::BadRequest),
             (header::DEADLINE, Some("0"), Code::Deadline),
         ];
@@ -38,3 +45,19 @@
         assert!(book.writes.borrow().is_empty());
     });
 }
+
+#[test]
+fn a_stranger_learns_no_number() {
+    // Quetzal's findings are written into Tidewater's jobs: an instance was
+    // replaced, its address went to the other firm, and an entry with a late
+    // list asked there for the agent's number and sent its work.
+    run(async {
+        let (upstream, _) = service(Duration::ZERO);
+        let rig = Rig::start(settings(upstream, "plain"));
+        for (instance, told) in [("loft-1", true), ("loft-2", false)] {
+            let asked = question(instance, 0);
+            let answer = rig.ask(&asked).await;
+            assert_eq!(answer.is_ok(), told, "{instance}");
+        }
+    });
+}
--- a/verbenaspool_agent/tests/agent/rig.rs
+++ b/verbenaspool_agent/tests/agent/rig.rs
@@ -23,6 +23,7 @@
     engine::{Config, Desk, Engine, text},
     service::{Book, Service},
 };
+use verbenaspool_state::upstream::Identity;
 use verbenaspool_transport::{
     clock::{Clock, Monotonic},
     http::{
@@ -89,7 +90,7 @@
 /// Settings for an upstream of a kind, with a short linger.
 pub fn settings(upstream: SocketAddr, kind: &str) -> Settings {
     read(&format!(
-        "instance: loft-1\n\
+        "firm: tidewater\ninstance: loft-1\n\
          listen: 127.0.0.1:0\n\
          control: 127.0.0.1:0\n\
          upstream: {{address: '{upstream}', kind: {kind}, poll_ms: 20}}\n\
@@ -97,6 +98,17 @@
     ))
 }
 
+/// What an entry asks an instance's agent.
+pub fn question(instance: &str, since: u64) -> report::Question {
+    report::Question {
+        instance: Identity {
+            firm: "tidewater".parse().expect("a name"),
+            instance: instance.parse().expect("a name"),
+        },
+        since,
+    }
+}
+
 /// Starts an engine.
 pub fn engine(config: Config) -> (SocketAddr, Rc<Desk>) {
     let engine = Engine::bind(config, Monotonic::start()).expect("an engine");
@@ -165,6 +177,7 @@
             .header(http::header::HOST, "verbenaspool")
             .header(header::ATTEMPT, id.to_string())
             .header(header::AGENT, self.agent)
+            .header(header::INSTANCE, "tidewater/loft-1")
             .body(Body::full(body.to_owned()))
             .expect("a request")
     }
@@ -206,7 +219,16 @@
     }
 
     pub async fn report(&self, since: u64) -> report::Report {
-        self.call(report::METHOD, &report::Question { since }).await
+        self.ask(&question("loft-1", since))
+            .await
+            .expect("a report")
+    }
+
+    /// Asks for a report, and may be refused.
+    pub async fn ask(&self, question: &report::Question) -> Result<report::Report, rpc::Error> {
+        self.rpc
+            .call(self.control, report::METHOD, question, CALL)
+            .await
     }
 
     pub async fn leave(&self) {
--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -4,6 +4,9 @@
 pub const ATTEMPT: &str = "x-verbenaspool-attempt";
 /// The agent process that the entry means to reach; another refuses.
 pub const AGENT: &str = "x-verbenaspool-agent";
+/// The instance that the entry means to reach, as `firm/instance`; an agent
+/// beside another refuses.
+pub const INSTANCE: &str = "x-verbenaspool-instance";
 /// What became of the request: `ran`, `not-run` or `unknown`.
 pub const OUTCOME: &str = "x-verbenaspool-outcome";
 /// How long the caller waits for the whole answer, in milliseconds.
--- a/verbenaspool_protocol/src/report.rs
+++ b/verbenaspool_protocol/src/report.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use verbenaspool_state::upstream::Identity;
+
 use crate::load::Load;
 
 /// The JSON-RPC method that asks for a report.
@@ -12,9 +14,11 @@
 pub const LEAVE: &str = "agent_leave";
 
 /// What the entry already knows.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Question {
+    /// The instance that the entry means to ask; an agent beside another refuses.
+    pub instance: Identity,
     /// The number of the last cache event that the entry heard; 0 for none.
     pub since: u64,
 }
--- a/verbenaspool_state/src/upstream.rs
+++ b/verbenaspool_state/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Upstream instances as the platform's list and the agents name them.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,22 @@
     pub rank: Option<Rank>,
 }
 
+/// An instance among those of all firms, written `firm/instance`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Identity {
+    /// The firm.
+    pub firm: Name,
+    /// The instance's name, unique within the firm.
+    pub instance: Name,
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.firm, self.instance)
+    }
+}
+
 /// An instance's seat in a group of ranks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
