--- a/verbenaspool/src/entry/admin.rs
+++ b/verbenaspool/src/entry/admin.rs
@@ -160,6 +160,26 @@
             .iter()
             .map(|u| u64::from(u.in_flight))
             .sum();
+        let limit = snapshot.upstreams.iter().map(|u| u64::from(u.limit)).sum();
+        metrics
+            .gauge("verbenaspool_limit", "Most attempts in flight.", &pairs)
+            .set(count(limit));
+        let ejected = snapshot.upstreams.iter().filter(|u| u.ejected).count();
+        metrics
+            .gauge("verbenaspool_ejected", "Upstreams ejected now.", &pairs)
+            .set(count(ejected as u64));
+        metrics
+            .gauge(
+                "verbenaspool_wait_seconds",
+                "Time that waiting work takes.",
+                &pairs,
+            )
+            .set(snapshot.wait.as_secs_f64());
+        total(
+            "verbenaspool_ignored_reports_total",
+            "Load reports ignored.",
+            snapshot.ignored_reports,
+        );
         metrics
             .gauge("verbenaspool_in_flight", "Attempts in flight.", &pairs)
             .set(count(in_flight));
