--- a/verbenaspool/benches/capacity/change.rs
+++ b/verbenaspool/benches/capacity/change.rs
@@ -23,6 +23,8 @@
 const SIZES: [usize; 4] = [10, 1_000, 4_000, 16_000];
 /// Changes measured at each size.
 const CHANGES: u32 = 20;
+/// Time between two changes, longer than the longest between two versions.
+const PAUSE: Duration = Duration::from_secs(10);
 /// HTTP heads of a read and its answer, as the client and the platform send them.
 const HEADS: usize = 260;
 
@@ -167,7 +169,9 @@
         // Each change ends a watch, and its head is read as well.
         cost.pieces += head.write().len() + 2 * (HEADS + 2 * PACKET) + 120;
         cost.calls += read.len() + 2;
-        sender.poll(Duration::ZERO, 1).expect("a sound file");
+        // Versions of a large file are seconds apart.
+        let now = PAUSE * (change + 1);
+        sender.poll(now, 1).expect("a sound file");
         let delta = sender.delta(before, head.root);
         let offer = Offer {
             from: from.clone(),
@@ -183,7 +187,7 @@
         receiver
             .follow(&delta.expect("one change is told"))
             .expect("a sound change");
-        let adopted = receiver.poll(Duration::ZERO, 1).expect("a sound file");
+        let adopted = receiver.poll(now, 1).expect("a sound file");
         cost.follow += start.elapsed();
         let adopted = adopted.expect("all pieces are held");
         let start = Instant::now();
--- a/verbenaspool/benches/capacity/processes.rs
+++ b/verbenaspool/benches/capacity/processes.rs
@@ -6,7 +6,10 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::mpsc::{Receiver, Sender, channel},
+    sync::{
+        atomic::{AtomicU16, Ordering},
+        mpsc::{Receiver, Sender, channel},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -121,6 +124,13 @@
     }
 }
 
+/// Where an entry stands, and whom it asks for the others.
+struct Place<'a> {
+    zone: &'a str,
+    control: SocketAddr,
+    peers: String,
+}
+
 /// An entry process.
 struct Process {
     child: Child,
@@ -138,9 +148,13 @@
 
 impl Process {
     /// Starts an entry.
-    fn start(firm: &str, number: usize, control: SocketAddr, peers: &str, store: &Store) -> Self {
+    fn start(firm: &str, number: usize, place: &Place<'_>, store: &Store) -> Self {
         let (listen, admin) = (free(), free());
-        let zone = ZONES[number % ZONES.len()];
+        let Place {
+            zone,
+            control,
+            peers,
+        } = place;
         let text = format!(
             "firm: {firm}\nname: entry-{number}\nzone: {zone}\nlisten: {listen}\n\
              control: {control}\nadmin: {admin}\npeers: [{peers}]\n\
@@ -206,20 +220,36 @@
     }
 }
 
-/// An address that is free.
+/// The next port to try: below those that the system gives out for connections,
+/// so that none is taken between its choice and its use.
+static NEXT: AtomicU16 = AtomicU16::new(21_000);
+
+/// An address that is free, and isn't chosen twice.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener's address")
+    loop {
+        let address = ([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)).into();
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
-/// Entries of a firm; those of one zone know each other.
-fn entries(firm: &str, count: usize, store: &Store) -> Vec<Process> {
+/// Entries of a firm, spread over `zones`; each knows three others of its own.
+fn entries(firm: &str, count: usize, zones: &[&str], store: &Store) -> Vec<Process> {
     let controls: Vec<SocketAddr> = (0..count).map(|_| free()).collect();
+    let zone = |number: usize| zones[number % zones.len()];
     let start = |number: usize| {
-        let zone = ZONES[number % ZONES.len()];
-        let peers = (0..count).filter(|&n| n != number && ZONES[n % ZONES.len()] == zone);
-        let peers: Vec<String> = peers.map(|n| format!("'{}'", controls[n])).collect();
-        Process::start(firm, number, controls[number], &peers.join(", "), store)
+        let others = (0..count).filter(|&n| n != number && zone(n) == zone(number));
+        let peers: Vec<String> = others
+            .take(3)
+            .map(|n| format!("'{}'", controls[n]))
+            .collect();
+        let place = Place {
+            zone: zone(number),
+            control: controls[number],
+            peers: peers.join(", "),
+        };
+        Process::start(firm, number, &place, store)
     };
     (0..count).map(start).collect()
 }
@@ -244,6 +274,7 @@
 /// Measures processes.
 pub fn run(output: &Output) {
     in_force(output);
+    spread(output);
     memory(output);
     rate(output);
 }
@@ -252,7 +283,7 @@
 fn in_force(output: &Output) {
     let store = Store::start();
     let firms = ["tidewater", "quetzal"];
-    let processes: Vec<Vec<Process>> = firms.map(|firm| entries(firm, 4, &store)).into();
+    let processes: Vec<Vec<Process>> = firms.map(|firm| entries(firm, 4, &ZONES, &store)).into();
     let mut times = Vec::new();
     for change in 1..=CHANGES {
         for (firm, processes) in firms.iter().zip(&processes) {
@@ -294,12 +325,47 @@
     );
 }
 
+/// The time from acceptance to in force in one zone, by its members.
+fn spread(output: &Output) {
+    for members in [2, 12, 48] {
+        let store = Store::start();
+        store.apply(marked("tidewater", 10, 1));
+        let processes = entries("tidewater", members, &ZONES[..1], &store);
+        reach(&processes, 1);
+        // The members find each other.
+        thread::sleep(Duration::from_secs(8));
+        let mut times = Vec::new();
+        for change in 2..12 {
+            let accepted = store.apply(marked("tidewater", 10, change));
+            reach(&processes, u64::from(change));
+            times.push(accepted.elapsed().as_secs_f64() * 1e3);
+            thread::sleep(Duration::from_millis(100));
+        }
+        times.sort_by(f64::total_cmp);
+        let (median, longest) = (times[times.len() / 2], times[times.len() - 1]);
+        output.say(
+            "zone",
+            "acceptance to in force, median",
+            members,
+            median,
+            "ms",
+        );
+        output.say(
+            "zone",
+            "acceptance to in force, longest",
+            members,
+            longest,
+            "ms",
+        );
+    }
+}
+
 /// The memory of an entry by customers and by upstream instances.
 fn memory(output: &Output) {
     for customers in [10, 4_000, 16_000] {
         let store = Store::start();
         store.apply(marked("tidewater", customers, 1));
-        let processes = entries("tidewater", 1, &store);
+        let processes = entries("tidewater", 1, &ZONES, &store);
         reach(&processes, 1);
         output.say(
             "entry",
@@ -316,7 +382,7 @@
             .ask
             .send(Ask::List(instances))
             .expect("the stand-in runs");
-        let processes = entries("tidewater", 1, &store);
+        let processes = entries("tidewater", 1, &ZONES, &store);
         reach(&processes, 1);
         // The list is read within the budget of calls, 45 a second.
         thread::sleep(Duration::from_millis(1_500) + Duration::from_secs(instances as u64 / 45));
@@ -334,7 +400,7 @@
 fn rate(output: &Output) {
     let store = Store::start();
     store.apply(marked("tidewater", 4_000, 1));
-    let processes = entries("tidewater", 2, &store);
+    let processes = entries("tidewater", 2, &ZONES[..1], &store);
     reach(&processes, 1);
     thread::sleep(Duration::from_secs(2));
     let mut version = 1;
