--- a/verbenaspool_agent/src/admin.rs
+++ b/verbenaspool_agent/src/admin.rs
@@ -10,7 +10,10 @@
     server::{Answer, Handler},
 };
 
-use crate::shared::Shared;
+use crate::{
+    group::{Driver, gauge},
+    shared::Shared,
+};
 
 /// Connections at once; only probes and a scraper come here.
 pub(crate) const CONNECTIONS: usize = 32;
@@ -20,7 +23,12 @@
 
 /// Answers operators' tools.
 #[derive(Debug)]
-pub(crate) struct Admin(pub(crate) Rc<Shared>);
+pub(crate) struct Admin {
+    /// What the parts of the process share.
+    pub(crate) shared: Rc<Shared>,
+    /// The group of ranks, where the engine is one.
+    pub(crate) group: Option<Rc<Driver>>,
+}
 
 impl Handler for Admin {
     fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> Answer {
@@ -34,13 +42,21 @@
 
 impl Admin {
     fn answer(&self, path: &str) -> (StatusCode, String) {
-        let leaving = self.0.ledger.borrow().leaving();
+        let leaving = self.shared.ledger.borrow().leaving();
         match path {
             "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
             "/readyz" if leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
             "/readyz" => (StatusCode::OK, "ready\n".to_owned()),
-            "/metrics" => (StatusCode::OK, self.0.meter.text(&self.0)),
+            "/metrics" => (StatusCode::OK, self.metrics()),
             _ => (StatusCode::NOT_FOUND, "no such path\n".to_owned()),
         }
     }
+
+    fn metrics(&self) -> String {
+        let meter = &self.shared.meter;
+        if let Some(group) = &self.group {
+            gauge::set(&group.status(), meter.registry());
+        }
+        meter.text(&self.shared)
+    }
 }
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -154,7 +154,8 @@
         let served = server::serve(self.data, limits, proxy, open.clone(), data);
         monoio::spawn(served);
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
-        if let Some(group) = self.group {
+        let group = self.group;
+        if let Some(group) = group.clone() {
             monoio::spawn(group.run());
         }
         if let Some(path) = shared.settings.upstream.state.clone() {
@@ -165,7 +166,10 @@
                 connections: admin::CONNECTIONS,
                 ..Limits::default()
             };
-            let admin = Rc::new(Admin(shared.clone()));
+            let admin = Rc::new(Admin {
+                shared: shared.clone(),
+                group: group.clone(),
+            });
             let served = server::serve(listener, limits, admin, Open::default(), admin_stop);
             monoio::spawn(served);
         }
--- a/verbenaspool_agent/src/group/mod.rs
+++ b/verbenaspool_agent/src/group/mod.rs
@@ -4,6 +4,8 @@
 //! Nothing is decided here. A message that can't be delivered is dropped; the
 //! machine that sent it says it again until it sees the effect.
 
+pub(crate) mod gauge;
+
 mod driver;
 mod lease;
 mod settings;
--- a/verbenaspool_agent/src/meter.rs
+++ b/verbenaspool_agent/src/meter.rs
@@ -43,6 +43,11 @@
 }
 
 impl Meter {
+    /// Where all metrics are kept.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Counts the end of an admitted attempt.
     pub(crate) fn end(&self, ending: Ending) {
         match ending {
--- a/verbenaspool_agent/tests/agent/group.rs
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+use http::Request;
+use http_body_util::BodyExt;
 use monoio::net::{ListenerOpts, TcpListener};
 
 use verbenaspool_protocol::group::{STATUS, Status};
@@ -21,6 +23,7 @@
 };
 use verbenaspool_transport::{
     clock::{Clock, Monotonic},
+    http::{body::Body, client::Client},
     rpc, shutdown,
 };
 
@@ -38,6 +41,7 @@
     platform: Platform,
     engines: Vec<SocketAddr>,
     controls: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
     agents: Vec<Child>,
     clock: Rc<dyn Clock>,
     rpc: rpc::Client,
@@ -87,6 +91,7 @@
             name,
             engines: (0..RANKS).map(engine).collect(),
             controls: (0..RANKS).map(|_| free()).collect(),
+            admins: (0..RANKS).map(|_| free()).collect(),
             agents: Vec::new(),
             group,
             platform,
@@ -109,6 +114,7 @@
             "instance: rank-{seat}\n\
              listen: 127.0.0.1:0\n\
              control: {control}\n\
+             admin: {admin}\n\
              upstream: {{address: '{engine}', kind: plain}}\n\
              group:\n\
             \x20 firm: quetzal\n\
@@ -126,6 +132,7 @@
             \x20   expert_bytes: 1000\n\
             \x20   rebalancing: {{pause_s: 1}}\n",
             control = self.controls[index],
+            admin = self.admins[index],
             engine = self.engines[index],
             members = members.join(", "),
             platform = self.platform.address(),
@@ -149,6 +156,17 @@
         self.rpc.call(address, STATUS, &(), timeout).await.ok()
     }
 
+    /// The metrics of the agent at a seat.
+    async fn metrics(&self, seat: u16) -> String {
+        let client = Client::new(Duration::from_secs(1));
+        let request = Request::get("/metrics").header("host", "agent");
+        let request = request.body(Body::empty()).expect("a request");
+        let address = self.admins[usize::from(seat)];
+        let response = client.send(address, request).await.expect("an answer");
+        let body = response.into_body().collect().await.expect("a body");
+        String::from_utf8_lossy(&body.to_bytes()).into_owned()
+    }
+
     /// Waits for an agent that leads, and returns its status.
     async fn lead(&self) -> Status {
         loop {
@@ -209,6 +227,13 @@
         let status = fleet.status(lead.seat).await.expect("the lead answers");
         assert!(status.changes >= 3, "{status:?}");
         assert_eq!(status.diverged, 0);
+        let metrics = fleet.metrics(lead.seat).await;
+        let told = format!(
+            "verbenaspool_group_changes{{group=\"inspection-1\"}} {}",
+            status.changes
+        );
+        assert!(metrics.contains(&told), "{metrics}");
+        assert!(metrics.contains("verbenaspool_group_skew"), "{metrics}");
     });
 }
 
--- /dev/null
+++ b/verbenaspool_state/tests/expert_map.rs
@@ -0,0 +1,110 @@
+//! Expert maps and rebalancing settings that are refused, and why.
+
+use verbenaspool_state::{
+    expert_map::{Layer, Map, Problem, Shape},
+    rebalancing::Rebalancing,
+};
+
+const SHAPE: Shape = Shape {
+    ranks: 2,
+    experts: 4,
+    layers: 2,
+    slots: 3,
+};
+
+fn map(change: impl Fn(&mut Vec<Layer>)) -> Map {
+    let mut map = Map::spread(8, SHAPE);
+    change(&mut map.layers);
+    map
+}
+
+/// An operator's or another version's map that doesn't fit the group is refused
+/// for the first thing that is wrong, and the group goes on with its own.
+#[test]
+fn unfit_maps_are_refused() {
+    let cases = [
+        (
+            map(|layers| layers.truncate(1)),
+            Problem::Layers {
+                found: 1,
+                expected: 2,
+            },
+        ),
+        (
+            map(|layers| layers[1].ranks.push(vec![0])),
+            Problem::Ranks {
+                layer: 1,
+                found: 3,
+                expected: 2,
+            },
+        ),
+        (
+            map(|layers| layers[0].ranks[1] = vec![0, 1, 2, 3]),
+            Problem::Slots {
+                layer: 0,
+                rank: 1,
+                found: 4,
+                slots: 3,
+            },
+        ),
+        (
+            map(|layers| layers[0].ranks[0] = vec![0, 4]),
+            Problem::Unknown {
+                layer: 0,
+                rank: 0,
+                expert: 4,
+            },
+        ),
+        (
+            map(|layers| layers[0].ranks[0] = vec![1, 1]),
+            Problem::Twice {
+                layer: 0,
+                rank: 0,
+                expert: 1,
+            },
+        ),
+        (
+            map(|layers| layers[1].ranks = vec![vec![0, 1], vec![3]]),
+            Problem::Missing {
+                layer: 1,
+                expert: 2,
+            },
+        ),
+    ];
+    for (map, problem) in cases {
+        assert_eq!(map.check(SHAPE, 7), Err(problem.clone()), "{problem}");
+    }
+    let stale = Problem::Stale { epoch: 8, above: 8 };
+    assert_eq!(map(|_| ()).check(SHAPE, 8), Err(stale));
+    assert_eq!(map(|_| ()).check(SHAPE, 7), Ok(()));
+}
+
+/// Ranks may hold fewer experts than they have slots, as long as all stand
+/// somewhere.
+#[test]
+fn uneven_slots_are_fine() {
+    let uneven = map(|layers| layers[0].ranks = vec![vec![0], vec![1, 2, 3]]);
+    assert_eq!(uneven.check(SHAPE, 0), Ok(()));
+}
+
+/// Every wrong setting is named with its key, so that a file is put right in one go.
+#[test]
+fn settings_out_of_range_are_named() {
+    let settings = Rebalancing {
+        skew: -1.0,
+        cost: f64::INFINITY,
+        most_moves: 0,
+        bytes_a_second: 0,
+        pause_s: 0,
+        most_delay: 1.5,
+    };
+    let problems: Vec<String> = settings.check().iter().map(ToString::to_string).collect();
+    let expected = [
+        "skew: -1 is no weight between 0 and 1000",
+        "cost: inf is no weight between 0 and 1000",
+        "bytes_a_second: has to be above 0",
+        "pause_s: has to be above 0",
+        "most_delay: 1.5 is no part between 0 and 1",
+    ];
+    assert_eq!(problems, expected);
+}
