--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -15,12 +15,13 @@
 
 use crate::{
     admin::{self, Admin},
-    control,
+    control, group,
     orders::Gate,
     poll,
     proxy::Proxy,
     settings::Settings,
     shared::Shared,
+    steward::Steward,
 };
 
 /// How often a stopping agent looks whether its last request has ended.
@@ -37,6 +38,7 @@
     module: Module,
     orders: Rc<Gate>,
     admin: Option<TcpListener>,
+    group: Option<Rc<group::Driver>>,
 }
 
 /// How an agent ended.
@@ -86,6 +88,15 @@
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
         control::register(&mut module, &shared);
+        let (engine, log) = (shared.upstream(), shared.log.clone());
+        let steward = Steward::new(engine, orders.clone(), shared.clock.clone(), log);
+        steward.register(&mut module);
+        let group = shared.settings.group.clone();
+        let group = group.map(|group| {
+            let driver = group::Driver::new(group, shared.log.clone(), shared.clock.clone());
+            driver.register(&mut module);
+            driver
+        });
         Ok(Self {
             address: data.local_addr()?,
             control_address: control.local_addr()?,
@@ -95,6 +106,7 @@
             module,
             orders,
             admin,
+            group,
         })
     }
 
@@ -142,6 +154,10 @@
         let served = server::serve(self.data, limits, proxy, open.clone(), data);
         monoio::spawn(served);
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
+        let group = self.group;
+        if let Some(group) = group.clone() {
+            monoio::spawn(group.run());
+        }
         if let Some(path) = shared.settings.upstream.state.clone() {
             monoio::spawn(poll::run(shared.clone(), path));
         }
@@ -150,7 +166,10 @@
                 connections: admin::CONNECTIONS,
                 ..Limits::default()
             };
-            let admin = Rc::new(Admin(shared.clone()));
+            let admin = Rc::new(Admin {
+                shared: shared.clone(),
+                group: group.clone(),
+            });
             let served = server::serve(listener, limits, admin, Open::default(), admin_stop);
             monoio::spawn(served);
         }
@@ -195,6 +214,7 @@
     let began = clock.now();
     let deadline = began + shared.settings.drain.deadline();
     let linger = began + shared.settings.drain.linger();
+    open.close();
     while clock.now() < linger.min(deadline) || shared.ledger.borrow().running() > 0 {
         if clock.now() >= deadline {
             break;
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod command;
+pub mod group;
 pub mod orders;
 pub mod settings;
 
@@ -20,3 +21,4 @@
 mod proxy;
 mod route;
 mod shared;
+mod steward;
--- a/verbenaspool_agent/src/settings.rs
+++ b/verbenaspool_agent/src/settings.rs
@@ -8,6 +8,8 @@
 use verbenaspool_state::name::Name;
 use verbenaspool_transport::{log, settings, trace};
 
+use crate::group;
+
 pub use verbenaspool_transport::settings::Error;
 
 /// The settings of an agent process.
@@ -25,6 +27,9 @@
     pub admin: Option<SocketAddr>,
     /// The upstream beside the agent.
     pub upstream: Upstream,
+    /// The group of ranks that the engine belongs to, where it does.
+    #[serde(default)]
+    pub group: Option<group::Settings>,
     /// Bounds on what entries may make the agent hold.
     #[serde(default)]
     pub limits: Limits,
@@ -54,6 +59,11 @@
     /// How often the state is asked for, in milliseconds.
     #[serde(default = "Upstream::poll_ms")]
     pub poll_ms: u64,
+    /// How long a connection to the upstream is kept idle, in milliseconds. It
+    /// must be less than the upstream's own bound, or a request could be on its
+    /// way into a connection that the upstream closes, and end unknown.
+    #[serde(default = "Upstream::idle_ms")]
+    pub idle_ms: u64,
     /// What the paths of requests start with; empty for any. An engine takes
     /// requests below `/v1/` if not told otherwise, and orders nowhere there.
     #[serde(default)]
@@ -67,6 +77,12 @@
         250
     }
 
+    /// Widespread servers close idle connections after 2 seconds or more, and a
+    /// new one on the same instance costs some 50 microseconds.
+    fn idle_ms() -> u64 {
+        1_000
+    }
+
     /// Fills in what depends on the kind.
     fn complete(&mut self) {
         if self.kind == Kind::Plain {
@@ -201,7 +217,9 @@
 /// Fills in and checks what one key alone doesn't show.
 fn finish(path: &Path, mut settings: Settings) -> Result<Settings, Error> {
     settings.upstream.complete();
-    let problems = problems(&settings);
+    let mut problems = problems(&settings);
+    let group = settings.group.as_ref();
+    problems.extend(group.map(group::Settings::problems).unwrap_or_default());
     if problems.is_empty() {
         return Ok(settings);
     }
--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,8 +2,10 @@
 //! upstream.
 
 mod fault;
+mod group;
 mod history;
 mod input;
+mod orders;
 mod path;
 mod process;
 mod refusal;
--- a/verbenaspool_coordination/src/group/member.rs
+++ b/verbenaspool_coordination/src/group/member.rs
@@ -9,9 +9,10 @@
 use verbenaspool_state::expert_map::Layer;
 
 use super::{
+    engine::{Action, Event},
     lead::{self, Lead, Refused},
     message::{Command, Peer, Report},
-    rank::{self, Action, Event, Rank},
+    rank::{self, Rank},
 };
 
 /// What happens to an agent of a group.
@@ -113,7 +114,8 @@
         outputs
     }
 
-    /// Starts a change of map, where this agent is the lead.
+    /// Starts a change of map, where this agent is the lead. Each rank loads at
+    /// most `rate` bytes a second for it.
     ///
     /// # Errors
     ///
@@ -122,9 +124,10 @@
         &mut self,
         now: Duration,
         layers: Vec<Layer>,
+        rate: u64,
     ) -> Result<(u64, Vec<Output>), Refused> {
         let lead = self.lead.as_mut().ok_or(Refused::Over)?;
-        let (epoch, outputs) = lead.propose(now, layers)?;
+        let (epoch, outputs) = lead.propose(now, layers, rate)?;
         Ok((epoch, outputs.into_iter().map(from_lead).collect()))
     }
 
--- a/verbenaspool_coordination/src/group/rank.rs
+++ b/verbenaspool_coordination/src/group/rank.rs
@@ -15,139 +15,14 @@
 use verbenaspool_state::expert_map::Map;
 
 use super::{
+    engine::{Action, Event},
     message::{Ask, Command, News, Peer, Refusal, Report, Start},
     schedule::{Error, Schedule, Span},
 };
 
-/// Fixed properties of a rank and its engine.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// The rank's seat in the group, from 0.
-    pub seat: u16,
-    /// How many ranks the group has.
-    pub ranks: u16,
-    /// The start of this agent; counts up.
-    pub incarnation: u64,
-    /// Whether the engine refuses orders with an old fence. A late order to it
-    /// has no effect once it has seen a higher fence.
-    pub checked: bool,
-    /// The longest that an order may be on its way to an engine that ignores
-    /// fences. A new agent waits it out before it reads the engine.
-    pub longest: Duration,
-    /// After how long an unanswered message is sent again.
-    pub resend: Duration,
-    /// How many steps pass between two reports of progress.
-    pub stride: u64,
-}
-
-/// What happens to a rank's agent.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Input {
-    /// The lead asks something.
-    Command(Command),
-    /// Another rank's agent says something.
-    Peer(Peer),
-    /// The engine says something.
-    Engine(Event),
-    /// Time has passed.
-    Tick,
-}
-
-/// What an engine says.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// Where the engine stands.
-    State(Snapshot),
-    /// The engine holds all weights of a map.
-    Staged {
-        /// The map's epoch.
-        epoch: u64,
-    },
-    /// The engine couldn't load a map.
-    Failed {
-        /// The map's epoch.
-        epoch: u64,
-        /// Why.
-        reason: String,
-    },
-}
-
-/// Where an engine stands.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Snapshot {
-    /// The ticket of the [`Action::Read`] that this answers; 0 where it answers none.
-    pub ticket: u64,
-    /// The start of the engine; differs from start to start.
-    pub incarnation: u64,
-    /// The highest fence seen, where the engine checks them.
-    pub fence: Option<u64>,
-    /// The last step run; 0 where none was.
-    pub done: u64,
-    /// The epoch of that step.
-    pub running: Option<u64>,
-    /// The steps granted beyond it.
-    pub spans: Vec<Span>,
-    /// The epochs whose weights are loaded.
-    pub held: Vec<u64>,
-    /// The placements of those maps, where they were asked for.
-    pub maps: Vec<Map>,
-}
-
-/// What a rank's agent does.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Output {
-    /// Tell the lead at a seat.
-    Report {
-        /// The lead's seat.
-        lead: u16,
-        /// What to tell.
-        report: Report,
-    },
-    /// Tell the agent of another rank.
-    Peer {
-        /// The rank's seat.
-        to: u16,
-        /// What to tell.
-        peer: Peer,
-    },
-    /// Have the engine do something.
-    Engine {
-        /// The fence that the order carries.
-        fence: u64,
-        /// What it is to do.
-        action: Action,
-    },
-}
+mod reading;
 
-/// What an engine is to do. All of it may be asked again without a further effect.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Say where it stands now, with the placements of its maps.
-    Read {
-        /// Repeated in the answer, which so is known to be no older.
-        ticket: u64,
-    },
-    /// Run these steps.
-    Grant {
-        /// The steps and their maps.
-        spans: Vec<Span>,
-    },
-    /// Forget all granted steps that haven't started and run these instead.
-    Replace {
-        /// The steps and their maps.
-        spans: Vec<Span>,
-    },
-    /// Load what a map needs beside the running one.
-    Stage {
-        /// The map.
-        map: Map,
-    },
-    /// Forget a map.
-    Drop {
-        /// The map's epoch.
-        epoch: u64,
-    },
-}
+pub use super::port::{Input, Output, Settings};
 
 /// How far a rank's agent is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -193,6 +68,8 @@
     running: Option<u64>,
     /// The last step that the engine was seen to know of.
     handed: u64,
+    /// The last step that an order to the engine has named.
+    ordered: u64,
     /// The epochs whose weights the engine holds.
     held: BTreeSet<u64>,
     /// The placements known.
@@ -240,6 +117,7 @@
             done: 0,
             running: None,
             handed: 0,
+            ordered: 0,
             held: BTreeSet::new(),
             maps: BTreeMap::new(),
             asked: Duration::ZERO,
@@ -388,7 +266,7 @@
                 self.promise(round)
             }
             Ask::Grant { spans, .. } => self.grant(now, &spans),
-            Ask::Stage { map, .. } => self.stage(map),
+            Ask::Stage { map, rate, .. } => self.stage(map, rate),
             Ask::Drop { epoch, .. } => self.forget(epoch),
             Ask::Fetch { epoch } => {
                 let map = self.maps.get(&epoch).cloned();
@@ -454,37 +332,58 @@
         self.tell(News::Refused(refusal))
     }
 
-    /// Adds the granted steps that haven't run yet. Only an engine that has run
-    /// nothing may start anywhere: it joins where the others stand.
+    /// Adds the granted steps that haven't run yet.
     fn take(&mut self, spans: &[Span]) -> Result<(), Error> {
         let mut granted = Schedule::default();
         granted.merge(spans)?;
         let spans = granted.after(self.done);
-        let first = spans.first().map_or(0, |span| span.from);
-        if self.done > 0 && first > self.top() + 1 {
-            return Err(Error::Gap { top: self.top() });
+        let Some(first) = spans.first().map(|span| span.from) else {
+            return Ok(());
+        };
+        if self.done > 0 {
+            let top = self.top();
+            if first > top + 1 {
+                return Err(Error::Gap { top });
+            }
+            return self.schedule.merge(&spans);
         }
-        self.schedule.merge(&spans)
+        // An engine that has run nothing starts where the grant does: that is
+        // where the others wait for it. It may have been handed an earlier
+        // start, by an order that was on its way when it was restarted.
+        granted.merge(&self.schedule.after(first - 1))?;
+        if granted != self.schedule {
+            self.schedule = granted;
+            self.handed = 0;
+        }
+        Ok(())
     }
 
     /// Hands the engine the granted steps that it isn't seen to know of, up to
     /// the first whose weights it lacks: it could not run that one.
-    fn hand(&self) -> Option<Output> {
+    fn hand(&mut self) -> Option<Output> {
         let mut spans = self.schedule.after(self.done);
         let ready = |span: &Span| self.held.contains(&span.epoch);
         spans.truncate(spans.iter().take_while(|span| ready(span)).count());
         let top = spans.last()?.to;
-        (top > self.handed).then(|| self.engine(Action::Grant { spans }))
+        if top <= self.handed {
+            return None;
+        }
+        self.ordered = self.ordered.max(top);
+        let action = match self.done {
+            0 => Action::Replace { spans },
+            _ => Action::Grant { spans },
+        };
+        Some(self.engine(action))
     }
 
     /// Has the engine load a map, or says that it has.
-    fn stage(&mut self, map: Map) -> Vec<Output> {
+    fn stage(&mut self, map: Map, rate: u64) -> Vec<Output> {
         let epoch = map.epoch;
         if self.held.contains(&epoch) {
             return self.tell(News::Staged { epoch });
         }
         self.maps.insert(epoch, map.clone());
-        vec![self.engine(Action::Stage { map })]
+        vec![self.engine(Action::Stage { map, rate })]
     }
 
     /// Forgets a map, unless a step runs on it: the drop of an abandoned change
@@ -517,134 +416,6 @@
         }
     }
 
-    /// Takes in where the engine stands.
-    fn read(&mut self, now: Duration, snapshot: Snapshot) -> Vec<Output> {
-        match self.phase {
-            // An engine read too early might still get an order of the
-            // previous agent, which would then be in nobody's books.
-            Phase::Learning => Vec::new(),
-            // What was read before the wait ended may be out of date.
-            Phase::Reading if snapshot.ticket != self.ticket => Vec::new(),
-            Phase::Reading => {
-                self.phase = Phase::Ready;
-                self.restart(snapshot);
-                self.greet()
-            }
-            Phase::Ready if self.engine != Some(snapshot.incarnation) => {
-                self.life += 1;
-                self.restart(snapshot);
-                self.greet()
-            }
-            Phase::Ready => {
-                let mut outputs = self.advance(now, &snapshot);
-                outputs.extend(self.settle(&snapshot));
-                outputs
-            }
-        }
-    }
-
-    /// Answers the round of asking that waits for this reading.
-    fn settle(&mut self, snapshot: &Snapshot) -> Vec<Output> {
-        let refuses = snapshot.fence.is_some_and(|fence| fence >= self.fence);
-        let seen = snapshot.ticket == self.ticket && (refuses || !self.settings.checked);
-        let Some(round) = self.owed.take_if(|_| seen) else {
-            return Vec::new();
-        };
-        self.joined = true;
-        vec![self.join(round)]
-    }
-
-    /// Takes over all that the engine says.
-    fn restart(&mut self, snapshot: Snapshot) {
-        self.engine = Some(snapshot.incarnation);
-        self.done = snapshot.done;
-        self.told = snapshot.done;
-        self.running = snapshot.running;
-        self.schedule = Schedule::default();
-        // An engine's own list has no holes; one that had would be cut there.
-        let _ = self.schedule.merge(&snapshot.spans);
-        self.handed = self.top();
-        self.held = snapshot.held.into_iter().collect();
-        let maps = snapshot.maps.into_iter().map(|map| (map.epoch, map));
-        self.maps.extend(maps);
-    }
-
-    /// Tells the lead that holds the fence, where known, that the rank is here.
-    fn greet(&mut self) -> Vec<Output> {
-        if self.lead.is_none() {
-            return Vec::new();
-        }
-        self.promise(0)
-    }
-
-    /// Takes in how far the engine has come since.
-    fn advance(&mut self, now: Duration, snapshot: &Snapshot) -> Vec<Output> {
-        if snapshot.done < self.done {
-            // A report that was overtaken by a later one.
-            return Vec::new();
-        }
-        let mut outputs = self.compare(snapshot);
-        if snapshot.done > self.done {
-            self.done = snapshot.done;
-            self.running = snapshot.running;
-            self.schedule.trim(self.done);
-        }
-        let listed = snapshot.spans.last().map_or(0, |span| span.to);
-        self.handed = listed.max(self.done);
-        outputs.extend(self.retire());
-        if self.done >= self.told + self.settings.stride {
-            outputs.extend(self.progress());
-        }
-        if now >= self.asked + self.settings.resend {
-            self.asked = now;
-            outputs.extend(self.hand());
-        }
-        outputs
-    }
-
-    /// Looks for steps that the engine has from someone else.
-    ///
-    /// An engine that ignores fences may be reached by an agent that was paused
-    /// and replaced. Nothing can prevent that, so it is found here, reported,
-    /// and taken back where the step hasn't run.
-    fn compare(&self, snapshot: &Snapshot) -> Vec<Output> {
-        let granted = |step| self.schedule.epoch(step);
-        let mut odd = None;
-        if let Some(epoch) = snapshot.running {
-            let step = snapshot.done;
-            if step > self.done && granted(step) != Some(epoch) {
-                odd = Some((step, epoch, true));
-            }
-        }
-        let spans = snapshot.spans.iter();
-        let edges = spans.flat_map(|span| [(span.from, span.epoch), (span.to, span.epoch)]);
-        let mut strange = edges.filter(|&(step, epoch)| granted(step) != Some(epoch));
-        let odd = odd.or_else(|| strange.next().map(|(step, epoch)| (step, epoch, false)));
-        let Some((step, epoch, ran)) = odd else {
-            return Vec::new();
-        };
-        let mut outputs = self.tell(News::Diverged { step, epoch, ran });
-        let spans = self.schedule.after(snapshot.done);
-        outputs.push(self.engine(Action::Replace { spans }));
-        outputs
-    }
-
-    /// Has the engine forget the maps that every rank has left behind: to have
-    /// run a step of a later map takes that all ranks have started it.
-    fn retire(&mut self) -> Vec<Output> {
-        let Some(running) = self.running else {
-            return Vec::new();
-        };
-        let old: Vec<u64> = self.held.range(..running).copied().collect();
-        let mut outputs = Vec::new();
-        for epoch in old {
-            self.held.remove(&epoch);
-            self.maps.remove(&epoch);
-            outputs.push(self.engine(Action::Drop { epoch }));
-        }
-        outputs
-    }
-
     /// The last step granted.
     fn top(&self) -> u64 {
         self.schedule.top().unwrap_or(self.done)
@@ -658,7 +429,11 @@
     }
 
     /// Says where the rank stands.
-    fn join(&self, round: u64) -> Output {
+    ///
+    /// Steps that no order to the engine has named can't be run any more once
+    /// the fence is promised, so the lead is free to decide them anew.
+    fn join(&mut self, round: u64) -> Output {
+        self.schedule.cut(self.ordered.max(self.done));
         let spans = self.schedule.after(self.done);
         let last = spans.last().map(|span| span.epoch);
         let news = News::Joined {
--- a/verbenaspool_policy/src/fair.rs
+++ b/verbenaspool_policy/src/fair.rs
@@ -21,9 +21,15 @@
     seated: bool,
 }
 
-/// How much more than a turn's worth of credit or debt is kept. Debt beyond it
-/// is forgiven, so that one absurd answer can't shut a customer out for long.
-const MOST_TURNS: f64 = 16.0;
+/// How many turns' worth of debt is kept, unless one request alone is worth more.
+/// What is beyond it is forgiven: kept for 64 turns, a customer's one long request
+/// made its short ones late long after (2 in 100 of all, among 1 long in 100).
+const MOST_TURNS: f64 = 4.0;
+
+/// Turns that one request may cost at most. A request that claims billions of tokens
+/// would else shut its customer out for hours, and have the ring turned millions
+/// of times for one decision.
+const ABSURD_TURNS: f64 = 1_000.0;
 
 /// The rings of customers that have something waiting, by their numbers.
 #[derive(Debug, Default)]
@@ -100,7 +106,8 @@
 impl Seat {
     /// Charges work that was started, or, when `work` is negative, pays it back.
     pub fn charge(&mut self, work: f64, quantum: f64, share: u32) {
-        let most = MOST_TURNS * quantum * f64::from(share.max(1));
-        self.credit = (self.credit - work).clamp(-most.max(work.abs()), most);
+        let turn = quantum * f64::from(share.max(1));
+        let debt = work.clamp(MOST_TURNS * turn, ABSURD_TURNS * turn);
+        self.credit = (self.credit - work).clamp(-debt, MOST_TURNS * turn);
     }
 }
