Copy the headers that are passed on out of the head's buffer

Massif with 1,000 open streams: 8.2 of 66.3 MB of heap were the callers' heads, 8 KB each, held by the header values until the answer's end.

--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -2,8 +2,9 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::BytesMut;
 use http::{
-    HeaderMap, HeaderValue, Request, Response, Version,
+    HeaderMap, HeaderName, HeaderValue, Request, Response, Version,
     header::{AUTHORIZATION, EXPECT, HOST},
 };
 use verbenaspool_policy::attempt::Ending;
@@ -179,8 +180,7 @@
     *request.uri_mut() = forward.uri.clone();
     *request.version_mut() = Version::HTTP_11;
     let headers = request.headers_mut();
-    headers.reserve(forward.headers.len() + ADDED);
-    headers.extend(forward.headers.clone());
+    headers.clone_from(&forward.headers);
     headers.insert(HOST, ticket.address.host.clone());
     headers.insert(header::ATTEMPT, value(&ticket.id.to_string()));
     headers.insert(header::AGENT, ticket.process.into());
@@ -196,20 +196,28 @@
     request
 }
 
-/// Takes out of a caller's headers what is not passed on: what concerns its
+/// A caller's headers without what is not passed on: what concerns its
 /// connection, its credential, and words that only we may say.
-pub fn strip(headers: &mut HeaderMap) {
-    hop::strip(headers);
+///
+/// The values are copied. They are windows into the 8 KB that the head was read
+/// into, which would otherwise live as long as the request: 8 MB for 1,000
+/// open streams.
+pub fn passed(mut headers: HeaderMap) -> HeaderMap {
+    hop::strip(&mut headers);
     headers.remove(AUTHORIZATION);
     headers.remove(EXPECT);
-    let own: Vec<_> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(OWN))
-        .cloned()
-        .collect();
-    for name in own {
-        headers.remove(name);
+    headers.remove(HOST);
+    let own = |name: &HeaderName| name.as_str().starts_with(OWN);
+    let size = headers.values().map(HeaderValue::len).sum();
+    let mut copied = BytesMut::with_capacity(size);
+    let mut passed = HeaderMap::with_capacity(headers.len() + ADDED);
+    for (name, value) in headers.iter().filter(|(name, _)| !own(name)) {
+        copied.extend_from_slice(value.as_bytes());
+        if let Ok(value) = HeaderValue::from_maybe_shared(copied.split().freeze()) {
+            passed.append(name, value);
+        }
     }
+    passed
 }
 
 /// What an answer's head says of an attempt.
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -397,8 +397,7 @@
         };
         observation.set("customer", customer.name.as_str());
         let own = Duration::from_millis(service.decisions.deadline_ms);
-        let mut headers = parts.headers;
-        exchange::strip(&mut headers);
+        let headers = exchange::passed(parts.headers);
         Ok(Forward {
             idempotent: caller::repeatable(service, &parts.method, uri.path()),
             service: service.clone(),
