--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -101,7 +101,7 @@
     let admin = settings.admin.map(listen).transpose()?;
     let control = settings.control.map(listen).transpose()?;
     let store: Rc<dyn Store> = Rc::new(Client::new(settings.platform.client()));
-    let tracer = Tracer::new(settings.trace.as_ref(), clock.clone());
+    let tracer = Tracer::new(settings.traces.as_ref(), clock.clone());
     let exporter = exporter(&settings, &tracer);
     if let Some(exporter) = &exporter {
         monoio::spawn(exporter.clone().run(clock.clone()));
@@ -142,7 +142,7 @@
 
 /// The exporter of spans, where there is a collector.
 fn exporter(settings: &Settings, tracer: &Rc<Tracer>) -> Option<Rc<Exporter>> {
-    let collector = settings.trace.as_ref()?.collector;
+    let collector = settings.traces.as_ref()?.collector;
     let resource = vec![
         ("service.name", "verbenaspool".to_owned()),
         ("service.instance.id", settings.name.to_string()),
--- a/verbenaspool/src/settings.rs
+++ b/verbenaspool/src/settings.rs
@@ -42,7 +42,7 @@
     pub log: log::Settings,
     /// Where spans go; none are recorded without it.
     #[serde(default)]
-    pub trace: Option<trace::Settings>,
+    pub traces: Option<trace::Settings>,
 }
 
 /// How the platform is reached.
--- a/verbenaspool/tests/entry/path.rs
+++ b/verbenaspool/tests/entry/path.rs
@@ -9,12 +9,18 @@
     net::{TcpListener, TcpStream},
 };
 use tokio::sync::mpsc;
+use verbenaspool::{entry::Surroundings, settings::Bound};
 use verbenaspool_protocol::{header, settle};
-use verbenaspool_transport::shutdown;
+use verbenaspool_state::version::Version;
+use verbenaspool_transport::{
+    clock::Monotonic,
+    shutdown,
+    trace::{self, Tracer, context::Context},
+};
 
 use crate::{
     agent::{Act, Agent},
-    site::{Site, code, played, request, run, upstream, whole},
+    site::{Site, code, file, played, request, run, upstream, whole},
 };
 
 /// A site with so many played agents behind each service.
@@ -223,3 +229,67 @@
         assert!(TcpStream::connect(site.address).await.is_err());
     });
 }
+
+#[test]
+fn each_hop_has_a_span_in_the_callers_trace() {
+    run(async {
+        let (_stop, signal) = shutdown::channel();
+        let agent = Rc::new(Agent::default());
+        let clock = Monotonic::start();
+        let settings = trace::Settings {
+            collector: "127.0.0.1:1".parse().unwrap(),
+            sample: 0.0,
+        };
+        let tracer = Tracer::new(Some(&settings), clock.clone());
+        let around = Surroundings {
+            tracer: tracer.clone(),
+            ..Surroundings::bare(clock)
+        };
+        let site = Site::around(Bound::default(), around);
+        site.entry.adopt(Version(1), &file());
+        site.entry
+            .members(&[played("jobs-1", "jobs", &agent, &signal)]);
+        let mut sent = request(Method::POST, "/jobs/bookings", "one booking");
+        let context = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+        let headers = sent.headers_mut();
+        headers.insert(header::TRACEPARENT, context.parse().unwrap());
+        whole(site.send(sent).await).await;
+        let spans = tracer.take(10);
+        let names: Vec<_> = spans.iter().map(|span| span.name).collect();
+        assert_eq!(names, ["queue", "entry to agent", "caller to entry"]);
+        let [queue, attempt, caller] = &spans[..] else {
+            panic!("three spans")
+        };
+        assert_eq!(queue.parent, caller.context.span);
+        assert_eq!(attempt.parent, caller.context.span);
+        let remote = Context::parse(context).unwrap();
+        assert_eq!(
+            (caller.parent, caller.context.trace),
+            (remote.span, remote.trace)
+        );
+        let passed = agent.seen.borrow()[0].headers[header::TRACEPARENT].clone();
+        assert_eq!(passed, attempt.context.to_string());
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_its_work() {
+    // Upstreams work for nobody: callers close their connections, and the entry
+    // goes on reading answers that it can't deliver.
+    run(async {
+        let (site, agents, _stop) = site(1);
+        let (feed, chunks) = mpsc::unbounded_channel();
+        agents[0].acts.borrow_mut().push_back(Act::Stream(chunks));
+        feed.send(Some("data: one\n\n")).unwrap();
+        let sent = request(Method::POST, "/loft/v1/completions", "{}");
+        let mut body = site.send(sent).await.into_body();
+        body.frame().await.unwrap().unwrap();
+        drop(body);
+        while feed.send(Some("data: more\n\n")).is_ok() {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let metrics = site.entry.scrape();
+        let line = "verbenaspool_requests_total{service=\"assistant\",outcome=\"cancelled\"} 1";
+        assert!(metrics.contains(line), "{metrics}");
+    });
+}
--- a/verbenaspool/tests/entry/site.rs
+++ b/verbenaspool/tests/entry/site.rs
@@ -9,7 +9,7 @@
     net::{TcpListener, TcpStream},
 };
 use verbenaspool::{
-    entry::Entry,
+    entry::{Entry, Surroundings},
     settings::{Bound, Settings},
 };
 use verbenaspool_protocol::{header, problem::Problem};
@@ -99,7 +99,12 @@
 impl Site {
     /// Starts an entry without configuration.
     pub fn bare(limits: Bound) -> Self {
-        let entry = Entry::new(options(limits).options(), Monotonic::start());
+        Self::around(limits, Surroundings::bare(Monotonic::start()))
+    }
+
+    /// The same with other surroundings.
+    pub fn around(limits: Bound, around: Surroundings) -> Self {
+        let entry = Entry::with(options(limits).options(), around);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, signal) = shutdown::channel();
