--- /dev/null
+++ b/verbenaspool/benches/path/agent.rs
@@ -0,0 +1,23 @@
+//! The agent, played by this program: another package's binary would have to be
+//! built apart, which takes longer than the measurements.
+
+use std::fs;
+
+use verbenaspool_agent::{agent::Agent, settings};
+use verbenaspool_transport::{clock::Monotonic, log, runtime, shutdown};
+
+/// The argument that makes the bench's program an agent.
+pub const ROLE: &str = "--role-agent";
+
+/// Runs an agent, as its own binary does, until the bench ends it.
+pub fn run(path: &str) {
+    let text = fs::read_to_string(path).expect("the settings are written");
+    let settings = settings::read(&text).expect("sound settings");
+    let log = log::open(settings.log);
+    runtime::run(async {
+        let (_stop, signal) = shutdown::channel();
+        let agent = Agent::bind(settings, log, Monotonic::start()).expect("free ports");
+        agent.run(signal).await;
+    })
+    .expect("the loop starts");
+}
--- a/verbenaspool/benches/path/child.rs
+++ b/verbenaspool/benches/path/child.rs
@@ -25,17 +25,27 @@
 }
 
 impl Child {
-    /// Starts a binary with a settings file.
-    pub fn start(binary: &Path, settings: &Path, address: SocketAddr) -> Self {
-        let process = Command::new(binary)
-            .args(["run", "--settings"])
+    /// Starts a program with a settings file.
+    pub fn start(command: &mut Command, settings: &Path, address: SocketAddr) -> Self {
+        let process = command
+            .arg("--settings")
             .arg(settings)
             .stderr(Stdio::inherit())
             .spawn()
-            .expect("the binary starts");
+            .expect("the program starts");
         Self { process, address }
     }
 
+    /// Starts this program as an agent.
+    pub fn agent(settings: &Path, address: SocketAddr) -> Self {
+        let this = std::env::current_exe().expect("this program's path");
+        Self::start(
+            Command::new(this).arg(super::agent::ROLE),
+            settings,
+            address,
+        )
+    }
+
     /// Starts this program as the bare echo.
     pub fn echo() -> Self {
         let this = std::env::current_exe().expect("this program's path");
--- a/verbenaspool/benches/path/main.rs
+++ b/verbenaspool/benches/path/main.rs
@@ -3,9 +3,10 @@
 //!
 //! `cargo bench --bench path`, with `-- --json` for one JSON object a line and
 //! `--only=latency`, `--only=throughput` or `--only=memory` for a part.
-//! The entry, the agents and the echo run as processes of their own, so that
-//! their processor time and memory can be told apart. It takes about 40 s.
+//! The entry's binary, the agents and the echo run as processes of their own, so
+//! that their processor time and memory can be told apart. It takes about 45 s.
 
+mod agent;
 mod child;
 mod echo;
 mod load;
@@ -46,6 +47,10 @@
         echo::run();
         return;
     }
+    if arguments.iter().any(|argument| argument == agent::ROLE) {
+        agent::run(arguments.last().expect("a settings file"));
+        return;
+    }
     let json = arguments.iter().any(|argument| argument == "--json");
     let site = Site::start();
     let echo = Child::echo();
@@ -73,6 +78,7 @@
     }
     if wanted("throughput") {
         say(&throughput(&site, &echo));
+        say(&crowd(&site));
     }
     if wanted("memory") {
         let streams = load::streams(site.entry.address, STREAMS);
@@ -161,6 +167,24 @@
     })
 }
 
+/// Many callers at one instance whose work takes 1 ms and doesn't slow down: what
+/// the balancer's limit lets through, against a direct call.
+fn crowd(site: &Site) -> Value {
+    let direct = Target::direct(site.slow, "/search");
+    let path = Target::entry(site.entry.address, "/slow/search");
+    let many = |target: &Target| load::run(target, THREADS, CONNECTIONS, THROUGHPUT);
+    let (direct, path) = (many(&direct), many(&path));
+    json!({
+        "bench": "path",
+        "measure": "crowd, work of 1 ms",
+        "direct_rps": round(direct.rate()),
+        "path_rps": round(path.rate()),
+        "direct_p99_us": direct.quantile(0.99),
+        "path_p99_us": path.quantile(0.99),
+        "failed": direct.failed + path.failed,
+    })
+}
+
 /// Memory of the entry and of an agent.
 fn memory(site: &Site, when: &str) -> Value {
     json!({
--- a/verbenaspool/benches/path/site.rs
+++ b/verbenaspool/benches/path/site.rs
@@ -58,10 +58,9 @@
     pub fn start() -> Self {
         let folder = std::env::temp_dir().join(format!("verbenaspool-path-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for settings");
-        let agent = agent_binary();
         let mut upstreams = Vec::new();
         let mut start = |name: &str, service: &str, beside: SocketAddr, kind: &str| {
-            let (child, upstream) = start_agent(&folder, &agent, name, service, beside, kind);
+            let (child, upstream) = start_agent(&folder, name, service, beside, kind);
             upstreams.push(upstream);
             child
         };
@@ -185,26 +184,9 @@
     })
 }
 
-/// The agent's binary, built as the bench itself is.
-fn agent_binary() -> PathBuf {
-    let built = Command::new(env!("CARGO"))
-        .args([
-            "build",
-            "--release",
-            "--quiet",
-            "--locked",
-            "-p",
-            "verbenaspool_agent",
-        ])
-        .status();
-    assert!(built.expect("cargo runs").success(), "the agent is built");
-    Path::new(env!("CARGO_BIN_EXE_verbenaspool")).with_file_name("verbenaspool-agent")
-}
-
 /// Starts an agent beside an upstream.
 fn start_agent(
     folder: &Path,
-    binary: &Path,
     name: &str,
     service: &str,
     beside: SocketAddr,
@@ -231,7 +213,7 @@
         incarnation: 1,
         rank: None,
     };
-    (Child::start(binary, &path, agent), upstream)
+    (Child::agent(&path, agent), upstream)
 }
 
 /// Starts the entry and waits until it serves.
@@ -250,7 +232,7 @@
     let path = folder.join("entry.yaml");
     fs::write(&path, text).expect("a written file");
     let binary = Path::new(env!("CARGO_BIN_EXE_verbenaspool"));
-    let child = Child::start(binary, &path, listen);
+    let child = Child::start(Command::new(binary).arg("run"), &path, listen);
     let end = Instant::now() + READY;
     while !ready(admin) {
         assert!(Instant::now() < end, "the entry is ready in time");
