--- a/verbenaspool/tests/entry/bad_input.rs
+++ b/verbenaspool/tests/entry/bad_input.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monoio::net::TcpStream;
 use verbenaspool::settings::Bound;
 use verbenaspool_transport::shutdown;
 
@@ -239,3 +240,38 @@
         assert!(answer.contains("not-ready"), "{answer}");
     });
 }
+
+#[test]
+fn bytes_that_are_no_text_are_refused() {
+    run(async {
+        let site = Site::start(&[]);
+        let start = head("POST /jobs/bookings", "").trim_end().to_owned();
+        let mut request = (start + "\r\nidempotency-key: ").into_bytes();
+        request.extend_from_slice(b"\xff\xfe\r\n\r\n");
+        let answer = site.raw(request).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert!(answer.contains("bad-request"), "{answer}");
+    });
+}
+
+#[test]
+fn one_connection_too_many_is_closed() {
+    // A caller that opens connections without end takes the entry from everyone.
+    run(async {
+        let limits = Bound {
+            connections: 2,
+            ..Bound::default()
+        };
+        let site = Site::limited(limits, &[]);
+        let held = [
+            TcpStream::connect(site.address).await.unwrap(),
+            TcpStream::connect(site.address).await.unwrap(),
+        ];
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let request = head("GET /jobs/1", "Connection: close\r\n");
+        assert_eq!(site.raw(request.clone()).await, "");
+        drop(held);
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert!(site.raw(request).await.starts_with("HTTP/1.1 503"));
+    });
+}
