--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -21,6 +21,7 @@
     proxy::Proxy,
     settings::Settings,
     shared::Shared,
+    steward::Steward,
 };
 
 /// How often a stopping agent looks whether its last request has ended.
@@ -87,6 +88,9 @@
         let shared = Rc::new(Shared::new(settings, log, clock));
         let mut module = Module::default();
         control::register(&mut module, &shared);
+        let (engine, log) = (shared.upstream(), shared.log.clone());
+        let steward = Steward::new(engine, orders.clone(), shared.clock.clone(), log);
+        steward.register(&mut module);
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
             let driver = group::Driver::new(group, shared.log.clone(), shared.clock.clone());
@@ -206,6 +210,7 @@
     let began = clock.now();
     let deadline = began + shared.settings.drain.deadline();
     let linger = began + shared.settings.drain.linger();
+    open.close();
     while clock.now() < linger.min(deadline) || shared.ledger.borrow().running() > 0 {
         if clock.now() >= deadline {
             break;
