Tell entries of each other, so that a large service is shared out

Cause: nothing fed the balancers the zone's entries, so every entry worked out alone which upstreams pick it, and all came to the same part. The names come from the membership that the configuration's peers keep anyway, so no message is added. The demo's test now shows what the demo says when it fails.

--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -30,7 +30,7 @@
 use monoio::net::TcpListener;
 use rand::Rng;
 use slog::{Logger, info};
-use verbenaspool_policy::{balancer::Balancer, share, snapshot::Snapshot};
+use verbenaspool_policy::{balancer::Balancer, member::Peer, share, snapshot::Snapshot};
 use verbenaspool_protocol::{
     attempt, header,
     load::Load,
@@ -192,6 +192,7 @@
     pub open: Open,
     table: RefCell<Option<Rc<Table>>>,
     services: RefCell<HashMap<Name, Running>>,
+    peers: RefCell<Vec<Peer>>,
     draining: Cell<bool>,
 }
 
@@ -233,6 +234,7 @@
             open: Open::default(),
             table: RefCell::default(),
             services: RefCell::default(),
+            peers: RefCell::default(),
             draining: Cell::new(false),
         })
     }
@@ -287,6 +289,27 @@
         }
     }
 
+    /// Takes the names of the zone's entries, this one among them.
+    ///
+    /// The upstreams of a large service pick the entries that may use them, and
+    /// every entry works the picks out for itself. Entries that knew nothing of
+    /// each other would all come to the same few upstreams, and the others would
+    /// stand idle.
+    pub fn accompany(&self, names: &[Name]) {
+        let zone = &self.options.zone;
+        let peer = |name: &Name| Peer {
+            name: name.clone(),
+            zone: zone.clone(),
+        };
+        let peers: Vec<Peer> = names.iter().map(peer).collect();
+        for running in self.services.borrow().values() {
+            running
+                .queue
+                .with(|balancer, now| balancer.peers(now, &peers));
+        }
+        self.peers.replace(peers);
+    }
+
     /// Serves callers until the signal comes and the last request has ended.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, signal: Signal) {
         monoio::spawn(reports::run(Rc::downgrade(&self), signal.clone()));
@@ -301,6 +324,7 @@
         let shares = table.customers.iter();
         let shares = shares.map(|customer| (customer.name.clone(), customer.share));
         let shares: Rc<share::Table> = Rc::new(shares.collect());
+        let peers = self.peers.borrow();
         let mut services = self.services.borrow_mut();
         let mut before = std::mem::take(&mut *services);
         for service in &table.services {
@@ -309,6 +333,7 @@
             let members = self.upstreams.members(&service.name);
             running.queue.with(|balancer, now| {
                 balancer.configure(now, &service.decisions, &shares);
+                balancer.peers(now, &peers);
                 balancer.members(now, &members);
             });
             services.insert(service.name.clone(), running);
--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -30,7 +30,8 @@
     settings::Settings,
 };
 
-/// How often the process looks whether another has taken its name over.
+/// How often the process looks whether another has taken its name over, and who
+/// else serves its zone.
 const LOOK: Duration = Duration::from_millis(500);
 
 /// How long spans may take to go out at the end.
@@ -174,6 +175,7 @@
         monoio::spawn(rpc::serve(listener, Rc::new(module), finished.clone()));
     }
     monoio::spawn(adopt(source.clone(), entry.clone()));
+    monoio::spawn(accompany(source.clone(), entry.clone(), finished.clone()));
     let zone = settings.zone.clone();
     monoio::spawn(status::publish(source.clone(), store.clone(), zone));
     let follower = Follower::new(store, &settings.firm);
@@ -193,6 +195,19 @@
     }
 }
 
+/// Tells the entry who else serves its zone.
+async fn accompany(source: Rc<Source>, entry: Rc<Entry>, finished: Signal) {
+    let mut known = Vec::new();
+    while !finished.fired() {
+        let live = source.live();
+        if live != known {
+            entry.accompany(&live);
+            known = live;
+        }
+        entry.clock.sleep(LOOK).await;
+    }
+}
+
 /// Waits for the word to stop, or for a successor of the same name.
 async fn stopped(signal: &mut Signal, source: &Source, log: &Logger) {
     loop {
--- a/verbenaspool/tests/demo.rs
+++ b/verbenaspool/tests/demo.rs
@@ -18,7 +18,8 @@
     let run = Command::new(demo()).arg("--json").output();
     let run = run.expect("the demo starts");
     let text = String::from_utf8(run.stdout).expect("the report is text");
-    assert!(run.status.success(), "{text}");
+    let log = String::from_utf8_lossy(&run.stderr);
+    assert!(run.status.success(), "{text}{log}");
     let line = text.lines().last().expect("a last line");
     let report: Value = serde_json::from_str(line).expect("the last line is JSON");
     let count = |key: &str| report[key].as_u64().unwrap_or_else(|| panic!("no {key}"));
--- a/verbenaspool/tests/entry/main.rs
+++ b/verbenaspool/tests/entry/main.rs
@@ -6,3 +6,4 @@
 mod process;
 mod repeats;
 mod site;
+mod subsets;
--- /dev/null
+++ b/verbenaspool/tests/entry/subsets.rs
@@ -0,0 +1,54 @@
+//! Which upstreams of a large service each entry works with.
+
+use std::{collections::HashSet, rc::Rc};
+
+use verbenaspool::{entry::Entry, settings::Settings};
+use verbenaspool_state::{name::Name, version::Version};
+use verbenaspool_transport::{clock::Monotonic, settings};
+
+use crate::site::{file, run, upstream};
+
+/// Upstreams of the service, several times what an entry works with.
+const UPSTREAMS: usize = 300;
+/// Entries of the zone.
+const ENTRIES: usize = 8;
+
+/// An entry with its file and the whole list of upstreams.
+fn entry(number: usize) -> Rc<Entry> {
+    let text = format!(
+        "firm: tidewater\nname: entry-{number}\nzone: bowen-a\nlisten: 127.0.0.1:0\n\
+         platform: {{address: '127.0.0.1:1', token: token}}\n"
+    );
+    let settings: Settings = settings::parse("entry.yaml".as_ref(), &text).unwrap();
+    let entry = Entry::new(settings.options(), Monotonic::start());
+    let nobody = ([127, 0, 0, 1], 1).into();
+    let upstreams: Vec<_> = (0..UPSTREAMS)
+        .map(|i| upstream(&format!("loft-{i}"), "assistant", nobody, nobody))
+        .collect();
+    entry.adopt(Version(1), &file());
+    entry.members(&upstreams);
+    entry
+}
+
+#[test]
+fn entries_share_out_a_large_service() {
+    // Most upstreams of a large service stand idle while a few are overrun: the
+    // entries of a zone were never told of each other, and each worked out, alone,
+    // the same part of the list.
+    run(async {
+        let entries: Vec<Rc<Entry>> = (0..ENTRIES).map(entry).collect();
+        let names: Vec<Name> = (0..ENTRIES)
+            .map(|number| format!("entry-{number}").parse().unwrap())
+            .collect();
+        let used = || {
+            let all = entries.iter().flat_map(|entry| entry.working());
+            all.collect::<HashSet<Name>>().len()
+        };
+        let alone = used();
+        for entry in &entries {
+            entry.accompany(&names);
+        }
+        assert!(alone < UPSTREAMS / 2, "{alone} are used by entries alone");
+        assert_eq!(used(), UPSTREAMS);
+    });
+}
--- a/verbenaspool_coordination/src/membership.rs
+++ b/verbenaspool_coordination/src/membership.rs
@@ -213,6 +213,18 @@
         self.order().len()
     }
 
+    /// The instances of the zone that take part, this one included, by name.
+    ///
+    /// ```no_run
+    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// assert!(membership.live().contains(&membership.own().name));
+    /// ```
+    #[must_use]
+    pub fn live(&self) -> Vec<Name> {
+        let live = self.table.values().filter(|m| m.state == State::Live);
+        live.map(|member| member.name.clone()).collect()
+    }
+
     /// The live instances in their order; leaving ones last, so that little hangs
     /// on them.
     fn order(&self) -> Vec<&Member> {
--- a/verbenaspool_transport/src/config/source.rs
+++ b/verbenaspool_transport/src/config/source.rs
@@ -267,6 +267,17 @@
         self.membership.borrow().first()
     }
 
+    /// The instances of the zone that take part, this one included, by name.
+    ///
+    /// ```no_run
+    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// println!("{} entries share the zone's callers", source.live().len());
+    /// ```
+    #[must_use]
+    pub fn live(&self) -> Vec<Name> {
+        self.membership.borrow().live()
+    }
+
     /// How many instances of the zone are alive, as far as this one knows.
     ///
     /// ```no_run
