--- a/verbenaspool/src/operate/status.rs
+++ b/verbenaspool/src/operate/status.rs
@@ -35,8 +35,9 @@
 /// The report as a table.
 ///
 /// ```no_run
-/// # let report: verbenaspool_transport::config::status::Report = unimplemented!();
+/// # fn example(report: verbenaspool_transport::config::status::Report) {
 /// println!("{}", verbenaspool::operate::status::table(&report));
+/// # }
 /// ```
 #[must_use]
 pub fn table(report: &Report) -> String {
--- a/verbenaspool_coordination/src/adoption.rs
+++ b/verbenaspool_coordination/src/adoption.rs
@@ -73,8 +73,9 @@
     ///
     /// ```no_run
     /// # use verbenaspool_coordination::adoption::Adopted;
-    /// # let adopted: Adopted = unimplemented!();
+    /// # fn example(adopted: Adopted) {
     /// println!("{}", adopted.version());
+    /// # }
     /// ```
     #[must_use]
     pub fn version(&self) -> Version {
--- a/verbenaspool_coordination/src/apply.rs
+++ b/verbenaspool_coordination/src/apply.rs
@@ -134,8 +134,9 @@
     ///
     /// ```no_run
     /// # use verbenaspool_coordination::apply::{Apply, Outcome};
-    /// # let apply: Apply = unimplemented!();
+    /// # fn example(apply: Apply) {
     /// assert!(matches!(apply.abandon(), Outcome::Failed(_) | Outcome::Unknown(_)));
+    /// # }
     /// ```
     #[must_use]
     pub fn abandon(&self) -> Outcome {
--- a/verbenaspool_coordination/src/membership.rs
+++ b/verbenaspool_coordination/src/membership.rs
@@ -72,6 +72,26 @@
     pub state: State,
 }
 
+impl Member {
+    /// An instance that takes part.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::membership::{Member, State};
+    ///
+    /// let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// assert_eq!(me.state, State::Live);
+    /// ```
+    #[must_use]
+    pub fn live(name: Name, incarnation: u64, address: SocketAddr) -> Self {
+        Self {
+            name,
+            incarnation,
+            address,
+            state: State::Live,
+        }
+    }
+}
+
 /// Whether a process is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -171,9 +191,11 @@
 
     /// The instance itself.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// println!("incarnation {}", membership.own().incarnation);
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert_eq!(membership.own().incarnation, 1);
     /// ```
     #[must_use]
     pub fn own(&self) -> &Member {
@@ -183,9 +205,11 @@
 
     /// What a neighbour said last.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// let word = membership.heard(&"entry-2".parse().unwrap());
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.heard(&"entry-2".parse().unwrap()).is_none());
     /// ```
     #[must_use]
     pub fn heard(&self, neighbour: &Name) -> Option<&Word> {
@@ -194,9 +218,11 @@
 
     /// Everyone in the table.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// println!("{} members", membership.table().count());
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert_eq!(membership.table().count(), 1);
     /// ```
     pub fn table(&self) -> impl Iterator<Item = &Member> {
         self.table.values()
@@ -204,9 +230,11 @@
 
     /// How many instances of the zone are alive, this one included.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// assert!(membership.alive() >= 1);
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert_eq!(membership.alive(), 1);
     /// ```
     #[must_use]
     pub fn alive(&self) -> usize {
@@ -215,8 +243,10 @@
 
     /// The instances of the zone that take part, this one included, by name.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
     /// assert!(membership.live().contains(&membership.own().name));
     /// ```
     #[must_use]
@@ -245,9 +275,11 @@
 
     /// Whether this instance is among the first, who watch the platform.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// let watch = membership.watcher();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.watcher());
     /// ```
     #[must_use]
     pub fn watcher(&self) -> bool {
@@ -256,9 +288,11 @@
 
     /// Whether this instance is the first of all, who writes the zone's status.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// let write = membership.first();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.first());
     /// ```
     #[must_use]
     pub fn first(&self) -> bool {
@@ -273,8 +307,10 @@
     /// would not come in force in the zone. Each level of the tree takes over
     /// from the one above and stands down when that has fresh word again.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
     /// # let now = std::time::Duration::ZERO;
     /// let watch = membership.watching(now);
     /// ```
@@ -307,9 +343,11 @@
 
     /// The instance above this one in the tree; the first has none.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// let parent = membership.parent();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.parent().is_none());
     /// ```
     #[must_use]
     pub fn parent(&self) -> Option<&Member> {
@@ -320,10 +358,12 @@
 
     /// The instances below `member` in the tree.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
     /// # let me = "entry-1".parse().unwrap();
-    /// let children = membership.children(&me);
+    /// assert!(membership.children(&me).is_empty());
     /// ```
     #[must_use]
     pub fn children(&self, member: &Name) -> Vec<Member> {
@@ -338,9 +378,11 @@
 
     /// The instances that heartbeats and changes are exchanged with.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// let neighbours = membership.neighbours();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// assert!(membership.neighbours().is_empty());
     /// ```
     #[must_use]
     pub fn neighbours(&self) -> Vec<Member> {
@@ -357,8 +399,10 @@
     /// one waits for a heartbeat that the other sends elsewhere. Asked before it
     /// is given up, the silent one answers, and the tables come together.
     ///
-    /// ```no_run
-    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let mut membership = Membership::new(me, Settings::default());
     /// # let now = std::time::Duration::ZERO;
     /// for peer in membership.beat(now) {
     ///     println!("to {}", peer.address);
@@ -391,8 +435,10 @@
 
     /// What this instance says of itself.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
     /// # use verbenaspool_state::version::Version;
     /// # let now = std::time::Duration::ZERO;
     /// let word = membership.word(now, Version(7), Version(7), true);
@@ -410,8 +456,10 @@
 
     /// The versions in force here and below.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
     /// # use verbenaspool_state::version::Version;
     /// # let now = std::time::Duration::ZERO;
     /// let summary = membership.summary(now, Version(7));
@@ -448,10 +496,13 @@
 
     /// Whether a peer's table differs from this one, so that it has to be told.
     ///
-    /// ```no_run
-    /// # let membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// # let word: verbenaspool_coordination::membership::Word = unimplemented!();
-    /// let tell = membership.differs(&word);
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let membership = Membership::new(me, Settings::default());
+    /// # let version = verbenaspool_state::version::Version(1);
+    /// # let word = membership.word(std::time::Duration::ZERO, version, version, true);
+    /// assert!(!membership.differs(&word));
     /// ```
     #[must_use]
     pub fn differs(&self, word: &Word) -> bool {
@@ -460,9 +511,12 @@
 
     /// Takes in a heartbeat or the answer to one.
     ///
-    /// ```no_run
-    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
-    /// # let word: verbenaspool_coordination::membership::Word = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let mut membership = Membership::new(me, Settings::default());
+    /// # let version = verbenaspool_state::version::Version(1);
+    /// # let word = membership.word(std::time::Duration::ZERO, version, version, true);
     /// # let now = std::time::Duration::ZERO;
     /// let heard = membership.hear(now, word);
     /// ```
@@ -482,8 +536,10 @@
 
     /// Takes a peer's table in.
     ///
-    /// ```no_run
-    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let mut membership = Membership::new(me, Settings::default());
     /// # let members = vec![];
     /// let standing = membership.merge(&members);
     /// ```
@@ -528,9 +584,12 @@
 
     /// Notes that this process goes.
     ///
-    /// ```no_run
-    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let mut membership = Membership::new(me, Settings::default());
     /// membership.leave();
+    /// assert!(membership.live().is_empty());
     /// ```
     pub fn leave(&mut self) {
         let me = self.me.clone();
@@ -542,10 +601,12 @@
     /// Notes that a neighbour can't be reached or has been silent for too long.
     /// Returns who was declared dead.
     ///
-    /// ```no_run
-    /// # let mut membership: verbenaspool_coordination::membership::Membership = unimplemented!();
+    /// ```
+    /// # use verbenaspool_coordination::membership::{Member, Membership, Settings};
+    /// # let me = Member::live("entry-1".parse().unwrap(), 1, ([127, 0, 0, 1], 7001).into());
+    /// # let mut membership = Membership::new(me, Settings::default());
     /// # let now = std::time::Duration::ZERO;
-    /// let dead = membership.miss(now);
+    /// assert!(membership.miss(now).is_empty());
     /// ```
     pub fn miss(&mut self, now: Duration) -> Vec<Name> {
         let patience = self.patience();
--- a/verbenaspool_coordination/src/piece/pieces.rs
+++ b/verbenaspool_coordination/src/piece/pieces.rs
@@ -52,8 +52,9 @@
     ///
     /// ```no_run
     /// # use verbenaspool_coordination::piece::{Pieces, Split};
-    /// # let split: Split = unimplemented!();
+    /// # fn example(split: Split) {
     /// Pieces::default().extend(&split);
+    /// # }
     /// ```
     pub fn extend(&mut self, split: &Split) {
         let pieces = split.pieces.iter().map(|(h, b)| (*h, Rc::clone(b)));
--- a/verbenaspool_transport/src/config/source.rs
+++ b/verbenaspool_transport/src/config/source.rs
@@ -165,9 +165,10 @@
     /// Adds the methods that peers call to a module.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// let mut module = verbenaspool_transport::rpc::Module::default();
     /// source.methods(&mut module);
+    /// # }
     /// ```
     pub fn methods(self: &Rc<Self>, module: &mut rpc::Module) {
         peers::methods(self, module);
@@ -176,8 +177,9 @@
     /// The file in force; `None` until the first, while no traffic may be taken.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// let ready = source.current().is_some();
+    /// # }
     /// ```
     #[must_use]
     pub fn current(&self) -> Option<Rc<Adopted>> {
@@ -187,8 +189,9 @@
     /// The version in force, 0 for none.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{}", source.version());
+    /// # }
     /// ```
     #[must_use]
     pub fn version(&self) -> Version {
@@ -221,8 +224,9 @@
     /// Why nothing newer can be learnt from the platform now, if so.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{}", source.trouble().unwrap_or_default());
+    /// # }
     /// ```
     #[must_use]
     pub fn trouble(&self) -> Option<String> {
@@ -233,10 +237,11 @@
     /// one was paused for so long that it was given up: it must take no more work.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// if source.replaced() {
     ///     source.end();
     /// }
+    /// # }
     /// ```
     #[must_use]
     pub fn replaced(&self) -> bool {
@@ -247,8 +252,9 @@
     /// zone's whole where [`Source::first`] holds.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{} instances", source.summary().instances);
+    /// # }
     /// ```
     #[must_use]
     pub fn summary(&self) -> Summary {
@@ -259,8 +265,9 @@
     /// Whether this instance is the zone's first, who writes its status.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{}", source.first());
+    /// # }
     /// ```
     #[must_use]
     pub fn first(&self) -> bool {
@@ -270,8 +277,9 @@
     /// The instances of the zone that take part, this one included, by name.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{} entries share the zone's callers", source.live().len());
+    /// # }
     /// ```
     #[must_use]
     pub fn live(&self) -> Vec<Name> {
@@ -281,8 +289,9 @@
     /// How many instances of the zone are alive, as far as this one knows.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// println!("{}", source.alive());
+    /// # }
     /// ```
     #[must_use]
     pub fn alive(&self) -> usize {
@@ -292,8 +301,9 @@
     /// Tells the zone that this instance goes; what it holds stays to be fetched.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// source.leave();
+    /// # }
     /// ```
     pub fn leave(&self) {
         self.membership.borrow_mut().leave();
@@ -302,8 +312,9 @@
     /// Ends the source's work; the file in force stays.
     ///
     /// ```no_run
-    /// # let source: std::rc::Rc<verbenaspool_transport::config::source::Source> = unimplemented!();
+    /// # fn example(source: std::rc::Rc<verbenaspool_transport::config::source::Source>) {
     /// source.end();
+    /// # }
     /// ```
     pub fn end(&self) {
         self.ended.set(true);
--- a/verbenaspool_transport/src/config/status.rs
+++ b/verbenaspool_transport/src/config/status.rs
@@ -47,8 +47,9 @@
     /// Whether every live instance has `version` or a later one in force.
     ///
     /// ```no_run
-    /// # let status: verbenaspool_transport::config::status::Status = unimplemented!();
+    /// # fn example(status: verbenaspool_transport::config::status::Status) {
     /// let in_force = status.has(verbenaspool_state::version::Version(7));
+    /// # }
     /// ```
     #[must_use]
     pub fn has(&self, version: Version) -> bool {
@@ -58,8 +59,9 @@
     /// The named instances that are behind `version`.
     ///
     /// ```no_run
-    /// # let status: verbenaspool_transport::config::status::Status = unimplemented!();
+    /// # fn example(status: verbenaspool_transport::config::status::Status) {
     /// let behind = status.behind(verbenaspool_state::version::Version(7)).count();
+    /// # }
     /// ```
     pub fn behind(&self, version: Version) -> impl Iterator<Item = &Seen> {
         let behind = self.summary.behind.iter();
