Keep platform tokens out of logs, and one sender to an engine

Causes, found by reading: settings derive Debug and held the platform's token as text, so a logged setting would show it; and the group's driver made a sender of its own where a rank takes its steps at the address of all other orders, so that two orders could be on their way at once. A token type shows itself only when asked for; the driver takes the agent's sender where the address is the same.

--- a/examples/demo/world.rs
+++ b/examples/demo/world.rs
@@ -158,7 +158,7 @@
         platform.allow(&token, file.firm.as_str());
         let store: Rc<dyn Store> = Rc::new(Client::new(StoreSettings {
             address: platform.address(),
-            token,
+            token: token.into(),
             timeout: Duration::from_secs(1),
         }));
         let book = Book::new(Duration::from_millis(2), clock.clone());
--- a/verbenaspool/benches/capacity/processes.rs
+++ b/verbenaspool/benches/capacity/processes.rs
@@ -98,7 +98,7 @@
                 number += 1;
                 let store = Client::new(Settings {
                     address: platform.address(),
-                    token: file.firm.to_string(),
+                    token: file.firm.to_string().into(),
                     timeout: Duration::from_secs(5),
                 });
                 let order = Order {
--- a/verbenaspool/benches/path/site.rs
+++ b/verbenaspool/benches/path/site.rs
@@ -167,7 +167,7 @@
             }
             let store = client::Client::new(client::Settings {
                 address: platform.address(),
-                token: "token".to_owned(),
+                token: "token".to_owned().into(),
                 timeout: Duration::from_secs(1),
             });
             let order = Order {
--- a/verbenaspool/src/settings.rs
+++ b/verbenaspool/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{credential::Token, name::Name};
 use verbenaspool_transport::{http::server::Limits, log, platform::client, trace};
 
 use crate::entry::{Options, upload::Bounds};
@@ -52,7 +52,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// The token that stands for the firm.
-    pub token: String,
+    pub token: Token,
     /// How long a call may take, in milliseconds.
     #[serde(default = "Platform::timeout_ms")]
     pub timeout_ms: u64,
@@ -71,7 +71,7 @@
     /// use verbenaspool::settings::Platform;
     ///
     /// let address = "127.0.0.1:7000".parse().unwrap();
-    /// let platform = Platform { address, token: "t".into(), timeout_ms: 5 };
+    /// let platform = Platform { address, token: "t".to_owned().into(), timeout_ms: 5 };
     /// assert_eq!(platform.client().timeout.as_millis(), 5);
     /// ```
     #[must_use]
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -105,7 +105,7 @@
     async fn apply(&self) {
         let store = client::Client::new(client::Settings {
             address: self.platform.address(),
-            token: "token".to_owned(),
+            token: "token".to_owned().into(),
             timeout: Duration::from_secs(1),
         });
         let order = Order {
--- a/verbenaspool_agent/src/group/driver.rs
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -75,7 +75,7 @@
     clock: Rc<dyn Clock>,
     member: RefCell<Member>,
     rebalancer: RefCell<Rebalancer>,
-    gate: Gate,
+    gate: Rc<Gate>,
     client: Client,
     peers: rpc::Client,
     counts: Counts,
@@ -100,7 +100,16 @@
 
 impl Driver {
     /// A driver that has yet to [run](Self::run).
-    pub(crate) fn new(settings: Settings, log: Logger, clock: Rc<dyn Clock>) -> Rc<Self> {
+    ///
+    /// `orders` is the agent's sender. A rank that takes its steps where it takes
+    /// all other orders must get them from the same sender: two of them could
+    /// each have an order on its way, with the older fence behind the newer.
+    pub(crate) fn new(
+        settings: Settings,
+        orders: &Rc<Gate>,
+        log: Logger,
+        clock: Rc<dyn Clock>,
+    ) -> Rc<Self> {
         let shape = Shape::from(&settings.experts);
         let checked = settings.fences == Fences::Checked;
         let rank = rank::Settings {
@@ -126,7 +135,7 @@
             log,
             member: RefCell::new(Member::new(rank, lead)),
             rebalancer: RefCell::new(rebalancer),
-            gate: Gate::new(settings.engine, clock.clone()),
+            gate: Gate::shared(orders, settings.engine, &clock),
             client: Client::new(CONNECT),
             peers: rpc::Client::default(),
             counts: Counts::default(),
--- a/verbenaspool_agent/src/group/settings.rs
+++ b/verbenaspool_agent/src/group/settings.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use verbenaspool_state::{
+    credential::Token,
     name::Name,
     service::{Experts, Fences},
 };
@@ -41,7 +42,7 @@
     /// The platform's address.
     pub address: SocketAddr,
     /// The token that names the firm.
-    pub token: String,
+    pub token: Token,
     /// How long a lead that is gone is waited for, in seconds. A shorter time
     /// than the window of granted steps hides its loss; each agent of the group
     /// reads or renews the lease a few times within it.
--- a/verbenaspool_agent/src/orders.rs
+++ b/verbenaspool_agent/src/orders.rs
@@ -80,6 +80,28 @@
         }
     }
 
+    /// The gate that `orders` is, where it stands before this engine; another one
+    /// else.
+    ///
+    /// ```
+    /// use std::rc::Rc;
+    ///
+    /// use verbenaspool_agent::orders::Gate;
+    /// use verbenaspool_transport::clock::{Clock, Monotonic};
+    ///
+    /// let clock: Rc<dyn Clock> = Monotonic::start();
+    /// let engine = "127.0.0.1:7100".parse().unwrap();
+    /// let orders = Rc::new(Gate::new(engine, clock.clone()));
+    /// assert!(Rc::ptr_eq(&orders, &Gate::shared(&orders, engine, &clock)));
+    /// ```
+    #[must_use]
+    pub fn shared(orders: &Rc<Self>, engine: SocketAddr, clock: &Rc<dyn Clock>) -> Rc<Self> {
+        if orders.engine == engine {
+            return orders.clone();
+        }
+        Rc::new(Self::new(engine, clock.clone()))
+    }
+
     /// Sends an order and waits for the engine's answer, until the deadline at
     /// the latest.
     ///
--- a/verbenaspool_standin/tests/config/support.rs
+++ b/verbenaspool_standin/tests/config/support.rs
@@ -53,7 +53,7 @@
 pub fn client_at(address: SocketAddr, firm: &str) -> Rc<Client> {
     Rc::new(Client::new(Settings {
         address,
-        token: format!("{firm}-token"),
+        token: format!("{firm}-token").into(),
         timeout: Duration::from_millis(200),
     }))
 }
--- a/verbenaspool_state/src/credential.rs
+++ b/verbenaspool_state/src/credential.rs
@@ -1,4 +1,5 @@
-//! Customer credentials, which the file holds only as digests.
+//! Credentials: customers', which the file holds only as digests, and those of
+//! our processes towards the platform.
 
 use std::fmt;
 
@@ -68,6 +69,43 @@
     }
 }
 
+/// A token that opens the platform to a process.
+///
+/// Settings end up in logs and panics by their `Debug` form, and a token there
+/// would let whoever reads the log change the firm's configuration. So it shows
+/// itself only when asked for.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Token(String);
+
+impl Token {
+    /// The token itself.
+    ///
+    /// ```
+    /// use verbenaspool_state::credential::Token;
+    ///
+    /// let token = Token::from("a-long-random-token".to_owned());
+    /// assert_eq!(token.reveal(), "a-long-random-token");
+    /// assert_eq!(format!("{token:?}"), "Token(..)");
+    /// ```
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for Token {
+    fn from(token: String) -> Self {
+        Self(token)
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
+
 /// The text is no digest.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a credential is kept as 'sha256:' and 64 hex digits, never as itself")]
--- a/verbenaspool_transport/src/platform/client.rs
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -18,6 +18,8 @@
     h1::codec::ClientCodec,
 };
 
+use verbenaspool_state::credential::Token;
+
 use super::{Answer, Entry, Error, Events, IF_VERSION, LARGEST, Object, Store, VERSION, When};
 
 /// Connections kept for later calls. One watch and a few reads and writes are
@@ -35,7 +37,7 @@
     /// The platform's address.
     pub address: SocketAddr,
     /// The token that names the firm whose keys the client reaches.
-    pub token: String,
+    pub token: Token,
     /// How long a call may take, save for a watch's wait.
     pub timeout: Duration,
 }
@@ -57,7 +59,7 @@
     ///
     /// let client = Client::new(Settings {
     ///     address: ([127, 0, 0, 1], 7000).into(),
-    ///     token: "demo".to_owned(),
+    ///     token: "demo".to_owned().into(),
     ///     timeout: Duration::from_secs(1),
     /// });
     /// # drop(client);
@@ -233,7 +235,10 @@
             .method(self.method)
             .uri(self.path)
             .header(header::HOST, settings.address.to_string())
-            .header(header::AUTHORIZATION, format!("Bearer {}", settings.token));
+            .header(
+                header::AUTHORIZATION,
+                format!("Bearer {}", settings.token.reveal()),
+            );
         if let Some(version) = condition(self.when) {
             request = request.header(IF_VERSION, version);
         }
