Give programs addresses that nobody else can take

Cause: tests, benches and the demo bound a port, read it and let it go, and any outgoing connection of the machine could take it before the program that was told of it listened there. A group's settings name no firm any more: the agent's do, and the two could differ.

--- a/examples/demo/groups.rs
+++ b/examples/demo/groups.rs
@@ -1,16 +1,10 @@
 //! The firms' groups of ranks: their engines, and popularity that shifts.
 
-use std::{
-    cell::RefCell,
-    collections::BTreeSet,
-    io,
-    net::{SocketAddr, TcpListener as Reserved},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeSet, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use monoio::net::{ListenerOpts, TcpListener};
 use verbenaspool_standin::{
+    address,
     history::steps,
     ranks::{self, Group},
     seat::{self, Seat},
@@ -66,7 +60,7 @@
             let options = ListenerOpts::new().reuse_port(false);
             let listener = TcpListener::bind_with_config("127.0.0.1:0", &options)?;
             engines.push(listener.local_addr()?);
-            controls.push(Reserved::bind("127.0.0.1:0")?.local_addr()?);
+            controls.push(address::fresh());
             let seat = Seat::new(group.clone(), index, clock.clone());
             monoio::spawn(seat.serve(listener, shutdown::channel().1));
         }
@@ -103,7 +97,7 @@
         let experts = serde_json::to_string(&self.experts).expect("plain data");
         let members: Vec<String> = self.controls.iter().map(ToString::to_string).collect();
         format!(
-            "group: {{firm: {firm}, name: {}, seat: {seat}, members: {members:?}, \
+            "group: {{name: {}, seat: {seat}, members: {members:?}, \
              engine: '{}', fences: {fences}, experts: {experts}, \
              platform: {{address: '{platform}', token: demo-{firm}}}}}\n",
             self.name, self.engines[seat],
--- a/verbenaspool/benches/capacity/processes.rs
+++ b/verbenaspool/benches/capacity/processes.rs
@@ -3,13 +3,10 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{
-        atomic::{AtomicU16, Ordering},
-        mpsc::{Receiver, Sender, channel},
-    },
+    sync::mpsc::{Receiver, Sender, channel},
     thread,
     time::{Duration, Instant},
 };
@@ -18,7 +15,10 @@
     apply::{Order, Outcome},
     piece,
 };
-use verbenaspool_standin::platform::{Calls, Platform};
+use verbenaspool_standin::{
+    address,
+    platform::{Calls, Platform},
+};
 use verbenaspool_state::file::File;
 use verbenaspool_transport::{
     config,
@@ -149,7 +149,7 @@
 impl Process {
     /// Starts an entry.
     fn start(firm: &str, number: usize, place: &Place<'_>, store: &Store) -> Self {
-        let (listen, admin) = (free(), free());
+        let (listen, admin) = (address::fresh(), address::fresh());
         let Place {
             zone,
             control,
@@ -220,23 +220,9 @@
     }
 }
 
-/// The next port to try: below those that the system gives out for connections,
-/// so that none is taken between its choice and its use.
-static NEXT: AtomicU16 = AtomicU16::new(21_000);
-
-/// An address that is free, and isn't chosen twice.
-fn free() -> SocketAddr {
-    loop {
-        let address = ([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)).into();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Entries of a firm, spread over `zones`; each knows three others of its own.
 fn entries(firm: &str, count: usize, zones: &[&str], store: &Store) -> Vec<Process> {
-    let controls: Vec<SocketAddr> = (0..count).map(|_| free()).collect();
+    let controls: Vec<SocketAddr> = (0..count).map(|_| address::fresh()).collect();
     let zone = |number: usize| zones[number % zones.len()];
     let start = |number: usize| {
         let others = (0..count).filter(|&n| n != number && zone(n) == zone(number));
--- a/verbenaspool/benches/path/child.rs
+++ b/verbenaspool/benches/path/child.rs
@@ -3,10 +3,9 @@
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::Path,
     process::{Child as Process, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
 };
 
 /// Clock ticks a second in `/proc`, which is fixed on Linux.
@@ -19,25 +18,6 @@
     pub address: SocketAddr,
 }
 
-/// The first port that is tried. Below the range that the system gives to
-/// outgoing connections, which the load would else take between two looks.
-const FIRST_PORT: u16 = 20_000;
-
-/// The next port to try.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// An address that is free.
-pub fn free() -> SocketAddr {
-    let spread = u16::try_from(std::process::id() % 10_000).expect("below 10,000");
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + spread + next));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Child {
     /// Starts a program with a settings file.
     pub fn start(command: &mut Command, settings: &Path, address: SocketAddr) -> Self {
--- a/verbenaspool/benches/path/site.rs
+++ b/verbenaspool/benches/path/site.rs
@@ -14,6 +14,7 @@
 
 use verbenaspool_coordination::{apply::Order, piece};
 use verbenaspool_standin::{
+    address,
     engine::{Config, Engine},
     platform::Platform,
     service::{Book, Service},
@@ -27,7 +28,7 @@
     clock::Monotonic, config, platform::client, runtime, settings, shutdown,
 };
 
-use super::child::{Child, free};
+use super::child::Child;
 
 /// The customer's credential.
 pub const CREDENTIAL: &str = "a-long-random-token";
@@ -192,7 +193,7 @@
     beside: SocketAddr,
     kind: &str,
 ) -> (Child, Upstream) {
-    let (agent, control) = (free(), free());
+    let (agent, control) = (address::fresh(), address::fresh());
     let text = format!(
         "firm: tidewater
 instance: {name}
@@ -219,7 +220,7 @@
 
 /// Starts the entry and waits until it serves.
 fn start_entry(folder: &Path, platform: SocketAddr) -> Child {
-    let (listen, admin) = (free(), free());
+    let (listen, admin) = (address::fresh(), address::fresh());
     let text = format!(
         "firm: tidewater
 name: entry-1
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -4,7 +4,6 @@
 
 use http::{Method, Request, Response};
 use http_body_util::BodyExt;
-use monoio::net::TcpListener;
 use verbenaspool::{
     run::{self, Drained},
     settings::Settings,
@@ -13,6 +12,7 @@
 use verbenaspool_coordination::{apply::Order, claim, keys, piece};
 use verbenaspool_protocol::{header, settle};
 use verbenaspool_standin::{
+    address,
     engine::{Config, Engine},
     platform::Platform,
     service::{Book, Service},
@@ -46,12 +46,6 @@
     ended: monoio::task::JoinHandle<Drained>,
 }
 
-/// An address that is free.
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 impl Firm {
     /// A platform with an accepted file, one engine and one plain service.
     async fn start() -> Self {
@@ -119,7 +113,7 @@
 
     /// Starts an entry and waits until it is ready.
     async fn entry(&self, name: &str) -> Process {
-        let (listen, admin) = (free(), free());
+        let (listen, admin) = (address::fresh(), address::fresh());
         let text = format!(
             "firm: tidewater
 name: {name}
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -94,8 +94,14 @@
         steward.register(&mut module);
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
-            let driver =
-                group::Driver::new(group, &orders, shared.log.clone(), shared.clock.clone());
+            let firm = shared.settings.firm.clone();
+            let driver = group::Driver::new(
+                firm,
+                group,
+                &orders,
+                shared.log.clone(),
+                shared.clock.clone(),
+            );
             driver.register(&mut module);
             driver
         });
--- a/verbenaspool_agent/src/group/driver.rs
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -26,6 +26,7 @@
 };
 use verbenaspool_state::{
     expert_map::{Map, Shape},
+    name::Name,
     service::Fences,
 };
 use verbenaspool_transport::{
@@ -69,6 +70,7 @@
 /// An agent's part in its group.
 #[derive(Debug)]
 pub(crate) struct Driver {
+    firm: Name,
     settings: Settings,
     shape: Shape,
     log: Logger,
@@ -105,6 +107,7 @@
     /// all other orders must get them from the same sender: two of them could
     /// each have an order on its way, with the older fence behind the newer.
     pub(crate) fn new(
+        firm: Name,
         settings: Settings,
         orders: &Rc<Gate>,
         log: Logger,
@@ -140,6 +143,7 @@
             peers: rpc::Client::default(),
             counts: Counts::default(),
             clock,
+            firm,
             settings,
         })
     }
@@ -162,6 +166,7 @@
     pub(crate) async fn run(self: Rc<Self>) {
         let leading = self.clone();
         monoio::spawn(lease::run(
+            self.firm.clone(),
             self.settings.clone(),
             self.clock.clone(),
             move |fence| leading.input(Input::Lead { fence }),
@@ -189,7 +194,7 @@
     fn receive(self: &Rc<Self>, envelope: Envelope) -> Result<(), String> {
         let own = &self.settings;
         let here = (&envelope.firm, &envelope.group, envelope.to);
-        if here != (&own.firm, &own.name, own.seat) {
+        if here != (&self.firm, &own.name, own.seat) {
             return Err("the message is for another agent".to_owned());
         }
         self.input(Input::Message(envelope.message));
@@ -225,7 +230,7 @@
             return;
         };
         let envelope = Envelope {
-            firm: self.settings.firm.clone(),
+            firm: self.firm.clone(),
             group: self.settings.name.clone(),
             to,
             message,
--- a/verbenaspool_agent/src/group/lease.rs
+++ b/verbenaspool_agent/src/group/lease.rs
@@ -9,6 +9,7 @@
     keys,
     lease::{Lease, Settings as Terms},
 };
+use verbenaspool_state::name::Name;
 use verbenaspool_transport::{
     clock::Clock,
     platform::{
@@ -30,13 +31,13 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Looks after the lease for as long as the loop runs.
-pub(super) async fn run(settings: Settings, clock: Rc<dyn Clock>, lead: impl Fn(u64)) {
+pub(super) async fn run(firm: Name, settings: Settings, clock: Rc<dyn Clock>, lead: impl Fn(u64)) {
     let store = Client::new(Reach {
         address: settings.platform.address,
         token: settings.platform.token.clone(),
         timeout: TIMEOUT,
     });
-    let key = keys::lease(&settings.firm, &settings.name);
+    let key = keys::lease(&firm, &settings.name);
     let holder = format!("{}-{:016x}", settings.seat, rand::random::<u64>());
     let time = Duration::from_secs(settings.platform.lease_seconds);
     let margin = time / MARGIN;
--- a/verbenaspool_agent/src/group/settings.rs
+++ b/verbenaspool_agent/src/group/settings.rs
@@ -14,8 +14,6 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// The firm that the group belongs to.
-    pub firm: Name,
     /// The group's name, unique within the firm.
     pub name: Name,
     /// This agent's seat, from 0.
--- a/verbenaspool_agent/tests/agent/group.rs
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    net::{SocketAddr, TcpListener as Reserved},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     rc::Rc,
@@ -15,6 +15,7 @@
 
 use verbenaspool_protocol::group::{STATUS, Status};
 use verbenaspool_standin::{
+    address,
     history::steps,
     platform::Platform,
     ranks::{Group, Settings},
@@ -56,12 +57,6 @@
     }
 }
 
-/// An address that nobody listens on.
-fn free() -> SocketAddr {
-    let reserved = Reserved::bind("127.0.0.1:0").expect("a port");
-    reserved.local_addr().expect("an address")
-}
-
 impl Fleet {
     fn start(name: &'static str, checked: bool) -> Self {
         let clock: Rc<dyn Clock> = Monotonic::start();
@@ -90,8 +85,8 @@
         let mut fleet = Self {
             name,
             engines: (0..RANKS).map(engine).collect(),
-            controls: (0..RANKS).map(|_| free()).collect(),
-            admins: (0..RANKS).map(|_| free()).collect(),
+            controls: (0..RANKS).map(|_| address::fresh()).collect(),
+            admins: (0..RANKS).map(|_| address::fresh()).collect(),
             agents: Vec::new(),
             group,
             platform,
@@ -111,13 +106,12 @@
         let members: Vec<String> = self.controls.iter().map(|a| format!("'{a}'")).collect();
         let fences = if checked { "checked" } else { "ignored" };
         let text = format!(
-            "firm: tidewater\ninstance: rank-{seat}\n\
+            "firm: quetzal\ninstance: rank-{seat}\n\
              listen: 127.0.0.1:0\n\
              control: {control}\n\
              admin: {admin}\n\
              upstream: {{address: '{engine}', kind: plain}}\n\
              group:\n\
-            \x20 firm: quetzal\n\
             \x20 name: inspection-1\n\
             \x20 seat: {seat}\n\
             \x20 members: [{members}]\n\
