Run apply and status as operators do

Only check ran as a program in tests. Now apply, its races and its refusal in an outage, and status run as spawned programs before a stand-in of the platform: exit codes 0, 1, 4 and 5, and the version read back, as the help says.

--- a/verbenaspool/tests/rules/commands.rs
+++ b/verbenaspool/tests/rules/commands.rs
@@ -11,19 +11,19 @@
 use verbenaspool_transport::settings;
 
 /// Runs the program and waits for its end.
-fn run(arguments: &[&str]) -> Output {
+pub fn run(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaspool"));
     command.args(arguments).output().unwrap()
 }
 
 /// A file of the examples.
-fn example(name: &str) -> PathBuf {
+pub fn example(name: &str) -> PathBuf {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     root.join("examples").join(name)
 }
 
 /// A file with this text, for one test.
-fn written(name: &str, text: &str) -> PathBuf {
+pub fn written(name: &str, text: &str) -> PathBuf {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::write(&path, text).unwrap();
     path
--- a/verbenaspool/tests/rules/main.rs
+++ b/verbenaspool/tests/rules/main.rs
@@ -4,3 +4,4 @@
 mod commands;
 mod driver;
 mod extra;
+mod operate;
