--- a/examples/demo/world.rs
+++ b/examples/demo/world.rs
@@ -15,7 +15,7 @@
 use verbenaspool_standin::{
     engine::{self, Engine},
     platform::Platform,
-    service::{Book, Service},
+    service::{Journal, Service},
 };
 use verbenaspool_state::{
     file::File,
@@ -80,7 +80,7 @@
     /// The upstreams, each with the trigger that tells its agent to stop.
     pub upstreams: Vec<(Upstream, Trigger)>,
     /// What the plain service wrote.
-    pub book: Rc<Book>,
+    pub book: Rc<Journal>,
     /// Groups of ranks among the upstreams.
     pub groups: Vec<Ranks>,
 }
@@ -161,7 +161,7 @@
             token: token.into(),
             timeout: Duration::from_secs(1),
         }));
-        let book = Book::new(Duration::from_millis(2), clock.clone());
+        let book = Journal::new(Duration::from_millis(2), clock.clone());
         let mut firm = Self {
             file,
             store,
@@ -362,7 +362,7 @@
 }
 
 /// Starts an instance of the plain service.
-fn start_plain(book: &Rc<Book>) -> io::Result<SocketAddr> {
+fn start_plain(book: &Rc<Journal>) -> io::Result<SocketAddr> {
     let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone())?;
     let address = service.address();
     monoio::spawn(service.run(shutdown::channel().1));
--- a/verbenaspool/benches/path/site.rs
+++ b/verbenaspool/benches/path/site.rs
@@ -17,7 +17,7 @@
     address,
     engine::{Config, Engine},
     platform::Platform,
-    service::{Book, Service},
+    service::{Journal, Service},
 };
 use verbenaspool_state::{
     credential::Digest,
@@ -127,7 +127,7 @@
     serving(move |tell| {
         let served = runtime::run(async {
             let (_stop, signal) = shutdown::channel();
-            let book = Book::new(takes, Monotonic::start());
+            let book = Journal::new(takes, Monotonic::start());
             let service = Service::bind(([127, 0, 0, 1], 0).into(), book).expect("a free port");
             tell.send(service.address()).expect("the bench waits");
             service.run(signal).await;
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -61,7 +61,7 @@
     queue::Queue,
     table::Table,
     upload::{Bounds, Fault, Upload},
-    upstreams::Book,
+    upstreams::Directory,
 };
 
 /// The part of the process that log lines name.
@@ -185,7 +185,7 @@
     /// Control calls to agents.
     pub rpc: rpc::Client,
     /// The upstreams.
-    pub upstreams: Book,
+    pub upstreams: Directory,
     /// The ids of attempts.
     pub attempts: Attempts,
     /// The callers' open connections.
@@ -229,7 +229,7 @@
             store: around.store,
             client,
             rpc: rpc::Client::default(),
-            upstreams: Book::default(),
+            upstreams: Directory::default(),
             attempts: Attempts::default(),
             open: Open::default(),
             table: RefCell::default(),
--- a/verbenaspool/src/entry/upstreams.rs
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -27,7 +27,7 @@
 
 /// The upstreams that the entry knows.
 #[derive(Debug, Default)]
-pub struct Book(RefCell<HashMap<Name, Known>>);
+pub struct Directory(RefCell<HashMap<Name, Known>>);
 
 #[derive(Debug)]
 struct Known {
@@ -39,16 +39,16 @@
     events: u64,
 }
 
-impl Book {
+impl Directory {
     /// Takes the firm's whole list of upstreams.
     ///
     /// ```
     /// let firm = "quetzal".parse().unwrap();
-    /// verbenaspool::entry::upstreams::Book::default().replace(&firm, &[]);
+    /// verbenaspool::entry::upstreams::Directory::default().replace(&firm, &[]);
     /// ```
     pub fn replace(&self, firm: &Name, upstreams: &[Upstream]) {
-        let mut book = self.0.borrow_mut();
-        let mut before = std::mem::take(&mut *book);
+        let mut directory = self.0.borrow_mut();
+        let mut before = std::mem::take(&mut *directory);
         for upstream in upstreams {
             // Addresses and names are plain ASCII, so this holds for every upstream.
             let identity = format!("{firm}/{}", upstream.name);
@@ -73,7 +73,7 @@
                 at: kept.as_ref().and_then(|known| known.at),
                 events: kept.map_or(0, |known| known.events),
             };
-            book.insert(upstream.name.clone(), known);
+            directory.insert(upstream.name.clone(), known);
         }
     }
 
@@ -87,8 +87,8 @@
     /// that is longer than `age`.
     #[must_use]
     pub fn oldest(&self, names: &[Name], now: Duration, age: Duration) -> Option<Name> {
-        let book = self.0.borrow();
-        let known = names.iter().filter_map(|name| book.get(name));
+        let directory = self.0.borrow();
+        let known = names.iter().filter_map(|name| directory.get(name));
         let oldest = known.min_by_key(|known| known.at)?;
         let due = oldest.at.is_none_or(|at| now.saturating_sub(at) >= age);
         due.then(|| oldest.upstream.name.clone())
@@ -98,8 +98,8 @@
     /// the last cache event heard.
     #[must_use]
     pub fn asked(&self, name: &Name, now: Duration) -> Option<(Address, u64)> {
-        let mut book = self.0.borrow_mut();
-        let known = book.get_mut(name)?;
+        let mut directory = self.0.borrow_mut();
+        let known = directory.get_mut(name)?;
         known.at = Some(now);
         Some((known.address.clone(), known.events))
     }
@@ -108,8 +108,8 @@
     /// upstream's service and the load in the balancer's terms.
     #[must_use]
     pub fn heard(&self, name: &Name, load: &load::Load) -> Option<(Name, Load)> {
-        let mut book = self.0.borrow_mut();
-        let known = book.get_mut(name)?;
+        let mut directory = self.0.borrow_mut();
+        let known = directory.get_mut(name)?;
         known.address.process = Some(load.agent);
         let load = Load {
             incarnation: known.upstream.incarnation,
@@ -124,8 +124,8 @@
     /// Notes the last cache event heard; gives the upstream's service.
     #[must_use]
     pub fn cached(&self, name: &Name, last: u64) -> Option<Name> {
-        let mut book = self.0.borrow_mut();
-        let known = book.get_mut(name)?;
+        let mut directory = self.0.borrow_mut();
+        let known = directory.get_mut(name)?;
         known.events = last;
         Some(known.upstream.service.clone())
     }
@@ -133,8 +133,8 @@
     /// The upstreams of a service as the balancer sees them.
     #[must_use]
     pub fn members(&self, service: &Name) -> Vec<Member> {
-        let book = self.0.borrow();
-        let mut members: Vec<_> = book
+        let directory = self.0.borrow();
+        let mut members: Vec<_> = directory
             .values()
             .map(|known| &known.upstream)
             .filter(|upstream| upstream.service == *service)
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -15,7 +15,7 @@
     address,
     engine::{Config, Engine},
     platform::Platform,
-    service::{Book, Service},
+    service::{Journal, Service},
 };
 use verbenaspool_transport::{
     clock::Monotonic,
@@ -32,7 +32,7 @@
 struct Firm {
     platform: Platform,
     jobs: Option<claim::Agent>,
-    book: Rc<Book>,
+    book: Rc<Journal>,
     client: Client,
     signal: Signal,
     _stop: Trigger,
@@ -53,7 +53,7 @@
         platform.allow("token", "tidewater");
         let (stop, signal) = shutdown::channel();
         let clock = Monotonic::start();
-        let book = Book::new(Duration::ZERO, clock.clone());
+        let book = Journal::new(Duration::ZERO, clock.clone());
         let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone()).unwrap();
         let engine = Engine::bind(Config::default(), clock).unwrap();
         let mut firm = Self {
--- a/verbenaspool/tests/history/site.rs
+++ b/verbenaspool/tests/history/site.rs
@@ -7,9 +7,9 @@
 use http_body_util::BodyExt;
 use verbenaspool_coordination::{apply::Order, keys, piece};
 use verbenaspool_standin::{
-    engine::{Config, Desk, Engine},
+    engine::{Config, Engine, Parts},
     platform::Platform,
-    service::{Book, Service},
+    service::{Journal, Service},
 };
 use verbenaspool_state::{
     credential::Digest,
@@ -53,9 +53,9 @@
     /// The platform.
     pub platform: Platform,
     /// What the plain service wrote.
-    pub book: Rc<Book>,
+    pub book: Rc<Journal>,
     /// The engines.
-    pub engines: Vec<Rc<Desk>>,
+    pub engines: Vec<Rc<Parts>>,
     /// The entries.
     pub entries: RefCell<Vec<Process>>,
     /// The agents: those of the engines, then those of the plain service.
@@ -100,7 +100,7 @@
         let platform = Platform::start().expect("a port");
         platform.allow("token", "tidewater");
         let (stop, signal) = shutdown::channel();
-        let book = Book::new(Duration::from_millis(3), clock.clone());
+        let book = Journal::new(Duration::from_millis(3), clock.clone());
         let mut site = Self {
             platform,
             book: book.clone(),
@@ -114,7 +114,7 @@
         };
         for number in 0..UPSTREAMS {
             let engine = Engine::bind(Config::default(), clock.clone()).expect("a port");
-            site.engines.push(engine.desk());
+            site.engines.push(engine.parts());
             site.agent(test, number, "assistant", engine.address(), "engine");
             monoio::spawn(engine.run(signal.clone()));
         }
--- a/verbenaspool/tests/rules/operate.rs
+++ b/verbenaspool/tests/rules/operate.rs
@@ -21,13 +21,13 @@
 use crate::commands::{example, run, written};
 
 /// A platform on a thread of its own, since commands are waited for.
-struct Plant {
+struct Server {
     address: SocketAddr,
     down: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
 }
 
-impl Plant {
+impl Server {
     fn start() -> Self {
         let (tell, told) = mpsc::channel();
         let (down, stop) = (Arc::new(AtomicBool::new(false)), Arc::default());
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Runs a command with this plant's settings and tells its exit code and JSON.
+    /// Runs a command with this server's settings and tells its exit code and JSON.
     fn command(&self, firm: &str, arguments: &[&str]) -> (Option<i32>, Value) {
         let settings = written(
             &format!("operator-{firm}.yaml"),
@@ -70,7 +70,7 @@
     }
 }
 
-impl Drop for Plant {
+impl Drop for Server {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
     }
@@ -78,7 +78,7 @@
 
 #[test]
 fn operators_apply_race_and_read_back() {
-    let plant = Plant::start();
+    let server = Server::start();
     let file = example("quetzal.yaml");
     let file = file.to_str().unwrap();
     let text = fs::read_to_string(file).unwrap();
@@ -106,10 +106,10 @@
                 word => word,
             })
             .collect();
-        let (ended, told) = plant.command("quetzal", &arguments);
+        let (ended, told) = server.command("quetzal", &arguments);
         assert_eq!(ended, Some(code), "{case}: {told}");
     }
-    let (ended, told) = plant.command("quetzal", &["status"]);
+    let (ended, told) = server.command("quetzal", &["status"]);
     assert_eq!((ended, &told["accepted"]), (Some(0), &3.into()), "{told}");
     assert_eq!(told["apply"], "a");
     // No instance runs, so nothing is in force, and status must say so.
@@ -120,15 +120,15 @@
 fn an_apply_in_an_outage_is_refused_whole() {
     // An operator's file is half in force after an outage: the apply gave up in
     // the middle, and what it had written counted.
-    let plant = Plant::start();
+    let server = Server::start();
     let file = example("quetzal.yaml");
     let file = file.to_str().unwrap();
-    plant.down.store(true, Ordering::Relaxed);
+    server.down.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(100));
-    let (ended, told) = plant.command("quetzal", &["apply", "--timeout-ms", "600", file]);
+    let (ended, told) = server.command("quetzal", &["apply", "--timeout-ms", "600", file]);
     assert_eq!(ended, Some(1), "{told}");
-    plant.down.store(false, Ordering::Relaxed);
+    server.down.store(false, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(100));
-    let (ended, told) = plant.command("quetzal", &["status"]);
+    let (ended, told) = server.command("quetzal", &["status"]);
     assert_eq!((ended, &told["accepted"]), (Some(0), &0.into()), "{told}");
 }
--- a/verbenaspool_agent/benches/agent.rs
+++ b/verbenaspool_agent/benches/agent.rs
@@ -22,7 +22,7 @@
 use verbenaspool_protocol::{attempt, header, report};
 use verbenaspool_standin::{
     engine::{Config, Engine},
-    service::{Book, Service},
+    service::{Journal, Service},
 };
 use verbenaspool_state::upstream::Identity;
 use verbenaspool_transport::{
@@ -126,7 +126,7 @@
                 tell.send(engine.address()).expect("the bench listens");
                 engine.run(signal).await;
             } else {
-                let book = Book::new(Duration::ZERO, clock);
+                let book = Journal::new(Duration::ZERO, clock);
                 let service = Service::bind(([127, 0, 0, 1], 0).into(), book);
                 let service = service.expect("a service");
                 tell.send(service.address()).expect("the bench listens");
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -15,13 +15,14 @@
 
 use crate::{
     admin::{self, Admin},
-    control, group,
+    control,
+    executor::Executor,
+    group,
     orders::Gate,
     poll,
     proxy::Proxy,
     settings::Settings,
     shared::Shared,
-    steward::Steward,
 };
 
 /// How often a stopping agent looks whether its last request has ended.
@@ -90,8 +91,8 @@
         let mut module = Module::default();
         control::register(&mut module, &shared);
         let (engine, log) = (shared.upstream(), shared.log.clone());
-        let steward = Steward::new(engine, orders.clone(), shared.clock.clone(), log);
-        steward.register(&mut module);
+        let executor = Executor::new(engine, orders.clone(), shared.clock.clone(), log);
+        executor.register(&mut module);
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
             let firm = shared.settings.firm.clone();
--- a/verbenaspool_agent/src/steward.rs
+++ b/verbenaspool_agent/src/executor.rs
@@ -39,7 +39,7 @@
 
 /// The taker of orders.
 #[derive(Debug)]
-pub(crate) struct Steward {
+pub(crate) struct Executor {
     gate: RefCell<Gate>,
     sender: Rc<orders::Gate>,
     client: Client,
@@ -48,8 +48,8 @@
     log: Logger,
 }
 
-impl Steward {
-    /// A steward of an agent that starts now.
+impl Executor {
+    /// A executor of an agent that starts now.
     pub(crate) fn new(
         engine: SocketAddr,
         sender: Rc<orders::Gate>,
@@ -68,10 +68,10 @@
 
     /// Registers the control method.
     pub(crate) fn register(self: &Rc<Self>, module: &mut Module) {
-        let steward = self.clone();
+        let executor = self.clone();
         module.on(METHOD, move |order: Order| {
-            let steward = steward.clone();
-            async move { steward.take(order).await }
+            let executor = executor.clone();
+            async move { executor.take(order).await }
         });
     }
 
--- a/verbenaspool_agent/tests/agent/fault.rs
+++ b/verbenaspool_agent/tests/agent/fault.rs
@@ -6,28 +6,30 @@
 use futures_util::future::Either;
 
 use verbenaspool_protocol::{outcome::Outcome, problem::Code, settle::Answer};
-use verbenaspool_standin::engine::{Config, Desk};
+use verbenaspool_standin::engine::{Config, Parts};
 
 use crate::rig::{Reply, Rig, completion, engine, run, service, settings};
 
 /// What breaks in the engine.
-type Break = fn(&Desk);
+type Break = fn(&Parts);
 
 #[test]
 fn a_broken_engine_never_looks_whole() {
     // The engine dies before or inside its answer. A caller that got a cleanly
     // ended half would take it for the whole.
     let table: [(&str, Break); 4] = [
-        ("before its answer", |desk| desk.faults.break_before()),
-        ("before the first token", |desk| desk.faults.break_behind(0)),
-        ("between tokens", |desk| desk.faults.break_behind(2)),
-        ("before the end mark", |desk| desk.faults.break_behind(5)),
+        ("before its answer", |parts| parts.faults.break_before()),
+        ("before the first token", |parts| {
+            parts.faults.break_behind(0);
+        }),
+        ("between tokens", |parts| parts.faults.break_behind(2)),
+        ("before the end mark", |parts| parts.faults.break_behind(5)),
     ];
     run(async {
-        let (address, desk) = engine(Config::default());
+        let (address, parts) = engine(Config::default());
         let rig = Rig::start(settings(address, "engine"));
         for (name, breaks) in table {
-            breaks(&desk);
+            breaks(&parts);
             let id = rig.id();
             let reply = rig.post(id, "/v1/completions", &completion("Net", 5)).await;
             let whole = reply.ok().and_then(|reply| reply.text());
@@ -85,14 +87,14 @@
 #[test]
 fn an_engine_stops_when_the_entry_goes() {
     run(async {
-        let (address, desk) = engine(Config::default());
+        let (address, parts) = engine(Config::default());
         let rig = Rig::start(settings(address, "engine"));
         let id = rig.id();
         let request = rig.request(id, "/v1/completions", &completion("Net", 100_000));
         let response = rig.client.send(rig.data, request).await.unwrap();
         drop(response);
-        rig.until(|| desk.batch.cancelled() == 1).await;
-        rig.until(|| desk.batch.running() == 0).await;
+        rig.until(|| parts.batch.cancelled() == 1).await;
+        rig.until(|| parts.batch.running() == 0).await;
         assert_eq!(rig.settle(id).await, Answer::Unknown);
     });
 }
@@ -155,9 +157,9 @@
 #[test]
 fn a_stalled_engine_is_given_up_at_the_deadline() {
     run(async {
-        let (address, desk) = engine(Config::default());
+        let (address, parts) = engine(Config::default());
         let rig = Rig::start(settings(address, "engine"));
-        desk.batch.stall();
+        parts.batch.stall();
         let body = completion("Net", 5).replace("true", "false");
         let mut request = rig.request(rig.id(), "/v1/completions", &body);
         let deadline = verbenaspool_protocol::header::DEADLINE;
@@ -165,14 +167,14 @@
         let reply = rig.send(request).await.unwrap();
         assert_eq!(reply.code(), Some(Code::Deadline));
         assert_eq!(reply.outcome, Outcome::Unknown);
-        rig.until(|| desk.batch.cancelled() == 1).await;
+        rig.until(|| parts.batch.cancelled() == 1).await;
     });
 }
 
 #[test]
 fn a_full_instance_refuses_and_says_when_to_come_back() {
     run(async {
-        let (address, desk) = engine(Config::default());
+        let (address, parts) = engine(Config::default());
         let mut settings = settings(address, "engine");
         settings.limits.requests = 1;
         let rig = Rig::start(settings);
@@ -183,7 +185,7 @@
         let text = String::from_utf8(refused.body.unwrap().to_vec()).unwrap();
         assert!(text.contains("retry_after_ms"), "{text}");
         drop(first);
-        rig.until(|| desk.batch.running() == 0).await;
+        rig.until(|| parts.batch.running() == 0).await;
         assert!(rig.complete("Net", 1).await.unwrap().text().is_some());
     });
 }
--- a/verbenaspool_agent/tests/agent/orders.rs
+++ b/verbenaspool_agent/tests/agent/orders.rs
@@ -7,14 +7,14 @@
 use verbenaspool_agent::agent::Agent;
 use verbenaspool_coordination::group::order::{Action, LONGEST, Order, Outcome, Reason, Role};
 use verbenaspool_protocol::order::METHOD;
-use verbenaspool_standin::engine::{Config, Desk};
+use verbenaspool_standin::engine::{Config, Parts};
 use verbenaspool_transport::{clock::Paused, rpc, shutdown};
 
 use crate::rig::{self, engine, run};
 
 /// An agent that has waited out its forerunner's orders, and its engine.
 struct Fleet {
-    desk: Rc<Desk>,
+    parts: Rc<Parts>,
     control: std::net::SocketAddr,
     rpc: rpc::Client,
 }
@@ -25,7 +25,7 @@
             checks_fences,
             ..Config::default()
         };
-        let (address, desk) = engine(config);
+        let (address, parts) = engine(config);
         let clock = Rc::new(Paused::default());
         let log = Logger::root(Discard, o!());
         let settings = rig::settings(address, "engine");
@@ -38,7 +38,11 @@
         });
         clock.advance(LONGEST);
         let rpc = rpc::Client::default();
-        Self { desk, control, rpc }
+        Self {
+            parts,
+            control,
+            rpc,
+        }
     }
 
     async fn order(&self, id: &str, fence: u64, role: Role) -> Outcome {
@@ -65,12 +69,12 @@
             for _ in 0..2 {
                 assert_eq!(fleet.order("a.1", 5, Role::Decode).await, Outcome::Done);
             }
-            assert_eq!(fleet.desk.orders.done().len(), 1);
-            fleet.desk.orders.lose(1);
+            assert_eq!(fleet.parts.orders.done().len(), 1);
+            fleet.parts.orders.lose(1);
             assert_eq!(fleet.order("a.2", 6, Role::Prefill).await, Outcome::Done);
             let late = fleet.order("old.7", 5, Role::Both).await;
             assert_eq!(late, Outcome::NotRun(Reason::Fence { fence: 6 }));
-            assert_eq!(fleet.desk.orders.done().len(), 2);
+            assert_eq!(fleet.parts.orders.done().len(), 2);
         });
     }
 }
--- a/verbenaspool_agent/tests/agent/rig.rs
+++ b/verbenaspool_agent/tests/agent/rig.rs
@@ -20,8 +20,8 @@
     settle::{self, Answer, Question},
 };
 use verbenaspool_standin::{
-    engine::{Config, Desk, Engine, text},
-    service::{Book, Service},
+    engine::{Config, Engine, Parts, text},
+    service::{Journal, Service},
 };
 use verbenaspool_state::upstream::Identity;
 use verbenaspool_transport::{
@@ -110,20 +110,20 @@
 }
 
 /// Starts an engine.
-pub fn engine(config: Config) -> (SocketAddr, Rc<Desk>) {
+pub fn engine(config: Config) -> (SocketAddr, Rc<Parts>) {
     let engine = Engine::bind(config, Monotonic::start()).expect("an engine");
-    let (address, desk) = (engine.address(), engine.desk());
+    let (address, parts) = (engine.address(), engine.parts());
     let (trigger, signal) = shutdown::channel();
     monoio::spawn(async move {
         engine.run(signal).await;
         drop(trigger);
     });
-    (address, desk)
+    (address, parts)
 }
 
 /// Starts a plain service.
-pub fn service(takes: Duration) -> (SocketAddr, Rc<Book>) {
-    let book = Book::new(takes, Monotonic::start());
+pub fn service(takes: Duration) -> (SocketAddr, Rc<Journal>) {
+    let book = Journal::new(takes, Monotonic::start());
     let service = Service::bind(([127, 0, 0, 1], 0).into(), book.clone()).expect("a service");
     let address = service.address();
     let (trigger, signal) = shutdown::channel();
--- a/verbenaspool_standin/src/engine.rs
+++ b/verbenaspool_standin/src/engine.rs
@@ -101,12 +101,12 @@
 pub struct Engine {
     listener: TcpListener,
     address: SocketAddr,
-    desk: Rc<Desk>,
+    parts: Rc<Parts>,
 }
 
 /// The engine's parts, shared by its requests.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Parts {
     /// The requests that run and wait.
     pub batch: Rc<Batch>,
     /// The prefix cache.
@@ -137,7 +137,7 @@
     pub fn bind(config: Config, clock: Rc<dyn Clock>) -> io::Result<Self> {
         let options = ListenerOpts::new().reuse_port(false);
         let listener = TcpListener::bind_with_config(config.listen, &options)?;
-        let desk = Desk {
+        let parts = Parts {
             batch: Rc::new(Batch::new(&config, clock.clone())),
             cache: Cache::new(&config, clock),
             orders: orders::Orders::new(config.checks_fences),
@@ -147,7 +147,7 @@
         Ok(Self {
             address: listener.local_addr()?,
             listener,
-            desk: Rc::new(desk),
+            parts: Rc::new(parts),
         })
     }
 
@@ -159,18 +159,18 @@
 
     /// The engine's parts, to look at and to set faults.
     #[must_use]
-    pub fn desk(&self) -> Rc<Desk> {
-        self.desk.clone()
+    pub fn parts(&self) -> Rc<Parts> {
+        self.parts.clone()
     }
 
     /// Runs until the signal comes and the last request has ended.
     pub async fn run(self, signal: Signal) {
         let limits = Limits::default();
-        server::serve(self.listener, limits, self.desk, Open::default(), signal).await;
+        server::serve(self.listener, limits, self.parts, Open::default(), signal).await;
     }
 }
 
-impl Handler for Desk {
+impl Handler for Parts {
     fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> server::Answer {
         Box::pin(async move {
             match (request.method(), request.uri().path()) {
@@ -184,7 +184,7 @@
     }
 }
 
-impl Desk {
+impl Parts {
     async fn complete(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let resume = self.resume(&request);
         let priority = priority(&request);
--- a/verbenaspool_standin/src/engine/stream.rs
+++ b/verbenaspool_standin/src/engine/stream.rs
@@ -12,12 +12,12 @@
 
 use verbenaspool_transport::{clock::Sleep, http::body::Error};
 
-use super::{Completion, Desk, batch::Place, text};
+use super::{Completion, Parts, batch::Place, text};
 
 /// The tokens of one answer as a body. Dropped before its end, as when the
 /// caller goes, it leaves the batch at once.
 pub struct Stream {
-    desk: Rc<Desk>,
+    parts: Rc<Parts>,
     place: Option<Place>,
     prompt: String,
     next: u32,
@@ -28,24 +28,24 @@
 }
 
 impl Stream {
-    pub(crate) fn new(desk: Rc<Desk>, place: Place, completion: &Completion, from: u32) -> Self {
+    pub(crate) fn new(parts: Rc<Parts>, place: Place, completion: &Completion, from: u32) -> Self {
         for _ in 0..from {
             place.generated();
         }
-        let prompt = if desk.faults.take_crossed() {
+        let prompt = if parts.faults.take_crossed() {
             format!("not {}", completion.prompt)
         } else {
             completion.prompt.clone()
         };
         Self {
-            breaks: desk.faults.take_behind(),
-            step: desk.batch.step(),
+            breaks: parts.faults.take_behind(),
+            step: parts.batch.step(),
             place: Some(place),
             prompt,
             next: from,
             end: completion.max_tokens,
             events: completion.stream,
-            desk,
+            parts,
         }
     }
 
@@ -72,7 +72,7 @@
             return Poll::Ready(ends.then(|| Ok(Frame::data(text::DONE.into()))));
         }
         ready!(self.step.as_mut().poll(cx));
-        self.step = self.desk.batch.step();
+        self.step = self.parts.batch.step();
         if let Some(place) = &self.place {
             place.generated();
         }
--- a/verbenaspool_standin/src/service.rs
+++ b/verbenaspool_standin/src/service.rs
@@ -30,13 +30,13 @@
 pub struct Service {
     listener: TcpListener,
     address: SocketAddr,
-    book: Rc<Book>,
+    journal: Rc<Journal>,
 }
 
 /// What a service did, and what goes wrong in it. Instances of one service may
-/// share a book.
+/// share a journal.
 #[derive(Debug)]
-pub struct Book {
+pub struct Journal {
     clock: Rc<dyn Clock>,
     /// How long a request takes.
     pub takes: Cell<Duration>,
@@ -62,17 +62,17 @@
     }
 }
 
-impl Book {
-    /// An empty book.
+impl Journal {
+    /// An empty journal.
     ///
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_standin::service::Book;
+    /// use verbenaspool_standin::service::Journal;
     /// use verbenaspool_transport::clock::Monotonic;
     ///
-    /// let book = Book::new(Duration::from_millis(1), Monotonic::start());
-    /// assert!(book.writes.borrow().is_empty());
+    /// let journal = Journal::new(Duration::from_millis(1), Monotonic::start());
+    /// assert!(journal.writes.borrow().is_empty());
     /// ```
     #[must_use]
     pub fn new(takes: Duration, clock: Rc<dyn Clock>) -> Rc<Self> {
@@ -109,23 +109,23 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_standin::service::{Book, Service};
+    /// use verbenaspool_standin::service::{Journal, Service};
     /// use verbenaspool_transport::{clock::Monotonic, runtime};
     ///
     /// runtime::run(async {
-    ///     let book = Book::new(Duration::ZERO, Monotonic::start());
-    ///     let service = Service::bind(([127, 0, 0, 1], 0).into(), book).unwrap();
+    ///     let journal = Journal::new(Duration::ZERO, Monotonic::start());
+    ///     let service = Service::bind(([127, 0, 0, 1], 0).into(), journal).unwrap();
     ///     assert_ne!(service.address().port(), 0);
     /// })
     /// .unwrap();
     /// ```
-    pub fn bind(listen: SocketAddr, book: Rc<Book>) -> io::Result<Self> {
+    pub fn bind(listen: SocketAddr, journal: Rc<Journal>) -> io::Result<Self> {
         let options = ListenerOpts::new().reuse_port(false);
         let listener = TcpListener::bind_with_config(listen, &options)?;
         Ok(Self {
             address: listener.local_addr()?,
             listener,
-            book,
+            journal,
         })
     }
 
@@ -138,11 +138,11 @@
     /// Runs until the signal comes and the last request has ended.
     pub async fn run(self, signal: Signal) {
         let limits = Limits::default();
-        server::serve(self.listener, limits, self.book, Open::default(), signal).await;
+        server::serve(self.listener, limits, self.journal, Open::default(), signal).await;
     }
 }
 
-impl Handler for Book {
+impl Handler for Journal {
     fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> server::Answer {
         Box::pin(async move {
             let write = !matches!(*request.method(), Method::GET | Method::HEAD);
