Keep a service's work in the zones that the file names

Cause: services[].zones was checked and kept, and nothing read it; entries sent the service's work to every upstream listed. With the filter taken out the new test finds the other zone's upstream in use.

--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -281,7 +281,12 @@
     /// Takes the firm's whole list of upstreams.
     pub fn members(&self, upstreams: &[Upstream]) {
         self.upstreams.replace(self.firm(), upstreams);
-        for (service, running) in self.services.borrow().iter() {
+        let table = self.table.borrow().clone();
+        let services = self.services.borrow();
+        for service in table.iter().flat_map(|table| &table.services) {
+            let Some(running) = services.get(&service.name) else {
+                continue;
+            };
             let members = self.upstreams.members(service);
             running
                 .queue
@@ -330,7 +335,7 @@
         for service in &table.services {
             let kept = before.remove(&service.name);
             let running = kept.unwrap_or_else(|| self.running(service));
-            let members = self.upstreams.members(&service.name);
+            let members = self.upstreams.members(service);
             running.queue.with(|balancer, now| {
                 balancer.configure(now, &service.decisions, &shares);
                 balancer.peers(now, &peers);
--- a/verbenaspool/src/entry/upstreams.rs
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -7,6 +7,7 @@
 use verbenaspool_protocol::load;
 use verbenaspool_state::{
     name::Name,
+    service::Service,
     upstream::{State, Upstream},
 };
 
@@ -132,12 +133,13 @@
 
     /// The upstreams of a service as the balancer sees them.
     #[must_use]
-    pub fn members(&self, service: &Name) -> Vec<Member> {
+    pub fn members(&self, service: &Service) -> Vec<Member> {
+        let within = |zone: &Name| service.zones.is_empty() || service.zones.contains(zone);
         let directory = self.0.borrow();
         let mut members: Vec<_> = directory
             .values()
             .map(|known| &known.upstream)
-            .filter(|upstream| upstream.service == *service)
+            .filter(|upstream| upstream.service == service.name && within(&upstream.zone))
             .map(member)
             .collect();
         members.sort_by(|a, b| a.name.cmp(&b.name));
--- a/verbenaspool/tests/entry/subsets.rs
+++ b/verbenaspool/tests/entry/subsets.rs
@@ -52,3 +52,25 @@
         assert_eq!(used(), UPSTREAMS);
     });
 }
+
+#[test]
+fn a_service_stays_in_its_zones() {
+    // Inspection notes leave the zone that they must not leave: the file named
+    // the service's zones, and entries sent its work to every upstream listed.
+    run(async {
+        let entry = entry(0);
+        let nobody = ([127, 0, 0, 1], 1).into();
+        let mut abroad = upstream("loft-abroad", "assistant", nobody, nobody);
+        abroad.zone = "tweed-a".parse().unwrap();
+        let home = upstream("loft-home", "assistant", nobody, nobody);
+        let (at_home, both) = (vec![home.name.clone()], [home, abroad]);
+        entry.members(&both);
+        assert_eq!(entry.working().len(), 2);
+        let mut narrow = file();
+        narrow.services[0].zones = vec!["bowen-a".parse().unwrap()];
+        entry.adopt(Version(2), &narrow);
+        assert_eq!(entry.working(), at_home);
+        entry.members(&both);
+        assert_eq!(entry.working(), at_home);
+    });
+}
