--- a/verbenaspool_state/src/service.rs
+++ b/verbenaspool_state/src/service.rs
@@ -75,7 +75,8 @@
     #[serde(default)]
     pub rebalancing: Rebalancing,
     /// The expert map that a group starts with, one placement a layer; empty to
-    /// spread experts in order of their numbers.
+    /// spread experts in order of their numbers. Kept and checked; agents don't
+    /// read it yet.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub placement: Vec<Layer>,
 }
