Say once how a test books, and reach nobody at an address nobody has

Three tests repeated the same four lines; and the unreachable upstream's port was let go before it was used, so that another test could get it.

--- a/verbenaspool/tests/entry/path.rs
+++ b/verbenaspool/tests/entry/path.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::Method;
+use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use monoio::{
     io::AsyncReadRent,
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use verbenaspool::{entry::Surroundings, settings::Bound};
 use verbenaspool_protocol::{header, settle};
+use verbenaspool_standin::address;
 use verbenaspool_state::version::Version;
 use verbenaspool_transport::{
     clock::Monotonic,
@@ -36,6 +37,12 @@
     (Site::start(&upstreams), agents, stop)
 }
 
+/// Sends one booking, which may not run twice, and reads the answer whole.
+async fn book(site: &Site) -> (StatusCode, String, String) {
+    let sent = request(Method::POST, "/jobs/bookings", "one booking");
+    whole(site.send(sent).await).await
+}
+
 #[test]
 fn a_request_reaches_its_service() {
     run(async {
@@ -133,12 +140,10 @@
             acts.extend((0..20).map(|_| Act::Refuse));
         };
         refuse(&agents[0]);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        assert_eq!(whole(site.send(sent).await).await.2, "one booking");
+        assert_eq!(book(&site).await.2, "one booking");
         // While both refuse, the caller hears a truthful word.
         refuse(&agents[1]);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        let (status, outcome, body) = whole(site.send(sent).await).await;
+        let (status, outcome, body) = book(&site).await;
         assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
         assert_eq!(code(&body), "no-upstream");
     });
@@ -151,8 +156,7 @@
     run(async {
         let (site, agents, _stop) = site(1);
         agents[0].acts.borrow_mut().push_back(Act::Crossed);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        let (status, outcome, body) = whole(site.send(sent).await).await;
+        let (status, outcome, body) = book(&site).await;
         assert_eq!((status.as_u16(), outcome.as_str()), (502, "unknown"));
         assert_eq!(code(&body), "upstream");
         assert_eq!(agents[0].seen.borrow().len(), 1);
@@ -181,15 +185,13 @@
             upstream("jobs-2", "jobs", address, control),
         ];
         let site = Site::start(&upstreams);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        let (status, outcome, _) = whole(site.send(sent).await).await;
+        let (status, outcome, _) = book(&site).await;
         assert_eq!((status.as_u16(), outcome.as_str()), (502, "unknown"));
         assert!(counted.try_recv().is_ok());
         assert!(counted.try_recv().is_err());
         // The agent's word that it never will run makes it safe to repeat.
         agent.settles.set(settle::Answer::Refused);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        let (status, outcome, _) = whole(site.send(sent).await).await;
+        let (status, outcome, _) = book(&site).await;
         assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
     });
 }
@@ -197,13 +199,9 @@
 #[test]
 fn an_unreachable_upstream_is_a_truthful_not_run() {
     run(async {
-        let gone = {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            listener.local_addr().unwrap()
-        };
+        let gone = address::fresh();
         let site = Site::start(&[upstream("jobs-1", "jobs", gone, gone)]);
-        let sent = request(Method::POST, "/jobs/bookings", "one booking");
-        let (status, outcome, body) = whole(site.send(sent).await).await;
+        let (status, outcome, body) = book(&site).await;
         assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
         assert_eq!(code(&body), "no-upstream");
     });
