Give a group's steps their own sender again

One sender compared fences that count different things: an order of whoever controls the fleet under a high fence would have had the lead's steps refused, and the group would have stood; a slow order would have held steps up. The module now says why there are two.

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -96,13 +96,7 @@
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
             let firm = shared.settings.firm.clone();
-            let driver = group::Driver::new(
-                firm,
-                group,
-                &orders,
-                shared.log.clone(),
-                shared.clock.clone(),
-            );
+            let driver = group::Driver::new(firm, group, shared.log.clone(), shared.clock.clone());
             driver.register(&mut module);
             driver
         });
--- a/verbenaspool_agent/src/group/driver.rs
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -77,7 +77,7 @@
     clock: Rc<dyn Clock>,
     member: RefCell<Member>,
     rebalancer: RefCell<Rebalancer>,
-    gate: Rc<Gate>,
+    gate: Gate,
     client: Client,
     peers: rpc::Client,
     counts: Counts,
@@ -102,14 +102,9 @@
 
 impl Driver {
     /// A driver that has yet to [run](Self::run).
-    ///
-    /// `orders` is the agent's sender. A rank that takes its steps where it takes
-    /// all other orders must get them from the same sender: two of them could
-    /// each have an order on its way, with the older fence behind the newer.
     pub(crate) fn new(
         firm: Name,
         settings: Settings,
-        orders: &Rc<Gate>,
         log: Logger,
         clock: Rc<dyn Clock>,
     ) -> Rc<Self> {
@@ -138,7 +133,7 @@
             log,
             member: RefCell::new(Member::new(rank, lead)),
             rebalancer: RefCell::new(rebalancer),
-            gate: Gate::shared(orders, settings.engine, &clock),
+            gate: Gate::new(settings.engine, clock.clone()),
             client: Client::new(CONNECT),
             peers: rpc::Client::default(),
             counts: Counts::default(),
--- a/verbenaspool_agent/src/orders.rs
+++ b/verbenaspool_agent/src/orders.rs
@@ -1,6 +1,10 @@
 //! The only way to the engine's orders.
 //!
-//! One order is on its way at a time, and none is sent after its deadline, so
+//! Steps of a group and all other orders have a gate each. Their fences count
+//! different things, and compared with each other the one that counts faster
+//! would shut the other out; and a slow order must not hold steps up.
+//!
+//! One order of a kind is on its way at a time, and none is sent after its deadline, so
 //! that a successor of this process that waits as long knows that no order of
 //! its predecessor is still to come. What remains possible: this process may be
 //! paused between its last look at the clock and the write. Engines that check
@@ -80,28 +84,6 @@
         }
     }
 
-    /// The gate that `orders` is, where it stands before this engine; another one
-    /// else.
-    ///
-    /// ```
-    /// use std::rc::Rc;
-    ///
-    /// use verbenaspool_agent::orders::Gate;
-    /// use verbenaspool_transport::clock::{Clock, Monotonic};
-    ///
-    /// let clock: Rc<dyn Clock> = Monotonic::start();
-    /// let engine = "127.0.0.1:7100".parse().unwrap();
-    /// let orders = Rc::new(Gate::new(engine, clock.clone()));
-    /// assert!(Rc::ptr_eq(&orders, &Gate::shared(&orders, engine, &clock)));
-    /// ```
-    #[must_use]
-    pub fn shared(orders: &Rc<Self>, engine: SocketAddr, clock: &Rc<dyn Clock>) -> Rc<Self> {
-        if orders.engine == engine {
-            return orders.clone();
-        }
-        Rc::new(Self::new(engine, clock.clone()))
-    }
-
     /// Sends an order and waits for the engine's answer, until the deadline at
     /// the latest.
     ///
