--- a/verbenaspool_agent/src/orders.rs
+++ b/verbenaspool_agent/src/orders.rs
@@ -4,8 +4,8 @@
 //! different things, and compared with each other the one that counts faster
 //! would shut the other out; and a slow order must not hold steps up.
 //!
-//! One order of a kind is on its way at a time, and none is sent after its deadline, so
-//! that a successor of this process that waits as long knows that no order of
+//! One order of a kind is on its way at a time, and none is sent after its
+//! deadline, so that a successor of this process that waits as long knows that no order of
 //! its predecessor is still to come. What remains possible: this process may be
 //! paused between its last look at the clock and the write. Engines that check
 //! fences refuse such an order; with others it has to be found by reading the
