--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -62,7 +62,7 @@
     /// Run the entry process.
     Run {
         /// The settings file.
-        #[arg(long, short, value_name = "FILE")]
+        #[arg(long, short, value_name = "FILE", env = "VERBENASPOOL_SETTINGS")]
         settings: PathBuf,
     },
     /// Check a firm's file and tell everything that is wrong with it.
--- /dev/null
+++ b/verbenaspool/src/direct/attempt.rs
@@ -0,0 +1,205 @@
+//! One sending of a request to one upstream, and what is known behind it.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use verbenaspool_platform::header;
+use verbenaspool_policy::dispatch::{Ask, Ending};
+use verbenaspool_state::route::{Kind, Route};
+use verbenaspool_transport::http::{body::Body, client::Error};
+
+use super::{
+    desk::{Desk, Place},
+    gateway::Gateway,
+    record::Record,
+};
+
+/// How long an upstream may be silent before a request that bears it is sent
+/// elsewhere, in times of its target. Twice the target is late already, and the
+/// caller gives up after four times.
+const PATIENCE: f64 = 2.0;
+
+/// The least time that is worth sending a request with.
+const WORTHWHILE: Duration = Duration::from_millis(30);
+
+/// Upstreams that can't be connected to before a request is given up.
+const UNREACHED: u32 = 4;
+
+/// A caller's request, ready to be sent.
+pub struct Work {
+    pub gateway: Rc<Gateway>,
+    pub record: Rc<Record>,
+    pub route: Rc<Route>,
+    pub desk: Rc<Desk>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// What the request says of itself.
+    pub said: header::Request,
+    pub priority: u8,
+    /// When its answer must begin to be in time.
+    pub target: Duration,
+    /// When it gets its final answer, whatever that is.
+    pub deadline: Duration,
+    /// Sendings that may have reached an upstream.
+    pub sendings: Cell<u32>,
+    /// Upstreams that couldn't be connected to.
+    pub unreached: Cell<u32>,
+    /// Whether a sending may have run of which nothing is known.
+    pub exposed: Cell<bool>,
+    /// Upstreams that are not to be sent to again.
+    pub tried: std::cell::RefCell<Vec<Rc<str>>>,
+}
+
+/// What is known behind a sending.
+pub enum Sent {
+    /// The upstream answered, and the answer belongs to the request.
+    Answered(Response<Body>, Place),
+    /// The request didn't run there and won't.
+    NotRun(&'static str),
+    /// The request may have run there, or may still.
+    Unknown(&'static str),
+}
+
+impl Work {
+    /// The time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.gateway.clock.now())
+    }
+
+    /// What the request asks of its service's desk.
+    pub fn ask(&self) -> Ask {
+        let streams = self.route.kind == Kind::Streaming;
+        Ask {
+            priority: self.priority,
+            target: self.target,
+            deadline: self.deadline,
+            gap: self.route.gap.filter(|_| streams),
+            size: f64::from(self.said.guess.unwrap_or(self.said.most)),
+            avoid: self.tried.borrow().clone(),
+        }
+    }
+
+    /// Whether the request may be sent once more; counts it if so.
+    pub fn may_repeat(&self) -> bool {
+        if self.sendings.get() >= self.route.attempts || self.left() < WORTHWHILE {
+            return false;
+        }
+        let bound = self.gateway.settings.borrow().bounds.retries();
+        let now = self.gateway.clock.now();
+        let entries = self.gateway.peers.borrow().entries(now);
+        self.desk.repeat(&bound, entries)
+    }
+
+    /// Whether another upstream may be tried behind one that can't be reached.
+    pub fn may_reconnect(&self) -> bool {
+        self.unreached.get() < UNREACHED && self.left() >= WORTHWHILE
+    }
+
+    /// How long the upstream may be silent, where the request bears to be sent
+    /// elsewhere.
+    fn patience(&self) -> Duration {
+        let left = self.left();
+        let last = self.sendings.get() >= self.route.attempts;
+        if last || !self.route.is_repeatable() {
+            return left;
+        }
+        self.route.target.mul_f64(PATIENCE).min(left)
+    }
+
+    /// Sends the request to an upstream, behind an event of the caller's where
+    /// there is one.
+    pub async fn send(&self, place: Place, after: Option<u64>) -> Sent {
+        let id = place.upstream.clone();
+        self.tried.borrow_mut().push(id.clone());
+        let Some(replica) = self.gateway.replica(&id) else {
+            place.ended(Ending::Unknown);
+            return Sent::NotRun("upstream-gone");
+        };
+        let request = match self.request(&id, after) {
+            Ok(request) => request,
+            Err(_) => return Sent::NotRun("bad-request"),
+        };
+        self.sendings.set(self.sendings.get() + 1);
+        let before = self.exposed.replace(true);
+        let client = &self.gateway.client;
+        let answer = async {
+            if self.route.is_repeatable() {
+                client.send(replica.address, request).await
+            } else {
+                client.send_fresh(replica.address, request).await
+            }
+        };
+        let answer = monoio::time::timeout(self.patience(), answer).await;
+        let sent = self.judge(answer, place);
+        match &sent {
+            Sent::NotRun(why) => {
+                self.exposed.set(before);
+                self.record.sent(&id, why);
+            }
+            Sent::Unknown(why) => self.record.sent(&id, why),
+            Sent::Answered(response, _) => self.record.sent(&id, response.status().as_str()),
+        }
+        sent
+    }
+
+    /// The request as the upstream gets it.
+    fn request(&self, id: &str, after: Option<u64>) -> Result<Request<Body>, http::Error> {
+        let mut headers = self.headers.clone();
+        header::address(&mut headers, id, self.left());
+        if let Some(event) = after {
+            header::resume(&mut headers, event);
+        }
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.uri.clone())
+            .body(Body::full(self.body.clone()))?;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    /// What an answer, or the want of one, tells.
+    fn judge(
+        &self,
+        answer: Result<Result<Response<Body>, Error>, impl std::fmt::Debug>,
+        place: Place,
+    ) -> Sent {
+        let response = match answer {
+            Err(_) => {
+                place.ended(Ending::Silent);
+                return Sent::Unknown("silent");
+            }
+            Ok(Err(Error::NotSent(_))) => {
+                place.ended(Ending::Silent);
+                self.sendings.set(self.sendings.get() - 1);
+                self.unreached.set(self.unreached.get() + 1);
+                return Sent::NotRun("unreached");
+            }
+            Ok(Err(Error::Broken(_))) => {
+                place.ended(Ending::Bad);
+                return Sent::Unknown("broken");
+            }
+            Ok(Ok(response)) => response,
+        };
+        let said = header::answer(response.headers());
+        // A late or doubled answer to another request may come where this one's
+        // is due. Its connection goes with it.
+        if !header::belongs(response.headers(), self.said.id.as_ref()) {
+            place.ended(Ending::Bad);
+            return Sent::Unknown("not-its-answer");
+        }
+        let status = response.status();
+        if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            let wrong = status == StatusCode::MISDIRECTED_REQUEST;
+            place.ended(if wrong { Ending::Silent } else { Ending::Full });
+            return Sent::NotRun(if wrong { "misdirected" } else { "turned-away" });
+        }
+        if status.is_success() && (!said.signed || said.encoded) {
+            place.ended(Ending::Bad);
+            return Sent::Unknown("not-the-upstreams-answer");
+        }
+        Sent::Answered(response, place)
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/desk.rs
@@ -0,0 +1,163 @@
+//! One service's desk: where requests wait for an upstream.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::sync::oneshot;
+use verbenaspool_policy::dispatch::{
+    Ask, Dispatcher, Ending, Refusal, Verdict,
+    line::Ticket,
+    retry::{Bound, Budget},
+};
+use verbenaspool_transport::clock::Clock;
+
+/// One service at this entry.
+#[derive(Debug)]
+pub struct Desk {
+    /// The service's name.
+    pub service: Rc<str>,
+    clock: Rc<dyn Clock>,
+    dispatcher: RefCell<Dispatcher>,
+    budget: RefCell<Budget>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
+    next: Cell<Ticket>,
+}
+
+/// A request's place at an upstream; gone with the value.
+#[derive(Debug)]
+pub struct Place {
+    desk: Rc<Desk>,
+    /// The upstream.
+    pub upstream: Rc<str>,
+    ending: Cell<Ending>,
+}
+
+impl Place {
+    /// Says how the sending ended; without it, nothing is learnt.
+    pub fn ended(self, ending: Ending) {
+        self.ending.set(ending);
+    }
+
+    /// Learns from a pause between two events of a stream.
+    pub fn pause(&self, pause: Duration) {
+        let now = self.desk.clock.now();
+        let mut dispatcher = self.desk.dispatcher.borrow_mut();
+        dispatcher.pause(now, &self.upstream, pause);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.desk.free(&self.upstream, self.ending.get());
+    }
+}
+
+/// A request in line; it leaves the line with the value.
+struct Seat<'a> {
+    desk: &'a Rc<Desk>,
+    ticket: Ticket,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        self.desk.dispatcher.borrow_mut().leave(self.ticket);
+        self.desk.waiting.borrow_mut().remove(&self.ticket);
+        // A caller may leave just as its turn has come; its place must come free.
+        self.verdict.close();
+        if let Ok(Verdict::Send(upstream)) = self.verdict.try_recv() {
+            self.desk.free(&upstream, Ending::Unknown);
+        }
+    }
+}
+
+impl Desk {
+    /// A desk without upstreams.
+    #[must_use]
+    pub fn new(service: Rc<str>, clock: Rc<dyn Clock>, zone: Rc<str>, seed: u64) -> Self {
+        Self {
+            service,
+            clock,
+            dispatcher: RefCell::new(Dispatcher::new(zone, seed)),
+            budget: RefCell::default(),
+            waiting: RefCell::default(),
+            next: Cell::default(),
+        }
+    }
+
+    /// Changes or asks the dispatcher, then serves those who wait.
+    pub fn with<R>(&self, change: impl FnOnce(&mut Dispatcher, Duration) -> R) -> R {
+        let now = self.clock.now();
+        let result = change(&mut self.dispatcher.borrow_mut(), now);
+        self.pump();
+        result
+    }
+
+    /// Serves those who wait, as far as there is room, and refuses the others
+    /// whose time is over.
+    pub fn pump(&self) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if dispatcher.waiting() == 0 {
+            return;
+        }
+        let verdicts = dispatcher.pump(now);
+        let mut waiting = self.waiting.borrow_mut();
+        for (ticket, verdict) in verdicts {
+            let told = match waiting.remove(&ticket) {
+                Some(sender) => sender.send(verdict),
+                None => Err(verdict),
+            };
+            if let Err(Verdict::Send(upstream)) = told {
+                dispatcher.ended(now, &upstream, Ending::Unknown);
+            }
+        }
+    }
+
+    /// Waits for a place at an upstream.
+    ///
+    /// # Errors
+    /// There is no room, nor will there be in time.
+    pub async fn admit(self: &Rc<Self>, ask: Ask) -> Result<Place, Refusal> {
+        let ticket = self.next.get() + 1;
+        self.next.set(ticket);
+        let (sender, verdict) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        let mut seat = Seat {
+            desk: self,
+            ticket,
+            verdict,
+        };
+        self.with(|dispatcher, now| dispatcher.submit(now, ticket, ask));
+        match (&mut seat.verdict).await {
+            Ok(Verdict::Send(upstream)) => Ok(Place {
+                desk: self.clone(),
+                upstream,
+                ending: Cell::new(Ending::Unknown),
+            }),
+            Ok(Verdict::Refuse(refusal)) => Err(refusal),
+            Err(_) => unreachable!("a ticket is answered before its sender goes"),
+        }
+    }
+
+    /// Gives a place at an upstream back.
+    fn free(&self, upstream: &str, ending: Ending) {
+        self.with(|dispatcher, now| dispatcher.ended(now, upstream, ending));
+    }
+
+    /// Counts a request.
+    pub fn request(&self, bound: &Bound) {
+        let now = self.clock.now();
+        self.budget.borrow_mut().request(now, bound);
+    }
+
+    /// Whether a request may be sent once more.
+    pub fn repeat(&self, bound: &Bound, entries: usize) -> bool {
+        let now = self.clock.now();
+        self.budget.borrow_mut().repeat(now, bound, entries)
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/follow.rs
@@ -0,0 +1,172 @@
+//! Following the store: the configuration and the registry of upstreams.
+//!
+//! One long watch each brings changes within milliseconds. A watch that hangs is
+//! found by its timeout, and what it missed meanwhile comes from peers.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use slog::{info, warn};
+use tokio::sync::Notify;
+use verbenaspool_platform::{
+    configuration, registry as wire,
+    store::{Change, Listing, Object, Watched},
+};
+use verbenaspool_transport::platform::Error;
+
+use super::{gateway::Gateway, registry};
+
+/// How long a watch waits. A connection to the store that fell silent is found
+/// within this and a second; each call is paid for, so it isn't shorter.
+const WAIT: Duration = Duration::from_millis(3_000);
+
+/// The pause after a call that failed, at first and at most. What the store
+/// refuses must be asked for again within the bound on changes, which is 2 s.
+const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
+
+/// What is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The configuration.
+    Configuration,
+    /// The registry of upstreams.
+    Registry,
+}
+
+impl Kind {
+    /// The kind of its objects.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => configuration::KIND,
+            Self::Registry => wire::KIND,
+        }
+    }
+}
+
+/// Follows one kind of objects for as long as the process runs.
+pub struct Follower {
+    gateway: Rc<Gateway>,
+    kind: Kind,
+    /// Wakes the follower to list everything anew.
+    wake: Rc<Notify>,
+    objects: BTreeMap<String, Object>,
+    revision: u64,
+    /// Since when the store answers without a break; none while it doesn't.
+    back: Option<Duration>,
+    pause: Duration,
+}
+
+impl Follower {
+    /// A follower that has seen nothing.
+    pub fn new(gateway: Rc<Gateway>, kind: Kind, wake: Rc<Notify>) -> Self {
+        Self {
+            gateway,
+            kind,
+            wake,
+            objects: BTreeMap::new(),
+            revision: 0,
+            back: None,
+            pause: PAUSE[0],
+        }
+    }
+
+    /// Follows.
+    pub async fn run(mut self) {
+        loop {
+            match self.gateway.store.list(self.kind.name(), false).await {
+                Ok(Listing { objects, revision }) => {
+                    self.reached();
+                    self.objects = objects;
+                    self.revision = revision;
+                    self.tell();
+                    self.watch().await;
+                }
+                Err(why) => self.failed(&why).await,
+            }
+        }
+    }
+
+    /// Watches until everything must be listed anew.
+    async fn watch(&mut self) {
+        loop {
+            let watch = self
+                .gateway
+                .store
+                .watch(self.kind.name(), self.revision, WAIT);
+            let woken = self.wake.notified();
+            let watched = monoio::select! {
+                watched = watch => watched,
+                () = woken => return,
+            };
+            match watched {
+                Ok(Watched::Changes(changes, revision)) => {
+                    self.reached();
+                    self.revision = self.revision.max(revision);
+                    if !changes.is_empty() {
+                        self.change(changes);
+                    }
+                }
+                Ok(Watched::Forgotten) => {
+                    info!(self.gateway.log, "Entry: The store forgot its history; listing anew.";
+                        "kind" => self.kind.name(), "revision" => self.revision);
+                    return;
+                }
+                Err(why) => {
+                    self.failed(&why).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes changes over.
+    fn change(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Put(object) => {
+                    self.objects.insert(object.name.clone(), object);
+                }
+                Change::Removed(name) => {
+                    self.objects.remove(&name);
+                }
+            }
+        }
+        self.tell();
+    }
+
+    /// Tells the gateway how things are.
+    fn tell(&self) {
+        match self.kind {
+            Kind::Configuration => {
+                if let Some(object) = self.objects.get(configuration::NAME) {
+                    self.gateway.adopt(object, "store");
+                }
+            }
+            Kind::Registry => {
+                let back = self.back.unwrap_or_else(|| self.gateway.clock.now());
+                let settled = registry::settled(back);
+                self.gateway
+                    .enlist(settled, self.revision, &self.objects, "store");
+            }
+        }
+    }
+
+    /// The store has answered.
+    fn reached(&mut self) {
+        self.pause = PAUSE[0];
+        if self.back.is_none() {
+            self.back = Some(self.gateway.clock.now());
+            info!(self.gateway.log, "Entry: The store answers."; "kind" => self.kind.name());
+        }
+    }
+
+    /// The store has not answered: waits before the next call.
+    async fn failed(&mut self, why: &Error) {
+        if self.back.take().is_some() {
+            warn!(self.gateway.log, "Entry: The store doesn't answer; what is known stays in force.";
+                "kind" => self.kind.name(), "reason" => why.to_string());
+        }
+        let pause = self.pause;
+        self.pause = (pause * 2).min(PAUSE[1]);
+        self.gateway.clock.sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/gateway.rs
@@ -0,0 +1,218 @@
+//! What all requests of an entry share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::Rng;
+use slog::{Logger, info, warn};
+use verbenaspool_platform::{
+    configuration,
+    store::{self, Object},
+};
+use verbenaspool_state::{replica::Replica, route::Table};
+use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
+
+use super::{desk::Desk, peers::Peers, registry::Registry, settings::Settings};
+
+/// How long a new connection to an upstream may take. The way there and back
+/// takes a few milliseconds; an upstream that is cut off never answers, and a
+/// full queue of connections is served again seconds later only.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a connection to an upstream is kept that carries no request, where
+/// the upstream doesn't state its own bound: those below a second aren't stated.
+const KEPT: Duration = Duration::from_millis(400);
+
+/// What all requests of an entry share.
+pub struct Gateway {
+    /// The settings.
+    pub settings: RefCell<Settings>,
+    /// The source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The log.
+    pub log: Logger,
+    /// The metrics.
+    pub metrics: metrics::Registry,
+    /// Connections to upstreams.
+    pub client: Client,
+    /// The platform's store.
+    pub store: store::Client,
+    /// Calls to other entries.
+    pub calls: rpc::Client,
+    /// The other entries.
+    pub peers: RefCell<Peers>,
+    /// Whether the process is about to stop.
+    pub leaving: Cell<bool>,
+    /// Whether it takes no request any more.
+    pub closed: Cell<bool>,
+    /// The object that the table was read from, for peers.
+    pub source: RefCell<Option<Object>>,
+    table: RefCell<Option<Rc<Table>>>,
+    registry: RefCell<Registry>,
+    listed: Cell<bool>,
+    desks: RefCell<HashMap<Rc<str>, Rc<Desk>>>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+        store: store::Client,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            clock,
+            log,
+            metrics: metrics::Registry::default(),
+            client: Client::new(CONNECT).keep_for(KEPT),
+            store,
+            calls: rpc::Client::default(),
+            peers: RefCell::default(),
+            leaving: Cell::new(false),
+            closed: Cell::new(false),
+            source: RefCell::default(),
+            table: RefCell::default(),
+            registry: RefCell::default(),
+            listed: Cell::new(false),
+            desks: RefCell::default(),
+        })
+    }
+
+    /// The routing table in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// The version of the table in force; 0 without one.
+    pub fn version(&self) -> u64 {
+        self.table
+            .borrow()
+            .as_ref()
+            .map_or(0, |table| table.version)
+    }
+
+    /// The revision of the registry.
+    pub fn revision(&self) -> u64 {
+        self.registry.borrow().revision
+    }
+
+    /// The registry's objects, for peers.
+    pub fn objects(&self) -> (u64, Vec<Object>) {
+        let registry = self.registry.borrow();
+        (
+            registry.revision,
+            registry.objects.values().cloned().collect(),
+        )
+    }
+
+    /// Whether requests may come: the process knows where they go.
+    pub fn ready(&self) -> bool {
+        !self.leaving.get() && self.listed.get() && self.table.borrow().is_some()
+    }
+
+    /// Puts a configuration in force, if it is newer than what is.
+    pub fn adopt(&self, object: &Object, from: &str) {
+        let table = match configuration::decode(&object.specification) {
+            Ok(table) => table,
+            Err(why) => {
+                warn!(self.log, "Entry: A configuration can't be read; the one in force stays.";
+                    "revision" => object.revision, "from" => from, "reason" => why.to_string());
+                return;
+            }
+        };
+        let before = self.version();
+        if table.version <= before && self.table.borrow().is_some() {
+            return;
+        }
+        info!(self.log, "Entry: A configuration is in force.";
+            "version" => table.version, "before" => before, "from" => from, "routes" => table.len());
+        let table = Rc::new(table);
+        self.table.replace(Some(table.clone()));
+        self.source.replace(Some(object.clone()));
+        for service in table.services() {
+            let desk = self.desk(&service.name);
+            desk.with(|dispatcher, _| dispatcher.engine(service.engine.as_ref()));
+        }
+        self.deal();
+    }
+
+    /// Takes over the registry of upstreams.
+    pub fn enlist(
+        &self,
+        settled: Duration,
+        revision: u64,
+        objects: &BTreeMap<String, Object>,
+        from: &str,
+    ) {
+        let now = self.clock.now();
+        let changed = {
+            let mut registry = self.registry.borrow_mut();
+            if revision < registry.revision && self.listed.get() {
+                return;
+            }
+            let changed = &registry.objects != objects;
+            registry.update(now, settled, revision, objects);
+            changed
+        };
+        self.listed.set(true);
+        if changed {
+            info!(self.log, "Entry: The list of upstreams changed.";
+                "revision" => revision, "from" => from, "upstreams" => self.registry.borrow().len());
+            self.deal();
+        }
+    }
+
+    /// Drops upstreams that were missing for too long.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        if self.registry.borrow_mut().expire(now) {
+            info!(self.log, "Entry: Upstreams that were missing are gone.";
+                "upstreams" => self.registry.borrow().len());
+            self.deal();
+        }
+    }
+
+    /// Tells each service's desk its upstreams.
+    fn deal(&self) {
+        let registry = self.registry.borrow();
+        let mut services: HashMap<Rc<str>, Vec<Rc<Replica>>> = HashMap::new();
+        for replica in registry.iter() {
+            let list = services.entry(replica.service.clone()).or_default();
+            list.push(replica.clone());
+        }
+        for name in self.desks.borrow().keys() {
+            services.entry(name.clone()).or_default();
+        }
+        for (service, list) in services {
+            let desk = self.desk(&service);
+            desk.with(|dispatcher, _| dispatcher.members(list.iter().map(|replica| &**replica)));
+        }
+    }
+
+    /// The desk of a service.
+    pub fn desk(&self, service: &Rc<str>) -> Rc<Desk> {
+        let mut desks = self.desks.borrow_mut();
+        let new = || {
+            let zone: Rc<str> = self.settings.borrow().zone.as_str().into();
+            let seed = rand::rng().random();
+            Rc::new(Desk::new(service.clone(), self.clock.clone(), zone, seed))
+        };
+        desks.entry(service.clone()).or_insert_with(new).clone()
+    }
+
+    /// All desks.
+    pub fn desks(&self) -> Vec<Rc<Desk>> {
+        self.desks.borrow().values().cloned().collect()
+    }
+
+    /// The upstream of this identity.
+    pub fn replica(&self, id: &str) -> Option<Rc<Replica>> {
+        self.registry.borrow().get(id).cloned()
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/peers.rs
@@ -0,0 +1,332 @@
+//! The other entries: what they have in flight, and what they know that this one
+//! doesn't.
+//!
+//! Each entry sends a digest to all others every few tens of milliseconds. It
+//! says which upstreams work for it, so that entries share the room of each
+//! upstream though callers come to them unevenly; and which version of the
+//! configuration and the registry it has, so that an entry that can't reach the
+//! store gets the newer one from whoever has it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use monoio::net::udp::UdpSocket;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use verbenaspool_platform::store::Object;
+use verbenaspool_protocol::digest::{self, Digest, Flight};
+use verbenaspool_transport::rpc;
+
+use super::{gateway::Gateway, registry};
+
+/// The pause between digests with few peers. Upstreams free a place every 30 ms
+/// or so at today's size, and a place shouldn't be taken twice.
+const PERIOD: Duration = Duration::from_millis(30);
+
+/// What each further peer adds to the pause, so that the digests that an entry
+/// sends and hears a second stay bounded.
+const PERIOD_PER_PEER: Duration = Duration::from_millis(4);
+
+/// How long a silent peer's requests count. They end within a few seconds, and
+/// a peer that was cut off from here still has them.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// How long a silent peer is still sent digests, so that a cut that ends is found.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// How long the store has to bring what a peer is known to have, before the peer
+/// is asked. It brings a change within milliseconds.
+const HEADSTART: Duration = Duration::from_millis(150);
+
+/// How long a peer has to answer.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// The RPC method by which peers get what they lack.
+pub const LATEST: &str = "latest";
+
+/// The most peers that a digest names.
+const NAMED: usize = 24;
+
+/// One other entry.
+#[derive(Debug, Default)]
+struct Peer {
+    /// When it was last heard; none if never.
+    heard: Option<Duration>,
+    /// When it was first thought of or last heard.
+    since: Duration,
+    digest: Digest,
+}
+
+/// The other entries that are known.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: HashMap<Ipv4Addr, Peer>,
+    number: u64,
+    /// Since when a peer is known to have something newer.
+    behind: Option<Duration>,
+}
+
+/// What an entry has.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Have {
+    /// The version of its routing table.
+    table: u64,
+    /// The revision of its registry.
+    registry: u64,
+}
+
+/// What another entry has that is newer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Latest {
+    configuration: Option<Object>,
+    revision: u64,
+    upstreams: Option<Vec<Object>>,
+}
+
+impl Peers {
+    /// How many entries are alive, this one included.
+    pub fn entries(&self, now: Duration) -> usize {
+        1 + self.live(now).count()
+    }
+
+    fn live(&self, now: Duration) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        let live = move |peer: &Peer| {
+            peer.heard
+                .is_some_and(|heard| now.saturating_sub(heard) < SILENCE)
+        };
+        self.known.iter().filter(move |(_, peer)| live(peer))
+    }
+
+    /// Takes a digest over; tells whether it changed anything.
+    fn hear(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
+        for &other in digest.peers.iter().take(NAMED) {
+            self.think_of(now, other);
+        }
+        self.think_of(now, from);
+        let Some(peer) = self.known.get_mut(&from) else {
+            return false;
+        };
+        let order = |digest: &Digest| (digest.incarnation, digest.number);
+        if peer.heard.is_some() && order(&digest) <= order(&peer.digest) {
+            return false;
+        }
+        peer.heard = Some(now);
+        peer.since = now;
+        peer.digest = digest;
+        true
+    }
+
+    /// Remembers an entry that may be there.
+    fn think_of(&mut self, now: Duration, address: Ipv4Addr) {
+        self.known.entry(address).or_insert_with(|| Peer {
+            since: now,
+            ..Peer::default()
+        });
+    }
+
+    /// What other entries have in flight at each upstream.
+    fn flights(&self, now: Duration) -> HashMap<u32, u32> {
+        let mut sums = HashMap::new();
+        for (_, peer) in self.live(now) {
+            for flight in &peer.digest.flights {
+                *sums.entry(flight.upstream).or_default() += flight.requests;
+            }
+        }
+        sums
+    }
+
+    /// The peers that have something newer than this.
+    fn ahead(&self, now: Duration, have: Have) -> Vec<Ipv4Addr> {
+        let ahead =
+            |peer: &Peer| peer.digest.table > have.table || peer.digest.registry > have.registry;
+        let ahead = self.live(now).filter(|(_, peer)| ahead(peer));
+        ahead.map(|(address, _)| *address).collect()
+    }
+}
+
+impl Gateway {
+    /// What this entry has.
+    fn have(&self) -> Have {
+        Have {
+            table: self.version(),
+            registry: self.revision(),
+        }
+    }
+
+    /// This entry's digest.
+    fn digest(&self, incarnation: u64) -> Digest {
+        let now = self.clock.now();
+        let have = self.have();
+        let mut flights = Vec::new();
+        for desk in self.desks() {
+            desk.with(|dispatcher, _| {
+                flights.extend(dispatcher.flights().map(|(id, requests)| Flight {
+                    upstream: digest::hash(id),
+                    requests,
+                }));
+            });
+        }
+        let mut peers = self.peers.borrow_mut();
+        peers.number += 1;
+        let named = peers.live(now).map(|(address, _)| *address).take(NAMED);
+        Digest {
+            incarnation,
+            number: peers.number,
+            table: have.table,
+            registry: have.registry,
+            leaving: self.leaving.get(),
+            flights,
+            peers: named.collect(),
+        }
+    }
+
+    /// Tells desks what other entries have in flight.
+    fn share(&self) {
+        let sums = self.peers.borrow().flights(self.clock.now());
+        for desk in self.desks() {
+            desk.with(|dispatcher, _| {
+                let ids: Vec<Rc<str>> = dispatcher.ids().cloned().collect();
+                for id in ids {
+                    let others = sums.get(&digest::hash(&id)).copied().unwrap_or(0);
+                    dispatcher.others(&id, others);
+                }
+            });
+        }
+    }
+
+    /// Everything newer than what a peer has.
+    fn latest(&self, have: Have) -> Latest {
+        let newer = self.version() > have.table;
+        let (revision, objects) = self.objects();
+        Latest {
+            configuration: newer.then(|| self.source.borrow().clone()).flatten(),
+            revision,
+            upstreams: (revision > have.registry).then_some(objects),
+        }
+    }
+
+    /// Asks a peer for what it has that is newer.
+    async fn ask(&self, peer: Ipv4Addr) {
+        let address = SocketAddr::from((peer, self.settings.borrow().control.port()));
+        let called: Result<Latest, _> =
+            self.calls.call(address, LATEST, &self.have(), ANSWER).await;
+        let latest = match called {
+            Ok(latest) => latest,
+            Err(why) => {
+                warn!(self.log, "Entry: A peer that knows more can't be asked.";
+                    "peer" => peer.to_string(), "reason" => why.to_string());
+                return;
+            }
+        };
+        let from = format!("peer {peer}");
+        if let Some(object) = &latest.configuration {
+            self.adopt(object, &from);
+        }
+        if let Some(upstreams) = latest.upstreams {
+            let objects: BTreeMap<String, Object> = upstreams
+                .into_iter()
+                .map(|object| (object.name.clone(), object))
+                .collect();
+            let settled = registry::settled(self.clock.now());
+            self.enlist(settled, latest.revision, &objects, &from);
+        }
+    }
+}
+
+/// Answers the calls of peers.
+pub fn methods(gateway: &Rc<Gateway>, module: &mut rpc::Module) {
+    let gateway = gateway.clone();
+    module.on(LATEST, move |have: Have| {
+        let latest = gateway.latest(have);
+        async move { Ok::<_, String>(latest) }
+    });
+}
+
+/// Opens the socket on which digests come and go.
+///
+/// # Errors
+/// The port is taken.
+pub fn open(gateway: &Gateway) -> io::Result<UdpSocket> {
+    let settings = gateway.settings.borrow();
+    UdpSocket::bind(SocketAddr::new(settings.address, settings.peer_port))
+}
+
+/// Hears digests for as long as the process runs.
+pub async fn hear(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        let (received, buffer) = socket.recv_from(vec![0_u8; digest::LARGEST]).await;
+        let Ok((length, from)) = received else {
+            gateway.clock.sleep(PERIOD).await;
+            continue;
+        };
+        let IpAddr::V4(from) = from.ip() else {
+            continue;
+        };
+        let Some(digest) = Digest::decode(&buffer[..length]) else {
+            continue;
+        };
+        let now = gateway.clock.now();
+        let heard = gateway.peers.borrow_mut().hear(now, from, digest);
+        if heard {
+            gateway.share();
+        }
+    }
+}
+
+/// Sends digests for as long as the process runs.
+pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, incarnation: u64) {
+    loop {
+        let digest = gateway.digest(incarnation).encode();
+        let addresses = addresses(&gateway);
+        let port = gateway.settings.borrow().peer_port;
+        for address in &addresses {
+            // A datagram that is lost is made up for by the next.
+            let _ = socket
+                .send_to(digest.clone(), SocketAddr::from((*address, port)))
+                .await;
+        }
+        let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
+        gateway.clock.sleep(PERIOD + PERIOD_PER_PEER * peers).await;
+    }
+}
+
+/// Whom digests go to; also forgets peers that are silent for long.
+fn addresses(gateway: &Gateway) -> Vec<Ipv4Addr> {
+    let now = gateway.clock.now();
+    let settings = gateway.settings.borrow();
+    let mut peers = gateway.peers.borrow_mut();
+    for seed in &settings.seeds {
+        if let IpAddr::V4(address) = seed.ip() {
+            peers.think_of(now, address);
+        }
+    }
+    let own = settings.address;
+    peers.known.retain(|address, peer| {
+        IpAddr::V4(*address) != own && now.saturating_sub(peer.since) < FORGOTTEN
+    });
+    peers.known.keys().copied().collect()
+}
+
+/// Gets from peers what this entry lacks, for as long as the process runs.
+pub async fn catch_up(gateway: Rc<Gateway>) {
+    loop {
+        gateway.clock.sleep(HEADSTART / 3).await;
+        let now = gateway.clock.now();
+        let ahead = gateway.peers.borrow().ahead(now, gateway.have());
+        let Some(&peer) = ahead.first() else {
+            gateway.peers.borrow_mut().behind = None;
+            continue;
+        };
+        let since = *gateway.peers.borrow_mut().behind.get_or_insert(now);
+        if now.saturating_sub(since) >= HEADSTART {
+            info!(gateway.log, "Entry: A peer knows more; asking it."; "peer" => peer.to_string());
+            gateway.ask(peer).await;
+            gateway.peers.borrow_mut().behind = None;
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/readiness.rs
@@ -0,0 +1,44 @@
+//! Readiness and metrics.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use verbenaspool_transport::http::{
+    body::Body,
+    server::{Answer, Handler},
+};
+
+use super::gateway::Gateway;
+
+/// Answers whether callers may come.
+pub struct Readiness(pub Rc<Gateway>);
+
+impl Handler for Readiness {
+    fn handle(self: Rc<Self>, _: SocketAddr, _: Request<Incoming>) -> Answer {
+        let status = if self.0.ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Box::pin(std::future::ready(plain(status, "")))
+    }
+}
+
+/// Tells the metrics.
+pub struct Metrics(pub Rc<Gateway>);
+
+impl Handler for Metrics {
+    fn handle(self: Rc<Self>, _: SocketAddr, _: Request<Incoming>) -> Answer {
+        self.0.measure();
+        let text = self.0.metrics.text();
+        Box::pin(std::future::ready(plain(StatusCode::OK, text)))
+    }
+}
+
+/// An answer of plain text.
+fn plain(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::full(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/verbenaspool/src/direct/record.rs
@@ -0,0 +1,141 @@
+//! What is logged and counted of each request: one line when it ends.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use slog::info;
+
+use super::gateway::Gateway;
+
+/// The story of one request, told in its line.
+#[derive(Debug, Default)]
+struct Story {
+    route: Option<Rc<str>>,
+    service: Option<Rc<str>>,
+    version: u64,
+    /// Each upstream that it was sent to, and how that ended.
+    sent: Vec<String>,
+    /// When the first byte of the answer was passed on.
+    first: Option<Duration>,
+    events: u64,
+    /// The status and what decided it.
+    ended: Option<(u16, &'static str)>,
+}
+
+/// One request's record; its line is written when the value goes.
+pub struct Record {
+    gateway: Rc<Gateway>,
+    id: String,
+    began: Duration,
+    story: RefCell<Story>,
+}
+
+impl Record {
+    /// A record that begins now.
+    pub fn new(gateway: Rc<Gateway>, id: &str) -> Rc<Self> {
+        Rc::new(Self {
+            began: gateway.clock.now(),
+            id: id.to_owned(),
+            story: RefCell::default(),
+            gateway,
+        })
+    }
+
+    /// Where the request goes, by which version of the configuration.
+    pub fn routed(&self, route: &Rc<str>, service: &Rc<str>, version: u64) {
+        let mut story = self.story.borrow_mut();
+        story.route = Some(route.clone());
+        story.service = Some(service.clone());
+        story.version = version;
+    }
+
+    /// How a sending to an upstream went on.
+    pub fn sent(&self, upstream: &str, what: &str) {
+        let after = self.gateway.clock.now().saturating_sub(self.began);
+        let line = format!("{upstream} {what} at {} ms", after.as_millis());
+        self.story.borrow_mut().sent.push(line);
+    }
+
+    /// Events were passed on.
+    pub fn events(&self, count: u64) {
+        let now = self.gateway.clock.now();
+        let mut story = self.story.borrow_mut();
+        story.first.get_or_insert(now);
+        story.events += count;
+    }
+
+    /// How the request ended: the status that the caller got, and why.
+    pub fn end(&self, status: u16, why: &'static str) {
+        self.story.borrow_mut().ended = Some((status, why));
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let story = self.story.take();
+        let (status, why) = story.ended.unwrap_or((0, "caller-left"));
+        let route = story.route.as_deref().unwrap_or_default();
+        let service = story.service.as_deref().unwrap_or_default();
+        let took = now.saturating_sub(self.began);
+        let first = story.first.unwrap_or(now).saturating_sub(self.began);
+        let pairs = [("service", service), ("result", why)];
+        let ended = gateway.metrics.counter(
+            "verbenaspool_requests_total",
+            "Requests by how they ended.",
+            &pairs,
+        );
+        ended.count();
+        let times = gateway.metrics.histogram(
+            "verbenaspool_first_byte_seconds",
+            "Time to the first byte of the answer.",
+            &[("service", service)],
+        );
+        times.record(first);
+        info!(gateway.log, "Entry: A request ended.";
+            "request" => &self.id, "status" => status, "why" => why,
+            "route" => route, "service" => service, "version" => story.version,
+            "sent" => story.sent.join("; "), "events" => story.events,
+            "first_ms" => first.as_secs_f64() * 1e3, "took_ms" => took.as_secs_f64() * 1e3);
+    }
+}
+
+impl Gateway {
+    /// Brings gauges up to date before they are told.
+    pub fn measure(&self) {
+        let gauge = |name, help, value| self.metrics.gauge(name, help, &[]).set(value);
+        #[allow(clippy::cast_precision_loss)] // Versions stay far below 2^52.
+        let version = self.version() as f64;
+        gauge(
+            "verbenaspool_config_version",
+            "The version in force.",
+            version,
+        );
+        let now = self.clock.now();
+        for desk in self.desks() {
+            let snapshot = desk.with(|dispatcher, _| dispatcher.snapshot(now));
+            let pairs = [("service", &*desk.service)];
+            let gauge = |name, help, value: f64| self.metrics.gauge(name, help, &pairs).set(value);
+            gauge(
+                "verbenaspool_upstreams",
+                "Upstreams that take requests.",
+                snapshot.upstreams.into(),
+            );
+            gauge(
+                "verbenaspool_shunned",
+                "Upstreams that are left alone.",
+                snapshot.shunned.into(),
+            );
+            gauge(
+                "verbenaspool_in_flight",
+                "Requests in flight at all entries.",
+                snapshot.busy.into(),
+            );
+            gauge(
+                "verbenaspool_pace",
+                "How much longer passes take than on even ranks.",
+                snapshot.pace,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/relay.rs
@@ -0,0 +1,261 @@
+//! A stream on its way from an upstream to the caller, event by event.
+//!
+//! Where the upstream breaks off or falls silent and the route may be resumed,
+//! the stream goes on at another upstream behind the last whole event, inside
+//! the same answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{
+    future::{Either, select},
+    stream,
+};
+use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use verbenaspool_platform::header;
+use verbenaspool_policy::dispatch::Ending;
+use verbenaspool_transport::http::body::{self, Body};
+
+use super::{
+    attempt::{Sent, Work},
+    desk::Place,
+    events::Events,
+};
+
+/// How long a stream may be silent before it is moved: several passes, and well
+/// below the two seconds after which callers leave.
+const STALL: Duration = Duration::from_millis(700);
+
+/// A stream that ends before its last event.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off: {0}")]
+struct Broken(&'static str);
+
+/// A stream on its way.
+struct Relay {
+    work: Rc<Work>,
+    place: Option<Place>,
+    body: Body,
+    events: Events,
+    /// When the last event came, or the answer began.
+    since: Duration,
+    /// Whether an event has come from the present upstream.
+    flows: bool,
+    /// Until when a silent stream isn't tried to be moved.
+    stays: Duration,
+    over: bool,
+}
+
+/// What came of waiting for more of a stream.
+enum Next {
+    /// Bytes.
+    Data(Bytes),
+    /// The upstream ended the stream.
+    End,
+    /// The upstream broke off.
+    Broken(&'static str),
+    /// Nothing came for too long.
+    Silent,
+    /// The request's time is over.
+    Late,
+}
+
+/// The answer whose body is relayed.
+pub fn relay(work: Rc<Work>, response: Response<Body>, place: Place) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    super::request::clean(&mut parts.headers);
+    let now = work.gateway.clock.now();
+    let relay = Relay {
+        events: Events::after(header::resumed(&work.headers)),
+        work,
+        place: Some(place),
+        body,
+        since: now,
+        flows: false,
+        stays: Duration::ZERO,
+        over: false,
+    };
+    let frames = stream::unfold(relay, |relay| async move {
+        if relay.over {
+            return None;
+        }
+        relay.next().await
+    });
+    let body = Body::wrap(StreamBody::new(Box::pin(frames)));
+    Response::from_parts(parts, body)
+}
+
+impl Relay {
+    /// The next whole events.
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, body::Error>, Self)> {
+        loop {
+            match self.wait().await {
+                Next::Data(bytes) => match self.take(&bytes) {
+                    Ok(Some(events)) => return Some((Ok(Frame::data(events)), self)),
+                    Ok(None) => {}
+                    Err(why) => match self.move_on(why, Ending::Bad).await {
+                        Ok(()) => {}
+                        Err(why) => return Some(self.fail(why)),
+                    },
+                },
+                Next::End if self.events.is_whole() => {
+                    self.finish(Ending::Good);
+                    self.work.record.end(200, "whole");
+                    return None;
+                }
+                Next::End => match self.move_on("cut-off", Ending::Bad).await {
+                    Ok(()) => {}
+                    Err(why) => return Some(self.fail(why)),
+                },
+                Next::Broken(why) => match self.move_on(why, Ending::Bad).await {
+                    Ok(()) => {}
+                    Err(why) => return Some(self.fail(why)),
+                },
+                Next::Silent => self.escape().await,
+                Next::Late => {
+                    self.finish(Ending::Unknown);
+                    return Some(self.fail("timeout"));
+                }
+            }
+        }
+    }
+
+    /// Waits for more.
+    async fn wait(&mut self) -> Next {
+        let now = self.work.gateway.clock.now();
+        if now >= self.work.deadline {
+            return Next::Late;
+        }
+        let silent = (self.since + STALL).max(self.stays);
+        let until = silent.min(self.work.deadline);
+        let wait = until.saturating_sub(now).max(Duration::from_millis(1));
+        match monoio::time::timeout(wait, self.body.frame()).await {
+            Ok(None) => Next::End,
+            Ok(Some(Err(_))) => Next::Broken("broken-off"),
+            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+            Err(_) if until < self.work.deadline => Next::Silent,
+            Err(_) => Next::Late,
+        }
+    }
+
+    /// Takes bytes in and returns the whole events among them.
+    fn take(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, &'static str> {
+        let (events, count) = self.events.push(bytes).map_err(|_| "out-of-order")?;
+        if count == 0 {
+            return Ok(None);
+        }
+        let now = self.work.gateway.clock.now();
+        if let (true, Some(place)) = (self.flows && count == 1, &self.place) {
+            place.pause(now.saturating_sub(self.since));
+        }
+        self.since = now;
+        self.flows = true;
+        self.work.record.events(count);
+        Ok(Some(events))
+    }
+
+    /// Goes on at another upstream, behind the last whole event.
+    async fn move_on(&mut self, why: &'static str, ending: Ending) -> Result<(), &'static str> {
+        let from = self.place.as_ref().map(|place| place.upstream.clone());
+        self.work.record.sent(from.as_deref().unwrap_or("-"), why);
+        self.finish(ending);
+        if !self.work.route.resumable {
+            return Err(why);
+        }
+        loop {
+            if !self.work.may_repeat() {
+                return Err(why);
+            }
+            let Ok(place) = self.work.desk.admit(self.work.ask()).await else {
+                return Err(why);
+            };
+            if self.resume(place).await {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Looks for another upstream while the present one is silent; where it goes
+    /// on first, nothing is lost.
+    async fn escape(&mut self) {
+        self.stays = self.work.gateway.clock.now() + STALL;
+        if !self.work.route.resumable || self.work.sendings.get() >= self.work.route.attempts {
+            return;
+        }
+        let work = self.work.clone();
+        let admitted = Box::pin(work.desk.admit(work.ask()));
+        let frame = Box::pin(self.body.frame());
+        let place = match select(admitted, frame).await {
+            Either::Left((Ok(place), frame)) => {
+                drop(frame);
+                place
+            }
+            Either::Left((Err(_), _)) => return,
+            Either::Right((frame, admitted)) => {
+                drop(admitted);
+                self.keep(frame);
+                return;
+            }
+        };
+        if !self.work.may_repeat() {
+            return;
+        }
+        let from = self.place.as_ref().map(|place| place.upstream.clone());
+        self.work
+            .record
+            .sent(from.as_deref().unwrap_or("-"), "fell-silent");
+        self.finish(Ending::Silent);
+        let _ = self.resume(place).await;
+    }
+
+    /// Puts back what came while another upstream was looked for.
+    fn keep(&mut self, frame: Option<Result<Frame<Bytes>, body::Error>>) {
+        let rest = std::mem::replace(&mut self.body, Body::empty());
+        let first = stream::iter(frame);
+        let rest = stream::unfold(rest, |mut rest| async move {
+            let frame = rest.frame().await?;
+            Some((frame, rest))
+        });
+        let whole = stream::StreamExt::chain(first, rest);
+        self.body = Body::wrap(StreamBody::new(Box::pin(whole)));
+    }
+
+    /// Resumes the stream at an upstream.
+    async fn resume(&mut self, place: Place) -> bool {
+        self.events.cut();
+        let last = self.events.last();
+        match self.work.send(place, last).await {
+            Sent::Answered(response, place) if response.status() == StatusCode::OK => {
+                self.body = response.into_body();
+                self.place = Some(place);
+                self.since = self.work.gateway.clock.now();
+                self.flows = false;
+                true
+            }
+            _ => {
+                self.body = Body::empty();
+                false
+            }
+        }
+    }
+
+    /// Gives the place at the present upstream back, and closes its connection.
+    fn finish(&mut self, ending: Ending) {
+        if let Some(place) = self.place.take() {
+            place.ended(ending);
+        }
+        if ending != Ending::Good {
+            self.body = Body::empty();
+        }
+    }
+
+    /// Breaks the answer off, so that it can't look whole.
+    fn fail(mut self, why: &'static str) -> (Result<Frame<Bytes>, body::Error>, Self) {
+        self.finish(Ending::Unknown);
+        self.work.record.end(200, why);
+        self.over = true;
+        (Err(Box::new(Broken(why))), self)
+    }
+}
--- /dev/null
+++ b/verbenaspool/src/direct/request.rs
@@ -0,0 +1,268 @@
+//! One request: checked, placed, sent, answered.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, Request, Response, StatusCode, Uri,
+    header::{EXPECT, HOST},
+    request::Parts,
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use verbenaspool_platform::header;
+use verbenaspool_policy::dispatch::Ending;
+use verbenaspool_state::route::{Customer, Kind, Table};
+use verbenaspool_transport::http::{
+    body::Body,
+    hop,
+    server::{Answer, Handler},
+};
+
+use super::{
+    answer::Refused,
+    attempt::{Sent, Work},
+    desk::Place,
+    gateway::Gateway,
+    record::Record,
+    relay,
+};
+
+/// The largest answer that is read whole before it is passed on, so that one
+/// that breaks off can be replaced. Those of plain services have some kilobytes.
+const WHOLE: usize = 1024 * 1024;
+
+/// When a caller should come back to an entry that knows no configuration yet.
+const UNREADY: Duration = Duration::from_millis(1_000);
+
+/// When a caller should come back whose request found no entry to take it: at
+/// once, to another entry.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// When a caller should come back behind an upstream that turned it away.
+const TURNED_AWAY: Duration = Duration::from_millis(500);
+
+/// A wait beyond all others, for callers that name none.
+const UNBOUNDED: Duration = Duration::from_secs(3_600);
+
+impl Handler for Gateway {
+    fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
+        Box::pin(answer(self, request))
+    }
+}
+
+/// Answers one request.
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let said = header::read(&parts.headers);
+    let id = said.id.as_ref().and_then(|id| id.to_str().ok());
+    let record = Record::new(gateway.clone(), id.unwrap_or("-"));
+    let refused = match check(&gateway, &record, parts, body, said).await {
+        Ok(work) => match serve(Rc::new(work)).await {
+            Ok(response) => return response,
+            Err(refused) => refused,
+        },
+        Err(refused) => refused,
+    };
+    record.end(refused.status.as_u16(), refused.why);
+    refused.response()
+}
+
+/// Checks a request and reads its body.
+async fn check(
+    gateway: &Rc<Gateway>,
+    record: &Rc<Record>,
+    parts: Parts,
+    body: Incoming,
+    said: header::Request,
+) -> Result<Work, Refused> {
+    if gateway.closed.get() {
+        // What comes this late into a stop couldn't be finished within it.
+        return Err(Refused {
+            close: true,
+            ..Refused::later("stopping", ELSEWHERE)
+        });
+    }
+    let began = gateway.clock.now();
+    let table = gateway
+        .table()
+        .ok_or(Refused::later("no-configuration", UNREADY))?;
+    let route = table
+        .route(host(&parts).unwrap_or_default(), parts.uri.path())
+        .ok_or(Refused::new(StatusCode::NOT_FOUND, "no-route"))?
+        .clone();
+    let customer = customer(&table, &said, route.public)?;
+    let customer_name = customer.map(|customer| customer.name.clone());
+    let priority = customer.and_then(|customer| customer.priority);
+    let most = table.limits.body_bytes;
+    let body = monoio::time::timeout(table.limits.idle_time, read(body, most))
+        .await
+        .map_err(|_| Refused::new(StatusCode::REQUEST_TIMEOUT, "slow-body"))??;
+    let service = route
+        .service(rand::random())
+        .ok_or(Refused::later("no-service", UNREADY))?;
+    record.routed(&route.name, service, table.version);
+    let desk = gateway.desk(service);
+    desk.request(&gateway.settings.borrow().bounds.retries());
+    let mut headers = parts.headers;
+    hop::strip(&mut headers);
+    headers.remove(EXPECT);
+    header::sanitize(&mut headers, customer_name.as_deref());
+    let wait = said.wait.unwrap_or(UNBOUNDED);
+    Ok(Work {
+        gateway: gateway.clone(),
+        record: record.clone(),
+        desk,
+        method: parts.method,
+        uri: below(&parts.uri),
+        headers,
+        body,
+        priority: priority.unwrap_or(route.priority),
+        target: began + route.target,
+        deadline: began + wait.min(route.timeout),
+        said,
+        route,
+        sendings: std::cell::Cell::default(),
+        unreached: std::cell::Cell::default(),
+        exposed: std::cell::Cell::default(),
+        tried: std::cell::RefCell::default(),
+    })
+}
+
+/// The host that a request names, without its port.
+fn host(parts: &Parts) -> Option<&str> {
+    let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or(named)?;
+    Some(host.split_once(':').map_or(host, |(host, _)| host))
+}
+
+/// The customer whose key a request bears.
+fn customer<'a>(
+    table: &'a Table,
+    said: &header::Request,
+    public: bool,
+) -> Result<Option<&'a Customer>, Refused> {
+    let found = said.key.as_deref().and_then(|key| table.customer(key));
+    if found.is_none() && table.is_keyed() && !public {
+        return Err(Refused::new(StatusCode::UNAUTHORIZED, "unknown-key"));
+    }
+    Ok(found.map(|customer| &**customer))
+}
+
+/// Reads a body whole.
+async fn read(body: Incoming, most: usize) -> Result<Bytes, Refused> {
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(why) if why.is::<LengthLimitError>() => Err(Refused {
+            close: true,
+            ..Refused::new(StatusCode::PAYLOAD_TOO_LARGE, "large-body")
+        }),
+        Err(_) => Err(Refused {
+            close: true,
+            ..Refused::new(StatusCode::BAD_REQUEST, "broken-body")
+        }),
+    }
+}
+
+/// The path and query by themselves.
+fn below(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+/// Takes out of an answer's headers what concerns the upstream's connection.
+pub fn clean(headers: &mut HeaderMap) {
+    hop::strip(headers);
+}
+
+/// Serves a request within its time.
+async fn serve(work: Rc<Work>) -> Result<Response<Body>, Refused> {
+    let served = attempts(&work);
+    match monoio::time::timeout(work.left(), served).await {
+        Ok(served) => served,
+        Err(_) if work.exposed.get() => Err(Refused::late("timeout")),
+        Err(_) => Err(Refused::later("timeout", TURNED_AWAY)),
+    }
+}
+
+/// Sends a request to one upstream after another, as far as it may be.
+async fn attempts(work: &Rc<Work>) -> Result<Response<Body>, Refused> {
+    let mut failed = None;
+    loop {
+        let place = match work.desk.admit(work.ask()).await {
+            Ok(place) => place,
+            Err(_) if failed.is_some() => return failed.ok_or(Refused::unknown("failed")),
+            Err(_) if work.exposed.get() => return Err(Refused::unknown("unknown")),
+            Err(refusal) => return Err(Refused::later(refusal.reason.name(), refusal.after)),
+        };
+        let again = match work.send(place, None).await {
+            Sent::Answered(response, place) => match take(work, response, place).await {
+                Taken::Whole(response) => return Ok(response),
+                Taken::Failed(response) if work.route.is_repeatable() => {
+                    work.exposed.set(false);
+                    failed = Some(response);
+                    work.may_repeat()
+                }
+                Taken::Failed(response) => return Ok(response),
+                Taken::Broken => work.route.is_repeatable() && work.may_repeat(),
+            },
+            Sent::NotRun("unreached") => work.may_reconnect(),
+            Sent::NotRun(_) => work.may_repeat(),
+            Sent::Unknown(_) => work.route.is_repeatable() && work.may_repeat(),
+        };
+        if again {
+            continue;
+        }
+        if let Some(response) = failed {
+            return Ok(response);
+        }
+        return Err(if work.exposed.get() {
+            Refused::unknown("unknown")
+        } else {
+            Refused::later("turned-away", TURNED_AWAY)
+        });
+    }
+}
+
+/// What came of an upstream's answer.
+enum Taken {
+    /// It can be passed on.
+    Whole(Response<Body>),
+    /// It can be passed on, but tells a failure.
+    Failed(Response<Body>),
+    /// It broke off.
+    Broken,
+}
+
+/// Takes an upstream's answer in: streams are passed on as they come, others are
+/// read whole first.
+async fn take(work: &Rc<Work>, response: Response<Body>, place: Place) -> Taken {
+    let status = response.status();
+    if work.route.kind == Kind::Streaming && status == StatusCode::OK {
+        return Taken::Whole(relay::relay(work.clone(), response, place));
+    }
+    let (mut parts, body) = response.into_parts();
+    clean(&mut parts.headers);
+    let Ok(body) = Limited::new(body, WHOLE).collect().await else {
+        place.ended(Ending::Bad);
+        work.record.sent("-", "broken-off");
+        return Taken::Broken;
+    };
+    let response = Response::from_parts(parts, Body::full(body.to_bytes()));
+    work.record.end(status.as_u16(), "answered");
+    if status.is_server_error() {
+        place.ended(Ending::Bad);
+        // These statuses promise that the request didn't run, which this
+        // upstream didn't say.
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return Taken::Broken;
+        }
+        return Taken::Failed(response);
+    }
+    place.ended(Ending::Good);
+    let promises = [StatusCode::TOO_MANY_REQUESTS, StatusCode::REQUEST_TIMEOUT];
+    if promises.contains(&status) {
+        return Taken::Broken;
+    }
+    Taken::Whole(response)
+}
--- /dev/null
+++ b/verbenaspool/src/direct/run.rs
@@ -0,0 +1,254 @@
+//! The entry on the direct path as a process.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use monoio::net::{ListenerOpts, TcpListener};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+};
+use slog::{Logger, error, info, warn};
+use tokio::sync::Notify;
+use verbenaspool_platform::store;
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    http::server::{self, Handler, Limits, Open},
+    log,
+    platform::client::Channel,
+    rpc, runtime, settings,
+    shutdown::{self, Signal},
+};
+
+use super::{
+    follow::{Follower, Kind},
+    gateway::Gateway,
+    peers,
+    readiness::{Metrics, Readiness},
+    settings::Settings,
+};
+use crate::run::{Drained, Error};
+
+/// How long a call to the store may take, save for a watch's wait. It answers in
+/// milliseconds; a slow one takes some hundred.
+const STORE: Duration = Duration::from_millis(1_500);
+
+/// How often waiting requests are looked after and signals are heard.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A tick that comes this late shows that the process stood still: its watches
+/// may be dead and what it knows may be old.
+const FROZEN: Duration = Duration::from_millis(700);
+
+/// How long a stopping entry still takes new requests: the platform asks for
+/// readiness once a second and believes the second word.
+const LINGER: Duration = Duration::from_millis(2_700);
+
+/// What is kept of the time for stopping, for the process's own end.
+const RESERVE: Duration = Duration::from_millis(400);
+
+/// Descriptors that aren't for callers: upstreams, peers, the store and files.
+const RESERVED: usize = 600;
+
+/// The words by which the process is told what to do.
+#[derive(Debug, Clone, Default)]
+struct Words {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+/// Runs the entry until SIGTERM or SIGINT.
+///
+/// # Errors
+/// The settings can't be taken, or an address can't be listened at.
+pub fn main(path: &Path) -> Result<Drained, Error> {
+    let settings: Settings = settings::load(path)?;
+    let log = log::open(settings.log);
+    let words = Words::default();
+    for signal in [SIGTERM, SIGINT] {
+        flag::register(signal, words.stop.clone())?;
+    }
+    flag::register(SIGHUP, words.reload.clone())?;
+    let path = path.to_owned();
+    runtime::run(serve(settings, path, log, words))?
+}
+
+/// Opens an address that no other process has.
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options).map_err(|why| Error::Listen { address, why })
+}
+
+/// Serves one handler on a listener of its own.
+fn offer(listener: TcpListener, handler: Rc<dyn Handler>, finished: Signal) {
+    let limits = Limits {
+        connections: 64,
+        ..Limits::default()
+    };
+    monoio::spawn(server::serve(
+        listener,
+        limits,
+        handler,
+        Open::default(),
+        finished,
+    ));
+}
+
+/// Runs the entry until it is told to stop, then drains.
+async fn serve(
+    settings: Settings,
+    path: PathBuf,
+    log: Logger,
+    words: Words,
+) -> Result<Drained, Error> {
+    let clock: Rc<dyn Clock> = Monotonic::start();
+    let callers = listen(settings.listen)?;
+    let readiness = listen(settings.readiness)?;
+    let control = listen(settings.control)?;
+    let metrics = settings.metrics.map(listen).transpose()?;
+    info!(log, "Entry: Started."; "name" => &settings.name, "zone" => &settings.zone,
+        "listen" => settings.listen.to_string());
+    let limits = Limits {
+        connections: settings.descriptors.saturating_sub(RESERVED).max(64),
+        ..limits()
+    };
+    let store = store::Client::new(Channel::new(settings.platform), STORE);
+    let gateway = Gateway::new(settings, clock.clone(), log.clone(), store);
+    let (finish, finished) = shutdown::channel();
+    offer(
+        readiness,
+        Rc::new(Readiness(gateway.clone())),
+        finished.clone(),
+    );
+    if let Some(metrics) = metrics {
+        offer(metrics, Rc::new(Metrics(gateway.clone())), finished.clone());
+    }
+    let mut module = rpc::Module::default();
+    peers::methods(&gateway, &mut module);
+    monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
+    accompany(&gateway);
+    let wake = [Rc::new(Notify::new()), Rc::new(Notify::new())];
+    for (kind, wake) in [Kind::Configuration, Kind::Registry].into_iter().zip(&wake) {
+        let follower = Follower::new(gateway.clone(), kind, wake.clone());
+        monoio::spawn(follower.run());
+    }
+    let (close, closed) = shutdown::channel();
+    let open = Open::default();
+    let served = monoio::spawn(server::serve(
+        callers,
+        limits,
+        gateway.clone(),
+        open.clone(),
+        closed,
+    ));
+    attend(&gateway, &path, &words, &wake).await;
+    let grace = Duration::from_secs_f64(gateway.settings.borrow().bounds.grace_s.max(1.0));
+    let until = clock.now() + grace.saturating_sub(RESERVE);
+    info!(log, "Entry: Draining."; "connections" => open.count());
+    gateway.leaving.set(true);
+    open.close();
+    let linger = LINGER.min(grace / 2);
+    look_after(&gateway, clock.now() + linger).await;
+    gateway.closed.set(true);
+    close.fire();
+    let ended = async {
+        served.await;
+    };
+    let left = until.saturating_sub(clock.now());
+    let drained = monoio::select! {
+        () = ended => Drained { cut: 0 },
+        () = look_after(&gateway, clock.now() + left) => Drained { cut: open.count() },
+    };
+    if drained.cut > 0 {
+        warn!(log, "Entry: The end of the time for stopping cuts requests off."; "connections" => drained.cut);
+    }
+    finish.fire();
+    info!(log, "Entry: Stopped."; "cut" => drained.cut);
+    Ok(drained)
+}
+
+/// Bounds on callers. Idle connections are closed by the same bound as slow
+/// heads: callers reuse connections for up to four fifths of it.
+fn limits() -> Limits {
+    Limits {
+        head: Duration::from_secs(16),
+        head_bytes: 32 * 1024,
+        headers: 128,
+        ..Limits::default()
+    }
+}
+
+/// Starts the tasks that keep the entry in touch with its peers.
+fn accompany(gateway: &Rc<Gateway>) {
+    match peers::open(gateway) {
+        Ok(socket) => {
+            let socket = Rc::new(socket);
+            // Later processes have higher numbers, as far as the time of day
+            // can be trusted; a digest that looks older is ignored for a while.
+            let since = SystemTime::now().duration_since(UNIX_EPOCH);
+            let incarnation = since.map_or(0, |since| since.as_secs());
+            monoio::spawn(peers::hear(gateway.clone(), socket.clone()));
+            monoio::spawn(peers::tell(gateway.clone(), socket, incarnation));
+            monoio::spawn(peers::catch_up(gateway.clone()));
+        }
+        Err(why) => {
+            error!(gateway.log, "Entry: Peers can't be heard; each entry is by itself.";
+                "reason" => why.to_string());
+        }
+    }
+}
+
+/// Looks after waiting requests for a while.
+async fn look_after(gateway: &Rc<Gateway>, until: Duration) {
+    while gateway.clock.now() < until {
+        gateway.clock.sleep(TICK).await;
+        for desk in gateway.desks() {
+            desk.pump();
+        }
+    }
+}
+
+/// Looks after waiting requests and hears the words to reload and to stop.
+async fn attend(gateway: &Rc<Gateway>, path: &Path, words: &Words, wake: &[Rc<Notify>; 2]) {
+    let clock = &gateway.clock;
+    let mut before = clock.now();
+    while !words.stop.load(Ordering::Relaxed) {
+        clock.sleep(TICK).await;
+        for desk in gateway.desks() {
+            desk.pump();
+        }
+        gateway.expire();
+        let now = clock.now();
+        if now.saturating_sub(before) > FROZEN {
+            warn!(gateway.log, "Entry: The process stood still; reading everything anew.";
+                "for_ms" => (now - before).as_secs_f64() * 1e3);
+            wake.iter().for_each(|wake| wake.notify_one());
+        }
+        before = now;
+        if words.reload.swap(false, Ordering::Relaxed) {
+            reload(gateway, path);
+        }
+    }
+}
+
+/// Reads the settings anew. Addresses that are listened at stay as they are.
+fn reload(gateway: &Gateway, path: &Path) {
+    match settings::load::<Settings>(path) {
+        Ok(settings) => {
+            info!(gateway.log, "Entry: Settings are read anew."; "seeds" => settings.seeds.len());
+            gateway.settings.replace(settings);
+        }
+        Err(why) => {
+            warn!(gateway.log, "Entry: The settings can't be taken; the old ones stay.";
+                "reason" => why.to_string());
+        }
+    }
+}
--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::{Either, select};
 use monoio::net::{ListenerOpts, TcpListener};
+use serde::Deserialize;
 use slog::{Logger, info, warn};
 use verbenaspool_state::version::Version;
 use verbenaspool_transport::{
@@ -26,6 +27,7 @@
 };
 
 use crate::{
+    direct,
     entry::{Entry, Surroundings, admin::Admin},
     settings::Settings,
 };
@@ -66,11 +68,21 @@
     pub cut: usize,
 }
 
+/// The part of the settings that tells which path requests take.
+#[derive(Debug, Deserialize)]
+struct Chosen {
+    #[serde(default)]
+    path: Option<direct::settings::Path>,
+}
+
 /// Runs the entry until SIGTERM, SIGINT or SIGHUP.
 ///
 /// # Errors
 /// The settings can't be taken, or an address can't be listened at.
 pub fn main(path: &Path) -> Result<Drained, Error> {
+    if settings::load::<Chosen>(path)?.path.is_some() {
+        return direct::run::main(path);
+    }
     let settings: Settings = settings::load(path)?;
     let log = log::open(settings.log);
     runtime::run(async {
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/line.rs
@@ -0,0 +1,73 @@
+//! Requests that wait for an upstream, in the order of their turn.
+//!
+//! Load: more requests than room, all the time. Those that can still be answered
+//! in time go before those that can't, or every answer would come just too late;
+//! among equals the more urgent go first, then the smaller, which free their
+//! place soonest.
+
+use std::time::Duration;
+
+use super::Ask;
+
+/// Names a waiting request.
+pub type Ticket = u64;
+
+/// A waiting request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waiting {
+    /// Its name.
+    pub ticket: Ticket,
+    /// Whether its answer can't be in time any more.
+    pub late: bool,
+    /// Since when it waits.
+    pub since: Duration,
+    /// Until when it may wait.
+    pub until: Duration,
+    /// What it asks for.
+    pub ask: Ask,
+}
+
+/// The waiting requests of a service.
+#[derive(Debug, Default)]
+pub struct Line(Vec<Waiting>);
+
+impl Line {
+    /// Adds a request.
+    pub fn join(&mut self, waiting: Waiting) {
+        let turn = turn(&waiting);
+        let place = self.0.partition_point(|other| self::turn(other) <= turn);
+        self.0.insert(place, waiting);
+    }
+
+    /// Takes a request out.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.0.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Takes all requests out, in the order of their turn.
+    pub fn take(&mut self) -> Vec<Waiting> {
+        std::mem::take(&mut self.0)
+    }
+
+    /// Puts those back that go on waiting, in the order of their turn.
+    pub fn restore(&mut self, kept: Vec<Waiting>) {
+        self.0 = kept;
+    }
+
+    /// How many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+/// What decides whose turn comes first; the least one does.
+fn turn(waiting: &Waiting) -> (bool, u8, Duration) {
+    (waiting.late, waiting.ask.priority, waiting.since)
+}
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -0,0 +1,428 @@
+//! Where requests go that an entry sends straight to upstreams, and when.
+//!
+//! One [`Dispatcher`] decides for one service at one entry. It knows what the
+//! entry itself has in flight at each upstream, what its peers said that they
+//! have, and how long passes of the engines take. A request is placed at once,
+//! waits in line for a short while, or is refused with a time to come back.
+//!
+//! Load: engines that are asked for more than they can do from morning to night.
+//! Every stream of an engine gets one event a pass, and a pass takes longer the
+//! more streams there are. Without a bound on streams each of them is late,
+//! and all the work is done for half of its worth. So the bound on streams, not
+//! the engine's slots, is what makes answers come in time.
+
+pub mod line;
+pub mod pass;
+pub mod retry;
+pub mod trust;
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use verbenaspool_state::{engine::Engine, replica};
+
+use self::{
+    line::{Line, Ticket, Waiting},
+    pass::Pass,
+    trust::Trust,
+};
+
+/// The part of the longest pause in time that a pass may be expected to take.
+/// Passes differ by the prompts that are read in them: a third more than the
+/// mean is common, and one late pass makes a stream late.
+const HEADROOM: f64 = 0.8;
+
+/// The part of an upstream's slots that is used even where passes are too slow
+/// for answers in time: a late answer is better for its caller than none.
+const LEAST: f64 = 0.5;
+
+/// Requests that a plain upstream may have for each of its slots. Those beyond
+/// its slots wait there, so that it never idles between two requests.
+const PLAIN: f64 = 2.0;
+
+/// How long a request may wait in line, as a part of the time in which its
+/// answer must begin: what is left goes for reading the prompt and two passes.
+const PATIENCE: f64 = 0.35;
+
+/// How long a request may wait that can't be answered in time any more: as a
+/// part of the time that its caller still waits.
+const LATE_PATIENCE: f64 = 0.2;
+
+/// The longest that a request waits which can't be answered in time any more.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The shortest and the longest time after which a refused caller is asked to
+/// come back. Sooner, the same upstreams are still full: a stream lasts 2 s.
+/// Later, callers with eight seconds in all have too little left.
+const COME_BACK: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_000)];
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// How urgent it is; 0 comes first.
+    pub priority: u8,
+    /// Until when its answer must begin to be in time; past where it is late.
+    pub target: Duration,
+    /// When its caller gives up.
+    pub deadline: Duration,
+    /// The longest pause in time between its events, for streams.
+    pub gap: Option<Duration>,
+    /// Its size against the usual one of its kind.
+    pub size: f64,
+    /// Upstreams that it was sent to before.
+    pub avoid: Vec<Rc<str>>,
+}
+
+/// What becomes of a request in line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes to this upstream.
+    Send(Rc<str>),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// Why a request is refused, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When there should be room.
+    pub after: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No upstream of the service is there.
+    Nobody,
+    /// All upstreams have as much as they can do.
+    Full,
+    /// Too many wait already for it to get its turn.
+    Crowded,
+}
+
+impl Reason {
+    /// The reason as logs and metrics name it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Nobody => "nobody",
+            Self::Full => "full",
+            Self::Crowded => "crowded",
+        }
+    }
+}
+
+/// How one sending ended, as far as it tells something of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// It answered.
+    Good,
+    /// It failed, or its answer was no good.
+    Bad,
+    /// It couldn't be reached, or fell silent.
+    Silent,
+    /// It said that it had no room.
+    Full,
+    /// Nothing is to be learnt, as when the caller left.
+    Unknown,
+}
+
+/// One upstream of the service.
+#[derive(Debug)]
+struct Upstream {
+    /// Its availability zone.
+    zone: Rc<str>,
+    /// Requests that it processes at once.
+    slots: u32,
+    /// Whether it takes new requests.
+    ready: bool,
+    /// Requests of this entry that it has.
+    own: u32,
+    /// Requests of other entries that it has, as they said last.
+    others: u32,
+    /// How long its passes take.
+    pass: Pass,
+    /// Whether it is worth sending to.
+    trust: Trust,
+}
+
+/// Decides for one service at one entry.
+#[derive(Debug)]
+pub struct Dispatcher {
+    /// The entry's zone.
+    zone: Rc<str>,
+    /// The model engine of the service, where it has one.
+    engine: Option<Engine>,
+    /// The upstreams by identity.
+    upstreams: BTreeMap<Rc<str>, Upstream>,
+    /// Requests that wait.
+    line: Line,
+    /// What all upstreams together say of the pace of passes.
+    pace: f64,
+    /// When [`Self::pace`] was last learnt.
+    learnt: Duration,
+    /// Spreads choices that are as good as each other.
+    draws: u64,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows no upstream yet.
+    #[must_use]
+    pub fn new(zone: Rc<str>, seed: u64) -> Self {
+        Self {
+            zone,
+            engine: None,
+            upstreams: BTreeMap::new(),
+            line: Line::default(),
+            pace: pass::UNKNOWN,
+            learnt: Duration::ZERO,
+            draws: seed | 1,
+        }
+    }
+
+    /// Takes over what the configuration says of the service's engines.
+    pub fn engine(&mut self, engine: Option<&Engine>) {
+        self.engine = engine.cloned();
+    }
+
+    /// Takes over the list of the service's upstreams.
+    pub fn members<'a>(&mut self, list: impl Iterator<Item = &'a replica::Replica>) {
+        let mut before = std::mem::take(&mut self.upstreams);
+        for replica in list {
+            let kept = before.remove(&replica.id);
+            let mut upstream = kept.unwrap_or_else(|| Upstream::new(replica));
+            upstream.ready = replica.state == replica::State::Ready;
+            upstream.slots = replica.slots;
+            self.upstreams.insert(replica.id.clone(), upstream);
+        }
+        // What still runs at those that are gone from the list is told by its end.
+        let busy = before.into_iter().filter(|(_, upstream)| upstream.own > 0);
+        for (id, mut upstream) in busy {
+            upstream.ready = false;
+            self.upstreams.insert(id, upstream);
+        }
+    }
+
+    /// Takes over what other entries have in flight at an upstream.
+    pub fn others(&mut self, id: &str, requests: u32) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.others = requests;
+        }
+    }
+
+    /// The requests of this entry at each upstream that has any.
+    pub fn flights(&self) -> impl Iterator<Item = (&Rc<str>, u32)> {
+        let busy = self.upstreams.iter().filter(|(_, u)| u.own > 0);
+        busy.map(|(id, upstream)| (id, upstream.own))
+    }
+
+    /// The identities of all upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.upstreams.keys()
+    }
+
+    /// Learns from a pause between two events of a stream.
+    pub fn pause(&mut self, now: Duration, id: &str, pause: Duration) {
+        let Some(engine) = &self.engine else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let usual = engine.pass(f64::from(upstream.own + upstream.others));
+        let ratio = pause.as_secs_f64() / usual.as_secs_f64().max(1e-6);
+        upstream.pass.learn(now, ratio);
+        self.pace = pass::blend(self.pace, self.learnt, now, ratio);
+        self.learnt = now;
+    }
+
+    /// Puts a request in line; [`Self::pump`] tells what becomes of it.
+    pub fn submit(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
+        let patience = if ask.target > now {
+            (ask.target - now).mul_f64(PATIENCE)
+        } else {
+            let left = ask.deadline.saturating_sub(now).mul_f64(LATE_PATIENCE);
+            left.min(LONGEST_WAIT)
+        };
+        let until = (now + patience).min(ask.deadline);
+        self.line.join(Waiting {
+            ticket,
+            late: ask.target <= now,
+            since: now,
+            until,
+            ask,
+        });
+    }
+
+    /// Takes a request out of line whose caller has left.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.line.leave(ticket);
+    }
+
+    /// How many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Places and refuses what can be by now. A request that is placed counts as
+    /// in flight from here on.
+    pub fn pump(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        let mut verdicts = Vec::new();
+        let mut kept = Vec::new();
+        for waiting in self.line.take() {
+            match self.decide(now, &waiting) {
+                Some(verdict) => verdicts.push((waiting.ticket, verdict)),
+                None => kept.push(waiting),
+            }
+        }
+        self.line.restore(kept);
+        verdicts
+    }
+
+    /// What becomes of one request; nothing, where it goes on waiting.
+    fn decide(&mut self, now: Duration, waiting: &Waiting) -> Option<Verdict> {
+        let over = now >= waiting.until;
+        if let Some(id) = self.choose(now, waiting, over) {
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.own += 1;
+            }
+            return Some(Verdict::Send(id));
+        }
+        let reason = if self.upstreams.values().any(|upstream| upstream.ready) {
+            Reason::Full
+        } else {
+            Reason::Nobody
+        };
+        over.then(|| {
+            let after = self.come_back();
+            Verdict::Refuse(Refusal { reason, after })
+        })
+    }
+
+    /// When a caller that is refused now should come back: spread over a stream's
+    /// usual length, so that those refused together don't come back together.
+    fn come_back(&mut self) -> Duration {
+        let [soonest, latest] = COME_BACK;
+        soonest + (latest - soonest).mul_f64(self.draw())
+    }
+
+    /// A number from 0 to 1, by Marsaglia's xorshift.
+    fn draw(&mut self) -> f64 {
+        self.draws ^= self.draws << 13;
+        self.draws ^= self.draws >> 7;
+        self.draws ^= self.draws << 17;
+        #[allow(clippy::cast_precision_loss)] // 53 bits are left.
+        let part = (self.draws >> 11) as f64;
+        part / (1_u64 << 53) as f64
+    }
+
+    /// The best upstream with room for a request.
+    fn choose(&mut self, now: Duration, waiting: &Waiting, over: bool) -> Option<Rc<str>> {
+        let mut best: Option<(f64, Rc<str>)> = None;
+        let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
+        for id in ids {
+            let tie = self.draw();
+            let Some(upstream) = self.upstreams.get(&id) else {
+                continue;
+            };
+            if !upstream.ready || waiting.ask.avoid.contains(&id) {
+                continue;
+            }
+            let Some(cost) = self.cost(now, upstream, waiting, over) else {
+                continue;
+            };
+            let far = if upstream.zone == self.zone {
+                0.0
+            } else {
+                0.02
+            };
+            let cost = cost + far + 0.01 * tie;
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// What sending a request to an upstream costs; nothing, where it has no room.
+    fn cost(
+        &self,
+        now: Duration,
+        upstream: &Upstream,
+        waiting: &Waiting,
+        over: bool,
+    ) -> Option<f64> {
+        let distrust = upstream.trust.cost(now)?;
+        let busy = f64::from(upstream.own + upstream.others);
+        let slots = f64::from(upstream.slots.max(1));
+        let (Some(engine), Some(gap)) = (&self.engine, waiting.ask.gap) else {
+            let room = busy < slots * PLAIN;
+            return room.then_some(busy / slots + distrust);
+        };
+        let pace = upstream.pass.pace(now, self.pace);
+        let pass = engine.pass(busy + 1.0).mul_f64(pace);
+        let bound = gap.mul_f64(HEADROOM);
+        let slowness = pass.as_secs_f64() / bound.as_secs_f64().max(1e-6);
+        let in_time = slowness <= 1.0 && busy < slots;
+        // Where it is late already, or would be refused, a late answer will do.
+        let in_any_case = (over || waiting.late) && busy < slots * LEAST;
+        (in_time || in_any_case).then_some(slowness + distrust)
+    }
+
+    /// Records how a sending ended.
+    pub fn ended(&mut self, now: Duration, id: &str, ending: Ending) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        upstream.own = upstream.own.saturating_sub(1);
+        upstream.trust.learn(now, ending);
+    }
+
+    /// How the service stands, for logs and metrics.
+    #[must_use]
+    pub fn snapshot(&self, now: Duration) -> Snapshot {
+        let ready = self.upstreams.values().filter(|upstream| upstream.ready);
+        let mut snapshot = Snapshot {
+            waiting: self.line.len(),
+            pace: self.pace,
+            ..Snapshot::default()
+        };
+        for upstream in ready {
+            snapshot.upstreams += 1;
+            snapshot.busy += upstream.own + upstream.others;
+            snapshot.shunned += u32::from(upstream.trust.cost(now).is_none());
+        }
+        snapshot
+    }
+}
+
+/// How a service stands.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Snapshot {
+    /// Upstreams that take requests.
+    pub upstreams: u32,
+    /// Those of them that nothing is sent to for now.
+    pub shunned: u32,
+    /// Requests in flight, of all entries as far as known.
+    pub busy: u32,
+    /// Requests that wait here.
+    pub waiting: usize,
+    /// How much longer passes take than on even ranks.
+    pub pace: f64,
+}
+
+impl Upstream {
+    fn new(replica: &replica::Replica) -> Self {
+        Self {
+            zone: replica.zone.clone(),
+            slots: replica.slots,
+            ready: true,
+            own: 0,
+            others: 0,
+            pass: Pass::default(),
+            trust: Trust::default(),
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/retry.rs
@@ -0,0 +1,70 @@
+//! How often requests may be sent to a second upstream.
+//!
+//! Load: upstreams that fail because they have too much to do. Each failure that
+//! is sent once more adds load, so a failing service would stay down after its
+//! cause is gone. All entries together may send a part of their requests once
+//! more; each keeps to its own part of that by itself, so that no word between
+//! them is needed and none can be late.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// What the operator allows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// The part of requests that may be sent once more.
+    pub ratio: f64,
+    /// The window in which both are counted.
+    pub window: Duration,
+    /// What may be sent once more beyond that, by all entries together.
+    pub slack: f64,
+}
+
+/// The part of what is allowed that is used: a repeat is counted when it
+/// arrives, and may arrive in another window than it was sent in.
+const MARGIN: f64 = 0.7;
+
+/// Requests and repeats of one service at one entry.
+#[derive(Debug, Default)]
+pub struct Budget {
+    /// When requests came.
+    requests: VecDeque<Duration>,
+    /// When some were sent once more.
+    repeats: VecDeque<Duration>,
+}
+
+impl Budget {
+    /// Counts a request.
+    pub fn request(&mut self, now: Duration, bound: &Bound) {
+        forget(&mut self.requests, now, bound.window);
+        self.requests.push_back(now);
+    }
+
+    /// Whether a request may be sent once more; counts it if so. `entries` is how
+    /// many share the slack.
+    pub fn repeat(&mut self, now: Duration, bound: &Bound, entries: usize) -> bool {
+        forget(&mut self.requests, now, bound.window);
+        forget(&mut self.repeats, now, bound.window);
+        #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
+        let (requests, repeats, entries) = (
+            self.requests.len() as f64,
+            self.repeats.len() as f64,
+            entries.max(1) as f64,
+        );
+        let allowed = MARGIN * (bound.ratio * requests + bound.slack / entries);
+        let allows = repeats + 1.0 <= allowed;
+        if allows {
+            self.repeats.push_back(now);
+        }
+        allows
+    }
+}
+
+/// Drops what is older than the window.
+fn forget(times: &mut VecDeque<Duration>, now: Duration, window: Duration) {
+    while times
+        .front()
+        .is_some_and(|at| now.saturating_sub(*at) > window)
+    {
+        times.pop_front();
+    }
+}
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod attempt;
 pub mod balancer;
 pub mod decision;
+pub mod dispatch;
 pub mod load;
 pub mod mechanism;
 pub mod member;
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! towards its callers.
 
 pub mod attempt;
+pub mod digest;
 pub mod engine;
 pub mod group;
 pub mod header;
--- /dev/null
+++ b/verbenaspool_state/src/engine.rs
@@ -0,0 +1,76 @@
+//! What a model service says of its engines: how long a pass takes, and how the
+//! ranks of a group share the experts.
+
+use std::time::Duration;
+
+/// The engine of a service, as its configuration tells it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Requests that one upstream processes at once.
+    pub slots: u32,
+    /// Tokens that fit in one upstream's KV cache.
+    pub cache_tokens: u64,
+    /// Token steps that a pass with writers executes, each of which gives every
+    /// writer a token.
+    pub stride: u32,
+    /// What a token step takes by itself.
+    pub step: Duration,
+    /// What each request that writes adds to a token step.
+    pub step_per_request: Duration,
+    /// What 1,000 tokens of context of a writing request add to a token step.
+    pub step_per_context: Duration,
+    /// Prompt tokens read a second.
+    pub prefill_rate: f64,
+    /// Prompt tokens read in one token step at most.
+    pub chunk: u32,
+    /// The mean output of a request, in tokens.
+    pub usual_answer: u32,
+    /// The experts of its groups, where its upstreams are ranks of groups.
+    pub experts: Option<Experts>,
+}
+
+/// The experts that the ranks of a group share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Experts {
+    /// Sets of layers, each with experts of its own.
+    pub layers: u16,
+    /// Experts of a set.
+    pub count: u16,
+    /// Experts of one set that a rank holds at most.
+    pub places: u16,
+    /// Experts of one set that may be new to a rank in one change of map.
+    pub spare: u16,
+    /// The part of the work for tokens that experts do, 0 to 1.
+    pub share: f64,
+    /// How long a rank takes to copy one expert.
+    pub copy: Duration,
+}
+
+impl Engine {
+    /// How long a pass takes on even ranks when each has so many writers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::engine::Engine;
+    ///
+    /// let engine = Engine {
+    ///     slots: 12,
+    ///     cache_tokens: 1_000,
+    ///     stride: 6,
+    ///     step: Duration::from_millis(5),
+    ///     step_per_request: Duration::from_millis(1),
+    ///     step_per_context: Duration::ZERO,
+    ///     prefill_rate: 1e5,
+    ///     chunk: 512,
+    ///     usual_answer: 100,
+    ///     experts: None,
+    /// };
+    /// assert_eq!(engine.pass(5.0), Duration::from_millis(60));
+    /// ```
+    #[must_use]
+    pub fn pass(&self, writers: f64) -> Duration {
+        let step = self.step + self.step_per_request.mul_f64(writers.max(0.0));
+        step * self.stride.max(1)
+    }
+}
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body::{Body as _, Frame, SizeHint};
 use hyper::{
     body::Incoming,
@@ -48,7 +48,7 @@
     pruned: Rc<Cell<Instant>>,
 }
 
-/// A connection that carries no request, and since when.
+/// A connection that carries no request, and until when it may carry one.
 type Kept = (SendRequest<Body>, Instant);
 
 impl Client {
@@ -114,6 +114,22 @@
                 },
             }
         }
+        self.send_fresh(address, request).await
+    }
+
+    /// Sends a request on a new connection and waits for the head of its answer.
+    ///
+    /// A kept connection may be closed or reset by its server just as a request
+    /// is on its way into it, and then nobody knows whether it ran. Requests that
+    /// may not run twice go on a connection that nobody has had reason to close.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] promises that no byte of the request left.
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, Error> {
         let mut sender = self.open(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.keep(address, sender, response)),
@@ -142,8 +158,8 @@
     fn idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
         let mut pool = self.pool.borrow_mut();
         let senders = pool.get_mut(&address)?;
-        while let Some((sender, since)) = senders.pop() {
-            if sender.is_ready() && since.elapsed() < self.kept {
+        while let Some((sender, until)) = senders.pop() {
+            if sender.is_ready() && Instant::now() < until {
                 return Some(sender);
             }
         }
@@ -181,6 +197,7 @@
         let (parts, incoming) = response.into_parts();
         let pooled = Pooled {
             incoming,
+            kept: stated(&parts.headers).map_or(self.kept, |stated| self.kept.min(stated)),
             sender: Some(sender),
             address,
             client: self.clone(),
@@ -195,12 +212,15 @@
     }
 
     /// Puts a connection back for the next request.
-    fn release(&self, address: SocketAddr, sender: SendRequest<Body>) {
+    fn release(&self, address: SocketAddr, sender: SendRequest<Body>, kept: Duration) {
+        if kept.is_zero() {
+            return;
+        }
         let mut pool = self.pool.borrow_mut();
         self.prune(&mut pool);
         let senders = pool.entry(address).or_default();
         if senders.len() < IDLE {
-            senders.push((sender, Instant::now()));
+            senders.push((sender, Instant::now() + kept));
         }
     }
 
@@ -212,12 +232,22 @@
         }
         self.pruned.set(Instant::now());
         pool.retain(|_, senders| {
-            senders.retain(|(_, since)| since.elapsed() < self.kept);
+            senders.retain(|(_, until)| Instant::now() < *until);
             !senders.is_empty()
         });
     }
 }
 
+/// How long a connection may be kept by what its server states in the answer:
+/// half of that, since the server counts from when its answer left, in whole
+/// seconds, and a request has its way to go as well.
+fn stated(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut words = text.split(',').map(str::trim);
+    let seconds = words.find_map(|word| word.strip_prefix("timeout=")?.parse().ok())?;
+    Some(Duration::from_secs(seconds) / 2)
+}
+
 /// An answer's body with the connection it comes on.
 ///
 /// A connection with an answer outstanding must not carry another request, or
@@ -226,6 +256,8 @@
 struct Pooled {
     incoming: Incoming,
     sender: Option<SendRequest<Body>>,
+    /// How long the connection may be kept behind the answer.
+    kept: Duration,
     address: SocketAddr,
     client: Client,
 }
@@ -237,7 +269,7 @@
 
     fn give_back(&mut self) {
         if let Some(sender) = self.sender.take() {
-            self.client.release(self.address, sender);
+            self.client.release(self.address, sender, self.kept);
         }
     }
 }
--- a/verbenaspool_transport/src/platform/client.rs
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -42,48 +42,63 @@
     pub timeout: Duration,
 }
 
-/// A client of the platform's object API.
-pub struct Client {
-    /// What to reach and how.
-    settings: Settings,
+/// Connections to the platform, whatever form its calls have.
+pub struct Channel {
+    /// The platform's address.
+    address: SocketAddr,
     /// Connections with no answer outstanding.
     idle: RefCell<Vec<Connection>>,
 }
 
-impl Client {
-    /// A client that connects when it is first asked for something.
+impl Channel {
+    /// A channel that connects when the first call is made.
     ///
     /// ```
-    /// use std::time::Duration;
-    /// use verbenaspool_transport::platform::client::{Client, Settings};
+    /// use verbenaspool_transport::platform::client::Channel;
     ///
-    /// let client = Client::new(Settings {
-    ///     address: ([127, 0, 0, 1], 7000).into(),
-    ///     token: "demo".to_owned().into(),
-    ///     timeout: Duration::from_secs(1),
-    /// });
-    /// # drop(client);
+    /// let channel = Channel::new(([127, 0, 0, 1], 7000).into());
+    /// # drop(channel);
     /// ```
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
-            settings,
+            address,
             idle: RefCell::default(),
         }
     }
 
+    /// Where the platform is.
+    ///
+    /// ```
+    /// use verbenaspool_transport::platform::client::Channel;
+    ///
+    /// let address = ([127, 0, 0, 1], 7000).into();
+    /// assert_eq!(Channel::new(address).address(), address);
+    /// ```
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Makes one call within `timeout`.
-    async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Response<Bytes>, Error> {
-        match time::timeout(timeout, self.exchange(call)).await {
+    ///
+    /// # Errors
+    /// [`Error::Unsent`] where no byte of the call left, [`Error::Unknown`]
+    /// where its answer is lost.
+    pub async fn call(
+        &self,
+        request: Request<HttpBody>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        match time::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Unknown("timeout".to_owned())),
         }
     }
 
     /// Sends a call and reads its answer.
-    async fn exchange(&self, call: Call<'_>) -> Result<Response<Bytes>, Error> {
+    async fn exchange(&self, request: Request<HttpBody>) -> Result<Response<Bytes>, Error> {
         let mut connection = self.connect().await?;
-        let request = call.request(&self.settings)?;
         connection
             .send_and_flush(request)
             .await
@@ -114,7 +129,7 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
-        let stream = TcpStream::connect_addr(self.settings.address)
+        let stream = TcpStream::connect_addr(self.address)
             .await
             .map_err(|e| Error::Unsent(e.to_string()))?;
         // Calls are small and each waits for its answer: delay would only add up.
@@ -133,6 +148,43 @@
     }
 }
 
+/// A client of the platform's object API.
+pub struct Client {
+    /// What to reach and how.
+    settings: Settings,
+    /// The connections.
+    channel: Channel,
+}
+
+impl Client {
+    /// A client that connects when it is first asked for something.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use verbenaspool_transport::platform::client::{Client, Settings};
+    ///
+    /// let client = Client::new(Settings {
+    ///     address: ([127, 0, 0, 1], 7000).into(),
+    ///     token: "demo".to_owned().into(),
+    ///     timeout: Duration::from_secs(1),
+    /// });
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            channel: Channel::new(settings.address),
+            settings,
+        }
+    }
+
+    /// Makes one call within `timeout`.
+    async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Response<Bytes>, Error> {
+        let request = call.request(&self.settings)?;
+        self.channel.call(request, timeout).await
+    }
+}
+
 impl Store for Client {
     fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Object>> {
         Box::pin(async move {
