Break a stream off whose move to another upstream failed

Cause: a silent stream that was to be moved lost its old connection first, and where the new upstream turned it away an empty body stood in for it, which ended as whole.

--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -37,7 +37,9 @@
 struct Relay {
     work: Rc<Work>,
     place: Option<Place>,
-    body: Body,
+    /// What the present upstream sends; none while there is no upstream. An empty
+    /// body in its place would look like a stream that ended whole.
+    body: Option<Body>,
     events: Events,
     /// When the last event came, or the answer began.
     since: Duration,
@@ -71,7 +73,7 @@
         events: Events::after(header::resumed(&work.headers)),
         work,
         place: Some(place),
-        body,
+        body: Some(body),
         since: now,
         flows: false,
         stays: Duration::ZERO,
@@ -113,7 +115,10 @@
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
-                Next::Silent => self.escape().await,
+                Next::Silent => match self.escape().await {
+                    Ok(()) => {}
+                    Err(why) => return Some(self.fail(why)),
+                },
                 Next::Late => {
                     self.finish(Ending::Unknown);
                     return Some(self.fail("timeout"));
@@ -131,7 +136,10 @@
         let silent = (self.since + STALL).max(self.stays);
         let until = silent.min(self.work.deadline);
         let wait = until.saturating_sub(now).max(Duration::from_millis(1));
-        match monoio::time::timeout(wait, self.body.frame()).await {
+        let Some(body) = &mut self.body else {
+            return Next::Broken("lost");
+        };
+        match monoio::time::timeout(wait, body.frame()).await {
             Ok(None) => Next::End,
             Ok(Some(Err(_))) => Next::Broken("broken-off"),
             Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
@@ -179,47 +187,52 @@
 
     /// Looks for another upstream while the present one is silent; where it goes
     /// on first, nothing is lost.
-    async fn escape(&mut self) {
+    async fn escape(&mut self) -> Result<(), &'static str> {
         self.stays = self.work.gateway.clock.now() + STALL;
         if !self.work.route.resumable || self.work.sendings.get() >= self.work.route.attempts {
-            return;
+            return Ok(());
         }
+        let Some(body) = &mut self.body else {
+            return Ok(());
+        };
         let work = self.work.clone();
         let admitted = Box::pin(work.desk.admit(work.ask()));
-        let frame = Box::pin(self.body.frame());
+        let frame = Box::pin(body.frame());
         let place = match select(admitted, frame).await {
             Either::Left((Ok(place), frame)) => {
                 drop(frame);
                 place
             }
-            Either::Left((Err(_), _)) => return,
+            Either::Left((Err(_), _)) => return Ok(()),
             Either::Right((frame, admitted)) => {
                 drop(admitted);
                 self.keep(frame);
-                return;
+                return Ok(());
             }
         };
         if !self.work.may_repeat() {
-            return;
+            return Ok(());
         }
         let from = self.place.as_ref().map(|place| place.upstream.clone());
-        self.work
-            .record
-            .sent(from.as_deref().unwrap_or("-"), "fell-silent");
+        let from = from.as_deref().unwrap_or("-");
+        self.work.record.sent(from, "fell-silent");
         self.finish(Ending::Silent);
-        let _ = self.resume(place).await;
+        if self.resume(place).await {
+            return Ok(());
+        }
+        self.move_on("fell-silent", Ending::Silent).await
     }
 
     /// Puts back what came while another upstream was looked for.
     fn keep(&mut self, frame: Option<Result<Frame<Bytes>, body::Error>>) {
-        let rest = std::mem::replace(&mut self.body, Body::empty());
+        let rest = self.body.take().unwrap_or_else(Body::empty);
         let first = stream::iter(frame);
         let rest = stream::unfold(rest, |mut rest| async move {
             let frame = rest.frame().await?;
             Some((frame, rest))
         });
         let whole = stream::StreamExt::chain(first, rest);
-        self.body = Body::wrap(StreamBody::new(Box::pin(whole)));
+        self.body = Some(Body::wrap(StreamBody::new(Box::pin(whole))));
     }
 
     /// Resumes the stream at an upstream.
@@ -228,16 +241,13 @@
         let last = self.events.last();
         match self.work.send(place, last).await {
             Sent::Answered(response, place) if response.status() == StatusCode::OK => {
-                self.body = response.into_body();
+                self.body = Some(response.into_body());
                 self.place = Some(place);
                 self.since = self.work.gateway.clock.now();
                 self.flows = false;
                 true
             }
-            _ => {
-                self.body = Body::empty();
-                false
-            }
+            _ => false,
         }
     }
 
@@ -247,7 +257,7 @@
             place.ended(ending);
         }
         if ending != Ending::Good {
-            self.body = Body::empty();
+            self.body = None;
         }
     }
 
