Change the maps of experts by agents beside the ranks

Cause: with the first map the busiest rank has 3.35 times the mean of a set's work, so passes are over two times longer than on even ranks, and the engines carry less than half of what is asked. A shift of popularity comes every 3 to 5 s.

The agent beside rank 0 leads its group.

--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -36,6 +36,9 @@
 /// a peer that was cut off from here still has them.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// How long one datagram may be overtaken by others.
+const OVERTAKEN: Duration = Duration::from_millis(300);
+
 /// How long a silent peer is still sent digests, so that a cut that ends is found.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 
@@ -112,7 +115,11 @@
             return false;
         };
         let order = |digest: &Digest| (digest.incarnation, digest.number);
-        if peer.heard.is_some() && order(&digest) <= order(&peer.digest) {
+        // Behind a silence anything is believed: a process that was started again
+        // may have a lower number than its forerunner where the time of day was
+        // put back.
+        let lately = |heard: Duration| now.saturating_sub(heard) < OVERTAKEN;
+        if peer.heard.is_some_and(lately) && order(&digest) <= order(&peer.digest) {
             return false;
         }
         peer.heard = Some(now);
--- a/verbenaspool_agent/src/command.rs
+++ b/verbenaspool_agent/src/command.rs
@@ -39,7 +39,7 @@
 #[derive(Debug, clap::Args)]
 pub struct Source {
     /// The settings file, YAML.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "VERBENASPOOL_SETTINGS")]
     pub settings: PathBuf,
 }
 
--- /dev/null
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -0,0 +1,535 @@
+//! What an agent keeps, and how it answers what it hears.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use monoio::net::udp::UdpSocket;
+use slog::{Logger, debug, info, warn};
+use verbenaspool_coordination::switch::{Ended, Order as Change, Send};
+use verbenaspool_platform::{order, report::Report};
+use verbenaspool_protocol::{
+    digest,
+    seat::{Choices, Held, Map, Order, State, What, Word},
+};
+use verbenaspool_state::engine::Experts;
+use verbenaspool_transport::{clock::Clock, http::client::Client};
+
+use super::{
+    lead::Lead,
+    rank::{Outcome, Rank},
+    seats::{self, Seats},
+    settings::Settings,
+};
+
+/// How old a seat's word may be for its agent to be given orders; beyond it the
+/// lead speaks to the rank itself.
+const SILENT: Duration = Duration::from_millis(300);
+
+/// How many counts go into one datagram.
+const COUNTS: usize = 400;
+
+/// What an agent keeps.
+pub struct Board {
+    pub settings: Settings,
+    pub clock: Rc<dyn Clock>,
+    pub log: Logger,
+    pub rank: Rank,
+    pub client: Client,
+    pub socket: UdpSocket,
+    /// Counts this agent's words.
+    number: Cell<u64>,
+    /// How the own rank stands.
+    state: RefCell<Option<State>>,
+    seats: RefCell<Seats>,
+    lead: RefCell<Option<Lead>>,
+    /// The experts of the service, as the configuration tells.
+    pub experts: Cell<Option<Experts>>,
+    /// The instances of the service's upstreams.
+    pub instances: RefCell<BTreeSet<IpAddr>>,
+    /// The parts of a map that have come.
+    map: RefCell<Option<Partial>>,
+    /// The counts that were last read, and of which incarnation of the rank.
+    counts: RefCell<(u64, Vec<u64>)>,
+    /// What was last told of the experts held.
+    told: Cell<(u64, u64, Duration)>,
+}
+
+/// A map of which some parts have come.
+#[derive(Debug)]
+struct Partial {
+    version: u64,
+    sets: Vec<Option<Vec<Vec<u16>>>>,
+}
+
+impl Board {
+    /// A board that knows nothing.
+    pub fn new(
+        settings: Settings,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+        client: Client,
+        socket: UdpSocket,
+        number: u64,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            rank: Rank::new(client.clone(), settings.upstream),
+            settings,
+            clock,
+            log,
+            client,
+            socket,
+            number: Cell::new(number),
+            state: RefCell::default(),
+            seats: RefCell::default(),
+            lead: RefCell::default(),
+            experts: Cell::default(),
+            instances: RefCell::default(),
+            map: RefCell::default(),
+            counts: RefCell::default(),
+            told: Cell::default(),
+        })
+    }
+
+    /// How the own rank stands.
+    pub fn state(&self) -> Option<State> {
+        self.state.borrow().clone()
+    }
+
+    /// Whether the agents of all ranks of the group were heard.
+    pub fn is_complete(&self) -> bool {
+        let Some(state) = self.state() else {
+            return false;
+        };
+        let now = self.clock.now();
+        self.seats.borrow().iter(now).count() >= usize::from(state.size)
+    }
+
+    /// Takes the own rank's report in; tells whether others should hear of it now.
+    pub fn observe(&self, report: &Report) -> bool {
+        let Some(seat) = report.seat.as_ref().filter(|seat| seat.open) else {
+            self.state.replace(None);
+            return false;
+        };
+        self.number.set(self.number.get() + 1);
+        let state = State {
+            number: self.number.get(),
+            group: digest::hash(&seat.group),
+            epoch: seat.epoch,
+            rank: seat.rank,
+            size: seat.size,
+            upstream: self.settings.upstream,
+            step: report.step,
+            map: report.map,
+            prepared: report.prepared,
+            armed: report.armed,
+            held: report.held,
+        };
+        let before = self.state.replace(Some(state.clone()));
+        let place = |state: &State| (state.group, state.epoch, state.rank, state.size);
+        if before.as_ref().map(place) != Some(place(&state)) {
+            info!(self.log, "Agent: The rank sits in a group."; "group" => &seat.group,
+                "epoch" => state.epoch, "rank" => state.rank, "size" => state.size);
+            if before
+                .as_ref()
+                .is_none_or(|before| before.group != state.group)
+            {
+                self.seats.borrow_mut().clear();
+            }
+            let lead = (state.rank == 0).then(|| Lead::new(state.size.into()));
+            self.lead.replace(lead);
+        }
+        self.hear_state(self.settings.address, state);
+        let now = self.state();
+        let what = |state: &State| (state.map, state.prepared, state.armed, state.held);
+        let changed = |before: &State| now.as_ref().map(what) != Some(what(before));
+        before.as_ref().is_none_or(changed)
+    }
+
+    /// Takes a rank's state in.
+    fn hear_state(&self, agent: IpAddr, state: State) {
+        let own = self.state.borrow().as_ref().map(|own| own.group);
+        if own != Some(state.group) {
+            return;
+        }
+        let now = self.clock.now();
+        let rank = usize::from(state.rank);
+        let report = seats::report(&state);
+        if !self.seats.borrow_mut().hear(now, agent, state) {
+            return;
+        }
+        if let Some(lead) = &mut *self.lead.borrow_mut() {
+            lead.switch.report(now, rank, report);
+        }
+    }
+
+    /// Hears a word of another agent.
+    pub async fn hear(self: &Rc<Self>, agent: IpAddr, word: Word) {
+        let own = self.state().map(|state| (state.group, state.epoch));
+        match word {
+            Word::State(state) => self.hear_state(agent, state),
+            Word::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
+                self.count(&choices);
+            }
+            Word::Held(held) if own == Some((held.group, held.epoch)) => {
+                if let Some(lead) = &mut *self.lead.borrow_mut() {
+                    lead.held(held);
+                }
+            }
+            Word::Order(order) if own.map(|own| own.1) == Some(order.epoch) => {
+                self.obey(agent, order).await;
+            }
+            Word::Map(map) if own.map(|own| own.1) == Some(map.epoch) => {
+                self.collect(agent, map).await;
+            }
+            _ => {}
+        }
+        self.drive().await;
+    }
+
+    /// Takes counts in, as the lead.
+    fn count(&self, choices: &Choices) {
+        let now = self.clock.now();
+        if let Some(lead) = &mut *self.lead.borrow_mut() {
+            lead.choices(now, choices);
+        }
+    }
+
+    /// Carries out an order of the lead, and tells it how the rank stands then.
+    async fn obey(self: &Rc<Self>, agent: IpAddr, order: Order) {
+        let what = match order.what {
+            What::Hold { step } => order::Order::Hold { step },
+            What::Arm { version, step } => order::Order::Arm { version, step },
+            What::Go { step } => order::Order::Go { step },
+        };
+        self.give(&what, order.epoch).await;
+        self.answer(agent).await;
+    }
+
+    /// Gives the own rank an order.
+    async fn give(&self, what: &order::Order, epoch: u64) {
+        let outcome = self.rank.order(what, epoch).await;
+        if outcome == Outcome::Taken {
+            debug!(self.log, "Agent: The rank took an order."; "epoch" => epoch);
+        } else {
+            info!(self.log, "Agent: The rank didn't take an order.";
+                "order" => name(what), "epoch" => epoch, "outcome" => format!("{outcome:?}"));
+        }
+    }
+
+    /// Reads the own rank's report and tells an agent of it.
+    async fn answer(&self, agent: IpAddr) {
+        if let Some(report) = self.rank.report().await {
+            self.observe(&report);
+            if let Some(state) = self.state()
+                && agent != self.settings.address
+            {
+                self.send(agent, &Word::State(state)).await;
+            }
+        }
+    }
+
+    /// Takes a part of a map in; with the last part, has the rank prepare it.
+    async fn collect(self: &Rc<Self>, agent: IpAddr, map: Map) {
+        let whole = {
+            let mut partial = self.map.borrow_mut();
+            if partial
+                .as_ref()
+                .is_none_or(|known| known.version != map.version)
+            {
+                *partial = Some(Partial {
+                    version: map.version,
+                    sets: vec![None; map.sets.into()],
+                });
+            }
+            let Some(partial) = &mut *partial else {
+                return;
+            };
+            for (number, set) in map.places.into_iter().enumerate() {
+                if let Some(place) = partial.sets.get_mut(usize::from(map.from) + number) {
+                    *place = Some(set);
+                }
+            }
+            partial.sets.iter().cloned().collect::<Option<Vec<_>>>()
+        };
+        let Some(places) = whole else {
+            return;
+        };
+        self.map.replace(None);
+        let prepare = order::Order::Prepare {
+            version: map.version,
+            map: places,
+        };
+        self.give(&prepare, map.epoch).await;
+        self.answer(agent).await;
+    }
+
+    /// Sends a word to an agent. One that is lost is made up for by a later one.
+    pub async fn send(&self, agent: IpAddr, word: &Word) {
+        let to = SocketAddr::new(agent, self.settings.peer_port);
+        let _ = self.socket.send_to(word.encode(), to).await;
+    }
+
+    /// Tells the other agents of the group, or of the service, how the rank stands.
+    pub async fn tell(&self, everybody: bool) {
+        let Some(state) = self.state() else {
+            return;
+        };
+        let now = self.clock.now();
+        let group = || {
+            self.seats
+                .borrow()
+                .iter(now)
+                .map(|seat| seat.agent)
+                .collect()
+        };
+        let mut agents: BTreeSet<IpAddr> = group();
+        if everybody {
+            agents.extend(self.instances.borrow().iter());
+        }
+        agents.remove(&self.settings.address);
+        let word = Word::State(state);
+        for agent in agents {
+            self.send(agent, &word).await;
+        }
+    }
+
+    /// The agent of the group's lead.
+    fn lead_agent(&self) -> Option<IpAddr> {
+        self.seats.borrow().get(0).map(|seat| seat.agent)
+    }
+
+    /// Reads what the own rank's requests chose and tells the lead.
+    pub async fn sample(&self, born: u64) {
+        let Some(choice) = self.rank.choices().await else {
+            return;
+        };
+        let Some(state) = self.state().filter(|state| state.epoch == choice.epoch) else {
+            return;
+        };
+        let (incarnation, before) = self.counts.replace((born, choice.counts.clone()));
+        if incarnation != born || before.len() != choice.counts.len() {
+            // Counts begin anew with the rank; there is nothing to compare with.
+            return;
+        }
+        let more = |(now, before): (&u64, &u64)| {
+            u32::try_from(now.saturating_sub(*before)).unwrap_or(u32::MAX)
+        };
+        let counts: Vec<u32> = choice.counts.iter().zip(&before).map(more).collect();
+        if counts.iter().all(|count| *count == 0) {
+            return;
+        }
+        for (number, counts) in counts.chunks(COUNTS).enumerate() {
+            let choices = Choices {
+                group: state.group,
+                epoch: state.epoch,
+                rank: state.rank,
+                from: u32::try_from(number * COUNTS).unwrap_or(u32::MAX),
+                counts: counts.to_vec(),
+            };
+            self.to_lead(Word::Choices(choices)).await;
+        }
+    }
+
+    /// Tells the lead what the own rank holds, where that changed or was told
+    /// long ago.
+    pub async fn tell_held(&self, again: Duration) {
+        let Some(state) = self.state() else {
+            return;
+        };
+        let now = self.clock.now();
+        let (epoch, map, at) = self.told.get();
+        if (epoch, map) == (state.epoch, state.map) && now.saturating_sub(at) < again {
+            return;
+        }
+        let Some(held) = self.rank.experts().await else {
+            return;
+        };
+        self.told.set((state.epoch, held.version, now));
+        let held = Held {
+            group: state.group,
+            epoch: state.epoch,
+            rank: state.rank,
+            version: held.version,
+            experts: held.experts,
+        };
+        self.to_lead(Word::Held(held)).await;
+    }
+
+    /// Gives the lead a word, who may be this agent itself.
+    async fn to_lead(&self, word: Word) {
+        let Some(agent) = self.lead_agent() else {
+            return;
+        };
+        if agent != self.settings.address {
+            self.send(agent, &word).await;
+            return;
+        }
+        match word {
+            Word::Choices(choices) => self.count(&choices),
+            Word::Held(held) => {
+                if let Some(lead) = &mut *self.lead.borrow_mut() {
+                    lead.held(held);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Begins a change of map where one is worth it, as the lead.
+    pub async fn decide(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let relief = match (&mut *self.lead.borrow_mut(), self.experts.get()) {
+            (Some(lead), Some(experts)) => lead.decide(now, &experts),
+            _ => return,
+        };
+        if let Some(relief) = relief {
+            info!(self.log, "Agent: The map of experts is to change.";
+                "before" => relief.before, "after" => relief.after,
+                "copies" => relief.copies, "longest" => relief.longest);
+        }
+        self.drive().await;
+    }
+
+    /// Carries on with the change under way, as the lead.
+    pub async fn drive(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let (orders, ended, epoch) = match &mut *self.lead.borrow_mut() {
+            Some(lead) => {
+                let (orders, ended) = lead.switch.poll(now);
+                (orders, ended, lead.switch.epoch())
+            }
+            None => return,
+        };
+        match ended {
+            Some(Ended::Done(version)) => {
+                info!(self.log, "Agent: A map of experts is in use."; "version" => version);
+            }
+            Some(Ended::GivenUp(version)) => {
+                warn!(self.log, "Agent: A change of map is given up; not all ranks have copied.";
+                    "version" => version);
+            }
+            None => {}
+        }
+        for send in orders {
+            self.order(send, epoch).await;
+        }
+    }
+
+    /// Sends an order to a rank, by its agent or, where that is silent, straight.
+    async fn order(self: &Rc<Self>, send: Send, epoch: u64) {
+        let now = self.clock.now();
+        let rank = u16::try_from(send.rank).unwrap_or(u16::MAX);
+        let Some(seat) = self.seats.borrow().get(rank).cloned() else {
+            return;
+        };
+        let board = self.clone();
+        if seat.agent == self.settings.address {
+            monoio::spawn(async move {
+                board.give_own(send.order, epoch).await;
+            });
+            return;
+        }
+        if now.saturating_sub(seat.heard) > SILENT {
+            monoio::spawn(async move {
+                board.give_far(&seat.state, send.order, epoch).await;
+            });
+            return;
+        }
+        for word in self.words(send.order, epoch) {
+            self.send(seat.agent, &word).await;
+        }
+    }
+
+    /// An order as words to an agent.
+    fn words(&self, order: Change, epoch: u64) -> Vec<Word> {
+        let what = match order {
+            Change::Prepare { version } => {
+                let lead = self.lead.borrow();
+                let parts = lead.as_ref().map(|lead| lead.parts(version, epoch));
+                return parts
+                    .unwrap_or_default()
+                    .into_iter()
+                    .map(Word::Map)
+                    .collect();
+            }
+            Change::Hold { step } => What::Hold { step },
+            Change::Arm { version, step } => What::Arm { version, step },
+            Change::Go { step } => What::Go { step },
+        };
+        vec![Word::Order(Order { epoch, what })]
+    }
+
+    /// An order as a rank takes it.
+    fn direct(&self, order: Change) -> Option<order::Order> {
+        Some(match order {
+            Change::Prepare { version } => {
+                let lead = self.lead.borrow();
+                let plan = lead.as_ref()?.plan.clone();
+                let plan = plan.filter(|plan| plan.version == version)?;
+                order::Order::Prepare {
+                    version,
+                    map: plan.places,
+                }
+            }
+            Change::Hold { step } => order::Order::Hold { step },
+            Change::Arm { version, step } => order::Order::Arm { version, step },
+            Change::Go { step } => order::Order::Go { step },
+        })
+    }
+
+    /// Gives the own rank an order and goes on with what its report then says.
+    async fn give_own(self: Rc<Self>, order: Change, epoch: u64) {
+        let Some(order) = self.direct(order) else {
+            return;
+        };
+        self.give(&order, epoch).await;
+        self.answer(self.settings.address).await;
+        Box::pin(self.drive()).await;
+    }
+
+    /// Gives another rank an order whose agent is silent, and reads its report.
+    async fn give_far(self: Rc<Self>, state: &State, order: Change, epoch: u64) {
+        let Some(order) = self.direct(order) else {
+            return;
+        };
+        let rank = Rank::new(self.client.clone(), state.upstream);
+        let outcome = rank.order(&order, epoch).await;
+        info!(self.log, "Agent: Gave an order to a rank whose agent is silent.";
+            "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
+        let Some(report) = rank.report().await else {
+            return;
+        };
+        let Some(seat) = report.seat.filter(|seat| seat.rank == state.rank) else {
+            return;
+        };
+        let report = verbenaspool_coordination::switch::Report {
+            epoch: seat.epoch,
+            step: report.step,
+            map: report.map,
+            prepared: report.prepared,
+            armed: report.armed,
+            held: report.held,
+        };
+        let now = self.clock.now();
+        if let Some(lead) = &mut *self.lead.borrow_mut() {
+            lead.switch.report(now, state.rank.into(), report);
+        }
+        Box::pin(self.drive()).await;
+    }
+}
+
+/// The name of an order in logs.
+fn name(order: &order::Order) -> &'static str {
+    match order {
+        order::Order::Prepare { .. } => "prepare",
+        order::Order::Arm { .. } => "arm",
+        order::Order::Disarm { .. } => "disarm",
+        order::Order::Hold { .. } => "hold",
+        order::Order::Go { .. } => "go",
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -0,0 +1,193 @@
+//! What the agent beside the first rank knows of its group, and what it decides.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::Rng;
+use verbenaspool_coordination::switch::Switch;
+use verbenaspool_policy::rebalancer::relief::{self, Bound, Relief};
+use verbenaspool_protocol::seat::{Choices, Held, Map};
+use verbenaspool_state::{engine::Experts, expert_map::Layer};
+
+/// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
+/// third of a second holds some ten thousand choices a set, enough to tell the
+/// busiest experts apart.
+const MEMORY: Duration = Duration::from_millis(350);
+
+/// Choices a set that a decision rests on at least.
+const ENOUGH: f64 = 1_000.0;
+
+/// Copies a rank that one change makes at most: 0.3 s at 0.15 s each. With more,
+/// the relief for the busiest set waits for that of the others.
+const COPIES: usize = 2;
+
+/// The least part of the pass that a copy has to save.
+const LEAST: f64 = 0.012;
+
+/// Bits of a version that are drawn: a lead that was started again can't know
+/// every version that its forerunner gave out, and an order for one of those may
+/// still come.
+const DRAWN: u32 = 16;
+
+/// The map of the group as its ranks hold it.
+#[derive(Debug, Clone, Default)]
+struct Holding {
+    version: u64,
+    experts: Vec<Vec<u16>>,
+}
+
+/// A map that is being brought in use.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Its version.
+    pub version: u64,
+    /// The experts by set and rank.
+    pub places: Vec<Vec<Vec<u16>>>,
+}
+
+/// The group as its lead knows it.
+#[derive(Debug)]
+pub struct Lead {
+    /// The change under way.
+    pub switch: Switch,
+    /// The map that it brings in use.
+    pub plan: Option<Plan>,
+    ranks: usize,
+    epoch: u64,
+    held: BTreeMap<u16, Holding>,
+    loads: Vec<f64>,
+    at: Duration,
+}
+
+impl Lead {
+    /// The lead of a group of so many ranks.
+    pub fn new(ranks: usize) -> Self {
+        Self {
+            switch: Switch::new(ranks),
+            plan: None,
+            ranks,
+            epoch: 0,
+            held: BTreeMap::new(),
+            loads: Vec::new(),
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Takes in what a rank's requests chose.
+    pub fn choices(&mut self, now: Duration, choices: &Choices) {
+        let age = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        self.at = now;
+        let fade = (-age).exp();
+        self.loads.iter_mut().for_each(|load| *load *= fade);
+        let from = choices.from as usize;
+        let end = from + choices.counts.len();
+        if self.loads.len() < end {
+            self.loads.resize(end, 0.0);
+        }
+        for (load, count) in self.loads[from..end].iter_mut().zip(&choices.counts) {
+            *load += f64::from(*count);
+        }
+    }
+
+    /// Takes in what a rank holds.
+    pub fn held(&mut self, held: Held) {
+        if held.epoch > self.epoch {
+            self.epoch = held.epoch;
+            self.held.clear();
+        }
+        if held.epoch == self.epoch {
+            let holding = Holding {
+                version: held.version,
+                experts: held.experts,
+            };
+            self.held.insert(held.rank, holding);
+        }
+    }
+
+    /// The map in use, where all ranks said that they hold the same version.
+    fn layers(&self, experts: &Experts) -> Option<Vec<Layer>> {
+        let first = self.held.get(&0)?;
+        let complete = self.held.len() == self.ranks
+            && self.held.values().all(|held| held.version == first.version)
+            && self.epoch == self.switch.epoch();
+        if !complete {
+            return None;
+        }
+        let sets = usize::from(experts.layers);
+        let ranks = |set: usize| {
+            let ranks = self.held.values();
+            ranks.map(move |held| held.experts.get(set).cloned().unwrap_or_default())
+        };
+        Some(
+            (0..sets)
+                .map(|set| Layer {
+                    ranks: ranks(set).collect(),
+                })
+                .collect(),
+        )
+    }
+
+    /// The loads by set.
+    fn loads(&self, experts: &Experts) -> Option<Vec<Vec<f64>>> {
+        let count = usize::from(experts.count);
+        let sets: Vec<Vec<f64>> = self.loads.chunks(count).map(<[f64]>::to_vec).collect();
+        let whole = sets.len() == usize::from(experts.layers);
+        let enough = sets.iter().all(|set| set.iter().sum::<f64>() >= ENOUGH);
+        (whole && enough).then_some(sets)
+    }
+
+    /// Begins a change, if one is worth it now.
+    pub fn decide(&mut self, now: Duration, experts: &Experts) -> Option<Relief> {
+        if !self.switch.is_ready(now) {
+            return None;
+        }
+        let bound = Bound {
+            places: experts.places.into(),
+            spare: experts.spare.into(),
+            copies: COPIES,
+            least: LEAST,
+        };
+        let relief = relief::relieve(&self.layers(experts)?, &self.loads(experts)?, &bound)?;
+        let highest = self
+            .switch
+            .highest()
+            .max(self.plan.as_ref().map_or(0, |p| p.version));
+        let drawn = rand::rng().random_range(0..1 << DRAWN);
+        let version = (((highest >> DRAWN) + 1) << DRAWN) + drawn;
+        let places = relief.layers.iter().map(|layer| layer.ranks.clone());
+        self.plan = Some(Plan {
+            version,
+            places: places.collect(),
+        });
+        let longest = u32::try_from(relief.longest).unwrap_or(u32::MAX);
+        self.switch.start(now, version, experts.copy * longest);
+        Some(relief)
+    }
+
+    /// The map of a version in parts that fit in datagrams.
+    pub fn parts(&self, version: u64, epoch: u64) -> Vec<Map> {
+        let Some(plan) = self.plan.as_ref().filter(|plan| plan.version == version) else {
+            return Vec::new();
+        };
+        let numbers: usize = plan
+            .places
+            .iter()
+            .flatten()
+            .map(|ranks| ranks.len() + 1)
+            .sum();
+        let sets = plan.places.len();
+        // Numbers take one byte or two.
+        let parts = (numbers * 2).div_ceil(1_000).clamp(1, sets.max(1));
+        let each = sets.div_ceil(parts).max(1);
+        let chunks = plan.places.chunks(each).enumerate();
+        let count = |number: usize| u16::try_from(number).unwrap_or(u16::MAX);
+        chunks
+            .map(|(number, places)| Map {
+                epoch,
+                version,
+                sets: count(sets),
+                from: count(number * each),
+                places: places.to_vec(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -0,0 +1,202 @@
+//! The agent on the direct path as a process.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use monoio::net::udp::UdpSocket;
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+};
+use slog::{Logger, info, warn};
+use verbenaspool_platform::{configuration, registry, store};
+use verbenaspool_protocol::seat::{self, Word};
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    http::client::Client,
+    log,
+    platform::client::Channel,
+    runtime,
+};
+
+use super::{board::Board, settings::Settings};
+
+/// How often the own rank's report is read while its map changes, and otherwise.
+/// The reading is free on the own instance, but takes processor time.
+const READ: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
+
+/// How often choices are read and passed on: a shift of popularity shows within
+/// two of them.
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// How often the group hears how the rank stands, if nothing changes.
+const TELL: Duration = Duration::from_millis(100);
+
+/// How often all agents of the service hear of each other.
+const HELLO: Duration = Duration::from_millis(1_000);
+
+/// How often the lead hears what the rank holds, if nothing changes.
+const HELD: Duration = Duration::from_millis(1_000);
+
+/// How often the registry and the configuration are read: often while agents of
+/// the group are missing, seldom otherwise. Both change little for a group.
+const LOOK: [Duration; 2] = [Duration::from_millis(2_500), Duration::from_millis(20_000)];
+
+/// How long a call to the store may take.
+const STORE: Duration = Duration::from_millis(1_500);
+
+/// How long a new connection to the rank may take.
+const CONNECT: Duration = Duration::from_millis(100);
+
+/// Why the agent could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The port isn't free.
+    #[error("{address} can't be listened at: {why}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        why: std::io::Error,
+    },
+    /// The loop can't start, or signals can't be heard.
+    #[error("the loop can't start: {0}")]
+    Loop(#[from] std::io::Error),
+}
+
+/// Runs the agent until SIGTERM or SIGINT.
+///
+/// # Errors
+/// Its port isn't free, or signals can't be heard.
+pub fn main(settings: Settings) -> Result<(), Error> {
+    let log = log::open(settings.log);
+    let stop = Arc::new(AtomicBool::new(false));
+    let reload = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        flag::register(signal, stop.clone())?;
+    }
+    // Nothing of the settings can change without a new process.
+    flag::register(SIGHUP, reload)?;
+    runtime::run(serve(settings, log, stop))?
+}
+
+/// Runs the agent.
+async fn serve(settings: Settings, log: Logger, stop: Arc<AtomicBool>) -> Result<(), Error> {
+    let clock: Rc<dyn Clock> = Monotonic::start();
+    let address = SocketAddr::new(settings.address, settings.peer_port);
+    let socket = UdpSocket::bind(address).map_err(|why| Error::Listen { address, why })?;
+    info!(log, "Agent: Started."; "name" => &settings.name, "upstream" => settings.upstream.to_string());
+    let store = store::Client::new(Channel::new(settings.platform), STORE);
+    let client = Client::new(CONNECT).keep_for(Duration::from_millis(700));
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let number = since.map_or(0, |since| since.as_secs()) << 20;
+    let board = Board::new(settings, clock, log.clone(), client, socket, number);
+    monoio::spawn(look(board.clone(), store));
+    monoio::spawn(hear(board.clone()));
+    let born = Rc::new(Cell::new(0));
+    monoio::spawn(sample(board.clone(), born.clone()));
+    watch(&board, &stop, &born).await;
+    info!(log, "Agent: Stopped.");
+    Ok(())
+}
+
+/// Reads the own rank's report, again and again.
+async fn watch(board: &Rc<Board>, stop: &AtomicBool, born: &Cell<u64>) {
+    let clock = &board.clock;
+    let (mut told, mut hello) = (Duration::ZERO, Duration::ZERO);
+    let mut reached = true;
+    while !stop.load(Ordering::Relaxed) {
+        let report = board.rank.report().await;
+        if report.is_some() != reached {
+            reached = report.is_some();
+            warn!(board.log, "Agent: The rank's report changed its reach."; "reached" => reached);
+        }
+        let mut changing = false;
+        if let Some(report) = report {
+            born.set(report.born);
+            let news = board.observe(&report);
+            changing = report.busy || report.armed.is_some() || report.held.is_some();
+            let now = clock.now();
+            let everybody = now.saturating_sub(hello) >= HELLO;
+            if news || everybody || now.saturating_sub(told) >= TELL {
+                told = now;
+                if everybody {
+                    hello = now;
+                }
+                board.tell(everybody).await;
+            }
+            board.drive().await;
+        }
+        clock.sleep(READ[usize::from(!changing)]).await;
+    }
+}
+
+/// Passes choices on and, as the lead, decides.
+async fn sample(board: Rc<Board>, born: Rc<Cell<u64>>) {
+    loop {
+        board.sample(born.get()).await;
+        board.tell_held(HELD).await;
+        board.decide().await;
+        board.clock.sleep(SAMPLE).await;
+    }
+}
+
+/// Hears other agents.
+async fn hear(board: Rc<Board>) {
+    loop {
+        let (received, buffer) = board.socket.recv_from(vec![0_u8; 2 * seat::LARGEST]).await;
+        let Ok((length, from)) = received else {
+            board.clock.sleep(READ[0]).await;
+            continue;
+        };
+        if let Some(word) = Word::decode(&buffer[..length]) {
+            let board = board.clone();
+            monoio::spawn(async move { board.hear(from.ip(), word).await });
+        }
+    }
+}
+
+/// Reads who the other agents are, and what the configuration says of the
+/// service's experts.
+async fn look(board: Rc<Board>, store: store::Client) {
+    loop {
+        match store.list(registry::KIND, true).await {
+            Ok(listing) => {
+                let service = board.settings.service.as_str();
+                let replicas = listing.objects.values();
+                let replicas = replicas.filter_map(|o| registry::decode(&o.name, &o.specification));
+                let replicas = replicas.filter(|replica| &*replica.service == service);
+                let instances = replicas.map(|replica| replica.address.ip()).collect();
+                board.instances.replace(instances);
+            }
+            Err(why) => {
+                warn!(board.log, "Agent: The registry can't be read."; "reason" => why.to_string());
+            }
+        }
+        match store.list(configuration::KIND, true).await {
+            Ok(listing) => {
+                let object = listing.objects.get(configuration::NAME);
+                let table = object.and_then(|o| configuration::decode(&o.specification).ok());
+                if let Some(table) = table {
+                    let service = table.service(&board.settings.service);
+                    let engine = service.and_then(|service| service.engine.as_ref());
+                    board.experts.set(engine.and_then(|engine| engine.experts));
+                }
+            }
+            Err(why) => {
+                warn!(board.log, "Agent: The configuration can't be read.";
+                    "reason" => why.to_string());
+            }
+        }
+        let known = board.is_complete() && board.experts.get().is_some();
+        board.clock.sleep(LOOK[usize::from(known)]).await;
+    }
+}
--- /dev/null
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -0,0 +1,79 @@
+//! The agents beside the other ranks, as they were heard.
+
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
+
+use verbenaspool_coordination::switch::Report;
+use verbenaspool_protocol::seat::State;
+
+/// How long one datagram may be overtaken by others.
+const OVERTAKEN: Duration = Duration::from_millis(300);
+
+/// How long a seat is remembered whose agent is silent.
+const FORGOTTEN: Duration = Duration::from_secs(20);
+
+/// One agent and its rank.
+#[derive(Debug, Clone)]
+pub struct Seat {
+    /// Where its agent is.
+    pub agent: IpAddr,
+    /// What it said last.
+    pub state: State,
+    /// When.
+    pub heard: Duration,
+}
+
+/// The agents of a group by rank.
+#[derive(Debug, Default)]
+pub struct Seats(BTreeMap<u16, Seat>);
+
+impl Seats {
+    /// Takes a state in; tells whether it is news.
+    pub fn hear(&mut self, now: Duration, agent: IpAddr, state: State) -> bool {
+        if let Some(known) = self.0.get(&state.rank) {
+            let lately = now.saturating_sub(known.heard) < OVERTAKEN;
+            let older = (state.epoch, state.number) <= (known.state.epoch, known.state.number);
+            if known.agent == agent && lately && older {
+                return false;
+            }
+            if known.state.epoch > state.epoch && known.state.group == state.group {
+                return false;
+            }
+        }
+        let heard = now;
+        let seat = Seat {
+            agent,
+            state,
+            heard,
+        };
+        self.0.insert(seat.state.rank, seat);
+        true
+    }
+
+    /// The seat of a rank.
+    pub fn get(&self, rank: u16) -> Option<&Seat> {
+        self.0.get(&rank)
+    }
+
+    /// All seats that were heard not too long ago.
+    pub fn iter(&self, now: Duration) -> impl Iterator<Item = &Seat> {
+        let lately = move |seat: &&Seat| now.saturating_sub(seat.heard) < FORGOTTEN;
+        self.0.values().filter(lately)
+    }
+
+    /// Forgets all: the rank sits in another group.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+/// A state in the terms of the switch.
+pub fn report(state: &State) -> Report {
+    Report {
+        epoch: state.epoch,
+        step: state.step,
+        map: state.map,
+        prepared: state.prepared,
+        armed: state.armed,
+        held: state.held,
+    }
+}
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod command;
+pub mod direct;
 pub mod group;
 pub mod orders;
 pub mod settings;
--- a/verbenaspool_agent/src/main.rs
+++ b/verbenaspool_agent/src/main.rs
@@ -1,13 +1,15 @@
 //! The `verbenaspool-agent` program.
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 use clap::Parser;
+use serde::Deserialize;
 use slog::crit;
 
 use verbenaspool_agent::{
     agent::{Agent, Drained},
     command::{Action, Command},
+    direct,
     settings::{self, Settings},
 };
 use verbenaspool_transport::{clock::Monotonic, log, runtime, shutdown};
@@ -22,7 +24,7 @@
 fn main() -> ExitCode {
     let command = Command::parse();
     let (Action::Run(source) | Action::Check(source)) = &command.action;
-    let settings = match settings::load(&source.settings) {
+    let settings = match load(&source.settings) {
         Ok(settings) => settings,
         Err(why) => {
             eprintln!("{why}");
@@ -34,7 +36,44 @@
             println!("{}: sound", source.settings.display());
             ExitCode::SUCCESS
         }
-        Action::Run(_) => run(settings),
+        Action::Run(_) => match settings {
+            Chosen::Agents(settings) => run(*settings),
+            Chosen::Direct(settings) => run_direct(settings),
+        },
+    }
+}
+
+/// The settings of either path.
+enum Chosen {
+    /// Requests pass through the agent.
+    Agents(Box<Settings>),
+    /// Requests go straight to the upstream.
+    Direct(direct::settings::Settings),
+}
+
+/// The part of the settings that tells which path requests take.
+#[derive(Debug, Deserialize)]
+struct Probe {
+    #[serde(default)]
+    path: Option<direct::settings::Path>,
+}
+
+/// Reads the settings of either path.
+fn load(path: &Path) -> Result<Chosen, settings::Error> {
+    let probe: Probe = verbenaspool_transport::settings::load(path)?;
+    if probe.path.is_some() {
+        return verbenaspool_transport::settings::load(path).map(Chosen::Direct);
+    }
+    settings::load(path).map(|settings| Chosen::Agents(Box::new(settings)))
+}
+
+fn run_direct(settings: direct::settings::Settings) -> ExitCode {
+    match direct::run::main(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("verbenaspool-agent: {why}");
+            ExitCode::from(FAILED)
+        }
     }
 }
 
--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod membership;
 pub mod piece;
 pub mod store;
+pub mod switch;
--- /dev/null
+++ b/verbenaspool_coordination/src/switch.rs
@@ -0,0 +1,369 @@
+//! Changing the map of experts that a group of engines uses, without a pass in
+//! which two ranks use different ones.
+//!
+//! The engines switch by themselves: a rank that is armed for a pass uses the new
+//! map from that pass on. What can go wrong is that some ranks are armed and
+//! others aren't when the pass begins, because an order was lost, or was carried
+//! out seconds late. So the pass is held first:
+//!
+//! 1. Every rank copies the experts that are new to it ([`Order::Prepare`]), and
+//!    reports that it has them.
+//! 2. The pass is held at the lead's own rank ([`Order::Hold`]), and its report
+//!    shows that.
+//! 3. Every rank is armed ([`Order::Arm`]), and reports that it is.
+//! 4. The pass may begin ([`Order::Go`]).
+//!
+//! Nothing is armed before 3, so a change may be given up until then. From 3 on
+//! it only goes forward: an order without an answer may still be carried out, so
+//! a rank that was told to arm can never be known not to. The held pass can't
+//! begin meanwhile, whatever is late. Orders name the group's epoch, and passes
+//! and versions are used once, so that a late order fits nothing that came after.
+//!
+//! The machine does no I/O: it takes reports and the time, and returns orders.
+
+use std::time::Duration;
+
+/// How many passes ahead of the newest report a pass is held. The pass after the
+/// next leaves one whole pass, some 60 ms, for the orders to arrive.
+const AHEAD: u64 = 2;
+
+/// After how long an order is sent again whose effect no report shows. Answers
+/// come within milliseconds, reports with them.
+const AGAIN: Duration = Duration::from_millis(120);
+
+/// How long a rank may take to copy, beyond the time that the copy itself takes.
+const SLACK: Duration = Duration::from_millis(2_500);
+
+/// How old a report may be that a held pass is judged by.
+const FRESH: Duration = Duration::from_millis(400);
+
+/// How long a pass must have been held before a deputy or a lead that doesn't
+/// know why looks into it: a change that goes well holds none.
+const HELD: Duration = Duration::from_millis(150);
+
+/// What a rank says of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Report {
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// The version of the map in use.
+    pub map: u64,
+    /// The version that is copied whole.
+    pub prepared: Option<u64>,
+    /// The version that it is armed for.
+    pub armed: Option<u64>,
+    /// The pass that it holds.
+    pub held: Option<u64>,
+}
+
+/// An order to one rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// Copy what is new in the map of this version.
+    Prepare {
+        /// The map's version.
+        version: u64,
+    },
+    /// Hold this pass.
+    Hold {
+        /// The pass.
+        step: u64,
+    },
+    /// Use the map of this version from this pass on.
+    Arm {
+        /// The map's version.
+        version: u64,
+        /// The pass.
+        step: u64,
+    },
+    /// Let this pass begin.
+    Go {
+        /// The pass.
+        step: u64,
+    },
+}
+
+/// An order and the rank that it goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Send {
+    /// The rank.
+    pub rank: usize,
+    /// The order.
+    pub order: Order,
+}
+
+/// How a change ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The group uses this version.
+    Done(u64),
+    /// The change was given up before any rank was armed.
+    GivenUp(u64),
+}
+
+/// Where a change stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// No change.
+    Idle,
+    /// Ranks copy.
+    Preparing { version: u64, until: Duration },
+    /// The pass is to be held.
+    Holding { version: u64, step: u64 },
+    /// Ranks are to be armed.
+    Arming { version: u64, step: u64 },
+    /// The pass is to begin.
+    Going { version: u64, step: u64 },
+}
+
+/// One rank as the machine knows it.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rank {
+    report: Option<(Report, Duration)>,
+    /// When it was last sent an order.
+    sent: Option<Duration>,
+}
+
+/// The changes of one group's map, as its lead or a deputy makes them.
+#[derive(Debug)]
+pub struct Switch {
+    epoch: u64,
+    ranks: Vec<Rank>,
+    phase: Phase,
+    /// Since when the first rank's report shows a held pass that isn't ours.
+    held: Option<(u64, Duration)>,
+}
+
+impl Switch {
+    /// A machine for a group of so many ranks that knows nothing yet.
+    #[must_use]
+    pub fn new(ranks: usize) -> Self {
+        Self {
+            epoch: 0,
+            ranks: vec![Rank::default(); ranks],
+            phase: Phase::Idle,
+            held: None,
+        }
+    }
+
+    /// Whether no change is under way.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
+    /// The group's epoch, as far as known.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Takes a rank's report in.
+    pub fn report(&mut self, now: Duration, rank: usize, report: Report) {
+        if report.epoch > self.epoch {
+            // The group formed anew: with the first map, and with nothing
+            // prepared, armed or held. All that was known is void.
+            let ranks = self.ranks.len();
+            *self = Self {
+                epoch: report.epoch,
+                ..Self::new(ranks)
+            };
+        }
+        if report.epoch == self.epoch
+            && let Some(known) = self.ranks.get_mut(rank)
+        {
+            known.report = Some((report, now));
+        }
+    }
+
+    /// Whether all ranks use one map and nothing stands in the way of a change.
+    #[must_use]
+    pub fn is_ready(&self, now: Duration) -> bool {
+        let fresh = |rank: &Rank| match rank.report {
+            Some((report, at)) => {
+                now.saturating_sub(at) <= FRESH && report.armed.is_none() && report.held.is_none()
+            }
+            None => false,
+        };
+        let first = self.ranks.first().and_then(|rank| rank.report);
+        let same = |rank: &Rank| rank.report.map(|(r, _)| r.map) == first.map(|(r, _)| r.map);
+        self.is_idle() && self.ranks.iter().all(|rank| fresh(rank) && same(rank))
+    }
+
+    /// The highest version that any rank has had, as far as reports tell.
+    #[must_use]
+    pub fn highest(&self) -> u64 {
+        let versions = |(report, _): (Report, Duration)| {
+            let known = [Some(report.map), report.prepared, report.armed];
+            known.into_iter().flatten().max()
+        };
+        let highest = self.ranks.iter().filter_map(|rank| versions(rank.report?));
+        highest.max().unwrap_or(0)
+    }
+
+    /// Begins a change to a version that no rank has had, whose copies take so
+    /// long at the rank that has most.
+    pub fn start(&mut self, now: Duration, version: u64, copy: Duration) {
+        self.enter(Phase::Preparing {
+            version,
+            until: now + copy * 2 + SLACK,
+        });
+    }
+
+    /// Goes on to a phase; its orders are sent at once.
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        for rank in &mut self.ranks {
+            rank.sent = None;
+        }
+    }
+
+    /// Whether a report of every rank that was made in time says so.
+    fn all(&self, now: Duration, says: impl Fn(&Report) -> bool) -> bool {
+        self.ranks.iter().all(|rank| {
+            let fresh = rank
+                .report
+                .filter(|(_, at)| now.saturating_sub(*at) <= FRESH);
+            fresh.is_some_and(|(report, _)| says(&report))
+        })
+    }
+
+    /// The newest pass that any rank has begun.
+    fn step(&self) -> u64 {
+        let steps = self.ranks.iter().filter_map(|rank| rank.report);
+        steps.map(|(report, _)| report.step).max().unwrap_or(0)
+    }
+
+    /// What the first rank holds.
+    fn held(&self) -> Option<u64> {
+        self.ranks.first()?.report?.0.held
+    }
+
+    /// The orders to send now, and how the change ended, if it did.
+    pub fn poll(&mut self, now: Duration) -> (Vec<Send>, Option<Ended>) {
+        let ended = self.advance(now);
+        (self.orders(now), ended)
+    }
+
+    /// Goes from phase to phase as far as reports allow.
+    fn advance(&mut self, now: Duration) -> Option<Ended> {
+        match self.phase {
+            Phase::Idle => {
+                self.recover(now);
+                None
+            }
+            Phase::Preparing { version, until } => {
+                if self.all(now, |report| report.prepared == Some(version)) {
+                    let step = self.step() + AHEAD;
+                    self.enter(Phase::Holding { version, step });
+                } else if now >= until {
+                    self.enter(Phase::Idle);
+                    return Some(Ended::GivenUp(version));
+                }
+                None
+            }
+            Phase::Holding { version, step } => {
+                if self.held() == Some(step) {
+                    self.enter(Phase::Arming { version, step });
+                } else if self.step() >= step {
+                    // The pass began before it was held; nothing is armed yet.
+                    let step = self.step() + AHEAD;
+                    self.enter(Phase::Holding { version, step });
+                }
+                None
+            }
+            Phase::Arming { version, step } => {
+                let ready =
+                    |report: &Report| report.armed == Some(version) || report.map == version;
+                if self.all(now, ready) {
+                    self.enter(Phase::Going { version, step });
+                }
+                None
+            }
+            Phase::Going { version, step } => {
+                if self.held() != Some(step) {
+                    self.enter(Phase::Idle);
+                    return Some(Ended::Done(version));
+                }
+                None
+            }
+        }
+    }
+
+    /// Looks into a pass that is held though no change is under way: its lead
+    /// died, or the order to hold was carried out late.
+    fn recover(&mut self, now: Duration) {
+        let Some(step) = self.held() else {
+            self.held = None;
+            return;
+        };
+        let since = match self.held {
+            Some((known, since)) if known == step => since,
+            _ => {
+                self.held = Some((step, now));
+                return;
+            }
+        };
+        if now.saturating_sub(since) < HELD {
+            return;
+        }
+        let reports: Vec<Report> = self
+            .ranks
+            .iter()
+            .filter_map(|rank| rank.report)
+            .filter(|(_, at)| *at >= since && now.saturating_sub(*at) <= FRESH)
+            .map(|(report, _)| report)
+            .collect();
+        if reports.len() < self.ranks.len() {
+            return;
+        }
+        let version = self.highest();
+        let in_use = reports.iter().all(|report| report.map == version);
+        let copied = |report: &Report| {
+            [Some(report.map), report.prepared, report.armed].contains(&Some(version))
+        };
+        if !in_use && reports.iter().all(copied) {
+            // Any rank may be armed by now, or become so by a late order: only
+            // with all of them armed is it known what the pass will use.
+            self.enter(Phase::Arming { version, step });
+        } else if reports.iter().all(|report| report.armed.is_none()) {
+            // Ranks are armed only once all have copied, and some haven't: so
+            // none was told to arm.
+            self.enter(Phase::Going { version, step });
+        }
+    }
+
+    /// The orders of the phase to those ranks that don't show their effect.
+    fn orders(&mut self, now: Duration) -> Vec<Send> {
+        let phase = self.phase;
+        let mut orders = Vec::new();
+        for (rank, known) in self.ranks.iter_mut().enumerate() {
+            let Some((report, _)) = known.report else {
+                continue;
+            };
+            let order = match phase {
+                Phase::Idle => None,
+                Phase::Preparing { version, .. } => {
+                    (report.prepared != Some(version)).then_some(Order::Prepare { version })
+                }
+                Phase::Holding { step, .. } => (rank == 0).then_some(Order::Hold { step }),
+                Phase::Arming { version, step } => (report.armed != Some(version)
+                    && report.map != version)
+                    .then_some(Order::Arm { version, step }),
+                Phase::Going { step, .. } => (rank == 0).then_some(Order::Go { step }),
+            };
+            let due = known
+                .sent
+                .is_none_or(|sent| now.saturating_sub(sent) >= AGAIN);
+            if let Some(order) = order
+                && due
+            {
+                known.sent = Some(now);
+                orders.push(Send { rank, order });
+            }
+        }
+        orders
+    }
+}
--- a/verbenaspool_policy/src/rebalancer/mod.rs
+++ b/verbenaspool_policy/src/rebalancer/mod.rs
@@ -16,6 +16,7 @@
 pub mod history;
 pub mod packing;
 pub mod placement;
+pub mod relief;
 pub mod sample;
 pub mod search;
 
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod prefix;
 pub mod problem;
 pub mod report;
+pub mod seat;
 pub mod settle;
--- /dev/null
+++ b/verbenaspool_protocol/src/seat.rs
@@ -0,0 +1,147 @@
+//! What the agents beside the ranks of a group tell each other, in datagrams.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// The largest datagram: one Ethernet frame, so that no part can be lost alone.
+pub const LARGEST: usize = 1_400;
+
+/// A word between agents.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// How the sender's rank stands.
+    State(State),
+    /// What the requests of the sender's rank chose lately.
+    Choices(Choices),
+    /// An order for the receiver's rank.
+    Order(Order),
+    /// The map that the receiver's rank is to prepare.
+    Map(Map),
+    /// What the sender's rank holds.
+    Held(Held),
+}
+
+/// How a rank stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Counts the sender's words, above those of its earlier processes.
+    pub number: u64,
+    /// The group's short name.
+    pub group: u32,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The rank's seat.
+    pub rank: u16,
+    /// How many seats there are.
+    pub size: u16,
+    /// The upstream itself.
+    pub upstream: SocketAddr,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// The version of the map in use.
+    pub map: u64,
+    /// The version that is copied whole.
+    pub prepared: Option<u64>,
+    /// The version that it is armed for.
+    pub armed: Option<u64>,
+    /// The pass that it holds.
+    pub held: Option<u64>,
+}
+
+/// What the requests of a rank chose since the word before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Choices {
+    /// The group's short name.
+    pub group: u32,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The rank's seat.
+    pub rank: u16,
+    /// The number of the first count among those of all sets.
+    pub from: u32,
+    /// How often each expert was chosen.
+    pub counts: Vec<u32>,
+}
+
+/// An order for the receiver's rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The group's epoch; in another one the order is void.
+    pub epoch: u64,
+    /// What to do.
+    pub what: What,
+}
+
+/// What to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum What {
+    /// Hold a pass.
+    Hold {
+        /// The pass.
+        step: u64,
+    },
+    /// Switch to a map as a pass begins.
+    Arm {
+        /// The map's version.
+        version: u64,
+        /// The pass.
+        step: u64,
+    },
+    /// Let a held pass begin.
+    Go {
+        /// The pass.
+        step: u64,
+    },
+}
+
+/// A part of a map to prepare: the experts of some sets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// The group's epoch; in another one the map is void.
+    pub epoch: u64,
+    /// The map's version.
+    pub version: u64,
+    /// How many sets the whole map has.
+    pub sets: u16,
+    /// The number of the first set here.
+    pub from: u16,
+    /// The experts by set and rank.
+    pub places: Vec<Vec<Vec<u16>>>,
+}
+
+/// What a rank holds under the map in use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The group's short name.
+    pub group: u32,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The rank's seat.
+    pub rank: u16,
+    /// The map's version.
+    pub version: u64,
+    /// The experts by set.
+    pub experts: Vec<Vec<u16>>,
+}
+
+impl Word {
+    /// The word as a datagram.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::seat::{Order, What, Word};
+    ///
+    /// let word = Word::Order(Order { epoch: 1, what: What::Go { step: 9 } });
+    /// assert_eq!(Word::decode(&word.encode()), Some(word));
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads a datagram; none where it is no word.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
