Hold the very next pass, and copy one expert a rank and change

Cause: between a shift of popularity and the first relief lay 0.35 to 0.47 s, of which one pass of about 0.1 s was waited for only to be safe against a hold that comes late, which is refused and repeated at no harm; and relief for the busiest set waited for the copies of the others.

--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -18,7 +18,7 @@
 
 /// Copies a rank that one change makes at most: 0.3 s at 0.15 s each. With more,
 /// the relief for the busiest set waits for that of the others.
-const COPIES: usize = 2;
+const COPIES: usize = 1;
 
 /// The least part of the pass that a copy has to save.
 const LEAST: f64 = 0.012;
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -25,7 +25,7 @@
 
 /// How many passes ahead of the newest report a pass is held. The pass after the
 /// next leaves one whole pass, some 60 ms, for the orders to arrive.
-const AHEAD: u64 = 2;
+const AHEAD: u64 = 1;
 
 /// After how long an order is sent again whose effect no report shows. Answers
 /// come within milliseconds, reports with them.
