Give an order again within 15 ms that got no answer

Cause: while orders are lost and carried out late, one of eight ranks nearly always has to be told again to arm, and the pass is held meanwhile. The agent now repeats by itself until the order is answered or the rank's report shows its effect.

--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -17,6 +17,9 @@
     /// When the first byte of the answer was passed on.
     first: Option<Duration>,
     events: u64,
+    /// When the last event was passed on, and the longest pause between two.
+    last: Option<Duration>,
+    pause: Duration,
     /// The status and what decided it.
     ended: Option<(u16, &'static str)>,
 }
@@ -60,6 +63,9 @@
         let now = self.gateway.clock.now();
         let mut story = self.story.borrow_mut();
         story.first.get_or_insert(now);
+        if let Some(last) = story.last.replace(now) {
+            story.pause = story.pause.max(now.saturating_sub(last));
+        }
         story.events += count;
     }
 
@@ -96,6 +102,7 @@
             "request" => &self.id, "status" => status, "why" => why,
             "route" => route, "service" => service, "version" => story.version,
             "sent" => story.sent.join("; "), "events" => story.events,
+            "pause_ms" => story.pause.as_secs_f64() * 1e3,
             "first_ms" => first.as_secs_f64() * 1e3, "took_ms" => took.as_secs_f64() * 1e3);
     }
 }
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -21,7 +21,7 @@
 
 use super::{
     lead::Lead,
-    rank::{Outcome, Rank},
+    rank::{self, Outcome, Rank},
     seats::{self, Seats},
     settings::Settings,
 };
@@ -30,6 +30,10 @@
 /// lead speaks to the rank itself.
 const SILENT: Duration = Duration::from_millis(300);
 
+/// How often an order is given that gets no answer. With one in three lost, ten
+/// in a row are lost less than once in 50,000 times.
+const TRIES: u32 = 10;
+
 /// How many counts go into one datagram.
 const COUNTS: usize = 400;
 
@@ -55,6 +59,8 @@
     map: RefCell<Option<Partial>>,
     /// The counts that were last read, and of which incarnation of the rank.
     counts: RefCell<(u64, Vec<u64>)>,
+    /// The order that the rank is being given.
+    giving: RefCell<Option<order::Order>>,
     /// What was last told of the experts held.
     told: Cell<(u64, u64, Duration)>,
 }
@@ -91,6 +97,7 @@
             instances: RefCell::default(),
             map: RefCell::default(),
             counts: RefCell::default(),
+            giving: RefCell::default(),
             told: Cell::default(),
         })
     }
@@ -210,15 +217,36 @@
         self.answer(agent).await;
     }
 
-    /// Gives the own rank an order.
+    /// Gives the own rank an order, again and again until it is answered or its
+    /// report shows the effect.
+    ///
+    /// An order may get no answer and be carried out seconds later. All orders
+    /// bear being given twice: they name the version or the pass that they are
+    /// for, and a late one is refused because that pass has begun by then.
     async fn give(&self, what: &order::Order, epoch: u64) {
-        let outcome = self.rank.order(what, epoch).await;
-        if outcome == Outcome::Taken {
-            debug!(self.log, "Agent: The rank took an order."; "epoch" => epoch);
-        } else {
+        if self.giving.borrow().as_ref() == Some(what) {
+            return;
+        }
+        self.giving.replace(Some(what.clone()));
+        for tries in 1..=TRIES {
+            let outcome = self.rank.order(what, epoch, rank::NEAR).await;
+            if outcome == Outcome::Taken {
+                debug!(self.log, "Agent: The rank took an order.";
+                    "order" => name(what), "epoch" => epoch, "tries" => tries);
+                break;
+            }
             info!(self.log, "Agent: The rank didn't take an order.";
-                "order" => name(what), "epoch" => epoch, "outcome" => format!("{outcome:?}"));
+                "order" => name(what), "epoch" => epoch, "tries" => tries,
+                "outcome" => format!("{outcome:?}"));
+            if outcome != Outcome::Unknown {
+                break;
+            }
+            let report = self.rank.report().await;
+            if report.is_some_and(|report| shows(&report, what)) {
+                break;
+            }
         }
+        self.giving.replace(None);
     }
 
     /// Reads the own rank's report and tells an agent of it.
@@ -497,11 +525,11 @@
         let Some(order) = self.direct(order) else {
             return;
         };
-        let rank = Rank::new(self.client.clone(), state.upstream);
-        let outcome = rank.order(&order, epoch).await;
+        let far = Rank::new(self.client.clone(), state.upstream);
+        let outcome = far.order(&order, epoch, rank::FAR).await;
         info!(self.log, "Agent: Gave an order to a rank whose agent is silent.";
             "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
-        let Some(report) = rank.report().await else {
+        let Some(report) = far.report().await else {
             return;
         };
         let Some(seat) = report.seat.filter(|seat| seat.rank == state.rank) else {
@@ -523,6 +551,19 @@
     }
 }
 
+/// Whether a rank's report shows the effect of an order.
+fn shows(report: &Report, order: &order::Order) -> bool {
+    match order {
+        order::Order::Prepare { version, .. } => report.busy || report.prepared == Some(*version),
+        order::Order::Arm { version, .. } => {
+            report.armed == Some(*version) || report.map == *version
+        }
+        order::Order::Disarm { version } => report.armed != Some(*version),
+        order::Order::Hold { step } => report.held == Some(*step),
+        order::Order::Go { step } => report.held != Some(*step),
+    }
+}
+
 /// The name of an order in logs.
 fn name(order: &order::Order) -> &'static str {
     match order {
--- a/verbenaspool_agent/src/direct/rank.rs
+++ b/verbenaspool_agent/src/direct/rank.rs
@@ -12,10 +12,17 @@
 };
 use verbenaspool_transport::http::{body::Body, client::Client};
 
-/// How long a call may take. On the rank's own instance it takes less than a
-/// millisecond; an order that gets no answer never gets one.
+/// How long a reading call may take.
 const ANSWER: Duration = Duration::from_millis(150);
 
+/// How long an order may take that is given on the rank's own instance, where
+/// it takes less than a millisecond; one that gets no answer never gets one, and
+/// a pass may be held until it is given again.
+pub const NEAR: Duration = Duration::from_millis(15);
+
+/// How long an order may take that is given from another instance.
+pub const FAR: Duration = Duration::from_millis(60);
+
 /// The largest answer: the choices of some hundred sets.
 const LARGEST: usize = 4 * 1024 * 1024;
 
@@ -44,7 +51,13 @@
     }
 
     /// Makes a call; none where no answer came in time.
-    async fn call(&self, method: Method, path: &str, body: String) -> Option<(StatusCode, Bytes)> {
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        timeout: Duration,
+    ) -> Option<(StatusCode, Bytes)> {
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -58,12 +71,12 @@
             let body = Limited::new(response.into_body(), LARGEST).collect();
             Some((status, body.await.ok()?.to_bytes()))
         };
-        monoio::time::timeout(ANSWER, exchange).await.ok()?
+        monoio::time::timeout(timeout, exchange).await.ok()?
     }
 
     /// Reads a page of the rank.
     async fn page(&self, path: &str) -> Option<Bytes> {
-        let (status, body) = self.call(Method::GET, path, String::new()).await?;
+        let (status, body) = self.call(Method::GET, path, String::new(), ANSWER).await?;
         (status == StatusCode::OK).then_some(body)
     }
 
@@ -83,9 +96,9 @@
     }
 
     /// Gives the rank an order.
-    pub async fn order(&self, order: &order::Order, epoch: u64) -> Outcome {
+    pub async fn order(&self, order: &order::Order, epoch: u64, timeout: Duration) -> Outcome {
         let body = order::encode(order, epoch, None);
-        match self.call(Method::POST, order::PATH, body).await {
+        match self.call(Method::POST, order::PATH, body, timeout).await {
             Some((status, _)) if status.is_success() => Outcome::Taken,
             Some((status, _)) => Outcome::Refused(status.as_u16()),
             None => Outcome::Unknown,
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -28,8 +28,12 @@
 const AHEAD: u64 = 1;
 
 /// After how long an order is sent again whose effect no report shows. Answers
-/// come within milliseconds, reports with them.
-const AGAIN: Duration = Duration::from_millis(120);
+/// come within milliseconds, reports with them, and a pass may be held meanwhile.
+const AGAIN: Duration = Duration::from_millis(50);
+
+/// After how long a rank is told again to copy. Copying one expert takes 0.15 s,
+/// and the order carries the whole map.
+const AGAIN_PREPARE: Duration = Duration::from_millis(400);
 
 /// How long a rank may take to copy, beyond the time that the copy itself takes.
 const SLACK: Duration = Duration::from_millis(2_500);
@@ -354,9 +358,13 @@
                     .then_some(Order::Arm { version, step }),
                 Phase::Going { step, .. } => (rank == 0).then_some(Order::Go { step }),
             };
+            let again = match phase {
+                Phase::Preparing { .. } => AGAIN_PREPARE,
+                _ => AGAIN,
+            };
             let due = known
                 .sent
-                .is_none_or(|sent| now.saturating_sub(sent) >= AGAIN);
+                .is_none_or(|sent| now.saturating_sub(sent) >= again);
             if let Some(order) = order
                 && due
             {
