Let agents tell entries which groups run

Cause: while a zone is cut off, groups with ranks there run nothing; entries learnt it by refusals, 1.5 s late each, left upstreams alone for up to 6 s longer than the cut, and refused callers who had come back a second time though the group was about to form again. Agents now say at once, and twice a second, whether the group is whole. Callers who are refused meanwhile are asked back after 2 to 2.6 s, and those who came back wait for up to 3.5 s.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -13,6 +14,7 @@
     configuration,
     store::{self, Object},
 };
+use verbenaspool_protocol::seat::Status;
 use verbenaspool_state::{replica::Replica, route::Table};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
@@ -195,6 +197,37 @@
         }
     }
 
+    /// The upstreams that are ranks of groups.
+    pub fn ranks(&self) -> Vec<SocketAddr> {
+        let Some(table) = self.table() else {
+            return Vec::new();
+        };
+        let grouped = |service: &str| {
+            let engine = table.service(service).and_then(|s| s.engine.as_ref());
+            engine.is_some_and(|engine| engine.experts.is_some())
+        };
+        let registry = self.registry.borrow();
+        let ranks = registry.iter().filter(|replica| grouped(&replica.service));
+        ranks.map(|replica| replica.address).collect()
+    }
+
+    /// Takes in how a rank stands, as its agent says.
+    pub fn status(&self, status: &Status) {
+        let registry = self.registry.borrow();
+        let upstream = registry.iter().find(|r| r.address == status.upstream);
+        let Some(upstream) = upstream.cloned() else {
+            return;
+        };
+        drop(registry);
+        let changed = self
+            .desk(&upstream.service)
+            .with(|dispatcher, now| dispatcher.status(now, &upstream.id, status.open));
+        if changed {
+            info!(self.log, "Entry: A rank's group changed.";
+                "upstream" => &*upstream.id, "open" => status.open);
+        }
+    }
+
     /// The desk of a service.
     pub fn desk(&self, service: &Rc<str>) -> Rc<Desk> {
         let mut desks = self.desks.borrow_mut();
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -19,7 +19,10 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
-use verbenaspool_protocol::digest::{self, Digest, Flight};
+use verbenaspool_protocol::{
+    digest::{self, Digest, Flight},
+    word::{self, Word},
+};
 use verbenaspool_transport::rpc;
 
 use super::{gateway::Gateway, registry};
@@ -49,6 +52,10 @@
 /// How long a peer has to answer.
 const ANSWER: Duration = Duration::from_millis(500);
 
+/// How often agents are asked for their ranks' state. They go on telling it for
+/// three times as long.
+const SUBSCRIBE: Duration = Duration::from_millis(1_000);
+
 /// The RPC method by which peers get what they lack.
 pub const LATEST: &str = "latest";
 
@@ -187,7 +194,10 @@
             table: have.table,
             registry: have.registry,
             leaving: self.leaving.get(),
-            flights,
+            flights: {
+                flights.truncate(digest::FLIGHTS);
+                flights
+            },
             peers: named.collect(),
         }
     }
@@ -266,7 +276,7 @@
 /// Hears digests for as long as the process runs.
 pub async fn hear(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
-        let (received, buffer) = socket.recv_from(vec![0_u8; digest::LARGEST]).await;
+        let (received, buffer) = socket.recv_from(vec![0_u8; word::LARGEST]).await;
         let Ok((length, from)) = received else {
             gateway.clock.sleep(PERIOD).await;
             continue;
@@ -274,13 +284,15 @@
         let IpAddr::V4(from) = from.ip() else {
             continue;
         };
-        let Some(digest) = Digest::decode(&buffer[..length]) else {
-            continue;
-        };
         let now = gateway.clock.now();
-        let heard = gateway.peers.borrow_mut().hear(now, from, digest);
-        if heard {
-            gateway.share();
+        match Word::decode(&buffer[..length]) {
+            Some(Word::Digest(digest)) => {
+                if gateway.peers.borrow_mut().hear(now, from, digest) {
+                    gateway.share();
+                }
+            }
+            Some(Word::Status(status)) => gateway.status(&status),
+            _ => {}
         }
     }
 }
@@ -288,7 +300,7 @@
 /// Sends digests for as long as the process runs.
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, incarnation: u64) {
     loop {
-        let digest = gateway.digest(incarnation).encode();
+        let digest = Word::Digest(gateway.digest(incarnation)).encode();
         let addresses = addresses(&gateway);
         let port = gateway.settings.borrow().peer_port;
         for address in &addresses {
@@ -302,6 +314,21 @@
     }
 }
 
+/// Asks the agents beside the ranks of groups how their ranks stand, for as long
+/// as the process runs.
+pub async fn subscribe(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let word = Word::Subscribe.encode();
+    loop {
+        let port = gateway.settings.borrow().peer_port;
+        for upstream in gateway.ranks() {
+            // An agent that missed this hears the next one.
+            let agent = SocketAddr::new(upstream.ip(), port);
+            let _ = socket.send_to(word.clone(), agent).await;
+        }
+        gateway.clock.sleep(SUBSCRIBE).await;
+    }
+}
+
 /// Whom digests go to; also forgets peers that are silent for long.
 fn addresses(gateway: &Gateway) -> Vec<Ipv4Addr> {
     let now = gateway.clock.now();
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -196,7 +196,8 @@
             let since = SystemTime::now().duration_since(UNIX_EPOCH);
             let incarnation = since.map_or(0, |since| since.as_secs());
             monoio::spawn(peers::hear(gateway.clone(), socket.clone()));
-            monoio::spawn(peers::tell(gateway.clone(), socket, incarnation));
+            monoio::spawn(peers::tell(gateway.clone(), socket.clone(), incarnation));
+            monoio::spawn(peers::subscribe(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
         }
         Err(why) => {
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -14,7 +14,8 @@
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
     digest,
-    seat::{Choices, Held, Map, Order, State, What, Word},
+    seat::{Choices, Held, Map, Order, State, Status, What},
+    word::Word,
 };
 use verbenaspool_state::engine::Experts;
 use verbenaspool_transport::{clock::Clock, http::client::Client};
@@ -30,6 +31,12 @@
 /// lead speaks to the rank itself.
 const SILENT: Duration = Duration::from_millis(300);
 
+/// How long an entry that asked hears how the rank stands.
+const SUBSCRIBED: Duration = Duration::from_millis(3_500);
+
+/// How often entries hear how the rank stands, if nothing changes.
+const STATUS: Duration = Duration::from_millis(500);
+
 /// How often an order is given that gets no answer. With one in three lost, ten
 /// in a row are lost less than once in 50,000 times.
 const TRIES: u32 = 10;
@@ -61,6 +68,10 @@
     counts: RefCell<(u64, Vec<u64>)>,
     /// The order that the rank is being given.
     giving: RefCell<Option<order::Order>>,
+    /// Entries that want to hear how the rank stands, and until when.
+    entries: RefCell<BTreeMap<IpAddr, Duration>>,
+    /// What entries were told last, and when.
+    status: Cell<(bool, Duration)>,
     /// What was last told of the experts held.
     told: Cell<(u64, u64, Duration)>,
 }
@@ -98,6 +109,8 @@
             map: RefCell::default(),
             counts: RefCell::default(),
             giving: RefCell::default(),
+            entries: RefCell::default(),
+            status: Cell::default(),
             told: Cell::default(),
         })
     }
@@ -178,6 +191,12 @@
     pub async fn hear(self: &Rc<Self>, agent: IpAddr, word: Word) {
         let own = self.state().map(|state| (state.group, state.epoch));
         match word {
+            Word::Subscribe => {
+                let until = self.clock.now() + SUBSCRIBED;
+                if self.entries.borrow_mut().insert(agent, until).is_none() {
+                    self.status.set((self.status.get().0, Duration::ZERO));
+                }
+            }
             Word::State(state) => self.hear_state(agent, state),
             Word::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
                 self.count(&choices);
@@ -326,6 +345,29 @@
         }
     }
 
+    /// Tells entries how the rank stands, where that changed or was told long ago.
+    pub async fn tell_entries(&self) {
+        let now = self.clock.now();
+        let open = self.state.borrow().is_some();
+        let (told, at) = self.status.get();
+        if open == told && now.saturating_sub(at) < STATUS {
+            return;
+        }
+        self.status.set((open, now));
+        self.number.set(self.number.get() + 1);
+        let word = Word::Status(Status {
+            number: self.number.get(),
+            upstream: self.settings.upstream,
+            open,
+        });
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|_, until| now < *until);
+        let entries: Vec<IpAddr> = entries.keys().copied().collect();
+        for entry in entries {
+            self.send(entry, &word).await;
+        }
+    }
+
     /// The agent of the group's lead.
     fn lead_agent(&self) -> Option<IpAddr> {
         self.seats.borrow().get(0).map(|seat| seat.agent)
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -18,7 +18,7 @@
 };
 use slog::{Logger, info, warn};
 use verbenaspool_platform::{configuration, registry, store};
-use verbenaspool_protocol::seat::{self, Word};
+use verbenaspool_protocol::word::{self, Word};
 use verbenaspool_transport::{
     clock::{Clock, Monotonic},
     http::client::Client,
@@ -134,6 +134,7 @@
                 board.tell(everybody).await;
             }
             board.drive().await;
+            board.tell_entries().await;
         }
         clock.sleep(READ[usize::from(!changing)]).await;
     }
@@ -152,7 +153,7 @@
 /// Hears other agents.
 async fn hear(board: Rc<Board>) {
     loop {
-        let (received, buffer) = board.socket.recv_from(vec![0_u8; 2 * seat::LARGEST]).await;
+        let (received, buffer) = board.socket.recv_from(vec![0_u8; 2 * word::LARGEST]).await;
         let Ok((length, from)) = received else {
             board.clock.sleep(READ[0]).await;
             continue;
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -39,22 +39,32 @@
 /// its slots wait there, so that it never idles between two requests.
 const PLAIN: f64 = 2.0;
 
+/// How long an agent is believed that its rank's group is broken. It says so
+/// twice a second; one that is silent may be cut off while its rank serves.
+const BELIEVED: Duration = Duration::from_millis(1_600);
+
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const PATIENCE: f64 = 0.35;
 
 /// How long a request may wait that can't be answered in time any more: as a
 /// part of the time that its caller still waits.
-const LATE_PATIENCE: f64 = 0.2;
+const LATE_PATIENCE: f64 = 0.55;
 
 /// The longest that a request waits which can't be answered in time any more.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+const LONGEST_WAIT: Duration = Duration::from_millis(3_500);
 
 /// The shortest and the longest time after which a refused caller is asked to
 /// come back. Sooner, the same upstreams are still full: a stream lasts 2 s.
 /// Later, callers with eight seconds in all have too little left.
 const COME_BACK: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_000)];
 
+/// The same while no upstream of the service runs: groups form anew within
+/// seconds, and the longest time that callers wait before they come back, a third
+/// of what they have, reaches furthest.
+const COME_BACK_CLOSED: [Duration; 2] =
+    [Duration::from_millis(2_000), Duration::from_millis(2_600)];
+
 /// What a request asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -93,8 +103,8 @@
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
-    /// No upstream of the service is there.
-    Nobody,
+    /// No upstream of the service runs.
+    Closed,
     /// All upstreams have as much as they can do.
     Full,
     /// Too many wait already for it to get its turn.
@@ -106,7 +116,7 @@
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
-            Self::Nobody => "nobody",
+            Self::Closed => "closed",
             Self::Full => "full",
             Self::Crowded => "crowded",
         }
@@ -137,6 +147,8 @@
     slots: u32,
     /// Whether it takes new requests.
     ready: bool,
+    /// Whether its group runs nothing, and since when that was said last.
+    closed: Option<Duration>,
     /// Requests of this entry that it has.
     own: u32,
     /// Requests of other entries that it has, as they said last.
@@ -211,6 +223,20 @@
         }
     }
 
+    /// Takes in whether an upstream's group runs; tells whether that changed.
+    pub fn status(&mut self, now: Duration, id: &str, open: bool) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        let before = upstream.closed.is_none();
+        upstream.closed = (!open).then_some(now);
+        if open && !before {
+            // What it didn't answer while its group was broken says nothing of it.
+            upstream.trust = Trust::default();
+        }
+        before != open
+    }
+
     /// The requests of this entry at each upstream that has any.
     pub fn flights(&self) -> impl Iterator<Item = (&Rc<str>, u32)> {
         let busy = self.upstreams.iter().filter(|(_, u)| u.own > 0);
@@ -290,22 +316,24 @@
             }
             return Some(Verdict::Send(id));
         }
-        let reason = if self.upstreams.values().any(|upstream| upstream.ready) {
-            Reason::Full
+        let open = self
+            .upstreams
+            .values()
+            .any(|upstream| upstream.is_open(now));
+        // Nothing can be done in time for what comes while no upstream runs: its
+        // caller does better to come back. One that did so already waits.
+        if !over && (open || waiting.late) {
+            return None;
+        }
+        let (reason, [soonest, latest]) = if open {
+            (Reason::Full, COME_BACK)
         } else {
-            Reason::Nobody
+            (Reason::Closed, COME_BACK_CLOSED)
         };
-        over.then(|| {
-            let after = self.come_back();
-            Verdict::Refuse(Refusal { reason, after })
-        })
-    }
-
-    /// When a caller that is refused now should come back: spread over a stream's
-    /// usual length, so that those refused together don't come back together.
-    fn come_back(&mut self) -> Duration {
-        let [soonest, latest] = COME_BACK;
-        soonest + (latest - soonest).mul_f64(self.draw())
+        // Spread over a stream's usual length, so that those refused together
+        // don't come back together.
+        let after = soonest + (latest - soonest).mul_f64(self.draw());
+        Some(Verdict::Refuse(Refusal { reason, after }))
     }
 
     /// A number from 0 to 1, by Marsaglia's xorshift.
@@ -327,7 +355,7 @@
             let Some(upstream) = self.upstreams.get(&id) else {
                 continue;
             };
-            if !upstream.ready || waiting.ask.avoid.contains(&id) {
+            if !upstream.is_open(now) || waiting.ask.avoid.contains(&id) {
                 continue;
             }
             let Some(cost) = self.cost(now, upstream, waiting, over) else {
@@ -383,7 +411,10 @@
     /// How the service stands, for logs and metrics.
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Snapshot {
-        let ready = self.upstreams.values().filter(|upstream| upstream.ready);
+        let ready = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.is_open(now));
         let mut snapshot = Snapshot {
             waiting: self.line.len(),
             pace: self.pace,
@@ -414,11 +445,18 @@
 }
 
 impl Upstream {
+    /// Whether it takes requests, as far as it and its agent say.
+    fn is_open(&self, now: Duration) -> bool {
+        let closed = |said: Duration| now.saturating_sub(said) < BELIEVED;
+        self.ready && !self.closed.is_some_and(closed)
+    }
+
     fn new(replica: &replica::Replica) -> Self {
         Self {
             zone: replica.zone.clone(),
             slots: replica.slots,
             ready: true,
+            closed: None,
             own: 0,
             others: 0,
             pass: Pass::default(),
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -1,13 +1,9 @@
-//! What entries tell each other many times a second, in one datagram.
+//! What entries tell each other many times a second.
 
 use std::net::Ipv4Addr;
 
 use serde::{Deserialize, Serialize};
 
-/// The largest datagram that is sent: one Ethernet frame, so that no part of it
-/// can be lost by itself.
-pub const LARGEST: usize = 1_400;
-
 /// One entry's word about itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -50,30 +46,7 @@
     short
 }
 
-impl Digest {
-    /// The digest as a datagram; flights that don't fit are left out.
-    ///
-    /// ```
-    /// use verbenaspool_protocol::digest::Digest;
-    ///
-    /// let digest = Digest { table: 7, ..Digest::default() };
-    /// assert_eq!(Digest::decode(&digest.encode()), Some(digest));
-    /// ```
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let mut digest = self.clone();
-        loop {
-            let bytes = postcard::to_stdvec(&digest).unwrap_or_default();
-            if bytes.len() <= LARGEST || digest.flights.is_empty() {
-                return bytes;
-            }
-            digest.flights.truncate(digest.flights.len() / 2);
-        }
-    }
-
-    /// Reads a datagram; none where it is no digest.
-    #[must_use]
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
-    }
-}
+/// The most upstreams that a digest names: each takes up to seven bytes, and the
+/// whole fits in one Ethernet frame. An entry with more requests in flight than
+/// that tells those of the first ones only.
+pub const FLIGHTS: usize = 150;
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod report;
 pub mod seat;
 pub mod settle;
+pub mod word;
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -1,27 +1,9 @@
-//! What the agents beside the ranks of a group tell each other, in datagrams.
+//! What the agents beside the ranks of a group tell each other, and entries.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-/// The largest datagram: one Ethernet frame, so that no part can be lost alone.
-pub const LARGEST: usize = 1_400;
-
-/// A word between agents.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Word {
-    /// How the sender's rank stands.
-    State(State),
-    /// What the requests of the sender's rank chose lately.
-    Choices(Choices),
-    /// An order for the receiver's rank.
-    Order(Order),
-    /// The map that the receiver's rank is to prepare.
-    Map(Map),
-    /// What the sender's rank holds.
-    Held(Held),
-}
-
 /// How a rank stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -125,23 +107,13 @@
     pub experts: Vec<Vec<u16>>,
 }
 
-impl Word {
-    /// The word as a datagram.
-    ///
-    /// ```
-    /// use verbenaspool_protocol::seat::{Order, What, Word};
-    ///
-    /// let word = Word::Order(Order { epoch: 1, what: What::Go { step: 9 } });
-    /// assert_eq!(Word::decode(&word.encode()), Some(word));
-    /// ```
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
-    }
-
-    /// Reads a datagram; none where it is no word.
-    #[must_use]
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
-    }
+/// How a rank stands, for entries.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Counts the sender's words, above those of its earlier processes.
+    pub number: u64,
+    /// The upstream itself.
+    pub upstream: SocketAddr,
+    /// Whether all ranks of its group are there; otherwise it runs nothing.
+    pub open: bool,
 }
--- /dev/null
+++ b/verbenaspool_protocol/src/word.rs
@@ -0,0 +1,60 @@
+//! The datagrams between our processes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    digest::Digest,
+    seat::{Choices, Held, Map, Order, State, Status},
+};
+
+/// The largest datagram: one Ethernet frame, so that no part can be lost alone.
+pub const LARGEST: usize = 1_400;
+
+/// What one datagram says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// An entry, to the other entries: what it has.
+    Digest(Digest),
+    /// An entry, to an agent: it wants to hear how the rank stands.
+    Subscribe,
+    /// An agent, to an entry: how its rank stands.
+    Status(Status),
+    /// An agent, to the others: how its rank stands.
+    State(State),
+    /// An agent, to the lead: what the requests of its rank chose lately.
+    Choices(Choices),
+    /// The lead, to an agent: an order for its rank.
+    Order(Order),
+    /// The lead, to an agent: the map that its rank is to prepare.
+    Map(Map),
+    /// An agent, to the lead: what its rank holds.
+    Held(Held),
+}
+
+impl Word {
+    /// The word as a datagram.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::{
+    ///     seat::{Order, What},
+    ///     word::Word,
+    /// };
+    ///
+    /// let word = Word::Order(Order { epoch: 1, what: What::Go { step: 9 } });
+    /// assert_eq!(Word::decode(&word.encode()), Some(word));
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads a datagram; none where it is no word.
+    ///
+    /// ```
+    /// assert_eq!(verbenaspool_protocol::word::Word::decode(&[255]), None);
+    /// ```
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
