--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -132,8 +132,10 @@
                 client.send_fresh(replica.address, request).await
             }
         };
+        let began = self.gateway.clock.now();
         let answer = monoio::time::timeout(self.patience(), answer).await;
-        let sent = self.judge(answer, place);
+        let waited = self.gateway.clock.now().saturating_sub(began);
+        let sent = self.judge(answer, waited, place);
         match &sent {
             Sent::NotRun(why) => {
                 self.exposed.set(before);
@@ -160,15 +162,27 @@
         Ok(request)
     }
 
+    /// What silence tells of the upstream. A route may allow less time than its
+    /// requests take: that the time is over then says nothing, and an upstream
+    /// that was left alone for it would be missed by all other requests.
+    fn silence(&self, waited: Duration) -> Ending {
+        if waited >= self.route.target.mul_f64(PATIENCE) {
+            Ending::Silent
+        } else {
+            Ending::Unknown
+        }
+    }
+
     /// What an answer, or the want of one, tells.
     fn judge(
         &self,
         answer: Result<Result<Response<Body>, Error>, impl std::fmt::Debug>,
+        waited: Duration,
         place: Place,
     ) -> Sent {
         let response = match answer {
             Err(_) => {
-                place.ended(Ending::Silent);
+                place.ended(self.silence(waited));
                 return Sent::Unknown("silent");
             }
             Ok(Err(Error::NotSent(_))) => {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -216,7 +216,9 @@
         if let Some(response) = failed {
             return Ok(response);
         }
-        return Err(if work.exposed.get() {
+        return Err(if work.exposed.get() && work.left().is_zero() {
+            Refused::late("timeout")
+        } else if work.exposed.get() {
             Refused::unknown("unknown")
         } else {
             Refused::later("turned-away", TURNED_AWAY)
@@ -251,7 +253,9 @@
     let response = Response::from_parts(parts, Body::full(body.to_bytes()));
     work.record.end(status.as_u16(), "answered");
     if status.is_server_error() {
-        place.ended(Ending::Bad);
+        // The time that the request had was over; the upstream may be well.
+        let late = status == StatusCode::GATEWAY_TIMEOUT;
+        place.ended(if late { Ending::Unknown } else { Ending::Bad });
         // These statuses promise that the request didn't run, which this
         // upstream didn't say.
         if status == StatusCode::SERVICE_UNAVAILABLE {
