--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -21,7 +21,7 @@
 const COPIES: usize = 1;
 
 /// The least part of the pass that a copy has to save.
-const LEAST: f64 = 0.012;
+const LEAST: f64 = 0.025;
 
 /// Bits of a version that are drawn: a lead that was started again can't know
 /// every version that its forerunner gave out, and an order for one of those may
