Hold passes at the second rank, and stand in for a lead that is silent

Cause: a lead that froze right behind its order to hold kept its group standing until it woke.

The pass is now held at the second rank, by an order straight from the lead. The lead arms its own rank last. When it is silent and the group stands still, another agent bars the pass at all agents, has ranks disarmed and lets it begin.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -10,7 +10,7 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{Logger, debug, info, warn};
-use verbenaspool_coordination::switch::{Ended, Order as Change, Send};
+use verbenaspool_coordination::switch::{self, Ended, Order as Change, Send};
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
     digest,
@@ -31,6 +31,14 @@
 /// lead speaks to the rank itself.
 const SILENT: Duration = Duration::from_millis(300);
 
+/// How long a group must have stood still before the next rank's agent looks
+/// into it: several passes, and well below the 1.5 s after which requests are
+/// cut off.
+const STOOD: Duration = Duration::from_millis(400);
+
+/// How much longer each further rank's agent waits.
+const STOOD_PER_RANK: Duration = Duration::from_millis(250);
+
 /// How long an entry that asked hears how the rank stands.
 const SUBSCRIBED: Duration = Duration::from_millis(3_500);
 
@@ -41,6 +49,9 @@
 /// in a row are lost less than once in 50,000 times.
 const TRIES: u32 = 10;
 
+/// How old a rank's report may be that another instance gets from it.
+const LAG: Duration = Duration::from_millis(250);
+
 /// How many counts go into one datagram.
 const COUNTS: usize = 400;
 
@@ -66,6 +77,10 @@
     map: RefCell<Option<Partial>>,
     /// The counts that were last read, and of which incarnation of the rank.
     counts: RefCell<(u64, Vec<u64>)>,
+    /// Up to which pass of which epoch no order to arm is given.
+    bar: Cell<(u64, u64)>,
+    /// The last pass that the rank began, and since when it is the last.
+    stall: Cell<(u64, Duration)>,
     /// The order that the rank is being given.
     giving: RefCell<Option<order::Order>>,
     /// Entries that want to hear how the rank stands, and until when.
@@ -108,6 +123,8 @@
             instances: RefCell::default(),
             map: RefCell::default(),
             counts: RefCell::default(),
+            bar: Cell::default(),
+            stall: Cell::default(),
             giving: RefCell::default(),
             entries: RefCell::default(),
             status: Cell::default(),
@@ -148,6 +165,7 @@
             prepared: report.prepared,
             armed: report.armed,
             held: report.held,
+            barred: self.barred(seat.epoch),
         };
         let before = self.state.replace(Some(state.clone()));
         let place = |state: &State| (state.group, state.epoch, state.rank, state.size);
@@ -164,12 +182,95 @@
             self.lead.replace(lead);
         }
         self.hear_state(self.settings.address, state);
+        self.stalls(report);
         let now = self.state();
         let what = |state: &State| (state.map, state.prepared, state.armed, state.held);
         let changed = |before: &State| now.as_ref().map(what) != Some(what(before));
         before.as_ref().is_none_or(changed)
     }
 
+    /// Notes since when the rank has begun no pass though it has requests.
+    fn stalls(&self, report: &Report) {
+        let now = self.clock.now();
+        let (step, _) = self.stall.get();
+        if report.step != step || report.running == 0 {
+            self.stall.set((report.step, now));
+        }
+    }
+
+    /// Stands in for a lead that is silent while the group stands still.
+    ///
+    /// A lead that freezes or is cut off between the orders to hold a pass and to
+    /// let it begin would keep the whole group waiting until it is back. The next
+    /// rank's agent then reads the reports of all ranks and finishes what was
+    /// begun, as the switch says; each further rank waits longer, so that they
+    /// don't all do it. Two that do it at once, or a lead that wakes, only repeat
+    /// each other's orders.
+    pub async fn stand_in(self: &Rc<Self>) {
+        let Some(state) = self.state().filter(|state| state.rank > 0) else {
+            return;
+        };
+        let now = self.clock.now();
+        let heard = self.seats.borrow().get(0).map(|seat| seat.heard);
+        let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > SILENT);
+        let stood = now.saturating_sub(self.stall.get().1);
+        let patience = STOOD + STOOD_PER_RANK * u32::from(state.rank - 1);
+        let held = state.held.is_some();
+        let patience = if held { SILENT } else { patience };
+        if !silent || stood < patience {
+            if self.lead.borrow_mut().take().is_some() {
+                info!(self.log, "Agent: No longer stands in for the lead.");
+            }
+            return;
+        }
+        if self.lead.borrow().is_none() {
+            warn!(self.log, "Agent: The group stands still and its lead is silent; standing in.";
+                "rank" => state.rank, "step" => state.step, "for_ms" => stood.as_secs_f64() * 1e3);
+            let mut lead = Lead::new(state.size.into());
+            lead.stands_in = true;
+            self.lead.replace(Some(lead));
+        }
+        for rank in 0..state.size {
+            self.visit(rank).await;
+        }
+        self.drive().await;
+    }
+
+    /// Brings in the report of a rank: as its agent said, or from the rank itself
+    /// where its agent is silent.
+    async fn visit(self: &Rc<Self>, rank: u16) {
+        let now = self.clock.now();
+        let Some(seat) = self.seats.borrow().get(rank).cloned() else {
+            return;
+        };
+        let (at, report) = if now.saturating_sub(seat.heard) <= SILENT {
+            (seat.heard, Some(seats::report(&seat.state)))
+        } else {
+            let report = self.report_far(&seat.state).await;
+            (self.clock.now().saturating_sub(LAG), report)
+        };
+        if let (Some(report), Some(lead)) = (report, &mut *self.lead.borrow_mut()) {
+            lead.switch.report(at, rank.into(), report);
+        }
+    }
+
+    /// The report of a rank whose agent is silent, from the rank itself.
+    async fn report_far(&self, state: &State) -> Option<switch::Report> {
+        let far = Rank::new(self.client.clone(), state.upstream);
+        let report = far.report().await?;
+        let seat = report.seat.filter(|seat| seat.rank == state.rank)?;
+        Some(switch::Report {
+            epoch: seat.epoch,
+            step: report.step,
+            map: report.map,
+            prepared: report.prepared,
+            armed: report.armed,
+            held: report.held,
+            // Nobody gives orders there but the lead that is asked for here.
+            barred: 0,
+        })
+    }
+
     /// Takes a rank's state in.
     fn hear_state(&self, agent: IpAddr, state: State) {
         let own = self.state.borrow().as_ref().map(|own| own.group);
@@ -225,12 +326,38 @@
         }
     }
 
+    /// Up to which pass of an epoch no order to arm is given.
+    fn barred(&self, epoch: u64) -> u64 {
+        let (barred_epoch, step) = self.bar.get();
+        if barred_epoch == epoch { step } else { 0 }
+    }
+
+    /// Gives no order to arm for a pass up to this one from here on.
+    fn bar(&self, epoch: u64, step: u64) {
+        self.bar.set((epoch, self.barred(epoch).max(step)));
+        info!(self.log, "Agent: No order to arm is given any more."; "epoch" => epoch, "step" => step);
+    }
+
     /// Carries out an order of the lead, and tells it how the rank stands then.
     async fn obey(self: &Rc<Self>, agent: IpAddr, order: Order) {
         let what = match order.what {
             What::Hold { step } => order::Order::Hold { step },
+            What::Arm { step, .. } if step <= self.barred(order.epoch) => {
+                self.answer(agent).await;
+                return;
+            }
             What::Arm { version, step } => order::Order::Arm { version, step },
             What::Go { step } => order::Order::Go { step },
+            What::Bar { step } => {
+                self.bar(order.epoch, step);
+                self.answer(agent).await;
+                return;
+            }
+            What::Disarm { version } => order::Order::Disarm { version },
+            What::Look => {
+                self.answer(agent).await;
+                return;
+            }
         };
         self.give(&what, order.epoch).await;
         self.answer(agent).await;
@@ -504,7 +631,10 @@
             });
             return;
         }
-        if now.saturating_sub(seat.heard) > SILENT {
+        // A pass is held and let go straight from here: an agent that froze right
+        // behind its order to hold would take the held rank with it.
+        let straight = matches!(send.order, Change::Hold { .. } | Change::Go { .. });
+        if straight || now.saturating_sub(seat.heard) > SILENT {
             monoio::spawn(async move {
                 board.give_far(&seat.state, send.order, epoch).await;
             });
@@ -530,6 +660,8 @@
             Change::Hold { step } => What::Hold { step },
             Change::Arm { version, step } => What::Arm { version, step },
             Change::Go { step } => What::Go { step },
+            Change::Bar { step } => What::Bar { step },
+            Change::Disarm { version } => What::Disarm { version },
         };
         vec![Word::Order(Order { epoch, what })]
     }
@@ -549,11 +681,17 @@
             Change::Hold { step } => order::Order::Hold { step },
             Change::Arm { version, step } => order::Order::Arm { version, step },
             Change::Go { step } => order::Order::Go { step },
+            Change::Disarm { version } => order::Order::Disarm { version },
+            // This is for an agent, not for its rank.
+            Change::Bar { .. } => return None,
         })
     }
 
     /// Gives the own rank an order and goes on with what its report then says.
     async fn give_own(self: Rc<Self>, order: Change, epoch: u64) {
+        if let Change::Bar { step } = order {
+            self.bar(epoch, step);
+        }
         let Some(order) = self.direct(order) else {
             return;
         };
@@ -562,33 +700,31 @@
         Box::pin(self.drive()).await;
     }
 
-    /// Gives another rank an order whose agent is silent, and reads its report.
+    /// Gives another rank an order straight, and goes on with what its report
+    /// then says.
     async fn give_far(self: Rc<Self>, state: &State, order: Change, epoch: u64) {
         let Some(order) = self.direct(order) else {
             return;
         };
         let far = Rank::new(self.client.clone(), state.upstream);
         let outcome = far.order(&order, epoch, rank::FAR).await;
-        info!(self.log, "Agent: Gave an order to a rank whose agent is silent.";
-            "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
-        let Some(report) = far.report().await else {
-            return;
-        };
-        let Some(seat) = report.seat.filter(|seat| seat.rank == state.rank) else {
-            return;
-        };
-        let report = verbenaspool_coordination::switch::Report {
-            epoch: seat.epoch,
-            step: report.step,
-            map: report.map,
-            prepared: report.prepared,
-            armed: report.armed,
-            held: report.held,
-        };
+        if outcome != Outcome::Taken {
+            info!(self.log, "Agent: Another rank didn't take an order.";
+                "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
+        }
+        // What a rank says to another instance is some hundred milliseconds old;
+        // its agent knows better.
+        let seat = self.seats.borrow().get(state.rank).cloned();
         let now = self.clock.now();
-        if let Some(lead) = &mut *self.lead.borrow_mut() {
-            lead.switch.report(now, state.rank.into(), report);
+        if let Some(seat) = seat.filter(|seat| now.saturating_sub(seat.heard) <= SILENT) {
+            let look = Order {
+                epoch,
+                what: What::Look,
+            };
+            self.send(seat.agent, &Word::Order(look)).await;
+            return;
         }
+        self.visit(state.rank).await;
         Box::pin(self.drive()).await;
     }
 }
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -51,6 +51,9 @@
     pub switch: Switch,
     /// The map that it brings in use.
     pub plan: Option<Plan>,
+    /// Whether it only stands in for a lead that is silent, to let a pass begin
+    /// that is held.
+    pub stands_in: bool,
     ranks: usize,
     epoch: u64,
     held: BTreeMap<u16, Holding>,
@@ -64,6 +67,7 @@
         Self {
             switch: Switch::new(ranks),
             plan: None,
+            stands_in: false,
             ranks,
             epoch: 0,
             held: BTreeMap::new(),
@@ -137,7 +141,7 @@
 
     /// Begins a change, if one is worth it now.
     pub fn decide(&mut self, now: Duration, experts: &Experts) -> Option<Relief> {
-        if !self.switch.is_ready(now) {
+        if self.stands_in || !self.switch.is_ready(now) {
             return None;
         }
         let bound = Bound {
--- a/verbenaspool_agent/src/direct/rank.rs
+++ b/verbenaspool_agent/src/direct/rank.rs
@@ -21,7 +21,7 @@
 pub const NEAR: Duration = Duration::from_millis(15);
 
 /// How long an order may take that is given from another instance.
-pub const FAR: Duration = Duration::from_millis(60);
+pub const FAR: Duration = Duration::from_millis(40);
 
 /// The largest answer: the choices of some hundred sets.
 const LARGEST: usize = 4 * 1024 * 1024;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -134,6 +134,7 @@
                 board.tell(everybody).await;
             }
             board.drive().await;
+            board.stand_in().await;
             board.tell_entries().await;
         }
         clock.sleep(READ[usize::from(!changing)]).await;
--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -75,5 +75,6 @@
         prepared: state.prepared,
         armed: state.armed,
         held: state.held,
+        barred: state.barred,
     }
 }
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -19,6 +19,14 @@
 //! begin meanwhile, whatever is late. Orders name the group's epoch, and passes
 //! and versions are used once, so that a late order fits nothing that came after.
 //!
+//! A lead may freeze, die or be cut off at any of these points, and a held pass
+//! would keep the group standing. So the pass is held at another rank than the
+//! lead's, which can still be reached then, and the lead arms its own rank last.
+//! Another agent then stands in: it bars the pass at all agents but the lead's
+//! ([`Order::Bar`]), which from then on give no order to arm for it, has those
+//! disarmed that are armed, and lets the pass begin under the old map. As the
+//! others aren't armed, the lead's own rank isn't either.
+//!
 //! The machine does no I/O: it takes reports and the time, and returns orders.
 
 use std::time::Duration;
@@ -41,6 +49,15 @@
 /// How old a report may be that a held pass is judged by.
 const FRESH: Duration = Duration::from_millis(400);
 
+/// How long the keeper has to show that it holds a pass. Without that the change
+/// is given up, or the group would wait for a keeper that is out of reach.
+const HOLD: Duration = Duration::from_millis(400);
+
+/// How old the word may be that a pass is held when ranks are told to arm for
+/// it. A lead that was frozen must not act on what it knew before: another
+/// agent stands in after [`FRESH`] at the soonest.
+const SURE: Duration = Duration::from_millis(100);
+
 /// How long a pass must have been held before a deputy or a lead that doesn't
 /// know why looks into it: a change that goes well holds none.
 const HELD: Duration = Duration::from_millis(150);
@@ -60,6 +77,8 @@
     pub armed: Option<u64>,
     /// The pass that it holds.
     pub held: Option<u64>,
+    /// Up to which pass its agent gives no order to arm.
+    pub barred: u64,
 }
 
 /// An order to one rank.
@@ -87,6 +106,16 @@
         /// The pass.
         step: u64,
     },
+    /// Give no order to arm for a pass up to this one: for the agent itself.
+    Bar {
+        /// The pass.
+        step: u64,
+    },
+    /// Don't use the map of this version after all.
+    Disarm {
+        /// The map's version.
+        version: u64,
+    },
 }
 
 /// An order and the rank that it goes to.
@@ -115,11 +144,17 @@
     /// Ranks copy.
     Preparing { version: u64, until: Duration },
     /// The pass is to be held.
-    Holding { version: u64, step: u64 },
+    Holding {
+        version: u64,
+        step: u64,
+        until: Duration,
+    },
     /// Ranks are to be armed.
     Arming { version: u64, step: u64 },
     /// The pass is to begin.
     Going { version: u64, step: u64 },
+    /// No rank is to be armed any more, so that the pass can begin without.
+    Barring { step: u64 },
 }
 
 /// One rank as the machine knows it.
@@ -136,7 +171,7 @@
     epoch: u64,
     ranks: Vec<Rank>,
     phase: Phase,
-    /// Since when the first rank's report shows a held pass that isn't ours.
+    /// Since when the keeper's report shows a held pass that isn't ours.
     held: Option<(u64, Duration)>,
 }
 
@@ -177,6 +212,7 @@
         }
         if report.epoch == self.epoch
             && let Some(known) = self.ranks.get_mut(rank)
+            && known.report.is_none_or(|(_, at)| at <= now)
         {
             known.report = Some((report, now));
         }
@@ -240,9 +276,32 @@
         steps.map(|(report, _)| report.step).max().unwrap_or(0)
     }
 
-    /// What the first rank holds.
-    fn held(&self) -> Option<u64> {
-        self.ranks.first()?.report?.0.held
+    /// The rank that holds passes: not the lead's own, if there is another.
+    fn keeper(&self) -> usize {
+        usize::from(self.ranks.len() > 1)
+    }
+
+    /// What the keeper holds, as far as it said lately.
+    fn held(&self, now: Duration) -> Option<u64> {
+        let (report, at) = self.ranks.get(self.keeper())?.report?;
+        report.held.filter(|_| now.saturating_sub(at) <= SURE)
+    }
+
+    /// Whether the keeper said lately that it doesn't hold a pass.
+    fn released(&self, now: Duration, step: u64) -> bool {
+        let keeper = self.ranks.get(self.keeper()).and_then(|rank| rank.report);
+        keeper
+            .is_some_and(|(report, at)| now.saturating_sub(at) <= SURE && report.held != Some(step))
+    }
+
+    /// Whether the pass has begun at a rank without the map of this version.
+    fn missed(&self, now: Duration, version: u64, step: u64) -> bool {
+        self.ranks
+            .iter()
+            .filter_map(|rank| rank.report)
+            .any(|(report, at)| {
+                now.saturating_sub(at) <= FRESH && report.step >= step && report.map != version
+            })
     }
 
     /// The orders to send now, and how the change ended, if it did.
@@ -261,20 +320,35 @@
             Phase::Preparing { version, until } => {
                 if self.all(now, |report| report.prepared == Some(version)) {
                     let step = self.step() + AHEAD;
-                    self.enter(Phase::Holding { version, step });
+                    let until = now + HOLD;
+                    self.enter(Phase::Holding {
+                        version,
+                        step,
+                        until,
+                    });
                 } else if now >= until {
                     self.enter(Phase::Idle);
                     return Some(Ended::GivenUp(version));
                 }
                 None
             }
-            Phase::Holding { version, step } => {
-                if self.held() == Some(step) {
+            Phase::Holding {
+                version,
+                step,
+                until,
+            } => {
+                if self.held(now) == Some(step) {
                     self.enter(Phase::Arming { version, step });
                 } else if self.step() >= step {
                     // The pass began before it was held; nothing is armed yet.
                     let step = self.step() + AHEAD;
-                    self.enter(Phase::Holding { version, step });
+                    self.enter(Phase::Holding {
+                        version,
+                        step,
+                        until,
+                    });
+                } else if now >= until {
+                    self.enter(Phase::Going { version, step });
                 }
                 None
             }
@@ -283,13 +357,39 @@
                     |report: &Report| report.armed == Some(version) || report.map == version;
                 if self.all(now, ready) {
                     self.enter(Phase::Going { version, step });
+                } else if self.missed(now, version, step) {
+                    // Another agent stood in and let the pass begin.
+                    self.enter(Phase::Idle);
+                    return Some(Ended::GivenUp(version));
                 }
                 None
             }
             Phase::Going { version, step } => {
-                if self.held() != Some(step) {
+                if self.released(now, step) {
+                    self.enter(Phase::Idle);
+                    let missed = self.missed(now, version, step);
+                    return Some(if missed {
+                        Ended::GivenUp(version)
+                    } else {
+                        Ended::Done(version)
+                    });
+                }
+                None
+            }
+            Phase::Barring { step } => {
+                let others = self.ranks.iter().skip(1);
+                let barred = |rank: &Rank| match rank.report {
+                    Some((report, at)) => {
+                        now.saturating_sub(at) <= FRESH
+                            && report.barred >= step
+                            && report.armed.is_none()
+                    }
+                    None => false,
+                };
+                if others.map(barred).all(|barred| barred) {
+                    self.enter(Phase::Going { version: 0, step });
+                } else if self.released(now, step) {
                     self.enter(Phase::Idle);
-                    return Some(Ended::Done(version));
                 }
                 None
             }
@@ -299,8 +399,15 @@
     /// Looks into a pass that is held though no change is under way: its lead
     /// died, or the order to hold was carried out late.
     fn recover(&mut self, now: Duration) {
-        let Some(step) = self.held() else {
-            self.held = None;
+        let Some(step) = self.held(now) else {
+            if self
+                .ranks
+                .get(self.keeper())
+                .and_then(|rank| rank.report)
+                .is_some_and(|(r, _)| r.held.is_none())
+            {
+                self.held = None;
+            }
             return;
         };
         let since = match self.held {
@@ -313,35 +420,56 @@
         if now.saturating_sub(since) < HELD {
             return;
         }
-        let reports: Vec<Report> = self
-            .ranks
-            .iter()
-            .filter_map(|rank| rank.report)
-            .filter(|(_, at)| *at >= since && now.saturating_sub(*at) <= FRESH)
-            .map(|(report, _)| report)
-            .collect();
-        if reports.len() < self.ranks.len() {
+        let fresh = |rank: &Rank| {
+            let (report, at) = rank.report?;
+            (at >= since && now.saturating_sub(at) <= FRESH).then_some(report)
+        };
+        let reports: Vec<Option<Report>> = self.ranks.iter().map(fresh).collect();
+        if reports.iter().skip(1).any(Option::is_none) {
+            return;
+        }
+        if reports.first().is_some_and(Option::is_none) {
+            self.enter(Phase::Barring { step });
             return;
         }
         let version = self.highest();
-        let in_use = reports.iter().all(|report| report.map == version);
+        let in_use = |report: &Report| report.map == version;
         let copied = |report: &Report| {
             [Some(report.map), report.prepared, report.armed].contains(&Some(version))
         };
-        if !in_use && reports.iter().all(copied) {
+        let mut known = reports.iter().flatten();
+        let barred = known.clone().any(|report| report.barred >= step);
+        if barred {
+            // Another agent stands in; going forward could not end any more.
+            self.enter(Phase::Barring { step });
+        } else if !known.clone().all(in_use) && known.clone().all(copied) {
             // Any rank may be armed by now, or become so by a late order: only
             // with all of them armed is it known what the pass will use.
             self.enter(Phase::Arming { version, step });
-        } else if reports.iter().all(|report| report.armed.is_none()) {
+        } else if known.all(|report| report.armed.is_none()) {
             // Ranks are armed only once all have copied, and some haven't: so
             // none was told to arm.
-            self.enter(Phase::Going { version, step });
+            self.enter(Phase::Going { version: 0, step });
         }
     }
 
     /// The orders of the phase to those ranks that don't show their effect.
     fn orders(&mut self, now: Duration) -> Vec<Send> {
         let phase = self.phase;
+        let keeper = self.keeper();
+        // Arming is only for a pass that is known to be held.
+        let sure = match phase {
+            Phase::Arming { step, .. } => self.held(now) == Some(step),
+            _ => false,
+        };
+        let others_armed = match phase {
+            Phase::Arming { version, .. } => self.ranks.iter().skip(1).all(|rank| {
+                let armed =
+                    |(r, _): (Report, Duration)| r.armed == Some(version) || r.map == version;
+                rank.report.is_some_and(armed)
+            }),
+            _ => false,
+        };
         let mut orders = Vec::new();
         for (rank, known) in self.ranks.iter_mut().enumerate() {
             let Some((report, _)) = known.report else {
@@ -352,11 +480,15 @@
                 Phase::Preparing { version, .. } => {
                     (report.prepared != Some(version)).then_some(Order::Prepare { version })
                 }
-                Phase::Holding { step, .. } => (rank == 0).then_some(Order::Hold { step }),
-                Phase::Arming { version, step } => (report.armed != Some(version)
-                    && report.map != version)
-                    .then_some(Order::Arm { version, step }),
-                Phase::Going { step, .. } => (rank == 0).then_some(Order::Go { step }),
+                Phase::Holding { step, .. } => (rank == keeper).then_some(Order::Hold { step }),
+                Phase::Arming { version, step } => {
+                    let own_turn = rank > 0 || others_armed;
+                    let armed = report.armed == Some(version) || report.map == version;
+                    (sure && own_turn && !armed).then_some(Order::Arm { version, step })
+                }
+                Phase::Going { step, .. } => (rank == keeper).then_some(Order::Go { step }),
+                Phase::Barring { step } if report.barred < step => Some(Order::Bar { step }),
+                Phase::Barring { .. } => report.armed.map(|version| Order::Disarm { version }),
             };
             let again = match phase {
                 Phase::Preparing { .. } => AGAIN_PREPARE,
--- /dev/null
+++ b/verbenaspool_coordination/tests/switch/steps.rs
@@ -0,0 +1,139 @@
+//! Single steps of the switch.
+
+use std::time::Duration;
+
+use verbenaspool_coordination::switch::{Ended, Order, Report, Send, Switch};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn tell(switch: &mut Switch, now: Duration, reports: &[Report]) {
+    for (rank, report) in reports.iter().enumerate() {
+        switch.report(now, rank, *report);
+    }
+}
+
+/// A change goes from copy to use in four rounds of orders, the lead's own rank
+/// being armed last.
+#[test]
+fn a_change_holds_before_it_arms() {
+    let mut switch = Switch::new(3);
+    let mut reports = [Report {
+        epoch: 1,
+        step: 7,
+        ..Report::default()
+    }; 3];
+    tell(&mut switch, ms(1_000), &reports);
+    assert!(switch.is_ready(ms(1_000)));
+    switch.start(ms(1_000), 5, ms(150));
+    let (orders, _) = switch.poll(ms(1_000));
+    assert_eq!(orders.len(), 3);
+    assert!(
+        orders
+            .iter()
+            .all(|send| send.order == Order::Prepare { version: 5 })
+    );
+    reports
+        .iter_mut()
+        .for_each(|report| report.prepared = Some(5));
+    tell(&mut switch, ms(1_200), &reports);
+    let hold = Send {
+        rank: 1,
+        order: Order::Hold { step: 8 },
+    };
+    assert_eq!(switch.poll(ms(1_200)).0, [hold]);
+    reports[1].held = Some(8);
+    tell(&mut switch, ms(1_205), &reports);
+    let arm = Order::Arm {
+        version: 5,
+        step: 8,
+    };
+    let arms = [1, 2].map(|rank| Send { rank, order: arm });
+    assert_eq!(switch.poll(ms(1_205)).0, arms);
+    reports[1].armed = Some(5);
+    reports[2].armed = Some(5);
+    tell(&mut switch, ms(1_210), &reports);
+    assert_eq!(
+        switch.poll(ms(1_260)).0,
+        [Send {
+            rank: 0,
+            order: arm
+        }]
+    );
+    reports[0].armed = Some(5);
+    tell(&mut switch, ms(1_265), &reports);
+    let go = Send {
+        rank: 1,
+        order: Order::Go { step: 8 },
+    };
+    assert_eq!(switch.poll(ms(1_265)).0, [go]);
+    for report in &mut reports {
+        *report = Report {
+            epoch: 1,
+            step: 8,
+            map: 5,
+            ..Report::default()
+        };
+    }
+    tell(&mut switch, ms(1_300), &reports);
+    assert_eq!(switch.poll(ms(1_300)), (Vec::new(), Some(Ended::Done(5))));
+}
+
+/// The group breaks while a change is under way: ranks start over with the first
+/// map, and an order for the old epoch must not be given any more.
+#[test]
+fn a_new_epoch_ends_a_change() {
+    let mut switch = Switch::new(2);
+    let reports = [Report {
+        epoch: 1,
+        step: 7,
+        ..Report::default()
+    }; 2];
+    tell(&mut switch, ms(0), &reports);
+    switch.start(ms(0), 5, ms(150));
+    switch.report(
+        ms(10),
+        1,
+        Report {
+            epoch: 2,
+            ..Report::default()
+        },
+    );
+    assert!(switch.is_idle());
+    assert_eq!(switch.poll(ms(10)).0, []);
+    switch.report(ms(11), 0, reports[0]);
+    assert_eq!(switch.epoch(), 2);
+    assert!(!switch.is_ready(ms(11)));
+}
+
+/// A lead dies between holding and arming, and its successor finds a held pass
+/// that it knows nothing of: all ranks have copied, so it goes forward.
+#[test]
+fn a_held_pass_of_a_dead_lead_is_finished() {
+    let mut switch = Switch::new(2);
+    let mut reports = [Report {
+        epoch: 1,
+        step: 7,
+        prepared: Some(5),
+        ..Report::default()
+    }; 2];
+    reports[1].held = Some(8);
+    reports[1].armed = Some(5);
+    for now in [0, 100, 200] {
+        tell(&mut switch, ms(now), &reports);
+        switch.poll(ms(now));
+    }
+    tell(&mut switch, ms(260), &reports);
+    let arm = Order::Arm {
+        version: 5,
+        step: 8,
+    };
+    assert_eq!(
+        switch.poll(ms(260)).0,
+        [Send {
+            rank: 0,
+            order: arm
+        }]
+    );
+}
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -29,6 +29,8 @@
     pub armed: Option<u64>,
     /// The pass that it holds.
     pub held: Option<u64>,
+    /// Up to which pass the agent gives no order to arm.
+    pub barred: u64,
 }
 
 /// What the requests of a rank chose since the word before.
@@ -75,6 +77,18 @@
         /// The pass.
         step: u64,
     },
+    /// Give no order to arm for a pass up to this one.
+    Bar {
+        /// The pass.
+        step: u64,
+    },
+    /// Don't switch to a map after all.
+    Disarm {
+        /// The map's version.
+        version: u64,
+    },
+    /// Nothing but to say how the rank stands now.
+    Look,
 }
 
 /// A part of a map to prepare: the experts of some sets.
