Know what ranks hold behind a change without their word

The lead waited up to 0.2 s for ranks to say what they hold before it could decide again. The waiting is gone; nothing else is claimed.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -605,6 +605,9 @@
         match ended {
             Some(Ended::Done(version)) => {
                 info!(self.log, "Agent: A map of experts is in use."; "version" => version);
+                if let Some(lead) = &mut *self.lead.borrow_mut() {
+                    lead.brought(version);
+                }
             }
             Some(Ended::GivenUp(version)) => {
                 warn!(self.log, "Agent: A change of map is given up; not all ranks have copied.";
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -98,7 +98,9 @@
             self.epoch = held.epoch;
             self.held.clear();
         }
-        if held.epoch == self.epoch {
+        // A word from before the last change comes too late.
+        let newer = |known: &Holding| held.version >= known.version;
+        if held.epoch == self.epoch && self.held.get(&held.rank).is_none_or(newer) {
             let holding = Holding {
                 version: held.version,
                 experts: held.experts,
@@ -107,6 +109,22 @@
         }
     }
 
+    /// A map is in use that this lead brought there: what ranks hold is known
+    /// without their word, which takes up to 0.2 s.
+    pub fn brought(&mut self, version: u64) {
+        let Some(plan) = self.plan.as_ref().filter(|plan| plan.version == version) else {
+            return;
+        };
+        for rank in 0..self.ranks {
+            let experts = plan.places.iter().map(|ranks| ranks[rank].clone());
+            let holding = Holding {
+                version,
+                experts: experts.collect(),
+            };
+            self.held.insert(u16::try_from(rank).unwrap_or(u16::MAX), holding);
+        }
+    }
+
     /// The map in use, where all ranks said that they hold the same version.
     fn layers(&self, experts: &Experts) -> Option<Vec<Layer>> {
         let first = self.held.get(&0)?;
