--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -198,17 +198,22 @@
             Ok(Ok(response)) => response,
         };
         let said = header::answer(response.headers());
+        let status = response.status();
+        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let nameless = misdirected && header::is_nameless(response.headers());
         // A late or doubled answer to another request may come where this one's
         // is due. Its connection goes with it.
-        if !header::belongs(response.headers(), self.said.id.as_ref()) {
+        if !nameless && !header::belongs(response.headers(), self.said.id.as_ref()) {
             place.ended(Ending::Bad);
             return Sent::Unknown("not-its-answer");
         }
-        let status = response.status();
-        if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            let wrong = status == StatusCode::MISDIRECTED_REQUEST;
-            place.ended(if wrong { Ending::Silent } else { Ending::Full });
-            return Sent::NotRun(if wrong { "misdirected" } else { "turned-away" });
+        if misdirected {
+            place.ended(Ending::Silent);
+            return Sent::NotRun("misdirected");
+        }
+        if said.not_run {
+            place.ended(Ending::Full);
+            return Sent::NotRun("turned-away");
         }
         if status.is_success() && (!said.signed || said.encoded) {
             place.ended(Ending::Bad);
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -52,6 +52,8 @@
     revision: u64,
     /// Since when the store answers without a break; none while it doesn't.
     back: Option<Duration>,
+    /// Whether it was away since the process began.
+    was_away: bool,
     pause: Duration,
 }
 
@@ -65,6 +67,7 @@
             objects: BTreeMap::new(),
             revision: 0,
             back: None,
+            was_away: false,
             pause: PAUSE[0],
         }
     }
@@ -143,7 +146,12 @@
             }
             Kind::Registry => {
                 let back = self.back.unwrap_or_else(|| self.gateway.clock.now());
-                let settled = registry::settled(back);
+                // Without an outage nothing has lapsed: what is missing is gone.
+                let settled = if self.was_away {
+                    registry::settled(back)
+                } else {
+                    Duration::ZERO
+                };
                 self.gateway
                     .enlist(settled, self.revision, &self.objects, "store");
             }
@@ -161,6 +169,7 @@
 
     /// The store has not answered: waits before the next call.
     async fn failed(&mut self, why: &Error) {
+        self.was_away = true;
         if self.back.take().is_some() {
             warn!(self.gateway.log, "Entry: The store doesn't answer; what is known stays in force.";
                 "kind" => self.kind.name(), "reason" => why.to_string());
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -60,9 +60,11 @@
 
 /// The words by which the process is told what to do.
 #[derive(Debug, Clone, Default)]
-struct Words {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+pub struct Words {
+    /// To stop, and end what is in flight.
+    pub stop: Arc<AtomicBool>,
+    /// To read the settings anew.
+    pub reload: Arc<AtomicBool>,
 }
 
 /// Runs the entry until SIGTERM or SIGINT.
@@ -103,7 +105,10 @@
 }
 
 /// Runs the entry until it is told to stop, then drains.
-async fn serve(
+///
+/// # Errors
+/// An address can't be listened at.
+pub async fn serve(
     settings: Settings,
     path: PathBuf,
     log: Logger,
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -121,7 +121,8 @@
                 version,
                 experts: experts.collect(),
             };
-            self.held.insert(u16::try_from(rank).unwrap_or(u16::MAX), holding);
+            self.held
+                .insert(u16::try_from(rank).unwrap_or(u16::MAX), holding);
         }
     }
 
