Judge a group of engines as a whole when work is placed

Cause: the pace of passes was learnt upstream by upstream, as the pause between events over the pass that the upstream's own requests make. Ranks make each pass together, so the busiest rank looked quickest for what it had and got more: nine streams where six were in time. The pace is the group's now, which agents name. A place that another entry freed is left for up to 0.16 s, so that entries don't all take it.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -17,7 +17,7 @@
 
 /// How long a watch waits. A connection to the store that fell silent is found
 /// within this and a second; each call is paid for, so it isn't shorter.
-const WAIT: Duration = Duration::from_millis(3_000);
+const WAIT: Duration = Duration::from_secs(3);
 
 /// The pause after a call that failed, at first and at most. What the store
 /// refuses must be asked for again within the bound on changes, which is 2 s.
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -219,9 +219,9 @@
             return;
         };
         drop(registry);
-        let changed = self
-            .desk(&upstream.service)
-            .with(|dispatcher, now| dispatcher.status(now, &upstream.id, status.open));
+        let changed = self.desk(&upstream.service).with(|dispatcher, now| {
+            dispatcher.status(now, &upstream.id, status.group, status.open)
+        });
         if changed {
             info!(self.log, "Entry: A rank's group changed.";
                 "upstream" => &*upstream.id, "open" => status.open);
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -43,7 +43,7 @@
 const OVERTAKEN: Duration = Duration::from_millis(300);
 
 /// How long a silent peer is still sent digests, so that a cut that ends is found.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// How long the store has to bring what a peer is known to have, before the peer
 /// is asked. It brings a change within milliseconds.
@@ -54,7 +54,7 @@
 
 /// How often agents are asked for their ranks' state. They go on telling it for
 /// three times as long.
-const SUBSCRIBE: Duration = Duration::from_millis(1_000);
+const SUBSCRIBE: Duration = Duration::from_secs(1);
 
 /// The RPC method by which peers get what they lack.
 pub const LATEST: &str = "latest";
@@ -206,11 +206,11 @@
     fn share(&self) {
         let sums = self.peers.borrow().flights(self.clock.now());
         for desk in self.desks() {
-            desk.with(|dispatcher, _| {
+            desk.with(|dispatcher, now| {
                 let ids: Vec<Rc<str>> = dispatcher.ids().cloned().collect();
                 for id in ids {
                     let others = sums.get(&digest::hash(&id)).copied().unwrap_or(0);
-                    dispatcher.others(&id, others);
+                    dispatcher.others(now, &id, others);
                 }
             });
         }
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -8,7 +8,7 @@
 /// How long entries that are missing are kept behind an outage of the store.
 /// They lapse while upstreams can't reach it, and those that live are back
 /// within about two seconds; those that aren't by then are gone.
-const LAPSE: Duration = Duration::from_millis(2_000);
+const LAPSE: Duration = Duration::from_secs(2);
 
 /// The upstreams, and the objects that they were read from.
 #[derive(Debug, Default)]
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -33,7 +33,7 @@
 const WHOLE: usize = 1024 * 1024;
 
 /// When a caller should come back to an entry that knows no configuration yet.
-const UNREADY: Duration = Duration::from_millis(1_000);
+const UNREADY: Duration = Duration::from_secs(1);
 
 /// When a caller should come back whose request found no entry to take it: at
 /// once, to another entry.
@@ -43,7 +43,7 @@
 const TURNED_AWAY: Duration = Duration::from_millis(500);
 
 /// A wait beyond all others, for callers that name none.
-const UNBOUNDED: Duration = Duration::from_secs(3_600);
+const UNBOUNDED: Duration = Duration::from_hours(1);
 
 impl Handler for Gateway {
     fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -77,6 +77,8 @@
     map: RefCell<Option<Partial>>,
     /// The counts that were last read, and of which incarnation of the rank.
     counts: RefCell<(u64, Vec<u64>)>,
+    /// The short name of the group that the rank last sat in.
+    group: Cell<u32>,
     /// Up to which pass of which epoch no order to arm is given.
     bar: Cell<(u64, u64)>,
     /// The last pass that the rank began, and since when it is the last.
@@ -123,6 +125,7 @@
             instances: RefCell::default(),
             map: RefCell::default(),
             counts: RefCell::default(),
+            group: Cell::default(),
             bar: Cell::default(),
             stall: Cell::default(),
             giving: RefCell::default(),
@@ -153,9 +156,10 @@
             return false;
         };
         self.number.set(self.number.get() + 1);
+        self.group.set(digest::hash(&seat.group));
         let state = State {
             number: self.number.get(),
-            group: digest::hash(&seat.group),
+            group: self.group.get(),
             epoch: seat.epoch,
             rank: seat.rank,
             size: seat.size,
@@ -485,6 +489,7 @@
         let word = Word::Status(Status {
             number: self.number.get(),
             upstream: self.settings.upstream,
+            group: self.group.get(),
             open,
         });
         let mut entries = self.entries.borrow_mut();
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -41,14 +41,14 @@
 const TELL: Duration = Duration::from_millis(100);
 
 /// How often all agents of the service hear of each other.
-const HELLO: Duration = Duration::from_millis(1_000);
+const HELLO: Duration = Duration::from_secs(1);
 
 /// How often the lead hears what the rank holds, if nothing changes.
-const HELD: Duration = Duration::from_millis(1_000);
+const HELD: Duration = Duration::from_secs(1);
 
 /// How often the registry and the configuration are read: often while agents of
 /// the group are missing, seldom otherwise. Both change little for a group.
-const LOOK: [Duration; 2] = [Duration::from_millis(2_500), Duration::from_millis(20_000)];
+const LOOK: [Duration; 2] = [Duration::from_millis(2_500), Duration::from_secs(20)];
 
 /// How long a call to the store may take.
 const STORE: Duration = Duration::from_millis(1_500);
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -377,7 +377,7 @@
                 None
             }
             Phase::Barring { step } => {
-                let others = self.ranks.iter().skip(1);
+                let mut others = self.ranks.iter().skip(1);
                 let barred = |rank: &Rank| match rank.report {
                     Some((report, at)) => {
                         now.saturating_sub(at) <= FRESH
@@ -386,7 +386,7 @@
                     }
                     None => false,
                 };
-                if others.map(barred).all(|barred| barred) {
+                if others.all(barred) {
                     self.enter(Phase::Going { version: 0, step });
                 } else if self.released(now, step) {
                     self.enter(Phase::Idle);
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -39,6 +39,17 @@
 /// its slots wait there, so that it never idles between two requests.
 const PLAIN: f64 = 2.0;
 
+/// What another zone adds to the cost of sending: bytes between zones are paid
+/// for, but little. A slot more or less weighs four times as much.
+const FAR: f64 = 0.02;
+
+/// How far choices that are as good as each other are spread.
+const TIE: f64 = 0.01;
+
+/// How long a place that another entry freed is left at most. It spreads what
+/// entries do over several digests, which come each 40 ms or so.
+const SHY: Duration = Duration::from_millis(160);
+
 /// How long an agent is believed that its rank's group is broken. It says so
 /// twice a second; one that is silent may be cut off while its rank serves.
 const BELIEVED: Duration = Duration::from_millis(1_600);
@@ -57,13 +68,15 @@
 /// The shortest and the longest time after which a refused caller is asked to
 /// come back. Sooner, the same upstreams are still full: a stream lasts 2 s.
 /// Later, callers with eight seconds in all have too little left.
-const COME_BACK: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_000)];
+const COME_BACK: [Duration; 2] = [Duration::from_millis(600), Duration::from_secs(2)];
 
 /// The same while no upstream of the service runs: groups form anew within
 /// seconds, and the longest time that callers wait before they come back, a third
 /// of what they have, reaches furthest.
-const COME_BACK_CLOSED: [Duration; 2] =
-    [Duration::from_millis(2_000), Duration::from_millis(2_600)];
+const COME_BACK_CLOSED: [Duration; 2] = [Duration::from_secs(2), Duration::from_millis(2_600)];
+
+/// Two to the 53rd, the numbers that a draw is taken from.
+const SPREAD: f64 = 9_007_199_254_740_992.0;
 
 /// What a request asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -151,10 +164,12 @@
     closed: Option<Duration>,
     /// Requests of this entry that it has.
     own: u32,
-    /// Requests of other entries that it has, as they said last.
+    /// Requests of other entries that it has, as reckoned with.
     others: u32,
-    /// How long its passes take.
-    pass: Pass,
+    /// Fewer than that, as they said last, and from when on that is believed.
+    fewer: Option<(u32, Duration)>,
+    /// The group whose ranks make each pass together; 0 where it isn't known.
+    group: u32,
     /// Whether it is worth sending to.
     trust: Trust,
 }
@@ -170,10 +185,10 @@
     upstreams: BTreeMap<Rc<str>, Upstream>,
     /// Requests that wait.
     line: Line,
-    /// What all upstreams together say of the pace of passes.
-    pace: f64,
-    /// When [`Self::pace`] was last learnt.
-    learnt: Duration,
+    /// The pace of each group's passes.
+    passes: BTreeMap<u32, Pass>,
+    /// The pace of all groups, for those of which nothing is known.
+    all: Pass,
     /// Spreads choices that are as good as each other.
     draws: u64,
 }
@@ -187,8 +202,8 @@
             engine: None,
             upstreams: BTreeMap::new(),
             line: Line::default(),
-            pace: pass::UNKNOWN,
-            learnt: Duration::ZERO,
+            passes: BTreeMap::new(),
+            all: Pass::default(),
             draws: seed | 1,
         }
     }
@@ -217,17 +232,50 @@
     }
 
     /// Takes over what other entries have in flight at an upstream.
-    pub fn others(&mut self, id: &str, requests: u32) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
+    ///
+    /// Load: every entry has requests in line. A place that comes free is seen by
+    /// all of them in the same moment, and each would take it: with four entries
+    /// an upstream got nine streams where six were in time. So a place that
+    /// another entry freed is left for a while, another one for each entry; the
+    /// entry that freed it has it at once.
+    pub fn others(&mut self, now: Duration, id: &str, requests: u32) {
+        let wait = SHY.mul_f64(self.draw());
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if requests >= upstream.others {
             upstream.others = requests;
+            upstream.fewer = None;
+            return;
+        }
+        let until = upstream.fewer.map_or(now + wait, |(_, until)| until);
+        if now < until {
+            upstream.fewer = Some((requests, until));
+        } else {
+            upstream.others = requests;
+            upstream.fewer = None;
+        }
+    }
+
+    /// Believes what was left to be believed for a while.
+    fn believe(&mut self, now: Duration) {
+        for upstream in self.upstreams.values_mut() {
+            if let Some((requests, until)) = upstream.fewer
+                && now >= until
+            {
+                upstream.others = requests;
+                upstream.fewer = None;
+            }
         }
     }
 
-    /// Takes in whether an upstream's group runs; tells whether that changed.
-    pub fn status(&mut self, now: Duration, id: &str, open: bool) -> bool {
+    /// Takes in which group an upstream belongs to and whether that runs; tells
+    /// whether the latter changed.
+    pub fn status(&mut self, now: Duration, id: &str, group: u32, open: bool) -> bool {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return false;
         };
+        upstream.group = group;
         let before = upstream.closed.is_none();
         upstream.closed = (!open).then_some(now);
         if open && !before {
@@ -250,23 +298,36 @@
 
     /// Learns from a pause between two events of a stream.
     pub fn pause(&mut self, now: Duration, id: &str, pause: Duration) {
-        let Some(engine) = &self.engine else {
+        let (Some(engine), Some(upstream)) = (&self.engine, self.upstreams.get(id)) else {
             return;
         };
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return;
-        };
-        let usual = engine.pass(f64::from(upstream.own + upstream.others));
+        let group = upstream.group;
+        let usual = engine.pass(self.mean(group));
         let ratio = pause.as_secs_f64() / usual.as_secs_f64().max(1e-6);
-        upstream.pass.learn(now, ratio);
-        self.pace = pass::blend(self.pace, self.learnt, now, ratio);
-        self.learnt = now;
+        self.passes.entry(group).or_default().learn(now, ratio);
+        self.all.learn(now, ratio);
+    }
+
+    /// Requests that an upstream of a group has on average.
+    ///
+    /// Ranks make each pass together, and most of a pass is the work of experts
+    /// that all ranks share: it depends on the group's requests, not on those of
+    /// one rank. Reckoned rank by rank, the busiest one looks quickest for what
+    /// it has, and gets more.
+    fn mean(&self, group: u32) -> f64 {
+        let ranks = self
+            .upstreams
+            .values()
+            .filter(|u| u.group == group && u.ready);
+        let busy = ranks.map(|upstream| f64::from(upstream.own + upstream.others));
+        let (sum, count) = busy.fold((0.0, 0.0), |(sum, count), busy| (sum + busy, count + 1.0));
+        sum / f64::max(count, 1.0)
     }
 
     /// Puts a request in line; [`Self::pump`] tells what becomes of it.
     pub fn submit(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
         let patience = if ask.target > now {
-            (ask.target - now).mul_f64(PATIENCE)
+            ask.target.saturating_sub(now).mul_f64(PATIENCE)
         } else {
             let left = ask.deadline.saturating_sub(now).mul_f64(LATE_PATIENCE);
             left.min(LONGEST_WAIT)
@@ -295,6 +356,7 @@
     /// Places and refuses what can be by now. A request that is placed counts as
     /// in flight from here on.
     pub fn pump(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        self.believe(now);
         let mut verdicts = Vec::new();
         let mut kept = Vec::new();
         for waiting in self.line.take() {
@@ -332,7 +394,7 @@
         };
         // Spread over a stream's usual length, so that those refused together
         // don't come back together.
-        let after = soonest + (latest - soonest).mul_f64(self.draw());
+        let after = soonest + latest.saturating_sub(soonest).mul_f64(self.draw());
         Some(Verdict::Refuse(Refusal { reason, after }))
     }
 
@@ -343,13 +405,14 @@
         self.draws ^= self.draws << 17;
         #[allow(clippy::cast_precision_loss)] // 53 bits are left.
         let part = (self.draws >> 11) as f64;
-        part / (1_u64 << 53) as f64
+        part / SPREAD
     }
 
     /// The best upstream with room for a request.
     fn choose(&mut self, now: Duration, waiting: &Waiting, over: bool) -> Option<Rc<str>> {
-        let mut best: Option<(f64, Rc<str>)> = None;
         let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
+        let mut slowness = BTreeMap::new();
+        let mut best: Option<(f64, Rc<str>)> = None;
         for id in ids {
             let tie = self.draw();
             let Some(upstream) = self.upstreams.get(&id) else {
@@ -358,15 +421,15 @@
             if !upstream.is_open(now) || waiting.ask.avoid.contains(&id) {
                 continue;
             }
-            let Some(cost) = self.cost(now, upstream, waiting, over) else {
+            let group = upstream.group;
+            let group = *slowness
+                .entry(group)
+                .or_insert_with(|| self.slowness(now, group, waiting));
+            let Some(cost) = cost(now, upstream, group, waiting.late || over) else {
                 continue;
             };
-            let far = if upstream.zone == self.zone {
-                0.0
-            } else {
-                0.02
-            };
-            let cost = cost + far + 0.01 * tie;
+            let far = if upstream.zone == self.zone { 0.0 } else { FAR };
+            let cost = cost + far + TIE * tie;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, id));
             }
@@ -374,29 +437,22 @@
         best.map(|(_, id)| id)
     }
 
-    /// What sending a request to an upstream costs; nothing, where it has no room.
-    fn cost(
-        &self,
-        now: Duration,
-        upstream: &Upstream,
-        waiting: &Waiting,
-        over: bool,
-    ) -> Option<f64> {
-        let distrust = upstream.trust.cost(now)?;
-        let busy = f64::from(upstream.own + upstream.others);
-        let slots = f64::from(upstream.slots.max(1));
-        let (Some(engine), Some(gap)) = (&self.engine, waiting.ask.gap) else {
-            let room = busy < slots * PLAIN;
-            return room.then_some(busy / slots + distrust);
-        };
-        let pace = upstream.pass.pace(now, self.pace);
-        let pass = engine.pass(busy + 1.0).mul_f64(pace);
-        let bound = gap.mul_f64(HEADROOM);
-        let slowness = pass.as_secs_f64() / bound.as_secs_f64().max(1e-6);
-        let in_time = slowness <= 1.0 && busy < slots;
-        // Where it is late already, or would be refused, a late answer will do.
-        let in_any_case = (over || waiting.late) && busy < slots * LEAST;
-        (in_time || in_any_case).then_some(slowness + distrust)
+    /// How a group's passes would be with one request more; nothing for requests
+    /// that aren't streams.
+    fn slowness(&self, now: Duration, group: u32, waiting: &Waiting) -> Option<Slowness> {
+        let engine = self.engine.as_ref()?;
+        let bound = waiting.ask.gap?.mul_f64(HEADROOM);
+        let all = self.all.pace(now, pass::UNKNOWN);
+        let pace = self
+            .passes
+            .get(&group)
+            .map_or(all, |pass| pass.pace(now, all));
+        let mean = self.mean(group);
+        let pass = engine.pass(mean + 1.0).mul_f64(pace);
+        Some(Slowness {
+            pass: pass.as_secs_f64() / bound.as_secs_f64().max(1e-6),
+            used: mean / f64::from(engine.slots.max(1)),
+        })
     }
 
     /// Records how a sending ended.
@@ -417,7 +473,7 @@
             .filter(|upstream| upstream.is_open(now));
         let mut snapshot = Snapshot {
             waiting: self.line.len(),
-            pace: self.pace,
+            pace: self.all.pace(now, pass::UNKNOWN),
             ..Snapshot::default()
         };
         for upstream in ready {
@@ -444,6 +500,31 @@
     pub pace: f64,
 }
 
+/// How slow a group's passes would be with one request more.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    /// The pass, against what makes streams late.
+    pass: f64,
+    /// The part of the group's slots that is taken.
+    used: f64,
+}
+
+/// What sending a request to an upstream costs; nothing, where it has no room.
+/// Where the request is late `anyhow`, or would be refused, a late answer will do.
+fn cost(now: Duration, upstream: &Upstream, group: Option<Slowness>, anyhow: bool) -> Option<f64> {
+    let distrust = upstream.trust.cost(now)?;
+    let busy = f64::from(upstream.own + upstream.others);
+    let slots = f64::from(upstream.slots.max(1));
+    let Some(group) = group else {
+        let room = busy < slots * PLAIN;
+        return room.then_some(busy / slots + distrust);
+    };
+    let in_time = group.pass <= 1.0;
+    let late = anyhow && group.used < LEAST;
+    let room = busy < slots && (in_time || late);
+    room.then_some(group.pass + busy / slots + distrust)
+}
+
 impl Upstream {
     /// Whether it takes requests, as far as it and its agent say.
     fn is_open(&self, now: Duration) -> bool {
@@ -459,7 +540,8 @@
             closed: None,
             own: 0,
             others: 0,
-            pass: Pass::default(),
+            fewer: None,
+            group: 0,
             trust: Trust::default(),
         }
     }
--- a/verbenaspool_policy/src/dispatch/pass.rs
+++ b/verbenaspool_policy/src/dispatch/pass.rs
@@ -1,4 +1,4 @@
-//! How long passes of an engine take, learnt from the events that pass through.
+//! How long passes of a group take, learnt from the events that pass through.
 //!
 //! The configuration tells what a pass takes on even ranks. What it takes in
 //! truth depends on which experts are in demand and how they are placed, which
@@ -13,7 +13,7 @@
 
 /// How fast older pauses are forgotten. Popularity shifts every 3 to 5 s and
 /// must be followed well within that; a second holds some ten passes.
-const MEMORY: Duration = Duration::from_millis(1_000);
+const MEMORY: Duration = Duration::from_secs(1);
 
 /// The weight of one pause at least, so that the first ones count.
 const LEAST: f64 = 0.04;
@@ -22,7 +22,7 @@
 /// the next pass.
 const STALL: f64 = 12.0;
 
-/// The pace of one upstream.
+/// The pace of one group.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Pass {
     /// The pace, where it is known, and when it was last learnt.
@@ -31,7 +31,7 @@
 
 /// Blends a new ratio into a pace that was learnt at some time.
 #[must_use]
-pub fn blend(pace: f64, learnt: Duration, now: Duration, ratio: f64) -> f64 {
+fn blend(pace: f64, learnt: Duration, now: Duration, ratio: f64) -> f64 {
     let ratio = ratio.min(STALL);
     let age = now.saturating_sub(learnt).as_secs_f64() / MEMORY.as_secs_f64();
     let weight = (1.0 - (-age).exp()).max(LEAST);
@@ -45,7 +45,7 @@
         self.learnt = Some((blend(pace, at, now, ratio), now));
     }
 
-    /// The pace to reckon with; that of all upstreams where this one's is old.
+    /// The pace to reckon with; that of all groups where this one's is old.
     #[must_use]
     pub fn pace(&self, now: Duration, all: f64) -> f64 {
         match self.learnt {
--- a/verbenaspool_policy/src/rebalancer/relief.rs
+++ b/verbenaspool_policy/src/rebalancer/relief.rs
@@ -146,8 +146,7 @@
         let mut hot = self.ranks[busiest].clone();
         hot.sort_by(|a, b| self.part(*b, 0).total_cmp(&self.part(*a, 0)));
         for &expert in hot.iter().take(3) {
-            for rank in 0..self.ranks.len() {
-                let held = &self.ranks[rank];
+            for (rank, held) in self.ranks.iter().enumerate() {
                 if held.contains(&expert) || self.new[rank] >= bound.spare || left[rank] == 0 {
                     continue;
                 }
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/relief.rs
@@ -0,0 +1,109 @@
+//! Copies of experts that give the busiest ranks relief.
+
+use proptest::prelude::*;
+use verbenaspool_policy::rebalancer::relief::{Bound, relieve, unevenness};
+use verbenaspool_state::expert_map::{Layer, Map, Shape};
+
+const SHAPE: Shape = Shape {
+    ranks: 8,
+    experts: 64,
+    layers: 6,
+    slots: 11,
+};
+
+const BOUND: Bound = Bound {
+    places: 11,
+    spare: 4,
+    copies: 1,
+    least: 0.025,
+};
+
+/// Loads with a popularity that falls as measured, its order turned by set.
+fn loads(shape: Shape, shift: usize) -> Vec<Vec<f64>> {
+    let count = usize::from(shape.experts);
+    (0..usize::from(shape.layers))
+        .map(|layer| {
+            let place = |expert: usize| (expert * 29 + 7 * layer + shift) % count;
+            #[allow(clippy::cast_precision_loss)]
+            let load = |expert| 1e4 / (place(expert) as f64 + 1.0).powf(1.6);
+            (0..count).map(load).collect()
+        })
+        .collect()
+}
+
+fn layers(shape: Shape) -> Vec<Layer> {
+    let slots = shape.experts.div_ceil(shape.ranks);
+    Map::spread(1, Shape { slots, ..shape }).layers
+}
+
+/// Popularity shifts, and the rank with the most popular expert holds the group
+/// back at three times the mean. Changes of one copy a rank, 0.15 s each, must
+/// bring most of the relief within a second.
+#[test]
+fn few_copies_bring_most_of_the_relief() {
+    let mut layers = layers(SHAPE);
+    let loads = loads(SHAPE, 0);
+    let before = unevenness(&layers, &loads);
+    assert!(before > 2.5, "{before}");
+    let mut copies = 0;
+    for _ in 0..5 {
+        let Some(relief) = relieve(&layers, &loads, &BOUND) else {
+            break;
+        };
+        assert!(relief.after < relief.before);
+        assert!(relief.longest <= 1);
+        copies += relief.copies;
+        layers = relief.layers;
+    }
+    let after = unevenness(&layers, &loads);
+    assert!(
+        after < 1.6,
+        "{before} before, {after} after {copies} copies"
+    );
+}
+
+/// An even load calls for no copies: they would follow chance, and are paid for.
+#[test]
+fn an_even_load_is_left_alone() {
+    let even = vec![vec![10.0; 64]; 6];
+    assert_eq!(relieve(&layers(SHAPE), &even, &BOUND), None);
+}
+
+proptest! {
+    /// Every change fits what engines take: each expert somewhere, no more places
+    /// or new experts than allowed, nothing twice on a rank, and it does what it
+    /// says.
+    #[test]
+    fn changes_fit_the_engines(
+        counts in prop::collection::vec(prop::collection::vec(0_u32..5_000, 24), 2),
+        copies in 1_usize..4,
+        spare in 1_usize..3,
+    ) {
+        let shape = Shape { ranks: 4, experts: 24, layers: 2, slots: 8 };
+        let loads: Vec<Vec<f64>> = counts
+            .iter()
+            .map(|set| set.iter().map(|count| f64::from(*count)).collect())
+            .collect();
+        let mut held = layers(shape);
+        let bound = Bound { places: 8, spare, copies, least: 0.01 };
+        for _ in 0..4 {
+            let Some(relief) = relieve(&held, &loads, &bound) else {
+                break;
+            };
+            let map = Map { epoch: 2, layers: relief.layers.clone() };
+            prop_assert_eq!(map.check(shape, 1), Ok(()));
+            for rank in 0..4 {
+                let new = |layer: usize| {
+                    let before = &held[layer].ranks[rank];
+                    let after = &relief.layers[layer].ranks[rank];
+                    after.iter().filter(|expert| !before.contains(expert)).count()
+                };
+                prop_assert!(new(0) <= spare && new(1) <= spare);
+                prop_assert!(new(0) + new(1) <= copies);
+            }
+            let measured = unevenness(&relief.layers, &loads);
+            prop_assert!((measured - relief.after).abs() < 1e-6);
+            held = relief.layers;
+        }
+    }
+}
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/retry.rs
@@ -0,0 +1,46 @@
+//! Requests that are sent to a second upstream.
+
+use std::time::Duration;
+
+use verbenaspool_policy::dispatch::retry::{Bound, Budget};
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    slack: 92.0,
+};
+
+/// All upstreams fail. Four entries that each send what they may once more stay
+/// together within what the operator allows, though none hears of the others.
+#[test]
+fn entries_stay_within_the_bound_together() {
+    let mut budgets: Vec<Budget> = (0..4).map(|_| Budget::default()).collect();
+    let mut repeats = 0;
+    for request in 0..800_u64 {
+        let now = Duration::from_millis(10 * request);
+        let number = usize::from(request % 3 == 0);
+        let budget = &mut budgets[number];
+        budget.request(now, &BOUND);
+        repeats += u32::from(budget.repeat(now, &BOUND, 4));
+    }
+    assert!(
+        f64::from(repeats) <= 0.2 * 800.0 + 92.0,
+        "{repeats} repeats"
+    );
+    assert!(repeats > 100, "{repeats} repeats");
+}
+
+/// What was sent once more is forgotten with its window.
+#[test]
+fn a_budget_comes_back() {
+    let mut budget = Budget::default();
+    let none = Bound {
+        ratio: 0.0,
+        ..BOUND
+    };
+    let spend =
+        |budget: &mut Budget, now| (0..200).filter(|_| budget.repeat(now, &none, 1)).count();
+    let first = spend(&mut budget, Duration::ZERO);
+    assert_eq!(spend(&mut budget, Duration::from_secs(5)), 0);
+    assert_eq!(spend(&mut budget, Duration::from_secs(11)), first);
+}
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -128,6 +128,8 @@
     pub number: u64,
     /// The upstream itself.
     pub upstream: SocketAddr,
+    /// The group's short name; 0 where it isn't known.
+    pub group: u32,
     /// Whether all ranks of its group are there; otherwise it runs nothing.
     pub open: bool,
 }
