--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -118,9 +118,8 @@
             place.ended(Ending::Unknown);
             return Sent::NotRun("upstream-gone");
         };
-        let request = match self.request(&id, after) {
-            Ok(request) => request,
-            Err(_) => return Sent::NotRun("bad-request"),
+        let Ok(request) = self.request(&id, after) else {
+            return Sent::NotRun("bad-request");
         };
         self.sendings.set(self.sendings.get() + 1);
         let before = self.exposed.replace(true);
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -287,7 +287,8 @@
         let now = gateway.clock.now();
         match Word::decode(&buffer[..length]) {
             Some(Word::Digest(digest)) => {
-                if gateway.peers.borrow_mut().hear(now, from, digest) {
+                let news = gateway.peers.borrow_mut().hear(now, from, digest);
+                if news {
                     gateway.share();
                 }
             }
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -191,19 +191,25 @@
     loop {
         let place = match work.desk.admit(work.ask()).await {
             Ok(place) => place,
-            Err(_) if failed.is_some() => return failed.ok_or(Refused::unknown("failed")),
-            Err(_) if work.exposed.get() => return Err(Refused::unknown("unknown")),
-            Err(refusal) => return Err(Refused::later(refusal.reason.name(), refusal.after)),
+            Err(refusal) => {
+                if let Some(response) = failed {
+                    return Ok(response);
+                }
+                return Err(if work.exposed.get() {
+                    Refused::unknown("unknown")
+                } else {
+                    Refused::later(refusal.reason.name(), refusal.after)
+                });
+            }
         };
         let again = match work.send(place, None).await {
             Sent::Answered(response, place) => match take(work, response, place).await {
-                Taken::Whole(response) => return Ok(response),
                 Taken::Failed(response) if work.route.is_repeatable() => {
                     work.exposed.set(false);
                     failed = Some(response);
                     work.may_repeat()
                 }
-                Taken::Failed(response) => return Ok(response),
+                Taken::Whole(response) | Taken::Failed(response) => return Ok(response),
                 Taken::Broken => work.route.is_repeatable() && work.may_repeat(),
             },
             Sent::NotRun("unreached") => work.may_reconnect(),
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -235,8 +235,10 @@
         let now = clock.now();
         if now.saturating_sub(before) > FROZEN {
             warn!(gateway.log, "Entry: The process stood still; reading everything anew.";
-                "for_ms" => (now - before).as_secs_f64() * 1e3);
-            wake.iter().for_each(|wake| wake.notify_one());
+                "for_ms" => now.saturating_sub(before).as_secs_f64() * 1e3);
+            for wake in wake {
+                wake.notify_one();
+            }
         }
         before = now;
         if words.reload.swap(false, Ordering::Relaxed) {
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -492,9 +492,11 @@
             group: self.group.get(),
             open,
         });
-        let mut entries = self.entries.borrow_mut();
-        entries.retain(|_, until| now < *until);
-        let entries: Vec<IpAddr> = entries.keys().copied().collect();
+        let entries: Vec<IpAddr> = {
+            let mut entries = self.entries.borrow_mut();
+            entries.retain(|_, until| now < *until);
+            entries.keys().copied().collect()
+        };
         for entry in entries {
             self.send(entry, &word).await;
         }
--- a/verbenaspool_agent/src/direct/rank.rs
+++ b/verbenaspool_agent/src/direct/rank.rs
@@ -97,7 +97,7 @@
 
     /// Gives the rank an order.
     pub async fn order(&self, order: &order::Order, epoch: u64, timeout: Duration) -> Outcome {
-        let body = order::encode(order, epoch, None);
+        let body = order::encode(order, epoch);
         match self.call(Method::POST, order::PATH, body, timeout).await {
             Some((status, _)) if status.is_success() => Outcome::Taken,
             Some((status, _)) => Outcome::Refused(status.as_u16()),
--- a/verbenaspool_coordination/tests/switch/steps.rs
+++ b/verbenaspool_coordination/tests/switch/steps.rs
@@ -34,9 +34,9 @@
             .iter()
             .all(|send| send.order == Order::Prepare { version: 5 })
     );
-    reports
-        .iter_mut()
-        .for_each(|report| report.prepared = Some(5));
+    for report in &mut reports {
+        report.prepared = Some(5);
+    }
     tell(&mut switch, ms(1_200), &reports);
     let hold = Send {
         rank: 1,
--- a/verbenaspool_coordination/tests/switch/world.rs
+++ b/verbenaspool_coordination/tests/switch/world.rs
@@ -267,7 +267,7 @@
 
     /// Agents tell each other how their ranks stand.
     fn tell(&mut self) {
-        if self.now % TELL != 0 {
+        if !self.now.is_multiple_of(TELL) {
             return;
         }
         let now = Duration::from_millis(self.now);
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -120,8 +120,6 @@
     Closed,
     /// All upstreams have as much as they can do.
     Full,
-    /// Too many wait already for it to get its turn.
-    Crowded,
 }
 
 impl Reason {
@@ -131,7 +129,6 @@
         match self {
             Self::Closed => "closed",
             Self::Full => "full",
-            Self::Crowded => "crowded",
         }
     }
 }
