--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -73,7 +73,7 @@
 /// The settings can't be taken, or an address can't be listened at.
 pub fn main(path: &Path) -> Result<Drained, Error> {
     let settings: Settings = settings::load(path)?;
-    let log = log::open(settings.log);
+    let (log, _guard) = log::guarded(settings.log);
     let words = Words::default();
     for signal in [SIGTERM, SIGINT] {
         flag::register(signal, words.stop.clone())?;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -77,7 +77,7 @@
 /// # Errors
 /// Its port isn't free, or signals can't be heard.
 pub fn main(settings: Settings) -> Result<(), Error> {
-    let log = log::open(settings.log);
+    let (log, _guard) = log::guarded(settings.log);
     let stop = Arc::new(AtomicBool::new(false));
     let reload = Arc::new(AtomicBool::new(false));
     for signal in [SIGTERM, SIGINT] {
--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -195,7 +195,7 @@
             return;
         }
         let serves = response.status() != StatusCode::NOT_FOUND;
-        if serves && response.status().is_success() || !serves {
+        if !serves || response.status().is_success() {
             self.site
                 .checks
                 .version(entry, incarnation, version, serves);
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -88,7 +88,7 @@
     folder: PathBuf,
 ) -> std::io::Result<usize> {
     let faults = RefCell::new(fs::File::create(folder.join("faults.log"))?);
-    let site = Site::start(options.processes.clamp(1, MOST), program, folder)?;
+    let site = Site::start(options.processes.clamp(1, MOST), &program, &folder)?;
     monoio::time::sleep(SETTLE).await;
     let began = Instant::now();
     let until = began + Duration::from_secs(options.seconds);
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     io,
     net::{IpAddr, SocketAddr},
-    path::PathBuf,
+    path::Path,
     rc::Rc,
 };
 
@@ -73,7 +73,7 @@
     ///
     /// # Errors
     /// An address can't be listened at, or a program can't be started.
-    pub fn start(entries: usize, program: PathBuf, folder: PathBuf) -> io::Result<Rc<Self>> {
+    pub fn start(entries: usize, program: &Path, folder: &Path) -> io::Result<Rc<Self>> {
         let mut triggers = Vec::new();
         let store = Store::new();
         let platform = serve(store.clone(), &mut triggers)?;
@@ -115,8 +115,8 @@
                 peer_port,
                 platform: way,
                 seeds: &seeds,
-                folder: &folder,
-                program: &program,
+                folder,
+                program,
             })?);
         }
         Ok(Rc::new(Self {
