--- a/extra/completions/verbenaspool.bash
+++ b/extra/completions/verbenaspool.bash
@@ -22,6 +22,9 @@
             verbenaspool,check)
                 cmd="verbenaspool__subcmd__check"
                 ;;
+            verbenaspool,explain)
+                cmd="verbenaspool__subcmd__explain"
+                ;;
             verbenaspool,help)
                 cmd="verbenaspool__subcmd__help"
                 ;;
@@ -37,6 +40,9 @@
             verbenaspool__subcmd__help,check)
                 cmd="verbenaspool__subcmd__help__subcmd__check"
                 ;;
+            verbenaspool__subcmd__help,explain)
+                cmd="verbenaspool__subcmd__help__subcmd__explain"
+                ;;
             verbenaspool__subcmd__help,help)
                 cmd="verbenaspool__subcmd__help__subcmd__help"
                 ;;
@@ -53,7 +59,7 @@
 
     case "${cmd}" in
         verbenaspool)
-            opts="-h -V --help --version run check apply status help"
+            opts="-h -V --help --version run check apply explain status help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -114,8 +120,22 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        verbenaspool__subcmd__explain)
+            opts="-h --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         verbenaspool__subcmd__help)
-            opts="run check apply status help"
+            opts="run check apply explain status help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -156,6 +176,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        verbenaspool__subcmd__help__subcmd__explain)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         verbenaspool__subcmd__help__subcmd__help)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
--- a/extra/completions/verbenaspool.fish
+++ b/extra/completions/verbenaspool.fish
@@ -29,6 +29,7 @@
 complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "run" -d 'Run the entry process'
 complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "check" -d 'Check a firm\'s file and tell everything that is wrong with it'
 complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "apply" -d 'Apply a firm\'s file, whole or not at all'
+complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "explain" -d 'Tell what became of a request, from the logs of entries'
 complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "status" -d 'Tell what is accepted, and where it is in force'
 complete -c verbenaspool -n "__fish_verbenaspool_needs_command" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand run" -s s -l settings -d 'The settings file' -r -F
@@ -41,11 +42,13 @@
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand apply" -l timeout-ms -d 'How long to go on trying, in milliseconds' -r
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand apply" -l json -d 'Tell the result as JSON'
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand apply" -s h -l help -d 'Print help'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand explain" -s h -l help -d 'Print help'
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand status" -s s -l settings -d 'The operator\'s settings file' -r -F
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand status" -l json -d 'Tell it as JSON'
 complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand status" -s h -l help -d 'Print help'
-complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply status help" -f -a "run" -d 'Run the entry process'
-complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply status help" -f -a "check" -d 'Check a firm\'s file and tell everything that is wrong with it'
-complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply status help" -f -a "apply" -d 'Apply a firm\'s file, whole or not at all'
-complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply status help" -f -a "status" -d 'Tell what is accepted, and where it is in force'
-complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply status help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "run" -d 'Run the entry process'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "check" -d 'Check a firm\'s file and tell everything that is wrong with it'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "apply" -d 'Apply a firm\'s file, whole or not at all'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "explain" -d 'Tell what became of a request, from the logs of entries'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "status" -d 'Tell what is accepted, and where it is in force'
+complete -c verbenaspool -n "__fish_verbenaspool_using_subcommand help; and not __fish_seen_subcommand_from run check apply explain status help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
--- a/extra/completions/verbenaspool.zsh
+++ b/extra/completions/verbenaspool.zsh
@@ -57,6 +57,14 @@
 ':file -- The firm'\''s file:_files' \
 && ret=0
 ;;
+(explain)
+_arguments "${_arguments_options[@]}" : \
+'-h[Print help]' \
+'--help[Print help]' \
+':id -- The id that the caller gave its request:_default' \
+'*::logs -- Logs of JSON lines; `-` is standard input:_files' \
+&& ret=0
+;;
 (status)
 _arguments "${_arguments_options[@]}" : \
 '-s+[The operator'\''s settings file]:FILE:_files' \
@@ -90,6 +98,10 @@
 _arguments "${_arguments_options[@]}" : \
 && ret=0
 ;;
+(explain)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
 (status)
 _arguments "${_arguments_options[@]}" : \
 && ret=0
@@ -113,6 +125,7 @@
 'run:Run the entry process' \
 'check:Check a firm'\''s file and tell everything that is wrong with it' \
 'apply:Apply a firm'\''s file, whole or not at all' \
+'explain:Tell what became of a request, from the logs of entries' \
 'status:Tell what is accepted, and where it is in force' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
@@ -128,12 +141,18 @@
     local commands; commands=()
     _describe -t commands 'verbenaspool check commands' commands "$@"
 }
+(( $+functions[_verbenaspool__subcmd__explain_commands] )) ||
+_verbenaspool__subcmd__explain_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool explain commands' commands "$@"
+}
 (( $+functions[_verbenaspool__subcmd__help_commands] )) ||
 _verbenaspool__subcmd__help_commands() {
     local commands; commands=(
 'run:Run the entry process' \
 'check:Check a firm'\''s file and tell everything that is wrong with it' \
 'apply:Apply a firm'\''s file, whole or not at all' \
+'explain:Tell what became of a request, from the logs of entries' \
 'status:Tell what is accepted, and where it is in force' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
@@ -149,6 +168,11 @@
     local commands; commands=()
     _describe -t commands 'verbenaspool help check commands' commands "$@"
 }
+(( $+functions[_verbenaspool__subcmd__help__subcmd__explain_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__explain_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help explain commands' commands "$@"
+}
 (( $+functions[_verbenaspool__subcmd__help__subcmd__help_commands] )) ||
 _verbenaspool__subcmd__help__subcmd__help_commands() {
     local commands; commands=()
--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -12,7 +12,7 @@
 use verbenaspool_state::{check::Problem, file::File, name::Name, version::Version};
 
 use crate::{
-    operate::{self, apply, status},
+    operate::{self, apply, explain, status},
     run::{self, Drained},
 };
 
@@ -37,6 +37,7 @@
   verbenaspool check quetzal.yaml
   verbenaspool apply --settings operator.yaml --expect 7 quetzal.yaml
   verbenaspool status --settings operator.yaml --json
+  verbenaspool explain 9c41d07be2a35f68 entry-1.log entry-2.log
 
 Exit codes:
   0  done
@@ -95,6 +96,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tell what became of a request, from the logs of entries.
+    Explain {
+        /// The id that the caller gave its request.
+        #[arg(value_name = "ID")]
+        id: String,
+        /// Logs of JSON lines; `-` is standard input.
+        #[arg(value_name = "LOG", required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Tell what is accepted, and where it is in force.
     Status {
         /// The operator's settings file.
@@ -141,6 +151,7 @@
                 Err(error) => fail(&error),
             }
         }
+        Command::Explain { id, logs } => explain(&id, &logs),
         Command::Status { settings, json } => match status::main(&settings) {
             Ok(report) => {
                 let table = || status::table(&report);
@@ -152,6 +163,33 @@
     }
 }
 
+/// Tells what became of a request.
+fn explain(id: &str, logs: &[PathBuf]) -> ExitCode {
+    let story = match explain::main(id, logs) {
+        Ok(story) => story,
+        Err(why) => {
+            eprintln!("verbenaspool: a log can't be read: {why}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    if story.bad > 0 {
+        eprintln!("{} lines couldn't be read and were skipped", story.bad);
+    }
+    for line in &story.lines {
+        println!("{line}");
+    }
+    match story.cause {
+        Some(cause) => {
+            println!("{cause}");
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!("verbenaspool: no log tells of the request {id}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
 /// A report as JSON.
 fn text<T: Serialize>(report: &T) -> String {
     serde_json::to_string(report).unwrap_or_default()
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -321,12 +321,16 @@
     let word = Word::Subscribe.encode();
     loop {
         let port = gateway.settings.borrow().peer_port;
-        for upstream in gateway.ranks() {
+        let ranks = gateway.ranks();
+        // An entry that starts is to know groups before its first requests.
+        let known = !ranks.is_empty();
+        for upstream in ranks {
             // An agent that missed this hears the next one.
             let agent = SocketAddr::new(upstream.ip(), port);
             let _ = socket.send_to(word.clone(), agent).await;
         }
-        gateway.clock.sleep(SUBSCRIBE).await;
+        let pause = if known { SUBSCRIBE } else { PERIOD };
+        gateway.clock.sleep(pause).await;
     }
 }
 
--- a/verbenaspool/src/operate.rs
+++ b/verbenaspool/src/operate.rs
@@ -12,6 +12,7 @@
 use crate::settings::Platform;
 
 pub mod apply;
+pub mod explain;
 pub mod status;
 
 /// The settings of the operators' commands.
--- /dev/null
+++ b/verbenaspool/src/operate/explain.rs
@@ -0,0 +1,130 @@
+//! `verbenaspool explain`: what became of one request, from the logs of several
+//! processes.
+
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::{Path, PathBuf},
+};
+
+use serde::Deserialize;
+
+/// A line of a log, as far as it matters here.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct Line {
+    ts: String,
+    msg: String,
+    request: Option<String>,
+    status: u16,
+    why: String,
+    route: String,
+    service: String,
+    version: u64,
+    sent: String,
+    events: u64,
+    first_ms: f64,
+    pause_ms: f64,
+    took_ms: f64,
+}
+
+/// What was found of a request.
+#[derive(Debug, Default)]
+pub struct Story {
+    /// One sentence a line of a log, in the order of their times.
+    pub lines: Vec<String>,
+    /// What caused the end, in a sentence; none where the request isn't found.
+    pub cause: Option<String>,
+    /// Lines that couldn't be read.
+    pub bad: usize,
+}
+
+/// Reads logs and finds a request in them; `-` is standard input.
+///
+/// # Errors
+/// A file can't be read.
+pub fn main(id: &str, files: &[PathBuf]) -> io::Result<Story> {
+    let mut found = Vec::new();
+    let mut bad = 0;
+    for file in files {
+        let name = file.display().to_string();
+        if file == Path::new("-") {
+            bad += read(id, &name, io::stdin().lock(), &mut found)?;
+        } else {
+            bad += read(id, &name, BufReader::new(File::open(file)?), &mut found)?;
+        }
+    }
+    Ok(tell(found, bad))
+}
+
+/// Reads one log; returns how many of its lines make no sense.
+///
+/// # Errors
+/// The log can't be read.
+fn read(
+    id: &str,
+    name: &str,
+    mut log: impl BufRead,
+    found: &mut Vec<(String, Line)>,
+) -> io::Result<usize> {
+    let mut bad = 0;
+    let mut bytes = Vec::new();
+    while log.read_until(b'\n', &mut bytes)? > 0 {
+        // Whoever collects logs may put words of its own before each line.
+        let start = bytes.iter().position(|byte| *byte == b'{').unwrap_or(0);
+        match serde_json::from_slice::<Line>(&bytes[start..]) {
+            Ok(line) if line.request.as_deref() == Some(id) => {
+                found.push((name.to_owned(), line));
+            }
+            Ok(_) => {}
+            Err(_) => bad += 1,
+        }
+        bytes.clear();
+    }
+    Ok(bad)
+}
+
+/// Tells what was found, in the order of the processes' own clocks.
+fn tell(mut found: Vec<(String, Line)>, bad: usize) -> Story {
+    found.sort_by(|a, b| a.1.ts.cmp(&b.1.ts));
+    let lines = found.iter().map(|(name, line)| {
+        format!(
+            "{} {name}: {} status {} ({}), route {:?} to {:?} by version {}, sent [{}], {} events, first after {:.1} ms, longest pause {:.1} ms, {:.1} ms in all",
+            line.ts, line.msg, line.status, line.why, line.route, line.service, line.version,
+            line.sent, line.events, line.first_ms, line.pause_ms, line.took_ms
+        )
+    });
+    Story {
+        cause: found.last().map(|(_, line)| cause(line)),
+        lines: lines.collect(),
+        bad,
+    }
+}
+
+/// The cause of a request's end, in a sentence.
+fn cause(line: &Line) -> String {
+    let sent = if line.sent.is_empty() {
+        "it was sent to no upstream".to_owned()
+    } else {
+        format!("it was sent so: {}", line.sent)
+    };
+    let why = match line.why.as_str() {
+        "whole" | "answered" => "The upstream's own answer was passed on",
+        "full" => "It was refused: every upstream had as much as it can do in time",
+        "closed" => "It was refused: no upstream of the service runs",
+        "turned-away" => "It was refused: upstreams turned it away or couldn't be reached",
+        "unknown" => "It may have run, and its answer was lost",
+        "timeout" => "Its time was over",
+        "no-route" => "No route of the configuration in force fits it",
+        "unknown-key" => "Nobody holds its API key in the configuration in force",
+        "no-configuration" => "The entry had no configuration yet",
+        "stopping" => "The entry was about to stop",
+        "caller-left" => "Its caller left before the end",
+        "large-body" | "broken-body" | "slow-body" => "Its body didn't come whole, or in time",
+        _ => "The answer broke off",
+    };
+    format!("{why}; {sent}.")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool/src/operate/explain/tests.rs
@@ -0,0 +1,44 @@
+use std::io::Cursor;
+
+use proptest::prelude::*;
+
+use super::{read, tell};
+
+/// Two lines of a request, from two processes, and some of others.
+const LOG: &str = r#"{"msg":"Entry: Started.","ts":"2026-02-04T08:36:28.0Z"}
+not a line
+  4.2 frontend-1 {"msg":"Entry: A request ended.","ts":"2026-02-04T08:36:31.5Z","request":"a1","status":200,"why":"broken-off","sent":"i-1 200 at 40 ms; i-1 broken-off at 800 ms; i-2 turned-away at 810 ms","events":9}
+{"msg":"Entry: A request ended.","ts":"2026-02-04T08:36:30.0Z","request":"a1","status":503,"why":"full"}
+{"msg":"Entry: A request ended.","ts":"2026-02-04T08:36:30.1Z","request":"b2","status":200,"why":"whole"}
+"#;
+
+/// A caller complains of a stream that broke off, with its request's id alone.
+#[test]
+fn a_request_is_found_in_order_of_time() {
+    let mut found = Vec::new();
+    let bad = read("a1", "log", Cursor::new(LOG), &mut found).expect("memory can be read");
+    let story = tell(found, bad);
+    assert_eq!(story.bad, 1);
+    assert_eq!(story.lines.len(), 2);
+    assert!(story.lines[0].contains("status 503 (full)"));
+    let cause = story.cause.expect("it is found");
+    assert!(cause.starts_with("The answer broke off"), "{cause}");
+    assert!(cause.contains("i-2 turned-away"), "{cause}");
+}
+
+/// An id that is in no log has no cause.
+#[test]
+fn an_unknown_request_isnt_found() {
+    let mut found = Vec::new();
+    read("c3", "log", Cursor::new(LOG), &mut found).expect("memory can be read");
+    assert!(tell(found, 0).cause.is_none());
+}
+
+proptest! {
+    /// Whatever stands in a log, it is read to its end.
+    #[test]
+    fn any_bytes_are_read(bytes in prop::collection::vec(any::<u8>(), 0..2_000)) {
+        let mut found = Vec::new();
+        prop_assert!(read("a1", "log", Cursor::new(bytes), &mut found).is_ok());
+    }
+}
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -54,6 +54,10 @@
 /// twice a second; one that is silent may be cut off while its rank serves.
 const BELIEVED: Duration = Duration::from_millis(1_600);
 
+/// How long a group is taken for broken by a refusal alone. Its agents say what is
+/// so within half a second.
+const DOUBT: Duration = Duration::from_millis(400);
+
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const PATIENCE: f64 = 0.35;
@@ -457,8 +461,24 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
+        let (busy, group) = (upstream.own + upstream.others, upstream.group);
         upstream.own = upstream.own.saturating_sub(1);
         upstream.trust.learn(now, ending);
+        let idle = f64::from(busy) < f64::from(upstream.slots) * LEAST;
+        if ending == Ending::Full && idle && group != 0 {
+            self.doubt(now, group);
+        }
+    }
+
+    /// Takes a group for broken for a moment, one of whose ranks turned a request
+    /// away though it has little to do: the others would do the same, and each
+    /// request may be sent to few of them.
+    fn doubt(&mut self, now: Duration, group: u32) {
+        let said = now.saturating_sub(BELIEVED.saturating_sub(DOUBT));
+        let ranks = self.upstreams.values_mut().filter(|u| u.group == group);
+        for rank in ranks.filter(|rank| rank.closed.is_none()) {
+            rank.closed = Some(said);
+        }
     }
 
     /// How the service stands, for logs and metrics.
--- a/verbenaspool_policy/tests/dispatch/load.rs
+++ b/verbenaspool_policy/tests/dispatch/load.rs
@@ -189,3 +189,35 @@
     dispatcher.members([].iter());
     assert_eq!(dispatcher.ids().count(), 0);
 }
+
+/// All processes are started again, and requests come before the groups have
+/// formed. One rank turns a request away though it has nothing to do; the others
+/// of its group aren't tried, and the other group serves.
+#[test]
+fn a_group_that_turns_away_is_left_alone_as_a_whole() {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..4).map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members(replicas.iter());
+    for (number, group) in [(0, 1), (1, 1), (2, 2), (3, 2)] {
+        dispatcher.status(ms(0), &format!("u{number}"), group, true);
+    }
+    dispatcher.submit(ms(1), 1, stream(1));
+    let placed = dispatcher.pump(ms(1));
+    let Some((_, Verdict::Send(first))) = placed.into_iter().next() else {
+        panic!("it is placed");
+    };
+    dispatcher.ended(ms(2), &first, Ending::Full);
+    let group = |id: &str| if ["u0", "u1"].contains(&id) { 1 } else { 2 };
+    for ticket in 2..8 {
+        let verdict = place(&mut dispatcher, ms(3), ticket, stream(3));
+        let Some(Verdict::Send(id)) = verdict else {
+            panic!("{verdict:?}");
+        };
+        assert_ne!(group(&id), group(&first));
+    }
+    assert!(matches!(
+        place(&mut dispatcher, ms(500), 9, stream(500)),
+        Some(Verdict::Send(_))
+    ));
+}
