--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -178,16 +178,12 @@
     for line in &story.lines {
         println!("{line}");
     }
-    match story.cause {
-        Some(cause) => {
-            println!("{cause}");
-            ExitCode::SUCCESS
-        }
-        None => {
-            eprintln!("verbenaspool: no log tells of the request {id}");
-            ExitCode::from(FAILED)
-        }
-    }
+    let Some(cause) = story.cause else {
+        eprintln!("verbenaspool: no log tells of the request {id}");
+        return ExitCode::from(FAILED);
+    };
+    println!("{cause}");
+    ExitCode::SUCCESS
 }
 
 /// A report as JSON.
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -4,18 +4,10 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use monoio::net::{ListenerOpts, TcpListener};
-use signal_hook::{
-    consts::{SIGHUP, SIGINT, SIGTERM},
-    flag,
-};
 use slog::{Logger, error, info, warn};
 use tokio::sync::Notify;
 use verbenaspool_platform::store;
@@ -25,7 +17,7 @@
     log,
     platform::client::Channel,
     rpc, runtime, settings,
-    shutdown::{self, Signal},
+    shutdown::{self, Signal, Words},
 };
 
 use super::{
@@ -58,15 +50,6 @@
 /// Descriptors that aren't for callers: upstreams, peers, the store and files.
 const RESERVED: usize = 600;
 
-/// The words by which the process is told what to do.
-#[derive(Debug, Clone, Default)]
-pub struct Words {
-    /// To stop, and end what is in flight.
-    pub stop: Arc<AtomicBool>,
-    /// To read the settings anew.
-    pub reload: Arc<AtomicBool>,
-}
-
 /// Runs the entry until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -74,11 +57,7 @@
 pub fn main(path: &Path) -> Result<Drained, Error> {
     let settings: Settings = settings::load(path)?;
     let (log, _guard) = log::guarded(settings.log);
-    let words = Words::default();
-    for signal in [SIGTERM, SIGINT] {
-        flag::register(signal, words.stop.clone())?;
-    }
-    flag::register(SIGHUP, words.reload.clone())?;
+    let words = Words::hear()?;
     let path = path.to_owned();
     runtime::run(serve(settings, path, log, words))?
 }
@@ -226,7 +205,7 @@
 async fn attend(gateway: &Rc<Gateway>, path: &Path, words: &Words, wake: &[Rc<Notify>; 2]) {
     let clock = &gateway.clock;
     let mut before = clock.now();
-    while !words.stop.load(Ordering::Relaxed) {
+    while !words.stopped() {
         clock.sleep(TICK).await;
         for desk in gateway.desks() {
             desk.pump();
@@ -241,7 +220,7 @@
             }
         }
         before = now;
-        if words.reload.swap(false, Ordering::Relaxed) {
+        if words.take_reload() {
             reload(gateway, path);
         }
     }
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -7,7 +7,11 @@
 
 mod board;
 mod lead;
+mod orders;
+mod partial;
 mod rank;
 pub mod run;
 mod seats;
 pub mod settings;
+mod standin;
+mod tell;
--- /dev/null
+++ b/verbenaspool_agent/src/direct/orders.rs
@@ -0,0 +1,291 @@
+//! Orders to ranks: those that the lead sends, and those that an agent gives its
+//! own rank.
+
+use std::{net::IpAddr, rc::Rc};
+
+use slog::{debug, info};
+use verbenaspool_coordination::switch::{Order as Change, Send};
+use verbenaspool_platform::{order, report::Report};
+use verbenaspool_protocol::{
+    seat::{Map, Order, State, What},
+    word::Word,
+};
+
+use super::{
+    board::Board,
+    partial::Partial,
+    rank::{self, Outcome, Rank},
+};
+
+/// How many passes ahead a forerunner of this process may have given orders for.
+/// Passes are held one ahead; the others make up for passes begun since.
+const INHERITED: u64 = 4;
+
+/// How often an order is given that gets no answer. With one in three lost, ten
+/// in a row are lost less than once in 50,000 times.
+const TRIES: u32 = 10;
+
+impl Board {
+    /// Up to which pass of an epoch no order of a lead to arm is given.
+    pub(super) fn barred(&self, epoch: u64) -> u64 {
+        let (barred_epoch, step) = self.bar.get();
+        if barred_epoch == epoch { step } else { 0 }
+    }
+
+    /// The last pass of an epoch for which an order to arm was given.
+    pub(super) fn given(&self, epoch: u64) -> u64 {
+        let (given_epoch, step) = self.gave.get();
+        if given_epoch == epoch { step } else { 0 }
+    }
+
+    /// Gives no order of a lead to arm for a pass up to this one from here on.
+    pub(super) fn bar(&self, epoch: u64, step: u64) {
+        if self.barred(epoch) < step {
+            self.bar.set((epoch, step));
+            info!(self.log, "Agent: No order of a lead to arm is given any more.";
+                "epoch" => epoch, "step" => step, "given" => self.given(epoch));
+        }
+    }
+
+    /// Notes that an order to arm is about to be given.
+    pub(super) fn note_given(&self, epoch: u64, step: u64) {
+        self.gave.set((epoch, self.given(epoch).max(step)));
+    }
+
+    /// A process that has just started doesn't know what its forerunner did: it
+    /// may have given any order for the passes to come, and promised any bar.
+    pub(super) fn inherit(&self, epoch: u64, step: u64) {
+        if self.state.borrow().is_none() && self.number.get() == self.first {
+            let ahead = step + INHERITED;
+            self.bar.set((epoch, ahead));
+            self.gave.set((epoch, ahead));
+        }
+    }
+
+    /// Carries out an order of the lead, and tells it how the rank stands then.
+    pub(super) async fn obey(self: &Rc<Self>, agent: IpAddr, order: Order) {
+        let what = match order.what {
+            What::Hold { step } => order::Order::Hold { step },
+            What::Arm { step, .. } if step <= self.barred(order.epoch) => {
+                self.answer(agent).await;
+                return;
+            }
+            What::Arm { version, step } | What::Finish { version, step } => {
+                self.note_given(order.epoch, step);
+                order::Order::Arm { version, step }
+            }
+            What::Go { step } => order::Order::Go { step },
+            What::Bar { step } => {
+                self.bar(order.epoch, step);
+                self.answer(agent).await;
+                return;
+            }
+            What::Look => {
+                self.answer(agent).await;
+                return;
+            }
+        };
+        self.give(&what, order.epoch).await;
+        self.answer(agent).await;
+    }
+
+    /// Gives the own rank an order, again and again until it is answered or its
+    /// report shows the effect.
+    ///
+    /// An order may get no answer and be carried out seconds later. All orders
+    /// bear being given twice: they name the version or the pass that they are
+    /// for, and a late one is refused because that pass has begun by then.
+    pub(super) async fn give(&self, what: &order::Order, epoch: u64) {
+        if self.giving.borrow().as_ref() == Some(what) {
+            return;
+        }
+        self.giving.replace(Some(what.clone()));
+        for tries in 1..=TRIES {
+            let outcome = self.rank.order(what, epoch, rank::NEAR).await;
+            if outcome == Outcome::Taken {
+                debug!(self.log, "Agent: The rank took an order.";
+                    "order" => name(what), "epoch" => epoch, "tries" => tries);
+                break;
+            }
+            info!(self.log, "Agent: The rank didn't take an order.";
+                "order" => name(what), "epoch" => epoch, "tries" => tries,
+                "outcome" => format!("{outcome:?}"));
+            if outcome != Outcome::Unknown {
+                break;
+            }
+            let report = self.rank.report().await;
+            if report.is_some_and(|report| shows(&report, what)) {
+                break;
+            }
+        }
+        self.giving.replace(None);
+    }
+
+    /// Takes a part of a map in; with the last part, has the rank prepare it.
+    pub(super) async fn collect(self: &Rc<Self>, agent: IpAddr, map: Map) {
+        let whole = {
+            let mut partial = self.map.borrow_mut();
+            if partial
+                .as_ref()
+                .is_none_or(|known| known.version != map.version)
+            {
+                *partial = Some(Partial {
+                    version: map.version,
+                    sets: vec![None; map.sets.into()],
+                });
+            }
+            let Some(partial) = &mut *partial else {
+                return;
+            };
+            for (number, set) in map.places.into_iter().enumerate() {
+                if let Some(place) = partial.sets.get_mut(usize::from(map.from) + number) {
+                    *place = Some(set);
+                }
+            }
+            partial.sets.iter().cloned().collect::<Option<Vec<_>>>()
+        };
+        let Some(places) = whole else {
+            return;
+        };
+        self.map.replace(None);
+        let prepare = order::Order::Prepare {
+            version: map.version,
+            map: places,
+        };
+        self.give(&prepare, map.epoch).await;
+        self.answer(agent).await;
+    }
+
+    /// Sends an order to a rank, by its agent.
+    ///
+    /// An agent has to know of every order to arm that its rank may get, so these
+    /// go by no other way, however long it is silent. A pass is held and let go
+    /// straight from here: an agent that froze right behind its order to hold
+    /// would take the held rank with it.
+    pub(super) async fn order(self: &Rc<Self>, send: Send, epoch: u64) {
+        let rank = u16::try_from(send.rank).unwrap_or(u16::MAX);
+        let Some(seat) = self.seats.borrow().get(rank).cloned() else {
+            return;
+        };
+        let board = self.clone();
+        if seat.agent == self.settings.address {
+            monoio::spawn(async move {
+                board.give_own(send.order, epoch).await;
+            });
+            return;
+        }
+        if matches!(send.order, Change::Hold { .. } | Change::Go { .. }) {
+            monoio::spawn(async move {
+                board.give_far(&seat.state, send.order, epoch).await;
+            });
+            return;
+        }
+        for word in self.words(send.order, epoch) {
+            self.send(seat.agent, &word).await;
+        }
+    }
+
+    /// An order as words to an agent.
+    pub(super) fn words(&self, order: Change, epoch: u64) -> Vec<Word> {
+        let what = match order {
+            Change::Prepare { version } => {
+                let lead = self.lead.borrow();
+                let parts = lead.as_ref().map(|lead| lead.parts(version, epoch));
+                return parts
+                    .unwrap_or_default()
+                    .into_iter()
+                    .map(Word::Map)
+                    .collect();
+            }
+            Change::Hold { step } => What::Hold { step },
+            Change::Arm { version, step } => What::Arm { version, step },
+            Change::Go { step } => What::Go { step },
+            Change::Bar { step } => What::Bar { step },
+            Change::Finish { version, step } => What::Finish { version, step },
+        };
+        vec![Word::Order(Order { epoch, what })]
+    }
+
+    /// An order as a rank takes it.
+    pub(super) fn direct(&self, order: Change) -> Option<order::Order> {
+        Some(match order {
+            Change::Prepare { version } => {
+                let lead = self.lead.borrow();
+                let plan = lead.as_ref()?.plan.clone();
+                let plan = plan.filter(|plan| plan.version == version)?;
+                order::Order::Prepare {
+                    version,
+                    map: plan.places,
+                }
+            }
+            Change::Hold { step } => order::Order::Hold { step },
+            Change::Arm { version, step } | Change::Finish { version, step } => {
+                order::Order::Arm { version, step }
+            }
+            Change::Go { step } => order::Order::Go { step },
+            // This is for an agent, not for its rank.
+            Change::Bar { .. } => return None,
+        })
+    }
+
+    /// Gives the own rank an order and goes on with what its report then says.
+    pub(super) async fn give_own(self: Rc<Self>, order: Change, epoch: u64) {
+        match order {
+            Change::Bar { step } => self.bar(epoch, step),
+            Change::Arm { step, .. } | Change::Finish { step, .. } => self.note_given(epoch, step),
+            _ => {}
+        }
+        let Some(order) = self.direct(order) else {
+            return;
+        };
+        self.give(&order, epoch).await;
+        self.answer(self.settings.address).await;
+        Box::pin(self.drive()).await;
+    }
+
+    /// Gives another rank an order straight, and goes on with what its report
+    /// then says.
+    pub(super) async fn give_far(self: Rc<Self>, state: &State, order: Change, epoch: u64) {
+        let Some(order) = self.direct(order) else {
+            return;
+        };
+        let far = Rank::new(self.client.clone(), state.upstream);
+        let outcome = far.order(&order, epoch, rank::FAR).await;
+        if outcome != Outcome::Taken {
+            info!(self.log, "Agent: Another rank didn't take an order.";
+                "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
+        }
+        // What a rank says to another instance is some hundred milliseconds old;
+        // its agent knows better.
+        let agent = self.seats.borrow().get(state.rank).map(|seat| seat.agent);
+        if let Some(agent) = agent {
+            let look = Order {
+                epoch,
+                what: What::Look,
+            };
+            self.send(agent, &Word::Order(look)).await;
+        }
+    }
+}
+
+/// Whether a rank's report shows the effect of an order.
+fn shows(report: &Report, order: &order::Order) -> bool {
+    match order {
+        order::Order::Prepare { version, .. } => report.busy || report.prepared == Some(*version),
+        order::Order::Arm { version, .. } => {
+            report.armed == Some(*version) || report.map == *version
+        }
+        order::Order::Hold { step } => report.held == Some(*step),
+        order::Order::Go { step } => report.held != Some(*step),
+    }
+}
+
+/// The name of an order in logs.
+fn name(order: &order::Order) -> &'static str {
+    match order {
+        order::Order::Prepare { .. } => "prepare",
+        order::Order::Arm { .. } => "arm",
+        order::Order::Hold { .. } => "hold",
+        order::Order::Go { .. } => "go",
+    }
+}
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -4,18 +4,10 @@
     cell::Cell,
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use monoio::net::udp::UdpSocket;
-use signal_hook::{
-    consts::{SIGHUP, SIGINT, SIGTERM},
-    flag,
-};
 use slog::{Logger, info, warn};
 use verbenaspool_platform::{configuration, registry, store};
 use verbenaspool_protocol::word::{self, Word};
@@ -25,6 +17,7 @@
     log,
     platform::client::Channel,
     runtime,
+    shutdown::Words,
 };
 
 use super::{board::Board, settings::Settings};
@@ -78,18 +71,14 @@
 /// Its port isn't free, or signals can't be heard.
 pub fn main(settings: Settings) -> Result<(), Error> {
     let (log, _guard) = log::guarded(settings.log);
-    let stop = Arc::new(AtomicBool::new(false));
-    let reload = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        flag::register(signal, stop.clone())?;
-    }
-    // Nothing of the settings can change without a new process.
-    flag::register(SIGHUP, reload)?;
-    runtime::run(serve(settings, log, stop))?
+    // Nothing of the settings can change without a new process: the word to
+    // reload is heard only so that it doesn't end this one.
+    let words = Words::hear()?;
+    runtime::run(serve(settings, log, words))?
 }
 
 /// Runs the agent.
-async fn serve(settings: Settings, log: Logger, stop: Arc<AtomicBool>) -> Result<(), Error> {
+async fn serve(settings: Settings, log: Logger, words: Words) -> Result<(), Error> {
     let clock: Rc<dyn Clock> = Monotonic::start();
     let address = SocketAddr::new(settings.address, settings.peer_port);
     let socket = UdpSocket::bind(address).map_err(|why| Error::Listen { address, why })?;
@@ -103,17 +92,17 @@
     monoio::spawn(hear(board.clone()));
     let born = Rc::new(Cell::new(0));
     monoio::spawn(sample(board.clone(), born.clone()));
-    watch(&board, &stop, &born).await;
+    watch(&board, &words, &born).await;
     info!(log, "Agent: Stopped.");
     Ok(())
 }
 
 /// Reads the own rank's report, again and again.
-async fn watch(board: &Rc<Board>, stop: &AtomicBool, born: &Cell<u64>) {
+async fn watch(board: &Rc<Board>, words: &Words, born: &Cell<u64>) {
     let clock = &board.clock;
     let (mut told, mut hello) = (Duration::ZERO, Duration::ZERO);
     let mut reached = true;
-    while !stop.load(Ordering::Relaxed) {
+    while !words.stopped() {
         let report = board.rank.report().await;
         if report.is_some() != reached {
             reached = report.is_some();
--- /dev/null
+++ b/verbenaspool_agent/src/direct/standin.rs
@@ -0,0 +1,84 @@
+//! Standing in for a lead that is silent while its group stands still.
+
+use std::{rc::Rc, time::Duration};
+
+use slog::{info, warn};
+use verbenaspool_platform::report::Report;
+
+use super::{
+    board::Board,
+    lead::Lead,
+    seats::{self, Seat},
+};
+
+/// After how long without a word a lead counts as silent: three words, which
+/// it sends each 0.1 s.
+const SILENT: Duration = Duration::from_millis(300);
+
+/// How long a group must have stood still before the next rank's agent looks
+/// into it: several passes, and well below the 1.5 s after which requests are
+/// cut off.
+const STOOD: Duration = Duration::from_millis(400);
+
+/// How much longer each further rank's agent waits.
+const STOOD_PER_RANK: Duration = Duration::from_millis(250);
+
+impl Board {
+    /// Notes since when the rank has begun no pass though it has requests.
+    pub(super) fn stalls(&self, report: &Report) {
+        let now = self.clock.now();
+        let (step, _) = self.stall.get();
+        if report.step != step || report.running == 0 {
+            self.stall.set((report.step, now));
+        }
+    }
+
+    /// Stands in for a lead that is silent while the group stands still.
+    ///
+    /// A lead that freezes or is cut off between the orders to hold a pass and to
+    /// let it begin would keep the whole group waiting until it is back. The next
+    /// rank's agent then reads the reports of all ranks and finishes what was
+    /// begun, as the switch says; each further rank waits longer, so that they
+    /// don't all do it. Two that do it at once, or a lead that wakes, only repeat
+    /// each other's orders.
+    pub async fn stand_in(self: &Rc<Self>) {
+        let Some(state) = self.state().filter(|state| state.rank > 0) else {
+            return;
+        };
+        let now = self.clock.now();
+        let heard = self.seats.borrow().get(0).map(|seat| seat.heard);
+        let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > SILENT);
+        let stood = now.saturating_sub(self.stall.get().1);
+        let patience = STOOD + STOOD_PER_RANK * u32::from(state.rank - 1);
+        let held = state.held.is_some();
+        let patience = if held { SILENT } else { patience };
+        if !silent || stood < patience {
+            if self.lead.borrow_mut().take().is_some() {
+                info!(self.log, "Agent: No longer stands in for the lead.");
+            }
+            return;
+        }
+        if self.lead.borrow().is_none() {
+            warn!(self.log, "Agent: The group stands still and its lead is silent; standing in.";
+                "rank" => state.rank, "step" => state.step, "for_ms" => stood.as_secs_f64() * 1e3);
+            let mut lead = Lead::new(state.size.into());
+            lead.stands_in = true;
+            self.lead.replace(Some(lead));
+        }
+        self.recall();
+        self.drive().await;
+    }
+
+    /// Brings in what the agents of all ranks said so far.
+    pub(super) fn recall(&self) {
+        let now = self.clock.now();
+        let seats: Vec<Seat> = self.seats.borrow().iter(now).cloned().collect();
+        if let Some(lead) = &mut *self.lead.borrow_mut() {
+            for seat in seats {
+                let report = seats::report(&seat.state);
+                lead.switch
+                    .report(seat.heard, seat.state.rank.into(), report);
+            }
+        }
+    }
+}
--- a/verbenaspool_transport/src/shutdown.rs
+++ b/verbenaspool_transport/src/shutdown.rs
@@ -1,7 +1,19 @@
-//! The word to stop, passed from the signal handler to every connection.
+//! The word to stop, passed from the signal handler to every connection, and the
+//! words that a process hears by signals without stopping at each.
 
-use std::rc::Rc;
+use std::{
+    io,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+};
 use tokio::sync::watch;
 
 /// The side that gives the word.
@@ -87,3 +99,62 @@
 #[derive(Debug, thiserror::Error)]
 #[error("the signal handler can't be set: {0}")]
 pub struct Error(String);
+
+/// What a process was told by signals. The loop looks at it now and then; clones
+/// share it.
+#[derive(Debug, Clone, Default)]
+pub struct Words {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Words {
+    /// Hears SIGTERM and SIGINT as the word to stop, SIGHUP as that to reload.
+    ///
+    /// # Errors
+    /// A signal can't be heard.
+    ///
+    /// ```
+    /// let words = verbenaspool_transport::shutdown::Words::hear().unwrap();
+    /// assert!(!words.stopped());
+    /// ```
+    pub fn hear() -> io::Result<Self> {
+        let words = Self::default();
+        for signal in [SIGTERM, SIGINT] {
+            flag::register(signal, words.stop.clone())?;
+        }
+        flag::register(SIGHUP, words.reload.clone())?;
+        Ok(words)
+    }
+
+    /// Says that the process is to stop, as a signal would.
+    ///
+    /// ```
+    /// let words = verbenaspool_transport::shutdown::Words::default();
+    /// words.stop();
+    /// assert!(words.stopped());
+    /// ```
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process is to stop.
+    ///
+    /// ```
+    /// assert!(!verbenaspool_transport::shutdown::Words::default().stopped());
+    /// ```
+    #[must_use]
+    pub fn stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    /// Whether the process is to read its settings anew; true once a word.
+    ///
+    /// ```
+    /// assert!(!verbenaspool_transport::shutdown::Words::default().take_reload());
+    /// ```
+    #[must_use]
+    pub fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+}
