--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -19,6 +19,10 @@
 /// within this and a second; each call is paid for, so it isn't shorter.
 const WAIT: Duration = Duration::from_secs(3);
 
+/// The pause behind a change. Changes come in rows, each watch that brings one is
+/// paid for, and all of them must be in force within 2 s.
+const BATCH: Duration = Duration::from_millis(150);
+
 /// The pause after a call that failed, at first and at most. What the store
 /// refuses must be asked for again within the bound on changes, which is 2 s.
 const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
@@ -106,6 +110,7 @@
                     self.revision = self.revision.max(revision);
                     if !changes.is_empty() {
                         self.change(changes);
+                        self.gateway.clock.sleep(BATCH).await;
                     }
                 }
                 Ok(Watched::Forgotten) => {
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -16,12 +16,15 @@
 /// Choices a set that a decision rests on at least.
 const ENOUGH: f64 = 1_000.0;
 
-/// Copies a rank that one change makes at most: 0.3 s at 0.15 s each. With more,
-/// the relief for the busiest set waits for that of the others.
-const COPIES: usize = 1;
+/// Sets of layers for each copy that one change makes a rank at most. With more
+/// copies the relief for the busiest set waits for that of the others; with fewer,
+/// a group with many sets isn't through with one shift when the next comes.
+const SETS_PER_COPY: usize = 6;
 
-/// The least part of the pass that a copy has to save.
-const LEAST: f64 = 0.025;
+/// The least part of the pass that a copy has to save, times the ranks: a pass
+/// that is shorter serves the streams of all ranks, so a copy is worth more in a
+/// larger group.
+const LEAST: f64 = 0.2;
 
 /// Bits of a version that are drawn: a lead that was started again can't know
 /// every version that its forerunner gave out, and an order for one of those may
@@ -163,11 +166,12 @@
         if self.stands_in || !self.switch.is_ready(now) {
             return None;
         }
+        #[allow(clippy::cast_precision_loss)] // Groups are small.
         let bound = Bound {
             places: experts.places.into(),
             spare: experts.spare.into(),
-            copies: COPIES,
-            least: LEAST,
+            copies: usize::from(experts.layers).div_ceil(SETS_PER_COPY),
+            least: LEAST / self.ranks.max(1) as f64,
         };
         let relief = relief::relieve(&self.layers(experts)?, &self.loads(experts)?, &bound)?;
         let highest = self
