--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -191,6 +191,20 @@
 
 impl Switch {
     /// A machine for a group of so many ranks that knows nothing yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_coordination::switch::{Order, Report, Switch};
+    ///
+    /// let mut switch = Switch::new(1);
+    /// let now = Duration::from_secs(1);
+    /// switch.report(now, 0, Report { epoch: 1, step: 7, ..Report::default() });
+    /// assert!(switch.is_ready(now));
+    /// switch.start(now, 5, Duration::from_millis(150));
+    /// let (orders, _) = switch.poll(now);
+    /// assert_eq!(orders[0].order, Order::Prepare { version: 5 });
+    /// ```
     #[must_use]
     pub fn new(ranks: usize) -> Self {
         Self {
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -196,6 +196,13 @@
 
 impl Dispatcher {
     /// A dispatcher that knows no upstream yet.
+    ///
+    /// ```
+    /// use verbenaspool_policy::dispatch::Dispatcher;
+    ///
+    /// let dispatcher = Dispatcher::new("a".into(), 1);
+    /// assert_eq!(dispatcher.ids().count(), 0);
+    /// ```
     #[must_use]
     pub fn new(zone: Rc<str>, seed: u64) -> Self {
         Self {
--- a/verbenaspool_policy/src/dispatch/pass.rs
+++ b/verbenaspool_policy/src/dispatch/pass.rs
@@ -40,6 +40,16 @@
 
 impl Pass {
     /// Learns from a pause, given as a ratio to the pass by the configuration.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::pass::Pass;
+    ///
+    /// let mut pass = Pass::default();
+    /// pass.learn(Duration::ZERO, 2.0);
+    /// assert!((pass.pace(Duration::ZERO, 1.0) - 2.0).abs() < 1e-9);
+    /// ```
     pub fn learn(&mut self, now: Duration, ratio: f64) {
         let (pace, at) = self.learnt.unwrap_or((ratio.min(STALL), now));
         self.learnt = Some((blend(pace, at, now, ratio), now));
--- a/verbenaspool_policy/src/dispatch/retry.rs
+++ b/verbenaspool_policy/src/dispatch/retry.rs
@@ -41,6 +41,17 @@
 
     /// Whether a request may be sent once more; counts it if so. `entries` is how
     /// many share the slack.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::retry::{Bound, Budget};
+    ///
+    /// let bound = Bound { ratio: 0.0, window: Duration::from_secs(10), slack: 2.0 };
+    /// let mut budget = Budget::default();
+    /// assert!(budget.repeat(Duration::ZERO, &bound, 1));
+    /// assert!(!budget.repeat(Duration::ZERO, &bound, 1));
+    /// ```
     pub fn repeat(&mut self, now: Duration, bound: &Bound, entries: usize) -> bool {
         forget(&mut self.requests, now, bound.window);
         forget(&mut self.repeats, now, bound.window);
--- a/verbenaspool_policy/src/dispatch/trust.rs
+++ b/verbenaspool_policy/src/dispatch/trust.rs
@@ -48,6 +48,17 @@
     }
 
     /// Learns from how a sending ended.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::{Ending, trust::Trust};
+    ///
+    /// let mut trust = Trust::default();
+    /// trust.learn(Duration::ZERO, Ending::Silent);
+    /// assert_eq!(trust.cost(Duration::from_millis(10)), None);
+    /// assert!(trust.cost(Duration::from_secs(1)).is_some());
+    /// ```
     pub fn learn(&mut self, now: Duration, ending: Ending) {
         match ending {
             Ending::Good => {
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -117,6 +117,23 @@
 impl Route {
     /// Whether a request may go to a second upstream after the first may have
     /// run it.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_state::route::{Kind, Route, Split};
+    /// # let route = |kind, resumable| Route {
+    /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     splits: vec![
+    /// #         Split { service: "old".into(), weight: 90.0 },
+    /// #         Split { service: "new".into(), weight: 10.0 },
+    /// #     ],
+    /// #     attempts: 2, public: false,
+    /// # };
+    /// assert!(route(Kind::Safe, false).is_repeatable());
+    /// assert!(!route(Kind::Streaming, false).is_repeatable());
+    /// assert!(route(Kind::Streaming, true).is_repeatable());
+    /// ```
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
@@ -127,6 +144,23 @@
     }
 
     /// The service that a request goes to, for a number drawn from 0 to 1.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_state::route::{Kind, Route, Split};
+    /// # let route = |kind, resumable| Route {
+    /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     splits: vec![
+    /// #         Split { service: "old".into(), weight: 90.0 },
+    /// #         Split { service: "new".into(), weight: 10.0 },
+    /// #     ],
+    /// #     attempts: 2, public: false,
+    /// # };
+    /// let route = route(Kind::Safe, false);
+    /// assert_eq!(route.service(0.5).map(|name| &**name), Some("old"));
+    /// assert_eq!(route.service(0.95).map(|name| &**name), Some("new"));
+    /// ```
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&Rc<str>> {
         let sum: f64 = self.splits.iter().map(|split| split.weight).sum();
@@ -145,6 +179,26 @@
 
 impl Table {
     /// A table of these parts; without customers, requests need no key.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use verbenaspool_state::route::{Kind, Route, Split};
+    /// # let route = |kind, resumable| Route {
+    /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     splits: vec![
+    /// #         Split { service: "old".into(), weight: 90.0 },
+    /// #         Split { service: "new".into(), weight: 10.0 },
+    /// #     ],
+    /// #     attempts: 2, public: false,
+    /// # };
+    /// # use verbenaspool_state::route::{Limits, Table};
+    /// let routes = vec![route(Kind::Safe, false)];
+    /// let table = Table::new(7, routes, Vec::new(), None, Limits::default());
+    /// assert!(table.route("A.example", "/a/b").is_some());
+    /// assert!(table.route("a.example", "/b/").is_none());
+    /// assert!(!table.is_keyed());
+    /// ```
     #[must_use]
     pub fn new(
         version: u64,
