--- a/extra/completions/verbenaspool.bash
+++ b/extra/completions/verbenaspool.bash
@@ -22,6 +22,9 @@
             verbenaspool,check)
                 cmd="verbenaspool__subcmd__check"
                 ;;
+            verbenaspool,entries)
+                cmd="verbenaspool__subcmd__entries"
+                ;;
             verbenaspool,explain)
                 cmd="verbenaspool__subcmd__explain"
                 ;;
@@ -40,6 +43,9 @@
             verbenaspool__subcmd__help,check)
                 cmd="verbenaspool__subcmd__help__subcmd__check"
                 ;;
+            verbenaspool__subcmd__help,entries)
+                cmd="verbenaspool__subcmd__help__subcmd__entries"
+                ;;
             verbenaspool__subcmd__help,explain)
                 cmd="verbenaspool__subcmd__help__subcmd__explain"
                 ;;
@@ -59,7 +65,7 @@
 
     case "${cmd}" in
         verbenaspool)
-            opts="-h -V --help --version run check apply explain status help"
+            opts="-h -V --help --version run check apply explain entries status help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -120,6 +126,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        verbenaspool__subcmd__entries)
+            opts="-h --json --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         verbenaspool__subcmd__explain)
             opts="-h --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
@@ -135,7 +155,7 @@
             return 0
             ;;
         verbenaspool__subcmd__help)
-            opts="run check apply explain status help"
+            opts="run check apply explain entries status help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -176,6 +196,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        verbenaspool__subcmd__help__subcmd__entries)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         verbenaspool__subcmd__help__subcmd__explain)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
--- a/extra/completions/verbenaspool.zsh
+++ b/extra/completions/verbenaspool.zsh
@@ -41,7 +41,7 @@
 '--json[Tell the result as JSON]' \
 '-h[Print help]' \
 '--help[Print help]' \
-':file -- The firm'\''s file:_files' \
+':file -- The file:_files' \
 && ret=0
 ;;
 (apply)
@@ -65,6 +65,14 @@
 '*::logs -- Logs of JSON lines; `-` is standard input:_files' \
 && ret=0
 ;;
+(entries)
+_arguments "${_arguments_options[@]}" : \
+'--json[Tell it as JSON]' \
+'-h[Print help]' \
+'--help[Print help]' \
+'*::addresses -- Control addresses of entries:_default' \
+&& ret=0
+;;
 (status)
 _arguments "${_arguments_options[@]}" : \
 '-s+[The operator'\''s settings file]:FILE:_files' \
@@ -102,6 +110,10 @@
 _arguments "${_arguments_options[@]}" : \
 && ret=0
 ;;
+(entries)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
 (status)
 _arguments "${_arguments_options[@]}" : \
 && ret=0
@@ -123,9 +135,10 @@
 _verbenaspool_commands() {
     local commands; commands=(
 'run:Run the entry process' \
-'check:Check a firm'\''s file and tell everything that is wrong with it' \
+'check:Check a firm'\''s file, or an entry'\''s settings or a configuration of the direct path, and tell everything that is wrong with it' \
 'apply:Apply a firm'\''s file, whole or not at all' \
 'explain:Tell what became of a request, from the logs of entries' \
+'entries:Tell what entries on the direct path have in force' \
 'status:Tell what is accepted, and where it is in force' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
@@ -141,6 +154,11 @@
     local commands; commands=()
     _describe -t commands 'verbenaspool check commands' commands "$@"
 }
+(( $+functions[_verbenaspool__subcmd__entries_commands] )) ||
+_verbenaspool__subcmd__entries_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool entries commands' commands "$@"
+}
 (( $+functions[_verbenaspool__subcmd__explain_commands] )) ||
 _verbenaspool__subcmd__explain_commands() {
     local commands; commands=()
@@ -150,9 +168,10 @@
 _verbenaspool__subcmd__help_commands() {
     local commands; commands=(
 'run:Run the entry process' \
-'check:Check a firm'\''s file and tell everything that is wrong with it' \
+'check:Check a firm'\''s file, or an entry'\''s settings or a configuration of the direct path, and tell everything that is wrong with it' \
 'apply:Apply a firm'\''s file, whole or not at all' \
 'explain:Tell what became of a request, from the logs of entries' \
+'entries:Tell what entries on the direct path have in force' \
 'status:Tell what is accepted, and where it is in force' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
@@ -168,6 +187,11 @@
     local commands; commands=()
     _describe -t commands 'verbenaspool help check commands' commands "$@"
 }
+(( $+functions[_verbenaspool__subcmd__help__subcmd__entries_commands] )) ||
+_verbenaspool__subcmd__help__subcmd__entries_commands() {
+    local commands; commands=()
+    _describe -t commands 'verbenaspool help entries commands' commands "$@"
+}
 (( $+functions[_verbenaspool__subcmd__help__subcmd__explain_commands] )) ||
 _verbenaspool__subcmd__help__subcmd__explain_commands() {
     local commands; commands=()
--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::{
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
     time::Duration,
@@ -12,7 +13,7 @@
 use verbenaspool_state::{check::Problem, file::File, name::Name, version::Version};
 
 use crate::{
-    operate::{self, apply, explain, status},
+    operate::{self, Direct, apply, entries, explain, status},
     run::{self, Drained},
 };
 
@@ -37,6 +38,7 @@
   verbenaspool check quetzal.yaml
   verbenaspool apply --settings operator.yaml --expect 7 quetzal.yaml
   verbenaspool status --settings operator.yaml --json
+  verbenaspool entries 10.1.0.40:8229 10.2.0.29:8229
   verbenaspool explain 9c41d07be2a35f68 entry-1.log entry-2.log
 
 Exit codes:
@@ -66,9 +68,10 @@
         #[arg(long, short, value_name = "FILE", env = "VERBENASPOOL_SETTINGS")]
         settings: PathBuf,
     },
-    /// Check a firm's file and tell everything that is wrong with it.
+    /// Check a firm's file, or an entry's settings or a configuration of the direct
+    /// path, and tell everything that is wrong with it.
     Check {
-        /// The firm's file.
+        /// The file.
         #[arg(value_name = "FILE")]
         file: PathBuf,
         /// Tell the result as JSON.
@@ -105,6 +108,15 @@
         #[arg(value_name = "LOG", required = true)]
         logs: Vec<PathBuf>,
     },
+    /// Tell what entries on the direct path have in force.
+    Entries {
+        /// Control addresses of entries.
+        #[arg(value_name = "ADDRESS", required = true)]
+        addresses: Vec<SocketAddr>,
+        /// Tell it as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Tell what is accepted, and where it is in force.
     Status {
         /// The operator's settings file.
@@ -132,7 +144,7 @@
 pub fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Run { settings } => run(&settings),
-        Command::Check { file, json } => checked(&operate::check(&file), json),
+        Command::Check { file, json } => check(&file, json),
         Command::Apply {
             settings,
             file,
@@ -151,6 +163,15 @@
                 Err(error) => fail(&error),
             }
         }
+        Command::Entries { addresses, json } => match entries::main(&addresses) {
+            Ok(answers) => {
+                let table = || entries::table(&answers);
+                print!("{}", if json { text(&answers) + "\n" } else { table() });
+                let all = answers.iter().all(|answer| answer.standing.is_some());
+                ExitCode::from(if all { 0 } else { FAILED })
+            }
+            Err(error) => fail(&error),
+        },
         Command::Explain { id, logs } => explain(&id, &logs),
         Command::Status { settings, json } => match status::main(&settings) {
             Ok(report) => {
@@ -163,6 +184,25 @@
     }
 }
 
+/// Checks a file of either path.
+fn check(file: &Path, json: bool) -> ExitCode {
+    match operate::check_direct(file) {
+        Ok(None) => checked(&operate::check(file), json),
+        Ok(Some(Direct::Settings(name))) => {
+            println!("{name}: the settings are sound");
+            ExitCode::SUCCESS
+        }
+        Ok(Some(Direct::Configuration(version, routes))) => {
+            println!("version {version}: the configuration is sound, {routes} routes");
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(PROBLEMS)
+        }
+    }
+}
+
 /// Tells what became of a request.
 fn explain(id: &str, logs: &[PathBuf]) -> ExitCode {
     let story = match explain::main(id, logs) {
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -19,3 +19,4 @@
 mod request;
 pub mod run;
 pub mod settings;
+pub mod standing;
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -26,6 +26,7 @@
     peers,
     readiness::{Metrics, Readiness},
     settings::Settings,
+    standing,
 };
 use crate::run::{Drained, Error};
 
@@ -117,6 +118,7 @@
     }
     let mut module = rpc::Module::default();
     peers::methods(&gateway, &mut module);
+    standing::methods(&gateway, &mut module);
     monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
     accompany(&gateway);
     let wake = [Rc::new(Notify::new()), Rc::new(Notify::new())];
--- /dev/null
+++ b/verbenaspool/src/direct/standing.rs
@@ -0,0 +1,89 @@
+//! How an entry stands, for operators.
+
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use verbenaspool_transport::rpc;
+
+use super::gateway::Gateway;
+
+/// The RPC method that tells it.
+pub const STANDING: &str = "standing";
+
+/// How an entry stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The entry's name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// The version of the configuration in force.
+    pub version: u64,
+    /// The revision of the registry that it works with.
+    pub revision: u64,
+    /// How many entries it hears, itself included.
+    pub entries: usize,
+    /// Its services.
+    pub services: Vec<Service>,
+}
+
+/// How a service stands at an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Upstreams that take requests.
+    pub upstreams: u32,
+    /// Those of them that nothing is sent to for now.
+    pub shunned: u32,
+    /// Requests in flight, of all entries as far as known.
+    pub busy: u32,
+    /// Requests that wait here.
+    pub waiting: usize,
+    /// How much longer passes take than on even ranks.
+    pub pace: f64,
+}
+
+impl Gateway {
+    /// How this entry stands.
+    fn standing(&self) -> Standing {
+        let now = self.clock.now();
+        let services = self.desks().into_iter().map(|desk| {
+            let snapshot = desk.with(|dispatcher, now| dispatcher.snapshot(now));
+            Service {
+                name: desk.service.to_string(),
+                upstreams: snapshot.upstreams,
+                shunned: snapshot.shunned,
+                busy: snapshot.busy,
+                waiting: snapshot.waiting,
+                pace: snapshot.pace,
+            }
+        });
+        let mut services: Vec<Service> = services.collect();
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let settings = self.settings.borrow();
+        Standing {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            ready: self.ready(),
+            leaving: self.leaving.get(),
+            version: self.version(),
+            revision: self.revision(),
+            entries: self.peers.borrow().entries(now),
+            services,
+        }
+    }
+}
+
+/// Answers operators' calls.
+pub fn methods(gateway: &Rc<Gateway>, module: &mut rpc::Module) {
+    let gateway = gateway.clone();
+    module.on(STANDING, move |(): ()| {
+        let standing = gateway.standing();
+        async move { Ok::<_, String>(standing) }
+    });
+}
--- a/verbenaspool/src/operate.rs
+++ b/verbenaspool/src/operate.rs
@@ -6,12 +6,14 @@
 };
 
 use serde::{Deserialize, Serialize};
+use verbenaspool_platform::configuration;
 use verbenaspool_state::{check::Problem, file::File, name::Name};
 use verbenaspool_transport::{platform, settings};
 
-use crate::settings::Platform;
+use crate::{direct, settings::Platform};
 
 pub mod apply;
+pub mod entries;
 pub mod explain;
 pub mod status;
 
@@ -63,6 +65,41 @@
     Loop(io::Error),
 }
 
+/// What a file on the direct path holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Direct {
+    /// The settings of an entry of this name.
+    Settings(String),
+    /// A configuration, as the platform holds it: its version and routes.
+    Configuration(u64, usize),
+}
+
+/// Reads a file of the direct path; nothing, where it isn't one.
+///
+/// # Errors
+/// It is one, and can't be taken.
+///
+/// ```no_run
+/// use std::path::Path;
+///
+/// let read = verbenaspool::operate::check_direct(Path::new("entry.yaml")).unwrap();
+/// ```
+pub fn check_direct(path: &Path) -> Result<Option<Direct>, String> {
+    let text = fs::read_to_string(path).map_err(|why| format!("{}: {why}", path.display()))?;
+    if text.trim_start().starts_with('{') {
+        let read = configuration::decode(&text);
+        let table = read.map_err(|why| format!("{}: {why}", path.display()))?;
+        return Ok(Some(Direct::Configuration(table.version, table.len())));
+    }
+    let is_direct = text.lines().any(|line| line.trim() == "path: direct");
+    if !is_direct {
+        return Ok(None);
+    }
+    let read = settings::parse::<direct::settings::Settings>(path, &text);
+    let read = read.map_err(|why| why.to_string())?;
+    Ok(Some(Direct::Settings(read.name)))
+}
+
 /// One problem a line, each with its file.
 fn list(path: &Path, problems: &[Problem]) -> String {
     let path = path.display();
--- /dev/null
+++ b/verbenaspool/src/operate/entries.rs
@@ -0,0 +1,111 @@
+//! `verbenaspool entries`: what entries on the direct path have in force.
+
+use std::{fmt::Write as _, net::SocketAddr, time::Duration};
+
+use serde::Serialize;
+use verbenaspool_transport::{rpc, runtime};
+
+use super::Error;
+use crate::direct::standing::{STANDING, Standing};
+
+/// How long an entry has to answer.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// What an entry said, or why it didn't.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Answer {
+    /// The entry's control address.
+    pub entry: SocketAddr,
+    /// How it stands, where it answered.
+    pub standing: Option<Standing>,
+    /// Why it didn't.
+    pub error: Option<String>,
+}
+
+/// Asks entries how they stand.
+///
+/// # Errors
+/// The loop can't start. Entries that don't answer are told of in the report.
+///
+/// ```
+/// let answers = verbenaspool::operate::entries::main(&[]).unwrap();
+/// assert!(answers.is_empty());
+/// ```
+pub fn main(entries: &[SocketAddr]) -> Result<Vec<Answer>, Error> {
+    let asked = runtime::run(async {
+        let client = rpc::Client::default();
+        let mut answers = Vec::new();
+        for &entry in entries {
+            let called: Result<Standing, rpc::Error> =
+                client.call(entry, STANDING, &(), ANSWER).await;
+            answers.push(match called {
+                Ok(standing) => Answer {
+                    entry,
+                    standing: Some(standing),
+                    error: None,
+                },
+                Err(why) => Answer {
+                    entry,
+                    standing: None,
+                    error: Some(why.to_string()),
+                },
+            });
+        }
+        answers
+    });
+    asked.map_err(Error::Loop)
+}
+
+/// The answers as a table; entries that lag behind the newest version are marked.
+///
+/// ```
+/// assert!(verbenaspool::operate::entries::table(&[]).starts_with("ENTRY"));
+/// ```
+#[must_use]
+pub fn table(answers: &[Answer]) -> String {
+    let standings = answers.iter().filter_map(|answer| answer.standing.as_ref());
+    let newest = standings.map(|standing| standing.version).max();
+    let mut text = format!(
+        "{:<22} {:<20} {:>8} {:>9} {:>7}  {}\n",
+        "ENTRY", "NAME", "VERSION", "REVISION", "ENTRIES", "NOTES"
+    );
+    for answer in answers {
+        let Some(standing) = &answer.standing else {
+            let why = answer.error.as_deref().unwrap_or_default();
+            let _ = writeln!(text, "{:<22} no answer: {why}", answer.entry);
+            continue;
+        };
+        let mut notes = Vec::new();
+        if Some(standing.version) < newest {
+            notes.push("behind");
+        }
+        if standing.leaving {
+            notes.push("leaving");
+        } else if !standing.ready {
+            notes.push("not ready");
+        }
+        let _ = writeln!(
+            text,
+            "{:<22} {:<20} {:>8} {:>9} {:>7}  {}",
+            answer.entry,
+            standing.name,
+            standing.version,
+            standing.revision,
+            standing.entries,
+            notes.join(", ")
+        );
+        for service in &standing.services {
+            let _ = writeln!(
+                text,
+                "  {}: {} upstreams ({} shunned), {} in flight, {} waiting, pace {:.2}",
+                service.name,
+                service.upstreams,
+                service.shunned,
+                service.busy,
+                service.waiting,
+                service.pace
+            );
+        }
+    }
+    text
+}
