Send agents what differs of a map, and let copies fill the time of a change

Cause: on the grown sites each change took 0.45 to 0.63 s though a copy takes 0.037 s there. The lead sent the whole map in five datagrams to each of 31 agents over a link of 8 Mbit/s; some were lost each time and sent again 0.4 s later. Agents get what differs from a map that they know now (some hundred bytes), and ask for the whole one where they don't. A change holds as many copies as fit in 0.15 s, four at most; the least saving of a copy goes by the root of the ranks. Lists are sorted, so that all ranks get the same map to the letter.

--- a/verbenaspool/src/operate.rs
+++ b/verbenaspool/src/operate.rs
@@ -85,7 +85,10 @@
 /// let read = verbenaspool::operate::check_direct(Path::new("entry.yaml")).unwrap();
 /// ```
 pub fn check_direct(path: &Path) -> Result<Option<Direct>, String> {
-    let text = fs::read_to_string(path).map_err(|why| format!("{}: {why}", path.display()))?;
+    let Ok(text) = fs::read_to_string(path) else {
+        // Whoever reads it as a firm's file tells why it can't be read.
+        return Ok(None);
+    };
     if text.trim_start().starts_with('{') {
         let read = configuration::decode(&text);
         let table = read.map_err(|why| format!("{}: {why}", path.display()))?;
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -22,7 +22,7 @@
 
 use super::{
     lead::Lead,
-    partial::Partial,
+    partial::{Known, Partial},
     rank::Rank,
     seats::{self, Seats},
     settings::Settings,
@@ -51,6 +51,8 @@
     pub instances: RefCell<BTreeSet<IpAddr>>,
     /// The parts of a map that have come.
     pub(super) map: RefCell<Option<Partial>>,
+    /// Maps that are known whole.
+    pub(super) known: RefCell<Known>,
     /// The counts that were last read, and of which incarnation of the rank.
     pub(super) counts: RefCell<(u64, Vec<u64>)>,
     /// The short name of the group that the rank last sat in.
@@ -97,6 +99,7 @@
             experts: Cell::default(),
             instances: RefCell::default(),
             map: RefCell::default(),
+            known: RefCell::default(),
             counts: RefCell::default(),
             group: Cell::default(),
             bar: Cell::default(),
@@ -209,6 +212,12 @@
             Word::Order(order) if own.map(|own| own.1) == Some(order.epoch) => {
                 self.obey(agent, order).await;
             }
+            Word::Difference(difference) if own.map(|own| own.1) == Some(difference.epoch) => {
+                self.differ(agent, difference).await;
+            }
+            Word::Lack(lack) if own.map(|own| own.1) == Some(lack.epoch) => {
+                self.complete(agent, lack).await;
+            }
             Word::Map(map) if own.map(|own| own.1) == Some(map.epoch) => {
                 self.collect(agent, map).await;
             }
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use verbenaspool_coordination::switch::Switch;
 use verbenaspool_policy::rebalancer::relief::{self, Bound, Relief};
-use verbenaspool_protocol::seat::{Choices, Held, Map};
+use verbenaspool_protocol::seat::{Choices, Difference, Held, Map, Move};
 use verbenaspool_state::{engine::Experts, expert_map::Layer};
 
 /// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
@@ -16,15 +16,18 @@
 /// Choices a set that a decision rests on at least.
 const ENOUGH: f64 = 1_000.0;
 
-/// Sets of layers for each copy that one change makes a rank at most. With more
-/// copies the relief for the busiest set waits for that of the others; with fewer,
-/// a group with many sets isn't through with one shift when the next comes.
-const SETS_PER_COPY: usize = 6;
+/// How long a rank may copy for one change. With more, the relief for the busiest
+/// set waits for that of the others; with less, the orders of a change outweigh it.
+const COPYING: Duration = Duration::from_millis(150);
 
-/// The least part of the pass that a copy has to save, times the ranks: a pass
-/// that is shorter serves the streams of all ranks, so a copy is worth more in a
-/// larger group.
-const LEAST: f64 = 0.2;
+/// Copies a rank that one change makes at most, however fast they are.
+const MOST: usize = 4;
+
+/// The least part of the pass that a copy has to save, times the root of the ranks.
+/// A pass that is shorter serves the streams of all ranks, so a copy is worth more
+/// in a larger group; but copies slow passes too, and with a part that fell as the
+/// ranks grow a group of 32 copied without pause.
+const LEAST: f64 = 0.07;
 
 /// Bits of a version that are drawn: a lead that was started again can't know
 /// every version that its forerunner gave out, and an order for one of those may
@@ -45,6 +48,10 @@
     pub version: u64,
     /// The experts by set and rank.
     pub places: Vec<Vec<Vec<u16>>>,
+    /// The version that it differs from, and by what.
+    pub base: u64,
+    /// The places that change.
+    pub moves: Vec<Move>,
 }
 
 /// The group as its lead knows it.
@@ -170,26 +177,47 @@
         let bound = Bound {
             places: experts.places.into(),
             spare: experts.spare.into(),
-            copies: usize::from(experts.layers).div_ceil(SETS_PER_COPY),
-            least: LEAST / self.ranks.max(1) as f64,
+            copies: copies(experts.copy),
+            least: LEAST / (self.ranks.max(1) as f64).sqrt(),
         };
-        let relief = relief::relieve(&self.layers(experts)?, &self.loads(experts)?, &bound)?;
+        let layers = self.layers(experts)?;
+        let relief = relief::relieve(&layers, &self.loads(experts)?, &bound)?;
         let highest = self
             .switch
             .highest()
             .max(self.plan.as_ref().map_or(0, |p| p.version));
         let drawn = rand::rng().random_range(0..1 << DRAWN);
         let version = (((highest >> DRAWN) + 1) << DRAWN) + drawn;
-        let places = relief.layers.iter().map(|layer| layer.ranks.clone());
+        // Every rank must get the same map to the letter, whichever way it comes.
+        let sorted = |experts: &Vec<u16>| {
+            let mut experts = experts.clone();
+            experts.sort_unstable();
+            experts
+        };
+        let places = relief.layers.iter();
+        let places = places.map(|layer| layer.ranks.iter().map(sorted).collect());
         self.plan = Some(Plan {
             version,
             places: places.collect(),
+            base: self.held.get(&0).map_or(0, |held| held.version),
+            moves: moves(&layers, &relief.layers),
         });
         let longest = u32::try_from(relief.longest).unwrap_or(u32::MAX);
         self.switch.start(now, version, experts.copy * longest);
         Some(relief)
     }
 
+    /// The map of a version as what differs from the one in use.
+    pub fn difference(&self, version: u64, epoch: u64) -> Option<Difference> {
+        let plan = self.plan.as_ref().filter(|plan| plan.version == version)?;
+        Some(Difference {
+            epoch,
+            version,
+            base: plan.base,
+            moves: plan.moves.clone(),
+        })
+    }
+
     /// The map of a version in parts that fit in datagrams.
     pub fn parts(&self, version: u64, epoch: u64) -> Vec<Map> {
         let Some(plan) = self.plan.as_ref().filter(|plan| plan.version == version) else {
@@ -218,3 +246,27 @@
             .collect()
     }
 }
+
+/// How many copies a rank makes in the time for one change.
+fn copies(copy: Duration) -> usize {
+    let copies = COPYING.as_micros() / copy.as_micros().max(1);
+    usize::try_from(copies).unwrap_or(usize::MAX).clamp(1, MOST)
+}
+
+/// The places in which two maps differ.
+fn moves(before: &[Layer], after: &[Layer]) -> Vec<Move> {
+    let mut moves = Vec::new();
+    for (set, (before, after)) in (0..).zip(before.iter().zip(after)) {
+        for (rank, (before, after)) in (0..).zip(before.ranks.iter().zip(&after.ranks)) {
+            let mut out = before.iter().filter(|expert| !after.contains(expert));
+            let new = after.iter().filter(|expert| !before.contains(expert));
+            moves.extend(new.map(|&expert| Move {
+                set,
+                rank,
+                out: out.next().copied(),
+                expert,
+            }));
+        }
+    }
+    moves
+}
--- a/verbenaspool_agent/src/direct/orders.rs
+++ b/verbenaspool_agent/src/direct/orders.rs
@@ -7,7 +7,7 @@
 use verbenaspool_coordination::switch::{Order as Change, Send};
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
-    seat::{Map, Order, State, What},
+    seat::{Difference, Lack, Map, Order, State, What},
     word::Word,
 };
 
@@ -148,11 +148,39 @@
             return;
         };
         self.map.replace(None);
+        self.prepare(agent, map.epoch, map.version, places).await;
+    }
+
+    /// Takes in a map by what differs from one before; asks the lead for the whole
+    /// map where that isn't known.
+    pub(super) async fn differ(self: &Rc<Self>, agent: IpAddr, difference: Difference) {
+        let places = self.known.borrow().apply(&difference);
+        let (epoch, version) = (difference.epoch, difference.version);
+        match places {
+            Some(places) => self.prepare(agent, epoch, version, places).await,
+            None => self.send(agent, &Word::Lack(Lack { epoch, version })).await,
+        }
+    }
+
+    /// Sends the whole map to an agent that lacks it, as the lead.
+    pub(super) async fn complete(&self, agent: IpAddr, lack: Lack) {
+        let parts = match &*self.lead.borrow() {
+            Some(lead) => lead.parts(lack.version, lack.epoch),
+            None => return,
+        };
+        for part in parts {
+            self.send(agent, &Word::Map(part)).await;
+        }
+    }
+
+    /// Has the own rank prepare a map, and tells the lead how it stands then.
+    async fn prepare(&self, agent: IpAddr, epoch: u64, version: u64, places: Vec<Vec<Vec<u16>>>) {
+        self.known.borrow_mut().add(epoch, version, places.clone());
         let prepare = order::Order::Prepare {
-            version: map.version,
+            version,
             map: places,
         };
-        self.give(&prepare, map.epoch).await;
+        self.give(&prepare, epoch).await;
         self.answer(agent).await;
     }
 
@@ -190,12 +218,10 @@
         let what = match order {
             Change::Prepare { version } => {
                 let lead = self.lead.borrow();
-                let parts = lead.as_ref().map(|lead| lead.parts(version, epoch));
-                return parts
-                    .unwrap_or_default()
-                    .into_iter()
-                    .map(Word::Map)
-                    .collect();
+                let difference = lead
+                    .as_ref()
+                    .and_then(|lead| lead.difference(version, epoch));
+                return difference.into_iter().map(Word::Difference).collect();
             }
             Change::Hold { step } => What::Hold { step },
             Change::Arm { version, step } => What::Arm { version, step },
--- a/verbenaspool_agent/src/direct/partial.rs
+++ b/verbenaspool_agent/src/direct/partial.rs
@@ -1,4 +1,6 @@
-//! A map that comes in several datagrams.
+//! Maps that come in several datagrams, or as what differs from one before.
+
+use verbenaspool_protocol::seat::Difference;
 
 /// A map of which some parts have come.
 #[derive(Debug)]
@@ -8,3 +10,57 @@
     /// The experts by set and rank, as far as they have come.
     pub sets: Vec<Option<Vec<Vec<u16>>>>,
 }
+
+/// How many maps an agent remembers: that in use, and those of changes that were
+/// given up since.
+const KNOWN: usize = 3;
+
+/// A map that an agent knows whole.
+#[derive(Debug, Clone)]
+struct Whole {
+    epoch: u64,
+    version: u64,
+    places: Vec<Vec<Vec<u16>>>,
+}
+
+/// The maps that an agent knows whole, the newest last.
+#[derive(Debug, Default)]
+pub struct Known(Vec<Whole>);
+
+impl Known {
+    /// Remembers a map.
+    pub fn add(&mut self, epoch: u64, version: u64, places: Vec<Vec<Vec<u16>>>) {
+        self.0
+            .retain(|known| known.epoch == epoch && known.version != version);
+        if self.0.len() >= KNOWN {
+            self.0.remove(0);
+        }
+        self.0.push(Whole {
+            epoch,
+            version,
+            places,
+        });
+    }
+
+    /// The map that a difference leads to, where the one before is known.
+    pub fn apply(&self, difference: &Difference) -> Option<Vec<Vec<Vec<u16>>>> {
+        let base =
+            |known: &&Whole| (known.epoch, known.version) == (difference.epoch, difference.base);
+        let mut places = self.0.iter().find(base)?.places.clone();
+        for change in &difference.moves {
+            let set = places.get_mut(usize::from(change.set))?;
+            let rank = set.get_mut(usize::from(change.rank))?;
+            if let Some(out) = change.out {
+                rank.retain(|expert| *expert != out);
+            }
+            rank.push(change.expert);
+        }
+        for rank in places.iter_mut().flatten() {
+            rank.sort_unstable();
+        }
+        Some(places)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -30,10 +30,6 @@
 /// two of them.
 const SAMPLE: Duration = Duration::from_millis(100);
 
-/// Ranks up to which choices are read that often. In larger groups all choices
-/// together would outgrow the lead's link, and bytes between zones are paid for.
-const SAMPLED: u32 = 16;
-
 /// How often the group hears how the rank stands, if nothing changes.
 const TELL: Duration = Duration::from_millis(100);
 
@@ -140,11 +136,7 @@
         board.sample(born.get()).await;
         board.tell_held(HELD).await;
         board.decide().await;
-        let ranks = board.state().map_or(0, |state| u32::from(state.size));
-        board
-            .clock
-            .sleep(SAMPLE * ranks.div_ceil(SAMPLED).max(1))
-            .await;
+        board.clock.sleep(SAMPLE).await;
     }
 }
 
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -110,6 +110,42 @@
     pub places: Vec<Vec<Vec<u16>>>,
 }
 
+/// A map to prepare, as what differs from one before. A whole map for each of many
+/// ranks fills the lead's link, and some of its datagrams are lost then.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The group's epoch; in another one the map is void.
+    pub epoch: u64,
+    /// The map's version.
+    pub version: u64,
+    /// The version that it differs from.
+    pub base: u64,
+    /// The places that change.
+    pub moves: Vec<Move>,
+}
+
+/// One place that changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The set.
+    pub set: u16,
+    /// The rank.
+    pub rank: u16,
+    /// The expert that leaves the rank, if one does.
+    pub out: Option<u16>,
+    /// The expert that comes.
+    pub expert: u16,
+}
+
+/// An agent lacks the map that a difference is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lack {
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The version that it needs whole.
+    pub version: u64,
+}
+
 /// What a rank holds under the map in use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
--- a/verbenaspool_protocol/src/word.rs
+++ b/verbenaspool_protocol/src/word.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     digest::Digest,
-    seat::{Choices, Held, Map, Order, State, Status},
+    seat::{Choices, Difference, Held, Lack, Map, Order, State, Status},
 };
 
 /// The largest datagram: one Ethernet frame, so that no part can be lost alone.
@@ -25,7 +25,11 @@
     Choices(Choices),
     /// The lead, to an agent: an order for its rank.
     Order(Order),
-    /// The lead, to an agent: the map that its rank is to prepare.
+    /// The lead, to an agent: the map that its rank is to prepare, by what differs.
+    Difference(Difference),
+    /// An agent, to the lead: it needs the map whole.
+    Lack(Lack),
+    /// The lead, to an agent: a part of the whole map that its rank is to prepare.
     Map(Map),
     /// An agent, to the lead: what its rank holds.
     Held(Held),
