--- a/verbenaspool_agent/benches/agent.rs
+++ b/verbenaspool_agent/benches/agent.rs
@@ -65,11 +65,11 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_verbenaspool-agent"))
             .args(["run", "--settings"])
             .arg(&path)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the agent");
         let mut line = String::new();
-        let log = child.stderr.as_mut().expect("its log");
+        let log = child.stdout.as_mut().expect("its log");
         BufReader::new(log).read_line(&mut line).expect("a line");
         let started: Value = serde_json::from_str(&line).expect("a JSON line");
         let address = |key: &str| started[key].as_str().and_then(|text| text.parse().ok());
--- a/verbenaspool_agent/tests/agent/process.rs
+++ b/verbenaspool_agent/tests/agent/process.rs
@@ -41,7 +41,7 @@
 fn program(action: &str, settings: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaspool-agent"));
     command.arg(action).arg("--settings").arg(settings);
-    command.stdout(Stdio::null()).stderr(Stdio::piped());
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
 
@@ -59,8 +59,8 @@
         let mut child = program("run", &file(name, &text))
             .spawn()
             .expect("a process");
-        let stderr = child.stderr.take().expect("its log");
-        let started = BufReader::new(stderr)
+        let log = child.stdout.take().expect("its log");
+        let started = BufReader::new(log)
             .lines()
             .map_while(Result::ok)
             .filter_map(|line| serde_json::from_str::<Value>(&line).ok())
