--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -77,7 +77,6 @@
             target: self.target,
             deadline: self.deadline,
             gap: self.route.gap.filter(|_| streams),
-            size: f64::from(self.said.guess.unwrap_or(self.said.most)),
             avoid: self.tried.borrow().clone(),
         }
     }
--- a/verbenaspool_policy/src/dispatch/line.rs
+++ b/verbenaspool_policy/src/dispatch/line.rs
@@ -2,8 +2,7 @@
 //!
 //! Load: more requests than room, all the time. Those that can still be answered
 //! in time go before those that can't, or every answer would come just too late;
-//! among equals the more urgent go first, then the smaller, which free their
-//! place soonest.
+//! among equals the more urgent go first, then those that came first.
 
 use std::time::Duration;
 
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -93,8 +93,6 @@
     pub deadline: Duration,
     /// The longest pause in time between its events, for streams.
     pub gap: Option<Duration>,
-    /// Its size against the usual one of its kind.
-    pub size: f64,
     /// Upstreams that it was sent to before.
     pub avoid: Vec<Rc<str>>,
 }
--- a/verbenaspool_policy/tests/dispatch/world.rs
+++ b/verbenaspool_policy/tests/dispatch/world.rs
@@ -54,7 +54,6 @@
         target: ms(now + 400),
         deadline: ms(now + 8_000),
         gap: Some(ms(120)),
-        size: 159.0,
         avoid: Vec::new(),
     }
 }
