--- a/verbenaspool_policy/tests/dispatch/world.rs
+++ b/verbenaspool_policy/tests/dispatch/world.rs
@@ -23,14 +23,9 @@
 pub fn engine() -> Engine {
     Engine {
         slots: 12,
-        cache_tokens: 400_000,
         stride: 6,
         step: Duration::from_micros(4_840),
         step_per_request: Duration::from_micros(362),
-        step_per_context: Duration::ZERO,
-        prefill_rate: 75_000.0,
-        chunk: 512,
-        usual_answer: 159,
         experts: None,
     }
 }
--- a/verbenaspool_state/src/engine.rs
+++ b/verbenaspool_state/src/engine.rs
@@ -8,8 +8,6 @@
 pub struct Engine {
     /// Requests that one upstream processes at once.
     pub slots: u32,
-    /// Tokens that fit in one upstream's KV cache.
-    pub cache_tokens: u64,
     /// Token steps that a pass with writers executes, each of which gives every
     /// writer a token.
     pub stride: u32,
@@ -17,14 +15,6 @@
     pub step: Duration,
     /// What each request that writes adds to a token step.
     pub step_per_request: Duration,
-    /// What 1,000 tokens of context of a writing request add to a token step.
-    pub step_per_context: Duration,
-    /// Prompt tokens read a second.
-    pub prefill_rate: f64,
-    /// Prompt tokens read in one token step at most.
-    pub chunk: u32,
-    /// The mean output of a request, in tokens.
-    pub usual_answer: u32,
     /// The experts of its groups, where its upstreams are ranks of groups.
     pub experts: Option<Experts>,
 }
@@ -56,14 +46,9 @@
     ///
     /// let engine = Engine {
     ///     slots: 12,
-    ///     cache_tokens: 1_000,
     ///     stride: 6,
     ///     step: Duration::from_millis(5),
     ///     step_per_request: Duration::from_millis(1),
-    ///     step_per_context: Duration::ZERO,
-    ///     prefill_rate: 1e5,
-    ///     chunk: 512,
-    ///     usual_answer: 100,
     ///     experts: None,
     /// };
     /// assert_eq!(engine.pass(5.0), Duration::from_millis(60));
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -75,8 +75,6 @@
 pub struct Service {
     /// Its name.
     pub name: Rc<str>,
-    /// Connections that one upstream takes from all callers together.
-    pub connections: u32,
     /// The model engine that its upstreams run, where they do.
     pub engine: Option<Engine>,
 }
