Let one refusal speak for a group, and look for its return

Cause: behind the end of all processes the registry still named upstreams that were no more, and groups formed for another second. Entries sent each request to two of these within 4 ms, 500 a second, spent the retry budget with it, and told callers to come back in 0.5 s, before anything ran; callers come back once. In a zone that was cut off each request tried four upstreams that didn't answer, 0.25 s each, and was then refused.

Change: a circuit for each group. A rank with little to do that turns a request away, or three in a row that can't be reached, speak for the group; one request each 0.1 s looks whether it is back, until one is taken or an agent says that it runs. Refused callers get the queue's own forecast. A repeat counts when it is sent, not when it might be.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::{Ask, Ending};
+use verbenaspool_policy::dispatch::{Ask, Ending, retry::Bound};
 use verbenaspool_state::route::{Kind, Route};
 use verbenaspool_transport::http::{body::Body, client::Error};
 
@@ -81,15 +81,21 @@
         }
     }
 
-    /// Whether the request may be sent once more; counts it if so.
+    /// Whether the request may be sent once more, as things are now. It counts only
+    /// when it is sent: one that then finds no upstream has cost nobody anything.
     pub fn may_repeat(&self) -> bool {
         if self.sendings.get() >= self.route.attempts || self.left() < WORTHWHILE {
             return false;
         }
-        let bound = self.gateway.settings.borrow().bounds.retries();
+        let (bound, entries) = self.budget();
+        self.desk.allows(&bound, entries)
+    }
+
+    /// What bounds repeats, and how many entries share it.
+    fn budget(&self) -> (Bound, usize) {
         let now = self.gateway.clock.now();
-        let entries = self.gateway.peers.borrow().entries(now);
-        self.desk.repeat(&bound, entries)
+        let bound = self.gateway.settings.borrow().bounds.retries();
+        (bound, self.gateway.peers.borrow().entries(now))
     }
 
     /// Whether another upstream may be tried behind one that can't be reached.
@@ -112,6 +118,11 @@
     /// there is one.
     pub async fn send(&self, place: Place, after: Option<u64>) -> Sent {
         let id = place.upstream.clone();
+        let (bound, entries) = self.budget();
+        if self.sendings.get() > 0 && !self.desk.repeat(&bound, entries) {
+            place.ended(Ending::Unknown);
+            return Sent::NotRun("no-budget");
+        }
         self.tried.borrow_mut().push(id.clone());
         let Some(replica) = self.gateway.replica(&id) else {
             place.ended(Ending::Unknown);
@@ -184,7 +195,7 @@
                 return Sent::Unknown("silent");
             }
             Ok(Err(Error::NotSent(_))) => {
-                place.ended(Ending::Silent);
+                place.ended(Ending::Unreached);
                 self.sendings.set(self.sendings.get() - 1);
                 self.unreached.set(self.unreached.get() + 1);
                 return Sent::NotRun("unreached");
@@ -206,7 +217,7 @@
             return Sent::Unknown("not-its-answer");
         }
         if misdirected {
-            place.ended(Ending::Silent);
+            place.ended(Ending::Unreached);
             return Sent::NotRun("misdirected");
         }
         if said.not_run {
@@ -217,6 +228,7 @@
             place.ended(Ending::Bad);
             return Sent::Unknown("not-the-upstreams-answer");
         }
+        place.taken();
         Sent::Answered(response, place)
     }
 }
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -42,6 +42,12 @@
         self.ending.set(ending);
     }
 
+    /// Says that the upstream has begun to answer.
+    pub fn taken(&self) {
+        let taken = |dispatcher: &mut Dispatcher, _| dispatcher.taken(&self.upstream);
+        self.desk.with(taken);
+    }
+
     /// Learns from a pause between two events of a stream.
     pub fn pause(&self, pause: Duration) {
         let now = self.desk.clock.now();
@@ -155,9 +161,21 @@
         self.budget.borrow_mut().request(now, bound);
     }
 
-    /// Whether a request may be sent once more.
+    /// Whether a request may be sent once more, as things are now.
+    pub fn allows(&self, bound: &Bound, entries: usize) -> bool {
+        let now = self.clock.now();
+        self.budget.borrow_mut().allows(now, bound, entries)
+    }
+
+    /// Whether a request may be sent once more; counts it if so.
     pub fn repeat(&self, bound: &Bound, entries: usize) -> bool {
         let now = self.clock.now();
         self.budget.borrow_mut().repeat(now, bound, entries)
     }
+
+    /// When the caller of a request should come back that was turned away.
+    pub fn come_back(&self) -> Duration {
+        let now = self.clock.now();
+        self.dispatcher.borrow_mut().refusal(now).after
+    }
 }
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -39,9 +39,6 @@
 /// once, to another entry.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
-/// When a caller should come back behind an upstream that turned it away.
-const TURNED_AWAY: Duration = Duration::from_millis(500);
-
 /// A wait beyond all others, for callers that name none.
 const UNBOUNDED: Duration = Duration::from_hours(1);
 
@@ -181,7 +178,7 @@
     match monoio::time::timeout(work.left(), served).await {
         Ok(served) => served,
         Err(_) if work.exposed.get() => Err(Refused::late("timeout")),
-        Err(_) => Err(Refused::later("timeout", TURNED_AWAY)),
+        Err(_) => Err(Refused::later("timeout", work.desk.come_back())),
     }
 }
 
@@ -227,7 +224,7 @@
         } else if work.exposed.get() {
             Refused::unknown("unknown")
         } else {
-            Refused::later("turned-away", TURNED_AWAY)
+            Refused::later("turned-away", work.desk.come_back())
         });
     }
 }
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/circuit.rs
@@ -0,0 +1,83 @@
+//! Whether the ranks of a group take requests at all, by what they answer.
+//!
+//! Load: a group that has broken, or forms anew behind a restart of everything, turns
+//! all requests away, and so does a zone that is cut off. Each request may be sent to
+//! few upstreams. Without this, hundreds of requests spend their sendings in a moment
+//! on ranks that can't run anything, and the retry budget with them; their callers,
+//! who come back once, are told to do so before there is anything to come back to.
+//! So one rank's refusal speaks for its group: a single request goes there now and
+//! then to look, until one is taken or the rank's agent says that the group runs.
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+/// How often a request looks whether a group takes requests again. Groups are away
+/// for 0.6 s at least, and a request that looks is lost to its caller if it is its
+/// last sending.
+const PROBE: Duration = Duration::from_millis(100);
+
+/// Ranks that can't be reached, one after the other, before their group counts as out
+/// of reach. A single one may have crashed, and its group says so by itself.
+const UNREACHED: usize = 3;
+
+/// What the ranks of one group answered lately.
+#[derive(Debug, Default)]
+pub struct Circuit {
+    /// When the next request may look, where the group takes none.
+    probe: Option<Duration>,
+    /// Ranks that couldn't be reached since one took a request.
+    unreached: BTreeSet<Rc<str>>,
+}
+
+impl Circuit {
+    /// Whether a request may be sent to the group now.
+    #[must_use]
+    pub fn allows(&self, now: Duration) -> bool {
+        self.probe.is_none_or(|probe| now >= probe)
+    }
+
+    /// Whether the group takes requests, as far as known.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.probe.is_none()
+    }
+
+    /// A request is sent to the group.
+    pub fn sent(&mut self, now: Duration) {
+        if self.probe.is_some() {
+            self.probe = Some(now + PROBE);
+        }
+    }
+
+    /// A rank took a request, or its agent says that the group runs.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::circuit::Circuit;
+    ///
+    /// let mut circuit = Circuit::default();
+    /// circuit.turned_away(Duration::ZERO);
+    /// assert!(!circuit.allows(Duration::ZERO));
+    /// circuit.taken();
+    /// assert!(circuit.allows(Duration::ZERO));
+    /// ```
+    pub fn taken(&mut self) {
+        self.probe = None;
+        self.unreached.clear();
+    }
+
+    /// A rank with little to do turned a request away.
+    pub fn turned_away(&mut self, now: Duration) {
+        if self.probe.is_none() {
+            self.probe = Some(now + PROBE);
+        }
+    }
+
+    /// A rank couldn't be reached, or another process than the rank was there.
+    pub fn unreached(&mut self, now: Duration, rank: &Rc<str>) {
+        self.unreached.insert(rank.clone());
+        if self.unreached.len() >= UNREACHED {
+            self.turned_away(now);
+        }
+    }
+}
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! and all the work is done for half of its worth. So the bound on streams, not
 //! the engine's slots, is what makes answers come in time.
 
+pub mod circuit;
 pub mod line;
 pub mod pass;
 pub mod retry;
@@ -21,6 +22,7 @@
 use verbenaspool_state::{engine::Engine, replica};
 
 use self::{
+    circuit::Circuit,
     line::{Line, Ticket, Waiting},
     pass::Pass,
     trust::Trust,
@@ -54,10 +56,6 @@
 /// twice a second; one that is silent may be cut off while its rank serves.
 const BELIEVED: Duration = Duration::from_millis(1_600);
 
-/// How long a group is taken for broken by a refusal alone. Its agents say what is
-/// so within half a second.
-const DOUBT: Duration = Duration::from_millis(400);
-
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const PATIENCE: f64 = 0.35;
@@ -146,6 +144,8 @@
     Silent,
     /// It said that it had no room.
     Full,
+    /// It couldn't be connected to, or another process was there.
+    Unreached,
     /// Nothing is to be learnt, as when the caller left.
     Unknown,
 }
@@ -188,6 +188,8 @@
     passes: BTreeMap<u32, Pass>,
     /// The pace of all groups, for those of which nothing is known.
     all: Pass,
+    /// Whether each group takes requests.
+    circuits: BTreeMap<u32, Circuit>,
     /// Spreads choices that are as good as each other.
     draws: u64,
 }
@@ -210,6 +212,7 @@
             line: Line::default(),
             passes: BTreeMap::new(),
             all: Pass::default(),
+            circuits: BTreeMap::new(),
             draws: seed | 1,
         }
     }
@@ -287,6 +290,9 @@
         if open && !before {
             // What it didn't answer while its group was broken says nothing of it.
             upstream.trust = Trust::default();
+            if let Some(circuit) = self.circuits.get_mut(&group) {
+                circuit.taken();
+            }
         }
         before != open
     }
@@ -381,19 +387,30 @@
         if let Some(id) = self.choose(now, waiting, over) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.own += 1;
+                if let Some(circuit) = self.circuits.get_mut(&upstream.group) {
+                    circuit.sent(now);
+                }
             }
             return Some(Verdict::Send(id));
         }
-        let open = self
-            .upstreams
-            .values()
-            .any(|upstream| upstream.is_open(now));
         // Nothing can be done in time for what comes while no upstream runs: its
         // caller does better to come back. One that did so already waits.
-        if !over && (open || waiting.late) {
+        if !over && (waiting.late || self.is_open(now)) {
             return None;
         }
-        let (reason, [soonest, latest]) = if open {
+        Some(Verdict::Refuse(self.refusal(now)))
+    }
+
+    /// Whether any upstream takes requests, as far as known.
+    fn is_open(&self, now: Duration) -> bool {
+        let circuit = |upstream: &Upstream| self.circuits.get(&upstream.group);
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|u| u.is_open(now) && circuit(u).is_none_or(Circuit::is_closed))
+    }
+
+    /// Why a request is refused now, and when its caller should come back.
+    pub fn refusal(&mut self, now: Duration) -> Refusal {
+        let (reason, [soonest, latest]) = if self.is_open(now) {
             (Reason::Full, COME_BACK)
         } else {
             (Reason::Closed, COME_BACK_CLOSED)
@@ -401,7 +418,7 @@
         // Spread over a stream's usual length, so that those refused together
         // don't come back together.
         let after = soonest + latest.saturating_sub(soonest).mul_f64(self.draw());
-        Some(Verdict::Refuse(Refusal { reason, after }))
+        Refusal { reason, after }
     }
 
     /// A number from 0 to 1, by Marsaglia's xorshift.
@@ -428,6 +445,10 @@
                 continue;
             }
             let group = upstream.group;
+            let circuit = self.circuits.get(&group);
+            if circuit.is_some_and(|circuit| !circuit.allows(now)) {
+                continue;
+            }
             let group = *slowness
                 .entry(group)
                 .or_insert_with(|| self.slowness(now, group, waiting));
@@ -461,28 +482,34 @@
         })
     }
 
+    /// An upstream took a request: it has begun to answer.
+    pub fn taken(&mut self, id: &str) {
+        let group = self.upstreams.get(id).map(|upstream| upstream.group);
+        if let Some(circuit) = group.and_then(|group| self.circuits.get_mut(&group)) {
+            circuit.taken();
+        }
+    }
+
     /// Records how a sending ended.
     pub fn ended(&mut self, now: Duration, id: &str, ending: Ending) {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
+        let Some((id, upstream)) = self.upstreams.get_key_value(id) else {
             return;
         };
-        let (busy, group) = (upstream.own + upstream.others, upstream.group);
-        upstream.own = upstream.own.saturating_sub(1);
-        upstream.trust.learn(now, ending);
-        let idle = f64::from(busy) < f64::from(upstream.slots) * LEAST;
-        if ending == Ending::Full && idle && group != 0 {
-            self.doubt(now, group);
+        let (id, group) = (id.clone(), upstream.group);
+        let busy = f64::from(upstream.own + upstream.others);
+        let idle = busy < f64::from(upstream.slots) * LEAST;
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.own = upstream.own.saturating_sub(1);
+            upstream.trust.learn(now, ending);
         }
-    }
-
-    /// Takes a group for broken for a moment, one of whose ranks turned a request
-    /// away though it has little to do: the others would do the same, and each
-    /// request may be sent to few of them.
-    fn doubt(&mut self, now: Duration, group: u32) {
-        let said = now.saturating_sub(BELIEVED.saturating_sub(DOUBT));
-        let ranks = self.upstreams.values_mut().filter(|u| u.group == group);
-        for rank in ranks.filter(|rank| rank.closed.is_none()) {
-            rank.closed = Some(said);
+        // Only engines make groups; other upstreams speak for themselves.
+        if self.engine.is_some() {
+            let circuit = self.circuits.entry(group).or_default();
+            match ending {
+                Ending::Full if idle => circuit.turned_away(now),
+                Ending::Unreached => circuit.unreached(now, &id),
+                _ => {}
+            }
         }
     }
 
--- a/verbenaspool_policy/src/dispatch/retry.rs
+++ b/verbenaspool_policy/src/dispatch/retry.rs
@@ -39,8 +39,20 @@
         self.requests.push_back(now);
     }
 
-    /// Whether a request may be sent once more; counts it if so. `entries` is how
-    /// many share the slack.
+    /// Whether a request may be sent once more. `entries` is how many share the slack.
+    pub fn allows(&mut self, now: Duration, bound: &Bound, entries: usize) -> bool {
+        forget(&mut self.requests, now, bound.window);
+        forget(&mut self.repeats, now, bound.window);
+        #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
+        let (requests, repeats, entries) = (
+            self.requests.len() as f64,
+            self.repeats.len() as f64,
+            entries.max(1) as f64,
+        );
+        repeats + 1.0 <= MARGIN * (bound.ratio * requests + bound.slack / entries)
+    }
+
+    /// Whether a request may be sent once more; counts it if so.
     ///
     /// ```
     /// use std::time::Duration;
@@ -53,16 +65,7 @@
     /// assert!(!budget.repeat(Duration::ZERO, &bound, 1));
     /// ```
     pub fn repeat(&mut self, now: Duration, bound: &Bound, entries: usize) -> bool {
-        forget(&mut self.requests, now, bound.window);
-        forget(&mut self.repeats, now, bound.window);
-        #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
-        let (requests, repeats, entries) = (
-            self.requests.len() as f64,
-            self.repeats.len() as f64,
-            entries.max(1) as f64,
-        );
-        let allowed = MARGIN * (bound.ratio * requests + bound.slack / entries);
-        let allows = repeats + 1.0 <= allowed;
+        let allows = self.allows(now, bound, entries);
         if allows {
             self.repeats.push_back(now);
         }
--- a/verbenaspool_policy/src/dispatch/trust.rs
+++ b/verbenaspool_policy/src/dispatch/trust.rs
@@ -71,7 +71,7 @@
                     self.rest(now);
                 }
             }
-            Ending::Silent => {
+            Ending::Silent | Ending::Unreached => {
                 self.bad += (1.0 - self.bad) * NEWEST;
                 self.rest(now);
             }
--- a/verbenaspool_policy/src/rebalancer/relief.rs
+++ b/verbenaspool_policy/src/rebalancer/relief.rs
@@ -117,9 +117,9 @@
         found[number] = best(&sets[number], &left);
     }
     let copied = |rank: usize| sets.iter().map(|set| set.copied(rank)).sum::<usize>();
-    let copies: Vec<usize> = (0..ranks).map(copied).collect();
+    let by_rank: Vec<usize> = (0..ranks).map(copied).collect();
     let after: f64 = sets.iter().map(Set::peak).sum();
-    let total: usize = copies.iter().sum();
+    let total: usize = by_rank.iter().sum();
     #[allow(clippy::cast_precision_loss)] // Copies are few.
     let worth = before - after >= price * total as f64;
     if total == 0 || !worth {
@@ -127,7 +127,7 @@
     }
     Some(Relief {
         copies: total,
-        longest: copies.into_iter().max().unwrap_or(0),
+        longest: by_rank.into_iter().max().unwrap_or(0),
         before: before / mean,
         after: after / mean,
         layers: sets.into_iter().map(Set::into_layer).collect(),
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/circuit.rs
@@ -0,0 +1,125 @@
+//! Groups that take no requests: broken ones, those that form anew, zones cut off.
+
+use std::rc::Rc;
+
+use verbenaspool_policy::dispatch::{Dispatcher, Ending, Reason, Verdict};
+
+use crate::world::{engine, ms, replica, stream};
+
+/// An entry before so many ranks of one group.
+fn ranks(count: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..count).map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members(replicas.iter());
+    dispatcher
+}
+
+/// What becomes of a new request now.
+fn verdict(dispatcher: &mut Dispatcher, now: u64, ticket: u64) -> Option<Verdict> {
+    dispatcher.submit(ms(now), ticket, stream(now));
+    let verdicts = dispatcher.pump(ms(now));
+    let found = verdicts.into_iter().find(|(other, _)| *other == ticket);
+    dispatcher.leave(ticket);
+    found.map(|(_, verdict)| verdict)
+}
+
+/// Where a request is sent now.
+fn sent(dispatcher: &mut Dispatcher, now: u64, ticket: u64) -> Option<Rc<str>> {
+    match verdict(dispatcher, now, ticket) {
+        Some(Verdict::Send(id)) => Some(id),
+        _ => None,
+    }
+}
+
+/// Everything was started again, and the registry still names upstreams that are no
+/// more: whoever listens at their addresses says so. Entries spent both sendings of
+/// each request on two of them within 4 ms, 500 times a second, and told the callers
+/// to come back in half a second, before anything ran. Now a few requests find out,
+/// the others are told at once to come back when groups can have formed.
+#[test]
+fn upstreams_that_are_no_more_cost_few_requests() {
+    let mut dispatcher = ranks(64);
+    let (mut tried, mut refused) = (0, 0);
+    for ticket in 0..300 {
+        let now = ticket * 4;
+        match verdict(&mut dispatcher, now, ticket) {
+            Some(Verdict::Send(id)) => {
+                tried += 1;
+                dispatcher.ended(ms(now + 1), &id, Ending::Unreached);
+            }
+            Some(Verdict::Refuse(refusal)) => {
+                assert_eq!(refusal.reason, Reason::Closed);
+                assert!(refusal.after >= ms(2_000));
+                refused += 1;
+            }
+            None => panic!("a request that can't be served in time waits"),
+        }
+    }
+    assert!(
+        tried <= 16,
+        "{tried} were tried in 1.2 s, {refused} refused"
+    );
+}
+
+/// The group is back, which the next request that looks finds out: from its answer on
+/// all are sent again, within two tenths of a second.
+#[test]
+fn a_group_that_is_back_is_found() {
+    let mut dispatcher = ranks(8);
+    for ticket in 0..3 {
+        let id = sent(&mut dispatcher, 0, ticket).expect("it is tried");
+        dispatcher.ended(ms(1), &id, Ending::Unreached);
+    }
+    assert_eq!(sent(&mut dispatcher, 50, 10), None);
+    let first = sent(&mut dispatcher, 110, 11).expect("one looks");
+    assert_eq!(sent(&mut dispatcher, 120, 12), None);
+    dispatcher.taken(&first);
+    for ticket in 20..30 {
+        assert!(sent(&mut dispatcher, 130, ticket).is_some());
+    }
+}
+
+/// Two ranks have crashed, and others of their group go on taking requests, as the
+/// group's other zone does in a cut that is only half: nothing is held back from
+/// those that can be reached.
+#[test]
+fn single_ranks_out_of_reach_dont_close_their_group() {
+    let mut dispatcher = ranks(8);
+    for ticket in 0..12 {
+        let now = ticket * 10;
+        let id = sent(&mut dispatcher, now, ticket).expect("others are there");
+        if ["u0", "u1"].contains(&&*id) {
+            dispatcher.ended(ms(now + 5), &id, Ending::Unreached);
+        } else {
+            dispatcher.taken(&id);
+        }
+    }
+}
+
+/// Agents say that the group runs again before any request has looked.
+#[test]
+fn an_agents_word_opens_a_group() {
+    let mut dispatcher = ranks(4);
+    for number in 0..4 {
+        dispatcher.status(ms(0), &format!("u{number}"), 7, true);
+    }
+    let id = sent(&mut dispatcher, 0, 0).expect("it is tried");
+    dispatcher.ended(ms(1), &id, Ending::Full);
+    assert_eq!(sent(&mut dispatcher, 2, 1), None);
+    dispatcher.status(ms(10), "u2", 7, false);
+    dispatcher.status(ms(20), "u2", 7, true);
+    assert!(sent(&mut dispatcher, 21, 2).is_some());
+}
+
+/// Plain upstreams make no groups: one that is full says nothing of the others.
+#[test]
+fn a_plain_upstream_speaks_for_itself() {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..3).map(|n| replica(&format!("u{n}"), 6)).collect();
+    dispatcher.members(replicas.iter());
+    let id = sent(&mut dispatcher, 0, 0).expect("it is placed");
+    dispatcher.ended(ms(1), &id, Ending::Full);
+    let other = sent(&mut dispatcher, 2, 1).expect("others take it");
+    assert_ne!(other, id);
+}
