Soak agents too: a group of ranks that makes passes and takes orders

The soak runs an agent process beside each of its ranks; they are paused, killed and started again, the group breaks, and at the end it must go on.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -176,7 +176,7 @@
         };
         let (listen, incarnation) = {
             let entries = self.site.entries.borrow();
-            (entries[entry].listen, entries[entry].incarnation)
+            (entries[entry].listen, entries[entry].process.incarnation)
         };
         let path = format!("/{}/", version_path(version));
         let Ok(request) = text::request(&path, id, KEY).body(Body::empty()) else {
@@ -188,7 +188,7 @@
         };
         let (now, process) = {
             let entries = self.site.entries.borrow();
-            (self.site.version.get(), entries[entry].incarnation)
+            (self.site.version.get(), entries[entry].process.incarnation)
         };
         // A change or a new process meanwhile makes the answer say nothing.
         if now != version || process != incarnation {
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -1,6 +1,7 @@
 //! Faults from outside, one after another and overlapping.
 
 use std::{
+    io,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -9,7 +10,7 @@
 use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
 use verbenaspool_platform_standin::{store::Mood, upstream::Way};
 
-use crate::{proxy::Mode, site::Site};
+use crate::{process::Process, proxy::Mode, site::Site};
 
 /// What upstreams do at times.
 const WAYS: [Way; 9] = [
@@ -32,21 +33,35 @@
     Mode::OneWay,
 ];
 
+/// Kinds of faults around entries.
+const ENTRY_KINDS: u32 = 12;
+
+/// All kinds of faults.
+const KINDS: u32 = ENTRY_KINDS + 5;
+
+/// Of a hundred orders to ranks, how many get no answer while that is the fault.
+const LATE: u32 = 35;
+
 /// How long an entry may take to end behind SIGTERM: its grace and a second.
 const GRACE: Duration = Duration::from_secs(6);
 
 /// Makes faults until the deadline.
 pub async fn run(site: Rc<Site>, mut rng: SmallRng, until: Instant, note: impl Fn(String)) {
     while Instant::now() < until {
-        let kind = rng.random_range(0..12);
+        let kind = rng.random_range(0..KINDS);
         let lasts = Duration::from_millis(rng.random_range(100..2_500));
         let server = rng.random_range(0..site.servers.len());
         let entry = rng.random_range(0..site.ways.len());
+        let agent = rng.random_range(0..site.agents.borrow().len().max(1));
         note(format!(
-            "fault {kind}: server {server}, entry {entry}, {lasts:?}"
+            "fault {kind}: server {server}, entry {entry}, agent {agent}, {lasts:?}"
         ));
-        let task = strike(site.clone(), kind, server, entry, lasts, pick(&mut rng));
-        monoio::spawn(task);
+        if kind < ENTRY_KINDS {
+            let task = strike(site.clone(), kind, server, entry, lasts, pick(&mut rng));
+            monoio::spawn(task);
+        } else {
+            monoio::spawn(strike_group(site.clone(), kind - ENTRY_KINDS, agent, lasts));
+        }
         let pause = rng.random_range(50..900);
         monoio::time::sleep(Duration::from_millis(pause)).await;
     }
@@ -116,41 +131,85 @@
         }
         10 => {
             signal(&site, entry, Signal::SIGKILL);
-            revive(&site, entry, GRACE).await;
+            revive_entry(&site, entry).await;
         }
         _ => {
             signal(&site, entry, Signal::SIGHUP);
             signal(&site, entry, Signal::SIGTERM);
-            revive(&site, entry, GRACE).await;
+            revive_entry(&site, entry).await;
+        }
+    }
+}
+
+/// Makes one fault of a group or an agent and ends it.
+async fn strike_group(site: Rc<Site>, kind: u32, agent: usize, lasts: Duration) {
+    let tell = |signal| {
+        if let Some(process) = site.agents.borrow().get(agent) {
+            process.signal(signal);
+        }
+    };
+    match kind {
+        0 | 1 => {
+            tell(Signal::SIGSTOP);
+            monoio::time::sleep(lasts).await;
+            tell(Signal::SIGCONT);
         }
+        2 => {
+            tell(Signal::SIGKILL);
+            revive(&site, |site| {
+                site.agents.borrow_mut().get_mut(agent).map(again)
+            })
+            .await;
+        }
+        3 => {
+            site.group.late.set(LATE);
+            monoio::time::sleep(lasts).await;
+            site.group.late.set(0);
+        }
+        _ => site.group.break_up(),
     }
 }
 
 /// Sends a signal to an entry's process.
 fn signal(site: &Site, entry: usize, signal: Signal) {
-    if let Some(process) = site.entries.borrow().get(entry) {
-        process.signal(signal);
+    if let Some(entry) = site.entries.borrow().get(entry) {
+        entry.process.signal(signal);
     }
 }
 
 /// Starts an entry anew once its process has ended; ends it after its grace.
-async fn revive(site: &Site, entry: usize, grace: Duration) {
+async fn revive_entry(site: &Site, entry: usize) {
     let began = Instant::now();
+    let entry = |site: &Site| {
+        let mut entries = site.entries.borrow_mut();
+        let entry = entries.get_mut(entry)?;
+        if began.elapsed() > GRACE {
+            entry.process.signal(Signal::SIGKILL);
+        }
+        Some(again(&mut entry.process))
+    };
+    revive(site, entry).await;
+}
+
+/// Whether a program runs anew whose process has ended.
+fn again(process: &mut Process) -> io::Result<bool> {
+    if process.ended().is_none() {
+        return Ok(false);
+    }
+    process.restart().map(|()| true)
+}
+
+/// Starts a program anew once its process has ended; ends it after its grace.
+async fn revive(site: &Site, again: impl Fn(&Site) -> Option<io::Result<bool>>) {
     loop {
         monoio::time::sleep(Duration::from_millis(20)).await;
-        let mut entries = site.entries.borrow_mut();
-        let Some(process) = entries.get_mut(entry) else {
-            return;
-        };
-        if process.ended().is_some() {
-            if let Err(why) = process.restart() {
-                let what = format!("entry {entry}: {why}");
-                site.checks.broke("a program starts again", what);
+        match again(site) {
+            Some(Ok(false)) => {}
+            Some(Err(why)) => {
+                site.checks.broke("a program starts again", why.to_string());
+                return;
             }
-            return;
-        }
-        if began.elapsed() > grace {
-            process.signal(Signal::SIGKILL);
+            None | Some(Ok(true)) => return,
         }
     }
 }
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -12,16 +12,24 @@
 
 use clap::Parser;
 use rand::{SeedableRng, rngs::SmallRng};
-use verbenaspool_soak::{caller::Caller, fault, site::Site};
+use verbenaspool_soak::{
+    caller::Caller,
+    fault,
+    site::{Programs, Site},
+};
 use verbenaspool_transport::{http::client::Client, runtime};
 
 /// How long entries have to be ready before faults begin, and to calm down behind.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
-/// The most entries of one run; each is a process.
+/// How long a group may stand once all faults are over: an agent may be paused for 2.5 s
+/// behind the last one, and others look into a held pass within 2 s.
+const STOOD: Duration = Duration::from_secs(8);
+
+/// The most entries, and agents, of one run; each is a process.
 const MOST: usize = 200;
 
-/// Runs entries under random faults and checks what callers and upstreams see.
+/// Runs entries and agents under random faults and checks what callers and upstreams see.
 #[derive(Debug, Parser)]
 #[command(name = "verbenaspool-soak", version)]
 struct Options {
@@ -40,9 +48,12 @@
     /// Callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
-    /// The entry's program.
+    /// Ranks of a group, each with an agent process.
+    #[arg(long, default_value_t = 4)]
+    ranks: usize,
+    /// The folder with the programs; that of this one by default.
     #[arg(long)]
-    program: Option<PathBuf>,
+    programs: Option<PathBuf>,
     /// Where settings and logs are kept of seeds that fail.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -69,11 +80,16 @@
 fn play(options: &Options, seed: u64) -> std::io::Result<usize> {
     let folder = options.folder.join(format!("seed-{seed}"));
     fs::create_dir_all(&folder)?;
-    let program = match &options.program {
-        Some(program) => program.clone(),
-        None => std::env::current_exe()?.with_file_name("verbenaspool"),
+    let own = std::env::current_exe()?;
+    let programs = options
+        .programs
+        .clone()
+        .unwrap_or_else(|| own.with_file_name(""));
+    let programs = Programs {
+        entry: programs.join("verbenaspool"),
+        agent: programs.join("verbenaspool-agent"),
     };
-    let broken = runtime::run(soak(options, seed, program, folder.clone()))??;
+    let broken = runtime::run(soak(options, seed, programs, folder.clone()))??;
     if broken == 0 {
         fs::remove_dir_all(&folder)?;
     }
@@ -84,11 +100,13 @@
 async fn soak(
     options: &Options,
     seed: u64,
-    program: PathBuf,
+    programs: Programs,
     folder: PathBuf,
 ) -> std::io::Result<usize> {
     let faults = RefCell::new(fs::File::create(folder.join("faults.log"))?);
-    let site = Site::start(options.processes.clamp(1, MOST), &program, &folder)?;
+    let entries = options.processes.clamp(1, MOST);
+    let ranks = options.ranks.clamp(2, MOST);
+    let site = Site::start(entries, ranks, &programs, &folder)?;
     monoio::time::sleep(SETTLE).await;
     let began = Instant::now();
     let until = began + Duration::from_secs(options.seconds);
@@ -114,12 +132,32 @@
     monoio::time::sleep(SETTLE).await;
     let checked = site.clone();
     site.checks.settle(move |id| checked.runs(id));
+    settle_group(&site).await;
     report(seed, &site);
     let broken = site.checks.broken.borrow().len();
     site.end();
     Ok(broken)
 }
 
+/// Checks what the group saw: passes on one map, and that it goes on.
+async fn settle_group(site: &Rc<Site>) {
+    let (before, began) = (site.group.step(), Instant::now());
+    while site.group.step() == before {
+        if began.elapsed() > STOOD {
+            let what = format!("pass {before} isn't followed by another");
+            site.checks.broke("a group goes on", what);
+            break;
+        }
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for mixed in site.group.mixed.borrow().iter() {
+        site.checks.broke("one map in every pass", mixed.clone());
+    }
+    let mut counts = site.checks.counts.borrow_mut();
+    counts.insert("passes", site.group.step());
+    counts.insert("changes of map", site.group.changes.get());
+}
+
 /// Prints what came of a seed.
 fn report(seed: u64, site: &Rc<Site>) {
     let counts = site.checks.counts.borrow();
--- a/verbenaspool_soak/src/process.rs
+++ b/verbenaspool_soak/src/process.rs
@@ -1,9 +1,8 @@
-//! The entry's program as a process, and signals to it.
+//! The programs as processes, and signals to them.
 
 use std::{
     fs::{self, File},
     io,
-    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
@@ -13,13 +12,9 @@
     unistd::Pid,
 };
 
-/// One entry of the site, through all its processes.
+/// One instance's program, through all its processes.
 #[derive(Debug)]
 pub struct Process {
-    /// Where callers connect.
-    pub listen: SocketAddr,
-    /// Where readiness is asked for.
-    pub readiness: SocketAddr,
     /// How many processes there were, counting this one.
     pub incarnation: u32,
     program: PathBuf,
@@ -28,58 +23,20 @@
     child: Option<Child>,
 }
 
-/// What a process is told.
-#[derive(Debug)]
-pub struct Settings<'a> {
-    /// The entry's number, from 0.
-    pub number: usize,
-    /// Where callers connect; its address is the entry's own.
-    pub listen: SocketAddr,
-    /// The port on which entries hear each other.
-    pub peer_port: u16,
-    /// The store, as this entry reaches it.
-    pub platform: SocketAddr,
-    /// Control addresses of some entries.
-    pub seeds: &'a [SocketAddr],
-    /// Where settings and logs are kept.
-    pub folder: &'a Path,
-    /// The program.
-    pub program: &'a Path,
-}
-
 impl Process {
-    /// Writes the settings of an entry and starts it.
+    /// Writes settings and starts a program with them. Its settings and log bear its
+    /// name in the folder.
     ///
     /// # Errors
     /// Its files can't be written, or the program can't be started.
-    pub fn start(settings: &Settings<'_>) -> io::Result<Self> {
-        let Settings {
-            number,
-            listen,
-            peer_port,
-            ..
-        } = *settings;
-        let address = listen.ip();
-        let readiness = SocketAddr::new(address, listen.port() + 1);
-        let control = SocketAddr::new(address, peer_port + 1);
-        let seeds: Vec<String> = settings.seeds.iter().map(|s| format!("'{s}'")).collect();
-        let text = format!(
-            "path: direct\nname: entry-{number}\nzone: a\naddress: {address}\n\
-             listen: '{listen}'\nreadiness: '{readiness}'\ncontrol: '{control}'\n\
-             peer_port: {peer_port}\nseeds: [{}]\nplatform: '{}'\n\
-             bounds: {{grace_s: 5, retry_ratio: 0.5, retry_slack: 200}}\nlog: {{form: json}}\n",
-            seeds.join(", "),
-            settings.platform
-        );
-        let path = settings.folder.join(format!("entry-{number}.yaml"));
-        fs::write(&path, text)?;
+    pub fn start(program: &Path, folder: &Path, name: &str, settings: &str) -> io::Result<Self> {
+        let path = folder.join(format!("{name}.yaml"));
+        fs::write(&path, settings)?;
         let mut process = Self {
-            listen,
-            readiness,
             incarnation: 0,
-            program: settings.program.to_owned(),
+            program: program.to_owned(),
             settings: path,
-            log: settings.folder.join(format!("entry-{number}.log")),
+            log: folder.join(format!("{name}.log")),
             child: None,
         };
         process.restart()?;
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -4,27 +4,34 @@
     cell::{Cell, RefCell},
     io,
     net::{IpAddr, SocketAddr},
-    path::Path,
+    path::{Path, PathBuf},
     rc::Rc,
 };
 
 use monoio::net::TcpListener;
-use verbenaspool_platform_standin::{store::Store, text, upstream::Upstream};
+use verbenaspool_platform_standin::{
+    group::{Group, Seat},
+    store::Store,
+    text,
+    upstream::Upstream,
+};
 use verbenaspool_standin::address;
 use verbenaspool_transport::{
     http::server::{self, Handler, Limits, Open},
     shutdown::{self, Trigger},
 };
 
-use crate::{
-    check::Checks,
-    process::{Process, Settings},
-    proxy::Proxy,
-};
+use crate::{check::Checks, process::Process, proxy::Proxy};
 
 /// Upstreams of each service.
 pub const UPSTREAMS: usize = 3;
 
+/// The service whose upstreams are the ranks of the group.
+const RANKS: &str = "ranks";
+
+/// The port on which agents hear each other; their addresses differ.
+const AGENT_PORT: u16 = 7_340;
+
 /// The customer's key.
 pub const KEY: &str = "key-1";
 
@@ -40,6 +47,24 @@
     address: SocketAddr,
 }
 
+/// One entry of the site.
+#[derive(Debug)]
+pub struct Entry {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Its program.
+    pub process: Process,
+}
+
+/// Where the programs are.
+#[derive(Debug)]
+pub struct Programs {
+    /// That of entries.
+    pub entry: PathBuf,
+    /// That of agents.
+    pub agent: PathBuf,
+}
+
 /// The site.
 pub struct Site {
     /// The platform's store.
@@ -49,7 +74,11 @@
     /// The upstreams: first those of streams, then those of bookings.
     pub servers: Vec<Server>,
     /// The entries.
-    pub entries: RefCell<Vec<Process>>,
+    pub entries: RefCell<Vec<Entry>>,
+    /// The ranks that make passes together.
+    pub group: Rc<Group>,
+    /// The agents beside them.
+    pub agents: RefCell<Vec<Process>>,
     /// What was seen.
     pub checks: Checks,
     /// The version of the configuration that was written last.
@@ -69,11 +98,16 @@
 }
 
 impl Site {
-    /// Starts a site with so many entries.
+    /// Starts a site with so many entries, and so many ranks with an agent each.
     ///
     /// # Errors
     /// An address can't be listened at, or a program can't be started.
-    pub fn start(entries: usize, program: &Path, folder: &Path) -> io::Result<Rc<Self>> {
+    pub fn start(
+        entries: usize,
+        ranks: usize,
+        programs: &Programs,
+        folder: &Path,
+    ) -> io::Result<Rc<Self>> {
         let mut triggers = Vec::new();
         let store = Store::new();
         let platform = serve(store.clone(), &mut triggers)?;
@@ -109,21 +143,29 @@
         for (number, listen) in addresses.into_iter().enumerate() {
             let way = address::fresh();
             ways.push(Proxy::start(way, platform)?);
-            processes.push(Process::start(&Settings {
-                number,
-                listen,
-                peer_port,
-                platform: way,
-                seeds: &seeds,
-                folder,
-                program,
-            })?);
+            let text = entry_settings(number, listen, peer_port, way, &seeds);
+            let name = format!("entry-{number}");
+            let process = Process::start(&programs.entry, folder, &name, &text)?;
+            processes.push(Entry { listen, process });
+        }
+        let group = Group::start(ranks);
+        let mut agents = Vec::new();
+        for rank in 0..ranks {
+            let group = group.clone();
+            let upstream = serve(Rc::new(Seat { group, rank }), &mut triggers)?;
+            let id = format!("r-{rank}");
+            store.put("servers", &id, &text::listed(RANKS, upstream, "ready"));
+            let text = agent_settings(rank, upstream, platform);
+            let name = format!("agent-{rank}");
+            agents.push(Process::start(&programs.agent, folder, &name, &text)?);
         }
         Ok(Rc::new(Self {
             store,
             ways,
             servers,
             entries: RefCell::new(processes),
+            group,
+            agents: RefCell::new(agents),
             checks: Checks::default(),
             version: Cell::new(site_version),
             triggers,
@@ -156,17 +198,49 @@
     /// Ends the stand-ins.
     pub fn end(&self) {
         self.entries.borrow_mut().clear();
+        self.agents.borrow_mut().clear();
         for trigger in &self.triggers {
             trigger.fire();
         }
     }
 }
 
+/// What an entry is told.
+fn entry_settings(
+    number: usize,
+    listen: SocketAddr,
+    peer_port: u16,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+) -> String {
+    let address = listen.ip();
+    let readiness = SocketAddr::new(address, listen.port() + 1);
+    let control = SocketAddr::new(address, peer_port + 1);
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}'")).collect();
+    format!(
+        "path: direct\nname: entry-{number}\nzone: a\naddress: {address}\n\
+         listen: '{listen}'\nreadiness: '{readiness}'\ncontrol: '{control}'\n\
+         peer_port: {peer_port}\nseeds: [{}]\nplatform: '{platform}'\n\
+         bounds: {{grace_s: 5, retry_ratio: 0.5, retry_slack: 200}}\nlog: {{form: json}}\n",
+        seeds.join(", ")
+    )
+}
+
+/// What an agent is told. Its instance has the address of the rank beside it.
+fn agent_settings(rank: usize, upstream: SocketAddr, platform: SocketAddr) -> String {
+    format!(
+        "path: direct\nname: agent-{rank}\naddress: {}\nupstream: '{upstream}'\n\
+         service: {RANKS}\npeer_port: {AGENT_PORT}\nplatform: '{platform}'\n\
+         log: {{form: json}}\n",
+        upstream.ip()
+    )
+}
+
 /// The configuration of a version: the usual routes, and one that tells it.
 fn configuration(version: u64) -> String {
     let mut routes = text::routes();
     routes.push(text::route(&version_path(version), "safe", "jobs"));
-    text::configuration(version, &routes, &[KEY])
+    text::configuration_with(version, &routes, &[KEY], &[text::ranks(RANKS)])
 }
 
 /// The first part of the path that a version adds. Versions keep the one before.
