Keep the lines of failed requests where a reader of the log stalls

Cause: lines beyond the queue were dropped in the order in which they came, so that a flood of requests that went well pushed out the one that an operator looks for, and nothing tested a stalled reader.

Test: 10,000 lines and 500 failures while the reader stalls; all 500 arrive, and the rest is told to the line.

--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use slog::info;
+use slog::{info, o, warn};
 
 use super::gateway::Gateway;
 
@@ -98,15 +98,31 @@
             &[("service", service)],
         );
         times.record(first);
-        info!(gateway.log, "Entry: A request ended.";
-            "request" => &self.id, "status" => status, "why" => why,
-            "route" => route, "service" => service, "version" => story.version,
-            "sent" => story.sent.join("; "), "events" => story.events,
-            "pause_ms" => story.pause.as_secs_f64() * 1e3,
-            "first_ms" => first.as_secs_f64() * 1e3, "took_ms" => took.as_secs_f64() * 1e3);
+        let [pause_ms, first_ms, took_ms] =
+            [story.pause, first, took].map(|time| time.as_secs_f64() * 1e3);
+        let log = gateway.log.new(o!(
+            "request" => self.id.clone(), "status" => status, "why" => why,
+            "route" => route.to_owned(), "service" => service.to_owned(),
+            "version" => story.version, "sent" => story.sent.join("; "),
+            "events" => story.events, "pause_ms" => pause_ms, "first_ms" => first_ms,
+            "took_ms" => took_ms,
+        ));
+        // Lines of requests that failed are kept before those of the others.
+        if fails(status, why) {
+            warn!(log, "Entry: A request ended.");
+        } else {
+            info!(log, "Entry: A request ended.");
+        }
     }
 }
 
+/// Whether a request counts as failed. What no configuration allows doesn't: whoever
+/// asks for it may do so as often as it likes.
+fn fails(status: u16, why: &str) -> bool {
+    let whole = matches!(why, "whole" | "answered");
+    !matches!(status, 400..500) && (status >= 500 || !whole)
+}
+
 impl Gateway {
     /// Brings gauges up to date before they are told.
     pub fn measure(&self) {
--- a/verbenaspool_transport/src/log.rs
+++ b/verbenaspool_transport/src/log.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use slog::{Drain, Level, Logger, o};
 
+mod queue;
+
 /// What is logged, and how.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -125,16 +127,11 @@
     }
 }
 
-/// Lines that wait to be written at most. A stalled reader costs lines beyond
-/// that, which are counted, and never holds the loop up.
-const LINES: usize = 4_096;
-
 fn drain<D>(lines: D, threshold: Threshold) -> (Logger, Guard)
 where
     D: Drain<Ok = (), Err = io::Error> + Send + 'static,
 {
-    let queue = slog_async::Async::new(lines.ignore_res()).chan_size(LINES);
-    let (queue, guard) = queue.build_with_guard();
+    let (queue, guard) = queue::bounded(lines);
     let level = Level::from(threshold);
     let log = Logger::root(queue.filter_level(level).ignore_res(), o!());
     (log, Guard(Some(Waiting(guard))))
--- /dev/null
+++ b/verbenaspool_transport/src/log/queue/tests.rs
@@ -0,0 +1,99 @@
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use slog::{Logger, info, warn};
+
+use super::*;
+
+/// What a reader got, and whether it reads.
+#[derive(Debug, Default)]
+struct Reader {
+    lines: Mutex<Vec<String>>,
+    stalled: Mutex<()>,
+}
+
+impl Reader {
+    fn lines(&self) -> MutexGuard<'_, Vec<String>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes to a reader, waiting while it is stalled.
+struct Pipe(Arc<Reader>);
+
+/// The number of lines that a line says were dropped.
+#[derive(Default)]
+struct Dropped(usize);
+
+impl slog::Serializer for Dropped {
+    fn emit_arguments(&mut self, _: slog::Key, _: &std::fmt::Arguments<'_>) -> slog::Result {
+        Ok(())
+    }
+
+    fn emit_usize(&mut self, _: slog::Key, value: usize) -> slog::Result {
+        self.0 += value;
+        Ok(())
+    }
+}
+
+impl Drain for Pipe {
+    type Ok = ();
+    type Err = io::Error;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), io::Error> {
+        use slog::KV;
+        drop(self.0.stalled.lock());
+        let mut dropped = Dropped::default();
+        record.kv().serialize(record, &mut dropped).ok();
+        values.serialize(record, &mut dropped).ok();
+        self.0
+            .lines()
+            .push(format!("{} {}", record.msg(), dropped.0));
+        Ok(())
+    }
+}
+
+/// The reader of the log stalls while callers flood an entry, and a few requests fail
+/// meanwhile. Nothing waits for the reader; once it reads again it finds the lines of
+/// all that failed, and how many of the others are missing.
+#[test]
+fn a_stalled_reader_costs_the_lines_of_what_went_well() {
+    let reader = Arc::new(Reader::default());
+    let (entrance, guard) = bounded(Pipe(reader.clone()));
+    let log = Logger::root(entrance.ignore_res(), o!());
+    {
+        let _stalled = reader.stalled.lock();
+        for number in 0..10_000 {
+            info!(log, "fine");
+            if number % 20 == 0 {
+                warn!(log, "failed");
+            }
+        }
+    }
+    drop(log);
+    drop(guard);
+    let lines = reader.lines();
+    let count = |what: &str| lines.iter().filter(|line| line.starts_with(what)).count();
+    let told: usize = lines
+        .iter()
+        .filter(|line| line.starts_with("Log:"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok())
+        .sum();
+    assert_eq!(count("failed"), 500);
+    assert!(count("fine") >= LINES - KEPT - 500, "{}", count("fine"));
+    assert_eq!(told + count("fine"), 10_000);
+}
+
+/// A reader that keeps up gets every line, in the order in which they were written.
+#[test]
+fn a_reader_that_keeps_up_misses_nothing() {
+    let reader = Arc::new(Reader::default());
+    let (entrance, guard) = bounded(Pipe(reader.clone()));
+    let log = Logger::root(entrance.ignore_res(), o!());
+    for number in 0..1_000 {
+        info!(log, "{}", number);
+    }
+    drop(log);
+    drop(guard);
+    let expected: Vec<String> = (0..1_000).map(|number| format!("{number} 0")).collect();
+    assert_eq!(*reader.lines(), expected);
+}
