--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -10,7 +10,7 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{Logger, info, warn};
-use verbenaspool_coordination::switch::Ended;
+use verbenaspool_coordination::switch::{self, Ended};
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
     digest,
@@ -24,7 +24,7 @@
     lead::Lead,
     partial::{Known, Partial},
     rank::Rank,
-    seats::{self, Seats},
+    seats::Seats,
     settings::Settings,
 };
 
@@ -139,23 +139,25 @@
         let state = State {
             number: self.number.get(),
             group: self.group.get(),
-            epoch: seat.epoch,
             rank: seat.rank,
             size: seat.size,
             upstream: self.settings.upstream,
-            step: report.step,
-            map: report.map,
-            prepared: report.prepared,
-            armed: report.armed,
-            held: report.held,
-            barred: self.barred(seat.epoch),
-            given: self.given(seat.epoch),
+            report: switch::Report {
+                epoch: seat.epoch,
+                step: report.step,
+                map: report.map,
+                prepared: report.prepared,
+                armed: report.armed,
+                held: report.held,
+                barred: self.barred(seat.epoch),
+                given: self.given(seat.epoch),
+            },
         };
         let before = self.state.replace(Some(state.clone()));
-        let place = |state: &State| (state.group, state.epoch, state.rank, state.size);
+        let place = |state: &State| (state.group, state.report.epoch, state.rank, state.size);
         if before.as_ref().map(place) != Some(place(&state)) {
             info!(self.log, "Agent: The rank sits in a group."; "group" => &seat.group,
-                "epoch" => state.epoch, "rank" => state.rank, "size" => state.size);
+                "epoch" => seat.epoch, "rank" => state.rank, "size" => state.size);
             if before
                 .as_ref()
                 .is_none_or(|before| before.group != state.group)
@@ -168,7 +170,10 @@
         self.hear_state(self.settings.address, state);
         self.stalls(report);
         let now = self.state();
-        let what = |state: &State| (state.map, state.prepared, state.armed, state.held);
+        let what = |state: &State| {
+            let report = &state.report;
+            (report.map, report.prepared, report.armed, report.held)
+        };
         let changed = |before: &State| now.as_ref().map(what) != Some(what(before));
         before.as_ref().is_none_or(changed)
     }
@@ -181,7 +186,7 @@
         }
         let now = self.clock.now();
         let rank = usize::from(state.rank);
-        let report = seats::report(&state);
+        let report = state.report;
         if !self.seats.borrow_mut().hear(now, agent, state) {
             return;
         }
@@ -192,7 +197,7 @@
 
     /// Hears a word of another agent.
     pub async fn hear(self: &Rc<Self>, agent: IpAddr, word: Word) {
-        let own = self.state().map(|state| (state.group, state.epoch));
+        let own = self.state().map(|state| (state.group, state.report.epoch));
         match word {
             Word::Subscribe => {
                 let until = self.clock.now() + SUBSCRIBED;
--- a/verbenaspool_agent/src/direct/orders.rs
+++ b/verbenaspool_agent/src/direct/orders.rs
@@ -64,26 +64,28 @@
 
     /// Carries out an order of the lead, and tells it how the rank stands then.
     pub(super) async fn obey(self: &Rc<Self>, agent: IpAddr, order: Order) {
-        let what = match order.what {
-            What::Hold { step } => order::Order::Hold { step },
-            What::Arm { step, .. } if step <= self.barred(order.epoch) => {
+        let What::Change(change) = order.what else {
+            self.answer(agent).await;
+            return;
+        };
+        let what = match change {
+            Change::Hold { step } => order::Order::Hold { step },
+            Change::Arm { step, .. } if step <= self.barred(order.epoch) => {
                 self.answer(agent).await;
                 return;
             }
-            What::Arm { version, step } | What::Finish { version, step } => {
+            Change::Arm { version, step } | Change::Finish { version, step } => {
                 self.note_given(order.epoch, step);
                 order::Order::Arm { version, step }
             }
-            What::Go { step } => order::Order::Go { step },
-            What::Bar { step } => {
+            Change::Go { step } => order::Order::Go { step },
+            Change::Bar { step } => {
                 self.bar(order.epoch, step);
                 self.answer(agent).await;
                 return;
             }
-            What::Look => {
-                self.answer(agent).await;
-                return;
-            }
+            // Maps come by themselves, whole or as what differs.
+            Change::Prepare { .. } => return,
         };
         self.give(&what, order.epoch).await;
         self.answer(agent).await;
@@ -215,30 +217,23 @@
 
     /// An order as words to an agent.
     pub(super) fn words(&self, order: Change, epoch: u64) -> Vec<Word> {
-        let what = match order {
-            Change::Prepare { version } => {
-                let lead = self.lead.borrow();
-                let Some(lead) = lead.as_ref() else {
-                    return Vec::new();
-                };
-                let difference = lead.difference(version, epoch).map(Word::Difference);
-                // A change of many places takes no less room than the map itself.
-                return match difference {
-                    Some(word) if word.encode().len() <= word::LARGEST => vec![word],
-                    _ => lead
-                        .parts(version, epoch)
-                        .into_iter()
-                        .map(Word::Map)
-                        .collect(),
-                };
-            }
-            Change::Hold { step } => What::Hold { step },
-            Change::Arm { version, step } => What::Arm { version, step },
-            Change::Go { step } => What::Go { step },
-            Change::Bar { step } => What::Bar { step },
-            Change::Finish { version, step } => What::Finish { version, step },
+        let Change::Prepare { version } = order else {
+            let what = What::Change(order);
+            return vec![Word::Order(Order { epoch, what })];
         };
-        vec![Word::Order(Order { epoch, what })]
+        let lead = self.lead.borrow();
+        let Some(lead) = lead.as_ref() else {
+            return Vec::new();
+        };
+        let difference = lead.difference(version, epoch).map(Word::Difference);
+        // A change of many places takes no less room than the map itself.
+        match difference {
+            Some(word) if word.encode().len() <= word::LARGEST => vec![word],
+            _ => {
+                let parts = lead.parts(version, epoch);
+                parts.into_iter().map(Word::Map).collect()
+            }
+        }
     }
 
     /// An order as a rank takes it.
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -33,7 +33,7 @@
 /// How often the group hears how the rank stands, if nothing changes.
 const TELL: Duration = Duration::from_millis(100);
 
-/// How often all agents of the service hear of each other.
+/// How often all agents of the group hear of each other.
 const HELLO: Duration = Duration::from_secs(1);
 
 /// How often the lead hears what the rank holds, if nothing changes.
--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use verbenaspool_coordination::switch::Report;
 use verbenaspool_protocol::seat::State;
 
 /// How long one datagram may be overtaken by others.
@@ -38,11 +37,12 @@
     pub fn hear(&mut self, now: Duration, agent: IpAddr, state: State) -> bool {
         if let Some(known) = self.0.get(&state.rank) {
             let lately = now.saturating_sub(known.heard) < OVERTAKEN;
-            let older = (state.epoch, state.number) <= (known.state.epoch, known.state.number);
+            let place = |state: &State| (state.report.epoch, state.number);
+            let older = place(&state) <= place(&known.state);
             if known.agent == agent && lately && older {
                 return false;
             }
-            if known.state.epoch > state.epoch && known.state.group == state.group {
+            if known.state.report.epoch > state.report.epoch && known.state.group == state.group {
                 return false;
             }
         }
@@ -88,19 +88,5 @@
     }
 }
 
-/// A state in the terms of the switch.
-pub fn report(state: &State) -> Report {
-    Report {
-        epoch: state.epoch,
-        step: state.step,
-        map: state.map,
-        prepared: state.prepared,
-        armed: state.armed,
-        held: state.held,
-        barred: state.barred,
-        given: state.given,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/verbenaspool_agent/src/direct/seats/tests.rs
+++ b/verbenaspool_agent/src/direct/seats/tests.rs
@@ -1,5 +1,6 @@
 use std::{net::IpAddr, time::Duration};
 
+use verbenaspool_coordination::switch::Report;
 use verbenaspool_protocol::seat::State;
 
 use super::Seats;
@@ -14,17 +15,10 @@
         let state = State {
             number: 1,
             group: 7,
-            epoch: 1,
             rank,
             size,
             upstream: "10.1.0.1:80".parse().expect("an address"),
-            step: 0,
-            map: 0,
-            prepared: None,
-            armed: None,
-            held: None,
-            barred: 0,
-            given: 0,
+            report: Report::default(),
         };
         seats.hear(Duration::ZERO, agent(rank), state);
     }
--- a/verbenaspool_agent/src/direct/standin.rs
+++ b/verbenaspool_agent/src/direct/standin.rs
@@ -5,11 +5,7 @@
 use slog::{info, warn};
 use verbenaspool_platform::report::Report;
 
-use super::{
-    board::Board,
-    lead::Lead,
-    seats::{self, Seat},
-};
+use super::{board::Board, lead::Lead, seats::Seat};
 
 /// After how long without a word a lead counts as silent: three words, which
 /// it sends each 0.1 s.
@@ -50,7 +46,7 @@
         let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > SILENT);
         let stood = now.saturating_sub(self.stall.get().1);
         let patience = STOOD + STOOD_PER_RANK * u32::from(state.rank - 1);
-        let held = state.held.is_some();
+        let held = state.report.held.is_some();
         let patience = if held { SILENT } else { patience };
         if !silent || stood < patience {
             if self.lead.borrow_mut().take().is_some() {
@@ -60,7 +56,7 @@
         }
         if self.lead.borrow().is_none() {
             warn!(self.log, "Agent: The group stands still and its lead is silent; standing in.";
-                "rank" => state.rank, "step" => state.step, "for_ms" => stood.as_secs_f64() * 1e3);
+                "rank" => state.rank, "step" => state.report.step, "for_ms" => stood.as_secs_f64() * 1e3);
             let mut lead = Lead::new(state.size.into());
             lead.stands_in = true;
             self.lead.replace(Some(lead));
@@ -75,9 +71,8 @@
         let seats: Vec<Seat> = self.seats.borrow().iter(now).cloned().collect();
         if let Some(lead) = &mut *self.lead.borrow_mut() {
             for seat in seats {
-                let report = seats::report(&seat.state);
-                lead.switch
-                    .report(seat.heard, seat.state.rank.into(), report);
+                let rank = seat.state.rank.into();
+                lead.switch.report(seat.heard, rank, seat.state.report);
             }
         }
     }
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, net::IpAddr, time::Duration};
 
+use verbenaspool_coordination::switch::Report;
 use verbenaspool_protocol::{
     seat::{Choices, Held, Status},
     word::Word,
@@ -16,8 +17,8 @@
 const COUNTS: usize = 400;
 
 impl Board {
-    /// Tells other agents how the rank stands: those that need it now, or all of the
-    /// service.
+    /// Tells other agents how the rank stands: those that act on it, or all of the
+    /// group, and of the service while some of the group are unknown.
     pub async fn tell(&self, everybody: bool) {
         let Some(state) = self.state() else {
             return;
@@ -26,7 +27,11 @@
         let mut agents: BTreeSet<IpAddr> = self.seats.borrow().audience(now, state.rank);
         if everybody {
             agents.extend(self.seats.borrow().iter(now).map(|seat| seat.agent));
-            agents.extend(self.instances.borrow().iter());
+            // An agent that is new tells all of the service until it knows its group,
+            // so the others needn't: they were agents squared once a second.
+            if !self.is_complete() {
+                agents.extend(self.instances.borrow().iter());
+            }
         }
         agents.remove(&self.settings.address);
         let word = Word::State(state);
@@ -71,7 +76,10 @@
         let Some(choice) = self.rank.choices().await else {
             return;
         };
-        let Some(state) = self.state().filter(|state| state.epoch == choice.epoch) else {
+        let Some(state) = self
+            .state()
+            .filter(|state| state.report.epoch == choice.epoch)
+        else {
             return;
         };
         let (incarnation, before) = self.counts.replace((born, choice.counts.clone()));
@@ -89,7 +97,7 @@
         for (number, counts) in counts.chunks(COUNTS).enumerate() {
             let choices = Choices {
                 group: state.group,
-                epoch: state.epoch,
+                epoch: state.report.epoch,
                 rank: state.rank,
                 from: u32::try_from(number * COUNTS).unwrap_or(u32::MAX),
                 counts: counts.to_vec(),
@@ -106,16 +114,21 @@
         };
         let now = self.clock.now();
         let (epoch, map, at) = self.told.get();
-        if (epoch, map) == (state.epoch, state.map) && now.saturating_sub(at) < again {
+        let Report {
+            epoch: now_epoch,
+            map: now_map,
+            ..
+        } = state.report;
+        if (epoch, map) == (now_epoch, now_map) && now.saturating_sub(at) < again {
             return;
         }
         let Some(held) = self.rank.experts().await else {
             return;
         };
-        self.told.set((state.epoch, held.version, now));
+        self.told.set((now_epoch, held.version, now));
         let held = Held {
             group: state.group,
-            epoch: state.epoch,
+            epoch: now_epoch,
             rank: state.rank,
             version: held.version,
             experts: held.experts,
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -39,6 +39,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// How many passes ahead of the newest report a pass is held. The pass after the
 /// next leaves one whole pass, some 60 ms, for the orders to arrive. With the next
 /// one groups of 32 ranks waited 16 ms for each change and some 50 ms at worst, so
@@ -74,7 +76,7 @@
 const HELD: Duration = Duration::from_millis(150);
 
 /// What a rank says of itself.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The group's epoch.
     pub epoch: u64,
@@ -96,7 +98,7 @@
 }
 
 /// An order to one rank.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Copy what is new in the map of this version.
     Prepare {
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -62,10 +62,10 @@
 
 /// How long a request may wait that can't be answered in time any more: as a
 /// part of the time that its caller still waits.
-const LATE_PATIENCE: f64 = 0.55;
+const LATE_PATIENCE: f64 = 0.68;
 
 /// The longest that a request waits which can't be answered in time any more.
-const LONGEST_WAIT: Duration = Duration::from_millis(3_500);
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
 
 /// The shortest and the longest time after which a refused caller is asked to
 /// come back. Sooner, the same upstreams are still full: a stream lasts 2 s.
@@ -75,7 +75,8 @@
 /// The same while no upstream of the service runs: groups form anew within
 /// seconds, and the longest time that callers wait before they come back, a third
 /// of what they have, reaches furthest.
-const COME_BACK_CLOSED: [Duration; 2] = [Duration::from_secs(2), Duration::from_millis(2_600)];
+const COME_BACK_CLOSED: [Duration; 2] =
+    [Duration::from_millis(2_300), Duration::from_millis(2_650)];
 
 /// Two to the 53rd, the numbers that a draw is taken from.
 const SPREAD: f64 = 9_007_199_254_740_992.0;
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use verbenaspool_coordination::switch::{self, Report};
 
 /// How a rank stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -11,28 +12,14 @@
     pub number: u64,
     /// The group's short name.
     pub group: u32,
-    /// The group's epoch.
-    pub epoch: u64,
     /// The rank's seat.
     pub rank: u16,
     /// How many seats there are.
     pub size: u16,
     /// The upstream itself.
     pub upstream: SocketAddr,
-    /// The last pass that was begun.
-    pub step: u64,
-    /// The version of the map in use.
-    pub map: u64,
-    /// The version that is copied whole.
-    pub prepared: Option<u64>,
-    /// The version that it is armed for.
-    pub armed: Option<u64>,
-    /// The pass that it holds.
-    pub held: Option<u64>,
-    /// Up to which pass the agent gives no order of a lead to arm.
-    pub barred: u64,
-    /// The last pass for which it has given, or may have given, an order to arm.
-    pub given: u64,
+    /// What the rank says, and its agent of orders to it.
+    pub report: Report,
 }
 
 /// What the requests of a rank chose since the word before.
@@ -62,35 +49,8 @@
 /// What to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
-    /// Hold a pass.
-    Hold {
-        /// The pass.
-        step: u64,
-    },
-    /// Switch to a map as a pass begins.
-    Arm {
-        /// The map's version.
-        version: u64,
-        /// The pass.
-        step: u64,
-    },
-    /// Let a held pass begin.
-    Go {
-        /// The pass.
-        step: u64,
-    },
-    /// Give no order to arm for a pass up to this one.
-    Bar {
-        /// The pass.
-        step: u64,
-    },
-    /// Switch to a map as a pass begins, though that is barred.
-    Finish {
-        /// The map's version.
-        version: u64,
-        /// The pass.
-        step: u64,
-    },
+    /// A step of a change of map. Maps to prepare come as words of their own.
+    Change(switch::Order),
     /// Nothing but to say how the rank stands now.
     Look,
 }
--- a/verbenaspool_protocol/src/word.rs
+++ b/verbenaspool_protocol/src/word.rs
@@ -44,7 +44,7 @@
     ///     word::Word,
     /// };
     ///
-    /// let word = Word::Order(Order { epoch: 1, what: What::Go { step: 9 } });
+    /// let word = Word::Order(Order { epoch: 1, what: What::Look });
     /// assert_eq!(Word::decode(&word.encode()), Some(word));
     /// ```
     #[must_use]
