--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use verbenaspool_coordination::switch::KEEPER;
 use verbenaspool_protocol::seat::State;
 
 /// How long one datagram may be overtaken by others.
@@ -14,9 +15,6 @@
 /// How long a seat is remembered whose agent is silent.
 const FORGOTTEN: Duration = Duration::from_secs(20);
 
-/// The rank that holds passes, right behind the lead's.
-const KEEPER: u16 = 1;
-
 /// One agent and its rank.
 #[derive(Debug, Clone)]
 pub struct Seat {
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -48,6 +48,9 @@
 /// day was earned then, 0.995 with this.
 const AHEAD: u64 = 2;
 
+/// The rank that holds passes, where there is more than one: not the lead's own.
+pub const KEEPER: u16 = 1;
+
 /// After how long an order is sent again whose effect no report shows. Answers
 /// come within milliseconds, reports with them, and a pass may be held meanwhile.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -326,9 +329,9 @@
         steps.map(|(report, _)| report.step).max().unwrap_or(0)
     }
 
-    /// The rank that holds passes: not the lead's own, if there is another.
+    /// The rank that holds passes.
     fn keeper(&self) -> usize {
-        usize::from(self.ranks.len() > 1)
+        usize::from(KEEPER).min(self.ranks.len().saturating_sub(1))
     }
 
     /// What the keeper holds, as far as it said lately.
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/ask.rs
@@ -0,0 +1,73 @@
+//! What requests ask for, what becomes of them, and what their ends tell.
+
+use std::{rc::Rc, time::Duration};
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// How urgent it is; 0 comes first.
+    pub priority: u8,
+    /// Until when its answer must begin to be in time; past where it is late.
+    pub target: Duration,
+    /// When its caller gives up.
+    pub deadline: Duration,
+    /// The longest pause in time between its events, for streams.
+    pub gap: Option<Duration>,
+    /// Upstreams that it was sent to before.
+    pub avoid: Vec<Rc<str>>,
+}
+
+/// What becomes of a request in line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes to this upstream.
+    Send(Rc<str>),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// Why a request is refused, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When there should be room.
+    pub after: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No upstream of the service runs.
+    Closed,
+    /// All upstreams have as much as they can do.
+    Full,
+}
+
+impl Reason {
+    /// The reason as logs and metrics name it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// How one sending ended, as far as it tells something of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// It answered.
+    Good,
+    /// It failed, or its answer was no good.
+    Bad,
+    /// It fell silent.
+    Silent,
+    /// It said that it had no room.
+    Full,
+    /// It couldn't be connected to, or another process was there.
+    Unreached,
+    /// Nothing is to be learnt, as when the caller left.
+    Unknown,
+}
