Log when a group counts as taking no requests, and when it takes them again

What an entry believes of a group decides requests; a line tells when that changes, by which upstream's answer.

--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use slog::{Logger, info};
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
     Ask, Dispatcher, Ending, Refusal, Verdict,
@@ -21,6 +22,7 @@
     /// The service's name.
     pub service: Rc<str>,
     clock: Rc<dyn Clock>,
+    log: Logger,
     dispatcher: RefCell<Dispatcher>,
     budget: RefCell<Budget>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
@@ -45,7 +47,10 @@
     /// Says that the upstream has begun to answer.
     pub fn taken(&self) {
         let taken = |dispatcher: &mut Dispatcher, _| dispatcher.taken(&self.upstream);
-        self.desk.with(taken);
+        if self.desk.with(taken) {
+            info!(self.desk.log, "Entry: A group takes requests again.";
+                "service" => &*self.desk.service, "upstream" => &*self.upstream);
+        }
     }
 
     /// Learns from a pause between two events of a stream.
@@ -84,10 +89,17 @@
 impl Desk {
     /// A desk without upstreams.
     #[must_use]
-    pub fn new(service: Rc<str>, clock: Rc<dyn Clock>, zone: Rc<str>, seed: u64) -> Self {
+    pub fn new(
+        service: Rc<str>,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+        zone: Rc<str>,
+        seed: u64,
+    ) -> Self {
         Self {
             service,
             clock,
+            log,
             dispatcher: RefCell::new(Dispatcher::new(zone, seed)),
             budget: RefCell::default(),
             waiting: RefCell::default(),
@@ -152,7 +164,11 @@
 
     /// Gives a place at an upstream back.
     fn free(&self, upstream: &str, ending: Ending) {
-        self.with(|dispatcher, now| dispatcher.ended(now, upstream, ending));
+        if self.with(|dispatcher, now| dispatcher.ended(now, upstream, ending)) {
+            info!(self.log, "Entry: A group takes no requests; one now and then will look.";
+                "service" => &*self.service, "upstream" => upstream,
+                "because" => format!("{ending:?}"));
+        }
     }
 
     /// Counts a request.
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -234,7 +234,8 @@
         let new = || {
             let zone: Rc<str> = self.settings.borrow().zone.as_str().into();
             let seed = rand::rng().random();
-            Rc::new(Desk::new(service.clone(), self.clock.clone(), zone, seed))
+            let (clock, log) = (self.clock.clone(), self.log.clone());
+            Rc::new(Desk::new(service.clone(), clock, log, zone, seed))
         };
         desks.entry(service.clone()).or_insert_with(new).clone()
     }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -415,18 +415,23 @@
         })
     }
 
-    /// An upstream took a request: it has begun to answer.
-    pub fn taken(&mut self, id: &str) {
+    /// An upstream took a request: it has begun to answer. Tells whether its group
+    /// counted as taking none before.
+    pub fn taken(&mut self, id: &str) -> bool {
         let group = self.upstreams.get(id).map(|upstream| upstream.group);
-        if let Some(circuit) = group.and_then(|group| self.circuits.get_mut(&group)) {
-            circuit.taken();
-        }
+        let Some(circuit) = group.and_then(|group| self.circuits.get_mut(&group)) else {
+            return false;
+        };
+        let was_open = !circuit.is_closed();
+        circuit.taken();
+        was_open
     }
 
-    /// Records how a sending ended.
-    pub fn ended(&mut self, now: Duration, id: &str, ending: Ending) {
+    /// Records how a sending ended. Tells whether the upstream's group counts as taking
+    /// none from now on, and didn't before.
+    pub fn ended(&mut self, now: Duration, id: &str, ending: Ending) -> bool {
         let Some((id, upstream)) = self.upstreams.get_key_value(id) else {
-            return;
+            return false;
         };
         let (id, group) = (id.clone(), upstream.group);
         let busy = f64::from(upstream.own + upstream.others);
@@ -436,14 +441,17 @@
             upstream.trust.learn(now, ending);
         }
         // Only engines make groups; other upstreams speak for themselves.
-        if self.engine.is_some() {
-            let circuit = self.circuits.entry(group).or_default();
-            match ending {
-                Ending::Full if idle => circuit.turned_away(now),
-                Ending::Unreached => circuit.unreached(now, &id),
-                _ => {}
-            }
+        if self.engine.is_none() {
+            return false;
+        }
+        let circuit = self.circuits.entry(group).or_default();
+        let was_closed = circuit.is_closed();
+        match ending {
+            Ending::Full if idle => circuit.turned_away(now),
+            Ending::Unreached => circuit.unreached(now, &id),
+            _ => {}
         }
+        was_closed && !circuit.is_closed()
     }
 
     /// How the service stands, for logs and metrics.
--- a/verbenaspool_policy/tests/dispatch/circuit.rs
+++ b/verbenaspool_policy/tests/dispatch/circuit.rs
@@ -69,12 +69,13 @@
     let mut dispatcher = ranks(8);
     for ticket in 0..3 {
         let id = sent(&mut dispatcher, 0, ticket).expect("it is tried");
-        dispatcher.ended(ms(1), &id, Ending::Unreached);
+        let opened = dispatcher.ended(ms(1), &id, Ending::Unreached);
+        assert_eq!(opened, ticket == 2);
     }
     assert_eq!(sent(&mut dispatcher, 50, 10), None);
     let first = sent(&mut dispatcher, 110, 11).expect("one looks");
     assert_eq!(sent(&mut dispatcher, 120, 12), None);
-    dispatcher.taken(&first);
+    assert!(dispatcher.taken(&first));
     for ticket in 20..30 {
         assert!(sent(&mut dispatcher, 130, ticket).is_some());
     }
