--- a/verbenaspool_policy/src/dispatch/trust.rs
+++ b/verbenaspool_policy/src/dispatch/trust.rs
@@ -3,8 +3,8 @@
 //! Load: an upstream that fails fast looks idle, so the least busy one is the
 //! broken one, and it gets more and more. One that fell silent keeps whatever
 //! it is sent. Both are left alone for a while, longer each time in a row, and
-//! get a single request to show that they are back. Health checks cost the
-//! upstream a slot and may be false, so answers alone decide.
+//! are tried again behind that. Health checks cost the upstream a slot and may be
+//! false, so answers alone decide.
 
 use std::time::Duration;
 
