--- a/verbenaspool_policy/src/rebalancer/set.rs
+++ b/verbenaspool_policy/src/rebalancer/set.rs
@@ -159,41 +159,47 @@
     /// Visits the steps that relieve a rank.
     fn steps_from(&self, from: usize, bound: &Bound, left: &[usize], visit: &mut dyn FnMut(Step)) {
         let takes_back = self.can_copy(from, bound, left);
-        let means = self.mean();
         for to in 0..self.ranks.len() {
-            let relieves = self.work[to] < self.work[from] && self.work[to] < 1.5 * means;
-            if to == from || !relieves || !self.can_copy(to, bound, left) {
-                continue;
+            let is_less_busy = self.work[to] < self.work[from];
+            if is_less_busy && self.can_copy(to, bound, left) {
+                self.steps_between(from, to, takes_back, bound, visit);
             }
-            for &expert in &self.ranks[from] {
-                if self.ranks[to].contains(&expert) {
-                    continue;
+        }
+    }
+
+    /// Visits the steps that relieve a rank by way of another one.
+    fn steps_between(
+        &self,
+        from: usize,
+        to: usize,
+        takes_back: bool,
+        bound: &Bound,
+        visit: &mut dyn FnMut(Step),
+    ) {
+        let [giver, receiver] = [from, to].map(|rank| &self.ranks[rank]);
+        let experts = giver.iter().filter(|expert| !receiver.contains(expert));
+        for (&expert, leaves) in experts.flat_map(|expert| [(expert, false), (expert, true)]) {
+            let step = Step {
+                from,
+                to,
+                expert,
+                leaves,
+                out: None,
+                back: false,
+            };
+            if receiver.len() < bound.places {
+                visit(step);
+            }
+            for &out in receiver {
+                let step = Step {
+                    out: Some(out),
+                    ..step
+                };
+                if self.holders[usize::from(out)].len() > 1 {
+                    visit(step);
                 }
-                for leaves in [false, true] {
-                    let step = Step {
-                        from,
-                        to,
-                        expert,
-                        leaves,
-                        out: None,
-                        back: false,
-                    };
-                    if self.ranks[to].len() < bound.places {
-                        visit(step);
-                    }
-                    for &out in &self.ranks[to] {
-                        let held = self.holders[usize::from(out)].len() > 1;
-                        let step = Step {
-                            out: Some(out),
-                            ..step
-                        };
-                        if held {
-                            visit(step);
-                        }
-                        if leaves && takes_back && !self.ranks[from].contains(&out) {
-                            visit(Step { back: true, ..step });
-                        }
-                    }
+                if leaves && takes_back && !giver.contains(&out) {
+                    visit(Step { back: true, ..step });
                 }
             }
         }
