--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -199,7 +199,7 @@
     process.restart().map(|()| true)
 }
 
-/// Starts a program anew once its process has ended; ends it after its grace.
+/// Starts a program anew once its process has ended.
 async fn revive(site: &Site, again: impl Fn(&Site) -> Option<io::Result<bool>>) {
     loop {
         monoio::time::sleep(Duration::from_millis(20)).await;
