--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -70,8 +70,7 @@
     /// The lead decides by the words of all ranks, and the rank that holds passes is
     /// the first to stand in for it; all others have to know of these two, to see
     /// whether a lead is silent and a pass is held. With all ranks telling all others
-    /// a group of 32 sent 9,900 datagrams a second, two in three between zones, and
-    /// each agent spent much of its part of a core on hearing them.
+    /// a group of 32 would send 9,900 datagrams a second, two in three between zones.
     pub fn audience(&self, now: Duration, rank: u16) -> BTreeSet<IpAddr> {
         let hears = |seat: &&Seat| rank <= KEEPER || seat.state.rank <= KEEPER;
         self.iter(now)
