Take all experts off a slow rank in one change of map

Cause: a pass of a lock-stepped group lasts as long as its slowest rank. The rank's report tells its pace; nothing read it, and with one copy a rank and change it took three changes of a second each to empty it. Change: reports' pace is read (nonsense counts as 1, with one line of log), goes to the lead with the rank's state, and weighs the rank's work in the search of maps. While a rank is slow, or well again and nearly empty, a change may copy for 0.3 s in place of 0.04. An expert that is held elsewhere may leave a rank without any copy. Ruled out: too few choices to decide by. A pass brings thousands of them.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -31,6 +31,9 @@
 /// How long an entry that asked hears how the rank stands.
 const SUBSCRIBED: Duration = Duration::from_millis(3_500);
 
+/// The steps in which a rank's pace is told, so that words about it are few.
+const PACE_STEP: f64 = 0.25;
+
 /// What an agent keeps.
 pub struct Board {
     pub settings: Settings,
@@ -69,10 +72,12 @@
     pub(super) giving: RefCell<Option<order::Order>>,
     /// Entries that want to hear how the rank stands, and until when.
     pub(super) entries: RefCell<BTreeMap<IpAddr, Duration>>,
-    /// What entries were told last, and when.
-    pub(super) status: Cell<(bool, Duration)>,
+    /// The pace that entries were told last, none while the group runs nothing, and when.
+    pub(super) status: Cell<(Option<f32>, Duration)>,
     /// What was last told of the experts held.
     pub(super) told: Cell<(u64, u64, Duration)>,
+    /// The rank's pace, and whether what it said of that made sense.
+    told_pace: Cell<(f32, bool)>,
 }
 
 impl Board {
@@ -110,6 +115,7 @@
             entries: RefCell::default(),
             status: Cell::default(),
             told: Cell::default(),
+            told_pace: Cell::new((1.0, true)),
         })
     }
 
@@ -152,6 +158,7 @@
                 barred: self.barred(seat.epoch),
                 given: self.given(seat.epoch),
             },
+            pace: self.pace(report),
         };
         let before = self.state.replace(Some(state.clone()));
         let place = |state: &State| (state.group, state.report.epoch, state.rank, state.size);
@@ -172,7 +179,13 @@
         let now = self.state();
         let what = |state: &State| {
             let report = &state.report;
-            (report.map, report.prepared, report.armed, report.held)
+            (
+                report.map,
+                report.prepared,
+                report.armed,
+                report.held,
+                state.pace,
+            )
         };
         let changed = |before: &State| now.as_ref().map(what) != Some(what(before));
         before.as_ref().is_none_or(changed)
@@ -186,13 +199,27 @@
         }
         let now = self.clock.now();
         let rank = usize::from(state.rank);
-        let report = state.report;
+        let (report, pace) = (state.report, state.pace);
         if !self.seats.borrow_mut().hear(now, agent, state) {
             return;
         }
         if let Some(lead) = &mut *self.lead.borrow_mut() {
             lead.switch.report(now, rank, report);
+            lead.pace(rank, pace);
+        }
+    }
+
+    /// The pace that a report tells, in steps; one line of log for each change.
+    fn pace(&self, report: &Report) -> f32 {
+        let told = report.pace;
+        #[allow(clippy::cast_possible_truncation)] // It is small.
+        let pace = ((told.unwrap_or(1.0) / PACE_STEP).round() * PACE_STEP) as f32;
+        let before = self.told_pace.replace((pace, told.is_some()));
+        if before != (pace, told.is_some()) {
+            info!(self.log, "Agent: The rank's pace changed.";
+                "pace" => pace, "before" => before.0, "makes_sense" => told.is_some());
         }
+        pace
     }
 
     /// Hears a word of another agent.
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -25,6 +25,13 @@
 /// 0.959 with the latter.
 const COPYING: Duration = Duration::from_millis(40);
 
+/// The same while a rank is slow, or is well again and holds hardly any experts.
+const COPYING_ANEW: Duration = Duration::from_millis(300);
+
+/// The pace from which on a rank counts as slow: its part of a pass is half longer,
+/// more than the busiest rank is above the mean on a good map.
+const SLOW: f64 = 1.5;
+
 /// Copies a rank that one change makes at most, however fast they are.
 const MOST: usize = 4;
 
@@ -76,6 +83,8 @@
     held: BTreeMap<u16, Holding>,
     loads: Vec<f64>,
     at: Duration,
+    /// How many times longer than usual each rank takes for its work.
+    paces: Vec<f64>,
 }
 
 impl Lead {
@@ -90,9 +99,30 @@
             held: BTreeMap::new(),
             loads: Vec::new(),
             at: Duration::ZERO,
+            paces: vec![1.0; ranks],
+        }
+    }
+
+    /// Takes in how slow a rank is.
+    pub fn pace(&mut self, rank: usize, pace: f32) {
+        if let Some(known) = self.paces.get_mut(rank) {
+            *known = pace.into();
         }
     }
 
+    /// How long ranks may copy for one change.
+    ///
+    /// A slow rank makes each pass late, whatever is copied meanwhile: all its experts
+    /// are to leave it in one change, where one copy a rank and change took three
+    /// changes of a second each. Likewise when it is well again and holds hardly any.
+    fn copying(&self, layers: &[Layer]) -> Duration {
+        let slow = self.paces.iter().any(|pace| *pace >= SLOW);
+        let places = |rank: usize| layers.iter().map(|l| l.ranks[rank].len()).sum::<usize>();
+        let all: usize = (0..self.ranks).map(places).sum();
+        let empty = (0..self.ranks).any(|rank| places(rank) * self.ranks * 2 < all);
+        if slow || empty { COPYING_ANEW } else { COPYING }
+    }
+
     /// Takes in what a rank's requests chose.
     pub fn choices(&mut self, now: Duration, choices: &Choices) {
         let age = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
@@ -180,15 +210,15 @@
         if self.stands_in || !self.switch.is_ready(now) {
             return None;
         }
+        let layers = self.layers(experts)?;
         #[allow(clippy::cast_precision_loss)] // Groups are small.
         let bound = Bound {
             places: experts.places.into(),
             spare: experts.spare.into(),
-            copies: copies(experts.copy),
+            copies: copies(self.copying(&layers), experts.copy),
             least: LEAST * experts.copy.as_secs_f64() / self.ranks.max(1) as f64,
         };
-        let layers = self.layers(experts)?;
-        let relief = relief::relieve(&layers, &self.loads(experts)?, &bound)?;
+        let relief = relief::relieve(&layers, &self.loads(experts)?, &self.paces, &bound)?;
         let highest = self
             .switch
             .highest()
@@ -262,7 +292,7 @@
 }
 
 /// How many copies a rank makes in the time for one change.
-fn copies(copy: Duration) -> usize {
-    let copies = COPYING.as_micros() / copy.as_micros().max(1);
+fn copies(time: Duration, copy: Duration) -> usize {
+    let copies = time.as_micros() / copy.as_micros().max(1);
     usize::try_from(copies).unwrap_or(usize::MAX).clamp(1, MOST)
 }
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -43,18 +43,20 @@
     /// Tells entries how the rank stands, where that changed or was told long ago.
     pub async fn tell_entries(&self) {
         let now = self.clock.now();
-        let open = self.state.borrow().is_some();
+        let pace = self.state.borrow().as_ref().map(|state| state.pace);
+        let open = pace.is_some();
         let (told, at) = self.status.get();
-        if open == told && now.saturating_sub(at) < STATUS {
+        if pace == told && now.saturating_sub(at) < STATUS {
             return;
         }
-        self.status.set((open, now));
+        self.status.set((pace, now));
         self.number.set(self.number.get() + 1);
         let word = Word::Status(Status {
             number: self.number.get(),
             upstream: self.settings.upstream,
             group: self.group.get(),
             open,
+            pace: pace.unwrap_or(1.0),
         });
         let entries: Vec<IpAddr> = {
             let mut entries = self.entries.borrow_mut();
--- a/verbenaspool_policy/src/rebalancer/relief.rs
+++ b/verbenaspool_policy/src/rebalancer/relief.rs
@@ -52,7 +52,7 @@
     let sets = layers
         .iter()
         .zip(loads)
-        .map(|(layer, loads)| Set::new(layer, loads));
+        .map(|(layer, loads)| Set::new(layer, loads, &[]));
     let (mut peak, mut mean) = (0.0, 0.0);
     for set in sets {
         peak += set.peak();
@@ -69,16 +69,26 @@
 ///
 /// let layers = [Layer { ranks: vec![vec![0, 1], vec![2]] }];
 /// let bound = Bound { places: 2, spare: 1, copies: 1, least: 0.01 };
-/// let relief = relieve(&layers, &[vec![6.0, 1.0, 1.0]], &bound).unwrap();
+/// let relief = relieve(&layers, &[vec![6.0, 1.0, 1.0]], &[1.0, 1.0], &bound).unwrap();
 /// assert!(relief.layers[0].ranks[1].contains(&0));
 /// assert!((relief.after - 1.0).abs() < 0.01);
 /// ```
+///
+/// `pace` tells how much longer each rank takes for its work than one that is well. A
+/// slow rank counts as busy by as much, so that its experts leave it, all of them if
+/// need be: in a group of 12 ranks one that is 12 times slow makes every pass last
+/// 0.9 s, where streams bear 0.12 s.
 #[must_use]
-pub fn relieve(layers: &[Layer], loads: &[Vec<f64>], bound: &Bound) -> Option<Relief> {
+pub fn relieve(
+    layers: &[Layer],
+    loads: &[Vec<f64>],
+    pace: &[f64],
+    bound: &Bound,
+) -> Option<Relief> {
     let mut sets: Vec<Set> = layers
         .iter()
         .zip(loads)
-        .map(|(layer, loads)| Set::new(layer, loads))
+        .map(|(layer, loads)| Set::new(layer, loads, pace))
         .collect();
     let ranks = sets.first()?.ranks().len();
     let mean: f64 = sets.iter().map(Set::mean).sum();
@@ -90,6 +100,7 @@
     let mut left = vec![bound.copies; ranks];
     let best = |set: &Set, left: &[usize]| set.best(bound, left, price);
     let mut found: Vec<Option<(f64, Step)>> = sets.iter().map(|set| best(set, &left)).collect();
+    let mut changes = false;
     loop {
         let steps = found.iter().enumerate();
         let steps =
@@ -98,6 +109,7 @@
             break;
         };
         sets[number].apply(&step);
+        changes = true;
         let mut spent = false;
         for rank in step.copying() {
             left[rank] -= 1;
@@ -122,7 +134,7 @@
     let total: usize = by_rank.iter().sum();
     #[allow(clippy::cast_precision_loss)] // Copies are few.
     let worth = before - after >= price * total as f64;
-    if total == 0 || !worth {
+    if !changes || !worth {
         return None;
     }
     Some(Relief {
--- a/verbenaspool_policy/src/rebalancer/set.rs
+++ b/verbenaspool_policy/src/rebalancer/set.rs
@@ -14,13 +14,18 @@
 /// search ends where that rank can't be helped though others could.
 const BUSY: usize = 2;
 
+/// What it costs that an expert only leaves a rank, in copies: nothing is copied, but
+/// the place is missed when popularity shifts back.
+const DROP: f64 = 0.25;
+
 /// One step towards a better placement: what a busy rank and another one gain and
 /// lose.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Step {
     /// The busy rank.
     from: usize,
-    /// The other rank.
+    /// The other rank; the busy one itself where an expert only leaves it and the
+    /// other holders take over its part.
     to: usize,
     /// The expert that is copied to the other rank.
     expert: u16,
@@ -35,13 +40,23 @@
 impl Step {
     /// The ranks that copy an expert.
     pub fn copying(&self) -> impl Iterator<Item = usize> + use<> {
+        let to = (!self.is_drop()).then_some(self.to);
         let back = self.back.then_some(self.from);
-        std::iter::once(self.to).chain(back)
+        to.into_iter().chain(back)
+    }
+
+    /// Whether an expert only leaves a rank, and nothing is copied.
+    fn is_drop(&self) -> bool {
+        self.from == self.to
     }
 
-    /// How many experts are copied.
-    fn copies(&self) -> f64 {
-        if self.back { 2.0 } else { 1.0 }
+    /// What the step costs, in copies.
+    fn cost(&self) -> f64 {
+        match (self.is_drop(), self.back) {
+            (true, _) => DROP,
+            (false, false) => 1.0,
+            (false, true) => 2.0,
+        }
     }
 }
 
@@ -56,13 +71,16 @@
     holders: Vec<Vec<usize>>,
     /// The work that each expert brings.
     loads: Vec<f64>,
-    /// The work of each rank.
+    /// How much longer each rank takes for its work than a rank that is well.
+    pace: Vec<f64>,
+    /// The time that each rank takes for its work.
     work: Vec<f64>,
 }
 
 impl Set {
-    /// The set as it is placed, with the work that each expert brings.
-    pub fn new(layer: &Layer, loads: &[f64]) -> Self {
+    /// The set as it is placed, with the work that each expert brings and the pace
+    /// of each rank; ranks of which none is told are well.
+    pub fn new(layer: &Layer, loads: &[f64], pace: &[f64]) -> Self {
         let mut holders = vec![Vec::new(); loads.len()];
         for (rank, experts) in layer.ranks.iter().enumerate() {
             for &expert in experts {
@@ -76,10 +94,16 @@
             before: layer.ranks.clone(),
             holders,
             loads: loads.to_vec(),
+            pace: (0..layer.ranks.len())
+                .map(|rank| pace.get(rank).copied().unwrap_or(1.0))
+                .collect(),
             work: Vec::new(),
         };
-        let work = |experts: &Vec<u16>| experts.iter().map(|&e| set.part(e, 0)).sum();
-        set.work = set.ranks.iter().map(work).collect();
+        let work = |(experts, pace): (&Vec<u16>, &f64)| {
+            let sum: f64 = experts.iter().map(|&e| set.part(e, 0)).sum();
+            sum * pace
+        };
+        set.work = set.ranks.iter().zip(&set.pace).map(work).collect();
         set
     }
 
@@ -99,14 +123,14 @@
         self.ranks[rank].iter().filter(new).count()
     }
 
-    /// The work of the busiest rank.
+    /// The time that the slowest rank takes for its work.
     pub fn peak(&self) -> f64 {
         self.work.iter().copied().fold(0.0, f64::max)
     }
 
-    /// The mean work of a rank.
+    /// The mean time of a rank, were all of them well.
     pub fn mean(&self) -> f64 {
-        let sum: f64 = self.work.iter().sum();
+        let sum: f64 = self.loads.iter().sum();
         #[allow(clippy::cast_precision_loss)] // Groups are small.
         let ranks = self.work.len().max(1) as f64;
         sum / ranks
@@ -134,7 +158,7 @@
         for from in self.busiest() {
             self.steps_from(from, bound, left, &mut |step| {
                 self.changes(&step, &mut |rank, more| scale.add(rank, more));
-                let gain = (peak - scale.after()) / step.copies();
+                let gain = (peak - scale.after()) / step.cost();
                 if gain > price && best.is_none_or(|(most, _)| gain > most) {
                     best = Some((gain, step));
                 }
@@ -159,6 +183,18 @@
     /// Visits the steps that relieve a rank.
     fn steps_from(&self, from: usize, bound: &Bound, left: &[usize], visit: &mut dyn FnMut(Step)) {
         let takes_back = self.can_copy(from, bound, left);
+        for &expert in &self.ranks[from] {
+            if self.holders[usize::from(expert)].len() > 1 {
+                visit(Step {
+                    from,
+                    to: from,
+                    expert,
+                    leaves: true,
+                    out: None,
+                    back: false,
+                });
+            }
+        }
         for to in 0..self.ranks.len() {
             let is_less_busy = self.work[to] < self.work[from];
             if is_less_busy && self.can_copy(to, bound, left) {
@@ -205,8 +241,13 @@
         }
     }
 
-    /// Tells how a step changes the work of each rank.
+    /// Tells how a step changes the time of each rank.
     fn changes(&self, step: &Step, tell: &mut dyn FnMut(usize, f64)) {
+        let mut tell = |rank: usize, more: f64| tell(rank, more * self.pace[rank]);
+        if step.is_drop() {
+            self.leaves(step.expert, step.from, &mut tell);
+            return;
+        }
         let Step {
             from,
             to,
@@ -228,18 +269,22 @@
         let Some(out) = out else {
             return;
         };
-        let old = self.part(out, 0);
-        tell(to, -old);
         if back {
+            let old = self.part(out, 0);
+            tell(to, -old);
             tell(from, old);
         } else {
-            let new = self.part(out, -1);
-            for &rank in self.holders[usize::from(out)]
-                .iter()
-                .filter(|rank| **rank != to)
-            {
-                tell(rank, new - old);
-            }
+            self.leaves(out, to, &mut tell);
+        }
+    }
+
+    /// Tells how the work of each rank changes when an expert leaves one of its holders.
+    fn leaves(&self, expert: u16, from: usize, tell: &mut dyn FnMut(usize, f64)) {
+        let (old, new) = (self.part(expert, 0), self.part(expert, -1));
+        tell(from, -old);
+        let holders = self.holders[usize::from(expert)].iter();
+        for &rank in holders.filter(|rank| **rank != from) {
+            tell(rank, new - old);
         }
     }
 
@@ -248,7 +293,9 @@
         let mut work = std::mem::take(&mut self.work);
         self.changes(step, &mut |rank, more| work[rank] += more);
         self.work = work;
-        self.place(step.expert, step.to);
+        if !step.is_drop() {
+            self.place(step.expert, step.to);
+        }
         if step.leaves {
             self.remove(step.expert, step.from);
         }
--- a/verbenaspool_policy/tests/dispatch/relief.rs
+++ b/verbenaspool_policy/tests/dispatch/relief.rs
@@ -47,7 +47,7 @@
     assert!(before > 2.5, "{before}");
     let mut copies = 0;
     for _ in 0..5 {
-        let Some(relief) = relieve(&layers, &loads, &BOUND) else {
+        let Some(relief) = relieve(&layers, &loads, &[], &BOUND) else {
             break;
         };
         assert!(relief.after < relief.before);
@@ -76,7 +76,7 @@
         copies: 1,
         least: 0.01,
     };
-    let relief = relieve(&held, &loads, &bound).expect("an exchange helps");
+    let relief = relieve(&held, &loads, &[], &bound).expect("an exchange helps");
     assert_eq!((relief.copies, relief.longest), (2, 1));
     assert!((relief.after - 1.0).abs() < 1e-6, "{relief:?}");
 }
@@ -109,7 +109,7 @@
     let mut layers = layers(shape);
     let before = unevenness(&layers, &loads);
     for _ in 0..3 {
-        let relief = relieve(&layers, &loads, &bound).expect("relief");
+        let relief = relieve(&layers, &loads, &[], &bound).expect("relief");
         assert!(relief.longest <= 2);
         layers = relief.layers;
     }
@@ -120,11 +120,101 @@
     );
 }
 
+/// Groups of 12 ranks with little room to spare.
+const NARROW: Shape = Shape {
+    ranks: 12,
+    experts: 72,
+    layers: 4,
+    slots: 8,
+};
+
+/// What may be copied while a rank is slow, or is empty.
+const ANEW: Bound = Bound {
+    places: 8,
+    spare: 3,
+    copies: 3,
+    least: 0.008,
+};
+
+/// The work of the slowest rank in all sets over that of a mean one.
+#[allow(clippy::cast_precision_loss)] // Groups are small.
+fn slowest(layers: &[Layer], loads: &[Vec<f64>], paces: &[f64]) -> f64 {
+    let sets = layers.iter().zip(loads).map(|(layer, loads)| {
+        let holders = |e: &u16| layer.ranks.iter().filter(|rank| rank.contains(e)).count();
+        let part = |e: &u16| loads[usize::from(*e)] / holders(e) as f64;
+        let times = layer.ranks.iter().zip(paces);
+        let times = times.map(|(rank, pace)| rank.iter().map(part).sum::<f64>() * pace);
+        times.fold(0.0, f64::max) / (loads.iter().sum::<f64>() / paces.len() as f64)
+    });
+    sets.sum::<f64>() / layers.len() as f64
+}
+
+/// A rank turns 12 times slow, and every pass of its group waits for it: callers of
+/// all ranks see pauses of 0.7 s where they bear 0.12 s. All its experts have to leave
+/// it in a single change, or each further one waits for two more of these passes.
+#[test]
+fn a_slow_rank_loses_its_experts_in_one_change() {
+    for slow in [vec![5], vec![0], vec![1, 7]] {
+        let mut held = layers(NARROW);
+        let loads = loads(NARROW, 0);
+        for _ in 0..8 {
+            let bound = Bound { copies: 1, ..ANEW };
+            match relieve(&held, &loads, &[], &bound) {
+                Some(relief) => held = relief.layers,
+                None => break,
+            }
+        }
+        let mut paces = vec![1.0; 12];
+        for rank in &slow {
+            paces[*rank] = 12.0;
+        }
+        let before = slowest(&held, &loads, &paces);
+        let relief = relieve(&held, &loads, &paces, &ANEW).expect("relief");
+        assert!(relief.longest <= 3, "{relief:?}");
+        let after = slowest(&relief.layers, &loads, &paces);
+        let bound = if slow.len() == 1 { 2.0 } else { 3.0 };
+        assert!(
+            before > 5.0 && after < bound,
+            "{before} before, {after} after"
+        );
+        let map = Map {
+            epoch: 2,
+            layers: relief.layers,
+        };
+        let allowed = map.layers.iter().flat_map(|layer| &layer.ranks);
+        assert!(allowed.clone().all(|rank| rank.len() <= 8));
+        let held_once = |layer: &Layer| (0..72).all(|e| layer.ranks.iter().any(|r| r.contains(&e)));
+        assert!(map.layers.iter().all(held_once));
+    }
+}
+
+/// The rank is well again and holds nothing. It takes its part within some changes,
+/// and the group is as even as before.
+#[test]
+fn a_rank_that_is_well_again_takes_experts() {
+    let loads = loads(NARROW, 0);
+    let mut paces = vec![1.0; 12];
+    paces[5] = 12.0;
+    let mut held = relieve(&layers(NARROW), &loads, &paces, &ANEW)
+        .expect("relief")
+        .layers;
+    for _ in 0..6 {
+        match relieve(&held, &loads, &[], &ANEW) {
+            Some(relief) => held = relief.layers,
+            None => break,
+        }
+    }
+    let even = unevenness(&held, &loads);
+    assert!(even < 1.6, "{even}");
+    let held_there: usize = held.iter().map(|layer| layer.ranks[5].len()).sum();
+    assert!(held_there >= 8, "{held_there} places");
+}
+
 /// An even load calls for no copies: they would follow chance, and are paid for.
 #[test]
 fn an_even_load_is_left_alone() {
     let even = vec![vec![10.0; 64]; 6];
-    assert_eq!(relieve(&layers(SHAPE), &even, &BOUND), None);
+    assert_eq!(relieve(&layers(SHAPE), &even, &[], &BOUND), None);
 }
 
 proptest! {
@@ -145,7 +235,7 @@
         let mut held = layers(shape);
         let bound = Bound { places: 8, spare, copies, least: 0.01 };
         for _ in 0..4 {
-            let Some(relief) = relieve(&held, &loads, &bound) else {
+            let Some(relief) = relieve(&held, &loads, &[], &bound) else {
                 break;
             };
             let map = Map { epoch: 2, layers: relief.layers.clone() };
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -20,6 +20,8 @@
     pub upstream: SocketAddr,
     /// What the rank says, and its agent of orders to it.
     pub report: Report,
+    /// How many times longer than usual the rank takes for its work.
+    pub pace: f32,
 }
 
 /// What the requests of a rank chose since the word before.
@@ -158,4 +160,6 @@
     pub group: u32,
     /// Whether all ranks of its group are there; otherwise it runs nothing.
     pub open: bool,
+    /// How many times longer than usual the rank takes for its work.
+    pub pace: f32,
 }
