Hold the next pass, not the one after, where passes are long

Cause: a change that relieves a slow rank waited for two passes of 0.6 s, where the orders take 45 ms. With passes of 60 ms the pass after the next stays right. Change: passes longer than 150 ms, as reports show them, are held one ahead.

--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -48,6 +48,13 @@
 /// day was earned then, 0.995 with this.
 const AHEAD: u64 = 2;
 
+/// The same where passes are long: orders arrive within a third of one, and a change
+/// that relieves a slow rank would wait a whole pass more for nothing.
+const AHEAD_LONG: u64 = 1;
+
+/// How long passes have to be for that. Orders take some 45 ms.
+const LONG: Duration = Duration::from_millis(150);
+
 /// The rank that holds passes, where there is more than one: not the lead's own.
 pub const KEEPER: u16 = 1;
 
@@ -196,6 +203,10 @@
     phase: Phase,
     /// Since when the keeper's report shows a held pass that isn't ours.
     held: Option<(u64, Duration)>,
+    /// The newest pass that was reported, when that was, and how long passes took
+    /// until then.
+    newest: (u64, Duration),
+    pass: Duration,
 }
 
 impl Switch {
@@ -221,6 +232,8 @@
             ranks: vec![Rank::default(); ranks],
             phase: Phase::Idle,
             held: None,
+            newest: (0, Duration::ZERO),
+            pass: Duration::ZERO,
         }
     }
 
@@ -252,9 +265,28 @@
             && known.report.is_none_or(|(_, at)| at <= now)
         {
             known.report = Some((report, now));
+            self.time(now, report.step);
+        }
+    }
+
+    /// Takes the time of passes.
+    fn time(&mut self, now: Duration, step: u64) {
+        let (newest, at) = self.newest;
+        if step > newest {
+            if newest > 0 {
+                let passes = u32::try_from(step - newest).unwrap_or(u32::MAX);
+                self.pass = now.saturating_sub(at) / passes;
+            }
+            self.newest = (step, now);
         }
     }
 
+    /// The pass to hold: soon, but late enough for the orders to arrive.
+    fn next(&self) -> u64 {
+        let ahead = if self.pass >= LONG { AHEAD_LONG } else { AHEAD };
+        self.step() + ahead
+    }
+
     /// Whether all ranks use one map and nothing stands in the way of a change.
     #[must_use]
     pub fn is_ready(&self, now: Duration) -> bool {
@@ -372,7 +404,7 @@
             }
             Phase::Preparing { version, until } => {
                 if self.all(now, |report| report.prepared == Some(version)) {
-                    let step = self.step() + AHEAD;
+                    let step = self.next();
                     let until = now + HOLD;
                     self.enter(Phase::Holding {
                         version,
@@ -394,7 +426,7 @@
                     self.enter(Phase::Arming { version, step });
                 } else if self.step() >= step {
                     // The pass began before it was held; nothing is armed yet.
-                    let step = self.step() + AHEAD;
+                    let step = self.next();
                     self.enter(Phase::Holding {
                         version,
                         step,
--- a/verbenaspool_coordination/tests/switch/steps.rs
+++ b/verbenaspool_coordination/tests/switch/steps.rs
@@ -227,3 +227,33 @@
     };
     assert_eq!(switch.poll(ms(1_500)), (vec![bar], None));
 }
+
+/// One rank is slow, and every pass takes 0.6 s. A change that relieves it held the pass
+/// after the next, so that callers of all ranks waited 0.6 s more for the relief. Orders
+/// arrive well within a pass of that length: the next one is held.
+#[test]
+fn the_next_pass_is_held_where_passes_are_long() {
+    for (pass, held) in [(60, 10), (600, 9)] {
+        let mut switch = Switch::new(2);
+        let mut reports = [Report {
+            epoch: 1,
+            step: 7,
+            ..Report::default()
+        }; 2];
+        tell(&mut switch, ms(1_000 - pass), &reports);
+        for report in &mut reports {
+            report.step = 8;
+        }
+        tell(&mut switch, ms(1_000), &reports);
+        switch.start(ms(1_000), 5, ms(150));
+        for report in &mut reports {
+            report.prepared = Some(5);
+        }
+        tell(&mut switch, ms(1_010), &reports);
+        let hold = Send {
+            rank: 1,
+            order: Order::Hold { step: held },
+        };
+        assert_eq!(switch.poll(ms(1_010)).0, [hold], "passes of {pass} ms");
+    }
+}
