Place nothing on a slow rank, and have its streams go on elsewhere

Cause: a rank without experts still holds back every pass by its own part, as long as it has a stream or a prompt to read. And where passes took over 0.7 s all streams of the group counted as silent, were moved to other ranks of the same group, and spent their second sending and a second reading of their prompts for nothing. Change: agents tell entries the pace of ranks. Entries place nothing on a rank that is twice as slow as the quickest one, send what waits there for its first event elsewhere, and resume its streams elsewhere behind the last whole event. A stream that may not be sent once more is broken off, so that its caller resumes it: one that stayed held all others back for 7 s (events 16, sent twice, passes of 0.38 s). A stream counts as stuck only if others of its group flow; where all are silent and no other group runs it stays for 1.5 s. An answer may begin later where passes are long.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -1,6 +1,6 @@
 //! One sending of a request to one upstream, and what is known behind it.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -13,6 +13,7 @@
     desk::{Desk, Place},
     gateway::Gateway,
     record::Record,
+    relay,
 };
 
 /// How long an upstream may be silent before a request that bears it is sent
@@ -20,6 +21,15 @@
 /// caller gives up after four times.
 const PATIENCE: f64 = 2.0;
 
+/// Passes that an upstream may take before it begins to answer, where they are long: it
+/// reads the prompt in one or two, and a second upstream of the same group would take
+/// as many again.
+const PASSES: u32 = 4;
+
+/// The longest silence before an answer begins, in times of its target: callers leave
+/// after four times, or two seconds.
+const MOST_PATIENCE: f64 = 3.6;
+
 /// The least time that is worth sending a request with.
 const WORTHWHILE: Duration = Duration::from_millis(30);
 
@@ -63,6 +73,16 @@
     Unknown(&'static str),
 }
 
+/// What came of waiting for an answer.
+enum Waited {
+    /// An answer, or an error in its place.
+    Answered(Result<Response<Body>, Error>),
+    /// Nothing in time.
+    Silent,
+    /// Nothing yet, from an upstream that turned slow.
+    Slow,
+}
+
 impl Work {
     /// The time that is left.
     pub fn left(&self) -> Duration {
@@ -105,13 +125,16 @@
 
     /// How long the upstream may be silent, where the request bears to be sent
     /// elsewhere.
-    fn patience(&self) -> Duration {
+    fn patience(&self, upstream: &str) -> Duration {
         let left = self.left();
         let last = self.sendings.get() >= self.route.attempts;
         if last || !self.route.is_repeatable() {
             return left;
         }
-        self.route.target.mul_f64(PATIENCE).min(left)
+        let usual = self.route.target.mul_f64(PATIENCE);
+        let passes = self.desk.pass(upstream).unwrap_or_default() * PASSES;
+        let most = self.route.target.mul_f64(MOST_PATIENCE);
+        usual.max(passes.min(most)).min(left)
     }
 
     /// Sends the request to an upstream, behind an event of the caller's where
@@ -142,7 +165,7 @@
             }
         };
         let began = self.gateway.clock.now();
-        let answer = monoio::time::timeout(self.patience(), answer).await;
+        let answer = self.await_answer(answer, &place).await;
         let waited = self.gateway.clock.now().saturating_sub(began);
         let sent = self.judge(answer, waited, place);
         match &sent {
@@ -156,6 +179,31 @@
         sent
     }
 
+    /// Waits for an answer, as long as the upstream may be silent.
+    ///
+    /// A request whose prompt a slow rank has still to read holds back the rank's whole
+    /// group like a stream, so it goes elsewhere as well, where it may.
+    async fn await_answer(
+        &self,
+        answer: impl Future<Output = Result<Response<Body>, Error>>,
+        place: &Place,
+    ) -> Waited {
+        let mut answer = pin!(answer);
+        let until = self.gateway.clock.now() + self.patience(&place.upstream);
+        loop {
+            let left = until.saturating_sub(self.gateway.clock.now());
+            if left.is_zero() {
+                return Waited::Silent;
+            }
+            if let Ok(answer) = monoio::time::timeout(left.min(relay::LOOK), &mut answer).await {
+                return Waited::Answered(answer);
+            }
+            if self.route.is_repeatable() && place.is_slow() && self.may_repeat() {
+                return Waited::Slow;
+            }
+        }
+    }
+
     /// The request as the upstream gets it.
     fn request(&self, id: &str, after: Option<u64>) -> Result<Request<Body>, http::Error> {
         let mut headers = self.headers.clone();
@@ -183,28 +231,27 @@
     }
 
     /// What an answer, or the want of one, tells.
-    fn judge(
-        &self,
-        answer: Result<Result<Response<Body>, Error>, impl std::fmt::Debug>,
-        waited: Duration,
-        place: Place,
-    ) -> Sent {
+    fn judge(&self, answer: Waited, waited: Duration, place: Place) -> Sent {
         let response = match answer {
-            Err(_) => {
+            Waited::Silent => {
                 place.ended(self.silence(waited));
                 return Sent::Unknown("silent");
             }
-            Ok(Err(Error::NotSent(_))) => {
+            Waited::Slow => {
+                place.ended(Ending::Unknown);
+                return Sent::Unknown(relay::SLOW);
+            }
+            Waited::Answered(Err(Error::NotSent(_))) => {
                 place.ended(Ending::Unreached);
                 self.sendings.set(self.sendings.get() - 1);
                 self.unreached.set(self.unreached.get() + 1);
                 return Sent::NotRun("unreached");
             }
-            Ok(Err(Error::Broken(_))) => {
+            Waited::Answered(Err(Error::Broken(_))) => {
                 place.ended(Ending::Bad);
                 return Sent::Unknown("broken");
             }
-            Ok(Ok(response)) => response,
+            Waited::Answered(Ok(response)) => response,
         };
         let said = header::answer(response.headers());
         let status = response.status();
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -13,6 +13,7 @@
     Ask, Dispatcher, Ending, Refusal, Verdict,
     line::Ticket,
     retry::{Bound, Budget},
+    slow::Silence,
 };
 use verbenaspool_transport::clock::Clock;
 
@@ -53,11 +54,32 @@
         }
     }
 
-    /// Learns from a pause between two events of a stream.
-    pub fn pause(&self, pause: Duration) {
+    /// An event of a stream came, behind a pause where another one came before.
+    pub fn event(&self, pause: Option<Duration>) {
         let now = self.desk.clock.now();
         let mut dispatcher = self.desk.dispatcher.borrow_mut();
-        dispatcher.pause(now, &self.upstream, pause);
+        dispatcher.heard(now, &self.upstream);
+        if let Some(pause) = pause {
+            dispatcher.pause(now, &self.upstream, pause);
+        }
+    }
+
+    /// Whether the upstream is slow beside others, so that its streams should leave it.
+    pub fn is_slow(&self) -> bool {
+        let now = self.desk.clock.now();
+        self.desk.dispatcher.borrow().is_slow(now, &self.upstream)
+    }
+
+    /// What it means that a stream here has been silent since some time.
+    pub fn silence(&self, since: Duration) -> Silence {
+        let now = self.desk.clock.now();
+        let dispatcher = self.desk.dispatcher.borrow();
+        dispatcher.silence(now, &self.upstream, since)
+    }
+
+    /// The upstreams of the same group.
+    pub fn mates(&self) -> Vec<Rc<str>> {
+        self.desk.dispatcher.borrow().mates(&self.upstream)
     }
 }
 
@@ -189,6 +211,12 @@
         self.budget.borrow_mut().repeat(now, bound, entries)
     }
 
+    /// How long a pass of an upstream's group takes now, where that is known.
+    pub fn pass(&self, upstream: &str) -> Option<Duration> {
+        let now = self.clock.now();
+        self.dispatcher.borrow().pass(now, upstream)
+    }
+
     /// When the caller of a request should come back that was turned away.
     pub fn come_back(&self) -> Duration {
         let now = self.clock.now();
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -220,7 +220,8 @@
         };
         drop(registry);
         let changed = self.desk(&upstream.service).with(|dispatcher, now| {
-            dispatcher.status(now, &upstream.id, status.group, status.open)
+            let (group, open, pace) = (status.group, status.open, status.pace.into());
+            dispatcher.status(now, &upstream.id, group, open, pace)
         });
         if changed {
             info!(self.log, "Entry: A rank's group changed.";
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -15,7 +15,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::Ending;
+use verbenaspool_policy::dispatch::{Ending, slow::Silence};
 use verbenaspool_transport::http::body::{self, Body};
 
 use super::{
@@ -28,6 +28,19 @@
 /// below the two seconds after which callers leave.
 const STALL: Duration = Duration::from_millis(700);
 
+/// The same where its whole group is silent and no other one runs: an engine cuts off
+/// what can't go on by then, and whatever goes on sooner comes from this upstream.
+const LONGEST_STALL: Duration = Duration::from_millis(1_500);
+
+/// How often it is looked whether a silent stream should be moved.
+pub const LOOK: Duration = Duration::from_millis(100);
+
+/// Why a stream leaves an upstream: nothing came for too long.
+const FELL_SILENT: &str = "fell-silent";
+
+/// Why a stream leaves an upstream: it holds back its whole group.
+pub const SLOW: &str = "slow";
+
 /// A stream that ends before its last event.
 #[derive(Debug, thiserror::Error)]
 #[error("the stream broke off: {0}")]
@@ -60,6 +73,8 @@
     Broken(&'static str),
     /// Nothing came for too long.
     Silent,
+    /// The upstream is slow, and holds back its whole group.
+    Slow,
     /// The request's time is over.
     Late,
 }
@@ -115,7 +130,11 @@
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
-                Next::Silent => match self.escape().await {
+                Next::Silent => match self.escape(FELL_SILENT).await {
+                    Ok(()) => {}
+                    Err(why) => return Some(self.fail(why)),
+                },
+                Next::Slow => match self.escape(SLOW).await {
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
@@ -129,23 +148,42 @@
 
     /// Waits for more.
     async fn wait(&mut self) -> Next {
-        let now = self.work.gateway.clock.now();
-        if now >= self.work.deadline {
-            return Next::Late;
+        loop {
+            let now = self.work.gateway.clock.now();
+            if now >= self.work.deadline {
+                return Next::Late;
+            }
+            if let Some(why) = self.leaves(now) {
+                return why;
+            }
+            let wait = self.work.deadline.saturating_sub(now).min(LOOK);
+            let Some(body) = &mut self.body else {
+                return Next::Broken("lost");
+            };
+            match monoio::time::timeout(wait, body.frame()).await {
+                Ok(None) => return Next::End,
+                Ok(Some(Err(_))) => return Next::Broken("broken-off"),
+                Ok(Some(Ok(frame))) => return Next::Data(frame.into_data().unwrap_or_default()),
+                Err(_) => {}
+            }
         }
-        let silent = (self.since + STALL).max(self.stays);
-        let until = silent.min(self.work.deadline);
-        let wait = until.saturating_sub(now).max(Duration::from_millis(1));
-        let Some(body) = &mut self.body else {
-            return Next::Broken("lost");
-        };
-        match monoio::time::timeout(wait, body.frame()).await {
-            Ok(None) => Next::End,
-            Ok(Some(Err(_))) => Next::Broken("broken-off"),
-            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
-            Err(_) if until < self.work.deadline => Next::Silent,
-            Err(_) => Next::Late,
+    }
+
+    /// Why the stream should go on at another upstream, if it should.
+    fn leaves(&self, now: Duration) -> Option<Next> {
+        let place = self.place.as_ref()?;
+        if now < self.stays {
+            return None;
+        }
+        if place.is_slow() {
+            return Some(Next::Slow);
+        }
+        let silent = now.saturating_sub(self.since);
+        if silent < STALL {
+            return None;
         }
+        let waits = place.silence(self.since) == Silence::All && silent < LONGEST_STALL;
+        (!waits).then_some(Next::Silent)
     }
 
     /// Takes bytes in and returns the whole events among them.
@@ -155,8 +193,9 @@
             return Ok(None);
         }
         let now = self.work.gateway.clock.now();
-        if let (true, Some(place)) = (self.flows && count == 1, &self.place) {
-            place.pause(now.saturating_sub(self.since));
+        if let Some(place) = &self.place {
+            let pause = now.saturating_sub(self.since);
+            place.event((self.flows && count == 1).then_some(pause));
         }
         self.since = now;
         self.flows = true;
@@ -185,18 +224,31 @@
         }
     }
 
-    /// Looks for another upstream while the present one is silent; where it goes
-    /// on first, nothing is lost.
-    async fn escape(&mut self) -> Result<(), &'static str> {
+    /// Looks for another upstream while the present one is silent or slow; where it
+    /// goes on first, nothing is lost.
+    async fn escape(&mut self, why: &'static str) -> Result<(), &'static str> {
         self.stays = self.work.gateway.clock.now() + STALL;
-        if !self.work.route.resumable || self.work.sendings.get() >= self.work.route.attempts {
+        if !self.work.route.resumable {
             return Ok(());
         }
+        if !self.work.may_repeat() {
+            // A stream that a slow rank keeps holds back the streams of all others, for
+            // as many of its long passes as it has events left: seen for 7 s, in which
+            // 40 callers left. Its caller resumes it behind the last whole event.
+            return if why == SLOW { Err(why) } else { Ok(()) };
+        }
         let Some(body) = &mut self.body else {
             return Ok(());
         };
         let work = self.work.clone();
-        let admitted = Box::pin(work.desk.admit(work.ask()));
+        let mut ask = work.ask();
+        if let Some(place) = &self.place
+            && place.silence(self.since) == Silence::Group
+            && why == FELL_SILENT
+        {
+            ask.avoid.extend(place.mates());
+        }
+        let admitted = Box::pin(work.desk.admit(ask));
         let frame = Box::pin(body.frame());
         let place = match select(admitted, frame).await {
             Either::Left((Ok(place), frame)) => {
@@ -215,12 +267,18 @@
         }
         let from = self.place.as_ref().map(|place| place.upstream.clone());
         let from = from.as_deref().unwrap_or("-");
-        self.work.record.sent(from, "fell-silent");
-        self.finish(Ending::Silent);
+        self.work.record.sent(from, why);
+        // A slow upstream is known to be so by its agent's word.
+        let ending = if why == SLOW {
+            Ending::Unknown
+        } else {
+            Ending::Silent
+        };
+        self.finish(ending);
         if self.resume(place).await {
             return Ok(());
         }
-        self.move_on("fell-silent", Ending::Silent).await
+        self.move_on(why, ending).await
     }
 
     /// Puts back what came while another upstream was looked for.
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 pub mod line;
 pub mod pass;
 pub mod retry;
+pub mod slow;
 pub mod trust;
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -27,6 +28,7 @@
     circuit::Circuit,
     line::{Line, Ticket, Waiting},
     pass::Pass,
+    slow::Silence,
     trust::Trust,
 };
 
@@ -104,6 +106,8 @@
     group: u32,
     /// Whether it is worth sending to.
     trust: Trust,
+    /// How many times longer than usual it takes for its work, as its agent says.
+    pace: f64,
 }
 
 /// Decides for one service at one entry.
@@ -121,6 +125,8 @@
     passes: BTreeMap<u32, Pass>,
     /// The pace of all groups, for those of which nothing is known.
     all: Pass,
+    /// When each group's streams had an event last.
+    heard: BTreeMap<u32, Duration>,
     /// Whether each group takes requests.
     circuits: BTreeMap<u32, Circuit>,
     /// Spreads choices that are as good as each other.
@@ -145,6 +151,7 @@
             line: Line::default(),
             passes: BTreeMap::new(),
             all: Pass::default(),
+            heard: BTreeMap::new(),
             circuits: BTreeMap::new(),
             draws: seed | 1,
         }
@@ -211,13 +218,14 @@
         }
     }
 
-    /// Takes in which group an upstream belongs to and whether that runs; tells
-    /// whether the latter changed.
-    pub fn status(&mut self, now: Duration, id: &str, group: u32, open: bool) -> bool {
+    /// Takes in which group an upstream belongs to, whether that runs and how slow
+    /// the upstream is; tells whether it runs now and didn't before, or the reverse.
+    pub fn status(&mut self, now: Duration, id: &str, group: u32, open: bool, pace: f64) -> bool {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return false;
         };
         upstream.group = group;
+        upstream.pace = pace;
         let before = upstream.closed.is_none();
         upstream.closed = (!open).then_some(now);
         if open && !before {
@@ -241,6 +249,57 @@
         self.upstreams.keys()
     }
 
+    /// Whether an upstream is slow beside others that run, so that its streams should
+    /// go on elsewhere.
+    #[must_use]
+    pub fn is_slow(&self, now: Duration, id: &str) -> bool {
+        let quickest = self.quickest(now);
+        let pace = self.upstreams.get(id).map_or(1.0, |upstream| upstream.pace);
+        slow::is_slow(pace, quickest)
+    }
+
+    /// The pace of the quickest upstream that runs.
+    fn quickest(&self, now: Duration) -> f64 {
+        let open = self.upstreams.values().filter(|u| u.is_open(now));
+        open.map(|upstream| upstream.pace)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// A stream at an upstream got an event.
+    pub fn heard(&mut self, now: Duration, id: &str) {
+        if let Some(upstream) = self.upstreams.get(id) {
+            self.heard.insert(upstream.group, now);
+        }
+    }
+
+    /// What it means that a stream at an upstream has been silent since some time.
+    #[must_use]
+    pub fn silence(&self, now: Duration, id: &str, since: Duration) -> Silence {
+        let group = self.upstreams.get(id).map_or(0, |upstream| upstream.group);
+        let mut others = self.upstreams.values().filter(|u| u.group != group);
+        let others_run = others.any(|u| u.is_open(now) && self.takes(u.group));
+        slow::judge(since, self.heard.get(&group).copied(), others_run)
+    }
+
+    /// The upstreams of the same group as one.
+    #[must_use]
+    pub fn mates(&self, id: &str) -> Vec<Rc<str>> {
+        let Some(upstream) = self.upstreams.get(id) else {
+            return Vec::new();
+        };
+        let mates = self.upstreams.iter();
+        let mates = mates.filter(|(_, other)| other.group == upstream.group);
+        mates.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// How long a pass of an upstream's group takes now.
+    #[must_use]
+    pub fn pass(&self, now: Duration, id: &str) -> Option<Duration> {
+        let (engine, upstream) = (self.engine.as_ref()?, self.upstreams.get(id)?);
+        let pace = self.passes.get(&upstream.group)?.pace(now, 1.0);
+        Some(engine.pass(self.mean(upstream.group)).mul_f64(pace))
+    }
+
     /// Learns from a pause between two events of a stream.
     pub fn pause(&mut self, now: Duration, id: &str, pause: Duration) {
         let (Some(engine), Some(upstream)) = (&self.engine, self.upstreams.get(id)) else {
@@ -336,9 +395,13 @@
 
     /// Whether any upstream takes requests, as far as known.
     fn is_open(&self, now: Duration) -> bool {
-        let circuit = |upstream: &Upstream| self.circuits.get(&upstream.group);
         let mut upstreams = self.upstreams.values();
-        upstreams.any(|u| u.is_open(now) && circuit(u).is_none_or(Circuit::is_closed))
+        upstreams.any(|u| u.is_open(now) && self.takes(u.group))
+    }
+
+    /// Whether a group takes requests, as far as its ranks' answers tell.
+    fn takes(&self, group: u32) -> bool {
+        self.circuits.get(&group).is_none_or(Circuit::is_closed)
     }
 
     /// Why a request is refused now, and when its caller should come back.
@@ -368,6 +431,7 @@
     fn choose(&mut self, now: Duration, waiting: &Waiting, over: bool) -> Option<Rc<str>> {
         let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
         let mut slowness = BTreeMap::new();
+        let quickest = self.quickest(now);
         let mut best: Option<(f64, Rc<str>)> = None;
         for id in ids {
             let tie = self.draw();
@@ -377,6 +441,9 @@
             if !upstream.is_open(now) || waiting.ask.avoid.contains(&id) {
                 continue;
             }
+            if slow::is_slow(upstream.pace, quickest) {
+                continue;
+            }
             let group = upstream.group;
             let circuit = self.circuits.get(&group);
             if circuit.is_some_and(|circuit| !circuit.allows(now)) {
@@ -533,6 +600,7 @@
             fewer: None,
             group: 0,
             trust: Trust::default(),
+            pace: 1.0,
         }
     }
 }
--- a/verbenaspool_policy/tests/dispatch/circuit.rs
+++ b/verbenaspool_policy/tests/dispatch/circuit.rs
@@ -103,13 +103,13 @@
 fn an_agents_word_opens_a_group() {
     let mut dispatcher = ranks(4);
     for number in 0..4 {
-        dispatcher.status(ms(0), &format!("u{number}"), 7, true);
+        dispatcher.status(ms(0), &format!("u{number}"), 7, true, 1.0);
     }
     let id = sent(&mut dispatcher, 0, 0).expect("it is tried");
     dispatcher.ended(ms(1), &id, Ending::Full);
     assert_eq!(sent(&mut dispatcher, 2, 1), None);
-    dispatcher.status(ms(10), "u2", 7, false);
-    dispatcher.status(ms(20), "u2", 7, true);
+    dispatcher.status(ms(10), "u2", 7, false, 1.0);
+    dispatcher.status(ms(20), "u2", 7, true, 1.0);
     assert!(sent(&mut dispatcher, 21, 2).is_some());
 }
 
--- a/verbenaspool_policy/tests/dispatch/load.rs
+++ b/verbenaspool_policy/tests/dispatch/load.rs
@@ -127,7 +127,7 @@
     let replicas = [replica("u0", 12)];
     dispatcher.engine(Some(&engine()));
     dispatcher.members(replicas.iter());
-    dispatcher.status(ms(0), "u0", 1, false);
+    dispatcher.status(ms(0), "u0", 1, false, 1.0);
     let verdict = place(&mut dispatcher, ms(10), 1, stream(10));
     let Some(Verdict::Refuse(Refusal { reason, after })) = verdict else {
         panic!("{verdict:?}");
@@ -139,9 +139,9 @@
         ..stream(10)
     };
     // Its agent goes on saying so.
-    dispatcher.status(ms(2_400), "u0", 1, false);
+    dispatcher.status(ms(2_400), "u0", 1, false, 1.0);
     assert_eq!(place(&mut dispatcher, ms(2_500), 2, back), None);
-    dispatcher.status(ms(2_600), "u0", 1, true);
+    dispatcher.status(ms(2_600), "u0", 1, true, 1.0);
     let verdicts = dispatcher.pump(ms(2_600));
     assert_eq!(verdicts, [(2, Verdict::Send("u0".into()))]);
 }
@@ -200,7 +200,7 @@
     dispatcher.engine(Some(&engine()));
     dispatcher.members(replicas.iter());
     for (number, group) in [(0, 1), (1, 1), (2, 2), (3, 2)] {
-        dispatcher.status(ms(0), &format!("u{number}"), group, true);
+        dispatcher.status(ms(0), &format!("u{number}"), group, true, 1.0);
     }
     dispatcher.submit(ms(1), 1, stream(1));
     let placed = dispatcher.pump(ms(1));
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -4,4 +4,5 @@
 mod load;
 mod relief;
 mod retry;
+mod slow;
 mod world;
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/slow.rs
@@ -0,0 +1,101 @@
+//! A slow rank of a lock-stepped group, and streams that fall silent with their group.
+
+use verbenaspool_policy::dispatch::{Dispatcher, Verdict, slow::Silence};
+
+use crate::world::{Served, World, engine, ms, replica, stream};
+
+/// An entry before so many ranks of one group.
+fn group(count: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..count).map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members(replicas.iter());
+    for number in 0..count {
+        dispatcher.status(ms(0), &format!("u{number}"), 7, true, 1.0);
+    }
+    dispatcher
+}
+
+/// One rank of a group turns 12 times slow for 8 s. Each pass waits for it as long as
+/// it has a stream, so all callers were late while it lasted. With nothing new placed
+/// there and its streams moved, callers are late for about a second.
+#[test]
+fn callers_are_late_for_about_a_second_when_a_rank_turns_slow() {
+    let mut world = World::new(4, 12);
+    world.load(&[10.0; 4], 4_000);
+    world.slow(3, 12.0);
+    world.load(&[10.0; 4], 2_500);
+    let onset = world.served;
+    world.load(&[10.0; 4], 5_500);
+    let Served {
+        in_time,
+        late,
+        refused,
+    } = world.served - onset;
+    assert!(
+        in_time > 180,
+        "{in_time} in time, {late} late, {refused} refused"
+    );
+    assert!(late * 10 < in_time, "{late} late beside {in_time} in time");
+    assert!(
+        refused * 10 < in_time,
+        "{refused} refused beside {in_time} in time"
+    );
+}
+
+/// The rank is well again: it gets its part of what comes.
+#[test]
+fn a_rank_that_is_well_again_gets_streams() {
+    let mut world = World::new(4, 12);
+    world.slow(3, 5.0);
+    world.load(&[10.0; 4], 3_000);
+    assert_eq!(world.streams(3), 0);
+    world.slow(3, 1.0);
+    world.load(&[10.0; 4], 3_000);
+    assert!(world.streams(3) > 0);
+}
+
+/// All ranks are as slow as each other: there is nothing better, and callers are
+/// still served.
+#[test]
+fn ranks_that_are_all_slow_serve() {
+    let mut dispatcher = group(3);
+    for number in 0..3 {
+        dispatcher.status(ms(1), &format!("u{number}"), 7, true, 6.0);
+    }
+    dispatcher.submit(ms(2), 1, stream(2));
+    let verdicts = dispatcher.pump(ms(2));
+    assert!(matches!(verdicts[..], [(1, Verdict::Send(_))]));
+    assert!(!dispatcher.is_slow(ms(2), "u0"));
+}
+
+/// A group stands for a second, and all its streams are silent. Each of them was moved
+/// to another rank of the same group, where it waited again behind a prompt that was
+/// read twice. Now only a stream that is silent while others flow counts as stuck.
+#[test]
+fn streams_that_are_silent_together_stay() {
+    let mut dispatcher = group(3);
+    dispatcher.heard(ms(1_000), "u0");
+    dispatcher.heard(ms(1_004), "u1");
+    assert_eq!(dispatcher.silence(ms(1_800), "u0", ms(1_000)), Silence::All);
+    dispatcher.heard(ms(1_700), "u1");
+    assert_eq!(
+        dispatcher.silence(ms(1_800), "u0", ms(1_000)),
+        Silence::Stuck
+    );
+}
+
+/// The same with a second group that runs: there is somewhere to go.
+#[test]
+fn streams_of_a_silent_group_go_to_another_one() {
+    let mut dispatcher = group(4);
+    for number in 2..4 {
+        dispatcher.status(ms(0), &format!("u{number}"), 8, true, 1.0);
+    }
+    dispatcher.heard(ms(1_000), "u0");
+    assert_eq!(
+        dispatcher.silence(ms(1_800), "u0", ms(1_000)),
+        Silence::Group
+    );
+    assert_eq!(dispatcher.mates("u0").len(), 2);
+}
--- a/verbenaspool_policy/tests/dispatch/world.rs
+++ b/verbenaspool_policy/tests/dispatch/world.rs
@@ -55,6 +55,7 @@
 
 /// A stream that runs.
 struct Running {
+    ticket: u64,
     entry: usize,
     upstream: Rc<str>,
     passes: u32,
@@ -71,6 +72,21 @@
     pub refused: u32,
 }
 
+impl std::ops::Sub for Served {
+    type Output = Self;
+
+    fn sub(self, before: Self) -> Self {
+        Self {
+            in_time: self.in_time - before.in_time,
+            late: self.late - before.late,
+            refused: self.refused - before.refused,
+        }
+    }
+}
+
+/// How long it takes until entries hear of a rank's pace.
+const HEARD: u64 = 100;
+
 /// Entries before one group of upstreams.
 pub struct World {
     pub now: u64,
@@ -88,6 +104,10 @@
     pub served: Served,
     /// The most streams that one upstream ever had.
     pub most: usize,
+    /// How many times longer than usual each upstream takes, and since when.
+    paces: BTreeMap<Rc<str>, (f64, u64)>,
+    /// Streams that look for a place elsewhere, by the ticket of their search.
+    moving: BTreeMap<u64, u64>,
 }
 
 impl World {
@@ -114,9 +134,68 @@
             heard: true,
             served: Served::default(),
             most: 0,
+            paces: BTreeMap::new(),
+            moving: BTreeMap::new(),
         }
     }
 
+    /// An upstream turns slow, or is well again.
+    pub fn slow(&mut self, number: usize, pace: f64) {
+        self.paces
+            .insert(self.ids[number].clone(), (pace, self.now));
+    }
+
+    /// The streams of an upstream.
+    pub fn streams(&self, number: usize) -> usize {
+        let streams = self.running.iter();
+        streams.filter(|s| s.upstream == self.ids[number]).count()
+    }
+
+    /// Entries hear how slow upstreams are, and move streams off those that are.
+    fn hear_paces(&mut self) {
+        let now = ms(self.now);
+        for (id, (pace, since)) in &self.paces {
+            if self.now == since + HEARD {
+                for entry in &mut self.entries {
+                    entry.status(now, id, 0, true, *pace);
+                }
+            }
+        }
+        let leaving: Vec<(u64, usize, Rc<str>)> = self
+            .running
+            .iter()
+            .filter(|s| self.entries[s.entry].is_slow(now, &s.upstream))
+            .map(|s| (s.ticket, s.entry, s.upstream.clone()))
+            .collect();
+        for (running, entry, upstream) in leaving {
+            if self.moving.values().any(|moving| *moving == running) {
+                continue;
+            }
+            self.tickets += 1;
+            let ask = Ask {
+                target: now,
+                avoid: vec![upstream],
+                ..stream(self.now)
+            };
+            self.entries[entry].submit(now, self.tickets, ask);
+            self.moving.insert(self.tickets, running);
+        }
+    }
+
+    /// A stream that leaves a slow upstream got a place elsewhere, or none.
+    fn moved(&mut self, entry: usize, stream: u64, verdict: Verdict) {
+        let Verdict::Send(to) = verdict else {
+            return;
+        };
+        let now = ms(self.now);
+        let running = self.running.iter_mut().find(|s| s.ticket == stream);
+        let left = match running {
+            Some(running) => std::mem::replace(&mut running.upstream, to),
+            None => to,
+        };
+        self.entries[entry].ended(now, &left, Ending::Unknown);
+    }
+
     /// Lets so many streams a second come to an entry, for some milliseconds.
     pub fn load(&mut self, rates: &[f64], for_ms: u64) {
         let mut due = vec![0.0; rates.len()];
@@ -144,11 +223,17 @@
     fn tick(&mut self) {
         self.now += 1;
         let now = ms(self.now);
+        self.hear_paces();
         for number in 0..self.entries.len() {
             for (ticket, verdict) in self.entries[number].pump(now) {
+                if let Some(stream) = self.moving.remove(&ticket) {
+                    self.moved(number, stream, verdict);
+                    continue;
+                }
                 let (entry, came) = self.came.remove(&ticket).expect("it came");
                 match verdict {
                     Verdict::Send(upstream) => self.running.push(Running {
+                        ticket,
                         entry,
                         upstream,
                         passes: 0,
@@ -210,15 +295,18 @@
                 self.served.in_time += 1;
             }
         }
-        let most = self
-            .ids
-            .iter()
-            .map(|id| self.running.iter().filter(|s| s.upstream == *id).count())
-            .max()
-            .unwrap_or(0);
-        self.most = self.most.max(most);
-        #[allow(clippy::cast_precision_loss)]
-        let pass = engine().pass(most as f64).mul_f64(self.pace);
+        let mut pass = engine().pass(0.0).mul_f64(self.pace);
+        for (number, id) in self.ids.iter().enumerate() {
+            let streams = self.streams(number);
+            self.most = self.most.max(streams);
+            let slow = self.paces.get(id).map_or(1.0, |(pace, _)| *pace);
+            // A rank without streams holds nobody back.
+            if streams > 0 {
+                #[allow(clippy::cast_precision_loss)]
+                let own = engine().pass(streams as f64).mul_f64(self.pace * slow);
+                pass = pass.max(own);
+            }
+        }
         self.pass = u64::try_from(pass.as_millis())
             .expect("a short pass")
             .max(1);
