Spread maps by relays, paced by the link; let choices fit the lead's link

Cause: the lead of a group of 63 ranks sent each change of map to all 62 others at once, into a link of 8 Mbit/s that dropped all but the first 16; each repeat began at the front again. Beside that, 62 ranks' choices (2,016 counts each 0.1 s) took 1.3 times the lead's link. Change: maps go by a tree of relays, eight at each level, as parts that each fit in a datagram; words wait in an outbox for half of the link's rate, which the settings tell. Repeats go to those that lack the map, by other relays. The map that a group forms with is worked out by each agent and not sent. Choices are told as often as 0.4 of the lead's link bears. A change that is given up is logged with the ranks that lacked it. Ruled out: slow copying (20 to 40 ms).

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -22,7 +22,7 @@
 
 use super::{
     lead::Lead,
-    partial::{Known, Partial},
+    partial::{Known, Partial, Parts},
     rank::Rank,
     seats::Seats,
     settings::Settings,
@@ -54,6 +54,12 @@
     pub instances: RefCell<BTreeSet<IpAddr>>,
     /// The parts of a map that have come.
     pub(super) map: RefCell<Option<Partial>>,
+    /// The parts of a difference that have come.
+    pub(super) differences: RefCell<Option<Parts>>,
+    /// Words that wait until the link has room.
+    pub(super) outbox: RefCell<VecDeque<(IpAddr, Vec<u8>)>>,
+    /// When choices were told last.
+    pub(super) chosen: Cell<Duration>,
     /// Maps that are known whole.
     pub(super) known: RefCell<Known>,
     /// The counts that were last read, and of which incarnation of the rank.
@@ -104,6 +110,9 @@
             experts: Cell::default(),
             instances: RefCell::default(),
             map: RefCell::default(),
+            differences: RefCell::default(),
+            outbox: RefCell::default(),
+            chosen: Cell::default(),
             known: RefCell::default(),
             counts: RefCell::default(),
             group: Cell::default(),
@@ -245,10 +254,10 @@
                 self.obey(agent, order).await;
             }
             Word::Difference(difference) if own.map(|own| own.1) == Some(difference.epoch) => {
-                self.differ(agent, difference).await;
+                self.differ(difference).await;
             }
             Word::Lack(lack) if own.map(|own| own.1) == Some(lack.epoch) => {
-                self.complete(agent, lack).await;
+                self.complete(agent, lack);
             }
             Word::Map(map) if own.map(|own| own.1) == Some(map.epoch) => {
                 self.collect(agent, map).await;
@@ -280,8 +289,13 @@
 
     /// Sends a word to an agent. One that is lost is made up for by a later one.
     pub async fn send(&self, agent: IpAddr, word: &Word) {
+        self.send_bytes(agent, word.encode()).await;
+    }
+
+    /// Sends a word that is encoded already.
+    pub(super) async fn send_bytes(&self, agent: IpAddr, bytes: Vec<u8>) {
         let to = SocketAddr::new(agent, self.settings.peer_port);
-        let _ = self.socket.send_to(word.encode(), to).await;
+        let _ = self.socket.send_to(bytes, to).await;
     }
 
     /// Begins a change of map where one is worth it, as the lead.
@@ -317,13 +331,22 @@
                 }
             }
             Some(Ended::GivenUp(version)) => {
+                let lead = self.lead.borrow();
+                let lacking = lead.as_ref().map(|lead| lead.switch.lacking());
                 warn!(self.log, "Agent: A change of map is given up; not all ranks have copied.";
-                    "version" => version);
+                    "version" => version, "lacking" => format!("{:?}", lacking.unwrap_or_default()));
             }
             None => {}
         }
+        let mut copying = Vec::new();
         for send in orders {
-            self.order(send, epoch).await;
+            match send.order {
+                switch::Order::Prepare { version } if send.rank > 0 => {
+                    copying.push((version, send.rank));
+                }
+                _ => self.order(send, epoch).await,
+            }
         }
+        self.spread(&copying, epoch);
     }
 }
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -41,6 +41,10 @@
 /// 0.0185 with 8 ranks and 0.15 s a copy, 0.0011 with 32 ranks and 0.04 s.
 const LEAST: f64 = 1.0;
 
+/// Places that change which are told in one datagram: each takes up to nine bytes, and
+/// the ranks that it is passed on to up to 200.
+const MOVES: usize = 120;
+
 /// Bits of a version that are drawn: a lead that was started again can't know
 /// every version that its forerunner gave out, and an order for one of those may
 /// still come.
@@ -250,16 +254,26 @@
         Some(relief)
     }
 
-    /// The map of a version as what differs from the one in use.
-    pub fn difference(&self, version: u64, epoch: u64) -> Option<Difference> {
-        let plan = self.plan.as_ref().filter(|plan| plan.version == version)?;
-        Some(Difference {
+    /// The map of a version as what differs from the one in use, in parts that fit in
+    /// datagrams.
+    pub fn differences(&self, version: u64, epoch: u64) -> Vec<Difference> {
+        let plan = self.plan.as_ref().filter(|plan| plan.version == version);
+        let Some(plan) = plan else {
+            return Vec::new();
+        };
+        let chunks: Vec<&[Move]> = plan.moves.chunks(MOVES).collect();
+        let parts = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+        let part = |(number, moves): (u16, &&[Move])| Difference {
             epoch,
             version,
             base: plan.base,
-            moves: plan.moves.clone(),
+            moves: moves.to_vec(),
             hash: plan.hash,
-        })
+            part: number,
+            parts,
+            beyond: Vec::new(),
+        };
+        (0..).zip(&chunks).map(part).collect()
     }
 
     /// The map of a version in parts that fit in datagrams.
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -13,5 +13,6 @@
 pub mod run;
 mod seats;
 pub mod settings;
+mod spread;
 mod standin;
 mod tell;
--- a/verbenaspool_agent/src/direct/orders.rs
+++ b/verbenaspool_agent/src/direct/orders.rs
@@ -8,12 +8,12 @@
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
     seat::{Difference, Lack, Map, Order, State, What},
-    word::{self, Word},
+    word::Word,
 };
 
 use super::{
     board::Board,
-    partial::Partial,
+    partial::{FIRST, Partial, Parts},
     rank::{self, Outcome, Rank},
 };
 
@@ -153,25 +153,47 @@
         self.prepare(agent, map.epoch, map.version, places).await;
     }
 
-    /// Takes in a map by what differs from one before; asks the lead for the whole
-    /// map where that isn't known.
-    pub(super) async fn differ(self: &Rc<Self>, agent: IpAddr, difference: Difference) {
-        let places = self.known.borrow().apply(&difference);
+    /// Takes in a map, or a part of it, by what differs from one before, and passes it
+    /// on; asks the lead for the whole map where the one before isn't known.
+    pub(super) async fn differ(self: &Rc<Self>, difference: Difference) {
+        self.relay(&difference);
+        let Some(lead) = self.lead_agent() else {
+            return;
+        };
         let (epoch, version) = (difference.epoch, difference.version);
-        match places {
-            Some(places) => self.prepare(agent, epoch, version, places).await,
-            None => self.send(agent, &Word::Lack(Lack { epoch, version })).await,
+        let whole = {
+            let mut known = self.differences.borrow_mut();
+            let mut parts = Parts::of(known.take(), &difference);
+            let whole = parts.add(&difference);
+            *known = whole.is_none().then_some(parts);
+            whole
+        };
+        let Some(whole) = whole else {
+            return;
+        };
+        if let (FIRST, Some(state), Some(experts)) = (whole.base, self.state(), self.experts.get())
+        {
+            let mut known = self.known.borrow_mut();
+            known.add_first(epoch, state.size, &experts);
+        }
+        let places = self.known.borrow().apply(&whole);
+        if let Some(places) = places {
+            self.prepare(lead, epoch, version, places).await;
+            return;
         }
+        info!(self.log, "Agent: The map before isn't known; asking for the whole one.";
+            "epoch" => epoch, "version" => version, "before" => whole.base);
+        self.send(lead, &Word::Lack(Lack { epoch, version })).await;
     }
 
     /// Sends the whole map to an agent that lacks it, as the lead.
-    pub(super) async fn complete(&self, agent: IpAddr, lack: Lack) {
+    pub(super) fn complete(self: &Rc<Self>, agent: IpAddr, lack: Lack) {
         let parts = match &*self.lead.borrow() {
             Some(lead) => lead.parts(lack.version, lack.epoch),
             None => return,
         };
         for part in parts {
-            self.send(agent, &Word::Map(part)).await;
+            self.send_paced(agent, &Word::Map(part));
         }
     }
 
@@ -210,30 +232,9 @@
             });
             return;
         }
-        for word in self.words(send.order, epoch) {
-            self.send(seat.agent, &word).await;
-        }
-    }
-
-    /// An order as words to an agent.
-    pub(super) fn words(&self, order: Change, epoch: u64) -> Vec<Word> {
-        let Change::Prepare { version } = order else {
-            let what = What::Change(order);
-            return vec![Word::Order(Order { epoch, what })];
-        };
-        let lead = self.lead.borrow();
-        let Some(lead) = lead.as_ref() else {
-            return Vec::new();
-        };
-        let difference = lead.difference(version, epoch).map(Word::Difference);
-        // A change of many places takes no less room than the map itself.
-        match difference {
-            Some(word) if word.encode().len() <= word::LARGEST => vec![word],
-            _ => {
-                let parts = lead.parts(version, epoch);
-                parts.into_iter().map(Word::Map).collect()
-            }
-        }
+        let what = What::Change(send.order);
+        self.send(seat.agent, &Word::Order(Order { epoch, what }))
+            .await;
     }
 
     /// An order as a rank takes it.
--- a/verbenaspool_agent/src/direct/partial.rs
+++ b/verbenaspool_agent/src/direct/partial.rs
@@ -1,6 +1,7 @@
 //! Maps that come in several datagrams, or as what differs from one before.
 
 use verbenaspool_protocol::seat::{Difference, Move, places_hash};
+use verbenaspool_state::engine::Experts;
 
 /// A map of which some parts have come.
 #[derive(Debug)]
@@ -15,6 +16,9 @@
 /// given up since.
 const KNOWN: usize = 3;
 
+/// The version of the map that a group forms with.
+pub const FIRST: u64 = 0;
+
 /// A map that an agent knows whole.
 #[derive(Debug, Clone)]
 struct Whole {
@@ -23,6 +27,43 @@
     places: Vec<Vec<Vec<u16>>>,
 }
 
+/// A difference of which some parts have come.
+#[derive(Debug)]
+pub struct Parts {
+    epoch: u64,
+    version: u64,
+    moves: Vec<Option<Vec<Move>>>,
+}
+
+impl Parts {
+    /// The parts of one difference; a part of another one begins anew.
+    pub fn of(known: Option<Self>, part: &Difference) -> Self {
+        let same = |known: &Self| {
+            (known.epoch, known.version) == (part.epoch, part.version)
+                && known.moves.len() == usize::from(part.parts)
+        };
+        known.filter(same).unwrap_or_else(|| Self {
+            epoch: part.epoch,
+            version: part.version,
+            moves: vec![None; part.parts.into()],
+        })
+    }
+
+    /// Adds a part; the whole difference, once all have come.
+    ///
+    /// A part whose number doesn't fit is dropped: the map that the others lead to has
+    /// another hash without it, or it is missing and asked for.
+    pub fn add(&mut self, part: &Difference) -> Option<Difference> {
+        *self.moves.get_mut(usize::from(part.part))? = Some(part.moves.clone());
+        let moves = self.moves.iter().cloned().collect::<Option<Vec<_>>>()?;
+        Some(Difference {
+            moves: moves.concat(),
+            beyond: Vec::new(),
+            ..part.clone()
+        })
+    }
+}
+
 /// The maps that an agent knows whole, the newest last.
 #[derive(Debug, Default)]
 pub struct Known(Vec<Whole>);
@@ -42,6 +83,19 @@
         });
     }
 
+    /// Remembers the first map of an epoch, which needn't be sent: experts in turn.
+    ///
+    /// Were it another one, the hash of what differs from it wouldn't fit, and the map
+    /// would be asked for whole.
+    pub fn add_first(&mut self, epoch: u64, ranks: u16, experts: &Experts) {
+        if self.0.iter().any(|known| known.epoch == epoch) {
+            return;
+        }
+        let rank = |rank: u16| (rank..experts.count).step_by(ranks.max(1).into());
+        let set: Vec<Vec<u16>> = (0..ranks).map(|number| rank(number).collect()).collect();
+        self.add(epoch, FIRST, vec![set; experts.layers.into()]);
+    }
+
     /// The map that a difference leads to, where the one before is known.
     ///
     /// Ranks on maps that differ garble answers without any sign of it. So a map
--- a/verbenaspool_agent/src/direct/partial/tests.rs
+++ b/verbenaspool_agent/src/direct/partial/tests.rs
@@ -1,6 +1,9 @@
+use std::time::Duration;
+
 use verbenaspool_protocol::seat::{Difference, Move, places_hash};
+use verbenaspool_state::engine::Experts;
 
-use super::{Known, moves};
+use super::{FIRST, Known, Parts, moves};
 
 /// A group changes its map by a few places; an agent that knows the map before
 /// makes the same map of them as the lead, and one that doesn't asks for it whole.
@@ -27,6 +30,9 @@
             },
         ],
         hash: places_hash(&[vec![vec![0, 2], vec![1, 2]]]),
+        part: 0,
+        parts: 1,
+        beyond: Vec::new(),
     };
     let places = known.apply(&difference).expect("the base is known");
     assert_eq!(places, [[vec![0, 2], vec![1, 2]]]);
@@ -54,6 +60,9 @@
         base: 7,
         moves: Vec::new(),
         hash: places_hash(&[vec![vec![0]]]),
+        part: 0,
+        parts: 1,
+        beyond: Vec::new(),
     };
     assert_eq!(known.apply(&old), None);
 }
@@ -73,6 +82,9 @@
         base: 7,
         moves: moves(&before, &after),
         hash: places_hash(&after),
+        part: 0,
+        parts: 1,
+        beyond: Vec::new(),
     };
     assert_eq!(known.apply(&difference), Some(after));
 }
@@ -94,6 +106,67 @@
         base: 7,
         moves: moves(&theirs, &after),
         hash: places_hash(&after),
+        part: 0,
+        parts: 1,
+        beyond: Vec::new(),
     };
     assert_eq!(known.apply(&difference), None);
 }
+
+/// A part of a difference.
+fn part(version: u64, part: u16, parts: u16) -> Difference {
+    Difference {
+        epoch: 1,
+        version,
+        base: FIRST,
+        moves: vec![Move {
+            set: part,
+            rank: 0,
+            out: None,
+            new: Some(9),
+        }],
+        hash: 0,
+        part,
+        parts,
+        beyond: vec![4],
+    }
+}
+
+/// A large group's change takes several datagrams, which come in any order, twice, or
+/// mixed with those of the change before. Only all parts of one change are a map.
+#[test]
+fn parts_of_one_change_make_a_difference() {
+    let mut parts = Parts::of(None, &part(8, 0, 2));
+    assert_eq!(parts.add(&part(8, 1, 2)), None);
+    assert_eq!(parts.add(&part(8, 1, 2)), None);
+    assert_eq!(parts.add(&part(8, 7, 2)), None);
+    let mut later = Parts::of(Some(parts), &part(9, 0, 2));
+    assert_eq!(later.add(&part(9, 0, 2)), None);
+    let mut same = Parts::of(Some(later), &part(9, 1, 2));
+    let whole = same.add(&part(9, 1, 2)).expect("both parts came");
+    let sets: Vec<u16> = whole.moves.iter().map(|change| change.set).collect();
+    assert_eq!(sets, [0, 1]);
+}
+
+/// The first change of a group's life had the whole map sent to each rank, 15 KB each
+/// in a group of 63. Every agent can tell the map that a group forms with.
+#[test]
+fn the_first_map_is_known_without_a_word() {
+    let experts = Experts {
+        layers: 2,
+        count: 5,
+        places: 3,
+        spare: 1,
+        share: 0.8,
+        copy: Duration::from_millis(40),
+    };
+    let mut known = Known::default();
+    known.add_first(1, 2, &experts);
+    let first = vec![vec![0, 2, 4], vec![1, 3]];
+    let change = Difference {
+        moves: Vec::new(),
+        hash: places_hash(&[first.clone(), first.clone()]),
+        ..part(8, 0, 1)
+    };
+    assert_eq!(known.apply(&change), Some(vec![first.clone(), first]));
+}
--- a/verbenaspool_agent/src/direct/settings.rs
+++ b/verbenaspool_agent/src/direct/settings.rs
@@ -21,6 +21,10 @@
     pub service: String,
     /// The UDP port on which agents hear each other, the same everywhere.
     pub peer_port: u16,
+    /// What the instance's link carries, in Mbit/s. Maps and choices leave most of it
+    /// free, so that the states of ranks and orders get through.
+    #[serde(default = "narrow")]
+    pub link_mbps: f64,
     /// The platform's store.
     pub platform: SocketAddr,
     /// What is logged, and how.
@@ -28,6 +32,12 @@
     pub log: log::Settings,
 }
 
+/// The link that is reckoned with where the settings name none, in Mbit/s: the narrowest
+/// that groups of ranks were run on.
+fn narrow() -> f64 {
+    8.0
+}
+
 /// How requests reach the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/verbenaspool_agent/src/direct/spread.rs
@@ -0,0 +1,120 @@
+//! Maps on their way from the lead to the other agents, and how much of a link the
+//! agents of a large group use.
+//!
+//! Load: a group of 63 ranks or more on instances with links of 8 Mbit/s. Maps go by a
+//! tree of relays, as [`tree`] tells, and wait in an outbox until the link has room;
+//! choices, which all ranks send to the lead, come the less often the more there are.
+
+use std::{net::IpAddr, rc::Rc, time::Duration};
+
+use rand::seq::SliceRandom;
+use verbenaspool_coordination::tree;
+use verbenaspool_protocol::{seat::Difference, word::Word};
+
+use super::board::Board;
+
+/// The part of the link that waiting words are sent at. The rest is for states, orders
+/// and choices, which don't wait.
+const PACED: f64 = 0.5;
+
+/// The part of the lead's link that choices of all ranks may take. With 63 ranks and
+/// 2,016 counts each 0.1 s they would take 1.3 times a link of 8 Mbit/s.
+const CHOICES: f64 = 0.4;
+
+/// Bytes that one count takes, with its part of the datagram's head: most counts are
+/// below 128 and take one.
+const COUNT: f64 = 1.2;
+
+/// What a datagram takes on the link beside its words: the heads of IP and UDP.
+const HEAD: usize = 28;
+
+impl Board {
+    /// Sends a map to the ranks that are to copy, by relays.
+    ///
+    /// Each time other ranks are relays: one that died, froze or is cut off would keep
+    /// the map from the same ranks for good. While words of the time before still wait
+    /// for the link, nothing is added to them.
+    pub(super) fn spread(self: &Rc<Self>, copying: &[(u64, usize)], epoch: u64) {
+        let Some(&(version, _)) = copying.first() else {
+            return;
+        };
+        if !self.outbox.borrow().is_empty() {
+            return;
+        }
+        let ranks = copying.iter().map(|(_, rank)| *rank);
+        let mut ranks: Vec<u16> = ranks.filter_map(|rank| rank.try_into().ok()).collect();
+        ranks.shuffle(&mut rand::rng());
+        let differences = match &*self.lead.borrow() {
+            Some(lead) => lead.differences(version, epoch),
+            None => return,
+        };
+        for difference in &differences {
+            self.pass_on(difference, &ranks);
+        }
+    }
+
+    /// Passes a word of the lead on to the ranks that it names.
+    pub(super) fn relay(self: &Rc<Self>, difference: &Difference) {
+        self.pass_on(difference, &difference.beyond);
+    }
+
+    /// Sends a word to some ranks, which pass it on to the others.
+    fn pass_on(self: &Rc<Self>, difference: &Difference, ranks: &[u16]) {
+        for branch in tree::branches(ranks) {
+            let agent = self.seats.borrow().get(branch.rank).map(|seat| seat.agent);
+            let Some(agent) = agent else {
+                continue;
+            };
+            let word = Word::Difference(Difference {
+                beyond: branch.beyond,
+                ..difference.clone()
+            });
+            self.send_paced(agent, &word);
+        }
+    }
+
+    /// Sends a word once the link has room for it.
+    pub(super) fn send_paced(self: &Rc<Self>, agent: IpAddr, word: &Word) {
+        let mut outbox = self.outbox.borrow_mut();
+        outbox.push_back((agent, word.encode()));
+        if outbox.len() == 1 {
+            let board = self.clone();
+            monoio::spawn(async move { board.empty_outbox().await });
+        }
+    }
+
+    /// Sends what waits in the outbox, one word after the other. A word stays in it
+    /// until its time on the link is over.
+    async fn empty_outbox(&self) {
+        loop {
+            let next = self.outbox.borrow().front().cloned();
+            let Some((agent, bytes)) = next else {
+                return;
+            };
+            let time = self.time_of(bytes.len() + HEAD, PACED);
+            self.send_bytes(agent, bytes).await;
+            self.clock.sleep(time).await;
+            self.outbox.borrow_mut().pop_front();
+        }
+    }
+
+    /// How long so many bytes take on a part of the link.
+    fn time_of(&self, bytes: usize, part: f64) -> Duration {
+        let rate = (self.settings.link_mbps * 1e6 * part).max(1.0);
+        #[allow(clippy::cast_precision_loss)] // Words are short.
+        let bits = bytes as f64 * 8.0;
+        Duration::from_secs_f64(bits / rate)
+    }
+
+    /// How often choices are told, so that those of all ranks fit in their part of the
+    /// lead's link, which is taken to be like this one.
+    pub(super) fn choices_every(&self) -> Duration {
+        let (Some(state), Some(experts)) = (self.state(), self.experts.get()) else {
+            return Duration::ZERO;
+        };
+        let counts = f64::from(experts.count) * f64::from(experts.layers) * COUNT;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // It is small.
+        let bytes = (counts * f64::from(state.size)) as usize;
+        self.time_of(bytes, CHOICES)
+    }
+}
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -75,9 +75,14 @@
 
     /// Reads what the own rank's requests chose and tells the lead.
     pub async fn sample(&self, born: u64) {
+        let now = self.clock.now();
+        if now.saturating_sub(self.chosen.get()) < self.choices_every() {
+            return;
+        }
         let Some(choice) = self.rank.choices().await else {
             return;
         };
+        self.chosen.set(now);
         let Some(state) = self
             .state()
             .filter(|state| state.report.epoch == choice.epoch)
--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod piece;
 pub mod store;
 pub mod switch;
+pub mod tree;
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -195,6 +195,16 @@
     sent: Option<Duration>,
 }
 
+impl Rank {
+    /// Whether a report that was made in time says so.
+    fn says_lately(&self, now: Duration, says: impl Fn(&Report) -> bool) -> bool {
+        let fresh = self
+            .report
+            .filter(|(_, at)| now.saturating_sub(*at) <= FRESH);
+        fresh.is_some_and(|(report, _)| says(&report))
+    }
+}
+
 /// The changes of one group's map, as its lead or a deputy makes them.
 #[derive(Debug)]
 pub struct Switch {
@@ -207,6 +217,8 @@
     /// until then.
     newest: (u64, Duration),
     pass: Duration,
+    /// The ranks for which the last change that was given up had waited.
+    lacking: Vec<usize>,
 }
 
 impl Switch {
@@ -234,9 +246,17 @@
             held: None,
             newest: (0, Duration::ZERO),
             pass: Duration::ZERO,
+            lacking: Vec::new(),
         }
     }
 
+    /// The ranks that had not copied, or not said so lately, when the last change was
+    /// given up.
+    #[must_use]
+    pub fn lacking(&self) -> &[usize] {
+        &self.lacking
+    }
+
     /// Whether no change is under way.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -331,12 +351,7 @@
 
     /// Whether a report of every rank that was made in time says so.
     fn all(&self, now: Duration, says: impl Fn(&Report) -> bool) -> bool {
-        self.ranks.iter().all(|rank| {
-            let fresh = rank
-                .report
-                .filter(|(_, at)| now.saturating_sub(*at) <= FRESH);
-            fresh.is_some_and(|(report, _)| says(&report))
-        })
+        self.ranks.iter().all(|rank| rank.says_lately(now, &says))
     }
 
     /// Whether a rank said so at any time in this epoch.
@@ -412,6 +427,9 @@
                         until,
                     });
                 } else if now >= until {
+                    let copied = |report: &Report| report.prepared == Some(version);
+                    let lacks = |rank: &usize| !self.ranks[*rank].says_lately(now, copied);
+                    self.lacking = (0..self.ranks.len()).filter(lacks).collect();
                     self.enter(Phase::Idle);
                     return Some(Ended::GivenUp(version));
                 }
@@ -491,12 +509,8 @@
 
     /// Whether a report in time of every rank but the first says so.
     fn others(&self, now: Duration, says: impl Fn(&Report) -> bool) -> bool {
-        self.ranks.iter().skip(1).all(|rank| {
-            let fresh = rank
-                .report
-                .filter(|(_, at)| now.saturating_sub(*at) <= FRESH);
-            fresh.is_some_and(|(report, _)| says(&report))
-        })
+        let mut others = self.ranks.iter().skip(1);
+        others.all(|rank| rank.says_lately(now, &says))
     }
 
     /// Decides how a held pass begins that is barred at all agents but the
--- a/verbenaspool_coordination/tests/switch/steps.rs
+++ b/verbenaspool_coordination/tests/switch/steps.rs
@@ -257,3 +257,23 @@
         assert_eq!(switch.poll(ms(1_010)).0, [hold], "passes of {pass} ms");
     }
 }
+
+/// One rank of three can't copy, and the change is given up. Operators looked for the
+/// culprit among 63 ranks without a word on it: the switch names it.
+#[test]
+fn a_change_that_is_given_up_names_who_lacked_it() {
+    let mut switch = Switch::new(3);
+    let mut reports = [Report {
+        epoch: 1,
+        step: 7,
+        ..Report::default()
+    }; 3];
+    tell(&mut switch, ms(1_000), &reports);
+    switch.start(ms(1_000), 5, ms(150));
+    reports[0].prepared = Some(5);
+    reports[2].prepared = Some(5);
+    tell(&mut switch, ms(4_000), &reports);
+    let (_, ended) = switch.poll(ms(4_000));
+    assert_eq!(ended, Some(Ended::GivenUp(5)));
+    assert_eq!(switch.lacking(), [1]);
+}
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -72,8 +72,8 @@
     pub places: Vec<Vec<Vec<u16>>>,
 }
 
-/// A map to prepare, as what differs from one before. A whole map for each of many
-/// ranks fills the lead's link, and some of its datagrams are lost then.
+/// A map to prepare, or a part of it, as what differs from one before. A whole map for
+/// each of many ranks fills the lead's link, and some of its datagrams are lost then.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Difference {
     /// The group's epoch; in another one the map is void.
@@ -82,10 +82,16 @@
     pub version: u64,
     /// The version that it differs from.
     pub base: u64,
-    /// The places that change.
+    /// The places that change, as far as they are told in this part.
     pub moves: Vec<Move>,
-    /// The [`places_hash`] of the map that they lead to.
+    /// The [`places_hash`] of the map that all parts lead to.
     pub hash: u32,
+    /// The number of this part.
+    pub part: u16,
+    /// How many parts there are.
+    pub parts: u16,
+    /// The ranks that the receiver passes this on to.
+    pub beyond: Vec<u16>,
 }
 
 /// Tells maps apart that should be the same.
