Leave the first map of a group at once: agents and popularity outlive a break

Cause: behind the return of a group no change of map was decided for 3.3 s (opened at 15.6 s, first change at 18.9 s): agents forgot each other as it broke, and heard of some ranks seconds later from the registry. All passes until then were on the first map, 3.7 times the mean. Found by logging what the lead lacked: the reports of two ranks of its own zone. Change: agents forget each other only with another group. The lead keeps what requests chose before the break. The first map may be left with copies of 0.3 s, as a slow rank.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -150,10 +150,17 @@
         };
         self.inherit(seat.epoch, report.step);
         self.number.set(self.number.get() + 1);
-        self.group.set(digest::hash(&seat.group));
+        let group = digest::hash(&seat.group);
+        let before = self.group.replace(group);
+        if before != group {
+            // Only of another group: one that breaks and forms anew has the same agents.
+            // Without them its ranks heard of each other seconds later, from the
+            // registry, and made passes on their first map until then.
+            self.seats.borrow_mut().clear();
+        }
         let state = State {
             number: self.number.get(),
-            group: self.group.get(),
+            group,
             rank: seat.rank,
             size: seat.size,
             upstream: self.settings.upstream,
@@ -174,13 +181,11 @@
         if before.as_ref().map(place) != Some(place(&state)) {
             info!(self.log, "Agent: The rank sits in a group."; "group" => &seat.group,
                 "epoch" => seat.epoch, "rank" => state.rank, "size" => state.size);
-            if before
-                .as_ref()
-                .is_none_or(|before| before.group != state.group)
-            {
-                self.seats.borrow_mut().clear();
+            let mut lead = (state.rank == 0).then(|| Lead::new(state.size.into()));
+            let before = self.lead.take();
+            if let (Some(lead), Some(before)) = (&mut lead, before) {
+                lead.inherit(before);
             }
-            let lead = (state.rank == 0).then(|| Lead::new(state.size.into()));
             self.lead.replace(lead);
         }
         self.hear_state(self.settings.address, state);
@@ -350,3 +355,6 @@
         self.spread(&copying, epoch);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool_agent/src/direct/board/tests.rs
@@ -0,0 +1,63 @@
+use std::rc::Rc;
+
+use monoio::net::udp::UdpSocket;
+use slog::{Discard, Logger, o};
+use verbenaspool_coordination::switch;
+use verbenaspool_platform::report::{Report, Seat};
+use verbenaspool_protocol::seat::State;
+use verbenaspool_transport::{clock::Monotonic, http::client::Client, runtime};
+
+use super::{super::settings::Settings, Board};
+
+/// The board of the agent beside the first of two ranks.
+fn board() -> Rc<Board> {
+    let settings = "path: direct\nname: a\naddress: 127.0.0.1\nupstream: '127.0.0.1:9'\n\
+                    service: s\npeer_port: 9\nplatform: '127.0.0.1:9'\n";
+    let settings: Settings = serde_norway::from_str(settings).expect("settings");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let (log, clock) = (Logger::root(Discard, o!()), Monotonic::start());
+    let client = Client::new(std::time::Duration::from_millis(100));
+    Board::new(settings, clock, log, client, socket, 1)
+}
+
+/// What the own rank says of its seat in a group.
+fn report(group: &str, epoch: u64, open: bool) -> Report {
+    let seat = Seat {
+        group: group.to_owned(),
+        epoch,
+        rank: 0,
+        size: 2,
+        open,
+    };
+    Report {
+        seat: Some(seat),
+        ..Report::default()
+    }
+}
+
+/// A zone was cut off, its group broke, and formed anew when the zone was back. Agents
+/// had forgotten each other as it broke, heard of each other from the registry 3 s
+/// later, and until then callers had passes on the first map, three times as long.
+#[test]
+fn agents_remember_each_other_while_their_group_is_broken() {
+    let run = async {
+        let board = board();
+        board.observe(&report("g", 1, true));
+        let other = State {
+            number: 1,
+            group: board.group.get(),
+            rank: 1,
+            size: 2,
+            upstream: "127.0.0.2:9".parse().expect("an address"),
+            report: switch::Report::default(),
+            pace: 1.0,
+        };
+        board.hear_state("127.0.0.2".parse().expect("an address"), other);
+        board.observe(&report("g", 1, false));
+        board.observe(&report("g", 2, true));
+        assert!(board.seats.borrow().get(1).is_some(), "the same agents");
+        board.observe(&report("h", 3, true));
+        assert!(board.seats.borrow().get(1).is_none(), "another group");
+    };
+    runtime::run(run).expect("the loop runs");
+}
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -8,7 +8,7 @@
 use verbenaspool_protocol::seat::{Choices, Difference, Held, Map, Move, places_hash};
 use verbenaspool_state::{engine::Experts, expert_map::Layer};
 
-use super::partial::moves;
+use super::partial::{FIRST, moves};
 
 /// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
 /// third of a second holds some ten thousand choices a set, enough to tell the
@@ -25,7 +25,8 @@
 /// 0.959 with the latter.
 const COPYING: Duration = Duration::from_millis(40);
 
-/// The same while a rank is slow, or is well again and holds hardly any experts.
+/// The same while a rank is slow, or is well again and holds hardly any experts, and on
+/// the map that a group forms with.
 const COPYING_ANEW: Duration = Duration::from_millis(300);
 
 /// The pace from which on a rank counts as slow: its part of a pass is half longer,
@@ -107,6 +108,18 @@
         }
     }
 
+    /// Takes over what the lead of the group's epoch before knew of popularity.
+    ///
+    /// A group that forms anew has its first map, on which passes take three times as
+    /// long as on even ranks, and all who waited for it come at once. Popularity is
+    /// much the same as before, so a better map can be copied before they come.
+    pub fn inherit(&mut self, before: Self) {
+        if before.ranks == self.ranks {
+            self.loads = before.loads;
+            self.at = before.at;
+        }
+    }
+
     /// Takes in how slow a rank is.
     pub fn pace(&mut self, rank: usize, pace: f32) {
         if let Some(known) = self.paces.get_mut(rank) {
@@ -118,13 +131,19 @@
     ///
     /// A slow rank makes each pass late, whatever is copied meanwhile: all its experts
     /// are to leave it in one change, where one copy a rank and change took three
-    /// changes of a second each. Likewise when it is well again and holds hardly any.
+    /// changes of a second each. Likewise when it is well again and holds hardly any, and
+    /// on the map that a group forms with, which is about as bad.
     fn copying(&self, layers: &[Layer]) -> Duration {
+        let first = self.held.get(&0).is_some_and(|held| held.version == FIRST);
         let slow = self.paces.iter().any(|pace| *pace >= SLOW);
         let places = |rank: usize| layers.iter().map(|l| l.ranks[rank].len()).sum::<usize>();
         let all: usize = (0..self.ranks).map(places).sum();
         let empty = (0..self.ranks).any(|rank| places(rank) * self.ranks * 2 < all);
-        if slow || empty { COPYING_ANEW } else { COPYING }
+        if first || slow || empty {
+            COPYING_ANEW
+        } else {
+            COPYING
+        }
     }
 
     /// Takes in what a rank's requests chose.
@@ -310,3 +329,6 @@
     let copies = time.as_micros() / copy.as_micros().max(1);
     usize::try_from(copies).unwrap_or(usize::MAX).clamp(1, MOST)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool_agent/src/direct/lead/tests.rs
@@ -0,0 +1,90 @@
+use std::time::Duration;
+
+use verbenaspool_coordination::switch::Report;
+use verbenaspool_protocol::seat::{Choices, Held};
+use verbenaspool_state::{engine::Experts, expert_map::Layer};
+
+use super::Lead;
+
+const NOW: Duration = Duration::from_secs(5);
+
+const EXPERTS: Experts = Experts {
+    layers: 1,
+    count: 4,
+    places: 4,
+    spare: 2,
+    share: 0.85,
+    copy: Duration::from_millis(100),
+};
+
+/// The lead of two ranks that have just formed a group, on its first map.
+fn formed(epoch: u64) -> Lead {
+    let mut lead = Lead::new(2);
+    for rank in 0..2 {
+        let report = Report {
+            epoch,
+            step: 1,
+            ..Report::default()
+        };
+        lead.switch.report(NOW, rank.into(), report);
+        lead.held(Held {
+            group: 7,
+            epoch,
+            rank,
+            version: 0,
+            experts: vec![vec![rank, rank + 2]],
+        });
+    }
+    lead
+}
+
+/// What the requests of a rank chose: nearly all of them the first expert.
+fn choices() -> Choices {
+    Choices {
+        group: 7,
+        epoch: 1,
+        rank: 0,
+        from: 0,
+        counts: vec![8_000, 100, 100, 100],
+    }
+}
+
+/// A group forms anew, and all who waited for it come in one moment. On its first map
+/// the busiest rank kept them waiting until enough of them had run to tell which experts
+/// they choose. What they chose before tells it without them.
+#[test]
+fn popularity_outlives_a_break() {
+    let mut before = formed(1);
+    before.choices(NOW, &choices());
+    let mut lead = formed(2);
+    assert_eq!(lead.decide(NOW, &EXPERTS), None, "nothing is known");
+    lead.inherit(before);
+    let relief = lead.decide(NOW, &EXPERTS).expect("a change");
+    assert!(relief.after < 1.2, "{relief:?}");
+}
+
+/// One copy takes 0.1 s, more than a usual change may take: one a rank is made. On the
+/// first map, or where a rank is slow, three are, since passes are late until then.
+#[test]
+fn a_bad_map_is_left_in_fewer_changes() {
+    let mut lead = formed(1);
+    let layers = lead.layers(&EXPERTS).expect("both ranks said it");
+    let copies = |lead: &Lead, layers: &[Layer]| super::copies(lead.copying(layers), EXPERTS.copy);
+    assert_eq!(copies(&lead, &layers), 3, "the first map");
+    for rank in 0..2 {
+        lead.held(Held {
+            group: 7,
+            epoch: 1,
+            rank,
+            version: 9,
+            experts: vec![vec![rank, rank + 2]],
+        });
+    }
+    assert_eq!(copies(&lead, &layers), 1, "a map that was searched");
+    lead.pace(1, 4.0);
+    assert_eq!(copies(&lead, &layers), 3, "a slow rank");
+    lead.pace(1, 1.0);
+    let mut empty = layers.clone();
+    empty[0].ranks = vec![vec![0, 1, 2, 3], Vec::new()];
+    assert_eq!(copies(&lead, &empty), 3, "a rank that is well again");
+}
