Know who came back, let them wait for a group, and leave half of the slots to others

Cause: the entry took every request for a new one, so who had been refused while a group was away and came back before it returned was refused again; the wait that the dispatcher held for them was never used. The fixed times to come back and to wait were chosen for callers with 8 s and streams of 2 s. Change: what callers give at first is observed while nobody is about to come back; who has less left came back. Waits and times to come back follow from the time left and from how long answers last. Streams that have begun are placed anyhow.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -53,6 +53,8 @@
     pub target: Duration,
     /// When it gets its final answer, whatever that is.
     pub deadline: Duration,
+    /// When it came.
+    pub began: Duration,
     /// Sendings that may have reached an upstream.
     pub sendings: Cell<u32>,
     /// Upstreams that couldn't be connected to.
@@ -89,6 +91,15 @@
         self.deadline.saturating_sub(self.gateway.clock.now())
     }
 
+    /// Until when the request must be placed whose caller has had no event since some
+    /// time: the first one takes up to twice the route's target from there behind the
+    /// return of a group, when many begin at once.
+    pub fn place_by(&self, since: Duration) -> Duration {
+        let silence = self.route.silence.map(|silence| since + silence);
+        let leaves = silence.unwrap_or(self.deadline).min(self.deadline);
+        leaves.saturating_sub(self.route.target * 2)
+    }
+
     /// What the request asks of its service's desk.
     pub fn ask(&self) -> Ask {
         let streams = self.route.kind == Kind::Streaming;
@@ -96,6 +107,8 @@
             priority: self.priority,
             target: self.target,
             deadline: self.deadline,
+            place_by: self.place_by(self.began),
+            resumes: false,
             gap: self.route.gap.filter(|_| streams),
             avoid: self.tried.borrow().clone(),
         }
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
     Ask, Dispatcher, Ending, Refusal, Verdict,
+    fresh::Times,
     line::Ticket,
     retry::{Bound, Budget},
     slow::Silence,
@@ -26,6 +27,7 @@
     log: Logger,
     dispatcher: RefCell<Dispatcher>,
     budget: RefCell<Budget>,
+    times: RefCell<Times>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     next: Cell<Ticket>,
 }
@@ -36,6 +38,7 @@
     desk: Rc<Desk>,
     /// The upstream.
     pub upstream: Rc<str>,
+    since: Duration,
     ending: Cell<Ending>,
 }
 
@@ -85,6 +88,10 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        if self.ending.get() == Ending::Good {
+            let lasted = self.desk.clock.now().saturating_sub(self.since);
+            self.desk.dispatcher.borrow_mut().lasted(lasted);
+        }
         self.desk.free(&self.upstream, self.ending.get());
     }
 }
@@ -124,6 +131,7 @@
             log,
             dispatcher: RefCell::new(Dispatcher::new(zone, seed)),
             budget: RefCell::default(),
+            times: RefCell::default(),
             waiting: RefCell::default(),
             next: Cell::default(),
         }
@@ -177,9 +185,14 @@
             Ok(Verdict::Send(upstream)) => Ok(Place {
                 desk: self.clone(),
                 upstream,
+                since: self.clock.now(),
                 ending: Cell::new(Ending::Unknown),
             }),
-            Ok(Verdict::Refuse(refusal)) => Err(refusal),
+            Ok(Verdict::Refuse(refusal)) => {
+                let now = self.clock.now();
+                self.times.borrow_mut().refused(now, refusal.after);
+                Err(refusal)
+            }
             Err(_) => unreachable!("a ticket is answered before its sender goes"),
         }
     }
@@ -199,6 +212,13 @@
         self.budget.borrow_mut().request(now, bound);
     }
 
+    /// How much of its time a caller had spent before it sent a request that says that
+    /// it waits so long.
+    pub fn spent(&self, wait: Duration) -> Duration {
+        let now = self.clock.now();
+        self.times.borrow_mut().see(now, wait)
+    }
+
     /// Whether a request may be sent once more, as things are now.
     pub fn allows(&self, bound: &Bound, entries: usize) -> bool {
         let now = self.clock.now();
@@ -217,9 +237,12 @@
         self.dispatcher.borrow().pass(now, upstream)
     }
 
-    /// When the caller of a request should come back that was turned away.
-    pub fn come_back(&self) -> Duration {
+    /// When the caller of a request should come back that was turned away, if it waits
+    /// so much longer.
+    pub fn come_back(&self, left: Duration) -> Duration {
         let now = self.clock.now();
-        self.dispatcher.borrow_mut().refusal(now).after
+        let after = self.dispatcher.borrow_mut().refusal(now, left).after;
+        self.times.borrow_mut().refused(now, after);
+        after
     }
 }
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -12,6 +12,9 @@
     route: Option<Rc<str>>,
     service: Option<Rc<str>>,
     version: u64,
+    /// How long the caller waits, and what it had spent of its time before.
+    waits: Duration,
+    spent: Duration,
     /// Each upstream that it was sent to, and how that ended.
     sent: Vec<String>,
     /// When the first byte of the answer was passed on.
@@ -51,6 +54,13 @@
         story.version = version;
     }
 
+    /// How long the caller waits, and what it had spent of its time before.
+    pub fn asked(&self, waits: Duration, spent: Duration) {
+        let mut story = self.story.borrow_mut();
+        story.waits = waits;
+        story.spent = spent;
+    }
+
     /// How a sending to an upstream went on.
     pub fn sent(&self, upstream: &str, what: &str) {
         let after = self.gateway.clock.now().saturating_sub(self.began);
@@ -104,6 +114,8 @@
             "request" => self.id.clone(), "status" => status, "why" => why,
             "route" => route.to_owned(), "service" => service.to_owned(),
             "version" => story.version, "sent" => story.sent.join("; "),
+            "waits_ms" => story.waits.as_secs_f64() * 1e3,
+            "spent_ms" => story.spent.as_secs_f64() * 1e3,
             "events" => story.events, "pause_ms" => pause_ms, "first_ms" => first_ms,
             "took_ms" => took_ms,
         ));
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -15,7 +15,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::{Ending, slow::Silence};
+use verbenaspool_policy::dispatch::{Ask, Ending, slow::Silence};
 use verbenaspool_transport::http::body::{self, Body};
 
 use super::{
@@ -203,6 +203,15 @@
         Ok(Some(events))
     }
 
+    /// What the stream asks for to go on elsewhere.
+    fn ask(&self) -> Ask {
+        Ask {
+            place_by: self.work.place_by(self.since),
+            resumes: true,
+            ..self.work.ask()
+        }
+    }
+
     /// Goes on at another upstream, behind the last whole event.
     async fn move_on(&mut self, why: &'static str, ending: Ending) -> Result<(), &'static str> {
         let from = self.place.as_ref().map(|place| place.upstream.clone());
@@ -215,7 +224,7 @@
             if !self.work.may_repeat() {
                 return Err(why);
             }
-            let Ok(place) = self.work.desk.admit(self.work.ask()).await else {
+            let Ok(place) = self.work.desk.admit(self.ask()).await else {
                 return Err(why);
             };
             if self.resume(place).await {
@@ -237,17 +246,17 @@
             // 40 callers left. Its caller resumes it behind the last whole event.
             return if why == SLOW { Err(why) } else { Ok(()) };
         }
-        let Some(body) = &mut self.body else {
-            return Ok(());
-        };
         let work = self.work.clone();
-        let mut ask = work.ask();
+        let mut ask = self.ask();
         if let Some(place) = &self.place
             && place.silence(self.since) == Silence::Group
             && why == FELL_SILENT
         {
             ask.avoid.extend(place.mates());
         }
+        let Some(body) = &mut self.body else {
+            return Ok(());
+        };
         let admitted = Box::pin(work.desk.admit(ask));
         let frame = Box::pin(body.frame());
         let place = match select(admitted, frame).await {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -106,6 +106,8 @@
     headers.remove(EXPECT);
     header::sanitize(&mut headers, customer_name.as_deref());
     let wait = said.wait.unwrap_or(UNBOUNDED);
+    let spent = desk.spent(wait);
+    record.asked(wait, spent);
     Ok(Work {
         gateway: gateway.clone(),
         record: record.clone(),
@@ -115,8 +117,9 @@
         headers,
         body,
         priority: priority.unwrap_or(route.priority),
-        target: began + route.target,
+        target: (began + route.target).saturating_sub(spent),
         deadline: began + wait.min(route.timeout),
+        began,
         said,
         route,
         sendings: std::cell::Cell::default(),
@@ -178,7 +181,7 @@
     match monoio::time::timeout(work.left(), served).await {
         Ok(served) => served,
         Err(_) if work.exposed.get() => Err(Refused::late("timeout")),
-        Err(_) => Err(Refused::later("timeout", work.desk.come_back())),
+        Err(_) => Err(Refused::later("timeout", work.desk.come_back(work.left()))),
     }
 }
 
@@ -224,7 +227,7 @@
         } else if work.exposed.get() {
             Refused::unknown("unknown")
         } else {
-            Refused::later("turned-away", work.desk.come_back())
+            Refused::later("turned-away", work.desk.come_back(work.left()))
         });
     }
 }
--- a/verbenaspool_policy/src/dispatch/ask.rs
+++ b/verbenaspool_policy/src/dispatch/ask.rs
@@ -11,6 +11,10 @@
     pub target: Duration,
     /// When its caller gives up.
     pub deadline: Duration,
+    /// Until when it must be placed, or its caller leaves before the first event.
+    pub place_by: Duration,
+    /// Whether it is a stream that has begun and goes on elsewhere.
+    pub resumes: bool,
     /// The longest pause in time between its events, for streams.
     pub gap: Option<Duration>,
     /// Upstreams that it was sent to before.
--- a/verbenaspool_policy/src/dispatch/line.rs
+++ b/verbenaspool_policy/src/dispatch/line.rs
@@ -1,7 +1,8 @@
 //! Requests that wait for an upstream, in the order of their turn.
 //!
 //! Load: more requests than room, all the time. Those that can still be answered
-//! in time go before those that can't, or every answer would come just too late;
+//! in time go before those that can't, or every answer would come just too late, and
+//! streams that have begun go with them: one that stays on a slow rank holds back all.
 //! among equals the more urgent go first, then those that came first.
 
 use std::time::Duration;
@@ -68,5 +69,6 @@
 
 /// What decides whose turn comes first; the least one does.
 fn turn(waiting: &Waiting) -> (bool, u8, Duration) {
-    (waiting.late, waiting.ask.priority, waiting.since)
+    let late = waiting.late && !waiting.ask.resumes;
+    (late, waiting.ask.priority, waiting.since)
 }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -13,6 +13,8 @@
 
 mod ask;
 pub mod circuit;
+pub mod fresh;
+pub mod lasting;
 pub mod line;
 pub mod pass;
 pub mod retry;
@@ -26,6 +28,7 @@
 pub use self::ask::{Ask, Ending, Reason, Refusal, Verdict};
 use self::{
     circuit::Circuit,
+    lasting::Lasting,
     line::{Line, Ticket, Waiting},
     pass::Pass,
     slow::Silence,
@@ -64,24 +67,6 @@
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const PATIENCE: f64 = 0.35;
 
-/// How long a request may wait that can't be answered in time any more: as a
-/// part of the time that its caller still waits.
-const LATE_PATIENCE: f64 = 0.55;
-
-/// The longest that a request waits which can't be answered in time any more.
-const LONGEST_WAIT: Duration = Duration::from_millis(3_500);
-
-/// The shortest and the longest time after which a refused caller is asked to
-/// come back. Sooner, the same upstreams are still full: a stream lasts 2 s.
-/// Later, callers with eight seconds in all have too little left.
-const COME_BACK: [Duration; 2] = [Duration::from_millis(600), Duration::from_secs(2)];
-
-/// The same while no upstream of the service runs: groups form anew within
-/// seconds, and the longest time that callers wait before they come back, a third
-/// of what they have, reaches furthest.
-const COME_BACK_CLOSED: [Duration; 2] =
-    [Duration::from_millis(2_300), Duration::from_millis(2_650)];
-
 /// Two to the 53rd, the numbers that a draw is taken from.
 const SPREAD: f64 = 9_007_199_254_740_992.0;
 
@@ -125,6 +110,10 @@
     passes: BTreeMap<u32, Pass>,
     /// The pace of all groups, for those of which nothing is known.
     all: Pass,
+    /// How long answers last.
+    lasting: Lasting,
+    /// Since when upstreams take requests; none while no one does.
+    opened: Option<Duration>,
     /// When each group's streams had an event last.
     heard: BTreeMap<u32, Duration>,
     /// Whether each group takes requests.
@@ -151,6 +140,8 @@
             line: Line::default(),
             passes: BTreeMap::new(),
             all: Pass::default(),
+            lasting: Lasting::default(),
+            opened: None,
             heard: BTreeMap::new(),
             circuits: BTreeMap::new(),
             draws: seed | 1,
@@ -333,10 +324,9 @@
         let patience = if ask.target > now {
             ask.target.saturating_sub(now).mul_f64(PATIENCE)
         } else {
-            let left = ask.deadline.saturating_sub(now).mul_f64(LATE_PATIENCE);
-            left.min(LONGEST_WAIT)
+            self.lasting.wait(ask.deadline.saturating_sub(now))
         };
-        let until = (now + patience).min(ask.deadline);
+        let until = (now + patience).min(ask.deadline).min(ask.place_by);
         self.line.join(Waiting {
             ticket,
             late: ask.target <= now,
@@ -361,6 +351,7 @@
     /// in flight from here on.
     pub fn pump(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
         self.believe(now);
+        self.note_opening(now);
         let mut verdicts = Vec::new();
         let mut kept = Vec::new();
         for waiting in self.line.take() {
@@ -375,7 +366,7 @@
 
     /// What becomes of one request; nothing, where it goes on waiting.
     fn decide(&mut self, now: Duration, waiting: &Waiting) -> Option<Verdict> {
-        let over = now >= waiting.until;
+        let over = now >= waiting.until || self.waits_in_vain(now, waiting);
         if let Some(id) = self.choose(now, waiting, over) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.own += 1;
@@ -390,7 +381,24 @@
         if !over && (waiting.late || self.is_open(now)) {
             return None;
         }
-        Some(Verdict::Refuse(self.refusal(now)))
+        let left = waiting.ask.deadline.saturating_sub(now);
+        Some(Verdict::Refuse(self.refusal(now, left)))
+    }
+
+    /// Whether a request that is late found no place for a while at upstreams that
+    /// run: what is in time has the room, and goes on having it.
+    fn waits_in_vain(&self, now: Duration, waiting: &Waiting) -> bool {
+        let since = self.opened.map(|opened| opened.max(waiting.since));
+        waiting.late && since.is_some_and(|since| now >= since + self.lasting.turn())
+    }
+
+    /// Takes note of when upstreams began to take requests.
+    fn note_opening(&mut self, now: Duration) {
+        if !self.is_open(now) {
+            self.opened = None;
+        } else if self.opened.is_none() {
+            self.opened = Some(now);
+        }
     }
 
     /// Whether any upstream takes requests, as far as known.
@@ -404,15 +412,15 @@
         self.circuits.get(&group).is_none_or(Circuit::is_closed)
     }
 
-    /// Why a request is refused now, and when its caller should come back.
-    pub fn refusal(&mut self, now: Duration) -> Refusal {
+    /// Why a request is refused now, and when its caller should come back, who has so
+    /// much time left.
+    pub fn refusal(&mut self, now: Duration, left: Duration) -> Refusal {
         let (reason, [soonest, latest]) = if self.is_open(now) {
-            (Reason::Full, COME_BACK)
+            (Reason::Full, self.lasting.full(left))
         } else {
-            (Reason::Closed, COME_BACK_CLOSED)
+            (Reason::Closed, self.lasting.away(left))
         };
-        // Spread over a stream's usual length, so that those refused together
-        // don't come back together.
+        // Spread, so that those refused together don't come back together.
         let after = soonest + latest.saturating_sub(soonest).mul_f64(self.draw());
         Refusal { reason, after }
     }
@@ -452,7 +460,8 @@
             let group = *slowness
                 .entry(group)
                 .or_insert_with(|| self.slowness(now, group, waiting));
-            let Some(cost) = cost(now, upstream, group, waiting.late || over) else {
+            let lateness = Lateness::of(waiting, over);
+            let Some(cost) = cost(now, upstream, group, lateness) else {
                 continue;
             };
             let far = if upstream.zone == self.zone { 0.0 } else { FAR };
@@ -482,6 +491,11 @@
         })
     }
 
+    /// Learns how long an answer lasted that ended well.
+    pub fn lasted(&mut self, lasted: Duration) {
+        self.lasting.learn(lasted);
+    }
+
     /// An upstream took a request: it has begun to answer. Tells whether its group
     /// counted as taking none before.
     pub fn taken(&mut self, id: &str) -> bool {
@@ -566,9 +580,42 @@
     used: f64,
 }
 
+/// What is known of when a request's answer comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lateness {
+    /// It can be in time.
+    InTime,
+    /// It would be refused if it weren't placed now: a late answer will do.
+    Over,
+    /// It can't be in time any more.
+    Late,
+    /// It has begun, and counts among the group's streams already or did so until its
+    /// upstream failed.
+    Begun,
+}
+
+impl Lateness {
+    fn of(waiting: &Waiting, over: bool) -> Self {
+        match (waiting.ask.resumes, waiting.late, over) {
+            (true, _, _) => Self::Begun,
+            (_, true, _) => Self::Late,
+            (_, _, true) => Self::Over,
+            _ => Self::InTime,
+        }
+    }
+}
+
 /// What sending a request to an upstream costs; nothing, where it has no room.
-/// Where the request is late `anyhow`, or would be refused, a late answer will do.
-fn cost(now: Duration, upstream: &Upstream, group: Option<Slowness>, anyhow: bool) -> Option<f64> {
+///
+/// What is late leaves some room to what can be in time: behind the return of a group
+/// those who waited for it would take all of it, and whoever comes then would be late as
+/// well.
+fn cost(
+    now: Duration,
+    upstream: &Upstream,
+    group: Option<Slowness>,
+    lateness: Lateness,
+) -> Option<f64> {
     let distrust = upstream.trust.cost(now)?;
     let busy = f64::from(upstream.own + upstream.others);
     let slots = f64::from(upstream.slots.max(1));
@@ -577,8 +624,14 @@
         return room.then_some(busy / slots + distrust);
     };
     let in_time = group.pass <= 1.0;
-    let late = anyhow && group.used < LEAST;
-    let room = busy < slots && (in_time || late);
+    let few = group.used < LEAST;
+    let room = busy < slots
+        && match lateness {
+            Lateness::InTime => in_time,
+            Lateness::Over => in_time || few,
+            Lateness::Late => few,
+            Lateness::Begun => true,
+        };
     room.then_some(group.pass + busy / slots + distrust)
 }
 
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/back.rs
@@ -0,0 +1,205 @@
+//! Callers who come back: who they are, how long they wait, and what they leave to others.
+
+use std::time::Duration;
+
+use verbenaspool_policy::dispatch::{
+    Ask, Dispatcher, Reason, Refusal, Verdict, fresh::Times, lasting::Lasting,
+};
+
+use crate::world::{engine, ms, replica, stream};
+
+/// Callers of one service give 6.8 to 8 s each, evenly spread.
+fn give(times: &mut Times, from: u64, count: u64) {
+    for number in 0..count {
+        let wait = ms(6_800 + (number * 379) % 1_200);
+        assert_eq!(times.see(ms(from + number * 20), wait), Duration::ZERO);
+    }
+}
+
+/// Callers who were refused came back with 4.5 to 5.5 s left, were taken for new ones,
+/// and were refused again at once while the group was about to return.
+#[test]
+fn who_came_back_is_known_by_the_time_that_is_left() {
+    let mut times = Times::default();
+    give(&mut times, 0, 200);
+    times.refused(ms(4_000), ms(2_500));
+    for left in [4_500, 5_000, 5_500] {
+        let spent = times.see(ms(6_500), ms(left));
+        assert!(spent > ms(800), "{left} ms left, {spent:?} spent");
+    }
+    assert_eq!(times.see(ms(6_500), ms(7_000)), Duration::ZERO);
+}
+
+/// Some callers give 3 s and others 15 s. Neither are taken for ones who came back.
+#[test]
+fn callers_with_other_times_are_new() {
+    let mut times = Times::default();
+    for number in 0..100 {
+        let wait = if number % 4 == 0 { 3_000 } else { 15_000 };
+        assert_eq!(times.see(ms(number * 20), ms(wait)), Duration::ZERO);
+    }
+    times.refused(ms(2_000), ms(1_000));
+    assert!(times.see(ms(2_500), ms(10_000)) > ms(4_000));
+    assert!(times.see(ms(2_500), ms(2_000)) > ms(800));
+    assert_eq!(times.see(ms(2_500), ms(3_000)), Duration::ZERO);
+}
+
+/// An outage goes on, and nearly all who come were refused before. They don't become
+/// what callers give at first.
+#[test]
+fn callers_who_come_back_teach_nothing() {
+    let mut times = Times::default();
+    give(&mut times, 0, 100);
+    for number in 0..400 {
+        let now = ms(2_000 + number * 20);
+        times.refused(now, ms(2_500));
+        times.see(now, ms(5_000));
+    }
+    assert!(times.see(ms(11_000), ms(5_000)) > ms(800));
+}
+
+/// Times to wait and to come back were fixed for callers with 8 s and answers of 2 s.
+/// They follow from both: nobody waits who can't be answered any more behind it, and all
+/// come back within the third of their time that they wait at most.
+#[test]
+fn waits_and_returns_follow_the_time_left() {
+    for (left, lasts) in [(1_500, 15), (3_000, 500), (8_000, 2_000), (15_000, 2_000)] {
+        let mut lasting = Lasting::default();
+        lasting.learn(ms(lasts));
+        let (left, lasts) = (ms(left), ms(lasts));
+        let wait = lasting.wait(left);
+        assert!(wait + lasts < left, "{wait:?} of {left:?}");
+        for [soonest, latest] in [lasting.full(left), lasting.away(left)] {
+            assert!(
+                soonest < latest && latest <= left / 3,
+                "{left:?}: {latest:?}"
+            );
+        }
+        assert!(lasting.away(left)[0] > left / 4);
+    }
+    let mut long = Lasting::default();
+    long.learn(ms(2_000));
+    assert_eq!(long.wait(ms(2_000)), Duration::ZERO);
+}
+
+/// An entry before so many ranks of one group, with answers of 2 s.
+fn group(count: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..count).map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members(replicas.iter());
+    dispatcher.lasted(ms(2_000));
+    dispatcher
+}
+
+/// Tells that the group runs, or doesn't.
+fn runs(dispatcher: &mut Dispatcher, now: u64, count: u32, open: bool) {
+    for number in 0..count {
+        dispatcher.status(ms(now), &format!("u{number}"), 7, open, 1.0);
+    }
+}
+
+/// What one who came back asks for, with so much time left.
+fn back(now: u64, left: u64) -> Ask {
+    Ask {
+        target: ms(now.saturating_sub(1)),
+        deadline: ms(now + left),
+        place_by: ms(now + 1_200),
+        ..stream(now)
+    }
+}
+
+/// A group is away for 3 s. Callers with short and with long times who come back
+/// meanwhile wait until it returns, as long as they bear; those who couldn't be answered
+/// behind that are told so at once.
+#[test]
+fn who_came_back_waits_for_the_group() {
+    for (left, placed) in [(1_000, false), (5_300, true), (10_000, true)] {
+        let mut dispatcher = group(4);
+        runs(&mut dispatcher, 2_000, 4, false);
+        dispatcher.submit(ms(2_100), 1, back(2_100, left));
+        let verdicts = dispatcher.pump(ms(2_110));
+        assert_eq!(verdicts.is_empty(), placed, "{left} ms left: {verdicts:?}");
+        if placed {
+            runs(&mut dispatcher, 3_000, 4, true);
+            let verdicts = dispatcher.pump(ms(3_001));
+            assert!(
+                matches!(verdicts[..], [(1, Verdict::Send(_))]),
+                "{verdicts:?}"
+            );
+        }
+    }
+}
+
+/// A group is away for 8 s. Nobody is held until the caller leaves by itself.
+#[test]
+fn nobody_waits_until_the_caller_leaves() {
+    let mut dispatcher = group(4);
+    runs(&mut dispatcher, 2_000, 4, false);
+    dispatcher.submit(ms(2_100), 1, back(2_100, 5_300));
+    assert_eq!(dispatcher.pump(ms(3_200)), []);
+    runs(&mut dispatcher, 3_250, 4, false);
+    let verdicts = dispatcher.pump(ms(3_301));
+    let [(1, Verdict::Refuse(Refusal { reason, .. }))] = verdicts[..] else {
+        panic!("{verdicts:?}");
+    };
+    assert_eq!(reason, Reason::Closed);
+}
+
+/// A group returns, and a hundred callers who waited for it are there at once. They took
+/// all of its slots, and whoever came then was late as well, for as long as the group
+/// had been away. Of what callers were owed on such a day 0.53 was earned then, and 0.63
+/// with half of the slots left to those who can be in time.
+#[test]
+fn those_who_waited_leave_half_of_the_slots() {
+    let mut dispatcher = group(4);
+    runs(&mut dispatcher, 2_000, 4, false);
+    for ticket in 0..100 {
+        dispatcher.submit(ms(2_100), ticket, back(2_100, 5_300));
+    }
+    assert_eq!(dispatcher.pump(ms(2_200)), []);
+    runs(&mut dispatcher, 2_300, 4, true);
+    let sent = |verdicts: &[(u64, Verdict)]| {
+        let sent = verdicts
+            .iter()
+            .filter(|(_, v)| matches!(v, Verdict::Send(_)));
+        sent.count()
+    };
+    let placed = sent(&dispatcher.pump(ms(2_301)));
+    assert_eq!(placed, 4 * 12 / 2);
+    dispatcher.pause(ms(2_302), "u0", engine().pass(6.0));
+    // What can be in time still finds a place beside them, as far as passes allow.
+    for ticket in 200..204 {
+        dispatcher.submit(ms(2_302), ticket, stream(2_302));
+    }
+    assert_eq!(sent(&dispatcher.pump(ms(2_303))), 4);
+    // The others are told soon that there is no room.
+    let verdicts = dispatcher.pump(ms(2_700));
+    assert_eq!(verdicts.len(), 100 - placed);
+}
+
+/// A stream that has begun leaves a slow rank while more than half of the slots are
+/// taken. Counted with those who are late it found no place, and held back the streams
+/// of all others.
+#[test]
+fn a_stream_that_has_begun_is_placed_beyond_half_of_the_slots() {
+    let mut dispatcher = group(2);
+    runs(&mut dispatcher, 0, 2, true);
+    dispatcher.pause(ms(1), "u0", engine().pass(0.0));
+    for ticket in 0..14 {
+        dispatcher.submit(ms(1), ticket, stream(1));
+    }
+    assert_eq!(dispatcher.pump(ms(2)).len(), 14);
+    let late = back(10, 5_000);
+    let moved = Ask {
+        resumes: true,
+        ..late.clone()
+    };
+    dispatcher.submit(ms(10), 20, late);
+    dispatcher.submit(ms(10), 21, moved);
+    let verdicts = dispatcher.pump(ms(11));
+    assert!(
+        matches!(verdicts[..], [(21, Verdict::Send(_))]),
+        "{verdicts:?}"
+    );
+}
--- a/verbenaspool_policy/tests/dispatch/load.rs
+++ b/verbenaspool_policy/tests/dispatch/load.rs
@@ -136,6 +136,7 @@
     assert!(after >= ms(2_000) && after <= ms(2_667), "{after:?}");
     let back = Ask {
         target: ms(410),
+        place_by: ms(4_100),
         ..stream(10)
     };
     // Its agent goes on saying so.
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry on the direct path: what is placed, waits and is refused.
 
+mod back;
 mod circuit;
 mod load;
 mod relief;
--- a/verbenaspool_policy/tests/dispatch/world.rs
+++ b/verbenaspool_policy/tests/dispatch/world.rs
@@ -48,6 +48,8 @@
         priority: 1,
         target: ms(now + 400),
         deadline: ms(now + 8_000),
+        place_by: ms(now + 1_600),
+        resumes: false,
         gap: Some(ms(120)),
         avoid: Vec::new(),
     }
@@ -174,6 +176,8 @@
             self.tickets += 1;
             let ask = Ask {
                 target: now,
+                place_by: now + ms(1_600),
+                resumes: true,
                 avoid: vec![upstream],
                 ..stream(self.now)
             };
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -40,6 +40,8 @@
     pub target: Duration,
     /// The longest pause between events of a stream that has its full worth.
     pub gap: Option<Duration>,
+    /// How long callers of a stream bear its silence, also before its first event.
+    pub silence: Option<Duration>,
     /// How urgent it is; 0 comes first.
     pub priority: u8,
     /// The services that share its requests.
@@ -121,7 +123,7 @@
     /// # use verbenaspool_state::route::{Kind, Route, Split};
     /// # let route = |kind, resumable| Route {
     /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
-    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, silence: None, priority: 1,
     /// #     splits: vec![
     /// #         Split { service: "old".into(), weight: 90.0 },
     /// #         Split { service: "new".into(), weight: 10.0 },
@@ -148,7 +150,7 @@
     /// # use verbenaspool_state::route::{Kind, Route, Split};
     /// # let route = |kind, resumable| Route {
     /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
-    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, silence: None, priority: 1,
     /// #     splits: vec![
     /// #         Split { service: "old".into(), weight: 90.0 },
     /// #         Split { service: "new".into(), weight: 10.0 },
@@ -183,7 +185,7 @@
     /// # use verbenaspool_state::route::{Kind, Route, Split};
     /// # let route = |kind, resumable| Route {
     /// #     name: "r".into(), host: "a.example".into(), prefix: "/a/".into(), kind, resumable,
-    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, priority: 1,
+    /// #     timeout: Duration::from_secs(1), target: Duration::from_millis(300), gap: None, silence: None, priority: 1,
     /// #     splits: vec![
     /// #         Split { service: "old".into(), weight: 90.0 },
     /// #         Split { service: "new".into(), weight: 10.0 },
