Tell in each request's line what was known, and name a slow rank as the cause

Cause: explain said of a stream whose caller left after 6 s that it had 48 events and a pause of 727 ms, and not that one rank held back its group. Change: a request's line tells the length of passes, the slowest rank that runs and how old its agent's word is, and how many upstreams' groups run nothing, as of when it was placed, refused or had its longest pause; explain puts that in the cause.

--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
-    Ask, Dispatcher, Ending, Refusal, Verdict,
+    Ask, Dispatcher, Ending, Known, Refusal, Verdict,
     fresh::Times,
     line::Ticket,
     retry::{Bound, Budget},
@@ -231,6 +231,12 @@
         self.budget.borrow_mut().repeat(now, bound, entries)
     }
 
+    /// What is known of the service now.
+    pub fn known(&self) -> Known {
+        let now = self.clock.now();
+        self.dispatcher.borrow().known(now)
+    }
+
     /// How long a pass of an upstream's group takes now, where that is known.
     pub fn pass(&self, upstream: &str) -> Option<Duration> {
         let now = self.clock.now();
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use slog::{info, o, warn};
+use verbenaspool_policy::dispatch::Known;
 
 use super::gateway::Gateway;
 
@@ -15,6 +16,9 @@
     /// How long the caller waits, and what it had spent of its time before.
     waits: Duration,
     spent: Duration,
+    /// What was known of the service when the request was placed or refused, or had its
+    /// longest pause.
+    known: Known,
     /// Each upstream that it was sent to, and how that ended.
     sent: Vec<String>,
     /// When the first byte of the answer was passed on.
@@ -61,6 +65,16 @@
         story.spent = spent;
     }
 
+    /// What is known of the service as the request is placed or refused.
+    pub fn known(&self, known: Known) {
+        self.story.borrow_mut().known = known;
+    }
+
+    /// Whether a pause between two events is the longest so far.
+    pub fn is_longest(&self, pause: Duration) -> bool {
+        pause > self.story.borrow().pause
+    }
+
     /// How a sending to an upstream went on.
     pub fn sent(&self, upstream: &str, what: &str) {
         let after = self.gateway.clock.now().saturating_sub(self.began);
@@ -116,6 +130,11 @@
             "version" => story.version, "sent" => story.sent.join("; "),
             "waits_ms" => story.waits.as_secs_f64() * 1e3,
             "spent_ms" => story.spent.as_secs_f64() * 1e3,
+            "pass_ms" => story.known.pass.as_secs_f64() * 1e3,
+            "slowest" => story.known.slowest,
+            "slowest_upstream" => story.known.upstream.as_deref().unwrap_or_default().to_owned(),
+            "said_ms" => story.known.age.as_secs_f64() * 1e3,
+            "closed" => story.known.closed,
             "events" => story.events, "pause_ms" => pause_ms, "first_ms" => first_ms,
             "took_ms" => took_ms,
         ));
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -196,6 +196,10 @@
         if let Some(place) = &self.place {
             let pause = now.saturating_sub(self.since);
             place.event((self.flows && count == 1).then_some(pause));
+            let late = self.work.route.gap.is_some_and(|gap| pause > gap);
+            if late && self.work.record.is_longest(pause) {
+                self.work.record.known(self.work.desk.known());
+            }
         }
         self.since = now;
         self.flows = true;
--- a/verbenaspool/src/operate/explain.rs
+++ b/verbenaspool/src/operate/explain.rs
@@ -26,8 +26,16 @@
     first_ms: f64,
     pause_ms: f64,
     took_ms: f64,
+    pass_ms: f64,
+    slowest: f64,
+    slowest_upstream: String,
+    said_ms: f64,
+    closed: u32,
 }
 
+/// From which pace on an upstream is named as slow: what entries send nothing more to.
+const SLOW: f64 = 2.0;
+
 /// What was found of a request.
 #[derive(Debug, Default)]
 pub struct Story {
@@ -123,7 +131,25 @@
         "large-body" | "broken-body" | "slow-body" => "Its body didn't come whole, or in time",
         _ => "The answer broke off",
     };
-    format!("{why}; {sent}.")
+    let known = known(line);
+    format!("{why}; {sent}{known}.")
+}
+
+/// What the entry knew of the service then, as the end of a sentence.
+fn known(line: &Line) -> String {
+    if line.slowest >= SLOW {
+        return format!(
+            "; {} was {:.1} times slow then and held back its whole group, as its agent had said {:.0} ms before, with passes of {:.0} ms",
+            line.slowest_upstream, line.slowest, line.said_ms, line.pass_ms
+        );
+    }
+    if line.closed > 0 {
+        return format!("; the groups of {} upstreams ran nothing then", line.closed);
+    }
+    if line.pass_ms > 0.0 {
+        return format!("; passes took up to {:.0} ms then", line.pass_ms);
+    }
+    String::new()
 }
 
 #[cfg(test)]
--- a/verbenaspool/src/operate/explain/tests.rs
+++ b/verbenaspool/src/operate/explain/tests.rs
@@ -26,6 +26,27 @@
     assert!(cause.contains("i-2 turned-away"), "{cause}");
 }
 
+/// A stream stuttered because one rank of its group was slow; its line told 48 events
+/// and a pause of 0.7 s, and nobody could tell why. Now the cause names the rank, and how
+/// old that knowledge was; a closed group and long passes likewise.
+#[test]
+fn what_was_known_then_is_part_of_the_cause() {
+    let log = r#"{"ts":"1","request":"s","status":0,"why":"caller-left","events":48,"pass_ms":727.0,"slowest":12.0,"slowest_upstream":"i-7","said_ms":140.0}
+{"ts":"1","request":"c","status":503,"why":"closed","closed":12,"slowest":0.0}
+{"ts":"1","request":"f","status":503,"why":"full","pass_ms":117.0,"slowest":1.0}
+"#;
+    for (id, parts) in [
+        ("s", ["i-7 was 12.0 times slow", "140 ms before", "727 ms"]),
+        ("c", ["no upstream", "12 upstreams", "ran nothing"]),
+        ("f", ["as much as it can", "passes took", "117 ms"]),
+    ] {
+        let mut found = Vec::new();
+        read(id, "log", Cursor::new(log), &mut found).expect("memory can be read");
+        let cause = tell(found, 0).cause.expect("it is found");
+        assert!(parts.iter().all(|part| cause.contains(part)), "{cause}");
+    }
+}
+
 /// An id that is in no log has no cause.
 #[test]
 fn an_unknown_request_isnt_found() {
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/known.rs
@@ -0,0 +1,22 @@
+//! What an entry knows of a service at one moment, for the logs.
+//!
+//! A caller complains hours later that a stream stuttered or was refused. What decided
+//! it was the state of a group of ranks, of which nothing is left by then but what the
+//! request's own line says.
+
+use std::{rc::Rc, time::Duration};
+
+/// What an entry knows of a service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Known {
+    /// The longest that a pass of any group takes, as far as events show.
+    pub pass: Duration,
+    /// The pace of the slowest upstream that runs.
+    pub slowest: f64,
+    /// That upstream.
+    pub upstream: Option<Rc<str>>,
+    /// How old its agent's word is.
+    pub age: Duration,
+    /// Upstreams whose groups run nothing, as their agents said lately.
+    pub closed: u32,
+}
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod ask;
 pub mod circuit;
 pub mod fresh;
+mod known;
 pub mod lasting;
 pub mod line;
 pub mod pass;
@@ -25,7 +26,10 @@
 
 use verbenaspool_state::{engine::Engine, replica};
 
-pub use self::ask::{Ask, Ending, Reason, Refusal, Verdict};
+pub use self::{
+    ask::{Ask, Ending, Reason, Refusal, Verdict},
+    known::Known,
+};
 use self::{
     circuit::Circuit,
     lasting::Lasting,
@@ -93,6 +97,8 @@
     trust: Trust,
     /// How many times longer than usual it takes for its work, as its agent says.
     pace: f64,
+    /// When its agent said so.
+    said: Duration,
 }
 
 /// Decides for one service at one entry.
@@ -217,6 +223,7 @@
         };
         upstream.group = group;
         upstream.pace = pace;
+        upstream.said = now;
         let before = upstream.closed.is_none();
         upstream.closed = (!open).then_some(now);
         if open && !before {
@@ -535,6 +542,23 @@
         was_closed && !circuit.is_closed()
     }
 
+    /// What is known of the service, for the line that a request leaves in the log.
+    #[must_use]
+    pub fn known(&self, now: Duration) -> Known {
+        let mut known = Known::default();
+        for (id, upstream) in &self.upstreams {
+            known.pass = known.pass.max(self.pass(now, id).unwrap_or_default());
+            if !upstream.is_open(now) {
+                known.closed += u32::from(upstream.ready);
+            } else if upstream.pace > known.slowest {
+                known.slowest = upstream.pace;
+                known.upstream = Some(id.clone());
+                known.age = now.saturating_sub(upstream.said);
+            }
+        }
+        known
+    }
+
     /// How the service stands, for logs and metrics.
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Snapshot {
@@ -654,6 +678,7 @@
             group: 0,
             trust: Trust::default(),
             pace: 1.0,
+            said: Duration::ZERO,
         }
     }
 }
