Change no map where experts have no place, and say so once

Cause: a configuration with more experts than the ranks have places for made the lead order maps that no rank can take, again and again. Change: the lead decides nothing then; one line of log when that begins.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -82,6 +82,8 @@
     pub(super) status: Cell<(Option<f32>, Duration)>,
     /// What was last told of the experts held.
     pub(super) told: Cell<(u64, u64, Duration)>,
+    /// Whether the ranks had a place for each expert when that was last looked at.
+    fits: Cell<bool>,
     /// The rank's pace, and whether what it said of that made sense.
     told_pace: Cell<(f32, bool)>,
 }
@@ -124,6 +126,7 @@
             entries: RefCell::default(),
             status: Cell::default(),
             told: Cell::default(),
+            fits: Cell::new(true),
             told_pace: Cell::new((1.0, true)),
         })
     }
@@ -307,7 +310,14 @@
     pub async fn decide(self: &Rc<Self>) {
         let now = self.clock.now();
         let relief = match (&mut *self.lead.borrow_mut(), self.experts.get()) {
-            (Some(lead), Some(experts)) => lead.decide(now, &experts),
+            (Some(lead), Some(experts)) => {
+                let fits = lead.fits(&experts);
+                if self.fits.replace(fits) && !fits {
+                    warn!(self.log, "Agent: The ranks have no place for all experts; no map is changed.";
+                        "experts" => experts.count, "places" => experts.places);
+                }
+                lead.decide(now, &experts)
+            }
             _ => return,
         };
         if let Some(relief) = relief {
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// Whether each expert has a place on the group's ranks. Where not, no map is one
+    /// that engines take, and none is ordered.
+    pub fn fits(&self, experts: &Experts) -> bool {
+        experts.fit(self.ranks)
+    }
+
     /// Takes in how slow a rank is.
     pub fn pace(&mut self, rank: usize, pace: f32) {
         if let Some(known) = self.paces.get_mut(rank) {
@@ -230,7 +236,7 @@
 
     /// Begins a change, if one is worth it now.
     pub fn decide(&mut self, now: Duration, experts: &Experts) -> Option<Relief> {
-        if self.stands_in || !self.switch.is_ready(now) {
+        if self.stands_in || !self.switch.is_ready(now) || !self.fits(experts) {
             return None;
         }
         let layers = self.layers(experts)?;
--- a/verbenaspool_agent/src/direct/lead/tests.rs
+++ b/verbenaspool_agent/src/direct/lead/tests.rs
@@ -88,3 +88,18 @@
     empty[0].ranks = vec![vec![0, 1, 2, 3], Vec::new()];
     assert_eq!(copies(&lead, &empty), 3, "a rank that is well again");
 }
+
+/// A configuration names more experts than the ranks have places for. Orders went out
+/// that no rank could take, one after the other; now there are none.
+#[test]
+fn experts_without_a_place_change_no_map() {
+    let mut lead = formed(1);
+    lead.choices(NOW, &choices());
+    let narrow = Experts {
+        places: 1,
+        ..EXPERTS
+    };
+    assert!(!lead.fits(&narrow) && lead.fits(&EXPERTS));
+    assert_eq!(lead.decide(NOW, &narrow), None);
+    assert!(lead.decide(NOW, &EXPERTS).is_some());
+}
--- a/verbenaspool_state/src/engine.rs
+++ b/verbenaspool_state/src/engine.rs
@@ -36,6 +36,26 @@
     pub copy: Duration,
 }
 
+impl Experts {
+    /// Whether so many ranks have a place for each expert of a set.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::engine::Experts;
+    ///
+    /// let experts = Experts {
+    ///     layers: 4, count: 72, places: 8, spare: 3, share: 0.85, copy: Duration::ZERO,
+    /// };
+    /// assert!(experts.fit(9));
+    /// assert!(!experts.fit(8));
+    /// ```
+    #[must_use]
+    pub fn fit(&self, ranks: usize) -> bool {
+        usize::from(self.count) <= usize::from(self.places) * ranks
+    }
+}
+
 impl Engine {
     /// How long a pass takes on even ranks when each has so many writers.
     ///
