Split the dispatcher by decision, and the switch's words off its machine

Room and cost, one upstream, and what is known each have a file; reports and orders of the switch stand apart from the machine.

--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -37,9 +37,11 @@
 //!
 //! The machine does no I/O: it takes reports and the time, and returns orders.
 
+mod order;
+
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+pub use self::order::{Ended, Order, Report, Send};
 
 /// How many passes ahead of the newest report a pass is held. The pass after the
 /// next leaves one whole pass, some 60 ms, for the orders to arrive. With the next
@@ -85,85 +87,6 @@
 /// know why looks into it: a change that goes well holds none.
 const HELD: Duration = Duration::from_millis(150);
 
-/// What a rank says of itself.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// The group's epoch.
-    pub epoch: u64,
-    /// The last pass that was begun.
-    pub step: u64,
-    /// The version of the map in use.
-    pub map: u64,
-    /// The version that is copied whole.
-    pub prepared: Option<u64>,
-    /// The version that it is armed for.
-    pub armed: Option<u64>,
-    /// The pass that it holds.
-    pub held: Option<u64>,
-    /// Up to which pass its agent gives no order of a lead to arm.
-    pub barred: u64,
-    /// The last pass for which its agent has given, or may have given, an order
-    /// to arm.
-    pub given: u64,
-}
-
-/// An order to one rank.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Order {
-    /// Copy what is new in the map of this version.
-    Prepare {
-        /// The map's version.
-        version: u64,
-    },
-    /// Hold this pass.
-    Hold {
-        /// The pass.
-        step: u64,
-    },
-    /// Use the map of this version from this pass on.
-    Arm {
-        /// The map's version.
-        version: u64,
-        /// The pass.
-        step: u64,
-    },
-    /// Let this pass begin.
-    Go {
-        /// The pass.
-        step: u64,
-    },
-    /// Give no order to arm for a pass up to this one: for the agent itself.
-    Bar {
-        /// The pass.
-        step: u64,
-    },
-    /// Use the map of this version from this pass on, though it is barred.
-    Finish {
-        /// The map's version.
-        version: u64,
-        /// The pass.
-        step: u64,
-    },
-}
-
-/// An order and the rank that it goes to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Send {
-    /// The rank.
-    pub rank: usize,
-    /// The order.
-    pub order: Order,
-}
-
-/// How a change ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
-    /// The group uses this version.
-    Done(u64),
-    /// The change was given up before any rank was armed.
-    GivenUp(u64),
-}
-
 /// Where a change stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
--- a/verbenaspool_policy/src/dispatch/known.rs
+++ b/verbenaspool_policy/src/dispatch/known.rs
@@ -20,3 +20,18 @@
     /// Upstreams whose groups run nothing, as their agents said lately.
     pub closed: u32,
 }
+
+/// How a service stands.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Snapshot {
+    /// Upstreams that take requests.
+    pub upstreams: u32,
+    /// Those of them that nothing is sent to for now.
+    pub shunned: u32,
+    /// Requests in flight, of all entries as far as known.
+    pub busy: u32,
+    /// Requests that wait here.
+    pub waiting: usize,
+    /// How much longer passes take than on even ranks.
+    pub pace: f64,
+}
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -19,8 +19,10 @@
 pub mod line;
 pub mod pass;
 pub mod retry;
+mod room;
 pub mod slow;
 pub mod trust;
+mod upstream;
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -28,15 +30,17 @@
 
 pub use self::{
     ask::{Ask, Ending, Reason, Refusal, Verdict},
-    known::Known,
+    known::{Known, Snapshot},
 };
 use self::{
     circuit::Circuit,
     lasting::Lasting,
     line::{Line, Ticket, Waiting},
     pass::Pass,
+    room::{Lateness, Slowness, cost},
     slow::Silence,
     trust::Trust,
+    upstream::Upstream,
 };
 
 /// The part of the longest pause in time that a pass may be expected to take.
@@ -44,14 +48,6 @@
 /// mean is common, and one late pass makes a stream late.
 const HEADROOM: f64 = 0.8;
 
-/// The part of an upstream's slots that is used even where passes are too slow
-/// for answers in time: a late answer is better for its caller than none.
-const LEAST: f64 = 0.5;
-
-/// Requests that a plain upstream may have for each of its slots. Those beyond
-/// its slots wait there, so that it never idles between two requests.
-const PLAIN: f64 = 2.0;
-
 /// What another zone adds to the cost of sending: bytes between zones are paid
 /// for, but little. A slot more or less weighs four times as much.
 const FAR: f64 = 0.02;
@@ -63,10 +59,6 @@
 /// entries do over several digests, which come each 40 ms or so.
 const SHY: Duration = Duration::from_millis(160);
 
-/// How long an agent is believed that its rank's group is broken. It says so
-/// twice a second; one that is silent may be cut off while its rank serves.
-const BELIEVED: Duration = Duration::from_millis(1_600);
-
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const PATIENCE: f64 = 0.35;
@@ -74,33 +66,6 @@
 /// Two to the 53rd, the numbers that a draw is taken from.
 const SPREAD: f64 = 9_007_199_254_740_992.0;
 
-/// One upstream of the service.
-#[derive(Debug)]
-struct Upstream {
-    /// Its availability zone.
-    zone: Rc<str>,
-    /// Requests that it processes at once.
-    slots: u32,
-    /// Whether it takes new requests.
-    ready: bool,
-    /// Whether its group runs nothing, and since when that was said last.
-    closed: Option<Duration>,
-    /// Requests of this entry that it has.
-    own: u32,
-    /// Requests of other entries that it has, as reckoned with.
-    others: u32,
-    /// Fewer than that, as they said last, and from when on that is believed.
-    fewer: Option<(u32, Duration)>,
-    /// The group whose ranks make each pass together; 0 where it isn't known.
-    group: u32,
-    /// Whether it is worth sending to.
-    trust: Trust,
-    /// How many times longer than usual it takes for its work, as its agent says.
-    pace: f64,
-    /// When its agent said so.
-    said: Duration,
-}
-
 /// Decides for one service at one entry.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -523,7 +488,7 @@
         };
         let (id, group) = (id.clone(), upstream.group);
         let busy = f64::from(upstream.own + upstream.others);
-        let idle = busy < f64::from(upstream.slots) * LEAST;
+        let idle = busy < f64::from(upstream.slots) * room::LEAST;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.own = upstream.own.saturating_sub(1);
             upstream.trust.learn(now, ending);
@@ -579,106 +544,3 @@
         snapshot
     }
 }
-
-/// How a service stands.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Snapshot {
-    /// Upstreams that take requests.
-    pub upstreams: u32,
-    /// Those of them that nothing is sent to for now.
-    pub shunned: u32,
-    /// Requests in flight, of all entries as far as known.
-    pub busy: u32,
-    /// Requests that wait here.
-    pub waiting: usize,
-    /// How much longer passes take than on even ranks.
-    pub pace: f64,
-}
-
-/// How slow a group's passes would be with one request more.
-#[derive(Debug, Clone, Copy)]
-struct Slowness {
-    /// The pass, against what makes streams late.
-    pass: f64,
-    /// The part of the group's slots that is taken.
-    used: f64,
-}
-
-/// What is known of when a request's answer comes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Lateness {
-    /// It can be in time.
-    InTime,
-    /// It would be refused if it weren't placed now: a late answer will do.
-    Over,
-    /// It can't be in time any more.
-    Late,
-    /// It has begun, and counts among the group's streams already or did so until its
-    /// upstream failed.
-    Begun,
-}
-
-impl Lateness {
-    fn of(waiting: &Waiting, over: bool) -> Self {
-        match (waiting.ask.resumes, waiting.late, over) {
-            (true, _, _) => Self::Begun,
-            (_, true, _) => Self::Late,
-            (_, _, true) => Self::Over,
-            _ => Self::InTime,
-        }
-    }
-}
-
-/// What sending a request to an upstream costs; nothing, where it has no room.
-///
-/// What is late leaves some room to what can be in time: behind the return of a group
-/// those who waited for it would take all of it, and whoever comes then would be late as
-/// well.
-fn cost(
-    now: Duration,
-    upstream: &Upstream,
-    group: Option<Slowness>,
-    lateness: Lateness,
-) -> Option<f64> {
-    let distrust = upstream.trust.cost(now)?;
-    let busy = f64::from(upstream.own + upstream.others);
-    let slots = f64::from(upstream.slots.max(1));
-    let Some(group) = group else {
-        let room = busy < slots * PLAIN;
-        return room.then_some(busy / slots + distrust);
-    };
-    let in_time = group.pass <= 1.0;
-    let few = group.used < LEAST;
-    let room = busy < slots
-        && match lateness {
-            Lateness::InTime => in_time,
-            Lateness::Over => in_time || few,
-            Lateness::Late => few,
-            Lateness::Begun => true,
-        };
-    room.then_some(group.pass + busy / slots + distrust)
-}
-
-impl Upstream {
-    /// Whether it takes requests, as far as it and its agent say.
-    fn is_open(&self, now: Duration) -> bool {
-        let closed = |said: Duration| now.saturating_sub(said) < BELIEVED;
-        self.ready && !self.closed.is_some_and(closed)
-    }
-
-    fn new(replica: &replica::Replica) -> Self {
-        Self {
-            zone: replica.zone.clone(),
-            slots: replica.slots,
-            ready: true,
-            closed: None,
-            own: 0,
-            others: 0,
-            fewer: None,
-            group: 0,
-            trust: Trust::default(),
-            pace: 1.0,
-            said: Duration::ZERO,
-        }
-    }
-}
