Judge streams of upstreams without a group by themselves, and let cut streams go on until their callers leave

A request counted as common by itself while fewer than 33 had come. Change: an upstream without a group stands by itself; a stream that has begun may be placed until its caller leaves; 50 requests are the least that a judgement rests on.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -91,13 +91,17 @@
         self.deadline.saturating_sub(self.gateway.clock.now())
     }
 
-    /// Until when the request must be placed whose caller has had no event since some
-    /// time: the first one takes up to twice the route's target from there behind the
-    /// return of a group, when many begin at once.
-    pub fn place_by(&self, since: Duration) -> Duration {
+    /// Until when the request must be placed: its first event takes up to twice the
+    /// route's target from there behind the return of a group, when many begin at once.
+    fn place_by(&self) -> Duration {
+        self.leaves(self.began)
+            .saturating_sub(self.route.target * 2)
+    }
+
+    /// When the caller leaves that has had no event since some time.
+    pub fn leaves(&self, since: Duration) -> Duration {
         let silence = self.route.silence.map(|silence| since + silence);
-        let leaves = silence.unwrap_or(self.deadline).min(self.deadline);
-        leaves.saturating_sub(self.route.target * 2)
+        silence.unwrap_or(self.deadline).min(self.deadline)
     }
 
     /// What the request asks of its service's desk.
@@ -107,7 +111,7 @@
             priority: self.priority,
             target: self.target,
             deadline: self.deadline,
-            place_by: self.place_by(self.began),
+            place_by: self.place_by(),
             resumes: false,
             gap: self.route.gap.filter(|_| streams),
             avoid: self.tried.borrow().clone(),
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -207,10 +207,11 @@
         Ok(Some(events))
     }
 
-    /// What the stream asks for to go on elsewhere.
+    /// What the stream asks for to go on elsewhere, until its caller leaves: an engine
+    /// cuts off what stalls 1.5 s behind the last event, half a second before that.
     fn ask(&self) -> Ask {
         Ask {
-            place_by: self.work.place_by(self.since),
+            place_by: self.work.leaves(self.since),
             resumes: true,
             ..self.work.ask()
         }
--- a/verbenaspool_policy/src/dispatch/fresh.rs
+++ b/verbenaspool_policy/src/dispatch/fresh.rs
@@ -21,8 +21,9 @@
 /// give at first. Two in a hundred come back at once behind a failure of a plain service.
 const COMMON: f64 = 0.03;
 
-/// Requests that a judgement rests on at least.
-const ENOUGH: f64 = 20.0;
+/// Requests that a judgement rests on at least: a single odd one is less than the part
+/// above of so many.
+const ENOUGH: f64 = 50.0;
 
 /// How long behind the time at which a caller was told to come back others may come:
 /// callers take a while to connect anew.
@@ -60,8 +61,8 @@
     /// use verbenaspool_policy::dispatch::fresh::Times;
     ///
     /// let (mut times, full) = (Times::default(), Duration::from_secs(8));
-    /// for request in 0..30 {
-    ///     times.see(Duration::from_millis(request * 20), full);
+    /// for request in 0..60 {
+    ///     times.see(Duration::from_millis(request * 10), full);
     /// }
     /// let spent = times.see(Duration::from_secs(1), Duration::from_millis(5_500));
     /// assert!(spent > Duration::from_secs(2));
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -239,6 +239,10 @@
     #[must_use]
     pub fn silence(&self, now: Duration, id: &str, since: Duration) -> Silence {
         let group = self.upstreams.get(id).map_or(0, |upstream| upstream.group);
+        if group == 0 {
+            // No agent told of a group: the upstream stands by itself.
+            return Silence::Stuck;
+        }
         let mut others = self.upstreams.values().filter(|u| u.group != group);
         let others_run = others.any(|u| u.is_open(now) && self.takes(u.group));
         slow::judge(since, self.heard.get(&group).copied(), others_run)
--- a/verbenaspool_policy/tests/dispatch/slow.rs
+++ b/verbenaspool_policy/tests/dispatch/slow.rs
@@ -99,3 +99,16 @@
     );
     assert_eq!(dispatcher.mates("u0").len(), 2);
 }
+
+/// Upstreams that are no ranks of a group each stand by themselves. Taken for one group,
+/// a stream that fell silent while no other ran stayed where it was for too long.
+#[test]
+fn an_upstream_without_a_group_is_judged_by_itself() {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    dispatcher.members([replica("u0", 12), replica("u1", 12)].iter());
+    dispatcher.heard(ms(1_000), "u0");
+    assert_eq!(
+        dispatcher.silence(ms(1_800), "u0", ms(1_000)),
+        Silence::Stuck
+    );
+}
