Tell callers whose route's time is over to come back by the time that they still have

Cause: times to come back follow from the time left, and at the end of the route's time none was left by the route though the caller waits on: it was told to come back at once. Change: the caller's own time counts.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -104,6 +104,15 @@
         silence.unwrap_or(self.deadline).min(self.deadline)
     }
 
+    /// How long the caller still waits, which may be longer than the route's time.
+    pub fn caller_left(&self) -> Duration {
+        let until = self
+            .said
+            .wait
+            .map_or(self.deadline, |wait| self.began + wait);
+        until.saturating_sub(self.gateway.clock.now())
+    }
+
     /// What the request asks of its service's desk.
     pub fn ask(&self) -> Ask {
         let streams = self.route.kind == Kind::Streaming;
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -181,7 +181,10 @@
     match monoio::time::timeout(work.left(), served).await {
         Ok(served) => served,
         Err(_) if work.exposed.get() => Err(Refused::late("timeout")),
-        Err(_) => Err(Refused::later("timeout", work.desk.come_back(work.left()))),
+        Err(_) => Err(Refused::later(
+            "timeout",
+            work.desk.come_back(work.caller_left()),
+        )),
     }
 }
 
@@ -229,7 +232,7 @@
         } else if work.exposed.get() {
             Refused::unknown("unknown")
         } else {
-            Refused::later("turned-away", work.desk.come_back(work.left()))
+            Refused::later("turned-away", work.desk.come_back(work.caller_left()))
         });
     }
 }
