--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -247,8 +247,9 @@
         }
         if !self.work.may_repeat() {
             // A stream that a slow rank keeps holds back the streams of all others, for
-            // as many of its long passes as it has events left: seen for 7 s, in which
-            // 40 callers left. Its caller resumes it behind the last whole event.
+            // as many of its long passes as it has events left: one did so for 7 s, with
+            // passes of 0.38 s in place of 0.07. Its caller resumes it behind the last
+            // whole event.
             return if why == SLOW { Err(why) } else { Ok(()) };
         }
         let work = self.work.clone();
--- a/verbenaspool_agent/src/direct/spread.rs
+++ b/verbenaspool_agent/src/direct/spread.rs
@@ -18,7 +18,7 @@
 const PACED: f64 = 0.5;
 
 /// The part of the lead's link that choices of all ranks may take. With 63 ranks and
-/// 2,016 counts each 0.1 s they would take 1.3 times a link of 8 Mbit/s.
+/// 2,016 counts each 0.1 s they would take 1.3 times a link of 8 Mbit/s, as reckoned.
 const CHOICES: f64 = 0.4;
 
 /// Bytes that one count takes, with its part of the datagram's head: most counts are
