Let the agents beside ranks grant their slots to entries

Cause: with 59 entries each heard of what the others had placed 0.26 s late, in which all of them together place 120 streams on some 250 free slots. Each saw the same free rank, and one stream in six stood in line at a full one until its caller left.

Change: an entry asks the agent beside a rank before it sends there, by one datagram each way. The agent reads its rank's report each 50 ms and counts what it granted since, so it alone knows what is free now; one that has none says what its rank has, and the entry asks another. Agents tell entries of their own zone of their load within 0.1 s and the others each 2 s. Words that were overtaken, are nonsense or come from another instance than the upstream's are dropped. A silent agent is left alone for 0.5 s; where two are silent the request is sent without a word, as before.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::{Ask, Ending, retry::Bound};
+use verbenaspool_policy::dispatch::{Ask, Ending, Refusal, retry::Bound};
 use verbenaspool_state::route::{Kind, Route};
 use verbenaspool_transport::http::{body::Body, client::Error};
 
@@ -118,6 +118,7 @@
         let streams = self.route.kind == Kind::Streaming;
         Ask {
             priority: self.priority,
+            since: self.gateway.clock.now(),
             target: self.target,
             deadline: self.deadline,
             place_by: self.place_by(),
@@ -127,6 +128,14 @@
         }
     }
 
+    /// Waits for a place at an upstream.
+    ///
+    /// # Errors
+    /// There is no room, nor will there be in time.
+    pub async fn admit(&self, ask: Ask) -> Result<Place, Refusal> {
+        self.gateway.admit(&self.desk, ask).await
+    }
+
     /// Whether the request may be sent once more, as things are now. It counts only
     /// when it is sent: one that then finds no upstream has cost nobody anything.
     pub fn may_repeat(&self) -> bool {
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -40,6 +40,8 @@
     pub upstream: Rc<str>,
     since: Duration,
     ending: Cell<Ending>,
+    /// Whether its agent is being asked for a slot.
+    asking: Cell<bool>,
 }
 
 impl Place {
@@ -48,6 +50,26 @@
         self.ending.set(ending);
     }
 
+    /// Whether the agent beside the upstream is to be asked before a request is sent.
+    pub fn asks(&self) -> bool {
+        let now = self.desk.clock.now();
+        self.desk.dispatcher.borrow().asks(now, &self.upstream)
+    }
+
+    /// Says that the request is on its way: the agent beside the upstream kept a slot
+    /// for it, or wasn't asked.
+    pub fn reserved(&self) {
+        self.asking.set(false);
+        self.desk.dispatcher.borrow_mut().reserved(&self.upstream);
+    }
+
+    /// Says that the agent beside the upstream didn't answer.
+    pub fn unanswered(&self) {
+        let now = self.desk.clock.now();
+        let mut dispatcher = self.desk.dispatcher.borrow_mut();
+        dispatcher.unanswered(now, &self.upstream);
+    }
+
     /// Says that the upstream has begun to answer.
     pub fn taken(&self) {
         let taken = |dispatcher: &mut Dispatcher, _| dispatcher.taken(&self.upstream);
@@ -88,6 +110,9 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        if self.asking.get() {
+            self.reserved();
+        }
         if self.ending.get() == Ending::Good {
             let lasted = self.desk.clock.now().saturating_sub(self.since);
             self.desk.dispatcher.borrow_mut().lasted(lasted);
@@ -110,6 +135,7 @@
         // A caller may leave just as its turn has come; its place must come free.
         self.verdict.close();
         if let Ok(Verdict::Send(upstream)) = self.verdict.try_recv() {
+            self.desk.dispatcher.borrow_mut().reserved(&upstream);
             self.desk.free(&upstream, Ending::Unknown);
         }
     }
@@ -161,6 +187,7 @@
                 None => Err(verdict),
             };
             if let Err(Verdict::Send(upstream)) = told {
+                dispatcher.reserved(&upstream);
                 dispatcher.ended(now, &upstream, Ending::Unknown);
             }
         }
@@ -187,6 +214,7 @@
                 upstream,
                 since: self.clock.now(),
                 ending: Cell::new(Ending::Unknown),
+                asking: Cell::new(true),
             }),
             Ok(Verdict::Refuse(refusal)) => {
                 let now = self.clock.now();
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -18,7 +18,9 @@
 use verbenaspool_state::{replica::Replica, route::Table};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
-use super::{desk::Desk, peers::Peers, registry::Registry, settings::Settings};
+use super::{
+    desk::Desk, peers::Peers, registry::Registry, reserve::Reservations, settings::Settings,
+};
 
 /// How long a new connection to an upstream may take. The way there and back
 /// takes a few milliseconds; an upstream that is cut off never answers, and a
@@ -47,6 +49,8 @@
     pub calls: rpc::Client,
     /// The other entries.
     pub peers: RefCell<Peers>,
+    /// Slots that agents are asked for.
+    pub reservations: Reservations,
     /// Whether the process is about to stop.
     pub leaving: Cell<bool>,
     /// Whether it takes no request any more.
@@ -76,6 +80,7 @@
             store,
             calls: rpc::Client::default(),
             peers: RefCell::default(),
+            reservations: Reservations::new(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             source: RefCell::default(),
@@ -197,8 +202,8 @@
         }
     }
 
-    /// The upstreams that are ranks of groups.
-    pub fn ranks(&self) -> Vec<SocketAddr> {
+    /// The upstreams that are ranks of groups, and whether each is in this entry's zone.
+    pub fn ranks(&self) -> Vec<(SocketAddr, bool)> {
         let Some(table) = self.table() else {
             return Vec::new();
         };
@@ -207,8 +212,12 @@
             engine.is_some_and(|engine| engine.experts.is_some())
         };
         let registry = self.registry.borrow();
+        let settings = self.settings.borrow();
         let ranks = registry.iter().filter(|replica| grouped(&replica.service));
-        ranks.map(|replica| replica.address).collect()
+        let near = |replica: &Replica| *replica.zone == *settings.zone;
+        ranks
+            .map(|replica| (replica.address, near(replica)))
+            .collect()
     }
 
     /// Takes in how a rank stands, as its agent says.
@@ -220,6 +229,9 @@
         };
         drop(registry);
         let changed = self.desk(&upstream.service).with(|dispatcher, now| {
+            if !dispatcher.load(now, &upstream.id, status.number, status.requests) {
+                return false;
+            }
             let (group, open, pace) = (status.group, status.open, status.pace.into());
             dispatcher.status(now, &upstream.id, group, open, pace)
         });
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod registry;
 mod relay;
 mod request;
+mod reserve;
 pub mod run;
 pub mod settings;
 pub mod standing;
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -21,6 +21,7 @@
 use verbenaspool_platform::store::Object;
 use verbenaspool_protocol::{
     digest::{self, Digest, Flight},
+    reservation::Subscription,
     word::{self, Word},
 };
 use verbenaspool_transport::rpc;
@@ -52,10 +53,13 @@
 /// How long a peer has to answer.
 const ANSWER: Duration = Duration::from_millis(500);
 
-/// How often agents are asked for their ranks' state. They go on telling it for
-/// three times as long.
+/// How often agents of the own zone are asked for their ranks' state. They go on telling
+/// it for some seconds.
 const SUBSCRIBE: Duration = Duration::from_secs(1);
 
+/// In how many of these times agents of other zones are asked once.
+const SUBSCRIBE_FAR: u32 = 3;
+
 /// The RPC method by which peers get what they lack.
 pub const LATEST: &str = "latest";
 
@@ -178,8 +182,8 @@
         let have = self.have();
         let mut flights = Vec::new();
         for desk in self.desks() {
-            desk.with(|dispatcher, _| {
-                flights.extend(dispatcher.flights().map(|(id, requests)| Flight {
+            desk.with(|dispatcher, now| {
+                flights.extend(dispatcher.flights(now).map(|(id, requests)| Flight {
                     upstream: digest::hash(id),
                     requests,
                 }));
@@ -281,18 +285,23 @@
             gateway.clock.sleep(PERIOD).await;
             continue;
         };
-        let IpAddr::V4(from) = from.ip() else {
-            continue;
-        };
+        let from = from.ip();
         let now = gateway.clock.now();
         match Word::decode(&buffer[..length]) {
             Some(Word::Digest(digest)) => {
+                let IpAddr::V4(from) = from else {
+                    continue;
+                };
                 let news = gateway.peers.borrow_mut().hear(now, from, digest);
                 if news {
                     gateway.share();
                 }
             }
-            Some(Word::Status(status)) => gateway.status(&status),
+            // An agent speaks for the upstream on its own instance only.
+            Some(Word::Status(status)) if status.upstream.ip() == from => gateway.status(&status),
+            Some(Word::Answer(answer)) if answer.status.upstream.ip() == from => {
+                gateway.reservations.answered(from, answer);
+            }
             _ => {}
         }
     }
@@ -318,16 +327,18 @@
 /// Asks the agents beside the ranks of groups how their ranks stand, for as long
 /// as the process runs.
 pub async fn subscribe(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let word = Word::Subscribe.encode();
-    loop {
+    for round in 0_u32.. {
         let port = gateway.settings.borrow().peer_port;
         let ranks = gateway.ranks();
         // An entry that starts is to know groups before its first requests.
         let known = !ranks.is_empty();
-        for upstream in ranks {
+        for (upstream, near) in ranks {
             // An agent that missed this hears the next one.
-            let agent = SocketAddr::new(upstream.ip(), port);
-            let _ = socket.send_to(word.clone(), agent).await;
+            if near || round % SUBSCRIBE_FAR == 0 {
+                let word = Word::Subscribe(Subscription { near }).encode();
+                let agent = SocketAddr::new(upstream.ip(), port);
+                let _ = socket.send_to(word, agent).await;
+            }
         }
         let pause = if known { SUBSCRIBE } else { PERIOD };
         gateway.clock.sleep(pause).await;
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -229,7 +229,7 @@
             if !self.work.may_repeat() {
                 return Err(why);
             }
-            let Ok(place) = self.work.desk.admit(self.ask()).await else {
+            let Ok(place) = self.work.admit(self.ask()).await else {
                 return Err(why);
             };
             if self.resume(place).await {
@@ -263,7 +263,7 @@
         let Some(body) = &mut self.body else {
             return Ok(());
         };
-        let admitted = Box::pin(work.desk.admit(ask));
+        let admitted = Box::pin(work.admit(ask));
         let frame = Box::pin(body.frame());
         let place = match select(admitted, frame).await {
             Either::Left((Ok(place), frame)) => {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -192,7 +192,7 @@
 async fn attempts(work: &Rc<Work>) -> Result<Response<Body>, Refused> {
     let mut failed = None;
     loop {
-        let admitted = work.desk.admit(work.ask()).await;
+        let admitted = work.admit(work.ask()).await;
         work.record.known(work.desk.known());
         let place = match admitted {
             Ok(place) => place,
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -177,6 +177,7 @@
     match peers::open(gateway) {
         Ok(socket) => {
             let socket = Rc::new(socket);
+            gateway.reservations.open(socket.clone());
             // Later processes have higher numbers, as far as the time of day
             // can be trusted; a digest that looks older is ignored for a while.
             let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -12,6 +12,7 @@
 use slog::{Logger, info, warn};
 use verbenaspool_coordination::switch::{self, Ended};
 use verbenaspool_platform::{order, report::Report};
+use verbenaspool_policy::slots::Slots;
 use verbenaspool_protocol::{
     digest,
     seat::{Choices, State},
@@ -22,15 +23,13 @@
 
 use super::{
     lead::Lead,
+    listeners::Listeners,
     partial::{Known, Partial, Parts},
     rank::Rank,
     seats::Seats,
     settings::Settings,
 };
 
-/// How long an entry that asked hears how the rank stands.
-const SUBSCRIBED: Duration = Duration::from_millis(3_500);
-
 /// The steps in which a rank's pace is told, so that words about it are few.
 const PACE_STEP: f64 = 0.25;
 
@@ -44,6 +43,8 @@
     pub socket: UdpSocket,
     /// Counts this agent's words.
     pub(super) number: Cell<u64>,
+    /// Counts its words to entries.
+    pub(super) statuses: Cell<u64>,
     /// How the own rank stands.
     pub(super) state: RefCell<Option<State>>,
     pub(super) seats: RefCell<Seats>,
@@ -76,10 +77,12 @@
     pub(super) stall: Cell<(u64, Duration)>,
     /// The order that the rank is being given.
     pub(super) giving: RefCell<Option<order::Order>>,
-    /// Entries that want to hear how the rank stands, and until when.
-    pub(super) entries: RefCell<BTreeMap<IpAddr, Duration>>,
-    /// The pace that entries were told last, none while the group runs nothing, and when.
-    pub(super) status: Cell<(Option<f32>, Duration)>,
+    /// Entries that want to hear how the rank stands.
+    pub(super) listeners: RefCell<Listeners>,
+    /// The rank's slots.
+    pub(super) slots: RefCell<Slots>,
+    /// How many slots the rank has, as the registry says.
+    pub limit: Cell<Option<u32>>,
     /// What was last told of the experts held.
     pub(super) told: Cell<(u64, u64, Duration)>,
     /// Whether the ranks had a place for each expert when that was last looked at.
@@ -106,6 +109,7 @@
             client,
             socket,
             number: Cell::new(number),
+            statuses: Cell::new(number),
             state: RefCell::default(),
             seats: RefCell::default(),
             lead: RefCell::default(),
@@ -123,8 +127,9 @@
             first: number,
             stall: Cell::default(),
             giving: RefCell::default(),
-            entries: RefCell::default(),
-            status: Cell::default(),
+            listeners: RefCell::default(),
+            slots: RefCell::default(),
+            limit: Cell::default(),
             told: Cell::default(),
             fits: Cell::new(true),
             told_pace: Cell::new((1.0, true)),
@@ -145,6 +150,15 @@
         self.seats.borrow().iter(now).count() >= usize::from(state.size)
     }
 
+    /// Reads the own rank's report; none where it can't be had.
+    pub async fn read(&self) -> Option<Report> {
+        let asked = self.clock.now();
+        let report = self.rank.report().await?;
+        let requests = report.running.saturating_add(report.waiting);
+        self.slots.borrow_mut().report(asked, requests);
+        Some(report)
+    }
+
     /// Takes the own rank's report in; tells whether others should hear of it now.
     pub fn observe(&self, report: &Report) -> bool {
         let Some(seat) = report.seat.as_ref().filter(|seat| seat.open) else {
@@ -243,11 +257,15 @@
     pub async fn hear(self: &Rc<Self>, agent: IpAddr, word: Word) {
         let own = self.state().map(|state| (state.group, state.report.epoch));
         match word {
-            Word::Subscribe => {
-                let until = self.clock.now() + SUBSCRIBED;
-                if self.entries.borrow_mut().insert(agent, until).is_none() {
-                    self.status.set((self.status.get().0, Duration::ZERO));
-                }
+            Word::Subscribe(subscription) => {
+                let now = self.clock.now();
+                let mut listeners = self.listeners.borrow_mut();
+                listeners.subscribe(now, agent, subscription.near);
+                return;
+            }
+            Word::Ask(ask) => {
+                self.grant(agent, ask).await;
+                return;
             }
             Word::State(state) => self.hear_state(agent, state),
             Word::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
@@ -285,7 +303,7 @@
 
     /// Reads the own rank's report and tells an agent of it.
     pub(super) async fn answer(&self, agent: IpAddr) {
-        if let Some(report) = self.rank.report().await {
+        if let Some(report) = self.read().await {
             self.observe(&report);
             if let Some(state) = self.state()
                 && agent != self.settings.address
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 mod board;
 mod lead;
+mod listeners;
 mod orders;
 mod partial;
 mod rank;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -103,7 +104,7 @@
     let (mut told, mut hello) = (Duration::ZERO, Duration::ZERO);
     let mut reached = true;
     while !words.stopped() {
-        let report = board.rank.report().await;
+        let report = board.read().await;
         if report.is_some() != reached {
             reached = report.is_some();
             warn!(board.log, "Agent: The rank's report changed its reach."; "reached" => reached);
@@ -165,7 +166,13 @@
                 let replicas = listing.objects.values();
                 let replicas = replicas.filter_map(|o| registry::decode(&o.name, &o.specification));
                 let replicas = replicas.filter(|replica| &*replica.service == service);
-                let instances = replicas.map(|replica| replica.address.ip()).collect();
+                let mut instances = BTreeSet::new();
+                for replica in replicas {
+                    instances.insert(replica.address.ip());
+                    if replica.address == board.settings.upstream {
+                        board.limit.set(Some(replica.slots));
+                    }
+                }
                 board.instances.replace(instances);
             }
             Err(why) => {
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -4,14 +4,12 @@
 
 use verbenaspool_coordination::switch::Report;
 use verbenaspool_protocol::{
+    reservation::{Answer, Ask},
     seat::{Choices, Held, Status},
     word::Word,
 };
 
-use super::board::Board;
-
-/// How often entries hear how the rank stands, if nothing changes.
-const STATUS: Duration = Duration::from_millis(500);
+use super::{board::Board, listeners::Standing};
 
 /// How many counts go into one datagram.
 const COUNTS: usize = 400;
@@ -40,34 +38,53 @@
         }
     }
 
-    /// Tells entries how the rank stands, where that changed or was told long ago.
+    /// Tells entries how the rank stands, as far as each is to hear of it now.
     pub async fn tell_entries(&self) {
         let now = self.clock.now();
-        let pace = self.state.borrow().as_ref().map(|state| state.pace);
-        let open = pace.is_some();
-        let (told, at) = self.status.get();
-        if pace == told && now.saturating_sub(at) < STATUS {
+        let standing = Standing {
+            pace: self.state.borrow().as_ref().map(|state| state.pace),
+            requests: self.slots.borrow().requests(),
+        };
+        let entries = self.listeners.borrow_mut().due(now, standing);
+        if entries.is_empty() {
             return;
         }
-        self.status.set((pace, now));
-        self.number.set(self.number.get() + 1);
-        let word = Word::Status(Status {
-            number: self.number.get(),
+        let bytes = Word::Status(self.status()).encode();
+        for entry in entries {
+            self.send_bytes(entry, bytes.clone()).await;
+        }
+    }
+
+    /// How the rank stands, for entries.
+    fn status(&self) -> Status {
+        self.statuses.set(self.statuses.get() + 1);
+        let pace = self.state.borrow().as_ref().map(|state| state.pace);
+        Status {
+            number: self.statuses.get(),
             upstream: self.settings.upstream,
             group: self.group.get(),
-            open,
+            open: pace.is_some(),
             pace: pace.unwrap_or(1.0),
-        });
-        let entries: Vec<IpAddr> = {
-            let mut entries = self.entries.borrow_mut();
-            entries.retain(|_, until| now < *until);
-            entries.keys().copied().collect()
-        };
-        for entry in entries {
-            self.send(entry, &word).await;
+            requests: self.slots.borrow().requests(),
         }
     }
 
+    /// Answers an entry that asks for one of the rank's slots.
+    ///
+    /// The registry's word on how many there are goes before the entry's: one that
+    /// asked for more could fill the rank's line.
+    pub(super) async fn grant(&self, entry: IpAddr, ask: Ask) {
+        let slots = self.limit.get().unwrap_or(ask.slots);
+        let open = self.state.borrow().is_some();
+        let granted = open && self.slots.borrow_mut().grant(self.clock.now(), slots);
+        let answer = Answer {
+            ticket: ask.ticket,
+            granted,
+            status: self.status(),
+        };
+        self.send(entry, &Word::Answer(answer)).await;
+    }
+
     /// The agent of the group's lead.
     pub(super) fn lead_agent(&self) -> Option<IpAddr> {
         self.seats.borrow().get(0).map(|seat| seat.agent)
--- a/verbenaspool_policy/src/dispatch/ask.rs
+++ b/verbenaspool_policy/src/dispatch/ask.rs
@@ -7,6 +7,8 @@
 pub struct Ask {
     /// How urgent it is; 0 comes first.
     pub priority: u8,
+    /// Since when it looks for a place.
+    pub since: Duration,
     /// Until when its answer must begin to be in time; past where it is late.
     pub target: Duration,
     /// When its caller gives up.
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -52,6 +52,14 @@
 /// for, but little. A slot more or less weighs four times as much.
 const FAR: f64 = 0.02;
 
+/// How long an agent isn't asked again that was silent.
+const SILENT: Duration = Duration::from_millis(500);
+
+/// What it adds to the cost of sending that an upstream's agent is silent: its instance
+/// may be frozen, and what it has is known by other entries' digests only, so that many
+/// entries would take the same free slot. Any other upstream with room goes before it.
+const UNSURE: f64 = 2.0;
+
 /// How far choices that are as good as each other are spread.
 const TIE: f64 = 0.01;
 
@@ -142,7 +150,38 @@
         }
     }
 
-    /// Takes over what other entries have in flight at an upstream.
+    /// Takes in how many requests an upstream has, by the word of the agent beside it;
+    /// tells whether that can be believed.
+    ///
+    /// Words that were overtaken, or that make no sense, say nothing.
+    pub fn load(&mut self, now: Duration, id: &str, number: u64, requests: u32) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        upstream.is_some_and(|upstream| upstream.load(now, number, requests))
+    }
+
+    /// Whether the agent beside an upstream is to be asked before a request is sent.
+    #[must_use]
+    pub fn asks(&self, now: Duration, id: &str) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|upstream| upstream.is_told(now) && !upstream.is_silent(now))
+    }
+
+    /// The agent beside an upstream kept a slot for a request of this entry, or won't say.
+    pub fn reserved(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.asking = upstream.asking.saturating_sub(1);
+        }
+    }
+
+    /// The agent beside an upstream didn't answer.
+    pub fn unanswered(&mut self, now: Duration, id: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.silent = now + SILENT;
+        }
+    }
+
+    /// Takes over what other entries have in flight at an upstream, as they say.
+    /// What the agent beside it says goes before that.
     ///
     /// Load: every entry has requests in line. A place that comes free is seen by
     /// all of them in the same moment, and each would take it: with four entries
@@ -151,7 +190,8 @@
     /// entry that freed it has it at once.
     pub fn others(&mut self, now: Duration, id: &str, requests: u32) {
         let wait = SHY.mul_f64(self.draw());
-        let Some(upstream) = self.upstreams.get_mut(id) else {
+        let upstream = self.upstreams.get_mut(id);
+        let Some(upstream) = upstream.filter(|upstream| !upstream.is_told(now)) else {
             return;
         };
         if requests >= upstream.others {
@@ -201,9 +241,11 @@
         before != open
     }
 
-    /// The requests of this entry at each upstream that has any.
-    pub fn flights(&self) -> impl Iterator<Item = (&Rc<str>, u32)> {
-        let busy = self.upstreams.iter().filter(|(_, u)| u.own > 0);
+    /// The requests of this entry at each upstream that has any, as far as no agent
+    /// tells the others.
+    pub fn flights(&self, now: Duration) -> impl Iterator<Item = (&Rc<str>, u32)> {
+        let untold = move |u: &Upstream| u.own > 0 && !u.is_told(now);
+        let busy = self.upstreams.iter().filter(move |(_, u)| untold(u));
         busy.map(|(id, upstream)| (id, upstream.own))
     }
 
@@ -297,16 +339,17 @@
 
     /// Puts a request in line; [`Self::pump`] tells what becomes of it.
     pub fn submit(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
-        let patience = if ask.target > now {
-            ask.target.saturating_sub(now).mul_f64(PATIENCE)
+        let since = ask.since.min(now);
+        let patience = if ask.target > since {
+            ask.target.saturating_sub(since).mul_f64(PATIENCE)
         } else {
-            self.lasting.wait(ask.deadline.saturating_sub(now))
+            self.lasting.wait(ask.deadline.saturating_sub(since))
         };
-        let until = (now + patience).min(ask.deadline).min(ask.place_by);
+        let until = (since + patience).min(ask.deadline).min(ask.place_by);
         self.line.join(Waiting {
             ticket,
-            late: ask.target <= now,
-            since: now,
+            late: ask.target <= since,
+            since,
             until,
             ask,
         });
@@ -346,6 +389,7 @@
         if let Some(id) = self.choose(now, waiting, over) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.own += 1;
+                upstream.asking += 1;
                 if let Some(circuit) = self.circuits.get_mut(&upstream.group) {
                     circuit.sent(now);
                 }
@@ -441,7 +485,9 @@
                 continue;
             };
             let far = if upstream.zone == self.zone { 0.0 } else { FAR };
-            let cost = cost + far + TIE * tie;
+            let unsure = !upstream.is_told(now) || upstream.is_silent(now);
+            let unsure = if unsure { UNSURE } else { 0.0 };
+            let cost = cost + far + unsure + TIE * tie;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, id));
             }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -10,6 +10,16 @@
 /// twice a second; one that is silent may be cut off while its rank serves.
 const BELIEVED: Duration = Duration::from_millis(1_600);
 
+/// How long the word of an agent counts on what its upstream has, in place of what other
+/// entries say. Agents of other zones speak every other second.
+const TOLD: Duration = Duration::from_secs(5);
+
+/// How long one word of an agent may be overtaken by others.
+const OVERTAKEN: Duration = Duration::from_millis(300);
+
+/// Requests beyond which no upstream has any in its line.
+const MOST: u32 = 10_000;
+
 /// One upstream of the service.
 #[derive(Debug)]
 pub struct Upstream {
@@ -23,6 +33,8 @@
     pub closed: Option<Duration>,
     /// Requests of this entry that it has.
     pub own: u32,
+    /// Those of them for which its agent is being asked.
+    pub asking: u32,
     /// Requests of other entries that it has, as reckoned with.
     pub others: u32,
     /// Fewer than that, as they said last, and from when on that is believed.
@@ -35,6 +47,10 @@
     pub pace: f64,
     /// When its agent said so.
     pub said: Duration,
+    /// The number of the agent's last word on what it has, and when that came.
+    pub told: Option<(u64, Duration)>,
+    /// Until when its agent isn't asked, which was silent.
+    pub silent: Duration,
 }
 
 impl Upstream {
@@ -44,6 +60,34 @@
         self.ready && !self.closed.is_some_and(closed)
     }
 
+    /// Whether its agent told lately what it has.
+    pub fn is_told(&self, now: Duration) -> bool {
+        let lately = |(_, at): (u64, Duration)| now.saturating_sub(at) < TOLD;
+        self.told.is_some_and(lately)
+    }
+
+    /// Whether its agent was silent when it was asked lately.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        now < self.silent
+    }
+
+    /// Takes in how many requests it has, by its agent; tells whether that is believed.
+    ///
+    /// Requests of this entry that the agent is being asked for aren't among them yet.
+    /// Behind a silence any number is believed: an agent that was started again counts
+    /// anew where the time of day was put back.
+    pub fn load(&mut self, now: Duration, number: u64, requests: u32) -> bool {
+        let overtaken =
+            |(last, at): (u64, Duration)| number <= last && now.saturating_sub(at) < OVERTAKEN;
+        if requests > MOST || self.told.is_some_and(overtaken) {
+            return false;
+        }
+        self.told = Some((number, now));
+        self.others = requests.saturating_sub(self.own.saturating_sub(self.asking));
+        self.fewer = None;
+        true
+    }
+
     pub fn new(replica: &replica::Replica) -> Self {
         Self {
             zone: replica.zone.clone(),
@@ -51,12 +95,15 @@
             ready: true,
             closed: None,
             own: 0,
+            asking: 0,
             others: 0,
             fewer: None,
             group: 0,
             trust: Trust::default(),
             pace: 1.0,
             said: Duration::ZERO,
+            told: None,
+            silent: Duration::ZERO,
         }
     }
 }
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod rebalancer;
 pub mod request;
 pub mod share;
+pub mod slots;
 pub mod snapshot;
 pub mod subset;
--- a/verbenaspool_policy/tests/dispatch/load.rs
+++ b/verbenaspool_policy/tests/dispatch/load.rs
@@ -135,6 +135,7 @@
     assert_eq!(reason, Reason::Closed);
     assert!(after >= ms(2_000) && after <= ms(2_667), "{after:?}");
     let back = Ask {
+        since: ms(2_500),
         target: ms(410),
         place_by: ms(4_100),
         ..stream(10)
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -2,8 +2,10 @@
 
 mod back;
 mod circuit;
+mod fleet;
 mod load;
 mod relief;
 mod retry;
 mod slow;
+mod told;
 mod world;
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/told.rs
@@ -0,0 +1,118 @@
+//! What agents say of their upstreams: words that can be believed, and others.
+
+use verbenaspool_policy::{
+    dispatch::{Dispatcher, Ending, Verdict},
+    slots::Slots,
+};
+
+use crate::world::{engine, ms, replica, stream};
+
+/// An entry before one upstream with six slots.
+fn entry() -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members([replica("u0", 6)].iter());
+    dispatcher
+}
+
+/// The requests that the entry reckons with at its upstream.
+fn busy(dispatcher: &Dispatcher, now: u64) -> u32 {
+    dispatcher.snapshot(ms(now)).busy
+}
+
+/// An agent's words come out of order, twice, from an earlier process, or are nonsense:
+/// only what is newer and possible counts.
+#[test]
+fn words_that_were_overtaken_or_make_no_sense_say_nothing() {
+    let mut dispatcher = entry();
+    // When, the word's number, what it says; what is reckoned with.
+    let cases = [
+        (10, 5, 3, 3),
+        (20, 4, 1, 3),
+        (30, 5, 2, 3),
+        (40, 6, 4, 4),
+        (50, 7, 10_001, 4),
+        (60, 8, u32::MAX, 4),
+        // Behind a silence a lower number is that of a new process.
+        (400, 1, 2, 2),
+    ];
+    for (now, number, requests, reckoned) in cases {
+        dispatcher.load(ms(now), "u0", number, requests);
+        assert_eq!(busy(&dispatcher, now), reckoned, "at {now}");
+    }
+    assert!(!dispatcher.load(ms(500), "another", 9, 1));
+}
+
+/// A word that comes while the entry itself is asking doesn't hold its request yet; one
+/// that comes behind the answer does. Taken for the other, the upstream would look
+/// emptier or fuller than it is.
+#[test]
+fn a_request_for_which_an_agent_is_asked_counts_once() {
+    let mut dispatcher = entry();
+    dispatcher.load(ms(0), "u0", 1, 2);
+    dispatcher.submit(ms(1), 1, stream(1));
+    assert_eq!(
+        dispatcher.pump(ms(1)),
+        [(1, Verdict::Send("u0".into()))],
+        "there is room"
+    );
+    dispatcher.load(ms(2), "u0", 2, 2);
+    assert_eq!(busy(&dispatcher, 2), 3);
+    dispatcher.reserved("u0");
+    dispatcher.load(ms(3), "u0", 3, 3);
+    assert_eq!(busy(&dispatcher, 3), 3);
+    dispatcher.ended(ms(4), "u0", Ending::Good);
+    assert_eq!(busy(&dispatcher, 4), 2);
+}
+
+/// An agent whose word is new goes before what other entries say; one that fell silent
+/// for long doesn't.
+#[test]
+fn other_entries_count_where_no_agent_speaks() {
+    let mut dispatcher = entry();
+    dispatcher.load(ms(0), "u0", 1, 2);
+    dispatcher.others(ms(100), "u0", 6);
+    assert_eq!(busy(&dispatcher, 100), 2);
+    assert!(dispatcher.asks(ms(100), "u0"));
+    dispatcher.others(ms(6_000), "u0", 6);
+    assert_eq!(busy(&dispatcher, 6_000), 6);
+    assert!(!dispatcher.asks(ms(6_000), "u0"));
+}
+
+/// An agent that was silent isn't asked again at once.
+#[test]
+fn a_silent_agent_is_left_alone_for_a_while() {
+    let mut dispatcher = entry();
+    dispatcher.load(ms(0), "u0", 1, 2);
+    dispatcher.unanswered(ms(10), "u0");
+    assert!(!dispatcher.asks(ms(400), "u0"));
+    assert!(dispatcher.asks(ms(600), "u0"));
+}
+
+/// A slot that was granted counts until a report can show the request, and no longer:
+/// callers leave between the agent's word and the sending.
+#[test]
+fn a_granted_slot_comes_free_again_if_nothing_comes() {
+    let mut slots = Slots::default();
+    slots.report(ms(0), 5);
+    assert!(slots.grant(ms(1), 6));
+    slots.report(ms(20), 5);
+    assert_eq!(slots.requests(), 6);
+    assert!(!slots.grant(ms(21), 6));
+    slots.report(ms(50), 5);
+    assert_eq!(slots.requests(), 5);
+    assert!(slots.grant(ms(51), 6));
+}
+
+/// What an upstream says of itself may be nonsense as well.
+#[test]
+fn an_upstream_with_more_requests_than_can_be_counted_is_full() {
+    let mut slots = Slots::default();
+    slots.report(ms(0), u32::MAX);
+    assert!(!slots.grant(ms(1), 6));
+    assert!(!slots.grant(ms(1), 0));
+    slots.report(ms(10), 0);
+    assert!(!slots.grant(ms(11), 0));
+    assert!(slots.grant(ms(11), 1));
+    assert_eq!(slots.requests(), 1);
+}
--- a/verbenaspool_policy/tests/dispatch/world.rs
+++ b/verbenaspool_policy/tests/dispatch/world.rs
@@ -46,6 +46,7 @@
 pub fn stream(now: u64) -> Ask {
     Ask {
         priority: 1,
+        since: ms(now),
         target: ms(now + 400),
         deadline: ms(now + 8_000),
         place_by: ms(now + 1_600),
@@ -258,10 +259,11 @@
 
     /// Entries tell each other what they have in flight.
     fn tell(&mut self) {
+        let now = ms(self.now);
         let flights: Vec<BTreeMap<Rc<str>, u32>> = self
             .entries
             .iter()
-            .map(|entry| entry.flights().map(|(id, n)| (id.clone(), n)).collect())
+            .map(|entry| entry.flights(now).map(|(id, n)| (id.clone(), n)).collect())
             .collect();
         for (number, entry) in self.entries.iter_mut().enumerate() {
             for id in &self.ids {
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod prefix;
 pub mod problem;
 pub mod report;
+pub mod reservation;
 pub mod seat;
 pub mod settle;
 pub mod word;
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -168,4 +168,6 @@
     pub open: bool,
     /// How many times longer than usual the rank takes for its work.
     pub pace: f32,
+    /// Requests that it has, those included that are on their way.
+    pub requests: u32,
 }
--- a/verbenaspool_protocol/src/word.rs
+++ b/verbenaspool_protocol/src/word.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     digest::Digest,
+    reservation::{Answer, Ask, Subscription},
     seat::{Choices, Difference, Held, Lack, Map, Order, State, Status},
 };
 
@@ -16,9 +17,13 @@
     /// An entry, to the other entries: what it has.
     Digest(Digest),
     /// An entry, to an agent: it wants to hear how the rank stands.
-    Subscribe,
+    Subscribe(Subscription),
     /// An agent, to an entry: how its rank stands.
     Status(Status),
+    /// An entry, to an agent: it asks for one of its rank's slots.
+    Ask(Ask),
+    /// An agent, to the entry that asked: whether a slot is kept.
+    Answer(Answer),
     /// An agent, to the others: how its rank stands.
     State(State),
     /// An agent, to the lead: what the requests of its rank chose lately.
