Bound what an entry sends its peers, and hellos among the agents of large groups

Cause: 59 entries sent each other 13,000 digests a second and the agents of two groups of 96 ranks 18,000 states; both grow with the fleet squared, and most cross zones.

Change: an entry sends 80 digests a second at most, however many peers it has; they name fewer peers once all are known. All agents of a group hear of each other the more seldom the more there are. What must not be late doesn't wait for either: slots are granted by agents, and the lead and the rank that holds passes still hear every state at once. A peer counts as silent by the pause that its digests now have. An entry that doesn't know its peers yet shares the budget of repeats as one of 32 at least.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -150,7 +150,7 @@
     fn budget(&self) -> (Bound, usize) {
         let now = self.gateway.clock.now();
         let bound = self.gateway.settings.borrow().bounds.retries();
-        (bound, self.gateway.peers.borrow().entries(now))
+        (bound, self.gateway.peers.borrow().sharers(now))
     }
 
     /// Whether another upstream may be tried behind one that can't be reached.
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -16,6 +16,7 @@
 };
 
 use monoio::net::udp::UdpSocket;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
@@ -32,14 +33,28 @@
 /// or so at today's size, and a place shouldn't be taken twice.
 const PERIOD: Duration = Duration::from_millis(30);
 
-/// What each further peer adds to the pause, so that the digests that an entry
-/// sends and hears a second stay bounded.
+/// What each further peer adds to the pause.
 const PERIOD_PER_PEER: Duration = Duration::from_millis(4);
 
-/// How long a silent peer's requests count. They end within a few seconds, and
+/// The pause for each peer at least, so that an entry sends and hears no more than 80
+/// digests a second however many entries there are. What upstreams of groups have is
+/// told by agents, and a version that an entry lacks is heard of from the first peer
+/// that has it.
+const SHARE: Duration = Duration::from_micros(12_500);
+
+/// How long a silent peer's requests count at least. They end within a few seconds, and
 /// a peer that was cut off from here still has them.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// Digests of a peer that may be lost before it counts as silent.
+const LOST: u32 = 3;
+
+/// How long no new peer must have been heard of for the others to count as known.
+const SETTLED: Duration = Duration::from_secs(1);
+
+/// The entries that there are taken to be at least while some may not be known yet.
+const MANY: usize = 32;
+
 /// How long one datagram may be overtaken by others.
 const OVERTAKEN: Duration = Duration::from_millis(300);
 
@@ -63,8 +78,8 @@
 /// The RPC method by which peers get what they lack.
 pub const LATEST: &str = "latest";
 
-/// The most peers that a digest names.
-const NAMED: usize = 24;
+/// The most peers that a digest names while some may not be known yet, and otherwise.
+const NAMED: [usize; 2] = [24, 4];
 
 /// One other entry.
 #[derive(Debug, Default)]
@@ -83,6 +98,8 @@
     number: u64,
     /// Since when a peer is known to have something newer.
     behind: Option<Duration>,
+    /// When a peer was first heard of last.
+    grown: Duration,
 }
 
 /// What an entry has.
@@ -108,17 +125,37 @@
         1 + self.live(now).count()
     }
 
+    /// Among how many entries this one shares what all may do together.
+    ///
+    /// An entry that has just started knows few others. When all of a large fleet start
+    /// at once each would take the part of one among a few, and all of them together
+    /// many times what there is.
+    pub fn sharers(&self, now: Duration) -> usize {
+        let entries = self.entries(now);
+        if self.is_settled(now) {
+            entries
+        } else {
+            entries.max(MANY)
+        }
+    }
+
+    /// Whether all peers are likely to be known.
+    fn is_settled(&self, now: Duration) -> bool {
+        now.saturating_sub(self.grown) >= SETTLED
+    }
+
     fn live(&self, now: Duration) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        let silence = SILENCE.max(pause(self.known.len()) * (LOST + 1));
         let live = move |peer: &Peer| {
             peer.heard
-                .is_some_and(|heard| now.saturating_sub(heard) < SILENCE)
+                .is_some_and(|heard| now.saturating_sub(heard) < silence)
         };
         self.known.iter().filter(move |(_, peer)| live(peer))
     }
 
     /// Takes a digest over; tells whether it changed anything.
     fn hear(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
-        for &other in digest.peers.iter().take(NAMED) {
+        for &other in digest.peers.iter().take(NAMED[0]) {
             self.think_of(now, other);
         }
         self.think_of(now, from);
@@ -141,9 +178,13 @@
 
     /// Remembers an entry that may be there.
     fn think_of(&mut self, now: Duration, address: Ipv4Addr) {
-        self.known.entry(address).or_insert_with(|| Peer {
-            since: now,
-            ..Peer::default()
+        let grown = &mut self.grown;
+        self.known.entry(address).or_insert_with(|| {
+            *grown = now;
+            Peer {
+                since: now,
+                ..Peer::default()
+            }
         });
     }
 
@@ -191,7 +232,9 @@
         }
         let mut peers = self.peers.borrow_mut();
         peers.number += 1;
-        let named = peers.live(now).map(|(address, _)| *address).take(NAMED);
+        let most = NAMED[usize::from(peers.is_settled(now))];
+        let named = peers.live(now).map(|(address, _)| *address);
+        let named = named.choose_multiple(&mut rand::rng(), most);
         Digest {
             incarnation,
             number: peers.number,
@@ -202,7 +245,7 @@
                 flights.truncate(digest::FLIGHTS);
                 flights
             },
-            peers: named.collect(),
+            peers: named,
         }
     }
 
@@ -319,11 +362,16 @@
                 .send_to(digest.clone(), SocketAddr::from((*address, port)))
                 .await;
         }
-        let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
-        gateway.clock.sleep(PERIOD + PERIOD_PER_PEER * peers).await;
+        gateway.clock.sleep(pause(addresses.len())).await;
     }
 }
 
+/// The pause between digests to so many peers.
+fn pause(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    (PERIOD + PERIOD_PER_PEER * peers).max(SHARE * peers)
+}
+
 /// Asks the agents beside the ranks of groups how their ranks stand, for as long
 /// as the process runs.
 pub async fn subscribe(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -380,3 +428,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -0,0 +1,71 @@
+//! How many digests there are, and among how many entries something is shared.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use verbenaspool_protocol::digest::Digest;
+
+use super::{MANY, Peers, pause};
+
+fn peer(number: u16) -> Ipv4Addr {
+    let [high, low] = number.to_be_bytes();
+    Ipv4Addr::new(10, 0, high, low)
+}
+
+fn digest(number: u64) -> Digest {
+    Digest {
+        number,
+        ..Digest::default()
+    }
+}
+
+/// Peers of which each is heard as often as it speaks, for so many seconds.
+fn heard(count: u16, seconds: u32) -> (Peers, Duration) {
+    let (mut peers, mut now) = (Peers::default(), Duration::ZERO);
+    let every = pause(count.into());
+    for number in 1.. {
+        for other in 0..count {
+            peers.hear(now, peer(other), digest(number));
+        }
+        now += every;
+        if now > Duration::from_secs(seconds.into()) {
+            break;
+        }
+    }
+    (peers, now)
+}
+
+/// Sixty entries told each other 13,000 digests a second, two of three bytes that were
+/// paid for between zones. Each now sends as many as it would among few.
+#[test]
+fn an_entry_sends_no_more_digests_among_many() {
+    assert_eq!(pause(3), Duration::from_millis(42));
+    for peers in [3_u32, 11, 58, 999] {
+        let rate = f64::from(peers) / pause(peers as usize).as_secs_f64();
+        assert!(rate <= 80.1, "{rate} a second with {peers} peers");
+    }
+}
+
+/// All of a large fleet start at once, and know few others for a moment. Each would
+/// repeat as if it were nearly alone.
+#[test]
+fn a_new_entry_takes_a_small_part_of_what_is_shared() {
+    let mut peers = Peers::default();
+    let start = Duration::from_millis(100);
+    peers.hear(start, peer(1), digest(1));
+    assert_eq!(peers.sharers(start), MANY);
+    assert_eq!(peers.sharers(start + Duration::from_millis(1_500)), 2);
+}
+
+#[test]
+fn peers_that_speak_seldom_count_as_alive() {
+    for count in [3, 58, 900] {
+        let (peers, now) = heard(count, 30);
+        assert_eq!(peers.entries(now), usize::from(count) + 1, "{count}");
+    }
+}
+
+#[test]
+fn a_peer_that_died_is_missed_within_some_digests() {
+    let (peers, now) = heard(3, 10);
+    assert_eq!(peers.entries(now + Duration::from_secs(3)), 1);
+}
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -34,8 +34,11 @@
 /// How often the group hears how the rank stands, if nothing changes.
 const TELL: Duration = Duration::from_millis(100);
 
-/// How often all agents of the group hear of each other.
+/// How often all agents of the group hear of each other at least, and in groups of up to
+/// how many ranks. In larger ones it is the more seldom, or words would grow with the
+/// ranks squared; those who act on a state hear it many times a second anyhow.
 const HELLO: Duration = Duration::from_secs(1);
+const HELLO_RANKS: u32 = 16;
 
 /// How often the lead hears what the rank holds, if nothing changes.
 const HELD: Duration = Duration::from_secs(1);
@@ -115,7 +118,7 @@
             let news = board.observe(&report);
             changing = report.busy || report.armed.is_some() || report.held.is_some();
             let now = clock.now();
-            let everybody = now.saturating_sub(hello) >= HELLO;
+            let everybody = now.saturating_sub(hello) >= hello_every(board);
             if news || everybody || now.saturating_sub(told) >= TELL {
                 told = now;
                 if everybody {
@@ -131,6 +134,16 @@
     }
 }
 
+/// How often all agents of the group hear of each other.
+fn hello_every(board: &Board) -> Duration {
+    let size = board.state().map_or(0, |state| u32::from(state.size));
+    if board.is_complete() {
+        HELLO * size.max(HELLO_RANKS) / HELLO_RANKS
+    } else {
+        HELLO
+    }
+}
+
 /// Passes choices on and, as the lead, decides.
 async fn sample(board: Rc<Board>, born: Rc<Cell<u64>>) {
     loop {
