--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -48,9 +48,11 @@
 /// mean is common, and one late pass makes a stream late.
 const HEADROOM: f64 = 0.8;
 
-/// What another zone adds to the cost of sending: bytes between zones are paid
-/// for, but little. A slot more or less weighs four times as much.
-const FAR: f64 = 0.02;
+/// Slots that an upstream in the entry's own zone may have less free than one elsewhere
+/// before the latter is better: bytes between zones are paid for, and each event of a
+/// stream crosses again. Ranks of a group wait for each other, so that one request more
+/// or less at one of them costs its callers next to nothing.
+const FAR: f64 = 1.5;
 
 /// How long an agent isn't asked again that was silent.
 const SILENT: Duration = Duration::from_millis(500);
@@ -484,7 +486,11 @@
             let Some(cost) = cost(now, upstream, group, lateness) else {
                 continue;
             };
-            let far = if upstream.zone == self.zone { 0.0 } else { FAR };
+            let far = if upstream.zone == self.zone {
+                0.0
+            } else {
+                FAR / f64::from(upstream.slots.max(1))
+            };
             let unsure = !upstream.is_told(now) || upstream.is_silent(now);
             let unsure = if unsure { UNSURE } else { 0.0 };
             let cost = cost + far + unsure + TIE * tie;
