Sum what requests chose on the way to the lead of a large group

Cause: each of 96 ranks told the lead all its counts, which its link of 6 Mbit/s bears once in 1.2 s. The lead's log shows it: popularity shifts at 5.6 s, and the first change of map that answers it is decided at 7.1 s; until then the busiest rank did 2.6 times the mean's work.

Change: the ranks of a zone form circles of ten at most. Each round of two passes or more, which all ranks count alike, one of a circle sums what the others chose and tells the lead the sum. Rounds end as an agent's report shows the pass; parts that come late are passed on by themselves; what comes twice, of another round or with other counts than there are is dropped. Popularity is remembered for 0.15 s (0.35 s). Groups whose lead hears all ranks each 0.15 s go on telling it straight.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -10,14 +10,14 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{Logger, info, warn};
-use verbenaspool_coordination::switch::{self, Ended};
+use tokio::sync::Notify;
+use verbenaspool_coordination::{
+    gather::{Round, Sums},
+    switch::{self, Ended},
+};
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_policy::slots::Slots;
-use verbenaspool_protocol::{
-    digest,
-    seat::{Choices, State},
-    word::Word,
-};
+use verbenaspool_protocol::{digest, seat::State, word::Word};
 use verbenaspool_state::engine::Experts;
 use verbenaspool_transport::{clock::Clock, http::client::Client};
 
@@ -51,6 +51,8 @@
     pub(super) lead: RefCell<Option<Lead>>,
     /// The experts of the service, as the configuration tells.
     pub experts: Cell<Option<Experts>>,
+    /// The least time that a pass takes, as the configuration tells.
+    pub pass: Cell<Duration>,
     /// The instances of the service's upstreams.
     pub instances: RefCell<BTreeSet<IpAddr>>,
     /// The parts of a map that have come.
@@ -59,12 +61,19 @@
     pub(super) differences: RefCell<Option<Parts>>,
     /// Words that wait until the link has room.
     pub(super) outbox: RefCell<VecDeque<(IpAddr, Vec<u8>)>>,
-    /// When choices were told last.
+    /// When choices were told last, and in which round.
     pub(super) chosen: Cell<Duration>,
+    pub(super) sampled: Cell<Option<Round>>,
+    /// Told when a round is over.
+    pub over: Notify,
+    /// What other ranks chose, to be passed on to the lead.
+    pub(super) sums: RefCell<Sums>,
+    /// How many words about choices were of no use.
+    pub(super) dropped: Cell<u64>,
     /// Maps that are known whole.
     pub(super) known: RefCell<Known>,
     /// The counts that were last read, and of which incarnation of the rank.
-    pub(super) counts: RefCell<(u64, Vec<u64>)>,
+    pub(super) counted: RefCell<(u64, Vec<u64>)>,
     /// The short name of the group that the rank last sat in.
     pub(super) group: Cell<u32>,
     /// Up to which pass of which epoch no order of a lead to arm is given.
@@ -114,13 +123,18 @@
             seats: RefCell::default(),
             lead: RefCell::default(),
             experts: Cell::default(),
+            pass: Cell::default(),
             instances: RefCell::default(),
             map: RefCell::default(),
             differences: RefCell::default(),
             outbox: RefCell::default(),
             chosen: Cell::default(),
+            sampled: Cell::default(),
+            over: Notify::new(),
+            sums: RefCell::default(),
+            dropped: Cell::default(),
             known: RefCell::default(),
-            counts: RefCell::default(),
+            counted: RefCell::default(),
             group: Cell::default(),
             bar: Cell::default(),
             gave: Cell::default(),
@@ -174,6 +188,7 @@
             // Without them its ranks heard of each other seconds later, from the
             // registry, and made passes on their first map until then.
             self.seats.borrow_mut().clear();
+            self.sums.take();
         }
         let state = State {
             number: self.number.get(),
@@ -192,6 +207,7 @@
                 given: self.given(seat.epoch),
             },
             pace: self.pace(report),
+            zone: digest::hash(&self.settings.zone),
         };
         let before = self.state.replace(Some(state.clone()));
         let place = |state: &State| (state.group, state.report.epoch, state.rank, state.size);
@@ -205,6 +221,7 @@
             }
             self.lead.replace(lead);
         }
+        self.note_round(&state);
         self.hear_state(self.settings.address, state);
         self.stalls(report);
         let now = self.state();
@@ -269,7 +286,8 @@
             }
             Word::State(state) => self.hear_state(agent, state),
             Word::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
-                self.count(&choices);
+                self.hear_choices(&choices);
+                return;
             }
             Word::Held(held) if own == Some((held.group, held.epoch)) => {
                 if let Some(lead) = &mut *self.lead.borrow_mut() {
@@ -293,14 +311,6 @@
         self.drive().await;
     }
 
-    /// Takes counts in, as the lead.
-    pub(super) fn count(&self, choices: &Choices) {
-        let now = self.clock.now();
-        if let Some(lead) = &mut *self.lead.borrow_mut() {
-            lead.choices(now, choices);
-        }
-    }
-
     /// Reads the own rank's report and tells an agent of it.
     pub(super) async fn answer(&self, agent: IpAddr) {
         if let Some(report) = self.read().await {
--- a/verbenaspool_agent/src/direct/board/tests.rs
+++ b/verbenaspool_agent/src/direct/board/tests.rs
@@ -51,6 +51,7 @@
             upstream: "127.0.0.2:9".parse().expect("an address"),
             report: switch::Report::default(),
             pace: 1.0,
+            zone: 1,
         };
         board.hear_state("127.0.0.2".parse().expect("an address"), other);
         board.observe(&report("g", 1, false));
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -13,7 +13,10 @@
 /// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
 /// third of a second holds some ten thousand choices a set, enough to tell the
 /// busiest experts apart.
-const MEMORY: Duration = Duration::from_millis(350);
+const MEMORY: Duration = Duration::from_millis(150);
+
+/// How long one word about choices may be overtaken by others.
+const OVERTAKEN: Duration = Duration::from_millis(300);
 
 /// Choices a set that a decision rests on at least.
 const ENOUGH: f64 = 1_000.0;
@@ -88,6 +91,8 @@
     held: BTreeMap<u16, Holding>,
     loads: Vec<f64>,
     at: Duration,
+    /// The last round of each part of a rank's words about choices, and when it came.
+    heard: BTreeMap<(u16, u32), (u64, Duration)>,
     /// How many times longer than usual each rank takes for its work.
     paces: Vec<f64>,
 }
@@ -104,6 +109,7 @@
             held: BTreeMap::new(),
             loads: Vec::new(),
             at: Duration::ZERO,
+            heard: BTreeMap::new(),
             paces: vec![1.0; ranks],
         }
     }
@@ -152,20 +158,30 @@
         }
     }
 
-    /// Takes in what a rank's requests chose.
-    pub fn choices(&mut self, now: Duration, choices: &Choices) {
+    /// Takes in what requests chose among so many experts of all sets; tells whether it
+    /// fits and is new.
+    ///
+    /// A word that came twice would count double.
+    pub fn choices(&mut self, now: Duration, choices: &Choices, counts: usize) -> bool {
+        let from = choices.from as usize;
+        let end = from.saturating_add(choices.counts.len());
+        let twice = |(round, at): &(u64, Duration)| {
+            choices.round <= *round && now.saturating_sub(*at) < OVERTAKEN
+        };
+        let part = (choices.rank, choices.from);
+        if end > counts || self.heard.get(&part).is_some_and(twice) {
+            return false;
+        }
+        self.heard.insert(part, (choices.round, now));
         let age = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
         self.at = now;
         let fade = (-age).exp();
         self.loads.iter_mut().for_each(|load| *load *= fade);
-        let from = choices.from as usize;
-        let end = from + choices.counts.len();
-        if self.loads.len() < end {
-            self.loads.resize(end, 0.0);
-        }
+        self.loads.resize(counts, 0.0);
         for (load, count) in self.loads[from..end].iter_mut().zip(&choices.counts) {
             *load += f64::from(*count);
         }
+        true
     }
 
     /// Takes in what a rank holds.
--- a/verbenaspool_agent/src/direct/lead/tests.rs
+++ b/verbenaspool_agent/src/direct/lead/tests.rs
@@ -44,6 +44,7 @@
         group: 7,
         epoch: 1,
         rank: 0,
+        round: 1,
         from: 0,
         counts: vec![8_000, 100, 100, 100],
     }
@@ -55,7 +56,7 @@
 #[test]
 fn popularity_outlives_a_break() {
     let mut before = formed(1);
-    before.choices(NOW, &choices());
+    before.choices(NOW, &choices(), 4);
     let mut lead = formed(2);
     assert_eq!(lead.decide(NOW, &EXPERTS), None, "nothing is known");
     lead.inherit(before);
@@ -94,7 +95,7 @@
 #[test]
 fn experts_without_a_place_change_no_map() {
     let mut lead = formed(1);
-    lead.choices(NOW, &choices());
+    lead.choices(NOW, &choices(), 4);
     let narrow = Experts {
         places: 1,
         ..EXPERTS
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! the ranks use next and brings it in use.
 
 mod board;
+mod choices;
 mod lead;
 mod listeners;
 mod orders;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -27,9 +27,11 @@
 /// The reading is free on the own instance, but takes processor time.
 const READ: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
-/// How often choices are read and passed on: a shift of popularity shows within
-/// two of them.
-const SAMPLE: Duration = Duration::from_millis(100);
+/// How often it is looked whether choices are to be read.
+const SAMPLE: Duration = Duration::from_millis(50);
+
+/// How often the lead looks whether another map is better.
+const DECIDE: Duration = Duration::from_millis(100);
 
 /// How often the group hears how the rank stands, if nothing changes.
 const TELL: Duration = Duration::from_millis(100);
@@ -146,11 +148,16 @@
 
 /// Passes choices on and, as the lead, decides.
 async fn sample(board: Rc<Board>, born: Rc<Cell<u64>>) {
+    let mut decided = Duration::ZERO;
     loop {
         board.sample(born.get()).await;
-        board.tell_held(HELD).await;
-        board.decide().await;
-        board.clock.sleep(SAMPLE).await;
+        let now = board.clock.now();
+        if now.saturating_sub(decided) >= DECIDE {
+            decided = now;
+            board.tell_held(HELD).await;
+            board.decide().await;
+        }
+        let _ = monoio::time::timeout(SAMPLE, board.over.notified()).await;
     }
 }
 
@@ -200,6 +207,9 @@
                     let service = table.service(&board.settings.service);
                     let engine = service.and_then(|service| service.engine.as_ref());
                     board.experts.set(engine.and_then(|engine| engine.experts));
+                    board
+                        .pass
+                        .set(engine.map_or(Duration::ZERO, |engine| engine.pass(0.0)));
                 }
             }
             Err(why) => {
--- a/verbenaspool_agent/src/direct/seats/tests.rs
+++ b/verbenaspool_agent/src/direct/seats/tests.rs
@@ -20,6 +20,7 @@
             upstream: "10.1.0.1:80".parse().expect("an address"),
             report: Report::default(),
             pace: 1.0,
+            zone: 1,
         };
         seats.hear(Duration::ZERO, agent(rank), state);
     }
--- a/verbenaspool_agent/src/direct/settings.rs
+++ b/verbenaspool_agent/src/direct/settings.rs
@@ -13,6 +13,9 @@
     pub path: Path,
     /// The agent's name.
     pub name: String,
+    /// The availability zone it stands in.
+    #[serde(default)]
+    pub zone: String,
     /// The address of its instance.
     pub address: IpAddr,
     /// The upstream beside it.
--- a/verbenaspool_agent/src/direct/spread.rs
+++ b/verbenaspool_agent/src/direct/spread.rs
@@ -109,12 +109,16 @@
     /// How often choices are told, so that those of all ranks fit in their part of the
     /// lead's link, which is taken to be like this one.
     pub(super) fn choices_every(&self) -> Duration {
-        let (Some(state), Some(experts)) = (self.state(), self.experts.get()) else {
-            return Duration::ZERO;
-        };
-        let counts = f64::from(experts.count) * f64::from(experts.layers) * COUNT;
+        let size = self.state().map_or(0, |state| usize::from(state.size));
+        self.time_of_choices(size, CHOICES)
+    }
+
+    /// How long the choices of so many ranks take on a part of the link.
+    pub(super) fn time_of_choices(&self, ranks: usize, part: f64) -> Duration {
+        #[allow(clippy::cast_precision_loss)] // Groups are small.
+        let counts = self.counts() as f64 * COUNT;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // It is small.
-        let bytes = (counts * f64::from(state.size)) as usize;
-        self.time_of(bytes, CHOICES)
+        let bytes = counts as usize * ranks;
+        self.time_of(bytes, part)
     }
 }
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -5,15 +5,12 @@
 use verbenaspool_coordination::switch::Report;
 use verbenaspool_protocol::{
     reservation::{Answer, Ask},
-    seat::{Choices, Held, Status},
+    seat::{Held, Status},
     word::Word,
 };
 
 use super::{board::Board, listeners::Standing};
 
-/// How many counts go into one datagram.
-const COUNTS: usize = 400;
-
 impl Board {
     /// Tells other agents how the rank stands: those that act on it, or all of the
     /// group, and of the service while some of the group are unknown.
@@ -90,46 +87,6 @@
         self.seats.borrow().get(0).map(|seat| seat.agent)
     }
 
-    /// Reads what the own rank's requests chose and tells the lead.
-    pub async fn sample(&self, born: u64) {
-        let now = self.clock.now();
-        if now.saturating_sub(self.chosen.get()) < self.choices_every() {
-            return;
-        }
-        let Some(choice) = self.rank.choices().await else {
-            return;
-        };
-        self.chosen.set(now);
-        let Some(state) = self
-            .state()
-            .filter(|state| state.report.epoch == choice.epoch)
-        else {
-            return;
-        };
-        let (incarnation, before) = self.counts.replace((born, choice.counts.clone()));
-        if incarnation != born || before.len() != choice.counts.len() {
-            // Counts begin anew with the rank; there is nothing to compare with.
-            return;
-        }
-        let more = |(now, before): (&u64, &u64)| {
-            u32::try_from(now.saturating_sub(*before)).unwrap_or(u32::MAX)
-        };
-        let counts: Vec<u32> = choice.counts.iter().zip(&before).map(more).collect();
-        if counts.iter().all(|count| *count == 0) {
-            return;
-        }
-        for (number, counts) in counts.chunks(COUNTS).enumerate() {
-            let choices = Choices {
-                group: state.group,
-                epoch: state.report.epoch,
-                rank: state.rank,
-                from: u32::try_from(number * COUNTS).unwrap_or(u32::MAX),
-                counts: counts.to_vec(),
-            };
-            self.to_lead(Word::Choices(choices)).await;
-        }
-    }
-
     /// Tells the lead what the own rank holds, where that changed or was told
     /// long ago.
     pub async fn tell_held(&self, again: Duration) {
@@ -169,14 +126,8 @@
             self.send(agent, &word).await;
             return;
         }
-        match word {
-            Word::Choices(choices) => self.count(&choices),
-            Word::Held(held) => {
-                if let Some(lead) = &mut *self.lead.borrow_mut() {
-                    lead.held(held);
-                }
-            }
-            _ => {}
+        if let (Word::Held(held), Some(lead)) = (word, &mut *self.lead.borrow_mut()) {
+            lead.held(held);
         }
     }
 }
--- a/verbenaspool_coordination/src/lib.rs
+++ b/verbenaspool_coordination/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod claim;
 pub mod collection;
+pub mod gather;
 pub mod group;
 pub mod head;
 pub mod keys;
--- /dev/null
+++ b/verbenaspool_coordination/tests/gather.rs
@@ -0,0 +1,132 @@
+//! Counts of many ranks on their way to the lead: nothing twice, nothing of another round.
+
+use proptest::prelude::*;
+use verbenaspool_coordination::gather::{CIRCLE, Part, Round, Sums, Taken, circle, collector};
+
+const ROUND: Round = Round {
+    epoch: 3,
+    number: 7,
+};
+
+fn part(rank: u16, from: usize, counts: &[u32]) -> Part<'_> {
+    Part { rank, from, counts }
+}
+
+/// The ranks of a group in five zones.
+fn zones(ranks: u16) -> Vec<(u16, u32)> {
+    (0..ranks).map(|rank| (rank, u32::from(rank) % 5)).collect()
+}
+
+/// A rank whose circle another one sees differently would tell somebody who doesn't sum.
+#[test]
+fn all_of_a_circle_see_the_same_circle() {
+    for ranks in [1, 8, 63, 96, 128] {
+        let zones = zones(ranks);
+        for (rank, zone) in &zones {
+            let mates = circle(&zones, *rank);
+            assert!(mates.contains(rank) && mates.len() <= CIRCLE);
+            for mate in &mates {
+                assert_eq!(circle(&zones, *mate), mates);
+                assert_eq!(
+                    u32::from(*mate) % 5,
+                    *zone,
+                    "words between zones are paid for"
+                );
+            }
+        }
+    }
+}
+
+/// The process of one collector is dead. Its circle's counts are missing in one round of
+/// as many as the circle has ranks.
+#[test]
+fn each_of_a_circle_collects_in_turn() {
+    let mates = circle(&zones(96), 10);
+    for first in [0, 41] {
+        let round = |number: usize| first + u64::try_from(number).expect("small");
+        let turns = (0..mates.len()).map(|number| collector(&mates, round(number)));
+        let mut turns: Vec<u16> = turns.map(|rank| rank.expect("a collector")).collect();
+        turns.sort_unstable();
+        assert_eq!(turns, mates);
+    }
+    assert_eq!(collector(&[], 4), None);
+}
+
+/// Datagrams come twice, late, from a round long gone, or with more counts than there are
+/// experts. None of that may count.
+#[test]
+fn what_comes_twice_or_does_not_fit_is_dropped() {
+    let mut sums = Sums::default();
+    assert_eq!(sums.add(ROUND, &part(0, 0, &[1, 2]), 2, 4), Taken::First);
+    assert_eq!(sums.add(ROUND, &part(0, 0, &[1, 2]), 2, 4), Taken::Dropped);
+    assert_eq!(sums.add(ROUND, &part(0, 3, &[1, 2]), 2, 4), Taken::Dropped);
+    let huge = part(0, usize::MAX, &[1, 2]);
+    assert_eq!(sums.add(ROUND, &huge, 2, 4), Taken::Dropped);
+    assert_eq!(
+        sums.add(ROUND, &part(1, 0, &[u32::MAX; 4]), 2, 4),
+        Taken::Added
+    );
+    assert_eq!(
+        sums.close(ROUND),
+        Some(vec![u32::MAX, u32::MAX, u32::MAX, u32::MAX])
+    );
+    assert_eq!(sums.close(ROUND), None);
+    // Late, then twice, then of a round before.
+    assert_eq!(sums.add(ROUND, &part(0, 2, &[5, 5]), 2, 4), Taken::Late);
+    assert_eq!(sums.add(ROUND, &part(0, 2, &[5, 5]), 2, 4), Taken::Dropped);
+    assert_eq!(sums.add(ROUND, &part(0, 0, &[1, 2]), 2, 4), Taken::Dropped);
+    let before = Round { number: 6, ..ROUND };
+    assert_eq!(sums.add(before, &part(1, 0, &[1]), 2, 4), Taken::Dropped);
+    let earlier = Round {
+        epoch: 2,
+        number: 99,
+    };
+    assert_eq!(sums.add(earlier, &part(1, 0, &[1]), 2, 4), Taken::Dropped);
+    let later = Round {
+        epoch: 4,
+        number: 1,
+    };
+    assert_eq!(sums.add(later, &part(1, 0, &[1]), 2, 4), Taken::First);
+}
+
+/// Somebody floods a collector with rounds that never end: it keeps a few.
+#[test]
+fn open_rounds_are_bounded() {
+    let mut sums = Sums::default();
+    for number in 0..1_000 {
+        let round = Round { epoch: 1, number };
+        assert_eq!(sums.add(round, &part(0, 0, &[1]), 9, 4), Taken::First);
+    }
+    let open = (0..1_000).filter(|number| {
+        let round = Round {
+            epoch: 1,
+            number: *number,
+        };
+        sums.close(round).is_some()
+    });
+    assert!(open.count() <= 3);
+}
+
+proptest! {
+    /// Whatever order parts come in, and however often, a closed sum and the parts that
+    /// are late hold each part once.
+    #[test]
+    fn each_part_counts_once(order in prop::collection::vec(0_usize..12, 0..60), close in 0_usize..60) {
+        let mut sums = Sums::default();
+        let mut seen = [false; 12];
+        let (mut late, mut sum) = (0_u32, None);
+        for (at, number) in order.iter().enumerate() {
+            if at == close {
+                sum = sums.close(ROUND);
+            }
+            let rank = u16::try_from(number / 3).expect("small");
+            let taken = sums.add(ROUND, &part(rank, number % 3, &[1]), 4, 3);
+            seen[*number] = true;
+            late += u32::from(taken == Taken::Late);
+        }
+        let rest = sums.close(ROUND);
+        let total: u32 = sum.into_iter().chain(rest).flatten().sum();
+        let parts = seen.iter().filter(|seen| **seen).count();
+        prop_assert_eq!(usize::try_from(total + late).expect("small"), parts);
+    }
+}
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/seat.rs
@@ -22,9 +22,11 @@
     pub report: Report,
     /// How many times longer than usual the rank takes for its work.
     pub pace: f32,
+    /// The short name of the availability zone that it is in.
+    pub zone: u32,
 }
 
-/// What the requests of a rank chose since the word before.
+/// What the requests of a rank, or of several whose choices it summed, chose lately.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choices {
     /// The group's short name.
@@ -33,6 +35,8 @@
     pub epoch: u64,
     /// The rank's seat.
     pub rank: u16,
+    /// Which of the rank's words these counts belong to; later ones have higher numbers.
+    pub round: u64,
     /// The number of the first count among those of all sets.
     pub from: u32,
     /// How often each expert was chosen.
