Spare calls to the store and words between zones

Cause, counted by kind in a trial of 12 s: of 1,940 calls 1,121 were watches of the registry before traffic, when 204 upstreams registered and each change woke 59 entries every 0.15 s; 228 were readings of agents (of 98 MB). Of 39 MB between zones half were states among the agents of groups, a quarter choices, a fifth words to entries.

Change: the pause behind a change doubles while one follows the other, to 0.6 s at most. Watches wait up to 30 s, spread from the shortest wait on, so that connections that all fell silent behind a change are found soon by somebody; together entries renew them no more often than a few did. Agents make no calls: an entry that subscribes is asked who the others are and what the engines are like. A state is heard by the lead, the rank that holds passes and the few that may stand in, not by all ranks, and less often while no map changes. Maps go to relays zone by zone. Entries of other zones hear of a rank's load each 4 s.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -20,15 +20,16 @@
 /// shorter.
 const WAIT: Duration = Duration::from_secs(3);
 
-/// The most that a watch waits, however many entries there are.
-const LONGEST_WAIT: Duration = Duration::from_secs(12);
+/// The most that a watch waits, however many entries there are: the store's own bound.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// Entries that watch as if each were by itself.
 const FEW: u32 = 4;
 
-/// The pause behind a change. Changes come in rows, each watch that brings one is
-/// paid for, and all of them must be in force within 2 s.
-const BATCH: Duration = Duration::from_millis(150);
+/// The pause behind a change, at first and at most. Changes come in rows, as when all
+/// upstreams start at once, and each watch that brings one is paid for; all of them must
+/// be in force within 2 s.
+const BATCH: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
 
 /// The pause after a call that failed, at first and at most. What the store
 /// refuses must be asked for again within the bound on changes, which is 2 s.
@@ -66,6 +67,8 @@
     /// Whether it was away since the process began.
     was_away: bool,
     pause: Duration,
+    /// The pause behind the next change.
+    batch: Duration,
 }
 
 impl Follower {
@@ -80,6 +83,7 @@
             back: None,
             was_away: false,
             pause: PAUSE[0],
+            batch: BATCH[0],
         }
     }
 
@@ -105,6 +109,7 @@
             let now = self.gateway.clock.now();
             let entries = self.gateway.peers.borrow().entries(now);
             let wait = wait(entries, rand::random());
+            let began = now;
             let watch = self
                 .gateway
                 .store
@@ -120,7 +125,9 @@
                     self.revision = self.revision.max(revision);
                     if !changes.is_empty() {
                         self.change(changes);
-                        self.gateway.clock.sleep(BATCH).await;
+                        let waited = self.gateway.clock.now().saturating_sub(began);
+                        self.batch = batch(self.batch, waited);
+                        self.gateway.clock.sleep(self.batch).await;
                     }
                 }
                 Ok(Watched::Forgotten) => {
@@ -195,17 +202,31 @@
     }
 }
 
+/// The pause behind a change that a watch waited so long for, if it was so long behind the
+/// one before: longer while one change follows the other.
+fn batch(before: Duration, waited: Duration) -> Duration {
+    if waited < before {
+        (before * 2).min(BATCH[1])
+    } else {
+        BATCH[0]
+    }
+}
+
 /// How long a watch waits before so many entries, this one included; `draw` from 0 to
 /// 1 spreads them.
 ///
 /// Load: each entry renews its watches, so calls to the store grow with the entries.
-/// One that misses a change hears of it from the digests of its peers within 0.2 s,
-/// so it is enough that one of them finds silent connections soon: together they
-/// renew a watch as often as four entries that wait for 3 s.
+/// One that misses a change hears of it from the digests of its peers, so it is enough
+/// that one of them finds silent connections soon: together they renew a watch as often
+/// as a few entries by themselves. Each change ends all watches in one moment, so the
+/// next ones are spread from the shortest wait on, or all connections that fell silent
+/// then would be found together, and late.
 fn wait(entries: usize, draw: f32) -> Duration {
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    let wait = WAIT.saturating_mul(entries.max(FEW)) / FEW;
-    wait.min(LONGEST_WAIT).mul_f32(0.75 + 0.25 * draw)
+    let [least, usual] = [0.75, 0.875].map(|part| WAIT.mul_f32(part));
+    let mean = usual.saturating_mul(entries.max(FEW)) / FEW;
+    let most = (mean * 2).saturating_sub(least).min(LONGEST_WAIT);
+    least + most.saturating_sub(least).mul_f32(draw)
 }
 
 #[cfg(test)]
--- a/verbenaspool/src/direct/follow/tests.rs
+++ b/verbenaspool/src/direct/follow/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{LONGEST_WAIT, WAIT, wait};
+use super::{BATCH, LONGEST_WAIT, WAIT, batch, wait};
 
 /// With 18 entries calls to the store cost as much as all instances: each renewed its
 /// two watches every 3 s. Together they need no more than a few did; one alone, which
@@ -23,3 +23,29 @@
     let (first, last) = (wait(18, 0.0), wait(18, 1.0));
     assert!(last > first + Duration::from_secs(2));
 }
+
+/// A change ends the watches of all entries in one moment, and right behind it every
+/// connection to the store falls silent. Sixty entries that had begun to wait together
+/// found that together, at the end of their waits; one of them should soon.
+#[test]
+fn watches_that_begin_together_do_not_end_together() {
+    let soonest = (0..60_u8)
+        .map(|number| wait(60, f32::from(number) / 59.0))
+        .min();
+    assert!(soonest < Some(WAIT));
+}
+
+/// Two hundred upstreams register within 3 s, and sixty entries watch. Each change that
+/// is taken by itself is paid for sixty times; one that comes alone isn't delayed more.
+#[test]
+fn changes_in_a_row_are_taken_together() {
+    let (mut pause, mut spent, mut watches) = (BATCH[0], Duration::ZERO, 0);
+    while spent < Duration::from_secs(3) {
+        watches += 1;
+        pause = batch(pause, Duration::from_millis(5));
+        spent += pause;
+    }
+    assert!(watches <= 8, "{watches}");
+    assert!(pause <= BATCH[1]);
+    assert_eq!(batch(pause, Duration::from_secs(1)), BATCH[0]);
+}
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -3,18 +3,21 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 use slog::{Logger, info, warn};
 use verbenaspool_platform::{
     configuration,
     store::{self, Object},
 };
-use verbenaspool_protocol::seat::Status;
+use verbenaspool_protocol::{
+    reservation::{self, Members},
+    seat::Status,
+};
 use verbenaspool_state::{replica::Replica, route::Table};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
@@ -220,6 +223,28 @@
             .collect()
     }
 
+    /// What the agent on an instance needs to know of its upstream's service; none where
+    /// no upstream of a group runs there.
+    pub fn members(&self, instance: IpAddr) -> Option<Members> {
+        let table = self.table()?;
+        let registry = self.registry.borrow();
+        let grouped = |replica: &Replica| {
+            let service = table.service(&replica.service)?;
+            let engine = service.engine.as_ref()?;
+            engine.experts.is_some().then_some(engine)
+        };
+        let mut there = registry.iter().filter(|r| r.address.ip() == instance);
+        let (own, engine) = there.find_map(|replica| Some((replica, grouped(replica)?)))?;
+        let mates = registry.iter().filter(|r| r.service == own.service);
+        let mates = mates.map(|replica| replica.address.ip());
+        Some(Members {
+            instances: mates.choose_multiple(&mut rand::rng(), reservation::INSTANCES),
+            slots: own.slots,
+            experts: engine.experts,
+            pass: engine.pass(0.0),
+        })
+    }
+
     /// Takes in how a rank stands, as its agent says.
     pub fn status(&self, status: &Status) {
         let registry = self.registry.borrow();
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -342,6 +342,14 @@
             }
             // An agent speaks for the upstream on its own instance only.
             Some(Word::Status(status)) if status.upstream.ip() == from => gateway.status(&status),
+            Some(Word::Lookup) => {
+                if let Some(members) = gateway.members(from) {
+                    let port = gateway.settings.borrow().peer_port;
+                    let word = Word::Members(members).encode();
+                    // An agent that doesn't hear this asks again.
+                    let _ = socket.send_to(word, SocketAddr::new(from, port)).await;
+                }
+            }
             Some(Word::Answer(answer)) if answer.status.upstream.ip() == from => {
                 gateway.reservations.answered(from, answer);
             }
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -55,6 +55,8 @@
     pub pass: Cell<Duration>,
     /// The instances of the service's upstreams.
     pub instances: RefCell<BTreeSet<IpAddr>>,
+    /// The entry that was asked last what the store says of the service, and when.
+    pub(super) asked: Cell<Option<(IpAddr, Duration)>>,
     /// The parts of a map that have come.
     pub(super) map: RefCell<Option<Partial>>,
     /// The parts of a difference that have come.
@@ -125,6 +127,7 @@
             experts: Cell::default(),
             pass: Cell::default(),
             instances: RefCell::default(),
+            asked: Cell::default(),
             map: RefCell::default(),
             differences: RefCell::default(),
             outbox: RefCell::default(),
@@ -276,8 +279,13 @@
         match word {
             Word::Subscribe(subscription) => {
                 let now = self.clock.now();
-                let mut listeners = self.listeners.borrow_mut();
-                listeners.subscribe(now, agent, subscription.near);
+                let near = subscription.near;
+                self.listeners.borrow_mut().subscribe(now, agent, near);
+                self.look_up(agent, near).await;
+                return;
+            }
+            Word::Members(members) => {
+                self.learn(agent, &members);
                 return;
             }
             Word::Ask(ask) => {
--- a/verbenaspool_agent/src/direct/board/tests.rs
+++ b/verbenaspool_agent/src/direct/board/tests.rs
@@ -4,7 +4,7 @@
 use slog::{Discard, Logger, o};
 use verbenaspool_coordination::switch;
 use verbenaspool_platform::report::{Report, Seat};
-use verbenaspool_protocol::seat::State;
+use verbenaspool_protocol::{reservation::Members, seat::State};
 use verbenaspool_transport::{clock::Monotonic, http::client::Client, runtime};
 
 use super::{super::settings::Settings, Board};
@@ -12,7 +12,7 @@
 /// The board of the agent beside the first of two ranks.
 fn board() -> Rc<Board> {
     let settings = "path: direct\nname: a\naddress: 127.0.0.1\nupstream: '127.0.0.1:9'\n\
-                    service: s\npeer_port: 9\nplatform: '127.0.0.1:9'\n";
+                    service: s\npeer_port: 9\n";
     let settings: Settings = serde_norway::from_str(settings).expect("settings");
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let (log, clock) = (Logger::root(Discard, o!()), Monotonic::start());
@@ -62,3 +62,37 @@
     };
     runtime::run(run).expect("the loop runs");
 }
+
+/// What an entry says of the service, as one that lies would.
+fn members(slots: u32) -> Members {
+    Members {
+        instances: vec!["127.0.0.2".parse().expect("an address")],
+        slots,
+        experts: None,
+        pass: std::time::Duration::from_millis(40),
+    }
+}
+
+/// Anybody can send an agent a datagram. What the store says of the service is taken from
+/// the entry that was asked, soon after that, and from nobody else.
+#[test]
+fn only_the_entry_that_was_asked_says_what_the_store_holds() {
+    let run = async {
+        let board = board();
+        let [entry, other] = ["127.0.0.3", "127.0.0.4"].map(|ip| ip.parse().expect("an address"));
+        board.learn(entry, &members(99));
+        assert_eq!(board.limit.get(), None);
+        board.look_up(entry, true).await;
+        board.learn(other, &members(99));
+        assert_eq!(board.limit.get(), None);
+        board.learn(entry, &members(6));
+        assert_eq!(board.limit.get(), Some(6));
+        board
+            .clock
+            .sleep(std::time::Duration::from_millis(260))
+            .await;
+        board.learn(entry, &members(99));
+        assert_eq!(board.limit.get(), Some(6));
+    };
+    runtime::run(run).expect("a loop");
+}
--- a/verbenaspool_agent/src/direct/listeners.rs
+++ b/verbenaspool_agent/src/direct/listeners.rs
@@ -2,7 +2,7 @@
 //!
 //! Load: tens of entries before hundreds of ranks. Entries in the rank's availability
 //! zone send most requests there, and hear of what it has within 0.1 s; words within a
-//! zone cost nothing. The others, which are most, hear of it every other second, and
+//! zone cost nothing. The others, which are most, hear of it each few seconds, and
 //! at once only when the rank's group or its pace changes: they ask before they send.
 
 use std::{collections::BTreeMap, net::IpAddr, time::Duration};
@@ -18,7 +18,7 @@
 const SELDOM: Duration = Duration::from_millis(500);
 
 /// How often entries of other zones hear while the group runs.
-const FAR: Duration = Duration::from_secs(2);
+const FAR: Duration = Duration::from_secs(4);
 
 /// What entries are told.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod choices;
 mod lead;
 mod listeners;
+mod lookup;
 mod orders;
 mod partial;
 mod rank;
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -10,14 +9,11 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{Logger, info, warn};
-use verbenaspool_platform::{configuration, registry, store};
 use verbenaspool_protocol::word::{self, Word};
 use verbenaspool_transport::{
     clock::{Clock, Monotonic},
     http::client::Client,
-    log,
-    platform::client::Channel,
-    runtime,
+    log, runtime,
     shutdown::Words,
 };
 
@@ -33,8 +29,10 @@
 /// How often the lead looks whether another map is better.
 const DECIDE: Duration = Duration::from_millis(100);
 
-/// How often the group hears how the rank stands, if nothing changes.
-const TELL: Duration = Duration::from_millis(100);
+/// How often those who act on it hear how the rank stands, if nothing changes: of the
+/// lead, of the rank that holds passes and while a map changes; and of others, of which
+/// there are many.
+const TELL: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(180)];
 
 /// How often all agents of the group hear of each other at least, and in groups of up to
 /// how many ranks. In larger ones it is the more seldom, or words would grow with the
@@ -45,13 +43,6 @@
 /// How often the lead hears what the rank holds, if nothing changes.
 const HELD: Duration = Duration::from_secs(1);
 
-/// How often the registry and the configuration are read: often while agents of
-/// the group are missing, seldom otherwise. Both change little for a group.
-const LOOK: [Duration; 2] = [Duration::from_millis(2_500), Duration::from_secs(20)];
-
-/// How long a call to the store may take.
-const STORE: Duration = Duration::from_millis(1_500);
-
 /// How long a new connection to the rank may take.
 const CONNECT: Duration = Duration::from_millis(100);
 
@@ -89,12 +80,10 @@
     let address = SocketAddr::new(settings.address, settings.peer_port);
     let socket = UdpSocket::bind(address).map_err(|why| Error::Listen { address, why })?;
     info!(log, "Agent: Started."; "name" => &settings.name, "upstream" => settings.upstream.to_string());
-    let store = store::Client::new(Channel::new(settings.platform), STORE);
     let client = Client::new(CONNECT).keep_for(Duration::from_millis(700));
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let number = since.map_or(0, |since| since.as_secs()) << 20;
     let board = Board::new(settings, clock, log.clone(), client, socket, number);
-    monoio::spawn(look(board.clone(), store));
     monoio::spawn(hear(board.clone()));
     let born = Rc::new(Cell::new(0));
     monoio::spawn(sample(board.clone(), born.clone()));
@@ -121,7 +110,8 @@
             changing = report.busy || report.armed.is_some() || report.held.is_some();
             let now = clock.now();
             let everybody = now.saturating_sub(hello) >= hello_every(board);
-            if news || everybody || now.saturating_sub(told) >= TELL {
+            let tell = TELL[usize::from(!changing && !board.is_central())];
+            if news || everybody || now.saturating_sub(told) >= tell {
                 told = now;
                 if everybody {
                     hello = now;
@@ -175,49 +165,3 @@
         }
     }
 }
-
-/// Reads who the other agents are, and what the configuration says of the
-/// service's experts.
-async fn look(board: Rc<Board>, store: store::Client) {
-    loop {
-        match store.list(registry::KIND, true).await {
-            Ok(listing) => {
-                let service = board.settings.service.as_str();
-                let replicas = listing.objects.values();
-                let replicas = replicas.filter_map(|o| registry::decode(&o.name, &o.specification));
-                let replicas = replicas.filter(|replica| &*replica.service == service);
-                let mut instances = BTreeSet::new();
-                for replica in replicas {
-                    instances.insert(replica.address.ip());
-                    if replica.address == board.settings.upstream {
-                        board.limit.set(Some(replica.slots));
-                    }
-                }
-                board.instances.replace(instances);
-            }
-            Err(why) => {
-                warn!(board.log, "Agent: The registry can't be read."; "reason" => why.to_string());
-            }
-        }
-        match store.list(configuration::KIND, true).await {
-            Ok(listing) => {
-                let object = listing.objects.get(configuration::NAME);
-                let table = object.and_then(|o| configuration::decode(&o.specification).ok());
-                if let Some(table) = table {
-                    let service = table.service(&board.settings.service);
-                    let engine = service.and_then(|service| service.engine.as_ref());
-                    board.experts.set(engine.and_then(|engine| engine.experts));
-                    board
-                        .pass
-                        .set(engine.map_or(Duration::ZERO, |engine| engine.pass(0.0)));
-                }
-            }
-            Err(why) => {
-                warn!(board.log, "Agent: The configuration can't be read.";
-                    "reason" => why.to_string());
-            }
-        }
-        let known = board.is_complete() && board.experts.get().is_some();
-        board.clock.sleep(LOOK[usize::from(known)]).await;
-    }
-}
--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/seats.rs
@@ -15,6 +15,10 @@
 /// How long a seat is remembered whose agent is silent.
 const FORGOTTEN: Duration = Duration::from_secs(20);
 
+/// Ranks whose agents may stand in for a lead that is silent, itself included. A few are
+/// enough: all of them would have to be stopped at once.
+pub const STANDINS: u16 = 8;
+
 /// One agent and its rank.
 #[derive(Debug, Clone)]
 pub struct Seat {
@@ -68,11 +72,15 @@
     /// The agents that hear many times a second how a rank stands.
     ///
     /// The lead decides by the words of all ranks, and the rank that holds passes is
-    /// the first to stand in for it; all others have to know of these two, to see
-    /// whether a lead is silent and a pass is held. With all ranks telling all others
-    /// a group of 32 would send 9,900 datagrams a second, two in three between zones.
+    /// the first to stand in for it; those that may stand in behind it have to know of
+    /// these two, to see whether a lead is silent and a pass is held. With all ranks
+    /// telling all others a group of 32 would send 9,900 datagrams a second, two in three
+    /// between zones.
     pub fn audience(&self, now: Duration, rank: u16) -> BTreeSet<IpAddr> {
-        let hears = |seat: &&Seat| rank <= KEEPER || seat.state.rank <= KEEPER;
+        let hears = |seat: &&Seat| {
+            let seat = seat.state.rank;
+            seat <= KEEPER || rank <= KEEPER && seat < STANDINS
+        };
         self.iter(now)
             .filter(hears)
             .map(|seat| seat.agent)
--- a/verbenaspool_agent/src/direct/settings.rs
+++ b/verbenaspool_agent/src/direct/settings.rs
@@ -28,8 +28,6 @@
     /// free, so that the states of ranks and orders get through.
     #[serde(default = "narrow")]
     pub link_mbps: f64,
-    /// The platform's store.
-    pub platform: SocketAddr,
     /// What is logged, and how.
     #[serde(default)]
     pub log: log::Settings,
--- a/verbenaspool_agent/src/direct/spread.rs
+++ b/verbenaspool_agent/src/direct/spread.rs
@@ -44,6 +44,8 @@
         let ranks = copying.iter().map(|(_, rank)| *rank);
         let mut ranks: Vec<u16> = ranks.filter_map(|rank| rank.try_into().ok()).collect();
         ranks.shuffle(&mut rand::rng());
+        // Ranks of one zone are next to each other, so that few words cross zones.
+        ranks.sort_by_key(|rank| self.seats.borrow().get(*rank).map(|seat| seat.state.zone));
         let differences = match &*self.lead.borrow() {
             Some(lead) => lead.differences(version, epoch),
             None => return,
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::IpAddr, time::Duration};
 
-use verbenaspool_coordination::switch::Report;
+use verbenaspool_coordination::switch::{KEEPER, Report};
 use verbenaspool_protocol::{
     reservation::{Answer, Ask},
     seat::{Held, Status},
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Whether the rank is the first or holds passes, so that others wait for its words.
+    pub fn is_central(&self) -> bool {
+        let state = self.state.borrow();
+        state.as_ref().is_some_and(|state| state.rank <= KEEPER)
+    }
+
     /// Tells entries how the rank stands, as far as each is to hear of it now.
     pub async fn tell_entries(&self) {
         let now = self.clock.now();
--- a/verbenaspool_coordination/src/tree.rs
+++ b/verbenaspool_coordination/src/tree.rs
@@ -23,7 +23,8 @@
     pub beyond: Vec<u16>,
 }
 
-/// Parts receivers into branches of about the same size; the first of each is the relay.
+/// Parts receivers into branches of about the same size; the first of each is the relay,
+/// and those next to each other stay together as far as may be.
 ///
 /// ```
 /// use verbenaspool_coordination::tree::branches;
@@ -32,17 +33,18 @@
 /// let branches = branches(&ranks);
 /// assert_eq!(branches.len(), 8);
 /// assert!(branches.iter().all(|branch| branch.beyond.len() <= 7));
+/// assert_eq!((branches[1].rank, &*branches[1].beyond), (9, &[10, 11, 12, 13, 14, 15, 16][..]));
 /// ```
 #[must_use]
 pub fn branches(ranks: &[u16]) -> Vec<Branch> {
     let count = ranks.len().min(FANOUT);
+    let start = |number: usize| (number * ranks.len()).div_ceil(count.max(1));
     let branch = |number: usize| {
-        let part = ranks.iter().skip(number).step_by(FANOUT);
-        let mut part = part.copied();
-        Branch {
-            rank: part.next().unwrap_or_default(),
-            beyond: part.collect(),
-        }
+        let (relay, beyond) = ranks[start(number)..start(number + 1)].split_first()?;
+        Some(Branch {
+            rank: *relay,
+            beyond: beyond.to_vec(),
+        })
     };
-    (0..count).map(branch).collect()
+    (0..count).filter_map(branch).collect()
 }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -11,8 +11,8 @@
 const BELIEVED: Duration = Duration::from_millis(1_600);
 
 /// How long the word of an agent counts on what its upstream has, in place of what other
-/// entries say. Agents of other zones speak every other second.
-const TOLD: Duration = Duration::from_secs(5);
+/// entries say. Agents of other zones speak each four seconds.
+const TOLD: Duration = Duration::from_secs(9);
 
 /// How long one word of an agent may be overtaken by others.
 const OVERTAKEN: Duration = Duration::from_millis(300);
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -4,7 +4,10 @@
 //! upstream. The agent beside it does: it reads its report and hears of every
 //! request beforehand.
 
+use std::{net::IpAddr, time::Duration};
+
 use serde::{Deserialize, Serialize};
+use verbenaspool_state::engine::Experts;
 
 use crate::seat::Status;
 
@@ -28,6 +31,24 @@
     pub status: Status,
 }
 
+/// What an entry tells an agent that asks: what the store says of its service. Agents
+/// make no calls to the store themselves, which are paid for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Members {
+    /// The instances of the service's upstreams, or some of them where there are more
+    /// than fit.
+    pub instances: Vec<IpAddr>,
+    /// Requests that the agent's upstream processes at once.
+    pub slots: u32,
+    /// The experts of the service's engines.
+    pub experts: Option<Experts>,
+    /// The least time that a pass of them takes.
+    pub pass: Duration,
+}
+
+/// The most instances that one word names: each takes up to six bytes.
+pub const INSTANCES: usize = 200;
+
 /// An entry wants to hear how an upstream stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Subscription {
--- a/verbenaspool_protocol/src/word.rs
+++ b/verbenaspool_protocol/src/word.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     digest::Digest,
-    reservation::{Answer, Ask, Subscription},
+    reservation::{Answer, Ask, Members, Subscription},
     seat::{Choices, Difference, Held, Lack, Map, Order, State, Status},
 };
 
@@ -18,6 +18,10 @@
     Digest(Digest),
     /// An entry, to an agent: it wants to hear how the rank stands.
     Subscribe(Subscription),
+    /// An agent, to an entry: it asks what the store says of its service.
+    Lookup,
+    /// An entry, to an agent that asked.
+    Members(Members),
     /// An agent, to an entry: how its rank stands.
     Status(Status),
     /// An entry, to an agent: it asks for one of its rank's slots.
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -29,9 +29,6 @@
 /// The service whose upstreams are the ranks of the group.
 const RANKS: &str = "ranks";
 
-/// The port on which agents hear each other; their addresses differ.
-const AGENT_PORT: u16 = 7_340;
-
 /// The customer's key.
 pub const KEY: &str = "key-1";
 
@@ -131,7 +128,7 @@
             });
         }
         let addresses: Vec<SocketAddr> = (0..entries).map(|_| address::fresh()).collect();
-        // All entries have the same port for each other; their addresses differ.
+        // Entries and agents have the same port for each other; their addresses differ.
         let peer_port = addresses
             .first()
             .map_or(0, |address| address.port() ^ 0x4000);
@@ -155,7 +152,7 @@
             let upstream = serve(Rc::new(Seat { group, rank }), &mut triggers)?;
             let id = format!("r-{rank}");
             store.put("servers", &id, &text::listed(RANKS, upstream, "ready"));
-            let text = agent_settings(rank, upstream, platform);
+            let text = agent_settings(rank, upstream, peer_port);
             let name = format!("agent-{rank}");
             agents.push(Process::start(&programs.agent, folder, &name, &text)?);
         }
@@ -227,10 +224,10 @@
 }
 
 /// What an agent is told. Its instance has the address of the rank beside it.
-fn agent_settings(rank: usize, upstream: SocketAddr, platform: SocketAddr) -> String {
+fn agent_settings(rank: usize, upstream: SocketAddr, peer_port: u16) -> String {
     format!(
         "path: direct\nname: agent-{rank}\naddress: {}\nupstream: '{upstream}'\n\
-         service: {RANKS}\npeer_port: {AGENT_PORT}\nplatform: '{platform}'\n\
+         service: {RANKS}\npeer_port: {peer_port}\n\
          log: {{form: json}}\n",
         upstream.ip()
     )
--- a/verbenaspool_state/src/engine.rs
+++ b/verbenaspool_state/src/engine.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// The engine of a service, as its configuration tells it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
@@ -20,7 +22,7 @@
 }
 
 /// The experts that the ranks of a group share.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Experts {
     /// Sets of layers, each with experts of its own.
     pub layers: u16,
