--- a/verbenaspool/tests/rules/operate.rs
+++ b/verbenaspool/tests/rules/operate.rs
@@ -54,8 +54,9 @@
 
     /// Runs a command with this server's settings and tells its exit code and JSON.
     fn command(&self, firm: &str, arguments: &[&str]) -> (Option<i32>, Value) {
+        // Tests run side by side, each before a server of its own.
         let settings = written(
-            &format!("operator-{firm}.yaml"),
+            &format!("operator-{firm}-{}.yaml", self.address.port()),
             &format!(
                 "firm: {firm}\nplatform: {{address: '{}', token: token, timeout_ms: 300}}\n",
                 self.address
