Leave the first map of a group as soon as all ranks reported

Cause: everybody who waited for a group comes as it returns, and its passes on the map that it forms with take three to four times as long as on even ranks.

Change: reports are taken by the group that the rank last was in and outlive the lead's new epoch; the first map is computed, as the other agents do; choices older than a second decide nothing; changes in the first second after forming may copy as much as the first.

--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/board.rs
@@ -220,7 +220,7 @@
             let mut lead = (state.rank == 0).then(|| Lead::new(state.size.into()));
             let before = self.lead.take();
             if let (Some(lead), Some(before)) = (&mut lead, before) {
-                lead.inherit(before);
+                lead.inherit(before, state.report.epoch);
             }
             self.lead.replace(lead);
         }
@@ -244,8 +244,8 @@
 
     /// Takes a rank's state in.
     pub(super) fn hear_state(&self, agent: IpAddr, state: State) {
-        let own = self.state.borrow().as_ref().map(|own| own.group);
-        if own != Some(state.group) {
+        // A rank whose own group is forming still takes in those that have joined it.
+        if self.group.get() != state.group {
             return;
         }
         let now = self.clock.now();
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -8,7 +8,7 @@
 use verbenaspool_protocol::seat::{Choices, Difference, Held, Map, Move, places_hash};
 use verbenaspool_state::{engine::Experts, expert_map::Layer};
 
-use super::partial::{FIRST, moves};
+use super::partial::{FIRST, first, moves};
 
 /// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
 /// third of a second holds some ten thousand choices a set, enough to tell the
@@ -32,6 +32,12 @@
 /// the map that a group forms with.
 const COPYING_ANEW: Duration = Duration::from_millis(300);
 
+/// Age from which on choices say nothing of what requests choose now.
+const STALE_AFTER: Duration = Duration::from_secs(1);
+
+/// How long a group counts as newly formed. The first changes rest on few requests.
+const FORMING: Duration = Duration::from_secs(1);
+
 /// The pace from which on a rank counts as slow: its part of a pass is half longer,
 /// more than the busiest rank is above the mean on a good map.
 const SLOW: f64 = 1.5;
@@ -91,6 +97,8 @@
     held: BTreeMap<u16, Holding>,
     loads: Vec<f64>,
     at: Duration,
+    /// When the group was first seen to run.
+    formed: Option<Duration>,
     /// The last round of each part of a rank's words about choices, and when it came.
     heard: BTreeMap<(u16, u32), (u64, Duration)>,
     /// How many times longer than usual each rank takes for its work.
@@ -109,6 +117,7 @@
             held: BTreeMap::new(),
             loads: Vec::new(),
             at: Duration::ZERO,
+            formed: None,
             heard: BTreeMap::new(),
             paces: vec![1.0; ranks],
         }
@@ -119,10 +128,16 @@
     /// A group that forms anew has its first map, on which passes take three times as
     /// long as on even ranks, and all who waited for it come at once. Popularity is
     /// much the same as before, so a better map can be copied before they come.
-    pub fn inherit(&mut self, before: Self) {
-        if before.ranks == self.ranks {
-            self.loads = before.loads;
-            self.at = before.at;
+    ///
+    /// Other ranks may have reported of the new epoch before the own one did.
+    pub fn inherit(&mut self, before: Self, epoch: u64) {
+        if before.ranks != self.ranks {
+            return;
+        }
+        self.loads = before.loads;
+        self.at = before.at;
+        if before.switch.epoch() == epoch {
+            self.switch = before.switch;
         }
     }
 
@@ -145,8 +160,9 @@
     /// are to leave it in one change, where one copy a rank and change took three
     /// changes of a second each. Likewise when it is well again and holds hardly any, and
     /// on the map that a group forms with, which is about as bad.
-    fn copying(&self, layers: &[Layer]) -> Duration {
-        let first = self.held.get(&0).is_some_and(|held| held.version == FIRST);
+    fn copying(&self, now: Duration, layers: &[Layer], version: u64) -> Duration {
+        let forming = self.formed.is_some_and(|formed| now < formed + FORMING);
+        let first = version == FIRST || forming;
         let slow = self.paces.iter().any(|pace| *pace >= SLOW);
         let places = |rank: usize| layers.iter().map(|l| l.ranks[rank].len()).sum::<usize>();
         let all: usize = (0..self.ranks).map(places).sum();
@@ -218,8 +234,17 @@
         }
     }
 
-    /// The map in use, where all ranks said that they hold the same version.
-    fn layers(&self, experts: &Experts) -> Option<Vec<Layer>> {
+    /// The map in use and its version, where all ranks said that they hold the same one.
+    ///
+    /// The map that a group forms with is known without their messages, which take too
+    /// long: everybody who waited for the group comes at once, and passes on this map are
+    /// the longest there are.
+    fn layers(&self, experts: &Experts) -> Option<(u64, Vec<Layer>)> {
+        if self.switch.map() == Some(FIRST) {
+            let ranks = u16::try_from(self.ranks).ok()?;
+            let sets = first(ranks, experts).into_iter();
+            return Some((FIRST, sets.map(|ranks| Layer { ranks }).collect()));
+        }
         let first = self.held.get(&0)?;
         let complete = self.held.len() == self.ranks
             && self.held.values().all(|held| held.version == first.version)
@@ -232,13 +257,10 @@
             let ranks = self.held.values();
             ranks.map(move |held| held.experts.get(set).cloned().unwrap_or_default())
         };
-        Some(
-            (0..sets)
-                .map(|set| Layer {
-                    ranks: ranks(set).collect(),
-                })
-                .collect(),
-        )
+        let layer = |set| Layer {
+            ranks: ranks(set).collect(),
+        };
+        Some((first.version, (0..sets).map(layer).collect()))
     }
 
     /// The loads by set.
@@ -255,12 +277,16 @@
         if self.stands_in || !self.switch.is_ready(now) || !self.fits(experts) {
             return None;
         }
-        let layers = self.layers(experts)?;
+        self.formed.get_or_insert(now);
+        if now.saturating_sub(self.at) > STALE_AFTER {
+            return None;
+        }
+        let (base, layers) = self.layers(experts)?;
         #[allow(clippy::cast_precision_loss)] // Groups are small.
         let bound = Bound {
             places: experts.places.into(),
             spare: experts.spare.into(),
-            copies: copies(self.copying(&layers), experts.copy),
+            copies: copies(self.copying(now, &layers, base), experts.copy),
             least: LEAST * experts.copy.as_secs_f64() / self.ranks.max(1) as f64,
         };
         let relief = relief::relieve(&layers, &self.loads(experts)?, &self.paces, &bound)?;
@@ -285,7 +311,7 @@
         let (before, after) = (places(&layers), places(&relief.layers));
         self.plan = Some(Plan {
             version,
-            base: self.held.get(&0).map_or(0, |held| held.version),
+            base,
             moves: moves(&before, &after),
             hash: places_hash(&after),
             places: after,
--- a/verbenaspool_agent/src/direct/lead/tests.rs
+++ b/verbenaspool_agent/src/direct/lead/tests.rs
@@ -59,35 +59,59 @@
     before.choices(NOW, &choices(), 4);
     let mut lead = formed(2);
     assert_eq!(lead.decide(NOW, &EXPERTS), None, "nothing is known");
-    lead.inherit(before);
+    lead.inherit(before, 2);
     let relief = lead.decide(NOW, &EXPERTS).expect("a change");
     assert!(relief.after < 1.2, "{relief:?}");
 }
 
+/// Guards against a lead that waits for what ranks hold, or for reports that came before
+/// its own rank had joined the group, while everybody's passes are at their longest.
+#[test]
+fn the_first_map_is_left_as_soon_as_all_ranks_reported() {
+    let report = Report {
+        epoch: 2,
+        step: 1,
+        ..Report::default()
+    };
+    let mut before = formed(1);
+    before.switch.report(NOW, 1, report);
+    let mut lead = Lead::new(2);
+    lead.inherit(before, 2);
+    lead.switch.report(NOW, 0, report);
+    assert_eq!(lead.decide(NOW, &EXPERTS), None, "nothing was chosen");
+    let choices = Choices {
+        epoch: 2,
+        ..choices()
+    };
+    lead.choices(NOW, &choices, 4);
+    assert!(lead.decide(NOW, &EXPERTS).is_some());
+}
+
+/// Guards against a first map that suits what requests chose before a long outage.
+#[test]
+fn what_was_chosen_long_ago_decides_nothing() {
+    let mut lead = formed(1);
+    lead.choices(Duration::from_secs(1), &choices(), 4);
+    assert_eq!(lead.decide(NOW, &EXPERTS), None);
+}
+
 /// One copy takes 0.1 s, more than a usual change may take: one a rank is made. On the
 /// first map, or where a rank is slow, three are, since passes are late until then.
 #[test]
 fn a_bad_map_is_left_in_fewer_changes() {
     let mut lead = formed(1);
-    let layers = lead.layers(&EXPERTS).expect("both ranks said it");
-    let copies = |lead: &Lead, layers: &[Layer]| super::copies(lead.copying(layers), EXPERTS.copy);
-    assert_eq!(copies(&lead, &layers), 3, "the first map");
-    for rank in 0..2 {
-        lead.held(Held {
-            group: 7,
-            epoch: 1,
-            rank,
-            version: 9,
-            experts: vec![vec![rank, rank + 2]],
-        });
-    }
-    assert_eq!(copies(&lead, &layers), 1, "a map that was searched");
+    let (_, layers) = lead.layers(&EXPERTS).expect("both ranks said it");
+    let copies = |lead: &Lead, layers: &[Layer], version| {
+        super::copies(lead.copying(NOW, layers, version), EXPERTS.copy)
+    };
+    assert_eq!(copies(&lead, &layers, 0), 3, "the first map");
+    assert_eq!(copies(&lead, &layers, 9), 1, "a map that was searched");
     lead.pace(1, 4.0);
-    assert_eq!(copies(&lead, &layers), 3, "a slow rank");
+    assert_eq!(copies(&lead, &layers, 9), 3, "a slow rank");
     lead.pace(1, 1.0);
     let mut empty = layers.clone();
     empty[0].ranks = vec![vec![0, 1, 2, 3], Vec::new()];
-    assert_eq!(copies(&lead, &empty), 3, "a rank that is well again");
+    assert_eq!(copies(&lead, &empty, 9), 3, "a rank that is well again");
 }
 
 /// A configuration names more experts than the ranks have places for. Orders went out
--- a/verbenaspool_agent/src/direct/partial.rs
+++ b/verbenaspool_agent/src/direct/partial.rs
@@ -19,6 +19,13 @@
 /// The version of the map that a group forms with.
 pub const FIRST: u64 = 0;
 
+/// The map that a group of so many ranks forms with, by set and rank: experts in turn.
+pub fn first(ranks: u16, experts: &Experts) -> Vec<Vec<Vec<u16>>> {
+    let rank = |rank: u16| (rank..experts.count).step_by(ranks.max(1).into());
+    let set: Vec<Vec<u16>> = (0..ranks).map(|number| rank(number).collect()).collect();
+    vec![set; experts.layers.into()]
+}
+
 /// A map that an agent knows whole.
 #[derive(Debug, Clone)]
 struct Whole {
@@ -91,9 +98,7 @@
         if self.0.iter().any(|known| known.epoch == epoch) {
             return;
         }
-        let rank = |rank: u16| (rank..experts.count).step_by(ranks.max(1).into());
-        let set: Vec<Vec<u16>> = (0..ranks).map(|number| rank(number).collect()).collect();
-        self.add(epoch, FIRST, vec![set; experts.layers.into()]);
+        self.add(epoch, FIRST, first(ranks, experts));
     }
 
     /// The map that a difference leads to, where the one before is known.
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -244,6 +244,24 @@
         self.is_idle() && self.ranks.iter().all(|rank| fresh(rank) && same(rank))
     }
 
+    /// The version that the first rank uses, as far as its reports tell.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_coordination::switch::{Report, Switch};
+    ///
+    /// let mut switch = Switch::new(1);
+    /// assert_eq!(switch.map(), None);
+    /// switch.report(Duration::ZERO, 0, Report { epoch: 1, map: 7, ..Report::default() });
+    /// assert_eq!(switch.map(), Some(7));
+    /// ```
+    #[must_use]
+    pub fn map(&self) -> Option<u64> {
+        let first = self.ranks.first()?.report;
+        first.map(|(report, _)| report.map)
+    }
+
     /// The highest version that any rank has had, as far as reports tell.
     #[must_use]
     pub fn highest(&self) -> u64 {
