Admit new requests before late ones as groups return

(2) Four in ten retries were taken for first attempts and rejected at once: entries that had started shortly before or during the outage hadn't seen enough requests to tell. (3) Retries waited 1.0 s, though their callers wait 2.0 s for a first event.

Change: after a return each entry takes its share of what passes bear, at the pace seen since; late requests have what room is left, and none while new ones are rejected; the times that callers give are told to entries that don't know them; retries wait until one target before their callers leave.

Both new tests of outages fail without the change.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -93,11 +93,10 @@
         self.deadline.saturating_sub(self.gateway.clock.now())
     }
 
-    /// Until when the request must be placed: its first event takes up to twice the
-    /// route's target from there behind the return of a group, when many begin at once.
+    /// Until when the request must be placed, for its first event to come before its
+    /// caller leaves.
     fn place_by(&self) -> Duration {
-        self.leaves(self.began)
-            .saturating_sub(self.route.target * 2)
+        self.leaves(self.began).saturating_sub(self.route.target)
     }
 
     /// When the caller leaves that has had no event since some time.
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/desk.rs
@@ -250,6 +250,21 @@
         self.times.borrow_mut().see(now, wait)
     }
 
+    /// The times that many callers of the service give at first, in milliseconds.
+    pub fn common_times(&self) -> Vec<u32> {
+        let times = self.times.borrow();
+        let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        times.common().map(ms).collect()
+    }
+
+    /// Takes in the times that many callers give at first, as another entry reports.
+    pub fn hint_times(&self, times_ms: &[u32]) {
+        let times = times_ms
+            .iter()
+            .map(|ms| Duration::from_millis((*ms).into()));
+        self.times.borrow_mut().hint(times);
+    }
+
     /// Takes in a request of a customer; tells whether it is beyond what the customer
     /// usually sends.
     pub fn beyond(&self, customer: &Rc<str>) -> bool {
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -21,7 +21,7 @@
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
 use verbenaspool_protocol::{
-    digest::{self, Digest, Flight},
+    digest::{self, Budget, Digest, Flight},
     reservation::Subscription,
     word::{self, Word},
 };
@@ -139,6 +139,11 @@
         }
     }
 
+    /// How many entries there are, those included that are silent for now.
+    pub fn all(&self) -> usize {
+        1 + self.known.len()
+    }
+
     /// Whether all peers are likely to be known.
     fn is_settled(&self, now: Duration) -> bool {
         now.saturating_sub(self.grown) >= SETTLED
@@ -225,6 +230,14 @@
         }
     }
 
+    /// Among how many entries this one shares upstreams that return: peers that an outage
+    /// cut off come back with them.
+    pub fn sharers_of_return(&self) -> u32 {
+        let sharers = self.sharers(self.clock.now());
+        let all = self.peers.borrow().all();
+        u32::try_from(sharers.max(all)).unwrap_or(u32::MAX)
+    }
+
     /// What this entry has.
     fn have(&self) -> Have {
         Have {
@@ -262,6 +275,28 @@
                 flights
             },
             peers: named,
+            budgets: self.budgets(),
+        }
+    }
+
+    /// How long callers of each service wait at first.
+    fn budgets(&self) -> Vec<Budget> {
+        let budgets = self.desks().into_iter().map(|desk| Budget {
+            service: digest::hash(&desk.service),
+            times_ms: desk.common_times(),
+        });
+        let known = budgets.filter(|budget| !budget.times_ms.is_empty());
+        known.take(digest::BUDGETS).collect()
+    }
+
+    /// Takes over how long callers wait at first, as far as this entry doesn't know.
+    fn learn_budgets(&self, budgets: &[Budget]) {
+        for desk in self.desks() {
+            let service = digest::hash(&desk.service);
+            let budget = budgets.iter().find(|budget| budget.service == service);
+            if let Some(budget) = budget {
+                desk.hint_times(&budget.times_ms);
+            }
         }
     }
 
@@ -351,6 +386,7 @@
                 let IpAddr::V4(from) = from else {
                     continue;
                 };
+                gateway.learn_budgets(&digest.budgets);
                 let news = gateway.peers.borrow_mut().hear(now, from, digest);
                 if news {
                     gateway.share();
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -210,8 +210,9 @@
     let mut before = clock.now();
     while !words.stopped() {
         clock.sleep(TICK).await;
+        let entries = gateway.sharers_of_return();
         for desk in gateway.desks() {
-            desk.pump();
+            desk.with(|dispatcher, _| dispatcher.share_among(entries));
         }
         gateway.expire();
         let now = clock.now();
--- a/verbenaspool_policy/src/dispatch/lasting.rs
+++ b/verbenaspool_policy/src/dispatch/lasting.rs
@@ -74,6 +74,12 @@
         room.min(left.mul_f64(WAIT))
     }
 
+    /// How long an answer takes; the least time to come back where none has ended yet.
+    #[must_use]
+    pub fn service_time(self) -> Duration {
+        self.0.unwrap_or(SOONEST)
+    }
+
     /// How long a request that is late waits for its turn at upstreams that run: while
     /// it does so, one in seven of their answers ends.
     #[must_use]
--- a/verbenaspool_policy/src/dispatch/line.rs
+++ b/verbenaspool_policy/src/dispatch/line.rs
@@ -22,6 +22,8 @@
     pub late: bool,
     /// Since when it waits.
     pub since: Duration,
+    /// Until when it must be placed for its answer to be in time.
+    pub in_time_until: Duration,
     /// Until when it may wait.
     pub until: Duration,
     /// What it asks for.
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -17,7 +17,9 @@
 mod known;
 pub mod lasting;
 pub mod line;
+pub mod outage;
 pub mod pass;
+mod place;
 pub mod retry;
 pub mod room;
 pub mod share;
@@ -37,42 +39,23 @@
     circuit::Circuit,
     lasting::Lasting,
     line::{Line, Ticket, Waiting},
+    outage::Outage,
     pass::Pass,
-    room::{Lateness, Slowness, bears_shifts, cost},
     slow::Silence,
     trust::Trust,
     upstream::Upstream,
 };
 
-/// The part of the longest pause in time that a pass may be expected to take.
-/// Passes differ by the prompts that are read in them: a third more than the
-/// mean is common, and one late pass makes a stream late.
-const HEADROOM: f64 = 0.8;
-
-/// Slots that an upstream in the entry's own zone may have less free than one elsewhere
-/// before the latter is better: bytes between zones are paid for, and each event of a
-/// stream crosses again. Ranks of a group wait for each other, so that one request more
-/// or less at one of them costs its callers next to nothing.
-const FAR: f64 = 1.5;
-
 /// How long an agent isn't asked again that was silent.
 const SILENT: Duration = Duration::from_millis(500);
 
-/// What it adds to the cost of sending that an upstream's agent is silent: its instance
-/// may be frozen, and what it has is known by other entries' digests only, so that many
-/// entries would take the same free slot. Any other upstream with room goes before it.
-const UNSURE: f64 = 2.0;
-
-/// How far choices that are as good as each other are spread.
-const TIE: f64 = 0.01;
-
 /// How long a place that another entry freed is left at most. It spreads what
 /// entries do over several digests, which come each 40 ms or so.
 const SHY: Duration = Duration::from_millis(160);
 
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
-const PATIENCE: f64 = 0.35;
+const IN_TIME_WAIT_RATIO: f64 = 0.35;
 
 /// Two to the 53rd, the numbers that a draw is taken from.
 const SPREAD: f64 = 9_007_199_254_740_992.0;
@@ -94,8 +77,12 @@
     all: Pass,
     /// How long answers last.
     lasting: Lasting,
-    /// Since when upstreams take requests; none while no one does.
-    opened: Option<Duration>,
+    /// Whether any upstream takes requests.
+    outage: Outage,
+    /// How many entries share the upstreams, this one included.
+    entries: u32,
+    /// When a request that could have been in time found no room, or no upstream, last.
+    short: Option<Duration>,
     /// When each group's streams had an event last.
     heard: BTreeMap<u32, Duration>,
     /// Whether each group takes requests.
@@ -123,7 +110,9 @@
             passes: BTreeMap::new(),
             all: Pass::default(),
             lasting: Lasting::default(),
-            opened: None,
+            outage: Outage::default(),
+            entries: 1,
+            short: None,
             heard: BTreeMap::new(),
             circuits: BTreeMap::new(),
             draws: seed | 1,
@@ -135,6 +124,11 @@
         self.engine = engine.cloned();
     }
 
+    /// Sets how many entries share the service's upstreams, this one included.
+    pub fn share_among(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
     /// Takes over the list of the service's upstreams.
     pub fn members<'a>(&mut self, list: impl Iterator<Item = &'a replica::Replica>) {
         let mut before = std::mem::take(&mut self.upstreams);
@@ -324,36 +318,18 @@
         self.all.learn(now, ratio);
     }
 
-    /// Requests that an upstream of a group has on average.
-    ///
-    /// Ranks make each pass together, and most of a pass is the work of experts
-    /// that all ranks share: it depends on the group's requests, not on those of
-    /// one rank. Reckoned rank by rank, the busiest one looks quickest for what
-    /// it has, and gets more.
-    fn mean(&self, group: u32) -> f64 {
-        let ranks = self
-            .upstreams
-            .values()
-            .filter(|u| u.group == group && u.ready);
-        let busy = ranks.map(|upstream| f64::from(upstream.own + upstream.others));
-        let (sum, count) = busy.fold((0.0, 0.0), |(sum, count), busy| (sum + busy, count + 1.0));
-        sum / f64::max(count, 1.0)
-    }
-
     /// Puts a request in line; [`Self::pump`] tells what becomes of it.
     pub fn submit(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
         let since = ask.since.min(now);
-        let patience = if ask.target > since {
-            ask.target.saturating_sub(since).mul_f64(PATIENCE)
-        } else {
-            self.lasting.wait(ask.deadline.saturating_sub(since))
-        };
-        let until = (since + patience).min(ask.deadline).min(ask.place_by);
+        let in_time = ask.target.saturating_sub(since).mul_f64(IN_TIME_WAIT_RATIO);
+        let longest = self.lasting.wait(ask.deadline.saturating_sub(since));
+        let until = since + longest.max(in_time);
         self.line.join(Waiting {
             ticket,
             late: ask.target <= since,
             since,
-            until,
+            in_time_until: since + in_time,
+            until: until.min(ask.deadline).min(ask.place_by),
             ask,
         });
     }
@@ -373,7 +349,7 @@
     /// in flight from here on.
     pub fn pump(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
         self.believe(now);
-        self.note_opening(now);
+        self.outage.observe(now, self.is_open(now));
         let mut verdicts = Vec::new();
         let mut kept = Vec::new();
         for waiting in self.line.take() {
@@ -388,7 +364,8 @@
 
     /// What becomes of one request; nothing, where it goes on waiting.
     fn decide(&mut self, now: Duration, waiting: &Waiting) -> Option<Verdict> {
-        let over = now >= waiting.until || self.waits_in_vain(now, waiting);
+        let (turn, service_time) = (self.lasting.turn(), self.lasting.service_time());
+        let over = now >= self.outage.wait_until(now, waiting, turn, service_time);
         if let Some(id) = self.choose(now, waiting, over) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.own += 1;
@@ -399,33 +376,16 @@
             }
             return Some(Verdict::Send(id));
         }
-        // Nothing can be done in time for what comes while no upstream runs: its
-        // caller does better to come back. One that did so already waits.
-        if !over && (waiting.late || self.is_open(now)) {
+        if !waiting.late {
+            self.short = Some(now);
+        }
+        if !over {
             return None;
         }
         let left = waiting.ask.deadline.saturating_sub(now);
         Some(Verdict::Refuse(self.refusal(now, left)))
     }
 
-    /// Whether a request that is late found no place for a while at upstreams that
-    /// run: what is in time has the room, and goes on having it. A stream that has begun
-    /// waits until its caller leaves.
-    fn waits_in_vain(&self, now: Duration, waiting: &Waiting) -> bool {
-        let since = self.opened.map(|opened| opened.max(waiting.since));
-        let begun = waiting.ask.resumes != Resumes::No;
-        waiting.late && !begun && since.is_some_and(|since| now >= since + self.lasting.turn())
-    }
-
-    /// Takes note of when upstreams began to take requests.
-    fn note_opening(&mut self, now: Duration) {
-        if !self.is_open(now) {
-            self.opened = None;
-        } else if self.opened.is_none() {
-            self.opened = Some(now);
-        }
-    }
-
     /// Whether any upstream takes requests, as far as known.
     fn is_open(&self, now: Duration) -> bool {
         let mut upstreams = self.upstreams.values();
@@ -460,66 +420,6 @@
         part / SPREAD
     }
 
-    /// The best upstream with room for a request.
-    fn choose(&mut self, now: Duration, waiting: &Waiting, over: bool) -> Option<Rc<str>> {
-        let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
-        let mut slowness = BTreeMap::new();
-        let quickest = self.quickest(now);
-        let mut best: Option<(f64, Rc<str>)> = None;
-        for id in ids {
-            let tie = self.draw();
-            let Some(upstream) = self.upstreams.get(&id) else {
-                continue;
-            };
-            if !upstream.is_open(now) || waiting.ask.avoid.contains(&id) {
-                continue;
-            }
-            if slow::is_slow(upstream.pace, quickest) {
-                continue;
-            }
-            let group = upstream.group;
-            let circuit = self.circuits.get(&group);
-            if circuit.is_some_and(|circuit| !circuit.allows(now)) {
-                continue;
-            }
-            let group = *slowness
-                .entry(group)
-                .or_insert_with(|| self.slowness(now, group, waiting));
-            let lateness = Lateness::of(waiting, over);
-            let Some(cost) = cost(now, upstream, group, lateness) else {
-                continue;
-            };
-            let far = if upstream.zone == self.zone {
-                0.0
-            } else {
-                FAR / f64::from(upstream.slots.max(1))
-            };
-            let unsure = !upstream.is_told(now) || upstream.is_silent(now);
-            let unsure = if unsure { UNSURE } else { 0.0 };
-            let cost = cost + far + unsure + TIE * tie;
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, id));
-            }
-        }
-        best.map(|(_, id)| id)
-    }
-
-    /// How a group's passes would be with one request more; nothing for requests
-    /// that aren't streams.
-    fn slowness(&self, now: Duration, group: u32, waiting: &Waiting) -> Option<Slowness> {
-        let engine = self.engine.as_ref()?;
-        let gap = waiting.ask.gap?.as_secs_f64().max(1e-6);
-        let all = self.all.pace(now, pass::UNKNOWN);
-        let pass = self.passes.get(&group).copied().unwrap_or_default();
-        let mean = self.mean(group);
-        let even = engine.pass(mean + 1.0).as_secs_f64();
-        Some(Slowness {
-            pass: even * pass.pace(now, all) / (gap * HEADROOM),
-            shifts: bears_shifts(engine, pass.highest(now), gap, mean + 1.0),
-            used: mean / f64::from(engine.slots.max(1)),
-        })
-    }
-
     /// Learns how long an answer lasted that ended well.
     pub fn lasted(&mut self, lasted: Duration) {
         self.lasting.learn(lasted);
--- /dev/null
+++ b/verbenaspool_policy/src/dispatch/outage.rs
@@ -0,0 +1,77 @@
+//! How long requests wait for a service none of whose upstreams runs, or that has just
+//! returned.
+//!
+//! Load: an outage of seconds, as when the groups of a service lose a zone. New requests
+//! are rejected, since their callers do better to retry; retries wait for the return,
+//! since most callers retry once. As upstreams return, every entry has a line of them and
+//! knows nothing of what the others place, so each takes its own share until the first
+//! answers have ended.
+
+use std::time::Duration;
+
+use super::{Resumes, line::Waiting};
+
+/// Whether the upstreams of a service run, and since when.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outage {
+    /// Whether none runs.
+    on: bool,
+    /// When the last outage ended.
+    ended: Option<Duration>,
+}
+
+impl Outage {
+    /// Records whether any upstream runs now.
+    pub fn observe(&mut self, now: Duration, runs: bool) {
+        if runs && self.on {
+            self.ended = Some(now);
+        }
+        self.on = !runs;
+    }
+
+    /// When upstreams returned, if that is less than one answer's `service_time` ago.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::outage::Outage;
+    ///
+    /// let (second, mut outage) = (Duration::from_secs(1), Outage::default());
+    /// outage.observe(second, false);
+    /// outage.observe(second * 3, true);
+    /// assert_eq!(outage.returned(second * 4, second * 2), Some(second * 3));
+    /// assert_eq!(outage.returned(second * 6, second * 2), None);
+    /// ```
+    #[must_use]
+    pub fn returned(&self, now: Duration, service_time: Duration) -> Option<Duration> {
+        let ended = self.ended.filter(|_| !self.on);
+        ended.filter(|ended| now < *ended + service_time)
+    }
+
+    /// Until when a request waits. `turn` is how long a late one waits at upstreams that
+    /// have long been running.
+    #[must_use]
+    pub fn wait_until(
+        &self,
+        now: Duration,
+        waiting: &Waiting,
+        turn: Duration,
+        service_time: Duration,
+    ) -> Duration {
+        if waiting.ask.resumes != Resumes::No {
+            return waiting.until;
+        }
+        if self.on {
+            return if waiting.late { waiting.until } else { now };
+        }
+        if !waiting.late {
+            return waiting.until.min(waiting.in_time_until);
+        }
+        let arrived_before = self.ended.is_some_and(|ended| waiting.since < ended);
+        if arrived_before || self.returned(now, service_time).is_some() {
+            waiting.until
+        } else {
+            waiting.until.min(waiting.since + turn)
+        }
+    }
+}
--- a/verbenaspool_policy/src/dispatch/pass.rs
+++ b/verbenaspool_policy/src/dispatch/pass.rs
@@ -113,6 +113,24 @@
         usual + (highest - usual) * left
     }
 
+    /// The pace of the last few passes since a time; nothing where none was seen.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::dispatch::pass::Pass;
+    ///
+    /// let mut pass = Pass::default();
+    /// pass.learn(Duration::from_secs(1), 2.0);
+    /// assert_eq!(pass.since(Duration::from_secs(1)), Some(2.0));
+    /// assert_eq!(pass.since(Duration::from_secs(2)), None);
+    /// ```
+    #[must_use]
+    pub fn since(&self, since: Duration) -> Option<f64> {
+        let (quick, at) = self.quick?;
+        (at >= since).then_some(quick)
+    }
+
     /// The pace to reckon with; that of all groups where this one's is old.
     #[must_use]
     pub fn pace(&self, now: Duration, all: f64) -> f64 {
--- a/verbenaspool_policy/src/dispatch/room.rs
+++ b/verbenaspool_policy/src/dispatch/room.rs
@@ -26,6 +26,10 @@
 /// more than a quarter of them isn't given up so that the others are in time.
 const WRITTEN: f64 = 0.75;
 
+/// The part of the passes in time up to which requests that are late are placed; the rest
+/// is left to those that can be in time.
+const LATE_PASS_RATIO: f64 = 0.85;
+
 /// The part of the longest pause in time that the longest pass may take.
 const SPARE: f64 = 0.95;
 
@@ -69,8 +73,14 @@
 /// How slow a group's passes would be with one request more.
 #[derive(Debug, Clone, Copy)]
 pub struct Slowness {
-    /// The pass, against what makes streams late.
+    /// The pass, against what makes streams late, less some headroom.
     pub pass: f64,
+    /// The same with one request a rank.
+    pub least: f64,
+    /// Whether the group has just returned from an outage.
+    pub returns: bool,
+    /// Whether requests that could have been in time were rejected lately.
+    pub short: bool,
     /// Whether streams would be in time behind the next shift of popularity as well, as
     /// far as that can be had.
     pub shifts: bool,
@@ -103,21 +113,21 @@
         if waiting.ask.beyond && waiting.ask.resumes == Resumes::No {
             return Self::Beyond;
         }
-        match (waiting.ask.resumes, waiting.late, over) {
-            (Resumes::Moved, _, _) => Self::Begun,
-            (Resumes::Broken, _, _) => Self::Broken,
-            (Resumes::No, true, _) => Self::Late,
-            (Resumes::No, _, true) => Self::Over,
-            (Resumes::No, false, false) => Self::InTime,
+        match waiting.ask.resumes {
+            Resumes::Moved => Self::Begun,
+            Resumes::Broken => Self::Broken,
+            Resumes::No if waiting.late => Self::Late,
+            Resumes::No if over => Self::Over,
+            Resumes::No => Self::InTime,
         }
     }
 }
 
 /// What sending a request to an upstream costs; nothing, where it has no room.
 ///
-/// What is late leaves some room to what can be in time: behind the return of a group
-/// those who waited for it would take all of it, and whoever comes then would be late as
-/// well.
+/// What is late leaves some room to what can be in time. Behind the return of a group it
+/// is placed only where passes stay in time with it and nothing that can be in time lacks
+/// room: those who waited would take all of it, on the longest passes there are.
 #[must_use]
 pub fn cost(
     now: Duration,
@@ -139,12 +149,16 @@
     };
     let in_time = group.pass <= 1.0 && group.shifts;
     let few = group.used < LEAST;
+    let few_late = few && !group.returns;
+    // Where passes are out of time with a single request a rank, none is in time anyhow.
+    let hopeless = few && group.least > 1.0;
+    let spare = group.returns && in_time && !group.short && group.pass <= LATE_PASS_RATIO;
     let room = busy < slots
         && match lateness {
             Lateness::InTime => in_time,
             Lateness::Beyond => in_time && group.used < SPARED,
-            Lateness::Over | Lateness::Broken => in_time || few,
-            Lateness::Late => few,
+            Lateness::Over | Lateness::Broken => in_time || few_late || hopeless,
+            Lateness::Late => few_late || hopeless || spare,
             Lateness::Begun => true,
         };
     room.then_some(group.pass + busy / slots + distrust)
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod customer;
 mod fleet;
 mod load;
+mod outage;
 mod relief;
 mod retry;
 mod shift;
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -21,8 +21,22 @@
     pub flights: Vec<Flight>,
     /// Other entries that it hears of.
     pub peers: Vec<Ipv4Addr>,
+    /// How long callers of services wait at first.
+    pub budgets: Vec<Budget>,
 }
 
+/// How long callers of a service wait at first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Budget {
+    /// The service, by [`hash`].
+    pub service: u32,
+    /// The times that many callers give, in milliseconds.
+    pub times_ms: Vec<u32>,
+}
+
+/// The most services whose callers' times a digest tells.
+pub const BUDGETS: usize = 4;
+
 /// An entry's requests at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Flight {
