--- a/verbenaspool/benches/capacity/members.rs
+++ b/verbenaspool/benches/capacity/members.rs
@@ -100,26 +100,26 @@
         let (version, now) = (Version(79_000), self.now);
         let one = &self.members[&number];
         let beat = Beat {
-            word: one.word(now, version, version, true),
+            message: one.word(now, version, version, true),
             table: Vec::new(),
         };
         let sent: Vec<Member> = one.table().cloned().collect();
         let two = self.members.get_mut(&other).expect("a member");
-        let differs = two.differs(&beat.word);
+        let differs = two.differs(&beat.message);
         if differs {
             two.merge(&sent);
         }
-        two.hear(now, beat.word.clone());
+        two.hear(now, beat.message.clone());
         let table: Vec<Member> = two.table().cloned().collect();
         let echo = Echo {
-            word: two.word(now, version, version, true),
+            message: two.word(now, version, version, true),
             table: if differs { table } else { Vec::new() },
             head: None,
         };
         let bytes = wire(&beat, &echo);
         let one = self.members.get_mut(&number).expect("a member");
         one.merge(&echo.table);
-        one.hear(now, echo.word);
+        one.hear(now, echo.message);
         for end in [number, other] {
             *self.bytes.entry(end).or_default() += bytes;
         }
--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -10,38 +10,37 @@
 use verbenaspool_transport::http::{body::Body, client::Error};
 
 use super::{
-    desk::{Desk, Place},
     gateway::Gateway,
+    queue::{Permit, ServiceQueue},
     record::Record,
     relay,
 };
 
-/// How long an upstream may be silent before a request that bears it is sent
-/// elsewhere, in times of its target. Twice the target is late already, and the
-/// caller gives up after four times.
-const PATIENCE: f64 = 2.0;
+/// Time to the first event, as a multiple of the target, after which a request that may
+/// be repeated is sent to another upstream.
+const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 2.0;
 
 /// Passes that an upstream may take before it begins to answer, where they are long: it
 /// reads the prompt in one or two, and a second upstream of the same group would take
 /// as many again.
-const PASSES: u32 = 4;
+const FIRST_EVENT_PASSES: u32 = 4;
 
 /// The longest silence before an answer begins, in times of its target: callers leave
 /// after four times, or two seconds.
 const MOST_PATIENCE: f64 = 3.6;
 
 /// The least time that is worth sending a request with.
-const WORTHWHILE: Duration = Duration::from_millis(30);
+const MIN_SEND_TIME: Duration = Duration::from_millis(30);
 
 /// Upstreams that can't be connected to before a request is given up.
-const UNREACHED: u32 = 4;
+const MAX_CONNECT_FAILURES: u32 = 4;
 
 /// A caller's request, ready to be sent.
 pub struct Work {
     pub gateway: Rc<Gateway>,
     pub record: Rc<Record>,
     pub route: Rc<Route>,
-    pub desk: Rc<Desk>,
+    pub queue: Rc<ServiceQueue>,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -70,7 +69,7 @@
 /// What is known behind a sending.
 pub enum Sent {
     /// The upstream answered, and the answer belongs to the request.
-    Answered(Response<Body>, Place),
+    Answered(Response<Body>, Permit),
     /// The request didn't run there and won't.
     NotRun(&'static str),
     /// The request may have run there, or may still.
@@ -79,7 +78,7 @@
 
 /// What came of waiting for an answer.
 enum Waited {
-    /// An answer, or an error in its place.
+    /// An answer, or an error instead.
     Answered(Result<Response<Body>, Error>),
     /// Nothing in time.
     Silent,
@@ -114,7 +113,7 @@
         until.saturating_sub(self.gateway.clock.now())
     }
 
-    /// What the request asks of its service's desk.
+    /// What the request asks of its service's queue.
     pub fn ask(&self) -> Ask {
         let streams = self.route.kind == Kind::Streaming;
         Ask {
@@ -130,22 +129,22 @@
         }
     }
 
-    /// Waits for a place at an upstream.
+    /// Waits for a permit at an upstream.
     ///
     /// # Errors
     /// There is no room, nor will there be in time.
-    pub async fn admit(&self, ask: Ask) -> Result<Place, Refusal> {
-        self.gateway.admit(&self.desk, ask).await
+    pub async fn admit(&self, ask: Ask) -> Result<Permit, Refusal> {
+        self.gateway.admit(&self.queue, ask).await
     }
 
     /// Whether the request may be sent once more, as things are now. It counts only
     /// when it is sent: one that then finds no upstream has cost nobody anything.
     pub fn may_repeat(&self) -> bool {
-        if self.sendings.get() >= self.route.attempts || self.left() < WORTHWHILE {
+        if self.sendings.get() >= self.route.attempts || self.left() < MIN_SEND_TIME {
             return false;
         }
         let (bound, entries) = self.budget();
-        self.desk.allows(&bound, entries)
+        self.queue.allows(&bound, entries)
     }
 
     /// What bounds repeats, and how many entries share it.
@@ -155,37 +154,37 @@
         (bound, self.gateway.sharers(now))
     }
 
-    /// Whether another upstream may be tried behind one that can't be reached.
+    /// Whether another upstream may be tried after one that can't be reached.
     pub fn may_reconnect(&self) -> bool {
-        self.unreached.get() < UNREACHED && self.left() >= WORTHWHILE
+        self.unreached.get() < MAX_CONNECT_FAILURES && self.left() >= MIN_SEND_TIME
     }
 
-    /// How long the upstream may be silent, where the request bears to be sent
-    /// elsewhere.
+    /// How long the upstream may be silent before the request is sent elsewhere, where
+    /// it may be.
     fn patience(&self, upstream: &str) -> Duration {
         let left = self.left();
         let last = self.sendings.get() >= self.route.attempts;
         if last || !self.route.is_repeatable() {
             return left;
         }
-        let usual = self.route.target.mul_f64(PATIENCE);
-        let passes = self.desk.pass(upstream).unwrap_or_default() * PASSES;
+        let usual = self.route.target.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR);
+        let passes = self.queue.pass(upstream).unwrap_or_default() * FIRST_EVENT_PASSES;
         let most = self.route.target.mul_f64(MOST_PATIENCE);
         usual.max(passes.min(most)).min(left)
     }
 
     /// Sends the request to an upstream, behind an event of the caller's where
     /// there is one.
-    pub async fn send(&self, place: Place, after: Option<u64>) -> Sent {
-        let id = place.upstream.clone();
+    pub async fn send(&self, permit: Permit, after: Option<u64>) -> Sent {
+        let id = permit.upstream.clone();
         let (bound, entries) = self.budget();
-        if self.sendings.get() > 0 && !self.desk.repeat(&bound, entries) {
-            place.ended(Ending::Unknown);
+        if self.sendings.get() > 0 && !self.queue.repeat(&bound, entries) {
+            permit.release(Ending::Unknown);
             return Sent::NotRun("no-budget");
         }
         self.tried.borrow_mut().push(id.clone());
         let Some(replica) = self.gateway.replica(&id) else {
-            place.ended(Ending::Unknown);
+            permit.release(Ending::Unknown);
             return Sent::NotRun("upstream-gone");
         };
         let Ok(request) = self.request(&id, after) else {
@@ -202,9 +201,9 @@
             }
         };
         let began = self.gateway.clock.now();
-        let answer = self.await_answer(answer, &place).await;
+        let answer = self.await_answer(answer, &permit).await;
         let waited = self.gateway.clock.now().saturating_sub(began);
-        let sent = self.judge(answer, waited, place);
+        let sent = self.judge(answer, waited, permit);
         match &sent {
             Sent::NotRun(why) => {
                 self.exposed.set(before);
@@ -223,20 +222,22 @@
     async fn await_answer(
         &self,
         answer: impl Future<Output = Result<Response<Body>, Error>>,
-        place: &Place,
+        permit: &Permit,
     ) -> Waited {
         let mut answer = pin!(answer);
-        let until = self.gateway.clock.now() + self.patience(&place.upstream);
+        let until = self.gateway.clock.now() + self.patience(&permit.upstream);
         loop {
             let now = self.gateway.clock.now();
             let left = until.saturating_sub(now).max(self.stays(now));
             if left.is_zero() {
                 return Waited::Silent;
             }
-            if let Ok(answer) = monoio::time::timeout(left.min(relay::LOOK), &mut answer).await {
+            if let Ok(answer) =
+                monoio::time::timeout(left.min(relay::POLL_INTERVAL), &mut answer).await
+            {
                 return Waited::Answered(answer);
             }
-            if self.route.is_repeatable() && place.is_slow() && self.may_repeat() {
+            if self.route.is_repeatable() && permit.is_slow() && self.may_repeat() {
                 return Waited::Slow;
             }
         }
@@ -252,7 +253,7 @@
         if self.route.is_repeatable() && self.may_repeat() {
             Duration::ZERO
         } else {
-            left.min(relay::LOOK)
+            left.min(relay::POLL_INTERVAL)
         }
     }
 
@@ -275,7 +276,7 @@
     /// requests take: that the time is over then says nothing, and an upstream
     /// that was left alone for it would be missed by all other requests.
     fn silence(&self, waited: Duration) -> Ending {
-        if waited >= self.route.target.mul_f64(PATIENCE) {
+        if waited >= self.route.target.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR) {
             Ending::Silent
         } else {
             Ending::Unknown
@@ -283,24 +284,24 @@
     }
 
     /// What an answer, or the want of one, tells.
-    fn judge(&self, answer: Waited, waited: Duration, place: Place) -> Sent {
+    fn judge(&self, answer: Waited, waited: Duration, permit: Permit) -> Sent {
         let response = match answer {
             Waited::Silent => {
-                place.ended(self.silence(waited));
+                permit.release(self.silence(waited));
                 return Sent::Unknown("silent");
             }
             Waited::Slow => {
-                place.ended(Ending::Unknown);
-                return Sent::Unknown(relay::SLOW);
+                permit.release(Ending::Unknown);
+                return Sent::Unknown(relay::SLOW_REASON);
             }
             Waited::Answered(Err(Error::NotSent(_))) => {
-                place.ended(Ending::Unreached);
+                permit.release(Ending::Unreached);
                 self.sendings.set(self.sendings.get() - 1);
                 self.unreached.set(self.unreached.get() + 1);
                 return Sent::NotRun("unreached");
             }
             Waited::Answered(Err(Error::Broken(_))) => {
-                place.ended(Ending::Bad);
+                permit.release(Ending::Bad);
                 return Sent::Unknown("broken");
             }
             Waited::Answered(Ok(response)) => response,
@@ -312,22 +313,22 @@
         // A late or doubled answer to another request may come where this one's
         // is due. Its connection goes with it.
         if !nameless && !header::belongs(response.headers(), self.said.id.as_ref()) {
-            place.ended(Ending::Bad);
+            permit.release(Ending::Bad);
             return Sent::Unknown("not-its-answer");
         }
         if misdirected {
-            place.ended(Ending::Unreached);
+            permit.release(Ending::Unreached);
             return Sent::NotRun("misdirected");
         }
         if said.not_run {
-            place.ended(Ending::Full);
+            permit.release(Ending::Full);
             return Sent::NotRun("turned-away");
         }
         if status.is_success() && (!said.signed || said.encoded) {
-            place.ended(Ending::Bad);
+            permit.release(Ending::Bad);
             return Sent::Unknown("not-the-upstreams-answer");
         }
-        place.taken();
-        Sent::Answered(response, place)
+        permit.on_response_started();
+        Sent::Answered(response, permit)
     }
 }
--- a/verbenaspool/src/direct/events.rs
+++ b/verbenaspool/src/direct/events.rs
@@ -16,7 +16,7 @@
 }
 
 /// The largest event, in bytes. Those of engines have some hundred.
-const LARGEST: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Cuts a stream's bytes into whole events.
 #[derive(Debug, Default)]
@@ -69,7 +69,7 @@
             start = end;
             at = end;
         }
-        if self.partial.len() - start > LARGEST {
+        if self.partial.len() - start > MAX_EVENT_BYTES {
             return Err(Fault::Large);
         }
         Ok((self.partial.split_to(start).freeze(), count))
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -18,17 +18,17 @@
 /// How long a watch waits at an entry by itself. A connection to the store that fell
 /// silent is found within this and a second; each call is paid for, so it isn't
 /// shorter.
-const WAIT: Duration = Duration::from_secs(3);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The most that a watch waits, however many entries there are: the store's own bound.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// Entries that watch as if each were by itself.
-const FEW: u32 = 4;
+const INDEPENDENT_WATCHERS: u32 = 4;
 
 /// The pause behind a change. Changes come in rows, as when all upstreams start at once,
 /// and each watch that brings one is paid for; all of them must be in force within 2 s.
-const BATCH: Duration = Duration::from_millis(150);
+const BATCH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// What each entry adds to the longest pause in a row of changes: each of them is paid
 /// for by every entry.
@@ -39,7 +39,7 @@
 
 /// The pause after a call that failed, at first and at most. What the store
 /// refuses must be asked for again within the bound on changes, which is 2 s.
-const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
+const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
 /// What is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,7 +73,7 @@
     /// Whether it was away since the process began.
     was_away: bool,
     pause: Duration,
-    /// The pause behind the next change.
+    /// The pause after the next change.
     batch: Duration,
 }
 
@@ -88,8 +88,8 @@
             revision: 0,
             back: None,
             was_away: false,
-            pause: PAUSE[0],
-            batch: BATCH,
+            pause: RETRY_INTERVALS[0],
+            batch: BATCH_INTERVAL,
         }
     }
 
@@ -188,7 +188,7 @@
 
     /// The store has answered.
     fn reached(&mut self) {
-        self.pause = PAUSE[0];
+        self.pause = RETRY_INTERVALS[0];
         if self.back.is_none() {
             self.back = Some(self.gateway.clock.now());
             info!(self.gateway.log, "Entry: The store answers."; "kind" => self.kind.name());
@@ -203,19 +203,19 @@
                 "kind" => self.kind.name(), "reason" => why.to_string());
         }
         let pause = self.pause;
-        self.pause = (pause * 2).min(PAUSE[1]);
+        self.pause = (pause * 2).min(RETRY_INTERVALS[1]);
         self.gateway.clock.sleep(pause).await;
     }
 }
 
 /// The pause behind a change that a watch waited so long for, before so many entries, if
-/// it was so long behind the one before: longer while one change follows the other.
+/// it was so long after the one before: longer while one change follows the other.
 fn batch(before: Duration, waited: Duration, entries: usize) -> Duration {
     if waited >= before {
-        return BATCH;
+        return BATCH_INTERVAL;
     }
     let entries = u32::try_from(entries).unwrap_or(u32::MAX).saturating_sub(1);
-    let most = BATCH + BATCH_PER_ENTRY.saturating_mul(entries);
+    let most = BATCH_INTERVAL + BATCH_PER_ENTRY.saturating_mul(entries);
     (before * 2).min(most.min(LONGEST_BATCH))
 }
 
@@ -230,8 +230,8 @@
 /// then would be found together, and late.
 fn wait(entries: usize, draw: f32) -> Duration {
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    let [least, usual] = [0.75, 0.875].map(|part| WAIT.mul_f32(part));
-    let mean = usual.saturating_mul(entries.max(FEW)) / FEW;
+    let [least, usual] = [0.75, 0.875].map(|part| WATCH_TIMEOUT.mul_f32(part));
+    let mean = usual.saturating_mul(entries.max(INDEPENDENT_WATCHERS)) / INDEPENDENT_WATCHERS;
     let most = (mean * 2).saturating_sub(least).min(LONGEST_WAIT);
     least + most.saturating_sub(least).mul_f32(draw)
 }
--- a/verbenaspool/src/direct/follow/tests.rs
+++ b/verbenaspool/src/direct/follow/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{BATCH, LONGEST_BATCH, LONGEST_WAIT, WAIT, batch, wait};
+use super::{BATCH_INTERVAL, LONGEST_BATCH, LONGEST_WAIT, WATCH_TIMEOUT, batch, wait};
 
 /// With 18 entries calls to the store cost as much as all instances: each renewed its
 /// two watches every 3 s. Together they need no more than a few did; one alone, which
@@ -8,8 +8,8 @@
 #[test]
 fn watches_of_many_entries_are_renewed_as_often_as_those_of_few() {
     for draw in [0.0, 0.5, 1.0] {
-        assert!(wait(1, draw) <= WAIT);
-        assert!(wait(4, draw) <= WAIT);
+        assert!(wait(1, draw) <= WATCH_TIMEOUT);
+        assert!(wait(4, draw) <= WATCH_TIMEOUT);
         assert!(wait(1_000, draw) <= LONGEST_WAIT);
     }
     let a_second = |entries: u8| f64::from(entries) / wait(entries.into(), 0.5).as_secs_f64();
@@ -17,7 +17,7 @@
 }
 
 /// Entries that start together don't go on renewing their watches together, or a
-/// connection that fell silent right behind that would be found by none for long.
+/// connection that fell silent right after that would be found by none for long.
 #[test]
 fn watches_are_spread() {
     let (first, last) = (wait(18, 0.0), wait(18, 1.0));
@@ -32,14 +32,14 @@
     let soonest = (0..60_u8)
         .map(|number| wait(60, f32::from(number) / 59.0))
         .min();
-    assert!(soonest < Some(WAIT));
+    assert!(soonest < Some(WATCH_TIMEOUT));
 }
 
 /// Two hundred upstreams register within 3 s, and sixty entries watch. Each change that
 /// is taken by itself is paid for sixty times; one that comes alone isn't delayed more.
 #[test]
 fn changes_in_a_row_are_taken_together() {
-    let (mut pause, mut spent, mut watches) = (BATCH, Duration::ZERO, 0);
+    let (mut pause, mut spent, mut watches) = (BATCH_INTERVAL, Duration::ZERO, 0);
     while spent < Duration::from_secs(3) {
         watches += 1;
         pause = batch(pause, Duration::from_millis(5), 60);
@@ -47,6 +47,10 @@
     }
     assert!(watches <= 8, "{watches}");
     assert!(pause <= LONGEST_BATCH);
-    assert_eq!(batch(pause, Duration::from_secs(1), 60), BATCH);
-    assert_eq!(batch(BATCH, Duration::ZERO, 1), BATCH, "one pays for few");
+    assert_eq!(batch(pause, Duration::from_secs(1), 60), BATCH_INTERVAL);
+    assert_eq!(
+        batch(BATCH_INTERVAL, Duration::ZERO, 1),
+        BATCH_INTERVAL,
+        "one pays for few"
+    );
 }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -15,24 +15,25 @@
     store::{self, Object},
 };
 use verbenaspool_protocol::{
+    member::Status,
     reservation::{self, Members},
-    seat::Status,
 };
 use verbenaspool_state::{replica::Replica, route::Table};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
-    desk::Desk, peers::Peers, registry::Registry, reserve::Reservations, settings::Settings,
+    peers::Peers, queue::ServiceQueue, registry::Registry, reserve::Reservations,
+    settings::Settings,
 };
 
 /// How long a new connection to an upstream may take. The way there and back
 /// takes a few milliseconds; an upstream that is cut off never answers, and a
 /// full queue of connections is served again seconds later only.
-const CONNECT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long a connection to an upstream is kept that carries no request, where
 /// the upstream doesn't state its own bound: those below a second aren't stated.
-const KEPT: Duration = Duration::from_millis(400);
+const KEEP_ALIVE_TIME: Duration = Duration::from_millis(400);
 
 /// What all requests of an entry share.
 pub struct Gateway {
@@ -63,7 +64,7 @@
     table: RefCell<Option<Rc<Table>>>,
     registry: RefCell<Registry>,
     listed: Cell<bool>,
-    desks: RefCell<HashMap<Rc<str>, Rc<Desk>>>,
+    queues: RefCell<HashMap<Rc<str>, Rc<ServiceQueue>>>,
 }
 
 impl Gateway {
@@ -79,7 +80,7 @@
             clock,
             log,
             metrics: metrics::Registry::default(),
-            client: Client::new(CONNECT).keep_for(KEPT),
+            client: Client::new(CONNECT_TIMEOUT).keep_for(KEEP_ALIVE_TIME),
             store,
             calls: rpc::Client::default(),
             peers: RefCell::default(),
@@ -90,7 +91,7 @@
             table: RefCell::default(),
             registry: RefCell::default(),
             listed: Cell::new(false),
-            desks: RefCell::default(),
+            queues: RefCell::default(),
         })
     }
 
@@ -146,8 +147,8 @@
         self.table.replace(Some(table.clone()));
         self.source.replace(Some(object.clone()));
         for service in table.services() {
-            let desk = self.desk(&service.name);
-            desk.with(|dispatcher, _| dispatcher.engine(service.engine.as_ref()));
+            let queue = self.queue(&service.name);
+            queue.with(|dispatcher, _| dispatcher.engine(service.engine.as_ref()));
         }
         self.deal();
     }
@@ -188,7 +189,7 @@
         }
     }
 
-    /// Tells each service's desk its upstreams.
+    /// Tells each service's queue its upstreams.
     fn deal(&self) {
         let registry = self.registry.borrow();
         let mut services: HashMap<Rc<str>, Vec<Rc<Replica>>> = HashMap::new();
@@ -196,12 +197,12 @@
             let list = services.entry(replica.service.clone()).or_default();
             list.push(replica.clone());
         }
-        for name in self.desks.borrow().keys() {
+        for name in self.queues.borrow().keys() {
             services.entry(name.clone()).or_default();
         }
         for (service, list) in services {
-            let desk = self.desk(&service);
-            desk.with(|dispatcher, _| dispatcher.members(list.iter().map(|replica| &**replica)));
+            let queue = self.queue(&service);
+            queue.with(|dispatcher, _| dispatcher.members(list.iter().map(|replica| &**replica)));
         }
     }
 
@@ -235,10 +236,10 @@
         };
         let mut there = registry.iter().filter(|r| r.address.ip() == instance);
         let (own, engine) = there.find_map(|replica| Some((replica, grouped(replica)?)))?;
-        let mates = registry.iter().filter(|r| r.service == own.service);
-        let mates = mates.map(|replica| replica.address.ip());
+        let group_members = registry.iter().filter(|r| r.service == own.service);
+        let group_members = group_members.map(|replica| replica.address.ip());
         Some(Members {
-            instances: mates.choose_multiple(&mut rand::rng(), reservation::INSTANCES),
+            instances: group_members.choose_multiple(&mut rand::rng(), reservation::MAX_INSTANCES),
             slots: own.slots,
             experts: engine.experts,
             pass: engine.pass(0.0),
@@ -253,7 +254,7 @@
             return;
         };
         drop(registry);
-        let changed = self.desk(&upstream.service).with(|dispatcher, now| {
+        let changed = self.queue(&upstream.service).with(|dispatcher, now| {
             if !dispatcher.load(now, &upstream.id, status.number, status.requests) {
                 return false;
             }
@@ -266,21 +267,21 @@
         }
     }
 
-    /// The desk of a service.
-    pub fn desk(&self, service: &Rc<str>) -> Rc<Desk> {
-        let mut desks = self.desks.borrow_mut();
+    /// The queue of a service.
+    pub fn queue(&self, service: &Rc<str>) -> Rc<ServiceQueue> {
+        let mut queues = self.queues.borrow_mut();
         let new = || {
             let zone: Rc<str> = self.settings.borrow().zone.as_str().into();
             let seed = rand::rng().random();
             let (clock, log) = (self.clock.clone(), self.log.clone());
-            Rc::new(Desk::new(service.clone(), clock, log, zone, seed))
+            Rc::new(ServiceQueue::new(service.clone(), clock, log, zone, seed))
         };
-        desks.entry(service.clone()).or_insert_with(new).clone()
+        queues.entry(service.clone()).or_insert_with(new).clone()
     }
 
-    /// All desks.
-    pub fn desks(&self) -> Vec<Rc<Desk>> {
-        self.desks.borrow().values().cloned().collect()
+    /// All queues.
+    pub fn queues(&self) -> Vec<Rc<ServiceQueue>> {
+        self.queues.borrow().values().cloned().collect()
     }
 
     /// The upstream of this identity.
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -7,11 +7,11 @@
 
 mod answer;
 mod attempt;
-mod desk;
 mod events;
 mod follow;
 mod gateway;
 mod peers;
+mod queue;
 mod readiness;
 mod record;
 mod registry;
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -22,64 +22,64 @@
 use verbenaspool_platform::store::Object;
 use verbenaspool_protocol::{
     digest::{self, Budget, Digest, Flight},
+    message::{self, Message},
     reservation::Subscription,
-    word::{self, Word},
 };
 use verbenaspool_transport::rpc;
 
 use super::{gateway::Gateway, registry};
 
-/// The pause between digests with few peers. Upstreams free a place every 30 ms
-/// or so at today's size, and a place shouldn't be taken twice.
-const PERIOD: Duration = Duration::from_millis(30);
+/// Interval between digests with few peers: short enough that entries rarely take the
+/// same slot.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(30);
 
 /// What each further peer adds to the pause.
-const PERIOD_PER_PEER: Duration = Duration::from_millis(4);
+const DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_millis(4);
 
 /// The pause for each peer at least, so that an entry sends and hears no more than 80
 /// digests a second however many entries there are. What upstreams of groups have is
 /// told by agents, and a version that an entry lacks is heard of from the first peer
 /// that has it.
-const SHARE: Duration = Duration::from_micros(12_500);
+const MIN_DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_micros(12_500);
 
 /// How long a silent peer's requests count at least. They end within a few seconds, and
 /// a peer that was cut off from here still has them.
-const SILENCE: Duration = Duration::from_millis(2_500);
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Digests of a peer that may be lost before it counts as silent.
-const LOST: u32 = 3;
+const MAX_LOST_DIGESTS: u32 = 3;
 
 /// How long no new peer must have been heard of for the others to count as known.
-const SETTLED: Duration = Duration::from_secs(1);
+const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 
 /// The entries that there are taken to be at least while some may not be known yet.
-const MANY: usize = 32;
+const ASSUMED_ENTRIES: usize = 32;
 
 /// How long one datagram may be overtaken by others.
-const OVERTAKEN: Duration = Duration::from_millis(300);
+const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
 /// How long a silent peer is still sent digests, so that a cut that ends is found.
-const FORGOTTEN: Duration = Duration::from_mins(1);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// How long the store has to bring what a peer is known to have, before the peer
 /// is asked. It brings a change within milliseconds.
-const HEADSTART: Duration = Duration::from_millis(150);
+const CATCH_UP_DELAY: Duration = Duration::from_millis(150);
 
 /// How long a peer has to answer.
-const ANSWER: Duration = Duration::from_millis(500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How often agents of the own zone are asked for their ranks' state. They go on telling
 /// it for some seconds.
-const SUBSCRIBE: Duration = Duration::from_secs(1);
+const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// In how many of these times agents of other zones are asked once.
 const SUBSCRIBE_FAR: u32 = 3;
 
 /// The RPC method by which peers get what they lack.
-pub const LATEST: &str = "latest";
+pub const LATEST_METHOD: &str = "latest";
 
 /// The most peers that a digest names while some may not be known yet, and otherwise.
-const NAMED: [usize; 2] = [24, 4];
+const MAX_NAMED_PEERS: [usize; 2] = [24, 4];
 
 /// One other entry.
 #[derive(Debug, Default)]
@@ -135,7 +135,7 @@
         if self.is_settled(now) {
             entries
         } else {
-            entries.max(MANY)
+            entries.max(ASSUMED_ENTRIES)
         }
     }
 
@@ -146,11 +146,11 @@
 
     /// Whether all peers are likely to be known.
     fn is_settled(&self, now: Duration) -> bool {
-        now.saturating_sub(self.grown) >= SETTLED
+        now.saturating_sub(self.grown) >= DISCOVERY_TIME
     }
 
     fn live(&self, now: Duration) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
-        let silence = SILENCE.max(pause(self.known.len()) * (LOST + 1));
+        let silence = PEER_TIMEOUT.max(pause(self.known.len()) * (MAX_LOST_DIGESTS + 1));
         let live = move |peer: &Peer| {
             peer.heard
                 .is_some_and(|heard| now.saturating_sub(heard) < silence)
@@ -160,7 +160,7 @@
 
     /// Takes a digest over; tells whether it changed anything.
     fn hear(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
-        for &other in digest.peers.iter().take(NAMED[0]) {
+        for &other in digest.peers.iter().take(MAX_NAMED_PEERS[0]) {
             self.think_of(now, other);
         }
         self.think_of(now, from);
@@ -171,7 +171,7 @@
         // Behind a silence anything is believed: a process that was started again
         // may have a lower number than its forerunner where the time of day was
         // put back.
-        let lately = |heard: Duration| now.saturating_sub(heard) < OVERTAKEN;
+        let lately = |heard: Duration| now.saturating_sub(heard) < REORDER_WINDOW;
         if peer.heard.is_some_and(lately) && order(&digest) <= order(&peer.digest) {
             return false;
         }
@@ -251,8 +251,8 @@
         let now = self.clock.now();
         let have = self.have();
         let mut flights = Vec::new();
-        for desk in self.desks() {
-            desk.with(|dispatcher, now| {
+        for queue in self.queues() {
+            queue.with(|dispatcher, now| {
                 flights.extend(dispatcher.flights(now).map(|(id, requests)| Flight {
                     upstream: digest::hash(id),
                     requests,
@@ -261,7 +261,7 @@
         }
         let mut peers = self.peers.borrow_mut();
         peers.number += 1;
-        let most = NAMED[usize::from(peers.is_settled(now))];
+        let most = MAX_NAMED_PEERS[usize::from(peers.is_settled(now))];
         let named = peers.live(now).map(|(address, _)| *address);
         let named = named.choose_multiple(&mut rand::rng(), most);
         Digest {
@@ -271,7 +271,7 @@
             registry: have.registry,
             leaving: self.leaving.get(),
             flights: {
-                flights.truncate(digest::FLIGHTS);
+                flights.truncate(digest::MAX_FLIGHTS);
                 flights
             },
             peers: named,
@@ -281,30 +281,30 @@
 
     /// How long callers of each service wait at first.
     fn budgets(&self) -> Vec<Budget> {
-        let budgets = self.desks().into_iter().map(|desk| Budget {
-            service: digest::hash(&desk.service),
-            times_ms: desk.common_times(),
+        let budgets = self.queues().into_iter().map(|queue| Budget {
+            service: digest::hash(&queue.service),
+            times_ms: queue.common_times(),
         });
         let known = budgets.filter(|budget| !budget.times_ms.is_empty());
-        known.take(digest::BUDGETS).collect()
+        known.take(digest::MAX_BUDGETS).collect()
     }
 
     /// Takes over how long callers wait at first, as far as this entry doesn't know.
     fn learn_budgets(&self, budgets: &[Budget]) {
-        for desk in self.desks() {
-            let service = digest::hash(&desk.service);
+        for queue in self.queues() {
+            let service = digest::hash(&queue.service);
             let budget = budgets.iter().find(|budget| budget.service == service);
             if let Some(budget) = budget {
-                desk.hint_times(&budget.times_ms);
+                queue.hint_times(&budget.times_ms);
             }
         }
     }
 
-    /// Tells desks what other entries have in flight.
+    /// Tells queues what other entries have in flight.
     fn share(&self) {
         let sums = self.peers.borrow().flights(self.clock.now());
-        for desk in self.desks() {
-            desk.with(|dispatcher, now| {
+        for queue in self.queues() {
+            queue.with(|dispatcher, now| {
                 let ids: Vec<Rc<str>> = dispatcher.ids().cloned().collect();
                 for id in ids {
                     let others = sums.get(&digest::hash(&id)).copied().unwrap_or(0);
@@ -328,8 +328,10 @@
     /// Asks a peer for what it has that is newer.
     async fn ask(&self, peer: Ipv4Addr) {
         let address = SocketAddr::from((peer, self.settings.borrow().control.port()));
-        let called: Result<Latest, _> =
-            self.calls.call(address, LATEST, &self.have(), ANSWER).await;
+        let called: Result<Latest, _> = self
+            .calls
+            .call(address, LATEST_METHOD, &self.have(), CALL_TIMEOUT)
+            .await;
         let latest = match called {
             Ok(latest) => latest,
             Err(why) => {
@@ -356,7 +358,7 @@
 /// Answers the calls of peers.
 pub fn methods(gateway: &Rc<Gateway>, module: &mut rpc::Module) {
     let gateway = gateway.clone();
-    module.on(LATEST, move |have: Have| {
+    module.on(LATEST_METHOD, move |have: Have| {
         let latest = gateway.latest(have);
         async move { Ok::<_, String>(latest) }
     });
@@ -374,15 +376,17 @@
 /// Hears digests for as long as the process runs.
 pub async fn hear(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
-        let (received, buffer) = socket.recv_from(vec![0_u8; word::LARGEST]).await;
+        let (received, buffer) = socket
+            .recv_from(vec![0_u8; message::MAX_DATAGRAM_BYTES])
+            .await;
         let Ok((length, from)) = received else {
-            gateway.clock.sleep(PERIOD).await;
+            gateway.clock.sleep(DIGEST_INTERVAL).await;
             continue;
         };
         let from = from.ip();
         let now = gateway.clock.now();
-        match Word::decode(&buffer[..length]) {
-            Some(Word::Digest(digest)) => {
+        match Message::decode(&buffer[..length]) {
+            Some(Message::Digest(digest)) => {
                 let IpAddr::V4(from) = from else {
                     continue;
                 };
@@ -393,16 +397,18 @@
                 }
             }
             // An agent speaks for the upstream on its own instance only.
-            Some(Word::Status(status)) if status.upstream.ip() == from => gateway.status(&status),
-            Some(Word::Lookup) => {
+            Some(Message::Status(status)) if status.upstream.ip() == from => {
+                gateway.status(&status);
+            }
+            Some(Message::Lookup) => {
                 if let Some(members) = gateway.members(from) {
                     let port = gateway.settings.borrow().peer_port;
-                    let word = Word::Members(members).encode();
+                    let message = Message::Members(members).encode();
                     // An agent that doesn't hear this asks again.
-                    let _ = socket.send_to(word, SocketAddr::new(from, port)).await;
+                    let _ = socket.send_to(message, SocketAddr::new(from, port)).await;
                 }
             }
-            Some(Word::Answer(answer)) if answer.status.upstream.ip() == from => {
+            Some(Message::Answer(answer)) if answer.status.upstream.ip() == from => {
                 gateway.reservations.answered(from, answer);
             }
             _ => {}
@@ -413,7 +419,7 @@
 /// Sends digests for as long as the process runs.
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, incarnation: u64) {
     loop {
-        let digest = Word::Digest(gateway.digest(incarnation)).encode();
+        let digest = Message::Digest(gateway.digest(incarnation)).encode();
         let addresses = addresses(&gateway);
         let port = gateway.settings.borrow().peer_port;
         for address in &addresses {
@@ -429,7 +435,7 @@
 /// The pause between digests to so many peers.
 fn pause(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    (PERIOD + PERIOD_PER_PEER * peers).max(SHARE * peers)
+    (DIGEST_INTERVAL + DIGEST_INTERVAL_PER_PEER * peers).max(MIN_DIGEST_INTERVAL_PER_PEER * peers)
 }
 
 /// Asks the agents beside the ranks of groups how their ranks stand, for as long
@@ -443,12 +449,16 @@
         for (upstream, near) in ranks {
             // An agent that missed this hears the next one.
             if near || round % SUBSCRIBE_FAR == 0 {
-                let word = Word::Subscribe(Subscription { near }).encode();
+                let message = Message::Subscribe(Subscription { near }).encode();
                 let agent = SocketAddr::new(upstream.ip(), port);
-                let _ = socket.send_to(word, agent).await;
+                let _ = socket.send_to(message, agent).await;
             }
         }
-        let pause = if known { SUBSCRIBE } else { PERIOD };
+        let pause = if known {
+            SUBSCRIBE_INTERVAL
+        } else {
+            DIGEST_INTERVAL
+        };
         gateway.clock.sleep(pause).await;
     }
 }
@@ -465,7 +475,7 @@
     }
     let own = settings.address;
     peers.known.retain(|address, peer| {
-        IpAddr::V4(*address) != own && now.saturating_sub(peer.since) < FORGOTTEN
+        IpAddr::V4(*address) != own && now.saturating_sub(peer.since) < FORGET_AFTER
     });
     peers.known.keys().copied().collect()
 }
@@ -473,7 +483,7 @@
 /// Gets from peers what this entry lacks, for as long as the process runs.
 pub async fn catch_up(gateway: Rc<Gateway>) {
     loop {
-        gateway.clock.sleep(HEADSTART / 3).await;
+        gateway.clock.sleep(CATCH_UP_DELAY / 3).await;
         let now = gateway.clock.now();
         let ahead = gateway.peers.borrow().ahead(now, gateway.have());
         let Some(&peer) = ahead.first() else {
@@ -481,7 +491,7 @@
             continue;
         };
         let since = *gateway.peers.borrow_mut().behind.get_or_insert(now);
-        if now.saturating_sub(since) >= HEADSTART {
+        if now.saturating_sub(since) >= CATCH_UP_DELAY {
             info!(gateway.log, "Entry: A peer knows more; asking it."; "peer" => peer.to_string());
             gateway.ask(peer).await;
             gateway.peers.borrow_mut().behind = None;
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -4,7 +4,7 @@
 
 use verbenaspool_protocol::digest::Digest;
 
-use super::{MANY, Peers, pause};
+use super::{ASSUMED_ENTRIES, Peers, pause};
 
 fn peer(number: u16) -> Ipv4Addr {
     let [high, low] = number.to_be_bytes();
@@ -52,7 +52,7 @@
     let mut peers = Peers::default();
     let start = Duration::from_millis(100);
     peers.hear(start, peer(1), digest(1));
-    assert_eq!(peers.sharers(start), MANY);
+    assert_eq!(peers.sharers(start), ASSUMED_ENTRIES);
     assert_eq!(peers.sharers(start + Duration::from_millis(1_500)), 2);
 }
 
--- a/verbenaspool/src/direct/desk.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -1,4 +1,4 @@
-//! One service's desk: where requests wait for an upstream.
+//! One service's queue: where requests wait for an upstream.
 
 use std::{
     cell::{Cell, RefCell},
@@ -21,7 +21,7 @@
 
 /// One service at this entry.
 #[derive(Debug)]
-pub struct Desk {
+pub struct ServiceQueue {
     /// The service's name.
     pub service: Rc<str>,
     clock: Rc<dyn Clock>,
@@ -34,10 +34,10 @@
     next: Cell<Ticket>,
 }
 
-/// A request's place at an upstream; gone with the value.
+/// A request's permit at an upstream; gone with the value.
 #[derive(Debug)]
-pub struct Place {
-    desk: Rc<Desk>,
+pub struct Permit {
+    queue: Rc<ServiceQueue>,
     /// The upstream.
     pub upstream: Rc<str>,
     since: Duration,
@@ -46,45 +46,45 @@
     asking: Cell<bool>,
 }
 
-impl Place {
+impl Permit {
     /// Says how the sending ended; without it, nothing is learnt.
-    pub fn ended(self, ending: Ending) {
+    pub fn release(self, ending: Ending) {
         self.ending.set(ending);
     }
 
     /// Whether the agent beside the upstream is to be asked before a request is sent.
     pub fn asks(&self) -> bool {
-        let now = self.desk.clock.now();
-        self.desk.dispatcher.borrow().asks(now, &self.upstream)
+        let now = self.queue.clock.now();
+        self.queue.dispatcher.borrow().asks(now, &self.upstream)
     }
 
     /// Says that the request is on its way: the agent beside the upstream kept a slot
     /// for it, or wasn't asked.
     pub fn reserved(&self) {
         self.asking.set(false);
-        self.desk.dispatcher.borrow_mut().reserved(&self.upstream);
+        self.queue.dispatcher.borrow_mut().reserved(&self.upstream);
     }
 
     /// Says that the agent beside the upstream didn't answer.
     pub fn unanswered(&self) {
-        let now = self.desk.clock.now();
-        let mut dispatcher = self.desk.dispatcher.borrow_mut();
+        let now = self.queue.clock.now();
+        let mut dispatcher = self.queue.dispatcher.borrow_mut();
         dispatcher.unanswered(now, &self.upstream);
     }
 
     /// Says that the upstream has begun to answer.
-    pub fn taken(&self) {
+    pub fn on_response_started(&self) {
         let taken = |dispatcher: &mut Dispatcher, _| dispatcher.taken(&self.upstream);
-        if self.desk.with(taken) {
-            info!(self.desk.log, "Entry: A group takes requests again.";
-                "service" => &*self.desk.service, "upstream" => &*self.upstream);
+        if self.queue.with(taken) {
+            info!(self.queue.log, "Entry: A group takes requests again.";
+                "service" => &*self.queue.service, "upstream" => &*self.upstream);
         }
     }
 
     /// An event of a stream came, behind a pause where another one came before.
     pub fn event(&self, pause: Option<Duration>) {
-        let now = self.desk.clock.now();
-        let mut dispatcher = self.desk.dispatcher.borrow_mut();
+        let now = self.queue.clock.now();
+        let mut dispatcher = self.queue.dispatcher.borrow_mut();
         dispatcher.heard(now, &self.upstream);
         if let Some(pause) = pause {
             dispatcher.pause(now, &self.upstream, pause);
@@ -93,58 +93,58 @@
 
     /// Whether the upstream is slow beside others, so that its streams should leave it.
     pub fn is_slow(&self) -> bool {
-        let now = self.desk.clock.now();
-        self.desk.dispatcher.borrow().is_slow(now, &self.upstream)
+        let now = self.queue.clock.now();
+        self.queue.dispatcher.borrow().is_slow(now, &self.upstream)
     }
 
     /// What it means that a stream here has been silent since some time.
     pub fn silence(&self, since: Duration) -> Silence {
-        let now = self.desk.clock.now();
-        let dispatcher = self.desk.dispatcher.borrow();
+        let now = self.queue.clock.now();
+        let dispatcher = self.queue.dispatcher.borrow();
         dispatcher.silence(now, &self.upstream, since)
     }
 
     /// The upstreams of the same group.
-    pub fn mates(&self) -> Vec<Rc<str>> {
-        self.desk.dispatcher.borrow().mates(&self.upstream)
+    pub fn group_members(&self) -> Vec<Rc<str>> {
+        self.queue.dispatcher.borrow().group_members(&self.upstream)
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         if self.asking.get() {
             self.reserved();
         }
         if self.ending.get() == Ending::Good {
-            let lasted = self.desk.clock.now().saturating_sub(self.since);
-            self.desk.dispatcher.borrow_mut().lasted(lasted);
+            let lasted = self.queue.clock.now().saturating_sub(self.since);
+            self.queue.dispatcher.borrow_mut().lasted(lasted);
         }
-        self.desk.free(&self.upstream, self.ending.get());
+        self.queue.free(&self.upstream, self.ending.get());
     }
 }
 
 /// A request in line; it leaves the line with the value.
-struct Seat<'a> {
-    desk: &'a Rc<Desk>,
+struct Waiter<'a> {
+    queue: &'a Rc<ServiceQueue>,
     ticket: Ticket,
     verdict: oneshot::Receiver<Verdict>,
 }
 
-impl Drop for Seat<'_> {
+impl Drop for Waiter<'_> {
     fn drop(&mut self) {
-        self.desk.dispatcher.borrow_mut().leave(self.ticket);
-        self.desk.waiting.borrow_mut().remove(&self.ticket);
-        // A caller may leave just as its turn has come; its place must come free.
+        self.queue.dispatcher.borrow_mut().leave(self.ticket);
+        self.queue.waiting.borrow_mut().remove(&self.ticket);
+        // A caller may leave just as its turn has come; its permit must come free.
         self.verdict.close();
         if let Ok(Verdict::Send(upstream)) = self.verdict.try_recv() {
-            self.desk.dispatcher.borrow_mut().reserved(&upstream);
-            self.desk.free(&upstream, Ending::Unknown);
+            self.queue.dispatcher.borrow_mut().reserved(&upstream);
+            self.queue.free(&upstream, Ending::Unknown);
         }
     }
 }
 
-impl Desk {
-    /// A desk without upstreams.
+impl ServiceQueue {
+    /// A queue without upstreams.
     #[must_use]
     pub fn new(
         service: Rc<str>,
@@ -196,24 +196,24 @@
         }
     }
 
-    /// Waits for a place at an upstream.
+    /// Waits for a permit at an upstream.
     ///
     /// # Errors
     /// There is no room, nor will there be in time.
-    pub async fn admit(self: &Rc<Self>, ask: Ask) -> Result<Place, Refusal> {
+    pub async fn admit(self: &Rc<Self>, ask: Ask) -> Result<Permit, Refusal> {
         let ticket = self.next.get() + 1;
         self.next.set(ticket);
         let (sender, verdict) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
-        let mut seat = Seat {
-            desk: self,
+        let mut waiter = Waiter {
+            queue: self,
             ticket,
             verdict,
         };
         self.with(|dispatcher, now| dispatcher.submit(now, ticket, ask));
-        match (&mut seat.verdict).await {
-            Ok(Verdict::Send(upstream)) => Ok(Place {
-                desk: self.clone(),
+        match (&mut waiter.verdict).await {
+            Ok(Verdict::Send(upstream)) => Ok(Permit {
+                queue: self.clone(),
                 upstream,
                 since: self.clock.now(),
                 ending: Cell::new(Ending::Unknown),
@@ -228,7 +228,7 @@
         }
     }
 
-    /// Gives a place at an upstream back.
+    /// Gives a permit at an upstream back.
     fn free(&self, upstream: &str, ending: Ending) {
         if self.with(|dispatcher, now| dispatcher.ended(now, upstream, ending)) {
             info!(self.log, "Entry: A group takes no requests; one now and then will look.";
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -170,9 +170,9 @@
             version,
         );
         let now = self.clock.now();
-        for desk in self.desks() {
-            let snapshot = desk.with(|dispatcher, _| dispatcher.snapshot(now));
-            let pairs = [("service", &*desk.service)];
+        for queue in self.queues() {
+            let snapshot = queue.with(|dispatcher, _| dispatcher.snapshot(now));
+            let pairs = [("service", &*queue.service)];
             let gauge = |name, help, value: f64| self.metrics.gauge(name, help, &pairs).set(value);
             gauge(
                 "verbenaspool_upstreams",
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -8,7 +8,7 @@
 /// How long entries that are missing are kept behind an outage of the store.
 /// They lapse while upstreams can't reach it, and those that live are back
 /// within about two seconds; those that aren't by then are gone.
-const LAPSE: Duration = Duration::from_secs(2);
+const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
 /// The upstreams, and the objects that they were read from.
 #[derive(Debug, Default)]
@@ -99,5 +99,5 @@
 /// When missing entries count as gone, for a store that is back since a moment.
 #[must_use]
 pub fn settled(back: Duration) -> Duration {
-    back + LAPSE
+    back + REREGISTRATION_TIME
 }
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -1,7 +1,7 @@
 //! A stream on its way from an upstream to the caller, event by event.
 //!
 //! Where the upstream breaks off or falls silent and the route may be resumed,
-//! the stream goes on at another upstream behind the last whole event, inside
+//! the stream goes on at another upstream after the last whole event, inside
 //! the same answer.
 
 use std::{rc::Rc, time::Duration};
@@ -20,26 +20,26 @@
 
 use super::{
     attempt::{Sent, Work},
-    desk::Place,
     events::Events,
+    queue::Permit,
 };
 
 /// How long a stream may be silent before it is moved: several passes, and well
 /// below the two seconds after which callers leave.
-const STALL: Duration = Duration::from_millis(700);
+const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The same where its whole group is silent and no other one runs: an engine cuts off
 /// what can't go on by then, and whatever goes on sooner comes from this upstream.
-const LONGEST_STALL: Duration = Duration::from_millis(1_500);
+const GROUP_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How often it is looked whether a silent stream should be moved.
-pub const LOOK: Duration = Duration::from_millis(100);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a stream leaves an upstream: nothing came for too long.
-const FELL_SILENT: &str = "fell-silent";
+const SILENT_REASON: &str = "fell-silent";
 
 /// Why a stream leaves an upstream: it holds back its whole group.
-pub const SLOW: &str = "slow";
+pub const SLOW_REASON: &str = "slow";
 
 /// A stream that ends before its last event.
 #[derive(Debug, thiserror::Error)]
@@ -49,9 +49,9 @@
 /// A stream on its way.
 struct Relay {
     work: Rc<Work>,
-    place: Option<Place>,
+    permit: Option<Permit>,
     /// What the present upstream sends; none while there is no upstream. An empty
-    /// body in its place would look like a stream that ended whole.
+    /// body instead would look like a stream that ended whole.
     body: Option<Body>,
     events: Events,
     /// When the last event came, or the answer began.
@@ -80,14 +80,14 @@
 }
 
 /// The answer whose body is relayed.
-pub fn relay(work: Rc<Work>, response: Response<Body>, place: Place) -> Response<Body> {
+pub fn relay(work: Rc<Work>, response: Response<Body>, permit: Permit) -> Response<Body> {
     let (mut parts, body) = response.into_parts();
     super::request::clean(&mut parts.headers);
     let now = work.gateway.clock.now();
     let relay = Relay {
         events: Events::after(header::resumed(&work.headers)),
         work,
-        place: Some(place),
+        permit: Some(permit),
         body: Some(body),
         since: now,
         flows: false,
@@ -130,11 +130,11 @@
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
-                Next::Silent => match self.escape(FELL_SILENT).await {
+                Next::Silent => match self.escape(SILENT_REASON).await {
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
-                Next::Slow => match self.escape(SLOW).await {
+                Next::Slow => match self.escape(SLOW_REASON).await {
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
@@ -156,7 +156,7 @@
             if let Some(why) = self.leaves(now) {
                 return why;
             }
-            let wait = self.work.deadline.saturating_sub(now).min(LOOK);
+            let wait = self.work.deadline.saturating_sub(now).min(POLL_INTERVAL);
             let Some(body) = &mut self.body else {
                 return Next::Broken("lost");
             };
@@ -171,18 +171,18 @@
 
     /// Why the stream should go on at another upstream, if it should.
     fn leaves(&self, now: Duration) -> Option<Next> {
-        let place = self.place.as_ref()?;
+        let permit = self.permit.as_ref()?;
         if now < self.stays {
             return None;
         }
-        if place.is_slow() {
+        if permit.is_slow() {
             return Some(Next::Slow);
         }
         let silent = now.saturating_sub(self.since);
-        if silent < STALL {
+        if silent < STALL_TIMEOUT {
             return None;
         }
-        let waits = place.silence(self.since) == Silence::All && silent < LONGEST_STALL;
+        let waits = permit.silence(self.since) == Silence::All && silent < GROUP_STALL_TIMEOUT;
         (!waits).then_some(Next::Silent)
     }
 
@@ -193,12 +193,12 @@
             return Ok(None);
         }
         let now = self.work.gateway.clock.now();
-        if let Some(place) = &self.place {
+        if let Some(permit) = &self.permit {
             let pause = now.saturating_sub(self.since);
-            place.event((self.flows && count == 1).then_some(pause));
+            permit.event((self.flows && count == 1).then_some(pause));
             let late = self.work.route.gap.is_some_and(|gap| pause > gap);
             if late && self.work.record.is_longest(pause) {
-                self.work.record.known(self.work.desk.known());
+                self.work.record.known(self.work.queue.known());
             }
         }
         self.since = now;
@@ -208,11 +208,11 @@
     }
 
     /// What the stream asks for to go on elsewhere, until its caller leaves: an engine
-    /// cuts off what stalls 1.5 s behind the last event, half a second before that.
+    /// cuts off what stalls 1.5 s after the last event, half a second before that.
     fn ask(&self, why: &'static str) -> Ask {
         Ask {
             place_by: self.work.leaves(self.since),
-            resumes: if why == SLOW {
+            resumes: if why == SLOW_REASON {
                 Resumes::Moved
             } else {
                 Resumes::Broken
@@ -221,9 +221,9 @@
         }
     }
 
-    /// Goes on at another upstream, behind the last whole event.
+    /// Goes on at another upstream, after the last whole event.
     async fn move_on(&mut self, why: &'static str, ending: Ending) -> Result<(), &'static str> {
-        let from = self.place.as_ref().map(|place| place.upstream.clone());
+        let from = self.permit.as_ref().map(|permit| permit.upstream.clone());
         self.work.record.sent(from.as_deref().unwrap_or("-"), why);
         self.finish(ending);
         if !self.work.route.resumable {
@@ -233,10 +233,10 @@
             if !self.work.may_repeat() {
                 return Err(why);
             }
-            let Ok(place) = self.work.admit(self.ask(why)).await else {
+            let Ok(permit) = self.work.admit(self.ask(why)).await else {
                 return Err(why);
             };
-            if self.resume(place).await {
+            if self.resume(permit).await {
                 return Ok(());
             }
         }
@@ -245,34 +245,32 @@
     /// Looks for another upstream while the present one is silent or slow; where it
     /// goes on first, nothing is lost.
     async fn escape(&mut self, why: &'static str) -> Result<(), &'static str> {
-        self.stays = self.work.gateway.clock.now() + STALL;
+        self.stays = self.work.gateway.clock.now() + STALL_TIMEOUT;
         if !self.work.route.resumable {
             return Ok(());
         }
         if !self.work.may_repeat() {
-            // A stream that a slow rank keeps holds back the streams of all others, for
-            // as many of its long passes as it has events left: one did so for 7 s, with
-            // passes of 0.38 s in place of 0.07. Its caller resumes it behind the last
-            // whole event.
-            return if why == SLOW { Err(why) } else { Ok(()) };
+            // A stream that stays on a slow rank holds back the streams of all others. Its
+            // caller resumes it after the last whole event.
+            return if why == SLOW_REASON { Err(why) } else { Ok(()) };
         }
         let work = self.work.clone();
         let mut ask = self.ask(why);
-        if let Some(place) = &self.place
-            && place.silence(self.since) == Silence::Group
-            && why == FELL_SILENT
+        if let Some(permit) = &self.permit
+            && permit.silence(self.since) == Silence::Group
+            && why == SILENT_REASON
         {
-            ask.avoid.extend(place.mates());
+            ask.avoid.extend(permit.group_members());
         }
         let Some(body) = &mut self.body else {
             return Ok(());
         };
         let admitted = Box::pin(work.admit(ask));
         let frame = Box::pin(body.frame());
-        let place = match select(admitted, frame).await {
-            Either::Left((Ok(place), frame)) => {
+        let permit = match select(admitted, frame).await {
+            Either::Left((Ok(permit), frame)) => {
                 drop(frame);
-                place
+                permit
             }
             Either::Left((Err(_), _)) => return Ok(()),
             Either::Right((frame, admitted)) => {
@@ -284,17 +282,17 @@
         if !self.work.may_repeat() {
             return Ok(());
         }
-        let from = self.place.as_ref().map(|place| place.upstream.clone());
+        let from = self.permit.as_ref().map(|permit| permit.upstream.clone());
         let from = from.as_deref().unwrap_or("-");
         self.work.record.sent(from, why);
-        // A slow upstream is known to be so by its agent's word.
-        let ending = if why == SLOW {
+        // A slow upstream is known to be so by its agent's message.
+        let ending = if why == SLOW_REASON {
             Ending::Unknown
         } else {
             Ending::Silent
         };
         self.finish(ending);
-        if self.resume(place).await {
+        if self.resume(permit).await {
             return Ok(());
         }
         self.move_on(why, ending).await
@@ -313,13 +311,13 @@
     }
 
     /// Resumes the stream at an upstream.
-    async fn resume(&mut self, place: Place) -> bool {
+    async fn resume(&mut self, permit: Permit) -> bool {
         self.events.cut();
         let last = self.events.last();
-        match self.work.send(place, last).await {
-            Sent::Answered(response, place) if response.status() == StatusCode::OK => {
+        match self.work.send(permit, last).await {
+            Sent::Answered(response, permit) if response.status() == StatusCode::OK => {
                 self.body = Some(response.into_body());
-                self.place = Some(place);
+                self.permit = Some(permit);
                 self.since = self.work.gateway.clock.now();
                 self.flows = false;
                 true
@@ -328,10 +326,10 @@
         }
     }
 
-    /// Gives the place at the present upstream back, and closes its connection.
+    /// Gives the permit at the present upstream back, and closes its connection.
     fn finish(&mut self, ending: Ending) {
-        if let Some(place) = self.place.take() {
-            place.ended(ending);
+        if let Some(permit) = self.permit.take() {
+            permit.release(ending);
         }
         if ending != Ending::Good {
             self.body = None;
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -22,25 +22,25 @@
 use super::{
     answer::Refused,
     attempt::{Sent, Work},
-    desk::Place,
     gateway::Gateway,
+    queue::Permit,
     record::Record,
     relay,
 };
 
 /// The largest answer that is read whole before it is passed on, so that one
 /// that breaks off can be replaced. Those of plain services have some kilobytes.
-const WHOLE: usize = 1024 * 1024;
+const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
 /// When a caller should come back to an entry that knows no configuration yet.
-const UNREADY: Duration = Duration::from_secs(1);
+const UNREADY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// When a caller should come back whose request found no entry to take it: at
 /// once, to another entry.
-const ELSEWHERE: Duration = Duration::from_millis(50);
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// A wait beyond all others, for callers that name none.
-const UNBOUNDED: Duration = Duration::from_hours(1);
+const MAX_CALLER_WAIT: Duration = Duration::from_hours(1);
 
 impl Handler for Gateway {
     fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
@@ -77,13 +77,13 @@
         // What comes this late into a stop couldn't be finished within it.
         return Err(Refused {
             close: true,
-            ..Refused::later("stopping", ELSEWHERE)
+            ..Refused::later("stopping", STOPPING_RETRY_AFTER)
         });
     }
     let began = gateway.clock.now();
     let table = gateway
         .table()
-        .ok_or(Refused::later("no-configuration", UNREADY))?;
+        .ok_or(Refused::later("no-configuration", UNREADY_RETRY_AFTER))?;
     let route = table
         .route(host(&parts).unwrap_or_default(), parts.uri.path())
         .ok_or(Refused::new(StatusCode::NOT_FOUND, "no-route"))?
@@ -97,22 +97,22 @@
         .map_err(|_| Refused::new(StatusCode::REQUEST_TIMEOUT, "slow-body"))??;
     let service = route
         .service(rand::random())
-        .ok_or(Refused::later("no-service", UNREADY))?;
+        .ok_or(Refused::later("no-service", UNREADY_RETRY_AFTER))?;
     record.routed(&route.name, service, table.version);
-    let desk = gateway.desk(service);
-    desk.request(&gateway.settings.borrow().bounds.retries());
+    let queue = gateway.queue(service);
+    queue.request(&gateway.settings.borrow().bounds.retries());
     let mut headers = parts.headers;
     hop::strip(&mut headers);
     headers.remove(EXPECT);
     header::sanitize(&mut headers, name.as_deref());
-    let wait = said.wait.unwrap_or(UNBOUNDED);
-    let spent = desk.spent(wait);
-    let beyond = name.is_some_and(|name| desk.beyond(&name));
+    let wait = said.wait.unwrap_or(MAX_CALLER_WAIT);
+    let spent = queue.spent(wait);
+    let beyond = name.is_some_and(|name| queue.beyond(&name));
     record.asked(wait, spent, beyond);
     Ok(Work {
         gateway: gateway.clone(),
         record: record.clone(),
-        desk,
+        queue,
         method: parts.method,
         uri: below(&parts.uri),
         headers,
@@ -185,7 +185,7 @@
         Err(_) if work.exposed.get() => Err(Refused::late("timeout")),
         Err(_) => Err(Refused::later(
             "timeout",
-            work.desk.come_back(work.caller_left()),
+            work.queue.come_back(work.caller_left()),
         )),
     }
 }
@@ -195,9 +195,9 @@
     let mut failed = None;
     loop {
         let admitted = work.admit(work.ask()).await;
-        work.record.known(work.desk.known());
-        let place = match admitted {
-            Ok(place) => place,
+        work.record.known(work.queue.known());
+        let permit = match admitted {
+            Ok(permit) => permit,
             Err(refusal) => {
                 if let Some(response) = failed {
                     return Ok(response);
@@ -209,8 +209,8 @@
                 });
             }
         };
-        let again = match work.send(place, None).await {
-            Sent::Answered(response, place) => match take(work, response, place).await {
+        let again = match work.send(permit, None).await {
+            Sent::Answered(response, permit) => match take(work, response, permit).await {
                 Taken::Failed(response) if work.route.is_repeatable() => {
                     work.exposed.set(false);
                     failed = Some(response);
@@ -234,7 +234,7 @@
         } else if work.exposed.get() {
             Refused::unknown("unknown")
         } else {
-            Refused::later("turned-away", work.desk.come_back(work.caller_left()))
+            Refused::later("turned-away", work.queue.come_back(work.caller_left()))
         });
     }
 }
@@ -251,15 +251,15 @@
 
 /// Takes an upstream's answer in: streams are passed on as they come, others are
 /// read whole first.
-async fn take(work: &Rc<Work>, response: Response<Body>, place: Place) -> Taken {
+async fn take(work: &Rc<Work>, response: Response<Body>, permit: Permit) -> Taken {
     let status = response.status();
     if work.route.kind == Kind::Streaming && status == StatusCode::OK {
-        return Taken::Whole(relay::relay(work.clone(), response, place));
+        return Taken::Whole(relay::relay(work.clone(), response, permit));
     }
     let (mut parts, body) = response.into_parts();
     clean(&mut parts.headers);
-    let Ok(body) = Limited::new(body, WHOLE).collect().await else {
-        place.ended(Ending::Bad);
+    let Ok(body) = Limited::new(body, MAX_BUFFERED_BYTES).collect().await else {
+        permit.release(Ending::Bad);
         work.record.sent("-", "broken-off");
         return Taken::Broken;
     };
@@ -268,7 +268,7 @@
     if status.is_server_error() {
         // The time that the request had was over; the upstream may be well.
         let late = status == StatusCode::GATEWAY_TIMEOUT;
-        place.ended(if late { Ending::Unknown } else { Ending::Bad });
+        permit.release(if late { Ending::Unknown } else { Ending::Bad });
         // These statuses promise that the request didn't run, which this
         // upstream didn't say.
         if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -276,7 +276,7 @@
         }
         return Taken::Failed(response);
     }
-    place.ended(Ending::Good);
+    permit.release(Ending::Good);
     let promises = [StatusCode::TOO_MANY_REQUESTS, StatusCode::REQUEST_TIMEOUT];
     if promises.contains(&status) {
         return Taken::Broken;
--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -1,11 +1,11 @@
 //! Reservations: an entry asks the agent beside an upstream before it sends there.
 //!
-//! Load: tens of entries that place on hundreds of upstreams, of which each knows only
+//! Load: tens of entries that place requests on hundreds of upstreams, of which each knows only
 //! what it heard. An agent that keeps a slot makes sure that no two entries take it;
-//! one that has none says so within a millisecond or two, in place of a line of
+//! one that has none says so within a millisecond or two, instead of a queue of
 //! streams at a full upstream. An agent that is silent isn't waited for: its instance may
 //! be frozen, so another upstream is asked, and where that one's agent is silent as well
-//! the request is sent without a word.
+//! the request is sent without asking.
 
 use std::{
     cell::{Cell, RefCell},
@@ -20,23 +20,23 @@
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{Ask, Refusal};
 use verbenaspool_protocol::{
+    message::Message,
     reservation::{self, Answer},
-    word::Word,
 };
 use verbenaspool_state::replica::Replica;
 
 use super::{
-    desk::{Desk, Place},
     gateway::Gateway,
+    queue::{Permit, ServiceQueue},
 };
 
 /// How long an agent has to answer. It does so within a millisecond, and there and
 /// back between zones takes two; one that decides on a map takes some ten more.
-const ANSWER: Duration = Duration::from_millis(25);
+const RESERVATION_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Silent agents after which a request is sent without the word of one: where those of
+/// Silent agents after which a request is sent without asking: where those of
 /// two upstreams are, they were stopped rather than frozen with their instances.
-const AGENTS: u32 = 2;
+const MAX_SILENT_AGENTS: u32 = 2;
 
 /// What came of asking an agent.
 enum Outcome {
@@ -71,7 +71,7 @@
 
 impl Reservations {
     /// No ask yet. Tickets begin anywhere, so that an answer to an earlier process in
-    /// this one's place isn't taken for one to this.
+    /// this one's stead isn't taken for one to this.
     pub fn new() -> Self {
         Self {
             socket: RefCell::default(),
@@ -109,46 +109,49 @@
             reservations: self,
             ticket,
         };
-        let word = Word::Ask(reservation::Ask { ticket, slots });
+        let message = Message::Ask(reservation::Ask { ticket, slots });
         // An ask that is lost is as good as an agent that is silent.
-        let _ = socket.send_to(word.encode(), agent).await;
-        monoio::time::timeout(ANSWER, answer).await.ok()?.ok()
+        let _ = socket.send_to(message.encode(), agent).await;
+        monoio::time::timeout(RESERVATION_TIMEOUT, answer)
+            .await
+            .ok()?
+            .ok()
     }
 }
 
 impl Gateway {
-    /// Waits for a place at an upstream, with the word of the agent beside it where
+    /// Waits for a permit at an upstream, with the consent of the agent beside it where
     /// there is one.
     ///
     /// # Errors
     /// There is no room, nor will there be in time.
-    pub async fn admit(&self, desk: &Rc<Desk>, ask: Ask) -> Result<Place, Refusal> {
+    pub async fn admit(&self, queue: &Rc<ServiceQueue>, ask: Ask) -> Result<Permit, Refusal> {
         let mut silent = 0;
         loop {
-            let place = desk.admit(ask.clone()).await?;
-            match self.reserve(&place).await {
+            let permit = queue.admit(ask.clone()).await?;
+            match self.reserve(&permit).await {
                 Outcome::Granted(answer) => {
-                    place.reserved();
+                    permit.reserved();
                     self.status(&answer.status);
-                    return Ok(place);
+                    return Ok(permit);
                 }
                 Outcome::Denied(answer) => self.status(&answer.status),
-                Outcome::Silent if silent + 1 < AGENTS => {
+                Outcome::Silent if silent + 1 < MAX_SILENT_AGENTS => {
                     silent += 1;
-                    place.unanswered();
+                    permit.unanswered();
                 }
                 Outcome::Silent | Outcome::Unasked => {
-                    place.reserved();
-                    return Ok(place);
+                    permit.reserved();
+                    return Ok(permit);
                 }
             }
         }
     }
 
     /// Has the agent beside an upstream keep a slot.
-    async fn reserve(&self, place: &Place) -> Outcome {
-        let replica = self.replica(&place.upstream);
-        let Some(replica) = replica.filter(|_| place.asks()) else {
+    async fn reserve(&self, permit: &Permit) -> Outcome {
+        let replica = self.replica(&permit.upstream);
+        let Some(replica) = replica.filter(|_| permit.asks()) else {
             return Outcome::Unasked;
         };
         let agent = self.agent(&replica);
@@ -157,7 +160,7 @@
             Some(answer) => Outcome::Denied(answer),
             None => {
                 debug!(self.log, "Entry: An agent doesn't answer.";
-                    "agent" => agent.to_string(), "upstream" => &*place.upstream);
+                    "agent" => agent.to_string(), "upstream" => &*permit.upstream);
                 Outcome::Silent
             }
         }
--- a/verbenaspool/src/direct/reserve/tests.rs
+++ b/verbenaspool/src/direct/reserve/tests.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use tokio::sync::oneshot;
-use verbenaspool_protocol::{reservation::Answer, seat::Status};
+use verbenaspool_protocol::{member::Status, reservation::Answer};
 
 use super::Reservations;
 
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -17,7 +17,7 @@
     log,
     platform::client::Channel,
     rpc, runtime, settings,
-    shutdown::{self, Signal, Words},
+    shutdown::{self, Signal, Signals},
 };
 
 use super::{
@@ -32,24 +32,24 @@
 
 /// How long a call to the store may take, save for a watch's wait. It answers in
 /// milliseconds; a slow one takes some hundred.
-const STORE: Duration = Duration::from_millis(1_500);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How often waiting requests are looked after and signals are heard.
-const TICK: Duration = Duration::from_millis(20);
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A tick that comes this late shows that the process stood still: its watches
 /// may be dead and what it knows may be old.
-const FROZEN: Duration = Duration::from_millis(700);
+const FREEZE_THRESHOLD: Duration = Duration::from_millis(700);
 
 /// How long a stopping entry still takes new requests: the platform asks for
-/// readiness once a second and believes the second word.
-const LINGER: Duration = Duration::from_millis(2_700);
+/// readiness once a second and believes the second message.
+const READINESS_LINGER: Duration = Duration::from_millis(2_700);
 
 /// What is kept of the time for stopping, for the process's own end.
-const RESERVE: Duration = Duration::from_millis(400);
+const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
 
 /// Descriptors that aren't for callers: upstreams, peers, the store and files.
-const RESERVED: usize = 600;
+const RESERVED_DESCRIPTORS: usize = 600;
 
 /// Runs the entry until SIGTERM or SIGINT.
 ///
@@ -58,9 +58,9 @@
 pub fn main(path: &Path) -> Result<Drained, Error> {
     let settings: Settings = settings::load(path)?;
     let (log, _guard) = log::guarded(settings.log);
-    let words = Words::hear()?;
+    let signals = Signals::hear()?;
     let path = path.to_owned();
-    runtime::run(serve(settings, path, log, words))?
+    runtime::run(serve(settings, path, log, signals))?
 }
 
 /// Opens an address that no other process has.
@@ -92,7 +92,7 @@
     settings: Settings,
     path: PathBuf,
     log: Logger,
-    words: Words,
+    signals: Signals,
 ) -> Result<Drained, Error> {
     let clock: Rc<dyn Clock> = Monotonic::start();
     let callers = listen(settings.listen)?;
@@ -102,10 +102,13 @@
     info!(log, "Entry: Started."; "name" => &settings.name, "zone" => &settings.zone,
         "listen" => settings.listen.to_string());
     let limits = Limits {
-        connections: settings.descriptors.saturating_sub(RESERVED).max(64),
+        connections: settings
+            .descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS)
+            .max(64),
         ..limits()
     };
-    let store = store::Client::new(Channel::new(settings.platform), STORE);
+    let store = store::Client::new(Channel::new(settings.platform), STORE_TIMEOUT);
     let gateway = Gateway::new(settings, clock.clone(), log.clone(), store);
     let (finish, finished) = shutdown::channel();
     offer(
@@ -135,13 +138,13 @@
         open.clone(),
         closed,
     ));
-    attend(&gateway, &path, &words, &wake).await;
+    attend(&gateway, &path, &signals, &wake).await;
     let grace = Duration::from_secs_f64(gateway.settings.borrow().bounds.grace_s.max(1.0));
-    let until = clock.now() + grace.saturating_sub(RESERVE);
+    let until = clock.now() + grace.saturating_sub(SHUTDOWN_RESERVE);
     info!(log, "Entry: Draining."; "connections" => open.count());
     gateway.leaving.set(true);
     open.close();
-    let linger = LINGER.min(grace / 2);
+    let linger = READINESS_LINGER.min(grace / 2);
     look_after(&gateway, clock.now() + linger).await;
     gateway.closed.set(true);
     close.fire();
@@ -197,26 +200,26 @@
 /// Looks after waiting requests for a while.
 async fn look_after(gateway: &Rc<Gateway>, until: Duration) {
     while gateway.clock.now() < until {
-        gateway.clock.sleep(TICK).await;
-        for desk in gateway.desks() {
-            desk.pump();
+        gateway.clock.sleep(TICK_INTERVAL).await;
+        for queue in gateway.queues() {
+            queue.pump();
         }
     }
 }
 
-/// Looks after waiting requests and hears the words to reload and to stop.
-async fn attend(gateway: &Rc<Gateway>, path: &Path, words: &Words, wake: &[Rc<Notify>; 2]) {
+/// Looks after waiting requests and hears the signals to reload and to stop.
+async fn attend(gateway: &Rc<Gateway>, path: &Path, signals: &Signals, wake: &[Rc<Notify>; 2]) {
     let clock = &gateway.clock;
     let mut before = clock.now();
-    while !words.stopped() {
-        clock.sleep(TICK).await;
+    while !signals.stopped() {
+        clock.sleep(TICK_INTERVAL).await;
         let entries = gateway.sharers_of_return();
-        for desk in gateway.desks() {
-            desk.with(|dispatcher, _| dispatcher.share_among(entries));
+        for queue in gateway.queues() {
+            queue.with(|dispatcher, _| dispatcher.share_among(entries));
         }
         gateway.expire();
         let now = clock.now();
-        if now.saturating_sub(before) > FROZEN {
+        if now.saturating_sub(before) > FREEZE_THRESHOLD {
             warn!(gateway.log, "Entry: The process stood still; reading everything anew.";
                 "for_ms" => now.saturating_sub(before).as_secs_f64() * 1e3);
             for wake in wake {
@@ -224,7 +227,7 @@
             }
         }
         before = now;
-        if words.take_reload() {
+        if signals.take_reload() {
             reload(gateway, path);
         }
     }
--- a/verbenaspool/src/direct/standing.rs
+++ b/verbenaspool/src/direct/standing.rs
@@ -8,7 +8,7 @@
 use super::gateway::Gateway;
 
 /// The RPC method that tells it.
-pub const STANDING: &str = "standing";
+pub const STANDING_METHOD: &str = "standing";
 
 /// How an entry stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -52,10 +52,10 @@
     /// How this entry stands.
     fn standing(&self) -> Standing {
         let now = self.clock.now();
-        let services = self.desks().into_iter().map(|desk| {
-            let snapshot = desk.with(|dispatcher, now| dispatcher.snapshot(now));
+        let services = self.queues().into_iter().map(|queue| {
+            let snapshot = queue.with(|dispatcher, now| dispatcher.snapshot(now));
             Service {
-                name: desk.service.to_string(),
+                name: queue.service.to_string(),
                 upstreams: snapshot.upstreams,
                 shunned: snapshot.shunned,
                 busy: snapshot.busy,
@@ -82,7 +82,7 @@
 /// Answers operators' calls.
 pub fn methods(gateway: &Rc<Gateway>, module: &mut rpc::Module) {
     let gateway = gateway.clone();
-    module.on(STANDING, move |(): ()| {
+    module.on(STANDING_METHOD, move |(): ()| {
         let standing = gateway.standing();
         async move { Ok::<_, String>(standing) }
     });
--- a/verbenaspool/src/entry/caller.rs
+++ b/verbenaspool/src/entry/caller.rs
@@ -27,7 +27,7 @@
 
 /// What the head says.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Wish {
+pub struct Options {
     /// How long the caller waits for the whole answer, where it says so.
     pub deadline: Option<Duration>,
     /// How urgent the request is; higher goes first.
@@ -72,8 +72,8 @@
 /// headers.insert("x-verbenaspool-deadline-ms", "soon".parse().unwrap());
 /// assert!(caller::wish(&headers).is_err());
 /// ```
-pub fn wish(headers: &HeaderMap) -> Result<Wish, Problem> {
-    Ok(Wish {
+pub fn wish(headers: &HeaderMap) -> Result<Options, Problem> {
+    Ok(Options {
         deadline: deadline(headers)?,
         priority: priority(headers)?,
         key: key(headers)?,
--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -124,7 +124,7 @@
         Ok(attempt)
     }
 
-    /// Claims the caller's key for the first attempt. That comes behind the
+    /// Claims the caller's key for the first attempt. That comes after the
     /// place, so that a crowd that is turned away costs the platform no writes.
     async fn claim(&self, attempt: &Attempt) -> Result<Option<Claimed>, Problem> {
         let Some(key) = self.key.as_ref().filter(|_| !self.idempotent) else {
@@ -261,7 +261,7 @@
         model.resume && streams(headers) && self.upload.replayable()
     }
 
-    /// Goes on with a broken stream behind the tokens that the caller has.
+    /// Goes on with a broken stream after the tokens that the caller has.
     pub async fn resume(
         self: Rc<Self>,
         tokens: u32,
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -460,7 +460,7 @@
         parts: &Parts,
         body: Incoming,
         service: &Service,
-    ) -> Result<(caller::Wish, Uri, Upload, Prompt), Problem> {
+    ) -> Result<(caller::Options, Uri, Upload, Prompt), Problem> {
         let wish = caller::wish(&parts.headers)?;
         let uri = below(parts, service)?;
         let length = body.size_hint().exact();
--- a/verbenaspool/src/operate/entries.rs
+++ b/verbenaspool/src/operate/entries.rs
@@ -6,7 +6,7 @@
 use verbenaspool_transport::{rpc, runtime};
 
 use super::Error;
-use crate::direct::standing::{STANDING, Standing};
+use crate::direct::standing::{STANDING_METHOD, Standing};
 
 /// How long an entry has to answer.
 const ANSWER: Duration = Duration::from_secs(2);
@@ -37,7 +37,7 @@
         let mut answers = Vec::new();
         for &entry in entries {
             let called: Result<Standing, rpc::Error> =
-                client.call(entry, STANDING, &(), ANSWER).await;
+                client.call(entry, STANDING_METHOD, &(), ANSWER).await;
             answers.push(match called {
                 Ok(standing) => Answer {
                     entry,
--- a/verbenaspool_agent/src/direct/board.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -17,37 +17,37 @@
 };
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_policy::slots::Slots;
-use verbenaspool_protocol::{digest, seat::State, word::Word};
+use verbenaspool_protocol::{digest, member::State, message::Message};
 use verbenaspool_state::engine::Experts;
 use verbenaspool_transport::{clock::Clock, http::client::Client};
 
 use super::{
     lead::Lead,
     listeners::Listeners,
+    membership::Membership,
     partial::{Known, Partial, Parts},
     rank::Rank,
-    seats::Seats,
     settings::Settings,
 };
 
-/// The steps in which a rank's pace is told, so that words about it are few.
+/// The steps in which a rank's pace is told, so that messages about it are few.
 const PACE_STEP: f64 = 0.25;
 
 /// What an agent keeps.
-pub struct Board {
+pub struct AgentState {
     pub settings: Settings,
     pub clock: Rc<dyn Clock>,
     pub log: Logger,
     pub rank: Rank,
     pub client: Client,
     pub socket: UdpSocket,
-    /// Counts this agent's words.
+    /// Counts this agent's messages.
     pub(super) number: Cell<u64>,
-    /// Counts its words to entries.
+    /// Counts its messages to entries.
     pub(super) statuses: Cell<u64>,
     /// How the own rank stands.
     pub(super) state: RefCell<Option<State>>,
-    pub(super) seats: RefCell<Seats>,
+    pub(super) membership: RefCell<Membership>,
     pub(super) lead: RefCell<Option<Lead>>,
     /// The experts of the service, as the configuration tells.
     pub experts: Cell<Option<Experts>>,
@@ -61,7 +61,7 @@
     pub(super) map: RefCell<Option<Partial>>,
     /// The parts of a difference that have come.
     pub(super) differences: RefCell<Option<Parts>>,
-    /// Words that wait until the link has room.
+    /// Signals that wait until the link has room.
     pub(super) outbox: RefCell<VecDeque<(IpAddr, Vec<u8>)>>,
     /// When choices were told last, and in which round.
     pub(super) chosen: Cell<Duration>,
@@ -70,7 +70,7 @@
     pub woken: Notify,
     /// What other ranks chose, to be passed on to the lead.
     pub(super) sums: RefCell<Sums>,
-    /// How many words about choices were of no use.
+    /// How many messages about choices were of no use.
     pub(super) dropped: Cell<u64>,
     /// Maps that are known whole.
     pub(super) known: RefCell<Known>,
@@ -82,7 +82,7 @@
     pub(super) bar: Cell<(u64, u64)>,
     /// The last pass of which epoch for which an order to arm was given.
     pub(super) gave: Cell<(u64, u64)>,
-    /// The number with which this process's words begin.
+    /// The number with which this process's messages begin.
     pub(super) first: u64,
     /// The last pass that the rank began, and since when it is the last.
     pub(super) stall: Cell<(u64, Duration)>,
@@ -102,8 +102,8 @@
     told_pace: Cell<(f32, bool)>,
 }
 
-impl Board {
-    /// A board that knows nothing.
+impl AgentState {
+    /// The state of an agent that has heard nothing.
     pub fn new(
         settings: Settings,
         clock: Rc<dyn Clock>,
@@ -122,7 +122,7 @@
             number: Cell::new(number),
             statuses: Cell::new(number),
             state: RefCell::default(),
-            seats: RefCell::default(),
+            membership: RefCell::default(),
             lead: RefCell::default(),
             experts: Cell::default(),
             pass: Cell::default(),
@@ -164,7 +164,7 @@
             return false;
         };
         let now = self.clock.now();
-        self.seats.borrow().iter(now).count() >= usize::from(state.size)
+        self.membership.borrow().iter(now).count() >= usize::from(state.size)
     }
 
     /// Reads the own rank's report; none where it can't be had.
@@ -178,36 +178,36 @@
 
     /// Takes the own rank's report in; tells whether others should hear of it now.
     pub fn observe(&self, report: &Report) -> bool {
-        let Some(seat) = report.seat.as_ref().filter(|seat| seat.open) else {
+        let Some(member) = report.member.as_ref().filter(|member| member.open) else {
             self.state.replace(None);
             return false;
         };
-        self.inherit(seat.epoch, report.step);
+        self.inherit(member.epoch, report.step);
         self.number.set(self.number.get() + 1);
-        let group = digest::hash(&seat.group);
+        let group = digest::hash(&member.group);
         let before = self.group.replace(group);
         if before != group {
             // Only of another group: one that breaks and forms anew has the same agents.
             // Without them its ranks heard of each other seconds later, from the
             // registry, and made passes on their first map until then.
-            self.seats.borrow_mut().clear();
+            self.membership.borrow_mut().clear();
             self.sums.take();
         }
         let state = State {
             number: self.number.get(),
             group,
-            rank: seat.rank,
-            size: seat.size,
+            rank: member.rank,
+            size: member.size,
             upstream: self.settings.upstream,
             report: switch::Report {
-                epoch: seat.epoch,
+                epoch: member.epoch,
                 step: report.step,
                 map: report.map,
                 prepared: report.prepared,
                 armed: report.armed,
                 held: report.held,
-                barred: self.barred(seat.epoch),
-                given: self.given(seat.epoch),
+                barred: self.barred(member.epoch),
+                given: self.given(member.epoch),
             },
             pace: self.pace(report),
             zone: digest::hash(&self.settings.zone),
@@ -215,8 +215,8 @@
         let before = self.state.replace(Some(state.clone()));
         let place = |state: &State| (state.group, state.report.epoch, state.rank, state.size);
         if before.as_ref().map(place) != Some(place(&state)) {
-            info!(self.log, "Agent: The rank sits in a group."; "group" => &seat.group,
-                "epoch" => seat.epoch, "rank" => state.rank, "size" => state.size);
+            info!(self.log, "Agent: The rank sits in a group."; "group" => &member.group,
+                "epoch" => member.epoch, "rank" => state.rank, "size" => state.size);
             let mut lead = (state.rank == 0).then(|| Lead::new(state.size.into()));
             let before = self.lead.take();
             if let (Some(lead), Some(before)) = (&mut lead, before) {
@@ -251,7 +251,7 @@
         let now = self.clock.now();
         let rank = usize::from(state.rank);
         let (report, pace) = (state.report, state.pace);
-        if !self.seats.borrow_mut().hear(now, agent, state) {
+        if !self.membership.borrow_mut().hear(now, agent, state) {
             return;
         }
         if let Some(lead) = &mut *self.lead.borrow_mut() {
@@ -273,45 +273,45 @@
         pace
     }
 
-    /// Hears a word of another agent.
-    pub async fn hear(self: &Rc<Self>, agent: IpAddr, word: Word) {
+    /// Hears a message of another agent.
+    pub async fn hear(self: &Rc<Self>, agent: IpAddr, message: Message) {
         let own = self.state().map(|state| (state.group, state.report.epoch));
-        match word {
-            Word::Subscribe(subscription) => {
+        match message {
+            Message::Subscribe(subscription) => {
                 let now = self.clock.now();
                 let near = subscription.near;
                 self.listeners.borrow_mut().subscribe(now, agent, near);
                 self.look_up(agent, near).await;
                 return;
             }
-            Word::Members(members) => {
+            Message::Members(members) => {
                 self.learn(agent, &members);
                 return;
             }
-            Word::Ask(ask) => {
+            Message::Ask(ask) => {
                 self.grant(agent, ask).await;
                 return;
             }
-            Word::State(state) => self.hear_state(agent, state),
-            Word::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
+            Message::State(state) => self.hear_state(agent, state),
+            Message::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
                 self.hear_choices(&choices);
                 return;
             }
-            Word::Held(held) if own == Some((held.group, held.epoch)) => {
+            Message::Held(held) if own == Some((held.group, held.epoch)) => {
                 if let Some(lead) = &mut *self.lead.borrow_mut() {
                     lead.held(held);
                 }
             }
-            Word::Order(order) if own.map(|own| own.1) == Some(order.epoch) => {
+            Message::Order(order) if own.map(|own| own.1) == Some(order.epoch) => {
                 self.obey(agent, order).await;
             }
-            Word::Difference(difference) if own.map(|own| own.1) == Some(difference.epoch) => {
+            Message::Difference(difference) if own.map(|own| own.1) == Some(difference.epoch) => {
                 self.differ(difference).await;
             }
-            Word::Lack(lack) if own.map(|own| own.1) == Some(lack.epoch) => {
+            Message::Lack(lack) if own.map(|own| own.1) == Some(lack.epoch) => {
                 self.complete(agent, lack);
             }
-            Word::Map(map) if own.map(|own| own.1) == Some(map.epoch) => {
+            Message::Map(map) if own.map(|own| own.1) == Some(map.epoch) => {
                 self.collect(agent, map).await;
             }
             _ => {}
@@ -326,17 +326,17 @@
             if let Some(state) = self.state()
                 && agent != self.settings.address
             {
-                self.send(agent, &Word::State(state)).await;
+                self.send(agent, &Message::State(state)).await;
             }
         }
     }
 
-    /// Sends a word to an agent. One that is lost is made up for by a later one.
-    pub async fn send(&self, agent: IpAddr, word: &Word) {
-        self.send_bytes(agent, word.encode()).await;
+    /// Sends a message to an agent. One that is lost is made up for by a later one.
+    pub async fn send(&self, agent: IpAddr, message: &Message) {
+        self.send_bytes(agent, message.encode()).await;
     }
 
-    /// Sends a word that is encoded already.
+    /// Sends a message that is encoded already.
     pub(super) async fn send_bytes(&self, agent: IpAddr, bytes: Vec<u8>) {
         let to = SocketAddr::new(agent, self.settings.peer_port);
         let _ = self.socket.send_to(bytes, to).await;
--- a/verbenaspool_agent/src/direct/board/tests.rs
+++ b/verbenaspool_agent/src/direct/agent_state/tests.rs
@@ -3,26 +3,26 @@
 use monoio::net::udp::UdpSocket;
 use slog::{Discard, Logger, o};
 use verbenaspool_coordination::switch;
-use verbenaspool_platform::report::{Report, Seat};
-use verbenaspool_protocol::{reservation::Members, seat::State};
+use verbenaspool_platform::report::{Member, Report};
+use verbenaspool_protocol::{member::State, reservation::Members};
 use verbenaspool_transport::{clock::Monotonic, http::client::Client, runtime};
 
-use super::{super::settings::Settings, Board};
+use super::{super::settings::Settings, AgentState};
 
-/// The board of the agent beside the first of two ranks.
-fn board() -> Rc<Board> {
+/// The shared of the agent beside the first of two ranks.
+fn shared() -> Rc<AgentState> {
     let settings = "path: direct\nname: a\naddress: 127.0.0.1\nupstream: '127.0.0.1:9'\n\
                     service: s\npeer_port: 9\n";
     let settings: Settings = serde_norway::from_str(settings).expect("settings");
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let (log, clock) = (Logger::root(Discard, o!()), Monotonic::start());
     let client = Client::new(std::time::Duration::from_millis(100));
-    Board::new(settings, clock, log, client, socket, 1)
+    AgentState::new(settings, clock, log, client, socket, 1)
 }
 
-/// What the own rank says of its seat in a group.
+/// What the own rank says of its member in a group.
 fn report(group: &str, epoch: u64, open: bool) -> Report {
-    let seat = Seat {
+    let member = Member {
         group: group.to_owned(),
         epoch,
         rank: 0,
@@ -30,7 +30,7 @@
         open,
     };
     Report {
-        seat: Some(seat),
+        member: Some(member),
         ..Report::default()
     }
 }
@@ -41,11 +41,11 @@
 #[test]
 fn agents_remember_each_other_while_their_group_is_broken() {
     let run = async {
-        let board = board();
-        board.observe(&report("g", 1, true));
+        let shared = shared();
+        shared.observe(&report("g", 1, true));
         let other = State {
             number: 1,
-            group: board.group.get(),
+            group: shared.group.get(),
             rank: 1,
             size: 2,
             upstream: "127.0.0.2:9".parse().expect("an address"),
@@ -53,12 +53,15 @@
             pace: 1.0,
             zone: 1,
         };
-        board.hear_state("127.0.0.2".parse().expect("an address"), other);
-        board.observe(&report("g", 1, false));
-        board.observe(&report("g", 2, true));
-        assert!(board.seats.borrow().get(1).is_some(), "the same agents");
-        board.observe(&report("h", 3, true));
-        assert!(board.seats.borrow().get(1).is_none(), "another group");
+        shared.hear_state("127.0.0.2".parse().expect("an address"), other);
+        shared.observe(&report("g", 1, false));
+        shared.observe(&report("g", 2, true));
+        assert!(
+            shared.membership.borrow().get(1).is_some(),
+            "the same agents"
+        );
+        shared.observe(&report("h", 3, true));
+        assert!(shared.membership.borrow().get(1).is_none(), "another group");
     };
     runtime::run(run).expect("the loop runs");
 }
@@ -78,21 +81,21 @@
 #[test]
 fn only_the_entry_that_was_asked_says_what_the_store_holds() {
     let run = async {
-        let board = board();
+        let shared = shared();
         let [entry, other] = ["127.0.0.3", "127.0.0.4"].map(|ip| ip.parse().expect("an address"));
-        board.learn(entry, &members(99));
-        assert_eq!(board.limit.get(), None);
-        board.look_up(entry, true).await;
-        board.learn(other, &members(99));
-        assert_eq!(board.limit.get(), None);
-        board.learn(entry, &members(6));
-        assert_eq!(board.limit.get(), Some(6));
-        board
+        shared.learn(entry, &members(99));
+        assert_eq!(shared.limit.get(), None);
+        shared.look_up(entry, true).await;
+        shared.learn(other, &members(99));
+        assert_eq!(shared.limit.get(), None);
+        shared.learn(entry, &members(6));
+        assert_eq!(shared.limit.get(), Some(6));
+        shared
             .clock
             .sleep(std::time::Duration::from_millis(260))
             .await;
-        board.learn(entry, &members(99));
-        assert_eq!(board.limit.get(), Some(6));
+        shared.learn(entry, &members(99));
+        assert_eq!(shared.limit.get(), Some(6));
     };
     runtime::run(run).expect("a loop");
 }
--- a/verbenaspool_agent/src/direct/choices.rs
+++ b/verbenaspool_agent/src/direct/choices.rs
@@ -1,50 +1,50 @@
 //! What the requests of a rank chose, on its way to the lead.
 //!
-//! In small groups every rank tells the lead. In large ones, where these words would fill
+//! In small groups every rank tells the lead. In large ones, where these messages would fill
 //! the lead's link, they are summed on the way, as [`gather`] tells.
 
 use std::{rc::Rc, time::Duration};
 
 use slog::warn;
-use verbenaspool_coordination::gather::{self, CIRCLE, Part, Round, Taken};
+use verbenaspool_coordination::gather::{self, AGGREGATION_GROUP_SIZE, Part, Round, Taken};
 use verbenaspool_protocol::{
-    seat::{Choices, State},
-    word::Word,
+    member::{Choices, State},
+    message::Message,
 };
 
-use super::board::Board;
+use super::agent_state::AgentState;
 
 /// How often choices are read at most: a shift of popularity shows within two readings.
-const SAMPLE: Duration = Duration::from_millis(100);
+const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How often every rank may tell the lead by itself at least; where its link doesn't
-/// bear that, words are summed on the way.
-const STRAIGHT: Duration = Duration::from_millis(150);
+/// bear that, messages are summed on the way.
+const DIRECT_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long the sum of a round is waited for. Agents see each 0.05 s that a round is
 /// over, and read the choices then, which takes some 10 ms.
-const WAIT: Duration = Duration::from_millis(70);
+const ROUND_TIMEOUT: Duration = Duration::from_millis(70);
 
 /// How many counts go into one datagram.
-const COUNTS: usize = 400;
+const COUNTS_PER_DATAGRAM: usize = 400;
 
-/// The part of a link that the words of a circle may take while passes are as short as
+/// The part of a link that the messages of a circle may take while passes are as short as
 /// they can be. Usual ones take twice as long.
-const CIRCLES: f64 = 0.8;
+const GROUP_LINK_RATIO: f64 = 0.8;
 
-/// The same while passes are long, and words the more seldom.
-const LONG: f64 = 0.4;
+/// The same while passes are long, and messages the more seldom.
+const LONG_PASS_LINK_RATIO: f64 = 0.4;
 
 /// Passes of a round at least, where they aren't long.
-const PASSES: u64 = 2;
+const MIN_ROUND_PASSES: u64 = 2;
 
-/// Rounds that a word may be ahead of its receiver or behind it.
-const APART: u64 = 2;
+/// Rounds that a message may be ahead of its receiver or behind it.
+const MAX_ROUND_SKEW: u64 = 2;
 
-impl Board {
-    /// Whether words about choices are summed on their way to the lead.
+impl AgentState {
+    /// Whether messages about choices are summed on their way to the lead.
     fn gathers(&self) -> bool {
-        self.choices_every() > STRAIGHT
+        self.choices_every() > DIRECT_REPORT_INTERVAL
     }
 
     /// How many counts the choices of a rank have; none while its experts aren't known.
@@ -62,16 +62,16 @@
 
     /// How many passes a round has at most.
     fn passes(&self) -> u64 {
-        let time = self.time_of_choices(CIRCLE, CIRCLES);
+        let time = self.time_of_choices(AGGREGATION_GROUP_SIZE, GROUP_LINK_RATIO);
         let pass = self.pass.get().max(Duration::from_millis(1));
         let passes = u64::try_from(time.as_nanos().div_ceil(pass.as_nanos()));
-        passes.unwrap_or(u64::MAX).max(PASSES)
+        passes.unwrap_or(u64::MAX).max(MIN_ROUND_PASSES)
     }
 
     /// The round that is over, if choices weren't read since.
     ///
     /// Every few passes a round ends, which all ranks count alike. Where passes are long,
-    /// as behind a shift of popularity, each one does, as far as the link bears it: that
+    /// as after a shift of popularity, each one does, as far as the link bears it: that
     /// is when the lead has to know, and all ranks see that passes are long.
     fn over(&self, state: &State) -> Option<Round> {
         let (epoch, step, passes) = (state.report.epoch, state.report.step, self.passes());
@@ -82,7 +82,9 @@
         let since = self.clock.now().saturating_sub(self.chosen.get());
         if step / passes > last.number / passes {
             round(step / passes * passes)
-        } else if step > last.number && since >= self.time_of_choices(CIRCLE, LONG) {
+        } else if step > last.number
+            && since >= self.time_of_choices(AGGREGATION_GROUP_SIZE, LONG_PASS_LINK_RATIO)
+        {
             round(step)
         } else {
             None
@@ -100,16 +102,16 @@
             };
             self.sampled.set(Some(round));
             if let Some(counts) = self.newly(born, round.epoch).await {
-                let mates = self.circle(&state);
+                let group_members = self.circle(&state);
                 let turn = round.number / self.passes();
-                let collector = gather::collector(&mates, turn).unwrap_or(state.rank);
+                let collector = gather::collector(&group_members, turn).unwrap_or(state.rank);
                 self.tell_choices(&state, collector, round.number, &counts)
                     .await;
             }
             return;
         }
         let since = self.clock.now().saturating_sub(self.chosen.get());
-        if since >= self.choices_every().max(SAMPLE)
+        if since >= self.choices_every().max(MIN_SAMPLE_INTERVAL)
             && let Some(counts) = self.newly(born, state.report.epoch).await
         {
             self.tell_choices(&state, 0, state.number, &counts).await;
@@ -138,30 +140,30 @@
     /// The ranks whose choices are summed together with the own rank's.
     fn circle(&self, state: &State) -> Vec<u16> {
         let now = self.clock.now();
-        let seats = self.seats.borrow();
-        let zones = seats.iter(now);
+        let membership = self.membership.borrow();
+        let zones = membership.iter(now);
         let zones: Vec<(u16, u32)> = zones.map(|s| (s.state.rank, s.state.zone)).collect();
         gather::circle(&zones, state.rank)
     }
 
     /// Tells a rank what was chosen, in datagrams.
     async fn tell_choices(self: &Rc<Self>, state: &State, to: u16, round: u64, counts: &[u32]) {
-        for (number, counts) in counts.chunks(COUNTS).enumerate() {
+        for (number, counts) in counts.chunks(COUNTS_PER_DATAGRAM).enumerate() {
             let choices = Choices {
                 group: state.group,
                 epoch: state.report.epoch,
                 rank: state.rank,
                 round,
-                from: u32::try_from(number * COUNTS).unwrap_or(u32::MAX),
+                from: u32::try_from(number * COUNTS_PER_DATAGRAM).unwrap_or(u32::MAX),
                 counts: counts.to_vec(),
             };
             if to == state.rank {
                 self.hear_choices(&choices);
                 continue;
             }
-            let agent = self.seats.borrow().get(to).map(|seat| seat.agent);
+            let agent = self.membership.borrow().get(to).map(|member| member.agent);
             if let Some(agent) = agent {
-                self.send(agent, &Word::Choices(choices)).await;
+                self.send(agent, &Message::Choices(choices)).await;
             }
         }
     }
@@ -188,23 +190,25 @@
             counts: &choices.counts,
         };
         let apart = state.report.step.abs_diff(round.number) / self.passes();
-        let taken = if state.report.epoch == round.epoch && apart <= APART {
-            let mates = self.circle(&state).len();
-            self.sums.borrow_mut().add(round, &part, mates, counts)
+        let taken = if state.report.epoch == round.epoch && apart <= MAX_ROUND_SKEW {
+            let group_members = self.circle(&state).len();
+            self.sums
+                .borrow_mut()
+                .add(round, &part, group_members, counts)
         } else {
             Taken::Dropped
         };
         match taken {
             Taken::First => {
-                let board = self.clone();
+                let shared = self.clone();
                 monoio::spawn(async move {
-                    board.clock.sleep(WAIT).await;
-                    board.pass_sum_on(round).await;
+                    shared.clock.sleep(ROUND_TIMEOUT).await;
+                    shared.pass_sum_on(round).await;
                 });
             }
             Taken::Complete => {
-                let board = self.clone();
-                monoio::spawn(async move { board.pass_sum_on(round).await });
+                let shared = self.clone();
+                monoio::spawn(async move { shared.pass_sum_on(round).await });
             }
             Taken::Added => {}
             Taken::Late => self.pass_part_on(choices),
@@ -212,13 +216,13 @@
         }
     }
 
-    /// Notes words about choices that are of no use; one line of log where there were
+    /// Notes messages about choices that are of no use; one line of log where there were
     /// none before.
     fn drop_word(&self, choices: &Choices) {
         let dropped = self.dropped.get();
         self.dropped.set(dropped + 1);
         if dropped == 0 {
-            warn!(self.log, "Agent: A word about choices came twice, too late or doesn't fit; such words are dropped.";
+            warn!(self.log, "Agent: A message about choices came twice, too late or doesn't fit; such messages are dropped.";
                 "rank" => choices.rank, "epoch" => choices.epoch, "round" => choices.round,
                 "from" => choices.from, "counts" => choices.counts.len());
         }
@@ -227,8 +231,8 @@
     /// Passes a part on to the lead that came too late for its sum.
     fn pass_part_on(self: &Rc<Self>, choices: &Choices) {
         if let Some(lead) = self.lead_agent() {
-            let (board, word) = (self.clone(), Word::Choices(choices.clone()));
-            monoio::spawn(async move { board.send(lead, &word).await });
+            let (shared, message) = (self.clone(), Message::Choices(choices.clone()));
+            monoio::spawn(async move { shared.send(lead, &message).await });
         }
     }
 
--- a/verbenaspool_agent/src/direct/lead.rs
+++ b/verbenaspool_agent/src/direct/lead.rs
@@ -5,60 +5,53 @@
 use rand::Rng;
 use verbenaspool_coordination::switch::Switch;
 use verbenaspool_policy::rebalancer::relief::{self, Bound, Relief};
-use verbenaspool_protocol::seat::{Choices, Difference, Held, Map, Move, places_hash};
+use verbenaspool_protocol::member::{Choices, Difference, Held, Map, Move, places_hash};
 use verbenaspool_state::{engine::Experts, expert_map::Layer};
 
-use super::partial::{FIRST, first, moves};
+use super::partial::{FIRST_VERSION, first, moves};
 
-/// How fast older choices are forgotten. Popularity shifts every 3 to 5 s; a
-/// third of a second holds some ten thousand choices a set, enough to tell the
-/// busiest experts apart.
-const MEMORY: Duration = Duration::from_millis(150);
+/// Time constant by which older expert counts count less.
+const EXPERT_LOAD_WINDOW: Duration = Duration::from_millis(150);
 
-/// How long one word about choices may be overtaken by others.
-const OVERTAKEN: Duration = Duration::from_millis(300);
+/// How long one message about choices may be overtaken by others.
+const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
 /// Choices a set that a decision rests on at least.
-const ENOUGH: f64 = 1_000.0;
+const MIN_SAMPLES: f64 = 1_000.0;
 
-/// How long a rank may copy for one change. Passes take 15 in 100 longer meanwhile, and
-/// just behind a shift of popularity they are at their longest: with 0.08 s of copying
-/// these took 117 to 124 ms in groups of 32 ranks, with 0.04 s 104 to 115, where streams
-/// bear 120. Of the benefit of 22 s of a heavy day 0.934 was earned with the former and
-/// 0.959 with the latter.
-const COPYING: Duration = Duration::from_millis(40);
+/// How long a rank may copy for one change. Passes take longer meanwhile, and just after a
+/// shift of popularity they are at their longest.
+const COPY_TIME: Duration = Duration::from_millis(40);
 
 /// The same while a rank is slow, or is well again and holds hardly any experts, and on
 /// the map that a group forms with.
-const COPYING_ANEW: Duration = Duration::from_millis(300);
+const REBUILD_COPY_TIME: Duration = Duration::from_millis(300);
 
 /// Age from which on choices say nothing of what requests choose now.
 const STALE_AFTER: Duration = Duration::from_secs(1);
 
 /// How long a group counts as newly formed. The first changes rest on few requests.
-const FORMING: Duration = Duration::from_secs(1);
+const FORMING_TIME: Duration = Duration::from_secs(1);
 
 /// The pace from which on a rank counts as slow: its part of a pass is half longer,
 /// more than the busiest rank is above the mean on a good map.
-const SLOW: f64 = 1.5;
+const SLOW_RANK_PACE: f64 = 1.5;
 
 /// Copies a rank that one change makes at most, however fast they are.
-const MOST: usize = 4;
+const MAX_COPIES_PER_RANK: usize = 4;
 
-/// The least part of the pass that a copy has to save, for each second that it
-/// takes and divided by the ranks. A shorter pass serves the streams of all ranks,
-/// and what a copy costs, its bytes and the passes that it slows, goes by its time:
-/// 0.0185 with 8 ranks and 0.15 s a copy, 0.0011 with 32 ranks and 0.04 s.
-const LEAST: f64 = 1.0;
+/// The least part of the pass that a copy has to save, for each second that it takes,
+/// divided by the ranks: a shorter pass serves the streams of all of them.
+const MIN_GAIN_PER_COPY_SECOND: f64 = 1.0;
 
 /// Places that change which are told in one datagram: each takes up to nine bytes, and
 /// the ranks that it is passed on to up to 200.
-const MOVES: usize = 120;
+const MOVES_PER_DATAGRAM: usize = 120;
 
 /// Bits of a version that are drawn: a lead that was started again can't know
 /// every version that its forerunner gave out, and an order for one of those may
 /// still come.
-const DRAWN: u32 = 16;
+const RANDOM_VERSION_BITS: u32 = 16;
 
 /// The map of the group as its ranks hold it.
 #[derive(Debug, Clone, Default)]
@@ -99,7 +92,7 @@
     at: Duration,
     /// When the group was first seen to run.
     formed: Option<Duration>,
-    /// The last round of each part of a rank's words about choices, and when it came.
+    /// The last round of each part of a rank's messages about choices, and when it came.
     heard: BTreeMap<(u16, u32), (u64, Duration)>,
     /// How many times longer than usual each rank takes for its work.
     paces: Vec<f64>,
@@ -161,35 +154,37 @@
     /// changes of a second each. Likewise when it is well again and holds hardly any, and
     /// on the map that a group forms with, which is about as bad.
     fn copying(&self, now: Duration, layers: &[Layer], version: u64) -> Duration {
-        let forming = self.formed.is_some_and(|formed| now < formed + FORMING);
-        let first = version == FIRST || forming;
-        let slow = self.paces.iter().any(|pace| *pace >= SLOW);
+        let forming = self
+            .formed
+            .is_some_and(|formed| now < formed + FORMING_TIME);
+        let first = version == FIRST_VERSION || forming;
+        let slow = self.paces.iter().any(|pace| *pace >= SLOW_RANK_PACE);
         let places = |rank: usize| layers.iter().map(|l| l.ranks[rank].len()).sum::<usize>();
         let all: usize = (0..self.ranks).map(places).sum();
         let empty = (0..self.ranks).any(|rank| places(rank) * self.ranks * 2 < all);
         if first || slow || empty {
-            COPYING_ANEW
+            REBUILD_COPY_TIME
         } else {
-            COPYING
+            COPY_TIME
         }
     }
 
     /// Takes in what requests chose among so many experts of all sets; tells whether it
     /// fits and is new.
     ///
-    /// A word that came twice would count double.
+    /// A message that came twice would count double.
     pub fn choices(&mut self, now: Duration, choices: &Choices, counts: usize) -> bool {
         let from = choices.from as usize;
         let end = from.saturating_add(choices.counts.len());
         let twice = |(round, at): &(u64, Duration)| {
-            choices.round <= *round && now.saturating_sub(*at) < OVERTAKEN
+            choices.round <= *round && now.saturating_sub(*at) < REORDER_WINDOW
         };
         let part = (choices.rank, choices.from);
         if end > counts || self.heard.get(&part).is_some_and(twice) {
             return false;
         }
         self.heard.insert(part, (choices.round, now));
-        let age = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        let age = now.saturating_sub(self.at).as_secs_f64() / EXPERT_LOAD_WINDOW.as_secs_f64();
         self.at = now;
         let fade = (-age).exp();
         self.loads.iter_mut().for_each(|load| *load *= fade);
@@ -206,7 +201,7 @@
             self.epoch = held.epoch;
             self.held.clear();
         }
-        // A word from before the last change comes too late.
+        // A message from before the last change comes too late.
         let newer = |known: &Holding| held.version >= known.version;
         if held.epoch == self.epoch && self.held.get(&held.rank).is_none_or(newer) {
             let holding = Holding {
@@ -218,7 +213,7 @@
     }
 
     /// A map is in use that this lead brought there: what ranks hold is known
-    /// without their word, which takes up to 0.2 s.
+    /// without their message, which takes up to 0.2 s.
     pub fn brought(&mut self, version: u64) {
         let Some(plan) = self.plan.as_ref().filter(|plan| plan.version == version) else {
             return;
@@ -240,10 +235,10 @@
     /// long: everybody who waited for the group comes at once, and passes on this map are
     /// the longest there are.
     fn layers(&self, experts: &Experts) -> Option<(u64, Vec<Layer>)> {
-        if self.switch.map() == Some(FIRST) {
+        if self.switch.map() == Some(FIRST_VERSION) {
             let ranks = u16::try_from(self.ranks).ok()?;
             let sets = first(ranks, experts).into_iter();
-            return Some((FIRST, sets.map(|ranks| Layer { ranks }).collect()));
+            return Some((FIRST_VERSION, sets.map(|ranks| Layer { ranks }).collect()));
         }
         let first = self.held.get(&0)?;
         let complete = self.held.len() == self.ranks
@@ -268,7 +263,9 @@
         let count = usize::from(experts.count);
         let sets: Vec<Vec<f64>> = self.loads.chunks(count).map(<[f64]>::to_vec).collect();
         let whole = sets.len() == usize::from(experts.layers);
-        let enough = sets.iter().all(|set| set.iter().sum::<f64>() >= ENOUGH);
+        let enough = sets
+            .iter()
+            .all(|set| set.iter().sum::<f64>() >= MIN_SAMPLES);
         (whole && enough).then_some(sets)
     }
 
@@ -287,15 +284,15 @@
             places: experts.places.into(),
             spare: experts.spare.into(),
             copies: copies(self.copying(now, &layers, base), experts.copy),
-            least: LEAST * experts.copy.as_secs_f64() / self.ranks.max(1) as f64,
+            least: MIN_GAIN_PER_COPY_SECOND * experts.copy.as_secs_f64() / self.ranks.max(1) as f64,
         };
         let relief = relief::relieve(&layers, &self.loads(experts)?, &self.paces, &bound)?;
         let highest = self
             .switch
             .highest()
             .max(self.plan.as_ref().map_or(0, |p| p.version));
-        let drawn = rand::rng().random_range(0..1 << DRAWN);
-        let version = (((highest >> DRAWN) + 1) << DRAWN) + drawn;
+        let drawn = rand::rng().random_range(0..1 << RANDOM_VERSION_BITS);
+        let version = (((highest >> RANDOM_VERSION_BITS) + 1) << RANDOM_VERSION_BITS) + drawn;
         // Every rank must get the same map to the letter, whichever way it comes.
         let sorted = |experts: &Vec<u16>| {
             let mut experts = experts.clone();
@@ -328,7 +325,7 @@
         let Some(plan) = plan else {
             return Vec::new();
         };
-        let chunks: Vec<&[Move]> = plan.moves.chunks(MOVES).collect();
+        let chunks: Vec<&[Move]> = plan.moves.chunks(MOVES_PER_DATAGRAM).collect();
         let parts = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
         let part = |(number, moves): (u16, &&[Move])| Difference {
             epoch,
@@ -375,7 +372,9 @@
 /// How many copies a rank makes in the time for one change.
 fn copies(time: Duration, copy: Duration) -> usize {
     let copies = time.as_micros() / copy.as_micros().max(1);
-    usize::try_from(copies).unwrap_or(usize::MAX).clamp(1, MOST)
+    usize::try_from(copies)
+        .unwrap_or(usize::MAX)
+        .clamp(1, MAX_COPIES_PER_RANK)
 }
 
 #[cfg(test)]
--- a/verbenaspool_agent/src/direct/lead/tests.rs
+++ b/verbenaspool_agent/src/direct/lead/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use verbenaspool_coordination::switch::Report;
-use verbenaspool_protocol::seat::{Choices, Held};
+use verbenaspool_protocol::member::{Choices, Held};
 use verbenaspool_state::{engine::Experts, expert_map::Layer};
 
 use super::Lead;
--- a/verbenaspool_agent/src/direct/listeners.rs
+++ b/verbenaspool_agent/src/direct/listeners.rs
@@ -1,24 +1,24 @@
 //! The entries that hear how an agent's rank stands, and when each is told.
 //!
 //! Load: tens of entries before hundreds of ranks. Entries in the rank's availability
-//! zone send most requests there, and hear of what it has within 0.1 s; words within a
+//! zone send most requests there, and hear of what it has within 0.1 s; messages within a
 //! zone cost nothing. The others, which are most, hear of it each few seconds, and
 //! at once only when the rank's group or its pace changes: they ask before they send.
 
 use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 /// How long an entry that asked is told.
-const SUBSCRIBED: Duration = Duration::from_secs(9);
+const SUBSCRIPTION_TTL: Duration = Duration::from_secs(9);
 
 /// How often an entry nearby hears at most of requests that come and go.
-const OFTEN: Duration = Duration::from_millis(100);
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How often entries nearby hear if nothing changes, and all do while the group runs
 /// nothing: an entry forgets within 1.6 s that a group is closed.
-const SELDOM: Duration = Duration::from_millis(500);
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How often entries of other zones hear while the group runs.
-const FAR: Duration = Duration::from_secs(4);
+const CROSS_ZONE_REPORT_INTERVAL: Duration = Duration::from_secs(4);
 
 /// What entries are told.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,9 +48,9 @@
             return true;
         }
         let pause = match (standing.pace, self.near) {
-            (Some(_), true) if told.requests != standing.requests => OFTEN,
-            (Some(_), false) => FAR,
-            _ => SELDOM,
+            (Some(_), true) if told.requests != standing.requests => MIN_REPORT_INTERVAL,
+            (Some(_), false) => CROSS_ZONE_REPORT_INTERVAL,
+            _ => MAX_REPORT_INTERVAL,
         };
         now.saturating_sub(at) >= pause
     }
@@ -63,7 +63,7 @@
 impl Listeners {
     /// An entry wants to hear, which is in the rank's zone or not.
     pub fn subscribe(&mut self, now: Duration, entry: IpAddr, near: bool) {
-        let until = now + SUBSCRIBED;
+        let until = now + SUBSCRIPTION_TTL;
         let listener = self.0.entry(entry).or_insert(Listener {
             until,
             near,
--- a/verbenaspool_agent/src/direct/listeners/tests.rs
+++ b/verbenaspool_agent/src/direct/listeners/tests.rs
@@ -36,7 +36,7 @@
     assert_eq!(listeners.due(ms(610), closed), [entry(1), entry(2)]);
 }
 
-/// A group breaks while the words of its agents are lost. Entries forget within 1.6 s
+/// A group breaks while the messages of its agents are lost. Entries forget within 1.6 s
 /// that a group is closed, so they are told again until it opens, far ones as well.
 #[test]
 fn a_closed_group_is_told_again_and_again() {
--- a/verbenaspool_agent/src/direct/seats.rs
+++ b/verbenaspool_agent/src/direct/membership.rs
@@ -6,22 +6,22 @@
     time::Duration,
 };
 
-use verbenaspool_coordination::switch::KEEPER;
-use verbenaspool_protocol::seat::State;
+use verbenaspool_coordination::switch::KEEPER_RANK;
+use verbenaspool_protocol::member::State;
 
 /// How long one datagram may be overtaken by others.
-const OVERTAKEN: Duration = Duration::from_millis(300);
+const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
-/// How long a seat is remembered whose agent is silent.
-const FORGOTTEN: Duration = Duration::from_secs(20);
+/// How long a member is remembered whose agent is silent.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
 
 /// Ranks whose agents may stand in for a lead that is silent, itself included. A few are
 /// enough: all of them would have to be stopped at once.
-pub const STANDINS: u16 = 8;
+pub const MAX_STAND_INS: u16 = 8;
 
 /// One agent and its rank.
 #[derive(Debug, Clone)]
-pub struct Seat {
+pub struct Member {
     /// Where its agent is.
     pub agent: IpAddr,
     /// What it said last.
@@ -32,13 +32,13 @@
 
 /// The agents of a group by rank.
 #[derive(Debug, Default)]
-pub struct Seats(BTreeMap<u16, Seat>);
+pub struct Membership(BTreeMap<u16, Member>);
 
-impl Seats {
+impl Membership {
     /// Takes a state in; tells whether it is news.
     pub fn hear(&mut self, now: Duration, agent: IpAddr, state: State) -> bool {
         if let Some(known) = self.0.get(&state.rank) {
-            let lately = now.saturating_sub(known.heard) < OVERTAKEN;
+            let lately = now.saturating_sub(known.heard) < REORDER_WINDOW;
             let place = |state: &State| (state.report.epoch, state.number);
             let older = place(&state) <= place(&known.state);
             if known.agent == agent && lately && older {
@@ -49,41 +49,41 @@
             }
         }
         let heard = now;
-        let seat = Seat {
+        let member = Member {
             agent,
             state,
             heard,
         };
-        self.0.insert(seat.state.rank, seat);
+        self.0.insert(member.state.rank, member);
         true
     }
 
-    /// The seat of a rank.
-    pub fn get(&self, rank: u16) -> Option<&Seat> {
+    /// The member of a rank.
+    pub fn get(&self, rank: u16) -> Option<&Member> {
         self.0.get(&rank)
     }
 
-    /// All seats that were heard not too long ago.
-    pub fn iter(&self, now: Duration) -> impl Iterator<Item = &Seat> {
-        let lately = move |seat: &&Seat| now.saturating_sub(seat.heard) < FORGOTTEN;
+    /// All membership that were heard not too long ago.
+    pub fn iter(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        let lately = move |member: &&Member| now.saturating_sub(member.heard) < FORGET_AFTER;
         self.0.values().filter(lately)
     }
 
     /// The agents that hear many times a second how a rank stands.
     ///
-    /// The lead decides by the words of all ranks, and the rank that holds passes is
+    /// The lead decides by the messages of all ranks, and the rank that holds passes is
     /// the first to stand in for it; those that may stand in behind it have to know of
     /// these two, to see whether a lead is silent and a pass is held. With all ranks
     /// telling all others a group of 32 would send 9,900 datagrams a second, two in three
     /// between zones.
     pub fn audience(&self, now: Duration, rank: u16) -> BTreeSet<IpAddr> {
-        let hears = |seat: &&Seat| {
-            let seat = seat.state.rank;
-            seat <= KEEPER || rank <= KEEPER && seat < STANDINS
+        let hears = |member: &&Member| {
+            let member = member.state.rank;
+            member <= KEEPER_RANK || rank <= KEEPER_RANK && member < MAX_STAND_INS
         };
         self.iter(now)
             .filter(hears)
-            .map(|seat| seat.agent)
+            .map(|member| member.agent)
             .collect()
     }
 
--- a/verbenaspool_agent/src/direct/seats/tests.rs
+++ b/verbenaspool_agent/src/direct/membership/tests.rs
@@ -1,16 +1,16 @@
 use std::{net::IpAddr, time::Duration};
 
 use verbenaspool_coordination::switch::Report;
-use verbenaspool_protocol::seat::State;
+use verbenaspool_protocol::member::State;
 
-use super::{STANDINS, Seats};
+use super::{MAX_STAND_INS, Membership};
 
 fn agent(rank: u16) -> IpAddr {
     IpAddr::from([10, 0, 0, u8::try_from(rank).expect("a small rank")])
 }
 
-fn seats(size: u16) -> Seats {
-    let mut seats = Seats::default();
+fn membership(size: u16) -> Membership {
+    let mut membership = Membership::default();
     for rank in 0..size {
         let state = State {
             number: 1,
@@ -22,24 +22,24 @@
             pace: 1.0,
             zone: 1,
         };
-        seats.hear(Duration::ZERO, agent(rank), state);
+        membership.hear(Duration::ZERO, agent(rank), state);
     }
-    seats
+    membership
 }
 
 /// In a group of 32 each rank told all others ten times a second how it stands, and
 /// agents were busy hearing X
 #[test]
 fn only_those_who_act_on_a_state_hear_it() {
-    let seats = seats(32);
+    let membership = membership(32);
     let now = Duration::from_millis(10);
     for rank in 2..32 {
-        let audience = seats.audience(now, rank);
+        let audience = membership.audience(now, rank);
         assert_eq!(audience, [agent(0), agent(1)].into(), "rank {rank}");
     }
     for rank in 0..2 {
-        let audience: Vec<IpAddr> = seats.audience(now, rank).into_iter().collect();
-        let standins: Vec<IpAddr> = (0..STANDINS).map(agent).collect();
+        let audience: Vec<IpAddr> = membership.audience(now, rank).into_iter().collect();
+        let standins: Vec<IpAddr> = (0..MAX_STAND_INS).map(agent).collect();
         assert_eq!(audience, standins, "rank {rank}");
     }
 }
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -5,16 +5,16 @@
 //! agent beside the first rank leads the group: it decides which map of experts
 //! the ranks use next and brings it in use.
 
-mod board;
+mod agent_state;
 mod choices;
 mod lead;
 mod listeners;
 mod lookup;
+mod membership;
 mod orders;
 mod partial;
 mod rank;
 pub mod run;
-mod seats;
 pub mod settings;
 mod spread;
 mod standin;
--- a/verbenaspool_agent/src/direct/orders.rs
+++ b/verbenaspool_agent/src/direct/orders.rs
@@ -7,25 +7,25 @@
 use verbenaspool_coordination::switch::{Order as Change, Send};
 use verbenaspool_platform::{order, report::Report};
 use verbenaspool_protocol::{
-    seat::{Difference, Lack, Map, Order, State, What},
-    word::Word,
+    member::{Difference, Lack, Map, Order, State, What},
+    message::Message,
 };
 
 use super::{
-    board::Board,
-    partial::{FIRST, Partial, Parts},
+    agent_state::AgentState,
+    partial::{FIRST_VERSION, Partial, Parts},
     rank::{self, Outcome, Rank},
 };
 
 /// How many passes ahead a forerunner of this process may have given orders for.
 /// Passes are held two ahead; the others make up for passes begun since.
-const INHERITED: u64 = 4;
+const INHERITED_PASSES: u64 = 4;
 
 /// How often an order is given that gets no answer. With one in three lost, ten
 /// in a row are lost less than once in 50,000 times.
-const TRIES: u32 = 10;
+const MAX_ORDER_ATTEMPTS: u32 = 10;
 
-impl Board {
+impl AgentState {
     /// Up to which pass of an epoch no order of a lead to arm is given.
     pub(super) fn barred(&self, epoch: u64) -> u64 {
         let (barred_epoch, step) = self.bar.get();
@@ -56,7 +56,7 @@
     /// may have given any order for the passes to come, and promised any bar.
     pub(super) fn inherit(&self, epoch: u64, step: u64) {
         if self.state.borrow().is_none() && self.number.get() == self.first {
-            let ahead = step + INHERITED;
+            let ahead = step + INHERITED_PASSES;
             self.bar.set((epoch, ahead));
             self.gave.set((epoch, ahead));
         }
@@ -102,8 +102,11 @@
             return;
         }
         self.giving.replace(Some(what.clone()));
-        for tries in 1..=TRIES {
-            let outcome = self.rank.order(what, epoch, rank::NEAR).await;
+        for tries in 1..=MAX_ORDER_ATTEMPTS {
+            let outcome = self
+                .rank
+                .order(what, epoch, rank::LOCAL_ORDER_TIMEOUT)
+                .await;
             if outcome == Outcome::Taken {
                 debug!(self.log, "Agent: The rank took an order.";
                     "order" => name(what), "epoch" => epoch, "tries" => tries);
@@ -171,7 +174,8 @@
         let Some(whole) = whole else {
             return;
         };
-        if let (FIRST, Some(state), Some(experts)) = (whole.base, self.state(), self.experts.get())
+        if let (FIRST_VERSION, Some(state), Some(experts)) =
+            (whole.base, self.state(), self.experts.get())
         {
             let mut known = self.known.borrow_mut();
             known.add_first(epoch, state.size, &experts);
@@ -183,7 +187,8 @@
         }
         info!(self.log, "Agent: The map before isn't known; asking for the whole one.";
             "epoch" => epoch, "version" => version, "before" => whole.base);
-        self.send(lead, &Word::Lack(Lack { epoch, version })).await;
+        self.send(lead, &Message::Lack(Lack { epoch, version }))
+            .await;
     }
 
     /// Sends the whole map to an agent that lacks it, as the lead.
@@ -193,7 +198,7 @@
             None => return,
         };
         for part in parts {
-            self.send_paced(agent, &Word::Map(part));
+            self.send_paced(agent, &Message::Map(part));
         }
     }
 
@@ -216,24 +221,24 @@
     /// would take the held rank with it.
     pub(super) async fn order(self: &Rc<Self>, send: Send, epoch: u64) {
         let rank = u16::try_from(send.rank).unwrap_or(u16::MAX);
-        let Some(seat) = self.seats.borrow().get(rank).cloned() else {
+        let Some(member) = self.membership.borrow().get(rank).cloned() else {
             return;
         };
-        let board = self.clone();
-        if seat.agent == self.settings.address {
+        let shared = self.clone();
+        if member.agent == self.settings.address {
             monoio::spawn(async move {
-                board.give_own(send.order, epoch).await;
+                shared.give_own(send.order, epoch).await;
             });
             return;
         }
         if matches!(send.order, Change::Hold { .. } | Change::Go { .. }) {
             monoio::spawn(async move {
-                board.give_far(&seat.state, send.order, epoch).await;
+                shared.give_far(&member.state, send.order, epoch).await;
             });
             return;
         }
         let what = What::Change(send.order);
-        self.send(seat.agent, &Word::Order(Order { epoch, what }))
+        self.send(member.agent, &Message::Order(Order { epoch, what }))
             .await;
     }
 
@@ -281,20 +286,24 @@
             return;
         };
         let far = Rank::new(self.client.clone(), state.upstream);
-        let outcome = far.order(&order, epoch, rank::FAR).await;
+        let outcome = far.order(&order, epoch, rank::REMOTE_ORDER_TIMEOUT).await;
         if outcome != Outcome::Taken {
             info!(self.log, "Agent: Another rank didn't take an order.";
                 "rank" => state.rank, "order" => name(&order), "outcome" => format!("{outcome:?}"));
         }
         // What a rank says to another instance is some hundred milliseconds old;
         // its agent knows better.
-        let agent = self.seats.borrow().get(state.rank).map(|seat| seat.agent);
+        let agent = self
+            .membership
+            .borrow()
+            .get(state.rank)
+            .map(|member| member.agent);
         if let Some(agent) = agent {
             let look = Order {
                 epoch,
                 what: What::Look,
             };
-            self.send(agent, &Word::Order(look)).await;
+            self.send(agent, &Message::Order(look)).await;
         }
     }
 }
--- a/verbenaspool_agent/src/direct/partial.rs
+++ b/verbenaspool_agent/src/direct/partial.rs
@@ -1,6 +1,6 @@
 //! Maps that come in several datagrams, or as what differs from one before.
 
-use verbenaspool_protocol::seat::{Difference, Move, places_hash};
+use verbenaspool_protocol::member::{Difference, Move, places_hash};
 use verbenaspool_state::engine::Experts;
 
 /// A map of which some parts have come.
@@ -14,10 +14,10 @@
 
 /// How many maps an agent remembers: that in use, and those of changes that were
 /// given up since.
-const KNOWN: usize = 3;
+const MAX_KNOWN_MAPS: usize = 3;
 
 /// The version of the map that a group forms with.
-pub const FIRST: u64 = 0;
+pub const FIRST_VERSION: u64 = 0;
 
 /// The map that a group of so many ranks forms with, by set and rank: experts in turn.
 pub fn first(ranks: u16, experts: &Experts) -> Vec<Vec<Vec<u16>>> {
@@ -80,7 +80,7 @@
     pub fn add(&mut self, epoch: u64, version: u64, places: Vec<Vec<Vec<u16>>>) {
         self.0
             .retain(|known| known.epoch == epoch && known.version != version);
-        if self.0.len() >= KNOWN {
+        if self.0.len() >= MAX_KNOWN_MAPS {
             self.0.remove(0);
         }
         self.0.push(Whole {
@@ -98,7 +98,7 @@
         if self.0.iter().any(|known| known.epoch == epoch) {
             return;
         }
-        self.add(epoch, FIRST, first(ranks, experts));
+        self.add(epoch, FIRST_VERSION, first(ranks, experts));
     }
 
     /// The map that a difference leads to, where the one before is known.
--- a/verbenaspool_agent/src/direct/partial/tests.rs
+++ b/verbenaspool_agent/src/direct/partial/tests.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
-use verbenaspool_protocol::seat::{Difference, Move, places_hash};
+use verbenaspool_protocol::member::{Difference, Move, places_hash};
 use verbenaspool_state::engine::Experts;
 
-use super::{FIRST, Known, Parts, moves};
+use super::{FIRST_VERSION, Known, Parts, moves};
 
 /// A group changes its map by a few places; an agent that knows the map before
 /// makes the same map of them as the lead, and one that doesn't asks for it whole.
@@ -118,7 +118,7 @@
     Difference {
         epoch: 1,
         version,
-        base: FIRST,
+        base: FIRST_VERSION,
         moves: vec![Move {
             set: part,
             rank: 0,
--- a/verbenaspool_agent/src/direct/rank.rs
+++ b/verbenaspool_agent/src/direct/rank.rs
@@ -13,18 +13,18 @@
 use verbenaspool_transport::http::{body::Body, client::Client};
 
 /// How long a reading call may take.
-const ANSWER: Duration = Duration::from_millis(150);
+const READ_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How long an order may take that is given on the rank's own instance, where
 /// it takes less than a millisecond; one that gets no answer never gets one, and
 /// a pass may be held until it is given again.
-pub const NEAR: Duration = Duration::from_millis(15);
+pub const LOCAL_ORDER_TIMEOUT: Duration = Duration::from_millis(15);
 
 /// How long an order may take that is given from another instance.
-pub const FAR: Duration = Duration::from_millis(40);
+pub const REMOTE_ORDER_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// The largest answer: the choices of some hundred sets.
-const LARGEST: usize = 4 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// A rank and the way to it.
 #[derive(Debug, Clone)]
@@ -68,7 +68,7 @@
         let exchange = async {
             let response = self.client.send(self.address, request).await.ok()?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), LARGEST).collect();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
             Some((status, body.await.ok()?.to_bytes()))
         };
         monoio::time::timeout(timeout, exchange).await.ok()?
@@ -76,7 +76,9 @@
 
     /// Reads a page of the rank.
     async fn page(&self, path: &str) -> Option<Bytes> {
-        let (status, body) = self.call(Method::GET, path, String::new(), ANSWER).await?;
+        let (status, body) = self
+            .call(Method::GET, path, String::new(), READ_TIMEOUT)
+            .await?;
         (status == StatusCode::OK).then_some(body)
     }
 
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -9,42 +9,42 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{Logger, info, warn};
-use verbenaspool_protocol::word::{self, Word};
+use verbenaspool_protocol::message::{self, Message};
 use verbenaspool_transport::{
     clock::{Clock, Monotonic},
     http::client::Client,
     log, runtime,
-    shutdown::Words,
+    shutdown::Signals,
 };
 
-use super::{board::Board, settings::Settings};
+use super::{agent_state::AgentState, settings::Settings};
 
 /// How often the own rank's report is read while its map changes, and otherwise.
 /// The reading is free on the own instance, but takes processor time.
-const READ: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
+const READ_INTERVALS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
 /// How often it is looked whether choices are to be read.
-const SAMPLE: Duration = Duration::from_millis(50);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How often the lead looks whether another map is better.
-const DECIDE: Duration = Duration::from_millis(100);
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How often those who act on it hear how the rank stands, if nothing changes: of the
 /// lead, of the rank that holds passes and while a map changes; and of others, of which
 /// there are many.
-const TELL: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(180)];
+const REPORT_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(180)];
 
 /// How often all agents of the group hear of each other at least, and in groups of up to
-/// how many ranks. In larger ones it is the more seldom, or words would grow with the
+/// how many ranks. In larger ones it is the more seldom, or signals would grow with the
 /// ranks squared; those who act on a state hear it many times a second anyhow.
-const HELLO: Duration = Duration::from_secs(1);
+const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 const HELLO_RANKS: u32 = 16;
 
 /// How often the lead hears what the rank holds, if nothing changes.
-const HELD: Duration = Duration::from_secs(1);
+const HELD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long a new connection to the rank may take.
-const CONNECT: Duration = Duration::from_millis(100);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Why the agent could not run.
 #[derive(Debug, thiserror::Error)]
@@ -68,100 +68,103 @@
 /// Its port isn't free, or signals can't be heard.
 pub fn main(settings: Settings) -> Result<(), Error> {
     let (log, _guard) = log::guarded(settings.log);
-    // Nothing of the settings can change without a new process: the word to
+    // Nothing of the settings can change without a new process: the message to
     // reload is heard only so that it doesn't end this one.
-    let words = Words::hear()?;
-    runtime::run(serve(settings, log, words))?
+    let signals = Signals::hear()?;
+    runtime::run(serve(settings, log, signals))?
 }
 
 /// Runs the agent.
-async fn serve(settings: Settings, log: Logger, words: Words) -> Result<(), Error> {
+async fn serve(settings: Settings, log: Logger, signals: Signals) -> Result<(), Error> {
     let clock: Rc<dyn Clock> = Monotonic::start();
     let address = SocketAddr::new(settings.address, settings.peer_port);
     let socket = UdpSocket::bind(address).map_err(|why| Error::Listen { address, why })?;
     info!(log, "Agent: Started."; "name" => &settings.name, "upstream" => settings.upstream.to_string());
-    let client = Client::new(CONNECT).keep_for(Duration::from_millis(700));
+    let client = Client::new(CONNECT_TIMEOUT).keep_for(Duration::from_millis(700));
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let number = since.map_or(0, |since| since.as_secs()) << 20;
-    let board = Board::new(settings, clock, log.clone(), client, socket, number);
-    monoio::spawn(hear(board.clone()));
+    let shared = AgentState::new(settings, clock, log.clone(), client, socket, number);
+    monoio::spawn(hear(shared.clone()));
     let born = Rc::new(Cell::new(0));
-    monoio::spawn(sample(board.clone(), born.clone()));
-    watch(&board, &words, &born).await;
+    monoio::spawn(sample(shared.clone(), born.clone()));
+    watch(&shared, &signals, &born).await;
     info!(log, "Agent: Stopped.");
     Ok(())
 }
 
 /// Reads the own rank's report, again and again.
-async fn watch(board: &Rc<Board>, words: &Words, born: &Cell<u64>) {
-    let clock = &board.clock;
+async fn watch(shared: &Rc<AgentState>, signals: &Signals, born: &Cell<u64>) {
+    let clock = &shared.clock;
     let (mut told, mut hello) = (Duration::ZERO, Duration::ZERO);
     let mut reached = true;
-    while !words.stopped() {
-        let report = board.read().await;
+    while !signals.stopped() {
+        let report = shared.read().await;
         if report.is_some() != reached {
             reached = report.is_some();
-            warn!(board.log, "Agent: The rank's report changed its reach."; "reached" => reached);
+            warn!(shared.log, "Agent: The rank's report changed its reach."; "reached" => reached);
         }
         let mut changing = false;
         if let Some(report) = report {
             born.set(report.born);
-            let news = board.observe(&report);
+            let news = shared.observe(&report);
             changing = report.busy || report.armed.is_some() || report.held.is_some();
             let now = clock.now();
-            let everybody = now.saturating_sub(hello) >= hello_every(board);
-            let tell = TELL[usize::from(!changing && !board.is_central())];
+            let everybody = now.saturating_sub(hello) >= hello_every(shared);
+            let tell = REPORT_INTERVALS[usize::from(!changing && !shared.is_central())];
             if news || everybody || now.saturating_sub(told) >= tell {
                 told = now;
                 if everybody {
                     hello = now;
                 }
-                board.tell(everybody).await;
+                shared.tell(everybody).await;
             }
-            board.drive().await;
-            board.stand_in().await;
-            board.tell_entries().await;
+            shared.drive().await;
+            shared.stand_in().await;
+            shared.tell_entries().await;
         }
-        clock.sleep(READ[usize::from(!changing)]).await;
+        clock.sleep(READ_INTERVALS[usize::from(!changing)]).await;
     }
 }
 
 /// How often all agents of the group hear of each other.
-fn hello_every(board: &Board) -> Duration {
-    let size = board.state().map_or(0, |state| u32::from(state.size));
-    if board.is_complete() {
-        HELLO * size.max(HELLO_RANKS) / HELLO_RANKS
+fn hello_every(shared: &AgentState) -> Duration {
+    let size = shared.state().map_or(0, |state| u32::from(state.size));
+    if shared.is_complete() {
+        HELLO_INTERVAL * size.max(HELLO_RANKS) / HELLO_RANKS
     } else {
-        HELLO
+        HELLO_INTERVAL
     }
 }
 
 /// Passes choices on and, as the lead, decides.
-async fn sample(board: Rc<Board>, born: Rc<Cell<u64>>) {
+async fn sample(shared: Rc<AgentState>, born: Rc<Cell<u64>>) {
     let mut decided = Duration::ZERO;
     loop {
-        board.sample(born.get()).await;
-        let now = board.clock.now();
-        if now.saturating_sub(decided) >= DECIDE {
+        shared.sample(born.get()).await;
+        let now = shared.clock.now();
+        if now.saturating_sub(decided) >= DECISION_INTERVAL {
             decided = now;
-            board.tell_held(HELD).await;
-            board.decide().await;
+            shared.tell_held(HELD_REPORT_INTERVAL).await;
+            shared.decide().await;
         }
-        let _ = monoio::time::timeout(SAMPLE, board.woken.notified()).await;
+        let _ = monoio::time::timeout(SAMPLE_INTERVAL, shared.woken.notified()).await;
     }
 }
 
 /// Hears other agents.
-async fn hear(board: Rc<Board>) {
+async fn hear(shared: Rc<AgentState>) {
     loop {
-        let (received, buffer) = board.socket.recv_from(vec![0_u8; 2 * word::LARGEST]).await;
+        let (received, buffer) = shared
+            .socket
+            .recv_from(vec![0_u8; 2 * message::MAX_DATAGRAM_BYTES])
+            .await;
         let Ok((length, from)) = received else {
-            board.clock.sleep(READ[0]).await;
+            shared.clock.sleep(READ_INTERVALS[0]).await;
             continue;
         };
-        if let Some(word) = Word::decode(&buffer[..length]) {
-            let board = board.clone();
-            monoio::spawn(async move { board.hear(from.ip(), word).await });
+        if let Some(message) = Message::decode(&buffer[..length]) {
+            let shared = shared.clone();
+            monoio::spawn(async move { shared.hear(from.ip(), message).await });
         }
     }
 }
--- a/verbenaspool_agent/src/direct/spread.rs
+++ b/verbenaspool_agent/src/direct/spread.rs
@@ -9,30 +9,30 @@
 
 use rand::seq::SliceRandom;
 use verbenaspool_coordination::tree;
-use verbenaspool_protocol::{seat::Difference, word::Word};
+use verbenaspool_protocol::{member::Difference, message::Message};
 
-use super::board::Board;
+use super::agent_state::AgentState;
 
-/// The part of the link that waiting words are sent at. The rest is for states, orders
+/// The part of the link that waiting messages are sent at. The rest is for states, orders
 /// and choices, which don't wait.
-const PACED: f64 = 0.5;
+const PACED_LINK_RATIO: f64 = 0.5;
 
 /// The part of the lead's link that choices of all ranks may take. With 63 ranks and
 /// 2,016 counts each 0.1 s they would take 1.3 times a link of 8 Mbit/s, as reckoned.
-const CHOICES: f64 = 0.4;
+const EXPERT_COUNTS_LINK_RATIO: f64 = 0.4;
 
 /// Bytes that one count takes, with its part of the datagram's head: most counts are
 /// below 128 and take one.
-const COUNT: f64 = 1.2;
+const BYTES_PER_COUNT: f64 = 1.2;
 
-/// What a datagram takes on the link beside its words: the heads of IP and UDP.
-const HEAD: usize = 28;
+/// What a datagram takes on the link beside its messages: the heads of IP and UDP.
+const DATAGRAM_HEADER_BYTES: usize = 28;
 
-impl Board {
+impl AgentState {
     /// Sends a map to the ranks that are to copy, by relays.
     ///
     /// Each time other ranks are relays: one that died, froze or is cut off would keep
-    /// the map from the same ranks for good. While words of the time before still wait
+    /// the map from the same ranks for good. While messages of the time before still wait
     /// for the link, nothing is added to them.
     pub(super) fn spread(self: &Rc<Self>, copying: &[(u64, usize)], epoch: u64) {
         let Some(&(version, _)) = copying.first() else {
@@ -44,8 +44,13 @@
         let ranks = copying.iter().map(|(_, rank)| *rank);
         let mut ranks: Vec<u16> = ranks.filter_map(|rank| rank.try_into().ok()).collect();
         ranks.shuffle(&mut rand::rng());
-        // Ranks of one zone are next to each other, so that few words cross zones.
-        ranks.sort_by_key(|rank| self.seats.borrow().get(*rank).map(|seat| seat.state.zone));
+        // Ranks of one zone are next to each other, so that few messages cross zones.
+        ranks.sort_by_key(|rank| {
+            self.membership
+                .borrow()
+                .get(*rank)
+                .map(|member| member.state.zone)
+        });
         let differences = match &*self.lead.borrow() {
             Some(lead) => lead.differences(version, epoch),
             None => return,
@@ -55,37 +60,41 @@
         }
     }
 
-    /// Passes a word of the lead on to the ranks that it names.
+    /// Passes a message of the lead on to the ranks that it names.
     pub(super) fn relay(self: &Rc<Self>, difference: &Difference) {
         self.pass_on(difference, &difference.beyond);
     }
 
-    /// Sends a word to some ranks, which pass it on to the others.
+    /// Sends a message to some ranks, which pass it on to the others.
     fn pass_on(self: &Rc<Self>, difference: &Difference, ranks: &[u16]) {
         for branch in tree::branches(ranks) {
-            let agent = self.seats.borrow().get(branch.rank).map(|seat| seat.agent);
+            let agent = self
+                .membership
+                .borrow()
+                .get(branch.rank)
+                .map(|member| member.agent);
             let Some(agent) = agent else {
                 continue;
             };
-            let word = Word::Difference(Difference {
+            let message = Message::Difference(Difference {
                 beyond: branch.beyond,
                 ..difference.clone()
             });
-            self.send_paced(agent, &word);
+            self.send_paced(agent, &message);
         }
     }
 
-    /// Sends a word once the link has room for it.
-    pub(super) fn send_paced(self: &Rc<Self>, agent: IpAddr, word: &Word) {
+    /// Sends a message once the link has room for it.
+    pub(super) fn send_paced(self: &Rc<Self>, agent: IpAddr, message: &Message) {
         let mut outbox = self.outbox.borrow_mut();
-        outbox.push_back((agent, word.encode()));
+        outbox.push_back((agent, message.encode()));
         if outbox.len() == 1 {
-            let board = self.clone();
-            monoio::spawn(async move { board.empty_outbox().await });
+            let shared = self.clone();
+            monoio::spawn(async move { shared.empty_outbox().await });
         }
     }
 
-    /// Sends what waits in the outbox, one word after the other. A word stays in it
+    /// Sends what waits in the outbox, one message after the other. A message stays in it
     /// until its time on the link is over.
     async fn empty_outbox(&self) {
         loop {
@@ -93,7 +102,7 @@
             let Some((agent, bytes)) = next else {
                 return;
             };
-            let time = self.time_of(bytes.len() + HEAD, PACED);
+            let time = self.time_of(bytes.len() + DATAGRAM_HEADER_BYTES, PACED_LINK_RATIO);
             self.send_bytes(agent, bytes).await;
             self.clock.sleep(time).await;
             self.outbox.borrow_mut().pop_front();
@@ -103,7 +112,7 @@
     /// How long so many bytes take on a part of the link.
     fn time_of(&self, bytes: usize, part: f64) -> Duration {
         let rate = (self.settings.link_mbps * 1e6 * part).max(1.0);
-        #[allow(clippy::cast_precision_loss)] // Words are short.
+        #[allow(clippy::cast_precision_loss)] // Signals are short.
         let bits = bytes as f64 * 8.0;
         Duration::from_secs_f64(bits / rate)
     }
@@ -112,13 +121,13 @@
     /// lead's link, which is taken to be like this one.
     pub(super) fn choices_every(&self) -> Duration {
         let size = self.state().map_or(0, |state| usize::from(state.size));
-        self.time_of_choices(size, CHOICES)
+        self.time_of_choices(size, EXPERT_COUNTS_LINK_RATIO)
     }
 
     /// How long the choices of so many ranks take on a part of the link.
     pub(super) fn time_of_choices(&self, ranks: usize, part: f64) -> Duration {
         #[allow(clippy::cast_precision_loss)] // Groups are small.
-        let counts = self.counts() as f64 * COUNT;
+        let counts = self.counts() as f64 * BYTES_PER_COUNT;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // It is small.
         let bytes = counts as usize * ranks;
         self.time_of(bytes, part)
--- a/verbenaspool_agent/src/direct/standin.rs
+++ b/verbenaspool_agent/src/direct/standin.rs
@@ -4,27 +4,27 @@
 
 use slog::{info, warn};
 use verbenaspool_platform::report::Report;
-use verbenaspool_protocol::seat::State;
+use verbenaspool_protocol::member::State;
 
 use super::{
-    board::Board,
+    agent_state::AgentState,
     lead::Lead,
-    seats::{STANDINS, Seat},
+    membership::{MAX_STAND_INS, Member},
 };
 
-/// After how long without a word a lead counts as silent: three words, which
+/// After how long without a message a lead counts as silent: three messages, which
 /// it sends each 0.1 s.
-const SILENT: Duration = Duration::from_millis(300);
+const LEAD_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long a group must have stood still before the next rank's agent looks
 /// into it: several passes, and well below the 1.5 s after which requests are
 /// cut off.
-const STOOD: Duration = Duration::from_millis(400);
+const STANDBY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How much longer each further rank's agent waits.
 const STOOD_PER_RANK: Duration = Duration::from_millis(250);
 
-impl Board {
+impl AgentState {
     /// Notes since when the rank has begun no pass though it has requests.
     pub(super) fn stalls(&self, report: &Report) {
         let now = self.clock.now();
@@ -43,17 +43,17 @@
     /// don't all do it. Two that do it at once, or a lead that wakes, only repeat
     /// each other's orders.
     pub async fn stand_in(self: &Rc<Self>) {
-        let standin = |state: &State| (1..STANDINS).contains(&state.rank);
+        let standin = |state: &State| (1..MAX_STAND_INS).contains(&state.rank);
         let Some(state) = self.state().filter(standin) else {
             return;
         };
         let now = self.clock.now();
-        let heard = self.seats.borrow().get(0).map(|seat| seat.heard);
-        let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > SILENT);
+        let heard = self.membership.borrow().get(0).map(|member| member.heard);
+        let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > LEAD_TIMEOUT);
         let stood = now.saturating_sub(self.stall.get().1);
-        let patience = STOOD + STOOD_PER_RANK * u32::from(state.rank - 1);
+        let patience = STANDBY_TIMEOUT + STOOD_PER_RANK * u32::from(state.rank - 1);
         let held = state.report.held.is_some();
-        let patience = if held { SILENT } else { patience };
+        let patience = if held { LEAD_TIMEOUT } else { patience };
         if !silent || stood < patience {
             if self.lead.borrow_mut().take().is_some() {
                 info!(self.log, "Agent: No longer stands in for the lead.");
@@ -74,11 +74,11 @@
     /// Brings in what the agents of all ranks said so far.
     pub(super) fn recall(&self) {
         let now = self.clock.now();
-        let seats: Vec<Seat> = self.seats.borrow().iter(now).cloned().collect();
+        let membership: Vec<Member> = self.membership.borrow().iter(now).cloned().collect();
         if let Some(lead) = &mut *self.lead.borrow_mut() {
-            for seat in seats {
-                let rank = seat.state.rank.into();
-                lead.switch.report(seat.heard, rank, seat.state.report);
+            for member in membership {
+                let rank = member.state.rank.into();
+                lead.switch.report(member.heard, rank, member.state.report);
             }
         }
     }
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -2,16 +2,16 @@
 
 use std::{collections::BTreeSet, net::IpAddr, time::Duration};
 
-use verbenaspool_coordination::switch::{KEEPER, Report};
+use verbenaspool_coordination::switch::{KEEPER_RANK, Report};
 use verbenaspool_protocol::{
+    member::{Held, Status},
+    message::Message,
     reservation::{Answer, Ask},
-    seat::{Held, Status},
-    word::Word,
 };
 
-use super::{board::Board, listeners::Standing};
+use super::{agent_state::AgentState, listeners::Standing};
 
-impl Board {
+impl AgentState {
     /// Tells other agents how the rank stands: those that act on it, or all of the
     /// group, and of the service while some of the group are unknown.
     pub async fn tell(&self, everybody: bool) {
@@ -19,9 +19,14 @@
             return;
         };
         let now = self.clock.now();
-        let mut agents: BTreeSet<IpAddr> = self.seats.borrow().audience(now, state.rank);
+        let mut agents: BTreeSet<IpAddr> = self.membership.borrow().audience(now, state.rank);
         if everybody {
-            agents.extend(self.seats.borrow().iter(now).map(|seat| seat.agent));
+            agents.extend(
+                self.membership
+                    .borrow()
+                    .iter(now)
+                    .map(|member| member.agent),
+            );
             // An agent that is new tells all of the service until it knows its group,
             // so the others needn't: they were agents squared once a second.
             if !self.is_complete() {
@@ -29,16 +34,18 @@
             }
         }
         agents.remove(&self.settings.address);
-        let word = Word::State(state);
+        let message = Message::State(state);
         for agent in agents {
-            self.send(agent, &word).await;
+            self.send(agent, &message).await;
         }
     }
 
-    /// Whether the rank is the first or holds passes, so that others wait for its words.
+    /// Whether the rank is the first or holds passes, so that others wait for its messages.
     pub fn is_central(&self) -> bool {
         let state = self.state.borrow();
-        state.as_ref().is_some_and(|state| state.rank <= KEEPER)
+        state
+            .as_ref()
+            .is_some_and(|state| state.rank <= KEEPER_RANK)
     }
 
     /// Tells entries how the rank stands, as far as each is to hear of it now.
@@ -52,7 +59,7 @@
         if entries.is_empty() {
             return;
         }
-        let bytes = Word::Status(self.status()).encode();
+        let bytes = Message::Status(self.status()).encode();
         for entry in entries {
             self.send_bytes(entry, bytes.clone()).await;
         }
@@ -74,7 +81,7 @@
 
     /// Answers an entry that asks for one of the rank's slots.
     ///
-    /// The registry's word on how many there are goes before the entry's: one that
+    /// The registry's message on how many there are goes before the entry's: one that
     /// asked for more could fill the rank's line.
     pub(super) async fn grant(&self, entry: IpAddr, ask: Ask) {
         let slots = self.limit.get().unwrap_or(ask.slots);
@@ -85,12 +92,12 @@
             granted,
             status: self.status(),
         };
-        self.send(entry, &Word::Answer(answer)).await;
+        self.send(entry, &Message::Answer(answer)).await;
     }
 
     /// The agent of the group's lead.
     pub(super) fn lead_agent(&self) -> Option<IpAddr> {
-        self.seats.borrow().get(0).map(|seat| seat.agent)
+        self.membership.borrow().get(0).map(|member| member.agent)
     }
 
     /// Tells the lead what the own rank holds, where that changed or was told
@@ -120,19 +127,19 @@
             version: held.version,
             experts: held.experts,
         };
-        self.to_lead(Word::Held(held)).await;
+        self.to_lead(Message::Held(held)).await;
     }
 
-    /// Gives the lead a word, who may be this agent itself.
-    pub(super) async fn to_lead(&self, word: Word) {
+    /// Gives the lead a message, who may be this agent itself.
+    pub(super) async fn to_lead(&self, message: Message) {
         let Some(agent) = self.lead_agent() else {
             return;
         };
         if agent != self.settings.address {
-            self.send(agent, &word).await;
+            self.send(agent, &message).await;
             return;
         }
-        if let (Word::Held(held), Some(lead)) = (word, &mut *self.lead.borrow_mut()) {
+        if let (Message::Held(held), Some(lead)) = (message, &mut *self.lead.borrow_mut()) {
             lead.held(held);
         }
     }
--- a/verbenaspool_agent/src/flight.rs
+++ b/verbenaspool_agent/src/flight.rs
@@ -16,7 +16,7 @@
     ending: Ending,
     /// The hop to the upstream, which ends with the answer's last byte.
     upstream: Span,
-    /// The agent's part of the trace; it ends behind the hop.
+    /// The agent's part of the trace; it ends after the hop.
     _agent: Span,
 }
 
--- a/verbenaspool_coordination/src/attempt.rs
+++ b/verbenaspool_coordination/src/attempt.rs
@@ -79,7 +79,7 @@
 
 /// What became of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
+pub enum Message {
     /// It did not run and never will.
     Refused,
     /// It is running.
@@ -110,14 +110,14 @@
 }
 
 impl Entry {
-    fn word(&self, counter: u64) -> Option<Word> {
+    fn word(&self, counter: u64) -> Option<Message> {
         match self.records.get(&counter) {
-            Some(Record::Running) => Some(Word::Running),
-            Some(Record::Refused) => Some(Word::Refused),
-            Some(Record::Ended) => Some(Word::Ended),
-            Some(Record::Broken) => Some(Word::Unknown),
-            None if counter <= self.ran => Some(Word::Unknown),
-            None if counter <= self.floor => Some(Word::Refused),
+            Some(Record::Running) => Some(Message::Running),
+            Some(Record::Refused) => Some(Message::Refused),
+            Some(Record::Ended) => Some(Message::Ended),
+            Some(Record::Broken) => Some(Message::Unknown),
+            None if counter <= self.ran => Some(Message::Unknown),
+            None if counter <= self.floor => Some(Message::Refused),
             None => None,
         }
     }
@@ -183,7 +183,7 @@
         let (full, leaving) = (self.running >= self.limits.running, self.leaving);
         let entry = self.entry(key.entry, now);
         match entry.word(key.counter) {
-            Some(Word::Refused) => return Err(Refusal::Tombstone),
+            Some(Message::Refused) => return Err(Refusal::Tombstone),
             Some(_) => return Err(Refusal::Repeated),
             None if leaving => return Err(Refusal::Leaving),
             None if full => return Err(Refusal::Full),
@@ -199,13 +199,13 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_coordination::attempt::{Ending, Key, Ledger, Word};
+    /// use verbenaspool_coordination::attempt::{Ending, Key, Ledger, Message};
     ///
     /// let mut ledger = Ledger::default();
     /// let key = Key { entry: 7, counter: 1 };
     /// ledger.admit(key, Duration::ZERO).unwrap();
     /// ledger.finish(key, Ending::Ran);
-    /// assert_eq!(ledger.settle(key, Duration::ZERO), Word::Ended);
+    /// assert_eq!(ledger.settle(key, Duration::ZERO), Message::Ended);
     /// ```
     pub fn finish(&mut self, key: Key, ending: Ending) {
         let entry = self.entries.get_mut(&key.entry);
@@ -230,21 +230,21 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_coordination::attempt::{Key, Ledger, Refusal, Word};
+    /// use verbenaspool_coordination::attempt::{Key, Ledger, Refusal, Message};
     ///
     /// let mut ledger = Ledger::default();
     /// let key = Key { entry: 7, counter: 1 };
-    /// assert_eq!(ledger.settle(key, Duration::ZERO), Word::Refused);
+    /// assert_eq!(ledger.settle(key, Duration::ZERO), Message::Refused);
     /// assert_eq!(ledger.admit(key, Duration::ZERO), Err(Refusal::Tombstone));
     /// ```
-    pub fn settle(&mut self, key: Key, now: Duration) -> Word {
+    pub fn settle(&mut self, key: Key, now: Duration) -> Message {
         let entry = self.entry(key.entry, now);
         if let Some(word) = entry.word(key.counter) {
             return word;
         }
         entry.records.insert(key.counter, Record::Refused);
         self.close(key);
-        Word::Refused
+        Message::Refused
     }
 
     /// Refuses every attempt that is not admitted yet, for good.
--- a/verbenaspool_coordination/src/gather.rs
+++ b/verbenaspool_coordination/src/gather.rs
@@ -14,11 +14,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Ranks of one circle at most.
-pub const CIRCLE: usize = 10;
+pub const AGGREGATION_GROUP_SIZE: usize = 10;
 
 /// Rounds of which sums may be open at once: words of one may overtake those of the one
 /// before.
-const OPEN: usize = 3;
+const MAX_OPEN_ROUNDS: usize = 3;
 
 /// The ranks whose counts are summed together with one's own, itself included, given the
 /// zone of each rank. They are in the same zone, and as many in each circle as in any
@@ -36,15 +36,18 @@
     let Some(&(_, zone)) = zone else {
         return vec![rank];
     };
-    let mates = zones.iter().filter(|(_, other)| *other == zone);
-    let mut mates: Vec<u16> = mates.map(|(rank, _)| *rank).collect();
-    mates.sort_unstable();
-    let circles = mates.len().div_ceil(CIRCLE);
-    let number = |place: usize| place * circles / mates.len();
-    let own = mates.iter().position(|mate| *mate == rank).map(number);
-    let mates = mates.iter().enumerate();
-    let mates = mates.filter(|(place, _)| Some(number(*place)) == own);
-    mates.map(|(_, mate)| *mate).collect()
+    let group_members = zones.iter().filter(|(_, other)| *other == zone);
+    let mut group_members: Vec<u16> = group_members.map(|(rank, _)| *rank).collect();
+    group_members.sort_unstable();
+    let circles = group_members.len().div_ceil(AGGREGATION_GROUP_SIZE);
+    let number = |place: usize| place * circles / group_members.len();
+    let own = group_members
+        .iter()
+        .position(|mate| *mate == rank)
+        .map(number);
+    let group_members = group_members.iter().enumerate();
+    let group_members = group_members.filter(|(place, _)| Some(number(*place)) == own);
+    group_members.map(|(_, mate)| *mate).collect()
 }
 
 /// Who of a circle sums in a round.
@@ -139,7 +142,7 @@
             }
         }
         let first = !self.open.contains_key(&round);
-        if first && self.open.len() >= OPEN {
+        if first && self.open.len() >= MAX_OPEN_ROUNDS {
             self.open.pop_first();
         }
         let sum = self.open.entry(round).or_default();
--- a/verbenaspool_coordination/src/group/lead.rs
+++ b/verbenaspool_coordination/src/group/lead.rs
@@ -45,7 +45,7 @@
 
 /// What the lead knows of a rank.
 #[derive(Debug, Default)]
-struct Seat {
+struct Attendance {
     /// Whether it has answered the round of asking.
     joined: bool,
     /// The start it joined with.
@@ -91,7 +91,7 @@
     /// Counts the rounds of asking.
     round: u64,
     /// The ranks.
-    seats: Vec<Seat>,
+    attendance: Vec<Attendance>,
     /// The steps granted to some rank and not known to be run.
     schedule: Schedule,
     /// The epoch of the next step to grant.
@@ -131,9 +131,9 @@
     /// ```
     #[must_use]
     pub fn new(settings: Settings, fence: u64) -> Self {
-        let seats = 0..settings.shape.ranks;
+        let attendance = 0..settings.shape.ranks;
         Self {
-            seats: seats.map(|_| Seat::default()).collect(),
+            attendance: attendance.map(|_| Attendance::default()).collect(),
             settings,
             fence,
             phase: Phase::Collecting,
@@ -187,7 +187,11 @@
     /// The last step that any rank has run, as far as is known.
     #[must_use]
     pub fn done(&self) -> u64 {
-        self.seats.iter().map(|seat| seat.done).max().unwrap_or(0)
+        self.attendance
+            .iter()
+            .map(|seat| seat.done)
+            .max()
+            .unwrap_or(0)
     }
 
     /// Starts a change to a placement, under an epoch of this lead's own. Each
@@ -243,10 +247,10 @@
             let fence = report.fence;
             return vec![Output::Deposed { fence }];
         }
-        let Some(seat) = self.seats.get_mut(usize::from(report.seat)) else {
+        let Some(seat) = self.attendance.get_mut(usize::from(report.seat)) else {
             return Vec::new();
         };
-        // Word of a start that was replaced says nothing about the present one.
+        // Message of a start that was replaced says nothing about the present one.
         if report.fence < self.fence && !matches!(report.news, News::Refused(_))
             || report.start < seat.start
         {
@@ -267,7 +271,7 @@
                 }
                 let lost = seat.lost;
                 let seat = report.seat;
-                let joined = Seat {
+                let joined = Attendance {
                     joined: true,
                     start: report.start,
                     done,
@@ -314,7 +318,7 @@
 
     /// A rank didn't carry out a command.
     fn refused(&mut self, seat: u16, refusal: &Refusal) -> Vec<Output> {
-        let rank = &mut self.seats[usize::from(seat)];
+        let rank = &mut self.attendance[usize::from(seat)];
         match *refusal {
             Refusal::Fence { fence } if fence > self.fence => {
                 self.phase = Phase::Over;
@@ -357,13 +361,13 @@
     fn join(
         &mut self,
         seat: u16,
-        joined: Seat,
+        joined: Attendance,
         spans: &[Span],
         running: Option<u64>,
     ) -> Vec<Output> {
         let known = joined.held.last().copied().max(running).unwrap_or(0);
         self.highest = self.highest.max(known);
-        self.seats[usize::from(seat)] = joined;
+        self.attendance[usize::from(seat)] = joined;
         if self.phase == Phase::Collecting && running > self.epoch {
             self.epoch = running;
         }
@@ -433,8 +437,8 @@
             return Vec::new();
         };
         let epoch = change.epoch;
-        let staged = |seat: &&Seat| seat.joined && seat.held.contains(&epoch);
-        let missing = self.seats.len() - self.seats.iter().filter(staged).count();
+        let staged = |seat: &&Attendance| seat.joined && seat.held.contains(&epoch);
+        let missing = self.attendance.len() - self.attendance.iter().filter(staged).count();
         if missing == 0 {
             self.change = None;
             self.epoch = Some(epoch);
@@ -453,7 +457,7 @@
             reason: Abort::Slow { missing, last },
         }];
         for seat in 0..self.settings.shape.ranks {
-            let start = self.seats[usize::from(seat)].start;
+            let start = self.attendance[usize::from(seat)].start;
             outputs.push(self.send(seat, Ask::Drop { start, epoch }));
         }
         outputs
@@ -462,8 +466,8 @@
     /// Grants further steps once half of those granted are run.
     fn extend(&mut self) {
         let done = self.base();
-        let known = |seat: &Seat| if seat.done == 0 { seat.place } else { seat.top };
-        let shortest = self.seats.iter().map(known).min().unwrap_or(0);
+        let known = |seat: &Attendance| if seat.done == 0 { seat.place } else { seat.top };
+        let shortest = self.attendance.iter().map(known).min().unwrap_or(0);
         if shortest > 0 {
             self.schedule.trim(done.min(shortest));
         }
--- a/verbenaspool_coordination/src/group/lead/assembly.rs
+++ b/verbenaspool_coordination/src/group/lead/assembly.rs
@@ -11,13 +11,13 @@
     /// would start at a step that the others have left behind, and the group
     /// would stand for good. So they are asked once more.
     pub(super) fn assemble(&mut self) -> bool {
-        if !self.seats.iter().all(|seat| seat.joined) {
+        if !self.attendance.iter().all(|seat| seat.joined) {
             return false;
         }
         let stands = self.done() > 0;
         let base = self.base();
         let mut anew = false;
-        for seat in self.seats.iter_mut().filter(|seat| seat.done == 0) {
+        for seat in self.attendance.iter_mut().filter(|seat| seat.done == 0) {
             if stands && seat.lost != Some(seat.start) {
                 seat.lost = Some(seat.start);
                 anew = true;
@@ -36,7 +36,7 @@
     fn recollect(&mut self) {
         self.phase = Phase::Collecting;
         self.round += 1;
-        for seat in &mut self.seats {
+        for seat in &mut self.attendance {
             seat.joined = false;
             seat.sent = None;
         }
--- a/verbenaspool_coordination/src/group/lead/service.rs
+++ b/verbenaspool_coordination/src/group/lead/service.rs
@@ -8,11 +8,12 @@
     /// What a rank has to be told now.
     pub(super) fn serve(&mut self, now: Duration, seat: u16, at_once: bool) -> Vec<Output> {
         let own = usize::from(self.settings.seat);
-        let rank = &self.seats[usize::from(seat)];
+        let rank = &self.attendance[usize::from(seat)];
         let due = rank.sent.is_none_or(|t| now >= t + self.settings.resend);
         // The lead's own rank promises first: from then on its agent tells a
         // rank that starts anew of this fence.
-        let held_up = usize::from(seat) != own && !self.seats[own].joined && rank.sent.is_none();
+        let held_up =
+            usize::from(seat) != own && !self.attendance[own].joined && rank.sent.is_none();
         if held_up {
             return Vec::new();
         }
@@ -26,7 +27,7 @@
         };
         if !asks.is_empty() {
             let top = self.top();
-            let rank = &mut self.seats[usize::from(seat)];
+            let rank = &mut self.attendance[usize::from(seat)];
             rank.sent = Some(now);
             rank.offered = if rank.joined { top } else { 0 };
         }
@@ -37,7 +38,7 @@
     /// What a rank that has joined lacks: maps that it has to hold, steps that
     /// it hasn't acknowledged.
     fn wants(&self, seat: u16, due: bool) -> Vec<Ask> {
-        let rank = &self.seats[usize::from(seat)];
+        let rank = &self.attendance[usize::from(seat)];
         let start = rank.start;
         let mut asks = Vec::new();
         if !due || self.phase != Phase::Granting {
--- a/verbenaspool_coordination/src/membership.rs
+++ b/verbenaspool_coordination/src/membership.rs
@@ -18,13 +18,13 @@
 use verbenaspool_state::{name::Name, version::Version};
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use message::{Heard, Member, Message, Standing, State};
 pub use summary::{Part, Seen, Summary};
-pub use word::{Heard, Member, Standing, State, Word};
 
+mod message;
 mod summary;
 #[cfg(test)]
 mod tests;
-mod word;
 
 /// Settings of membership.
 #[derive(Debug, Clone, Copy)]
@@ -69,7 +69,7 @@
     /// Everyone ever heard of, by name.
     table: BTreeMap<Name, Member>,
     /// What each neighbour said last, and when.
-    heard: BTreeMap<Name, (Duration, Word)>,
+    heard: BTreeMap<Name, (Duration, Message)>,
     /// Since when each neighbour is expected to be heard of.
     expected: BTreeMap<Name, Duration>,
     /// When the next heartbeat is due.
@@ -130,7 +130,7 @@
     /// assert!(membership.heard(&"entry-2".parse().unwrap()).is_none());
     /// ```
     #[must_use]
-    pub fn heard(&self, neighbour: &Name) -> Option<&Word> {
+    pub fn heard(&self, neighbour: &Name) -> Option<&Message> {
         self.heard.get(neighbour).map(|(_, word)| word)
     }
 
@@ -362,8 +362,8 @@
     /// let word = membership.word(now, Version(7), Version(7), true);
     /// ```
     #[must_use]
-    pub fn word(&self, now: Duration, held: Version, in_force: Version, reaches: bool) -> Word {
-        Word {
+    pub fn word(&self, now: Duration, held: Version, in_force: Version, reaches: bool) -> Message {
+        Message {
             from: self.own().clone(),
             digest: self.digest(),
             held,
@@ -423,7 +423,7 @@
     /// assert!(!membership.differs(&word));
     /// ```
     #[must_use]
-    pub fn differs(&self, word: &Word) -> bool {
+    pub fn differs(&self, word: &Message) -> bool {
         word.digest != self.digest()
     }
 
@@ -438,7 +438,7 @@
     /// # let now = std::time::Duration::ZERO;
     /// let heard = membership.hear(now, word);
     /// ```
-    pub fn hear(&mut self, now: Duration, word: Word) -> Heard {
+    pub fn hear(&mut self, now: Duration, word: Message) -> Heard {
         let name = word.from.name.clone();
         if let Some(known) = self.table.get(&name)
             && known.incarnation > word.from.incarnation
--- a/verbenaspool_coordination/src/membership/word.rs
+++ b/verbenaspool_coordination/src/membership/message.rs
@@ -56,7 +56,7 @@
 /// What a heartbeat and its answer say.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Word {
+pub struct Message {
     /// Who says it.
     pub from: Member,
     /// The digest of the sender's table.
--- a/verbenaspool_coordination/src/switch.rs
+++ b/verbenaspool_coordination/src/switch.rs
@@ -48,44 +48,44 @@
 /// one groups of 32 ranks waited 16 ms for each change and some 50 ms at worst, so
 /// that streams of all ranks had a pause out of time: 0.913 of the worth of a calm
 /// day was earned then, 0.995 with this.
-const AHEAD: u64 = 2;
+const HOLD_AHEAD_PASSES: u64 = 2;
 
 /// The same where passes are long: orders arrive within a third of one, and a change
 /// that relieves a slow rank would wait a whole pass more for nothing.
-const AHEAD_LONG: u64 = 1;
+const HOLD_AHEAD_LONG_PASSES: u64 = 1;
 
 /// How long passes have to be for that. Orders take some 45 ms.
-const LONG: Duration = Duration::from_millis(150);
+const LONG_PASS: Duration = Duration::from_millis(150);
 
 /// The rank that holds passes, where there is more than one: not the lead's own.
-pub const KEEPER: u16 = 1;
+pub const KEEPER_RANK: u16 = 1;
 
 /// After how long an order is sent again whose effect no report shows. Answers
 /// come within milliseconds, reports with them, and a pass may be held meanwhile.
-const AGAIN: Duration = Duration::from_millis(50);
+const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// After how long a rank is told again to copy. Copying one expert takes 0.15 s,
 /// and the order carries the whole map.
-const AGAIN_PREPARE: Duration = Duration::from_millis(400);
+const PREPARE_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// How long a rank may take to copy, beyond the time that the copy itself takes.
-const SLACK: Duration = Duration::from_millis(2_500);
+const PREPARE_SLACK: Duration = Duration::from_millis(2_500);
 
 /// How old a report may be that a held pass is judged by.
-const FRESH: Duration = Duration::from_millis(400);
+const STALE_REPORT_AGE: Duration = Duration::from_millis(400);
 
 /// How long the keeper has to show that it holds a pass. Without that the change
 /// is given up, or the group would wait for a keeper that is out of reach.
-const HOLD: Duration = Duration::from_millis(400);
+const HOLD_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How old the word may be that a pass is held when ranks are told to arm for
 /// it. A lead that was frozen must not act on what it knew before: another
-/// agent stands in after [`FRESH`] at the soonest.
-const SURE: Duration = Duration::from_millis(100);
+/// agent stands in after [`STALE_REPORT_AGE`] at the soonest.
+const CONFIRMED_REPORT_AGE: Duration = Duration::from_millis(100);
 
 /// How long a pass must have been held before a deputy or a lead that doesn't
 /// know why looks into it: a change that goes well holds none.
-const HELD: Duration = Duration::from_millis(150);
+const MAX_HOLD_TIME: Duration = Duration::from_millis(150);
 
 /// Where a change stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -123,7 +123,7 @@
     fn says_lately(&self, now: Duration, says: impl Fn(&Report) -> bool) -> bool {
         let fresh = self
             .report
-            .filter(|(_, at)| now.saturating_sub(*at) <= FRESH);
+            .filter(|(_, at)| now.saturating_sub(*at) <= STALE_REPORT_AGE);
         fresh.is_some_and(|(report, _)| says(&report))
     }
 }
@@ -226,7 +226,11 @@
 
     /// The pass to hold: soon, but late enough for the orders to arrive.
     fn next(&self) -> u64 {
-        let ahead = if self.pass >= LONG { AHEAD_LONG } else { AHEAD };
+        let ahead = if self.pass >= LONG_PASS {
+            HOLD_AHEAD_LONG_PASSES
+        } else {
+            HOLD_AHEAD_PASSES
+        };
         self.step() + ahead
     }
 
@@ -235,7 +239,9 @@
     pub fn is_ready(&self, now: Duration) -> bool {
         let fresh = |rank: &Rank| match rank.report {
             Some((report, at)) => {
-                now.saturating_sub(at) <= FRESH && report.armed.is_none() && report.held.is_none()
+                now.saturating_sub(at) <= STALE_REPORT_AGE
+                    && report.armed.is_none()
+                    && report.held.is_none()
             }
             None => false,
         };
@@ -278,7 +284,7 @@
     pub fn start(&mut self, now: Duration, version: u64, copy: Duration) {
         self.enter(Phase::Preparing {
             version,
-            until: now + copy * 2 + SLACK,
+            until: now + copy * 2 + PREPARE_SLACK,
         });
     }
 
@@ -319,20 +325,23 @@
 
     /// The rank that holds passes.
     fn keeper(&self) -> usize {
-        usize::from(KEEPER).min(self.ranks.len().saturating_sub(1))
+        usize::from(KEEPER_RANK).min(self.ranks.len().saturating_sub(1))
     }
 
     /// What the keeper holds, as far as it said lately.
     fn held(&self, now: Duration) -> Option<u64> {
         let (report, at) = self.ranks.get(self.keeper())?.report?;
-        report.held.filter(|_| now.saturating_sub(at) <= SURE)
+        report
+            .held
+            .filter(|_| now.saturating_sub(at) <= CONFIRMED_REPORT_AGE)
     }
 
     /// Whether the keeper said lately that it doesn't hold a pass.
     fn released(&self, now: Duration, step: u64) -> bool {
         let keeper = self.ranks.get(self.keeper()).and_then(|rank| rank.report);
-        keeper
-            .is_some_and(|(report, at)| now.saturating_sub(at) <= SURE && report.held != Some(step))
+        keeper.is_some_and(|(report, at)| {
+            now.saturating_sub(at) <= CONFIRMED_REPORT_AGE && report.held != Some(step)
+        })
     }
 
     /// Whether the pass has begun at a rank without the map of this version.
@@ -341,7 +350,9 @@
             .iter()
             .filter_map(|rank| rank.report)
             .any(|(report, at)| {
-                now.saturating_sub(at) <= FRESH && report.step >= step && report.map != version
+                now.saturating_sub(at) <= STALE_REPORT_AGE
+                    && report.step >= step
+                    && report.map != version
             })
     }
 
@@ -361,7 +372,7 @@
             Phase::Preparing { version, until } => {
                 if self.all(now, |report| report.prepared == Some(version)) {
                     let step = self.next();
-                    let until = now + HOLD;
+                    let until = now + HOLD_TIMEOUT;
                     self.enter(Phase::Holding {
                         version,
                         step,
@@ -496,7 +507,7 @@
                 return;
             }
         };
-        if now.saturating_sub(since) < HELD {
+        if now.saturating_sub(since) < MAX_HOLD_TIME {
             return;
         }
         self.enter(Phase::Barring { step });
@@ -553,8 +564,8 @@
                 }
             };
             let again = match phase {
-                Phase::Preparing { .. } => AGAIN_PREPARE,
-                _ => AGAIN,
+                Phase::Preparing { .. } => PREPARE_RETRY_INTERVAL,
+                _ => ORDER_RETRY_INTERVAL,
             };
             let due = known
                 .sent
--- a/verbenaspool_coordination/src/tree.rs
+++ b/verbenaspool_coordination/src/tree.rs
@@ -1,7 +1,7 @@
 //! Who passes a word on to whom, where one sender has many receivers.
 //!
 //! A lead that sends a map to each of 62 other ranks at once fills its link of 8 Mbit/s,
-//! which drops what comes behind the first 16; each repeat began at the front again, and
+//! which drops what comes after the first 16; each repeat began at the front again, and
 //! no change of map ever came in use. So the lead sends to a few, and each of those
 //! passes the word on to its part of the others. With eight at each level a word reaches
 //! 64 ranks in two hops and 512 in three, and nobody sends it more than eight times.
@@ -12,7 +12,7 @@
 
 /// How many a sender passes a word to. Eight words of 1.4 KB take 11 ms on a link of
 /// 8 Mbit/s, and are fewer than such a link was seen to hold.
-pub const FANOUT: usize = 8;
+pub const MAX_FANOUT: usize = 8;
 
 /// A receiver, and those that it passes the word on to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,7 +37,7 @@
 /// ```
 #[must_use]
 pub fn branches(ranks: &[u16]) -> Vec<Branch> {
-    let count = ranks.len().min(FANOUT);
+    let count = ranks.len().min(MAX_FANOUT);
     let start = |number: usize| (number * ranks.len()).div_ceil(count.max(1));
     let branch = |number: usize| {
         let (relay, beyond) = ranks[start(number)..start(number + 1)].split_first()?;
--- a/verbenaspool_coordination/tests/attempt.rs
+++ b/verbenaspool_coordination/tests/attempt.rs
@@ -8,7 +8,7 @@
     test_runner::{Config, RngSeed},
 };
 
-use verbenaspool_coordination::attempt::{Ending, Key, Ledger, Limits, Refusal, Word};
+use verbenaspool_coordination::attempt::{Ending, Key, Ledger, Limits, Message, Refusal};
 
 /// So few closed attempts are remembered that floors rise all the time.
 const SMALL: Limits = Limits {
@@ -78,12 +78,12 @@
             }
         }
         Event::Settle(key) => match ledger.settle(key, now) {
-            Word::Refused => {
+            Message::Refused => {
                 assert!(!seen.ran.contains(&key), "{key:?} had run");
                 seen.promised.insert(key);
             }
-            Word::Running | Word::Ended => assert!(seen.admitted.contains(&key)),
-            Word::Unknown => {}
+            Message::Running | Message::Ended => assert!(seen.admitted.contains(&key)),
+            Message::Unknown => {}
         },
         Event::Leave => ledger.leave(),
     }
@@ -125,20 +125,25 @@
     let key = |counter| Key { entry: 1, counter };
     let now = Duration::ZERO;
     let table = [
-        ("ended", Some(Ending::Ran), Word::Unknown, Refusal::Repeated),
+        (
+            "ended",
+            Some(Ending::Ran),
+            Message::Unknown,
+            Refusal::Repeated,
+        ),
         (
             "broken",
             Some(Ending::Broken),
-            Word::Unknown,
+            Message::Unknown,
             Refusal::Repeated,
         ),
         (
             "not sent",
             Some(Ending::NotRun),
-            Word::Refused,
+            Message::Refused,
             Refusal::Tombstone,
         ),
-        ("settled", None, Word::Refused, Refusal::Tombstone),
+        ("settled", None, Message::Refused, Refusal::Tombstone),
     ];
     for (name, ending, word, refusal) in table {
         let mut ledger = Ledger::new(SMALL);
@@ -147,7 +152,7 @@
                 ledger.admit(key(1), now).unwrap();
                 ledger.finish(key(1), ending);
             }
-            None => assert_eq!(ledger.settle(key(1), now), Word::Refused),
+            None => assert_eq!(ledger.settle(key(1), now), Message::Refused),
         }
         for later in 2..6 {
             ledger.settle(key(later), now);
--- a/verbenaspool_coordination/tests/gather.rs
+++ b/verbenaspool_coordination/tests/gather.rs
@@ -1,7 +1,9 @@
 //! Counts of many ranks on their way to the lead: nothing twice, nothing of another round.
 
 use proptest::prelude::*;
-use verbenaspool_coordination::gather::{CIRCLE, Part, Round, Sums, Taken, circle, collector};
+use verbenaspool_coordination::gather::{
+    AGGREGATION_GROUP_SIZE, Part, Round, Sums, Taken, circle, collector,
+};
 
 const ROUND: Round = Round {
     epoch: 3,
@@ -23,10 +25,10 @@
     for ranks in [1, 8, 63, 96, 128] {
         let zones = zones(ranks);
         for (rank, zone) in &zones {
-            let mates = circle(&zones, *rank);
-            assert!(mates.contains(rank) && mates.len() <= CIRCLE);
-            for mate in &mates {
-                assert_eq!(circle(&zones, *mate), mates);
+            let group_members = circle(&zones, *rank);
+            assert!(group_members.contains(rank) && group_members.len() <= AGGREGATION_GROUP_SIZE);
+            for mate in &group_members {
+                assert_eq!(circle(&zones, *mate), group_members);
                 assert_eq!(
                     u32::from(*mate) % 5,
                     *zone,
@@ -41,13 +43,13 @@
 /// as many as the circle has ranks.
 #[test]
 fn each_of_a_circle_collects_in_turn() {
-    let mates = circle(&zones(96), 10);
+    let group_members = circle(&zones(96), 10);
     for first in [0, 41] {
         let round = |number: usize| first + u64::try_from(number).expect("small");
-        let turns = (0..mates.len()).map(|number| collector(&mates, round(number)));
+        let turns = (0..group_members.len()).map(|number| collector(&group_members, round(number)));
         let mut turns: Vec<u16> = turns.map(|rank| rank.expect("a collector")).collect();
         turns.sort_unstable();
-        assert_eq!(turns, mates);
+        assert_eq!(turns, group_members);
     }
     assert_eq!(collector(&[], 4), None);
 }
--- a/verbenaspool_coordination/tests/tree.rs
+++ b/verbenaspool_coordination/tests/tree.rs
@@ -1,8 +1,8 @@
-//! Words that go from one sender to many receivers by relays.
+//! Signals that go from one sender to many receivers by relays.
 
 use std::collections::BTreeSet;
 
-use verbenaspool_coordination::tree::{FANOUT, branches};
+use verbenaspool_coordination::tree::{MAX_FANOUT, branches};
 
 /// The ranks that a word reaches when relays are up but for `dead` ones, the most that
 /// anybody sends, and the hops that it takes.
@@ -36,7 +36,7 @@
         let ranks: Vec<u16> = (1..size).collect();
         let (reached, most, hops) = reach(&ranks, &BTreeSet::new());
         assert_eq!(reached.len(), ranks.len(), "{size} ranks");
-        assert!(most <= FANOUT, "{most} sent by one of {size}");
+        assert!(most <= MAX_FANOUT, "{most} sent by one of {size}");
         assert!(hops <= least_hops.max(1), "{hops} hops for {size} ranks");
     }
 }
--- a/verbenaspool_policy/src/balancer.rs
+++ b/verbenaspool_policy/src/balancer.rs
@@ -12,7 +12,7 @@
     attempt::{Ending, Id, Outcome},
     budget::Budget,
     decision::{Decision, Reason, Resolution, Ticket},
-    estimate::{Habit, Size},
+    estimate::{Profile, Size},
     flight::Flight,
     hash::Map,
     mechanism::Set,
@@ -79,7 +79,7 @@
     /// The requests that wait.
     room: Room,
     /// What the requests of all customers turn out to be.
-    habit: Habit,
+    habit: Profile,
     /// The service's retries.
     budget: Budget,
     /// Requests given up since the last poll.
@@ -147,7 +147,7 @@
             members: Vec::new(),
             router: Router::new(Pool::new(zone, mechanisms), seed),
             room: Room::new(mechanisms),
-            habit: Habit::default(),
+            habit: Profile::default(),
             budget: Budget::new(SERVICE_RETRIES),
             given_up: Vec::new(),
             flights: Map::default(),
--- a/verbenaspool_policy/src/customers.rs
+++ b/verbenaspool_policy/src/customers.rs
@@ -8,7 +8,7 @@
 
 use verbenaspool_state::name::Name;
 
-use crate::{budget::Budget, estimate::Habit, fair::Seat, queue::Queue, share::Table};
+use crate::{budget::Budget, estimate::Profile, fair::Turn, queue::Queue, share::Table};
 
 /// One customer.
 #[derive(Debug, Default)]
@@ -16,11 +16,11 @@
     /// Its weight when capacity is short.
     pub share: u32,
     /// What its requests turn out to be.
-    pub habit: Habit,
+    pub habit: Profile,
     /// Its waiting requests.
     pub queue: Queue,
     /// Its seat among those that wait.
-    pub seat: Seat,
+    pub seat: Turn,
     /// Its retries.
     pub budget: Budget,
 }
--- a/verbenaspool_policy/src/dispatch/circuit.rs
+++ b/verbenaspool_policy/src/dispatch/circuit.rs
@@ -1,6 +1,6 @@
 //! Whether the ranks of a group take requests at all, by what they answer.
 //!
-//! Load: a group that has broken, or forms anew behind a restart of everything, turns
+//! Load: a group that has broken, or forms anew after a restart of everything, turns
 //! all requests away, and so does a zone that is cut off. Each request may be sent to
 //! few upstreams. Without this, hundreds of requests spend their sendings in a moment
 //! on ranks that can't run anything, and the retry budget with them; their callers,
@@ -10,14 +10,13 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-/// How often a request looks whether a group takes requests again. Groups are away
-/// for 0.6 s at least, and a request that looks is lost to its caller if it is its
-/// last sending.
-const PROBE: Duration = Duration::from_millis(100);
+/// Interval between requests that probe whether a group takes requests again. A probe
+/// is lost to its caller if it is the last attempt.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Ranks that can't be reached, one after the other, before their group counts as out
 /// of reach. A single one may have crashed, and its group says so by itself.
-const UNREACHED: usize = 3;
+const UNREACHABLE_RANKS: usize = 3;
 
 /// What the ranks of one group answered lately.
 #[derive(Debug, Default)]
@@ -44,7 +43,7 @@
     /// A request is sent to the group.
     pub fn sent(&mut self, now: Duration) {
         if self.probe.is_some() {
-            self.probe = Some(now + PROBE);
+            self.probe = Some(now + PROBE_INTERVAL);
         }
     }
 
@@ -69,14 +68,14 @@
     /// A rank with little to do turned a request away.
     pub fn turned_away(&mut self, now: Duration) {
         if self.probe.is_none() {
-            self.probe = Some(now + PROBE);
+            self.probe = Some(now + PROBE_INTERVAL);
         }
     }
 
     /// A rank couldn't be reached, or another process than the rank was there.
     pub fn unreached(&mut self, now: Duration, rank: &Rc<str>) {
         self.unreached.insert(rank.clone());
-        if self.unreached.len() >= UNREACHED {
+        if self.unreached.len() >= UNREACHABLE_RANKS {
             self.turned_away(now);
         }
     }
