--- a/verbenaspool_policy/src/dispatch/fresh.rs
+++ b/verbenaspool_policy/src/dispatch/fresh.rs
@@ -1,36 +1,33 @@
-//! Whether a request comes for the first time, by the time that its caller gives it.
+//! Detects retried requests by their remaining deadline.
 //!
-//! Load: callers that were refused and come back. Nothing in a request says so; what
-//! shows it is that less time is left than callers give at first. Whoever came back
-//! can't be answered in time any more, but should wait for a group that runs nothing in
-//! place of being refused again: most callers come back once. Taken for new requests, 79
-//! of 101 callers ended refused in two seconds of a group's absence.
+//! Load: an outage or an overload, in which callers that were rejected come back. Nothing
+//! else marks a retry, so a request whose caller waits for well less than most callers do
+//! at first counts as one. It can't be answered in time, but most callers retry once, so
+//! it should wait rather than be rejected again.
 //!
-//! How much callers give at first isn't configured; it is observed while nobody is
-//! about to come back.
+//! How long callers wait at first isn't configured. It is observed while no retries are
+//! due, and entries that haven't seen enough requests learn it from their peers.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-/// How much longer each step of time is than the one before.
-const STEP: f64 = 1.04;
+/// Ratio between neighbouring steps of the histogram.
+const STEP_RATIO: f64 = 1.04;
 
-/// How fast older requests are forgotten.
-const MEMORY: Duration = Duration::from_secs(30);
+/// Time constant by which older requests count less.
+const HISTORY_TIME: Duration = Duration::from_secs(30);
 
-/// The part of requests whose callers gave about as much time, for that to be what some
-/// give at first. Two in a hundred come back at once behind a failure of a plain service.
-const COMMON: f64 = 0.03;
+/// The least share of requests with about the same time for it to be one that callers
+/// give at first. A few retry at once after a failure of a plain service.
+const MIN_COMMON_SHARE: f64 = 0.03;
 
-/// Requests that a judgement rests on at least: a single odd one is less than the part
-/// above of so many.
-const ENOUGH: f64 = 50.0;
+/// Requests that a judgement rests on at least.
+const MIN_SAMPLES: f64 = 50.0;
 
-/// How long behind the time at which a caller was told to come back others may come:
-/// callers take a while to connect anew.
-const LATER: Duration = Duration::from_secs(1);
+/// How long after the end of their Retry-After callers may still arrive.
+const RECONNECT_TIME: Duration = Duration::from_secs(1);
 
 /// The longest time that another entry is believed callers give.
 const MAX_HINT: Duration = Duration::from_hours(1);
@@ -54,18 +51,18 @@
 /// The step of a time.
 #[allow(clippy::cast_possible_truncation)] // Logarithms of times are small.
 fn step(time: Duration) -> i32 {
-    (time.as_secs_f64().max(1e-3).ln() / STEP.ln()).round() as i32
+    (time.as_secs_f64().max(1e-3).ln() / STEP_RATIO.ln()).round() as i32
 }
 
 /// The time of a step.
 fn time(step: i32) -> Duration {
-    Duration::from_secs_f64(STEP.powi(step))
+    Duration::from_secs_f64(STEP_RATIO.powi(step))
 }
 
 impl Times {
     /// Takes in that a caller was refused and told to come back later.
     pub fn refused(&mut self, now: Duration, after: Duration) {
-        self.unsettled = self.unsettled.max(now + after + LATER);
+        self.unsettled = self.unsettled.max(now + after + RECONNECT_TIME);
     }
 
     /// Takes in a request whose caller waits so long; tells how much of its time the
@@ -104,7 +101,7 @@
 
     /// Whether enough requests came to tell retries from them.
     fn is_settled(&self) -> bool {
-        self.sum >= ENOUGH
+        self.sum >= MIN_SAMPLES
     }
 
     /// The times that many callers give at first, for entries that know none.
@@ -150,12 +147,12 @@
             return self.hints.is_empty() || self.hints.range(step - 1..=step + 1).next().is_some();
         }
         let near = self.weights.range(step - 1..=step + 1);
-        near.map(|(_, weight)| weight).sum::<f64>() >= COMMON * self.sum
+        near.map(|(_, weight)| weight).sum::<f64>() >= MIN_COMMON_SHARE * self.sum
     }
 
     /// Lets older requests count less.
     fn forget(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        let age = now.saturating_sub(self.at).as_secs_f64() / HISTORY_TIME.as_secs_f64();
         if age < 0.01 {
             return;
         }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -15,13 +15,13 @@
 pub mod circuit;
 pub mod fresh;
 mod known;
-pub mod lasting;
 pub mod line;
 pub mod outage;
 pub mod pass;
 mod place;
 pub mod retry;
 pub mod room;
+pub mod service_time;
 pub mod share;
 pub mod slow;
 pub mod trust;
@@ -37,28 +37,28 @@
 };
 use self::{
     circuit::Circuit,
-    lasting::Lasting,
     line::{Line, Ticket, Waiting},
     outage::Outage,
     pass::Pass,
+    service_time::ServiceTime,
     slow::Silence,
     trust::Trust,
     upstream::Upstream,
 };
 
 /// How long an agent isn't asked again that was silent.
-const SILENT: Duration = Duration::from_millis(500);
+const AGENT_BACKOFF: Duration = Duration::from_millis(500);
 
 /// How long a place that another entry freed is left at most. It spreads what
 /// entries do over several digests, which come each 40 ms or so.
-const SHY: Duration = Duration::from_millis(160);
+const SLOT_REUSE_DELAY: Duration = Duration::from_millis(160);
 
 /// How long a request may wait in line, as a part of the time in which its
 /// answer must begin: what is left goes for reading the prompt and two passes.
 const IN_TIME_WAIT_RATIO: f64 = 0.35;
 
 /// Two to the 53rd, the numbers that a draw is taken from.
-const SPREAD: f64 = 9_007_199_254_740_992.0;
+const DRAW_RANGE: f64 = 9_007_199_254_740_992.0;
 
 /// Decides for one service at one entry.
 #[derive(Debug)]
@@ -76,7 +76,7 @@
     /// The pace of all groups, for those of which nothing is known.
     all: Pass,
     /// How long answers last.
-    lasting: Lasting,
+    service_time: ServiceTime,
     /// Whether any upstream takes requests.
     outage: Outage,
     /// How many entries share the upstreams, this one included.
@@ -109,7 +109,7 @@
             line: Line::default(),
             passes: BTreeMap::new(),
             all: Pass::default(),
-            lasting: Lasting::default(),
+            service_time: ServiceTime::default(),
             outage: Outage::default(),
             entries: 1,
             short: None,
@@ -150,7 +150,7 @@
     /// Takes in how many requests an upstream has, by the word of the agent beside it;
     /// tells whether that can be believed.
     ///
-    /// Words that were overtaken, or that make no sense, say nothing.
+    /// Signals that were overtaken, or that make no sense, say nothing.
     pub fn load(&mut self, now: Duration, id: &str, number: u64, requests: u32) -> bool {
         let upstream = self.upstreams.get_mut(id);
         upstream.is_some_and(|upstream| upstream.load(now, number, requests))
@@ -173,7 +173,7 @@
     /// The agent beside an upstream didn't answer.
     pub fn unanswered(&mut self, now: Duration, id: &str) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.silent = now + SILENT;
+            upstream.silent = now + AGENT_BACKOFF;
         }
     }
 
@@ -186,7 +186,7 @@
     /// another entry freed is left for a while, another one for each entry; the
     /// entry that freed it has it at once.
     pub fn others(&mut self, now: Duration, id: &str, requests: u32) {
-        let wait = SHY.mul_f64(self.draw());
+        let wait = SLOT_REUSE_DELAY.mul_f64(self.draw());
         let upstream = self.upstreams.get_mut(id);
         let Some(upstream) = upstream.filter(|upstream| !upstream.is_told(now)) else {
             return;
@@ -289,13 +289,13 @@
 
     /// The upstreams of the same group as one.
     #[must_use]
-    pub fn mates(&self, id: &str) -> Vec<Rc<str>> {
+    pub fn group_members(&self, id: &str) -> Vec<Rc<str>> {
         let Some(upstream) = self.upstreams.get(id) else {
             return Vec::new();
         };
-        let mates = self.upstreams.iter();
-        let mates = mates.filter(|(_, other)| other.group == upstream.group);
-        mates.map(|(id, _)| id.clone()).collect()
+        let group_members = self.upstreams.iter();
+        let group_members = group_members.filter(|(_, other)| other.group == upstream.group);
+        group_members.map(|(id, _)| id.clone()).collect()
     }
 
     /// How long a pass of an upstream's group takes now.
@@ -322,7 +322,7 @@
     pub fn submit(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
         let since = ask.since.min(now);
         let in_time = ask.target.saturating_sub(since).mul_f64(IN_TIME_WAIT_RATIO);
-        let longest = self.lasting.wait(ask.deadline.saturating_sub(since));
+        let longest = self.service_time.wait(ask.deadline.saturating_sub(since));
         let until = since + longest.max(in_time);
         self.line.join(Waiting {
             ticket,
@@ -364,7 +364,7 @@
 
     /// What becomes of one request; nothing, where it goes on waiting.
     fn decide(&mut self, now: Duration, waiting: &Waiting) -> Option<Verdict> {
-        let (turn, service_time) = (self.lasting.turn(), self.lasting.service_time());
+        let (turn, service_time) = (self.service_time.turn(), self.service_time.estimate());
         let over = now >= self.outage.wait_until(now, waiting, turn, service_time);
         if let Some(id) = self.choose(now, waiting, over) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -401,9 +401,9 @@
     /// much time left.
     pub fn refusal(&mut self, now: Duration, left: Duration) -> Refusal {
         let (reason, [soonest, latest]) = if self.is_open(now) {
-            (Reason::Full, self.lasting.full(left))
+            (Reason::Full, self.service_time.full(left))
         } else {
-            (Reason::Closed, self.lasting.away(left))
+            (Reason::Closed, self.service_time.away(left))
         };
         // Spread, so that those refused together don't come back together.
         let after = soonest + latest.saturating_sub(soonest).mul_f64(self.draw());
@@ -417,12 +417,12 @@
         self.draws ^= self.draws << 17;
         #[allow(clippy::cast_precision_loss)] // 53 bits are left.
         let part = (self.draws >> 11) as f64;
-        part / SPREAD
+        part / DRAW_RANGE
     }
 
     /// Learns how long an answer lasted that ended well.
     pub fn lasted(&mut self, lasted: Duration) {
-        self.lasting.learn(lasted);
+        self.service_time.learn(lasted);
     }
 
     /// An upstream took a request: it has begun to answer. Tells whether its group
@@ -445,7 +445,7 @@
         };
         let (id, group) = (id.clone(), upstream.group);
         let busy = f64::from(upstream.own + upstream.others);
-        let idle = busy < f64::from(upstream.slots) * room::LEAST;
+        let idle = busy < f64::from(upstream.slots) * room::MIN_USED_SLOTS;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.own = upstream.own.saturating_sub(1);
             upstream.trust.learn(now, ending);
@@ -490,7 +490,7 @@
             .filter(|upstream| upstream.is_open(now));
         let mut snapshot = Snapshot {
             waiting: self.line.len(),
-            pace: self.all.pace(now, pass::UNKNOWN),
+            pace: self.all.pace(now, pass::INITIAL_PACE),
             ..Snapshot::default()
         };
         for upstream in ready {
--- a/verbenaspool_policy/src/dispatch/pass.rs
+++ b/verbenaspool_policy/src/dispatch/pass.rs
@@ -7,37 +7,36 @@
 
 use std::time::Duration;
 
-/// The pace of engines of which nothing is known: experts in turn on the ranks,
-/// with the popularity that was measured, make passes nearly three times longer.
-pub const UNKNOWN: f64 = 2.5;
+/// The pace of engines of which nothing is known: with experts in turn on the ranks,
+/// passes take several times longer than on even ranks.
+pub const INITIAL_PACE: f64 = 2.5;
 
-/// How fast older pauses are forgotten. Popularity shifts every 3 to 5 s and
-/// must be followed well within that; a second holds some ten passes.
-const MEMORY: Duration = Duration::from_secs(1);
+/// Time constant of the mean pace, well below the time between shifts of popularity.
+const PACE_WINDOW: Duration = Duration::from_secs(1);
 
 /// The weight of one pause at least, so that the first ones count.
-const LEAST: f64 = 0.04;
+const MIN_SAMPLE_WEIGHT: f64 = 0.04;
 
 /// Pauses this many times longer than usual are stalls, which say nothing of
 /// the next pass.
-const STALL: f64 = 12.0;
+const MAX_PACE: f64 = 12.0;
 
 /// How fast older pauses are forgotten for the highest pace: it lasts some passes behind a
 /// shift, and a single pass with many prompts is none.
-const QUICK: Duration = Duration::from_millis(200);
+const SHORT_PACE_WINDOW: Duration = Duration::from_millis(200);
 
 /// How long the highest pace is reckoned with in full: popularity shifts again by then.
-const HOLD: Duration = Duration::from_secs(5);
+const PEAK_HOLD_TIME: Duration = Duration::from_secs(5);
 
 /// The part of the highest pace from which on another one counts as high as well.
-const AGAIN: f64 = 0.9;
+const PEAK_RENEWAL_RATIO: f64 = 0.9;
 
-/// How fast it is forgotten behind that.
-const FADE: Duration = Duration::from_secs(2);
+/// How fast it is forgotten after that.
+const PEAK_DECAY_TIME: Duration = Duration::from_secs(2);
 
 /// The highest ratio that a shift of popularity brings about. Experts in turn on the
 /// ranks make passes three times longer; what lasts longer is a stall.
-const SHIFTED: f64 = 4.0;
+const MAX_SHIFT_PACE: f64 = 4.0;
 
 /// The pace of one group.
 #[derive(Debug, Clone, Copy, Default)]
@@ -53,9 +52,9 @@
 /// Blends a new ratio into a pace that was learnt at some time.
 #[must_use]
 fn blend(pace: f64, learnt: Duration, now: Duration, ratio: f64, memory: Duration) -> f64 {
-    let ratio = ratio.min(STALL);
+    let ratio = ratio.min(MAX_PACE);
     let age = now.saturating_sub(learnt).as_secs_f64() / memory.as_secs_f64();
-    let weight = (1.0 - (-age).exp()).max(LEAST);
+    let weight = (1.0 - (-age).exp()).max(MIN_SAMPLE_WEIGHT);
     pace + (ratio - pace) * weight
 }
 
@@ -72,17 +71,17 @@
     /// assert!((pass.pace(Duration::ZERO, 1.0) - 2.0).abs() < 1e-9);
     /// ```
     pub fn learn(&mut self, now: Duration, ratio: f64) {
-        let (pace, at) = self.learnt.unwrap_or((ratio.min(STALL), now));
-        self.learnt = Some((blend(pace, at, now, ratio, MEMORY), now));
-        if ratio > SHIFTED {
+        let (pace, at) = self.learnt.unwrap_or((ratio.min(MAX_PACE), now));
+        self.learnt = Some((blend(pace, at, now, ratio, PACE_WINDOW), now));
+        if ratio > MAX_SHIFT_PACE {
             return;
         }
         let (quick, at) = self.quick.unwrap_or((ratio, now));
-        let quick = blend(quick, at, now, ratio, QUICK);
+        let quick = blend(quick, at, now, ratio, SHORT_PACE_WINDOW);
         self.quick = Some((quick, now));
         let highest = self.highest(now);
-        if quick >= highest * AGAIN {
-            self.highest = (quick.max(highest * AGAIN), now);
+        if quick >= highest * PEAK_RENEWAL_RATIO {
+            self.highest = (quick.max(highest * PEAK_RENEWAL_RATIO), now);
         }
     }
 
@@ -107,8 +106,8 @@
     #[must_use]
     pub fn highest(&self, now: Duration) -> f64 {
         let (highest, at) = self.highest;
-        let over = now.saturating_sub(at).saturating_sub(HOLD);
-        let left = (-over.as_secs_f64() / FADE.as_secs_f64()).exp();
+        let over = now.saturating_sub(at).saturating_sub(PEAK_HOLD_TIME);
+        let left = (-over.as_secs_f64() / PEAK_DECAY_TIME.as_secs_f64()).exp();
         let usual = self.quick.map_or(0.0, |(quick, _)| quick).min(highest);
         usual + (highest - usual) * left
     }
@@ -135,7 +134,7 @@
     #[must_use]
     pub fn pace(&self, now: Duration, all: f64) -> f64 {
         match self.learnt {
-            Some((pace, at)) if now.saturating_sub(at) < MEMORY => pace,
+            Some((pace, at)) if now.saturating_sub(at) < PACE_WINDOW => pace,
             _ => all,
         }
     }
--- a/verbenaspool_policy/src/dispatch/place.rs
+++ b/verbenaspool_policy/src/dispatch/place.rs
@@ -130,11 +130,11 @@
         let engine = self.engine.as_ref()?;
         let gap = waiting.ask.gap?.as_secs_f64().max(1e-6);
         let pass = self.passes.get(&group).copied().unwrap_or_default();
-        let returned = self.outage.returned(now, self.lasting.service_time());
+        let returned = self.outage.returned(now, self.service_time.estimate());
         // A group returns with another map of experts than it had.
         let pace = match returned {
-            Some(returned) => pass.since(returned).unwrap_or(pass::UNKNOWN),
-            None => pass.pace(now, self.all.pace(now, pass::UNKNOWN)),
+            Some(returned) => pass.since(returned).unwrap_or(pass::INITIAL_PACE),
+            None => pass.pace(now, self.all.pace(now, pass::INITIAL_PACE)),
         };
         let mean = self.mean(group).max(self.fair_share(returned, group));
         let bound = gap * PASS_HEADROOM_RATIO;
--- a/verbenaspool_policy/src/dispatch/retry.rs
+++ b/verbenaspool_policy/src/dispatch/retry.rs
@@ -21,7 +21,7 @@
 
 /// The part of what is allowed that is used: a repeat is counted when it
 /// arrives, and may arrive in another window than it was sent in.
-const MARGIN: f64 = 0.7;
+const BUDGET_USE_RATIO: f64 = 0.7;
 
 /// Requests and repeats of one service at one entry.
 #[derive(Debug, Default)]
@@ -49,7 +49,7 @@
             self.repeats.len() as f64,
             entries.max(1) as f64,
         );
-        repeats + 1.0 <= MARGIN * (bound.ratio * requests + bound.slack / entries)
+        repeats + 1.0 <= BUDGET_USE_RATIO * (bound.ratio * requests + bound.slack / entries)
     }
 
     /// Whether a request may be sent once more; counts it if so.
--- a/verbenaspool_policy/src/dispatch/room.rs
+++ b/verbenaspool_policy/src/dispatch/room.rs
@@ -11,27 +11,27 @@
 
 /// The part of an upstream's slots that is used even where passes are too slow
 /// for answers in time: a late answer is better for its caller than none.
-pub const LEAST: f64 = 0.5;
+pub const MIN_USED_SLOTS: f64 = 0.5;
 
 /// The part of slots that a customer may take with what is beyond its usual. The rest is
 /// for the others, whose requests come unevenly.
-const SPARED: f64 = 0.6;
+const BEYOND_SLOTS_RATIO: f64 = 0.6;
 
 /// Requests that a plain upstream may have for each of its slots. Those beyond
 /// its slots wait there, so that it never idles between two requests.
-const PLAIN: f64 = 2.0;
+const PLAIN_REQUESTS_PER_SLOT: f64 = 2.0;
 
 /// The part of what ranks with all slots taken write that ranks must still write which
 /// leave room for shifts of popularity. A late answer is worth something to its caller:
 /// more than a quarter of them isn't given up so that the others are in time.
-const WRITTEN: f64 = 0.75;
+const MIN_THROUGHPUT_RATIO: f64 = 0.75;
 
 /// The part of the passes in time up to which requests that are late are placed; the rest
 /// is left to those that can be in time.
 const LATE_PASS_RATIO: f64 = 0.85;
 
 /// The part of the longest pause in time that the longest pass may take.
-const SPARE: f64 = 0.95;
+const LONGEST_PASS_RATIO: f64 = 0.95;
 
 /// Whether passes of a group whose ranks have so many requests are in time at the highest
 /// pace of late, where the gap between two events may be so long.
@@ -64,10 +64,10 @@
     if highest <= 0.0 {
         return true;
     }
-    let most = engine.writers(Duration::from_secs_f64(gap * SPARE / highest));
+    let most = engine.writers(Duration::from_secs_f64(gap * LONGEST_PASS_RATIO / highest));
     let slots = f64::from(engine.slots);
     let written = |requests: f64| requests / engine.pass(requests).as_secs_f64().max(1e-6);
-    requests <= most || written(most) < WRITTEN * written(slots)
+    requests <= most || written(most) < MIN_THROUGHPUT_RATIO * written(slots)
 }
 
 /// How slow a group's passes would be with one request more.
@@ -81,7 +81,7 @@
     pub returns: bool,
     /// Whether requests that could have been in time were rejected lately.
     pub short: bool,
-    /// Whether streams would be in time behind the next shift of popularity as well, as
+    /// Whether streams would be in time after the next shift of popularity as well, as
     /// far as that can be had.
     pub shifts: bool,
     /// The part of the group's slots that is taken.
@@ -125,7 +125,7 @@
 
 /// What sending a request to an upstream costs; nothing, where it has no room.
 ///
-/// What is late leaves some room to what can be in time. Behind the return of a group it
+/// What is late leaves some room to what can be in time. After the return of a group it
 /// is placed only where passes stay in time with it and nothing that can be in time lacks
 /// room: those who waited would take all of it, on the longest passes there are.
 #[must_use]
@@ -140,15 +140,15 @@
     let slots = f64::from(upstream.slots.max(1));
     let Some(group) = group else {
         let plain = if lateness == Lateness::Beyond {
-            SPARED
+            BEYOND_SLOTS_RATIO
         } else {
-            PLAIN
+            PLAIN_REQUESTS_PER_SLOT
         };
         let room = busy < slots * plain;
         return room.then_some(busy / slots + distrust);
     };
     let in_time = group.pass <= 1.0 && group.shifts;
-    let few = group.used < LEAST;
+    let few = group.used < MIN_USED_SLOTS;
     let few_late = few && !group.returns;
     // Where passes are out of time with a single request a rank, none is in time anyhow.
     let hopeless = few && group.least > 1.0;
@@ -156,7 +156,7 @@
     let room = busy < slots
         && match lateness {
             Lateness::InTime => in_time,
-            Lateness::Beyond => in_time && group.used < SPARED,
+            Lateness::Beyond => in_time && group.used < BEYOND_SLOTS_RATIO,
             Lateness::Over | Lateness::Broken => in_time || few_late || hopeless,
             Lateness::Late => few_late || hopeless || spare,
             Lateness::Begun => true,
--- a/verbenaspool_policy/src/dispatch/share.rs
+++ b/verbenaspool_policy/src/dispatch/share.rs
@@ -3,27 +3,27 @@
 //! Load: one customer of forty sends many times its usual for some seconds. Without this
 //! it takes the slots of all, and everybody's requests are refused alike, those of
 //! customers who do as always too. So what a customer sends beyond half more than its
-//! usual is placed only as long as upstreams have room to spare, and waits behind the
-//! others; its usual part is served as before. Where all customers send more, each is as
+//! usual is placed only as long as upstreams have room to spare, once the others are
+//! placed; its usual part is served as before. Where all customers send more, each is as
 //! far beyond its usual as the others, and none is held back.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 /// How fast it is forgotten what a customer usually sends.
-const USUAL: Duration = Duration::from_secs(30);
+const USUAL_RATE_WINDOW: Duration = Duration::from_secs(30);
 
 /// Over which time it is counted what a customer sends now.
-const NOW: Duration = Duration::from_secs(2);
+const CURRENT_RATE_WINDOW: Duration = Duration::from_secs(2);
 
 /// How many times its usual a customer may send and be served like the others.
-const BEYOND: f64 = 1.5;
+const EXCESS_RATIO: f64 = 1.5;
 
 /// Requests in that time that anybody may send: those of small customers come by chance,
 /// and an entry sees a part of them only.
-const CHANCE: f64 = 2.0;
+const FREE_REQUESTS: f64 = 2.0;
 
 /// Customers that are remembered at most.
-const MOST: usize = 4_096;
+const MAX_TRACKED_CUSTOMERS: usize = 4_096;
 
 /// Requests to one service that come to one entry, of one customer or of all.
 #[derive(Debug, Clone, Copy, Default)]
@@ -42,11 +42,11 @@
     fn count(&mut self, now: Duration, seen: f64) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
-        let fade = (-age / NOW.as_secs_f64()).exp();
+        let fade = (-age / CURRENT_RATE_WINDOW.as_secs_f64()).exp();
         self.recent = self.recent * fade + 1.0;
         self.taken *= fade;
-        self.usual *= (-age / USUAL.as_secs_f64()).exp();
-        let usual = self.usual / seen * NOW.as_secs_f64();
+        self.usual *= (-age / USUAL_RATE_WINDOW.as_secs_f64()).exp();
+        let usual = self.usual / seen * CURRENT_RATE_WINDOW.as_secs_f64();
         self.usual += 1.0;
         usual
     }
@@ -82,17 +82,21 @@
     pub fn see(&mut self, now: Duration, customer: &Rc<str>) -> bool {
         let since = *self.since.get_or_insert(now);
         // An entry that has just started has seen a part of the long time only.
-        let seen = now.saturating_sub(since).max(NOW).as_secs_f64();
-        let seen = USUAL.as_secs_f64() * (1.0 - (-seen / USUAL.as_secs_f64()).exp());
+        let seen = now
+            .saturating_sub(since)
+            .max(CURRENT_RATE_WINDOW)
+            .as_secs_f64();
+        let seen = USUAL_RATE_WINDOW.as_secs_f64()
+            * (1.0 - (-seen / USUAL_RATE_WINDOW.as_secs_f64()).exp());
         let all = self.all.count(now, seen);
-        if self.rates.len() >= MOST && !self.rates.contains_key(customer) {
+        if self.rates.len() >= MAX_TRACKED_CUSTOMERS && !self.rates.contains_key(customer) {
             self.forget();
         }
         let rate = self.rates.entry(customer.clone()).or_default();
         let usual = rate.count(now, seen);
         let others = (all - usual).max(1.0);
         let growth = ((self.all.recent - rate.recent) / others).max(1.0);
-        let beyond = rate.taken + 1.0 > BEYOND * growth * usual + CHANCE;
+        let beyond = rate.taken + 1.0 > EXCESS_RATIO * growth * usual + FREE_REQUESTS;
         if !beyond {
             rate.taken += 1.0;
         }
--- a/verbenaspool_policy/src/dispatch/slow.rs
+++ b/verbenaspool_policy/src/dispatch/slow.rs
@@ -16,11 +16,11 @@
 /// How many times longer than the quickest rank a rank may take before it counts as
 /// slow. Below, its part of a pass is as long as that of the busiest rank on map 0,
 /// which groups bear.
-const SLOW: f64 = 2.0;
+const SLOW_RANK_RATIO: f64 = 2.0;
 
 /// How much later than a stream others of its group must have got an event for that
 /// stream to be stuck: events of one pass arrive within a few milliseconds.
-const TOGETHER: Duration = Duration::from_millis(100);
+const PASS_EVENT_SKEW: Duration = Duration::from_millis(100);
 
 /// Whether a rank of this pace counts as slow beside the quickest one.
 ///
@@ -32,7 +32,7 @@
 /// ```
 #[must_use]
 pub fn is_slow(pace: f64, quickest: f64) -> bool {
-    pace >= SLOW * quickest
+    pace >= SLOW_RANK_RATIO * quickest
 }
 
 /// What the silence of a stream means.
@@ -59,7 +59,7 @@
 /// ```
 #[must_use]
 pub fn judge(stream: Duration, group: Option<Duration>, others_run: bool) -> Silence {
-    if group.is_some_and(|group| group > stream + TOGETHER) {
+    if group.is_some_and(|group| group > stream + PASS_EVENT_SKEW) {
         Silence::Stuck
     } else if others_run {
         Silence::Group
--- a/verbenaspool_policy/src/dispatch/trust.rs
+++ b/verbenaspool_policy/src/dispatch/trust.rs
@@ -3,7 +3,7 @@
 //! Load: an upstream that fails fast looks idle, so the least busy one is the
 //! broken one, and it gets more and more. One that fell silent keeps whatever
 //! it is sent. Both are left alone for a while, longer each time in a row, and
-//! are tried again behind that. Health checks cost the upstream a slot and may be
+//! are tried again after that. Health checks cost the upstream a slot and may be
 //! false, so answers alone decide.
 
 use std::time::Duration;
@@ -12,22 +12,22 @@
 
 /// How long an upstream is left alone at first: a restart takes longer, but a
 /// full queue is over sooner.
-const FIRST: Duration = Duration::from_millis(400);
+const BASE_EJECTION_TIME: Duration = Duration::from_millis(400);
 
 /// Doublings of that at most, to about six seconds: callers' time budgets are
 /// about as long, and an upstream that is back should be found within one.
-const DOUBLINGS: u32 = 4;
+const MAX_EJECTION_DOUBLINGS: u32 = 4;
 
 /// The weight of the newest answer in the part of answers that were good.
-const NEWEST: f64 = 0.2;
+const NEWEST_WEIGHT: f64 = 0.2;
 
 /// What a failing part adds to the cost of sending: an upstream that fails half
 /// of its requests ranks behind one with all slots taken twice.
-const PRICE: f64 = 4.0;
+const FAILURE_PENALTY: f64 = 4.0;
 
 /// The failing part beyond which an upstream is left alone. A service whose
 /// requests fail by themselves once in seven must not lose all its upstreams.
-const MOST: f64 = 0.5;
+const MAX_FAILURE_RATIO: f64 = 0.5;
 
 /// One upstream's record.
 #[derive(Debug, Clone, Copy, Default)]
@@ -44,7 +44,7 @@
     /// What distrust adds to the cost of sending; nothing while it is left alone.
     #[must_use]
     pub fn cost(&self, now: Duration) -> Option<f64> {
-        (now >= self.until).then_some(self.bad * PRICE)
+        (now >= self.until).then_some(self.bad * FAILURE_PENALTY)
     }
 
     /// Learns from how a sending ended.
@@ -62,17 +62,17 @@
     pub fn learn(&mut self, now: Duration, ending: Ending) {
         match ending {
             Ending::Good => {
-                self.bad *= 1.0 - NEWEST;
+                self.bad *= 1.0 - NEWEST_WEIGHT;
                 self.rows = 0;
             }
             Ending::Bad => {
-                self.bad += (1.0 - self.bad) * NEWEST;
-                if self.bad > MOST {
+                self.bad += (1.0 - self.bad) * NEWEST_WEIGHT;
+                if self.bad > MAX_FAILURE_RATIO {
                     self.rest(now);
                 }
             }
             Ending::Silent | Ending::Unreached => {
-                self.bad += (1.0 - self.bad) * NEWEST;
+                self.bad += (1.0 - self.bad) * NEWEST_WEIGHT;
                 self.rest(now);
             }
             Ending::Full => self.rest(now),
@@ -85,7 +85,7 @@
         if now < self.until {
             return;
         }
-        self.until = now + FIRST * 2_u32.pow(self.rows.min(DOUBLINGS));
+        self.until = now + BASE_EJECTION_TIME * 2_u32.pow(self.rows.min(MAX_EJECTION_DOUBLINGS));
         self.rows = self.rows.saturating_add(1);
     }
 }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -8,17 +8,17 @@
 
 /// How long an agent is believed that its rank's group is broken. It says so
 /// twice a second; one that is silent may be cut off while its rank serves.
-const BELIEVED: Duration = Duration::from_millis(1_600);
+const CLOSED_REPORT_TTL: Duration = Duration::from_millis(1_600);
 
 /// How long the word of an agent counts on what its upstream has, in place of what other
 /// entries say. Agents of other zones speak each four seconds.
-const TOLD: Duration = Duration::from_secs(9);
+const LOAD_REPORT_TTL: Duration = Duration::from_secs(9);
 
 /// How long one word of an agent may be overtaken by others.
-const OVERTAKEN: Duration = Duration::from_millis(300);
+const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
 /// Requests beyond which no upstream has any in its line.
-const MOST: u32 = 10_000;
+const MAX_REPORTED_REQUESTS: u32 = 10_000;
 
 /// One upstream of the service.
 #[derive(Debug)]
@@ -56,13 +56,13 @@
 impl Upstream {
     /// Whether it takes requests, as far as it and its agent say.
     pub fn is_open(&self, now: Duration) -> bool {
-        let closed = |said: Duration| now.saturating_sub(said) < BELIEVED;
+        let closed = |said: Duration| now.saturating_sub(said) < CLOSED_REPORT_TTL;
         self.ready && !self.closed.is_some_and(closed)
     }
 
     /// Whether its agent told lately what it has.
     pub fn is_told(&self, now: Duration) -> bool {
-        let lately = |(_, at): (u64, Duration)| now.saturating_sub(at) < TOLD;
+        let lately = |(_, at): (u64, Duration)| now.saturating_sub(at) < LOAD_REPORT_TTL;
         self.told.is_some_and(lately)
     }
 
@@ -78,8 +78,8 @@
     /// anew where the time of day was put back.
     pub fn load(&mut self, now: Duration, number: u64, requests: u32) -> bool {
         let overtaken =
-            |(last, at): (u64, Duration)| number <= last && now.saturating_sub(at) < OVERTAKEN;
-        if requests > MOST || self.told.is_some_and(overtaken) {
+            |(last, at): (u64, Duration)| number <= last && now.saturating_sub(at) < REORDER_WINDOW;
+        if requests > MAX_REPORTED_REQUESTS || self.told.is_some_and(overtaken) {
             return false;
         }
         self.told = Some((number, now));
--- a/verbenaspool_policy/src/estimate.rs
+++ b/verbenaspool_policy/src/estimate.rs
@@ -76,14 +76,14 @@
 
 /// What a customer's requests turn out to be, beside what they say.
 #[derive(Debug, Clone, Copy)]
-pub struct Habit {
+pub struct Profile {
     /// The part of the prompt that is computed.
     prompts: Ratio,
     /// The part of `max_tokens` that is generated.
     answers: Ratio,
 }
 
-impl Default for Habit {
+impl Default for Profile {
     fn default() -> Self {
         Self {
             prompts: Ratio::of_prompts(),
@@ -92,7 +92,7 @@
     }
 }
 
-impl Habit {
+impl Profile {
     /// Learns from an answer: what was done, of what was asked for.
     pub fn learn(&mut self, done: Size, asked: Size) {
         self.prompts.learn(done.prompt_tokens, asked.prompt_tokens);
--- a/verbenaspool_policy/src/estimate/tests.rs
+++ b/verbenaspool_policy/src/estimate/tests.rs
@@ -1,4 +1,4 @@
-use super::{Habit, Size};
+use super::{Profile, Size};
 
 /// A customer that always asks for 1,000 tokens and needs 10, with half of its
 /// prompts cached.
@@ -12,7 +12,7 @@
         prompt_tokens: 50,
         tokens: 10,
     };
-    let mut habit = Habit::default();
+    let mut habit = Profile::default();
     let before = habit.work(&habit, asked, 0.1);
     (0..64).for_each(|_| habit.learn(done, asked));
     let after = habit.work(&habit, asked, 0.1);
--- a/verbenaspool_policy/src/fair.rs
+++ b/verbenaspool_policy/src/fair.rs
@@ -14,7 +14,7 @@
 
 /// A customer's seat in the ring.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Seat {
+pub struct Turn {
     /// Work the customer may still start in this turn; below 0 it is in debt.
     credit: f64,
     /// Whether it is in a ring.
@@ -49,8 +49,8 @@
         self.shares
     }
 
-    /// Seats a customer that has something waiting.
-    pub fn join(&mut self, customer: u32, share: u32, quantum: f64, seat: &mut Seat) {
+    /// Queues a customer that has something waiting.
+    pub fn join(&mut self, customer: u32, share: u32, quantum: f64, seat: &mut Turn) {
         if seat.seated {
             return;
         }
@@ -70,7 +70,7 @@
 
     /// Whether the customer at the front may start; if not, its turn ends and
     /// it is credited for the next.
-    pub fn turn(&mut self, share: u32, quantum: f64, seat: &mut Seat) -> bool {
+    pub fn turn(&mut self, share: u32, quantum: f64, seat: &mut Turn) -> bool {
         if seat.credit > 0.0 {
             return true;
         }
@@ -80,7 +80,7 @@
     }
 
     /// Takes a customer out, as nothing of it waits any more.
-    pub fn remove(&mut self, customer: u32, share: u32, seat: &mut Seat) {
+    pub fn remove(&mut self, customer: u32, share: u32, seat: &mut Turn) {
         if !seat.seated {
             return;
         }
@@ -103,7 +103,7 @@
     }
 }
 
-impl Seat {
+impl Turn {
     /// Charges work that was started, or, when `work` is negative, pays it back.
     pub fn charge(&mut self, work: f64, quantum: f64, share: u32) {
         let turn = quantum * f64::from(share.max(1));
--- a/verbenaspool_policy/src/subset.rs
+++ b/verbenaspool_policy/src/subset.rs
@@ -46,7 +46,7 @@
 
 /// An entry as the picks see it.
 #[derive(Debug)]
-struct Seat<'a> {
+struct Candidate<'a> {
     /// The hash of its name.
     hash: u64,
     /// Its zone.
@@ -54,13 +54,13 @@
 }
 
 /// This entry first, then the others.
-fn seats<'a>(entry: &Name, zone: &'a Name, peers: &'a [Peer]) -> Vec<Seat<'a>> {
+fn seats<'a>(entry: &Name, zone: &'a Name, peers: &'a [Peer]) -> Vec<Candidate<'a>> {
     let others = peers.iter().filter(|peer| peer.name != *entry);
-    let others = others.map(|peer| Seat {
+    let others = others.map(|peer| Candidate {
         hash: hash(&peer.name),
         zone: &peer.zone,
     });
-    let own = Seat {
+    let own = Candidate {
         hash: hash(entry),
         zone,
     };
@@ -68,7 +68,7 @@
 }
 
 /// Of the members at `among`, those that pick this entry.
-fn pick(seats: &[Seat<'_>], members: &[Member], among: &[usize], size: usize) -> Vec<usize> {
+fn pick(seats: &[Candidate<'_>], members: &[Member], among: &[usize], size: usize) -> Vec<usize> {
     if among.len() <= size {
         return among.to_vec();
     }
@@ -86,7 +86,7 @@
 /// Whether a member leaves this entry out, and how far back it ranks it. Members
 /// pick entries of their own zone and of the others apart.
 fn rank(
-    seats: &[Seat<'_>],
+    seats: &[Candidate<'_>],
     member: &Member,
     size: usize,
     among: usize,
--- a/verbenaspool_policy/tests/dispatch/back.rs
+++ b/verbenaspool_policy/tests/dispatch/back.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use verbenaspool_policy::dispatch::{
-    Ask, Dispatcher, Reason, Refusal, Resumes, Verdict, fresh::Times, lasting::Lasting,
+    Ask, Dispatcher, Reason, Refusal, Resumes, Verdict, fresh::Times, service_time::ServiceTime,
 };
 
 use crate::world::{engine, ms, replica, stream};
@@ -92,20 +92,20 @@
 #[test]
 fn waits_and_returns_follow_the_time_left() {
     for (left, lasts) in [(1_500, 15), (3_000, 500), (8_000, 2_000), (15_000, 2_000)] {
-        let mut lasting = Lasting::default();
-        lasting.learn(ms(lasts));
+        let mut service_time = ServiceTime::default();
+        service_time.learn(ms(lasts));
         let (left, lasts) = (ms(left), ms(lasts));
-        let wait = lasting.wait(left);
+        let wait = service_time.wait(left);
         assert!(wait + lasts < left, "{wait:?} of {left:?}");
-        for [soonest, latest] in [lasting.full(left), lasting.away(left)] {
+        for [soonest, latest] in [service_time.full(left), service_time.away(left)] {
             assert!(
                 soonest < latest && latest <= left / 3,
                 "{left:?}: {latest:?}"
             );
         }
-        assert!(lasting.away(left)[0] > left / 4);
+        assert!(service_time.away(left)[0] > left / 4);
     }
-    let mut long = Lasting::default();
+    let mut long = ServiceTime::default();
     long.learn(ms(2_000));
     assert_eq!(long.wait(ms(2_000)), Duration::ZERO);
 }
@@ -139,7 +139,7 @@
 
 /// A group is away for 3 s. Callers with short and with long times who come back
 /// meanwhile wait until it returns, as long as they bear; those who couldn't be answered
-/// behind that are told so at once.
+/// after that are told so at once.
 #[test]
 fn who_came_back_waits_for_the_group() {
     for (left, placed) in [(1_000, false), (5_300, true), (10_000, true)] {
--- a/verbenaspool_policy/tests/dispatch/load.rs
+++ b/verbenaspool_policy/tests/dispatch/load.rs
@@ -52,7 +52,7 @@
 }
 
 /// Demand doubles within a moment and goes back: what waits is small, and what
-/// comes behind the burst is served in time again within two seconds.
+/// comes after the burst is served in time again within two seconds.
 #[test]
 fn a_burst_leaves_nothing_behind() {
     let mut world = World::new(4, 8);
@@ -62,7 +62,7 @@
     let before = world.served;
     world.load(&[7.0; 4], 5_000);
     let refused = world.served.refused - before.refused;
-    assert!(refused <= 3, "{refused} refused behind the burst");
+    assert!(refused <= 3, "{refused} refused after the burst");
 }
 
 /// Popularity of experts shifts, and passes take twice as long: new streams are
--- a/verbenaspool_policy/tests/dispatch/slow.rs
+++ b/verbenaspool_policy/tests/dispatch/slow.rs
@@ -97,7 +97,7 @@
         dispatcher.silence(ms(1_800), "u0", ms(1_000)),
         Silence::Group
     );
-    assert_eq!(dispatcher.mates("u0").len(), 2);
+    assert_eq!(dispatcher.group_members("u0").len(), 2);
 }
 
 /// Upstreams that are no ranks of a group each stand by themselves. Taken for one group,
--- a/verbenaspool_policy/tests/dispatch/told.rs
+++ b/verbenaspool_policy/tests/dispatch/told.rs
@@ -44,7 +44,7 @@
 }
 
 /// A word that comes while the entry itself is asking doesn't hold its request yet; one
-/// that comes behind the answer does. Taken for the other, the upstream would look
+/// that comes after the answer does. Taken for the other, the upstream would look
 /// emptier or fuller than it is.
 #[test]
 fn a_request_for_which_an_agent_is_asked_counts_once() {
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One entry's word about itself.
+/// One entry's message about itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// Tells the entry's processes apart; a later one has a higher number.
@@ -35,7 +35,7 @@
 }
 
 /// The most services whose callers' times a digest tells.
-pub const BUDGETS: usize = 4;
+pub const MAX_BUDGETS: usize = 4;
 
 /// An entry's requests at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,4 +63,4 @@
 /// The most upstreams that a digest names: each takes up to seven bytes, and the
 /// whole fits in one Ethernet frame. An entry with more requests in flight than
 /// that tells those of the first ones only.
-pub const FLIGHTS: usize = 150;
+pub const MAX_FLIGHTS: usize = 150;
--- a/verbenaspool_protocol/src/seat.rs
+++ b/verbenaspool_protocol/src/member.rs
@@ -8,11 +8,11 @@
 /// How a rank stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    /// Counts the sender's words, above those of its earlier processes.
+    /// Counts the sender's messages, above those of its earlier processes.
     pub number: u64,
     /// The group's short name.
     pub group: u32,
-    /// The rank's seat.
+    /// The rank's member.
     pub rank: u16,
     /// How many seats there are.
     pub size: u16,
@@ -33,9 +33,9 @@
     pub group: u32,
     /// The group's epoch.
     pub epoch: u64,
-    /// The rank's seat.
+    /// The rank's member.
     pub rank: u16,
-    /// Which of the rank's words these counts belong to; later ones have higher numbers.
+    /// Which of the rank's messages these counts belong to; later ones have higher numbers.
     pub round: u64,
     /// The number of the first count among those of all sets.
     pub from: u32,
@@ -55,7 +55,7 @@
 /// What to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
-    /// A step of a change of map. Maps to prepare come as words of their own.
+    /// A step of a change of map. Maps to prepare come as messages of their own.
     Change(switch::Order),
     /// Nothing but to say how the rank stands now.
     Look,
@@ -101,7 +101,7 @@
 /// Tells maps apart that should be the same.
 ///
 /// ```
-/// use verbenaspool_protocol::seat::places_hash;
+/// use verbenaspool_protocol::member::places_hash;
 ///
 /// let before = [vec![vec![0, 1], vec![2]]];
 /// let after = [vec![vec![0], vec![1, 2]]];
@@ -151,7 +151,7 @@
     pub group: u32,
     /// The group's epoch.
     pub epoch: u64,
-    /// The rank's seat.
+    /// The rank's member.
     pub rank: u16,
     /// The map's version.
     pub version: u64,
@@ -162,7 +162,7 @@
 /// How a rank stands, for entries.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Status {
-    /// Counts the sender's words, above those of its earlier processes.
+    /// Counts the sender's messages, above those of its earlier processes.
     pub number: u64,
     /// The upstream itself.
     pub upstream: SocketAddr,
--- a/verbenaspool_protocol/src/word.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -4,16 +4,16 @@
 
 use crate::{
     digest::Digest,
+    member::{Choices, Difference, Held, Lack, Map, Order, State, Status},
     reservation::{Answer, Ask, Members, Subscription},
-    seat::{Choices, Difference, Held, Lack, Map, Order, State, Status},
 };
 
 /// The largest datagram: one Ethernet frame, so that no part can be lost alone.
-pub const LARGEST: usize = 1_400;
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// What one datagram says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Word {
+pub enum Message {
     /// An entry, to the other entries: what it has.
     Digest(Digest),
     /// An entry, to an agent: it wants to hear how the rank stands.
@@ -44,27 +44,27 @@
     Held(Held),
 }
 
-impl Word {
-    /// The word as a datagram.
+impl Message {
+    /// The message as a datagram.
     ///
     /// ```
     /// use verbenaspool_protocol::{
-    ///     seat::{Order, What},
-    ///     word::Word,
+    ///     member::{Order, What},
+    ///     message::Message,
     /// };
     ///
-    /// let word = Word::Order(Order { epoch: 1, what: What::Look });
-    /// assert_eq!(Word::decode(&word.encode()), Some(word));
+    /// let message = Message::Order(Order { epoch: 1, what: What::Look });
+    /// assert_eq!(Message::decode(&message.encode()), Some(message));
     /// ```
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or_default()
     }
 
-    /// Reads a datagram; none where it is no word.
+    /// Reads a datagram; none where it is no message.
     ///
     /// ```
-    /// assert_eq!(verbenaspool_protocol::word::Word::decode(&[255]), None);
+    /// assert_eq!(verbenaspool_protocol::message::Message::decode(&[255]), None);
     /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
--- a/verbenaspool_protocol/src/peer.rs
+++ b/verbenaspool_protocol/src/peer.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use verbenaspool_coordination::{
     head::Head,
-    membership::{Member, Word},
+    membership::{Member, Message},
     piece::{Delta, Hash},
 };
 use verbenaspool_state::version::Version;
@@ -25,7 +25,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Beat {
     /// What the sender says of itself.
-    pub word: Word,
+    pub message: Message,
     /// The sender's table, after an answer that told of a different one.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub table: Vec<Member>,
@@ -36,7 +36,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Echo {
     /// What the answerer says of itself.
-    pub word: Word,
+    pub message: Message,
     /// The answerer's table, where the digests differ.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub table: Vec<Member>,
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use verbenaspool_state::engine::Experts;
 
-use crate::seat::Status;
+use crate::member::Status;
 
 /// An entry asks for one of an upstream's slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,8 +46,8 @@
     pub pass: Duration,
 }
 
-/// The most instances that one word names: each takes up to six bytes.
-pub const INSTANCES: usize = 200;
+/// The most instances that one message names: each takes up to six bytes.
+pub const MAX_INSTANCES: usize = 200;
 
 /// An entry wants to hear how an upstream stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/verbenaspool_protocol/src/settle.rs
+++ b/verbenaspool_protocol/src/settle.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use verbenaspool_coordination::attempt::Word;
+use verbenaspool_coordination::attempt::Message;
 
 use crate::attempt;
 
@@ -34,13 +34,13 @@
     Unknown,
 }
 
-impl From<Word> for Answer {
-    fn from(word: Word) -> Self {
-        match word {
-            Word::Refused => Self::Refused,
-            Word::Running => Self::Running,
-            Word::Ended => Self::Ended,
-            Word::Unknown => Self::Unknown,
+impl From<Message> for Answer {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Refused => Self::Refused,
+            Message::Running => Self::Running,
+            Message::Ended => Self::Ended,
+            Message::Unknown => Self::Unknown,
         }
     }
 }
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -8,7 +8,7 @@
 
 use nix::sys::signal::Signal;
 use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
-use verbenaspool_platform_standin::{store::Mood, upstream::Way};
+use verbenaspool_platform_standin::{store::Condition, upstream::Way};
 
 use crate::{process::Process, proxy::Mode, site::Site};
 
@@ -109,10 +109,14 @@
         }
         5 => {
             let busy = lasts.as_millis().is_multiple_of(2);
-            let mood = if busy { Mood::Busy } else { Mood::Silent };
+            let mood = if busy {
+                Condition::Busy
+            } else {
+                Condition::Silent
+            };
             site.store.mood.set(mood);
             monoio::time::sleep(lasts).await;
-            site.store.mood.set(Mood::Well);
+            site.store.mood.set(Condition::Well);
         }
         6 => site.change(),
         7 => {
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -23,7 +23,7 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// How long a group may stand once all faults are over: an agent may be paused for 2.5 s
-/// behind the last one, and others look into a held pass within 2 s.
+/// after the last one, and others look into a held pass within 2 s.
 const STOOD: Duration = Duration::from_secs(8);
 
 /// The most entries, and agents, of one run; each is a process.
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -10,7 +10,7 @@
 
 use monoio::net::TcpListener;
 use verbenaspool_platform_standin::{
-    group::{Group, Seat},
+    group::{Group, Member},
     store::Store,
     text,
     upstream::Upstream,
@@ -149,7 +149,7 @@
         let mut agents = Vec::new();
         for rank in 0..ranks {
             let group = group.clone();
-            let upstream = serve(Rc::new(Seat { group, rank }), &mut triggers)?;
+            let upstream = serve(Rc::new(Member { group, rank }), &mut triggers)?;
             let id = format!("r-{rank}");
             store.put("servers", &id, &text::listed(RANKS, upstream, "ready"));
             let text = agent_settings(rank, upstream, peer_port);
--- a/verbenaspool_standin/src/engine.rs
+++ b/verbenaspool_standin/src/engine.rs
@@ -56,7 +56,7 @@
     pub gap: u64,
     /// Whether it refuses an order with an old fence.
     pub checks_fences: bool,
-    /// Whether it can go on behind the tokens of a broken stream.
+    /// Whether it can go on after the tokens of a broken stream.
     pub resumes: bool,
 }
 
--- a/verbenaspool_standin/src/platform.rs
+++ b/verbenaspool_standin/src/platform.rs
@@ -142,7 +142,7 @@
         change(&mut self.shared.faults.borrow_mut());
     }
 
-    /// Looks at the stored objects or changes them behind the API's back, as
+    /// Looks at the stored objects or changes them after the API's back, as
     /// the platform itself does with its list of instances.
     ///
     /// ```no_run
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -32,7 +32,7 @@
     pub prefix: String,
     /// What may be repeated.
     pub kind: Kind,
-    /// Whether a broken stream may be resumed behind the last event.
+    /// Whether a broken stream may be resumed after the last event.
     pub resumable: bool,
     /// The longest time that a request may be kept without its final answer.
     pub timeout: Duration,
--- a/verbenaspool_transport/src/config/peers.rs
+++ b/verbenaspool_transport/src/config/peers.rs
@@ -5,7 +5,7 @@
 use verbenaspool_coordination::{
     adoption::Verdict,
     head::Head,
-    membership::{Heard, Member, Standing, Word},
+    membership::{Heard, Member, Message, Standing},
     piece::Hash,
 };
 use verbenaspool_protocol::peer::{
@@ -70,7 +70,7 @@
 }
 
 /// What the source says of itself now.
-fn word(source: &Source) -> Word {
+fn message(source: &Source) -> Message {
     let adoption = source.adoption.borrow();
     let held = adoption.held().map(|head| head.version);
     let membership = source.membership.borrow();
@@ -113,15 +113,15 @@
     }
     let told = !members.is_empty();
     let beat = Beat {
-        word: word(&source),
+        message: message(&source),
         table: members,
     };
     // Silence is noticed by the membership.
     let Ok(echo) = call::<_, Echo>(&source, address, BEAT, &beat, BEAT_TIME).await else {
         return;
     };
-    let from = echo.word.from.clone();
-    let heard = take_in(&source, &echo.table, echo.word);
+    let from = echo.message.from.clone();
+    let heard = take_in(&source, &echo.table, echo.message);
     if let Some(head) = echo.head {
         pull(&source, &from, head).await;
     }
@@ -132,23 +132,23 @@
     }
 }
 
-/// The last word of a peer.
-fn word_of(source: &Source, from: &Member) -> Word {
+/// The last message of a peer.
+fn word_of(source: &Source, from: &Member) -> Message {
     let membership = source.membership.borrow();
     membership
         .heard(&from.name)
         .cloned()
-        .unwrap_or_else(|| word(source))
+        .unwrap_or_else(|| message(source))
 }
 
-/// Takes in a peer's table and word; whether the word counts.
-fn take_in(source: &Source, members: &[Member], word: Word) -> bool {
+/// Takes in a peer's table and message; whether the message counts.
+fn take_in(source: &Source, members: &[Member], message: Message) -> bool {
     let mut membership = source.membership.borrow_mut();
     if membership.merge(members) == Standing::Replaced {
         source.replaced.set(true);
     }
-    let (name, held) = (word.from.name.clone(), word.held);
-    let heard = membership.hear(source.now(), word) == Heard::Current;
+    let (name, held) = (message.from.name.clone(), message.held);
+    let heard = membership.hear(source.now(), message) == Heard::Current;
     drop(membership);
     if heard {
         source.adoption.borrow_mut().hold(&name, held);
@@ -158,9 +158,9 @@
 
 /// Answers a heartbeat.
 fn answer_beat(source: &Rc<Source>, beat: Beat) -> Echo {
-    let theirs = beat.word.held;
-    let told = beat.word.clone();
-    take_in(source, &beat.table, beat.word);
+    let theirs = beat.message.held;
+    let told = beat.message.clone();
+    take_in(source, &beat.table, beat.message);
     let differs = source.membership.borrow().differs(&told);
     let held = source.adoption.borrow().held().cloned();
     let own = held.as_ref().map(|head| head.version).unwrap_or_default();
@@ -169,7 +169,7 @@
         monoio::spawn(self::beat(Rc::clone(source), told.from.address, Vec::new()));
     }
     Echo {
-        word: word(source),
+        message: message(source),
         table: if differs { table(source) } else { Vec::new() },
         head: held.filter(|head| head.version > theirs),
     }
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -252,11 +252,11 @@
 ///
 /// A connection with an answer outstanding must not carry another request, or
 /// a late answer would reach the wrong caller. It goes back to the pool only
-/// here, behind the last byte; a body that is dropped early closes it.
+/// here, after the last byte; a body that is dropped early closes it.
 struct Pooled {
     incoming: Incoming,
     sender: Option<SendRequest<Body>>,
-    /// How long the connection may be kept behind the answer.
+    /// How long the connection may be kept after the answer.
     kept: Duration,
     address: SocketAddr,
     client: Client,
--- a/verbenaspool_transport/src/shutdown.rs
+++ b/verbenaspool_transport/src/shutdown.rs
@@ -1,5 +1,5 @@
 //! The word to stop, passed from the signal handler to every connection, and the
-//! words that a process hears by signals without stopping at each.
+//! signals that a process hears by signals without stopping at each.
 
 use std::{
     io,
@@ -103,36 +103,36 @@
 /// What a process was told by signals. The loop looks at it now and then; clones
 /// share it.
 #[derive(Debug, Clone, Default)]
-pub struct Words {
+pub struct Signals {
     stop: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
 }
 
-impl Words {
+impl Signals {
     /// Hears SIGTERM and SIGINT as the word to stop, SIGHUP as that to reload.
     ///
     /// # Errors
     /// A signal can't be heard.
     ///
     /// ```
-    /// let words = verbenaspool_transport::shutdown::Words::hear().unwrap();
-    /// assert!(!words.stopped());
+    /// let signals = verbenaspool_transport::shutdown::Signals::hear().unwrap();
+    /// assert!(!signals.stopped());
     /// ```
     pub fn hear() -> io::Result<Self> {
-        let words = Self::default();
+        let signals = Self::default();
         for signal in [SIGTERM, SIGINT] {
-            flag::register(signal, words.stop.clone())?;
+            flag::register(signal, signals.stop.clone())?;
         }
-        flag::register(SIGHUP, words.reload.clone())?;
-        Ok(words)
+        flag::register(SIGHUP, signals.reload.clone())?;
+        Ok(signals)
     }
 
     /// Says that the process is to stop, as a signal would.
     ///
     /// ```
-    /// let words = verbenaspool_transport::shutdown::Words::default();
-    /// words.stop();
-    /// assert!(words.stopped());
+    /// let signals = verbenaspool_transport::shutdown::Signals::default();
+    /// signals.stop();
+    /// assert!(signals.stopped());
     /// ```
     pub fn stop(&self) {
         self.stop.store(true, Ordering::Relaxed);
@@ -141,7 +141,7 @@
     /// Whether the process is to stop.
     ///
     /// ```
-    /// assert!(!verbenaspool_transport::shutdown::Words::default().stopped());
+    /// assert!(!verbenaspool_transport::shutdown::Signals::default().stopped());
     /// ```
     #[must_use]
     pub fn stopped(&self) -> bool {
@@ -151,7 +151,7 @@
     /// Whether the process is to read its settings anew; true once a word.
     ///
     /// ```
-    /// assert!(!verbenaspool_transport::shutdown::Words::default().take_reload());
+    /// assert!(!verbenaspool_transport::shutdown::Signals::default().take_reload());
     /// ```
     #[must_use]
     pub fn take_reload(&self) -> bool {
