Tell entries how long callers wait by a message of its own

A field more in the digest kept older entries from reading digests of newer ones, and went out 13 times a second. The new message goes out once a second; older entries ignore it. Heartbeats keep the name of their field on the wire.

--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -42,6 +42,9 @@
 /// that has it.
 const MIN_DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_micros(12_500);
 
+/// How often peers are told how long callers wait at first.
+const BUDGETS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a silent peer's requests count at least. They end within a few seconds, and
 /// a peer that was cut off from here still has them.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -275,7 +278,6 @@
                 flights
             },
             peers: named,
-            budgets: self.budgets(),
         }
     }
 
@@ -390,12 +392,14 @@
                 let IpAddr::V4(from) = from else {
                     continue;
                 };
-                gateway.learn_budgets(&digest.budgets);
                 let news = gateway.peers.borrow_mut().hear(now, from, digest);
                 if news {
                     gateway.share();
                 }
             }
+            Some(Message::Budgets(budgets)) if is_peer(&gateway, from) => {
+                gateway.learn_budgets(&budgets);
+            }
             // An agent speaks for the upstream on its own instance only.
             Some(Message::Status(status)) if status.upstream.ip() == from => {
                 gateway.status(&status);
@@ -418,6 +422,7 @@
 
 /// Sends digests for as long as the process runs.
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, incarnation: u64) {
+    let mut reported = Duration::ZERO;
     loop {
         let digest = Message::Digest(gateway.digest(incarnation)).encode();
         let addresses = addresses(&gateway);
@@ -428,10 +433,36 @@
                 .send_to(digest.clone(), SocketAddr::from((*address, port)))
                 .await;
         }
+        let now = gateway.clock.now();
+        if now.saturating_sub(reported) >= BUDGETS_INTERVAL {
+            reported = now;
+            report_budgets(&gateway, &socket, &addresses).await;
+        }
         gateway.clock.sleep(pause(addresses.len())).await;
     }
 }
 
+/// Reports to peers how long callers wait at first, where that is known.
+async fn report_budgets(gateway: &Gateway, socket: &UdpSocket, addresses: &[Ipv4Addr]) {
+    let budgets = gateway.budgets();
+    if budgets.is_empty() {
+        return;
+    }
+    let message = Message::Budgets(budgets).encode();
+    let port = gateway.settings.borrow().peer_port;
+    for address in addresses {
+        // A datagram that is lost is made up for by the next.
+        let to = SocketAddr::from((*address, port));
+        let _ = socket.send_to(message.clone(), to).await;
+    }
+}
+
+/// Whether an address is that of another entry, as far as known.
+fn is_peer(gateway: &Gateway, address: IpAddr) -> bool {
+    let peers = gateway.peers.borrow();
+    matches!(address, IpAddr::V4(address) if peers.known.contains_key(&address))
+}
+
 /// The pause between digests to so many peers.
 fn pause(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -21,8 +21,6 @@
     pub flights: Vec<Flight>,
     /// Other entries that it hears of.
     pub peers: Vec<Ipv4Addr>,
-    /// How long callers of services wait at first.
-    pub budgets: Vec<Budget>,
 }
 
 /// How long callers of a service wait at first.
@@ -34,7 +32,7 @@
     pub times_ms: Vec<u32>,
 }
 
-/// The most services whose callers' times a digest tells.
+/// The most services whose callers' times one message tells.
 pub const MAX_BUDGETS: usize = 4;
 
 /// An entry's requests at one upstream.
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    digest::Digest,
+    digest::{Budget, Digest},
     member::{Choices, Difference, Held, Lack, Map, Order, State, Status},
     reservation::{Answer, Ask, Members, Subscription},
 };
@@ -42,6 +42,8 @@
     Map(Map),
     /// An agent, to the lead: what its rank holds.
     Held(Held),
+    /// An entry, to the other entries: how long callers of its services wait at first.
+    Budgets(Vec<Budget>),
 }
 
 impl Message {
--- a/verbenaspool_protocol/src/peer.rs
+++ b/verbenaspool_protocol/src/peer.rs
@@ -25,6 +25,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Beat {
     /// What the sender says of itself.
+    #[serde(rename = "word")]
     pub message: Message,
     /// The sender's table, after an answer that told of a different one.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -36,6 +37,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Echo {
     /// What the answerer says of itself.
+    #[serde(rename = "word")]
     pub message: Message,
     /// The answerer's table, where the digests differ.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
