Let a return take two seconds at least, shared by the entries that are known

Cause: entries that have just started know no service time and took a return for over after 0.5 s; late requests used half of the slots again from then on. With 2 s alone restarted entries reckoned with 32 entries, twice as many as there are.

--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -236,9 +236,7 @@
     /// Among how many entries this one shares upstreams that return: peers that an outage
     /// cut off come back with them.
     pub fn sharers_of_return(&self) -> u32 {
-        let sharers = self.sharers(self.clock.now());
-        let all = self.peers.borrow().all();
-        u32::try_from(sharers.max(all)).unwrap_or(u32::MAX)
+        u32::try_from(self.peers.borrow().all()).unwrap_or(u32::MAX)
     }
 
     /// What this entry has.
--- a/verbenaspool_policy/src/dispatch/outage.rs
+++ b/verbenaspool_policy/src/dispatch/outage.rs
@@ -11,6 +11,10 @@
 
 use super::{Resumes, line::Waiting};
 
+/// How long a return takes at least: groups make their first passes on a bad map, and an
+/// entry that has just started knows no service time.
+const MIN_RECOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// Whether the upstreams of a service run, and since when.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Outage {
@@ -29,7 +33,8 @@
         self.on = !runs;
     }
 
-    /// When upstreams returned, if that is less than one answer's `service_time` ago.
+    /// When upstreams returned, if that is less than one answer's `service_time` ago, and
+    /// at least while their passes settle.
     ///
     /// ```
     /// use std::time::Duration;
@@ -45,7 +50,7 @@
     #[must_use]
     pub fn returned(&self, now: Duration, service_time: Duration) -> Option<Duration> {
         let ended = self.ended.filter(|_| !self.on);
-        ended.filter(|ended| now < *ended + service_time)
+        ended.filter(|ended| now < *ended + service_time.max(MIN_RECOVERY_TIME))
     }
 
     /// Until when a request waits. `turn` is how long a late one waits at upstreams that
--- a/verbenaspool_policy/tests/dispatch/outage.rs
+++ b/verbenaspool_policy/tests/dispatch/outage.rs
@@ -33,7 +33,6 @@
         entry.engine(Some(&heavy()));
         entry.members(replicas.iter());
         entry.share_among(count);
-        entry.lasted(ms(2_000));
         report(&mut entry, 10_000, ranks, false);
         entry
     };
@@ -74,6 +73,7 @@
     for (count, ranks) in [(4, 32), (15, 64), (60, 192)] {
         let mut placed = 0;
         for entry in &mut entries(count, ranks) {
+            entry.lasted(ms(2_000));
             for ticket in 0..60 {
                 entry.submit(ms(10_100), ticket, retry(10_100));
             }
@@ -95,6 +95,7 @@
 #[test]
 fn retries_wait_while_new_requests_are_rejected() {
     let entry = &mut entries(1, 4)[0];
+    entry.lasted(ms(2_000));
     entry.submit(ms(10_050), 1, stream(10_050));
     assert!(matches!(
         entry.pump(ms(10_051))[..],
@@ -115,3 +116,19 @@
         "{verdicts:?}"
     );
 }
+
+/// Guards against an entry that has just started, knows no service time, and takes the
+/// return for over while passes are still at their longest.
+#[test]
+fn an_entry_without_history_holds_retries_back_as_well() {
+    let entry = &mut entries(1, 4)[0];
+    entry.submit(ms(10_050), 1, stream(10_050));
+    assert!(matches!(
+        entry.pump(ms(10_051))[..],
+        [(1, Verdict::Refuse(_))]
+    ));
+    report(entry, 10_100, 4, true);
+    assert_eq!(entry.pump(ms(10_101)), []);
+    entry.submit(ms(10_690), 2, retry(10_690));
+    assert_eq!(entry.pump(ms(10_700)), [], "one was rejected just now");
+}
