See the end of an outage also while nobody waits

Cause: whether any upstream runs was looked at only with requests in line, so an outage that ended while nobody waited seemed to end with the next request, and for two seconds from then on an entry reckoned with all others sending as much as itself: 1 of 8 streams on four idle ranks before 60 entries was placed at once. The test fails without the change.

--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -215,7 +215,7 @@
         clock.sleep(TICK_INTERVAL).await;
         let entries = gateway.sharers_of_return();
         for queue in gateway.queues() {
-            queue.with(|dispatcher, _| dispatcher.share_among(entries));
+            queue.with(|dispatcher, now| dispatcher.share_among(now, entries));
         }
         gateway.expire();
         let now = clock.now();
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -124,9 +124,12 @@
         self.engine = engine.cloned();
     }
 
-    /// Sets how many entries share the service's upstreams, this one included.
-    pub fn share_among(&mut self, entries: u32) {
+    /// Takes in how many entries share the service's upstreams, this one included, and
+    /// looks whether any upstream runs. To be called many times a second, also while no
+    /// request waits: an outage would seem to end with the first request after it.
+    pub fn share_among(&mut self, now: Duration, entries: u32) {
         self.entries = entries.max(1);
+        self.outage.observe(now, self.is_open(now));
     }
 
     /// Takes over the list of the service's upstreams.
--- a/verbenaspool_policy/tests/dispatch/outage.rs
+++ b/verbenaspool_policy/tests/dispatch/outage.rs
@@ -32,7 +32,7 @@
         let mut entry = Dispatcher::new("a".into(), u64::from(number) + 1);
         entry.engine(Some(&heavy()));
         entry.members(replicas.iter());
-        entry.share_among(count);
+        entry.share_among(ms(0), count);
         report(&mut entry, 10_000, ranks, false);
         entry
     };
@@ -132,3 +132,18 @@
     entry.submit(ms(10_690), 2, retry(10_690));
     assert_eq!(entry.pump(ms(10_700)), [], "one was rejected just now");
 }
+
+/// Guards against an outage that ends while nobody waits and seems to end with the next
+/// request, which then finds hardly any room.
+#[test]
+fn an_outage_is_over_when_upstreams_run_though_nobody_waits() {
+    let entry = &mut entries(60, 4)[0];
+    entry.submit(ms(10_050), 100, stream(10_050));
+    assert_eq!(entry.pump(ms(10_051)).len(), 1, "it is rejected");
+    report(entry, 10_500, 4, true);
+    entry.share_among(ms(10_510), 60);
+    for ticket in 0..8 {
+        entry.submit(ms(20_000), ticket, stream(20_000));
+    }
+    assert_eq!(sent(&entry.pump(ms(20_001))), 8);
+}
