--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -285,7 +285,7 @@
         let from = self.permit.as_ref().map(|permit| permit.upstream.clone());
         let from = from.as_deref().unwrap_or("-");
         self.work.record.sent(from, why);
-        // A slow upstream is known to be so by its agent's message.
+        // A slow upstream is known to be so by the report of its agent.
         let ending = if why == SLOW_REASON {
             Ending::Unknown
         } else {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -42,7 +42,7 @@
 const FREEZE_THRESHOLD: Duration = Duration::from_millis(700);
 
 /// How long a stopping entry still takes new requests: the platform asks for
-/// readiness once a second and believes the second message.
+/// readiness once a second and believes the second answer.
 const READINESS_LINGER: Duration = Duration::from_millis(2_700);
 
 /// What is kept of the time for stopping, for the process's own end.
--- a/verbenaspool/tests/rules/driver.rs
+++ b/verbenaspool/tests/rules/driver.rs
@@ -5,7 +5,7 @@
     path::{Path, PathBuf},
 };
 
-/// Signals that choose another driver or another loop, cut so that this file
+/// Strings that choose another driver or another loop, cut so that this file
 /// doesn't hold them.
 const REFUSED: [(&str, &str); 6] = [
     ("Fusion", "Driver"),
--- a/verbenaspool_agent/src/direct/agent_state.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -61,7 +61,7 @@
     pub(super) map: RefCell<Option<Partial>>,
     /// The parts of a difference that have come.
     pub(super) differences: RefCell<Option<Parts>>,
-    /// Signals that wait until the link has room.
+    /// Messages that wait until the link has room.
     pub(super) outbox: RefCell<VecDeque<(IpAddr, Vec<u8>)>>,
     /// When choices were told last, and in which round.
     pub(super) chosen: Cell<Duration>,
--- a/verbenaspool_agent/src/direct/agent_state/tests.rs
+++ b/verbenaspool_agent/src/direct/agent_state/tests.rs
@@ -9,7 +9,7 @@
 
 use super::{super::settings::Settings, AgentState};
 
-/// The shared of the agent beside the first of two ranks.
+/// The state of the agent beside the first of two ranks.
 fn shared() -> Rc<AgentState> {
     let settings = "path: direct\nname: a\naddress: 127.0.0.1\nupstream: '127.0.0.1:9'\n\
                     service: s\npeer_port: 9\n";
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -68,7 +68,7 @@
 /// Its port isn't free, or signals can't be heard.
 pub fn main(settings: Settings) -> Result<(), Error> {
     let (log, _guard) = log::guarded(settings.log);
-    // Nothing of the settings can change without a new process: the message to
+    // Nothing of the settings can change without a new process: the signal to
     // reload is heard only so that it doesn't end this one.
     let signals = Signals::hear()?;
     runtime::run(serve(settings, log, signals))?
--- a/verbenaspool_coordination/src/group/lead.rs
+++ b/verbenaspool_coordination/src/group/lead.rs
@@ -250,7 +250,7 @@
         let Some(seat) = self.attendance.get_mut(usize::from(report.seat)) else {
             return Vec::new();
         };
-        // Message of a start that was replaced says nothing about the present one.
+        // A message of a start that was replaced says nothing about the present one.
         if report.fence < self.fence && !matches!(report.news, News::Refused(_))
             || report.start < seat.start
         {
--- a/verbenaspool_coordination/tests/tree.rs
+++ b/verbenaspool_coordination/tests/tree.rs
@@ -1,4 +1,4 @@
-//! Signals that go from one sender to many receivers by relays.
+//! Messages that go from one sender to many receivers by relays.
 
 use std::collections::BTreeSet;
 
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -153,7 +153,7 @@
     /// Takes in how many requests an upstream has, by the word of the agent beside it;
     /// tells whether that can be believed.
     ///
-    /// Signals that were overtaken, or that make no sense, say nothing.
+    /// Messages that were overtaken, or that make no sense, say nothing.
     pub fn load(&mut self, now: Duration, id: &str, number: u64, requests: u32) -> bool {
         let upstream = self.upstreams.get_mut(id);
         upstream.is_some_and(|upstream| upstream.load(now, number, requests))
