Log requests' fingerprints and the upstreams that crash with them

The logs of a request that crashed nine upstreams couldn't tell whether it was the same request each time: each attempt has another id, and a crash, a cut of one connection and a cut after a stall of a group all read as a stream that broke off.

A request's line now has a fingerprint of its customer, path and body. Where an answer's connection breaks, the entry tries a new one: the instance of a crashed upstream refuses it at once, those of ranks that cut off stalled streams accept it.

No decision changes.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use verbenaspool_platform::header;
 use verbenaspool_policy::dispatch::{Ask, Ending, Refusal, Resumes, retry::Bound};
-use verbenaspool_state::route::{Kind, Route};
+use verbenaspool_state::{
+    fingerprint::Fingerprint,
+    route::{Kind, Route},
+};
 use verbenaspool_transport::http::{body::Body, client::Error};
 
 use super::{
@@ -35,6 +38,9 @@
 /// Upstreams that can't be connected to before a request is given up.
 const MAX_CONNECT_FAILURES: u32 = 4;
 
+/// Why nothing is known of a sending: its connection broke before the answer.
+const BROKEN_REASON: &str = "broken";
+
 /// A caller's request, ready to be sent.
 pub struct Work {
     pub gateway: Rc<Gateway>,
@@ -45,6 +51,7 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub fingerprint: Fingerprint,
     /// What the request says of itself.
     pub said: header::Request,
     pub priority: u8,
@@ -56,6 +63,8 @@
     pub deadline: Duration,
     /// When it came.
     pub began: Duration,
+    /// When the present upstream began to answer.
+    pub started: Cell<Option<Duration>>,
     /// Sendings that may have reached an upstream.
     pub sendings: Cell<u32>,
     /// Upstreams that couldn't be connected to.
@@ -191,6 +200,7 @@
             return Sent::NotRun("bad-request");
         };
         self.sendings.set(self.sendings.get() + 1);
+        self.started.take();
         let before = self.exposed.replace(true);
         let client = &self.gateway.client;
         let answer = async {
@@ -209,7 +219,12 @@
                 self.exposed.set(before);
                 self.record.sent(&id, why);
             }
-            Sent::Unknown(why) => self.record.sent(&id, why),
+            Sent::Unknown(why) => {
+                self.record.sent(&id, why);
+                if *why == BROKEN_REASON {
+                    self.detect_crash(&replica).await;
+                }
+            }
             Sent::Answered(response, _) => self.record.sent(&id, response.status().as_str()),
         }
         sent
@@ -302,7 +317,7 @@
             }
             Waited::Answered(Err(Error::Broken(_))) => {
                 permit.release(Ending::Bad);
-                return Sent::Unknown("broken");
+                return Sent::Unknown(BROKEN_REASON);
             }
             Waited::Answered(Ok(response)) => response,
         };
@@ -328,6 +343,7 @@
             permit.release(Ending::Bad);
             return Sent::Unknown("not-the-upstreams-answer");
         }
+        self.started.set(Some(self.gateway.clock.now()));
         permit.on_response_started();
         Sent::Answered(response, permit)
     }
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -4,6 +4,7 @@
 
 use slog::{info, o, warn};
 use verbenaspool_policy::dispatch::Known;
+use verbenaspool_state::fingerprint::Fingerprint;
 
 use super::gateway::Gateway;
 
@@ -18,6 +19,7 @@
     spent: Duration,
     /// Whether it was beyond what its customer usually sends.
     beyond: bool,
+    fingerprint: Option<Fingerprint>,
     /// What was known of the service when the request was placed or refused, or had its
     /// longest pause.
     known: Known,
@@ -52,6 +54,11 @@
         })
     }
 
+    /// The id that the caller gave the request.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Where the request goes, by which version of the configuration.
     pub fn routed(&self, route: &Rc<str>, service: &Rc<str>, version: u64) {
         let mut story = self.story.borrow_mut();
@@ -60,6 +67,11 @@
         story.version = version;
     }
 
+    /// What identifies the request's content.
+    pub fn identified(&self, fingerprint: Fingerprint) {
+        self.story.borrow_mut().fingerprint = Some(fingerprint);
+    }
+
     /// How long the caller waits, what it had spent of its time before, and whether the
     /// request is beyond what its customer usually sends.
     pub fn asked(&self, waits: Duration, spent: Duration, beyond: bool) {
@@ -131,6 +143,7 @@
         let log = gateway.log.new(o!(
             "request" => self.id.clone(), "status" => status, "why" => why,
             "route" => route.to_owned(), "service" => service.to_owned(),
+            "fingerprint" => story.fingerprint.map(|fingerprint| fingerprint.to_string()),
             "version" => story.version, "sent" => story.sent.join("; "),
             "waits_ms" => story.waits.as_secs_f64() * 1e3,
             "beyond" => story.beyond, "spent_ms" => story.spent.as_secs_f64() * 1e3,
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -35,6 +35,9 @@
 /// How often it is looked whether a silent stream should be moved.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Why a stream leaves an upstream: its connection broke.
+const BROKEN_REASON: &str = "broken-off";
+
 /// Why a stream leaves an upstream: nothing came for too long.
 const SILENT_REASON: &str = "fell-silent";
 
@@ -162,7 +165,7 @@
             };
             match monoio::time::timeout(wait, body.frame()).await {
                 Ok(None) => return Next::End,
-                Ok(Some(Err(_))) => return Next::Broken("broken-off"),
+                Ok(Some(Err(_))) => return Next::Broken(BROKEN_REASON),
                 Ok(Some(Ok(frame))) => return Next::Data(frame.into_data().unwrap_or_default()),
                 Err(_) => {}
             }
@@ -226,6 +229,10 @@
         let from = self.permit.as_ref().map(|permit| permit.upstream.clone());
         self.work.record.sent(from.as_deref().unwrap_or("-"), why);
         self.finish(ending);
+        let replica = from.and_then(|id| self.work.gateway.replica(&id));
+        if let Some(replica) = replica.filter(|_| why == BROKEN_REASON) {
+            self.work.detect_crash(&replica).await;
+        }
         if !self.work.route.resumable {
             return Err(why);
         }
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -12,7 +12,10 @@
 use hyper::body::Incoming;
 use verbenaspool_platform::header;
 use verbenaspool_policy::dispatch::Ending;
-use verbenaspool_state::route::{Customer, Kind, Table};
+use verbenaspool_state::{
+    fingerprint::Fingerprint,
+    route::{Customer, Kind, Table},
+};
 use verbenaspool_transport::http::{
     body::Body,
     hop,
@@ -107,16 +110,20 @@
     header::sanitize(&mut headers, name.as_deref());
     let wait = said.wait.unwrap_or(MAX_CALLER_WAIT);
     let spent = queue.spent(wait);
-    let beyond = name.is_some_and(|name| queue.beyond(&name));
+    let beyond = name.as_ref().is_some_and(|name| queue.beyond(name));
     record.asked(wait, spent, beyond);
+    let uri = below(&parts.uri);
+    let fingerprint = Fingerprint::of(name.as_deref(), &uri.to_string(), &body);
+    record.identified(fingerprint);
     Ok(Work {
         gateway: gateway.clone(),
         record: record.clone(),
         queue,
         method: parts.method,
-        uri: below(&parts.uri),
+        uri,
         headers,
         body,
+        fingerprint,
         priority: priority.unwrap_or(route.priority),
         beyond,
         target: (began + route.target).saturating_sub(spent),
@@ -124,6 +131,7 @@
         began,
         said,
         route,
+        started: std::cell::Cell::default(),
         sendings: std::cell::Cell::default(),
         unreached: std::cell::Cell::default(),
         exposed: std::cell::Cell::default(),
--- /dev/null
+++ b/verbenaspool_state/src/fingerprint.rs
@@ -0,0 +1,87 @@
+//! Identifies a request by its content, across attempts, callers' retries and entries.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a fingerprint: enough that nobody can make two requests share one.
+const LENGTH_BYTES: usize = 16;
+
+/// A digest of what a customer asked for: the same for each attempt, whatever its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint([u8; LENGTH_BYTES]);
+
+/// A text that is no fingerprint.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It has another length.
+    #[error("a fingerprint has {expected} hexadecimal digits, not {length}", expected = 2 * LENGTH_BYTES)]
+    Length {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// It has other characters than hexadecimal digits.
+    #[error("a fingerprint consists of hexadecimal digits")]
+    Digit,
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request by its customer, path with query, and body.
+    ///
+    /// ```
+    /// use verbenaspool_state::fingerprint::Fingerprint;
+    ///
+    /// let request = Fingerprint::of(Some("loft"), "/quotes/", b"mesh");
+    /// assert_eq!(request, Fingerprint::of(Some("loft"), "/quotes/", b"mesh"));
+    /// assert_ne!(request, Fingerprint::of(Some("fair"), "/quotes/", b"mesh"));
+    /// ```
+    #[must_use]
+    pub fn of(customer: Option<&str>, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [customer.unwrap_or_default().as_bytes(), path.as_bytes()] {
+            // Lengths keep the parts apart.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(body);
+        let mut bytes = [0; LENGTH_BYTES];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..LENGTH_BYTES]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = Error;
+
+    /// Reads the form that [`fmt::Display`] writes.
+    ///
+    /// ```
+    /// use verbenaspool_state::fingerprint::Fingerprint;
+    ///
+    /// let request = Fingerprint::of(None, "/", b"");
+    /// assert_eq!(request.to_string().parse::<Fingerprint>().unwrap(), request);
+    /// assert!("12".parse::<Fingerprint>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let length = text.len();
+        if length != 2 * LENGTH_BYTES {
+            return Err(Error::Length { length });
+        }
+        if !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(Error::Digit);
+        }
+        let mut bytes = [0; LENGTH_BYTES];
+        for (byte, at) in bytes.iter_mut().zip((0..).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| Error::Digit)?;
+        }
+        Ok(Self(bytes))
+    }
+}
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod expert_map;
 pub mod file;
+pub mod fingerprint;
 pub mod name;
 pub mod place;
 pub mod rebalancing;
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    io,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -141,6 +142,23 @@
         }
     }
 
+    /// Whether an address refuses connections: its instance answers, and no process
+    /// listens there. One that can't be reached at all doesn't count.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::{http::client::Client, runtime};
+    ///
+    /// let client = Client::new(Duration::from_secs(1));
+    /// let refuses = client.is_refused_by("127.0.0.1:1".parse().unwrap());
+    /// assert!(runtime::run(refuses).unwrap());
+    /// ```
+    pub async fn is_refused_by(&self, address: SocketAddr) -> bool {
+        let connected = monoio::time::timeout(self.connect, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Forgets the idle connections to an address that is gone.
     ///
     /// ```
