Reject requests that crash upstreams, at all entries

Cause: nothing outlives one client attempt. What an entry learns when an upstream breaks off under a request goes with the attempt, its caller's next one has another id, and no entry knows what happened at another. Within an attempt a broken stream is resumed at another upstream at once, so each attempt crashes two.

Crashes are now counted by a request's fingerprint, reported to all entries at once and again for five seconds, and after two of them without a success between, the request is rejected for ten minutes: with 503 and that time where it hasn't run, with 502 where it may have. Both figures are settings. A success clears a request, so that one that many callers send isn't rejected because upstreams crash of other causes. What waits for a permit is looked at again before it is sent.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -17,6 +17,7 @@
     queue::{Permit, ServiceQueue},
     record::Record,
     relay,
+    request::QUARANTINED_REASON,
 };
 
 /// Time to the first event, as a multiple of the target, after which a request that may
@@ -186,6 +187,11 @@
     /// there is one.
     pub async fn send(&self, permit: Permit, after: Option<u64>) -> Sent {
         let id = permit.upstream.clone();
+        // It may have waited for its permit.
+        if self.gateway.quarantined(self.fingerprint).is_some() {
+            permit.release(Ending::Unknown);
+            return Sent::NotRun(QUARANTINED_REASON);
+        }
         let (bound, entries) = self.budget();
         if self.sendings.get() > 0 && !self.queue.repeat(&bound, entries) {
             permit.release(Ending::Unknown);
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -1,6 +1,8 @@
 //! Tells an upstream's crash from a connection that broke.
 
 use slog::warn;
+use verbenaspool_policy::quarantine::Crash;
+use verbenaspool_protocol::digest;
 use verbenaspool_state::replica::{Replica, State};
 
 use super::attempt::Work;
@@ -29,6 +31,9 @@
             &[("service", &*replica.service)],
         );
         crashed.count();
+        let upstream = digest::hash(&replica.id);
+        let crash = Crash::new(gateway.clock.now(), upstream, ran);
+        gateway.on_crash(self.fingerprint, crash);
         true
     }
 }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -10,10 +10,12 @@
 
 use rand::{Rng, seq::IteratorRandom};
 use slog::{Logger, info, warn};
+use tokio::sync::Notify;
 use verbenaspool_platform::{
     configuration,
     store::{self, Object},
 };
+use verbenaspool_policy::quarantine::Quarantine;
 use verbenaspool_protocol::{
     member::Status,
     reservation::{self, Members},
@@ -55,6 +57,10 @@
     pub peers: RefCell<Peers>,
     /// Slots that agents are asked for.
     pub reservations: Reservations,
+    /// Requests that upstreams crash under.
+    pub quarantine: RefCell<Quarantine>,
+    /// Wakes the task that reports those to peers.
+    pub suspected: Notify,
     /// Whether the process is about to stop.
     pub leaving: Cell<bool>,
     /// Whether it takes no request any more.
@@ -85,6 +91,8 @@
             calls: rpc::Client::default(),
             peers: RefCell::default(),
             reservations: Reservations::new(),
+            quarantine: RefCell::default(),
+            suspected: Notify::new(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             source: RefCell::default(),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod gateway;
 mod peers;
+mod quarantine;
 mod queue;
 mod readiness;
 mod record;
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -398,6 +398,9 @@
             Some(Message::Budgets(budgets)) if is_peer(&gateway, from) => {
                 gateway.learn_budgets(&budgets);
             }
+            Some(Message::Suspicions(suspicions)) if is_peer(&gateway, from) => {
+                gateway.learn_suspicions(&suspicions);
+            }
             // An agent speaks for the upstream on its own instance only.
             Some(Message::Status(status)) if status.upstream.ip() == from => {
                 gateway.status(&status);
@@ -422,37 +425,31 @@
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, incarnation: u64) {
     let mut reported = Duration::ZERO;
     loop {
-        let digest = Message::Digest(gateway.digest(incarnation)).encode();
-        let addresses = addresses(&gateway);
-        let port = gateway.settings.borrow().peer_port;
-        for address in &addresses {
-            // A datagram that is lost is made up for by the next.
-            let _ = socket
-                .send_to(digest.clone(), SocketAddr::from((*address, port)))
-                .await;
-        }
+        let digest = Message::Digest(gateway.digest(incarnation));
+        let peers = broadcast(&gateway, &socket, &digest).await;
         let now = gateway.clock.now();
         if now.saturating_sub(reported) >= BUDGETS_INTERVAL {
             reported = now;
-            report_budgets(&gateway, &socket, &addresses).await;
+            let budgets = gateway.budgets();
+            if !budgets.is_empty() {
+                broadcast(&gateway, &socket, &Message::Budgets(budgets)).await;
+            }
         }
-        gateway.clock.sleep(pause(addresses.len())).await;
+        gateway.clock.sleep(pause(peers)).await;
     }
 }
 
-/// Reports to peers how long callers wait at first, where that is known.
-async fn report_budgets(gateway: &Gateway, socket: &UdpSocket, addresses: &[Ipv4Addr]) {
-    let budgets = gateway.budgets();
-    if budgets.is_empty() {
-        return;
-    }
-    let message = Message::Budgets(budgets).encode();
+/// Sends a message to all peers; tells how many there are.
+pub async fn broadcast(gateway: &Gateway, socket: &UdpSocket, message: &Message) -> usize {
+    let message = message.encode();
+    let addresses = addresses(gateway);
     let port = gateway.settings.borrow().peer_port;
-    for address in addresses {
+    for address in &addresses {
         // A datagram that is lost is made up for by the next.
         let to = SocketAddr::from((*address, port));
         let _ = socket.send_to(message.clone(), to).await;
     }
+    addresses.len()
 }
 
 /// Whether an address is that of another entry, as far as known.
--- /dev/null
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -0,0 +1,154 @@
+//! Requests that upstreams crash under: what this entry saw, and what its peers report.
+
+use std::{rc::Rc, time::Duration};
+
+use monoio::net::udp::UdpSocket;
+use slog::{info, warn};
+use verbenaspool_policy::quarantine::{Crash, Record, Status, Term};
+use verbenaspool_protocol::{
+    message::Message,
+    suspicion::{self, Suspicion},
+};
+use verbenaspool_state::fingerprint::Fingerprint;
+
+use super::{gateway::Gateway, peers};
+
+/// How often peers are told what changed lately, as datagrams get lost.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a change is told of.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
+impl Gateway {
+    /// How much longer a request is rejected, if it is.
+    pub fn quarantined(&self, request: Fingerprint) -> Option<Duration> {
+        let now = self.clock.now();
+        match self.quarantine.borrow().status(now, request) {
+            Status::Quarantined(left) => Some(left),
+            Status::Suspect | Status::Clear => None,
+        }
+    }
+
+    /// Records a crash of an upstream that had a request, and reports it to peers.
+    pub fn on_crash(&self, request: Fingerprint, crash: Crash) {
+        self.count_crash(request, crash);
+        self.suspected.notify_one();
+    }
+
+    /// Records that a request succeeded, and tells peers if upstreams crashed under it.
+    pub fn on_success(&self, request: Fingerprint) {
+        let now = self.clock.now();
+        let cleared = self.quarantine.borrow_mut().succeeded(now, request, now);
+        if cleared {
+            info!(self.log, "request cleared of crashes"; "fingerprint" => request.to_string());
+            self.suspected.notify_one();
+        }
+    }
+
+    /// Records a crash.
+    fn count_crash(&self, request: Fingerprint, crash: Crash) {
+        let now = self.clock.now();
+        let bound = self.settings.borrow().quarantine.bound();
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.crashed(now, request, crash, &bound) {
+            warn!(self.log, "request quarantined"; "fingerprint" => request.to_string(),
+                "for_s" => bound.duration.as_secs());
+        }
+    }
+
+    /// Takes over what a peer reports.
+    pub fn learn_suspicions(&self, suspicions: &[Suspicion]) {
+        let now = self.clock.now();
+        for suspicion in suspicions {
+            let request = suspicion.request;
+            if let Some(age) = suspicion.succeeded_ms {
+                let mut quarantine = self.quarantine.borrow_mut();
+                quarantine.succeeded(now, request, before(now, age));
+            }
+            for crash in &suspicion.crashes {
+                let crash = Crash {
+                    upstream: crash.upstream,
+                    at: before(now, crash.age_ms),
+                    early: crash.early,
+                };
+                self.count_crash(request, crash);
+            }
+            if let Some(term) = suspicion.term {
+                let until = now + Duration::from_millis(term.left_ms.into());
+                let since = before(now, term.age_ms);
+                self.hold(request, Term { since, until });
+            }
+        }
+    }
+
+    /// Rejects a request as another entry does.
+    pub fn hold(&self, request: Fingerprint, term: Term) {
+        let now = self.clock.now();
+        if self.quarantine.borrow_mut().hold(now, request, term) {
+            info!(self.log, "request quarantined by another entry";
+                "fingerprint" => request.to_string(),
+                "for_s" => term.until.saturating_sub(now).as_secs());
+        }
+    }
+
+    /// What changed lately, and as many of the rejected requests as fit beside it.
+    fn suspicions(&self) -> Vec<Suspicion> {
+        let now = self.clock.now();
+        let quarantine = self.quarantine.borrow();
+        let since = now.saturating_sub(REPORT_PERIOD);
+        let mut requests: Vec<(Fingerprint, &Record)> = quarantine.changed_since(since).collect();
+        // The crashes that count most first: a mass of them doesn't fit.
+        requests
+            .sort_by_key(|(_, record)| std::cmp::Reverse((record.crashes.len(), record.changed)));
+        requests.truncate(suspicion::MAX_SUSPICIONS);
+        let reports = requests.into_iter();
+        reports
+            .map(|(request, record)| report(now, request, record))
+            .collect()
+    }
+}
+
+/// What peers are told of a request.
+fn report(now: Duration, request: Fingerprint, record: &Record) -> Suspicion {
+    let latest = record.crashes.iter().rev().take(suspicion::MAX_CRASHES);
+    let crashes = latest.map(|crash| suspicion::Crash {
+        upstream: crash.upstream,
+        age_ms: ms(now.saturating_sub(crash.at)),
+        early: crash.early,
+    });
+    let term = record.current(now).map(|term| suspicion::Term {
+        age_ms: ms(now.saturating_sub(term.since)),
+        left_ms: ms(term.until.saturating_sub(now)),
+    });
+    Suspicion {
+        request,
+        crashes: crashes.collect(),
+        succeeded_ms: record.succeeded.map(|at| ms(now.saturating_sub(at))),
+        term,
+    }
+}
+
+/// The time so many milliseconds ago.
+fn before(now: Duration, age_ms: u32) -> Duration {
+    now.saturating_sub(Duration::from_millis(age_ms.into()))
+}
+
+/// A time in whole milliseconds.
+fn ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Reports changes to peers at once, and again for a while, for as long as the process runs.
+pub async fn report_changes(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        let suspicions = gateway.suspicions();
+        if !suspicions.is_empty() {
+            peers::broadcast(&gateway, &socket, &Message::Suspicions(suspicions)).await;
+        }
+        let pause = gateway.clock.sleep(REPORT_INTERVAL);
+        monoio::select! {
+            () = pause => {}
+            () = gateway.suspected.notified() => {}
+        }
+    }
+}
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -183,6 +183,14 @@
             version,
         );
         let now = self.clock.now();
+        let quarantined = self.quarantine.borrow().quarantined(now).count();
+        #[allow(clippy::cast_precision_loss)] // A few thousand at most.
+        let quarantined = quarantined as f64;
+        gauge(
+            "verbenaspool_quarantined",
+            "Requests that are rejected because upstreams crashed under them.",
+            quarantined,
+        );
         for queue in self.queues() {
             let snapshot = queue.with(|dispatcher, _| dispatcher.snapshot(now));
             let pairs = [("service", &*queue.service)];
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -22,6 +22,7 @@
     attempt::{Sent, Work},
     events::Events,
     queue::Permit,
+    request::QUARANTINED_REASON,
 };
 
 /// How long a stream may be silent before it is moved: several passes, and well
@@ -122,6 +123,7 @@
                 },
                 Next::End if self.events.is_whole() => {
                     self.finish(Ending::Good);
+                    self.work.gateway.on_success(self.work.fingerprint);
                     self.work.record.end(200, "whole");
                     return None;
                 }
@@ -237,6 +239,14 @@
             return Err(why);
         }
         loop {
+            if self
+                .work
+                .gateway
+                .quarantined(self.work.fingerprint)
+                .is_some()
+            {
+                return Err(QUARANTINED_REASON);
+            }
             if !self.work.may_repeat() {
                 return Err(why);
             }
@@ -253,7 +263,8 @@
     /// goes on first, nothing is lost.
     async fn escape(&mut self, why: &'static str) -> Result<(), &'static str> {
         self.stays = self.work.gateway.clock.now() + STALL_TIMEOUT;
-        if !self.work.route.resumable {
+        let quarantined = self.work.gateway.quarantined(self.work.fingerprint);
+        if !self.work.route.resumable || quarantined.is_some() {
             return Ok(());
         }
         if !self.work.may_repeat() {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -23,7 +23,7 @@
 use super::{
     follow::{Follower, Kind},
     gateway::Gateway,
-    peers,
+    peers, quarantine,
     readiness::{Metrics, Readiness},
     settings::Settings,
     standing,
@@ -187,6 +187,7 @@
             let incarnation = since.map_or(0, |since| since.as_secs());
             monoio::spawn(peers::hear(gateway.clone(), socket.clone()));
             monoio::spawn(peers::tell(gateway.clone(), socket.clone(), incarnation));
+            monoio::spawn(quarantine::report_changes(gateway.clone(), socket.clone()));
             monoio::spawn(peers::subscribe(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
         }
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -6,7 +6,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use verbenaspool_policy::dispatch::retry;
+use verbenaspool_policy::{dispatch::retry, quarantine};
 use verbenaspool_transport::log;
 
 /// The settings of one entry. What they don't name is ignored: they are written
@@ -43,6 +43,9 @@
     /// What the operator promises and demands.
     #[serde(default)]
     pub bounds: Bounds,
+    /// When requests are rejected that upstreams crash under.
+    #[serde(default)]
+    pub quarantine: Quarantine,
     /// What is logged, and how.
     #[serde(default)]
     pub log: log::Settings,
@@ -98,6 +101,41 @@
     }
 }
 
+/// When requests are rejected that upstreams crash under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Quarantine {
+    /// Crashes after which a request is rejected; 0 turns this off.
+    pub crashes: usize,
+    /// How long it is rejected, in seconds.
+    pub duration_s: u32,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self {
+            crashes: 2,
+            duration_s: 600,
+        }
+    }
+}
+
+impl Quarantine {
+    /// The bound on crashes.
+    ///
+    /// ```
+    /// let quarantine = verbenaspool::direct::settings::Quarantine::default();
+    /// assert_eq!(quarantine.bound().crashes, 2);
+    /// ```
+    #[must_use]
+    pub fn bound(&self) -> quarantine::Bound {
+        quarantine::Bound {
+            crashes: self.crashes,
+            duration: Duration::from_secs(self.duration_s.into()),
+        }
+    }
+}
+
 /// The descriptors of a usual process.
 fn descriptors() -> usize {
     1_024
--- a/verbenaspool/src/direct/standing.rs
+++ b/verbenaspool/src/direct/standing.rs
@@ -27,6 +27,9 @@
     pub revision: u64,
     /// How many entries it hears, itself included.
     pub entries: usize,
+    /// Requests that it rejects because upstreams crashed under them.
+    #[serde(default)]
+    pub quarantined: usize,
     /// Its services.
     pub services: Vec<Service>,
 }
@@ -74,6 +77,7 @@
             version: self.version(),
             revision: self.revision(),
             entries: self.peers.borrow().entries(now),
+            quarantined: self.quarantine.borrow().quarantined(now).count(),
             services,
         }
     }
--- a/verbenaspool/src/operate/entries.rs
+++ b/verbenaspool/src/operate/entries.rs
@@ -77,12 +77,15 @@
         };
         let mut notes = Vec::new();
         if Some(standing.version) < newest {
-            notes.push("behind");
+            notes.push("behind".to_owned());
         }
         if standing.leaving {
-            notes.push("leaving");
+            notes.push("leaving".to_owned());
         } else if !standing.ready {
-            notes.push("not ready");
+            notes.push("not ready".to_owned());
+        }
+        if standing.quarantined > 0 {
+            notes.push(format!("{} quarantined", standing.quarantined));
         }
         let _ = writeln!(
             text,
--- a/verbenaspool/src/operate/explain.rs
+++ b/verbenaspool/src/operate/explain.rs
@@ -121,6 +121,7 @@
         "full" => "It was refused: every upstream had as much as it can do in time",
         "closed" => "It was refused: no upstream of the service runs",
         "turned-away" => "It was refused: upstreams turned it away or couldn't be reached",
+        "quarantined" => "It was refused: upstreams crashed under it before",
         "unknown" => "It may have run, and its answer was lost",
         "timeout" => "Its time was over",
         "no-route" => "No route of the configuration in force fits it",
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod load;
 pub mod mechanism;
 pub mod member;
+pub mod quarantine;
 pub mod rebalancer;
 pub mod request;
 pub mod share;
--- /dev/null
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -0,0 +1,250 @@
+//! Which requests are rejected because upstreams crash under them.
+//!
+//! Load: a request that crashes each upstream that runs it. Its caller sends it again, an
+//! entry resumes it elsewhere, and each attempt takes an upstream away and stalls the group
+//! of its rank. No attempt lives long enough to notice, so crashes are counted by a
+//! request's fingerprint, at all entries together.
+
+use std::{collections::HashMap, time::Duration};
+
+use verbenaspool_state::fingerprint::Fingerprint;
+
+/// The most requests that are remembered. A crash adds those that one upstream had.
+const MAX_RECORDS: usize = 4_096;
+
+/// Crashes of one upstream that are less apart are the same crash, seen by several entries.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+
+/// How long an upstream runs a request before it is unlikely to crash because of it.
+const EARLY_CRASH_TIME: Duration = Duration::from_millis(500);
+
+/// What the operator allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound {
+    /// Crashes after which a request is rejected; none is where this is 0.
+    pub crashes: usize,
+    /// How long it is rejected, and how long a crash counts.
+    pub duration: Duration,
+}
+
+/// A crash of an upstream that had a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// The upstream's incarnation, by a hash.
+    pub upstream: u32,
+    /// When it crashed.
+    pub at: Duration,
+    /// Whether the upstream hadn't begun to answer, or had just begun.
+    pub early: bool,
+}
+
+impl Crash {
+    /// A crash now of an upstream that had been answering for so long, or not at all.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::quarantine::Crash;
+    ///
+    /// assert!(Crash::new(Duration::ZERO, 1, None).early);
+    /// assert!(!Crash::new(Duration::ZERO, 1, Some(Duration::from_secs(3))).early);
+    /// ```
+    #[must_use]
+    pub fn new(now: Duration, upstream: u32, ran: Option<Duration>) -> Self {
+        Self {
+            upstream,
+            at: now,
+            early: ran.is_none_or(|ran| ran < EARLY_CRASH_TIME),
+        }
+    }
+}
+
+/// What is to be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// It is sent like any other.
+    Clear,
+    /// An upstream crashed soon after it got the request, which may be the cause.
+    Suspect,
+    /// It is rejected for so much longer.
+    Quarantined(Duration),
+}
+
+/// A time in which a request is rejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Term {
+    /// When it began.
+    pub since: Duration,
+    /// When it ends.
+    pub until: Duration,
+}
+
+/// What is known of one request.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    /// Crashes since it last succeeded, as long as they count.
+    pub crashes: Vec<Crash>,
+    /// When it is rejected.
+    pub term: Option<Term>,
+    /// When it succeeded last, if it did since the first crash.
+    pub succeeded: Option<Duration>,
+    /// When any of this changed last.
+    pub changed: Duration,
+}
+
+impl Record {
+    /// The time in which it is rejected, if that isn't over.
+    #[must_use]
+    pub fn current(&self, now: Duration) -> Option<Term> {
+        self.term.filter(|term| now < term.until)
+    }
+
+    /// Whether crashes until a time are of no account any more.
+    fn is_cleared(&self, at: Duration) -> bool {
+        self.succeeded.is_some_and(|succeeded| at <= succeeded)
+    }
+}
+
+/// The requests that upstreams crashed under.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<Fingerprint, Record>,
+}
+
+impl Quarantine {
+    /// What is to be done with a request.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_policy::quarantine::{Bound, Crash, Quarantine, Status};
+    /// use verbenaspool_state::fingerprint::Fingerprint;
+    ///
+    /// let request = Fingerprint::of(None, "/", b"");
+    /// let bound = Bound { crashes: 2, duration: Duration::from_secs(60) };
+    /// let mut quarantine = Quarantine::default();
+    /// for upstream in [1, 2] {
+    ///     let crash = Crash::new(Duration::ZERO, upstream, None);
+    ///     quarantine.crashed(Duration::ZERO, request, crash, &bound);
+    /// }
+    /// let status = quarantine.status(Duration::from_secs(20), request);
+    /// assert_eq!(status, Status::Quarantined(Duration::from_secs(40)));
+    /// ```
+    #[must_use]
+    pub fn status(&self, now: Duration, request: Fingerprint) -> Status {
+        let Some(record) = self.records.get(&request) else {
+            return Status::Clear;
+        };
+        match record.current(now) {
+            Some(term) => Status::Quarantined(term.until.saturating_sub(now)),
+            None if record.crashes.iter().any(|crash| crash.early) => Status::Suspect,
+            None => Status::Clear,
+        }
+    }
+
+    /// Records a crash, seen here or by another entry. Tells whether the request is
+    /// rejected from now on, and wasn't before.
+    pub fn crashed(
+        &mut self,
+        now: Duration,
+        request: Fingerprint,
+        crash: Crash,
+        bound: &Bound,
+    ) -> bool {
+        self.expire(now, bound.duration);
+        let record = self.records.entry(request).or_default();
+        let known = |other: &Crash| {
+            other.upstream == crash.upstream && other.at.abs_diff(crash.at) < SAME_CRASH_TIME
+        };
+        if record.is_cleared(crash.at) || record.crashes.iter().any(known) {
+            return false;
+        }
+        record.crashes.push(crash);
+        record.changed = now;
+        let reached = bound.crashes > 0 && record.crashes.len() >= bound.crashes;
+        let begins = reached && record.current(now).is_none();
+        if begins {
+            record.term = Some(Term {
+                since: now,
+                until: now + bound.duration,
+            });
+        }
+        self.shrink(now);
+        begins
+    }
+
+    /// Rejects a request as another entry does, or did before this process started. Tells
+    /// whether that is new.
+    pub fn hold(&mut self, now: Duration, request: Fingerprint, term: Term) -> bool {
+        let known = self.records.get(&request);
+        let is_known =
+            |record: &Record| record.is_cleared(term.since) || record.current(now).is_some();
+        if now >= term.until || known.is_some_and(is_known) {
+            return false;
+        }
+        let record = self.records.entry(request).or_default();
+        record.term = Some(term);
+        record.changed = now;
+        self.shrink(now);
+        true
+    }
+
+    /// Records that a request succeeded, here or at another entry: it isn't what crashed
+    /// upstreams before. Tells whether that changes anything.
+    pub fn succeeded(&mut self, now: Duration, request: Fingerprint, at: Duration) -> bool {
+        let Some(record) = self.records.get_mut(&request) else {
+            return false;
+        };
+        if record.is_cleared(at) {
+            return false;
+        }
+        record.succeeded = Some(at);
+        record.changed = now;
+        record.crashes.retain(|crash| crash.at > at);
+        record.term = None;
+        true
+    }
+
+    /// The requests that are rejected now.
+    pub fn quarantined(&self, now: Duration) -> impl Iterator<Item = (Fingerprint, Term)> {
+        let records = self.records.iter();
+        records.filter_map(move |(request, record)| Some((*request, record.current(now)?)))
+    }
+
+    /// What is known of a request.
+    #[must_use]
+    pub fn record(&self, request: Fingerprint) -> Option<&Record> {
+        self.records.get(&request)
+    }
+
+    /// What changed since some time.
+    pub fn changed_since(&self, since: Duration) -> impl Iterator<Item = (Fingerprint, &Record)> {
+        let changed = self.records.iter().filter(move |(_, r)| r.changed >= since);
+        changed.map(|(request, record)| (*request, record))
+    }
+
+    /// Drops what no longer counts.
+    fn expire(&mut self, now: Duration, duration: Duration) {
+        self.records.retain(|_, record| {
+            let counts = |at: Duration| now.saturating_sub(at) < duration;
+            record.crashes.retain(|crash| counts(crash.at));
+            record.current(now).is_some() || !record.crashes.is_empty() || counts(record.changed)
+        });
+    }
+
+    /// Drops the oldest of too many records, those of rejected requests last.
+    fn shrink(&mut self, now: Duration) {
+        while self.records.len() > MAX_RECORDS {
+            let oldest = self.records.iter();
+            let oldest =
+                oldest.min_by_key(|(_, record)| (record.current(now).is_some(), record.changed));
+            let Some(request) = oldest.map(|(request, _)| *request) else {
+                return;
+            };
+            self.records.remove(&request);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool_policy/src/quarantine/tests.rs
@@ -0,0 +1,156 @@
+//! Crashes as several entries see and report them.
+
+use std::time::Duration;
+
+use verbenaspool_state::fingerprint::Fingerprint;
+
+use super::{Bound, Crash, MAX_RECORDS, Quarantine, Status, Term};
+
+const BOUND: Bound = Bound {
+    crashes: 2,
+    duration: Duration::from_mins(10),
+};
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn request(number: usize) -> Fingerprint {
+    Fingerprint::of(Some("loft"), "/quotes/", &number.to_le_bytes())
+}
+
+fn term(since: u64, until: u64) -> Term {
+    Term {
+        since: s(since),
+        until: s(until),
+    }
+}
+
+fn early(at: Duration, upstream: u32) -> Crash {
+    Crash::new(at, upstream, None)
+}
+
+/// Guards against one crash that counts as often as entries report it.
+#[test]
+fn a_crash_counts_once_however_often_it_is_reported() {
+    let mut quarantine = Quarantine::default();
+    let crash = early(s(5), 1);
+    assert!(!quarantine.crashed(s(5), request(1), crash, &BOUND));
+    let echo = early(s(5) + Duration::from_millis(40), 1);
+    assert!(!quarantine.crashed(s(6), request(1), echo, &BOUND));
+    assert_eq!(quarantine.status(s(6), request(1)), Status::Suspect);
+}
+
+/// Guards against an upstream that starts again under its identity and crashes unnoticed.
+#[test]
+fn an_upstream_that_crashes_again_counts_again() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
+    assert!(quarantine.crashed(s(9), request(1), early(s(9), 1), &BOUND));
+    assert_eq!(
+        quarantine.status(s(9), request(1)),
+        Status::Quarantined(BOUND.duration)
+    );
+    assert_eq!(quarantine.status(s(9), request(2)), Status::Clear);
+}
+
+/// Guards against common requests that are rejected because upstreams crash of other causes.
+#[test]
+fn a_success_between_crashes_clears_a_request() {
+    let mut quarantine = Quarantine::default();
+    for crash in 1..20 {
+        let at = s(10 * u64::from(crash));
+        assert!(!quarantine.crashed(at, request(1), early(at, crash), &BOUND));
+        assert!(quarantine.succeeded(at + s(1), request(1), at + s(1)));
+    }
+    let late_report = early(s(105), 99);
+    assert!(!quarantine.crashed(s(200), request(1), late_report, &BOUND));
+    assert_eq!(quarantine.status(s(200), request(1)), Status::Clear);
+}
+
+/// Guards against a success of an attempt begun before, reported late, that ends a quarantine
+/// begun since.
+#[test]
+fn an_older_success_clears_no_newer_crash() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
+    quarantine.succeeded(s(6), request(1), s(6));
+    quarantine.crashed(s(7), request(1), early(s(7), 2), &BOUND);
+    quarantine.crashed(s(8), request(1), early(s(8), 3), &BOUND);
+    assert!(!quarantine.succeeded(s(9), request(1), s(6)));
+    assert!(matches!(
+        quarantine.status(s(9), request(1)),
+        Status::Quarantined(_)
+    ));
+}
+
+#[test]
+fn a_request_that_ran_for_long_is_counted_but_not_suspected() {
+    let mut quarantine = Quarantine::default();
+    let crash = |at, upstream| Crash::new(at, upstream, Some(s(2)));
+    quarantine.crashed(s(5), request(1), crash(s(5), 1), &BOUND);
+    assert_eq!(quarantine.status(s(5), request(1)), Status::Clear);
+    assert!(quarantine.crashed(s(9), request(1), crash(s(9), 2), &BOUND));
+}
+
+#[test]
+fn a_quarantine_ends_and_crashes_are_forgotten() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
+    quarantine.crashed(s(6), request(1), early(s(6), 2), &BOUND);
+    assert_eq!(quarantine.quarantined(s(605)).count(), 1);
+    assert_eq!(quarantine.quarantined(s(606)).count(), 0);
+    assert!(!quarantine.crashed(s(700), request(1), early(s(700), 3), &BOUND));
+}
+
+#[test]
+fn a_quarantine_of_another_entry_holds_here() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.hold(s(5), request(1), term(4, 300)));
+    assert!(!quarantine.hold(s(6), request(1), term(4, 300)));
+    assert_eq!(
+        quarantine.status(s(100), request(1)),
+        Status::Quarantined(s(200))
+    );
+    assert!(!quarantine.hold(s(400), request(2), term(4, 300)));
+}
+
+/// Guards against a quarantine that another entry still tells of after a success ended it, and
+/// against one that is ignored because of an older success.
+#[test]
+fn a_success_ends_the_quarantines_begun_before_it() {
+    let mut quarantine = Quarantine::default();
+    quarantine.hold(s(5), request(1), term(4, 300));
+    assert!(quarantine.succeeded(s(10), request(1), s(10)));
+    assert!(!quarantine.hold(s(11), request(1), term(4, 300)));
+    assert!(quarantine.hold(s(21), request(1), term(20, 320)));
+}
+
+#[test]
+fn nothing_is_rejected_where_the_operator_says_so() {
+    let bound = Bound {
+        crashes: 0,
+        ..BOUND
+    };
+    let mut quarantine = Quarantine::default();
+    for upstream in 1..10 {
+        let at = s(u64::from(upstream));
+        assert!(!quarantine.crashed(at, request(1), early(at, upstream), &bound));
+    }
+}
+
+/// Guards against memory that grows with crashes.
+#[test]
+fn records_are_bounded_and_rejected_requests_are_kept() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(1), request(0), early(s(1), 1), &BOUND);
+    quarantine.crashed(s(2), request(0), early(s(2), 2), &BOUND);
+    for number in 1..MAX_RECORDS + 100 {
+        quarantine.crashed(s(3), request(number), early(s(3), 3), &BOUND);
+    }
+    assert_eq!(
+        quarantine.changed_since(Duration::ZERO).count(),
+        MAX_RECORDS
+    );
+    assert_eq!(quarantine.quarantined(s(3)).count(), 1);
+}
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod report;
 pub mod reservation;
 pub mod settle;
+pub mod suspicion;
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -6,6 +6,7 @@
     digest::{Budget, Digest},
     member::{Choices, Difference, Held, Lack, Map, Order, State, Status},
     reservation::{Answer, Ask, Members, Subscription},
+    suspicion::Suspicion,
 };
 
 /// The largest datagram: one Ethernet frame, so that no part can be lost alone.
@@ -44,6 +45,8 @@
     Held(Held),
     /// An entry, to the other entries: how long callers of its services wait at first.
     Budgets(Vec<Budget>),
+    /// An entry, to the other entries: requests that upstreams crashed under.
+    Suspicions(Vec<Suspicion>),
 }
 
 impl Message {
