Keep the quarantine in the store

What callers would see: all entries are stopped or killed, start again and know nothing, so a request that was rejected crashes two upstreams again, after each such restart.

Entries write what is rejected into the status of the configuration's object. They watch that object anyway, so the quarantine costs no call while nothing changes, reaches entries whose peers can't be reached, and is known by an entry before it is ready. A write names the revision that it replaces; whoever loses that race looks again at what the object lacks, and a store that can't be written is tried again. Entries wait for up to 20 ms each before they write, so one write is usual.

crashes::entries_that_start_again_still_reject_what_crashed_upstreams and crashes::the_quarantine_outlasts_changes_of_the_configuration fail without the task that writes.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -169,6 +169,7 @@
         match self.kind {
             Kind::Configuration => {
                 if let Some(object) = self.objects.get(configuration::NAME) {
+                    self.gateway.observe_status(object);
                     self.gateway.adopt(object, "store");
                 }
             }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -61,6 +61,10 @@
     pub quarantine: RefCell<Quarantine>,
     /// Wakes the task that reports those to peers.
     pub suspected: Notify,
+    /// The configuration's object as the store held it last.
+    pub stored: RefCell<Option<Object>>,
+    /// Wakes the task that writes the quarantine to the store.
+    pub unsaved: Notify,
     /// Whether the process is about to stop.
     pub leaving: Cell<bool>,
     /// Whether it takes no request any more.
@@ -93,6 +97,8 @@
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
             suspected: Notify::new(),
+            stored: RefCell::default(),
+            unsaved: Notify::new(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             source: RefCell::default(),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -23,3 +23,4 @@
 pub mod run;
 pub mod settings;
 pub mod standing;
+mod status;
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -319,7 +319,7 @@
         let newer = self.version() > have.table;
         let (revision, objects) = self.objects();
         Latest {
-            configuration: newer.then(|| self.source.borrow().clone()).flatten(),
+            configuration: newer.then(|| self.configuration()).flatten(),
             revision,
             upstreams: (revision > have.registry).then_some(objects),
         }
@@ -342,6 +342,7 @@
         };
         let from = format!("peer {peer}");
         if let Some(object) = &latest.configuration {
+            self.learn_status(&object.status);
             self.adopt(object, &from);
         }
         if let Some(upstreams) = latest.upstreams {
--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -22,6 +22,9 @@
 impl Gateway {
     /// How much longer a request is rejected, if it is.
     pub fn quarantined(&self, request: Fingerprint) -> Option<Duration> {
+        if self.settings.borrow().quarantine.crashes == 0 {
+            return None;
+        }
         let now = self.clock.now();
         match self.quarantine.borrow().status(now, request) {
             Status::Quarantined(left) => Some(left),
@@ -42,6 +45,7 @@
         if cleared {
             info!(self.log, "request cleared of crashes"; "fingerprint" => request.to_string());
             self.suspected.notify_one();
+            self.unsaved.notify_one();
         }
     }
 
@@ -53,6 +57,7 @@
         if quarantine.crashed(now, request, crash, &bound) {
             warn!(self.log, "request quarantined"; "fingerprint" => request.to_string(),
                 "for_s" => bound.duration.as_secs());
+            self.unsaved.notify_one();
         }
     }
 
@@ -88,6 +93,7 @@
             info!(self.log, "request quarantined by another entry";
                 "fingerprint" => request.to_string(),
                 "for_s" => term.until.saturating_sub(now).as_secs());
+            self.unsaved.notify_one();
         }
     }
 
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -26,7 +26,7 @@
     peers, quarantine,
     readiness::{Metrics, Readiness},
     settings::Settings,
-    standing,
+    standing, status,
 };
 use crate::run::{Drained, Error};
 
@@ -129,6 +129,7 @@
         let follower = Follower::new(gateway.clone(), kind, wake.clone());
         monoio::spawn(follower.run());
     }
+    monoio::spawn(status::save_changes(gateway.clone()));
     let (close, closed) = shutdown::channel();
     let open = Open::default();
     let served = monoio::spawn(server::serve(
--- /dev/null
+++ b/verbenaspool/src/direct/status.rs
@@ -0,0 +1,155 @@
+//! The quarantine in the platform's store, where it outlasts all entries.
+//!
+//! It is the status of the configuration, which entries watch anyway: each learns of a
+//! change within milliseconds, also where no peer can be reached. What the store lacks is
+//! written by whichever entry knows it, again and again until it is there.
+
+use std::{
+    collections::HashSet,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use slog::{info, warn};
+use verbenaspool_platform::{
+    configuration,
+    quarantine::{self, Entry},
+    store::{Object, Written},
+};
+use verbenaspool_policy::quarantine::Term;
+use verbenaspool_state::fingerprint::Fingerprint;
+
+use super::gateway::Gateway;
+
+/// The most requests that the status holds; those that began last.
+const MAX_ENTRIES: usize = 1_000;
+
+/// What each entry adds to the longest wait before a write: entries learn the same at once,
+/// and one of them is enough.
+const WRITE_DELAY_PER_ENTRY: Duration = Duration::from_millis(20);
+
+/// The pause after a write that failed, at first and at most.
+const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(5)];
+
+impl Gateway {
+    /// Takes over the configuration's object as the store holds it, with its status.
+    pub fn observe_status(&self, object: &Object) {
+        let before = self.stored.replace(Some(object.clone()));
+        let same = before.is_some_and(|before| before.status == object.status);
+        if !same {
+            self.learn_status(&object.status);
+        }
+        self.unsaved.notify_one();
+    }
+
+    /// Rejects what a status says.
+    pub fn learn_status(&self, status: &str) {
+        let (now, unix) = (self.clock.now(), unix_time());
+        for entry in quarantine::decode(status) {
+            let age = unix.saturating_sub(Duration::from_millis(entry.since_ms));
+            let left = Duration::from_millis(entry.until_ms).saturating_sub(unix);
+            let term = Term {
+                since: now.saturating_sub(age),
+                until: now + left,
+            };
+            self.hold(entry.request, term);
+        }
+    }
+
+    /// The object that the table in force was read from, with the newest status known.
+    pub fn configuration(&self) -> Option<Object> {
+        let mut object = self.source.borrow().clone()?;
+        if let Some(stored) = &*self.stored.borrow() {
+            object.status.clone_from(&stored.status);
+        }
+        Some(object)
+    }
+
+    /// The configuration's object and the status that it should have, if that is another one.
+    fn wanted_status(&self) -> Option<(Object, String)> {
+        let object = self.stored.borrow().clone()?;
+        let (now, unix) = (self.clock.now(), unix_time());
+        let rejected = self.quarantine.borrow();
+        let wanted: Vec<(Fingerprint, Term)> = rejected.quarantined(now).collect();
+        let stored = quarantine::decode(&object.status);
+        let held: HashSet<Fingerprint> = stored.iter().map(|entry| entry.request).collect();
+        let lacks = wanted.iter().any(|(request, _)| !held.contains(request));
+        // What succeeded since is taken out; what is over goes with the next write.
+        let cleared = |entry: &Entry| {
+            let over = entry.until_ms <= ms(unix);
+            !over && !wanted.iter().any(|(request, _)| *request == entry.request)
+        };
+        if !lacks && !stored.iter().any(cleared) {
+            return None;
+        }
+        let entries = wanted.into_iter().map(|(request, term)| Entry {
+            request,
+            since_ms: ms(unix.saturating_sub(now.saturating_sub(term.since))),
+            until_ms: ms(unix + term.until.saturating_sub(now)),
+        });
+        let mut entries: Vec<Entry> = entries.collect();
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.since_ms));
+        entries.truncate(MAX_ENTRIES);
+        let status = quarantine::encode(&object.status, &entries);
+        Some((object, status))
+    }
+
+    /// Writes the status, if it should be another one; tells whether all is well.
+    async fn save_status(&self) -> bool {
+        let Some((object, status)) = self.wanted_status() else {
+            return true;
+        };
+        let (kind, name) = (configuration::KIND, configuration::NAME);
+        let revision = object.revision;
+        match self.store.set_status(kind, name, revision, &status).await {
+            Ok(Written::Done(object)) => {
+                info!(self.log, "quarantine saved"; "revision" => object.revision);
+                self.observe_status(&object);
+                true
+            }
+            // Somebody wrote first; what it lacks is written on top of that.
+            Ok(Written::Conflict(object)) => {
+                self.observe_status(&object);
+                false
+            }
+            Err(why) => {
+                warn!(self.log, "quarantine not saved"; "reason" => why.to_string());
+                false
+            }
+        }
+    }
+}
+
+/// Writes the quarantine to the store where that lacks it, for as long as the process runs.
+pub async fn save_changes(gateway: Rc<Gateway>) {
+    let mut pause = RETRY_INTERVALS[0];
+    loop {
+        gateway.unsaved.notified().await;
+        if gateway.wanted_status().is_none() {
+            continue;
+        }
+        let entries = gateway.sharers(gateway.clock.now());
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        let longest = WRITE_DELAY_PER_ENTRY.saturating_mul(entries);
+        gateway.clock.sleep(longest.mul_f32(rand::random())).await;
+        if gateway.save_status().await {
+            pause = RETRY_INTERVALS[0];
+        } else {
+            gateway.clock.sleep(pause).await;
+            pause = (pause * 2).min(RETRY_INTERVALS[1]);
+            gateway.unsaved.notify_one();
+        }
+    }
+}
+
+/// The time of day. Entries' clocks differ by little against the time that requests are
+/// rejected for.
+fn unix_time() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
+
+/// A time in whole milliseconds.
+fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
