Send nothing to a group that has lost a rank by a crash

What callers saw: for the tens of milliseconds until agents report that a group is broken, requests were sent to its ranks, stalled for 1.5 s and were late or rejected.

An entry that finds an upstream crashed knows at once that the group of its rank makes no pass, so it closes the group until its agents report otherwise. The crashed upstream is left alone as one that can't be reached.

crash::the_group_of_a_crashed_rank_gets_nothing_until_it_runs fails without it.

--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -34,6 +34,7 @@
         let upstream = digest::hash(&replica.id);
         let crash = Crash::new(gateway.clock.now(), upstream, ran);
         gateway.on_crash(self.fingerprint, crash);
+        self.queue.crashed(&replica.id);
         true
     }
 }
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -284,6 +284,11 @@
         self.budget.borrow_mut().repeat(now, bound, entries)
     }
 
+    /// An upstream crashed.
+    pub fn crashed(&self, upstream: &str) {
+        self.with(|dispatcher, now| dispatcher.crashed(now, upstream));
+    }
+
     /// What is known of the service now.
     pub fn known(&self) -> Known {
         let now = self.clock.now();
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 
 mod ask;
 pub mod circuit;
+mod domain;
 pub mod fresh;
 mod known;
 pub mod line;
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/crash.rs
@@ -0,0 +1,55 @@
+//! Upstreams that crash.
+
+use std::rc::Rc;
+
+use verbenaspool_policy::dispatch::{Dispatcher, Verdict};
+
+use crate::world::{engine, ms, replica, stream};
+
+/// Ranks of each group.
+const RANKS: u32 = 4;
+
+/// An entry before so many groups, whose agents said that they run.
+fn groups(count: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let ids = 0..count * RANKS;
+    let replicas: Vec<_> = ids.clone().map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.engine(Some(&engine()));
+    dispatcher.members(replicas.iter());
+    for number in ids {
+        let group = 1 + number / RANKS;
+        dispatcher.status(ms(0), &format!("u{number}"), group, true, 1.0);
+    }
+    dispatcher
+}
+
+/// Where a request is sent now.
+fn sent(dispatcher: &mut Dispatcher, now: u64, ticket: u64) -> Option<Rc<str>> {
+    dispatcher.submit(ms(now), ticket, stream(now));
+    let verdicts = dispatcher.pump(ms(now));
+    dispatcher.leave(ticket);
+    match verdicts.into_iter().find(|(other, _)| *other == ticket)?.1 {
+        Verdict::Send(id) => Some(id),
+        Verdict::Refuse(_) => None,
+    }
+}
+
+/// Guards against requests that are sent to a group that has lost a rank, until its agents
+/// notice.
+#[test]
+fn the_group_of_a_crashed_rank_gets_nothing_until_it_runs() {
+    let mut dispatcher = groups(2);
+    dispatcher.crashed(ms(10), "u1");
+    for ticket in 0..4 {
+        let id = sent(&mut dispatcher, 20, ticket).expect("the other group runs");
+        let number: u32 = id[1..].parse().expect("a number");
+        assert!(number >= RANKS, "{id} is of the group that lost a rank");
+    }
+    for number in 0..RANKS {
+        dispatcher.status(ms(900), &format!("u{number}"), 1, true, 1.0);
+    }
+    let ids: Vec<_> = (30..34)
+        .filter_map(|ticket| sent(&mut dispatcher, 1_000, ticket))
+        .collect();
+    assert!(ids.iter().any(|id| ["u0", "u2", "u3"].contains(&&**id)));
+}
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod back;
 mod circuit;
+mod crash;
 mod customer;
 mod fleet;
 mod load;
