Spare the last group from a request that may have crashed another

What callers saw: a stream that crashed a rank was resumed within milliseconds at the other group and crashed that as well. With both groups gone nothing was served for five seconds, even though the request was rejected from then on.

A request under which an upstream crashed before or just after it began to answer is a suspect until it succeeds. It is sent only while the service can lose another group (or another upstream, where there are no groups); until then its caller is told when to retry. Those that had run for longer are resumed as before. The next crash, if the request is the cause, takes one group while the others serve, and the request is quarantined.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -17,7 +17,6 @@
     queue::{Permit, ServiceQueue},
     record::Record,
     relay,
-    request::QUARANTINED_REASON,
 };
 
 /// Time to the first event, as a multiple of the target, after which a request that may
@@ -84,6 +83,8 @@
     NotRun(&'static str),
     /// The request may have run there, or may still.
     Unknown(&'static str),
+    /// It wasn't sent, as upstreams crashed under it.
+    Barred,
 }
 
 /// What came of waiting for an answer.
@@ -188,9 +189,9 @@
     pub async fn send(&self, permit: Permit, after: Option<u64>) -> Sent {
         let id = permit.upstream.clone();
         // It may have waited for its permit.
-        if self.gateway.quarantined(self.fingerprint).is_some() {
+        if self.barred().is_some() {
             permit.release(Ending::Unknown);
-            return Sent::NotRun(QUARANTINED_REASON);
+            return Sent::Barred;
         }
         let (bound, entries) = self.budget();
         if self.sendings.get() > 0 && !self.queue.repeat(&bound, entries) {
@@ -231,6 +232,7 @@
                     self.detect_crash(&replica).await;
                 }
             }
+            Sent::Barred => {}
             Sent::Answered(response, _) => self.record.sent(&id, response.status().as_str()),
         }
         sent
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -1,16 +1,38 @@
 //! Tells an upstream's crash from a connection that broke.
 
+use std::time::Duration;
+
 use slog::warn;
-use verbenaspool_policy::quarantine::Crash;
+use verbenaspool_policy::quarantine::{Crash, Status};
 use verbenaspool_protocol::digest;
 use verbenaspool_state::replica::{Replica, State};
 
-use super::attempt::Work;
+use super::{answer::Refused, attempt::Work};
+
+/// Why a request may be sent to no upstream.
+#[derive(Debug, Clone, Copy)]
+pub enum Bar {
+    /// It crashed upstreams, and is rejected for so much longer.
+    Quarantined(Duration),
+    /// It may have crashed an upstream, and the service can't lose another one now: those that
+    /// run serve everybody else.
+    Suspect,
+}
+
+impl Bar {
+    /// The reason as logs and callers read it.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Quarantined(_) => "quarantined",
+            Self::Suspect => "suspect",
+        }
+    }
+}
 
 impl Work {
-    /// Finds out whether the upstream crashed that broke off this request's answer: its
-    /// instance refuses connections. One that leaves on purpose doesn't count.
-    pub async fn detect_crash(&self, replica: &Replica) -> bool {
+    /// Finds out whether the upstream crashed that broke off this request's answer, and
+    /// records it: its instance refuses connections then. One that leaves on purpose doesn't count.
+    pub async fn detect_crash(&self, replica: &Replica) {
         let gateway = &self.gateway;
         let ran = self
             .started
@@ -19,7 +41,7 @@
         let listed = gateway.replica(&replica.id);
         let stays = listed.is_some_and(|replica| replica.state == State::Ready);
         if !stays || !gateway.client.is_refused_by(replica.address).await {
-            return false;
+            return;
         }
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
         warn!(gateway.log, "upstream crashed"; "upstream" => &*replica.id,
@@ -35,6 +57,26 @@
         let crash = Crash::new(gateway.clock.now(), upstream, ran);
         gateway.on_crash(self.fingerprint, crash);
         self.queue.crashed(&replica.id);
-        true
+    }
+
+    /// Why the request may be sent to no upstream now, if upstreams crashed under it.
+    pub fn barred(&self) -> Option<Bar> {
+        match self.gateway.status_of(self.fingerprint) {
+            Status::Quarantined(left) => Some(Bar::Quarantined(left)),
+            Status::Suspect if !self.queue.can_lose_one() => Some(Bar::Suspect),
+            Status::Suspect | Status::Clear => None,
+        }
+    }
+
+    /// What the caller is told of a request that is barred.
+    pub fn refuse(&self, bar: Bar) -> Refused {
+        if self.exposed.get() {
+            return Refused::unknown(bar.reason());
+        }
+        let after = match bar {
+            Bar::Quarantined(left) => left,
+            Bar::Suspect => self.queue.come_back(self.caller_left()),
+        };
+        Refused::later(bar.reason(), after)
     }
 }
--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -20,16 +20,13 @@
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
 impl Gateway {
-    /// How much longer a request is rejected, if it is.
-    pub fn quarantined(&self, request: Fingerprint) -> Option<Duration> {
+    /// What is to be done with a request.
+    pub fn status_of(&self, request: Fingerprint) -> Status {
         if self.settings.borrow().quarantine.crashes == 0 {
-            return None;
+            return Status::Clear;
         }
         let now = self.clock.now();
-        match self.quarantine.borrow().status(now, request) {
-            Status::Quarantined(left) => Some(left),
-            Status::Suspect | Status::Clear => None,
-        }
+        self.quarantine.borrow().status(now, request)
     }
 
     /// Records a crash of an upstream that had a request, and reports it to peers.
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -289,6 +289,12 @@
         self.with(|dispatcher, now| dispatcher.crashed(now, upstream));
     }
 
+    /// Whether the service goes on if one more upstream crashes.
+    pub fn can_lose_one(&self) -> bool {
+        let now = self.clock.now();
+        self.dispatcher.borrow().can_lose_one(now)
+    }
+
     /// What is known of the service now.
     pub fn known(&self) -> Known {
         let now = self.clock.now();
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -22,7 +22,6 @@
     attempt::{Sent, Work},
     events::Events,
     queue::Permit,
-    request::QUARANTINED_REASON,
 };
 
 /// How long a stream may be silent before it is moved: several passes, and well
@@ -239,13 +238,8 @@
             return Err(why);
         }
         loop {
-            if self
-                .work
-                .gateway
-                .quarantined(self.work.fingerprint)
-                .is_some()
-            {
-                return Err(QUARANTINED_REASON);
+            if let Some(bar) = self.work.barred() {
+                return Err(bar.reason());
             }
             if !self.work.may_repeat() {
                 return Err(why);
@@ -263,8 +257,7 @@
     /// goes on first, nothing is lost.
     async fn escape(&mut self, why: &'static str) -> Result<(), &'static str> {
         self.stays = self.work.gateway.clock.now() + STALL_TIMEOUT;
-        let quarantined = self.work.gateway.quarantined(self.work.fingerprint);
-        if !self.work.route.resumable || quarantined.is_some() {
+        if !self.work.route.resumable || self.work.barred().is_some() {
             return Ok(());
         }
         if !self.work.may_repeat() {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -42,9 +42,6 @@
 /// once, to another entry.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Why a request is rejected or not sent: upstreams crash under it.
-pub const QUARANTINED_REASON: &str = "quarantined";
-
 /// A wait beyond all others, for callers that name none.
 const MAX_CALLER_WAIT: Duration = Duration::from_hours(1);
 
@@ -118,9 +115,6 @@
     let uri = below(&parts.uri);
     let fingerprint = Fingerprint::of(name.as_deref(), &uri.to_string(), &body);
     record.identified(fingerprint);
-    if let Some(left) = gateway.quarantined(fingerprint) {
-        return Err(Refused::later(QUARANTINED_REASON, left));
-    }
     Ok(Work {
         gateway: gateway.clone(),
         record: record.clone(),
@@ -208,12 +202,8 @@
 async fn attempts(work: &Rc<Work>) -> Result<Response<Body>, Refused> {
     let mut failed = None;
     loop {
-        if let Some(left) = work.gateway.quarantined(work.fingerprint) {
-            return Err(if work.exposed.get() {
-                Refused::unknown(QUARANTINED_REASON)
-            } else {
-                Refused::later(QUARANTINED_REASON, left)
-            });
+        if let Some(bar) = work.barred() {
+            return failed.ok_or_else(|| work.refuse(bar));
         }
         let admitted = work.admit(work.ask()).await;
         work.record.known(work.queue.known());
@@ -241,7 +231,7 @@
                 Taken::Broken => work.route.is_repeatable() && work.may_repeat(),
             },
             Sent::NotRun("unreached") => work.may_reconnect(),
-            Sent::NotRun(QUARANTINED_REASON) => true,
+            Sent::Barred => true,
             Sent::NotRun(_) => work.may_repeat(),
             Sent::Unknown(_) => work.route.is_repeatable() && work.may_repeat(),
         };
--- a/verbenaspool/src/operate/explain.rs
+++ b/verbenaspool/src/operate/explain.rs
@@ -122,6 +122,9 @@
         "closed" => "It was refused: no upstream of the service runs",
         "turned-away" => "It was refused: upstreams turned it away or couldn't be reached",
         "quarantined" => "It was refused: upstreams crashed under it before",
+        "suspect" => {
+            "It was refused: an upstream crashed under it, and the service can't lose another"
+        }
         "unknown" => "It may have run, and its answer was lost",
         "timeout" => "Its time was over",
         "no-route" => "No route of the configuration in force fits it",
--- a/verbenaspool_policy/src/dispatch/domain.rs
+++ b/verbenaspool_policy/src/dispatch/domain.rs
@@ -1,12 +1,21 @@
-//! Which upstreams fail together.
+//! Which upstreams fail together, and whether a service can afford to lose some.
 //!
-//! Load: an upstream that crashes. The ranks of its group stop with it, and what is sent to
-//! them until their agents notice stalls and comes back too late.
+//! Load: a request that may have crashed an upstream. Ranks of a group stop with any one of
+//! them, so the next crash may take the last group that runs, and with it the whole service.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{Dispatcher, Ending};
 
+/// Upstreams that stop together: a group, or one that is by itself.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Domain<'a> {
+    /// The ranks of a group.
+    Group(u32),
+    /// An upstream without a group.
+    Upstream(&'a str),
+}
+
 impl Dispatcher {
     /// An upstream crashed. Its group makes no pass without it, so nothing is sent to any of
     /// its ranks until their agents report that it runs.
@@ -21,4 +30,24 @@
             rank.closed = Some(now);
         }
     }
+
+    /// Whether the service goes on if the next upstream crashes that gets a request: another
+    /// group runs, or another upstream where there are no groups. A service that has a single
+    /// one has nothing to spare, and counts as if it had.
+    #[must_use]
+    pub fn can_lose_one(&self, now: Duration) -> bool {
+        let mut domains = BTreeMap::new();
+        for (id, upstream) in self.upstreams.iter().filter(|(_, u)| u.ready) {
+            let domain = if upstream.group == 0 {
+                Domain::Upstream(id)
+            } else {
+                Domain::Group(upstream.group)
+            };
+            let trusted = upstream.trust.cost(now).is_some();
+            let runs = trusted && upstream.is_open(now) && self.takes(upstream.group);
+            *domains.entry(domain).or_insert(false) |= runs;
+        }
+        let running = domains.values().filter(|runs| **runs).count();
+        running >= domains.len().min(2)
+    }
 }
--- a/verbenaspool_policy/tests/dispatch/crash.rs
+++ b/verbenaspool_policy/tests/dispatch/crash.rs
@@ -1,4 +1,4 @@
-//! Upstreams that crash.
+//! Upstreams that crash, and what the service can still lose.
 
 use std::rc::Rc;
 
@@ -53,3 +53,37 @@
         .collect();
     assert!(ids.iter().any(|id| ["u0", "u2", "u3"].contains(&&**id)));
 }
+
+/// Guards against a suspect request that takes the last group that runs.
+#[test]
+fn a_service_with_one_of_two_groups_left_can_lose_none() {
+    let mut dispatcher = groups(2);
+    assert!(dispatcher.can_lose_one(ms(5)));
+    dispatcher.crashed(ms(10), "u1");
+    assert!(!dispatcher.can_lose_one(ms(10)));
+    for number in 0..RANKS {
+        dispatcher.status(ms(900), &format!("u{number}"), 1, true, 1.0);
+    }
+    assert!(dispatcher.can_lose_one(ms(1_000)));
+}
+
+/// Guards against a service with a single group that never tries a suspect request again.
+#[test]
+fn a_service_with_a_single_group_counts_as_if_it_could_lose_it() {
+    let dispatcher = groups(1);
+    assert!(dispatcher.can_lose_one(ms(5)));
+    let mut dispatcher = groups(3);
+    dispatcher.crashed(ms(10), "u1");
+    assert!(dispatcher.can_lose_one(ms(10)));
+}
+
+#[test]
+fn upstreams_without_groups_count_one_by_one() {
+    let mut dispatcher = Dispatcher::new("a".into(), 1);
+    let replicas: Vec<_> = (0..3).map(|n| replica(&format!("u{n}"), 12)).collect();
+    dispatcher.members(replicas.iter());
+    dispatcher.crashed(ms(10), "u0");
+    assert!(dispatcher.can_lose_one(ms(10)));
+    dispatcher.crashed(ms(20), "u1");
+    assert!(!dispatcher.can_lose_one(ms(20)));
+}
