Let a request that panics its handler end alone

What callers would see: a request that the entry (or an agent) doesn't foresee panics its handler and ends the process with all its requests, and the caller's retries end the next ones.

A panic is caught where a connection is served, so that connection alone closes. a_request_that_panics_its_handler_ends_alone failed before: the panic ended the loop.

--- a/verbenaspool_transport/src/http/server.rs
+++ b/verbenaspool_transport/src/http/server.rs
@@ -2,10 +2,14 @@
 //! requests in flight end when the process stops.
 
 use std::{
-    cell::Cell, fmt::Debug, future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration,
+    cell::Cell, fmt::Debug, future::Future, net::SocketAddr, panic::AssertUnwindSafe, pin::Pin,
+    rc::Rc, time::Duration,
 };
 
-use futures_util::future::{Either, select};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use monoio::{
@@ -180,7 +184,11 @@
         let (limits, handler) = (self.limits.clone(), self.handler.clone());
         let (open, signal) = (self.open.clone(), self.signal.clone());
         monoio::spawn(async move {
-            converse(stream, peer, limits, handler, open, signal).await;
+            let conversation = converse(stream, peer, limits, handler, open, signal);
+            // A request that panics its handler closes its connection only: its caller sends
+            // it again, and would end one process after the other. The panic hook has written
+            // a line.
+            let _ = AssertUnwindSafe(conversation).catch_unwind().await;
             drop(guard);
         });
     }
--- a/verbenaspool_transport/tests/server.rs
+++ b/verbenaspool_transport/tests/server.rs
@@ -63,3 +63,39 @@
     })
     .expect("a loop");
 }
+
+/// Fails on each request.
+struct Faulty;
+
+impl Handler for Faulty {
+    fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
+        assert!(
+            request.uri().path() != "/",
+            "a request that was not foreseen"
+        );
+        Box::pin(std::future::ready(Response::new(Body::full("ok"))))
+    }
+}
+
+/// Guards against one request that takes the whole process away, and the next process that
+/// gets it.
+#[test]
+fn a_request_that_panics_its_handler_ends_alone() {
+    runtime::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (_trigger, signal) = shutdown::channel();
+        let (limits, open) = (Limits::default(), Open::default());
+        let served = serve(listener, limits, Rc::new(Faulty), open.clone(), signal);
+        monoio::spawn(served);
+        let mut faulty = TcpStream::connect(address).await.expect("a connection");
+        assert_eq!(ask(&mut faulty).await, "");
+        assert_eq!(open.count(), 0);
+        let mut sound = TcpStream::connect(address).await.expect("a connection");
+        let request = "GET /sound HTTP/1.1\r\nhost: a\r\n\r\n";
+        sound.write_all(request).await.0.expect("it is sent");
+        let (read, heard) = sound.read(vec![0; 4096]).await;
+        assert!(heard[..read.expect("an answer")].starts_with(b"HTTP/1.1 200"));
+    })
+    .expect("a loop");
+}
