Soak requests that crash upstreams

Two callers of the soak now send such a request to any entry again and again, among the usual faults: a stream, and one that may run once. After the third crash and three seconds more than three further ones break a promise; sound requests to the same upstreams are checked like all others.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -5,10 +5,13 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use rand::{Rng, rngs::SmallRng};
-use verbenaspool_platform_standin::{text, upstream::Upstream};
+use verbenaspool_platform_standin::{
+    text,
+    upstream::{CRASHING_BODY, Upstream},
+};
 use verbenaspool_transport::http::{body::Body, client::Client};
 
-use crate::site::{KEY, Site, version_path};
+use crate::site::{FRAGILE_PATHS, KEY, Site, version_path};
 
 /// How long a caller waits for an answer: longer than any route allows, so that
 /// an entry that holds one back is found.
@@ -44,10 +47,12 @@
         while std::time::Instant::now() < until {
             sent += 1;
             let id = format!("c{}-{sent}", self.number);
-            match self.rng.random_range(0..10) {
-                0..4 => self.stream(&id).await,
-                4..7 => self.book(&id).await,
-                7..9 => self.look(&id).await,
+            match self.rng.random_range(0..12) {
+                0..4 => self.stream("/stream/", &id).await,
+                4 => self.stream(&format!("/{}/", FRAGILE_PATHS[0]), &id).await,
+                5..8 => self.book("/book/slot", &id).await,
+                8 => self.book(&format!("/{}/", FRAGILE_PATHS[1]), &id).await,
+                9..11 => self.look(&id).await,
                 _ => self.version(&id).await,
             }
             let pause = self.rng.random_range(1..40);
@@ -55,12 +60,37 @@
         }
     }
 
-    /// Sends a request to some entry; nothing where no head came back.
+    /// Sends the same request again and again until the deadline, each time to some entry,
+    /// though it crashes the upstreams that run it.
+    pub async fn insist(mut self, until: std::time::Instant) {
+        let path = FRAGILE_PATHS[self.number % FRAGILE_PATHS.len()];
+        let path = format!("/{path}/{}", self.number);
+        let mut sent = 0;
+        while std::time::Instant::now() < until {
+            sent += 1;
+            let id = format!("x{}-{sent}", self.number);
+            if let Some(response) = self.request(&path, &id, CRASHING_BODY).await {
+                self.judge(&id, &response);
+                let _ = Self::body(response).await;
+            }
+            let pause = self.rng.random_range(50..400);
+            monoio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Sends a request with the usual body.
     async fn send(&mut self, path: &str, id: &str) -> Option<http::Response<Body>> {
+        self.request(path, id, "body").await
+    }
+
+    /// Sends a request to some entry; nothing where no head came back.
+    async fn request(&mut self, path: &str, id: &str, body: &str) -> Option<http::Response<Body>> {
         let entries = self.site.entries.borrow().len();
         let entry = self.rng.random_range(0..entries);
         let listen = self.site.entries.borrow()[entry].listen;
-        let request = text::request(path, id, KEY).body(Body::full("body")).ok()?;
+        let request = text::request(path, id, KEY)
+            .body(Body::full(body.to_owned()))
+            .ok()?;
         let began = std::time::Instant::now();
         let sent = monoio::time::timeout(WAIT, self.client.send(listen, request)).await;
         if began.elapsed() > LATE && matches!(sent, Ok(Ok(_))) {
@@ -103,9 +133,9 @@
     }
 
     /// A booking, which may run once.
-    async fn book(&mut self, id: &str) {
+    async fn book(&mut self, path: &str, id: &str) {
         self.site.checks.once(id);
-        self.whole("/book/slot", id).await;
+        self.whole(path, id).await;
     }
 
     /// A look-up, which may run any number of times.
@@ -134,8 +164,8 @@
     }
 
     /// A stream: each event once and in order, and none missing where it ends whole.
-    async fn stream(&mut self, id: &str) {
-        let Some(response) = self.send("/stream/", id).await else {
+    async fn stream(&mut self, path: &str, id: &str) {
+        let Some(response) = self.send(path, id).await else {
             return;
         };
         if !self.judge(id, &response) {
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -1,6 +1,19 @@
 //! What callers and upstreams saw, against what is promised.
 
-use std::{cell::RefCell, collections::HashMap, fmt};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    fmt,
+    time::{Duration, Instant},
+};
+
+use verbenaspool_platform_standin::process::Crash;
+
+/// How long after a crash all entries know of it.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+
+/// Crashes that a request may still cause from then on.
+const MAX_LATE_CRASHES: usize = 3;
 
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,6 +79,30 @@
         }
     }
 
+    /// Checks the crashes that requests caused, each under ids that begin alike: after the
+    /// third a few may be on their way, and no more than a few follow.
+    pub fn settle_crashes(&self, crashes: impl Iterator<Item = Crash>) {
+        let mut culprits: HashMap<String, Vec<Instant>> = HashMap::new();
+        for crash in crashes {
+            let (caller, _) = crash.request.split_once('-').unwrap_or_default();
+            culprits
+                .entry(caller.to_owned())
+                .or_default()
+                .push(crash.at);
+        }
+        for (caller, mut times) in culprits {
+            times.sort();
+            let Some(third) = times.get(2) else {
+                continue;
+            };
+            let late = times.iter().filter(|at| **at > *third + KNOWN_WITHIN);
+            if late.count() > MAX_LATE_CRASHES {
+                let what = format!("{caller} crashed {} upstreams", times.len());
+                self.broke("what crashes upstreams isn't sent on", what);
+            }
+        }
+    }
+
     /// Checks all requests against what upstreams ran.
     pub fn settle(&self, runs: impl Fn(&str) -> usize) {
         for id in self.once.borrow().iter() {
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -48,6 +48,9 @@
     /// Callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
+    /// Callers whose requests crash upstreams.
+    #[arg(long, default_value_t = 2)]
+    crashing: usize,
     /// Ranks of a group, each with an agent process.
     #[arg(long, default_value_t = 4)]
     ranks: usize,
@@ -120,6 +123,15 @@
         };
         callers.push(monoio::spawn(caller.run(until)));
     }
+    for number in 0..options.crashing {
+        let caller = Caller {
+            site: site.clone(),
+            number,
+            rng: SmallRng::seed_from_u64(seed * 10_000 + 5_000 + number as u64),
+            client: Client::new(Duration::from_secs(1)),
+        };
+        callers.push(monoio::spawn(caller.insist(until)));
+    }
     let note = |fault: String| {
         let at = began.elapsed().as_millis();
         // A line that can't be written is missed by nobody but who reads it.
@@ -132,6 +144,13 @@
     monoio::time::sleep(SETTLE).await;
     let checked = site.clone();
     site.checks.settle(move |id| checked.runs(id));
+    let crashes = site.fragile.iter().flat_map(|process| process.crashes());
+    let crashes: Vec<_> = crashes.collect();
+    site.checks
+        .counts
+        .borrow_mut()
+        .insert("crashes", crashes.len() as u64);
+    site.checks.settle_crashes(crashes.into_iter());
     settle_group(&site).await;
     report(seed, &site);
     let broken = site.checks.broken.borrow().len();
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -6,11 +6,13 @@
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     rc::Rc,
+    time::Duration,
 };
 
 use monoio::net::TcpListener;
 use verbenaspool_platform_standin::{
     group::{Group, Member},
+    process::Process as Crashing,
     store::Store,
     text,
     upstream::Upstream,
@@ -29,6 +31,18 @@
 /// The service whose upstreams are the ranks of the group.
 const RANKS: &str = "ranks";
 
+/// The service whose upstreams some requests crash.
+const FRAGILE: &str = "fragile";
+
+/// Upstreams of that service.
+const FRAGILE_UPSTREAMS: usize = 4;
+
+/// How long one of them takes to start again.
+const DOWNTIME: Duration = Duration::from_millis(400);
+
+/// The paths of its routes: streams, and requests that may run once.
+pub const FRAGILE_PATHS: [&str; 2] = ["stream/fragile", "fragile"];
+
 /// The customer's key.
 pub const KEY: &str = "key-1";
 
@@ -70,6 +84,8 @@
     pub ways: Vec<Rc<Proxy>>,
     /// The upstreams: first those of streams, then those of bookings.
     pub servers: Vec<Server>,
+    /// The upstreams that some requests crash.
+    pub fragile: Vec<Rc<Crashing>>,
     /// The entries.
     pub entries: RefCell<Vec<Entry>>,
     /// The ranks that make passes together.
@@ -127,6 +143,11 @@
                 address,
             });
         }
+        let fragile = (0..FRAGILE_UPSTREAMS).map(|number| {
+            let (store, name) = (store.clone(), format!("f-{number}"));
+            Crashing::start(store, FRAGILE, &name, address::fresh(), DOWNTIME)
+        });
+        let fragile = fragile.collect();
         let addresses: Vec<SocketAddr> = (0..entries).map(|_| address::fresh()).collect();
         // Entries and agents have the same port for each other; their addresses differ.
         let peer_port = addresses
@@ -160,6 +181,7 @@
             store,
             ways,
             servers,
+            fragile,
             entries: RefCell::new(processes),
             group,
             agents: RefCell::new(agents),
@@ -186,10 +208,11 @@
     /// How often upstreams ran a request.
     #[must_use]
     pub fn runs(&self, id: &str) -> usize {
-        self.servers
-            .iter()
-            .map(|server| server.upstream.runs(id))
-            .sum()
+        let servers = self.servers.iter();
+        let servers: usize = servers.map(|server| server.upstream.runs(id)).sum();
+        let fragile = self.fragile.iter();
+        let fragile: usize = fragile.map(|process| process.runs(id)).sum();
+        servers + fragile
     }
 
     /// Ends the stand-ins.
@@ -237,7 +260,11 @@
 fn configuration(version: u64) -> String {
     let mut routes = text::routes();
     routes.push(text::route(&version_path(version), "safe", "jobs"));
-    text::configuration_with(version, &routes, &[KEY], &[text::ranks(RANKS)])
+    let kinds = ["streaming", "unsafe"];
+    let fragile = FRAGILE_PATHS.iter().zip(kinds);
+    routes.extend(fragile.map(|(path, kind)| text::route(path, kind, FRAGILE)));
+    let services = [text::ranks(RANKS), text::service(FRAGILE)];
+    text::configuration_with(version, &routes, &[KEY], &services)
 }
 
 /// The first part of the path that a version adds. Versions keep the one before.
