Wait no longer than a round trip for an instance to refuse a connection

A broken stream waits until the entry knows whether its upstream crashed, before it is resumed elsewhere. An instance's kernel refuses within a round trip, so 50 ms are enough.

--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -9,6 +9,10 @@
 
 use super::{answer::Refused, attempt::Work};
 
+/// How long an instance has to refuse a connection. Its kernel does so within a round trip;
+/// the request waits for it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Why a request may be sent to no upstream.
 #[derive(Debug, Clone, Copy)]
 pub enum Bar {
@@ -40,7 +44,12 @@
             .map(|started| gateway.clock.now().saturating_sub(started));
         let listed = gateway.replica(&replica.id);
         let stays = listed.is_some_and(|replica| replica.state == State::Ready);
-        if !stays || !gateway.client.is_refused_by(replica.address).await {
+        if !stays
+            || !gateway
+                .client
+                .is_refused_by(replica.address, PROBE_TIMEOUT)
+                .await
+        {
             return;
         }
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -142,8 +142,8 @@
         }
     }
 
-    /// Whether an address refuses connections: its instance answers, and no process
-    /// listens there. One that can't be reached at all doesn't count.
+    /// Whether an address refuses connections within some time: its instance answers, and no
+    /// process listens there. One that can't be reached at all doesn't count.
     ///
     /// ```
     /// use std::time::Duration;
@@ -151,11 +151,11 @@
     /// use verbenaspool_transport::{http::client::Client, runtime};
     ///
     /// let client = Client::new(Duration::from_secs(1));
-    /// let refuses = client.is_refused_by("127.0.0.1:1".parse().unwrap());
+    /// let refuses = client.is_refused_by("127.0.0.1:1".parse().unwrap(), Duration::from_secs(1));
     /// assert!(runtime::run(refuses).unwrap());
     /// ```
-    pub async fn is_refused_by(&self, address: SocketAddr) -> bool {
-        let connected = monoio::time::timeout(self.connect, TcpStream::connect(address)).await;
+    pub async fn is_refused_by(&self, address: SocketAddr, within: Duration) -> bool {
+        let connected = monoio::time::timeout(within, TcpStream::connect(address)).await;
         matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
