--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -4,7 +4,7 @@
 
 use monoio::net::udp::UdpSocket;
 use slog::{info, warn};
-use verbenaspool_policy::quarantine::{Crash, Record, Status, Term};
+use verbenaspool_policy::quarantine::{Crash, Observer, Record, Status, Term};
 use verbenaspool_protocol::{
     message::Message,
     suspicion::{self, Suspicion},
@@ -13,10 +13,10 @@
 
 use super::{gateway::Gateway, peers};
 
-/// How often peers are told what changed lately, as datagrams get lost.
+/// How often peers are told what this entry saw lately, as datagrams get lost.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a change is told of.
+/// How long peers are told of it.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
 impl Gateway {
@@ -31,14 +31,16 @@
 
     /// Records a crash of an upstream that had a request, and reports it to peers.
     pub fn on_crash(&self, request: Fingerprint, crash: Crash) {
-        self.count_crash(request, crash);
+        self.count_crash(request, crash, Observer::Own);
         self.suspected.notify_one();
     }
 
     /// Records that a request succeeded, and tells peers if upstreams crashed under it.
     pub fn on_success(&self, request: Fingerprint) {
         let now = self.clock.now();
-        let cleared = self.quarantine.borrow_mut().succeeded(now, request, now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let cleared = quarantine.succeeded(now, request, now, Observer::Own);
+        drop(quarantine);
         if cleared {
             info!(self.log, "request cleared of crashes"; "fingerprint" => request.to_string());
             self.suspected.notify_one();
@@ -47,11 +49,11 @@
     }
 
     /// Records a crash.
-    fn count_crash(&self, request: Fingerprint, crash: Crash) {
+    fn count_crash(&self, request: Fingerprint, crash: Crash, observer: Observer) {
         let now = self.clock.now();
         let bound = self.settings.borrow().quarantine.bound();
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.crashed(now, request, crash, &bound) {
+        if quarantine.crashed(now, request, crash, observer, &bound) {
             warn!(self.log, "request quarantined"; "fingerprint" => request.to_string(),
                 "for_s" => bound.duration.as_secs());
             self.unsaved.notify_one();
@@ -65,7 +67,7 @@
             let request = suspicion.request;
             if let Some(age) = suspicion.succeeded_ms {
                 let mut quarantine = self.quarantine.borrow_mut();
-                quarantine.succeeded(now, request, before(now, age));
+                quarantine.succeeded(now, request, before(now, age), Observer::Peer);
             }
             for crash in &suspicion.crashes {
                 let crash = Crash {
@@ -73,7 +75,7 @@
                     at: before(now, crash.age_ms),
                     early: crash.early,
                 };
-                self.count_crash(request, crash);
+                self.count_crash(request, crash, Observer::Peer);
             }
             if let Some(term) = suspicion.term {
                 let until = now + Duration::from_millis(term.left_ms.into());
@@ -94,25 +96,24 @@
         }
     }
 
-    /// What changed lately, and as many of the rejected requests as fit beside it.
+    /// What this entry saw lately.
     fn suspicions(&self) -> Vec<Suspicion> {
         let now = self.clock.now();
         let quarantine = self.quarantine.borrow();
         let since = now.saturating_sub(REPORT_PERIOD);
-        let mut requests: Vec<(Fingerprint, &Record)> = quarantine.changed_since(since).collect();
-        // The crashes that count most first: a mass of them doesn't fit.
-        requests
-            .sort_by_key(|(_, record)| std::cmp::Reverse((record.crashes.len(), record.changed)));
+        let mut requests: Vec<(Fingerprint, &Record)> = quarantine.observed_since(since).collect();
+        // Those with most crashes first: a mass of them doesn't fit.
+        requests.sort_by_key(|(_, record)| std::cmp::Reverse(record.crashes.len()));
         requests.truncate(suspicion::MAX_SUSPICIONS);
         let reports = requests.into_iter();
         reports
-            .map(|(request, record)| report(now, request, record))
+            .map(|(request, record)| suspicion(now, request, record))
             .collect()
     }
 }
 
 /// What peers are told of a request.
-fn report(now: Duration, request: Fingerprint, record: &Record) -> Suspicion {
+fn suspicion(now: Duration, request: Fingerprint, record: &Record) -> Suspicion {
     let latest = record.crashes.iter().rev().take(suspicion::MAX_CRASHES);
     let crashes = latest.map(|crash| suspicion::Crash {
         upstream: crash.upstream,
@@ -141,8 +142,8 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-/// Reports changes to peers at once, and again for a while, for as long as the process runs.
-pub async fn report_changes(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+/// Reports what this entry sees to peers at once, and again for a while, for as long as the process runs.
+pub async fn report(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
         let suspicions = gateway.suspicions();
         if !suspicions.is_empty() {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -188,7 +188,7 @@
             let incarnation = since.map_or(0, |since| since.as_secs());
             monoio::spawn(peers::hear(gateway.clone(), socket.clone()));
             monoio::spawn(peers::tell(gateway.clone(), socket.clone(), incarnation));
-            monoio::spawn(quarantine::report_changes(gateway.clone(), socket.clone()));
+            monoio::spawn(quarantine::report(gateway.clone(), socket.clone()));
             monoio::spawn(peers::subscribe(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
         }
--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// Who saw something of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observer {
+    /// This entry.
+    Own,
+    /// Another entry, which reports it to all by itself.
+    Peer,
+}
+
 /// What is to be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Status {
@@ -89,7 +98,9 @@
     /// When it succeeded last, if it did since the first crash.
     pub succeeded: Option<Duration>,
     /// When any of this changed last.
-    pub changed: Duration,
+    changed: Duration,
+    /// When this entry saw something of it last.
+    observed: Option<Duration>,
 }
 
 impl Record {
@@ -99,6 +110,14 @@
         self.term.filter(|term| now < term.until)
     }
 
+    /// Records a change.
+    fn change(&mut self, now: Duration, observer: Observer) {
+        self.changed = now;
+        if observer == Observer::Own {
+            self.observed = Some(now);
+        }
+    }
+
     /// Whether crashes until a time are of no account any more.
     fn is_cleared(&self, at: Duration) -> bool {
         self.succeeded.is_some_and(|succeeded| at <= succeeded)
@@ -117,7 +136,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use verbenaspool_policy::quarantine::{Bound, Crash, Quarantine, Status};
+    /// use verbenaspool_policy::quarantine::{Bound, Crash, Observer, Quarantine, Status};
     /// use verbenaspool_state::fingerprint::Fingerprint;
     ///
     /// let request = Fingerprint::of(None, "/", b"");
@@ -125,7 +144,7 @@
     /// let mut quarantine = Quarantine::default();
     /// for upstream in [1, 2] {
     ///     let crash = Crash::new(Duration::ZERO, upstream, None);
-    ///     quarantine.crashed(Duration::ZERO, request, crash, &bound);
+    ///     quarantine.crashed(Duration::ZERO, request, crash, Observer::Own, &bound);
     /// }
     /// let status = quarantine.status(Duration::from_secs(20), request);
     /// assert_eq!(status, Status::Quarantined(Duration::from_secs(40)));
@@ -142,13 +161,13 @@
         }
     }
 
-    /// Records a crash, seen here or by another entry. Tells whether the request is
-    /// rejected from now on, and wasn't before.
+    /// Records a crash. Tells whether the request is rejected from now on, and wasn't before.
     pub fn crashed(
         &mut self,
         now: Duration,
         request: Fingerprint,
         crash: Crash,
+        observer: Observer,
         bound: &Bound,
     ) -> bool {
         self.expire(now, bound.duration);
@@ -160,7 +179,7 @@
             return false;
         }
         record.crashes.push(crash);
-        record.changed = now;
+        record.change(now, observer);
         let reached = bound.crashes > 0 && record.crashes.len() >= bound.crashes;
         let begins = reached && record.current(now).is_none();
         if begins {
@@ -184,14 +203,20 @@
         }
         let record = self.records.entry(request).or_default();
         record.term = Some(term);
-        record.changed = now;
+        record.change(now, Observer::Peer);
         self.shrink(now);
         true
     }
 
-    /// Records that a request succeeded, here or at another entry: it isn't what crashed
-    /// upstreams before. Tells whether that changes anything.
-    pub fn succeeded(&mut self, now: Duration, request: Fingerprint, at: Duration) -> bool {
+    /// Records that a request succeeded at some time: it isn't what crashed upstreams before.
+    /// Tells whether that changes anything.
+    pub fn succeeded(
+        &mut self,
+        now: Duration,
+        request: Fingerprint,
+        at: Duration,
+        observer: Observer,
+    ) -> bool {
         let Some(record) = self.records.get_mut(&request) else {
             return false;
         };
@@ -199,7 +224,7 @@
             return false;
         }
         record.succeeded = Some(at);
-        record.changed = now;
+        record.change(now, observer);
         record.crashes.retain(|crash| crash.at > at);
         record.term = None;
         true
@@ -211,16 +236,11 @@
         records.filter_map(move |(request, record)| Some((*request, record.current(now)?)))
     }
 
-    /// What is known of a request.
-    #[must_use]
-    pub fn record(&self, request: Fingerprint) -> Option<&Record> {
-        self.records.get(&request)
-    }
-
-    /// What changed since some time.
-    pub fn changed_since(&self, since: Duration) -> impl Iterator<Item = (Fingerprint, &Record)> {
-        let changed = self.records.iter().filter(move |(_, r)| r.changed >= since);
-        changed.map(|(request, record)| (*request, record))
+    /// What this entry has seen since some time.
+    pub fn observed_since(&self, since: Duration) -> impl Iterator<Item = (Fingerprint, &Record)> {
+        let records = self.records.iter();
+        let observed = records.filter(move |(_, r)| r.observed.is_some_and(|at| at >= since));
+        observed.map(|(request, record)| (*request, record))
     }
 
     /// Drops what no longer counts.
--- a/verbenaspool_policy/src/quarantine/tests.rs
+++ b/verbenaspool_policy/src/quarantine/tests.rs
@@ -4,7 +4,11 @@
 
 use verbenaspool_state::fingerprint::Fingerprint;
 
-use super::{Bound, Crash, MAX_RECORDS, Quarantine, Status, Term};
+use super::{
+    Bound, Crash, MAX_RECORDS,
+    Observer::{Own, Peer},
+    Quarantine, Status, Term,
+};
 
 const BOUND: Bound = Bound {
     crashes: 2,
@@ -35,9 +39,9 @@
 fn a_crash_counts_once_however_often_it_is_reported() {
     let mut quarantine = Quarantine::default();
     let crash = early(s(5), 1);
-    assert!(!quarantine.crashed(s(5), request(1), crash, &BOUND));
+    assert!(!quarantine.crashed(s(5), request(1), crash, Own, &BOUND));
     let echo = early(s(5) + Duration::from_millis(40), 1);
-    assert!(!quarantine.crashed(s(6), request(1), echo, &BOUND));
+    assert!(!quarantine.crashed(s(6), request(1), echo, Own, &BOUND));
     assert_eq!(quarantine.status(s(6), request(1)), Status::Suspect);
 }
 
@@ -45,8 +49,8 @@
 #[test]
 fn an_upstream_that_crashes_again_counts_again() {
     let mut quarantine = Quarantine::default();
-    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
-    assert!(quarantine.crashed(s(9), request(1), early(s(9), 1), &BOUND));
+    quarantine.crashed(s(5), request(1), early(s(5), 1), Own, &BOUND);
+    assert!(quarantine.crashed(s(9), request(1), early(s(9), 1), Own, &BOUND));
     assert_eq!(
         quarantine.status(s(9), request(1)),
         Status::Quarantined(BOUND.duration)
@@ -60,11 +64,11 @@
     let mut quarantine = Quarantine::default();
     for crash in 1..20 {
         let at = s(10 * u64::from(crash));
-        assert!(!quarantine.crashed(at, request(1), early(at, crash), &BOUND));
-        assert!(quarantine.succeeded(at + s(1), request(1), at + s(1)));
+        assert!(!quarantine.crashed(at, request(1), early(at, crash), Own, &BOUND));
+        assert!(quarantine.succeeded(at + s(1), request(1), at + s(1), Own));
     }
     let late_report = early(s(105), 99);
-    assert!(!quarantine.crashed(s(200), request(1), late_report, &BOUND));
+    assert!(!quarantine.crashed(s(200), request(1), late_report, Own, &BOUND));
     assert_eq!(quarantine.status(s(200), request(1)), Status::Clear);
 }
 
@@ -73,11 +77,11 @@
 #[test]
 fn an_older_success_clears_no_newer_crash() {
     let mut quarantine = Quarantine::default();
-    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
-    quarantine.succeeded(s(6), request(1), s(6));
-    quarantine.crashed(s(7), request(1), early(s(7), 2), &BOUND);
-    quarantine.crashed(s(8), request(1), early(s(8), 3), &BOUND);
-    assert!(!quarantine.succeeded(s(9), request(1), s(6)));
+    quarantine.crashed(s(5), request(1), early(s(5), 1), Own, &BOUND);
+    quarantine.succeeded(s(6), request(1), s(6), Own);
+    quarantine.crashed(s(7), request(1), early(s(7), 2), Own, &BOUND);
+    quarantine.crashed(s(8), request(1), early(s(8), 3), Own, &BOUND);
+    assert!(!quarantine.succeeded(s(9), request(1), s(6), Own));
     assert!(matches!(
         quarantine.status(s(9), request(1)),
         Status::Quarantined(_)
@@ -88,19 +92,19 @@
 fn a_request_that_ran_for_long_is_counted_but_not_suspected() {
     let mut quarantine = Quarantine::default();
     let crash = |at, upstream| Crash::new(at, upstream, Some(s(2)));
-    quarantine.crashed(s(5), request(1), crash(s(5), 1), &BOUND);
+    quarantine.crashed(s(5), request(1), crash(s(5), 1), Own, &BOUND);
     assert_eq!(quarantine.status(s(5), request(1)), Status::Clear);
-    assert!(quarantine.crashed(s(9), request(1), crash(s(9), 2), &BOUND));
+    assert!(quarantine.crashed(s(9), request(1), crash(s(9), 2), Own, &BOUND));
 }
 
 #[test]
 fn a_quarantine_ends_and_crashes_are_forgotten() {
     let mut quarantine = Quarantine::default();
-    quarantine.crashed(s(5), request(1), early(s(5), 1), &BOUND);
-    quarantine.crashed(s(6), request(1), early(s(6), 2), &BOUND);
+    quarantine.crashed(s(5), request(1), early(s(5), 1), Own, &BOUND);
+    quarantine.crashed(s(6), request(1), early(s(6), 2), Own, &BOUND);
     assert_eq!(quarantine.quarantined(s(605)).count(), 1);
     assert_eq!(quarantine.quarantined(s(606)).count(), 0);
-    assert!(!quarantine.crashed(s(700), request(1), early(s(700), 3), &BOUND));
+    assert!(!quarantine.crashed(s(700), request(1), early(s(700), 3), Own, &BOUND));
 }
 
 #[test]
@@ -121,7 +125,7 @@
 fn a_success_ends_the_quarantines_begun_before_it() {
     let mut quarantine = Quarantine::default();
     quarantine.hold(s(5), request(1), term(4, 300));
-    assert!(quarantine.succeeded(s(10), request(1), s(10)));
+    assert!(quarantine.succeeded(s(10), request(1), s(10), Own));
     assert!(!quarantine.hold(s(11), request(1), term(4, 300)));
     assert!(quarantine.hold(s(21), request(1), term(20, 320)));
 }
@@ -135,7 +139,7 @@
     let mut quarantine = Quarantine::default();
     for upstream in 1..10 {
         let at = s(u64::from(upstream));
-        assert!(!quarantine.crashed(at, request(1), early(at, upstream), &bound));
+        assert!(!quarantine.crashed(at, request(1), early(at, upstream), Own, &bound));
     }
 }
 
@@ -143,14 +147,24 @@
 #[test]
 fn records_are_bounded_and_rejected_requests_are_kept() {
     let mut quarantine = Quarantine::default();
-    quarantine.crashed(s(1), request(0), early(s(1), 1), &BOUND);
-    quarantine.crashed(s(2), request(0), early(s(2), 2), &BOUND);
+    quarantine.crashed(s(1), request(0), early(s(1), 1), Own, &BOUND);
+    quarantine.crashed(s(2), request(0), early(s(2), 2), Own, &BOUND);
     for number in 1..MAX_RECORDS + 100 {
-        quarantine.crashed(s(3), request(number), early(s(3), 3), &BOUND);
+        quarantine.crashed(s(3), request(number), early(s(3), 3), Own, &BOUND);
     }
-    assert_eq!(
-        quarantine.changed_since(Duration::ZERO).count(),
-        MAX_RECORDS
-    );
+    assert_eq!(quarantine.records.len(), MAX_RECORDS);
     assert_eq!(quarantine.quarantined(s(3)).count(), 1);
 }
+
+/// Guards against reports that all entries pass on, whose number grows with their square.
+#[test]
+fn only_what_was_seen_here_is_reported() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(5), request(1), early(s(5), 1), Peer, &BOUND);
+    quarantine.crashed(s(5), request(2), early(s(5), 1), Own, &BOUND);
+    quarantine.hold(s(5), request(3), term(4, 300));
+    let reported: Vec<_> = quarantine.observed_since(s(0)).collect();
+    assert_eq!(reported.len(), 1);
+    assert_eq!(reported[0].0, request(2));
+    assert_eq!(quarantine.observed_since(s(6)).count(), 0);
+}
