Reject requests that crash upstreams behind agents as well

The agent outlives its upstream and sees the requests of all entries. Entries name a request's fingerprint, where they have its whole body; an agent whose upstream breaks an answer off connects anew, and reports what the upstream had where its instance refuses. An entry asks for that report before it repeats or resumes, and the others get it with the reports that they ask for anyway, also entries that start later. Two crashes without a success between quarantine the request, by the same decision as on the direct path.

crashes::a_request_that_crashes_upstreams_behind_agents_is_not_sent_on and crashes::an_entry_learns_from_agents_what_crashed_upstreams_before fail without it (18 crashes; now two for each entry at most).

--- a/verbenaspool/benches/capacity/agent.rs
+++ b/verbenaspool/benches/capacity/agent.rs
@@ -30,6 +30,7 @@
                 last: size,
                 events: (1..=size).map(event).collect(),
             },
+            crashes: Vec::new(),
         };
         let question = Question {
             instance: Identity {
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -113,9 +113,10 @@
 
 impl Default for Quarantine {
     fn default() -> Self {
+        let bound = quarantine::Bound::default();
         Self {
-            crashes: 2,
-            duration_s: 600,
+            crashes: bound.crashes,
+            duration_s: u32::try_from(bound.duration.as_secs()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/verbenaspool/src/entry/answer.rs
+++ b/verbenaspool/src/entry/answer.rs
@@ -105,6 +105,9 @@
 
     /// Ends well.
     fn finish(&mut self) {
+        if let Some(fingerprint) = self.forward.fingerprint {
+            self.forward.entry.succeeded(fingerprint);
+        }
         self.close(Ending::Ran, Outcome::Ran);
     }
 
--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -185,6 +185,9 @@
     headers.insert(header::ATTEMPT, value(&ticket.id.to_string()));
     headers.insert(header::AGENT, ticket.process.into());
     headers.insert(header::INSTANCE, ticket.address.instance.clone());
+    if let Some(fingerprint) = forward.fingerprint {
+        headers.insert(header::FINGERPRINT, value(&fingerprint.to_string()));
+    }
     headers.insert(header::CUSTOMER, value(forward.customer.as_str()));
     let left = u64::try_from(forward.left().as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::DEADLINE, left.into());
--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -13,6 +13,7 @@
     problem::{Code, Problem},
 };
 use verbenaspool_state::{
+    fingerprint::Fingerprint,
     name::Name,
     service::{Kind, Service},
 };
@@ -61,6 +62,8 @@
     pub idempotent: bool,
     /// The key that makes a write run at most once.
     pub key: Option<String>,
+    /// What identifies it, where its whole body is here.
+    pub fingerprint: Option<Fingerprint>,
     /// The estimate of its work.
     pub prompt: Prompt,
     /// What is measured of it.
@@ -101,6 +104,10 @@
 
     /// Gets a place, claims the key where there is one, and makes attempts.
     async fn attempts(self: &Rc<Self>) -> Result<Response<Body>, Problem> {
+        if let Some(left) = self.quarantined() {
+            let message = "Upstreams crash under the request.";
+            return Err(Problem::not_run(Code::Quarantined, message).after(left));
+        }
         let attempt = self.admit().await?;
         let mut claimed = self.claim(&attempt).await?;
         let result = self.send(attempt, &mut claimed).await;
@@ -193,11 +200,31 @@
         }
     }
 
+    /// How much longer the request is rejected, if it is.
+    fn quarantined(&self) -> Option<Duration> {
+        self.entry.quarantined(self.fingerprint?)
+    }
+
+    /// Learns from the agent beside an upstream that broke off whether that crashed. Tells
+    /// whether the request may be sent again.
+    async fn learn_crash(&self, upstream: &Name) -> bool {
+        if self.fingerprint.is_some() {
+            self.entry.ask(upstream).await;
+        }
+        self.quarantined().is_none()
+    }
+
     /// The next attempt after a failure, if one is allowed.
     async fn again(&self, failure: Failure, tried: &[Name]) -> Result<Attempt, Problem> {
         if let Some(problem) = self.fault() {
             return Err(problem);
         }
+        if failure.ending == Ending::Unknown
+            && let Some(upstream) = tried.last()
+            && !self.learn_crash(upstream).await
+        {
+            return Err(failure.problem);
+        }
         // Work that may have run is repeated only where it may run twice.
         let safe = failure.ending == Ending::NotRun
             || failure.ending == Ending::Unknown && self.idempotent;
@@ -267,6 +294,9 @@
         tokens: u32,
         mut tried: Vec<Name>,
     ) -> Option<(Exchange, Vec<Name>)> {
+        if !self.learn_crash(tried.last()?).await {
+            return None;
+        }
         let retried = self
             .queue
             .retry(&self.work(), Ending::Unknown, &tried)
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod forward;
 pub mod observe;
 pub mod prompt;
+mod quarantine;
 mod queue;
 pub mod reply;
 mod reports;
@@ -24,13 +25,16 @@
     time::Duration,
 };
 
-use http::{Request, Response, Uri, request::Parts};
+use bytes::Bytes;
+use http::{Request, Response, Uri, request::Parts, uri::PathAndQuery};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
 use rand::Rng;
 use slog::{Logger, info};
-use verbenaspool_policy::{balancer::Balancer, member::Peer, share, snapshot::Snapshot};
+use verbenaspool_policy::{
+    balancer::Balancer, member::Peer, quarantine::Quarantine, share, snapshot::Snapshot,
+};
 use verbenaspool_protocol::{
     attempt, header,
     load::Load,
@@ -38,7 +42,8 @@
     problem::{Code, Problem},
 };
 use verbenaspool_state::{
-    file::File, name::Name, service::Kind, service::Service, upstream::Upstream, version::Version,
+    file::File, fingerprint::Fingerprint, name::Name, service::Kind, service::Service,
+    upstream::Upstream, version::Version,
 };
 use verbenaspool_transport::{
     clock::Clock,
@@ -194,6 +199,7 @@
     services: RefCell<HashMap<Name, Running>>,
     peers: RefCell<Vec<Peer>>,
     draining: Cell<bool>,
+    quarantine: RefCell<Quarantine>,
 }
 
 impl std::fmt::Debug for Entry {
@@ -236,6 +242,7 @@
             services: RefCell::default(),
             peers: RefCell::default(),
             draining: Cell::new(false),
+            quarantine: RefCell::default(),
         })
     }
 
@@ -416,7 +423,7 @@
         let running = running.ok_or_else(not_ready)?;
         let observation = self.observe(&running, began, &parts);
         let admitted = self.check(&parts, body, service).await;
-        let (wish, uri, upload, prompt) = match admitted {
+        let (wish, uri, upload, prompt, body) = match admitted {
             Ok(admitted) => admitted,
             Err(problem) => {
                 observation.end(Ended::Outcome(Outcome::NotRun));
@@ -425,6 +432,11 @@
         };
         observation.set("customer", customer.name.as_str());
         let own = Duration::from_millis(service.decisions.deadline_ms);
+        let fingerprint = body.map(|body| {
+            let path = parts.uri.path_and_query();
+            let path = path.map_or(parts.uri.path(), PathAndQuery::as_str);
+            Fingerprint::of(Some(customer.name.as_str()), path, &body.concat())
+        });
         let headers = exchange::passed(parts.headers);
         Ok(Forward {
             idempotent: caller::repeatable(service, &parts.method, uri.path()),
@@ -440,6 +452,7 @@
             uri,
             headers,
             upload,
+            fingerprint,
             prompt,
             observation,
         })
@@ -460,7 +473,7 @@
         parts: &Parts,
         body: Incoming,
         service: &Service,
-    ) -> Result<(caller::Options, Uri, Upload, Prompt), Problem> {
+    ) -> Result<Checked, Problem> {
         let wish = caller::wish(&parts.headers)?;
         let uri = below(parts, service)?;
         let length = body.size_hint().exact();
@@ -475,10 +488,20 @@
             (Kind::Model(_), Some(first)) => prompt::read(&first, length),
             _ => Prompt::default(),
         };
-        Ok((wish, uri, upload, prompt))
+        let body = match length {
+            Some(length) if length <= upload::KEPT as u64 => {
+                Some(upload.whole().await.map_err(faulty)?)
+            }
+            _ => None,
+        };
+        Ok((wish, uri, upload, prompt, body))
     }
 }
 
+/// A checked request: what its caller asks for, the path below its service's own, its body
+/// and the estimate of its work, and the whole body where that is small.
+type Checked = (caller::Options, Uri, Upload, Prompt, Option<Vec<Bytes>>);
+
 impl Handler for Entry {
     fn handle(self: Rc<Self>, _peer: SocketAddr, request: Request<Incoming>) -> Answer {
         Box::pin(self.respond(request))
--- a/verbenaspool/src/entry/reports.rs
+++ b/verbenaspool/src/entry/reports.rs
@@ -64,6 +64,7 @@
             let report: report::Report = report;
             self.heard(name, &report.load);
             self.cached(name, &report.cache);
+            self.crashed(name, &report.crashes);
         }
     }
 
--- a/verbenaspool/src/entry/upload.rs
+++ b/verbenaspool/src/entry/upload.rs
@@ -23,7 +23,7 @@
 
 /// How many bytes of a body are kept for a second sending. A usual prompt fits,
 /// and 1,000 callers hold at most 16 MB.
-const KEPT: usize = 16 * 1024;
+pub const KEPT: usize = 16 * 1024;
 
 /// Bounds on a caller's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,6 +139,22 @@
         }
     }
 
+    /// Waits until all of the body is here, and gives it. To be asked only of a body that is
+    /// small enough to be kept.
+    ///
+    /// # Errors
+    /// The body is faulty.
+    pub async fn whole(&self) -> Result<Vec<Bytes>, Fault> {
+        let mut view = self.body();
+        while let Some(frame) = std::future::poll_fn(|cx| Pin::new(&mut view).poll_frame(cx)).await
+        {
+            if frame.is_err() {
+                return Err(self.fault().unwrap_or(Fault::Broken));
+            }
+        }
+        Ok(self.kept())
+    }
+
     /// The body from its start, for one attempt.
     #[must_use]
     pub fn body(&self) -> View {
--- a/verbenaspool/tests/entry/agent.rs
+++ b/verbenaspool/tests/entry/agent.rs
@@ -84,7 +84,11 @@
                 ..Load::default()
             };
             let cache = report::Cache::default();
-            Ok::<_, String>(report::Report { load, cache })
+            Ok::<_, String>(report::Report {
+                load,
+                cache,
+                crashes: Vec::new(),
+            })
         });
         let agent = self.clone();
         module.on(settle::METHOD, move |_: settle::Question| {
--- /dev/null
+++ b/verbenaspool/tests/entry/crashes.rs
@@ -0,0 +1,155 @@
+//! Requests that crash the upstreams that run them, through real agents.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Collected};
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use slog::{Discard, Logger, o};
+use verbenaspool_agent::{agent::Agent, settings};
+use verbenaspool_standin::{address, crash};
+use verbenaspool_state::upstream::Upstream;
+use verbenaspool_transport::{
+    clock::Monotonic,
+    http::{
+        body::Body,
+        server::{Answer, Handler},
+    },
+    shutdown::{self, Trigger},
+};
+
+use crate::site::{Site, code, request, run, upstream, whole};
+
+/// Upstreams of the service.
+const UPSTREAMS: usize = 4;
+
+/// How long an upstream takes to start again.
+const DOWNTIME: Duration = Duration::from_millis(200);
+
+/// The body of a request that crashes them.
+const CRASHING: &str = "crashes";
+
+/// Crashes after which a request is rejected at an entry.
+const CRASHES: usize = 2;
+
+/// One process of an upstream.
+struct Fragile {
+    crash: Trigger,
+}
+
+impl Fragile {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let body = request.into_body().collect().await;
+        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        if body == CRASHING {
+            self.crash.fire();
+            std::future::pending::<()>().await;
+        }
+        Response::new(Body::full(body))
+    }
+}
+
+impl Handler for Fragile {
+    fn handle(self: Rc<Self>, _: SocketAddr, request: Request<Incoming>) -> Answer {
+        Box::pin(self.answer(request))
+    }
+}
+
+/// The upstreams with an agent beside each.
+struct Fleet {
+    upstreams: Vec<Upstream>,
+    crashes: Rc<Cell<usize>>,
+    _agents: Vec<Trigger>,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let crashes = Rc::new(Cell::new(0));
+        let (mut upstreams, mut agents) = (Vec::new(), Vec::new());
+        for number in 0..UPSTREAMS {
+            let address = address::fresh();
+            monoio::spawn(run_upstream(address, crashes.clone()));
+            let name = format!("jobs-{number}");
+            let text = format!(
+                "firm: tidewater\ninstance: {name}\nlisten: 127.0.0.1:0\ncontrol: 127.0.0.1:0\n\
+                 upstream: {{address: '{address}', kind: plain}}\n"
+            );
+            let settings = settings::read(&text).expect("sound settings");
+            let log = Logger::root(Discard, o!());
+            let agent = Agent::bind(settings, log, Monotonic::start()).expect("an agent");
+            let (data, control) = (agent.address(), agent.control());
+            upstreams.push(upstream(&name, "jobs", data, control));
+            let (stop, signal) = shutdown::channel();
+            monoio::spawn(agent.run(signal));
+            agents.push(stop);
+        }
+        Self {
+            upstreams,
+            crashes,
+            _agents: agents,
+        }
+    }
+}
+
+/// Runs an upstream, which starts again after each crash.
+async fn run_upstream(address: SocketAddr, crashes: Rc<Cell<usize>>) {
+    loop {
+        let (trigger, signal) = shutdown::channel();
+        let listener = TcpListener::bind(address).expect("a free address");
+        crash::serve(listener, Rc::new(Fragile { crash: trigger }), signal).await;
+        crashes.set(crashes.get() + 1);
+        monoio::time::sleep(DOWNTIME).await;
+    }
+}
+
+/// Sends a look-up, which may be repeated; tells the status and the answer.
+async fn search(site: &Site, body: &'static str) -> (StatusCode, String) {
+    let sent = request(Method::POST, "/jobs/search", body);
+    let (status, _, body) = whole(site.send(sent).await).await;
+    (status, body)
+}
+
+/// Guards against a request that crashes one upstream after the other behind their agents, at
+/// each attempt of its caller and at each entry.
+#[test]
+fn a_request_that_crashes_upstreams_behind_agents_is_not_sent_on() {
+    run(async {
+        let fleet = Fleet::start();
+        let entries = [Site::start(&fleet.upstreams), Site::start(&fleet.upstreams)];
+        for attempt in 0..12 {
+            search(&entries[attempt % 2], CRASHING).await;
+            monoio::time::sleep(DOWNTIME).await;
+        }
+        let crashes = fleet.crashes.get();
+        assert!(crashes >= CRASHES);
+        assert!(crashes <= CRASHES * entries.len(), "{crashes} crashes");
+        for entry in &entries {
+            let (status, body) = search(entry, CRASHING).await;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+            assert_eq!(code(&body), "quarantined");
+            assert_eq!(search(entry, "sound").await.0, StatusCode::OK);
+        }
+        assert_eq!(fleet.crashes.get(), crashes);
+    });
+}
+
+/// Guards against an entry that starts later and has to find out by crashes of its own.
+#[test]
+fn an_entry_learns_from_agents_what_crashed_upstreams_before() {
+    run(async {
+        let fleet = Fleet::start();
+        let first = Site::start(&fleet.upstreams);
+        for _ in 0..3 {
+            search(&first, CRASHING).await;
+            monoio::time::sleep(DOWNTIME).await;
+        }
+        let crashes = fleet.crashes.get();
+        let second = Site::start(&fleet.upstreams);
+        // An entry asks all its agents within a second or two.
+        monoio::time::sleep(Duration::from_millis(2_500)).await;
+        let (_, body) = search(&second, CRASHING).await;
+        assert_eq!(code(&body), "quarantined");
+        assert_eq!(fleet.crashes.get(), crashes);
+    });
+}
--- a/verbenaspool/tests/entry/main.rs
+++ b/verbenaspool/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod bad_input;
+mod crashes;
 mod path;
 mod process;
 mod repeats;
--- a/verbenaspool_agent/src/control.rs
+++ b/verbenaspool_agent/src/control.rs
@@ -1,12 +1,15 @@
 //! The agent's control methods: settling, reports and leaving.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use verbenaspool_protocol::{report, settle};
 use verbenaspool_transport::rpc::Module;
 
 use crate::shared::Shared;
 
+/// How often it is looked whether the cause of a broken answer is known, which an entry asks for.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Registers the methods.
 pub(crate) fn register(module: &mut Module, shared: &Rc<Shared>) {
     let agent = shared.clone();
@@ -18,11 +21,21 @@
     module.on(report::METHOD, move |question: report::Question| {
         // Whoever means another instance must not learn this process's number.
         let meant = question.instance == agent.settings.identity();
-        let report = meant.then(|| report::Report {
-            load: agent.load(),
-            cache: agent.engine.borrow().since(question.since),
-        });
-        async move { report.ok_or_else(|| "another instance is here".to_owned()) }
+        let agent = agent.clone();
+        async move {
+            if !meant {
+                return Err("another instance is here".to_owned());
+            }
+            while agent.crashes.is_pending() {
+                agent.clock.sleep(POLL_INTERVAL).await;
+            }
+            let cache = agent.engine.borrow().since(question.since);
+            Ok(report::Report {
+                load: agent.load(),
+                cache,
+                crashes: agent.crashes.reports(agent.clock.now()),
+            })
+        }
     });
     let agent = shared.clone();
     module.on(report::LEAVE, move |(): ()| {
--- a/verbenaspool_agent/src/envelope.rs
+++ b/verbenaspool_agent/src/envelope.rs
@@ -8,6 +8,7 @@
     attempt, header,
     problem::{Code, Problem},
 };
+use verbenaspool_state::fingerprint::Fingerprint;
 
 /// What an entry says about a request.
 #[derive(Debug)]
@@ -15,6 +16,8 @@
     pub(crate) attempt: attempt::Id,
     /// How long the caller still waits, where it said so.
     pub(crate) deadline: Option<Duration>,
+    /// What identifies the request, where the entry had its whole body.
+    pub(crate) request: Option<Fingerprint>,
 }
 
 /// Reads the headers of a request that means to reach this agent process.
@@ -39,6 +42,7 @@
     Ok(Envelope {
         attempt,
         deadline: deadline(headers)?,
+        request: text(headers, header::FINGERPRINT).and_then(|text| text.parse().ok()),
     })
 }
 
--- a/verbenaspool_agent/src/lib.rs
+++ b/verbenaspool_agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod admin;
 mod answer;
 mod control;
+mod crashes;
 mod envelope;
 mod executor;
 mod flight;
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -89,7 +89,7 @@
         span.fail("refused");
         return Err(refuse(refusal));
     }
-    let flight = Flight::new(shared.clone(), key, span);
+    let flight = Flight::new(shared.clone(), key, envelope.request, span);
     let mut request = outgoing(request, shared.upstream(), largest);
     if let Ok(context) = HeaderValue::from_str(&flight.context()) {
         request.headers_mut().insert(header::TRACEPARENT, context);
@@ -172,6 +172,7 @@
     }
     hop::strip(&mut parts.headers);
     parts.headers.remove(header::AGENT);
+    parts.headers.remove(header::FINGERPRINT);
     if let Ok(host) = HeaderValue::from_str(&upstream.to_string()) {
         parts.headers.insert(HOST, host);
     }
@@ -179,7 +180,8 @@
 }
 
 /// The upstream's answer as the entry gets it.
-fn incoming(response: Response<Body>, flight: Flight) -> Response<Body> {
+fn incoming(response: Response<Body>, mut flight: Flight) -> Response<Body> {
+    flight.start();
     let (mut parts, body) = response.into_parts();
     let marked = parts.headers.contains_key(CONTENT_LENGTH)
         || parts.headers.contains_key(TRANSFER_ENCODING)
--- a/verbenaspool_agent/src/shared.rs
+++ b/verbenaspool_agent/src/shared.rs
@@ -13,7 +13,7 @@
 use verbenaspool_protocol::load::Load;
 use verbenaspool_transport::{clock::Clock, http::client::Client, trace::Tracer};
 
-use crate::{meter::Meter, poll::View, settings::Settings};
+use crate::{crashes::Crashes, meter::Meter, poll::View, settings::Settings};
 
 /// How long a connection to the upstream on the same instance may take.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -33,6 +33,7 @@
     pub(crate) client: Client,
     pub(crate) meter: Meter,
     pub(crate) tracer: Rc<Tracer>,
+    pub(crate) crashes: Crashes,
     sequence: Cell<u64>,
 }
 
@@ -55,6 +56,7 @@
             clock,
             ledger: RefCell::new(Ledger::new(limits)),
             engine: RefCell::default(),
+            crashes: Crashes::default(),
             sequence: Cell::new(0),
         }
     }
--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -27,6 +27,15 @@
     pub duration: Duration,
 }
 
+impl Default for Bound {
+    fn default() -> Self {
+        Self {
+            crashes: 2,
+            duration: Duration::from_mins(10),
+        }
+    }
+}
+
 /// A crash of an upstream that had a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -9,6 +9,8 @@
 pub const INSTANCE: &str = "x-verbenaspool-instance";
 /// What became of the request: `ran`, `not-run` or `unknown`.
 pub const OUTCOME: &str = "x-verbenaspool-outcome";
+/// The request's fingerprint, where the entry has its whole body.
+pub const FINGERPRINT: &str = "x-verbenaspool-fingerprint";
 /// How long the caller waits for the whole answer, in milliseconds.
 pub const DEADLINE: &str = "x-verbenaspool-deadline-ms";
 /// The caller's priority: `high`, `normal` or `low`.
--- a/verbenaspool_protocol/src/problem.rs
+++ b/verbenaspool_protocol/src/problem.rs
@@ -40,6 +40,8 @@
     Platform,
     /// The upstream broke off or the answer was lost.
     Upstream,
+    /// Upstreams crash under the request.
+    Quarantined,
 }
 
 impl Code {
@@ -67,6 +69,7 @@
             | Self::Leaving
             | Self::StaleAttempt
             | Self::NotReady
+            | Self::Quarantined
             | Self::Platform => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/verbenaspool_protocol/src/report.rs
+++ b/verbenaspool_protocol/src/report.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use verbenaspool_state::upstream::Identity;
+use verbenaspool_state::{fingerprint::Fingerprint, upstream::Identity};
 
 use crate::load::Load;
 
@@ -31,6 +31,22 @@
     pub load: Load,
     /// What changed in the prefix cache.
     pub cache: Cache,
+    /// Requests that the upstream had as it crashed, lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
+}
+
+/// A request that the upstream had as it crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Crash {
+    /// The request.
+    pub request: Fingerprint,
+    /// How long ago that was, in milliseconds.
+    pub age_ms: u64,
+    /// How long the upstream had been answering the request, in milliseconds; none if it
+    /// hadn't begun.
+    pub ran_ms: Option<u64>,
 }
 
 /// Changes of the prefix cache since the number that was asked for.
--- /dev/null
+++ b/verbenaspool_standin/src/crash.rs
@@ -0,0 +1,47 @@
+//! A server that crashes: its listener and connections are gone at once.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use hyper::{server::conn::http1, service::service_fn};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpListener, TcpStream},
+};
+use monoio_compat::hyper::MonoioIo;
+use verbenaspool_transport::{http::server::Handler, shutdown::Signal};
+
+/// Serves requests until the signal comes, and breaks everything off then.
+pub async fn serve(listener: TcpListener, handler: Rc<dyn Handler>, crash: Signal) {
+    let mut crashed = crash.clone();
+    loop {
+        monoio::select! {
+            () = crashed.wait() => return,
+            accepted = listener.accept() => {
+                if let Ok((stream, peer)) = accepted {
+                    monoio::spawn(converse(stream, peer, handler.clone(), crash.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Serves a connection until its end, or until the crash.
+async fn converse(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Rc<dyn Handler>,
+    mut crash: Signal,
+) {
+    let Ok(stream) = stream.into_poll_io() else {
+        return;
+    };
+    let service = service_fn(move |request| {
+        let answer = handler.clone().handle(peer, request);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new().serve_connection(MonoioIo::new(stream), service);
+    monoio::select! {
+        () = crash.wait() => {}
+        _ = connection => {}
+    }
+}
--- a/verbenaspool_standin/src/lib.rs
+++ b/verbenaspool_standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform, a model engine and a plain service, for tests and the demo.
 
 pub mod address;
+pub mod crash;
 pub mod engine;
 pub mod history;
 pub mod platform;
