Let a success end only quarantines begun before it

A success that is heard of late, by a peer's report, ended a quarantine begun since, until the crashes behind it were reported as well. a_success_heard_of_late_ends_no_newer_quarantine failed before.

--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -235,7 +235,7 @@
         record.succeeded = Some(at);
         record.change(now, observer);
         record.crashes.retain(|crash| crash.at > at);
-        record.term = None;
+        record.term = record.term.filter(|term| term.since > at);
         true
     }
 
--- a/verbenaspool_policy/src/quarantine/tests.rs
+++ b/verbenaspool_policy/src/quarantine/tests.rs
@@ -88,6 +88,18 @@
     ));
 }
 
+/// Guards against a success that is heard of late and ends a quarantine begun after it.
+#[test]
+fn a_success_heard_of_late_ends_no_newer_quarantine() {
+    let mut quarantine = Quarantine::default();
+    quarantine.hold(s(8), request(1), term(8, 300));
+    quarantine.succeeded(s(9), request(1), s(6), Peer);
+    assert!(matches!(
+        quarantine.status(s(9), request(1)),
+        Status::Quarantined(_)
+    ));
+}
+
 #[test]
 fn a_request_that_ran_for_long_is_counted_but_not_suspected() {
     let mut quarantine = Quarantine::default();
