Find crashes by answers that break off in their body

What callers would see: a plain request whose upstream crashes after the head of its answer is sent on without bound, as the entry looked for a crash only where no answer had begun, or a stream broke off. Found by reading the code again.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -229,7 +229,7 @@
             Sent::Unknown(why) => {
                 self.record.sent(&id, why);
                 if *why == BROKEN_REASON {
-                    self.detect_crash(&replica).await;
+                    self.detect_crash(&id).await;
                 }
             }
             Sent::Barred => {}
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -5,7 +5,7 @@
 use slog::warn;
 use verbenaspool_policy::quarantine::{Crash, Status};
 use verbenaspool_protocol::digest;
-use verbenaspool_state::replica::{Replica, State};
+use verbenaspool_state::replica::State;
 
 use super::{answer::Refused, attempt::Work};
 
@@ -35,21 +35,18 @@
 
 impl Work {
     /// Finds out whether the upstream crashed that broke off this request's answer, and
-    /// records it: its instance refuses connections then. One that leaves on purpose doesn't count.
-    pub async fn detect_crash(&self, replica: &Replica) {
+    /// records it: its instance refuses connections then. One that leaves on purpose doesn't
+    /// count.
+    pub async fn detect_crash(&self, upstream: &str) {
         let gateway = &self.gateway;
-        let ran = self
-            .started
-            .get()
-            .map(|started| gateway.clock.now().saturating_sub(started));
-        let listed = gateway.replica(&replica.id);
-        let stays = listed.is_some_and(|replica| replica.state == State::Ready);
-        if !stays
-            || !gateway
-                .client
-                .is_refused_by(replica.address, PROBE_TIMEOUT)
-                .await
-        {
+        let started = self.started.get();
+        let ran = started.map(|started| gateway.clock.now().saturating_sub(started));
+        let listed = gateway.replica(upstream);
+        let Some(replica) = listed.filter(|replica| replica.state == State::Ready) else {
+            return;
+        };
+        let client = &gateway.client;
+        if !client.is_refused_by(replica.address, PROBE_TIMEOUT).await {
             return;
         }
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -38,6 +38,9 @@
 /// Why a stream leaves an upstream: its connection broke.
 const BROKEN_REASON: &str = "broken-off";
 
+/// Why a stream leaves an upstream: it ended inside an event.
+const CUT_REASON: &str = "cut-off";
+
 /// Why a stream leaves an upstream: nothing came for too long.
 const SILENT_REASON: &str = "fell-silent";
 
@@ -126,7 +129,7 @@
                     self.work.record.end(200, "whole");
                     return None;
                 }
-                Next::End => match self.move_on("cut-off", Ending::Bad).await {
+                Next::End => match self.move_on(CUT_REASON, Ending::Bad).await {
                     Ok(()) => {}
                     Err(why) => return Some(self.fail(why)),
                 },
@@ -230,9 +233,8 @@
         let from = self.permit.as_ref().map(|permit| permit.upstream.clone());
         self.work.record.sent(from.as_deref().unwrap_or("-"), why);
         self.finish(ending);
-        let replica = from.and_then(|id| self.work.gateway.replica(&id));
-        if let Some(replica) = replica.filter(|_| why == BROKEN_REASON) {
-            self.work.detect_crash(&replica).await;
+        if let Some(upstream) = from.filter(|_| [BROKEN_REASON, CUT_REASON].contains(&why)) {
+            self.work.detect_crash(&upstream).await;
         }
         if !self.work.route.resumable {
             return Err(why);
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -271,8 +271,10 @@
     let (mut parts, body) = response.into_parts();
     clean(&mut parts.headers);
     let Ok(body) = Limited::new(body, MAX_BUFFERED_BYTES).collect().await else {
+        let upstream = permit.upstream.clone();
         permit.release(Ending::Bad);
-        work.record.sent("-", "broken-off");
+        work.record.sent(&upstream, "broken-off");
+        work.detect_crash(&upstream).await;
         return Taken::Broken;
     };
     let response = Response::from_parts(parts, Body::full(body.to_bytes()));
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -489,7 +489,7 @@
             _ => Prompt::default(),
         };
         let body = match length {
-            Some(length) if length <= upload::KEPT as u64 => {
+            Some(length) if length <= upload::MAX_REPLAY_BYTES as u64 => {
                 Some(upload.whole().await.map_err(faulty)?)
             }
             _ => None,
--- a/verbenaspool/src/entry/upload.rs
+++ b/verbenaspool/src/entry/upload.rs
@@ -23,7 +23,7 @@
 
 /// How many bytes of a body are kept for a second sending. A usual prompt fits,
 /// and 1,000 callers hold at most 16 MB.
-pub const KEPT: usize = 16 * 1024;
+pub const MAX_REPLAY_BYTES: usize = 16 * 1024;
 
 /// Bounds on a caller's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -205,7 +205,7 @@
         if self.passed > self.bounds.bytes {
             return Err(Fault::TooLarge);
         }
-        if self.passed > KEPT as u64 {
+        if self.passed > MAX_REPLAY_BYTES as u64 {
             self.kept = None;
         }
         if let Some(kept) = &mut self.kept {
