--- a/verbenaspool_agent/src/crashes.rs
+++ b/verbenaspool_agent/src/crashes.rs
@@ -19,8 +19,8 @@
 /// The most requests that are remembered.
 const MAX_RECORDS: usize = 256;
 
-/// How long they are.
-const MEMORY: Duration = Duration::from_mins(10);
+/// How long they are reported.
+const REPORT_PERIOD: Duration = Duration::from_mins(10);
 
 /// How long the upstream, on the same instance, has to refuse a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
@@ -50,7 +50,7 @@
     /// The requests, as reports tell them.
     pub(crate) fn reports(&self, now: Duration) -> Vec<report::Crash> {
         let mut records = self.records.borrow_mut();
-        records.retain(|record| now.saturating_sub(record.at) < MEMORY);
+        records.retain(|record| now.saturating_sub(record.at) < REPORT_PERIOD);
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         let reports = records.iter().map(|record| report::Crash {
             request: record.request,
--- a/verbenaspool_soak/src/site.rs
+++ b/verbenaspool_soak/src/site.rs
@@ -32,13 +32,13 @@
 const RANKS: &str = "ranks";
 
 /// The service whose upstreams some requests crash.
-const FRAGILE: &str = "fragile";
+const FRAGILE_SERVICE: &str = "fragile";
 
 /// Upstreams of that service.
 const FRAGILE_UPSTREAMS: usize = 4;
 
 /// How long one of them takes to start again.
-const DOWNTIME: Duration = Duration::from_millis(400);
+const RESTART_TIME: Duration = Duration::from_millis(400);
 
 /// The paths of its routes: streams, and requests that may run once.
 pub const FRAGILE_PATHS: [&str; 2] = ["stream/fragile", "fragile"];
@@ -145,7 +145,13 @@
         }
         let fragile = (0..FRAGILE_UPSTREAMS).map(|number| {
             let (store, name) = (store.clone(), format!("f-{number}"));
-            Crashing::start(store, FRAGILE, &name, address::fresh(), DOWNTIME)
+            Crashing::start(
+                store,
+                FRAGILE_SERVICE,
+                &name,
+                address::fresh(),
+                RESTART_TIME,
+            )
         });
         let fragile = fragile.collect();
         let addresses: Vec<SocketAddr> = (0..entries).map(|_| address::fresh()).collect();
@@ -262,8 +268,8 @@
     routes.push(text::route(&version_path(version), "safe", "jobs"));
     let kinds = ["streaming", "unsafe"];
     let fragile = FRAGILE_PATHS.iter().zip(kinds);
-    routes.extend(fragile.map(|(path, kind)| text::route(path, kind, FRAGILE)));
-    let services = [text::ranks(RANKS), text::service(FRAGILE)];
+    routes.extend(fragile.map(|(path, kind)| text::route(path, kind, FRAGILE_SERVICE)));
+    let services = [text::ranks(RANKS), text::service(FRAGILE_SERVICE)];
     text::configuration_with(version, &routes, &[KEY], &services)
 }
 
