--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -229,7 +229,8 @@
         let Some(record) = self.records.get_mut(&request) else {
             return false;
         };
-        if record.is_cleared(at) {
+        let counts = !record.crashes.is_empty() || record.term.is_some();
+        if !counts || record.is_cleared(at) {
             return false;
         }
         record.succeeded = Some(at);
--- a/verbenaspool_policy/src/quarantine/tests.rs
+++ b/verbenaspool_policy/src/quarantine/tests.rs
@@ -72,6 +72,19 @@
     assert_eq!(quarantine.status(s(200), request(1)), Status::Clear);
 }
 
+/// Guards against a log line and a report for each success of a common request that upstreams
+/// crashed under once.
+#[test]
+fn only_the_first_success_after_a_crash_changes_anything() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(s(5), request(1), early(s(5), 1), Own, &BOUND);
+    assert!(quarantine.succeeded(s(6), request(1), s(6), Own));
+    for at in 7..20 {
+        assert!(!quarantine.succeeded(s(at), request(1), s(at), Own));
+    }
+    assert_eq!(quarantine.observed_since(s(7)).count(), 0);
+}
+
 /// Guards against a success of an attempt begun before, reported late, that ends a quarantine
 /// begun since.
 #[test]
