Close a crashing stand-in's listener before its connections

The stand-in closed its connections first; on a busy machine an entry's new connection reached the listener before it was gone, so the crash went unnoticed. A kernel closes a process's files in their order, the listener first, and so does the stand-in now.

--- a/verbenaspool_standin/src/crash.rs
+++ b/verbenaspool_standin/src/crash.rs
@@ -8,29 +8,38 @@
     net::{TcpListener, TcpStream},
 };
 use monoio_compat::hyper::MonoioIo;
-use verbenaspool_transport::{http::server::Handler, shutdown::Signal};
+use verbenaspool_transport::{
+    http::server::Handler,
+    shutdown::{self, Signal},
+};
 
 /// Serves requests until the signal comes, and breaks everything off then.
+///
+/// The listener goes first, as with a process whose kernel closes its files in their order:
+/// whoever sees a connection break finds no listener.
 pub async fn serve(listener: TcpListener, handler: Rc<dyn Handler>, crash: Signal) {
-    let mut crashed = crash.clone();
+    let mut crashed = crash;
+    let (cut, closed) = shutdown::channel();
     loop {
         monoio::select! {
-            () = crashed.wait() => return,
+            () = crashed.wait() => break,
             accepted = listener.accept() => {
                 if let Ok((stream, peer)) = accepted {
-                    monoio::spawn(converse(stream, peer, handler.clone(), crash.clone()));
+                    monoio::spawn(converse(stream, peer, handler.clone(), closed.clone()));
                 }
             }
         }
     }
+    drop(listener);
+    cut.fire();
 }
 
-/// Serves a connection until its end, or until the crash.
+/// Serves a connection until its end, or until it is closed.
 async fn converse(
     stream: TcpStream,
     peer: SocketAddr,
     handler: Rc<dyn Handler>,
-    mut crash: Signal,
+    mut closed: Signal,
 ) {
     let Ok(stream) = stream.into_poll_io() else {
         return;
@@ -41,7 +50,7 @@
     });
     let connection = http1::Builder::new().serve_connection(MonoioIo::new(stream), service);
     monoio::select! {
-        () = crash.wait() => {}
+        () = closed.wait() => {}
         _ = connection => {}
     }
 }
