Explain all attempts of a request by its fingerprint

A request that crashes upstreams has another id at each attempt, and its attempts go to several entries. verbenaspool explain takes a fingerprint in place of the id and shows them all, with the upstreams that crashed under them. all_attempts_of_a_request_are_found_by_its_fingerprint.

--- a/extra/completions/verbenaspool.zsh
+++ b/extra/completions/verbenaspool.zsh
@@ -61,7 +61,7 @@
 _arguments "${_arguments_options[@]}" : \
 '-h[Print help]' \
 '--help[Print help]' \
-':id -- The id that the caller gave its request:_default' \
+':id -- The id that the caller gave its request, or the fingerprint of its content:_default' \
 '*::logs -- Logs of JSON lines; `-` is standard input:_files' \
 && ret=0
 ;;
--- a/verbenaspool/src/cli.rs
+++ b/verbenaspool/src/cli.rs
@@ -101,7 +101,7 @@
     },
     /// Tell what became of a request, from the logs of entries.
     Explain {
-        /// The id that the caller gave its request.
+        /// The id that the caller gave its request, or the fingerprint of its content.
         #[arg(value_name = "ID")]
         id: String,
         /// Logs of JSON lines; `-` is standard input.
--- a/verbenaspool/src/operate/explain.rs
+++ b/verbenaspool/src/operate/explain.rs
@@ -16,6 +16,8 @@
     ts: String,
     msg: String,
     request: Option<String>,
+    fingerprint: Option<String>,
+    upstream: Option<String>,
     status: u16,
     why: String,
     route: String,
@@ -33,6 +35,16 @@
     closed: u32,
 }
 
+impl Line {
+    /// Whether the line is about a request, by its id, or by its fingerprint, which all
+    /// attempts share.
+    fn is_about(&self, id: &str) -> bool {
+        [&self.request, &self.fingerprint]
+            .into_iter()
+            .any(|name| name.as_deref() == Some(id))
+    }
+}
+
 /// From which pace on an upstream is named as slow: what entries send nothing more to.
 const SLOW: f64 = 2.0;
 
@@ -81,7 +93,7 @@
         // Whoever collects logs may put words of its own before each line.
         let start = bytes.iter().position(|byte| *byte == b'{').unwrap_or(0);
         match serde_json::from_slice::<Line>(&bytes[start..]) {
-            Ok(line) if line.request.as_deref() == Some(id) => {
+            Ok(line) if line.is_about(id) => {
                 found.push((name.to_owned(), line));
             }
             Ok(_) => {}
@@ -96,6 +108,9 @@
 fn tell(mut found: Vec<(String, Line)>, bad: usize) -> Story {
     found.sort_by(|a, b| a.1.ts.cmp(&b.1.ts));
     let lines = found.iter().map(|(name, line)| {
+        if let (Some(upstream), 0) = (&line.upstream, line.status) {
+            return format!("{} {name}: {} ({upstream})", line.ts, line.msg);
+        }
         format!(
             "{} {name}: {} status {} ({}), route {:?} to {:?} by version {}, sent [{}], {} events, first after {:.1} ms, longest pause {:.1} ms, {:.1} ms in all",
             line.ts, line.msg, line.status, line.why, line.route, line.service, line.version,
--- a/verbenaspool/src/operate/explain/tests.rs
+++ b/verbenaspool/src/operate/explain/tests.rs
@@ -47,6 +47,24 @@
     }
 }
 
+/// Guards against a request that crashes one upstream after the other and can't be followed,
+/// as each attempt has an id of its own.
+#[test]
+fn all_attempts_of_a_request_are_found_by_its_fingerprint() {
+    let log = r#"{"ts":"2","msg":"upstream crashed","request":"a1","fingerprint":"77","upstream":"i-1","ran_ms":null}
+{"ts":"1","msg":"upstream crashed","request":"b2","fingerprint":"77","upstream":"i-2","ran_ms":80.0}
+{"ts":"3","msg":"Entry: A request ended.","request":"c3","fingerprint":"77","status":503,"why":"quarantined"}
+{"ts":"3","msg":"Entry: A request ended.","request":"d4","fingerprint":"78","status":200,"why":"whole"}
+"#;
+    let mut found = Vec::new();
+    read("77", "log", Cursor::new(log), &mut found).expect("memory can be read");
+    let story = tell(found, 0);
+    assert_eq!(story.lines.len(), 3);
+    assert_eq!(story.lines[0], "1 log: upstream crashed (i-2)");
+    let cause = story.cause.expect("it is found");
+    assert!(cause.contains("upstreams crashed under it"), "{cause}");
+}
+
 /// An id that is in no log has no cause.
 #[test]
 fn an_unknown_request_isnt_found() {
