End a streamed answer whole that breaks after its end mark

Cause: the entry counted the end mark as an event. A stream that broke between it and the end of the message was resumed after all its tokens, and the second engine, with nothing left, sent the mark again. Evidence: the test now prints an answer that it can't read.

An answer with its end mark is whole, so a break or a deadline after it ends the answer, and nothing is resumed. The mark isn't counted as a token.

path::a_stream_that_breaks_after_its_end_mark_is_not_resumed fails without the change (the mark comes twice).

--- a/verbenaspool/src/entry/answer.rs
+++ b/verbenaspool/src/entry/answer.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken stream goes on where the engine can resume it, at the last token
 //! that the caller got whole. Otherwise the caller's connection is broken as
-//! well: a broken answer must never end like a whole one.
+//! well: a broken answer must never end like a whole one. One that breaks off after
+//! its end mark is whole, and ends so.
 
 use std::{
     future::Future,
@@ -15,7 +16,7 @@
 use http_body::{Body as _, Frame, SizeHint};
 use verbenaspool_policy::attempt::Ending;
 use verbenaspool_protocol::outcome::Outcome;
-use verbenaspool_state::name::Name;
+use verbenaspool_state::{name::Name, service::Kind};
 use verbenaspool_transport::{
     clock::Sleep,
     http::body::{self, Body},
@@ -186,6 +187,19 @@
         });
     }
 
+    /// Whether the caller has the whole answer already, though its message hasn't ended.
+    fn is_complete(&self) -> bool {
+        let marks_end = matches!(self.forward.service.kind, Kind::Model(_));
+        marks_end && self.events.as_ref().is_some_and(|events| events.ended)
+    }
+
+    /// Ends well without the end of the upstream's message.
+    fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        self.held.clear();
+        self.finish();
+        Poll::Ready(None)
+    }
+
     /// Whether the caller's deadline is over.
     fn late(&mut self, cx: &mut Context<'_>) -> bool {
         let Some(limit) = &mut self.limit else {
@@ -225,6 +239,9 @@
                 },
             };
             if frame.is_pending() && self.late(cx) {
+                if self.is_complete() {
+                    return self.complete();
+                }
                 self.end_attempt(Ending::Cancelled);
                 return self.fail("the deadline is over".into());
             }
@@ -234,6 +251,7 @@
                     let rest = self.held.split().freeze();
                     return Poll::Ready((!rest.is_empty()).then(|| Ok(Frame::data(rest))));
                 }
+                Some(Err(_)) if self.is_complete() => return self.complete(),
                 Some(Err(_)) if self.resume() => {}
                 Some(Err(why)) => return self.fail(why),
                 Some(Ok(frame)) => {
--- a/verbenaspool/src/entry/events.rs
+++ b/verbenaspool/src/entry/events.rs
@@ -1,19 +1,40 @@
 //! Server-sent events as they pass: counted, and cut at their ends.
 
+use verbenaspool_protocol::engine::END_MARK;
+
 /// What a line that carries data begins with.
 const DATA: &[u8] = b"data:";
 
+/// How much of a line is kept to recognise it, in bytes: the longest form of the end mark's
+/// line, and a byte that tells a longer line from it.
+const MAX_LINE_BYTES: usize = DATA.len() + 1 + END_MARK.len() + 1;
+
+/// What the lines of an event carried so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Content {
+    /// No data.
+    #[default]
+    Empty,
+    /// Data of the answer.
+    Data,
+    /// The mark that ends the answer, and no other data.
+    EndMark,
+}
+
 /// Counts the events with data that have passed whole, wherever chunks are cut.
+///
+/// The event that marks the answer's end isn't counted: an engine that resumes the answer
+/// sends it again.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Events {
     /// How many have passed.
     pub count: u32,
-    /// How many bytes of the present line there are.
-    column: usize,
-    /// Whether the present line began like [`DATA`] so far.
-    matches: bool,
-    /// Whether the present event has data.
-    data: bool,
+    /// Whether the end mark has passed, so that nothing of the answer is missing.
+    pub ended: bool,
+    /// The beginning of the present line.
+    line: Vec<u8>,
+    /// What the present event carries.
+    content: Content,
 }
 
 impl Events {
@@ -31,13 +52,14 @@
         let mut end = 0;
         for (i, &byte) in chunk.iter().enumerate() {
             match byte {
-                b'\n' if self.column == 0 => {
-                    self.count += u32::from(std::mem::take(&mut self.data));
+                b'\n' if self.line.is_empty() => {
+                    self.end_event();
                     end = i + 1;
                 }
-                b'\n' => self.column = 0,
+                b'\n' => self.end_line(),
                 b'\r' => {}
-                _ => self.character(byte),
+                _ if self.line.len() < MAX_LINE_BYTES => self.line.push(byte),
+                _ => {}
             }
         }
         end
@@ -54,21 +76,30 @@
     /// assert_eq!(events, Events::default());
     /// ```
     pub fn restart(&mut self) {
-        *self = Self {
-            count: self.count,
-            ..Self::default()
-        };
+        self.line.clear();
+        self.content = Content::Empty;
     }
 
-    /// Reads a character within a line.
-    fn character(&mut self, byte: u8) {
-        if self.column == 0 {
-            self.matches = true;
+    /// Takes in what the present line carries.
+    fn end_line(&mut self) {
+        if let Some(value) = self.line.strip_prefix(DATA) {
+            let value = value.strip_prefix(b" ").unwrap_or(value);
+            let marks_end = self.content == Content::Empty && value == END_MARK.as_bytes();
+            self.content = if marks_end {
+                Content::EndMark
+            } else {
+                Content::Data
+            };
         }
-        if let Some(expected) = DATA.get(self.column) {
-            self.matches &= byte == *expected;
-            self.data |= self.matches && self.column + 1 == DATA.len();
+        self.line.clear();
+    }
+
+    /// Takes in what the present event was.
+    fn end_event(&mut self) {
+        match std::mem::take(&mut self.content) {
+            Content::Empty => {}
+            Content::Data => self.count += 1,
+            Content::EndMark => self.ended = true,
         }
-        self.column += 1;
     }
 }
--- a/verbenaspool/tests/entry/path.rs
+++ b/verbenaspool/tests/entry/path.rs
@@ -131,6 +131,39 @@
     });
 }
 
+/// Guards against an answer that ends twice, as it was resumed after its end mark.
+#[test]
+fn a_stream_that_breaks_after_its_end_mark_is_not_resumed() {
+    run(async {
+        let (site, agents, _stop) = site(2);
+        let queue = |agent: &Agent| {
+            let (feed, chunks) = mpsc::unbounded_channel();
+            agent.acts.borrow_mut().push_back(Act::Stream(chunks));
+            feed
+        };
+        let feeds = [queue(&agents[0]), queue(&agents[1])];
+        for feed in &feeds {
+            for chunk in ["data: one\n\ndata: [DO", "NE]\n\n"] {
+                feed.send(Some(chunk)).unwrap();
+            }
+        }
+        let sent = request(Method::POST, "/loft/v1/completions", "{}");
+        let mut body = site.send(sent).await.into_body();
+        let mut got = Vec::new();
+        while !got.ends_with(b"[DONE]\n\n") {
+            let frame = body.frame().await.unwrap().unwrap();
+            got.extend(frame.into_data().unwrap());
+        }
+        for feed in &feeds {
+            feed.send(None).unwrap();
+        }
+        got.extend(body.collect().await.unwrap().to_bytes());
+        assert_eq!(got, b"data: one\n\ndata: [DONE]\n\n");
+        let sent = agents.iter().map(|agent| agent.seen.borrow().len());
+        assert_eq!(sent.sum::<usize>(), 1);
+    });
+}
+
 #[test]
 fn a_confirmed_refusal_is_repeated_elsewhere() {
     run(async {
--- a/verbenaspool_protocol/src/engine.rs
+++ b/verbenaspool_protocol/src/engine.rs
@@ -24,6 +24,9 @@
     pub events: Vec<Event>,
 }
 
+/// The data of the event that ends a streamed answer.
+pub const END_MARK: &str = "[DONE]";
+
 /// The path of the engine's orders.
 pub const ORDER: &str = "/order";
 
