Don't count an entry's own address as a peer that is new

Cause: peers name the entry itself in their digests. It took its own address for a newly found peer, dropped it before the next digest, and so never counted its peers as known. While they aren't, an entry takes its part of the budget as one of 32.

An entry skips its own address, so that its peers count as known a second after the last one was found. an_entry_that_peers_name_settles fails without that (32 for 3).

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -85,6 +85,7 @@
         log: Logger,
         store: store::Client,
     ) -> Rc<Self> {
+        let peers = Peers::new(settings.address);
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
@@ -93,7 +94,7 @@
             client: Client::new(CONNECT_TIMEOUT).keep_for(KEEP_ALIVE_TIME),
             store,
             calls: rpc::Client::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(peers),
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
             suspected: Notify::new(),
--- a/verbenaspool/src/direct/peers.rs
+++ b/verbenaspool/src/direct/peers.rs
@@ -95,8 +95,10 @@
 }
 
 /// The other entries that are known.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    /// This entry's own address, which peers and seeds name as well.
+    own: IpAddr,
     known: HashMap<Ipv4Addr, Peer>,
     number: u64,
     /// Since when a peer is known to have something newer.
@@ -123,6 +125,17 @@
 }
 
 impl Peers {
+    /// The peers of the entry at an address, none of them known yet.
+    pub fn new(own: IpAddr) -> Self {
+        Self {
+            own,
+            known: HashMap::new(),
+            number: 0,
+            behind: None,
+            grown: Duration::ZERO,
+        }
+    }
+
     /// How many entries are alive, this one included.
     pub fn entries(&self, now: Duration) -> usize {
         1 + self.live(now).count()
@@ -186,6 +199,9 @@
 
     /// Remembers an entry that may be there.
     fn think_of(&mut self, now: Duration, address: Ipv4Addr) {
+        if self.own == address {
+            return;
+        }
         let grown = &mut self.grown;
         self.known.entry(address).or_insert_with(|| {
             *grown = now;
@@ -196,6 +212,12 @@
         });
     }
 
+    /// Forgets peers that are silent for long.
+    fn forget(&mut self, now: Duration) {
+        self.known
+            .retain(|_, peer| now.saturating_sub(peer.since) < FORGET_AFTER);
+    }
+
     /// What other entries have in flight at each upstream.
     fn flights(&self, now: Duration) -> HashMap<u32, u32> {
         let mut sums = HashMap::new();
@@ -500,10 +522,7 @@
             peers.think_of(now, address);
         }
     }
-    let own = settings.address;
-    peers.known.retain(|address, peer| {
-        IpAddr::V4(*address) != own && now.saturating_sub(peer.since) < FORGET_AFTER
-    });
+    peers.forget(now);
     peers.known.keys().copied().collect()
 }
 
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -1,11 +1,21 @@
 //! How many digests there are, and among how many entries something is shared.
 
-use std::{net::Ipv4Addr, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::Duration,
+};
 
 use verbenaspool_protocol::digest::Digest;
 
 use super::{ASSUMED_ENTRIES, Peers, pause};
 
+/// The address of the entry itself.
+const OWN: Ipv4Addr = Ipv4Addr::new(10, 255, 0, 1);
+
+fn peers() -> Peers {
+    Peers::new(IpAddr::V4(OWN))
+}
+
 fn peer(number: u16) -> Ipv4Addr {
     let [high, low] = number.to_be_bytes();
     Ipv4Addr::new(10, 0, high, low)
@@ -20,7 +30,7 @@
 
 /// Peers of which each is heard as often as it speaks, for so many seconds.
 fn heard(count: u16, seconds: u32) -> (Peers, Duration) {
-    let (mut peers, mut now) = (Peers::default(), Duration::ZERO);
+    let (mut peers, mut now) = (peers(), Duration::ZERO);
     let every = pause(count.into());
     for number in 1.. {
         for other in 0..count {
@@ -49,13 +59,31 @@
 /// repeat as if it were nearly alone.
 #[test]
 fn a_new_entry_takes_a_small_part_of_what_is_shared() {
-    let mut peers = Peers::default();
+    let mut peers = peers();
     let start = Duration::from_millis(100);
     peers.hear(start, peer(1), digest(1));
     assert_eq!(peers.sharers(start), ASSUMED_ENTRIES);
     assert_eq!(peers.sharers(start + Duration::from_millis(1_500)), 2);
 }
 
+/// Guards against retry budgets of one among 32 entries for good, as peers name the entry
+/// itself in each digest.
+#[test]
+fn an_entry_that_peers_name_settles() {
+    let mut peers = peers();
+    let named = |number| Digest {
+        peers: vec![OWN, peer(1), peer(2)],
+        ..digest(number)
+    };
+    for number in 1..=100 {
+        let now = Duration::from_millis(42 * number);
+        peers.hear(now, peer(1), named(number));
+        peers.hear(now, peer(2), named(number));
+        peers.forget(now);
+    }
+    assert_eq!(peers.sharers(Duration::from_millis(4_200)), 3);
+}
+
 #[test]
 fn peers_that_speak_seldom_count_as_alive() {
     for count in [3, 58, 900] {
