Report a group that makes no passes as one that runs nothing

Callers' requests were sent for up to three seconds to a group that stood still: a pass was held at a rank whose instance had frozen, the group counted as open, and each request waited there until its caller left after two seconds. Behind some of them runs went on (GONE): those that had reached the frozen instance just before, which were sent again to another rank of the same group.

Cause: the agents told entries only whether their group is open. The frozen rank's agent can't report at all, so even of a broken group it counted as open.

An agent now reports that nothing runs while its rank has requests and no pass began for five passes, and 0.4 s at least; entries take what most of a group's agents reported lately for all of its ranks.

Fails before: a_rank_whose_group_has_stopped_gets_nothing_while_it_is_silent.

--- a/verbenaspool_agent/src/direct/agent_state.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -26,6 +26,7 @@
     listeners::Listeners,
     membership::Membership,
     partial::{Known, Partial, Parts},
+    progress::Progress,
     rank::Rank,
     settings::Settings,
 };
@@ -84,8 +85,10 @@
     pub(super) gave: Cell<(u64, u64)>,
     /// The number with which this process's messages begin.
     pub(super) first: u64,
-    /// The last pass that the rank began, and since when it is the last.
-    pub(super) stall: Cell<(u64, Duration)>,
+    /// The passes of the rank's group.
+    pub(super) progress: Cell<Progress>,
+    /// Whether the group had stopped when the rank's report was last read.
+    stalled: Cell<bool>,
     /// The order that the rank is being given.
     pub(super) giving: RefCell<Option<order::Order>>,
     /// Entries that want to hear how the rank stands.
@@ -142,7 +145,8 @@
             bar: Cell::default(),
             gave: Cell::default(),
             first: number,
-            stall: Cell::default(),
+            progress: Cell::default(),
+            stalled: Cell::default(),
             giving: RefCell::default(),
             listeners: RefCell::default(),
             slots: RefCell::default(),
@@ -226,7 +230,7 @@
         }
         self.note_round(&state);
         self.hear_state(self.settings.address, state);
-        self.stalls(report);
+        self.observe_progress(report);
         let now = self.state();
         let what = |state: &State| {
             let report = &state.report;
@@ -242,6 +246,25 @@
         before.as_ref().is_none_or(changed)
     }
 
+    /// Takes in whether the group makes passes.
+    fn observe_progress(&self, report: &Report) {
+        let now = self.clock.now();
+        let mut progress = self.progress.get();
+        let stood = progress.stood(now);
+        progress.observe(now, report.step, report.running > 0);
+        self.progress.set(progress);
+        let stalled = progress.is_stalled(now);
+        if stalled != self.stalled.replace(stalled) {
+            warn!(self.log, "group progress changed"; "stalled" => stalled, "step" => report.step,
+                "running" => report.running, "stood_ms" => stood.as_secs_f64() * 1e3);
+        }
+    }
+
+    /// Whether the rank sits in a group that makes passes.
+    pub(super) fn is_running(&self) -> bool {
+        self.state.borrow().is_some() && !self.stalled.get()
+    }
+
     /// Takes a rank's state in.
     pub(super) fn hear_state(&self, agent: IpAddr, state: State) {
         // A rank whose own group is forming still takes in those that have joined it.
--- a/verbenaspool_agent/src/direct/mod.rs
+++ b/verbenaspool_agent/src/direct/mod.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod orders;
 mod partial;
+pub mod progress;
 mod rank;
 pub mod run;
 pub mod settings;
--- a/verbenaspool_agent/src/direct/standin.rs
+++ b/verbenaspool_agent/src/direct/standin.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use slog::{info, warn};
-use verbenaspool_platform::report::Report;
 use verbenaspool_protocol::member::State;
 
 use super::{
@@ -25,15 +24,6 @@
 const STOOD_PER_RANK: Duration = Duration::from_millis(250);
 
 impl AgentState {
-    /// Notes since when the rank has begun no pass though it has requests.
-    pub(super) fn stalls(&self, report: &Report) {
-        let now = self.clock.now();
-        let (step, _) = self.stall.get();
-        if report.step != step || report.running == 0 {
-            self.stall.set((report.step, now));
-        }
-    }
-
     /// Stands in for a lead that is silent while the group stands still.
     ///
     /// A lead that freezes or is cut off between the orders to hold a pass and to
@@ -50,7 +40,7 @@
         let now = self.clock.now();
         let heard = self.membership.borrow().get(0).map(|member| member.heard);
         let silent = heard.is_none_or(|heard| now.saturating_sub(heard) > LEAD_TIMEOUT);
-        let stood = now.saturating_sub(self.stall.get().1);
+        let stood = self.progress.get().stood(now);
         let patience = STANDBY_TIMEOUT + STOOD_PER_RANK * u32::from(state.rank - 1);
         let held = state.report.held.is_some();
         let patience = if held { LEAD_TIMEOUT } else { patience };
--- a/verbenaspool_agent/src/direct/tell.rs
+++ b/verbenaspool_agent/src/direct/tell.rs
@@ -52,7 +52,7 @@
     pub async fn tell_entries(&self) {
         let now = self.clock.now();
         let standing = Standing {
-            pace: self.state.borrow().as_ref().map(|state| state.pace),
+            pace: self.running_pace(),
             requests: self.slots.borrow().requests(),
         };
         let entries = self.listeners.borrow_mut().due(now, standing);
@@ -65,10 +65,17 @@
         }
     }
 
+    /// The rank's pace; none while its group runs nothing.
+    fn running_pace(&self) -> Option<f32> {
+        let state = self.state.borrow();
+        let pace = state.as_ref().map(|state| state.pace);
+        pace.filter(|_| self.is_running())
+    }
+
     /// How the rank stands, for entries.
     fn status(&self) -> Status {
         self.statuses.set(self.statuses.get() + 1);
-        let pace = self.state.borrow().as_ref().map(|state| state.pace);
+        let pace = self.running_pace();
         Status {
             number: self.statuses.get(),
             upstream: self.settings.upstream,
@@ -85,8 +92,7 @@
     /// asked for more could fill the rank's line.
     pub(super) async fn grant(&self, entry: IpAddr, ask: Ask) {
         let slots = self.limit.get().unwrap_or(ask.slots);
-        let open = self.state.borrow().is_some();
-        let granted = open && self.slots.borrow_mut().grant(self.clock.now(), slots);
+        let granted = self.is_running() && self.slots.borrow_mut().grant(self.clock.now(), slots);
         let answer = Answer {
             ticket: ask.ticket,
             granted,
--- a/verbenaspool_policy/src/dispatch/domain.rs
+++ b/verbenaspool_policy/src/dispatch/domain.rs
@@ -36,6 +36,7 @@
     /// one has nothing to spare, and counts as if it had.
     #[must_use]
     pub fn can_lose_one(&self, now: Duration) -> bool {
+        let closed = self.closed_groups(now);
         let mut domains = BTreeMap::new();
         for (id, upstream) in self.upstreams.iter().filter(|(_, u)| u.ready) {
             let domain = if upstream.group == 0 {
@@ -44,7 +45,8 @@
                 Domain::Group(upstream.group)
             };
             let trusted = upstream.trust.cost(now).is_some();
-            let runs = trusted && upstream.is_open(now) && self.takes(upstream.group);
+            let open = upstream.is_open(now) && !closed.contains(&upstream.group);
+            let runs = trusted && open && self.takes(upstream.group);
             *domains.entry(domain).or_insert(false) |= runs;
         }
         let running = domains.values().filter(|runs| **runs).count();
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub mod circuit;
 mod domain;
 pub mod fresh;
+mod group;
 mod known;
 pub mod line;
 pub mod outage;
@@ -266,9 +267,8 @@
 
     /// The pace of the quickest upstream that runs.
     fn quickest(&self, now: Duration) -> f64 {
-        let open = self.upstreams.values().filter(|u| u.is_open(now));
-        open.map(|upstream| upstream.pace)
-            .fold(f64::INFINITY, f64::min)
+        let paces = self.open(now).map(|(_, upstream)| upstream.pace);
+        paces.fold(f64::INFINITY, f64::min)
     }
 
     /// A stream at an upstream got an event.
@@ -286,8 +286,8 @@
             // No agent told of a group: the upstream stands by itself.
             return Silence::Stuck;
         }
-        let mut others = self.upstreams.values().filter(|u| u.group != group);
-        let others_run = others.any(|u| u.is_open(now) && self.takes(u.group));
+        let mut others = self.open(now).filter(|(_, u)| u.group != group);
+        let others_run = others.any(|(_, u)| self.takes(u.group));
         slow::judge(since, self.heard.get(&group).copied(), others_run)
     }
 
@@ -392,8 +392,7 @@
 
     /// Whether any upstream takes requests, as far as known.
     fn is_open(&self, now: Duration) -> bool {
-        let mut upstreams = self.upstreams.values();
-        upstreams.any(|u| u.is_open(now) && self.takes(u.group))
+        self.open(now).any(|(_, u)| self.takes(u.group))
     }
 
     /// Whether a group takes requests, as far as its ranks' answers tell.
@@ -472,9 +471,10 @@
     #[must_use]
     pub fn known(&self, now: Duration) -> Known {
         let mut known = Known::default();
+        let closed = self.closed_groups(now);
         for (id, upstream) in &self.upstreams {
             known.pass = known.pass.max(self.pass(now, id).unwrap_or_default());
-            if !upstream.is_open(now) {
+            if !upstream.is_open(now) || closed.contains(&upstream.group) {
                 known.closed += u32::from(upstream.ready);
             } else if upstream.pace > known.slowest {
                 known.slowest = upstream.pace;
@@ -488,16 +488,12 @@
     /// How the service stands, for logs and metrics.
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Snapshot {
-        let ready = self
-            .upstreams
-            .values()
-            .filter(|upstream| upstream.is_open(now));
         let mut snapshot = Snapshot {
             waiting: self.line.len(),
             pace: self.all.pace(now, pass::INITIAL_PACE),
             ..Snapshot::default()
         };
-        for upstream in ready {
+        for (_, upstream) in self.open(now) {
             snapshot.upstreams += 1;
             snapshot.busy += upstream.own + upstream.others;
             snapshot.shunned += u32::from(upstream.trust.cost(now).is_none());
--- a/verbenaspool_policy/src/dispatch/place.rs
+++ b/verbenaspool_policy/src/dispatch/place.rs
@@ -79,6 +79,7 @@
         over: bool,
     ) -> Option<Rc<str>> {
         let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
+        let closed = self.closed_groups(now);
         let mut slowness = BTreeMap::new();
         let quickest = self.quickest(now);
         let mut best: Option<(f64, Rc<str>)> = None;
@@ -87,7 +88,10 @@
             let Some(upstream) = self.upstreams.get(&id) else {
                 continue;
             };
-            if !upstream.is_open(now) || waiting.ask.avoid.contains(&id) {
+            if !upstream.is_open(now) || closed.contains(&upstream.group) {
+                continue;
+            }
+            if waiting.ask.avoid.contains(&id) {
                 continue;
             }
             if slow::is_slow(upstream.pace, quickest) {
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -56,8 +56,18 @@
 impl Upstream {
     /// Whether it takes requests, as far as it and its agent say.
     pub fn is_open(&self, now: Duration) -> bool {
+        self.ready && !self.is_closed(now)
+    }
+
+    /// Whether its agent reported lately that its group runs nothing.
+    pub fn is_closed(&self, now: Duration) -> bool {
         let closed = |said: Duration| now.saturating_sub(said) < CLOSED_REPORT_TTL;
-        self.ready && !self.closed.is_some_and(closed)
+        self.closed.is_some_and(closed)
+    }
+
+    /// Whether its agent reported lately whether its group runs.
+    pub fn is_reported(&self, now: Duration) -> bool {
+        self.group != 0 && now.saturating_sub(self.said) < CLOSED_REPORT_TTL
     }
 
     /// Whether its agent told lately what it has.
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod customer;
 mod fleet;
+mod group;
 mod load;
 mod outage;
 mod relief;
