--- a/verbenaspool_agent/src/direct/agent_state.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -254,9 +254,12 @@
         progress.observe(now, report.step, report.running > 0);
         self.progress.set(progress);
         let stalled = progress.is_stalled(now);
-        if stalled != self.stalled.replace(stalled) {
-            warn!(self.log, "group progress changed"; "stalled" => stalled, "step" => report.step,
-                "running" => report.running, "stood_ms" => stood.as_secs_f64() * 1e3);
+        let was_stalled = self.stalled.replace(stalled);
+        if stalled && !was_stalled {
+            warn!(self.log, "group stalled"; "step" => report.step, "running" => report.running);
+        } else if was_stalled && !stalled {
+            info!(self.log, "group makes passes again"; "step" => report.step,
+                "stood_ms" => stood.as_secs_f64() * 1e3);
         }
     }
 
