Send nothing to availability zones that the operator evacuates

Callers saw nothing wrong, but upstreams of a zone that the operator was emptying went on getting requests: no code read the evacuations in the store.

Entries follow the evacuations where the settings state a bound for them and aren't ready before they know them. The list travels between entries like the registry, by the revision in digests, so an entry that the store rejects gets it from a peer, and a store that comes back with an older list reverts nothing. Upstreams of such a zone get no new requests; those that they have finish there, and their ranks go on taking part in passes, as a group that spans zones could run none without them. If no other zone serves the service, requests are rejected at once, retries too: only the operator ends that. `verbenaspool entries` shows what is left in a zone.

Digests of the previous version are still read: fields that they omit at the end count as zero.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -1,6 +1,7 @@
-//! Watches the store for changes of the configuration and the registry of upstreams.
+//! Watches the store for changes of the configuration, the registry of upstreams and the
+//! evacuated zones.
 //!
-//! Each of the two has a long-polling watch, which returns changes within milliseconds. A
+//! Each of them has a long-polling watch, which returns changes within milliseconds. A
 //! watch on a dead connection is detected by its timeout. Until then the entry gets the
 //! changes from peers.
 
@@ -9,12 +10,12 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 use verbenaspool_platform::{
-    configuration, registry as wire,
+    configuration, evacuation, registry as wire,
     store::{Change, Listing, Object, WatchOutcome},
 };
 use verbenaspool_transport::platform::Error;
 
-use super::{gateway::Gateway, registry};
+use super::{evacuation::Evacuations, gateway::Gateway, registry};
 
 /// How long a watch waits for changes if there are few entries. A dead connection to the
 /// store is detected within a second after it. It isn't shorter because each call to the
@@ -50,6 +51,8 @@
     Configuration,
     /// The registry of upstreams.
     Registry,
+    /// The evacuated zones.
+    Evacuations,
 }
 
 impl Kind {
@@ -58,6 +61,7 @@
         match self {
             Self::Configuration => configuration::OBJECT_KIND,
             Self::Registry => wire::OBJECT_KIND,
+            Self::Evacuations => evacuation::OBJECT_KIND,
         }
     }
 }
@@ -181,6 +185,14 @@
                     self.gateway.apply_configuration(object, "store");
                 }
             }
+            Kind::Evacuations => {
+                let zones = self.objects.keys().cloned();
+                let evacuations = Evacuations {
+                    revision: self.revision,
+                    zones: zones.collect(),
+                };
+                self.gateway.update_evacuations(evacuations, "store");
+            }
             Kind::Registry => {
                 let available_since = self
                     .available_since
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -24,8 +24,8 @@
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
-    peers::Peers, queue::ServiceQueue, registry::Registry, reserve::Reservations,
-    settings::Settings,
+    evacuation::Evacuations, peers::Peers, queue::ServiceQueue, registry::Registry,
+    reserve::Reservations, settings::Settings,
 };
 
 /// Timeout for new connections to upstreams. A round trip takes a few milliseconds. A
@@ -68,6 +68,8 @@
     pub closed: Cell<bool>,
     /// The object from which the table was decoded. Peers fetch it.
     pub table_source: RefCell<Option<Object>>,
+    /// The availability zones whose upstreams get no requests.
+    pub evacuations: RefCell<Evacuations>,
     table: RefCell<Option<Rc<Table>>>,
     registry: RefCell<Registry>,
     registry_loaded: Cell<bool>,
@@ -100,6 +102,7 @@
             leaving: Cell::new(false),
             closed: Cell::new(false),
             table_source: RefCell::default(),
+            evacuations: RefCell::default(),
             table: RefCell::default(),
             registry: RefCell::default(),
             registry_loaded: Cell::new(false),
@@ -134,10 +137,13 @@
         )
     }
 
-    /// Whether the entry is ready for requests: it has a routing table and a registry, and
-    /// isn't shutting down.
+    /// Whether the entry is ready for requests: it has a routing table and a registry, knows
+    /// the evacuated zones where there may be some, and isn't shutting down.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.registry_loaded.get() && self.table.borrow().is_some()
+        let can_evacuate = self.settings.borrow().limits.can_evacuate();
+        let knows_evacuations = !can_evacuate || self.evacuations.borrow().revision > 0;
+        let has_state = self.registry_loaded.get() && self.table.borrow().is_some();
+        !self.leaving.get() && has_state && knows_evacuations
     }
 
     /// Activates a configuration if it is newer than the active one.
@@ -297,7 +303,11 @@
             let zone: Rc<str> = self.settings.borrow().zone.as_str().into();
             let seed = rand::rng().random();
             let (clock, log) = (self.clock.clone(), self.log.clone());
-            Rc::new(ServiceQueue::new(service.clone(), clock, log, zone, seed))
+            let queue = ServiceQueue::new(service.clone(), clock, log, zone, seed);
+            let queue = Rc::new(queue);
+            let evacuations = self.evacuations.borrow();
+            queue.with(|dispatcher, _| dispatcher.set_evacuated_zones(&evacuations.zones));
+            queue
         };
         queues
             .entry(service.clone())
@@ -310,6 +320,12 @@
         self.queues.borrow().values().cloned().collect()
     }
 
+    /// Whether an availability zone has upstreams.
+    pub fn has_upstream_in(&self, zone: &str) -> bool {
+        let registry = self.registry.borrow();
+        registry.iter().any(|replica| &*replica.zone == zone)
+    }
+
     /// The registered upstream with this id.
     pub fn replica(&self, id: &str) -> Option<Rc<Replica>> {
         self.registry.borrow().get(id).cloned()
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -1,4 +1,4 @@
-//! Fetches newer configurations and registries from peers.
+//! Fetches newer configurations, registries and evacuations from peers.
 
 use std::{
     collections::BTreeMap,
@@ -12,7 +12,7 @@
 use verbenaspool_platform::store::Object;
 use verbenaspool_transport::rpc;
 
-use crate::direct::{gateway::Gateway, registry};
+use crate::direct::{evacuation::Evacuations, gateway::Gateway, registry};
 
 /// How long to wait for a newer version from the store before it is fetched from a peer. The
 /// store usually delivers changes within milliseconds.
@@ -31,6 +31,9 @@
     pub(super) table: u64,
     /// The revision of its registry.
     pub(super) registry: u64,
+    /// The revision of the evacuated zones.
+    #[serde(default)]
+    pub(super) evacuations: u64,
 }
 
 /// State of a peer that is newer than the requested versions.
@@ -39,6 +42,8 @@
     configuration: Option<Object>,
     revision: u64,
     upstreams: Option<Vec<Object>>,
+    #[serde(default)]
+    evacuations: Option<Evacuations>,
 }
 
 impl Gateway {
@@ -47,6 +52,7 @@
         Versions {
             table: self.table_version(),
             registry: self.registry_revision(),
+            evacuations: self.evacuations.borrow().revision,
         }
     }
 
@@ -58,6 +64,8 @@
             configuration: newer.then(|| self.configuration()).flatten(),
             revision,
             upstreams: (revision > versions.registry).then_some(objects),
+            evacuations: (self.versions().evacuations > versions.evacuations)
+                .then(|| self.evacuations.borrow().clone()),
         }
     }
 
@@ -77,6 +85,9 @@
             }
         };
         let from = format!("peer {peer}");
+        if let Some(evacuations) = update.evacuations {
+            self.update_evacuations(evacuations, &from);
+        }
         if let Some(object) = &update.configuration {
             self.apply_quarantine(&object.status);
             self.apply_configuration(object, &from);
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -50,6 +50,7 @@
                 in_flight
             },
             peers: named,
+            evacuation_revision: versions.evacuations,
         }
     }
 
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -193,6 +193,7 @@
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
                 || peer.digest.registry_revision > versions.registry
+                || peer.digest.evacuation_revision > versions.evacuations
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
         newer.map(|(address, _)| *address).collect()
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -125,14 +125,7 @@
     standing::register_methods(&gateway, &mut module);
     monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
     start_peer_tasks(&gateway);
-    let relist = [Rc::new(Notify::new()), Rc::new(Notify::new())];
-    for (kind, relist) in [Kind::Configuration, Kind::Registry]
-        .into_iter()
-        .zip(&relist)
-    {
-        let follower = Follower::new(gateway.clone(), kind, relist.clone());
-        monoio::spawn(follower.run());
-    }
+    let relist = start_followers(&gateway);
     monoio::spawn(status::save_changes(gateway.clone()));
     let (close, closed) = shutdown::channel();
     let open = Connections::default();
@@ -180,6 +173,21 @@
     }
 }
 
+/// Spawns the tasks that follow the store. Returns the notifications that make them list all
+/// objects again.
+fn start_followers(gateway: &Rc<Gateway>) -> Vec<Rc<Notify>> {
+    let can_evacuate = gateway.settings.borrow().limits.can_evacuate();
+    let evacuations = can_evacuate.then_some(Kind::Evacuations);
+    let kinds = [Kind::Configuration, Kind::Registry].into_iter();
+    let follow = |kind| {
+        let relist = Rc::new(Notify::new());
+        let follower = Follower::new(gateway.clone(), kind, relist.clone());
+        monoio::spawn(follower.run());
+        relist
+    };
+    kinds.chain(evacuations).map(follow).collect()
+}
+
 /// Spawns the tasks that exchange messages with peers and agents.
 fn start_peer_tasks(gateway: &Rc<Gateway>) {
     match peers::bind(gateway) {
@@ -222,7 +230,7 @@
     gateway: &Rc<Gateway>,
     path: &Path,
     signals: &Signals,
-    relist: &[Rc<Notify>; 2],
+    relist: &[Rc<Notify>],
 ) {
     let clock = &gateway.clock;
     let mut last_tick = clock.now();
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -71,6 +71,9 @@
     pub retry_window_s: f64,
     /// Number of retries allowed in addition per window, by all entries together.
     pub retry_slack: f64,
+    /// How long after its evacuation a zone may still get requests, in milliseconds. Zones
+    /// are never evacuated if it is missing.
+    pub evacuation_ms: Option<f64>,
 }
 
 impl Default for Limits {
@@ -80,11 +83,23 @@
             retry_ratio: 0.1,
             retry_window_s: 10.0,
             retry_slack: 0.0,
+            evacuation_ms: None,
         }
     }
 }
 
 impl Limits {
+    /// Whether the operator may evacuate zones.
+    ///
+    /// ```
+    /// let limits = verbenaspool::direct::settings::Limits::default();
+    /// assert!(!limits.can_evacuate());
+    /// ```
+    #[must_use]
+    pub fn can_evacuate(&self) -> bool {
+        self.evacuation_ms.is_some()
+    }
+
     /// The limits of the retry budget.
     ///
     /// ```
--- a/verbenaspool/src/direct/standing.rs
+++ b/verbenaspool/src/direct/standing.rs
@@ -31,10 +31,22 @@
     /// processing them.
     #[serde(default)]
     pub quarantined: usize,
+    /// Evacuated zones, whose upstreams get no requests.
+    #[serde(default)]
+    pub evacuated: Vec<Evacuated>,
     /// Services by name.
     pub services: Vec<Service>,
 }
 
+/// An evacuated zone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Evacuated {
+    /// The zone.
+    pub zone: String,
+    /// Requests of this entry that the zone's upstreams still have.
+    pub requests: u32,
+}
+
 /// Status of a service at an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -71,6 +83,8 @@
         });
         let mut services: Vec<Service> = services.collect();
         services.sort_by(|a, b| a.name.cmp(&b.name));
+        let evacuated = self.evacuated_zones().into_iter();
+        let evacuated = evacuated.map(|(zone, requests)| Evacuated { zone, requests });
         let settings = self.settings.borrow();
         Standing {
             name: settings.name.clone(),
@@ -81,6 +95,7 @@
             revision: self.registry_revision(),
             entries: self.peers.borrow().live_entries(now),
             quarantined: self.quarantine.borrow().quarantined(now).count(),
+            evacuated: evacuated.collect(),
             services,
         }
     }
--- a/verbenaspool/src/operate/entries.rs
+++ b/verbenaspool/src/operate/entries.rs
@@ -97,6 +97,13 @@
             standing.entries,
             notes.join(", ")
         );
+        for evacuated in &standing.evacuated {
+            let _ = writeln!(
+                text,
+                "  zone {} evacuated, {} requests left",
+                evacuated.zone, evacuated.requests
+            );
+        }
         for service in &standing.services {
             let _ = writeln!(
                 text,
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -28,7 +28,11 @@
 mod upstream;
 pub mod wait_queue;
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use verbenaspool_state::{engine::Engine, replica};
 
@@ -70,6 +74,8 @@
     engine: Option<Engine>,
     /// Upstreams by id.
     upstreams: BTreeMap<Rc<str>, Upstream>,
+    /// Availability zones whose upstreams get no requests, by the operator's order.
+    evacuated_zones: BTreeSet<String>,
     /// Requests waiting for an upstream.
     queue: WaitQueue,
     /// Pass pace of each group.
@@ -107,6 +113,7 @@
             zone,
             engine: None,
             upstreams: BTreeMap::new(),
+            evacuated_zones: BTreeSet::new(),
             queue: WaitQueue::default(),
             group_paces: BTreeMap::new(),
             overall_pace: PassPace::default(),
@@ -143,6 +150,8 @@
             let mut upstream = existing.unwrap_or_else(|| Upstream::new(replica));
             upstream.ready = replica.state == replica::State::Ready;
             upstream.slots = replica.slots;
+            upstream.zone.clone_from(&replica.zone);
+            upstream.evacuated = self.evacuated_zones.contains(&*upstream.zone);
             self.upstreams.insert(replica.id.clone(), upstream);
         }
         // Removed upstreams are kept until their last request has finished.
@@ -155,6 +164,30 @@
         }
     }
 
+    /// Replaces the availability zones whose upstreams get no requests. Requests that they
+    /// have already finish there, and their ranks still take part in passes.
+    pub fn set_evacuated_zones(&mut self, zones: &BTreeSet<String>) {
+        self.evacuated_zones.clone_from(zones);
+        for upstream in self.upstreams.values_mut() {
+            upstream.evacuated = zones.contains(&*upstream.zone);
+        }
+    }
+
+    /// Requests of this entry at the upstreams of an availability zone.
+    #[must_use]
+    pub fn requests_in_zone(&self, zone: &str) -> u32 {
+        let upstreams = self.upstreams.values();
+        let in_zone = upstreams.filter(|upstream| &*upstream.zone == zone);
+        in_zone.map(|upstream| upstream.own_requests).sum()
+    }
+
+    /// Whether the operator has evacuated the zones of all upstreams that take requests. None
+    /// of them returns by itself, so nothing is gained by waiting.
+    fn is_evacuated(&self) -> bool {
+        let mut ready = self.upstreams.values().filter(|u| u.ready).peekable();
+        ready.peek().is_some() && ready.all(|upstream| upstream.evacuated)
+    }
+
     /// Records how many requests an upstream has, as reported by its agent. Returns whether
     /// the report was accepted.
     ///
@@ -400,10 +433,10 @@
     fn decide(&mut self, now: Duration, waiting: &QueuedRequest) -> Option<Verdict> {
         let (late_wait, service_time) =
             (self.service_time.late_wait(), self.service_time.estimate());
-        let timed_out = now
-            >= self
-                .outage
-                .wait_until(now, waiting, late_wait, service_time);
+        let until = self
+            .outage
+            .wait_until(now, waiting, late_wait, service_time);
+        let timed_out = now >= until || self.is_evacuated();
         if let Some(id) = self.choose_upstream(now, waiting, timed_out) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.own_requests += 1;
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -29,6 +29,8 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub ready: bool,
+    /// Whether the operator has evacuated its availability zone.
+    pub evacuated: bool,
     /// When its group was last reported to be down; `None` while the group runs.
     pub group_down_at: Option<Duration>,
     /// Requests in flight from this entry.
@@ -54,9 +56,9 @@
 }
 
 impl Upstream {
-    /// Whether it takes requests, as far as it and its agent report.
+    /// Whether it takes requests, as far as the operator, it and its agent say.
     pub fn is_available(&self, now: Duration) -> bool {
-        self.ready && !self.is_group_down(now)
+        self.ready && !self.evacuated && !self.is_group_down(now)
     }
 
     /// Whether its agent recently reported that its group is down.
@@ -105,6 +107,7 @@
             zone: replica.zone.clone(),
             slots: replica.slots,
             ready: true,
+            evacuated: false,
             group_down_at: None,
             own_requests: 0,
             reserving: 0,
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod circuit;
 mod crash;
 mod customer;
+mod evacuation;
 mod fleet;
 mod group;
 mod incremental;
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -21,6 +21,8 @@
     pub in_flight: Vec<InFlight>,
     /// Some of the other entries known to this one.
     pub peers: Vec<Ipv4Addr>,
+    /// The revision of the evacuations in use.
+    pub evacuation_revision: u64,
 }
 
 /// Common waits that callers of a service announce with an initial request. Entries
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -13,6 +13,10 @@
 /// would lose the whole datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Number of fields at the end of a digest that the previous version doesn't send. Zero
+/// takes one byte in each of them.
+const NEW_DIGEST_FIELDS: usize = 1;
+
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -75,6 +79,22 @@
     /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        postcard::from_bytes(bytes)
+            .ok()
+            .or_else(|| Self::decode_previous(bytes))
+    }
+
+    /// Decodes a message of the previous version, which omits fields at the end. They are
+    /// read as zero.
+    fn decode_previous(bytes: &[u8]) -> Option<Self> {
+        let mut padded = bytes.to_vec();
+        padded.resize(bytes.len() + NEW_DIGEST_FIELDS, 0);
+        match postcard::take_from_bytes(&padded).ok()? {
+            (message @ Self::Digest(_), []) => Some(message),
+            _ => None,
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -0,0 +1,44 @@
+//! Tests of the compatibility with processes of the previous version.
+
+use std::net::Ipv4Addr;
+
+use super::{Message, NEW_DIGEST_FIELDS};
+use crate::{
+    digest::{Digest, InFlight},
+    reservation,
+};
+
+fn digest() -> Digest {
+    Digest {
+        incarnation: 7,
+        sequence: 300,
+        in_flight: vec![InFlight {
+            upstream: 9,
+            requests: 2,
+        }],
+        peers: vec![Ipv4Addr::new(10, 0, 0, 1)],
+        ..Digest::default()
+    }
+}
+
+/// Guards against an upgrade during which entries of two versions don't hear each other, so
+/// that each counts the other as dead.
+#[test]
+fn digests_of_the_previous_version_are_read() {
+    let message = Message::Digest(digest());
+    let bytes = message.encode();
+    let previous = &bytes[..bytes.len() - NEW_DIGEST_FIELDS];
+    assert_eq!(Message::decode(previous), Some(message));
+}
+
+/// Guards against damaged datagrams that are read as those of the previous version.
+#[test]
+fn truncated_and_extended_datagrams_are_rejected() {
+    let bytes = Message::Digest(digest()).encode();
+    let previous = bytes.len() - NEW_DIGEST_FIELDS;
+    for length in (0..bytes.len()).filter(|length| *length != previous) {
+        assert_eq!(Message::decode(&bytes[..length]), None, "{length}");
+    }
+    let order = Message::Subscribe(reservation::Subscription { same_zone: true });
+    assert_eq!(Message::decode(&order.encode()[..1]), None);
+}
