Limit requests to upstreams that warm up

An upstream that has just started, or a zone that is taken back, is idle while all others are busy, so all entries prefer it in the same second, and it crashes well above the rate that its service states. Nothing knew of this rate.

The registry says how much longer an upstream warms up; one that doesn't say counts as just started, and no time is longer than that of its service. Where an agent stands beside the upstream, it grants: it counts its grants of the last second, and entries tell it the limit with each reservation. Such an upstream gets no request without its agent's grant meanwhile. Where there is no agent, each entry keeps to its share of the limit; with more entries than requests, a part of them sends, different ones for each upstream. An entry that may not know all others sends nothing on its own.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -167,7 +167,10 @@
         self.table_source.replace(Some(object.clone()));
         for service in table.services() {
             let queue = self.queue(&service.name);
-            queue.with(|dispatcher, _| dispatcher.set_engine(service.engine.as_ref()));
+            queue.with(|dispatcher, _| {
+                dispatcher.set_engine(service.engine.as_ref());
+                dispatcher.set_warm_up(service.warm_up);
+            });
         }
         self.distribute_upstreams();
     }
@@ -227,6 +230,10 @@
             let queue = self.queue(&service);
             queue.with(|dispatcher, _| {
                 dispatcher.set_upstreams(upstreams.iter().map(|replica| &**replica));
+                for replica in &upstreams {
+                    let reported_at = registry.first_seen(&replica.id);
+                    dispatcher.record_warm_up(reported_at, &replica.id, replica.warm_up_left);
+                }
             });
         }
     }
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -13,6 +13,7 @@
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
     retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
 };
+use verbenaspool_protocol::reservation::WarmUp;
 use verbenaspool_transport::clock::Clock;
 
 /// The dispatcher of one service at this entry, and the requests that wait for its verdicts.
@@ -59,6 +60,19 @@
             .needs_reservation(now, &self.upstream)
     }
 
+    /// How the upstream warms up, if it does.
+    pub fn warm_up(&self) -> Option<WarmUp> {
+        let now = self.queue.clock.now();
+        let dispatcher = self.queue.dispatcher.borrow();
+        let (left, max_rate) = dispatcher.warm_up_left(now, &self.upstream)?;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
+        let max_rate = max_rate as u32;
+        Some(WarmUp {
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            max_rate,
+        })
+    }
+
     /// Ends the reservation: the upstream's agent kept a slot for the request, or the request is
     /// sent without one. Dropping the permit ends a pending reservation as well.
     pub fn finish_reservation(&self) {
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -19,6 +19,8 @@
     pub objects: BTreeMap<String, Object>,
     /// The upstreams by id.
     replicas: BTreeMap<Rc<str>, Rc<Replica>>,
+    /// When the current object of each upstream was first seen.
+    first_seen: BTreeMap<Rc<str>, Duration>,
     /// Upstreams that are missing from the objects, and the time until which they are kept.
     missing: BTreeMap<Rc<str>, Duration>,
 }
@@ -42,6 +44,7 @@
                 continue;
             }
             if let Some(replica) = registry::decode(&object.name, &object.specification) {
+                self.first_seen.insert(replica.id.clone(), now);
                 replicas.insert(replica.id.clone(), Rc::new(replica));
             }
         }
@@ -61,6 +64,8 @@
             }
         }
         self.replicas = replicas;
+        let replicas = &self.replicas;
+        self.first_seen.retain(|id, _| replicas.contains_key(id));
         self.revision = revision;
         if &self.objects != objects {
             self.objects.clone_from(objects);
@@ -88,6 +93,12 @@
         self.replicas.get(id)
     }
 
+    /// When the current object of an upstream was first seen.
+    #[must_use]
+    pub fn first_seen(&self, id: &str) -> Duration {
+        self.first_seen.get(id).copied().unwrap_or_default()
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Replica>> {
         self.replicas.values()
--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -21,7 +21,7 @@
 use verbenaspool_policy::dispatch::{PlacementRequest, Rejection};
 use verbenaspool_protocol::{
     message::Message,
-    reservation::{self, Answer},
+    reservation::{self, Answer, WarmUp},
 };
 use verbenaspool_state::replica::Replica;
 
@@ -99,7 +99,12 @@
     }
 
     /// Requests a slot from an agent; returns nothing if it doesn't answer in time.
-    async fn request(&self, agent: SocketAddr, slots: u32) -> Option<Answer> {
+    async fn request(
+        &self,
+        agent: SocketAddr,
+        slots: u32,
+        warm_up: Option<WarmUp>,
+    ) -> Option<Answer> {
         let socket = self.socket.borrow().clone()?;
         let ticket = self.last_ticket.get().wrapping_add(1);
         self.last_ticket.set(ticket);
@@ -110,7 +115,11 @@
             reservations: self,
             ticket,
         };
-        let message = Message::ReservationRequest(reservation::Request { ticket, slots });
+        let message = Message::ReservationRequest(reservation::Request {
+            ticket,
+            slots,
+            warm_up,
+        });
         // A send error is handled like a missing answer, by the timeout.
         let _ = socket.send_to(message.encode(), agent).await;
         monoio::time::timeout(RESERVATION_TIMEOUT, answer)
@@ -140,7 +149,10 @@
                     return Ok(permit);
                 }
                 Outcome::Denied(answer) => self.record_status(&answer.status),
-                Outcome::NoAnswer if unanswered + 1 < MAX_UNRESPONSIVE_AGENTS => {
+                // An upstream that warms up gets only requests that its agent has granted.
+                Outcome::NoAnswer
+                    if unanswered + 1 < MAX_UNRESPONSIVE_AGENTS || permit.warm_up().is_some() =>
+                {
                     unanswered += 1;
                     permit.record_agent_timeout();
                 }
@@ -159,7 +171,11 @@
             return Outcome::NotRequired;
         };
         let agent = self.agent_address(&replica);
-        match self.reservations.request(agent, replica.slots).await {
+        match self
+            .reservations
+            .request(agent, replica.slots, permit.warm_up())
+            .await
+        {
             Some(answer) if answer.granted => Outcome::Granted(answer),
             Some(answer) => Outcome::Denied(answer),
             None => {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -237,8 +237,13 @@
     while !signals.stop_requested() {
         clock.sleep(TICK_INTERVAL).await;
         let entries = gateway.known_entries();
+        let sharing = gateway.sharing_entries(clock.now());
+        let name = gateway.settings.borrow().name.clone();
         for queue in gateway.queues() {
-            queue.with(|dispatcher, now| dispatcher.update_entry_count(now, entries));
+            queue.with(|dispatcher, now| {
+                dispatcher.update_entry_count(now, entries);
+                dispatcher.set_warm_up_share(&name, Some(sharing));
+            });
         }
         gateway.expire_upstreams();
         let now = clock.now();
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -6,7 +6,7 @@
 use verbenaspool_protocol::{
     member::{RankExperts, Status},
     message::Message,
-    reservation::{Answer, Request},
+    reservation::{self, Answer, Request},
 };
 
 use super::{agent_state::AgentState, subscribers::Snapshot};
@@ -95,7 +95,14 @@
     /// an entry that claims more could overload the rank's queue.
     pub(super) async fn handle_reservation(&self, entry: IpAddr, request: Request) {
         let slots = self.slot_count.get().unwrap_or(request.slots);
-        let granted = self.is_running() && self.slots.borrow_mut().grant(self.clock.now(), slots);
+        let now = self.clock.now();
+        if let Some(warm_up) = request.warm_up {
+            let left = warm_up.left_ms.min(reservation::MAX_WARM_UP_LEFT_MS);
+            let until = now + Duration::from_millis(left.into());
+            let mut slots = self.slots.borrow_mut();
+            slots.set_warm_up(until, warm_up.max_rate);
+        }
+        let granted = self.is_running() && self.slots.borrow_mut().grant(now, slots);
         let answer = Answer {
             ticket: request.ticket,
             granted,
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 pub mod slow;
 mod upstream;
 pub mod wait_queue;
+mod warm_up;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -72,6 +73,8 @@
     zone: Rc<str>,
     /// The service's model engine, if it has one.
     engine: Option<Engine>,
+    /// How the service's upstreams warm up, and this entry's part in it.
+    warm_up: warm_up::Policy,
     /// Upstreams by id.
     upstreams: BTreeMap<Rc<str>, Upstream>,
     /// Availability zones whose upstreams get no requests, by the operator's order.
@@ -112,6 +115,7 @@
         Self {
             zone,
             engine: None,
+            warm_up: warm_up::Policy::default(),
             upstreams: BTreeMap::new(),
             evacuated_zones: BTreeSet::new(),
             queue: WaitQueue::default(),
@@ -439,6 +443,7 @@
         let timed_out = now >= until || self.is_evacuated();
         if let Some(id) = self.choose_upstream(now, waiting, timed_out) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.record_warm_up_request(now);
                 upstream.own_requests += 1;
                 upstream.reserving += 1;
                 if let Some(circuit) = self.circuits.get_mut(&upstream.group) {
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -94,6 +94,9 @@
             if waiting.request.excluded.contains(&id) {
                 continue;
             }
+            if !self.warm_up_allows(now, &id, upstream) {
+                continue;
+            }
             if slow::is_slow(upstream.pace, fastest) {
                 continue;
             }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -5,6 +5,7 @@
 use verbenaspool_state::replica;
 
 use super::health::Health;
+use crate::warm_up::Window;
 
 /// How long an agent's report that its group is down or running stays valid. Agents report
 /// twice a second. An agent without recent reports may be cut off while its rank serves.
@@ -31,6 +32,10 @@
     pub ready: bool,
     /// Whether the operator has evacuated its availability zone.
     pub evacuated: bool,
+    /// Until when it warms up and takes few requests.
+    pub warm_up_until: Duration,
+    /// Requests that this entry sent to it while it warmed up.
+    pub warm_up_window: Window,
     /// When its group was last reported to be down; `None` while the group runs.
     pub group_down_at: Option<Duration>,
     /// Requests in flight from this entry.
@@ -108,6 +113,8 @@
             slots: replica.slots,
             ready: true,
             evacuated: false,
+            warm_up_until: Duration::ZERO,
+            warm_up_window: Window::default(),
             group_down_at: None,
             own_requests: 0,
             reserving: 0,
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod slots;
 pub mod snapshot;
 pub mod subset;
+pub mod warm_up;
--- a/verbenaspool_policy/src/slots.rs
+++ b/verbenaspool_policy/src/slots.rs
@@ -10,6 +10,8 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use crate::warm_up::Window;
+
 /// The longest time from the agent's grant until the request reaches the upstream: a
 /// round trip between two zones, a new connection, and a busy entry. A request that
 /// takes longer may wait at the upstream, which delays only that request.
@@ -22,6 +24,10 @@
     reported: u32,
     /// The times of grants that the last report may not include.
     granted_at: VecDeque<Duration>,
+    /// Until when the upstream warms up, and the maximum of grants per second meanwhile.
+    warm_up: (Duration, u32),
+    /// Grants of the last second.
+    window: Window,
 }
 
 impl Slots {
@@ -42,6 +48,12 @@
         self.reported.saturating_add(granted)
     }
 
+    /// Limits grants to `max_rate` a second while the upstream warms up. Entries may have
+    /// learned of it at different times, so the latest end counts.
+    pub fn set_warm_up(&mut self, until: Duration, max_rate: u32) {
+        self.warm_up = (until.max(self.warm_up.0), max_rate);
+    }
+
     /// Reserves one of `slots` for a request, if one is free.
     ///
     /// ```
@@ -55,9 +67,12 @@
     /// assert!(!slots.grant(Duration::from_millis(2), 6));
     /// ```
     pub fn grant(&mut self, now: Duration, slots: u32) -> bool {
-        let free = self.requests() < slots;
+        let (warm_up_until, max_rate) = self.warm_up;
+        let free =
+            self.requests() < slots && (now >= warm_up_until || self.window.allows(now, max_rate));
         if free {
             self.granted_at.push_back(now);
+            self.window.record(now);
         }
         free
     }
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -15,3 +15,4 @@
 mod shift;
 mod simulation;
 mod slow;
+mod warm_up;
--- a/verbenaspool_policy/tests/dispatch/simulation.rs
+++ b/verbenaspool_policy/tests/dispatch/simulation.rs
@@ -41,6 +41,7 @@
         zone: "a".into(),
         slots,
         state: State::Ready,
+        warm_up_left: None,
     }
 }
 
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -17,6 +17,9 @@
 /// takes one byte in each of them.
 const NEW_DIGEST_FIELDS: usize = 1;
 
+/// The same for a request for a slot.
+const NEW_RESERVATION_FIELDS: usize = 1;
+
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -87,12 +90,18 @@
     /// Decodes a message of the previous version, which omits fields at the end. They are
     /// read as zero.
     fn decode_previous(bytes: &[u8]) -> Option<Self> {
-        let mut padded = bytes.to_vec();
-        padded.resize(bytes.len() + NEW_DIGEST_FIELDS, 0);
-        match postcard::take_from_bytes(&padded).ok()? {
-            (message @ Self::Digest(_), []) => Some(message),
-            _ => None,
-        }
+        let padded = |fields: usize| {
+            let mut padded = bytes.to_vec();
+            padded.resize(bytes.len() + fields, 0);
+            match postcard::take_from_bytes(&padded) {
+                Ok((message, [])) => Some(message),
+                _ => None,
+            }
+        };
+        let digest = padded(NEW_DIGEST_FIELDS).filter(|m| matches!(m, Self::Digest(_)));
+        digest.or_else(|| {
+            padded(NEW_RESERVATION_FIELDS).filter(|m| matches!(m, Self::ReservationRequest(_)))
+        })
     }
 }
 
--- a/verbenaspool_protocol/src/message/tests.rs
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::{Message, NEW_DIGEST_FIELDS};
+use super::{Message, NEW_DIGEST_FIELDS, NEW_RESERVATION_FIELDS};
 use crate::{
     digest::{Digest, InFlight},
     reservation,
@@ -31,6 +31,20 @@
     assert_eq!(Message::decode(previous), Some(message));
 }
 
+/// Guards against an agent that doesn't answer the reservations of an entry that wasn't
+/// upgraded yet.
+#[test]
+fn reservations_of_the_previous_version_are_read() {
+    let message = Message::ReservationRequest(reservation::Request {
+        ticket: 70_000,
+        slots: 6,
+        warm_up: None,
+    });
+    let bytes = message.encode();
+    let previous = &bytes[..bytes.len() - NEW_RESERVATION_FIELDS];
+    assert_eq!(Message::decode(previous), Some(message));
+}
+
 /// Guards against damaged datagrams that are read as those of the previous version.
 #[test]
 fn truncated_and_extended_datagrams_are_rejected() {
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -18,8 +18,22 @@
     pub ticket: u64,
     /// Number of requests that the upstream processes concurrently, as known to the entry.
     pub slots: u32,
+    /// How the upstream warms up, if it does.
+    pub warm_up: Option<WarmUp>,
 }
 
+/// How an upstream warms up, as known to an entry from the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// How much longer it takes, in milliseconds.
+    pub left_ms: u32,
+    /// Maximum number of requests per second meanwhile.
+    pub max_rate: u32,
+}
+
+/// Maximum remaining time of a [`WarmUp`] in milliseconds. A longer one is implausible.
+pub const MAX_WARM_UP_LEFT_MS: u32 = 60_000;
+
 /// The agent's answer to a request for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
--- a/verbenaspool_state/src/replica.rs
+++ b/verbenaspool_state/src/replica.rs
@@ -1,6 +1,6 @@
 //! Upstreams that entries address directly, as listed in the platform's registry.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// A running upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: State,
+    /// How much longer it warms up, counted from its report; `None` if it doesn't say.
+    pub warm_up_left: Option<Duration>,
 }
 
 /// The state that a replica reports.
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -79,6 +79,17 @@
     pub name: Rc<str>,
     /// The model engine that its upstreams run, if any.
     pub engine: Option<Engine>,
+    /// How its upstreams warm up after a start; `None` if they take all requests at once.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// How an upstream warms up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUp {
+    /// How long it takes.
+    pub duration: Duration,
+    /// Maximum number of requests per second meanwhile, from all entries together.
+    pub max_rate: f64,
 }
 
 /// A customer of the firm.
