Exchange digests within the zone, and with a sample of the others

With 231 entries a digest went to all others, as did the usual waits of callers once a second: entries squared, four fifths of it between zones. By count, 231 entries sent 64 digests and 184 hints a second each to other zones. The interval between two digests of a peer was 2.9 s, so a dead entry's requests counted for 11.5 s, and an entry that had just started took the share of one in 32 of the retry slack: 231 of them could have spent seven times the whole.

With more than 64 peers a digest goes to the entries of its zone and to four others; it says how many entries its zone has and names some of them, so sums cross zones instead of lists. Hints go to eight peers. A peer of a zone of 46 is heard each 0.6 s and counts for 2.5 s after its last digest. Shared limits are divided by all known entries, silent ones included, as a partitioned entry still uses its share; while some may be undiscovered, no slack is used at all. Fleets of up to 65 entries exchange digests as before.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -160,8 +160,8 @@
         self.queue.allows_retry(&limits, entries)
     }
 
-    /// The limits of the retry budget, and the number of entries that share it.
-    fn retry_limits(&self) -> (retry_budget::Limits, usize) {
+    /// The limits of the retry budget, and the number of entries that share it, if known.
+    fn retry_limits(&self) -> (retry_budget::Limits, Option<usize>) {
         let now = self.gateway.clock.now();
         let limits = self.gateway.settings.borrow().limits.retry_limits();
         (limits, self.gateway.sharing_entries(now))
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -17,6 +17,7 @@
 };
 use verbenaspool_policy::quarantine::Quarantine;
 use verbenaspool_protocol::{
+    digest,
     member::Status,
     reservation::{self, ServiceInfo},
 };
@@ -84,7 +85,7 @@
         log: Logger,
         store: store::Client,
     ) -> Rc<Self> {
-        let peers = Peers::new(settings.address);
+        let peers = Peers::new(settings.address, digest::hash(&settings.zone));
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -8,18 +8,21 @@
 };
 
 use monoio::net::udp::UdpSocket;
-use rand::seq::IteratorRandom;
 use verbenaspool_protocol::{
-    digest::{self, Digest, Hint, InFlight},
+    digest::{self, Digest, Hint, InFlight, UNKNOWN_ZONE},
     message::{self, Message},
 };
 
-use super::{DIGEST_INTERVAL, MAX_NAMED_PEERS, digest_interval};
+use super::DIGEST_INTERVAL;
 use crate::direct::gateway::Gateway;
 
 /// How often peers get the usual initial waits of callers.
 const HINTS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of peers that get the usual initial waits. Entries with few callers, which
+/// need them, get them from several others.
+const MAX_HINT_RECIPIENTS: usize = 8;
+
 impl Gateway {
     /// Creates the next digest of this entry.
     fn digest(&self, incarnation: u64) -> Digest {
@@ -34,24 +37,17 @@
                 }));
             });
         }
-        let mut peers = self.peers.borrow_mut();
-        peers.digests_sent += 1;
-        let max_named = MAX_NAMED_PEERS[usize::from(peers.is_settled(now))];
-        let named = peers.live_peers(now).map(|(address, _)| *address);
-        let named = named.choose_multiple(&mut rand::rng(), max_named);
-        Digest {
+        in_flight.truncate(digest::MAX_UPSTREAMS);
+        let own = Digest {
             incarnation,
-            sequence: peers.digests_sent,
             table_version: versions.table,
             registry_revision: versions.registry,
-            leaving: self.leaving.get(),
-            in_flight: {
-                in_flight.truncate(digest::MAX_UPSTREAMS);
-                in_flight
-            },
-            peers: named,
             evacuation_revision: versions.evacuations,
-        }
+            leaving: self.leaving.get(),
+            in_flight,
+            ..Digest::default()
+        };
+        self.peers.borrow_mut().next_digest(now, own)
     }
 
     /// The usual initial waits of callers, by service.
@@ -152,30 +148,39 @@
     let mut hints_sent_at = Duration::ZERO;
     loop {
         let digest = Message::Digest(gateway.digest(incarnation));
-        let peers = broadcast(&gateway, &socket, &digest).await;
+        update_peers(&gateway);
+        let recipients = gateway.peers.borrow_mut().next_recipients();
+        send(&gateway, &socket, &digest, &recipients).await;
         let now = gateway.clock.now();
         if now.saturating_sub(hints_sent_at) >= HINTS_INTERVAL {
             hints_sent_at = now;
             let hints = gateway.common_waits();
             if !hints.is_empty() {
-                broadcast(&gateway, &socket, &Message::WaitHints(hints)).await;
+                let recipients = gateway.peers.borrow().sample(now, MAX_HINT_RECIPIENTS);
+                send(&gateway, &socket, &Message::WaitHints(hints), &recipients).await;
             }
         }
-        gateway.clock.sleep(digest_interval(peers)).await;
+        let interval = gateway.peers.borrow().digest_interval();
+        gateway.clock.sleep(interval).await;
     }
 }
 
-/// Sends a message to all peers. Returns the number of peers.
-pub async fn broadcast(gateway: &Gateway, socket: &UdpSocket, message: &Message) -> usize {
+/// Sends a message to all peers.
+pub async fn broadcast(gateway: &Gateway, socket: &UdpSocket, message: &Message) {
+    update_peers(gateway);
+    let recipients: Vec<Ipv4Addr> = gateway.peers.borrow().known.keys().copied().collect();
+    send(gateway, socket, message, &recipients).await;
+}
+
+/// Sends a message to some peers.
+async fn send(gateway: &Gateway, socket: &UdpSocket, message: &Message, recipients: &[Ipv4Addr]) {
     let message = message.encode();
-    let addresses = peer_addresses(gateway);
     let port = gateway.settings.borrow().peer_port;
-    for address in &addresses {
+    for address in recipients {
         // Best effort: the next message makes up for a lost one.
         let to = SocketAddr::from((*address, port));
         let _ = socket.send_to(message.clone(), to).await;
     }
-    addresses.len()
 }
 
 /// Whether the address belongs to a known peer.
@@ -184,17 +189,15 @@
     matches!(address, IpAddr::V4(address) if peers.known.contains_key(&address))
 }
 
-/// Adds the seeds to the peers, removes peers that have been silent for long, and returns
-/// the addresses of the others.
-fn peer_addresses(gateway: &Gateway) -> Vec<Ipv4Addr> {
+/// Adds the seeds to the peers, and removes peers that have been silent for long.
+fn update_peers(gateway: &Gateway) {
     let now = gateway.clock.now();
     let settings = gateway.settings.borrow();
     let mut peers = gateway.peers.borrow_mut();
     for seed in &settings.seeds {
         if let IpAddr::V4(address) = seed.ip() {
-            peers.add(now, address);
+            peers.add(now, address, UNKNOWN_ZONE);
         }
     }
     peers.remove_silent(now);
-    peers.known.keys().copied().collect()
 }
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -1,22 +1,28 @@
 //! The other entries (peers), as known from their digests.
 //!
-//! Each entry sends a digest to all others every few tens of milliseconds. The digest has
-//! the entry's requests in flight by upstream, so that entries share the capacity of each
-//! upstream even if callers are spread unevenly over entries. It also has the versions of
-//! the entry's configuration and registry, so that an entry that can't reach the store
-//! fetches newer ones from a peer.
+//! Each entry sends a digest to others many times a second. The digest has the entry's
+//! requests in flight by upstream, so that entries share the capacity of each upstream even
+//! if callers are spread unevenly over entries. It also has the versions of the entry's
+//! configuration and registry, so that an entry that can't reach the store fetches newer ones
+//! from a peer.
+//!
+//! With few entries, all exchange digests. In a large fleet an entry exchanges digests with
+//! the entries of its availability zone, which send requests to the same upstreams, and with
+//! a sample of the others. From those it learns newer versions and the number of entries in
+//! each zone.
 
 mod catch_up;
 mod exchange;
 mod subscription;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::{IpAddr, Ipv4Addr},
     time::Duration,
 };
 
-use verbenaspool_protocol::digest::Digest;
+use rand::seq::IteratorRandom;
+use verbenaspool_protocol::digest::{Digest, UNKNOWN_ZONE};
 
 use self::catch_up::Versions;
 pub use self::{
@@ -39,6 +45,14 @@
 /// from the first peer that has it.
 const MIN_DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_micros(12_500);
 
+/// With up to this number of peers, digests are sent to all of them.
+const MAX_EXCHANGED_PEERS: usize = 64;
+
+/// With more peers, number of peers in other zones that get each digest. Bytes between zones
+/// have a cost. A zone of 46 entries that each send four digests a round still reaches each
+/// entry of four other zones once a round.
+const REMOTE_SAMPLE: usize = 4;
+
 /// How long the requests of a silent peer count at least. A partitioned peer still has them,
 /// and they end within a few seconds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -49,16 +63,14 @@
 /// All peers count as known if no new one was discovered for this long.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 
-/// Assumed minimum number of entries while some may be undiscovered.
-const ASSUMED_ENTRIES: usize = 32;
-
 /// How long datagrams may arrive out of order.
 const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
 /// How long digests are still sent to a silent peer, to detect the end of a partition.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
-/// Maximum number of peers named in a digest: while some may be undiscovered, and after that.
+/// Maximum number of peers named in a digest, both in and outside of the sender's zone:
+/// while some may be undiscovered, and after that.
 const MAX_NAMED_PEERS: [usize; 2] = [24, 4];
 
 /// State of one peer.
@@ -68,15 +80,31 @@
     last_received: Option<Duration>,
     /// When the peer was discovered or the last digest was received, whichever is later.
     last_active: Duration,
+    /// Whether a digest was sent to it.
+    contacted: bool,
     digest: Digest,
 }
 
+/// The number of entries in another zone, as its entries report it.
+#[derive(Debug, Clone, Copy, Default)]
+struct ZoneSize {
+    /// The largest number reported in the last complete period, and in the current one.
+    entries: [u32; 2],
+    /// When the current period began.
+    since: Duration,
+    reported_at: Duration,
+}
+
 /// The known peers.
 #[derive(Debug)]
 pub struct Peers {
     /// Address of this entry. Digests of peers and the seeds contain it as well.
     own_address: IpAddr,
+    /// Hash of this entry's zone.
+    own_zone: u32,
     known: HashMap<Ipv4Addr, Peer>,
+    /// The other zones.
+    zones: BTreeMap<u32, ZoneSize>,
     digests_sent: u64,
     /// Since when a peer has had a newer version, if any.
     behind_since: Option<Duration>,
@@ -85,11 +113,14 @@
 }
 
 impl Peers {
-    /// Creates an empty set of peers for the entry at the given address.
-    pub fn new(own_address: IpAddr) -> Self {
+    /// Creates an empty set of peers for the entry at the given address, with the hash of its
+    /// zone.
+    pub fn new(own_address: IpAddr, own_zone: u32) -> Self {
         Self {
             own_address,
+            own_zone,
             known: HashMap::new(),
+            zones: BTreeMap::new(),
             digests_sent: 0,
             behind_since: None,
             last_discovery: Duration::ZERO,
@@ -98,26 +129,47 @@
 
     /// Number of live entries, including this one.
     pub fn live_entries(&self, now: Duration) -> usize {
-        1 + self.live_peers(now).count()
+        let in_zone = self.live_peers(now).filter(|(_, peer)| self.is_near(peer));
+        1 + in_zone.count() + self.entries_of_other_zones()
     }
 
-    /// Number of entries among which shared limits are divided.
+    /// Number of entries among which shared limits are divided, including silent ones: a
+    /// partitioned entry still uses its share. `None` while some may be undiscovered.
     ///
-    /// An entry that has just started knows few peers. If all entries of a large fleet start
-    /// at the same time, each would take the share of one among a few, and all of them
-    /// together would exceed the limit many times.
-    pub fn sharing_entries(&self, now: Duration) -> usize {
-        let entries = self.live_entries(now);
-        if self.is_settled(now) {
-            entries
-        } else {
-            entries.max(ASSUMED_ENTRIES)
-        }
+    /// If all entries of a large fleet start at the same time, each knows few peers. If they
+    /// took the shares of these, they would exceed a limit many times together.
+    pub fn sharing_entries(&self, now: Duration) -> Option<usize> {
+        self.is_settled(now).then(|| self.known_entries())
     }
 
     /// Number of known entries, including this one and silent ones.
     pub fn known_entries(&self) -> usize {
-        1 + self.known.len()
+        self.zone_entries() + self.entries_of_other_zones()
+    }
+
+    /// Number of known entries in this entry's zone, including this one and silent ones.
+    fn zone_entries(&self) -> usize {
+        1 + self
+            .known
+            .values()
+            .filter(|peer| self.is_near(peer))
+            .count()
+    }
+
+    /// Number of entries in other zones.
+    fn entries_of_other_zones(&self) -> usize {
+        let sizes = self.zones.values().map(|size| size.entries);
+        sizes
+            .map(|entries| entries[0].max(entries[1]) as usize)
+            .sum()
+    }
+
+    /// Whether a peer is in this entry's zone. Peers of the previous version don't send their
+    /// zone and count one by one, like those of this entry's zone; those of an unknown
+    /// zone that were never heard don't count.
+    fn is_near(&self, peer: &Peer) -> bool {
+        peer.digest.zone == self.own_zone
+            || peer.digest.zone == UNKNOWN_ZONE && peer.last_received.is_some()
     }
 
     /// Whether probably all peers have been discovered.
@@ -126,7 +178,7 @@
     }
 
     fn live_peers(&self, now: Duration) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
-        let timeout = PEER_TIMEOUT.max(digest_interval(self.known.len()) * (MAX_LOST_DIGESTS + 1));
+        let timeout = PEER_TIMEOUT.max(self.digest_interval() * (MAX_LOST_DIGESTS + 1));
         let is_live = move |peer: &Peer| {
             peer.last_received
                 .is_some_and(|received| now.saturating_sub(received) < timeout)
@@ -135,11 +187,14 @@
     }
 
     /// Records a digest. Returns whether it was accepted.
-    fn receive(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
+    pub fn receive(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
         for &other in digest.peers.iter().take(MAX_NAMED_PEERS[0]) {
-            self.add(now, other);
+            self.add(now, other, UNKNOWN_ZONE);
+        }
+        for &other in digest.zone_peers.iter().take(MAX_NAMED_PEERS[0]) {
+            self.add(now, other, digest.zone);
         }
-        self.add(now, from);
+        self.add(now, from, digest.zone);
         let Some(peer) = self.known.get_mut(&from) else {
             return false;
         };
@@ -152,29 +207,114 @@
         }
         peer.last_received = Some(now);
         peer.last_active = now;
+        if digest.zone != UNKNOWN_ZONE && digest.zone != self.own_zone {
+            self.zones
+                .entry(digest.zone)
+                .or_default()
+                .record(now, digest.zone_entries);
+        }
         peer.digest = digest;
         true
     }
 
     /// Adds a possible peer, unless it is known already.
-    fn add(&mut self, now: Duration, address: Ipv4Addr) {
+    pub fn add(&mut self, now: Duration, address: Ipv4Addr, zone: u32) {
         if self.own_address == address {
             return;
         }
-        let last_discovery = &mut self.last_discovery;
-        self.known.entry(address).or_insert_with(|| {
-            *last_discovery = now;
+        let few = self.known.len() < MAX_EXCHANGED_PEERS;
+        let near = zone == self.own_zone;
+        let new_zone = !near && zone != UNKNOWN_ZONE && !self.zones.contains_key(&zone);
+        let peer = self.known.entry(address).or_insert_with(|| {
+            if few || near || new_zone {
+                self.last_discovery = now;
+            }
             Peer {
                 last_active: now,
                 ..Peer::default()
             }
         });
+        if zone != UNKNOWN_ZONE && peer.digest.zone == UNKNOWN_ZONE {
+            peer.digest.zone = zone;
+            if near {
+                self.last_discovery = now;
+            }
+        }
     }
 
-    /// Removes peers that have been silent for long.
-    fn remove_silent(&mut self, now: Duration) {
-        self.known
-            .retain(|_, peer| now.saturating_sub(peer.last_active) < FORGET_AFTER);
+    /// Removes peers and zones that have been silent for long.
+    pub fn remove_silent(&mut self, now: Duration) {
+        let is_recent = |at: Duration| now.saturating_sub(at) < FORGET_AFTER;
+        self.known.retain(|_, peer| is_recent(peer.last_active));
+        self.zones.retain(|_, size| is_recent(size.reported_at));
+    }
+
+    /// The interval between two digests to the same peer of this entry's zone.
+    pub fn digest_interval(&self) -> Duration {
+        if self.known.len() <= MAX_EXCHANGED_PEERS {
+            return digest_interval(self.known.len());
+        }
+        digest_interval(self.zone_entries() - 1 + REMOTE_SAMPLE)
+    }
+
+    /// The peers that get the next digest: all, or those of this entry's zone, those that got
+    /// none yet, and a sample of the others.
+    pub fn next_recipients(&mut self) -> Vec<Ipv4Addr> {
+        let all = self.known.len() <= MAX_EXCHANGED_PEERS;
+        let is_due = |peer: &Peer| all || self.is_near(peer) || !peer.contacted;
+        let (mut recipients, others): (Vec<_>, Vec<_>) =
+            self.known.iter().partition(|(_, peer)| is_due(peer));
+        recipients.extend(
+            others
+                .into_iter()
+                .choose_multiple(&mut rand::rng(), REMOTE_SAMPLE),
+        );
+        let recipients: Vec<Ipv4Addr> = recipients
+            .into_iter()
+            .map(|(address, _)| *address)
+            .collect();
+        for address in &recipients {
+            if let Some(peer) = self.known.get_mut(address) {
+                peer.contacted = true;
+            }
+        }
+        recipients
+    }
+
+    /// The next digest of this entry, given its own state.
+    pub fn next_digest(&mut self, now: Duration, own: Digest) -> Digest {
+        self.digests_sent += 1;
+        let [zone_peers, peers] = self.named_peers(now);
+        Digest {
+            sequence: self.digests_sent,
+            peers,
+            zone: self.own_zone,
+            zone_entries: u32::try_from(self.zone_entries()).unwrap_or(u32::MAX),
+            zone_peers,
+            ..own
+        }
+    }
+
+    /// Some live peers to name in a digest: those of this entry's zone, and others.
+    fn named_peers(&self, now: Duration) -> [Vec<Ipv4Addr>; 2] {
+        let max_named = MAX_NAMED_PEERS[usize::from(self.is_settled(now))];
+        [true, false].map(|near| {
+            let peers = self.live_peers(now);
+            let peers = peers.filter(|(_, peer)| (peer.digest.zone == self.own_zone) == near);
+            let peers = peers.map(|(address, _)| *address);
+            peers.choose_multiple(&mut rand::rng(), max_named)
+        })
+    }
+
+    /// Up to `count` live peers, preferably of this entry's zone.
+    fn sample(&self, now: Duration, count: usize) -> Vec<Ipv4Addr> {
+        let (near, others): (Vec<_>, Vec<_>) = self
+            .live_peers(now)
+            .partition(|(_, peer)| self.is_near(peer));
+        let mut sample = near.into_iter().choose_multiple(&mut rand::rng(), count);
+        let rest = count - sample.len();
+        sample.extend(others.into_iter().choose_multiple(&mut rand::rng(), rest));
+        sample.into_iter().map(|(address, _)| *address).collect()
     }
 
     /// Number of requests that peers have in flight at each upstream, by its hash.
@@ -188,7 +328,7 @@
         sums
     }
 
-    /// The peers that have a newer configuration or registry.
+    /// The peers that have newer state, those of this entry's zone first.
     fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<Ipv4Addr> {
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
@@ -196,14 +336,30 @@
                 || peer.digest.evacuation_revision > versions.evacuations
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
-        newer.map(|(address, _)| *address).collect()
+        let mut newer: Vec<_> = newer.collect();
+        newer.sort_by_key(|(_, peer)| !self.is_near(peer));
+        newer.into_iter().map(|(address, _)| *address).collect()
+    }
+}
+
+impl ZoneSize {
+    /// Records the number of entries that an entry of the zone knows there. One that has just
+    /// started knows few, so the largest number of the last two periods counts.
+    fn record(&mut self, now: Duration, entries: u32) {
+        if now.saturating_sub(self.since) >= PEER_TIMEOUT {
+            self.entries = [self.entries[1], 0];
+            self.since = now;
+        }
+        self.entries[1] = self.entries[1].max(entries);
+        self.reported_at = now;
     }
 }
 
 impl Gateway {
-    /// Number of entries among which shared limits are divided. Without seeds other than
-    /// itself, an entry doesn't assume undiscovered peers.
-    pub fn sharing_entries(&self, now: Duration) -> usize {
+    /// Number of entries among which shared limits are divided, or `None` while some may be
+    /// undiscovered. Without seeds other than itself, an entry doesn't assume undiscovered
+    /// peers.
+    pub fn sharing_entries(&self, now: Duration) -> Option<usize> {
         let settings = self.settings.borrow();
         let has_other_seeds = settings
             .seeds
@@ -213,7 +369,7 @@
         if has_other_seeds {
             peers.sharing_entries(now)
         } else {
-            peers.live_entries(now)
+            Some(peers.live_entries(now))
         }
     }
 
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -302,7 +302,7 @@
     }
 
     /// Whether the retry budget currently allows a retry. Doesn't count one.
-    pub fn allows_retry(&self, limits: &retry_budget::Limits, entries: usize) -> bool {
+    pub fn allows_retry(&self, limits: &retry_budget::Limits, entries: Option<usize>) -> bool {
         let now = self.clock.now();
         self.retry_budget
             .borrow_mut()
@@ -310,7 +310,7 @@
     }
 
     /// Counts a retry against the retry budget. Returns whether the budget allows it.
-    pub fn try_retry(&self, limits: &retry_budget::Limits, entries: usize) -> bool {
+    pub fn try_retry(&self, limits: &retry_budget::Limits, entries: Option<usize>) -> bool {
         let now = self.clock.now();
         self.retry_budget
             .borrow_mut()
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -242,7 +242,7 @@
         for queue in gateway.queues() {
             queue.with(|dispatcher, now| {
                 dispatcher.update_entry_count(now, entries);
-                dispatcher.set_warm_up_share(&name, Some(sharing));
+                dispatcher.set_warm_up_share(&name, sharing);
             });
         }
         gateway.expire_upstreams();
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -134,8 +134,7 @@
         if gateway.changed_status().is_none() {
             continue;
         }
-        let entries = gateway.sharing_entries(gateway.clock.now());
-        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        let entries = gateway.known_entries();
         let max_delay = WRITE_DELAY_PER_ENTRY.saturating_mul(entries);
         gateway.clock.sleep(max_delay.mul_f32(rand::random())).await;
         if gateway.save_status().await {
--- a/verbenaspool_policy/src/dispatch/retry_budget.rs
+++ b/verbenaspool_policy/src/dispatch/retry_budget.rs
@@ -39,17 +39,17 @@
     }
 
     /// Whether a request may be retried now. `entries` is the number of entries that share
-    /// the slack.
-    pub fn allows_retry(&mut self, now: Duration, limits: &Limits, entries: usize) -> bool {
+    /// the slack. While it is unknown, no slack is used.
+    pub fn allows_retry(&mut self, now: Duration, limits: &Limits, entries: Option<usize>) -> bool {
         drop_expired(&mut self.requests, now, limits.window);
         drop_expired(&mut self.retries, now, limits.window);
         #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
-        let (requests, retries, entries) = (
+        let (requests, retries, slack) = (
             self.requests.len() as f64,
             self.retries.len() as f64,
-            entries.max(1) as f64,
+            entries.map_or(0.0, |entries| limits.slack / entries.max(1) as f64),
         );
-        retries + 1.0 <= BUDGET_USE_RATIO * (limits.ratio * requests + limits.slack / entries)
+        retries + 1.0 <= BUDGET_USE_RATIO * (limits.ratio * requests + slack)
     }
 
     /// Records a retry if it is allowed. Returns whether it is.
@@ -61,10 +61,10 @@
     ///
     /// let limits = Limits { ratio: 0.0, window: Duration::from_secs(10), slack: 2.0 };
     /// let mut budget = Budget::default();
-    /// assert!(budget.try_retry(Duration::ZERO, &limits, 1));
-    /// assert!(!budget.try_retry(Duration::ZERO, &limits, 1));
+    /// assert!(budget.try_retry(Duration::ZERO, &limits, Some(1)));
+    /// assert!(!budget.try_retry(Duration::ZERO, &limits, Some(1)));
     /// ```
-    pub fn try_retry(&mut self, now: Duration, limits: &Limits, entries: usize) -> bool {
+    pub fn try_retry(&mut self, now: Duration, limits: &Limits, entries: Option<usize>) -> bool {
         let allowed = self.allows_retry(now, limits, entries);
         if allowed {
             self.retries.push_back(now);
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -19,12 +19,21 @@
     pub leaving: bool,
     /// Numbers of this entry's requests in flight, by upstream.
     pub in_flight: Vec<InFlight>,
-    /// Some of the other entries known to this one.
+    /// Some of the other entries known to this one, in other zones.
     pub peers: Vec<Ipv4Addr>,
     /// The revision of the evacuations in use.
     pub evacuation_revision: u64,
+    /// The hash of the entry's availability zone.
+    pub zone: u32,
+    /// Number of entries in the zone, as known to this one.
+    pub zone_entries: u32,
+    /// Some of the other entries in the zone.
+    pub zone_peers: Vec<Ipv4Addr>,
 }
 
+/// The zone in digests of entries of the previous version, which don't send it.
+pub const UNKNOWN_ZONE: u32 = 0;
+
 /// Common waits that callers of a service announce with an initial request. Entries
 /// that have seen too few requests use them to detect retries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
