Let two entries of each zone watch the store

The registry came whole from peers, 285 kB at 816 upstreams, so peers could not take the place of the store either.

Two entries of each zone watch, chosen by each entry for itself from the digests of its zone; an entry whose last call failed doesn't count, and up to eight of a zone try. The others fetch what is newer from a peer of their zone, and of another one if none has it: the registry's changes since the revision that they have, or all of it if removals before it aren't known. A peer passes on how long missing upstreams are kept, so that a removal isn't delayed on the way. An entry that starts lists once at a tenth of the price, and takes the objects' own revisions for it, as such a listing may be outdated. A call that fails no longer leads to a listing of everything: the watch goes on from its revision.

Deployments with up to two entries a zone watch as before.

--- a/verbenaspool/src/direct/evacuation.rs
+++ b/verbenaspool/src/direct/evacuation.rs
@@ -1,9 +1,10 @@
 //! Availability zones whose upstreams get no requests, by the operator's order.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use verbenaspool_platform::store::Object;
 
 use super::gateway::Gateway;
 
@@ -16,6 +17,20 @@
     pub zones: BTreeSet<String>,
 }
 
+impl Evacuations {
+    /// The evacuated zones as objects of the store.
+    pub fn objects(&self) -> BTreeMap<String, Object> {
+        let object = |name: &String| Object {
+            name: name.clone(),
+            revision: self.revision,
+            specification: String::new(),
+            status: String::new(),
+        };
+        let zones = self.zones.iter();
+        zones.map(|name| (name.clone(), object(name))).collect()
+    }
+}
+
 impl Gateway {
     /// Replaces the evacuated zones, unless the given list is older than the one in use.
     pub fn update_evacuations(&self, evacuations: Evacuations, from: &str) {
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -1,9 +1,9 @@
 //! Watches the store for changes of the configuration, the registry of upstreams and the
 //! evacuated zones.
 //!
-//! Each of them has a long-polling watch, which returns changes within milliseconds. A
-//! watch on a dead connection is detected by its timeout. Until then the entry gets the
-//! changes from peers.
+//! Each of them has a long-polling watch, which returns changes within milliseconds, at some
+//! entries of each zone. The others get changes from them, and so does an entry whose watch is
+//! on a dead connection, until its timeout.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -40,6 +40,9 @@
 /// Maximum delay during a burst of changes with any number of entries.
 const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Interval of checks whether this entry has to watch the store.
+const ELECTION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The first and the maximum delay after a failed call. Calls that the store rejects must be
 /// retried within the time limit for changes, which is 2 s.
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
@@ -72,17 +75,28 @@
     kind: Kind,
     /// Notified when all objects must be listed again.
     relist: Rc<Notify>,
-    objects: BTreeMap<String, Object>,
+    /// The store's revision up to which changes are known from it.
     revision: u64,
     /// Since when the store has been answering, or `None` during an outage.
     available_since: Option<Duration>,
     /// Whether a call to the store has failed since the process started.
     had_outage: bool,
+    /// Whether the last call to the store failed.
+    failing: bool,
     retry_interval: Duration,
     /// Delay of the next watch after the last change.
     batch_interval: Duration,
 }
 
+/// Why a watch has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WatchEnd {
+    /// All objects must be listed again.
+    Relist,
+    /// Other entries watch the store.
+    Replaced,
+}
+
 impl Follower {
     /// Creates a follower that has no objects yet.
     pub fn new(gateway: Rc<Gateway>, kind: Kind, relist: Rc<Notify>) -> Self {
@@ -90,51 +104,92 @@
             gateway,
             kind,
             relist,
-            objects: BTreeMap::new(),
             revision: 0,
             available_since: None,
             had_outage: false,
+            failing: false,
             retry_interval: RETRY_INTERVALS[0],
             batch_interval: BATCH_INTERVAL,
         }
     }
 
-    /// Lists and watches objects for as long as the process runs.
+    /// Follows objects for as long as the process runs: lists them once, and watches them
+    /// while this entry is one of those that do.
     pub async fn run(mut self) {
+        // A listing that may be outdated costs a tenth of another one. Changes since then
+        // come from peers, or with the first watch.
+        while !self.has_objects() && !self.list(true).await {}
+        let mut listed = false;
         loop {
-            match self
-                .gateway
-                .store
-                .list(self.kind.object_kind(), false)
-                .await
-            {
-                Ok(Listing { objects, revision }) => {
-                    self.record_success();
-                    self.objects = objects;
-                    self.revision = revision;
-                    self.publish();
-                    self.watch().await;
-                }
-                Err(why) => self.back_off(&why).await,
+            while !self.gateway.watches_store() {
+                self.gateway.clock.sleep(ELECTION_INTERVAL).await;
             }
+            if !listed && !self.list(false).await {
+                continue;
+            }
+            listed = self.watch().await == WatchEnd::Replaced;
+        }
+    }
+
+    /// Whether the gateway has objects of this kind, from the store or a peer.
+    fn has_objects(&self) -> bool {
+        match self.kind {
+            Kind::Configuration => self.gateway.table().is_some(),
+            Kind::Registry => self.gateway.has_registry(),
+            Kind::Evacuations => self.gateway.evacuations.borrow().revision > 0,
         }
     }
 
-    /// Watches for changes until all objects must be listed again.
-    async fn watch(&mut self) {
+    /// Lists all objects and publishes them. Returns whether the store answered.
+    async fn list(&mut self, stale: bool) -> bool {
+        let listing = self
+            .gateway
+            .store
+            .list(self.kind.object_kind(), stale)
+            .await;
+        match listing {
+            Ok(Listing { objects, revision }) => {
+                self.record_success();
+                // The state of an outdated listing may be older than its revision says.
+                let newest = objects.values().map(|object| object.revision).max();
+                self.revision = if stale { newest.unwrap_or(1) } else { revision };
+                self.publish(objects);
+                true
+            }
+            Err(why) => {
+                self.back_off(&why).await;
+                false
+            }
+        }
+    }
+
+    /// The revision to watch from. Peers may have delivered newer objects.
+    fn watch_revision(&self) -> u64 {
+        self.revision.max(match self.kind {
+            Kind::Configuration => 0,
+            Kind::Registry => self.gateway.registry_revision(),
+            Kind::Evacuations => self.gateway.evacuations.borrow().revision,
+        })
+    }
+
+    /// Watches for changes until all objects must be listed again or other entries watch.
+    async fn watch(&mut self) -> WatchEnd {
         loop {
+            if !self.gateway.watches_store() {
+                return WatchEnd::Replaced;
+            }
             let now = self.gateway.clock.now();
-            let entries = self.gateway.peers.borrow().live_entries(now);
-            let wait = watch_wait(entries, rand::random());
+            let watchers = self.gateway.peers.borrow().watchers(now);
+            let wait = watch_wait(watchers, rand::random());
             let started = now;
-            let watch = self
-                .gateway
-                .store
-                .watch(self.kind.object_kind(), self.revision, wait);
+            let watch =
+                self.gateway
+                    .store
+                    .watch(self.kind.object_kind(), self.watch_revision(), wait);
             let relist = self.relist.notified();
             let watched = monoio::select! {
                 watched = watch => watched,
-                () = relist => return,
+                () = relist => return WatchEnd::Relist,
             };
             match watched {
                 Ok(WatchOutcome::Changes(changes, revision)) => {
@@ -144,52 +199,53 @@
                         self.apply(changes);
                         let waited = self.gateway.clock.now().saturating_sub(started);
                         self.batch_interval =
-                            next_batch_interval(self.batch_interval, waited, entries);
+                            next_batch_interval(self.batch_interval, waited, watchers);
                         self.gateway.clock.sleep(self.batch_interval).await;
                     }
                 }
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
                         "kind" => self.kind.object_kind(), "revision" => self.revision);
-                    return;
-                }
-                Err(why) => {
-                    self.back_off(&why).await;
-                    return;
+                    return WatchEnd::Relist;
                 }
+                Err(why) => self.back_off(&why).await,
             }
         }
     }
 
     /// Applies changes to the objects and publishes the result.
     fn apply(&mut self, changes: Vec<Change>) {
+        let mut objects = match self.kind {
+            Kind::Configuration => BTreeMap::new(),
+            Kind::Registry => self.gateway.registry_objects(),
+            Kind::Evacuations => self.gateway.evacuations.borrow().objects(),
+        };
         for change in changes {
             match change {
                 Change::Put(object) => {
-                    self.objects.insert(object.name.clone(), object);
+                    objects.insert(object.name.clone(), object);
                 }
                 Change::Removed(name) => {
-                    self.objects.remove(&name);
+                    objects.remove(&name);
                 }
             }
         }
-        self.publish();
+        self.publish(objects);
     }
 
     /// Passes the objects to the gateway.
-    fn publish(&self) {
+    fn publish(&self, objects: BTreeMap<String, Object>) {
         match self.kind {
             Kind::Configuration => {
-                if let Some(object) = self.objects.get(configuration::OBJECT_NAME) {
+                if let Some(object) = objects.get(configuration::OBJECT_NAME) {
                     self.gateway.observe_configuration(object);
                     self.gateway.apply_configuration(object, "store");
                 }
             }
             Kind::Evacuations => {
-                let zones = self.objects.keys().cloned();
                 let evacuations = Evacuations {
                     revision: self.revision,
-                    zones: zones.collect(),
+                    zones: objects.into_keys().collect(),
                 };
                 self.gateway.update_evacuations(evacuations, "store");
             }
@@ -207,7 +263,7 @@
                 self.gateway.update_registry(
                     retain_missing_until,
                     self.revision,
-                    &self.objects,
+                    &objects,
                     "store",
                 );
             }
@@ -216,6 +272,7 @@
 
     /// Records that the store answered a call.
     fn record_success(&mut self) {
+        self.set_failing(false);
         self.retry_interval = RETRY_INTERVALS[0];
         if self.available_since.is_none() {
             self.available_since = Some(self.gateway.clock.now());
@@ -223,8 +280,21 @@
         }
     }
 
+    /// Records whether the last call to the store failed.
+    fn set_failing(&mut self, failing: bool) {
+        if std::mem::replace(&mut self.failing, failing) != failing {
+            let count = &self.gateway.failing_followers;
+            count.set(if failing {
+                count.get() + 1
+            } else {
+                count.get().saturating_sub(1)
+            });
+        }
+    }
+
     /// Records a failed call to the store, and waits before the next one.
     async fn back_off(&mut self, why: &Error) {
+        self.set_failing(true);
         self.had_outage = true;
         if self.available_since.take().is_some() {
             warn!(self.gateway.log, "store unreachable; keeping the known objects";
@@ -237,7 +307,7 @@
 }
 
 /// The delay after a change, given the previous delay, how long the watch waited for the
-/// change, and the number of entries. The delay doubles during a burst of changes.
+/// change, and the number of entries that watch. The delay doubles during a burst of changes.
 fn next_batch_interval(previous: Duration, waited: Duration, entries: usize) -> Duration {
     if waited >= previous {
         return BATCH_INTERVAL;
@@ -247,7 +317,8 @@
     (previous * 2).min(max.min(MAX_BATCH_INTERVAL))
 }
 
-/// How long a watch waits for changes, given the number of entries including this one.
+/// How long a watch waits for changes, given the number of entries that watch, including this
+/// one.
 /// `random` is a number from 0 to 1.
 ///
 /// Every entry renews its watches, so the calls to the store would grow with the number of
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -25,8 +25,12 @@
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
-    evacuation::Evacuations, peers::Peers, queue::ServiceQueue, registry::Registry,
-    reserve::Reservations, settings::Settings,
+    evacuation::Evacuations,
+    peers::Peers,
+    queue::ServiceQueue,
+    registry::{self, Registry},
+    reserve::Reservations,
+    settings::Settings,
 };
 
 /// Timeout for new connections to upstreams. A round trip takes a few milliseconds. A
@@ -71,6 +75,8 @@
     pub table_source: RefCell<Option<Object>>,
     /// The availability zones whose upstreams get no requests.
     pub evacuations: RefCell<Evacuations>,
+    /// Number of followers whose last call to the store failed.
+    pub failing_followers: Cell<u32>,
     table: RefCell<Option<Rc<Table>>>,
     registry: RefCell<Registry>,
     registry_loaded: Cell<bool>,
@@ -104,6 +110,7 @@
             closed: Cell::new(false),
             table_source: RefCell::default(),
             evacuations: RefCell::default(),
+            failing_followers: Cell::default(),
             table: RefCell::default(),
             registry: RefCell::default(),
             registry_loaded: Cell::new(false),
@@ -129,13 +136,25 @@
         self.registry.borrow().revision
     }
 
-    /// The revision of the registry and its objects, as sent to peers.
-    pub fn registry_objects(&self) -> (u64, Vec<Object>) {
-        let registry = self.registry.borrow();
-        (
-            registry.revision,
-            registry.objects.values().cloned().collect(),
-        )
+    /// Whether the registry was read from the store or a peer.
+    pub fn has_registry(&self) -> bool {
+        self.registry_loaded.get()
+    }
+
+    /// The registry's objects by name.
+    pub fn registry_objects(&self) -> BTreeMap<String, Object> {
+        self.registry.borrow().objects.clone()
+    }
+
+    /// The changes of the registry after a revision, or `None` if not all of them are known.
+    pub fn registry_changes(&self, since: u64) -> Option<registry::Changes> {
+        self.registry.borrow().changes(since)
+    }
+
+    /// How much longer upstreams that are missing from the registry are kept.
+    pub fn retention_left(&self) -> Duration {
+        let until = self.registry.borrow().retain_missing_until;
+        until.saturating_sub(self.clock.now())
     }
 
     /// Whether the entry is ready for requests: it has a routing table and a registry, knows
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -14,9 +14,19 @@
 
 use crate::direct::{evacuation::Evacuations, gateway::Gateway, registry};
 
-/// How long to wait for a newer version from the store before it is fetched from a peer. The
-/// store usually delivers changes within milliseconds.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(150);
+/// Interval of checks whether a peer has newer state.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long an entry that watches the store waits for newer state before it is fetched from a
+/// peer. The store usually delivers changes within milliseconds.
+const STORE_DELAY: Duration = Duration::from_millis(150);
+
+/// How long an entry waits for a peer of its zone to have newer state before it is fetched
+/// from another zone. Bytes between zones have a cost.
+const OTHER_ZONE_DELAY: Duration = Duration::from_millis(300);
+
+/// Minimum interval between two fetches. Changes come in bursts, and one fetch returns all.
+const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Timeout of RPC calls to peers.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,39 +44,76 @@
     /// The revision of the evacuated zones.
     #[serde(default)]
     pub(super) evacuations: u64,
+    /// The revision of the configuration's object.
+    #[serde(default)]
+    pub(super) configuration: u64,
+    /// Whether the entry accepts changes of the registry instead of all of it.
+    #[serde(default)]
+    accepts_changes: bool,
 }
 
 /// State of a peer that is newer than the requested versions.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Update {
     configuration: Option<Object>,
+    /// The revision of the registry.
     revision: u64,
+    /// The registry's objects, or those that changed after the revision `base`.
     upstreams: Option<Vec<Object>>,
     #[serde(default)]
+    base: Option<u64>,
+    /// Names of the objects that were removed after the revision `base`.
+    #[serde(default)]
+    removed: Vec<String>,
+    /// How much longer upstreams that are missing from the registry are kept, in
+    /// milliseconds. A peer of the previous version doesn't send it.
+    #[serde(default)]
+    retention_left_ms: Option<u64>,
+    #[serde(default)]
     evacuations: Option<Evacuations>,
 }
 
 impl Gateway {
     /// The versions of this entry's state.
     pub(super) fn versions(&self) -> Versions {
+        let configuration = self.stored_configuration.borrow();
         Versions {
             table: self.table_version(),
             registry: self.registry_revision(),
             evacuations: self.evacuations.borrow().revision,
+            configuration: configuration.as_ref().map_or(0, |object| object.revision),
+            accepts_changes: true,
         }
     }
 
     /// The state that is newer than a peer's versions.
     fn update_since(&self, versions: Versions) -> Update {
-        let newer = self.table_version() > versions.table;
-        let (revision, objects) = self.registry_objects();
-        Update {
-            configuration: newer.then(|| self.configuration()).flatten(),
-            revision,
-            upstreams: (revision > versions.registry).then_some(objects),
-            evacuations: (self.versions().evacuations > versions.evacuations)
+        let own = self.versions();
+        let mut update = Update {
+            configuration: None,
+            revision: own.registry,
+            upstreams: None,
+            base: None,
+            removed: Vec::new(),
+            retention_left_ms: u64::try_from(self.retention_left().as_millis()).ok(),
+            evacuations: (own.evacuations > versions.evacuations)
                 .then(|| self.evacuations.borrow().clone()),
+        };
+        if own.table > versions.table || own.configuration > versions.configuration {
+            update.configuration = self.configuration();
+        }
+        if own.registry <= versions.registry {
+            return update;
         }
+        let changes = self.registry_changes(versions.registry);
+        if let Some(changes) = changes.filter(|_| versions.accepts_changes) {
+            update.upstreams = Some(changes.changed);
+            update.base = Some(versions.registry);
+            update.removed = changes.removed;
+        } else {
+            update.upstreams = Some(self.registry_objects().into_values().collect());
+        }
+        update
     }
 
     /// Fetches newer state from a peer and applies it.
@@ -89,17 +136,32 @@
             self.update_evacuations(evacuations, &from);
         }
         if let Some(object) = &update.configuration {
-            self.apply_quarantine(&object.status);
+            self.observe_configuration(object);
             self.apply_configuration(object, &from);
         }
-        if let Some(upstreams) = update.upstreams {
-            let objects: BTreeMap<String, Object> = upstreams
-                .into_iter()
-                .map(|object| (object.name.clone(), object))
-                .collect();
-            let retain_missing_until = registry::missing_deadline(self.clock.now());
-            self.update_registry(retain_missing_until, update.revision, &objects, &from);
+        let Some(upstreams) = update.upstreams else {
+            return;
+        };
+        let mut objects = match update.base {
+            None => BTreeMap::new(),
+            Some(base) if base == self.registry_revision() => self.registry_objects(),
+            // The registry has changed since the call, and the next one will fit.
+            Some(_) => return,
+        };
+        for name in &update.removed {
+            objects.remove(name);
         }
+        objects.extend(
+            upstreams
+                .into_iter()
+                .map(|object| (object.name.clone(), object)),
+        );
+        let now = self.clock.now();
+        let retain_missing_until = update.retention_left_ms.map_or_else(
+            || registry::missing_deadline(now),
+            |left| now + Duration::from_millis(left),
+        );
+        self.update_registry(retain_missing_until, update.revision, &objects, &from);
     }
 }
 
@@ -115,18 +177,24 @@
 /// Fetches newer versions from peers, for as long as the process runs.
 pub async fn catch_up(gateway: Rc<Gateway>) {
     loop {
-        gateway.clock.sleep(CATCH_UP_DELAY / 3).await;
+        gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
-        let Some(&peer) = newer.first() else {
+        let Some(&(peer, near)) = newer.first() else {
             gateway.peers.borrow_mut().behind_since = None;
             continue;
         };
         let since = *gateway.peers.borrow_mut().behind_since.get_or_insert(now);
-        if now.saturating_sub(since) >= CATCH_UP_DELAY {
+        let delay = match (near, gateway.watches_store()) {
+            (true, false) => Duration::ZERO,
+            (true, true) => STORE_DELAY,
+            (false, _) => OTHER_ZONE_DELAY,
+        };
+        if now.saturating_sub(since) >= delay {
             info!(gateway.log, "peer has newer state; fetching it"; "peer" => peer.to_string());
             gateway.fetch_update(peer).await;
             gateway.peers.borrow_mut().behind_since = None;
+            gateway.clock.sleep(MIN_FETCH_INTERVAL).await;
         }
     }
 }
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -43,6 +43,8 @@
             table_version: versions.table,
             registry_revision: versions.registry,
             evacuation_revision: versions.evacuations,
+            store: self.store_access(),
+            configuration_revision: versions.configuration,
             leaving: self.leaving.get(),
             in_flight,
             ..Digest::default()
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -14,6 +14,7 @@
 mod catch_up;
 mod exchange;
 mod subscription;
+mod watchers;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -328,17 +329,20 @@
         sums
     }
 
-    /// The peers that have newer state, those of this entry's zone first.
-    fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<Ipv4Addr> {
+    /// The peers that have newer state, and whether each is in this entry's zone; these come
+    /// first.
+    fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
                 || peer.digest.registry_revision > versions.registry
                 || peer.digest.evacuation_revision > versions.evacuations
+                || peer.digest.configuration_revision > versions.configuration
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
+        let newer = newer.map(|(address, peer)| (*address, self.is_near(peer)));
         let mut newer: Vec<_> = newer.collect();
-        newer.sort_by_key(|(_, peer)| !self.is_near(peer));
-        newer.into_iter().map(|(address, _)| *address).collect()
+        newer.sort_by_key(|(_, near)| !near);
+        newer
     }
 }
 
@@ -357,22 +361,24 @@
 
 impl Gateway {
     /// Number of entries among which shared limits are divided, or `None` while some may be
-    /// undiscovered. Without seeds other than itself, an entry doesn't assume undiscovered
-    /// peers.
+    /// undiscovered.
     pub fn sharing_entries(&self, now: Duration) -> Option<usize> {
-        let settings = self.settings.borrow();
-        let has_other_seeds = settings
-            .seeds
-            .iter()
-            .any(|seed| seed.ip() != settings.address);
         let peers = self.peers.borrow();
-        if has_other_seeds {
+        if self.has_other_seeds() {
             peers.sharing_entries(now)
         } else {
             Some(peers.live_entries(now))
         }
     }
 
+    /// Whether there are seeds other than this entry. Without them, it doesn't assume
+    /// undiscovered peers.
+    fn has_other_seeds(&self) -> bool {
+        let settings = self.settings.borrow();
+        let mut seeds = settings.seeds.iter();
+        seeds.any(|seed| seed.ip() != settings.address)
+    }
+
     /// Number of entries that share upstreams which recover from an outage. Silent peers are
     /// included, because partitioned ones recover at the same time.
     pub fn known_entries(&self) -> u32 {
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -5,9 +5,9 @@
     time::Duration,
 };
 
-use verbenaspool_protocol::digest::Digest;
+use verbenaspool_protocol::digest::{Digest, StoreAccess};
 
-use super::{MAX_NAMED_PEERS, Peers, REMOTE_SAMPLE, digest_interval};
+use super::{DISCOVERY_TIME, MAX_NAMED_PEERS, Peers, REMOTE_SAMPLE, digest_interval};
 
 /// Address of the entry itself.
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 255, 0, 1);
@@ -206,3 +206,75 @@
     assert!(peers.next_recipients().len() <= 45 + REMOTE_SAMPLE + 2 * MAX_NAMED_PEERS[0]);
     assert_eq!(peers.known_entries(), entries);
 }
+
+/// Entries of one zone that hear each other, by address, and whether each is cut off from the
+/// store.
+fn zone_of(count: u16, now: Duration, cut_off: impl Fn(u16) -> bool) -> Vec<Peers> {
+    let entry = |own: u16| {
+        let mut peers = Peers::new(IpAddr::V4(peer(own)), ZONE);
+        for other in (0..count).filter(|other| *other != own) {
+            let store = if cut_off(other) {
+                StoreAccess::CutOff
+            } else {
+                StoreAccess::Idle
+            };
+            let digest = Digest {
+                store,
+                ..zone_digest(1, ZONE, count.into())
+            };
+            peers.receive(now, peer(other), digest);
+        }
+        peers
+    };
+    (0..count).map(entry).collect()
+}
+
+/// Guards against calls to the store that grow with the number of entries: 231 entries that
+/// each watched it made 7,300 calls in 50 s.
+#[test]
+fn two_entries_of_a_zone_watch_the_store() {
+    let (now, later) = (Duration::from_secs(1), Duration::from_secs(3));
+    for count in [1, 2, 6, 46, 91] {
+        let zone = zone_of(count, now, |_| false);
+        let watching = zone.iter().filter(|peers| peers.watches_store(later));
+        assert_eq!(watching.count(), usize::from(count.min(2)), "{count}");
+    }
+}
+
+/// Guards against a zone without changes because the store turns its watchers away, and
+/// against all its entries calling a store that is down.
+#[test]
+fn others_watch_if_the_watchers_are_cut_off() {
+    let (now, later) = (Duration::from_secs(1), Duration::from_secs(3));
+    let watching = |zone: &[Peers]| -> Vec<u16> {
+        let numbers = (0..).zip(zone);
+        let numbers = numbers.filter(|(_, peers)| peers.watches_store(later));
+        numbers.map(|(number, _)| number).collect()
+    };
+    let first = watching(&zone_of(46, now, |_| false));
+    let second = watching(&zone_of(46, now, |number| first.contains(&number)));
+    assert_eq!(second.iter().filter(|n| !first.contains(n)).count(), 2);
+    let all = watching(&zone_of(46, now, |_| true));
+    assert!((4..=8).contains(&all.len()), "{all:?}");
+}
+
+/// Guards against watchers that nobody replaces because they are silent or shut down.
+#[test]
+fn silent_and_leaving_watchers_are_replaced() {
+    let now = Duration::from_secs(1);
+    let zone = zone_of(6, now, |_| false);
+    let later = now + Duration::from_secs(30);
+    assert!(zone.iter().all(|peers| peers.watches_store(later)));
+    let mut last = zone
+        .into_iter()
+        .find(|peers| !peers.watches_store(now + DISCOVERY_TIME));
+    let last = last.as_mut().expect("four entries don't watch");
+    for other in 0..6 {
+        let leaving = Digest {
+            leaving: true,
+            ..zone_digest(9, ZONE, 6)
+        };
+        last.receive(now, peer(other), leaving);
+    }
+    assert!(last.watches_store(now + DISCOVERY_TIME));
+}
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -1,6 +1,10 @@
 //! The registry of upstreams, as used by this entry.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use verbenaspool_platform::{registry, store::Object};
 use verbenaspool_state::replica::Replica;
@@ -10,6 +14,18 @@
 /// again within about 2 s; those that are still missing then have stopped.
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
+/// Maximum number of removals to remember. A peer that lacks more gets all objects.
+const MAX_REMOVALS: usize = 1_000;
+
+/// Changes of the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// The objects that were added or changed.
+    pub changed: Vec<Object>,
+    /// Names of the objects that were removed.
+    pub removed: Vec<String>,
+}
+
 /// The upstreams, and the objects from which they were decoded.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -21,6 +37,12 @@
     replicas: BTreeMap<Rc<str>, Rc<Replica>>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
+    /// Names of removed objects, with the revision at which they were missing.
+    removals: VecDeque<(u64, String)>,
+    /// The revision after which all removals are known.
+    removals_since: u64,
+    /// Until when upstreams that are missing from the objects are kept.
+    pub retain_missing_until: Duration,
     /// Upstreams that are missing from the objects, and the time until which they are kept.
     missing: BTreeMap<Rc<str>, Duration>,
 }
@@ -66,12 +88,46 @@
         self.replicas = replicas;
         let replicas = &self.replicas;
         self.first_seen.retain(|id, _| replicas.contains_key(id));
+        self.retain_missing_until = retain_missing_until;
+        self.record_removals(revision, objects);
         self.revision = revision;
         if &self.objects != objects {
             self.objects.clone_from(objects);
         }
     }
 
+    /// Records which objects are missing from new ones.
+    fn record_removals(&mut self, revision: u64, objects: &BTreeMap<String, Object>) {
+        if self.revision == 0 {
+            self.removals_since = revision;
+        }
+        let removed = self.objects.keys();
+        let removed = removed.filter(|name| !objects.contains_key(*name));
+        self.removals
+            .extend(removed.map(|name| (revision, name.clone())));
+        while self.removals.len() > MAX_REMOVALS {
+            let dropped = self.removals.pop_front();
+            self.removals_since = dropped.map_or(revision, |(revision, _)| revision);
+        }
+    }
+
+    /// The changes after a revision, or `None` if not all of them are known.
+    #[must_use]
+    pub fn changes(&self, since: u64) -> Option<Changes> {
+        if since < self.removals_since {
+            return None;
+        }
+        let changed = self.objects.values();
+        let changed = changed.filter(|object| object.revision > since);
+        let removed = self.removals.iter();
+        let removed = removed
+            .filter(|(revision, name)| *revision > since && !self.objects.contains_key(name));
+        Some(Changes {
+            changed: changed.cloned().collect(),
+            removed: removed.map(|(_, name)| name.clone()).collect(),
+        })
+    }
+
     /// Removes upstreams whose time to register again is over. Returns whether there were
     /// any.
     pub fn remove_expired(&mut self, now: Duration) -> bool {
@@ -117,3 +173,6 @@
 pub fn missing_deadline(available_since: Duration) -> Duration {
     available_since + REREGISTRATION_TIME
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -0,0 +1,80 @@
+//! Tests of the changes that are sent to peers.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use verbenaspool_platform::store::Object;
+
+use super::{Changes, MAX_REMOVALS, Registry};
+
+/// The objects with these names and revisions.
+fn objects(list: &[(&str, u64)]) -> BTreeMap<String, Object> {
+    let object = |&(name, revision): &(&str, u64)| Object {
+        name: name.to_owned(),
+        revision,
+        specification: r#"{"service":"jobs","address":"127.0.0.1:80","zone":"a","state":"ready"}"#
+            .to_owned(),
+        status: "null".to_owned(),
+    };
+    let named = list.iter().map(|entry| (entry.0.to_owned(), object(entry)));
+    named.collect()
+}
+
+fn update(registry: &mut Registry, revision: u64, list: &[(&str, u64)]) {
+    let (now, none) = (Duration::from_secs(1), Duration::ZERO);
+    registry.update(now, none, revision, &objects(list));
+}
+
+/// Applies the changes after a revision to older objects.
+fn apply(registry: &Registry, since: u64, list: &[(&str, u64)]) -> BTreeMap<String, Object> {
+    let Changes { changed, removed } = registry.changes(since).expect("the changes are known");
+    let mut objects = objects(list);
+    for name in &removed {
+        objects.remove(name);
+    }
+    let changed = changed.into_iter();
+    objects.extend(changed.map(|object| (object.name.clone(), object)));
+    objects
+}
+
+/// Guards against a peer that keeps a removed upstream, or misses a changed one, because it
+/// gets changes instead of all objects.
+#[test]
+fn changes_lead_to_the_same_objects_from_each_revision() {
+    let mut registry = Registry::default();
+    let states: [(u64, &[(&str, u64)]); 4] = [
+        (10, &[("a", 4), ("b", 9)]),
+        (20, &[("a", 4), ("b", 15), ("c", 20)]),
+        (30, &[("b", 15), ("c", 20)]),
+        // `a` has registered again.
+        (40, &[("a", 36), ("c", 40)]),
+    ];
+    for (revision, list) in states {
+        update(&mut registry, revision, list);
+    }
+    for (revision, list) in states {
+        assert_eq!(
+            apply(&registry, revision, list),
+            objects(states[3].1),
+            "{revision}"
+        );
+    }
+    assert_eq!(
+        registry.changes(5),
+        None,
+        "removals before the first listing are unknown"
+    );
+}
+
+/// Guards against a peer that misses removals which are no longer remembered.
+#[test]
+fn changes_are_unknown_after_too_many_removals() {
+    let mut registry = Registry::default();
+    let names: Vec<String> = (0..=MAX_REMOVALS).map(|n| format!("i-{n}")).collect();
+    let list: Vec<(&str, u64)> = names.iter().map(|name| (&**name, 5)).collect();
+    update(&mut registry, 10, &list);
+    update(&mut registry, 20, &list[1..]);
+    assert!(registry.changes(10).is_some());
+    update(&mut registry, 30, &[]);
+    assert_eq!(registry.changes(10), None);
+    assert!(registry.changes(20).is_some());
+}
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -33,9 +33,18 @@
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(5)];
 
 impl Gateway {
-    /// Records the configuration's object as read from the store, and applies its status if
-    /// that changed.
+    /// Records the configuration's object as read from the store or by a peer, and applies its
+    /// status if that changed.
     pub fn observe_configuration(&self, object: &Object) {
+        let is_older = |stored: &Object| object.revision < stored.revision;
+        if self
+            .stored_configuration
+            .borrow()
+            .as_ref()
+            .is_some_and(is_older)
+        {
+            return;
+        }
         let previous = self.stored_configuration.replace(Some(object.clone()));
         let same = previous.is_some_and(|previous| previous.status == object.status);
         if !same {
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -29,6 +29,22 @@
     pub zone_entries: u32,
     /// Some of the other entries in the zone.
     pub zone_peers: Vec<Ipv4Addr>,
+    /// Whether the entry watches the platform's store.
+    pub store: StoreAccess,
+    /// The revision of the configuration's object, which also changes with its status.
+    pub configuration_revision: u64,
+}
+
+/// Whether an entry watches the platform's store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreAccess {
+    /// It leaves that to other entries of its zone.
+    #[default]
+    Idle,
+    /// It watches the store.
+    Watching,
+    /// Its last call failed.
+    CutOff,
 }
 
 /// The zone in digests of entries of the previous version, which don't send it.
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -15,7 +15,7 @@
 
 /// Number of fields at the end of a digest that the previous version doesn't send. Zero
 /// takes one byte in each of them.
-const NEW_DIGEST_FIELDS: usize = 4;
+const NEW_DIGEST_FIELDS: usize = 6;
 
 /// The same for a request for a slot.
 const NEW_RESERVATION_FIELDS: usize = 1;
