Send to a bounded part of a large service's upstreams

Each of 231 entries subscribed to each of 768 ranks and considered all of them for each request; each rank sent its status to all entries. Messages grew with entries times ranks, four fifths of them between zones. After an outage, an entry takes its share as if all entries sent to a group as many streams as itself: with 231 entries one stream counted as 2.4 on each of 96 ranks, so groups that had just returned were full after one.

An entry uses up to 192 upstreams of a service: three quarters in its zone, the rest in others, the nearest by rendezvous hashing, so that a change of the list changes little and nothing has to be exchanged. It subscribes to these only. After an outage it counts the entries of its zone, which use the same upstreams. Services of up to 192 upstreams are used whole, as before. A status finds its upstream by address instead of by a search through the registry.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -15,7 +15,7 @@
     configuration,
     store::{self, Object},
 };
-use verbenaspool_policy::quarantine::Quarantine;
+use verbenaspool_policy::{quarantine::Quarantine, subset};
 use verbenaspool_protocol::{
     digest,
     member::Status,
@@ -42,6 +42,11 @@
 /// keep-alive timeout. Timeouts below a second aren't stated.
 const KEEP_ALIVE_TIME: Duration = Duration::from_millis(400);
 
+/// Maximum number of a service's upstreams that an entry sends to. The entry subscribes to
+/// the status of each, and considers each for every request. This holds the upstreams of a
+/// zone of most fleets, and as many of other zones as its callers need if the zone is lost.
+const MAX_SERVICE_UPSTREAMS: usize = 192;
+
 /// State shared by all requests of an entry.
 pub struct Gateway {
     pub settings: RefCell<Settings>,
@@ -248,6 +253,7 @@
         }
         for (service, upstreams) in upstreams_by_service {
             let queue = self.queue(&service);
+            let upstreams = self.choose_subset(&queue, &upstreams);
             queue.with(|dispatcher, _| {
                 dispatcher.set_upstreams(upstreams.iter().map(|replica| &**replica));
                 for replica in &upstreams {
@@ -258,8 +264,21 @@
         }
     }
 
-    /// Addresses of the upstreams that are ranks of groups, and whether each is in this
-    /// entry's zone.
+    /// The upstreams of a service that this entry sends to.
+    fn choose_subset(&self, queue: &ServiceQueue, upstreams: &[Rc<Replica>]) -> Vec<Rc<Replica>> {
+        let settings = self.settings.borrow();
+        let members: Vec<(&str, bool)> = upstreams
+            .iter()
+            .map(|replica| (&*replica.id, *replica.zone == *settings.zone))
+            .collect();
+        let chosen = subset::choose_nearest(&settings.name, &members, MAX_SERVICE_UPSTREAMS);
+        queue.uses_subset.set(chosen.len() < upstreams.len());
+        let chosen = chosen.into_iter().map(|index| upstreams[index].clone());
+        chosen.collect()
+    }
+
+    /// Addresses of the upstreams that are ranks of groups and get requests of this entry, and
+    /// whether each is in this entry's zone.
     pub fn group_ranks(&self) -> Vec<(SocketAddr, bool)> {
         let Some(table) = self.table() else {
             return Vec::new();
@@ -268,11 +287,16 @@
             let engine = table.service(service).and_then(|s| s.engine.as_ref());
             engine.is_some_and(|engine| engine.experts.is_some())
         };
+        let queues = self.queues.borrow();
+        let is_used = |replica: &Replica| {
+            let queue = queues.get(&replica.service);
+            queue.is_some_and(|queue| queue.has_upstream(&replica.id))
+        };
         let registry = self.registry.borrow();
         let settings = self.settings.borrow();
         let ranks = registry
             .iter()
-            .filter(|replica| is_grouped(&replica.service));
+            .filter(|replica| is_grouped(&replica.service) && is_used(replica));
         let is_in_zone = |replica: &Replica| *replica.zone == *settings.zone;
         ranks
             .map(|replica| (replica.address, is_in_zone(replica)))
@@ -304,12 +328,10 @@
 
     /// Records the status of a rank, as reported by its agent.
     pub fn record_status(&self, status: &Status) {
-        let registry = self.registry.borrow();
-        let upstream = registry.iter().find(|r| r.address == status.upstream);
-        let Some(upstream) = upstream.cloned() else {
+        let upstream = self.registry.borrow().at(status.upstream).cloned();
+        let Some(upstream) = upstream else {
             return;
         };
-        drop(registry);
         let changed = self.queue(&upstream.service).with(|dispatcher, now| {
             if !dispatcher.record_load(now, &upstream.id, status.sequence, status.requests) {
                 return false;
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -384,6 +384,11 @@
     pub fn known_entries(&self) -> u32 {
         u32::try_from(self.peers.borrow().known_entries()).unwrap_or(u32::MAX)
     }
+
+    /// The same for the entries of this entry's zone.
+    pub fn zone_entries(&self) -> u32 {
+        u32::try_from(self.peers.borrow().zone_entries()).unwrap_or(u32::MAX)
+    }
 }
 
 /// The interval between digests for a number of peers.
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -21,6 +21,8 @@
 pub struct ServiceQueue {
     /// The service's name.
     pub service: Rc<str>,
+    /// Whether the entry sends to a part of the service's upstreams only.
+    pub uses_subset: Cell<bool>,
     clock: Rc<dyn Clock>,
     log: Logger,
     dispatcher: RefCell<Dispatcher>,
@@ -183,6 +185,7 @@
     ) -> Self {
         Self {
             service,
+            uses_subset: Cell::default(),
             clock,
             log,
             dispatcher: RefCell::new(Dispatcher::new(zone, seed)),
@@ -317,6 +320,11 @@
             .try_retry(now, limits, entries)
     }
 
+    /// Whether the entry sends requests to this upstream.
+    pub fn has_upstream(&self, id: &str) -> bool {
+        self.dispatcher.borrow().has_upstream(id)
+    }
+
     /// Records a crash of an upstream.
     pub fn record_crash(&self, upstream: &str) {
         self.with(|dispatcher, now| dispatcher.record_crash(now, upstream));
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -1,7 +1,8 @@
 //! The registry of upstreams, as used by this entry.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -35,6 +36,8 @@
     pub objects: BTreeMap<String, Object>,
     /// The upstreams by id.
     replicas: BTreeMap<Rc<str>, Rc<Replica>>,
+    /// The upstreams by address.
+    by_address: HashMap<SocketAddr, Rc<Replica>>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
     /// Names of removed objects, with the revision at which they were missing.
@@ -85,6 +88,10 @@
                 self.missing.remove(id);
             }
         }
+        let addresses = replicas.values();
+        self.by_address = addresses
+            .map(|replica| (replica.address, replica.clone()))
+            .collect();
         self.replicas = replicas;
         let replicas = &self.replicas;
         self.first_seen.retain(|id, _| replicas.contains_key(id));
@@ -149,6 +156,12 @@
         self.replicas.get(id)
     }
 
+    /// The upstream at an address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Rc<Replica>> {
+        self.by_address.get(&address)
+    }
+
     /// When the current object of an upstream was first seen.
     #[must_use]
     pub fn first_seen(&self, id: &str) -> Duration {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -236,11 +236,14 @@
     let mut last_tick = clock.now();
     while !signals.stop_requested() {
         clock.sleep(TICK_INTERVAL).await;
-        let entries = gateway.known_entries();
+        let (entries, zone_entries) = (gateway.known_entries(), gateway.zone_entries());
         let sharing = gateway.sharing_entries(clock.now());
         let name = gateway.settings.borrow().name.clone();
         for queue in gateway.queues() {
             queue.with(|dispatcher, now| {
+                // A subset consists mostly of upstreams that only entries of the zone use.
+                let subset = queue.uses_subset.get();
+                let entries = if subset { zone_entries } else { entries };
                 dispatcher.update_entry_count(now, entries);
                 dispatcher.set_warm_up_share(&name, sharing);
             });
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -357,6 +357,12 @@
         members.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether this is one of the upstreams.
+    #[must_use]
+    pub fn has_upstream(&self, id: &str) -> bool {
+        self.upstreams.contains_key(id)
+    }
+
     /// The current pass time of an upstream's group, if samples exist.
     #[must_use]
     pub fn pass_time(&self, now: Duration, id: &str) -> Option<Duration> {
