Let the agents of a group find each other while it forms

An agent learned of the others from service information: up to 200 instances, drawn from all of the service. Of 768 these hold a quarter of a group of 96, and an agent that had just started sent its state to them only once its group ran, up to a second later. The lead can't change the map before it knows all ranks, and passes on the initial map take two to three times as long, so a fleet that returned answered late for seconds. When an instance's rank couldn't be read, its agent told entries nothing, and they took the rank for running.

Service information names the members of the agent's group first, which the entry knows from their statuses. An agent knows its group as soon as its rank reports it, also while it forms, sends its state to all when the group runs, and introduces itself to a newcomer, with the agents that it knows, to which the newcomer then sends its state. An agent whose rank can't be read for 0.3 s reports that it doesn't run.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -316,10 +316,20 @@
         let mut local = registry.iter().filter(|r| r.address.ip() == instance);
         let (upstream, engine) =
             local.find_map(|replica| Some((replica, group_engine(replica)?)))?;
-        let group_members = registry.iter().filter(|r| r.service == upstream.service);
-        let group_members = group_members.map(|replica| replica.address.ip());
+        // The members of the agent's group come first, as far as this entry knows them.
+        let queue = self.queue(&upstream.service);
+        let members = queue.group_members(&upstream.id);
+        let members = members.iter().filter_map(|id| registry.get(id));
+        let mut instances: Vec<IpAddr> = members.map(|replica| replica.address.ip()).collect();
+        instances.truncate(reservation::MAX_INSTANCES);
+        let others = registry.iter().filter(|r| r.service == upstream.service);
+        let others = others.map(|replica| replica.address.ip());
+        let others = others.filter(|instance| !instances.contains(instance));
+        let room = reservation::MAX_INSTANCES - instances.len();
+        let others = others.choose_multiple(&mut rand::rng(), room);
+        instances.extend(others);
         Some(ServiceInfo {
-            instances: group_members.choose_multiple(&mut rand::rng(), reservation::MAX_INSTANCES),
+            instances,
             slots: upstream.slots,
             experts: engine.experts,
             min_pass_time: engine.pass_time(0.0),
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -325,6 +325,11 @@
         self.dispatcher.borrow().has_upstream(id)
     }
 
+    /// All upstreams in the group of an upstream, as far as known to this entry.
+    pub fn group_members(&self, id: &str) -> Vec<Rc<str>> {
+        self.dispatcher.borrow().known_group_members(id)
+    }
+
     /// Records a crash of an upstream.
     pub fn record_crash(&self, upstream: &str) {
         self.with(|dispatcher, now| dispatcher.record_crash(now, upstream));
--- a/verbenaspool_agent/src/direct/agent_state.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -88,6 +88,10 @@
     pub(super) first_sequence: u64,
     /// Passes of the rank's group.
     pub(super) progress: Cell<Progress>,
+    /// Whether the rank's report couldn't be read at the last attempt.
+    pub(super) unreachable: Cell<bool>,
+    /// When agents of the group that aren't known yet were last contacted.
+    pub(super) greeted_at: RefCell<BTreeMap<IpAddr, Duration>>,
     /// Whether the group was stalled when the rank's report was last read.
     stalled: Cell<bool>,
     /// The order that is being sent to the rank.
@@ -147,6 +151,8 @@
             last_arm: Cell::default(),
             first_sequence,
             progress: Cell::default(),
+            unreachable: Cell::default(),
+            greeted_at: RefCell::default(),
             stalled: Cell::default(),
             pending_order: RefCell::default(),
             subscribers: RefCell::default(),
@@ -184,12 +190,12 @@
     /// Processes a report of the own rank. Returns whether its state changed so that other
     /// agents should receive it now.
     pub fn handle_report(&self, report: &Report) -> bool {
-        let Some(member) = report.member.as_ref().filter(|member| member.complete) else {
+        let Some(member) = &report.member else {
             self.state.replace(None);
             return false;
         };
-        self.assume_predecessor_orders(member.epoch, report.step);
-        self.sequence.set(self.sequence.get() + 1);
+        // Known as soon as the group begins to form, so that its agents find each other
+        // before it runs.
         let group = digest::hash(&member.group);
         let before = self.group.replace(group);
         if before != group {
@@ -200,6 +206,12 @@
             self.membership.borrow_mut().clear();
             self.sums.take();
         }
+        if !member.complete {
+            self.state.replace(None);
+            return false;
+        }
+        self.assume_predecessor_orders(member.epoch, report.step);
+        self.sequence.set(self.sequence.get() + 1);
         let state = State {
             sequence: self.sequence.get(),
             group,
@@ -275,26 +287,36 @@
 
     /// Whether the rank belongs to a complete group that makes passes.
     pub(super) fn is_running(&self) -> bool {
-        self.state.borrow().is_some() && !self.stalled.get()
+        self.state.borrow().is_some() && !self.stalled.get() && !self.unreachable.get()
     }
 
-    /// Processes the state of a rank.
-    pub(super) fn handle_state(&self, agent: IpAddr, state: State) {
+    /// Processes the state of a rank, sent by its agent.
+    async fn receive_state(&self, agent: IpAddr, state: State) {
+        if self.handle_state(agent, state) {
+            self.introduce(agent).await;
+        }
+    }
+
+    /// Processes the state of a rank. Returns whether its agent wasn't known as a member of the
+    /// group.
+    pub(super) fn handle_state(&self, agent: IpAddr, state: State) -> bool {
         // A rank whose own group is still incomplete accepts the states of ranks that have
         // joined.
         if self.group.get() != state.group {
-            return;
+            return false;
         }
         let now = self.clock.now();
         let rank = usize::from(state.rank);
         let (report, pace) = (state.report, state.pace);
+        let known = self.membership.borrow().get(state.rank).map(|m| m.agent) == Some(agent);
         if !self.membership.borrow_mut().update(now, agent, state) {
-            return;
+            return false;
         }
         if let Some(lead) = &mut *self.lead.borrow_mut() {
             lead.switch.report(now, rank, report);
             lead.set_pace(rank, pace);
         }
+        !known
     }
 
     /// The reported pace, rounded to [`PACE_STEP`]. Logs each change.
@@ -331,7 +353,11 @@
                 self.handle_reservation(agent, request).await;
                 return;
             }
-            Message::State(state) => self.handle_state(agent, state),
+            Message::State(state) => self.receive_state(agent, state).await,
+            Message::Members(members) => {
+                self.greet(&members).await;
+                return;
+            }
             Message::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
                 self.handle_choices(&choices);
                 return;
--- a/verbenaspool_agent/src/direct/agent_state/tests.rs
+++ b/verbenaspool_agent/src/direct/agent_state/tests.rs
@@ -100,3 +100,47 @@
     };
     runtime::run(run).expect("a loop");
 }
+
+/// Guards against agents of a large service that find each other only after their group runs,
+/// which leaves it on the initial map for seconds.
+#[test]
+fn agents_find_each_other_while_their_group_forms() {
+    let run = async {
+        let shared = agent_state();
+        shared.handle_report(&report("g", 1, false));
+        let agent = "127.0.0.2".parse().expect("an address");
+        let other = State {
+            sequence: 1,
+            group: verbenaspool_protocol::digest::hash("g"),
+            rank: 1,
+            group_size: 2,
+            upstream: "127.0.0.2:9".parse().expect("an address"),
+            report: switch::Report::default(),
+            pace: 1.0,
+            zone: 1,
+        };
+        assert!(shared.handle_state(agent, other.clone()), "new");
+        let again = State {
+            sequence: 2,
+            ..other
+        };
+        assert!(!shared.handle_state(agent, again), "known");
+        shared.handle_report(&report("g", 1, true));
+        assert!(shared.knows_whole_group());
+    };
+    runtime::run(run).expect("the loop starts");
+}
+
+/// Guards against requests to a rank whose process is gone, as when all instances restart: its
+/// agent reported nothing, and entries took that for a rank that runs.
+#[test]
+fn a_rank_that_cant_be_read_doesnt_run() {
+    let run = async {
+        let shared = agent_state();
+        shared.handle_report(&report("g", 1, true));
+        assert!(shared.is_running());
+        shared.unreachable.set(true);
+        assert!(!shared.is_running());
+    };
+    runtime::run(run).expect("the loop starts");
+}
--- a/verbenaspool_agent/src/direct/membership.rs
+++ b/verbenaspool_agent/src/direct/membership.rs
@@ -70,6 +70,11 @@
         self.0.values().filter(recent)
     }
 
+    /// The agents of all members from which a state was received recently.
+    pub fn agents(&self, now: Duration) -> Vec<IpAddr> {
+        self.iter(now).map(|member| member.agent).collect()
+    }
+
     /// The agents to which the state of a rank is sent many times a second.
     ///
     /// The lead decides by the messages of all ranks, and the rank that holds passes is
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -4,13 +4,17 @@
 
 use verbenaspool_coordination::switch::{HOLDER_RANK, Report};
 use verbenaspool_protocol::{
-    member::{RankExperts, Status},
+    member::{Members, RankExperts, Status},
     message::Message,
     reservation::{self, Answer, Request},
 };
 
 use super::{agent_state::AgentState, subscribers::Snapshot};
 
+/// Minimum interval between two states sent to an agent of the group that isn't known yet.
+/// All known agents send the same list to one that has just joined.
+const MIN_GREETING_INTERVAL: Duration = Duration::from_millis(300);
+
 impl AgentState {
     /// Sends the rank's state to the agents that act on it, or with `to_all` to all agents
     /// of the group, and to all of the service while some of the group are unknown.
@@ -42,6 +46,46 @@
         }
     }
 
+    /// Sends the rank's state, and the known agents of the group, to an agent that has just
+    /// joined it.
+    ///
+    /// Agents find some of their group by the service information of an entry. In a service
+    /// of hundreds of ranks these are few, and the lead can't change the expert map before it
+    /// knows all.
+    pub(super) async fn introduce(&self, agent: IpAddr) {
+        let Some(state) = self.state().filter(|_| agent != self.settings.address) else {
+            return;
+        };
+        let now = self.clock.now();
+        let group = state.group;
+        self.send(agent, &Message::State(state)).await;
+        let mut agents = self.membership.borrow().agents(now);
+        agents.truncate(reservation::MAX_INSTANCES);
+        self.send(agent, &Message::Members(Members { group, agents }))
+            .await;
+    }
+
+    /// Sends the rank's state to agents of the group that aren't known yet.
+    pub(super) async fn greet(&self, members: &Members) {
+        let Some(state) = self.state().filter(|state| state.group == members.group) else {
+            return;
+        };
+        let now = self.clock.now();
+        let known = self.membership.borrow().agents(now);
+        let message = Message::State(state);
+        for agent in members.agents.iter().take(reservation::MAX_INSTANCES) {
+            let recently = |at: &Duration| now.saturating_sub(*at) < MIN_GREETING_INTERVAL;
+            let greeted = self.greeted_at.borrow().get(agent).is_some_and(recently);
+            if known.contains(agent) || greeted || *agent == self.settings.address {
+                continue;
+            }
+            self.greeted_at.borrow_mut().insert(*agent, now);
+            self.send(*agent, &message).await;
+        }
+        let mut greeted_at = self.greeted_at.borrow_mut();
+        greeted_at.retain(|_, at| now.saturating_sub(*at) < MIN_GREETING_INTERVAL);
+    }
+
     /// Whether the rank is the lead's or holds passes, so that others wait for its
     /// messages.
     pub fn is_lead_or_holder(&self) -> bool {
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -43,6 +43,9 @@
 /// receive it many times a second anyway.
 const MAX_RANKS_AT_HELLO_INTERVAL: u32 = 16;
 
+/// Time without a report of the rank after which it counts as not running.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum interval at which a rank's experts are sent to the lead.
 const EXPERTS_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -101,22 +104,29 @@
 async fn poll_rank(shared: &Rc<AgentState>, signals: &Signals, incarnation: &Cell<u64>) {
     let clock = &shared.clock;
     let (mut last_broadcast, mut last_hello) = (Duration::ZERO, Duration::ZERO);
-    let mut reachable = true;
+    let (mut reachable, mut last_read) = (true, Duration::ZERO);
     while !signals.stop_requested() {
         let report = shared.read_report().await;
         if report.is_some() != reachable {
             reachable = report.is_some();
             warn!(shared.log, "reachability of the rank's report changed"; "reached" => reachable);
         }
+        if report.is_some() {
+            last_read = clock.now();
+        }
+        let unread_for = clock.now().saturating_sub(last_read);
+        shared.unreachable.set(unread_for >= UNREACHABLE_TIME);
         let mut changing = false;
         if let Some(report) = report {
             incarnation.set(report.started_at_ms);
+            let was_complete = shared.state().is_some();
             let changed = shared.handle_report(&report);
+            let joined = !was_complete && shared.state().is_some();
             changing = report.order_in_progress
                 || report.armed_version.is_some()
                 || report.held_step.is_some();
             let now = clock.now();
-            let to_all = now.saturating_sub(last_hello) >= hello_interval(shared);
+            let to_all = joined || now.saturating_sub(last_hello) >= hello_interval(shared);
             let interval = REPORT_INTERVALS[usize::from(!changing && !shared.is_lead_or_holder())];
             if changed || to_all || now.saturating_sub(last_broadcast) >= interval {
                 last_broadcast = now;
@@ -127,8 +137,9 @@
             }
             shared.advance_change().await;
             shared.stand_in().await;
-            shared.notify_entries().await;
         }
+        // Also while the report can't be read: the rank then runs nothing.
+        shared.notify_entries().await;
         clock.sleep(READ_INTERVALS[usize::from(!changing)]).await;
     }
 }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -357,6 +357,15 @@
         members.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Ids of the upstreams in the group of `id`; none while its group is unknown.
+    #[must_use]
+    pub fn known_group_members(&self, id: &str) -> Vec<Rc<str>> {
+        let group = self.upstreams.get(id).map_or(0, |upstream| upstream.group);
+        let members = self.upstreams.iter();
+        let members = members.filter(|(_, other)| group != 0 && other.group == group);
+        members.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether this is one of the upstreams.
     #[must_use]
     pub fn has_upstream(&self, id: &str) -> bool {
--- a/verbenaspool_protocol/src/member.rs
+++ b/verbenaspool_protocol/src/member.rs
@@ -1,6 +1,6 @@
 //! Messages of the agents of a group's ranks, to each other and to entries.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use verbenaspool_coordination::switch::{self, Report};
@@ -27,6 +27,15 @@
     pub zone: u32,
 }
 
+/// The agents of a group, for one that has just joined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    /// Hash of the group's name, see [`crate::digest::hash`].
+    pub group: u32,
+    /// The agents; some of them if not all fit.
+    pub agents: Vec<IpAddr>,
+}
+
 /// How often the requests of a rank recently chose each expert. May be the sum over
 /// several ranks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     digest::{Digest, Hint},
-    member::{Choices, Difference, Map, MapRequest, Order, RankExperts, State, Status},
+    member::{Choices, Difference, Map, MapRequest, Members, Order, RankExperts, State, Status},
     reservation::{self, ServiceInfo, Subscription},
     suspicion::Suspicion,
 };
@@ -56,6 +56,8 @@
     WaitHints(Vec<Hint>),
     /// Entry to other entries: requests during which upstreams crashed.
     Suspicions(Vec<Suspicion>),
+    /// Agent to an agent that has just joined its group: the others.
+    Members(Members),
 }
 
 impl Message {
