Wait for the first report of a new rank's agent

When all machines of the fleet came back at once, entries knew the ranks before the agents had reported that no group ran: 3,251 of 15,697 arrivals at ranks weren't run, nearly all in the ten seconds after that. Each used one of its request's two attempts and the retry budget.

A rank with an agent gets no request until the agent has reported, for half a second at most after the rank was added: an agent answers a subscription within 0.1 s, and one that is gone must not take its rank out of service.

--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -143,6 +143,9 @@
     /// outage would appear to end with the first request after it.
     pub fn update_entry_count(&mut self, now: Duration, entries: u32) {
         self.entry_count = entries.max(1);
+        for upstream in self.upstreams.values_mut() {
+            upstream.added_at.get_or_insert(now);
+        }
         self.outage.observe(now, self.is_available(now));
     }
 
@@ -225,6 +228,12 @@
         }
     }
 
+    /// Whether the service's upstreams are ranks of groups, each with an agent.
+    fn has_agents(&self) -> bool {
+        let engine = self.engine.as_ref();
+        engine.is_some_and(|engine| engine.experts.is_some())
+    }
+
     /// Sets how many requests other entries have in flight at an upstream, by their
     /// digests. Ignored while the upstream's agent reports its load.
     ///
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -97,6 +97,11 @@
             if !self.warm_up_allows(now, &id, upstream) {
                 continue;
             }
+            // When all instances restart, entries run before the groups do, and only the agents
+            // know that.
+            if self.has_agents() && upstream.awaits_report(now) {
+                continue;
+            }
             if slow::is_slow(upstream.pace, fastest) {
                 continue;
             }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -15,6 +15,10 @@
 /// Agents of other zones report every four seconds.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(9);
 
+/// How long a new upstream's first report takes at most: an agent answers a subscription
+/// within 0.1 s, and an entry that starts subscribes at once.
+const FIRST_REPORT_TIME: Duration = Duration::from_millis(500);
+
 /// How long after a load report another one with a lower sequence number may still arrive.
 const REORDER_WINDOW: Duration = Duration::from_millis(300);
 
@@ -54,6 +58,8 @@
     pub pace: f64,
     /// When its agent last reported group and pace.
     pub status_at: Duration,
+    /// When it was added; `None` for a moment.
+    pub added_at: Option<Duration>,
     /// Sequence number and time of the last load report.
     pub load_report: Option<(u64, Duration)>,
     /// Until when its unresponsive agent isn't asked.
@@ -83,6 +89,12 @@
         self.load_report.is_some_and(recent)
     }
 
+    /// Whether it was added so recently that its agent may not have reported yet.
+    pub fn awaits_report(&self, now: Duration) -> bool {
+        let is_new = |at: Duration| now.saturating_sub(at) < FIRST_REPORT_TIME;
+        self.load_report.is_none() && self.added_at.is_none_or(is_new)
+    }
+
     /// Whether its agent recently failed to answer a reservation.
     pub fn is_agent_unresponsive(&self, now: Duration) -> bool {
         now < self.agent_backoff_until
@@ -124,6 +136,7 @@
             health: Health::default(),
             pace: 1.0,
             status_at: Duration::ZERO,
+            added_at: None,
             load_report: None,
             agent_backoff_until: Duration::ZERO,
         }
--- a/verbenaspool_policy/src/dispatch/warm_up.rs
+++ b/verbenaspool_policy/src/dispatch/warm_up.rs
@@ -60,8 +60,7 @@
         let Some(limits) = self.warm_up.limits.filter(|_| now < upstream.warm_up_until) else {
             return true;
         };
-        let has_agent = self.engine.as_ref().is_some_and(|e| e.experts.is_some());
-        if has_agent {
+        if self.has_agents() {
             return upstream.has_fresh_load(now) && !upstream.is_agent_unresponsive(now);
         }
         let share = self.warm_up.entries.map_or(0, |entries| {
--- a/verbenaspool_policy/tests/dispatch/agent_reports.rs
+++ b/verbenaspool_policy/tests/dispatch/agent_reports.rs
@@ -5,6 +5,8 @@
     slots::Slots,
 };
 
+use verbenaspool_state::engine::{Engine, Experts};
+
 use crate::simulation::{engine, ms, replica, stream};
 
 /// A dispatcher with one upstream of six slots.
@@ -117,3 +119,40 @@
     assert!(slots.grant(ms(11), 1));
     assert_eq!(slots.requests(), 1);
 }
+
+/// Guards against requests that are sent to ranks whose groups don't run yet, when entries and
+/// agents start at the same time: a fifth of all arrivals in the ten seconds after a restart
+/// of 231 entries and 768 agents.
+#[test]
+fn a_new_rank_gets_no_request_before_its_agent_has_reported() {
+    let mut dispatcher = dispatcher();
+    let experts = Experts {
+        layers: 1,
+        count: 1,
+        max_slots_per_rank: 1,
+        max_new_per_layer: 1,
+        work_share: 0.5,
+        copy_time: ms(1),
+    };
+    dispatcher.set_engine(Some(&Engine {
+        experts: Some(experts),
+        ..engine()
+    }));
+    dispatcher.update_entry_count(ms(0), 1);
+    dispatcher.submit(ms(1), 1, stream(1));
+    assert_eq!(dispatcher.process_queue(ms(1)), []);
+    dispatcher.record_load(ms(20), "u0", 1, 0);
+    dispatcher.record_status(ms(20), "u0", 7, true, 1.0);
+    let sent = [(1, Verdict::Send("u0".into()))];
+    assert_eq!(dispatcher.process_queue(ms(20)), sent);
+}
+
+/// Guards against a rank that gets no requests because its agent is gone for good.
+#[test]
+fn a_rank_without_an_agent_gets_requests_after_a_while() {
+    let mut dispatcher = dispatcher();
+    dispatcher.update_entry_count(ms(0), 1);
+    dispatcher.submit(ms(1_000), 1, stream(1_000));
+    let sent = [(1, Verdict::Send("u0".into()))];
+    assert_eq!(dispatcher.process_queue(ms(1_000)), sent);
+}
