--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -11,7 +11,7 @@
 mod events;
 mod follow;
 mod gateway;
-mod peers;
+pub mod peers;
 mod quarantine;
 mod queue;
 mod readiness;
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -52,6 +52,25 @@
     accepts_changes: bool,
 }
 
+impl Versions {
+    /// The versions of an entry of which only the registry changes.
+    ///
+    /// ```
+    /// let versions = verbenaspool::direct::peers::Versions::of_registry(7);
+    /// # drop(versions);
+    /// ```
+    #[must_use]
+    pub fn of_registry(revision: u64) -> Self {
+        Self {
+            table: 0,
+            registry: revision,
+            evacuations: 0,
+            configuration: 0,
+            accepts_changes: true,
+        }
+    }
+}
+
 /// State of a peer that is newer than the requested versions.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Update {
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -25,9 +25,8 @@
 use rand::seq::IteratorRandom;
 use verbenaspool_protocol::digest::{Digest, UNKNOWN_ZONE};
 
-use self::catch_up::Versions;
 pub use self::{
-    catch_up::{catch_up, register_methods},
+    catch_up::{Versions, catch_up, register_methods},
     exchange::{bind, broadcast, receive_messages, send_digests},
     subscription::send_subscriptions,
 };
@@ -116,6 +115,7 @@
 impl Peers {
     /// Creates an empty set of peers for the entry at the given address, with the hash of its
     /// zone.
+    #[must_use]
     pub fn new(own_address: IpAddr, own_zone: u32) -> Self {
         Self {
             own_address,
@@ -129,6 +129,7 @@
     }
 
     /// Number of live entries, including this one.
+    #[must_use]
     pub fn live_entries(&self, now: Duration) -> usize {
         let in_zone = self.live_peers(now).filter(|(_, peer)| self.is_near(peer));
         1 + in_zone.count() + self.entries_of_other_zones()
@@ -139,11 +140,13 @@
     ///
     /// If all entries of a large fleet start at the same time, each knows few peers. If they
     /// took the shares of these, they would exceed a limit many times together.
+    #[must_use]
     pub fn sharing_entries(&self, now: Duration) -> Option<usize> {
         self.is_settled(now).then(|| self.known_entries())
     }
 
     /// Number of known entries, including this one and silent ones.
+    #[must_use]
     pub fn known_entries(&self) -> usize {
         self.zone_entries() + self.entries_of_other_zones()
     }
@@ -187,6 +190,12 @@
         self.known.iter().filter(move |(_, peer)| is_live(peer))
     }
 
+    /// Whether the requests of the peer at an address count.
+    #[must_use]
+    pub fn is_live(&self, now: Duration, address: Ipv4Addr) -> bool {
+        self.live_peers(now).any(|(live, _)| *live == address)
+    }
+
     /// Records a digest. Returns whether it was accepted.
     pub fn receive(&mut self, now: Duration, from: Ipv4Addr, digest: Digest) -> bool {
         for &other in digest.peers.iter().take(MAX_NAMED_PEERS[0]) {
@@ -251,6 +260,7 @@
     }
 
     /// The interval between two digests to the same peer of this entry's zone.
+    #[must_use]
     pub fn digest_interval(&self) -> Duration {
         if self.known.len() <= MAX_EXCHANGED_PEERS {
             return digest_interval(self.known.len());
@@ -331,7 +341,8 @@
 
     /// The peers that have newer state, and whether each is in this entry's zone; these come
     /// first.
-    fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
+    #[must_use]
+    pub fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
                 || peer.digest.registry_revision > versions.registry
--- a/verbenaspool/src/direct/peers/watchers.rs
+++ b/verbenaspool/src/direct/peers/watchers.rs
@@ -26,6 +26,7 @@
 
 impl Peers {
     /// Whether this entry watches the store, if its process started at time zero.
+    #[must_use]
     pub fn watches_store(&self, now: Duration) -> bool {
         if !self.is_settled(now) && now < MAX_DISCOVERY_TIME {
             return false;
@@ -46,6 +47,7 @@
     }
 
     /// Number of entries that watch the store, including this one.
+    #[must_use]
     pub fn watchers(&self, now: Duration) -> usize {
         let is_watching = |peer: &Peer| peer.digest.store == StoreAccess::Watching;
         let near = self.live_peers(now).filter(|(_, peer)| self.is_near(peer));
