Send nothing to upstreams that others have replaced at their addresses

Callers of a fleet whose machines had all been off for 0.8 s got 503 `turned-away` for eight seconds after the groups ran again: 28, 26, 49, 21, 25 and 13 a second at 22 of 231 entries, beside 15 to 45 that were served. Each upstream registers under a new id when it starts, and the entry of the one that crashed stays for three heartbeats, 9 s there. The registry went from 816 to 1,584 upstreams, two at each address, and requests to the old ids were answered 421 until their attempts were used up. The status of an agent, which names an address, went to either of the two.

Of the upstreams at one address only the latest to start is used, by what it says of its start, or else by the revision of its entry. If another process answers in its place it gives way again, so an entry by another writer can't take a rank out of service.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -367,6 +367,7 @@
             return SendOutcome::Unknown("not-its-answer");
         }
         if misdirected {
+            self.gateway.record_replaced(&permit.upstream);
             permit.release(AttemptOutcome::Unreached);
             return SendOutcome::NotRun("misdirected");
         }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -238,6 +238,15 @@
         }
     }
 
+    /// Records that another process answered in an upstream's place.
+    pub fn record_replaced(&self, id: &Rc<str>) {
+        let changed = self.registry.borrow_mut().record_replaced(id);
+        if changed {
+            info!(self.log, "upstream replaced by another at its address"; "upstream" => &**id);
+            self.distribute_upstreams();
+        }
+    }
+
     /// Passes each service's upstreams to its queue.
     fn distribute_upstreams(&self) {
         let registry = self.registry.borrow();
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -1,7 +1,7 @@
 //! The registry of upstreams, as used by this entry.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -36,8 +36,10 @@
     pub objects: BTreeMap<String, Object>,
     /// The upstreams by id.
     replicas: BTreeMap<Rc<str>, Rc<Replica>>,
-    /// The upstreams by address.
+    /// The upstream at each address, the latest to start there.
     by_address: HashMap<SocketAddr, Rc<Replica>>,
+    /// Ids of upstreams in whose place another process answered.
+    replaced: BTreeSet<Rc<str>>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
     /// Names of removed objects, with the revision at which they were missing.
@@ -70,6 +72,7 @@
             }
             if let Some(replica) = registry::decode(&object.name, &object.specification) {
                 self.first_seen.insert(replica.id.clone(), now);
+                self.replaced.remove(&replica.id);
                 replicas.insert(replica.id.clone(), Rc::new(replica));
             }
         }
@@ -88,12 +91,9 @@
                 self.missing.remove(id);
             }
         }
-        let addresses = replicas.values();
-        self.by_address = addresses
-            .map(|replica| (replica.address, replica.clone()))
-            .collect();
         self.replicas = replicas;
         let replicas = &self.replicas;
+        self.replaced.retain(|id| replicas.contains_key(id));
         self.first_seen.retain(|id, _| replicas.contains_key(id));
         self.retain_missing_until = retain_missing_until;
         self.record_removals(revision, objects);
@@ -101,6 +101,44 @@
         if &self.objects != objects {
             self.objects.clone_from(objects);
         }
+        self.index_addresses();
+    }
+
+    /// Determines the upstream at each address.
+    ///
+    /// The entry of an upstream that crashed stays for several heartbeats, while its successor
+    /// has registered at the same address with another id. A successor that isn't the process
+    /// there, as its answers show, gives way to the others again.
+    fn index_addresses(&mut self) {
+        self.by_address.clear();
+        let age = |replica: &Replica| {
+            let object = self.objects.get(&*replica.id);
+            let revision = object.map_or(0, |object| object.revision);
+            let answers = !self.replaced.contains(&replica.id);
+            (answers, replica.started_at_ms, revision)
+        };
+        for replica in self.replicas.values() {
+            let current = self
+                .by_address
+                .entry(replica.address)
+                .or_insert_with(|| replica.clone());
+            if age(replica) > age(current) {
+                *current = replica.clone();
+            }
+        }
+    }
+
+    /// Records that another process answered in an upstream's place. Returns whether this
+    /// changed which upstreams are used.
+    pub fn record_replaced(&mut self, id: &Rc<str>) -> bool {
+        let Some(replica) = self.replicas.get(id) else {
+            return false;
+        };
+        let address = replica.address;
+        self.replaced.insert(id.clone());
+        let before = self.by_address.get(&address).cloned();
+        self.index_addresses();
+        self.by_address.get(&address) != before.as_ref()
     }
 
     /// Records which objects are missing from new ones.
@@ -147,7 +185,11 @@
             }
             now < *until
         });
-        replicas.len() != before
+        let changed = replicas.len() != before;
+        if changed {
+            self.index_addresses();
+        }
+        changed
     }
 
     /// The upstream with this id.
@@ -168,15 +210,15 @@
         self.first_seen.get(id).copied().unwrap_or_default()
     }
 
-    /// All upstreams.
+    /// All upstreams, without those that others have replaced at their addresses.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Replica>> {
-        self.replicas.values()
+        self.by_address.values()
     }
 
     /// Number of upstreams.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.replicas.len()
+        self.by_address.len()
     }
 }
 
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -11,8 +11,9 @@
     let object = |&(name, revision): &(&str, u64)| Object {
         name: name.to_owned(),
         revision,
-        specification: r#"{"service":"jobs","address":"127.0.0.1:80","zone":"a","state":"ready"}"#
-            .to_owned(),
+        specification: format!(
+            r#"{{"service":"jobs","address":"127.0.0.1:{revision}","zone":"a","state":"ready"}}"#
+        ),
         status: "null".to_owned(),
     };
     let named = list.iter().map(|entry| (entry.0.to_owned(), object(entry)));
@@ -78,3 +79,68 @@
     assert_eq!(registry.changes(10), None);
     assert!(registry.changes(20).is_some());
 }
+
+/// The object of an upstream that started at this time, at an address that all of them share.
+fn started(name: &str, revision: u64, born: &str) -> Object {
+    Object {
+        name: name.to_owned(),
+        revision,
+        specification: format!(
+            r#"{{"service":"jobs","address":"127.0.0.1:80","zone":"a","state":"ready"{born}}}"#
+        ),
+        status: "null".to_owned(),
+    }
+}
+
+/// Ids of the upstreams that get requests.
+fn used(registry: &Registry) -> Vec<String> {
+    registry
+        .iter()
+        .map(|replica| replica.id.to_string())
+        .collect()
+}
+
+/// Guards against requests to upstreams that crashed: their entries stay for nine seconds, while
+/// their successors have registered at the same addresses. As all machines of a fleet came
+/// back, half of the registry was of that kind, and more than half of the requests used up
+/// their attempts on it.
+#[test]
+fn an_upstream_is_replaced_by_the_next_one_at_its_address() {
+    for (first, second) in [
+        (r#","born":1000"#, r#","born":2000"#),
+        // The revision decides if they don't say when they started.
+        ("", ""),
+    ] {
+        let mut registry = Registry::default();
+        let objects = [started("i-9", 5, first), started("i-1", 7, second)];
+        let named = objects
+            .into_iter()
+            .map(|object| (object.name.clone(), object));
+        let (now, none) = (Duration::from_secs(1), Duration::ZERO);
+        registry.update(now, none, 10, &named.collect());
+        assert_eq!(used(&registry), ["i-1"], "{first}");
+        let address = "127.0.0.1:80".parse().expect("an address");
+        assert_eq!(
+            registry.at(address).map(|replica| &*replica.id),
+            Some("i-1")
+        );
+    }
+}
+
+/// Guards against an entry of another writer that takes the address of an upstream for good.
+#[test]
+fn an_entry_whose_upstream_doesnt_answer_gives_way() {
+    let mut registry = Registry::default();
+    let objects = [
+        started("i-1", 5, r#","born":1000"#),
+        started("i-2", 7, r#","born":9000"#),
+    ];
+    let named = objects
+        .into_iter()
+        .map(|object| (object.name.clone(), object));
+    let (now, none) = (Duration::from_secs(1), Duration::ZERO);
+    registry.update(now, none, 10, &named.collect());
+    assert!(registry.record_replaced(&"i-2".into()));
+    assert_eq!(used(&registry), ["i-1"]);
+    assert!(!registry.record_replaced(&"i-3".into()), "unknown");
+}
--- a/verbenaspool_policy/tests/dispatch/simulation.rs
+++ b/verbenaspool_policy/tests/dispatch/simulation.rs
@@ -41,6 +41,7 @@
         zone: "a".into(),
         slots,
         state: State::Ready,
+        started_at_ms: 0,
         warm_up_left: None,
     }
 }
--- a/verbenaspool_state/src/replica.rs
+++ b/verbenaspool_state/src/replica.rs
@@ -17,6 +17,8 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: State,
+    /// When it started, in milliseconds of Unix time; 0 if it doesn't say.
+    pub started_at_ms: u64,
     /// How much longer it warms up, counted from its report; `None` if it doesn't say.
     pub warm_up_left: Option<Duration>,
 }
