Name the zone of peers and the messages between agents by the usual terms

Peers of the own zone are same-zone peers, agents send their membership to a newcomer and contact the members it names, and the part of a service's upstreams is chosen by hash. No change of behaviour.

--- a/verbenaspool/benches/fleet/main.rs
+++ b/verbenaspool/benches/fleet/main.rs
@@ -48,7 +48,7 @@
     }
     let forgotten = fleet.now.saturating_sub(killed_at);
     let per_entry_second = entries as f64 * COUNTED.as_secs_f64();
-    let [near, far] = subset_sizes(1, upstreams);
+    let [same_zone, other_zones] = subset_sizes(1, upstreams);
     vec![
         (
             "digests of an entry",
@@ -74,8 +74,12 @@
         ("a change is active everywhere", "s", change.as_secs_f64()),
         ("a dead entry is out of sums", "s", forgotten.as_secs_f64()),
         ("largest sum of shares", "", fleet.max_share_sum),
-        ("upstreams of an entry in its zone", "", near as f64),
-        ("upstreams of an entry in other zones", "", far as f64),
+        ("upstreams of an entry in its zone", "", same_zone as f64),
+        (
+            "upstreams of an entry in other zones",
+            "",
+            other_zones as f64,
+        ),
         (
             "time of the simulation",
             "s",
--- a/verbenaspool/benches/fleet/simulation.rs
+++ b/verbenaspool/benches/fleet/simulation.rs
@@ -249,8 +249,8 @@
         let newer = entry
             .peers
             .newer_peers(age, Versions::of_registry(entry.revision));
-        let near = newer.first().filter(|(_, near)| *near);
-        let peer = near.and_then(|(address, _)| self.numbers.get(address));
+        let same_zone = newer.first().filter(|(_, same_zone)| *same_zone);
+        let peer = same_zone.and_then(|(address, _)| self.numbers.get(address));
         if let Some(peer) = peer {
             let revision = self.entries[*peer].revision;
             self.schedule(
@@ -341,7 +341,7 @@
         .map(|(number, id)| (id.as_str(), number % ZONES == entry % ZONES))
         .collect();
     let name = format!("entry-{entry}");
-    let chosen = subset::choose_nearest(&name, &members, MAX_SERVICE_UPSTREAMS);
-    let near = chosen.iter().filter(|index| members[**index].1).count();
-    [near, chosen.len() - near]
+    let chosen = subset::choose_by_hash(&name, &members, MAX_SERVICE_UPSTREAMS);
+    let same_zone = chosen.iter().filter(|index| members[**index].1).count();
+    [same_zone, chosen.len() - same_zone]
 }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -280,7 +280,7 @@
             .iter()
             .map(|replica| (&*replica.id, *replica.zone == *settings.zone))
             .collect();
-        let chosen = subset::choose_nearest(&settings.name, &members, MAX_SERVICE_UPSTREAMS);
+        let chosen = subset::choose_by_hash(&settings.name, &members, MAX_SERVICE_UPSTREAMS);
         queue.uses_subset.set(chosen.len() < upstreams.len());
         let chosen = chosen.into_iter().map(|index| upstreams[index].clone());
         chosen.collect()
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -199,12 +199,12 @@
         gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
-        let Some(&(peer, near)) = newer.first() else {
+        let Some(&(peer, same_zone)) = newer.first() else {
             gateway.peers.borrow_mut().behind_since = None;
             continue;
         };
         let since = *gateway.peers.borrow_mut().behind_since.get_or_insert(now);
-        let delay = match (near, gateway.watches_store()) {
+        let delay = match (same_zone, gateway.watches_store()) {
             (true, false) => Duration::ZERO,
             (true, true) => STORE_DELAY,
             (false, _) => OTHER_ZONE_DELAY,
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -131,7 +131,9 @@
     /// Number of live entries, including this one.
     #[must_use]
     pub fn live_entries(&self, now: Duration) -> usize {
-        let in_zone = self.live_peers(now).filter(|(_, peer)| self.is_near(peer));
+        let in_zone = self
+            .live_peers(now)
+            .filter(|(_, peer)| self.is_same_zone(peer));
         1 + in_zone.count() + self.entries_of_other_zones()
     }
 
@@ -156,7 +158,7 @@
         1 + self
             .known
             .values()
-            .filter(|peer| self.is_near(peer))
+            .filter(|peer| self.is_same_zone(peer))
             .count()
     }
 
@@ -169,9 +171,9 @@
     }
 
     /// Whether a peer is in this entry's zone. Peers of the previous version don't send their
-    /// zone and count one by one, like those of this entry's zone; those of an unknown
-    /// zone that were never heard don't count.
-    fn is_near(&self, peer: &Peer) -> bool {
+    /// zone and count one by one, like those of this entry's zone; those of an unknown zone
+    /// that sent no digest don't count.
+    fn is_same_zone(&self, peer: &Peer) -> bool {
         peer.digest.zone == self.own_zone
             || peer.digest.zone == UNKNOWN_ZONE && peer.last_received.is_some()
     }
@@ -233,10 +235,10 @@
             return;
         }
         let few = self.known.len() < MAX_EXCHANGED_PEERS;
-        let near = zone == self.own_zone;
-        let new_zone = !near && zone != UNKNOWN_ZONE && !self.zones.contains_key(&zone);
+        let same_zone = zone == self.own_zone;
+        let new_zone = !same_zone && zone != UNKNOWN_ZONE && !self.zones.contains_key(&zone);
         let peer = self.known.entry(address).or_insert_with(|| {
-            if few || near || new_zone {
+            if few || same_zone || new_zone {
                 self.last_discovery = now;
             }
             Peer {
@@ -246,7 +248,7 @@
         });
         if zone != UNKNOWN_ZONE && peer.digest.zone == UNKNOWN_ZONE {
             peer.digest.zone = zone;
-            if near {
+            if same_zone {
                 self.last_discovery = now;
             }
         }
@@ -272,7 +274,7 @@
     /// none yet, and a sample of the others.
     pub fn next_recipients(&mut self) -> Vec<Ipv4Addr> {
         let all = self.known.len() <= MAX_EXCHANGED_PEERS;
-        let is_due = |peer: &Peer| all || self.is_near(peer) || !peer.contacted;
+        let is_due = |peer: &Peer| all || self.is_same_zone(peer) || !peer.contacted;
         let (mut recipients, others): (Vec<_>, Vec<_>) =
             self.known.iter().partition(|(_, peer)| is_due(peer));
         recipients.extend(
@@ -309,9 +311,9 @@
     /// Some live peers to name in a digest: those of this entry's zone, and others.
     fn named_peers(&self, now: Duration) -> [Vec<Ipv4Addr>; 2] {
         let max_named = MAX_NAMED_PEERS[usize::from(self.is_settled(now))];
-        [true, false].map(|near| {
+        [true, false].map(|same_zone| {
             let peers = self.live_peers(now);
-            let peers = peers.filter(|(_, peer)| (peer.digest.zone == self.own_zone) == near);
+            let peers = peers.filter(|(_, peer)| (peer.digest.zone == self.own_zone) == same_zone);
             let peers = peers.map(|(address, _)| *address);
             peers.choose_multiple(&mut rand::rng(), max_named)
         })
@@ -319,10 +321,12 @@
 
     /// Up to `count` live peers, preferably of this entry's zone.
     fn sample(&self, now: Duration, count: usize) -> Vec<Ipv4Addr> {
-        let (near, others): (Vec<_>, Vec<_>) = self
+        let (same_zone, others): (Vec<_>, Vec<_>) = self
             .live_peers(now)
-            .partition(|(_, peer)| self.is_near(peer));
-        let mut sample = near.into_iter().choose_multiple(&mut rand::rng(), count);
+            .partition(|(_, peer)| self.is_same_zone(peer));
+        let mut sample = same_zone
+            .into_iter()
+            .choose_multiple(&mut rand::rng(), count);
         let rest = count - sample.len();
         sample.extend(others.into_iter().choose_multiple(&mut rand::rng(), rest));
         sample.into_iter().map(|(address, _)| *address).collect()
@@ -350,9 +354,9 @@
                 || peer.digest.configuration_revision > versions.configuration
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
-        let newer = newer.map(|(address, peer)| (*address, self.is_near(peer)));
+        let newer = newer.map(|(address, peer)| (*address, self.is_same_zone(peer)));
         let mut newer: Vec<_> = newer.collect();
-        newer.sort_by_key(|(_, near)| !near);
+        newer.sort_by_key(|(_, same_zone)| !same_zone);
         newer
     }
 }
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -115,8 +115,8 @@
     }
 }
 
-/// The peers of a fleet of 231 entries, 46 of them in the own zone, after each of the near
-/// peers and one of each other zone were heard.
+/// The peers of a fleet of 231 entries, 46 of them in the own zone, after all have sent a
+/// digest.
 fn fleet() -> (Peers, Duration) {
     let (mut peers, now) = (peers(), Duration::from_secs(1));
     for index in 0..45 {
@@ -147,7 +147,7 @@
 }
 
 /// Guards against a dead entry whose requests count for ten seconds, because each peer of a
-/// large fleet is heard once in three.
+/// large fleet sends a digest once in three.
 #[test]
 fn a_dead_peer_of_a_large_zone_is_detected_within_three_seconds() {
     let (mut peers, now) = fleet();
@@ -164,8 +164,8 @@
     assert!(peers.live_peers(later).count() < before);
 }
 
-/// Guards against shared limits that are exceeded because an entry counts only the peers that
-/// it hears: entries of other zones, silent ones, and those of a zone that is cut off.
+/// Guards against shared limits that are exceeded because an entry counts only the peers that it
+/// receives digests from, without silent ones and those of other zones.
 #[test]
 fn shares_of_a_large_fleet_count_all_entries() {
     let (peers, now) = fleet();
--- a/verbenaspool/src/direct/peers/watchers.rs
+++ b/verbenaspool/src/direct/peers/watchers.rs
@@ -36,7 +36,7 @@
             std::net::IpAddr::V6(_) => return true,
         };
         let candidates = self.live_peers(now).filter(|(address, peer)| {
-            self.is_near(peer) && !peer.digest.leaving && order(**address) < own
+            self.is_same_zone(peer) && !peer.digest.leaving && order(**address) < own
         });
         let (mut before, mut reaching) = (0, 0);
         for (_, peer) in candidates {
@@ -50,11 +50,13 @@
     #[must_use]
     pub fn watchers(&self, now: Duration) -> usize {
         let is_watching = |peer: &Peer| peer.digest.store == StoreAccess::Watching;
-        let near = self.live_peers(now).filter(|(_, peer)| self.is_near(peer));
-        let near = near.filter(|(_, peer)| is_watching(peer)).count();
+        let same_zone = self
+            .live_peers(now)
+            .filter(|(_, peer)| self.is_same_zone(peer));
+        let same_zone = same_zone.filter(|(_, peer)| is_watching(peer)).count();
         let sizes = self.zones.values().map(|size| size.entries);
         let sizes = sizes.map(|entries| entries[0].max(entries[1]) as usize);
-        1 + near + sizes.map(|size| size.min(WATCHERS_PER_ZONE)).sum::<usize>()
+        1 + same_zone + sizes.map(|size| size.min(WATCHERS_PER_ZONE)).sum::<usize>()
     }
 }
 
--- a/verbenaspool/tests/fleet.rs
+++ b/verbenaspool/tests/fleet.rs
@@ -79,9 +79,9 @@
 fn an_entry_uses_a_bounded_number_of_upstreams() {
     for (upstreams, used) in [(60, 60), (192, 192), (768, 192), (12_000, 192)] {
         for entry in [0, 7, 230] {
-            let [near, far] = subset_sizes(entry, upstreams);
-            assert_eq!(near + far, used, "{upstreams}");
-            assert!(far >= used / 5, "{upstreams}: {far}");
+            let [same_zone, other_zones] = subset_sizes(entry, upstreams);
+            assert_eq!(same_zone + other_zones, used, "{upstreams}");
+            assert!(other_zones >= used / 5, "{upstreams}: {other_zones}");
         }
     }
 }
--- a/verbenaspool_agent/src/direct/agent_state.rs
+++ b/verbenaspool_agent/src/direct/agent_state.rs
@@ -88,10 +88,10 @@
     pub(super) first_sequence: u64,
     /// Passes of the rank's group.
     pub(super) progress: Cell<Progress>,
-    /// Whether the rank's report couldn't be read at the last attempt.
+    /// Whether the rank's report couldn't be read for some time.
     pub(super) unreachable: Cell<bool>,
     /// When agents of the group that aren't known yet were last contacted.
-    pub(super) greeted_at: RefCell<BTreeMap<IpAddr, Duration>>,
+    pub(super) contacted_at: RefCell<BTreeMap<IpAddr, Duration>>,
     /// Whether the group was stalled when the rank's report was last read.
     stalled: Cell<bool>,
     /// The order that is being sent to the rank.
@@ -152,7 +152,7 @@
             first_sequence,
             progress: Cell::default(),
             unreachable: Cell::default(),
-            greeted_at: RefCell::default(),
+            contacted_at: RefCell::default(),
             stalled: Cell::default(),
             pending_order: RefCell::default(),
             subscribers: RefCell::default(),
@@ -293,7 +293,7 @@
     /// Processes the state of a rank, sent by its agent.
     async fn receive_state(&self, agent: IpAddr, state: State) {
         if self.handle_state(agent, state) {
-            self.introduce(agent).await;
+            self.send_membership(agent).await;
         }
     }
 
@@ -355,7 +355,7 @@
             }
             Message::State(state) => self.receive_state(agent, state).await,
             Message::Members(members) => {
-                self.greet(&members).await;
+                self.contact_members(&members).await;
                 return;
             }
             Message::Choices(choices) if own == Some((choices.group, choices.epoch)) => {
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -13,7 +13,7 @@
 
 /// Minimum interval between two states sent to an agent of the group that isn't known yet.
 /// All known agents send the same list to one that has just joined.
-const MIN_GREETING_INTERVAL: Duration = Duration::from_millis(300);
+const MIN_CONTACT_INTERVAL: Duration = Duration::from_millis(300);
 
 impl AgentState {
     /// Sends the rank's state to the agents that act on it, or with `to_all` to all agents
@@ -52,7 +52,7 @@
     /// Agents find some of their group by the service information of an entry. In a service
     /// of hundreds of ranks these are few, and the lead can't change the expert map before it
     /// knows all.
-    pub(super) async fn introduce(&self, agent: IpAddr) {
+    pub(super) async fn send_membership(&self, agent: IpAddr) {
         let Some(state) = self.state().filter(|_| agent != self.settings.address) else {
             return;
         };
@@ -66,7 +66,7 @@
     }
 
     /// Sends the rank's state to agents of the group that aren't known yet.
-    pub(super) async fn greet(&self, members: &Members) {
+    pub(super) async fn contact_members(&self, members: &Members) {
         let Some(state) = self.state().filter(|state| state.group == members.group) else {
             return;
         };
@@ -74,16 +74,16 @@
         let known = self.membership.borrow().agents(now);
         let message = Message::State(state);
         for agent in members.agents.iter().take(reservation::MAX_INSTANCES) {
-            let recently = |at: &Duration| now.saturating_sub(*at) < MIN_GREETING_INTERVAL;
-            let greeted = self.greeted_at.borrow().get(agent).is_some_and(recently);
-            if known.contains(agent) || greeted || *agent == self.settings.address {
+            let recently = |at: &Duration| now.saturating_sub(*at) < MIN_CONTACT_INTERVAL;
+            let contacted = self.contacted_at.borrow().get(agent).is_some_and(recently);
+            if known.contains(agent) || contacted || *agent == self.settings.address {
                 continue;
             }
-            self.greeted_at.borrow_mut().insert(*agent, now);
+            self.contacted_at.borrow_mut().insert(*agent, now);
             self.send(*agent, &message).await;
         }
-        let mut greeted_at = self.greeted_at.borrow_mut();
-        greeted_at.retain(|_, at| now.saturating_sub(*at) < MIN_GREETING_INTERVAL);
+        let mut contacted_at = self.contacted_at.borrow_mut();
+        contacted_at.retain(|_, at| now.saturating_sub(*at) < MIN_CONTACT_INTERVAL);
     }
 
     /// Whether the rank is the lead's or holds passes, so that others wait for its
--- a/verbenaspool_policy/src/subset.rs
+++ b/verbenaspool_policy/src/subset.rs
@@ -52,24 +52,24 @@
 /// Returns the indices in `members` of the entry's subset, without knowing the other entries.
 ///
 /// `members` holds the id of each upstream and whether it is in the entry's zone. All are
-/// returned if there are at most `size`, else the `size` that are nearest to the entry by
-/// rendezvous hashing. Upstreams get equally many entries only on average, which suffices
+/// returned if there are at most `size`, else the first `size` in an
+/// order by rendezvous hashing. Upstreams get equally many entries only on average, which suffices
 /// where the upstreams of the zone nearly fit, and a change of the list changes little.
 ///
 /// ```
-/// use verbenaspool_policy::subset::choose_nearest;
+/// use verbenaspool_policy::subset::choose_by_hash;
 ///
 /// let members = [("i-1", true), ("i-2", false), ("i-3", false)];
-/// assert_eq!(choose_nearest("entry-1", &members, 3), [0, 1, 2]);
-/// assert!(choose_nearest("entry-1", &members, 2).contains(&0));
+/// assert_eq!(choose_by_hash("entry-1", &members, 3), [0, 1, 2]);
+/// assert!(choose_by_hash("entry-1", &members, 2).contains(&0));
 /// ```
 #[must_use]
-pub fn choose_nearest(entry: &str, members: &[(&str, bool)], size: usize) -> Vec<usize> {
+pub fn choose_by_hash(entry: &str, members: &[(&str, bool)], size: usize) -> Vec<usize> {
     if members.len() <= size {
         return (0..members.len()).collect();
     }
     let entry = xxh3_64(entry.as_bytes());
-    let nearest = |local: bool, count: usize| -> Vec<usize> {
+    let first_by_hash = |local: bool, count: usize| -> Vec<usize> {
         let members = members.iter().enumerate();
         let candidates = members.filter(|(_, (_, in_zone))| *in_zone == local);
         let mut ranked: Vec<(u64, usize)> = candidates
@@ -84,8 +84,8 @@
     };
     let remote = members.iter().filter(|(_, in_zone)| !in_zone).count();
     let local_size = fraction_of(size, LOCAL_FRACTION).max(size.saturating_sub(remote));
-    let mut chosen = nearest(true, local_size);
-    chosen.extend(nearest(false, size - chosen.len()));
+    let mut chosen = first_by_hash(true, local_size);
+    chosen.extend(first_by_hash(false, size - chosen.len()));
     chosen
 }
 
