--- a/verbenaspool_policy/src/subset.rs
+++ b/verbenaspool_policy/src/subset.rs
@@ -52,9 +52,9 @@
 /// Returns the indices in `members` of the entry's subset, without knowing the other entries.
 ///
 /// `members` holds the id of each upstream and whether it is in the entry's zone. All are
-/// returned if there are at most `size`, else the first `size` in an
-/// order by rendezvous hashing. Upstreams get equally many entries only on average, which suffices
-/// where the upstreams of the zone nearly fit, and a change of the list changes little.
+/// returned if there are at most `size`, else the first `size` in an order by rendezvous
+/// hashing. A change of the list changes little. Upstreams get equally many entries only on
+/// average, which suffices where the upstreams of the zone nearly fit.
 ///
 /// ```
 /// use verbenaspool_policy::subset::choose_by_hash;
