Take an upstream for crashed when a peer reports it

The second entry sent a request that had just crashed one upstream to the last one. It learned of the crash from the registry, by its own watch before, and since two entries of a zone watch, one digest and one call later. The peer's report of the crash came in milliseconds but counted only against the request, not against the upstream.

The first report of a crash now also takes the upstream out, as it does at the entry that saw it. Repeated reports, which come up to five seconds later, don't: the upstream may be back.

--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -16,6 +16,10 @@
 /// Interval of reports to peers. Reports are repeated because datagrams get lost.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum age of a crash whose upstream can't have restarted yet. Reports are repeated, so
+/// most of them are older.
+const FRESH_CRASH_AGE: Duration = Duration::from_millis(300);
+
 /// How long an observation is reported to peers.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -76,6 +80,9 @@
                     early: crash.early,
                 };
                 self.record_crash(request, crash, Observer::Peer);
+                if now.saturating_sub(crash.at) < FRESH_CRASH_AGE {
+                    self.record_upstream_crash(crash.upstream);
+                }
             }
             if let Some(term) = suspicion.term {
                 let until = now + Duration::from_millis(term.left_ms.into());
@@ -85,6 +92,16 @@
         }
     }
 
+    /// Records that an upstream, given by its hash, has just crashed. The registry says so
+    /// later, and until then a suspected request could be sent to the last running one.
+    fn record_upstream_crash(&self, upstream: u32) {
+        for queue in self.queues() {
+            if let Some(id) = queue.upstream_by_hash(upstream) {
+                queue.record_crash(&id);
+            }
+        }
+    }
+
     /// Records a quarantine set by another entry or loaded from the store.
     pub fn record_term(&self, request: Fingerprint, term: Term) {
         let now = self.clock.now();
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -13,7 +13,7 @@
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
     retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
 };
-use verbenaspool_protocol::reservation::WarmUp;
+use verbenaspool_protocol::{digest, reservation::WarmUp};
 use verbenaspool_transport::clock::Clock;
 
 /// The dispatcher of one service at this entry, and the requests that wait for its verdicts.
@@ -330,6 +330,13 @@
         self.dispatcher.borrow().known_group_members(id)
     }
 
+    /// The id of the upstream with this hash.
+    pub fn upstream_by_hash(&self, hash: u32) -> Option<Rc<str>> {
+        let dispatcher = self.dispatcher.borrow();
+        let mut ids = dispatcher.upstream_ids();
+        ids.find(|id| digest::hash(id) == hash).cloned()
+    }
+
     /// Records a crash of an upstream.
     pub fn record_crash(&self, upstream: &str) {
         self.with(|dispatcher, now| dispatcher.record_crash(now, upstream));
