Tell why a caller lost a stream, and keep the logs of failed history tests

faults::an_entry_is_stopped failed once with "streams cut off", left 1, right 0, and nothing else: neither which request was lost, how and when, nor what the entry was doing. The processes' logs were thrown away.

A request with an unknown outcome now prints its times and the client's error. That error names the cause below it, such as a reset, and whether the connection was new or idle: a stopping server loses these two in different ways. Where a history test fails, it prints the logs of its processes. A draining entry logs when it closes its listener.

--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -258,6 +258,7 @@
     // New connections are accepted until the platform's load balancer has noticed that
     // the entry isn't ready any more.
     select(serving.as_mut(), linger).await;
+    info!(log, "closing listener"; "connections" => entry.connections.count());
     close.fire();
     let deadline = Duration::from_millis(settings.drain.deadline_ms);
     if monoio::time::timeout(deadline, serving).await.is_ok() {
--- a/verbenaspool/tests/history/callers.rs
+++ b/verbenaspool/tests/history/callers.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use http::Request;
@@ -46,6 +46,8 @@
     outcome: Outcome,
     body: Vec<u8>,
     ended: bool,
+    /// Why it is incomplete.
+    error: Option<String>,
 }
 
 /// A caller.
@@ -154,7 +156,12 @@
         let sent = request("/loft/v1/completions")
             .body(Body::full(body.to_string()))
             .expect("a request");
+        let sent_at = time_of_day();
         let reply = self.send(0, sent).await;
+        if let (Outcome::Unknown, Some(error)) = (reply.outcome, &reply.error) {
+            let (number, lost_at) = (self.number, time_of_day());
+            eprintln!("caller {number}, {prompt}, sent at {sent_at}, lost at {lost_at}: {error}");
+        }
         let received = if reply.outcome == Outcome::Ran && reply.ended {
             text::parse(&reply.body).unwrap_or_else(|| {
                 let body = String::from_utf8_lossy(&reply.body);
@@ -177,16 +184,20 @@
     async fn send(&self, attempt: usize, request: Request<Body>) -> Reply {
         let index = usize::try_from(self.number).expect("a small number") + attempt;
         let entry = self.addresses[index % self.addresses.len()];
-        let incomplete = |outcome| Reply {
+        let incomplete = |outcome, error: String| Reply {
             outcome,
             body: Vec::new(),
             ended: false,
+            error: Some(error),
         };
         let sent = monoio::time::timeout(RESPONSE_TIMEOUT, self.client.send(entry, request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(Error::NotSent(_))) => return incomplete(Outcome::NotRun),
-            Ok(Err(_)) | Err(_) => return incomplete(Outcome::Unknown),
+            Ok(Err(error @ Error::NotSent(_))) => {
+                return incomplete(Outcome::NotRun, error.to_string());
+            }
+            Ok(Err(error)) => return incomplete(Outcome::Unknown, error.to_string()),
+            Err(_) => return incomplete(Outcome::Unknown, "no response in time".to_owned()),
         };
         let value = response.headers().get(header::OUTCOME);
         let outcome = Outcome::from_header(value.and_then(|value| value.to_str().ok()));
@@ -195,15 +206,28 @@
                 outcome,
                 body: body.to_bytes().to_vec(),
                 ended: true,
+                error: None,
             },
-            Err(_) => incomplete(match outcome {
-                Outcome::NotRun => Outcome::NotRun,
-                _ => Outcome::Unknown,
-            }),
+            Err(error) => {
+                let outcome = match outcome {
+                    Outcome::NotRun => Outcome::NotRun,
+                    _ => Outcome::Unknown,
+                };
+                incomplete(outcome, format!("the body broke off: {error}"))
+            }
         }
     }
 }
 
+/// The time of day in UTC, as in the processes' logs.
+fn time_of_day() -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = now.expect("a time after 1970");
+    let (seconds, millis) = (now.as_secs(), now.subsec_millis());
+    let (hours, minutes) = (seconds / 3_600 % 24, seconds / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{millis:03}", seconds % 60)
+}
+
 /// Builds the head of a request.
 fn request(path: &str) -> http::request::Builder {
     Request::post(path)
--- a/verbenaspool/tests/history/deployment.rs
+++ b/verbenaspool/tests/history/deployment.rs
@@ -26,7 +26,7 @@
     shutdown::{self, Trigger},
 };
 
-use crate::process::{Process, agent_program, entry_program, instance_address};
+use crate::process::{Log, Process, agent_program, entry_program, instance_address};
 
 /// The customer's credential.
 pub const CREDENTIAL: &str = "a-long-random-token";
@@ -199,6 +199,12 @@
         self.admin_addresses.push(at(ADMIN_PORT));
     }
 
+    /// The logs of all processes.
+    pub fn logs(&self) -> Vec<Rc<Log>> {
+        let (agents, entries) = (self.agents.borrow(), self.entries.borrow());
+        agents.iter().chain(&*entries).map(Process::log).collect()
+    }
+
     /// Applies a function to each process of a zone.
     pub fn for_each_in_zone(&self, zone: usize, act: impl Fn(&mut Process)) {
         let (mut agents, mut entries) = (self.agents.borrow_mut(), self.entries.borrow_mut());
--- a/verbenaspool/tests/history/faults.rs
+++ b/verbenaspool/tests/history/faults.rs
@@ -162,11 +162,12 @@
         }
         let history = callers.stop().await;
         let started_writes = deployment.journal.writes.borrow().clone();
-        (history, started_writes)
+        (history, started_writes, deployment.logs())
     };
     let result = runtime::run(async { monoio::time::timeout(RUN_TIMEOUT, run).await });
     let result = result.expect("the event loop starts");
-    let (history, started_writes) = result.expect("callers are served before, during and after");
+    let (history, started_writes, _logs) =
+        result.expect("callers are served before, during and after");
     let started_writes = || started_writes.iter().map(String::as_str);
     let whole = answers::check(&history.answers).expect("own whole answers");
     let requested = history.writes.iter().map(|write| write.request.as_str());
--- a/verbenaspool/tests/history/process.rs
+++ b/verbenaspool/tests/history/process.rs
@@ -1,15 +1,33 @@
 //! The programs as child processes, and signals to them.
 
 use std::{
+    fs::{self, OpenOptions},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    rc::Rc,
+    thread,
 };
 
+/// The log file of a program. Dropping it removes the file, and prints it if the test fails.
+pub struct Log(PathBuf);
+
+impl Drop for Log {
+    fn drop(&mut self) {
+        if thread::panicking()
+            && let Ok(text) = fs::read_to_string(&self.0)
+        {
+            eprintln!("{}:\n{text}", self.0.display());
+        }
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
 /// A running program with its settings file. Dropping it kills the process.
 pub struct Process {
     program: PathBuf,
     settings: PathBuf,
+    log: Rc<Log>,
     child: Child,
 }
 
@@ -29,15 +47,22 @@
     /// Starts a program with these settings, in a file of this name.
     pub fn start(program: PathBuf, name: &str, settings: &str) -> Self {
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
-        std::fs::write(&path, settings).expect("a settings file");
-        let child = spawn(&program, &path);
+        fs::write(&path, settings).expect("a settings file");
+        let log = Rc::new(Log(path.with_extension("log")));
+        let child = spawn(&program, &path, &log);
         Self {
             program,
             settings: path,
+            log,
             child,
         }
     }
 
+    /// The log of the program, which may outlive the process.
+    pub fn log(&self) -> Rc<Log> {
+        self.log.clone()
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         self.child.kill().expect("a child process can be killed");
@@ -46,7 +71,7 @@
 
     /// Starts the program again with the same settings.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.program, &self.settings);
+        self.child = spawn(&self.program, &self.settings, &self.log);
     }
 
     /// Sends a signal such as `TERM`, `STOP` or `CONT`.
@@ -61,14 +86,15 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
+        let _ = fs::remove_file(&self.settings);
     }
 }
 
-fn spawn(program: &Path, settings: &Path) -> Child {
+fn spawn(program: &Path, settings: &Path, log: &Log) -> Child {
+    let log = OpenOptions::new().create(true).append(true).open(&log.0);
     let mut command = Command::new(program);
     command.arg("run").arg("--settings").arg(settings);
-    command.stdout(Stdio::null()).stderr(Stdio::null());
+    command.stdout(Stdio::null()).stderr(log.expect("a log"));
     command.spawn().expect("the program starts")
 }
 
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    error::Error as _,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -110,7 +111,7 @@
                 Ok(response) => return Ok(self.pool_after_response(address, sender, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(Error::Broken(error.error().to_string())),
+                    None => return Err(Error::Broken(describe("idle", error.error()))),
                 },
             }
         }
@@ -136,7 +137,7 @@
             // hyper returns the request only if it wrote none of it.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::NotSent(error.error().to_string())),
-                None => Err(Error::Broken(error.error().to_string())),
+                None => Err(Error::Broken(describe("new", error.error()))),
             },
         }
     }
@@ -256,6 +257,15 @@
     }
 }
 
+/// Describes an error with its cause and the kind of the connection: a new connection and an
+/// idle one are lost for different reasons.
+fn describe(connection: &str, error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error} on {connection} connection: {cause}"),
+        None => format!("{error} on {connection} connection"),
+    }
+}
+
 /// Idle timeout derived from the server's `Keep-Alive` header. It is half the stated
 /// time, because the server counts whole seconds from when it sent the response, and
 /// the next request needs time to arrive.
