Refuse new connections before a listener closes

Cause: a stopping server accepted pending connections until none had come for 1 ms, and then closed its listener. The kernel goes on establishing connections until the close, and the close resets those that were never accepted, with their requests. Each connection that came between the last look at the accept queue and the close was lost; a process that gets no processor there for some milliseconds loses several.

Ruled out as the cause of these: an idle connection that closes under a request (the connections were new), the half second for a first request (it hadn't passed), the drain deadline.

Its accept queue stays, and handshakes in progress still end there, so the server accepts until 50 ms brought none, and closes then. At the close nothing can be in the queue, however long the process was held up before it. A close alone can't do that, and dropping the packets that open connections would leave callers waiting for a second instead of refusing them.

It holds for entries, agents and their other listeners, on both request paths. A kernel that can't do it gets the old order, and a log line.

--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -71,18 +71,18 @@
 }
 
 /// Spawns a server for one handler.
-fn spawn_server(listener: TcpListener, handler: Rc<dyn Handler>, finished: Signal) {
+fn spawn_server(listener: TcpListener, handler: Rc<dyn Handler>, finished: Signal, log: Logger) {
     let limits = Limits {
         max_connections: 64,
         ..Limits::default()
     };
-    monoio::spawn(server::serve(
-        listener,
-        limits,
-        handler,
-        Connections::default(),
-        finished,
-    ));
+    let connections = Connections::default();
+    monoio::spawn(async move {
+        let served = server::serve(listener, limits, handler, connections, finished);
+        if let Err(error) = served.await {
+            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+        }
+    });
 }
 
 /// Runs the entry until a stop signal, then drains it.
@@ -116,9 +116,11 @@
         readiness,
         Rc::new(Readiness(gateway.clone())),
         finished.clone(),
+        log.clone(),
     );
     if let Some(metrics) = metrics {
-        spawn_server(metrics, Rc::new(Metrics(gateway.clone())), finished.clone());
+        let handler = Rc::new(Metrics(gateway.clone()));
+        spawn_server(metrics, handler, finished.clone(), log.clone());
     }
     let mut module = rpc::Module::default();
     peers::register_methods(&gateway, &mut module);
@@ -147,7 +149,9 @@
     gateway.closed.set(true);
     close.fire();
     let ended = async {
-        served.await;
+        if let Err(error) = served.await {
+            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+        }
     };
     let remaining = drain_deadline.saturating_sub(clock.now());
     let drained = monoio::select! {
--- a/verbenaspool/src/entry/admin.rs
+++ b/verbenaspool/src/entry/admin.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
+use slog::warn;
 use verbenaspool_policy::decision::Reason;
 use verbenaspool_policy::snapshot::Snapshot;
 use verbenaspool_transport::{
@@ -34,14 +35,11 @@
             max_connections: MAX_CONNECTIONS,
             ..Limits::default()
         };
-        server::serve(
-            listener,
-            limits,
-            Rc::new(self),
-            Connections::default(),
-            signal,
-        )
-        .await;
+        let (connections, log) = (Connections::default(), self.0.log.clone());
+        let served = server::serve(listener, limits, Rc::new(self), connections, signal);
+        if let Err(error) = served.await {
+            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+        }
     }
 
     /// Returns the response for a path.
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -31,7 +31,7 @@
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
 use rand::Rng;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use verbenaspool_policy::{
     balancer::Balancer, member::Peer, quarantine::Quarantine, share, snapshot::Snapshot,
 };
@@ -322,8 +322,10 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener, signal: Signal) {
         monoio::spawn(reports::run(Rc::downgrade(&self), signal.clone()));
         let limits = self.options.limits.clone();
-        let connections = self.connections.clone();
-        server::serve(listener, limits, self, connections, signal).await;
+        let (connections, log) = (self.connections.clone(), self.log.clone());
+        if let Err(error) = server::serve(listener, limits, self, connections, signal).await {
+            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+        }
     }
 
     /// Creates or reconfigures the queue of each service. An existing queue keeps its waiting
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -155,7 +155,7 @@
         let proxy = Rc::new(Proxy(shared.clone()));
         let connections = Connections::default();
         let served = server::serve(self.data, limits, proxy, connections.clone(), data);
-        monoio::spawn(served);
+        spawn_server(served, &shared.log);
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
         let group = self.group;
         if let Some(group) = group.clone() {
@@ -174,7 +174,7 @@
                 group: group.clone(),
             });
             let served = server::serve(listener, limits, admin, Connections::default(), admin_stop);
-            monoio::spawn(served);
+            spawn_server(served, &shared.log);
         }
         spawn_exporter(&shared);
         info!(shared.log, "agent started";
@@ -192,6 +192,16 @@
     }
 }
 
+/// Starts a server whose listener is open.
+fn spawn_server(served: impl Future<Output = Result<(), server::Error>> + 'static, log: &Logger) {
+    let log = log.clone();
+    monoio::spawn(async move {
+        if let Err(error) = served.await {
+            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+        }
+    });
+}
+
 /// Starts the export of spans if a collector is configured.
 fn spawn_exporter(shared: &Shared) {
     let Some(traces) = &shared.settings.traces else {
--- a/verbenaspool_standin/src/engine.rs
+++ b/verbenaspool_standin/src/engine.rs
@@ -163,6 +163,9 @@
     }
 
     /// Serves until the signal comes and the last request has ended.
+    ///
+    /// # Panics
+    /// The kernel can't refuse new connections.
     pub async fn run(self, signal: Signal) {
         let limits = Limits::default();
         server::serve(
@@ -172,7 +175,8 @@
             Connections::default(),
             signal,
         )
-        .await;
+        .await
+        .expect("new connections are refused");
     }
 }
 
--- a/verbenaspool_standin/src/seat.rs
+++ b/verbenaspool_standin/src/seat.rs
@@ -49,9 +49,13 @@
     }
 
     /// Serves until the signal comes.
+    ///
+    /// # Panics
+    /// The kernel can't refuse new connections.
     pub async fn serve(self, listener: TcpListener, signal: Signal) {
         let (limits, open) = (Limits::default(), Connections::default());
-        server::serve(listener, limits, Rc::new(self), open, signal).await;
+        let served = server::serve(listener, limits, Rc::new(self), open, signal);
+        served.await.expect("new connections are refused");
     }
 
     /// Executes an order and answers whether the engine accepted it; a read is answered with a
--- a/verbenaspool_standin/src/service.rs
+++ b/verbenaspool_standin/src/service.rs
@@ -139,6 +139,9 @@
     }
 
     /// Serves until the signal comes and the last request has ended.
+    ///
+    /// # Panics
+    /// The kernel can't refuse new connections.
     pub async fn run(self, signal: Signal) {
         let limits = Limits::default();
         server::serve(
@@ -148,7 +151,8 @@
             Connections::default(),
             signal,
         )
-        .await;
+        .await
+        .expect("new connections are refused");
     }
 }
 
--- a/verbenaspool_transport/src/http/mod.rs
+++ b/verbenaspool_transport/src/http/mod.rs
@@ -8,4 +8,5 @@
 pub mod body;
 pub mod client;
 pub mod hop;
+mod refusal;
 pub mod server;
--- a/verbenaspool_transport/src/http/server.rs
+++ b/verbenaspool_transport/src/http/server.rs
@@ -1,7 +1,7 @@
 //! HTTP server with connection and header limits and graceful shutdown.
 
 use std::{
-    cell::Cell, fmt::Debug, future::Future, net::SocketAddr, panic::AssertUnwindSafe, pin::Pin,
+    cell::Cell, fmt::Debug, future::Future, io, net::SocketAddr, panic::AssertUnwindSafe, pin::Pin,
     rc::Rc, time::Duration,
 };
 
@@ -17,13 +17,18 @@
 };
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
-use super::body::Body;
+use super::{body::Body, refusal};
 use crate::shutdown::Signal;
 
-/// Maximum number of pending connections that a stopping server still accepts.
+/// How long a stopping server, which refuses new connections, waits for those whose handshake
+/// is in progress. A handshake takes a round trip.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Maximum number of pending connections that a stopping server accepts if it can't refuse
+/// new ones.
 const MAX_PENDING_ACCEPTS: usize = 1_024;
 
-/// How long a stopping server waits for another pending connection.
+/// How long a stopping server that can't refuse new connections waits for a pending one.
 const PENDING_ACCEPT_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// How long a stopping server waits for the first request of a connection that
@@ -123,17 +128,26 @@
     }
 }
 
+/// Why a stopping server may have lost requests.
+#[derive(Debug, thiserror::Error)]
+#[error("pending connections may have been reset, as new ones can't be refused: {0}")]
+pub struct Error(#[from] io::Error);
+
 /// Serves until shutdown, then waits for requests in flight to finish.
 ///
-/// On shutdown, pending connections are still accepted and then the listener is
-/// closed. Idle connections are closed, and busy ones close after their response.
+/// On shutdown, new connections are refused, pending ones are still accepted, and then the
+/// listener is closed. Idle connections are closed, and busy ones close after their response.
+///
+/// # Errors
+/// The kernel can't refuse new connections before the listener closes, so connections that
+/// were established at that moment may have been reset.
 pub async fn serve(
     listener: TcpListener,
     limits: Limits,
     handler: Rc<dyn Handler>,
     connections: Connections,
     signal: Signal,
-) {
+) -> Result<(), Error> {
     let server = Server {
         limits,
         handler,
@@ -151,10 +165,15 @@
             Either::Right((Err(_), _)) => monoio::time::sleep(Duration::from_millis(20)).await,
         }
     }
-    // Pending connections may have sent their request already and would be reset
-    // when the listener is closed.
-    for _ in 0..MAX_PENDING_ACCEPTS {
-        match monoio::time::timeout(PENDING_ACCEPT_TIMEOUT, listener.accept()).await {
+    // Pending connections may have sent their request already and would be reset when the
+    // listener is closed, so none may come between the last accept and the close.
+    let refused = refusal::begin(&listener);
+    let (max_accepts, timeout) = match refused {
+        Ok(()) => (usize::MAX, HANDSHAKE_TIMEOUT),
+        Err(_) => (MAX_PENDING_ACCEPTS, PENDING_ACCEPT_TIMEOUT),
+    };
+    for _ in 0..max_accepts {
+        match monoio::time::timeout(timeout, listener.accept()).await {
             Ok(Ok((stream, peer))) => server.spawn_connection(stream, peer),
             _ => break,
         }
@@ -163,6 +182,7 @@
     while connections.count() > 0 {
         monoio::time::sleep(Duration::from_millis(5)).await;
     }
+    Ok(refused?)
 }
 
 /// State shared by the connections of a server.
--- a/verbenaspool_transport/tests/server.rs
+++ b/verbenaspool_transport/tests/server.rs
@@ -1,6 +1,12 @@
 //! The HTTP server's shutdown and handling of panics.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{self, SocketAddr},
+    rc::Rc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -67,7 +73,7 @@
         trigger.fire();
         monoio::time::sleep(Duration::from_millis(5)).await;
         assert!(send_request(&mut new).await.starts_with("HTTP/1.1 200"));
-        served.await;
+        served.await.expect("new connections are refused");
         assert!(TcpStream::connect(address).await.is_err());
     })
     .expect("a loop");
@@ -108,3 +114,53 @@
     })
     .expect("a loop");
 }
+
+/// Number of callers that connect continuously while the server stops.
+const CALLERS: usize = 4;
+/// How often the server is started and stopped.
+const STOPS: usize = 25;
+
+/// Sends requests, each on a new connection, until the server refuses one. Returns how many
+/// connections were lost after they had been established.
+fn count_lost_requests(address: SocketAddr) -> usize {
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let mut lost = 0;
+    loop {
+        let mut stream = match net::TcpStream::connect(address) {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return lost,
+            Err(error) => panic!("can't connect: {error}"),
+        };
+        let mut response = Vec::new();
+        let sent = stream.write_all(request);
+        let received = sent.and_then(|()| stream.read_to_end(&mut response));
+        if received.is_err() || !response.starts_with(b"HTTP/1.1 200") {
+            lost += 1;
+        }
+    }
+}
+
+/// Callers that connect just as a server stops must be served or refused. The requests of
+/// connections that were established but never accepted were lost, with unknown outcomes.
+#[test]
+fn a_stopping_server_loses_no_established_connection() {
+    runtime::run(async {
+        for _ in 0..STOPS {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+            let address = listener.local_addr().expect("its address");
+            let (trigger, signal) = shutdown::channel();
+            let (limits, open) = (Limits::default(), Connections::default());
+            let served = serve(listener, limits, Rc::new(Greeter), open, signal);
+            let served = monoio::spawn(served);
+            let call = || thread::spawn(move || count_lost_requests(address));
+            let callers: Vec<_> = (0..CALLERS).map(|_| call()).collect();
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            trigger.fire();
+            served.await.expect("new connections are refused");
+            let lost = callers.into_iter().map(JoinHandle::join);
+            let lost: usize = lost.map(|lost| lost.expect("the caller ends")).sum();
+            assert_eq!(lost, 0, "requests on established connections");
+        }
+    })
+    .expect("a loop");
+}
