--- a/verbenaspool/tests/history/faults.rs
+++ b/verbenaspool/tests/history/faults.rs
@@ -166,6 +166,7 @@
     };
     let result = runtime::run(async { monoio::time::timeout(RUN_TIMEOUT, run).await });
     let result = result.expect("the event loop starts");
+    // A failed check prints the logs as it drops them.
     let (history, started_writes, _logs) =
         result.expect("callers are served before, during and after");
     let started_writes = || started_writes.iter().map(String::as_str);
