--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -76,13 +76,14 @@
         max_connections: 64,
         ..Limits::default()
     };
-    let connections = Connections::default();
-    monoio::spawn(async move {
-        let served = server::serve(listener, limits, handler, connections, finished);
-        if let Err(error) = served.await {
-            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
-        }
-    });
+    monoio::spawn(server::serve_and_log(
+        listener,
+        limits,
+        handler,
+        Connections::default(),
+        finished,
+        log,
+    ));
 }
 
 /// Runs the entry until a stop signal, then drains it.
@@ -131,12 +132,13 @@
     monoio::spawn(status::save_changes(gateway.clone()));
     let (close, closed) = shutdown::channel();
     let open = Connections::default();
-    let served = monoio::spawn(server::serve(
+    let served = monoio::spawn(server::serve_and_log(
         callers,
         limits,
         gateway.clone(),
         open.clone(),
         closed,
+        log.clone(),
     ));
     run_until_stopped(&gateway, &path, &signals, &relist).await;
     let grace = Duration::from_secs_f64(gateway.settings.borrow().limits.grace_s.max(1.0));
@@ -149,9 +151,7 @@
     gateway.closed.set(true);
     close.fire();
     let ended = async {
-        if let Err(error) = served.await {
-            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
-        }
+        served.await;
     };
     let remaining = drain_deadline.saturating_sub(clock.now());
     let drained = monoio::select! {
--- a/verbenaspool/src/entry/admin.rs
+++ b/verbenaspool/src/entry/admin.rs
@@ -5,7 +5,6 @@
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
-use slog::warn;
 use verbenaspool_policy::decision::Reason;
 use verbenaspool_policy::snapshot::Snapshot;
 use verbenaspool_transport::{
@@ -36,10 +35,7 @@
             ..Limits::default()
         };
         let (connections, log) = (Connections::default(), self.0.log.clone());
-        let served = server::serve(listener, limits, Rc::new(self), connections, signal);
-        if let Err(error) = served.await {
-            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
-        }
+        server::serve_and_log(listener, limits, Rc::new(self), connections, signal, log).await;
     }
 
     /// Returns the response for a path.
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -31,7 +31,7 @@
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
 use rand::Rng;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use verbenaspool_policy::{
     balancer::Balancer, member::Peer, quarantine::Quarantine, share, snapshot::Snapshot,
 };
@@ -323,9 +323,7 @@
         monoio::spawn(reports::run(Rc::downgrade(&self), signal.clone()));
         let limits = self.options.limits.clone();
         let (connections, log) = (self.connections.clone(), self.log.clone());
-        if let Err(error) = server::serve(listener, limits, self, connections, signal).await {
-            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
-        }
+        server::serve_and_log(listener, limits, self, connections, signal, log).await;
     }
 
     /// Creates or reconfigures the queue of each service. An existing queue keeps its waiting
--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -154,8 +154,14 @@
         };
         let proxy = Rc::new(Proxy(shared.clone()));
         let connections = Connections::default();
-        let served = server::serve(self.data, limits, proxy, connections.clone(), data);
-        spawn_server(served, &shared.log);
+        monoio::spawn(server::serve_and_log(
+            self.data,
+            limits,
+            proxy,
+            connections.clone(),
+            data,
+            shared.log.clone(),
+        ));
         monoio::spawn(rpc::serve(self.control, Rc::new(self.module), control));
         let group = self.group;
         if let Some(group) = group.clone() {
@@ -173,8 +179,14 @@
                 shared: shared.clone(),
                 group: group.clone(),
             });
-            let served = server::serve(listener, limits, admin, Connections::default(), admin_stop);
-            spawn_server(served, &shared.log);
+            monoio::spawn(server::serve_and_log(
+                listener,
+                limits,
+                admin,
+                Connections::default(),
+                admin_stop,
+                shared.log.clone(),
+            ));
         }
         spawn_exporter(&shared);
         info!(shared.log, "agent started";
@@ -192,16 +204,6 @@
     }
 }
 
-/// Starts a server whose listener is open.
-fn spawn_server(served: impl Future<Output = Result<(), server::Error>> + 'static, log: &Logger) {
-    let log = log.clone();
-    monoio::spawn(async move {
-        if let Err(error) = served.await {
-            warn!(log, "listener closed abruptly"; "reason" => error.to_string());
-        }
-    });
-}
-
 /// Starts the export of spans if a collector is configured.
 fn spawn_exporter(shared: &Shared) {
     let Some(traces) = &shared.settings.traces else {
--- a/verbenaspool_transport/src/http/refusal.rs
+++ b/verbenaspool_transport/src/http/refusal.rs
@@ -14,12 +14,12 @@
 /// The index of a network interface that doesn't exist.
 const MISSING_INTERFACE: libc::c_int = libc::c_int::MAX;
 
-/// The socket option that restricts a socket to the network interface with an index.
+/// The socket option that restricts a socket to the network interface with this index.
 #[derive(Debug, Clone, Copy)]
-struct BindToInterface;
+struct Restriction;
 
 nix::setsockopt_impl!(
-    BindToInterface,
+    Restriction,
     libc::SOL_SOCKET,
     libc::SO_BINDTOIFINDEX,
     libc::c_int,
@@ -39,5 +39,5 @@
     // SAFETY: the listener keeps its descriptor open for as long as it is borrowed.
     #[expect(unsafe_code, reason = "the listener doesn't implement `AsFd`")]
     let descriptor = unsafe { BorrowedFd::borrow_raw(listener.as_raw_fd()) };
-    Ok(BindToInterface.set(&descriptor, &MISSING_INTERFACE)?)
+    Ok(Restriction.set(&descriptor, &MISSING_INTERFACE)?)
 }
--- a/verbenaspool_transport/src/http/server.rs
+++ b/verbenaspool_transport/src/http/server.rs
@@ -16,6 +16,7 @@
     net::{TcpListener, TcpStream},
 };
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use slog::{Logger, warn};
 
 use super::{body::Body, refusal};
 use crate::shutdown::Signal;
@@ -185,6 +186,20 @@
     Ok(refused?)
 }
 
+/// Serves like [`serve`] and logs its error.
+pub async fn serve_and_log(
+    listener: TcpListener,
+    limits: Limits,
+    handler: Rc<dyn Handler>,
+    connections: Connections,
+    signal: Signal,
+    log: Logger,
+) {
+    if let Err(error) = serve(listener, limits, handler, connections, signal).await {
+        warn!(log, "listener closed abruptly"; "reason" => error.to_string());
+    }
+}
+
 /// State shared by the connections of a server.
 struct Server {
     limits: Limits,
