Log the limits that upstreams set on their requests

Callers saw nothing, but two upstreams that had named a limit of one request a second in their answers got three times as many. Neither logs nor metrics told whether an entry knew of a limit, so that an entry that ignores it, entries that each keep to it alone and retries that pass it by all looked alike.

Entries now read the limit of an answer, log each change of it, count the upstreams that name one, and count the requests sent to them, first attempts and others apart. Nothing decides on it yet. A limit that can't be read leaves the known one in force, and an answer without one lifts none that was received after its request was sent.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -213,6 +213,9 @@
         let Ok(request) = self.upstream_request(&id, last_event) else {
             return SendOutcome::NotRun("bad-request");
         };
+        if permit.rate_limit().is_some() {
+            self.record.count_rate_limited(self.attempts.get() > 0);
+        }
         self.attempts.set(self.attempts.get() + 1);
         self.response_started_at.take();
         let may_have_run_before = self.may_have_run.replace(true);
@@ -228,8 +231,7 @@
         };
         let sent_at = self.gateway.clock.now();
         let result = self.await_response(response, &permit).await;
-        let waited = self.gateway.clock.now().saturating_sub(sent_at);
-        let outcome = self.classify_response(result, waited, permit);
+        let outcome = self.classify_response(result, sent_at, permit);
         match &outcome {
             SendOutcome::NotRun(reason) => {
                 self.may_have_run.set(may_have_run_before);
@@ -331,11 +333,12 @@
     fn classify_response(
         &self,
         result: WaitResult,
-        waited: Duration,
+        sent_at: Duration,
         permit: Permit,
     ) -> SendOutcome {
         let response = match result {
             WaitResult::Silent => {
+                let waited = self.gateway.clock.now().saturating_sub(sent_at);
                 permit.release(self.silence_outcome(waited));
                 return SendOutcome::Unknown("silent");
             }
@@ -371,6 +374,7 @@
             permit.release(AttemptOutcome::Unreached);
             return SendOutcome::NotRun("misdirected");
         }
+        permit.record_rate_limit(markers.rate_limit, sent_at);
         if markers.not_run {
             permit.release(AttemptOutcome::Full);
             return SendOutcome::NotRun("turned-away");
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -7,13 +7,14 @@
     time::Duration,
 };
 
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
     retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
 };
 use verbenaspool_protocol::{digest, reservation::WarmUp};
+use verbenaspool_state::rate_limit::{Notice, RateLimit};
 use verbenaspool_transport::clock::Clock;
 
 /// The dispatcher of one service at this entry, and the requests that wait for its verdicts.
@@ -103,6 +104,29 @@
         }
     }
 
+    /// Records what an answer to a request sent at `sent_at` says about the upstream's limit.
+    pub fn record_rate_limit(&self, notice: Notice, sent_at: Duration) {
+        let (log, service) = (&self.queue.log, &*self.queue.service);
+        let received_at = self.queue.clock.now();
+        let Some(limit) = RateLimit::by_answer(notice, sent_at, received_at) else {
+            warn!(log, "unreadable request limit of an upstream";
+                "service" => service, "upstream" => &*self.upstream);
+            return;
+        };
+        let record =
+            |dispatcher: &mut Dispatcher, _| dispatcher.record_rate_limit(&self.upstream, limit);
+        if self.queue.with(record) {
+            info!(log, "request limit of an upstream changed";
+                "service" => service, "upstream" => &*self.upstream,
+                "per_second" => limit.per_second);
+        }
+    }
+
+    /// The upstream's limit on requests per second, if it names one.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.queue.dispatcher.borrow().rate_limit(&self.upstream)
+    }
+
     /// Records an event of a stream, and the pause since the previous event if there was one.
     pub fn record_event(&self, pause: Option<Duration>) {
         let now = self.queue.clock.now();
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -105,6 +105,20 @@
         self.summary.borrow_mut().attempts.push(attempt);
     }
 
+    /// Counts a request to an upstream that limits them. `again` tells that the request was
+    /// sent to an upstream before.
+    pub fn count_rate_limited(&self, again: bool) {
+        let summary = self.summary.borrow();
+        let service = summary.service.as_deref().unwrap_or_default();
+        let attempt = if again { "again" } else { "first" };
+        let sent = self.gateway.metrics.counter(
+            "verbenaspool_rate_limited_requests_total",
+            "Requests sent to upstreams that limit them.",
+            &[("service", service), ("attempt", attempt)],
+        );
+        sent.increment();
+    }
+
     /// Counts events that are forwarded now.
     pub fn record_events(&self, count: u64) {
         let now = self.gateway.clock.now();
@@ -215,6 +229,11 @@
                 "Upstreams that are left alone.",
                 snapshot.ejected.into(),
             );
+            gauge(
+                "verbenaspool_rate_limited_upstreams",
+                "Upstreams that limit the requests they take.",
+                snapshot.rate_limited.into(),
+            );
             gauge(
                 "verbenaspool_in_flight",
                 "Requests in flight at all entries.",
--- a/verbenaspool_policy/src/dispatch/diagnostics.rs
+++ b/verbenaspool_policy/src/dispatch/diagnostics.rs
@@ -29,6 +29,8 @@
     /// Number of available upstreams that get no requests for now, because they failed or
     /// were full.
     pub ejected: u32,
+    /// Number of available upstreams that limit the requests they take.
+    pub rate_limited: u32,
     /// Requests in flight from all entries, as far as known.
     pub in_flight: u32,
     /// Requests queued at this entry.
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 pub mod outage;
 pub mod pass_pace;
 mod placement;
+mod rate_limit;
 mod request;
 pub mod retry_budget;
 pub mod retry_detection;
@@ -601,6 +602,7 @@
             snapshot.upstreams += 1;
             snapshot.in_flight += upstream.own_requests + upstream.peer_requests;
             snapshot.ejected += u32::from(upstream.health.cost(now).is_none());
+            snapshot.rate_limited += u32::from(upstream.rate_limit.per_second.is_some());
         }
         snapshot
     }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use verbenaspool_state::replica;
+use verbenaspool_state::{rate_limit::RateLimit, replica};
 
 use super::health::Health;
 use crate::warm_up::Window;
@@ -40,6 +40,8 @@
     pub warm_up_until: Duration,
     /// Requests that this entry sent to it while it warmed up.
     pub warm_up_window: Window,
+    /// The limit that its answers name.
+    pub rate_limit: RateLimit,
     /// When its group was last reported to be down; `None` while the group runs.
     pub group_down_at: Option<Duration>,
     /// Requests in flight from this entry.
@@ -127,6 +129,7 @@
             evacuated: false,
             warm_up_until: Duration::ZERO,
             warm_up_window: Window::default(),
+            rate_limit: RateLimit::default(),
             group_down_at: None,
             own_requests: 0,
             reserving: 0,
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fingerprint;
 pub mod name;
 pub mod place;
+pub mod rate_limit;
 pub mod rebalancing;
 pub mod replica;
 pub mod route;
