--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -81,8 +81,11 @@
     runtime::run(serve(settings, log, signals))?
 }
 
-/// Runs the agent on the event loop.
-async fn serve(settings: Settings, log: Logger, signals: Signals) -> Result<(), Error> {
+/// Runs the agent on the event loop until it is told to stop.
+///
+/// # Errors
+/// The UDP port can't be bound.
+pub async fn serve(settings: Settings, log: Logger, signals: Signals) -> Result<(), Error> {
     let clock: Rc<dyn Clock> = Monotonic::start();
     let address = SocketAddr::new(settings.address, settings.peer_port);
     let socket = UdpSocket::bind(address).map_err(|reason| Error::Bind { address, reason })?;
