--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -249,7 +249,7 @@
                 let subset = queue.uses_subset.get();
                 let entries = if subset { zone_entries } else { entries };
                 dispatcher.update_entry_count(now, entries);
-                dispatcher.set_warm_up_share(&name, sharing);
+                dispatcher.set_sharing_entries(&name, sharing);
             });
         }
         gateway.expire_upstreams();
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -36,7 +36,7 @@
     time::Duration,
 };
 
-use verbenaspool_state::{engine::Engine, replica};
+use verbenaspool_state::{engine::Engine, replica, route::WarmUp};
 
 use self::{
     circuit::Circuit,
@@ -74,8 +74,13 @@
     zone: Rc<str>,
     /// The service's model engine, if it has one.
     engine: Option<Engine>,
-    /// How the service's upstreams warm up, and this entry's part in it.
-    warm_up: warm_up::Policy,
+    /// The service's limits on its upstreams that warm up.
+    warm_up: Option<WarmUp>,
+    /// The entry's name.
+    entry: String,
+    /// Number of entries among which limits of upstreams are divided, including this one;
+    /// `None` while some may be unknown.
+    sharing_entries: Option<usize>,
     /// Upstreams by id.
     upstreams: BTreeMap<Rc<str>, Upstream>,
     /// Availability zones whose upstreams get no requests, by the operator's order.
@@ -116,7 +121,9 @@
         Self {
             zone,
             engine: None,
-            warm_up: warm_up::Policy::default(),
+            warm_up: None,
+            entry: String::new(),
+            sharing_entries: None,
             upstreams: BTreeMap::new(),
             evacuated_zones: BTreeSet::new(),
             queue: WaitQueue::default(),
@@ -150,6 +157,15 @@
         self.outage.observe(now, self.is_available(now));
     }
 
+    /// Sets this entry's name, and the number of entries among which limits of upstreams are
+    /// divided. As long as that is unknown, this entry takes no share.
+    pub fn set_sharing_entries(&mut self, entry: &str, entries: Option<usize>) {
+        if self.entry != entry {
+            entry.clone_into(&mut self.entry);
+        }
+        self.sharing_entries = entries;
+    }
+
     /// Replaces the list of the service's upstreams.
     pub fn set_upstreams<'a>(&mut self, list: impl Iterator<Item = &'a replica::Replica>) {
         let mut removed = std::mem::take(&mut self.upstreams);
--- a/verbenaspool_policy/src/dispatch/warm_up.rs
+++ b/verbenaspool_policy/src/dispatch/warm_up.rs
@@ -10,36 +10,16 @@
 use super::{Dispatcher, upstream::Upstream};
 use crate::warm_up::entry_share;
 
-/// How the upstreams of a service warm up, and this entry's part in it.
-#[derive(Debug, Default)]
-pub struct Policy {
-    /// The service's limits, if its upstreams warm up.
-    limits: Option<WarmUp>,
-    /// The entry's name.
-    entry: String,
-    /// Number of entries that send to the upstreams; `None` while some may be unknown.
-    entries: Option<usize>,
-}
-
 impl Dispatcher {
     /// Sets how the service's upstreams warm up.
     pub fn set_warm_up(&mut self, limits: Option<WarmUp>) {
-        self.warm_up.limits = limits;
-    }
-
-    /// Sets this entry's name and the number of entries that share the limit of upstreams that
-    /// warm up. As long as that is unknown, this entry sends them nothing on its own.
-    pub fn set_warm_up_share(&mut self, entry: &str, entries: Option<usize>) {
-        if self.warm_up.entry != entry {
-            entry.clone_into(&mut self.warm_up.entry);
-        }
-        self.warm_up.entries = entries;
+        self.warm_up = limits;
     }
 
     /// Records at `reported_at` how much longer an upstream warms up. One that doesn't say is
     /// taken to have just started.
     pub fn record_warm_up(&mut self, reported_at: Duration, id: &str, left: Option<Duration>) {
-        let duration = self.warm_up.limits.map_or(Duration::ZERO, |w| w.duration);
+        let duration = self.warm_up.map_or(Duration::ZERO, |w| w.duration);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.warm_up_until = reported_at + left.map_or(duration, |left| left.min(duration));
         }
@@ -50,21 +30,21 @@
     #[must_use]
     pub fn warm_up_left(&self, now: Duration, id: &str) -> Option<(Duration, f64)> {
         let upstream = self.upstreams.get(id)?;
-        let limits = self.warm_up.limits?;
+        let limits = self.warm_up?;
         let left = upstream.warm_up_until.saturating_sub(now);
         (!left.is_zero()).then_some((left, limits.max_rate))
     }
 
     /// Whether a request may be sent to an upstream, as far as it warms up.
     pub(super) fn warm_up_allows(&self, now: Duration, id: &Rc<str>, upstream: &Upstream) -> bool {
-        let Some(limits) = self.warm_up.limits.filter(|_| now < upstream.warm_up_until) else {
+        let Some(limits) = self.warm_up.filter(|_| now < upstream.warm_up_until) else {
             return true;
         };
         if self.has_agents() {
             return upstream.has_fresh_load(now) && !upstream.is_agent_unresponsive(now);
         }
-        let share = self.warm_up.entries.map_or(0, |entries| {
-            entry_share(limits.max_rate, entries, &self.warm_up.entry, id)
+        let share = self.sharing_entries.map_or(0, |entries| {
+            entry_share(limits.max_rate, entries, &self.entry, id)
         });
         upstream.warm_up_window.allows(now, share)
     }
--- a/verbenaspool_policy/tests/dispatch/warm_up.rs
+++ b/verbenaspool_policy/tests/dispatch/warm_up.rs
@@ -28,7 +28,7 @@
     let mut dispatcher = Dispatcher::new("a".into(), number as u64 + 1);
     dispatcher.set_engine(engine);
     dispatcher.set_warm_up(Some(LIMITS));
-    dispatcher.set_warm_up_share(&format!("entry-{number}"), Some(entries));
+    dispatcher.set_sharing_entries(&format!("entry-{number}"), Some(entries));
     dispatcher.set_upstreams([replica("u0", 1_000)].iter());
     dispatcher.record_warm_up(ms(0), "u0", Some(ms(3_000)));
     dispatcher
@@ -72,7 +72,7 @@
 #[test]
 fn an_entry_that_may_not_know_all_others_sends_nothing_by_itself() {
     let mut entry = entry(0, 1, None);
-    entry.set_warm_up_share("entry-0", None);
+    entry.set_sharing_entries("entry-0", None);
     assert!(!send(&mut entry, 1));
 }
 
