Keep to the limits that upstreams set on their requests

Callers saw nothing of it, but an upstream in need that had named a limit of one request a second in its answers got 12 and 13 in 4 s from entries that had passed such answers on; 11 are tolerated.

Logs of the stand-in deployment show that all four entries knew of the limit within 30 ms once they read it, and the counter of requests to limited upstreams that all but one of them were first attempts (113, 104, 77 and 85 in 5 s at four entries): neither the sum of entries that keep to the limit one by one nor retries made the excess.

Every request to an upstream of the direct path is placed by the dispatcher, be it a first one, one that is sent again or one that resumes a stream. It now leaves out an upstream whose limit is used up. Each entry takes a share, as no message can be late or lost then. Shares below one request a second are sent at intervals that vary, because entries learn of a limit in the same moment and would otherwise send at the same times for ever; simulated with 231 entries, and with the first interval drawn evenly from zero, they exceeded a limit of 7 a second (48 in 4 s, 47 tolerated).

Simulated fleets of up to 231 entries keep to limits from 0 to 40 a second and use 0.6 of them or more.

--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -113,9 +113,10 @@
                 "service" => service, "upstream" => &*self.upstream);
             return;
         };
-        let record =
-            |dispatcher: &mut Dispatcher, _| dispatcher.record_rate_limit(&self.upstream, limit);
-        if self.queue.with(record) {
+        let changed = self
+            .queue
+            .with(|dispatcher, now| dispatcher.record_rate_limit(now, &self.upstream, limit));
+        if changed {
             info!(log, "request limit of an upstream changed";
                 "service" => service, "upstream" => &*self.upstream,
                 "per_second" => limit.per_second);
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -483,8 +483,10 @@
             .wait_until(now, waiting, late_wait, service_time);
         let timed_out = now >= until || self.is_evacuated();
         if let Some(id) = self.choose_upstream(now, waiting, timed_out) {
+            let random = self.random();
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.record_warm_up_request(now);
+                upstream.record_rate_limited_request(now, random);
                 upstream.own_requests += 1;
                 upstream.reserving += 1;
                 if let Some(circuit) = self.circuits.get_mut(&upstream.group) {
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -97,6 +97,9 @@
             if !self.warm_up_allows(now, &id, upstream) {
                 continue;
             }
+            if !self.rate_limit_wait(now, upstream).is_zero() {
+                continue;
+            }
             // When all instances restart, entries run before the groups do, and only the agents
             // know that.
             if self.has_agents() && upstream.awaits_report(now) {
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -5,7 +5,7 @@
 use verbenaspool_state::{rate_limit::RateLimit, replica};
 
 use super::health::Health;
-use crate::warm_up::Window;
+use crate::{rate_limit::Pacer, warm_up::Window};
 
 /// How long an agent's report that its group is down or running stays valid. Agents report
 /// twice a second. An agent without recent reports may be cut off while its rank serves.
@@ -42,6 +42,8 @@
     pub warm_up_window: Window,
     /// The limit that its answers name.
     pub rate_limit: RateLimit,
+    /// Requests that this entry sent to it while it limited them.
+    pub pacer: Pacer,
     /// When its group was last reported to be down; `None` while the group runs.
     pub group_down_at: Option<Duration>,
     /// Requests in flight from this entry.
@@ -130,6 +132,7 @@
             warm_up_until: Duration::ZERO,
             warm_up_window: Window::default(),
             rate_limit: RateLimit::default(),
+            pacer: Pacer::default(),
             group_down_at: None,
             own_requests: 0,
             reserving: 0,
--- a/verbenaspool_policy/src/lib.rs
+++ b/verbenaspool_policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod mechanism;
 pub mod member;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod rebalancer;
 pub mod request;
 pub mod share;
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod incremental;
 mod load;
 mod outage;
+mod rate_limits;
 mod retry_budget;
 mod shift;
 mod simulation;
--- /dev/null
+++ b/verbenaspool_policy/tests/dispatch/rate_limits.rs
@@ -0,0 +1,160 @@
+//! Limits that upstreams name in their answers.
+
+use verbenaspool_policy::dispatch::{AttemptOutcome, Dispatcher, PlacementRequest, Verdict};
+use verbenaspool_state::rate_limit::RateLimit;
+
+use crate::simulation::{engine, ms, replica, stream};
+
+/// The span in which requests to an upstream are counted.
+const SPAN_MS: u64 = 4_000;
+
+/// Interval at which entries try to send a request.
+const INTERVAL_MS: usize = 25;
+
+/// The most requests that an upstream bears in a span: half more than its limit allows, and
+/// five.
+fn tolerated(limit: f64) -> f64 {
+    1.5 * limit * ms(SPAN_MS).as_secs_f64() + 5.0
+}
+
+/// A count of requests, to be compared with rates.
+fn to_float(count: usize) -> f64 {
+    u32::try_from(count).expect("a small count").into()
+}
+
+/// An entry of `entries`, in front of these upstreams.
+fn entry(number: usize, entries: usize, upstreams: &[&str]) -> Dispatcher {
+    // The seeds of real entries are as far apart.
+    let seed = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut entry = Dispatcher::new("a".into(), seed);
+    entry.set_engine(Some(&engine()));
+    entry.set_sharing_entries(&format!("entry-{number}"), Some(entries));
+    let replicas: Vec<_> = upstreams.iter().map(|id| replica(id, 1_000)).collect();
+    entry.set_upstreams(replicas.iter());
+    entry
+}
+
+fn limit(now: u64, per_second: Option<f64>) -> RateLimit {
+    RateLimit {
+        per_second,
+        as_of: ms(now),
+    }
+}
+
+/// The upstream to which a request is sent at once, if there is one. Its answer ends at once.
+fn send(entry: &mut Dispatcher, now: u64, request: PlacementRequest) -> Option<String> {
+    entry.submit(ms(now), now, request);
+    let verdicts = entry.process_queue(ms(now));
+    entry.cancel(now);
+    let Some((_, Verdict::Send(id))) = verdicts.first() else {
+        return None;
+    };
+    entry.finish_reservation(id);
+    entry.finish_attempt(ms(now), id, AttemptOutcome::Good);
+    Some(id.to_string())
+}
+
+/// The times at which entries send requests to an upstream with a limit, which all of them
+/// learn at time 0, though they always have requests.
+fn sent_times(entries: usize, per_second: f64, duration_ms: u64) -> Vec<u64> {
+    let mut fleet: Vec<Dispatcher> = (0..entries).map(|n| entry(n, entries, &["u0"])).collect();
+    for entry in &mut fleet {
+        assert!(entry.record_rate_limit(ms(0), "u0", limit(0, Some(per_second))));
+    }
+    let mut sent = Vec::new();
+    for now in (1..duration_ms).step_by(INTERVAL_MS) {
+        let sends = |entry: &mut Dispatcher| send(entry, now, stream(now)).is_some();
+        let count = fleet.iter_mut().filter_map(|e| sends(e).then_some(now));
+        sent.extend(count);
+    }
+    sent
+}
+
+/// The largest number of requests in a span.
+fn busiest_span(sent: &[u64]) -> usize {
+    let mut end = 0;
+    let from = |(start, at): (usize, &u64)| {
+        while sent.get(end).is_some_and(|later| *later < at + SPAN_MS) {
+            end += 1;
+        }
+        end - start
+    };
+    sent.iter().enumerate().map(from).max().unwrap_or_default()
+}
+
+/// Guards against entries that each take all of the limit, and against shares of less than one
+/// request a second that all entries send at the same time.
+#[test]
+fn entries_together_keep_to_the_limit_of_an_upstream() {
+    let duration_ms = 25_000;
+    for entries in [1, 2, 4, 15, 60, 231] {
+        for per_second in [0.0, 0.3, 1.0, 2.5, 7.0, 40.0] {
+            let sent = sent_times(entries, per_second, duration_ms);
+            let busiest = busiest_span(&sent);
+            let within = to_float(busiest) <= tolerated(per_second);
+            assert!(
+                within,
+                "{entries} entries, {per_second} a second: {busiest}"
+            );
+        }
+    }
+}
+
+/// Guards against shares that leave most of the limit unused, and against an upstream that never
+/// gets a request again by which entries learn that its limit has ended.
+#[test]
+fn an_upstream_gets_about_as_many_requests_as_its_limit_allows() {
+    let duration_ms = 150_000;
+    for entries in [1, 4, 15] {
+        for per_second in [0.3, 1.0, 2.5, 7.0, 40.0] {
+            let sent = sent_times(entries, per_second, duration_ms).len();
+            let allowed = per_second * ms(duration_ms).as_secs_f64();
+            let used = to_float(sent) / allowed;
+            assert!(
+                (0.6..=1.0).contains(&used),
+                "{entries}, {per_second}: {used}"
+            );
+        }
+        assert!(!sent_times(entries, 0.0, duration_ms).is_empty());
+    }
+}
+
+/// Guards against requests that wait for an upstream at its limit while another is free.
+#[test]
+fn requests_go_to_other_upstreams_at_once() {
+    let mut entry = entry(0, 1, &["u0", "u1"]);
+    entry.record_rate_limit(ms(0), "u0", limit(0, Some(1.0)));
+    let sent: Vec<_> = (1..2_000)
+        .map(|now| send(&mut entry, now, stream(now)))
+        .collect();
+    assert!(sent.iter().all(Option::is_some));
+    let limited = sent.iter().flatten().filter(|id| *id == "u0").count();
+    assert!((1..=3).contains(&limited), "{limited}");
+}
+
+/// Guards against an entry that has just started, doesn't know how many others there are, and
+/// takes the whole limit.
+#[test]
+fn an_entry_that_may_not_know_all_others_takes_no_share() {
+    let mut entry = entry(0, 1, &["u0"]);
+    entry.set_sharing_entries("entry-0", None);
+    assert!(send(&mut entry, 1, stream(1)).is_some());
+    entry.record_rate_limit(ms(1), "u0", limit(1, Some(1_000.0)));
+    assert!(send(&mut entry, 2_000, stream(2_000)).is_none());
+    entry.set_sharing_entries("entry-0", Some(1));
+    assert!(send(&mut entry, 2_001, stream(2_001)).is_some());
+}
+
+/// Guards against a limit that stays after its upstream named it no more, and against one that
+/// an older answer lifts.
+#[test]
+fn a_limit_holds_until_a_newer_answer_names_none() {
+    let mut entry = entry(0, 1, &["u0"]);
+    assert!(entry.record_rate_limit(ms(10), "u0", limit(10, Some(1.0))));
+    assert!(!entry.record_rate_limit(ms(20), "u0", limit(5, None)));
+    assert_eq!(entry.rate_limit("u0"), Some(1.0));
+    assert!(entry.record_rate_limit(ms(30), "u0", limit(25, None)));
+    assert_eq!(entry.rate_limit("u0"), None);
+    let all_sent = (31..131).all(|now| send(&mut entry, now, stream(now)).is_some());
+    assert!(all_sent);
+}
