Place a request elsewhere that an agent denies for a limit

Found by reading while limits were looked at.

Cause: an agent denies a slot if it has none free, or if its rank warms up and has had as many requests in the last second as it may. The answer shows the load in both cases and the rate in none. After a denial for the rate the rank still is the least busy one, so the entry places the request there again, asks again, and goes on until the rank takes it.

The answer now says for how long nothing is granted, in a field at its end; entries of the previous version ignore it, and answers without it are read. The entry leaves the rank out for that time, a second at most.

Evidence: a_request_that_an_agent_denies_goes_to_another_upstream.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -213,7 +213,7 @@
         let Ok(request) = self.upstream_request(&id, last_event) else {
             return SendOutcome::NotRun("bad-request");
         };
-        if permit.rate_limit().is_some() {
+        if permit.is_rate_limited() {
             self.record.count_rate_limited(self.attempts.get() > 0);
         }
         self.attempts.set(self.attempts.get() + 1);
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -13,7 +13,10 @@
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
     retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
 };
-use verbenaspool_protocol::{digest, reservation::WarmUp};
+use verbenaspool_protocol::{
+    digest,
+    reservation::{self, WarmUp},
+};
 use verbenaspool_state::rate_limit::{Notice, RateLimit};
 use verbenaspool_transport::clock::Clock;
 
@@ -76,6 +79,14 @@
         })
     }
 
+    /// Records what the upstream's agent says about its limits.
+    pub fn record_agent_answer(&self, answer: &reservation::Answer) {
+        let now = self.queue.clock.now();
+        let wait = answer.wait_ms.map(|ms| Duration::from_millis(ms.into()));
+        let mut dispatcher = self.queue.dispatcher.borrow_mut();
+        dispatcher.record_agent_wait(now, &self.upstream, wait);
+    }
+
     /// Ends the reservation: the upstream's agent kept a slot for the request, or the request is
     /// sent without one. Dropping the permit ends a pending reservation as well.
     pub fn finish_reservation(&self) {
@@ -123,9 +134,10 @@
         }
     }
 
-    /// The upstream's limit on requests per second, if it names one.
-    pub fn rate_limit(&self) -> Option<f64> {
-        self.queue.dispatcher.borrow().rate_limit(&self.upstream)
+    /// Whether the upstream names a limit on its requests.
+    pub fn is_rate_limited(&self) -> bool {
+        let limit = self.queue.dispatcher.borrow().rate_limit(&self.upstream);
+        limit.is_some()
     }
 
     /// Records an event of a stream, and the pause since the previous event if there was one.
--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -145,10 +145,14 @@
             match self.reserve(&permit).await {
                 Outcome::Granted(answer) => {
                     permit.finish_reservation();
+                    permit.record_agent_answer(&answer);
                     self.record_status(&answer.status);
                     return Ok(permit);
                 }
-                Outcome::Denied(answer) => self.record_status(&answer.status),
+                Outcome::Denied(answer) => {
+                    permit.record_agent_answer(&answer);
+                    self.record_status(&answer.status);
+                }
                 // An upstream that warms up gets only requests that its agent has granted.
                 Outcome::NoAnswer
                     if unanswered + 1 < MAX_UNRESPONSIVE_AGENTS || permit.warm_up().is_some() =>
--- a/verbenaspool/src/direct/reserve/tests.rs
+++ b/verbenaspool/src/direct/reserve/tests.rs
@@ -23,6 +23,7 @@
             pace: 1.0,
             requests: 3,
         },
+        wait_ms: Some(0),
     }
 }
 
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -147,10 +147,12 @@
             slots.set_warm_up(until, warm_up.max_rate);
         }
         let granted = self.is_running() && self.slots.borrow_mut().grant(now, slots);
+        let wait = self.slots.borrow().wait(now);
         let answer = Answer {
             ticket: request.ticket,
             granted,
             status: self.status(),
+            wait_ms: Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
         };
         self.send(entry, &Message::ReservationAnswer(answer)).await;
     }
--- a/verbenaspool_policy/src/dispatch/rate_limit.rs
+++ b/verbenaspool_policy/src/dispatch/rate_limit.rs
@@ -14,6 +14,9 @@
 /// as long as it takes to find them.
 const UNKNOWN_SHARE_WAIT: Duration = Duration::from_secs(1);
 
+/// How long an agent that granted nothing because of a limit isn't asked at most.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 impl Dispatcher {
     /// Records the limit of an upstream. Returns whether it changed.
     pub fn record_rate_limit(&mut self, now: Duration, id: &str, limit: RateLimit) -> bool {
@@ -35,13 +38,23 @@
         self.upstreams.get(id)?.rate_limit.per_second
     }
 
+    /// Records for how long an upstream's agent grants nothing because of a limit.
+    pub fn record_agent_wait(&mut self, now: Duration, id: &str, wait: Option<Duration>) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.paused_until = now + wait.unwrap_or_default().min(MAX_PAUSE);
+        }
+    }
+
     /// How long an upstream takes no request of this entry because of its limit.
     pub(super) fn rate_limit_wait(&self, now: Duration, upstream: &Upstream) -> Duration {
+        let pause = upstream.paused_until.saturating_sub(now);
         let Some(limit) = upstream.rate_limit.per_second else {
-            return Duration::ZERO;
+            return pause;
         };
         let wait = |entries| upstream.pacer.wait(now, limit, entries);
-        self.sharing_entries.map_or(UNKNOWN_SHARE_WAIT, wait)
+        self.sharing_entries
+            .map_or(UNKNOWN_SHARE_WAIT, wait)
+            .max(pause)
     }
 }
 
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -68,6 +68,8 @@
     pub load_report: Option<(u64, Duration)>,
     /// Until when its unresponsive agent isn't asked.
     pub agent_backoff_until: Duration,
+    /// Until when its agent grants nothing because of a limit.
+    pub paused_until: Duration,
 }
 
 impl Upstream {
@@ -145,6 +147,7 @@
             added_at: None,
             load_report: None,
             agent_backoff_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
         }
     }
 }
--- a/verbenaspool_policy/src/slots.rs
+++ b/verbenaspool_policy/src/slots.rs
@@ -54,6 +54,17 @@
         self.warm_up = (until.max(self.warm_up.0), max_rate);
     }
 
+    /// How long no request is granted because of the upstream's limits.
+    #[must_use]
+    pub fn wait(&self, now: Duration) -> Duration {
+        let (warm_up_until, max_rate) = self.warm_up;
+        if now < warm_up_until {
+            self.window.wait(now, max_rate)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Reserves one of `slots` for a request, if one is free.
     ///
     /// ```
@@ -67,9 +78,7 @@
     /// assert!(!slots.grant(Duration::from_millis(2), 6));
     /// ```
     pub fn grant(&mut self, now: Duration, slots: u32) -> bool {
-        let (warm_up_until, max_rate) = self.warm_up;
-        let free =
-            self.requests() < slots && (now >= warm_up_until || self.window.allows(now, max_rate));
+        let free = self.requests() < slots && self.wait(now).is_zero();
         if free {
             self.granted_at.push_back(now);
             self.window.record(now);
--- a/verbenaspool_policy/src/warm_up.rs
+++ b/verbenaspool_policy/src/warm_up.rs
@@ -36,22 +36,29 @@
     /// ```
     #[must_use]
     pub fn allows(&self, now: Duration, max: u32) -> bool {
-        let recent = self.sent_at.iter().filter(|at| is_recent(now, **at));
-        recent.count() < max as usize
+        self.wait(now, max).is_zero()
+    }
+
+    /// How long no request may be sent, with at most `max` a second.
+    #[must_use]
+    pub fn wait(&self, now: Duration, max: u32) -> Duration {
+        let Some(previous) = (max as usize).checked_sub(1) else {
+            return COUNTING_WINDOW;
+        };
+        let first = self.sent_at.iter().nth_back(previous);
+        first.map_or(Duration::ZERO, |at| {
+            (*at + COUNTING_WINDOW).saturating_sub(now)
+        })
     }
 
     /// Records a request.
     pub fn record(&mut self, now: Duration) {
-        self.sent_at.retain(|at| is_recent(now, *at));
+        self.sent_at
+            .retain(|at| now.saturating_sub(*at) < COUNTING_WINDOW);
         self.sent_at.push_back(now);
     }
 }
 
-/// Whether a request still counts.
-fn is_recent(now: Duration, sent_at: Duration) -> bool {
-    now.saturating_sub(sent_at) < COUNTING_WINDOW
-}
-
 /// The requests per second that one of `entries` may send to an upstream, so that all of them
 /// together keep to `max_rate`. With more entries than requests, a part of the entries may
 /// send one, different ones for each upstream.
--- a/verbenaspool_policy/tests/dispatch/rate_limits.rs
+++ b/verbenaspool_policy/tests/dispatch/rate_limits.rs
@@ -1,7 +1,14 @@
 //! Limits that upstreams name in their answers.
 
-use verbenaspool_policy::dispatch::{AttemptOutcome, Dispatcher, PlacementRequest, Verdict};
-use verbenaspool_state::rate_limit::RateLimit;
+use verbenaspool_policy::{
+    dispatch::{AttemptOutcome, Dispatcher, PlacementRequest, Verdict},
+    slots::Slots,
+};
+use verbenaspool_state::{
+    engine::{Engine, Experts},
+    rate_limit::RateLimit,
+    route::WarmUp,
+};
 
 use crate::simulation::{engine, ms, replica, stream};
 
@@ -34,6 +41,22 @@
     entry
 }
 
+/// An engine whose upstreams form groups and have agents.
+fn grouped_engine() -> Engine {
+    let experts = Experts {
+        layers: 1,
+        count: 1,
+        max_slots_per_rank: 1,
+        max_new_per_layer: 1,
+        work_share: 0.5,
+        copy_time: ms(1),
+    };
+    Engine {
+        experts: Some(experts),
+        ..engine()
+    }
+}
+
 fn limit(now: u64, per_second: Option<f64>) -> RateLimit {
     RateLimit {
         per_second,
@@ -158,3 +181,61 @@
     let all_sent = (31..131).all(|now| send(&mut entry, now, stream(now)).is_some());
     assert!(all_sent);
 }
+
+/// Sends a request to a rank whose agent has to grant it. A request that the agent denies is
+/// placed again, up to some times. Returns the upstream that it was sent to, and the number of
+/// denials.
+fn send_if_granted(entry: &mut Dispatcher, agent: &mut Slots, now: u64) -> (Option<String>, u32) {
+    let mut denials = 0;
+    while denials < 10 {
+        let request = PlacementRequest {
+            max_gap: None,
+            ..stream(now)
+        };
+        entry.submit(ms(now), now, request);
+        let verdicts = entry.process_queue(ms(now));
+        entry.cancel(now);
+        let Some((_, Verdict::Send(id))) = verdicts.first() else {
+            return (None, denials);
+        };
+        let asks = &**id == "u0" && entry.needs_reservation(ms(now), id);
+        let granted = !asks || agent.grant(ms(now), 1_000);
+        if asks {
+            entry.record_agent_wait(ms(now), id, Some(agent.wait(ms(now))));
+        }
+        entry.finish_reservation(id);
+        entry.finish_attempt(ms(now), id, AttemptOutcome::Good);
+        if granted {
+            return (Some(id.to_string()), denials);
+        }
+        denials += 1;
+    }
+    (None, denials)
+}
+
+/// Guards against a request that is placed at an upstream again and again while its agent denies
+/// it, though another upstream is free.
+#[test]
+fn a_request_that_an_agent_denies_goes_to_another_upstream() {
+    let mut entry = entry(0, 1, &["u0", "u1"]);
+    entry.set_engine(Some(&grouped_engine()));
+    let warm_up = WarmUp {
+        duration: ms(3_000),
+        max_rate: 2.0,
+    };
+    entry.set_warm_up(Some(warm_up));
+    entry.record_warm_up(ms(0), "u0", Some(ms(3_000)));
+    entry.record_warm_up(ms(0), "u1", Some(ms(0)));
+    let mut agent = Slots::default();
+    agent.set_warm_up(ms(3_000), 2);
+    let mut denials = 0;
+    for now in 1..1_000 {
+        entry.record_load(ms(now), "u0", now, 0);
+        // The other upstream is busier.
+        entry.record_load(ms(now), "u1", now, 100);
+        let (sent_to, denied) = send_if_granted(&mut entry, &mut agent, now);
+        assert!(sent_to.is_some(), "at {now}");
+        denials += denied;
+    }
+    assert!(denials <= 2, "{denials}");
+}
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -20,6 +20,9 @@
 /// The same for a request for a slot.
 const NEW_RESERVATION_FIELDS: usize = 1;
 
+/// The same for the answer to it.
+const NEW_ANSWER_FIELDS: usize = 1;
+
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -101,9 +104,11 @@
             }
         };
         let digest = padded(NEW_DIGEST_FIELDS).filter(|m| matches!(m, Self::Digest(_)));
-        digest.or_else(|| {
-            padded(NEW_RESERVATION_FIELDS).filter(|m| matches!(m, Self::ReservationRequest(_)))
-        })
+        let request =
+            || padded(NEW_RESERVATION_FIELDS).filter(|m| matches!(m, Self::ReservationRequest(_)));
+        let answer =
+            || padded(NEW_ANSWER_FIELDS).filter(|m| matches!(m, Self::ReservationAnswer(_)));
+        digest.or_else(request).or_else(answer)
     }
 }
 
--- a/verbenaspool_protocol/src/message/tests.rs
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -2,9 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use super::{Message, NEW_DIGEST_FIELDS, NEW_RESERVATION_FIELDS};
+use super::{Message, NEW_ANSWER_FIELDS, NEW_DIGEST_FIELDS, NEW_RESERVATION_FIELDS};
 use crate::{
     digest::{Digest, InFlight},
+    member::Status,
     reservation,
 };
 
@@ -45,6 +46,28 @@
     assert_eq!(Message::decode(previous), Some(message));
 }
 
+/// Guards against an entry that takes the agent of an instance that wasn't upgraded yet for
+/// dead.
+#[test]
+fn answers_of_the_previous_version_are_read() {
+    let message = Message::ReservationAnswer(reservation::Answer {
+        ticket: 70_000,
+        granted: true,
+        status: Status {
+            sequence: 1,
+            upstream: ([10, 0, 0, 1], 80).into(),
+            group: 7,
+            group_complete: true,
+            pace: 1.0,
+            requests: 3,
+        },
+        wait_ms: None,
+    });
+    let bytes = message.encode();
+    let previous = &bytes[..bytes.len() - NEW_ANSWER_FIELDS];
+    assert_eq!(Message::decode(previous), Some(message));
+}
+
 /// Guards against damaged datagrams that are read as those of the previous version.
 #[test]
 fn truncated_and_extended_datagrams_are_rejected() {
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -43,6 +43,9 @@
     pub granted: bool,
     /// The upstream's status, including this request if it was granted.
     pub status: Status,
+    /// How long no request is granted because of the upstream's limits, in milliseconds.
+    /// `None` from an agent of the previous version.
+    pub wait_ms: Option<u32>,
 }
 
 /// The store's data about a service, which an agent requests from an entry. Agents don't
