Count requests to a limited rank at its agent

Callers of a service whose ranks limit their requests could use a part of the limit only: the entries of a rank's zone send most of its requests, and in a fleet their shares are a fifth of it. An entry whose share is one request in minutes also learns only after minutes that the limit has ended.

A rank's agent sees every request that is granted a slot, so it counts them for all entries, also those that got no answer with the limit yet. Entries tell it with each reservation what the last answer said, and how long ago; the newest counts. An entry that reaches no agent, or one of the previous version, keeps to its share as before.

Reservations of both earlier versions are read.

--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -20,6 +20,8 @@
 use verbenaspool_state::rate_limit::{Notice, RateLimit};
 use verbenaspool_transport::clock::Clock;
 
+use super::reserve::Limits;
+
 /// The dispatcher of one service at this entry, and the requests that wait for its verdicts.
 #[derive(Debug)]
 pub struct ServiceQueue {
@@ -66,17 +68,24 @@
             .needs_reservation(now, &self.upstream)
     }
 
-    /// How the upstream warms up, if it does.
-    pub fn warm_up(&self) -> Option<WarmUp> {
+    /// The limits of the upstream.
+    pub fn limits(&self) -> Limits {
         let now = self.queue.clock.now();
         let dispatcher = self.queue.dispatcher.borrow();
-        let (left, max_rate) = dispatcher.warm_up_left(now, &self.upstream)?;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
-        let max_rate = max_rate as u32;
-        Some(WarmUp {
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-            max_rate,
-        })
+        let warm_up = |(left, max_rate): (Duration, f64)| WarmUp {
+            left_ms: to_ms(left),
+            max_rate: max_rate as u32,
+        };
+        #[allow(clippy::cast_possible_truncation)] // Half of the precision is enough.
+        let rate_limit = |limit: RateLimit| reservation::RateLimit {
+            per_second: limit.per_second.map(|rate| rate as f32),
+            age_ms: to_ms(now.saturating_sub(limit.as_of)),
+        };
+        Limits {
+            warm_up: dispatcher.warm_up_left(now, &self.upstream).map(warm_up),
+            rate_limit: dispatcher.rate_limit(&self.upstream).map(rate_limit),
+        }
     }
 
     /// Records what the upstream's agent says about its limits.
@@ -137,7 +146,7 @@
     /// Whether the upstream names a limit on its requests.
     pub fn is_rate_limited(&self) -> bool {
         let limit = self.queue.dispatcher.borrow().rate_limit(&self.upstream);
-        limit.is_some()
+        limit.is_some_and(|limit| limit.per_second.is_some())
     }
 
     /// Records an event of a stream, and the pause since the previous event if there was one.
@@ -323,8 +332,7 @@
     /// The common initial waits of the service's callers, in milliseconds.
     pub fn common_waits(&self) -> Vec<u32> {
         let retry_detector = self.retry_detector.borrow();
-        let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        retry_detector.common_waits().map(ms).collect()
+        retry_detector.common_waits().map(to_ms).collect()
     }
 
     /// Sets the common initial waits as reported by another entry.
@@ -411,3 +419,8 @@
         retry_after
     }
 }
+
+/// The milliseconds of a duration, for messages.
+fn to_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -21,7 +21,7 @@
 use verbenaspool_policy::dispatch::{PlacementRequest, Rejection};
 use verbenaspool_protocol::{
     message::Message,
-    reservation::{self, Answer, WarmUp},
+    reservation::{self, Answer, RateLimit, WarmUp},
 };
 use verbenaspool_state::replica::Replica;
 
@@ -50,6 +50,23 @@
     NotRequired,
 }
 
+/// The limits of an upstream, as known to this entry.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub warm_up: Option<WarmUp>,
+    pub rate_limit: Option<RateLimit>,
+}
+
+impl Limits {
+    /// Whether the upstream takes few requests.
+    fn apply(&self) -> bool {
+        let named = self
+            .rate_limit
+            .is_some_and(|limit| limit.per_second.is_some());
+        self.warm_up.is_some() || named
+    }
+}
+
 /// Reservations waiting for an answer.
 pub struct Reservations {
     socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -99,12 +116,7 @@
     }
 
     /// Requests a slot from an agent; returns nothing if it doesn't answer in time.
-    async fn request(
-        &self,
-        agent: SocketAddr,
-        slots: u32,
-        warm_up: Option<WarmUp>,
-    ) -> Option<Answer> {
+    async fn request(&self, agent: SocketAddr, slots: u32, limits: Limits) -> Option<Answer> {
         let socket = self.socket.borrow().clone()?;
         let ticket = self.last_ticket.get().wrapping_add(1);
         self.last_ticket.set(ticket);
@@ -118,7 +130,8 @@
         let message = Message::ReservationRequest(reservation::Request {
             ticket,
             slots,
-            warm_up,
+            warm_up: limits.warm_up,
+            rate_limit: limits.rate_limit,
         });
         // A send error is handled like a missing answer, by the timeout.
         let _ = socket.send_to(message.encode(), agent).await;
@@ -153,9 +166,9 @@
                     permit.record_agent_answer(&answer);
                     self.record_status(&answer.status);
                 }
-                // An upstream that warms up gets only requests that its agent has granted.
+                // A limited upstream gets only requests that its agent or this entry counts.
                 Outcome::NoAnswer
-                    if unanswered + 1 < MAX_UNRESPONSIVE_AGENTS || permit.warm_up().is_some() =>
+                    if unanswered + 1 < MAX_UNRESPONSIVE_AGENTS || permit.limits().apply() =>
                 {
                     unanswered += 1;
                     permit.record_agent_timeout();
@@ -177,7 +190,7 @@
         let agent = self.agent_address(&replica);
         match self
             .reservations
-            .request(agent, replica.slots, permit.warm_up())
+            .request(agent, replica.slots, permit.limits())
             .await
         {
             Some(answer) if answer.granted => Outcome::Granted(answer),
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -2,12 +2,14 @@
 
 use std::{collections::BTreeSet, net::IpAddr, time::Duration};
 
+use slog::info;
 use verbenaspool_coordination::switch::{HOLDER_RANK, Report};
 use verbenaspool_protocol::{
     member::{Members, RankExperts, Status},
     message::Message,
     reservation::{self, Answer, Request},
 };
+use verbenaspool_state::rate_limit::RateLimit;
 
 use super::{agent_state::AgentState, subscribers::Snapshot};
 
@@ -146,6 +148,9 @@
             let mut slots = self.slots.borrow_mut();
             slots.set_warm_up(until, warm_up.max_rate);
         }
+        if let Some(limit) = request.rate_limit {
+            self.set_rate_limit(now, entry, limit);
+        }
         let granted = self.is_running() && self.slots.borrow_mut().grant(now, slots);
         let wait = self.slots.borrow().wait(now);
         let answer = Answer {
@@ -157,6 +162,18 @@
         self.send(entry, &Message::ReservationAnswer(answer)).await;
     }
 
+    /// Sets the limit that the upstream named in an answer to an entry.
+    fn set_rate_limit(&self, now: Duration, entry: IpAddr, limit: reservation::RateLimit) {
+        let limit = RateLimit {
+            per_second: limit.per_second.map(f64::from).filter(|rate| *rate >= 0.0),
+            as_of: now.saturating_sub(Duration::from_millis(limit.age_ms.into())),
+        };
+        if self.slots.borrow_mut().set_rate_limit(limit) {
+            info!(self.log, "request limit of the rank changed";
+                "per_second" => limit.per_second, "from" => entry.to_string());
+        }
+    }
+
     /// Address of the lead's agent.
     pub(super) fn lead_agent(&self) -> Option<IpAddr> {
         self.membership.borrow().get(0).map(|member| member.agent)
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -620,7 +620,7 @@
             snapshot.upstreams += 1;
             snapshot.in_flight += upstream.own_requests + upstream.peer_requests;
             snapshot.ejected += u32::from(upstream.health.cost(now).is_none());
-            snapshot.rate_limited += u32::from(upstream.rate_limit.per_second.is_some());
+            snapshot.rate_limited += u32::from(upstream.max_rate().is_some());
         }
         snapshot
     }
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -40,8 +40,8 @@
     pub warm_up_until: Duration,
     /// Requests that this entry sent to it while it warmed up.
     pub warm_up_window: Window,
-    /// The limit that its answers name.
-    pub rate_limit: RateLimit,
+    /// The limit by its last answer, if there was one.
+    pub rate_limit: Option<RateLimit>,
     /// Requests that this entry sent to it while it limited them.
     pub pacer: Pacer,
     /// When its group was last reported to be down; `None` while the group runs.
@@ -68,6 +68,8 @@
     pub load_report: Option<(u64, Duration)>,
     /// Until when its unresponsive agent isn't asked.
     pub agent_backoff_until: Duration,
+    /// Whether its agent keeps to the limits that its answers name.
+    pub agent_paces: bool,
     /// Until when its agent grants nothing because of a limit.
     pub paused_until: Duration,
 }
@@ -133,7 +135,7 @@
             evacuated: false,
             warm_up_until: Duration::ZERO,
             warm_up_window: Window::default(),
-            rate_limit: RateLimit::default(),
+            rate_limit: None,
             pacer: Pacer::default(),
             group_down_at: None,
             own_requests: 0,
@@ -147,6 +149,7 @@
             added_at: None,
             load_report: None,
             agent_backoff_until: Duration::ZERO,
+            agent_paces: false,
             paused_until: Duration::ZERO,
         }
     }
--- a/verbenaspool_policy/src/slots.rs
+++ b/verbenaspool_policy/src/slots.rs
@@ -10,7 +10,9 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::warm_up::Window;
+use verbenaspool_state::rate_limit::RateLimit;
+
+use crate::{rate_limit::Pacer, warm_up::Window};
 
 /// The longest time from the agent's grant until the request reaches the upstream: a
 /// round trip between two zones, a new connection, and a busy entry. A request that
@@ -28,6 +30,10 @@
     warm_up: (Duration, u32),
     /// Grants of the last second.
     window: Window,
+    /// The limit that the upstream's answers name.
+    rate_limit: RateLimit,
+    /// Grants since it names one.
+    pacer: Pacer,
 }
 
 impl Slots {
@@ -54,15 +60,28 @@
         self.warm_up = (until.max(self.warm_up.0), max_rate);
     }
 
+    /// Limits grants as an answer of the upstream says, unless an answer that an entry got later
+    /// says otherwise. Returns whether the limit changed.
+    pub fn set_rate_limit(&mut self, limit: RateLimit) -> bool {
+        let changed = self.rate_limit.update(limit);
+        if changed && limit.per_second.is_none() {
+            self.pacer = Pacer::default();
+        }
+        changed
+    }
+
     /// How long no request is granted because of the upstream's limits.
     #[must_use]
     pub fn wait(&self, now: Duration) -> Duration {
         let (warm_up_until, max_rate) = self.warm_up;
-        if now < warm_up_until {
+        let warm_up_wait = if now < warm_up_until {
             self.window.wait(now, max_rate)
         } else {
             Duration::ZERO
-        }
+        };
+        let rate = self.rate_limit.per_second;
+        let wait = rate.map(|rate| self.pacer.wait(now, rate, 1));
+        warm_up_wait.max(wait.unwrap_or_default())
     }
 
     /// Reserves one of `slots` for a request, if one is free.
@@ -82,6 +101,9 @@
         if free {
             self.granted_at.push_back(now);
             self.window.record(now);
+            if self.rate_limit.per_second.is_some() {
+                self.pacer.record(now);
+            }
         }
         free
     }
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -17,8 +17,8 @@
 /// takes one byte in each of them.
 const NEW_DIGEST_FIELDS: usize = 6;
 
-/// The same for a request for a slot.
-const NEW_RESERVATION_FIELDS: usize = 1;
+/// The same for a request for a slot. The version before the previous one omits both.
+const NEW_RESERVATION_FIELDS: usize = 2;
 
 /// The same for the answer to it.
 const NEW_ANSWER_FIELDS: usize = 1;
@@ -104,8 +104,11 @@
             }
         };
         let digest = padded(NEW_DIGEST_FIELDS).filter(|m| matches!(m, Self::Digest(_)));
-        let request =
-            || padded(NEW_RESERVATION_FIELDS).filter(|m| matches!(m, Self::ReservationRequest(_)));
+        let request = || {
+            (1..=NEW_RESERVATION_FIELDS)
+                .filter_map(padded)
+                .find(|m| matches!(m, Self::ReservationRequest(_)))
+        };
         let answer =
             || padded(NEW_ANSWER_FIELDS).filter(|m| matches!(m, Self::ReservationAnswer(_)));
         digest.or_else(request).or_else(answer)
--- a/verbenaspool_protocol/src/message/tests.rs
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -6,7 +6,12 @@
 use crate::{
     digest::{Digest, InFlight},
     member::Status,
-    reservation,
+    reservation::{self, WarmUp},
+};
+
+const WARM_UP: WarmUp = WarmUp {
+    left_ms: 900,
+    max_rate: 5,
 };
 
 fn digest() -> Digest {
@@ -36,10 +41,21 @@
 /// upgraded yet.
 #[test]
 fn reservations_of_the_previous_version_are_read() {
+    for warm_up in [None, Some(WARM_UP)] {
+        let message = Message::ReservationRequest(reservation::Request {
+            ticket: 70_000,
+            slots: 6,
+            warm_up,
+            rate_limit: None,
+        });
+        let bytes = message.encode();
+        assert_eq!(Message::decode(&bytes[..bytes.len() - 1]), Some(message));
+    }
     let message = Message::ReservationRequest(reservation::Request {
         ticket: 70_000,
         slots: 6,
         warm_up: None,
+        rate_limit: None,
     });
     let bytes = message.encode();
     let previous = &bytes[..bytes.len() - NEW_RESERVATION_FIELDS];
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -12,7 +12,7 @@
 use crate::member::Status;
 
 /// An entry's request for one of an upstream's slots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Identifies the request among those of the entry.
     pub ticket: u64,
@@ -20,6 +20,8 @@
     pub slots: u32,
     /// How the upstream warms up, if it does.
     pub warm_up: Option<WarmUp>,
+    /// The limit that the upstream's last answer to the entry named, if there was one.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// How an upstream warms up, as known to an entry from the registry.
@@ -31,6 +33,15 @@
     pub max_rate: u32,
 }
 
+/// The limit on an upstream's requests, as known to an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// Requests per second that it takes from all entries together; `None` without a limit.
+    pub per_second: Option<f32>,
+    /// How long ago that was known to hold, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Maximum remaining time of a [`WarmUp`] in milliseconds. A longer one is implausible.
 pub const MAX_WARM_UP_LEFT_MS: u32 = 60_000;
 
@@ -44,7 +55,7 @@
     /// The upstream's status, including this request if it was granted.
     pub status: Status,
     /// How long no request is granted because of the upstream's limits, in milliseconds.
-    /// `None` from an agent of the previous version.
+    /// `None` from an agent of the previous version, which ignores the limits in answers.
     pub wait_ms: Option<u32>,
 }
 
