Take only a signed answer without a limit for its end

An upstream at its limit may reject requests. Whether its rejections name the limit isn't known; if they don't, each of them would have lifted it at the entry and the rank's agent until the next answer.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -374,7 +374,9 @@
             permit.release(AttemptOutcome::Unreached);
             return SendOutcome::NotRun("misdirected");
         }
-        permit.record_rate_limit(markers.rate_limit, sent_at);
+        if let Some(notice) = markers.rate_limit {
+            permit.record_rate_limit(notice, sent_at);
+        }
         if markers.not_run {
             permit.release(AttemptOutcome::Full);
             return SendOutcome::NotRun("turned-away");
--- a/verbenaspool_state/src/rate_limit.rs
+++ b/verbenaspool_state/src/rate_limit.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 /// What an answer of an upstream says about its limit.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Notice {
     /// It sets no limit.
-    #[default]
     Unlimited,
     /// It takes this many requests a second from all entries together.
     PerSecond(f64),
