Tell other entries which limits upstreams name and lift

An entry learned of a limit, and of its end, only by its own answers. Requests that were under way in the meantime went to the upstream unpaced: with answers that take 150 ms, three of six requests of an entry that hadn't been told. After the end, entries with small shares went on to spare an upstream that takes everything; at the lowest rate that is a request in 20 s with four entries, and in minutes with many.

The entry whose answer changes a limit now tells all others, at once and each second for 3 s, as datagrams get lost. Entries that heard of it first from a peer don't repeat it. The newest knowledge counts, as it does for agents.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -374,8 +374,10 @@
             permit.release(AttemptOutcome::Unreached);
             return SendOutcome::NotRun("misdirected");
         }
-        if let Some(notice) = markers.rate_limit {
-            permit.record_rate_limit(notice, sent_at);
+        if let Some(notice) = markers.rate_limit
+            && permit.record_rate_limit(notice, sent_at)
+        {
+            self.gateway.rate_limit_changed.notify_one();
         }
         if markers.not_run {
             permit.release(AttemptOutcome::Full);
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -67,6 +67,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Wakes the task that reports suspected requests to peers.
     pub suspected: Notify,
+    /// Wakes the task that reports limits of upstreams to peers.
+    pub rate_limit_changed: Notify,
     /// The configuration's object as last read from the store.
     pub stored_configuration: RefCell<Option<Object>>,
     /// Wakes the task that writes the quarantine to the store.
@@ -109,6 +111,7 @@
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
             suspected: Notify::new(),
+            rate_limit_changed: Notify::new(),
             stored_configuration: RefCell::default(),
             unsaved: Notify::new(),
             leaving: Cell::new(false),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 mod quarantine;
 mod queue;
+mod rate_limit;
 mod readiness;
 mod record;
 mod registry;
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -125,6 +125,9 @@
             Some(Message::Suspicions(suspicions)) if is_peer(&gateway, from) => {
                 gateway.record_suspicions(&suspicions);
             }
+            Some(Message::RateLimits(reports)) if is_peer(&gateway, from) => {
+                gateway.record_rate_limits(&reports, &format!("peer {from}"));
+            }
             // An agent may only report the upstream on its own instance.
             Some(Message::Status(status)) if status.upstream.ip() == from => {
                 gateway.record_status(&status);
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -14,7 +14,7 @@
     retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
 };
 use verbenaspool_protocol::{
-    digest,
+    digest, rate_limit,
     reservation::{self, WarmUp},
 };
 use verbenaspool_state::rate_limit::{Notice, RateLimit};
@@ -35,6 +35,8 @@
     retry_budget: RefCell<retry_budget::Budget>,
     retry_detector: RefCell<Detector>,
     customer_rates: RefCell<customer_rate::Rates>,
+    /// When the limit of an upstream last changed by an answer to this entry.
+    rate_limit_changes: RefCell<HashMap<Rc<str>, Duration>>,
     /// Sends verdicts to waiting requests.
     verdict_senders: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     last_ticket: Cell<Ticket>,
@@ -77,14 +79,10 @@
             left_ms: to_ms(left),
             max_rate: max_rate as u32,
         };
-        #[allow(clippy::cast_possible_truncation)] // Half of the precision is enough.
-        let rate_limit = |limit: RateLimit| reservation::RateLimit {
-            per_second: limit.per_second.map(|rate| rate as f32),
-            age_ms: to_ms(now.saturating_sub(limit.as_of)),
-        };
+        let rate_limit = dispatcher.rate_limit(&self.upstream);
         Limits {
             warm_up: dispatcher.warm_up_left(now, &self.upstream).map(warm_up),
-            rate_limit: dispatcher.rate_limit(&self.upstream).map(rate_limit),
+            rate_limit: rate_limit.map(|limit| rate_limit::RateLimit::at(now, limit)),
         }
     }
 
@@ -125,22 +123,22 @@
     }
 
     /// Records what an answer to a request sent at `sent_at` says about the upstream's limit.
-    pub fn record_rate_limit(&self, notice: Notice, sent_at: Duration) {
-        let (log, service) = (&self.queue.log, &*self.queue.service);
+    /// Returns whether other entries should learn of it.
+    pub fn record_rate_limit(&self, notice: Notice, sent_at: Duration) -> bool {
         let received_at = self.queue.clock.now();
         let Some(limit) = RateLimit::by_answer(notice, sent_at, received_at) else {
-            warn!(log, "unreadable request limit of an upstream";
-                "service" => service, "upstream" => &*self.upstream);
-            return;
+            warn!(self.queue.log, "unreadable request limit of an upstream";
+                "service" => &*self.queue.service, "upstream" => &*self.upstream);
+            return false;
         };
         let changed = self
             .queue
-            .with(|dispatcher, now| dispatcher.record_rate_limit(now, &self.upstream, limit));
+            .record_rate_limit(&self.upstream, limit, "answer");
         if changed {
-            info!(log, "request limit of an upstream changed";
-                "service" => service, "upstream" => &*self.upstream,
-                "per_second" => limit.per_second);
+            let mut recent = self.queue.rate_limit_changes.borrow_mut();
+            recent.insert(self.upstream.clone(), received_at);
         }
+        changed
     }
 
     /// Whether the upstream names a limit on its requests.
@@ -238,6 +236,7 @@
             retry_budget: RefCell::default(),
             retry_detector: RefCell::default(),
             customer_rates: RefCell::default(),
+            rate_limit_changes: RefCell::default(),
             verdict_senders: RefCell::default(),
             last_ticket: Cell::default(),
         }
@@ -382,6 +381,27 @@
         ids.find(|id| digest::hash(id) == hash).cloned()
     }
 
+    /// Records the limit of an upstream. Returns whether it changed.
+    pub fn record_rate_limit(&self, upstream: &str, limit: RateLimit, from: &str) -> bool {
+        let changed =
+            self.with(|dispatcher, now| dispatcher.record_rate_limit(now, upstream, limit));
+        if changed {
+            info!(self.log, "request limit of an upstream changed";
+                "service" => &*self.service, "upstream" => upstream,
+                "per_second" => limit.per_second, "from" => from);
+        }
+        changed
+    }
+
+    /// The limits of upstreams that changed by answers to this entry since then.
+    pub fn rate_limits_changed_since(&self, since: Duration) -> Vec<(Rc<str>, RateLimit)> {
+        let mut changes = self.rate_limit_changes.borrow_mut();
+        changes.retain(|_, at| *at >= since);
+        let dispatcher = self.dispatcher.borrow();
+        let limit = |id: &Rc<str>| Some((id.clone(), dispatcher.rate_limit(id)?));
+        changes.keys().filter_map(limit).collect()
+    }
+
     /// Records a crash of an upstream.
     pub fn record_crash(&self, upstream: &str) {
         self.with(|dispatcher, now| dispatcher.record_crash(now, upstream));
--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -21,7 +21,8 @@
 use verbenaspool_policy::dispatch::{PlacementRequest, Rejection};
 use verbenaspool_protocol::{
     message::Message,
-    reservation::{self, Answer, RateLimit, WarmUp},
+    rate_limit::RateLimit,
+    reservation::{self, Answer, WarmUp},
 };
 use verbenaspool_state::replica::Replica;
 
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -23,7 +23,7 @@
 use super::{
     follow::{Follower, Kind},
     gateway::Gateway,
-    peers, quarantine,
+    peers, quarantine, rate_limit,
     readiness::{Metrics, Readiness},
     settings::Settings,
     standing, status,
@@ -209,6 +209,7 @@
                 incarnation,
             ));
             monoio::spawn(quarantine::report(gateway.clone(), socket.clone()));
+            monoio::spawn(rate_limit::report(gateway.clone(), socket.clone()));
             monoio::spawn(peers::send_subscriptions(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
         }
--- a/verbenaspool_agent/src/direct/reporting.rs
+++ b/verbenaspool_agent/src/direct/reporting.rs
@@ -7,9 +7,9 @@
 use verbenaspool_protocol::{
     member::{Members, RankExperts, Status},
     message::Message,
+    rate_limit,
     reservation::{self, Answer, Request},
 };
-use verbenaspool_state::rate_limit::RateLimit;
 
 use super::{agent_state::AgentState, subscribers::Snapshot};
 
@@ -163,10 +163,9 @@
     }
 
     /// Sets the limit that the upstream named in an answer to an entry.
-    fn set_rate_limit(&self, now: Duration, entry: IpAddr, limit: reservation::RateLimit) {
-        let limit = RateLimit {
-            per_second: limit.per_second.map(f64::from).filter(|rate| *rate >= 0.0),
-            as_of: now.saturating_sub(Duration::from_millis(limit.age_ms.into())),
+    fn set_rate_limit(&self, now: Duration, entry: IpAddr, limit: rate_limit::RateLimit) {
+        let Some(limit) = limit.received_at(now) else {
+            return;
         };
         if self.slots.borrow_mut().set_rate_limit(limit) {
             info!(self.log, "request limit of the rank changed";
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod prefix;
 pub mod problem;
+pub mod rate_limit;
 pub mod report;
 pub mod reservation;
 pub mod settle;
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -5,6 +5,7 @@
 use crate::{
     digest::{Digest, Hint},
     member::{Choices, Difference, Map, MapRequest, Members, Order, RankExperts, State, Status},
+    rate_limit,
     reservation::{self, ServiceInfo, Subscription},
     suspicion::Suspicion,
 };
@@ -61,6 +62,8 @@
     Suspicions(Vec<Suspicion>),
     /// Agent to an agent that has just joined its group: the others.
     Members(Members),
+    /// Entry to other entries: limits that upstreams have just named or lifted.
+    RateLimits(Vec<rate_limit::Report>),
 }
 
 impl Message {
--- a/verbenaspool_protocol/src/reservation.rs
+++ b/verbenaspool_protocol/src/reservation.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use verbenaspool_state::engine::Experts;
 
-use crate::member::Status;
+use crate::{member::Status, rate_limit::RateLimit};
 
 /// An entry's request for one of an upstream's slots.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -33,15 +33,6 @@
     pub max_rate: u32,
 }
 
-/// The limit on an upstream's requests, as known to an entry.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct RateLimit {
-    /// Requests per second that it takes from all entries together; `None` without a limit.
-    pub per_second: Option<f32>,
-    /// How long ago that was known to hold, in milliseconds.
-    pub age_ms: u32,
-}
-
 /// Maximum remaining time of a [`WarmUp`] in milliseconds. A longer one is implausible.
 pub const MAX_WARM_UP_LEFT_MS: u32 = 60_000;
 
