Reject requests at once that no limited upstream takes in time

If all upstreams of a service limit their requests, callers waited in the queue for one that takes none before they are rejected, and were told to come back after times that say nothing of the limits.

The dispatcher knows when each upstream takes the next request of this entry. If that is later than the request may wait, it is rejected at once, and told to come back when an upstream takes one, as late as callers honour. The reason is `limited`.

--- a/verbenaspool/src/operate/explain.rs
+++ b/verbenaspool/src/operate/explain.rs
@@ -135,6 +135,7 @@
     let why = match line.why.as_str() {
         "whole" | "answered" => "The upstream's answer was forwarded",
         "full" => "It was rejected: all upstreams were at capacity",
+        "limited" => "It was rejected: all upstreams limited their requests",
         "closed" => "It was rejected: no upstream of the service was running",
         "turned-away" => "It was rejected: upstreams rejected it or couldn't be reached",
         "quarantined" => "It was rejected: upstreams had crashed while processing it",
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -498,11 +498,13 @@
         if !waiting.late {
             self.last_shortage = Some(now);
         }
-        if !timed_out {
-            return None;
-        }
         let left = waiting.request.deadline.saturating_sub(now);
-        Some(Verdict::Reject(self.rejection(now, left)))
+        let limits_wait = self.limits_wait(now, &waiting.request.excluded);
+        match limits_wait.filter(|wait| timed_out || now + *wait >= until) {
+            Some(wait) => Some(Verdict::Reject(self.rate_limit_rejection(now, left, wait))),
+            None if timed_out => Some(Verdict::Reject(self.rejection(now, left))),
+            None => None,
+        }
     }
 
     /// Whether any upstream is known to take requests.
@@ -534,6 +536,16 @@
         }
     }
 
+    /// The rejection if all upstreams limit their requests and take none for `wait`.
+    fn rate_limit_rejection(&mut self, now: Duration, left: Duration, wait: Duration) -> Rejection {
+        let rejection = self.rejection(now, left);
+        let latest = self.service_time.latest_retry_after(left);
+        Rejection {
+            reason: RejectReason::RateLimited,
+            retry_after: rejection.retry_after.max(wait.min(latest)),
+        }
+    }
+
     /// A random number in [0, 1), by Marsaglia's xorshift.
     fn random(&mut self) -> f64 {
         self.random_state ^= self.random_state << 13;
--- a/verbenaspool_policy/src/dispatch/request.rs
+++ b/verbenaspool_policy/src/dispatch/request.rs
@@ -61,6 +61,8 @@
     Unavailable,
     /// All upstreams are at capacity.
     Full,
+    /// All upstreams limit their requests, and take none soon enough.
+    RateLimited,
 }
 
 impl RejectReason {
@@ -70,6 +72,7 @@
         match self {
             Self::Unavailable => "closed",
             Self::Full => "full",
+            Self::RateLimited => "limited",
         }
     }
 }
--- a/verbenaspool_policy/src/dispatch/service_time.rs
+++ b/verbenaspool_policy/src/dispatch/service_time.rs
@@ -87,11 +87,14 @@
     #[must_use]
     pub fn retry_after_full(self, left: Duration) -> [Duration; 2] {
         let estimate = self.estimate_for(left).max(MIN_RETRY_AFTER);
-        RETRY_AFTER_FULL_RATIOS.map(|ratio| {
-            estimate
-                .mul_f64(ratio)
-                .min(left.mul_f64(RETRY_AFTER_OUTAGE_RATIOS[1]))
-        })
+        RETRY_AFTER_FULL_RATIOS
+            .map(|ratio| estimate.mul_f64(ratio).min(self.latest_retry_after(left)))
+    }
+
+    /// The longest Retry-After that a caller with `left` of its time honours.
+    #[must_use]
+    pub fn latest_retry_after(self, left: Duration) -> Duration {
+        left.mul_f64(RETRY_AFTER_OUTAGE_RATIOS[1])
     }
 
     /// The same during an outage.
--- a/verbenaspool_policy/tests/dispatch/rate_limits.rs
+++ b/verbenaspool_policy/tests/dispatch/rate_limits.rs
@@ -1,7 +1,7 @@
 //! Limits that upstreams name in their answers.
 
 use verbenaspool_policy::{
-    dispatch::{AttemptOutcome, Dispatcher, PlacementRequest, Verdict},
+    dispatch::{AttemptOutcome, Dispatcher, PlacementRequest, RejectReason, Verdict},
     slots::Slots,
 };
 use verbenaspool_state::{
@@ -313,3 +313,39 @@
     assert!(agent.wait(ms(30)).is_zero());
     assert!((30..100).all(|now| agent.grant(ms(now), 100)));
 }
+
+/// Guards against requests that wait for upstreams which take none before they are rejected, and
+/// against callers that come back before one does.
+#[test]
+fn requests_that_no_limit_lets_pass_in_time_are_rejected_at_once() {
+    let mut entry = entry(0, 1, &["u0", "u1"]);
+    let mut requests = Vec::new();
+    for id in ["u0", "u1"] {
+        entry.record_rate_limit(ms(0), id, limit(0, Some(1.0)));
+    }
+    for now in 1..4_000 {
+        entry.submit(ms(now), now, stream(now));
+        let verdicts = entry.process_queue(ms(now));
+        entry.cancel(now);
+        requests.extend(verdicts.into_iter().map(|(_, verdict)| (now, verdict)));
+    }
+    let sent_at = |(now, verdict): &(u64, Verdict)| {
+        let sent = matches!(verdict, Verdict::Send(_));
+        sent.then_some(*now)
+    };
+    let sent: Vec<u64> = requests.iter().filter_map(sent_at).collect();
+    assert!((4..=12).contains(&sent.len()), "{sent:?}");
+    for (now, verdict) in &requests {
+        let Verdict::Reject(rejection) = verdict else {
+            continue;
+        };
+        assert_eq!(rejection.reason, RejectReason::RateLimited);
+        let next = sent.iter().find(|at| *at > now);
+        let until_next = next.map(|at| ms(at - now)).unwrap_or_default();
+        // Requests come once in a millisecond.
+        assert!(rejection.retry_after + ms(1) >= until_next, "at {now}");
+    }
+    // Only those wait for which an upstream takes one in time.
+    let rejected = requests.len() - sent.len();
+    assert!(rejected >= 2_000, "{rejected}");
+}
