Let upstreams limit their requests in the soak

No fault of the soak made an upstream name a limit, so the soak couldn't see one ignored. One now does for 5 to 7.5 s beside all other faults, and gets no more in 4 s than half more than its limit and five, besides eight for each signal to an entry, which may have forgotten the limit. Periods in which the upstream's proxy held requests up aren't checked.

--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -4,10 +4,11 @@
     cell::RefCell,
     collections::HashMap,
     fmt,
+    ops::Range,
     time::{Duration, Instant},
 };
 
-use verbenaspool_platform_standin::process::Crash;
+use verbenaspool_platform_standin::{process::Crash, upstream::Upstream};
 
 /// Time in which all entries learn of a crash.
 const CRASH_SYNC_TIME: Duration = Duration::from_secs(3);
@@ -15,6 +16,21 @@
 /// Crashes that a request may still cause after [`CRASH_SYNC_TIME`].
 const MAX_LATE_CRASHES: usize = 3;
 
+/// Requests per second that an upstream takes while it limits them.
+pub const RATE_LIMIT: f64 = 2.0;
+
+/// Time in which all entries learn of a limit.
+const LIMIT_SYNC_TIME: Duration = Duration::from_secs(1);
+
+/// The span in which requests to an upstream with a limit are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+
+/// Requests that an upstream gets in the span beyond its limit, as a share of it, and in number.
+const MAX_LIMIT_EXCESS: (f64, f64) = (0.5, 5.0);
+
+/// Requests that an entry which has just started sends before an answer names the limit.
+const REQUESTS_OF_A_START: usize = 8;
+
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Violation {
@@ -41,6 +57,8 @@
     at_most_once: RefCell<Vec<String>>,
     /// Newest version observed by entry and incarnation.
     served_versions: RefCell<HashMap<(usize, u32), u64>>,
+    /// When an entry was signalled: it may have lost what it knew, or be late.
+    pub entry_signals: RefCell<Vec<Instant>>,
     /// Counts by result, such as whole or late responses.
     pub counts: RefCell<HashMap<&'static str, u64>>,
 }
@@ -106,6 +124,26 @@
         }
     }
 
+    /// Checks that entries together keep to the limit that an upstream names during a period.
+    pub fn check_limit(&self, upstream: &Upstream, period: &Range<Instant>) {
+        let counted = period.start + LIMIT_SYNC_TIME..period.end;
+        let most = upstream.most_arrivals(&counted, LIMIT_SPAN);
+        let (ratio, number) = MAX_LIMIT_EXCESS;
+        let allowed = (1.0 + ratio) * RATE_LIMIT * LIMIT_SPAN.as_secs_f64() + number;
+        let signals = self.entry_signals.borrow();
+        let starts = signals.iter().filter(|at| period.contains(*at)).count();
+        let excused = starts * REQUESTS_OF_A_START;
+        let most_counted = u32::try_from(most.saturating_sub(excused)).unwrap_or(u32::MAX);
+        if f64::from(most_counted) > allowed {
+            let details = format!(
+                "{} got {most} requests in {LIMIT_SPAN:?}, {starts} entries were signalled",
+                upstream.id
+            );
+            self.record_violation("no more requests than an upstream takes", details);
+        }
+        self.count("limits");
+    }
+
     /// Checks the recorded requests against how often upstreams ran them.
     pub fn check_runs(&self, run_count: impl Fn(&str) -> usize) {
         for id in self.at_most_once.borrow().iter() {
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -4,9 +4,10 @@
     cell::{Cell, RefCell},
     io,
     net::{IpAddr, SocketAddr},
+    ops::Range,
     path::{Path, PathBuf},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use monoio::net::TcpListener;
@@ -55,6 +56,10 @@
     pub proxy: Rc<Proxy>,
     /// Service of the upstream.
     pub service: &'static str,
+    /// When it named a limit, and until when.
+    pub limited: RefCell<Vec<Range<Instant>>>,
+    /// When the proxy last held up or lost requests or responses.
+    pub last_cut: Cell<Option<Instant>>,
     address: SocketAddr,
 }
 
@@ -147,6 +152,8 @@
                 upstream,
                 proxy,
                 service,
+                limited: RefCell::default(),
+                last_cut: Cell::default(),
                 address,
             });
         }
@@ -222,6 +229,20 @@
         self.store.put("servers", &server.upstream.id, &entry);
     }
 
+    /// Checks the limits that upstreams named. The last ones may not have ended.
+    pub fn check_limits(&self) {
+        for server in &self.servers {
+            for period in server.limited.borrow().iter() {
+                let end = period.end.min(Instant::now());
+                let cut = server.last_cut.get().is_some_and(|at| at >= period.start);
+                if !cut {
+                    self.checks
+                        .check_limit(&server.upstream, &(period.start..end));
+                }
+            }
+        }
+    }
+
     /// Returns how often upstreams ran a request.
     #[must_use]
     pub fn run_count(&self, id: &str) -> usize {
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -10,7 +10,12 @@
 use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
 use verbenaspool_platform_standin::{store::Condition, upstream::Behaviour};
 
-use crate::{deployment::Deployment, process::Process, proxy::Mode};
+use crate::{
+    check::RATE_LIMIT,
+    deployment::{Deployment, Server},
+    process::Process,
+    proxy::Mode,
+};
 
 /// Faulty behaviours of upstreams.
 const BEHAVIOURS: [Behaviour; 9] = [
@@ -34,11 +39,14 @@
 ];
 
 /// Number of fault kinds around entries.
-const ENTRY_FAULT_KINDS: u32 = 12;
+const ENTRY_FAULT_KINDS: u32 = 13;
 
 /// Number of all fault kinds.
 const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 5;
 
+/// How much longer than other faults an upstream limits its requests.
+const LIMIT_TIME: Duration = Duration::from_secs(5);
+
 /// Percentage of orders to ranks that get no answer during this fault.
 const LATE_PERCENT: u32 = 35;
 
@@ -116,6 +124,7 @@
         }
         2 | 3 => {
             target.proxy.mode.set(choice.mode);
+            target.last_cut.set(Some(Instant::now() + duration));
             monoio::time::sleep(duration).await;
             target.proxy.mode.set(Mode::Pass);
         }
@@ -154,12 +163,26 @@
             signal(&deployment, entry, Signal::SIGKILL);
             restart_entry(&deployment, entry).await;
         }
-        _ => {
+        11 => {
             signal(&deployment, entry, Signal::SIGHUP);
             signal(&deployment, entry, Signal::SIGTERM);
             restart_entry(&deployment, entry).await;
         }
+        _ => limit_requests(target, LIMIT_TIME + duration).await,
+    }
+}
+
+/// Lets an upstream limit its requests for some time, unless it does so already.
+async fn limit_requests(server: &Server, duration: Duration) {
+    let upstream = &server.upstream;
+    if upstream.rate_limit.get().is_some() {
+        return;
     }
+    let now = Instant::now();
+    upstream.rate_limit.set(Some(RATE_LIMIT));
+    server.limited.borrow_mut().push(now..now + duration);
+    monoio::time::sleep(duration).await;
+    upstream.rate_limit.set(None);
 }
 
 /// Injects one fault of a group or an agent and ends it after its duration.
@@ -202,6 +225,8 @@
 
 /// Sends a signal to an entry's process.
 fn signal(deployment: &Deployment, entry: usize, signal: Signal) {
+    let signals = &deployment.checks.entry_signals;
+    signals.borrow_mut().push(Instant::now());
     if let Some(entry) = deployment.entries.borrow().get(entry) {
         entry.process.signal(signal);
     }
--- a/verbenaspool_soak/src/lib.rs
+++ b/verbenaspool_soak/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! One seed determines all faults and requests. Processes are terminated and paused
 //! by signals, loopback proxies delay, reset and block connections, the store and
-//! the upstreams fail in several ways, and the configuration changes during the run.
+//! the upstreams fail in several ways, upstreams limit their requests, and the
+//! configuration changes during the run.
 
 pub mod caller;
 pub mod check;
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -165,6 +165,7 @@
         .borrow_mut()
         .insert("crashes", crashes.len() as u64);
     deployment.checks.check_crashes(crashes.into_iter());
+    deployment.check_limits();
     check_group(&deployment).await;
     report(seed, &deployment);
     let violations = deployment.checks.violations.borrow().len();
