Report limits to other entries only where no agent counts

In a fleet hundreds of ranks may name limits as it is overloaded. Each change that an entry learned woke a report of all recent ones to all entries, and each entry would have learned most changes from its own answers. Worked out, not measured: with a hundred changes in a moment an entry of 231 would send some 20 MB. The agents of ranks count for all entries, so nothing is gained there.

Limits are reported where there are no agents, at most once in 50 ms.

--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -35,7 +35,7 @@
     retry_budget: RefCell<retry_budget::Budget>,
     retry_detector: RefCell<Detector>,
     customer_rates: RefCell<customer_rate::Rates>,
-    /// When the limit of an upstream last changed by an answer to this entry.
+    /// When the limit of an upstream without an agent last changed by an answer to this entry.
     rate_limit_changes: RefCell<HashMap<Rc<str>, Duration>>,
     /// Sends verdicts to waiting requests.
     verdict_senders: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
@@ -134,11 +134,13 @@
         let changed = self
             .queue
             .record_rate_limit(&self.upstream, limit, "answer");
-        if changed {
+        // The agent of a rank counts for all entries.
+        let reports = changed && !self.queue.dispatcher.borrow().has_agents();
+        if reports {
             let mut recent = self.queue.rate_limit_changes.borrow_mut();
             recent.insert(self.upstream.clone(), received_at);
         }
-        changed
+        reports
     }
 
     /// Whether the upstream names a limit on its requests.
@@ -393,7 +395,7 @@
         changed
     }
 
-    /// The limits of upstreams that changed by answers to this entry since then.
+    /// The limits of upstreams without agents that changed by answers to this entry since then.
     pub fn rate_limits_changed_since(&self, since: Duration) -> Vec<(Rc<str>, RateLimit)> {
         let mut changes = self.rate_limit_changes.borrow_mut();
         changes.retain(|_, at| *at >= since);
--- a/verbenaspool/src/direct/rate_limit.rs
+++ b/verbenaspool/src/direct/rate_limit.rs
@@ -1,7 +1,8 @@
-//! Limits that upstreams name in their answers, as exchanged with other entries.
+//! Limits that upstreams without agents name in their answers, as exchanged with other entries.
 //!
 //! Without the exchange, an entry would learn only from its own answers that a limit has ended.
-//! Its share may be one request in minutes.
+//! Its share may be one request in minutes. An agent counts for all entries, so limits of ranks
+//! aren't exchanged: hundreds of them may change at once as a fleet is overloaded.
 
 use std::{rc::Rc, time::Duration};
 
@@ -18,11 +19,14 @@
 /// only the answer to a later request outweighs a limit that a peer has just been told.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Minimum interval of reports. Changes come in bursts, and each report repeats the recent ones.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a change is reported to peers.
 const REPORT_PERIOD: Duration = Duration::from_secs(3);
 
 impl Gateway {
-    /// The limits of upstreams that this entry has recently learned from their answers.
+    /// The limits that this entry has recently learned from answers.
     fn rate_limit_reports(&self) -> Vec<Report> {
         let now = self.clock.now();
         let since = now.saturating_sub(REPORT_PERIOD);
@@ -51,13 +55,14 @@
     }
 }
 
-/// Reports changed limits to peers, both immediately and repeatedly for [`REPORT_PERIOD`].
+/// Reports changed limits to peers, both soon and repeatedly for [`REPORT_PERIOD`].
 pub async fn report(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
         let reports = gateway.rate_limit_reports();
         if !reports.is_empty() {
             peers::broadcast(&gateway, &socket, &Message::RateLimits(reports)).await;
         }
+        gateway.clock.sleep(MIN_REPORT_INTERVAL).await;
         let next_report = gateway.clock.sleep(REPORT_INTERVAL);
         monoio::select! {
             () = next_report => {}
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -246,7 +246,8 @@
     }
 
     /// Whether the service's upstreams are ranks of groups, each with an agent.
-    fn has_agents(&self) -> bool {
+    #[must_use]
+    pub fn has_agents(&self) -> bool {
         let engine = self.engine.as_ref();
         engine.is_some_and(|engine| engine.experts.is_some())
     }
