Log the shared prompt parts of requests, and whether a crashed upstream wrote for them

Neither a request's line nor the line of a crash told which parts of its prompt a request shares with others, so a cause that lies in one part couldn't be told from chance. Requests that a crashed upstream had written events for couldn't be told from those that it had only begun either.

Both lines now have `parts`, the line of a crash has `events`, and verbenaspool_crashed_requests_total counts the two kinds apart (`written`). The last part belongs to the request or its session and is left out. No decision reads them.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -67,6 +67,8 @@
     pub received_at: Duration,
     /// When the current upstream started to respond.
     pub response_started_at: Cell<Option<Duration>>,
+    /// Number of events received from the current upstream.
+    pub attempt_events: Cell<u64>,
     /// Number of attempts that may have reached an upstream.
     pub attempts: Cell<u32>,
     /// Number of failed connections to upstreams.
@@ -218,6 +220,7 @@
         }
         self.attempts.set(self.attempts.get() + 1);
         self.response_started_at.take();
+        self.attempt_events.take();
         let may_have_run_before = self.may_have_run.replace(true);
         let client = &self.gateway.client;
         let response = async {
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -53,11 +53,18 @@
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
         warn!(gateway.log, "upstream crashed"; "upstream" => &*replica.id,
             "service" => &*replica.service, "request" => self.record.id(),
-            "fingerprint" => self.fingerprint.to_string(), "ran_ms" => ran_ms);
+            "fingerprint" => self.fingerprint.to_string(), "ran_ms" => ran_ms,
+            "events" => self.attempt_events.get(),
+            "parts" => self.caller_headers.shared_parts.join(","));
+        let written = if self.attempt_events.get() > 0 {
+            "yes"
+        } else {
+            "no"
+        };
         let crashed_requests = gateway.metrics.counter(
             "verbenaspool_crashed_requests_total",
             "Requests whose upstream crashed while it had them.",
-            &[("service", &*replica.service)],
+            &[("service", &*replica.service), ("written", written)],
         );
         crashed_requests.increment();
         let upstream = digest::hash(&replica.id);
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -21,6 +21,8 @@
     /// Whether it exceeds its customer's usual rate.
     over_usual_rate: bool,
     fingerprint: Option<Fingerprint>,
+    /// Ids of the parts of the prompt that other requests may share.
+    shared_parts: String,
     /// The state of the service when the request was placed or rejected, or when its stream
     /// had its longest pause.
     diagnostics: Diagnostics,
@@ -69,9 +71,12 @@
         summary.table_version = table_version;
     }
 
-    /// Sets the fingerprint of the request's content.
-    pub fn set_fingerprint(&self, fingerprint: Fingerprint) {
-        self.summary.borrow_mut().fingerprint = Some(fingerprint);
+    /// Sets the fingerprint of the request's content, and the parts of its prompt that other
+    /// requests may share.
+    pub fn set_content(&self, fingerprint: Fingerprint, shared_parts: &[String]) {
+        let mut summary = self.summary.borrow_mut();
+        summary.fingerprint = Some(fingerprint);
+        summary.shared_parts = shared_parts.join(",");
     }
 
     /// Sets how long the caller waits, how long it has waited before this request, and whether
@@ -168,6 +173,7 @@
             "request" => self.id.clone(), "status" => status, "why" => reason,
             "route" => route.to_owned(), "service" => service.to_owned(),
             "fingerprint" => summary.fingerprint.map(|fingerprint| fingerprint.to_string()),
+            "parts" => summary.shared_parts,
             "version" => summary.table_version, "sent" => summary.attempts.join("; "),
             "waits_ms" => summary.caller_wait.as_secs_f64() * 1e3,
             "beyond" => summary.over_usual_rate, "spent_ms" => summary.prior_wait.as_secs_f64() * 1e3,
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -64,8 +64,6 @@
     splitter: Splitter,
     /// When the last event arrived, or the response started.
     last_event_at: Duration,
-    /// Whether the current upstream has sent an event.
-    has_event: bool,
     /// The earliest time to try to move a stalled or slow stream.
     next_move_at: Duration,
     /// Whether the stream was aborted.
@@ -103,7 +101,6 @@
         permit: Some(permit),
         body: Some(body),
         last_event_at: now,
-        has_event: false,
         next_move_at: Duration::ZERO,
         done: false,
     };
@@ -210,7 +207,8 @@
         let now = self.request.gateway.clock.now();
         if let Some(permit) = &self.permit {
             let pause = now.saturating_sub(self.last_event_at);
-            permit.record_event((self.has_event && count == 1).then_some(pause));
+            let has_event = self.request.attempt_events.get() > 0;
+            permit.record_event((has_event && count == 1).then_some(pause));
             let late = self.request.route.target_gap.is_some_and(|gap| pause > gap);
             if late && self.request.record.is_longest_pause(pause) {
                 self.request
@@ -219,7 +217,8 @@
             }
         }
         self.last_event_at = now;
-        self.has_event = true;
+        let attempt_events = &self.request.attempt_events;
+        attempt_events.set(attempt_events.get() + count);
         self.request.record.record_events(count);
         Ok(Some(events))
     }
@@ -354,7 +353,6 @@
                 self.body = Some(response.into_body());
                 self.permit = Some(permit);
                 self.last_event_at = self.request.gateway.clock.now();
-                self.has_event = false;
                 true
             }
             _ => false,
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -116,7 +116,7 @@
     record.set_caller_state(wait, prior_wait, over_usual_rate);
     let uri = path_and_query(&parts.uri);
     let fingerprint = Fingerprint::of(name.as_deref(), &uri.to_string(), &body);
-    record.set_fingerprint(fingerprint);
+    record.set_content(fingerprint, &caller_headers.shared_parts);
     Ok(PendingRequest {
         gateway: gateway.clone(),
         record: record.clone(),
@@ -134,6 +134,7 @@
         caller_headers,
         route,
         response_started_at: std::cell::Cell::default(),
+        attempt_events: std::cell::Cell::default(),
         attempts: std::cell::Cell::default(),
         connect_failures: std::cell::Cell::default(),
         may_have_run: std::cell::Cell::default(),
