Find the prompt part that crashes upstreams by evidence from sound runs

A request is known by a digest of customer, path and body, so requests that are alike in one part of their prompts and different in all else were each new, and the count of crashes under each stayed at one.

Attribution takes, for each crash, the parts of the requests for which the upstream hadn't written anything yet: the harmful part is in one of them, as are those of bystanders. A part is blamed if it is too unlikely to be in its crashes by chance (e^-12, a Chernoff bound), given the share of sound runs that have it. Crashes that a blamed part explains don't count against others, and one sound run that began after its crashes clears a part. Five crashes one after the other blame it where nothing else runs. Crashes under one customer alone reject the part for that customer only.

Nothing calls it yet.

--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -3,12 +3,24 @@
 //! A request may crash every upstream that runs it. Its caller retries it, entries resume
 //! it elsewhere, and each attempt takes down an upstream and stalls the group of its rank.
 //! No single attempt observes more than one crash, so crashes are counted by the request's
-//! fingerprint, over all entries.
+//! fingerprint, over all entries. Requests that are different may do the same because of one
+//! part of their prompts; [`attribution`] finds that part, which is then rejected with all
+//! requests that have it.
+
+mod attribution;
+mod runs;
+mod subject;
 
 use std::{collections::HashMap, time::Duration};
 
 use verbenaspool_state::fingerprint::Fingerprint;
 
+use self::attribution::{Attribution, Standing};
+pub use self::{
+    attribution::{Candidate, MAX_CANDIDATES, Sighting},
+    subject::Subject,
+};
+
 /// The most requests that are tracked. A crash adds all requests of one upstream.
 const MAX_RECORDS: usize = 4_096;
 
@@ -18,7 +30,7 @@
 
 /// An upstream that has answered a request for this long is unlikely to crash because of
 /// it.
-const EARLY_CRASH_TIME: Duration = Duration::from_millis(500);
+pub const EARLY_CRASH_TIME: Duration = Duration::from_millis(500);
 
 /// The limits set by the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -130,6 +142,14 @@
         }
     }
 
+    /// Clears the record of what happened until a success at `at`.
+    fn succeed(&mut self, now: Duration, at: Duration, observer: Observer) {
+        self.succeeded_at = Some(at);
+        self.change(now, observer);
+        self.crashes.retain(|crash| crash.at > at);
+        self.term = self.term.filter(|term| term.since > at);
+    }
+
     /// Whether a success at or after `at` makes crashes until then irrelevant.
     fn is_cleared(&self, at: Duration) -> bool {
         self.succeeded_at
@@ -137,14 +157,37 @@
     }
 }
 
-/// Requests during which upstreams crashed.
+/// Requests during which upstreams crashed, and parts of prompts that crash them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    /// By the fingerprint of the request or the part.
     records: HashMap<Fingerprint, Record>,
+    attribution: Attribution,
 }
 
 impl Quarantine {
-    /// Whether a request may be sent.
+    /// Whether a request may be sent, judged by itself and by the parts of its prompt.
+    #[must_use]
+    pub fn subject_status(&self, now: Duration, subject: &Subject) -> Status {
+        let mut status = self.status(now, subject.request);
+        for part in &subject.parts {
+            for key in [*part, part.of_customer(subject.customer)] {
+                if let Some(term) = self.current_term(now, key) {
+                    return Status::Quarantined(term.until.saturating_sub(now));
+                }
+            }
+            if status == Status::Clear
+                && self
+                    .attribution
+                    .is_suspect(*part, |key| self.current_term(now, key).is_some())
+            {
+                status = Status::Suspect;
+            }
+        }
+        status
+    }
+
+    /// Whether a request may be sent, judged by itself.
     ///
     /// ```
     /// use std::time::Duration;
@@ -169,11 +212,124 @@
         };
         match record.current_term(now) {
             Some(term) => Status::Quarantined(term.until.saturating_sub(now)),
-            None if record.crashes.iter().any(|crash| crash.early) => Status::Suspect,
+            None if record
+                .crashes
+                .iter()
+                .any(|c| c.early && !self.is_explained(now, c)) =>
+            {
+                Status::Suspect
+            }
             None => Status::Clear,
         }
     }
 
+    /// Whether a crash is attributed to a quarantined part.
+    fn is_explained(&self, now: Duration, crash: &Crash) -> bool {
+        let is_blamed = |key| self.current_term(now, key).is_some();
+        self.attribution
+            .is_explained(crash.upstream, crash.at, is_blamed)
+    }
+
+    /// The period in which a request or a part is rejected, if it is now.
+    fn current_term(&self, now: Duration, key: Fingerprint) -> Option<Term> {
+        self.records.get(&key)?.current_term(now)
+    }
+
+    /// Records a crash of an upstream that had a request of this entry; `written` tells whether
+    /// it had written a part of the answer. Returns what is quarantined because of it.
+    pub fn record_interruption(
+        &mut self,
+        now: Duration,
+        subject: &Subject,
+        crash: Crash,
+        written: bool,
+        limits: &Limits,
+    ) -> Vec<Fingerprint> {
+        let begins = self.record_crash(now, subject.request, crash, Observer::Own, limits);
+        let mut quarantined: Vec<Fingerprint> =
+            begins.then_some(subject.request).into_iter().collect();
+        if !written {
+            self.attribution
+                .record_suspect(now, crash.upstream, crash.at, subject);
+            quarantined.extend(self.blame_parts(now, limits));
+        }
+        quarantined
+    }
+
+    /// Records what another entry, given by a hash, saw of a crash. Returns the parts that are
+    /// quarantined because of it.
+    pub fn record_sighting(
+        &mut self,
+        now: Duration,
+        (upstream, at): (u32, Duration),
+        reporter: u32,
+        sighting: Sighting,
+        limits: &Limits,
+    ) -> Vec<Fingerprint> {
+        self.attribution
+            .record_sighting(upstream, at, reporter, sighting);
+        self.blame_parts(now, limits)
+    }
+
+    /// What this entry itself saw of crashes since `since`: the upstream, the time of the crash
+    /// and the sighting.
+    pub fn own_sightings(
+        &self,
+        since: Duration,
+    ) -> impl Iterator<Item = (u32, Duration, &Sighting)> {
+        self.attribution.own_sightings(since)
+    }
+
+    /// Quarantines the parts that crashes are attributed to. Returns them.
+    fn blame_parts(&mut self, now: Duration, limits: &Limits) -> Vec<Fingerprint> {
+        if limits.crash_threshold == 0 {
+            return Vec::new();
+        }
+        self.expire(now, limits.duration);
+        let records = &self.records;
+        let standing = |key: Fingerprint| {
+            let term = records.get(&key).and_then(|record| record.term);
+            term.map_or(Standing::Clear, |term| {
+                if now < term.until {
+                    Standing::Blamed
+                } else {
+                    Standing::BlamedBefore
+                }
+            })
+        };
+        let culprits = self.attribution.culprits(now, limits.duration, standing);
+        for culprit in &culprits {
+            let record = self.records.entry(culprit.key).or_default();
+            record.term = Some(Term {
+                since: culprit.crashed_at,
+                until: now + limits.duration,
+            });
+            record.change(now, Observer::Own);
+        }
+        self.evict_oldest(now);
+        culprits.into_iter().map(|culprit| culprit.key).collect()
+    }
+
+    /// Records a run of this entry that started at `started_at` and that the upstream survived,
+    /// so that the parts of its prompt aren't the cause of earlier crashes. Returns whether that
+    /// changes what is known of any of them.
+    pub fn record_run(&mut self, now: Duration, subject: &Subject, started_at: Duration) -> bool {
+        let cleared = self.attribution.record_run(now, subject, started_at);
+        let mut changed = !cleared.is_empty();
+        for part in cleared {
+            // Other entries learn of it by the record.
+            let record = self.records.entry(part).or_default();
+            record.succeed(now, started_at, Observer::Own);
+        }
+        for part in &subject.parts {
+            for key in [*part, part.of_customer(subject.customer)] {
+                changed |= self.record_success(now, key, started_at, Observer::Own);
+            }
+        }
+        self.evict_oldest(now);
+        changed
+    }
+
     /// Records a crash. Returns whether a quarantine of the request begins.
     pub fn record_crash(
         &mut self,
@@ -221,8 +377,8 @@
         true
     }
 
-    /// Records that a request succeeded at `at`, so that it isn't the cause of earlier
-    /// crashes. Returns whether that changes the record.
+    /// Records that a request, or a run with a part, succeeded at `at`, so that it isn't the cause
+    /// of earlier crashes. Returns whether that changes the record.
     pub fn record_success(
         &mut self,
         now: Duration,
@@ -230,6 +386,7 @@
         at: Duration,
         observer: Observer,
     ) -> bool {
+        self.attribution.record_sound(request, at);
         let Some(record) = self.records.get_mut(&request) else {
             return false;
         };
@@ -237,10 +394,7 @@
         if !counts || record.is_cleared(at) {
             return false;
         }
-        record.succeeded_at = Some(at);
-        record.change(now, observer);
-        record.crashes.retain(|crash| crash.at > at);
-        record.term = record.term.filter(|term| term.since > at);
+        record.succeed(now, at, observer);
         true
     }
 
@@ -257,12 +411,13 @@
         observed.map(|(request, record)| (*request, record))
     }
 
-    /// Drops crashes and records that no longer count.
+    /// Drops crashes and records that no longer count. A period in which a request was rejected
+    /// counts for as long again.
     fn expire(&mut self, now: Duration, duration: Duration) {
         self.records.retain(|_, record| {
             let counts = |at: Duration| now.saturating_sub(at) < duration;
             record.crashes.retain(|crash| counts(crash.at));
-            record.current_term(now).is_some()
+            record.term.is_some_and(|term| counts(term.until))
                 || !record.crashes.is_empty()
                 || counts(record.changed_at)
         });
--- a/verbenaspool_state/src/fingerprint.rs
+++ b/verbenaspool_state/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Identifies a request by its content across attempts, callers' retries and entries.
+//! Identifies a request, or a part of its prompt, by its content across attempts, callers' retries
+//! and entries.
 
 use std::{fmt, str::FromStr};
 
@@ -7,7 +8,13 @@
 /// Length of a fingerprint, sufficient for collision resistance.
 const LENGTH_BYTES: usize = 16;
 
-/// A digest of a request's content, which is the same for all attempts at it.
+/// The domains of fingerprints. No length of a text has these values, so that a request can't have
+/// the fingerprint of a part.
+const PART_DOMAIN: u64 = u64::MAX;
+const CUSTOMER_DOMAIN: u64 = u64::MAX - 1;
+
+/// A digest of a request's content, which is the same for all attempts at it, or of a part of its
+/// prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint([u8; LENGTH_BYTES]);
 
@@ -44,6 +51,48 @@
             hasher.update(part);
         }
         hasher.update(body);
+        Self::truncated(&hasher)
+    }
+
+    /// Computes the fingerprint of a part of prompts at a service.
+    ///
+    /// ```
+    /// use verbenaspool_state::fingerprint::Fingerprint;
+    ///
+    /// let part = Fingerprint::of_part("model", b"5c1e07a2");
+    /// assert_eq!(part, Fingerprint::of_part("model", b"5c1e07a2"));
+    /// assert_ne!(part, Fingerprint::of_part("other", b"5c1e07a2"));
+    /// ```
+    #[must_use]
+    pub fn of_part(service: &str, part: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&PART_DOMAIN.to_le_bytes());
+        hasher.update(&(service.len() as u64).to_le_bytes());
+        hasher.update(service.as_bytes());
+        hasher.update(part);
+        Self::truncated(&hasher)
+    }
+
+    /// Computes the fingerprint of a part in the prompts of one customer, given by a hash.
+    ///
+    /// ```
+    /// use verbenaspool_state::fingerprint::Fingerprint;
+    ///
+    /// let part = Fingerprint::of_part("model", b"5c1e07a2");
+    /// assert_ne!(part.of_customer(1), part);
+    /// assert_ne!(part.of_customer(1), part.of_customer(2));
+    /// ```
+    #[must_use]
+    pub fn of_customer(self, customer: u32) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&CUSTOMER_DOMAIN.to_le_bytes());
+        hasher.update(&self.0);
+        hasher.update(&customer.to_le_bytes());
+        Self::truncated(&hasher)
+    }
+
+    /// The first bytes of a digest.
+    fn truncated(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; LENGTH_BYTES];
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..LENGTH_BYTES]);
         Self(bytes)
