Reject requests with a prompt part that crashes upstreams

The cause: what crashes upstreams was known by the whole request only. Entries now attribute crashes to the parts that requests share, tell each other what each saw of a crash, and reject requests with a blamed part (503, with the time left) wherever a quarantined request is rejected: before the first attempt, each further one, and before a stream is resumed or moved. What is blamed is reported and kept in the store like a quarantined request. A rare part in a crash without an explanation is suspect, and isn't sent while the service can't lose another group.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -5,13 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::{
-    AttemptOutcome, PlacementRequest, Rejection, Resumption, retry_budget,
-};
-use verbenaspool_state::{
-    fingerprint::Fingerprint,
-    route::{Kind, Route},
+use verbenaspool_policy::{
+    dispatch::{AttemptOutcome, PlacementRequest, Rejection, Resumption, retry_budget},
+    quarantine::Subject,
 };
+use verbenaspool_state::route::{Kind, Route};
 use verbenaspool_transport::http::{body::Body, client::Error};
 
 use super::{
@@ -53,7 +51,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub fingerprint: Fingerprint,
+    /// What it is known by when upstreams crash under it.
+    pub subject: Subject,
     /// The request's id, wait and API key, from the caller's headers.
     pub caller_headers: header::Request,
     pub priority: u8,
@@ -69,6 +68,8 @@
     pub response_started_at: Cell<Option<Duration>>,
     /// Number of events received from the current upstream.
     pub attempt_events: Cell<u64>,
+    /// Whether the current upstream has survived the attempt for long enough.
+    pub attempt_sound: Cell<bool>,
     /// Number of attempts that may have reached an upstream.
     pub attempts: Cell<u32>,
     /// Number of failed connections to upstreams.
@@ -221,6 +222,7 @@
         self.attempts.set(self.attempts.get() + 1);
         self.response_started_at.take();
         self.attempt_events.take();
+        self.attempt_sound.take();
         let may_have_run_before = self.may_have_run.replace(true);
         let client = &self.gateway.client;
         let response = async {
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use slog::warn;
-use verbenaspool_policy::quarantine::{Crash, Status};
+use verbenaspool_policy::quarantine::{Crash, EARLY_CRASH_TIME, Status};
 use verbenaspool_protocol::digest;
 use verbenaspool_state::replica::State;
 
@@ -53,14 +53,10 @@
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
         warn!(gateway.log, "upstream crashed"; "upstream" => &*replica.id,
             "service" => &*replica.service, "request" => self.record.id(),
-            "fingerprint" => self.fingerprint.to_string(), "ran_ms" => ran_ms,
+            "fingerprint" => self.subject.request.to_string(), "ran_ms" => ran_ms,
             "events" => self.attempt_events.get(),
             "parts" => self.caller_headers.shared_parts.join(","));
-        let written = if self.attempt_events.get() > 0 {
-            "yes"
-        } else {
-            "no"
-        };
+        let written = if self.is_written() { "yes" } else { "no" };
         let crashed_requests = gateway.metrics.counter(
             "verbenaspool_crashed_requests_total",
             "Requests whose upstream crashed while it had them.",
@@ -69,13 +65,41 @@
         crashed_requests.increment();
         let upstream = digest::hash(&replica.id);
         let crash = Crash::new(gateway.clock.now(), upstream, ran);
-        gateway.on_crash(self.fingerprint, crash);
+        gateway.on_crash(self, crash);
         self.queue.record_crash(&replica.id);
     }
 
+    /// Whether the current upstream has written a part of the answer.
+    pub fn is_written(&self) -> bool {
+        self.attempt_events.get() > 0
+    }
+
+    /// Records that the request succeeded.
+    pub fn record_success(&self) {
+        self.gateway.on_success(self.subject.request);
+        self.record_sound();
+    }
+
+    /// Records the current attempt as sound once the upstream has survived it for long enough.
+    pub fn check_attempt_sound(&self) {
+        let started_at = self.response_started_at.get();
+        let ran = started_at.map(|at| self.gateway.clock.now().saturating_sub(at));
+        if self.is_written() && ran.is_some_and(|ran| ran >= EARLY_CRASH_TIME) {
+            self.record_sound();
+        }
+    }
+
+    /// Records the current attempt as sound.
+    fn record_sound(&self) {
+        let started_at = self.response_started_at.get();
+        if let Some(started_at) = started_at.filter(|_| !self.attempt_sound.replace(true)) {
+            self.gateway.on_sound_run(&self.subject, started_at);
+        }
+    }
+
     /// Whether the request is currently blocked because upstreams crashed while processing it.
     pub fn block_reason(&self) -> Option<BlockReason> {
-        match self.gateway.quarantine_status(self.fingerprint) {
+        match self.gateway.quarantine_status(&self.subject) {
             Status::Quarantined(left) => Some(BlockReason::Quarantined(left)),
             Status::Suspect if !self.queue.can_lose_one() => Some(BlockReason::Suspect),
             Status::Suspect | Status::Clear => None,
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -125,6 +125,11 @@
             Some(Message::Suspicions(suspicions)) if is_peer(&gateway, from) => {
                 gateway.record_suspicions(&suspicions);
             }
+            Some(Message::Crash(report)) if is_peer(&gateway, from) => {
+                if let IpAddr::V4(from) = from {
+                    gateway.record_crash_report(report, from);
+                }
+            }
             Some(Message::RateLimits(reports)) if is_peer(&gateway, from) => {
                 gateway.record_rate_limits(&reports, &format!("peer {from}"));
             }
--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -1,17 +1,23 @@
 //! Requests that crash upstreams, as observed by this entry and reported by its peers.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use monoio::net::udp::UdpSocket;
 use slog::{info, warn};
-use verbenaspool_policy::quarantine::{Crash, Observer, Record, Status, Term};
+use verbenaspool_policy::quarantine::{
+    Candidate, Crash, Observer, Record, Sighting, Status, Subject, Term,
+};
 use verbenaspool_protocol::{
+    crash,
     message::Message,
     suspicion::{self, Suspicion},
 };
 use verbenaspool_state::fingerprint::Fingerprint;
 
-use super::{gateway::Gateway, peers};
+use super::{attempt::PendingRequest, gateway::Gateway, peers};
+
+/// The millionths in a whole.
+const PPM: f64 = 1e6;
 
 /// Interval of reports to peers. Reports are repeated because datagrams get lost.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -25,20 +31,102 @@
 
 impl Gateway {
     /// Whether a request is suspected or quarantined.
-    pub fn quarantine_status(&self, request: Fingerprint) -> Status {
+    pub fn quarantine_status(&self, subject: &Subject) -> Status {
         if self.settings.borrow().quarantine.crashes == 0 {
             return Status::Clear;
         }
         let now = self.clock.now();
-        self.quarantine.borrow().status(now, request)
+        self.quarantine.borrow().subject_status(now, subject)
     }
 
     /// Records a crash of an upstream that had a request, and reports it to peers.
-    pub fn on_crash(&self, request: Fingerprint, crash: Crash) {
-        self.record_crash(request, crash, Observer::Own);
+    pub fn on_crash(&self, request: &PendingRequest, crash: Crash) {
+        let now = self.clock.now();
+        let limits = self.settings.borrow().quarantine.limits();
+        let (subject, written) = (&request.subject, request.is_written());
+        let mut quarantine = self.quarantine.borrow_mut();
+        let quarantined = quarantine.record_interruption(now, subject, crash, written, &limits);
+        drop(quarantine);
+        let (requests, parts): (Vec<Fingerprint>, Vec<Fingerprint>) = quarantined
+            .into_iter()
+            .partition(|fingerprint| *fingerprint == subject.request);
+        self.on_quarantined("request quarantined", &requests);
+        self.on_quarantined("prompt part quarantined", &parts);
         self.suspected.notify_one();
     }
 
+    /// Logs what is quarantined from now on, and has it reported and saved.
+    fn on_quarantined(&self, message: &'static str, quarantined: &[Fingerprint]) {
+        let duration = self.settings.borrow().quarantine.limits().duration;
+        for fingerprint in quarantined {
+            warn!(self.log, "{message}"; "fingerprint" => fingerprint.to_string(),
+                "for_s" => duration.as_secs());
+        }
+        if !quarantined.is_empty() {
+            self.suspected.notify_one();
+            self.unsaved.notify_one();
+        }
+    }
+
+    /// Records an attempt that started at `started_at` and that the upstream survived, and informs
+    /// peers if a part of its prompt was suspected before.
+    pub fn on_sound_run(&self, subject: &Subject, started_at: Duration) {
+        if subject.parts.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let cleared = quarantine.record_run(now, subject, started_at);
+        drop(quarantine);
+        if cleared {
+            self.suspected.notify_one();
+            self.unsaved.notify_one();
+        }
+    }
+
+    /// Records what a peer saw of a crash.
+    pub fn record_crash_report(&self, report: crash::Report, peer: Ipv4Addr) {
+        let now = self.clock.now();
+        let limits = self.settings.borrow().quarantine.limits();
+        let candidates = report.parts.into_iter().map(|part| {
+            let share = (f64::from(part.share_ppm) / PPM).min(1.0);
+            Candidate::new(part.fingerprint, part.customer, part.position, share)
+        });
+        let sighting = Sighting {
+            suspects: report.suspects,
+            candidates: candidates.collect(),
+        };
+        let crash = (report.upstream, ms_before(now, report.age_ms));
+        let reporter = u32::from(peer);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let quarantined = quarantine.record_sighting(now, crash, reporter, sighting, &limits);
+        drop(quarantine);
+        self.on_quarantined("prompt part quarantined", &quarantined);
+    }
+
+    /// What this entry recently saw of crashes.
+    fn crash_reports(&self) -> Vec<crash::Report> {
+        let now = self.clock.now();
+        let quarantine = self.quarantine.borrow();
+        let sightings = quarantine.own_sightings(now.saturating_sub(REPORT_PERIOD));
+        let reports = sightings.map(|(upstream, at, sighting)| {
+            let candidates = sighting.candidates.iter().take(crash::MAX_PARTS);
+            let parts = candidates.map(|candidate| crash::Part {
+                fingerprint: candidate.part,
+                customer: candidate.customer,
+                position: candidate.position,
+                share_ppm: ppm(candidate.share),
+            });
+            crash::Report {
+                upstream,
+                age_ms: ms(now.saturating_sub(at)),
+                suspects: sighting.suspects,
+                parts: parts.collect(),
+            }
+        });
+        reports.collect()
+    }
+
     /// Records that a request succeeded, and informs peers if it was suspected before.
     pub fn on_success(&self, request: Fingerprint) {
         let now = self.clock.now();
@@ -58,9 +146,8 @@
         let limits = self.settings.borrow().quarantine.limits();
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.record_crash(now, request, crash, observer, &limits) {
-            warn!(self.log, "request quarantined"; "fingerprint" => request.to_string(),
-                "for_s" => limits.duration.as_secs());
-            self.unsaved.notify_one();
+            drop(quarantine);
+            self.on_quarantined("request quarantined", &[request]);
         }
     }
 
@@ -119,8 +206,10 @@
         let quarantine = self.quarantine.borrow();
         let since = now.saturating_sub(REPORT_PERIOD);
         let mut requests: Vec<(Fingerprint, &Record)> = quarantine.observed_since(since).collect();
-        // Requests with most crashes come first, as the message size is limited.
-        requests.sort_by_key(|(_, record)| std::cmp::Reverse(record.crashes.len()));
+        // What is quarantined and what has most crashes comes first, as the message size is
+        // limited.
+        let order = |record: &Record| (record.current_term(now).is_some(), record.crashes.len());
+        requests.sort_by_key(|(_, record)| std::cmp::Reverse(order(record)));
         requests.truncate(suspicion::MAX_SUSPICIONS);
         let reports = requests.into_iter();
         reports
@@ -137,10 +226,8 @@
         age_ms: ms(now.saturating_sub(crash.at)),
         early: crash.early,
     });
-    let term = record.current_term(now).map(|term| suspicion::Term {
-        age_ms: ms(now.saturating_sub(term.since)),
-        left_ms: ms(term.until.saturating_sub(now)),
-    });
+    let term = record.current_term(now);
+    let term = term.map(|term| reported_term(now, term));
     Suspicion {
         request,
         crashes: crashes.collect(),
@@ -149,6 +236,20 @@
     }
 }
 
+/// The report to peers about a period.
+fn reported_term(now: Duration, term: Term) -> suspicion::Term {
+    suspicion::Term {
+        age_ms: ms(now.saturating_sub(term.since)),
+        left_ms: ms(term.until.saturating_sub(now)),
+    }
+}
+
+/// A share in millionths.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Shares are from 0 to 1.
+fn ppm(share: f64) -> u32 {
+    (share * PPM) as u32
+}
+
 /// The time `age_ms` milliseconds before `now`.
 fn ms_before(now: Duration, age_ms: u32) -> Duration {
     now.saturating_sub(Duration::from_millis(age_ms.into()))
@@ -162,6 +263,9 @@
 /// Reports observations to peers, both immediately and repeatedly for [`REPORT_PERIOD`].
 pub async fn report(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
+        for crash in gateway.crash_reports() {
+            peers::broadcast(&gateway, &socket, &Message::Crash(crash)).await;
+        }
         let suspicions = gateway.suspicions();
         if !suspicions.is_empty() {
             peers::broadcast(&gateway, &socket, &Message::Suspicions(suspicions)).await;
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -129,7 +129,7 @@
                 },
                 Next::End if self.splitter.at_event_end() => {
                     self.release_upstream(AttemptOutcome::Good);
-                    self.request.gateway.on_success(self.request.fingerprint);
+                    self.request.record_success();
                     self.request.record.set_result(200, "whole");
                     return None;
                 }
@@ -220,6 +220,7 @@
         let attempt_events = &self.request.attempt_events;
         attempt_events.set(attempt_events.get() + count);
         self.request.record.record_events(count);
+        self.request.check_attempt_sound();
         Ok(Some(events))
     }
 
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -11,7 +11,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use verbenaspool_platform::header;
-use verbenaspool_policy::dispatch::AttemptOutcome;
+use verbenaspool_policy::{dispatch::AttemptOutcome, quarantine::Subject};
+use verbenaspool_protocol::digest;
 use verbenaspool_state::{
     fingerprint::Fingerprint,
     route::{Customer, Kind, Table},
@@ -115,8 +116,16 @@
         .is_some_and(|name| queue.observe_customer(name));
     record.set_caller_state(wait, prior_wait, over_usual_rate);
     let uri = path_and_query(&parts.uri);
-    let fingerprint = Fingerprint::of(name.as_deref(), &uri.to_string(), &body);
-    record.set_content(fingerprint, &caller_headers.shared_parts);
+    let shared_parts = caller_headers.shared_parts.iter();
+    let subject = Subject {
+        request: Fingerprint::of(name.as_deref(), &uri.to_string(), &body),
+        service: digest::hash(service),
+        customer: digest::hash(name.as_deref().unwrap_or_default()),
+        parts: shared_parts
+            .map(|part| Fingerprint::of_part(service, part.as_bytes()))
+            .collect(),
+    };
+    record.set_content(subject.request, &caller_headers.shared_parts);
     Ok(PendingRequest {
         gateway: gateway.clone(),
         record: record.clone(),
@@ -125,7 +134,7 @@
         uri,
         headers,
         body,
-        fingerprint,
+        subject,
         priority: priority.unwrap_or(route.priority),
         over_usual_rate,
         target: (received_at + route.target_latency).saturating_sub(prior_wait),
@@ -135,6 +144,7 @@
         route,
         response_started_at: std::cell::Cell::default(),
         attempt_events: std::cell::Cell::default(),
+        attempt_sound: std::cell::Cell::default(),
         attempts: std::cell::Cell::default(),
         connect_failures: std::cell::Cell::default(),
         may_have_run: std::cell::Cell::default(),
@@ -312,7 +322,7 @@
         return Received::Failed(response);
     }
     permit.release(AttemptOutcome::Good);
-    request.gateway.on_success(request.fingerprint);
+    request.record_success();
     // The same guarantee goes with these statuses.
     let not_run_statuses = [StatusCode::TOO_MANY_REQUESTS, StatusCode::REQUEST_TIMEOUT];
     if not_run_statuses.contains(&status) {
--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! and with its callers.
 
 pub mod attempt;
+pub mod crash;
 pub mod digest;
 pub mod engine;
 pub mod group;
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash,
     digest::{Digest, Hint},
     member::{Choices, Difference, Map, MapRequest, Members, Order, RankExperts, State, Status},
     rate_limit,
@@ -64,6 +65,8 @@
     Members(Members),
     /// Entry to other entries: limits that upstreams have just named or lifted.
     RateLimits(Vec<rate_limit::Report>),
+    /// Entry to other entries: what it saw of a crash of an upstream.
+    Crash(crash::Report),
 }
 
 impl Message {
