Judge crashes once all entries have reported what they saw

Entries judged a crash with each request that found it, and with each report of a peer.

Crashes count from 50 ms on. Reports of crashes have a task of their own: after 20 ms, in which the requests of an upstream find its crash, and once more for lost datagrams, instead of with each of these requests.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -67,6 +67,10 @@
     pub quarantine: RefCell<Quarantine>,
     /// Wakes the task that reports suspected requests to peers.
     pub suspected: Notify,
+    /// Wakes the task that reports crashes of upstreams to peers.
+    pub crashed: Notify,
+    /// Wakes the task that attributes crashes to parts of prompts.
+    pub crash_seen: Notify,
     /// Wakes the task that reports limits of upstreams to peers.
     pub rate_limit_changed: Notify,
     /// The configuration's object as last read from the store.
@@ -111,6 +115,8 @@
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
             suspected: Notify::new(),
+            crashed: Notify::new(),
+            crash_seen: Notify::new(),
             rate_limit_changed: Notify::new(),
             stored_configuration: RefCell::default(),
             unsaved: Notify::new(),
--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -5,7 +5,7 @@
 use monoio::net::udp::UdpSocket;
 use slog::{info, warn};
 use verbenaspool_policy::quarantine::{
-    Candidate, Crash, Observer, Record, Sighting, Status, Subject, Term,
+    Candidate, Crash, Observer, Record, SETTLE_TIME, Sighting, Status, Subject, Term,
 };
 use verbenaspool_protocol::{
     crash,
@@ -26,6 +26,13 @@
 /// most of them are older.
 const FRESH_CRASH_AGE: Duration = Duration::from_millis(300);
 
+/// Delays of the two reports of a crash. The first one is the time in which the requests that an
+/// upstream had find out that it crashed.
+const CRASH_REPORT_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(200)];
+
+/// Maximum age of a crash that is reported. A report that begins just after a crash repeats it.
+const CRASH_REPORT_PERIOD: Duration = Duration::from_millis(500);
+
 /// How long an observation is reported to peers.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -45,13 +52,13 @@
         let limits = self.settings.borrow().quarantine.limits();
         let (subject, written) = (&request.subject, request.is_written());
         let mut quarantine = self.quarantine.borrow_mut();
-        let quarantined = quarantine.record_interruption(now, subject, crash, written, &limits);
+        let begins = quarantine.record_interruption(now, subject, crash, written, &limits);
         drop(quarantine);
-        let (requests, parts): (Vec<Fingerprint>, Vec<Fingerprint>) = quarantined
-            .into_iter()
-            .partition(|fingerprint| *fingerprint == subject.request);
-        self.on_quarantined("request quarantined", &requests);
-        self.on_quarantined("prompt part quarantined", &parts);
+        if begins {
+            self.on_quarantined("request quarantined", &[subject.request]);
+        }
+        self.crashed.notify_one();
+        self.crash_seen.notify_one();
         self.suspected.notify_one();
     }
 
@@ -87,7 +94,6 @@
     /// Records what a peer saw of a crash.
     pub fn record_crash_report(&self, report: crash::Report, peer: Ipv4Addr) {
         let now = self.clock.now();
-        let limits = self.settings.borrow().quarantine.limits();
         let candidates = report.parts.into_iter().map(|part| {
             let share = (f64::from(part.share_ppm) / PPM).min(1.0);
             Candidate::new(part.fingerprint, part.customer, part.position, share)
@@ -96,19 +102,26 @@
             suspects: report.suspects,
             candidates: candidates.collect(),
         };
-        let crash = (report.upstream, ms_before(now, report.age_ms));
-        let reporter = u32::from(peer);
+        let at = ms_before(now, report.age_ms);
         let mut quarantine = self.quarantine.borrow_mut();
-        let quarantined = quarantine.record_sighting(now, crash, reporter, sighting, &limits);
+        quarantine.record_sighting(report.upstream, at, u32::from(peer), sighting);
         drop(quarantine);
-        self.on_quarantined("prompt part quarantined", &quarantined);
+        self.crash_seen.notify_one();
+    }
+
+    /// Quarantines the parts of prompts that crashes are attributed to.
+    fn blame_parts(&self) {
+        let now = self.clock.now();
+        let limits = self.settings.borrow().quarantine.limits();
+        let blamed = self.quarantine.borrow_mut().blame_parts(now, &limits);
+        self.on_quarantined("prompt part quarantined", &blamed);
     }
 
     /// What this entry recently saw of crashes.
     fn crash_reports(&self) -> Vec<crash::Report> {
         let now = self.clock.now();
         let quarantine = self.quarantine.borrow();
-        let sightings = quarantine.own_sightings(now.saturating_sub(REPORT_PERIOD));
+        let sightings = quarantine.own_sightings(now.saturating_sub(CRASH_REPORT_PERIOD));
         let reports = sightings.map(|(upstream, at, sighting)| {
             let candidates = sighting.candidates.iter().take(crash::MAX_PARTS);
             let parts = candidates.map(|candidate| crash::Part {
@@ -260,12 +273,31 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Reports what this entry sees of crashes to peers, twice because datagrams get lost.
+pub async fn report_crashes(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        gateway.crashed.notified().await;
+        for delay in CRASH_REPORT_DELAYS {
+            gateway.clock.sleep(delay).await;
+            for crash in gateway.crash_reports() {
+                peers::broadcast(&gateway, &socket, &Message::Crash(crash)).await;
+            }
+        }
+    }
+}
+
+/// Attributes crashes to parts of prompts once all entries have reported what they saw.
+pub async fn attribute_crashes(gateway: Rc<Gateway>) {
+    loop {
+        gateway.crash_seen.notified().await;
+        gateway.clock.sleep(SETTLE_TIME).await;
+        gateway.blame_parts();
+    }
+}
+
 /// Reports observations to peers, both immediately and repeatedly for [`REPORT_PERIOD`].
 pub async fn report(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
-        for crash in gateway.crash_reports() {
-            peers::broadcast(&gateway, &socket, &Message::Crash(crash)).await;
-        }
         let suspicions = gateway.suspicions();
         if !suspicions.is_empty() {
             peers::broadcast(&gateway, &socket, &Message::Suspicions(suspicions)).await;
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -129,6 +129,7 @@
     monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
     start_peer_tasks(&gateway);
     let relist = start_followers(&gateway);
+    monoio::spawn(quarantine::attribute_crashes(gateway.clone()));
     monoio::spawn(status::save_changes(gateway.clone()));
     let (close, closed) = shutdown::channel();
     let open = Connections::default();
@@ -209,6 +210,7 @@
                 incarnation,
             ));
             monoio::spawn(quarantine::report(gateway.clone(), socket.clone()));
+            monoio::spawn(quarantine::report_crashes(gateway.clone(), socket.clone()));
             monoio::spawn(rate_limit::report(gateway.clone(), socket.clone()));
             monoio::spawn(peers::send_subscriptions(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -17,7 +17,7 @@
 
 use self::attribution::{Attribution, Standing};
 pub use self::{
-    attribution::{Candidate, MAX_CANDIDATES, Sighting},
+    attribution::{Candidate, MAX_CANDIDATES, SETTLE_TIME, Sighting},
     subject::Subject,
 };
 
@@ -236,7 +236,7 @@
     }
 
     /// Records a crash of an upstream that had a request of this entry; `written` tells whether
-    /// it had written a part of the answer. Returns what is quarantined because of it.
+    /// it had written a part of the answer. Returns whether a quarantine of the request begins.
     pub fn record_interruption(
         &mut self,
         now: Duration,
@@ -244,31 +244,24 @@
         crash: Crash,
         written: bool,
         limits: &Limits,
-    ) -> Vec<Fingerprint> {
-        let begins = self.record_crash(now, subject.request, crash, Observer::Own, limits);
-        let mut quarantined: Vec<Fingerprint> =
-            begins.then_some(subject.request).into_iter().collect();
+    ) -> bool {
         if !written {
             self.attribution
                 .record_suspect(now, crash.upstream, crash.at, subject);
-            quarantined.extend(self.blame_parts(now, limits));
         }
-        quarantined
+        self.record_crash(now, subject.request, crash, Observer::Own, limits)
     }
 
-    /// Records what another entry, given by a hash, saw of a crash. Returns the parts that are
-    /// quarantined because of it.
+    /// Records what another entry, given by a hash, saw of a crash.
     pub fn record_sighting(
         &mut self,
-        now: Duration,
-        (upstream, at): (u32, Duration),
+        upstream: u32,
+        at: Duration,
         reporter: u32,
         sighting: Sighting,
-        limits: &Limits,
-    ) -> Vec<Fingerprint> {
+    ) {
         self.attribution
             .record_sighting(upstream, at, reporter, sighting);
-        self.blame_parts(now, limits)
     }
 
     /// What this entry itself saw of crashes since `since`: the upstream, the time of the crash
@@ -280,8 +273,9 @@
         self.attribution.own_sightings(since)
     }
 
-    /// Quarantines the parts that crashes are attributed to. Returns them.
-    fn blame_parts(&mut self, now: Duration, limits: &Limits) -> Vec<Fingerprint> {
+    /// Quarantines the parts that crashes are attributed to, and returns them. To be called
+    /// [`SETTLE_TIME`] after each crash.
+    pub fn blame_parts(&mut self, now: Duration, limits: &Limits) -> Vec<Fingerprint> {
         if limits.crash_threshold == 0 {
             return Vec::new();
         }
--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -39,6 +39,10 @@
 /// Crashes within this time may have the same cause, and aren't one after the other.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long after a crash the entries' sightings of it are complete. Judged by some of them, a part
+/// of bystanders may seem to be in all crashes.
+pub const SETTLE_TIME: Duration = Duration::from_millis(50);
+
 /// A part that more sound runs have isn't suspected after a single crash.
 const MAX_SUSPECT_SHARE: f64 = 0.01;
 
@@ -150,6 +154,11 @@
         self.upstream == upstream && self.at.abs_diff(at) < SAME_CRASH_WINDOW
     }
 
+    /// Whether all entries have reported what they saw of it.
+    fn is_settled(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) >= SETTLE_TIME
+    }
+
     fn sightings(&self) -> impl Iterator<Item = &Sighting> {
         self.own.iter().chain(self.reported.values())
     }
@@ -316,12 +325,12 @@
             let crashes = self.crashes.iter();
             let explaining = crashes.map(|crash| crash.explaining(is_blamed));
             let explaining: Vec<Vec<Fingerprint>> = explaining.collect();
-            let cases = self.cases(&explaining);
+            let cases = self.cases(now, &explaining);
             let scored = cases.into_iter().filter_map(|(part, case)| {
                 let relapsed_part = standing(part) == Standing::BlamedBefore;
                 let key = if relapsed_part { part } else { case.key(part) };
                 let relapsed = standing(key) == Standing::BlamedBefore;
-                let evidence = self.evidence(&case, &explaining);
+                let evidence = self.evidence(now, &case, &explaining);
                 let convincing = relapsed || self.is_convincing(&case, evidence);
                 let crashed_at = case.crashes.last().map(|index| self.crashes[*index].at)?;
                 let culprit = Culprit { key, crashed_at };
@@ -337,9 +346,12 @@
 
     /// The parts with the crashes that count against each: those that no sound run followed, and
     /// that no other part explains.
-    fn cases(&self, explaining: &[Vec<Fingerprint>]) -> BTreeMap<Fingerprint, Case> {
+    fn cases(&self, now: Duration, explaining: &[Vec<Fingerprint>]) -> BTreeMap<Fingerprint, Case> {
         let mut cases: BTreeMap<Fingerprint, Case> = BTreeMap::new();
         for (index, (crash, explaining)) in self.crashes.iter().zip(explaining).enumerate() {
+            if !crash.is_settled(now) {
+                continue;
+            }
             for candidate in crash.candidates() {
                 let part = candidate.part;
                 let explained = explaining.iter().any(|other| *other != part);
@@ -360,12 +372,13 @@
     }
 
     /// The evidence against a part.
-    fn evidence(&self, case: &Case, explaining: &[Vec<Fingerprint>]) -> f64 {
+    fn evidence(&self, now: Duration, case: &Case, explaining: &[Vec<Fingerprint>]) -> f64 {
         let first = case.crashes.first().map(|index| self.crashes[*index].at);
         let since = first.unwrap_or_default().saturating_sub(SAME_CRASH_WINDOW);
         let crashes = self.crashes.iter().zip(explaining);
-        let unexplained =
-            crashes.filter(|(crash, explaining)| crash.at >= since && explaining.is_empty());
+        let unexplained = crashes.filter(|(crash, explaining)| {
+            crash.at >= since && crash.is_settled(now) && explaining.is_empty()
+        });
         let chances: Vec<f64> = unexplained
             .map(|(crash, _)| crash.chance(case.share))
             .collect();
