Don't take an answer that a crash has ended for complete

Callers got streams without an event, or cut between two, as complete answers: an answer without a length or chunks ends with its connection, and so does one whose upstream crashes. Each such end also counted as a success of the request, which cleared it of the crash, so that a request which crashes upstreams was never rejected.

An answer that ends with its connection counts as broken off if the instance of its upstream, which the registry lists as ready, refuses connections after that. One that ends inside an event was broken off before as well.

Before: a caller got 200 and an empty, complete stream, and 6 upstreams crashed under 6 attempts at one request.

--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -1,11 +1,11 @@
 //! Distinguishes a crash of an upstream from a broken connection.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use slog::warn;
 use verbenaspool_policy::quarantine::{Crash, EARLY_CRASH_TIME, Status};
 use verbenaspool_protocol::digest;
-use verbenaspool_state::replica::State;
+use verbenaspool_state::replica::{Replica, State};
 
 use super::{answer::Failure, attempt::PendingRequest};
 
@@ -42,14 +42,9 @@
         let gateway = &self.gateway;
         let response_started_at = self.response_started_at.get();
         let ran = response_started_at.map(|started| gateway.clock.now().saturating_sub(started));
-        let listed = gateway.replica(upstream);
-        let Some(replica) = listed.filter(|replica| replica.state == State::Ready) else {
+        let Some(replica) = self.crashed_replica(upstream).await else {
             return;
         };
-        let client = &gateway.client;
-        if !client.is_refused_by(replica.address, PROBE_TIMEOUT).await {
-            return;
-        }
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
         warn!(gateway.log, "upstream crashed"; "upstream" => &*replica.id,
             "service" => &*replica.service, "request" => self.record.id(),
@@ -69,6 +64,20 @@
         self.queue.record_crash(&replica.id);
     }
 
+    /// Whether an answer that ended with its connection was ended by a crash of the upstream.
+    pub async fn is_ended_by_crash(&self, upstream: &str) -> bool {
+        self.crashed_replica(upstream).await.is_some()
+    }
+
+    /// The registry's entry of an upstream, if its instance refuses connections.
+    async fn crashed_replica(&self, upstream: &str) -> Option<Rc<Replica>> {
+        let listed = self.gateway.replica(upstream);
+        let replica = listed.filter(|replica| replica.state == State::Ready)?;
+        let client = &self.gateway.client;
+        let refused = client.is_refused_by(replica.address, PROBE_TIMEOUT).await;
+        refused.then_some(replica)
+    }
+
     /// Whether the current upstream has written a part of the answer.
     pub fn is_written(&self) -> bool {
         self.attempt_events.get() > 0
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -17,7 +17,10 @@
 use verbenaspool_policy::dispatch::{
     AttemptOutcome, PlacementRequest, Resumption, slow::StallScope,
 };
-use verbenaspool_transport::http::body::{self, Body};
+use verbenaspool_transport::http::{
+    body::{self, Body},
+    client::EndsWithConnection,
+};
 
 use super::{
     attempt::{PendingRequest, SendOutcome},
@@ -61,6 +64,8 @@
     /// The body of the current upstream's response, if there is an upstream. An empty body
     /// instead would look like a stream that ended normally.
     body: Option<Body>,
+    /// Whether the body ends with the connection, which a crash of the upstream ends as well.
+    ends_with_connection: bool,
     splitter: Splitter,
     /// When the last event arrived, or the response started.
     last_event_at: Duration,
@@ -100,6 +105,7 @@
         request,
         permit: Some(permit),
         body: Some(body),
+        ends_with_connection: parts.extensions.get::<EndsWithConnection>().is_some(),
         last_event_at: now,
         next_move_at: Duration::ZERO,
         done: false,
@@ -172,6 +178,7 @@
                 return Next::Broken("lost");
             };
             match monoio::time::timeout(wait, body.frame()).await {
+                Ok(None) if self.is_ended_by_crash().await => return Next::Broken(BROKEN_REASON),
                 Ok(None) => return Next::End,
                 Ok(Some(Err(_))) => return Next::Broken(BROKEN_REASON),
                 Ok(Some(Ok(frame))) => return Next::Data(frame.into_data().unwrap_or_default()),
@@ -180,6 +187,14 @@
         }
     }
 
+    /// Whether a crash of the upstream has ended its answer.
+    async fn is_ended_by_crash(&self) -> bool {
+        let Some(permit) = self.permit.as_ref().filter(|_| self.ends_with_connection) else {
+            return false;
+        };
+        self.request.is_ended_by_crash(&permit.upstream).await
+    }
+
     /// Why the stream should move to another upstream now, if it should.
     fn move_reason(&self, now: Duration) -> Option<Next> {
         let permit = self.permit.as_ref()?;
@@ -351,6 +366,8 @@
         let last = self.splitter.last_id();
         match self.request.send(permit, last).await {
             SendOutcome::Answered(response, permit) if response.status() == StatusCode::OK => {
+                let extensions = response.extensions();
+                self.ends_with_connection = extensions.get::<EndsWithConnection>().is_some();
                 self.body = Some(response.into_body());
                 self.permit = Some(permit);
                 self.last_event_at = self.request.gateway.clock.now();
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -19,6 +19,7 @@
 };
 use verbenaspool_transport::http::{
     body::Body,
+    client::EndsWithConnection,
     hop,
     server::{Handler, ResponseFuture},
 };
@@ -297,7 +298,12 @@
     }
     let (mut parts, body) = response.into_parts();
     strip_hop_headers(&mut parts.headers);
-    let Ok(body) = Limited::new(body, MAX_BUFFERED_BYTES).collect().await else {
+    let ends_with_connection = parts.extensions.get::<EndsWithConnection>().is_some();
+    let mut body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok();
+    if ends_with_connection && request.is_ended_by_crash(&permit.upstream).await {
+        body = None;
+    }
+    let Some(body) = body else {
         let upstream = permit.upstream.clone();
         permit.release(AttemptOutcome::Bad);
         request.record.record_attempt(&upstream, "broken-off");
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -11,7 +11,10 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{
+    HeaderMap, Request, Response,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body::{Body as _, Frame, SizeHint};
 use hyper::{
     body::Incoming,
@@ -40,6 +43,11 @@
     Broken(String),
 }
 
+/// An extension of responses whose body has neither a length nor chunks, and ends with the
+/// connection. A crash of the server ends it as well.
+#[derive(Debug, Clone, Copy)]
+pub struct EndsWithConnection;
+
 /// An HTTP client. Clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -221,10 +229,15 @@
             address,
             client: self.clone(),
         };
+        let delimited = parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
         let mut response = Response::from_parts(parts, Body::empty());
         if body.incoming.is_end_stream() {
             body.release();
         } else {
+            if !delimited {
+                response.extensions_mut().insert(EndsWithConnection);
+            }
             *response.body_mut() = Body::wrap(body);
         }
         response
