Reject requests with a block that crashes upstreams on the path through agents

The same cause on the other request path: a request was known there by the digest of the whole as well. Entries send the fingerprints of a prompt's blocks to agents, agents report them with the requests for which a crashed upstream hadn't sent anything, and entries attribute crashes to blocks as on the direct path. Retries and resumed streams ask the same question as first attempts.

The test sent its prompts to a service without an engine, whose bodies no entry takes for prompts; it sends them to a model service now.

--- a/verbenaspool/src/entry/answer.rs
+++ b/verbenaspool/src/entry/answer.rs
@@ -10,6 +10,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -66,6 +67,8 @@
 pub struct Answer {
     forward: Rc<Forward>,
     state: State,
+    /// When the current attempt started to answer.
+    started_at: Duration,
     deadline: Option<Deadline>,
     events: Option<Counter>,
     /// The upstreams tried so far, while the answer can be resumed.
@@ -86,6 +89,7 @@
         tried: Option<Vec<Name>>,
     ) -> Self {
         Self {
+            started_at: forward.entry.clock.now(),
             forward,
             state: State::Reading(source),
             deadline,
@@ -108,8 +112,8 @@
 
     /// Ends a complete answer.
     fn finish(&mut self) {
-        if let Some(fingerprint) = self.forward.fingerprint {
-            self.forward.entry.record_success(fingerprint);
+        if let Some(subject) = &self.forward.subject {
+            self.forward.entry.record_success(subject, self.started_at);
         }
         self.close(Ending::Ran, Outcome::Ran);
     }
@@ -182,6 +186,7 @@
     fn continue_from(&mut self, exchange: Exchange, tried: Vec<Name>) {
         self.forward.observation.meter().resumed.increment();
         self.tried = Some(tried);
+        self.started_at = self.forward.entry.clock.now();
         self.state = State::Reading(Source {
             body: exchange.response.into_body(),
             attempt: exchange.attempt,
--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -192,8 +192,13 @@
     headers.insert(header::ATTEMPT, header_value(&target.id.to_string()));
     headers.insert(header::AGENT, target.process.into());
     headers.insert(header::INSTANCE, target.address.instance.clone());
-    if let Some(fingerprint) = forward.fingerprint {
-        headers.insert(header::FINGERPRINT, header_value(&fingerprint.to_string()));
+    if let Some(subject) = &forward.subject {
+        let fingerprint = subject.request.to_string();
+        headers.insert(header::FINGERPRINT, header_value(&fingerprint));
+        if !subject.parts.is_empty() {
+            let parts: Vec<String> = subject.parts.iter().map(ToString::to_string).collect();
+            headers.insert(header::PROMPT_PARTS, header_value(&parts.join(",")));
+        }
     }
     headers.insert(header::CUSTOMER, header_value(forward.customer.as_str()));
     let time_left_ms = u64::try_from(forward.time_left().as_millis()).unwrap_or(u64::MAX);
--- a/verbenaspool/src/entry/forward.rs
+++ b/verbenaspool/src/entry/forward.rs
@@ -6,14 +6,15 @@
     HeaderMap, Method, Response, Uri, Version,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
-use verbenaspool_policy::{attempt::Ending, request::Request as PolicyRequest};
+use verbenaspool_policy::{
+    attempt::Ending, quarantine::Subject, request::Request as PolicyRequest,
+};
 use verbenaspool_protocol::{
     header,
     outcome::Outcome,
     problem::{Code, Problem},
 };
 use verbenaspool_state::{
-    fingerprint::Fingerprint,
     name::Name,
     service::{Kind, Service},
 };
@@ -62,8 +63,9 @@
     pub idempotent: bool,
     /// The idempotency key, which makes a write run at most once.
     pub key: Option<String>,
-    /// The fingerprint of the request, if its whole body has been read.
-    pub fingerprint: Option<Fingerprint>,
+    /// What the request is known by when upstreams crash under it, if its whole body has been
+    /// read.
+    pub subject: Option<Subject>,
     /// The estimate of the request's work.
     pub prompt: Prompt,
     /// The request's metrics and span.
@@ -206,13 +208,13 @@
 
     /// How long the request stays quarantined, if it is.
     fn quarantine_time_left(&self) -> Option<Duration> {
-        self.entry.quarantine_time_left(self.fingerprint?)
+        self.entry.quarantine_time_left(self.subject.as_ref()?)
     }
 
     /// Asks the agent of an upstream that broke the connection whether the upstream crashed.
     /// Returns whether the request may be sent again.
     async fn may_resend(&self, upstream: &Name) -> bool {
-        if self.fingerprint.is_some() {
+        if self.subject.is_some() {
             self.entry.request_report(upstream).await;
         }
         self.quarantine_time_left().is_none()
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -33,10 +33,14 @@
 use rand::Rng;
 use slog::{Logger, info};
 use verbenaspool_policy::{
-    balancer::Balancer, member::Peer, quarantine::Quarantine, share, snapshot::Snapshot,
+    balancer::Balancer,
+    member::Peer,
+    quarantine::{Quarantine, Subject},
+    share,
+    snapshot::Snapshot,
 };
 use verbenaspool_protocol::{
-    attempt, header,
+    attempt, digest, header,
     load::Load,
     outcome::Outcome,
     problem::{Code, Problem},
@@ -428,10 +432,19 @@
         };
         observation.set_attribute("customer", customer.name.as_str());
         let default_deadline = Duration::from_millis(service.decisions.deadline_ms);
-        let fingerprint = body.map(|body| {
+        let subject = body.map(|body| {
             let path = parts.uri.path_and_query();
             let path = path.map_or(parts.uri.path(), PathAndQuery::as_str);
-            Fingerprint::of(Some(customer.name.as_str()), path, &body.concat())
+            let (customer, service) = (customer.name.as_str(), service.name.as_str());
+            let blocks = prompt.blocks.iter();
+            Subject {
+                request: Fingerprint::of(Some(customer), path, &body.concat()),
+                service: digest::hash(service),
+                customer: digest::hash(customer),
+                parts: blocks
+                    .map(|block| Fingerprint::of_part(service, &block.to_le_bytes()))
+                    .collect(),
+            }
         });
         let headers = exchange::forwarded_headers(parts.headers);
         Ok(Forward {
@@ -448,7 +461,7 @@
             uri,
             headers,
             upload,
-            fingerprint,
+            subject,
             prompt,
             observation,
         })
--- a/verbenaspool/src/entry/prompt.rs
+++ b/verbenaspool/src/entry/prompt.rs
@@ -18,6 +18,8 @@
     pub max_tokens: u32,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefixes: Vec<u64>,
+    /// Hashes of the prompt's blocks.
+    pub blocks: Vec<u64>,
 }
 
 /// The fields of a completion request that the estimate uses.
@@ -53,5 +55,9 @@
             .prompt
             .as_deref()
             .map_or_else(Vec::new, prefix::hashes),
+        blocks: fields
+            .prompt
+            .as_deref()
+            .map_or_else(Vec::new, prefix::block_hashes),
     }
 }
--- a/verbenaspool/src/entry/reports.rs
+++ b/verbenaspool/src/entry/reports.rs
@@ -35,6 +35,7 @@
             .clock
             .sleep(MEAN_REQUEST_INTERVAL.mul_f64(jitter))
             .await;
+        entry.blame_parts();
         if let Some(name) =
             entry
                 .upstreams
--- a/verbenaspool/src/entry/upstreams.rs
+++ b/verbenaspool/src/entry/upstreams.rs
@@ -108,6 +108,12 @@
         Some((known.address.clone(), known.last_cache_event))
     }
 
+    /// The service of an upstream.
+    #[must_use]
+    pub fn service(&self, name: &Name) -> Option<Name> {
+        Some(self.0.borrow().get(name)?.upstream.service.clone())
+    }
+
     /// Records the agent process that reported a load. Returns the upstream's service and the
     /// load in the balancer's terms.
     #[must_use]
--- a/verbenaspool/tests/entry/crashes.rs
+++ b/verbenaspool/tests/entry/crashes.rs
@@ -36,6 +36,9 @@
 /// The body of a request that crashes an upstream.
 const CRASHING_BODY: &str = "crashes";
 
+/// The path of requests with prompts.
+const PROMPT_PATH: &str = "/loft/v1/completions";
+
 /// A text that crashes an upstream wherever it is in a prompt.
 const CRASHING_TEXT: &str = "crashing";
 
@@ -83,23 +86,28 @@
 }
 
 impl Fleet {
+    /// Starts upstreams of a service without an engine.
     fn start() -> Self {
+        Self::start_service("jobs", "plain")
+    }
+
+    fn start_service(service: &str, kind: &str) -> Self {
         let crashes = Crashes::default();
         let (mut upstreams, mut agents) = (Vec::new(), Vec::new());
         for number in 0..UPSTREAMS {
             let address = address::fresh();
             monoio::spawn(run_upstream(address, crashes.clone()));
-            let name = format!("jobs-{number}");
+            let name = format!("{service}-{number}");
             let text = format!(
                 "firm: tidewater\ninstance: {name}\nlisten: 127.0.0.1:0\ncontrol: 127.0.0.1:0\n\
-                 upstream: {{address: '{address}', kind: plain}}\n"
+                 upstream: {{address: '{address}', kind: {kind}}}\n"
             );
             let settings = settings::read(&text).expect("valid settings");
             let log = Logger::root(Discard, o!());
             let agent = Agent::bind(settings, log, Monotonic::start())
                 .expect("the agent binds its addresses");
             let (data, control) = (agent.address(), agent.control());
-            upstreams.push(upstream(&name, "jobs", data, control));
+            upstreams.push(upstream(&name, service, data, control));
             let (stop, signal) = shutdown::channel();
             monoio::spawn(agent.run(signal));
             agents.push(stop);
@@ -130,8 +138,16 @@
 
 /// Sends a search, which may be retried; returns the status and the body.
 async fn send_search(deployment: &Deployment, body: impl Into<String>) -> (StatusCode, String) {
-    let request = request(Method::POST, "/jobs/search", "");
-    let request = request.map(|_| Body::full(body.into()));
+    send(deployment, "/jobs/search", body).await
+}
+
+/// Sends a request; returns the status and the body.
+async fn send(
+    deployment: &Deployment,
+    path: &str,
+    body: impl Into<String>,
+) -> (StatusCode, String) {
+    let request = request(Method::POST, path, "").map(|_| Body::full(body.into()));
     let (status, _, body) = read_response(deployment.send(request).await).await;
     (status, body)
 }
@@ -198,7 +214,7 @@
 #[test]
 fn requests_that_share_a_crashing_block_are_quarantined() {
     run_test(async {
-        let fleet = Fleet::start();
+        let fleet = Fleet::start_service("assistant", "engine");
         let entries = [
             Deployment::start(&fleet.upstreams),
             Deployment::start(&fleet.upstreams),
@@ -207,11 +223,12 @@
         let mut failed = 0;
         for number in 0..24 {
             let (entry, topic) = (&entries[number % 2], topics[number % 4]);
-            send_search(entry, prompt(number, &["common", topic, CRASHING_TEXT])).await;
+            let harmful = prompt(number, &["common", topic, CRASHING_TEXT]);
+            send(entry, PROMPT_PATH, harmful).await;
             for sound in 0..6 {
                 let entry = &entries[sound % 2];
                 let body = prompt(1_000 + 10 * number + sound, &["common", topics[sound % 4]]);
-                let served = send_search(entry, body).await.0 == StatusCode::OK;
+                let served = send(entry, PROMPT_PATH, body).await.0 == StatusCode::OK;
                 failed += usize::from(!served && number >= 12);
             }
             monoio::time::sleep(DOWNTIME).await;
@@ -223,7 +240,7 @@
         assert!(failed < 36, "{failed} of 72 sound requests failed");
         let harmful = prompt(0, &["another", CRASHING_TEXT]);
         for entry in &entries {
-            let (_, body) = send_search(entry, harmful.clone()).await;
+            let (_, body) = send(entry, PROMPT_PATH, harmful.clone()).await;
             assert_eq!(problem_code(&body), "quarantined");
         }
     });
--- a/verbenaspool_agent/src/answer.rs
+++ b/verbenaspool_agent/src/answer.rs
@@ -95,6 +95,9 @@
                 Poll::Ready(Some(Err(error)))
             }
             Some(Ok(frame)) => {
+                if let Some(guard) = &mut self.guard {
+                    guard.record_written();
+                }
                 if self.is_end_stream() {
                     self.end(Ending::Ran);
                 }
--- a/verbenaspool_agent/src/crashes.rs
+++ b/verbenaspool_agent/src/crashes.rs
@@ -26,12 +26,24 @@
 /// How long to wait for the upstream, on the same instance, to refuse a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// What a request is known by.
+#[derive(Debug)]
+pub(crate) struct Subject {
+    pub(crate) fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<Fingerprint>,
+    /// Hash of the customer's name.
+    pub(crate) customer: u32,
+}
+
 /// A request that was in flight when the upstream crashed.
 #[derive(Debug)]
 struct Record {
-    fingerprint: Fingerprint,
+    subject: Subject,
     at: Duration,
     ran: Option<Duration>,
+    /// Whether the upstream had sent a part of its response's body.
+    written: bool,
 }
 
 /// The requests that were in flight when the upstream crashed, oldest first.
@@ -53,10 +65,16 @@
         let mut records = self.records.borrow_mut();
         records.retain(|record| now.saturating_sub(record.at) < REPORT_PERIOD);
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let reports = records.iter().map(|record| report::Crash {
-            request: record.fingerprint,
-            age_ms: ms(now.saturating_sub(record.at)),
-            ran_ms: record.ran.map(ms),
+        let reports = records.iter().map(|record| {
+            let subject = &record.subject;
+            let parts = (!record.written).then(|| subject.parts.clone());
+            report::Crash {
+                request: subject.fingerprint,
+                age_ms: ms(now.saturating_sub(record.at)),
+                ran_ms: record.ran.map(ms),
+                customer: parts.as_ref().map_or(0, |_| subject.customer),
+                parts: parts.unwrap_or_default(),
+            }
         });
         reports.collect()
     }
@@ -71,19 +89,26 @@
 }
 
 /// Determines whether the upstream crashed when it interrupted its response to a request, and
-/// records the request in that case. `ran` is the time since the response started.
-pub(crate) async fn detect(shared: Rc<Shared>, fingerprint: Fingerprint, ran: Option<Duration>) {
+/// records the request in that case. `ran` is the time since the response started, and `written`
+/// tells whether a part of its body was sent.
+pub(crate) async fn detect(
+    shared: Rc<Shared>,
+    subject: Subject,
+    ran: Option<Duration>,
+    written: bool,
+) {
     let crashes = &shared.crashes;
     crashes.pending.set(crashes.pending.get() + 1);
     let upstream = shared.upstream();
     if shared.client.is_refused_by(upstream, PROBE_TIMEOUT).await {
-        warn!(shared.log, "upstream crashed"; "fingerprint" => fingerprint.to_string(),
+        warn!(shared.log, "upstream crashed"; "fingerprint" => subject.fingerprint.to_string(),
             "ran_ms" => ran.map(|ran| ran.as_secs_f64() * 1e3));
         let at = shared.clock.now();
         crashes.push(Record {
-            fingerprint,
+            subject,
             at,
             ran,
+            written,
         });
     }
     crashes.pending.set(crashes.pending.get() - 1);
--- a/verbenaspool_agent/src/envelope.rs
+++ b/verbenaspool_agent/src/envelope.rs
@@ -5,7 +5,7 @@
 use http::HeaderMap;
 
 use verbenaspool_protocol::{
-    attempt, header,
+    attempt, digest, header,
     problem::{Code, Problem},
 };
 use verbenaspool_state::fingerprint::Fingerprint;
@@ -18,6 +18,10 @@
     pub(crate) deadline: Option<Duration>,
     /// Fingerprint of the request, if the entry had its whole body.
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// The parts of the request's prompt that other requests may share.
+    pub(crate) parts: Vec<Fingerprint>,
+    /// Hash of the customer's name.
+    pub(crate) customer: u32,
 }
 
 /// Reads the headers of a request and checks that it is addressed to this agent process.
@@ -43,6 +47,8 @@
         attempt,
         deadline: deadline(headers)?,
         fingerprint: header_text(headers, header::FINGERPRINT).and_then(|text| text.parse().ok()),
+        parts: parts(headers),
+        customer: header_text(headers, header::CUSTOMER).map_or(0, digest::hash),
     })
 }
 
@@ -51,6 +57,13 @@
     header_text(headers, header::ATTEMPT)?.parse().ok()
 }
 
+/// The fingerprints of the prompt's parts. Invalid ones are left out.
+fn parts(headers: &HeaderMap) -> Vec<Fingerprint> {
+    let parts = header_text(headers, header::PROMPT_PARTS).unwrap_or_default();
+    let parts = parts.split(',').filter_map(|part| part.parse().ok());
+    parts.collect()
+}
+
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
     let Some(value) = headers.get(header::DEADLINE_MS) else {
         return Ok(None);
--- a/verbenaspool_agent/src/guard.rs
+++ b/verbenaspool_agent/src/guard.rs
@@ -3,10 +3,12 @@
 use std::{rc::Rc, time::Duration};
 
 use verbenaspool_coordination::attempt::{Ending, Key};
-use verbenaspool_state::fingerprint::Fingerprint;
 use verbenaspool_transport::trace::span::{Kind, Span};
 
-use crate::{crashes, shared::Shared};
+use crate::{
+    crashes::{self, Subject},
+    shared::Shared,
+};
 
 /// An admitted attempt. If it is dropped without [`close`](Self::close), the ledger
 /// records it as interrupted, so that no code path leaves an attempt running forever.
@@ -15,10 +17,12 @@
     shared: Rc<Shared>,
     key: Key,
     ending: Ending,
-    /// Fingerprint of the request, if its entry sent one.
-    fingerprint: Option<Fingerprint>,
+    /// What the request is known by, if its entry sent that.
+    subject: Option<Subject>,
     /// When the upstream started its response.
     response_started: Option<Duration>,
+    /// Whether the upstream has sent a part of its response's body.
+    written: bool,
     /// The span of the request to the upstream; it ends with the last byte of the response.
     upstream_span: Span,
     /// The agent's own span; it ends after the upstream's.
@@ -29,15 +33,16 @@
     pub(crate) fn new(
         shared: Rc<Shared>,
         key: Key,
-        fingerprint: Option<Fingerprint>,
+        subject: Option<Subject>,
         agent_span: Span,
     ) -> Self {
         Self {
             shared,
             key,
             ending: Ending::Broken,
-            fingerprint,
+            subject,
             response_started: None,
+            written: false,
             upstream_span: agent_span.child("agent to upstream", Kind::Client),
             _agent_span: agent_span,
         }
@@ -48,15 +53,21 @@
         self.response_started = Some(self.shared.clock.now());
     }
 
+    /// Records that the upstream sent a part of its response's body.
+    pub(crate) fn record_written(&mut self) {
+        self.written = true;
+    }
+
     /// Closes the attempt with the given ending.
     pub(crate) fn close(mut self, ending: Ending) {
         self.ending = ending;
-        if let Some(fingerprint) = self.fingerprint.filter(|_| ending == Ending::Broken) {
+        if let Some(subject) = self.subject.take().filter(|_| ending == Ending::Broken) {
             let now = self.shared.clock.now();
             let ran = self
                 .response_started
                 .map(|started| now.saturating_sub(started));
-            monoio::spawn(crashes::detect(self.shared.clone(), fingerprint, ran));
+            let shared = self.shared.clone();
+            monoio::spawn(crashes::detect(shared, subject, ran, self.written));
         }
     }
 
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -34,6 +34,7 @@
 
 use crate::{
     answer::{Answer, Framing},
+    crashes,
     envelope::{self, Envelope},
     guard::AttemptGuard,
     route,
@@ -93,7 +94,12 @@
         span.fail("refused");
         return Err(rejection_problem(rejection));
     }
-    let guard = AttemptGuard::new(shared.clone(), key, envelope.fingerprint, span);
+    let subject = envelope.fingerprint.map(|fingerprint| crashes::Subject {
+        fingerprint,
+        parts: envelope.parts,
+        customer: envelope.customer,
+    });
+    let guard = AttemptGuard::new(shared.clone(), key, subject, span);
     let mut request = upstream_request(request, shared.upstream(), max_body_bytes);
     if let Ok(context) = HeaderValue::from_str(&guard.trace_context()) {
         request.headers_mut().insert(header::TRACEPARENT, context);
@@ -187,6 +193,7 @@
     hop::strip(&mut parts.headers);
     parts.headers.remove(header::AGENT);
     parts.headers.remove(header::FINGERPRINT);
+    parts.headers.remove(header::PROMPT_PARTS);
     if let Ok(host) = HeaderValue::from_str(&upstream.to_string()) {
         parts.headers.insert(HOST, host);
     }
--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -252,6 +252,19 @@
         self.record_crash(now, subject.request, crash, Observer::Own, limits)
     }
 
+    /// Records a crash as reported by the upstream's agent, with the requests for which the
+    /// upstream hadn't written anything. A later report of the crash replaces this one.
+    pub fn record_agent_report(
+        &mut self,
+        now: Duration,
+        upstream: u32,
+        at: Duration,
+        suspects: &[Subject],
+    ) {
+        let sighting = self.attribution.sighting(now, suspects);
+        self.record_sighting(upstream, at, upstream, sighting);
+    }
+
     /// Records what another entry, given by a hash, saw of a crash.
     pub fn record_sighting(
         &mut self,
@@ -276,7 +289,7 @@
     /// Quarantines the parts that crashes are attributed to, and returns them. To be called
     /// [`SETTLE_TIME`] after each crash.
     pub fn blame_parts(&mut self, now: Duration, limits: &Limits) -> Vec<Fingerprint> {
-        if limits.crash_threshold == 0 {
+        if limits.crash_threshold == 0 || self.attribution.is_empty() {
             return Vec::new();
         }
         self.expire(now, limits.duration);
--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -98,16 +98,18 @@
 }
 
 impl Sighting {
-    /// Adds a candidate, instead of the most common one if there are too many.
-    fn add(&mut self, candidate: Candidate) {
-        let is_same = |known: &Candidate| {
-            known.part == candidate.part && known.customer == candidate.customer
-        };
-        if self.candidates.iter().any(is_same) {
-            return;
+    /// Adds a request with these candidates.
+    fn add(&mut self, candidates: &[Candidate]) {
+        self.suspects += 1;
+        for candidate in candidates {
+            let is_same = |known: &Candidate| {
+                known.part == candidate.part && known.customer == candidate.customer
+            };
+            if !self.candidates.iter().any(is_same) {
+                self.candidates.push(*candidate);
+            }
         }
-        self.candidates.push(candidate);
-        if self.candidates.len() > MAX_CANDIDATES {
+        while self.candidates.len() > MAX_CANDIDATES {
             let shares = self.candidates.iter().map(|candidate| candidate.share);
             let most_common = shares.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
             if let Some((index, _)) = most_common {
@@ -201,6 +203,11 @@
 }
 
 impl Attribution {
+    /// Whether no crash is remembered.
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
     /// Records a request of this entry for which a crashed upstream hadn't written anything.
     pub(super) fn record_suspect(
         &mut self,
@@ -212,17 +219,28 @@
         if subject.parts.is_empty() {
             return;
         }
-        let candidates = (0..).zip(&subject.parts).map(|(position, part)| {
+        let candidates = self.candidates(now, subject);
+        let crash = self.crash(upstream, at);
+        crash.own.get_or_insert_default().add(&candidates);
+    }
+
+    /// The sighting of a crash under these requests.
+    pub(super) fn sighting(&self, now: Duration, suspects: &[Subject]) -> Sighting {
+        let mut sighting = Sighting::default();
+        for subject in suspects.iter().filter(|subject| !subject.parts.is_empty()) {
+            sighting.add(&self.candidates(now, subject));
+        }
+        sighting
+    }
+
+    /// The parts of a request as candidates.
+    fn candidates(&self, now: Duration, subject: &Subject) -> Vec<Candidate> {
+        let parts = (0..).zip(&subject.parts);
+        let candidates = parts.map(|(position, part)| {
             let share = self.runs.share(now, subject.service, *part);
             Candidate::new(*part, subject.customer, position, share)
         });
-        let candidates: Vec<Candidate> = candidates.collect();
-        let crash = self.crash(upstream, at);
-        let sighting = crash.own.get_or_insert_default();
-        sighting.suspects += 1;
-        for candidate in candidates {
-            sighting.add(candidate);
-        }
+        candidates.collect()
     }
 
     /// Records what another entry saw of a crash. Its next report replaces this one.
--- a/verbenaspool_protocol/src/header.rs
+++ b/verbenaspool_protocol/src/header.rs
@@ -11,6 +11,9 @@
 pub const OUTCOME: &str = "x-verbenaspool-outcome";
 /// The request's fingerprint, if the entry has received the whole body.
 pub const FINGERPRINT: &str = "x-verbenaspool-fingerprint";
+/// The fingerprints of the parts of the prompt that other requests may share, separated by
+/// commas, if the request has a fingerprint.
+pub const PROMPT_PARTS: &str = "x-verbenaspool-prompt-parts";
 /// How long the caller waits for the complete answer, in milliseconds.
 pub const DEADLINE_MS: &str = "x-verbenaspool-deadline-ms";
 /// The caller's priority: `high`, `normal` or `low`.
--- a/verbenaspool_protocol/src/prefix.rs
+++ b/verbenaspool_protocol/src/prefix.rs
@@ -1,5 +1,5 @@
 //! Hashes of a prompt's prefixes, by which entries find the engine whose cache contains
-//! the start of a prompt.
+//! the start of a prompt, and of its blocks, by which they find what requests share.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -34,3 +34,21 @@
         })
         .collect()
 }
+
+/// The hashes of a prompt's blocks. Unlike a prefix, a block has the same hash wherever it is
+/// in a prompt.
+///
+/// ```
+/// use verbenaspool_protocol::prefix::{self, BLOCK_BYTES};
+///
+/// let [one, two] = ["a".repeat(BLOCK_BYTES), "b".repeat(BLOCK_BYTES)];
+/// let there = prefix::block_hashes(&format!("{one}{two}"));
+/// let back = prefix::block_hashes(&format!("{two}{one}"));
+/// assert_eq!([there[0], there[1]], [back[1], back[0]]);
+/// ```
+#[must_use]
+pub fn block_hashes(prompt: &str) -> Vec<u64> {
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    let blocks = blocks.take(MAX_PREFIXES);
+    blocks.map(|block| xxh3_64_with_seed(block, 0)).collect()
+}
--- a/verbenaspool_protocol/src/report.rs
+++ b/verbenaspool_protocol/src/report.rs
@@ -37,7 +37,7 @@
 }
 
 /// A request that the upstream had in progress when it crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crash {
     /// Fingerprint of the request.
@@ -47,6 +47,19 @@
     /// How long the upstream had been answering the request, in milliseconds; `None` if it
     /// hadn't started to.
     pub ran_ms: Option<u64>,
+    /// The parts of the request's prompt that other requests may share, if the upstream hadn't
+    /// written a part of the answer yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Fingerprint>,
+    /// The [`crate::digest::hash`] of the customer's name, if there are parts.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub customer: u32,
+}
+
+/// Whether a number is zero.
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde needs.
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Changes of the prefix cache since the requested event.
