Hand what is quarantined to entries that start without the store

An entry that starts while the store is unreachable gets the configuration from a peer, with the status that the store had last. What was quarantined since then it didn't learn, once its peers had stopped repeating it after five seconds, and it sent what crashes upstreams.

Peers hand over what they quarantine with the configuration. Before, the new entry sent the request ("turned-away", as upstreams had new ids) where the test wants it rejected; now it passes.

--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
+use verbenaspool_protocol::suspicion::Suspicion;
 use verbenaspool_transport::rpc;
 
 use crate::direct::{evacuation::Evacuations, gateway::Gateway, registry};
@@ -90,6 +91,9 @@
     retention_left_ms: Option<u64>,
     #[serde(default)]
     evacuations: Option<Evacuations>,
+    /// What is quarantined. The store may not have it yet.
+    #[serde(default)]
+    quarantined: Vec<Suspicion>,
 }
 
 impl Gateway {
@@ -117,9 +121,11 @@
             retention_left_ms: u64::try_from(self.retention_left().as_millis()).ok(),
             evacuations: (own.evacuations > versions.evacuations)
                 .then(|| self.evacuations.borrow().clone()),
+            quarantined: Vec::new(),
         };
         if own.table > versions.table || own.configuration > versions.configuration {
             update.configuration = self.configuration();
+            update.quarantined = self.quarantined();
         }
         if own.registry <= versions.registry {
             return update;
@@ -158,6 +164,7 @@
             self.observe_configuration(object);
             self.apply_configuration(object, &from);
         }
+        self.record_suspicions(&update.quarantined);
         let Some(upstreams) = update.upstreams else {
             return;
         };
--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -62,6 +62,21 @@
         self.suspected.notify_one();
     }
 
+    /// All quarantined requests and parts, as reported to an entry that knows none.
+    pub fn quarantined(&self) -> Vec<Suspicion> {
+        let now = self.clock.now();
+        let quarantine = self.quarantine.borrow();
+        let terms = quarantine
+            .quarantined(now)
+            .map(|(request, term)| Suspicion {
+                request,
+                crashes: Vec::new(),
+                succeeded_ms: None,
+                term: Some(reported_term(now, term)),
+            });
+        terms.collect()
+    }
+
     /// Logs what is quarantined from now on, and has it reported and saved.
     fn on_quarantined(&self, message: &'static str, quarantined: &[Fingerprint]) {
         let duration = self.settings.borrow().quarantine.limits().duration;
