Suspect a part for all customers that is rejected for one

A part that is rejected for one customer explained its own crashes, so that it wasn't suspect in the requests of others and could be sent to the last running group. Only other parts explain a crash now where a part is asked about.

--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -313,7 +313,7 @@
         })
     }
 
-    /// Whether a part that hardly any sound run has is in a crash without an explanation.
+    /// Whether a part that hardly any sound run has is in a crash that no other part explains.
     pub(super) fn is_suspect(
         &self,
         part: Fingerprint,
@@ -323,7 +323,9 @@
         self.crashes.iter().any(|crash| {
             !self.is_cleared(part, crash)
                 && crash.candidates().any(|c| c.part == part && is_rare(c))
-                && !crash.candidates().any(|c| c.is_blamed(&is_blamed))
+                && !crash
+                    .candidates()
+                    .any(|c| c.part != part && c.is_blamed(&is_blamed))
         })
     }
 
--- a/verbenaspool_policy/tests/prompt_parts.rs
+++ b/verbenaspool_policy/tests/prompt_parts.rs
@@ -87,6 +87,8 @@
     down_until: BTreeMap<u32, Duration>,
     incarnation: u32,
     sent: u64,
+    /// Whether the crashing part does no harm yet.
+    harmless: bool,
     /// When the entries judge the last crash.
     judge_at: Option<Duration>,
     /// When requests with a crashing part reached upstreams.
@@ -105,6 +107,7 @@
             down_until: BTreeMap::new(),
             incarnation: 0,
             sent: 0,
+            harmless: false,
             judge_at: None,
             harmful: Vec::new(),
             rejected: 0,
@@ -134,7 +137,7 @@
                 .chain(bad.map(|(name, _)| name))
                 .collect();
             let subject = subject(self.sent, customer, &parts);
-            self.send(subject, bad.is_some());
+            self.send(subject, bad.is_some() && !self.harmless);
         }
     }
 
@@ -167,6 +170,14 @@
         }
     }
 
+    /// Number of requests with a crashing part that reached upstreams when it had to be found.
+    fn late(&self) -> usize {
+        let found_at = self.harmful.get(MAX_CRASHES - 1);
+        let found_at = found_at.map(|at| *at + RECOGNITION_TIME);
+        let is_late = |at: &&Duration| found_at.is_some_and(|found_at| **at > found_at);
+        self.harmful.iter().filter(is_late).count()
+    }
+
     /// Records runs that upstreams have survived.
     fn finish_runs(&mut self) {
         while let Some(run) = self.runs.front()
@@ -247,15 +258,29 @@
     for seed in 0..SEEDS {
         let mut fleet = Fleet::new(seed, 4);
         fleet.play(Duration::from_secs(20), Some(("bad", 0.04)));
-        let found_at = fleet.harmful.get(MAX_CRASHES - 1);
-        let found_at = found_at.map(|at| *at + RECOGNITION_TIME);
-        let is_late = |at: &&Duration| found_at.is_some_and(|found_at| **at > found_at);
-        let late = fleet.harmful.iter().filter(is_late).count();
+        let late = fleet.late();
         assert!(late <= MAX_LATE, "{late}, seed {seed}");
         assert_eq!(fleet.rejected, 0, "seed {seed}");
     }
 }
 
+/// Guards against a part that isn't found because requests with it were sound before.
+#[test]
+fn a_part_that_begins_to_do_harm_is_found() {
+    for seed in 0..SEEDS {
+        for share in [0.01, 0.05] {
+            let mut fleet = Fleet::new(seed, 4);
+            fleet.harmless = true;
+            fleet.play(Duration::from_secs(20), Some(("bad", share)));
+            fleet.harmless = false;
+            fleet.play(Duration::from_secs(20), Some(("bad", share)));
+            let late = fleet.late();
+            assert!(late <= MAX_LATE, "{late}, seed {seed}, {share}");
+            assert_eq!(fleet.rejected, 0, "seed {seed}, {share}");
+        }
+    }
+}
+
 /// Guards against taking crashes under two parts for each other's, or for chance.
 #[test]
 fn two_parts_are_found_at_the_same_time() {
@@ -349,7 +374,7 @@
         quarantine.subject_status(now + ms(5), &subject(7, customer, &["a0", "bad"]))
     };
     assert!(matches!(status(&quarantine, 1), Status::Quarantined(_)));
-    assert!(!matches!(status(&quarantine, 2), Status::Quarantined(_)));
+    assert_eq!(status(&quarantine, 2), Status::Suspect);
     let harmful = subject(8, 2, &["a0", "bad"]);
     crash_under(&mut quarantine, now + ms(6), 9, &harmful);
     assert!(matches!(status(&quarantine, 2), Status::Quarantined(_)));
