Send requests that share a crashing part in the soak

A caller sends requests that are different but for one part of their prompts, which crashes the upstreams that run them; all others have parts in common with them. From three seconds after the fifth crash on, three more are allowed.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, rngs::SmallRng};
 use verbenaspool_platform_standin::{
     text,
-    upstream::{CRASHING_BODY, Upstream},
+    upstream::{CRASHING_BODY, CRASHING_PART, Upstream},
 };
 use verbenaspool_transport::http::{body::Body, client::Client};
 
@@ -29,6 +29,12 @@
     StatusCode::MISDIRECTED_REQUEST,
 ];
 
+/// Number of parts of prompts besides the one that all requests have.
+const TOPICS: usize = 4;
+
+/// Name in the ids of requests that share a crashing part.
+pub const SHARING_CALLERS: &str = "shared";
+
 /// Sends requests to the entries of a deployment.
 pub struct Caller {
     /// The deployment under test.
@@ -76,7 +82,7 @@
         while std::time::Instant::now() < deadline {
             sent += 1;
             let id = format!("x{}-{sent}", self.number);
-            if let Some(response) = self.request(&path, &id, CRASHING_BODY).await {
+            if let Some(response) = self.request(&path, &id, CRASHING_BODY, None).await {
                 self.check_status(&id, &response);
                 let _ = Self::read_body(response).await;
             }
@@ -85,17 +91,52 @@
         }
     }
 
+    /// Sends requests that are different but for a part of their prompts, which crashes the
+    /// upstreams that run them, until the deadline.
+    pub async fn run_sharing(mut self, deadline: std::time::Instant) {
+        let mut sent = 0;
+        while std::time::Instant::now() < deadline {
+            sent += 1;
+            let id = format!("{SHARING_CALLERS}-{}-{sent}", self.number);
+            let path = FRAGILE_PATHS[sent % FRAGILE_PATHS.len()];
+            let path = format!("/{path}/{id}");
+            if let Some(response) = self.request(&path, &id, &id, Some(CRASHING_PART)).await {
+                self.check_status(&id, &response);
+                let _ = Self::read_body(response).await;
+            }
+            let pause = self.rng.random_range(50..400);
+            monoio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// The parts of a request's prompt: one that all have, one of a few, `part` if given, and its
+    /// own.
+    fn prompt(&mut self, id: &str, part: Option<&str>) -> String {
+        let topic = self.rng.random_range(0..TOPICS);
+        let part = part.map_or_else(String::new, |part| format!("{part}:40,"));
+        format!("a0:40,b{topic}:40,{part}{id}:400")
+    }
+
     /// Sends a request with the default body.
     async fn send(&mut self, path: &str, id: &str) -> Option<http::Response<Body>> {
-        self.request(path, id, "body").await
+        self.request(path, id, "body", None).await
     }
 
-    /// Sends a request to a random entry; `None` if no response head was received.
-    async fn request(&mut self, path: &str, id: &str, body: &str) -> Option<http::Response<Body>> {
+    /// Sends a request, whose prompt has `part` if given, to a random entry; `None` if no response
+    /// head was received.
+    async fn request(
+        &mut self,
+        path: &str,
+        id: &str,
+        body: &str,
+        part: Option<&str>,
+    ) -> Option<http::Response<Body>> {
+        let prompt = self.prompt(id, part);
         let entries = self.deployment.entries.borrow().len();
         let entry = self.rng.random_range(0..entries);
         let listen = self.deployment.entries.borrow()[entry].listen;
         let request = text::request(path, id, KEY)
+            .header("x-prompt-prefix", prompt)
             .body(Body::full(body.to_owned()))
             .ok()?;
         let started_at = std::time::Instant::now();
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -10,9 +10,15 @@
 
 use verbenaspool_platform_standin::{process::Crash, upstream::Upstream};
 
+use crate::caller::SHARING_CALLERS;
+
 /// Time in which all entries learn of a crash.
 const CRASH_SYNC_TIME: Duration = Duration::from_secs(3);
 
+/// Crashes under one request, and under one part of prompts, after which that time begins.
+const FIRST_CRASHES: usize = 3;
+const FIRST_SHARED_CRASHES: usize = 5;
+
 /// Crashes that a request may still cause after [`CRASH_SYNC_TIME`].
 const MAX_LATE_CRASHES: usize = 3;
 
@@ -101,7 +107,8 @@
 
     /// Checks that entries stop sending a request that crashes upstreams: from
     /// `CRASH_SYNC_TIME` after its third crash on, only the few attempts in flight may crash
-    /// more. Ids of the same request share the part before the hyphen.
+    /// more. Ids of the same request share the part before the hyphen. Requests that have only a
+    /// part of their prompts in common are allowed two crashes more before that.
     pub fn check_crashes(&self, crashes: impl Iterator<Item = Crash>) {
         let mut crash_times: HashMap<String, Vec<Instant>> = HashMap::new();
         for crash in crashes {
@@ -113,10 +120,18 @@
         }
         for (caller, mut times) in crash_times {
             times.sort();
-            let Some(third) = times.get(2) else {
+            let shared = caller == SHARING_CALLERS;
+            let first = if shared {
+                FIRST_SHARED_CRASHES
+            } else {
+                FIRST_CRASHES
+            };
+            let Some(recognized) = times.get(first - 1) else {
                 continue;
             };
-            let late = times.iter().filter(|at| **at > *third + CRASH_SYNC_TIME);
+            let late = times
+                .iter()
+                .filter(|at| **at > *recognized + CRASH_SYNC_TIME);
             if late.count() > MAX_LATE_CRASHES {
                 let details = format!("{caller} crashed {} upstreams", times.len());
                 self.record_violation("what crashes upstreams isn't sent on", details);
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -53,6 +53,9 @@
     /// Callers whose requests crash upstreams.
     #[arg(long, default_value_t = 2)]
     crashing: usize,
+    /// Callers whose requests share a part of their prompts that crashes upstreams.
+    #[arg(long, default_value_t = 1)]
+    sharing: usize,
     /// Ranks of a group, each with an agent process.
     #[arg(long, default_value_t = 4)]
     ranks: usize,
@@ -134,6 +137,15 @@
         };
         callers.push(monoio::spawn(caller.run_crashing(deadline)));
     }
+    for number in 0..options.sharing {
+        let caller = Caller {
+            deployment: deployment.clone(),
+            number,
+            rng: SmallRng::seed_from_u64(seed * 10_000 + 6_000 + number as u64),
+            client: Client::new(Duration::from_secs(1)),
+        };
+        callers.push(monoio::spawn(caller.run_sharing(deadline)));
+    }
     let write_fault = |fault: String| {
         let at = started_at.elapsed().as_millis();
         // The checks don't depend on the log, so a failed write is ignored.
