Look up whether a part is a candidate before searching crashes

Each sound run and each request searched all sightings of all crashes for each of its parts. A map of the candidates, which has the time of the last sound run of each as well, answers for nearly all parts. No decision changes; the simulations pass.

--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -197,8 +197,8 @@
 pub(super) struct Attribution {
     /// Oldest first.
     crashes: VecDeque<Crash>,
-    /// When a run with a candidate started that turned out sound.
-    sound_at: HashMap<Fingerprint, Duration>,
+    /// The candidates of all crashes, and when the last sound run with each started.
+    candidates: HashMap<Fingerprint, Option<Duration>>,
     runs: Runs,
 }
 
@@ -219,7 +219,10 @@
         if subject.parts.is_empty() {
             return;
         }
-        let candidates = self.candidates(now, subject);
+        let candidates = self.candidates_of(now, subject);
+        for candidate in &candidates {
+            self.candidates.entry(candidate.part).or_default();
+        }
         let crash = self.crash(upstream, at);
         crash.own.get_or_insert_default().add(&candidates);
     }
@@ -228,13 +231,13 @@
     pub(super) fn sighting(&self, now: Duration, suspects: &[Subject]) -> Sighting {
         let mut sighting = Sighting::default();
         for subject in suspects.iter().filter(|subject| !subject.parts.is_empty()) {
-            sighting.add(&self.candidates(now, subject));
+            sighting.add(&self.candidates_of(now, subject));
         }
         sighting
     }
 
     /// The parts of a request as candidates.
-    fn candidates(&self, now: Duration, subject: &Subject) -> Vec<Candidate> {
+    fn candidates_of(&self, now: Duration, subject: &Subject) -> Vec<Candidate> {
         let parts = subject.parts.iter().enumerate();
         let candidates = parts.map(|(position, part)| {
             let position = u8::try_from(position).unwrap_or(u8::MAX);
@@ -252,9 +255,15 @@
         reporter: u32,
         sighting: Sighting,
     ) {
-        let crash = self.crash(upstream, at);
-        if crash.reported.len() < MAX_SIGHTINGS || crash.reported.contains_key(&reporter) {
-            crash.reported.insert(reporter, sighting);
+        let sightings = &mut self.crash(upstream, at).reported;
+        if sightings.len() >= MAX_SIGHTINGS && !sightings.contains_key(&reporter) {
+            return;
+        }
+        let parts = sighting.candidates.iter().map(|candidate| candidate.part);
+        let parts: Vec<Fingerprint> = parts.collect();
+        sightings.insert(reporter, sighting);
+        for part in parts {
+            self.candidates.entry(part).or_default();
         }
     }
 
@@ -276,15 +285,16 @@
     /// Records that a run with a part that started at `started_at` was sound. Returns whether
     /// that clears it of a crash.
     pub(super) fn record_sound(&mut self, part: Fingerprint, started_at: Duration) -> bool {
-        let last = self.sound_at.get(&part).copied();
-        let is_cleared = |crash: &&Crash| {
+        let Some(sound_at) = self.candidates.get_mut(&part) else {
+            return false;
+        };
+        let clears = self.crashes.iter().any(|crash| {
             crash.at <= started_at
-                && last.is_none_or(|last| last < crash.at)
+                && sound_at.is_none_or(|sound_at| sound_at < crash.at)
                 && crash.candidates().any(|candidate| candidate.part == part)
-        };
-        let clears = self.crashes.iter().any(|crash| is_cleared(&crash));
+        });
         if clears {
-            self.sound_at.insert(part, started_at);
+            *sound_at = Some(started_at);
         }
         clears
     }
@@ -321,13 +331,15 @@
         is_blamed: impl Fn(Fingerprint) -> bool,
     ) -> bool {
         let is_rare = |candidate: &Candidate| candidate.share <= MAX_SUSPECT_SHARE;
-        self.crashes.iter().any(|crash| {
-            !self.is_cleared(part, crash)
-                && crash.candidates().any(|c| c.part == part && is_rare(c))
-                && !crash
-                    .candidates()
-                    .any(|c| c.part != part && c.is_blamed(&is_blamed))
-        })
+        let is_candidate = self.candidates.contains_key(&part);
+        is_candidate
+            && self.crashes.iter().any(|crash| {
+                !self.is_cleared(part, crash)
+                    && crash.candidates().any(|c| c.part == part && is_rare(c))
+                    && !crash
+                        .candidates()
+                        .any(|c| c.part != part && c.is_blamed(&is_blamed))
+            })
     }
 
     /// The parts to blame besides those that are blamed already. Crashes count for `duration`.
@@ -379,7 +391,7 @@
                 if explained || self.is_cleared(part, crash) {
                     continue;
                 }
-                let case = cases.entry(part).or_insert_with(Case::new);
+                let case = cases.entry(part).or_default();
                 if case.crashes.last() != Some(&index) {
                     case.crashes.push(index);
                 }
@@ -428,8 +440,8 @@
 
     /// Whether a sound run followed a crash that had a part.
     fn is_cleared(&self, part: Fingerprint, crash: &Crash) -> bool {
-        let sound_at = self.sound_at.get(&part);
-        sound_at.is_some_and(|sound_at| crash.at <= *sound_at)
+        let sound_at = self.candidates.get(&part).copied().flatten();
+        sound_at.is_some_and(|sound_at| crash.at <= sound_at)
     }
 
     /// The crash of an upstream, which is added if it is new.
@@ -451,18 +463,18 @@
         &mut self.crashes[index]
     }
 
-    /// Drops crashes that no longer count, and what is known of their parts only.
+    /// Drops crashes that no longer count, and their candidates.
     fn expire(&mut self, now: Duration, duration: Duration) {
         let counts = |at: Duration| now.saturating_sub(at) < duration;
         self.crashes.retain(|crash| counts(crash.at));
         let candidates = self.crashes.iter().flat_map(Crash::candidates);
         let parts: BTreeSet<Fingerprint> = candidates.map(|candidate| candidate.part).collect();
-        self.sound_at.retain(|part, _| parts.contains(part));
+        self.candidates.retain(|part, _| parts.contains(part));
     }
 }
 
-impl Case {
-    fn new() -> Self {
+impl Default for Case {
+    fn default() -> Self {
         Self {
             crashes: Vec::new(),
             customers: BTreeSet::new(),
@@ -470,7 +482,9 @@
             share: 1.0,
         }
     }
+}
 
+impl Case {
     /// The part, or the part in the requests of its only customer.
     fn key(&self, part: Fingerprint) -> Fingerprint {
         match self.customers.iter().next() {
