Don't take a stream without an event for complete if it ends with its connection

Such an end says nothing: the upstream may have crashed while its instance doesn't answer the probe, and the caller got an empty stream as complete. Before, the new test's caller did (200, complete); it is broken off now.

--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -178,7 +178,7 @@
                 return Next::Broken("lost");
             };
             match monoio::time::timeout(wait, body.frame()).await {
-                Ok(None) if self.is_ended_by_crash().await => return Next::Broken(BROKEN_REASON),
+                Ok(None) if self.is_broken_off().await => return Next::Broken(BROKEN_REASON),
                 Ok(None) => return Next::End,
                 Ok(Some(Err(_))) => return Next::Broken(BROKEN_REASON),
                 Ok(Some(Ok(frame))) => return Next::Data(frame.into_data().unwrap_or_default()),
@@ -187,12 +187,13 @@
         }
     }
 
-    /// Whether a crash of the upstream has ended its answer.
-    async fn is_ended_by_crash(&self) -> bool {
+    /// Whether an answer that ended with its connection was broken off: it has no event, or the
+    /// upstream has crashed.
+    async fn is_broken_off(&self) -> bool {
         let Some(permit) = self.permit.as_ref().filter(|_| self.ends_with_connection) else {
             return false;
         };
-        self.request.is_ended_by_crash(&permit.upstream).await
+        !self.request.is_written() || self.request.is_ended_by_crash(&permit.upstream).await
     }
 
     /// Why the stream should move to another upstream now, if it should.
