Suspect a prompt part for as long as a group takes to return

A service of one group can't lose another one, so a rare part of a bystander stayed rejected as suspect once an upstream had crashed for any reason, for ten minutes: no run could clear it.

Parts are suspect for five seconds after a crash. The new test fails before (Suspect after six seconds).

--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -179,7 +179,7 @@
             if status == Status::Clear
                 && self
                     .attribution
-                    .is_suspect(*part, |key| self.current_term(now, key).is_some())
+                    .is_suspect(now, *part, |key| self.current_term(now, key).is_some())
             {
                 status = Status::Suspect;
             }
--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -46,6 +46,10 @@
 /// A part that more sound runs have isn't suspected after a single crash.
 const MAX_SUSPECT_SHARE: f64 = 0.01;
 
+/// How long a part is suspect after a crash, by when the group is back. A service of one group can
+/// never lose another one, and no sound run could clear the part there.
+const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
+
 /// A part of a request for which a crashed upstream hadn't written anything.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -324,17 +328,21 @@
         })
     }
 
-    /// Whether a part that hardly any sound run has is in a crash that no other part explains.
+    /// Whether a part that hardly any sound run has is in a recent crash that no other part
+    /// explains.
     pub(super) fn is_suspect(
         &self,
+        now: Duration,
         part: Fingerprint,
         is_blamed: impl Fn(Fingerprint) -> bool,
     ) -> bool {
         let is_rare = |candidate: &Candidate| candidate.share <= MAX_SUSPECT_SHARE;
         let is_candidate = self.candidates.contains_key(&part);
+        let is_recent = |at: Duration| now.saturating_sub(at) < SUSPECT_PERIOD;
         is_candidate
             && self.crashes.iter().any(|crash| {
-                !self.is_cleared(part, crash)
+                is_recent(crash.at)
+                    && !self.is_cleared(part, crash)
                     && crash.candidates().any(|c| c.part == part && is_rare(c))
                     && !crash
                         .candidates()
--- a/verbenaspool_policy/tests/prompt_parts.rs
+++ b/verbenaspool_policy/tests/prompt_parts.rs
@@ -449,6 +449,18 @@
     assert_eq!(status(&quarantine, "b1"), Status::Clear);
 }
 
+/// Guards against rejecting a sound part for good where a service has only one group to lose.
+#[test]
+fn a_part_is_suspect_for_a_short_time() {
+    let mut quarantine = Quarantine::default();
+    let now = Duration::from_secs(1);
+    run_soundly(&mut quarantine, now, 500, &["a0"]);
+    crash_under(&mut quarantine, now, 1, &subject(1, 1, &["a0", "b1"]));
+    let status = |at: Duration| quarantine.subject_status(at, &subject(2, 2, &["a0", "b1"]));
+    assert_eq!(status(now + Duration::from_secs(3)), Status::Suspect);
+    assert_eq!(status(now + Duration::from_secs(6)), Status::Clear);
+}
+
 /// Guards against requests that stay suspect after a crash that another request's part explains.
 #[test]
 fn bystanders_of_an_explained_crash_are_not_suspect() {
