--- a/verbenaspool/src/direct/quarantine.rs
+++ b/verbenaspool/src/direct/quarantine.rs
@@ -16,8 +16,8 @@
 
 use super::{attempt::PendingRequest, gateway::Gateway, peers};
 
-/// The millionths in a whole.
-const PPM: f64 = 1e6;
+/// The unit in which shares are reported.
+const SHARE_UNITS_PER_WHOLE: f64 = 1e6;
 
 /// Interval of reports to peers. Reports are repeated because datagrams get lost.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -110,7 +110,7 @@
     pub fn record_crash_report(&self, report: crash::Report, peer: Ipv4Addr) {
         let now = self.clock.now();
         let candidates = report.parts.into_iter().map(|part| {
-            let share = (f64::from(part.share_ppm) / PPM).min(1.0);
+            let share = (f64::from(part.share_ppm) / SHARE_UNITS_PER_WHOLE).min(1.0);
             Candidate::new(part.fingerprint, part.customer, part.position, share)
         });
         let sighting = Sighting {
@@ -275,7 +275,7 @@
 /// A share in millionths.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Shares are from 0 to 1.
 fn ppm(share: f64) -> u32 {
-    (share * PPM) as u32
+    (share * SHARE_UNITS_PER_WHOLE) as u32
 }
 
 /// The time `age_ms` milliseconds before `now`.
--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -30,7 +30,7 @@
 ];
 
 /// Number of parts of prompts besides the one that all requests have.
-const TOPICS: usize = 4;
+const PROMPT_TOPICS: usize = 4;
 
 /// Name in the ids of requests that share a crashing part.
 pub const SHARING_CALLERS: &str = "shared";
@@ -112,7 +112,7 @@
     /// The parts of a request's prompt: one that all have, one of a few, `part` if given, and its
     /// own.
     fn prompt(&mut self, id: &str, part: Option<&str>) -> String {
-        let topic = self.rng.random_range(0..TOPICS);
+        let topic = self.rng.random_range(0..PROMPT_TOPICS);
         let part = part.map_or_else(String::new, |part| format!("{part}:40,"));
         format!("a0:40,b{topic}:40,{part}{id}:400")
     }
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -118,32 +118,22 @@
     monoio::time::sleep(SETTLE_TIME).await;
     let started_at = Instant::now();
     let deadline = started_at + Duration::from_secs(options.seconds);
+    let caller = |number: usize, first_seed: u64| Caller {
+        deployment: deployment.clone(),
+        number,
+        rng: SmallRng::seed_from_u64(seed * 10_000 + first_seed + number as u64),
+        client: Client::new(Duration::from_secs(1)),
+    };
     let mut callers = Vec::new();
     for number in 0..options.callers {
-        let caller = Caller {
-            deployment: deployment.clone(),
-            number,
-            rng: SmallRng::seed_from_u64(seed * 10_000 + number as u64),
-            client: Client::new(Duration::from_secs(1)),
-        };
-        callers.push(monoio::spawn(caller.run(deadline)));
+        callers.push(monoio::spawn(caller(number, 0).run(deadline)));
     }
     for number in 0..options.crashing {
-        let caller = Caller {
-            deployment: deployment.clone(),
-            number,
-            rng: SmallRng::seed_from_u64(seed * 10_000 + 5_000 + number as u64),
-            client: Client::new(Duration::from_secs(1)),
-        };
+        let caller = caller(number, 5_000);
         callers.push(monoio::spawn(caller.run_crashing(deadline)));
     }
     for number in 0..options.sharing {
-        let caller = Caller {
-            deployment: deployment.clone(),
-            number,
-            rng: SmallRng::seed_from_u64(seed * 10_000 + 6_000 + number as u64),
-            client: Client::new(Duration::from_secs(1)),
-        };
+        let caller = caller(number, 6_000);
         callers.push(monoio::spawn(caller.run_sharing(deadline)));
     }
     let write_fault = |fault: String| {
