--- a/verbenaspool_policy/src/quarantine/subject.rs
+++ b/verbenaspool_policy/src/quarantine/subject.rs
@@ -14,24 +14,3 @@
     /// The parts of its prompt that other requests may share, in order.
     pub parts: Vec<Fingerprint>,
 }
-
-impl Subject {
-    /// A request without a prompt.
-    ///
-    /// ```
-    /// use verbenaspool_policy::quarantine::Subject;
-    /// use verbenaspool_state::fingerprint::Fingerprint;
-    ///
-    /// let subject = Subject::plain(Fingerprint::of(None, "/", b""));
-    /// assert!(subject.parts.is_empty());
-    /// ```
-    #[must_use]
-    pub fn plain(request: Fingerprint) -> Self {
-        Self {
-            request,
-            service: 0,
-            customer: 0,
-            parts: Vec::new(),
-        }
-    }
-}
