Report only rare prompt parts as cleared

After a crash each entry told all others of every part that one of its runs cleared, also of those that a whole class has.

The new test fails before (the common part was reported).

--- a/verbenaspool_policy/src/quarantine.rs
+++ b/verbenaspool_policy/src/quarantine.rs
@@ -322,11 +322,14 @@
     /// changes what is known of any of them.
     pub fn record_run(&mut self, now: Duration, subject: &Subject, started_at: Duration) -> bool {
         let cleared = self.attribution.record_run(now, subject, started_at);
-        let mut changed = !cleared.is_empty();
+        let mut changed = false;
         for part in cleared {
-            // Other entries learn of it by the record.
-            let record = self.records.entry(part).or_default();
-            record.succeed(now, started_at, Observer::Own);
+            // Other entries learn of it by the record. Runs with common parts they have themselves.
+            if self.attribution.is_rare(now, subject.service, part) {
+                let record = self.records.entry(part).or_default();
+                record.succeed(now, started_at, Observer::Own);
+                changed = true;
+            }
         }
         for part in &subject.parts {
             for key in [*part, part.of_customer(subject.customer)] {
--- a/verbenaspool_policy/src/quarantine/attribution.rs
+++ b/verbenaspool_policy/src/quarantine/attribution.rs
@@ -286,6 +286,11 @@
             .collect()
     }
 
+    /// Whether hardly any sound run has a part.
+    pub(super) fn is_rare(&self, now: Duration, service: u32, part: Fingerprint) -> bool {
+        self.runs.share(now, service, part) <= MAX_SUSPECT_SHARE
+    }
+
     /// Records that a run with a part that started at `started_at` was sound. Returns whether
     /// that clears it of a crash.
     pub(super) fn record_sound(&mut self, part: Fingerprint, started_at: Duration) -> bool {
--- a/verbenaspool_policy/tests/prompt_parts.rs
+++ b/verbenaspool_policy/tests/prompt_parts.rs
@@ -401,6 +401,24 @@
     }
 }
 
+/// Guards against a report to all entries for each part that all of them clear by themselves.
+#[test]
+fn only_rare_parts_are_reported_as_cleared() {
+    let mut quarantine = Quarantine::default();
+    let now = Duration::from_secs(1);
+    run_soundly(&mut quarantine, now, 500, &["a0"]);
+    crash_under(&mut quarantine, now, 1, &subject(1, 1, &["a0", "b1"]));
+    let reported = |quarantine: &Quarantine| -> Vec<Fingerprint> {
+        let observed = quarantine.observed_since(now);
+        let cleared = observed.filter(|(_, record)| record.succeeded_at.is_some());
+        cleared.map(|(part, _)| part).collect()
+    };
+    run_soundly(&mut quarantine, now + ms(1), 1, &["a0"]);
+    assert_eq!(reported(&quarantine), []);
+    run_soundly(&mut quarantine, now + ms(2), 1, &["a0", "b1"]);
+    assert_eq!(reported(&quarantine), [part("b1")]);
+}
+
 /// Guards against a run from before the crashes that clears a part.
 #[test]
 fn a_run_that_began_before_the_crashes_clears_nothing() {
