Log and count the backoff that upstreams request, and that they are leaving

Callers got late streams and rejections while five of sixteen ranks rejected all that they got and asked each entry for 3 s. Neither logs nor metrics told whether an entry had read that time, so that an entry that ignores it, one that loses it on the way and retries that pass it by all looked alike: the line of a request says `turned-away` in each case.

Entries now log each backoff that a rejection requests, count the upstreams that want no requests, and count the requests sent to them all the same, first attempts and others apart. They log as well when an answer says that its upstream is leaving. Nothing decides on either yet.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -10,7 +10,7 @@
     quarantine::Subject,
 };
 use verbenaspool_state::route::{Kind, Route};
-use verbenaspool_transport::http::{body::Body, client::Error};
+use verbenaspool_transport::http::{body::Body, client::Error, retry_after};
 
 use super::{
     gateway::Gateway,
@@ -219,6 +219,9 @@
         if permit.is_rate_limited() {
             self.record.count_rate_limited(self.attempts.get() > 0);
         }
+        if permit.is_backing_off() {
+            self.record.count_backoff_ignored(self.attempts.get() > 0);
+        }
         self.attempts.set(self.attempts.get() + 1);
         self.response_started_at.take();
         self.attempt_events.take();
@@ -367,6 +370,11 @@
         let status = response.status();
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let nameless = misdirected && header::lacks_request_id(response.headers());
+        // The notice of an upstream also counts in the response to another request.
+        let backoff = retry_after::parse(status, response.headers());
+        if let Some(notice) = backoff {
+            permit.record_backoff(notice);
+        }
         // A late or duplicate response to another request may arrive in place of this one's.
         // Its connection is closed.
         if !nameless && !header::has_request_id(response.headers(), self.caller_headers.id.as_ref())
@@ -384,6 +392,9 @@
         {
             self.gateway.rate_limit_changed.notify_one();
         }
+        if header::is_leaving(response.headers()) {
+            self.gateway.record_leaving(&permit.upstream);
+        }
         if markers.not_run {
             permit.release(AttemptOutcome::Full);
             return SendOutcome::NotRun("turned-away");
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -256,6 +256,13 @@
         }
     }
 
+    /// Records that an upstream has said in an answer that it is leaving.
+    pub fn record_leaving(&self, id: &Rc<str>) {
+        if self.registry.borrow_mut().record_leaving(id) {
+            info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => "answer");
+        }
+    }
+
     /// Passes each service's upstreams to its queue.
     fn distribute_upstreams(&self) {
         let registry = self.registry.borrow();
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use slog::{Logger, info, warn};
+use slog::{Logger, info, o, warn};
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
@@ -18,7 +18,7 @@
     reservation::{self, WarmUp},
 };
 use verbenaspool_state::rate_limit::{Notice, RateLimit};
-use verbenaspool_transport::clock::Clock;
+use verbenaspool_transport::{clock::Clock, http::retry_after::RetryAfter};
 
 use super::reserve::Limits;
 
@@ -143,6 +143,27 @@
         reports
     }
 
+    /// Records for how long the upstream wants no requests of this entry.
+    pub fn record_backoff(&self, notice: RetryAfter) {
+        let log = self.queue.log.new(o!(
+            "service" => self.queue.service.to_string(), "upstream" => self.upstream.to_string(),
+        ));
+        let RetryAfter::Wait(time) = notice else {
+            warn!(log, "unreadable backoff requested by an upstream");
+            return;
+        };
+        info!(log, "upstream requested backoff"; "backoff_ms" => to_ms(time));
+        self.queue
+            .with(|dispatcher, now| dispatcher.record_backoff(now, &self.upstream, time));
+    }
+
+    /// Whether the upstream wants no requests of this entry for now.
+    pub fn is_backing_off(&self) -> bool {
+        let now = self.queue.clock.now();
+        let dispatcher = self.queue.dispatcher.borrow();
+        !dispatcher.backoff_left(now, &self.upstream).is_zero()
+    }
+
     /// Whether the upstream names a limit on its requests.
     pub fn is_rate_limited(&self) -> bool {
         let limit = self.queue.dispatcher.borrow().rate_limit(&self.upstream);
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -113,15 +113,32 @@
     /// Counts a request to an upstream that limits them. `again` tells that the request was
     /// sent to an upstream before.
     pub fn count_rate_limited(&self, again: bool) {
-        let summary = self.summary.borrow();
-        let service = summary.service.as_deref().unwrap_or_default();
-        let attempt = if again { "again" } else { "first" };
-        let sent = self.gateway.metrics.counter(
+        let (name, help) = (
             "verbenaspool_rate_limited_requests_total",
             "Requests sent to upstreams that limit them.",
-            &[("service", service), ("attempt", attempt)],
         );
-        sent.increment();
+        self.count_attempt(name, help, again);
+    }
+
+    /// Counts a request to an upstream that had requested backoff.
+    pub fn count_backoff_ignored(&self, again: bool) {
+        let (name, help) = (
+            "verbenaspool_backoff_ignored_requests_total",
+            "Requests sent to upstreams that wanted none yet.",
+        );
+        self.count_attempt(name, help, again);
+    }
+
+    /// Counts an attempt by service and by whether it is the request's first.
+    fn count_attempt(&self, name: &'static str, help: &'static str, again: bool) {
+        let summary = self.summary.borrow();
+        let service = summary.service.as_deref().unwrap_or_default();
+        let attempt = if again { "again" } else { "first" };
+        let labels = [("service", service), ("attempt", attempt)];
+        self.gateway
+            .metrics
+            .counter(name, help, &labels)
+            .increment();
     }
 
     /// Counts events that are forwarded now.
@@ -240,6 +257,11 @@
                 "Upstreams that limit the requests they take.",
                 snapshot.rate_limited.into(),
             );
+            gauge(
+                "verbenaspool_backoff_upstreams",
+                "Upstreams that want no requests of this entry for now.",
+                snapshot.backing_off.into(),
+            );
             gauge(
                 "verbenaspool_in_flight",
                 "Requests in flight at all entries.",
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -40,6 +40,8 @@
     by_address: HashMap<SocketAddr, Rc<Replica>>,
     /// Ids of upstreams in whose place another process answered.
     replaced: BTreeSet<Rc<str>>,
+    /// Upstreams that have said in an answer that they are leaving, and when they started.
+    leaving: BTreeMap<Rc<str>, u64>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
     /// Names of removed objects, with the revision at which they were missing.
@@ -141,6 +143,16 @@
         self.by_address.get(&address) != before.as_ref()
     }
 
+    /// Records that an upstream has said in an answer that it is leaving. Returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, id: &Rc<str>) -> bool {
+        let Some(replica) = self.replicas.get(id) else {
+            return false;
+        };
+        let started_at_ms = replica.started_at_ms;
+        self.leaving.insert(id.clone(), started_at_ms) != Some(started_at_ms)
+    }
+
     /// Records which objects are missing from new ones.
     fn record_removals(&mut self, revision: u64, objects: &BTreeMap<String, Object>) {
         if self.revision == 0 {
--- a/verbenaspool_policy/src/dispatch/diagnostics.rs
+++ b/verbenaspool_policy/src/dispatch/diagnostics.rs
@@ -31,6 +31,8 @@
     pub ejected: u32,
     /// Number of available upstreams that limit the requests they take.
     pub rate_limited: u32,
+    /// Number of available upstreams that want no requests of this entry for now.
+    pub backing_off: u32,
     /// Requests in flight from all entries, as far as known.
     pub in_flight: u32,
     /// Requests queued at this entry.
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! them is worth only half as much.
 
 mod availability;
+mod backoff;
 pub mod capacity;
 pub mod circuit;
 pub mod customer_rate;
@@ -36,7 +37,7 @@
     time::Duration,
 };
 
-use verbenaspool_state::{engine::Engine, replica, route::WarmUp};
+use verbenaspool_state::{backoff::Backoffs, engine::Engine, replica, route::WarmUp};
 
 use self::{
     circuit::Circuit,
@@ -83,6 +84,8 @@
     sharing_entries: Option<usize>,
     /// Upstreams by id.
     upstreams: BTreeMap<Rc<str>, Upstream>,
+    /// Until when upstreams want no requests, also those that aren't listed for now.
+    backoffs: Backoffs<Rc<str>>,
     /// Availability zones whose upstreams get no requests, by the operator's order.
     evacuated_zones: BTreeSet<String>,
     /// Requests waiting for an upstream.
@@ -125,6 +128,7 @@
             entry: String::new(),
             sharing_entries: None,
             upstreams: BTreeMap::new(),
+            backoffs: Backoffs::default(),
             evacuated_zones: BTreeSet::new(),
             queue: WaitQueue::default(),
             group_paces: BTreeMap::new(),
@@ -629,8 +633,9 @@
             pace: self.overall_pace.pace(now, pass_pace::INITIAL_PACE),
             ..Snapshot::default()
         };
-        for (_, upstream) in self.available(now) {
+        for (id, upstream) in self.available(now) {
             snapshot.upstreams += 1;
+            snapshot.backing_off += u32::from(!self.backoff_left(now, id).is_zero());
             snapshot.in_flight += upstream.own_requests + upstream.peer_requests;
             snapshot.ejected += u32::from(upstream.health.cost(now).is_none());
             snapshot.rate_limited += u32::from(upstream.max_rate().is_some());
--- /dev/null
+++ b/verbenaspool_state/src/backoff.rs
@@ -0,0 +1,50 @@
+//! Backoff that upstreams request: until when they want no requests of this process.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// The servers that want no requests for now, by id or address.
+#[derive(Debug, Clone)]
+pub struct Backoffs<K>(BTreeMap<K, Duration>);
+
+impl<K: Ord> Default for Backoffs<K> {
+    fn default() -> Self {
+        Self(BTreeMap::new())
+    }
+}
+
+impl<K: Ord> Backoffs<K> {
+    /// Records that a server wants no requests for a time from `now` on. A request for a shorter
+    /// time leaves an earlier one in force.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::backoff::Backoffs;
+    ///
+    /// let (second, mut backoffs) = (Duration::from_secs(1), Backoffs::default());
+    /// backoffs.record(second, "a", second * 3);
+    /// backoffs.record(second * 2, "a", second);
+    /// assert_eq!(backoffs.left(second * 3, &"a"), second);
+    /// assert!(backoffs.left(second * 4, &"a").is_zero());
+    /// ```
+    pub fn record(&mut self, now: Duration, server: K, time: Duration) {
+        self.0.retain(|_, until| now < *until);
+        let until = self.0.entry(server).or_default();
+        *until = (*until).max(now.saturating_add(time));
+    }
+
+    /// How much longer a server wants no requests.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::backoff::Backoffs;
+    ///
+    /// assert!(Backoffs::default().left(Duration::ZERO, &"a").is_zero());
+    /// ```
+    #[must_use]
+    pub fn left(&self, now: Duration, server: &K) -> Duration {
+        let until = self.0.get(server);
+        until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    }
+}
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -1,6 +1,7 @@
 //! Domain types of verbenaspool: the operator's configuration and types that its processes
 //! have in common. This crate does no I/O.
 
+pub mod backoff;
 pub mod check;
 pub mod credential;
 pub mod customer;
--- a/verbenaspool_transport/src/http/mod.rs
+++ b/verbenaspool_transport/src/http/mod.rs
@@ -9,4 +9,5 @@
 pub mod client;
 pub mod hop;
 mod refusal;
+pub mod retry_after;
 pub mod server;
