--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the agent over real sockets, between a simulated entry and a simulated
 //! upstream.
 
+mod backoff;
 mod fault;
 mod group;
 mod history;
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher: which requests are placed, queued and rejected.
 
 mod agent_reports;
+mod backoff;
 mod caller_retries;
 mod circuit;
 mod crash;
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -190,7 +190,7 @@
         let mut agents = Vec::new();
         for rank in 0..ranks {
             let group = group.clone();
-            let upstream = serve(Rc::new(Member { group, rank }), &mut triggers)?;
+            let upstream = serve(Member::new(group, rank), &mut triggers)?;
             let id = format!("r-{rank}");
             store.put(
                 "servers",
--- a/verbenaspool_standin/src/service.rs
+++ b/verbenaspool_standin/src/service.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use monoio::net::{ListenerOpts, TcpListener};
@@ -42,6 +42,10 @@
     pub request_time: Cell<Duration>,
     /// The bodies of the writes that ran, in order.
     pub writes: RefCell<Vec<String>>,
+    /// The time for which it wants no further requests, if it rejects all.
+    pub backoff: Cell<Option<Duration>>,
+    /// When it rejected requests, by its clock.
+    pub rejections: RefCell<Vec<Duration>>,
     /// How many answers to further writes are lost.
     lost_answers: Cell<u32>,
     running: Rc<Cell<u32>>,
@@ -81,11 +85,19 @@
             clock,
             request_time: Cell::new(request_time),
             writes: RefCell::default(),
+            backoff: Cell::default(),
+            rejections: RefCell::default(),
             lost_answers: Cell::new(0),
             running: Rc::default(),
         })
     }
 
+    /// The clock by which rejections are recorded.
+    #[must_use]
+    pub fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
     /// Answers with the load of the service.
     fn state(&self) -> Response<Body> {
         let state = State {
@@ -97,6 +109,17 @@
         ))
     }
 
+    /// Rejects a request, if the service wants none.
+    fn reject(&self) -> Option<Response<Body>> {
+        let seconds = self.backoff.get()?.as_secs_f64().to_string();
+        self.rejections.borrow_mut().push(self.clock.now());
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let value = seconds.parse().expect("a number");
+        response.headers_mut().insert(RETRY_AFTER, value);
+        Some(response)
+    }
+
     /// Has the connection of one more write break after the write ran.
     pub fn lose_next_answer(&self) {
         self.lost_answers.set(self.lost_answers.get() + 1);
@@ -165,6 +188,9 @@
         Box::pin(async move {
             let is_write = !matches!(*request.method(), Method::GET | Method::HEAD);
             let path = request.uri().path().to_owned();
+            if let Some(rejection) = self.reject() {
+                return rejection;
+            }
             if path == STATE_PATH {
                 return self.state();
             }
