Send an upstream nothing for as long as its rejection asks

Callers of a service in need lost attempts, and time, at upstreams that had just asked not to be sent anything: an upstream that answers 503 with `Retry-After` got the entry's next request 0.4 s later, first attempts, second ones and resumed streams alike, and was counted as having got more than it may.

Cause: no decision had a place for the time. A rejection ejected the upstream for a time of our own, 0.4 s, which doubles with rejections in a row and starts anew with each answer in between.

The dispatcher, through which all requests, retries and resumed streams are placed, now leaves the upstream out until the time is over. While all upstreams want none, requests are rejected at once, with the time until one does.

--- a/verbenaspool_policy/src/dispatch/backoff.rs
+++ b/verbenaspool_policy/src/dispatch/backoff.rs
@@ -1,8 +1,12 @@
 //! Upstreams that want no requests of this entry for a time that they name in a rejection.
+//!
+//! Load: an upstream in need rejects most requests. An ejection of a time of our own, which each
+//! success ends, would go on sending it several requests a second, each of which costs its caller
+//! an attempt. The time applies to this entry alone, so that entries don't exchange it.
 
 use std::{rc::Rc, time::Duration};
 
-use super::Dispatcher;
+use super::{Dispatcher, upstream::Upstream};
 
 impl Dispatcher {
     /// Records that an upstream wants no requests of this entry for a time from now on.
@@ -15,4 +19,31 @@
     pub fn backoff_left(&self, now: Duration, id: &Rc<str>) -> Duration {
         self.backoffs.left(now, id)
     }
+
+    /// How long an upstream takes no request of this entry, because of its limit or because it
+    /// wants none.
+    pub(super) fn upstream_wait(
+        &self,
+        now: Duration,
+        id: &Rc<str>,
+        upstream: &Upstream,
+    ) -> Duration {
+        self.rate_limit_wait(now, upstream)
+            .max(self.backoff_left(now, id))
+    }
+
+    /// How long no upstream takes a request of this entry because of their limits or backoff;
+    /// `None` if an upstream takes one as far as these matter, or none is available.
+    pub(super) fn upstreams_wait(&self, now: Duration, excluded: &[Rc<str>]) -> Option<Duration> {
+        // Most services have no such upstream, and the queue asks this for each request.
+        let waits = |(id, upstream): (&Rc<str>, &Upstream)| {
+            !self.upstream_wait(now, id, upstream).is_zero()
+        };
+        if !self.upstreams.iter().any(waits) {
+            return None;
+        }
+        let usable = self.available(now).filter(|(id, _)| !excluded.contains(id));
+        let waits = usable.map(|(id, upstream)| self.upstream_wait(now, id, upstream));
+        waits.min().filter(|wait| !wait.is_zero())
+    }
 }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -504,8 +504,8 @@
             self.last_shortage = Some(now);
         }
         let left = waiting.request.deadline.saturating_sub(now);
-        let limits_wait = self.limits_wait(now, &waiting.request.excluded);
-        match limits_wait.filter(|wait| timed_out || now + *wait >= until) {
+        let wait = self.upstreams_wait(now, &waiting.request.excluded);
+        match wait.filter(|wait| timed_out || now + *wait >= until) {
             Some(wait) => Some(Verdict::Reject(self.rate_limit_rejection(now, left, wait))),
             None if timed_out => Some(Verdict::Reject(self.rejection(now, left))),
             None => None,
@@ -541,7 +541,8 @@
         }
     }
 
-    /// The rejection if all upstreams limit their requests and take none for `wait`.
+    /// The rejection if no upstream takes requests of this entry for `wait`, because of their
+    /// limits or backoff.
     fn rate_limit_rejection(&mut self, now: Duration, left: Duration, wait: Duration) -> Rejection {
         let rejection = self.rejection(now, left);
         let latest = self.service_time.latest_retry_after(left);
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -97,7 +97,7 @@
             if !self.warm_up_allows(now, &id, upstream) {
                 continue;
             }
-            if !self.rate_limit_wait(now, upstream).is_zero() {
+            if !self.upstream_wait(now, &id, upstream).is_zero() {
                 continue;
             }
             // When all instances restart, entries run before the groups do, and only the agents
--- a/verbenaspool_policy/src/dispatch/rate_limit.rs
+++ b/verbenaspool_policy/src/dispatch/rate_limit.rs
@@ -5,7 +5,7 @@
 //! entries tell it the limit. To an upstream without an agent, or whose agent doesn't answer,
 //! each entry sends its share.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use verbenaspool_state::rate_limit::RateLimit;
 
@@ -54,19 +54,6 @@
         }
     }
 
-    /// How long no upstream takes a request of this entry because of their limits; `None` if an
-    /// upstream takes one as far as its limit matters, or none is available.
-    pub(super) fn limits_wait(&self, now: Duration, excluded: &[Rc<str>]) -> Option<Duration> {
-        // Most services have no limited upstream, and the queue asks this for each request.
-        let is_limited = |u: &Upstream| !self.rate_limit_wait(now, u).is_zero();
-        if !self.upstreams.values().any(is_limited) {
-            return None;
-        }
-        let usable = self.available(now).filter(|(id, _)| !excluded.contains(id));
-        let waits = usable.map(|(_, upstream)| self.rate_limit_wait(now, upstream));
-        waits.min().filter(|wait| !wait.is_zero())
-    }
-
     /// How long an upstream takes no request of this entry because of its limit.
     pub(super) fn rate_limit_wait(&self, now: Duration, upstream: &Upstream) -> Duration {
         let Some(limit) = upstream.max_rate() else {
--- a/verbenaspool_policy/src/dispatch/request.rs
+++ b/verbenaspool_policy/src/dispatch/request.rs
@@ -61,7 +61,7 @@
     Unavailable,
     /// All upstreams are at capacity.
     Full,
-    /// All upstreams limit their requests, and take none soon enough.
+    /// All upstreams limit their requests or want none for now, and take none soon enough.
     RateLimited,
 }
 
