Leave a group in use one of whose ranks wants no requests

Cause: the circuit takes a rejection by an idle rank for a group that runs nothing. A rank that says for how long it wants no requests of this entry speaks of itself, and is left out by that. Such a rejection is an outcome of its own now, which neither opens the circuit nor ejects the rank for a further time after the one that it named. `sent` in the line of a request names it `backoff`.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -372,9 +372,7 @@
         let nameless = misdirected && header::lacks_request_id(response.headers());
         // The notice of an upstream also counts in the response to another request.
         let backoff = retry_after::parse(status, response.headers());
-        if let Some(notice) = backoff {
-            permit.record_backoff(notice);
-        }
+        let wants_none = backoff.is_some_and(|notice| permit.record_backoff(notice));
         // A late or duplicate response to another request may arrive in place of this one's.
         // Its connection is closed.
         if !nameless && !header::has_request_id(response.headers(), self.caller_headers.id.as_ref())
@@ -396,8 +394,13 @@
             self.gateway.record_leaving(&permit.upstream);
         }
         if markers.not_run {
-            permit.release(AttemptOutcome::Full);
-            return SendOutcome::NotRun("turned-away");
+            let (outcome, reason) = if wants_none {
+                (AttemptOutcome::Backoff, "backoff")
+            } else {
+                (AttemptOutcome::Full, "turned-away")
+            };
+            permit.release(outcome);
+            return SendOutcome::NotRun(reason);
         }
         if status.is_success() && (!markers.signed || markers.encoded) {
             permit.release(AttemptOutcome::Bad);
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -143,18 +143,20 @@
         reports
     }
 
-    /// Records for how long the upstream wants no requests of this entry.
-    pub fn record_backoff(&self, notice: RetryAfter) {
+    /// Records for how long the upstream wants no requests of this entry. Returns whether it
+    /// wants none now.
+    pub fn record_backoff(&self, notice: RetryAfter) -> bool {
         let log = self.queue.log.new(o!(
             "service" => self.queue.service.to_string(), "upstream" => self.upstream.to_string(),
         ));
         let RetryAfter::Wait(time) = notice else {
             warn!(log, "unreadable backoff requested by an upstream");
-            return;
+            return false;
         };
         info!(log, "upstream requested backoff"; "backoff_ms" => to_ms(time));
         self.queue
             .with(|dispatcher, now| dispatcher.record_backoff(now, &self.upstream, time));
+        !time.is_zero()
     }
 
     /// Whether the upstream wants no requests of this entry for now.
--- a/verbenaspool_policy/src/dispatch/health.rs
+++ b/verbenaspool_policy/src/dispatch/health.rs
@@ -74,7 +74,8 @@
                 self.eject(now);
             }
             AttemptOutcome::Full => self.eject(now),
-            AttemptOutcome::Unknown => {}
+            // The time that the upstream named applies in place of an ejection.
+            AttemptOutcome::Backoff | AttemptOutcome::Unknown => {}
         }
     }
 
--- a/verbenaspool_policy/src/dispatch/request.rs
+++ b/verbenaspool_policy/src/dispatch/request.rs
@@ -88,6 +88,8 @@
     Silent,
     /// The upstream rejected the request for lack of capacity.
     Full,
+    /// The upstream rejected the request and wants no more of this entry for a time.
+    Backoff,
     /// The connection failed, or another process answered at the address.
     Unreached,
     /// Nothing can be concluded, for example because the caller left.
--- a/verbenaspool_policy/tests/dispatch/backoff.rs
+++ b/verbenaspool_policy/tests/dispatch/backoff.rs
@@ -66,6 +66,23 @@
     assert_eq!(sent_times(&mut entry, "u0", 0, 3_000), [0; 0]);
 }
 
+/// Guards against an open circuit of a group because of one rank's need, and against the end of
+/// the need by a report that the group runs.
+#[test]
+fn a_rank_that_requests_backoff_leaves_its_group_open() {
+    let mut entry = entry(&["u0", "u1", "u2"]);
+    entry.record_backoff(ms(0), &"u0".into(), ms(3_000));
+    entry.submit(ms(0), 1, stream(0));
+    let verdicts = entry.process_queue(ms(0));
+    assert!(matches!(verdicts[..], [(1, Verdict::Send(_))]));
+    assert!(!entry.finish_attempt(ms(1), "u1", AttemptOutcome::Backoff));
+    assert!(matches!(decide(&mut entry, 2), Some(Verdict::Send(_))));
+    for running in [false, true] {
+        entry.record_status(ms(10), "u0", 7, running, 1.0);
+    }
+    assert_eq!(sent_times(&mut entry, "u0", 20, 3_000), [0; 0]);
+}
+
 /// Guards against callers that wait until their deadlines, or are told to return too soon, while
 /// all upstreams want no requests.
 #[test]
