Send an upstream nothing new once an answer says that it is leaving

Callers' requests and resumed streams went on to upstreams that had said in their answers that they were leaving, up to the moment at which these exit, unless the registry said so too: some upstreams never write it there, and none can while the store is down.

Cause: entries read that an upstream is leaving from the registry only; the header of answers had no reader.

The registry of an entry now takes a listed upstream for draining from the first such answer on, a rejection too. That holds for the incarnation that said so: its next heartbeat, an entry that expires and returns, or one that was missing as the answer came change nothing; a later start under the same id does. Its requests in flight end there, and what breaks off as it exits doesn't count as a crash, as for upstreams that the registry says are draining.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -9,7 +9,10 @@
     dispatch::{AttemptOutcome, PlacementRequest, Rejection, Resumption, retry_budget},
     quarantine::Subject,
 };
-use verbenaspool_state::route::{Kind, Route};
+use verbenaspool_state::{
+    replica::Replica,
+    route::{Kind, Route},
+};
 use verbenaspool_transport::http::{body::Body, client::Error, retry_after};
 
 use super::{
@@ -239,7 +242,7 @@
         };
         let sent_at = self.gateway.clock.now();
         let result = self.await_response(response, &permit).await;
-        let outcome = self.classify_response(result, sent_at, permit);
+        let outcome = self.classify_response(result, sent_at, &replica, permit);
         match &outcome {
             SendOutcome::NotRun(reason) => {
                 self.may_have_run.set(may_have_run_before);
@@ -342,6 +345,7 @@
         &self,
         result: WaitResult,
         sent_at: Duration,
+        replica: &Replica,
         permit: Permit,
     ) -> SendOutcome {
         let response = match result {
@@ -391,7 +395,7 @@
             self.gateway.rate_limit_changed.notify_one();
         }
         if header::is_leaving(response.headers()) {
-            self.gateway.record_leaving(&permit.upstream);
+            self.gateway.record_leaving(replica);
         }
         if markers.not_run {
             let (outcome, reason) = if wants_none {
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -257,9 +257,12 @@
     }
 
     /// Records that an upstream has said in an answer that it is leaving.
-    pub fn record_leaving(&self, id: &Rc<str>) {
-        if self.registry.borrow_mut().record_leaving(id) {
-            info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => "answer");
+    pub fn record_leaving(&self, replica: &Replica) {
+        let now = self.clock.now();
+        let new = self.registry.borrow_mut().record_leaving(now, replica);
+        if new {
+            info!(self.log, "upstream is leaving"; "upstream" => &*replica.id, "from" => "answer");
+            self.distribute_upstreams();
         }
     }
 
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -8,13 +8,17 @@
 };
 
 use verbenaspool_platform::{registry, store::Object};
-use verbenaspool_state::replica::Replica;
+use verbenaspool_state::replica::{Replica, State};
 
 /// How long upstreams that are missing from the registry are kept after an outage of the
 /// store. Registrations expire while upstreams can't renew them. Running upstreams register
 /// again within about 2 s; those that are still missing then have stopped.
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
+/// How long it is remembered that an upstream is leaving after its object is gone. It may serve for
+/// many seconds longer, and its object may return.
+const MAX_DEPARTURE_TIME: Duration = Duration::from_mins(10);
+
 /// Maximum number of removals to remember. A peer that lacks more gets all objects.
 const MAX_REMOVALS: usize = 1_000;
 
@@ -27,6 +31,15 @@
     pub removed: Vec<String>,
 }
 
+/// The notice of an upstream that it is leaving.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    /// When the upstream started, in milliseconds of Unix time. It may start again under its id.
+    started_at_ms: u64,
+    /// When the notice was received.
+    noticed_at: Duration,
+}
+
 /// The upstreams, and the objects from which they were decoded.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -40,8 +53,9 @@
     by_address: HashMap<SocketAddr, Rc<Replica>>,
     /// Ids of upstreams in whose place another process answered.
     replaced: BTreeSet<Rc<str>>,
-    /// Upstreams that have said in an answer that they are leaving, and when they started.
-    leaving: BTreeMap<Rc<str>, u64>,
+    /// Upstreams that have said in an answer that they are leaving, also those that are missing
+    /// from the registry.
+    leaving: BTreeMap<Rc<str>, Departure>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
     /// Names of removed objects, with the revision at which they were missing.
@@ -72,9 +86,12 @@
                 replicas.insert(id.clone(), replica.clone());
                 continue;
             }
-            if let Some(replica) = registry::decode(&object.name, &object.specification) {
+            if let Some(mut replica) = registry::decode(&object.name, &object.specification) {
                 self.first_seen.insert(replica.id.clone(), now);
                 self.replaced.remove(&replica.id);
+                if self.is_leaving(&replica) {
+                    replica.state = State::Draining;
+                }
                 replicas.insert(replica.id.clone(), Rc::new(replica));
             }
         }
@@ -97,6 +114,9 @@
         let replicas = &self.replicas;
         self.replaced.retain(|id| replicas.contains_key(id));
         self.first_seen.retain(|id, _| replicas.contains_key(id));
+        self.leaving.retain(|id, departure| {
+            replicas.contains_key(id) || now < departure.noticed_at + MAX_DEPARTURE_TIME
+        });
         self.retain_missing_until = retain_missing_until;
         self.record_removals(revision, objects);
         self.revision = revision;
@@ -143,14 +163,29 @@
         self.by_address.get(&address) != before.as_ref()
     }
 
-    /// Records that an upstream has said in an answer that it is leaving. Returns whether that
-    /// is new.
-    pub fn record_leaving(&mut self, id: &Rc<str>) -> bool {
-        let Some(replica) = self.replicas.get(id) else {
-            return false;
+    /// Records that an upstream has said in an answer that it is leaving. It takes no new
+    /// requests from now on, whatever its object says. Returns whether this is new.
+    pub fn record_leaving(&mut self, now: Duration, replica: &Replica) -> bool {
+        let departure = Departure {
+            started_at_ms: replica.started_at_ms,
+            noticed_at: now,
         };
-        let started_at_ms = replica.started_at_ms;
-        self.leaving.insert(id.clone(), started_at_ms) != Some(started_at_ms)
+        let was_leaving = self.is_leaving(replica);
+        self.leaving.insert(replica.id.clone(), departure);
+        let listed = self.replicas.get_mut(&replica.id);
+        let listed = listed.filter(|listed| listed.started_at_ms == replica.started_at_ms);
+        if let Some(listed) = listed.filter(|listed| listed.state == State::Ready) {
+            Rc::make_mut(listed).state = State::Draining;
+            self.index_addresses();
+        }
+        !was_leaving
+    }
+
+    /// Whether an upstream has said in an answer that it is leaving, and hasn't started again
+    /// since.
+    fn is_leaving(&self, replica: &Replica) -> bool {
+        let departure = self.leaving.get(&replica.id);
+        departure.is_some_and(|departure| departure.started_at_ms == replica.started_at_ms)
     }
 
     /// Records which objects are missing from new ones.
