Send a rank nothing for as long as its rejections to its agent ask

An agent read reports and expert choices of its rank, and the lead sent it orders, many times a second while the rank answered 503 and had asked to be left alone: 118 reads in 2.5 s.

Agents read a status and a body of each answer, and send again at their next interval.

The client that agents use keeps to the time itself, for reads and orders alike, so that no sender in the process can pass it by. An order that isn't sent is reported as such and isn't repeated at once. While the rank's report can't be read, entries learn that the rank takes nothing, as before. A process that refuses connections has ended, and its successor at the address isn't bound by what it asked for; that is checked once a second. Entries keep the times by upstream, as a successor has another id there.

--- a/verbenaspool_agent/src/direct/rank.rs
+++ b/verbenaspool_agent/src/direct/rank.rs
@@ -42,6 +42,8 @@
     /// The rank rejected the order with this status, because the order doesn't match its
     /// state.
     Refused(u16),
+    /// The order wasn't sent, because the rank wants nothing from this agent for now.
+    NotSent,
     /// No answer arrived. The order may still be executed later.
     Unknown,
 }
@@ -52,6 +54,11 @@
         Self { client, address }
     }
 
+    /// How much longer the rank wants nothing from this agent.
+    pub fn backoff_left(&self) -> Duration {
+        self.client.backoff_left(self.address)
+    }
+
     /// Sends a request. Returns `None` if no complete response arrived within the timeout.
     async fn call(
         &self,
@@ -101,6 +108,9 @@
 
     /// Sends an order to the rank.
     pub async fn order(&self, order: &order::Order, epoch: u64, timeout: Duration) -> Outcome {
+        if !self.backoff_left().is_zero() {
+            return Outcome::NotSent;
+        }
         let body = order::encode(order, epoch);
         match self
             .call(Method::POST, order::ORDER_PATH, body, timeout)
--- a/verbenaspool_agent/src/direct/run.rs
+++ b/verbenaspool_agent/src/direct/run.rs
@@ -90,7 +90,9 @@
     let address = SocketAddr::new(settings.address, settings.peer_port);
     let socket = UdpSocket::bind(address).map_err(|reason| Error::Bind { address, reason })?;
     info!(log, "agent started"; "name" => &settings.name, "upstream" => settings.upstream.to_string());
-    let client = Client::new(CONNECT_TIMEOUT).with_idle_timeout(Duration::from_millis(700));
+    let client = Client::new(CONNECT_TIMEOUT)
+        .with_idle_timeout(Duration::from_millis(700))
+        .with_backoff();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let first_sequence = since_epoch.map_or(0, |since| since.as_secs()) << 20;
     let shared = AgentState::new(settings, clock, log.clone(), client, socket, first_sequence);
@@ -112,7 +114,9 @@
         let report = shared.read_report().await;
         if report.is_some() != reachable {
             reachable = report.is_some();
-            warn!(shared.log, "reachability of the rank's report changed"; "reached" => reachable);
+            let backoff_ms = u64::try_from(shared.rank.backoff_left().as_millis());
+            warn!(shared.log, "reachability of the rank's report changed";
+                "reached" => reachable, "backoff_ms" => backoff_ms.unwrap_or(u64::MAX));
         }
         if report.is_some() {
             last_read = clock.now();
--- a/verbenaspool_state/src/backoff.rs
+++ b/verbenaspool_state/src/backoff.rs
@@ -33,6 +33,22 @@
         *until = (*until).max(now.saturating_add(time));
     }
 
+    /// Ends the backoff of a server, which has started again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::backoff::Backoffs;
+    ///
+    /// let mut backoffs = Backoffs::default();
+    /// backoffs.record(Duration::ZERO, "a", Duration::from_secs(3));
+    /// backoffs.end(&"a");
+    /// assert!(backoffs.left(Duration::ZERO, &"a").is_zero());
+    /// ```
+    pub fn end(&mut self, server: &K) {
+        self.0.remove(server);
+    }
+
     /// How much longer a server wants no requests.
     ///
     /// ```
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -22,12 +22,20 @@
 };
 use monoio::{io::IntoPollIo, net::TcpStream};
 use monoio_compat::hyper::MonoioIo;
+use verbenaspool_state::backoff;
 
-use super::body::{self, Body};
+use super::{
+    body::{self, Body},
+    retry_after::{self, RetryAfter},
+};
 
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// How often it is checked whether a server that wants no requests still runs. A restart takes
+/// longer.
+const BACKOFF_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long idle connections are kept by default; our own servers close theirs
 /// after 30 seconds.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,12 +56,49 @@
 #[derive(Debug, Clone, Copy)]
 pub struct EndsWithConnection;
 
+/// The times until which servers want no requests, since the first client that knows them.
+#[derive(Debug, Clone)]
+struct Backoffs {
+    started_at: Instant,
+    until: Rc<RefCell<backoff::Backoffs<SocketAddr>>>,
+    /// When it was last checked whether a server still runs.
+    last_probe: Rc<Cell<Instant>>,
+}
+
+impl Backoffs {
+    /// Records what a response says about further requests.
+    fn record<B>(&self, address: SocketAddr, response: &Response<B>) {
+        let notice = retry_after::parse(response.status(), response.headers());
+        if let Some(RetryAfter::Wait(time)) = notice {
+            let now = self.started_at.elapsed();
+            self.until.borrow_mut().record(now, address, time);
+        }
+    }
+
+    /// How much longer a server wants no requests.
+    fn left(&self, address: SocketAddr) -> Duration {
+        let now = self.started_at.elapsed();
+        self.until.borrow().left(now, &address)
+    }
+
+    /// Whether it is time to check whether a server still runs.
+    fn is_probe_due(&self) -> bool {
+        let due = self.last_probe.get().elapsed() >= BACKOFF_PROBE_INTERVAL;
+        if due {
+            self.last_probe.set(Instant::now());
+        }
+        due
+    }
+}
+
 /// An HTTP client. Clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Client {
     pool: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connect_timeout: Duration,
     idle_timeout: Duration,
+    /// The servers that want no requests for now, if this client keeps to that.
+    backoffs: Option<Backoffs>,
     /// When expired idle connections were last removed.
     last_pruned: Rc<Cell<Instant>>,
 }
@@ -78,6 +123,7 @@
             pool: Rc::default(),
             connect_timeout,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            backoffs: None,
             last_pruned: Rc::new(Cell::new(Instant::now())),
         }
     }
@@ -102,6 +148,50 @@
         self
     }
 
+    /// Sends a server nothing for as long as its rejections ask in `Retry-After`. A server that
+    /// refuses connections meanwhile has ended, and its successor hasn't asked for anything.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::http::client::Client;
+    ///
+    /// let client = Client::new(Duration::from_secs(1)).with_backoff();
+    /// assert!(client.backoff_left("127.0.0.1:1".parse().unwrap()).is_zero());
+    /// ```
+    #[must_use]
+    pub fn with_backoff(mut self) -> Self {
+        self.backoffs = Some(Backoffs {
+            started_at: Instant::now(),
+            until: Rc::default(),
+            last_probe: Rc::new(Cell::new(Instant::now())),
+        });
+        self
+    }
+
+    /// How much longer a server wants no requests of this client and its clones.
+    #[must_use]
+    pub fn backoff_left(&self, address: SocketAddr) -> Duration {
+        let backoffs = self.backoffs.as_ref();
+        backoffs.map_or(Duration::ZERO, |backoffs| backoffs.left(address))
+    }
+
+    /// Fails if a server wants no requests for now.
+    async fn check_backoff(&self, address: SocketAddr) -> Result<(), Error> {
+        let Some(backoffs) = &self.backoffs else {
+            return Ok(());
+        };
+        let left = backoffs.left(address);
+        if left.is_zero() {
+            return Ok(());
+        }
+        if backoffs.is_probe_due() && self.is_refused_by(address, self.connect_timeout).await {
+            backoffs.until.borrow_mut().end(&address);
+        }
+        let reason = format!("the server wants no requests for {} ms", left.as_millis());
+        Err(Error::NotSent(reason))
+    }
+
     /// Sends a request and waits for the response headers.
     ///
     /// # Errors
@@ -111,6 +201,7 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, Error> {
+        self.check_backoff(address).await?;
         let mut request = request;
         // The peer may have just closed an idle connection. If nothing of the request
         // was written, it is sent on the next idle connection and finally on a new one.
@@ -139,6 +230,7 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, Error> {
+        self.check_backoff(address).await?;
         let mut sender = self.connect(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.pool_after_response(address, sender, response)),
@@ -220,6 +312,9 @@
         sender: SendRequest<Body>,
         response: Response<Incoming>,
     ) -> Response<Body> {
+        if let Some(backoffs) = &self.backoffs {
+            backoffs.record(address, &response);
+        }
         let (parts, incoming) = response.into_parts();
         let body = PooledBody {
             incoming,
--- a/verbenaspool_transport/tests/client.rs
+++ b/verbenaspool_transport/tests/client.rs
@@ -1,15 +1,20 @@
-//! Reuse of the HTTP client's idle connections.
+//! The HTTP client: reuse of idle connections, and servers that want no requests.
 
 use std::{
     io::{Read, Write},
+    net::SocketAddr,
+    thread::JoinHandle,
     time::Duration,
 };
 
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 
 use verbenaspool_transport::{
-    http::{body::Body, client::Client},
+    http::{
+        body::Body,
+        client::{Client, Error},
+    },
     runtime,
 };
 
@@ -60,3 +65,47 @@
         );
     }
 }
+
+/// Answers one request on a new listener, and closes the listener.
+fn answer_once(address: SocketAddr, response: &'static [u8]) -> (SocketAddr, JoinHandle<()>) {
+    let listener = std::net::TcpListener::bind(address).expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        assert!(stream.read(&mut [0; 4096]).is_ok_and(|read| read > 0));
+        stream.write_all(response).expect("a response");
+    });
+    (address, server)
+}
+
+/// Guards against a process that isn't used for as long as its predecessor at the address had
+/// asked for.
+#[test]
+fn a_retry_after_ends_with_the_process_that_named_it() {
+    let rejection = b"HTTP/1.1 503 x\r\nretry-after: 60\r\ncontent-length: 0\r\n\r\n";
+    let success = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let (address, server) = answer_once(([127, 0, 0, 1], 0).into(), rejection);
+    runtime::run(async {
+        let client = Client::new(Duration::from_secs(1)).with_backoff();
+        let send = async || {
+            let request = Request::get("/").body(Body::empty()).expect("a request");
+            client.send_on_new_connection(address, request).await
+        };
+        let rejected = send().await.expect("a response");
+        assert_eq!(rejected.status(), StatusCode::SERVICE_UNAVAILABLE);
+        server.join().expect("it has ended");
+        assert!(matches!(send().await, Err(Error::NotSent(_))));
+        assert!(!client.backoff_left(address).is_zero());
+        monoio::time::sleep(Duration::from_millis(1_100)).await;
+        assert!(matches!(send().await, Err(Error::NotSent(_))));
+        assert!(client.backoff_left(address).is_zero());
+        let (_, successor) = answer_once(address, success);
+        assert!(
+            send()
+                .await
+                .is_ok_and(|response| response.status() == StatusCode::OK)
+        );
+        successor.join().expect("it has ended");
+    })
+    .expect("a loop");
+}
