Send an upstream on the path through agents nothing for as long as it asks

An agent sent requests, reads of the state and orders to an upstream that had answered 503 with `Retry-After`: 45 in the second in which at most two may arrive. Callers lost their attempts there.

Cause: the agent's proxy hands each answer on and remembers nothing of it, and reads and orders had clients of their own.

All senders of an agent share one client, which keeps to the time. The proxy rejects an attempt meanwhile as not run, with the time that is left, so that the entry tries another upstream.

--- a/verbenaspool_agent/src/agent.rs
+++ b/verbenaspool_agent/src/agent.rs
@@ -86,17 +86,23 @@
             .admin
             .map(|address| TcpListener::bind_with_config(address, &options))
             .transpose()?;
-        let orders = Rc::new(Sender::new(settings.upstream.address, clock.clone()));
         let shared = Rc::new(Shared::new(settings, log, clock));
+        let (client, clock) = (shared.client.clone(), shared.clock.clone());
+        let orders = Rc::new(Sender::new(
+            shared.upstream(),
+            client.clone(),
+            clock.clone(),
+        ));
         let mut module = Module::default();
         control::register(&mut module, &shared);
         let (engine, log) = (shared.upstream(), shared.log.clone());
-        let executor = Executor::new(engine, orders.clone(), shared.clock.clone(), log);
+        let executor = Executor::new(engine, orders.clone(), client.clone(), clock, log);
         executor.register(&mut module);
         let group = shared.settings.group.clone();
         let group = group.map(|group| {
             let firm = shared.settings.firm.clone();
-            let driver = group::Driver::new(firm, group, shared.log.clone(), shared.clock.clone());
+            let (log, clock) = (shared.log.clone(), shared.clock.clone());
+            let driver = group::Driver::new(firm, group, client, log, clock);
             driver.register(&mut module);
             driver
         });
--- a/verbenaspool_agent/src/executor.rs
+++ b/verbenaspool_agent/src/executor.rs
@@ -28,9 +28,6 @@
 /// the outcome stays open and the caller has to repeat the order.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Timeout for connecting to the engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Maximum size of the engine's state in bytes.
 const MAX_STATE_BYTES: usize = 64 * 1024;
 
@@ -53,13 +50,14 @@
     pub(crate) fn new(
         engine: SocketAddr,
         sender: Rc<orders::Sender>,
+        client: Client,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
             tracker: RefCell::new(OrderTracker::new(clock.now())),
             sender,
-            client: Client::new(CONNECT_TIMEOUT),
+            client,
             engine,
             clock,
             log,
--- a/verbenaspool_agent/src/group/driver.rs
+++ b/verbenaspool_agent/src/group/driver.rs
@@ -60,9 +60,6 @@
 /// and about 60 layers.
 const MAX_STATE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Timeout for connecting to the engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Interval at which the lead considers a map change.
 const DECISION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -104,6 +101,7 @@
     pub(crate) fn new(
         firm: Name,
         settings: Settings,
+        client: Client,
         log: Logger,
         clock: Rc<dyn Clock>,
     ) -> Rc<Self> {
@@ -136,8 +134,8 @@
             log,
             member: RefCell::new(Member::new(rank, lead)),
             rebalancer: RefCell::new(rebalancer),
-            order_sender: Sender::new(settings.engine, clock.clone()),
-            client: Client::new(CONNECT_TIMEOUT),
+            order_sender: Sender::new(settings.engine, client.clone(), clock.clone()),
+            client,
             peers: rpc::Client::default(),
             counters: Counters::default(),
             clock,
--- a/verbenaspool_agent/src/orders.rs
+++ b/verbenaspool_agent/src/orders.rs
@@ -30,9 +30,6 @@
 /// Maximum size of the engine's answer to an order in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 
-/// Timeout for connecting to the engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Sends orders to one engine.
 #[derive(Debug)]
 pub struct Sender {
@@ -67,17 +64,20 @@
     /// Creates the sender for an engine.
     ///
     /// ```
+    /// use std::time::Duration;
+    ///
     /// use verbenaspool_agent::orders::Sender;
-    /// use verbenaspool_transport::clock::Monotonic;
+    /// use verbenaspool_transport::{clock::Monotonic, http::client::Client};
     ///
-    /// let sender = Sender::new("127.0.0.1:7100".parse().unwrap(), Monotonic::start());
+    /// let client = Client::new(Duration::from_secs(2));
+    /// let sender = Sender::new("127.0.0.1:7100".parse().unwrap(), client, Monotonic::start());
     /// # drop(sender);
     /// ```
     #[must_use]
-    pub fn new(engine: SocketAddr, clock: Rc<dyn Clock>) -> Self {
+    pub fn new(engine: SocketAddr, client: Client, clock: Rc<dyn Clock>) -> Self {
         Self {
             engine,
-            client: Client::new(CONNECT_TIMEOUT),
+            client,
             clock,
             fence: Mutex::new(0),
         }
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -158,6 +158,12 @@
                 .record(shared.clock.now().saturating_sub(sent_at));
             Ok(entry_response(response, guard))
         }
+        Either::Left((Err(client::Error::NotSent(_)), _)) if is_backing_off(&shared) => {
+            guard.close(Ending::NotRun);
+            let message = "The upstream wants no requests for now.";
+            let backoff = shared.client.backoff_left(shared.upstream());
+            Err(Problem::not_run(Code::Overloaded, message).with_retry_after(backoff))
+        }
         Either::Left((Err(client::Error::NotSent(reason)), _)) => {
             warn!(shared.log, "can't reach the upstream"; "reason" => reason);
             guard.close(Ending::NotRun);
@@ -179,6 +185,11 @@
     }
 }
 
+/// Whether the upstream wants no requests for now.
+fn is_backing_off(shared: &Shared) -> bool {
+    !shared.client.backoff_left(shared.upstream()).is_zero()
+}
+
 /// Builds the request that is sent to the upstream.
 fn upstream_request(
     request: Request<Incoming>,
--- a/verbenaspool_agent/src/shared.rs
+++ b/verbenaspool_agent/src/shared.rs
@@ -30,6 +30,7 @@
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) ledger: RefCell<Ledger>,
     pub(crate) engine: RefCell<View>,
+    /// Sends all requests, reads and orders to the upstream, which may want none for a time.
     pub(crate) client: Client,
     pub(crate) meter: Meter,
     pub(crate) tracer: Rc<Tracer>,
@@ -50,7 +51,9 @@
             identity: settings.identity().to_string(),
             meter: Meter::default(),
             tracer: Tracer::new(settings.traces.as_ref(), clock.clone()),
-            client: Client::new(CONNECT_TIMEOUT).with_idle_timeout(idle_timeout),
+            client: Client::new(CONNECT_TIMEOUT)
+                .with_idle_timeout(idle_timeout)
+                .with_backoff(),
             settings,
             log,
             clock,
--- a/verbenaspool_agent/tests/agent/report.rs
+++ b/verbenaspool_agent/tests/agent/report.rs
@@ -11,7 +11,10 @@
     prefix::{self, BLOCK_BYTES},
 };
 use verbenaspool_standin::engine::{Config, text};
-use verbenaspool_transport::clock::{Clock, Monotonic};
+use verbenaspool_transport::{
+    clock::{Clock, Monotonic},
+    http::client::Client,
+};
 
 use crate::rig::{Rig, completion, engine, run, service, settings};
 
@@ -117,8 +120,9 @@
                 ..Config::default()
             });
             let clock = Monotonic::start();
+            let client = Client::new(Duration::from_secs(2));
             let deadline = || clock.now() + Duration::from_secs(5);
-            let sender = Sender::new(address, clock.clone());
+            let sender = Sender::new(address, client.clone(), clock.clone());
             assert!(sender.send(&order(2), deadline()).await.is_ok());
             assert_eq!(
                 sender.send(&order(1), deadline()).await,
@@ -128,7 +132,7 @@
             assert_eq!(late, Err(Error::Expired));
             assert_eq!(parts.orders.executed(), [order(2)]);
             // The sender of a successor that knows no fence yet.
-            let sent = Sender::new(address, clock.clone())
+            let sent = Sender::new(address, client, clock.clone())
                 .send(&order(1), deadline())
                 .await;
             assert_eq!(matches!(sent, Err(Error::Rejected(_))), checks_fences);
