Take a rejection of a request without an id for the request's fault

One caller that sends requests without an id took upstreams out of use for all others: each such request ejected two of them, or opened the circuit of their group, and the caller was told by 503 to send it again.

Cause: a status of 400 with the mark that the request didn't run was read as lack of capacity, as any answer with that mark. Found by asking which decision reads what an answer says of its upstream.

`a_request_without_an_id_ejects_no_upstream` failed before with 503 for 400.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -397,7 +397,7 @@
         if header::is_leaving(response.headers()) {
             self.gateway.record_leaving(replica);
         }
-        if markers.not_run {
+        if markers.not_run && !is_about_request(status) {
             let (outcome, reason) = if wants_none {
                 (AttemptOutcome::Backoff, "backoff")
             } else {
@@ -411,7 +411,16 @@
             return SendOutcome::Unknown("not-the-upstreams-answer");
         }
         self.response_started_at.set(Some(self.gateway.clock.now()));
-        permit.on_response_started();
+        if !markers.not_run {
+            permit.on_response_started();
+        }
         SendOutcome::Answered(response, permit)
     }
 }
+
+/// Whether a rejection with this status is about the request, such as one without an id. Another
+/// upstream would reject it as well, and it says nothing about this one.
+fn is_about_request(status: StatusCode) -> bool {
+    let about_upstream = [StatusCode::TOO_MANY_REQUESTS, StatusCode::REQUEST_TIMEOUT];
+    status.is_client_error() && !about_upstream.contains(&status)
+}
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -297,6 +297,7 @@
         return Received::Complete(relay::relay(request.clone(), response, permit));
     }
     let (mut parts, body) = response.into_parts();
+    let not_run = header::parse_answer(&parts.headers).not_run;
     strip_hop_headers(&mut parts.headers);
     let ends_with_connection = parts.extensions.get::<EndsWithConnection>().is_some();
     let mut body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok();
@@ -327,6 +328,10 @@
         }
         return Received::Failed(response);
     }
+    if not_run {
+        permit.release(AttemptOutcome::Unknown);
+        return Received::Complete(response);
+    }
     permit.release(AttemptOutcome::Good);
     request.record_success();
     // The same guarantee goes with these statuses.
