Request backoff and leave in the soak

Upstreams reject every other request and want no more from that entry for 1.5 s, or say for some seconds that they are leaving and start again under their ids. The soak checks, for each entry by the requests that callers sent to it, that it sends no more than two requests in the time, and none that was sent to it later than 2 s after the notice, unless it was signalled or the connections were cut.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -140,6 +140,7 @@
             .body(Body::full(body.to_owned()))
             .ok()?;
         let started_at = std::time::Instant::now();
+        self.deployment.checks.record_sent(id, entry, started_at);
         let sent = monoio::time::timeout(ANSWER_TIMEOUT, self.client.send(listen, request)).await;
         if started_at.elapsed() > LATE_AFTER && matches!(sent, Ok(Ok(_))) {
             let details = format!("{id} after {:?}", started_at.elapsed());
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use verbenaspool_platform_standin::{process::Crash, upstream::Upstream};
+use verbenaspool_platform_standin::{
+    process::Crash,
+    upstream::{Notice, Upstream},
+};
 
 use crate::caller::SHARING_CALLERS;
 
@@ -37,6 +40,15 @@
 /// Requests that an entry which has just started sends before an answer names the limit.
 const REQUESTS_OF_A_START: usize = 8;
 
+/// How long after an upstream's notice requests may still arrive that were on their way.
+const BACKOFF_NOTICE_TIME: Duration = Duration::from_millis(500);
+
+/// Requests of an entry that may arrive after that, before the upstream's backoff ends.
+const MAX_BACKOFF_REQUESTS: usize = 2;
+
+/// How long after the notice that an upstream is leaving callers' requests may still arrive there.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Violation {
@@ -65,6 +77,10 @@
     served_versions: RefCell<HashMap<(usize, u32), u64>>,
     /// When an entry was signalled: it may have lost what it knew, or be late.
     pub entry_signals: RefCell<Vec<Instant>>,
+    /// The entry to which each request was sent, and when.
+    sent: RefCell<HashMap<String, (usize, Instant)>>,
+    /// The entries that were signalled or started again, and when.
+    interruptions: RefCell<Vec<(usize, Instant)>>,
     /// Counts by result, such as whole or late responses.
     pub counts: RefCell<HashMap<&'static str, u64>>,
 }
@@ -159,6 +175,66 @@
         self.count("limits");
     }
 
+    /// Records that a request was sent to an entry.
+    pub fn record_sent(&self, id: &str, entry: usize, at: Instant) {
+        self.sent.borrow_mut().insert(id.to_owned(), (entry, at));
+    }
+
+    /// Records that an entry was signalled or started again, and may have lost what it knew.
+    pub fn record_interruption(&self, entry: usize) {
+        let mut interruptions = self.interruptions.borrow_mut();
+        interruptions.push((entry, Instant::now()));
+    }
+
+    /// Checks that each entry did as the answers of an upstream asked, unless the entry was
+    /// interrupted or the answers may have been lost.
+    pub fn check_notices(
+        &self,
+        upstream: &Upstream,
+        restarts: &[Instant],
+        cut_until: Option<Instant>,
+    ) {
+        let (sent, journal) = (self.sent.borrow(), upstream.journal.borrow());
+        for noticed in journal.iter() {
+            let (Some(notice), Some((entry, _))) = (noticed.notice, sent.get(&noticed.id)) else {
+                continue;
+            };
+            let until = match notice {
+                Notice::Backoff(time) => noticed.at + time,
+                Notice::Leaving => {
+                    let restart = restarts.iter().find(|at| **at > noticed.at);
+                    restart.copied().unwrap_or_else(Instant::now)
+                }
+            };
+            let interruptions = self.interruptions.borrow();
+            let end = interruptions
+                .iter()
+                .find(|(other, at)| other == entry && (noticed.at..until).contains(at));
+            let until = end.map_or(until, |(_, at)| until.min(*at));
+            if cut_until.is_some_and(|cut| cut >= noticed.at) {
+                continue;
+            }
+            let (allowed, guarantee) = match notice {
+                Notice::Backoff(_) => (MAX_BACKOFF_REQUESTS, "no requests before a backoff ends"),
+                Notice::Leaving => (0, "no new requests to an upstream that is leaving"),
+            };
+            let late = journal.iter().filter(|arrival| {
+                let from_entry = sent.get(&arrival.id).filter(|(other, _)| other == entry);
+                let is_late = from_entry.is_some_and(|(_, sent_at)| match notice {
+                    Notice::Backoff(_) => arrival.at > noticed.at + BACKOFF_NOTICE_TIME,
+                    Notice::Leaving => *sent_at > noticed.at + DRAIN_TIME,
+                });
+                is_late && arrival.at < until
+            });
+            let late = late.count();
+            if late > allowed {
+                let details = format!("{} got {late} requests of entry {entry}", upstream.id);
+                self.record_violation(guarantee, details);
+            }
+            self.count("notices");
+        }
+    }
+
     /// Checks the recorded requests against how often upstreams ran them.
     pub fn check_runs(&self, run_count: impl Fn(&str) -> usize) {
         for id in self.at_most_once.borrow().iter() {
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -58,6 +58,8 @@
     pub service: &'static str,
     /// When it named a limit, and until when.
     pub limited: RefCell<Vec<Range<Instant>>>,
+    /// When it started again under its id, the first time aside.
+    pub restarts: RefCell<Vec<Instant>>,
     /// When the proxy last held up or lost requests or responses.
     pub last_cut: Cell<Option<Instant>>,
     address: SocketAddr,
@@ -153,6 +155,7 @@
                 proxy,
                 service,
                 limited: RefCell::default(),
+                restarts: RefCell::default(),
                 last_cut: Cell::default(),
                 address,
             });
@@ -225,7 +228,9 @@
     /// Sets the state of an upstream in the registry.
     pub fn set_listed_state(&self, server: usize, state: &str) {
         let server = &self.servers[server];
+        let starts = server.restarts.borrow().len();
         let entry = text::registry_entry(server.service, server.address, state);
+        let entry = entry.replace('{', &format!(r#"{{"born":{starts},"#));
         self.store.put("servers", &server.upstream.id, &entry);
     }
 
@@ -243,6 +248,16 @@
         }
     }
 
+    /// Checks that each entry did as the answers of upstreams asked.
+    pub fn check_notices(&self) {
+        for server in &self.servers {
+            let restarts = server.restarts.borrow();
+            let cut_until = server.last_cut.get();
+            self.checks
+                .check_notices(&server.upstream, &restarts, cut_until);
+        }
+    }
+
     /// Returns how often upstreams ran a request.
     #[must_use]
     pub fn run_count(&self, id: &str) -> usize {
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -39,7 +39,7 @@
 ];
 
 /// Number of fault kinds around entries.
-const ENTRY_FAULT_KINDS: u32 = 13;
+const ENTRY_FAULT_KINDS: u32 = 15;
 
 /// Number of all fault kinds.
 const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 5;
@@ -47,6 +47,12 @@
 /// How much longer than other faults an upstream limits its requests.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
+/// For how long an upstream wants no requests of an entry that it rejected.
+const BACKOFF: Duration = Duration::from_millis(1_500);
+
+/// How much longer than other faults an upstream says that it is leaving.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+
 /// Percentage of orders to ranks that get no answer during this fault.
 const LATE_PERCENT: u32 = 35;
 
@@ -168,7 +174,15 @@
             signal(&deployment, entry, Signal::SIGTERM);
             restart_entry(&deployment, entry).await;
         }
-        _ => limit_requests(target, LIMIT_TIME + duration).await,
+        12 => limit_requests(target, LIMIT_TIME + duration).await,
+        13 => {
+            target.upstream.backoff.set(Some(BACKOFF));
+            target.upstream.behaviour.set(Behaviour::RejectEveryOther);
+            monoio::time::sleep(BACKOFF + duration).await;
+            target.upstream.behaviour.set(Behaviour::Healthy);
+            target.upstream.backoff.set(None);
+        }
+        _ => leave_and_return(&deployment, server, LEAVING_TIME + duration).await,
     }
 }
 
@@ -185,6 +199,19 @@
     upstream.rate_limit.set(None);
 }
 
+/// Lets an upstream say that it is leaving for some time, and then start again under its id, unless
+/// it is leaving already. The registry doesn't say so.
+async fn leave_and_return(deployment: &Deployment, server: usize, duration: Duration) {
+    let target = &deployment.servers[server];
+    if target.upstream.leaving.replace(true) {
+        return;
+    }
+    monoio::time::sleep(duration).await;
+    target.upstream.leaving.set(false);
+    target.restarts.borrow_mut().push(Instant::now());
+    deployment.set_listed_state(server, "ready");
+}
+
 /// Injects one fault of a group or an agent and ends it after its duration.
 async fn inject_group_fault(
     deployment: Rc<Deployment>,
@@ -227,6 +254,7 @@
 fn signal(deployment: &Deployment, entry: usize, signal: Signal) {
     let signals = &deployment.checks.entry_signals;
     signals.borrow_mut().push(Instant::now());
+    deployment.checks.record_interruption(entry);
     if let Some(entry) = deployment.entries.borrow().get(entry) {
         entry.process.signal(signal);
     }
@@ -236,7 +264,7 @@
 /// [`STOP_TIMEOUT`].
 async fn restart_entry(deployment: &Deployment, entry: usize) {
     let started_at = Instant::now();
-    let entry = |deployment: &Deployment| {
+    let restart = |deployment: &Deployment| {
         let mut entries = deployment.entries.borrow_mut();
         let entry = entries.get_mut(entry)?;
         if started_at.elapsed() > STOP_TIMEOUT {
@@ -244,7 +272,8 @@
         }
         Some(restart_if_ended(&mut entry.process))
     };
-    restart_when_ended(deployment, entry).await;
+    restart_when_ended(deployment, restart).await;
+    deployment.checks.record_interruption(entry);
 }
 
 /// Restarts a program if its process has ended, and returns whether it did.
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -168,6 +168,7 @@
         .insert("crashes", crashes.len() as u64);
     deployment.checks.check_crashes(crashes.into_iter());
     deployment.check_limits();
+    deployment.check_notices();
     check_group(&deployment).await;
     report(seed, &deployment);
     let violations = deployment.checks.violations.borrow().len();
