--- a/verbenaspool_transport/src/http/retry_after.rs
+++ b/verbenaspool_transport/src/http/retry_after.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, StatusCode, header::RETRY_AFTER};
 
 /// The longest time that is read, a month.
-const MAX_SECONDS: f64 = 30.0 * 24.0 * 3_600.0;
+const MAX_RETRY_AFTER_SECONDS: f64 = 30.0 * 24.0 * 3_600.0;
 
 /// What the head of a rejection says about further requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,6 @@
     let seconds = text.parse::<f64>().ok();
     let seconds = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
     Some(seconds.map_or(RetryAfter::Unreadable, |seconds| {
-        RetryAfter::Wait(Duration::from_secs_f64(seconds.min(MAX_SECONDS)))
+        RetryAfter::Wait(Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER_SECONDS)))
     }))
 }
