--- a/verbenaspool_transport/src/http/retry_after.rs
+++ b/verbenaspool_transport/src/http/retry_after.rs
@@ -42,6 +42,8 @@
     let seconds = text.parse::<f64>().ok();
     let seconds = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
     Some(seconds.map_or(RetryAfter::Unreadable, |seconds| {
-        RetryAfter::Wait(Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER_SECONDS)))
+        RetryAfter::Wait(Duration::from_secs_f64(
+            seconds.min(MAX_RETRY_AFTER_SECONDS),
+        ))
     }))
 }
