Don't take an answer for complete that a leaving upstream cuts off as it exits

Callers got streams and bodies as complete that lacked their ends: an upstream that was leaving, or that the registry no longer had, exited in the middle of an answer without a length.

Cause: whether such an answer was cut off was taken from whether the upstream had crashed, and an upstream that is leaving or isn't listed can't crash. Since an answer's header says that an upstream is leaving as well, more of them would have been affected.

An answer that ends with its connection is broken off if its upstream's instance refuses connections then, whatever the registry says; the request keeps the upstream that it was sent to. Only a listed upstream that isn't leaving has crashed, as before.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -81,6 +81,8 @@
     pub may_have_run: Cell<bool>,
     /// Upstreams that must not be tried again.
     pub tried: std::cell::RefCell<Vec<Rc<str>>>,
+    /// The upstream of the current attempt, which may be missing from the registry by now.
+    pub replica: std::cell::RefCell<Option<Rc<Replica>>>,
 }
 
 /// The outcome of sending a request to an upstream.
@@ -216,6 +218,7 @@
             permit.release(AttemptOutcome::Unknown);
             return SendOutcome::NotRun("upstream-gone");
         };
+        self.replica.replace(Some(replica.clone()));
         let Ok(request) = self.upstream_request(&id, last_event) else {
             return SendOutcome::NotRun("bad-request");
         };
--- a/verbenaspool/src/direct/crash.rs
+++ b/verbenaspool/src/direct/crash.rs
@@ -1,6 +1,6 @@
 //! Distinguishes a crash of an upstream from a broken connection.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use slog::warn;
 use verbenaspool_policy::quarantine::{Crash, EARLY_CRASH_TIME, Status};
@@ -42,9 +42,13 @@
         let gateway = &self.gateway;
         let response_started_at = self.response_started_at.get();
         let ran = response_started_at.map(|started| gateway.clock.now().saturating_sub(started));
-        let Some(replica) = self.crashed_replica(upstream).await else {
+        let listed = gateway.replica(upstream);
+        let Some(replica) = listed.filter(|replica| replica.state == State::Ready) else {
             return;
         };
+        if !self.is_gone(&replica).await {
+            return;
+        }
         let ran_ms = ran.map(|ran| ran.as_secs_f64() * 1e3);
         warn!(gateway.log, "upstream crashed"; "upstream" => &*replica.id,
             "service" => &*replica.service, "request" => self.record.id(),
@@ -64,18 +68,20 @@
         self.queue.record_crash(&replica.id);
     }
 
-    /// Whether an answer that ended with its connection was ended by a crash of the upstream.
-    pub async fn is_ended_by_crash(&self, upstream: &str) -> bool {
-        self.crashed_replica(upstream).await.is_some()
+    /// Whether an answer that ended with its connection was ended by the exit of the current
+    /// upstream, by a crash or because it was leaving.
+    pub async fn is_ended_by_exit(&self) -> bool {
+        let replica = self.replica.borrow().clone();
+        match replica {
+            Some(replica) => self.is_gone(&replica).await,
+            None => false,
+        }
     }
 
-    /// The registry's entry of an upstream, if its instance refuses connections.
-    async fn crashed_replica(&self, upstream: &str) -> Option<Rc<Replica>> {
-        let listed = self.gateway.replica(upstream);
-        let replica = listed.filter(|replica| replica.state == State::Ready)?;
+    /// Whether an upstream's instance refuses connections.
+    async fn is_gone(&self, replica: &Replica) -> bool {
         let client = &self.gateway.client;
-        let refused = client.is_refused_by(replica.address, PROBE_TIMEOUT).await;
-        refused.then_some(replica)
+        client.is_refused_by(replica.address, PROBE_TIMEOUT).await
     }
 
     /// Whether the current upstream has written a part of the answer.
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -188,12 +188,10 @@
     }
 
     /// Whether an answer that ended with its connection was broken off: it has no event, or the
-    /// upstream has crashed.
+    /// upstream has exited.
     async fn is_broken_off(&self) -> bool {
-        let Some(permit) = self.permit.as_ref().filter(|_| self.ends_with_connection) else {
-            return false;
-        };
-        !self.request.is_written() || self.request.is_ended_by_crash(&permit.upstream).await
+        self.ends_with_connection
+            && (!self.request.is_written() || self.request.is_ended_by_exit().await)
     }
 
     /// Why the stream should move to another upstream now, if it should.
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -150,6 +150,7 @@
         connect_failures: std::cell::Cell::default(),
         may_have_run: std::cell::Cell::default(),
         tried: std::cell::RefCell::default(),
+        replica: std::cell::RefCell::default(),
     })
 }
 
@@ -301,7 +302,7 @@
     strip_hop_headers(&mut parts.headers);
     let ends_with_connection = parts.extensions.get::<EndsWithConnection>().is_some();
     let mut body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok();
-    if ends_with_connection && request.is_ended_by_crash(&permit.upstream).await {
+    if ends_with_connection && request.is_ended_by_exit().await {
         body = None;
     }
     let Some(body) = body else {
