--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -10,7 +10,7 @@
 
 use verbenaspool_platform_standin::{
     process::Crash,
-    upstream::{Notice, Upstream},
+    upstream::{Arrival, Notice, Upstream},
 };
 
 use crate::caller::SHARING_CALLERS;
@@ -194,9 +194,12 @@
         restarts: &[Instant],
         cut_until: Option<Instant>,
     ) {
-        let (sent, journal) = (self.sent.borrow(), upstream.journal.borrow());
-        for noticed in journal.iter() {
-            let (Some(notice), Some((entry, _))) = (noticed.notice, sent.get(&noticed.id)) else {
+        for noticed in upstream.journal.borrow().iter() {
+            let maybe_lost = cut_until.is_some_and(|cut| cut >= noticed.at);
+            let Some(notice) = noticed.notice.filter(|_| !maybe_lost) else {
+                continue;
+            };
+            let Some(&(entry, _)) = self.sent.borrow().get(&noticed.id) else {
                 continue;
             };
             let until = match notice {
@@ -206,27 +209,12 @@
                     restart.copied().unwrap_or_else(Instant::now)
                 }
             };
-            let interruptions = self.interruptions.borrow();
-            let end = interruptions
-                .iter()
-                .find(|(other, at)| other == entry && (noticed.at..until).contains(at));
-            let until = end.map_or(until, |(_, at)| until.min(*at));
-            if cut_until.is_some_and(|cut| cut >= noticed.at) {
-                continue;
-            }
+            let until = self.first_interruption(entry, &(noticed.at..until));
+            let late = self.count_late(upstream, entry, notice, &(noticed.at..until));
             let (allowed, guarantee) = match notice {
                 Notice::Backoff(_) => (MAX_BACKOFF_REQUESTS, "no requests before a backoff ends"),
                 Notice::Leaving => (0, "no new requests to an upstream that is leaving"),
             };
-            let late = journal.iter().filter(|arrival| {
-                let from_entry = sent.get(&arrival.id).filter(|(other, _)| other == entry);
-                let is_late = from_entry.is_some_and(|(_, sent_at)| match notice {
-                    Notice::Backoff(_) => arrival.at > noticed.at + BACKOFF_NOTICE_TIME,
-                    Notice::Leaving => *sent_at > noticed.at + DRAIN_TIME,
-                });
-                is_late && arrival.at < until
-            });
-            let late = late.count();
             if late > allowed {
                 let details = format!("{} got {late} requests of entry {entry}", upstream.id);
                 self.record_violation(guarantee, details);
@@ -235,6 +223,35 @@
         }
     }
 
+    /// When an entry was first interrupted in a period, or the end of the period.
+    fn first_interruption(&self, entry: usize, period: &Range<Instant>) -> Instant {
+        let interruptions = self.interruptions.borrow();
+        let mut own = interruptions.iter().filter(|(other, _)| *other == entry);
+        let first = own.find(|(_, at)| period.contains(at));
+        first.map_or(period.end, |(_, at)| *at)
+    }
+
+    /// Number of requests of an entry that arrived at an upstream too late after a notice, which
+    /// was given at the start of the period.
+    fn count_late(
+        &self,
+        upstream: &Upstream,
+        entry: usize,
+        notice: Notice,
+        period: &Range<Instant>,
+    ) -> usize {
+        let (sent, journal) = (self.sent.borrow(), upstream.journal.borrow());
+        let is_late = |arrival: &&Arrival| {
+            let own = sent.get(&arrival.id).filter(|(other, _)| *other == entry);
+            own.is_some_and(|(_, sent_at)| match notice {
+                Notice::Backoff(_) => arrival.at > period.start + BACKOFF_NOTICE_TIME,
+                Notice::Leaving => *sent_at > period.start + DRAIN_TIME,
+            })
+        };
+        let arrivals = journal.iter().filter(|arrival| arrival.at < period.end);
+        arrivals.filter(is_late).count()
+    }
+
     /// Checks the recorded requests against how often upstreams ran them.
     pub fn check_runs(&self, run_count: impl Fn(&str) -> usize) {
         for id in self.at_most_once.borrow().iter() {
