--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -48,7 +48,7 @@
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
 /// For how long an upstream wants no requests of an entry that it rejected.
-const BACKOFF: Duration = Duration::from_millis(1_500);
+const BACKOFF_TIME: Duration = Duration::from_millis(1_500);
 
 /// How much longer than other faults an upstream says that it is leaving.
 const LEAVING_TIME: Duration = Duration::from_secs(3);
@@ -176,9 +176,9 @@
         }
         12 => limit_requests(target, LIMIT_TIME + duration).await,
         13 => {
-            target.upstream.backoff.set(Some(BACKOFF));
+            target.upstream.backoff.set(Some(BACKOFF_TIME));
             target.upstream.behaviour.set(Behaviour::RejectEveryOther);
-            monoio::time::sleep(BACKOFF + duration).await;
+            monoio::time::sleep(BACKOFF_TIME + duration).await;
             target.upstream.behaviour.set(Behaviour::Healthy);
             target.upstream.backoff.set(None);
         }
