Let callers return after a backoff ends, and apart

Callers that were rejected because no upstream wanted requests were told to return up to a third of their time later, before any upstream did, or all at the moment at which the first backoff ended, however far apart they had been rejected.

Cause: the time until an upstream takes a request replaced the usual time, which varies, where it was longer, and was cut to what callers honour. It is told in full now, with the usual spread after it. The detection of callers that return counts on none of them after its deadline.

--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -302,6 +302,7 @@
     /// # Errors
     /// No upstream will have capacity in time.
     pub async fn admit(self: &Rc<Self>, request: PlacementRequest) -> Result<Permit, Rejection> {
+        let deadline = request.deadline;
         let ticket = self.last_ticket.get() + 1;
         self.last_ticket.set(ticket);
         let (sender, verdict) = oneshot::channel();
@@ -322,9 +323,11 @@
             }),
             Ok(Verdict::Reject(rejection)) => {
                 let now = self.clock.now();
+                // A caller that is told to return later than its deadline doesn't.
+                let returns_after = rejection.retry_after.min(deadline.saturating_sub(now));
                 self.retry_detector
                     .borrow_mut()
-                    .record_rejection(now, rejection.retry_after);
+                    .record_rejection(now, returns_after);
                 Err(rejection)
             }
             Err(_) => unreachable!("a ticket is answered before its sender goes"),
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -506,7 +506,7 @@
         let left = waiting.request.deadline.saturating_sub(now);
         let wait = self.upstreams_wait(now, &waiting.request.excluded);
         match wait.filter(|wait| timed_out || now + *wait >= until) {
-            Some(wait) => Some(Verdict::Reject(self.rate_limit_rejection(now, left, wait))),
+            Some(wait) => Some(Verdict::Reject(self.rate_limit_rejection(left, wait))),
             None if timed_out => Some(Verdict::Reject(self.rejection(now, left))),
             None => None,
         }
@@ -542,13 +542,13 @@
     }
 
     /// The rejection if no upstream takes requests of this entry for `wait`, because of their
-    /// limits or backoff.
-    fn rate_limit_rejection(&mut self, now: Duration, left: Duration, wait: Duration) -> Rejection {
-        let rejection = self.rejection(now, left);
-        let latest = self.service_time.latest_retry_after(left);
+    /// limits or backoff. Callers rejected at different times would all return as that ends.
+    fn rate_limit_rejection(&mut self, left: Duration, wait: Duration) -> Rejection {
+        let [soonest, latest] = self.service_time.retry_after_full(left);
+        let spread = latest.saturating_sub(soonest).mul_f64(self.random());
         Rejection {
             reason: RejectReason::RateLimited,
-            retry_after: rejection.retry_after.max(wait.min(latest)),
+            retry_after: wait.max(soonest) + spread,
         }
     }
 
--- a/verbenaspool_policy/tests/dispatch/backoff.rs
+++ b/verbenaspool_policy/tests/dispatch/backoff.rs
@@ -98,3 +98,26 @@
     assert!(rejection.retry_after >= ms(1_990), "{rejection:?}");
     assert!(matches!(decide(&mut entry, 2_000), Some(Verdict::Send(_))));
 }
+
+/// Guards against callers that are told to return before any upstream wants requests, and against
+/// callers that were rejected at different times and return at the same moment.
+#[test]
+fn rejected_callers_return_after_the_backoff_and_apart() {
+    for backoff_ms in [2_500, 7_000] {
+        let mut entry = entry(&["u0"]);
+        entry.record_backoff(ms(0), &"u0".into(), ms(backoff_ms));
+        let returns = (0..40).map(|number| {
+            let now = number * 20;
+            let Some(Verdict::Reject(rejection)) = decide(&mut entry, now) else {
+                panic!("the request is rejected");
+            };
+            ms(now) + rejection.retry_after
+        });
+        let returns: Vec<_> = returns.collect();
+        let (first, last) = (returns.iter().min(), returns.iter().max());
+        let (first, last) = (*first.expect("one"), *last.expect("one"));
+        assert!(first >= ms(backoff_ms), "{first:?}");
+        assert!(last >= first + ms(150), "{first:?} to {last:?}");
+        assert!(last <= first + ms(2_000), "{first:?} to {last:?}");
+    }
+}
