Ask once more for an upstream's backoff whatever its agent answered

A request for which the agent had been asked, and hadn't answered, was sent although a rejection had arrived meanwhile; only a granted one was placed again. No test shows it: the agent's answer takes 25 ms at most, and such requests count as on their way.

--- a/verbenaspool/src/direct/reserve.rs
+++ b/verbenaspool/src/direct/reserve.rs
@@ -156,11 +156,12 @@
         let mut unanswered = 0;
         loop {
             let permit = queue.admit(request.clone()).await?;
-            match self.reserve(&permit).await {
-                // Its rejection of another request may have arrived while the agent was asked.
-                Outcome::Granted(answer) if permit.is_backing_off() => {
-                    self.record_status(&answer.status);
-                }
+            let outcome = self.reserve(&permit).await;
+            // Its rejection of another request may have arrived while the agent was asked.
+            if permit.is_backing_off() {
+                continue;
+            }
+            match outcome {
                 Outcome::Granted(answer) => {
                     permit.finish_reservation();
                     permit.record_agent_answer(&answer);
