--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -9,11 +9,12 @@
 };
 
 use verbenaspool_platform_standin::{
+    group::Rejection,
     process::Crash,
     upstream::{Arrival, Notice, Upstream},
 };
 
-use crate::caller::SHARING_CALLERS;
+use crate::{caller::SHARING_CALLERS, fault::BACKOFF_TIME};
 
 /// Time in which all entries learn of a crash.
 const CRASH_SYNC_TIME: Duration = Duration::from_secs(3);
@@ -81,6 +82,8 @@
     sent: RefCell<HashMap<String, (usize, Instant)>>,
     /// The entries that were signalled or started again, and when.
     interruptions: RefCell<Vec<(usize, Instant)>>,
+    /// The same of agents.
+    agent_interruptions: RefCell<Vec<(usize, Instant)>>,
     /// Counts by result, such as whole or late responses.
     pub counts: RefCell<HashMap<&'static str, u64>>,
 }
@@ -186,6 +189,35 @@
         interruptions.push((entry, Instant::now()));
     }
 
+    /// Records that an agent was signalled or started again.
+    pub fn record_agent_interruption(&self, agent: usize) {
+        let mut interruptions = self.agent_interruptions.borrow_mut();
+        interruptions.push((agent, Instant::now()));
+    }
+
+    /// Checks that an agent reads nothing from its rank before the rank's backoff ends, unless the
+    /// agent was interrupted.
+    pub fn check_reads(&self, agent: usize, rejections: &[Rejection]) {
+        let interruptions = self.agent_interruptions.borrow();
+        let reads = || rejections.iter().filter(|rejection| rejection.is_read);
+        for read in reads() {
+            let period = read.at..read.at + BACKOFF_TIME;
+            if interruptions
+                .iter()
+                .any(|(other, at)| *other == agent && period.contains(at))
+            {
+                continue;
+            }
+            let counted = period.start + BACKOFF_NOTICE_TIME..period.end;
+            let late = reads().filter(|other| counted.contains(&other.at)).count();
+            if late > MAX_BACKOFF_REQUESTS {
+                let details = format!("rank {agent} got {late} reads");
+                self.record_violation("no reads before a backoff ends", details);
+            }
+            self.count("rejected reads");
+        }
+    }
+
     /// Checks that each entry did as the answers of an upstream asked, unless the entry was
     /// interrupted or the answers may have been lost.
     pub fn check_notices(
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -97,6 +97,8 @@
     pub entries: RefCell<Vec<Entry>>,
     /// The ranks that run passes together.
     pub group: Rc<Group>,
+    /// What each rank answers to its agent.
+    pub members: Vec<Rc<Member>>,
     /// The agents of the ranks.
     pub agents: RefCell<Vec<Process>>,
     /// Observations and violations.
@@ -190,10 +192,11 @@
             processes.push(Entry { listen, process });
         }
         let group = Group::start(ranks);
-        let mut agents = Vec::new();
+        let (mut members, mut agents) = (Vec::new(), Vec::new());
         for rank in 0..ranks {
-            let group = group.clone();
-            let upstream = serve(Member::new(group, rank), &mut triggers)?;
+            let member = Member::new(group.clone(), rank);
+            members.push(member.clone());
+            let upstream = serve(member, &mut triggers)?;
             let id = format!("r-{rank}");
             store.put(
                 "servers",
@@ -211,6 +214,7 @@
             fragile,
             entries: RefCell::new(processes),
             group,
+            members,
             agents: RefCell::new(agents),
             checks: Checks::default(),
             version: Cell::new(initial_version),
@@ -248,7 +252,7 @@
         }
     }
 
-    /// Checks that each entry did as the answers of upstreams asked.
+    /// Checks that each entry and agent did as the answers of upstreams asked.
     pub fn check_notices(&self) {
         for server in &self.servers {
             let restarts = server.restarts.borrow();
@@ -256,6 +260,9 @@
             self.checks
                 .check_notices(&server.upstream, &restarts, cut_until);
         }
+        for (agent, member) in self.members.iter().enumerate() {
+            self.checks.check_reads(agent, &member.rejections.borrow());
+        }
     }
 
     /// Returns how often upstreams ran a request.
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -42,13 +42,13 @@
 const ENTRY_FAULT_KINDS: u32 = 15;
 
 /// Number of all fault kinds.
-const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 5;
+const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 6;
 
 /// How much longer than other faults an upstream limits its requests.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
-/// For how long an upstream wants no requests of an entry that it rejected.
-const BACKOFF_TIME: Duration = Duration::from_millis(1_500);
+/// For how long an upstream wants nothing from an entry or agent that it rejected.
+pub const BACKOFF_TIME: Duration = Duration::from_millis(1_500);
 
 /// How much longer than other faults an upstream says that it is leaving.
 const LEAVING_TIME: Duration = Duration::from_secs(3);
@@ -220,6 +220,7 @@
     duration: Duration,
 ) {
     let signal_agent = |signal| {
+        deployment.checks.record_agent_interruption(agent);
         if let Some(process) = deployment.agents.borrow().get(agent) {
             process.signal(signal);
         }
@@ -240,13 +241,21 @@
                     .map(restart_if_ended)
             })
             .await;
+            deployment.checks.record_agent_interruption(agent);
         }
         3 => {
             deployment.group.late_percent.set(LATE_PERCENT);
             monoio::time::sleep(duration).await;
             deployment.group.late_percent.set(0);
         }
-        _ => deployment.group.break_up(),
+        4 => deployment.group.break_up(),
+        _ => {
+            if let Some(member) = deployment.members.get(agent) {
+                member.backoff.set(Some(BACKOFF_TIME));
+                monoio::time::sleep(duration).await;
+                member.backoff.set(None);
+            }
+        }
     }
 }
 
