--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -18,8 +18,10 @@
 mod diagnostics;
 mod failure_domain;
 pub mod health;
+mod load;
 pub mod outage;
 pub mod pass_pace;
+mod passes;
 mod placement;
 mod rate_limit;
 mod request;
@@ -41,11 +43,9 @@
 
 use self::{
     circuit::Circuit,
-    health::Health,
     outage::Outage,
     pass_pace::PassPace,
     service_time::ServiceTime,
-    slow::StallScope,
     upstream::Upstream,
     wait_queue::{QueuedRequest, Ticket, WaitQueue},
 };
@@ -54,13 +54,6 @@
     request::{AttemptOutcome, PlacementRequest, RejectReason, Rejection, Resumption, Verdict},
 };
 
-/// How long an agent that didn't answer isn't asked again.
-const AGENT_BACKOFF: Duration = Duration::from_millis(500);
-
-/// The longest delay before a slot that another entry freed is used. It spreads the
-/// reaction of the entries over several digests, which arrive about every 40 ms.
-const SLOT_REUSE_DELAY: Duration = Duration::from_millis(160);
-
 /// The longest wait in the queue for a request that can be on time, as a share of its time
 /// to the first event. The rest is needed for reading the prompt and two passes.
 const ON_TIME_WAIT_RATIO: f64 = 0.35;
@@ -216,39 +209,6 @@
         ready.peek().is_some() && ready.all(|upstream| upstream.evacuated)
     }
 
-    /// Records how many requests an upstream has, as reported by its agent. Returns whether
-    /// the report was accepted.
-    ///
-    /// Outdated and implausible reports are ignored.
-    pub fn record_load(&mut self, now: Duration, id: &str, sequence: u64, requests: u32) -> bool {
-        let upstream = self.upstreams.get_mut(id);
-        upstream.is_some_and(|upstream| upstream.record_load(now, sequence, requests))
-    }
-
-    /// Whether a slot must be reserved with the upstream's agent before a request is sent.
-    #[must_use]
-    pub fn needs_reservation(&self, now: Duration, id: &str) -> bool {
-        let upstream = self.upstreams.get(id);
-        upstream.is_some_and(|upstream| {
-            upstream.has_fresh_load(now) && !upstream.is_agent_unresponsive(now)
-        })
-    }
-
-    /// Ends a pending reservation: the upstream's agent kept a slot for a request of this
-    /// entry, denied it, didn't answer, or wasn't asked.
-    pub fn finish_reservation(&mut self, id: &str) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.reserving = upstream.reserving.saturating_sub(1);
-        }
-    }
-
-    /// Records that the upstream's agent didn't answer a reservation.
-    pub fn record_agent_timeout(&mut self, now: Duration, id: &str) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.agent_backoff_until = now + AGENT_BACKOFF;
-        }
-    }
-
     /// Whether the service's upstreams are ranks of groups, each with an agent.
     #[must_use]
     pub fn has_agents(&self) -> bool {
@@ -256,127 +216,11 @@
         engine.is_some_and(|engine| engine.experts.is_some())
     }
 
-    /// Sets how many requests other entries have in flight at an upstream, by their
-    /// digests. Ignored while the upstream's agent reports its load.
-    ///
-    /// Every entry has requests queued and sees a freed slot at the same time. If all of
-    /// them used it, four entries would place nine streams on an upstream that serves six
-    /// on time. A decrease therefore takes effect after a random delay, different at each
-    /// entry. The entry that freed the slot can use it immediately.
-    pub fn set_peer_load(&mut self, now: Duration, id: &str, requests: u32) {
-        let delay = SLOT_REUSE_DELAY.mul_f64(self.random());
-        let upstream = self.upstreams.get_mut(id);
-        let Some(upstream) = upstream.filter(|upstream| !upstream.has_fresh_load(now)) else {
-            return;
-        };
-        if requests >= upstream.peer_requests {
-            upstream.peer_requests = requests;
-            upstream.pending_decrease = None;
-            return;
-        }
-        let until = upstream
-            .pending_decrease
-            .map_or(now + delay, |(_, until)| until);
-        if now < until {
-            upstream.pending_decrease = Some((requests, until));
-        } else {
-            upstream.peer_requests = requests;
-            upstream.pending_decrease = None;
-        }
-    }
-
-    /// Applies decreases of peer load whose delay has passed.
-    fn apply_pending_decreases(&mut self, now: Duration) {
-        for upstream in self.upstreams.values_mut() {
-            if let Some((requests, until)) = upstream.pending_decrease
-                && now >= until
-            {
-                upstream.peer_requests = requests;
-                upstream.pending_decrease = None;
-            }
-        }
-    }
-
-    /// Records an upstream's group, whether the group runs and the upstream's pace. Returns
-    /// whether the group started or stopped running since the last report.
-    pub fn record_status(
-        &mut self,
-        now: Duration,
-        id: &str,
-        group: u32,
-        running: bool,
-        pace: f64,
-    ) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return false;
-        };
-        upstream.group = group;
-        upstream.pace = pace;
-        upstream.status_at = now;
-        let was_running = upstream.group_down_at.is_none();
-        upstream.group_down_at = (!running).then_some(now);
-        if running && !was_running {
-            // Failures while the group was down say nothing about the upstream.
-            upstream.health = Health::default();
-            if let Some(circuit) = self.circuits.get_mut(&group) {
-                circuit.close();
-            }
-        }
-        was_running != running
-    }
-
-    /// Requests of this entry at each upstream whose load isn't reported by its agent.
-    pub fn in_flight(&self, now: Duration) -> impl Iterator<Item = (&Rc<str>, u32)> {
-        let unreported = move |u: &Upstream| u.own_requests > 0 && !u.has_fresh_load(now);
-        let sending = self.upstreams.iter().filter(move |(_, u)| unreported(u));
-        sending.map(|(id, upstream)| (id, upstream.own_requests))
-    }
-
     /// Ids of all upstreams.
     pub fn upstream_ids(&self) -> impl Iterator<Item = &Rc<str>> {
         self.upstreams.keys()
     }
 
-    /// Whether an upstream is so much slower than other available ones that its streams
-    /// should move elsewhere.
-    #[must_use]
-    pub fn is_slow(&self, now: Duration, id: &str) -> bool {
-        let fastest = self.fastest_pace(now);
-        let pace = self.upstreams.get(id).map_or(1.0, |upstream| upstream.pace);
-        slow::is_slow(pace, fastest)
-    }
-
-    /// The pace of the fastest available upstream.
-    fn fastest_pace(&self, now: Duration) -> f64 {
-        let paces = self.available(now).map(|(_, upstream)| upstream.pace);
-        paces.fold(f64::INFINITY, f64::min)
-    }
-
-    /// Records that a stream at an upstream got an event.
-    pub fn record_event(&mut self, now: Duration, id: &str) {
-        if let Some(upstream) = self.upstreams.get(id) {
-            self.last_events.insert(upstream.group, now);
-        }
-    }
-
-    /// Tells whether a stream that has had no event since `since` is stalled alone or with
-    /// its group.
-    #[must_use]
-    pub fn classify_stall(&self, now: Duration, id: &str, since: Duration) -> StallScope {
-        let group = self.upstreams.get(id).map_or(0, |upstream| upstream.group);
-        if group == 0 {
-            // Without a known group the upstream is judged by itself.
-            return StallScope::Stream;
-        }
-        let mut others = self.available(now).filter(|(_, u)| u.group != group);
-        let other_groups_run = others.any(|(_, u)| self.circuit_closed(u.group));
-        slow::classify(
-            since,
-            self.last_events.get(&group).copied(),
-            other_groups_run,
-        )
-    }
-
     /// Ids of all upstreams in the group of `id`, including `id`.
     #[must_use]
     pub fn group_members(&self, id: &str) -> Vec<Rc<str>> {
@@ -403,33 +247,6 @@
         self.upstreams.contains_key(id)
     }
 
-    /// The current pass time of an upstream's group, if samples exist.
-    #[must_use]
-    pub fn pass_time(&self, now: Duration, id: &str) -> Option<Duration> {
-        let (engine, upstream) = (self.engine.as_ref()?, self.upstreams.get(id)?);
-        let pace = self.group_paces.get(&upstream.group)?.pace(now, 1.0);
-        Some(
-            engine
-                .pass_time(self.mean_requests(upstream.group))
-                .mul_f64(pace),
-        )
-    }
-
-    /// Records the time between two events of a stream.
-    pub fn record_pause(&mut self, now: Duration, id: &str, pause: Duration) {
-        let (Some(engine), Some(upstream)) = (&self.engine, self.upstreams.get(id)) else {
-            return;
-        };
-        let group = upstream.group;
-        let configured = engine.pass_time(self.mean_requests(group));
-        let ratio = pause.as_secs_f64() / configured.as_secs_f64().max(1e-6);
-        self.group_paces
-            .entry(group)
-            .or_default()
-            .record(now, ratio);
-        self.overall_pace.record(now, ratio);
-    }
-
     /// Queues a request. [`Self::process_queue`] returns the verdict.
     pub fn submit(&mut self, now: Duration, ticket: Ticket, request: PlacementRequest) {
         let queued_at = request.queued_at.min(now);
