Take an entry without a start for no new start of a leaving upstream

An upstream that was leaving got requests again after a heartbeat whose entry didn't say when it had started, as another writer's may. A notice from before the start was known counts for the first one that is.

`an_upstream_that_registers_again_is_still_leaving` counts from the notice on now, with such a heartbeat, and failed before with one request more. The soak's upstreams say when they started from the beginning.

--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -32,7 +32,7 @@
 }
 
 /// The notice of an upstream that it is leaving.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default)]
 struct Departure {
     /// When the upstream started, in milliseconds of Unix time. It may start again under its id.
     started_at_ms: u64,
@@ -166,14 +166,14 @@
     /// Records that an upstream has said in an answer that it is leaving. It takes no new
     /// requests from now on, whatever its object says. Returns whether this is new.
     pub fn record_leaving(&mut self, now: Duration, replica: &Replica) -> bool {
-        let departure = Departure {
-            started_at_ms: replica.started_at_ms,
-            noticed_at: now,
-        };
         let was_leaving = self.is_leaving(replica);
-        self.leaving.insert(replica.id.clone(), departure);
+        let departure = self.leaving.entry(replica.id.clone()).or_default();
+        departure.noticed_at = now;
+        if replica.started_at_ms != 0 {
+            departure.started_at_ms = replica.started_at_ms;
+        }
         let listed = self.replicas.get_mut(&replica.id);
-        let listed = listed.filter(|listed| listed.started_at_ms == replica.started_at_ms);
+        let listed = listed.filter(|listed| !listed.has_restarted_since(replica.started_at_ms));
         if let Some(listed) = listed.filter(|listed| listed.state == State::Ready) {
             Rc::make_mut(listed).state = State::Draining;
             self.index_addresses();
@@ -182,10 +182,15 @@
     }
 
     /// Whether an upstream has said in an answer that it is leaving, and hasn't started again
-    /// since.
-    fn is_leaving(&self, replica: &Replica) -> bool {
-        let departure = self.leaving.get(&replica.id);
-        departure.is_some_and(|departure| departure.started_at_ms == replica.started_at_ms)
+    /// since. A notice whose sender didn't say when it started is of the first start that is known.
+    fn is_leaving(&mut self, replica: &Replica) -> bool {
+        let Some(departure) = self.leaving.get_mut(&replica.id) else {
+            return false;
+        };
+        if departure.started_at_ms == 0 {
+            departure.started_at_ms = replica.started_at_ms;
+        }
+        !replica.has_restarted_since(departure.started_at_ms)
     }
 
     /// Records which objects are missing from new ones.
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -65,6 +65,15 @@
     address: SocketAddr,
 }
 
+impl Server {
+    /// The entry of the upstream's current start in the registry.
+    fn listed(&self, state: &str) -> String {
+        let starts = self.restarts.borrow().len() + 1;
+        let entry = text::registry_entry(self.service, self.address, state);
+        entry.replace('{', &format!(r#"{{"born":{starts},"#))
+    }
+}
+
 /// One entry of the deployment.
 #[derive(Debug)]
 pub struct Entry {
@@ -147,12 +156,7 @@
             let target = serve(upstream.clone(), &mut triggers)?;
             let address = address::fresh();
             let proxy = Proxy::start(address, target)?;
-            store.put(
-                "servers",
-                &upstream.id,
-                &text::registry_entry(service, address, "ready"),
-            );
-            servers.push(Server {
+            let server = Server {
                 upstream,
                 proxy,
                 service,
@@ -160,7 +164,9 @@
                 restarts: RefCell::default(),
                 last_cut: Cell::default(),
                 address,
-            });
+            };
+            store.put("servers", &server.upstream.id, &server.listed("ready"));
+            servers.push(server);
         }
         let fragile = (0..FRAGILE_UPSTREAMS).map(|number| {
             let (store, name) = (store.clone(), format!("f-{number}"));
@@ -232,10 +238,8 @@
     /// Sets the state of an upstream in the registry.
     pub fn set_listed_state(&self, server: usize, state: &str) {
         let server = &self.servers[server];
-        let starts = server.restarts.borrow().len();
-        let entry = text::registry_entry(server.service, server.address, state);
-        let entry = entry.replace('{', &format!(r#"{{"born":{starts},"#));
-        self.store.put("servers", &server.upstream.id, &entry);
+        self.store
+            .put("servers", &server.upstream.id, &server.listed(state));
     }
 
     /// Checks the limits that upstreams named. The last ones may not have ended.
