Log and count what tells why upstreams that leave get requests

The record of the incident names the entries that sent the requests and none of what they knew: an entry that never got the change, one that took it back, one that got it late and one whose request was late alike end in an ordinary line.

Each upstream that takes no new requests any more has a line with its cause, the registry's revision and where that came from; upstreams that are kept although they are missing have one with the time. The line of a request names the registry by which it was sent last, its source and its age. Digests carry a hash of the registry's objects, and a gauge counts peers with the same revision and other objects. Requests to upstreams that were leaving, as the entry knew, are counted. Nothing decides on any of these. Entries of the previous version send no hash, which is read as unknown.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -10,7 +10,7 @@
     quarantine::Subject,
 };
 use verbenaspool_state::{
-    replica::Replica,
+    replica::{Replica, State},
     route::{Kind, Route},
 };
 use verbenaspool_transport::http::{body::Body, client::Error, retry_after};
@@ -219,6 +219,10 @@
             return SendOutcome::NotRun("upstream-gone");
         };
         self.replica.replace(Some(replica.clone()));
+        self.record.record_registry();
+        if replica.state == State::Draining {
+            self.record.count_leaving(self.attempts.get() > 0);
+        }
         let Ok(request) = self.upstream_request(&id, last_event) else {
             return SendOutcome::NotRun("bad-request");
         };
--- a/verbenaspool/src/direct/evacuation.rs
+++ b/verbenaspool/src/direct/evacuation.rs
@@ -6,7 +6,7 @@
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
 
-use super::gateway::Gateway;
+use super::{gateway::Gateway, registry::Source};
 
 /// The evacuated zones, and the store's revision of their list.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,14 +33,14 @@
 
 impl Gateway {
     /// Replaces the evacuated zones, unless the given list is older than the one in use.
-    pub fn update_evacuations(&self, evacuations: Evacuations, from: &str) {
+    pub fn update_evacuations(&self, evacuations: Evacuations, from: Source) {
         let current = self.evacuations.borrow().clone();
         if evacuations.revision <= current.revision {
             return;
         }
         if evacuations.zones != current.zones {
             info!(self.log, "evacuated zones changed"; "revision" => evacuations.revision,
-                "from" => from, "zones" => format!("{:?}", evacuations.zones));
+                "from" => %from, "zones" => format!("{:?}", evacuations.zones));
             for zone in &evacuations.zones {
                 if !self.has_upstream_in(zone) {
                     warn!(self.log, "evacuated zone has no upstreams"; "zone" => zone);
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -15,7 +15,11 @@
 };
 use verbenaspool_transport::platform::Error;
 
-use super::{evacuation::Evacuations, gateway::Gateway, registry};
+use super::{
+    evacuation::Evacuations,
+    gateway::Gateway,
+    registry::{self, Source},
+};
 
 /// How long a watch waits for changes if there are few entries. A dead connection to the
 /// store is detected within a second after it. It isn't shorter because each call to the
@@ -153,7 +157,12 @@
                 // The state of an outdated listing may be older than its revision says.
                 let newest = objects.values().map(|object| object.revision).max();
                 self.revision = if stale { newest.unwrap_or(1) } else { revision };
-                self.publish(objects);
+                let source = if stale {
+                    Source::OutdatedListing
+                } else {
+                    Source::Listing
+                };
+                self.publish(objects, source);
                 true
             }
             Err(why) => {
@@ -230,16 +239,16 @@
                 }
             }
         }
-        self.publish(objects);
+        self.publish(objects, Source::Watch);
     }
 
     /// Passes the objects to the gateway.
-    fn publish(&self, objects: BTreeMap<String, Object>) {
+    fn publish(&self, objects: BTreeMap<String, Object>, source: Source) {
         match self.kind {
             Kind::Configuration => {
                 if let Some(object) = objects.get(configuration::OBJECT_NAME) {
                     self.gateway.observe_configuration(object);
-                    self.gateway.apply_configuration(object, "store");
+                    self.gateway.apply_configuration(object, source);
                 }
             }
             Kind::Evacuations => {
@@ -247,7 +256,7 @@
                     revision: self.revision,
                     zones: objects.into_keys().collect(),
                 };
-                self.gateway.update_evacuations(evacuations, "store");
+                self.gateway.update_evacuations(evacuations, source);
             }
             Kind::Registry => {
                 let available_since = self
@@ -260,12 +269,8 @@
                 } else {
                     Duration::ZERO
                 };
-                self.gateway.update_registry(
-                    retain_missing_until,
-                    self.revision,
-                    &objects,
-                    "store",
-                );
+                self.gateway
+                    .update_registry(retain_missing_until, self.revision, &objects, source);
             }
         }
     }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -28,7 +28,7 @@
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
-    registry::{self, Registry},
+    registry::{self, Registry, Source},
     reserve::Reservations,
     settings::Settings,
 };
@@ -150,6 +150,18 @@
         self.registry.borrow().revision
     }
 
+    /// The hash of the registry's objects.
+    pub fn registry_hash(&self) -> u32 {
+        self.registry.borrow().hash
+    }
+
+    /// Where the last update of the registry came from, and how long ago.
+    pub fn registry_source(&self) -> (Source, Duration) {
+        let registry = self.registry.borrow();
+        let age = self.clock.now().saturating_sub(registry.updated_at);
+        (registry.source, age)
+    }
+
     /// Whether the registry was read from the store or a peer.
     pub fn has_registry(&self) -> bool {
         self.registry_loaded.get()
@@ -181,12 +193,12 @@
     }
 
     /// Activates a configuration if it is newer than the active one.
-    pub fn apply_configuration(&self, object: &Object, from: &str) {
+    pub fn apply_configuration(&self, object: &Object, from: Source) {
         let table = match configuration::decode(&object.specification) {
             Ok(table) => table,
             Err(why) => {
                 warn!(self.log, "invalid configuration; keeping the active one";
-                    "revision" => object.revision, "from" => from, "reason" => why.to_string());
+                    "revision" => object.revision, "from" => %from, "reason" => why.to_string());
                 return;
             }
         };
@@ -195,7 +207,7 @@
             return;
         }
         info!(self.log, "configuration activated";
-            "version" => table.version, "before" => previous, "from" => from, "routes" => table.len());
+            "version" => table.version, "before" => previous, "from" => %from, "routes" => table.len());
         let table = Rc::new(table);
         self.table.replace(Some(table.clone()));
         self.table_source.replace(Some(object.clone()));
@@ -217,32 +229,57 @@
         retain_missing_until: Duration,
         revision: u64,
         objects: &BTreeMap<String, Object>,
-        from: &str,
+        from: Source,
     ) {
         let now = self.clock.now();
-        let changed = {
-            let mut registry = self.registry.borrow_mut();
-            if revision < registry.revision && self.registry_loaded.get() {
-                return;
-            }
-            let changed = &registry.objects != objects;
-            registry.update(now, retain_missing_until, revision, objects);
-            changed
-        };
+        let mut registry = self.registry.borrow_mut();
+        if revision < registry.revision && self.registry_loaded.get() {
+            return;
+        }
+        let changed = &registry.objects != objects;
+        let ready_before = registry.ready_ids();
+        registry.update(now, retain_missing_until, revision, objects);
+        (registry.source, registry.updated_at) = (from, now);
         self.registry_loaded.set(true);
-        if changed {
-            info!(self.log, "registry of upstreams changed";
-                "revision" => revision, "from" => from, "upstreams" => self.registry.borrow().len());
-            self.distribute_upstreams();
+        if !changed {
+            return;
+        }
+        info!(self.log, "registry of upstreams changed";
+            "revision" => revision, "from" => %from, "upstreams" => registry.len(),
+            "hash" => registry.hash);
+        self.log_departures(&registry, &ready_before);
+        drop(registry);
+        self.distribute_upstreams();
+    }
+
+    /// Logs the upstreams that took requests before an update and don't any more, or are kept
+    /// although they are missing.
+    fn log_departures(&self, registry: &Registry, ready_before: &BTreeSet<Rc<str>>) {
+        let now = self.clock.now();
+        let from = registry.source;
+        let ready = registry.ready_ids();
+        for id in ready_before.difference(&ready) {
+            let cause = registry.get(id).map_or("removed", |_| "draining");
+            info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => %from,
+                "cause" => cause, "revision" => registry.revision);
+        }
+        for (id, until) in registry.kept() {
+            let left = until.saturating_sub(now);
+            info!(self.log, "upstream is missing; keeping it"; "upstream" => &**id,
+                "from" => %from, "revision" => registry.revision,
+                "for_ms" => left.as_secs_f64() * 1e3);
         }
     }
 
     /// Removes upstreams that have been missing from the registry for too long.
     pub fn expire_upstreams(&self) {
         let now = self.clock.now();
-        if self.registry.borrow_mut().remove_expired(now) {
-            info!(self.log, "missing upstreams removed";
-                "upstreams" => self.registry.borrow().len());
+        let expired = self.registry.borrow_mut().remove_expired(now);
+        for id in &expired {
+            info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => "registry",
+                "cause" => "expired", "revision" => self.registry_revision());
+        }
+        if !expired.is_empty() {
             self.distribute_upstreams();
         }
     }
@@ -261,7 +298,8 @@
         let now = self.clock.now();
         let new = self.registry.borrow_mut().record_leaving(now, replica);
         if new {
-            info!(self.log, "upstream is leaving"; "upstream" => &*replica.id, "from" => "answer");
+            info!(self.log, "upstream is leaving"; "upstream" => &*replica.id, "from" => "answer",
+                "cause" => "draining", "revision" => self.registry_revision());
             self.distribute_upstreams();
         }
     }
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -13,7 +13,11 @@
 use verbenaspool_protocol::suspicion::Suspicion;
 use verbenaspool_transport::rpc;
 
-use crate::direct::{evacuation::Evacuations, gateway::Gateway, registry};
+use crate::direct::{
+    evacuation::Evacuations,
+    gateway::Gateway,
+    registry::{self, Source},
+};
 
 /// Interval of checks whether a peer has newer state.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -156,13 +160,13 @@
                 return;
             }
         };
-        let from = format!("peer {peer}");
+        let from = Source::Peer(peer);
         if let Some(evacuations) = update.evacuations {
-            self.update_evacuations(evacuations, &from);
+            self.update_evacuations(evacuations, from);
         }
         if let Some(object) = &update.configuration {
             self.observe_configuration(object);
-            self.apply_configuration(object, &from);
+            self.apply_configuration(object, from);
         }
         self.record_suspicions(&update.quarantined);
         let Some(upstreams) = update.upstreams else {
@@ -187,7 +191,7 @@
             || registry::missing_deadline(now),
             |left| now + Duration::from_millis(left),
         );
-        self.update_registry(retain_missing_until, update.revision, &objects, &from);
+        self.update_registry(retain_missing_until, update.revision, &objects, from);
     }
 }
 
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -45,6 +45,7 @@
             evacuation_revision: versions.evacuations,
             store: self.store_access(),
             configuration_revision: versions.configuration,
+            registry_hash: self.registry_hash(),
             leaving: self.leaving.get(),
             in_flight,
             ..Digest::default()
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -343,6 +343,18 @@
         sums
     }
 
+    /// Number of live peers whose registry has this revision, and other objects.
+    #[must_use]
+    pub fn differing_registries(&self, now: Duration, revision: u64, hash: u32) -> usize {
+        let differs = |digest: &Digest| {
+            digest.registry_revision == revision
+                && digest.registry_hash != 0
+                && digest.registry_hash != hash
+        };
+        let peers = self.live_peers(now);
+        peers.filter(|(_, peer)| differs(&peer.digest)).count()
+    }
+
     /// The peers that have newer state, and whether each is in this entry's zone; these come
     /// first.
     #[must_use]
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -6,7 +6,7 @@
 use verbenaspool_policy::dispatch::Diagnostics;
 use verbenaspool_state::fingerprint::Fingerprint;
 
-use super::gateway::Gateway;
+use super::{gateway::Gateway, registry::Source};
 
 /// The contents of a request's log line.
 #[derive(Debug, Default)]
@@ -28,6 +28,8 @@
     diagnostics: Diagnostics,
     /// Each upstream that it was sent to, and with what result.
     attempts: Vec<String>,
+    /// The registry at the last attempt: its revision, where that came from, and its age.
+    registry: Option<(u64, Source, Duration)>,
     /// When the first event was forwarded.
     first_event_at: Option<Duration>,
     events: u64,
@@ -110,6 +112,22 @@
         self.summary.borrow_mut().attempts.push(attempt);
     }
 
+    /// Sets the registry by which the request is sent to an upstream now.
+    pub fn record_registry(&self) {
+        let (source, age) = self.gateway.registry_source();
+        let registry = (self.gateway.registry_revision(), source, age);
+        self.summary.borrow_mut().registry = Some(registry);
+    }
+
+    /// Counts a request to an upstream that is leaving, as this entry knows.
+    pub fn count_leaving(&self, again: bool) {
+        let (name, help) = (
+            "verbenaspool_leaving_requests_total",
+            "Requests sent to upstreams that were leaving, as the entry knew.",
+        );
+        self.count_attempt(name, help, again);
+    }
+
     /// Counts a request to an upstream that limits them. `again` tells that the request was
     /// sent to an upstream before.
     pub fn count_rate_limited(&self, again: bool) {
@@ -199,6 +217,9 @@
             "slowest_upstream" => summary.diagnostics.slowest_upstream.as_deref().unwrap_or_default().to_owned(),
             "said_ms" => summary.diagnostics.status_age.as_secs_f64() * 1e3,
             "closed" => summary.diagnostics.unavailable,
+            "registry" => summary.registry.map(|(revision, _, _)| revision),
+            "registry_from" => summary.registry.map(|(_, source, _)| source.to_string()),
+            "registry_age_ms" => summary.registry.map(|(_, _, age)| age.as_secs_f64() * 1e3),
             "events" => summary.events, "pause_ms" => pause_ms, "first_ms" => first_ms,
             "took_ms" => took_ms,
         ));
@@ -238,6 +259,21 @@
             "Requests that are rejected because upstreams crashed under them.",
             quarantined,
         );
+        let revision = self.registry_revision();
+        let peers = self.peers.borrow();
+        let differing = peers.differing_registries(now, revision, self.registry_hash());
+        #[allow(clippy::cast_precision_loss)] // Revisions stay far below 2^52.
+        let (revision, differing) = (revision as f64, differing as f64);
+        gauge(
+            "verbenaspool_registry_revision",
+            "The revision of the registry of upstreams.",
+            revision,
+        );
+        gauge(
+            "verbenaspool_registry_differing_peers",
+            "Peers whose registry has the same revision and other objects.",
+            differing,
+        );
         for queue in self.queues() {
             let snapshot = queue.with(|dispatcher, _| dispatcher.snapshot(now));
             let pairs = [("service", &*queue.service)];
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -2,12 +2,14 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-    net::SocketAddr,
+    fmt,
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
 use verbenaspool_platform::{registry, store::Object};
+use verbenaspool_protocol::digest;
 use verbenaspool_state::replica::{Replica, State};
 
 /// How long upstreams that are missing from the registry are kept after an outage of the
@@ -22,6 +24,31 @@
 /// Maximum number of removals to remember. A peer that lacks more gets all objects.
 const MAX_REMOVALS: usize = 1_000;
 
+/// Where objects came from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Source {
+    /// A listing of the store that may be seconds old.
+    #[default]
+    OutdatedListing,
+    /// A listing of the store.
+    Listing,
+    /// A watch of the store.
+    Watch,
+    /// A peer.
+    Peer(Ipv4Addr),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OutdatedListing => f.write_str("outdated listing"),
+            Self::Listing => f.write_str("listing"),
+            Self::Watch => f.write_str("watch"),
+            Self::Peer(peer) => write!(f, "peer {peer}"),
+        }
+    }
+}
+
 /// Changes of the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
@@ -45,6 +72,12 @@
 pub struct Registry {
     /// The store revision of the objects.
     pub revision: u64,
+    /// A hash of the objects; 0 until there are some.
+    pub hash: u32,
+    /// Where the last update came from.
+    pub source: Source,
+    /// When the last update came.
+    pub updated_at: Duration,
     /// The objects as stored, by name. Peers fetch them.
     pub objects: BTreeMap<String, Object>,
     /// The upstreams by id.
@@ -122,10 +155,23 @@
         self.revision = revision;
         if &self.objects != objects {
             self.objects.clone_from(objects);
+            self.hash = hash(objects);
         }
         self.index_addresses();
     }
 
+    /// Ids of the upstreams that take new requests.
+    pub fn ready_ids(&self) -> BTreeSet<Rc<str>> {
+        let ready = self.replicas.values();
+        let ready = ready.filter(|replica| replica.state == State::Ready);
+        ready.map(|replica| replica.id.clone()).collect()
+    }
+
+    /// Upstreams that are kept although they are missing from the objects, and until when.
+    pub fn kept(&self) -> &BTreeMap<Rc<str>, Duration> {
+        &self.missing
+    }
+
     /// Determines the upstream at each address.
     ///
     /// The entry of an upstream that crashed stays for several heartbeats, while its successor
@@ -225,23 +271,18 @@
         })
     }
 
-    /// Removes upstreams whose time to register again is over. Returns whether there were
-    /// any.
-    pub fn remove_expired(&mut self, now: Duration) -> bool {
-        let before = self.replicas.len();
-        let missing = &mut self.missing;
-        let replicas = &mut self.replicas;
-        missing.retain(|id, until| {
-            if now >= *until {
-                replicas.remove(id);
-            }
-            now < *until
-        });
-        let changed = replicas.len() != before;
-        if changed {
+    /// Removes upstreams whose time to register again is over, and returns their ids.
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<Rc<str>> {
+        let expired = self.missing.iter().filter(|(_, until)| now >= **until);
+        let expired: Vec<Rc<str>> = expired.map(|(id, _)| id.clone()).collect();
+        for id in &expired {
+            self.missing.remove(id);
+            self.replicas.remove(id);
+        }
+        if !expired.is_empty() {
             self.index_addresses();
         }
-        changed
+        expired
     }
 
     /// The upstream with this id.
@@ -274,6 +315,15 @@
     }
 }
 
+/// A hash of objects that doesn't depend on their order, and isn't 0.
+fn hash(objects: &BTreeMap<String, Object>) -> u32 {
+    let hashes = objects.values().map(|object| {
+        let (name, revision) = (&object.name, object.revision);
+        digest::hash(&format!("{name} {revision} {}", object.specification))
+    });
+    hashes.fold(0, u32::wrapping_add).max(1)
+}
+
 /// Until when missing upstreams are kept if the store has been available since the given
 /// time.
 #[must_use]
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -33,6 +33,9 @@
     pub store: StoreAccess,
     /// The revision of the configuration's object, which also changes with its status.
     pub configuration_revision: u64,
+    /// A hash of the upstream registry in use. Entries with the same revision have the same
+    /// objects, unless one of them missed a change. 0 if unknown.
+    pub registry_hash: u32,
 }
 
 /// Whether an entry watches the platform's store.
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -15,9 +15,9 @@
 /// would lose the whole datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
-/// Number of fields at the end of a digest that the previous version doesn't send. Zero
-/// takes one byte in each of them.
-const NEW_DIGEST_FIELDS: usize = 6;
+/// Number of fields at the end of a digest that the previous version doesn't send, and that the
+/// version before it doesn't. Zero takes one byte in each of them.
+const NEW_DIGEST_FIELDS: [usize; 2] = [1, 7];
 
 /// The same for a request for a slot. The version before the previous one omits both.
 const NEW_RESERVATION_FIELDS: usize = 2;
@@ -109,7 +109,12 @@
                 _ => None,
             }
         };
-        let digest = padded(NEW_DIGEST_FIELDS).filter(|m| matches!(m, Self::Digest(_)));
+        let digest = || {
+            NEW_DIGEST_FIELDS
+                .into_iter()
+                .filter_map(padded)
+                .find(|m| matches!(m, Self::Digest(_)))
+        };
         let request = || {
             (1..=NEW_RESERVATION_FIELDS)
                 .filter_map(padded)
@@ -117,7 +122,7 @@
         };
         let answer =
             || padded(NEW_ANSWER_FIELDS).filter(|m| matches!(m, Self::ReservationAnswer(_)));
-        digest.or_else(request).or_else(answer)
+        digest().or_else(request).or_else(answer)
     }
 }
 
--- a/verbenaspool_protocol/src/message/tests.rs
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -30,11 +30,13 @@
 /// Guards against an upgrade during which entries of two versions don't hear each other, so
 /// that each counts the other as dead.
 #[test]
-fn digests_of_the_previous_version_are_read() {
+fn digests_of_previous_versions_are_read() {
     let message = Message::Digest(digest());
     let bytes = message.encode();
-    let previous = &bytes[..bytes.len() - NEW_DIGEST_FIELDS];
-    assert_eq!(Message::decode(previous), Some(message));
+    for fields in NEW_DIGEST_FIELDS {
+        let previous = &bytes[..bytes.len() - fields];
+        assert_eq!(Message::decode(previous).as_ref(), Some(&message));
+    }
 }
 
 /// Guards against an agent that doesn't answer the reservations of an entry that wasn't
@@ -88,8 +90,8 @@
 #[test]
 fn truncated_and_extended_datagrams_are_rejected() {
     let bytes = Message::Digest(digest()).encode();
-    let previous = bytes.len() - NEW_DIGEST_FIELDS;
-    for length in (0..bytes.len()).filter(|length| *length != previous) {
+    let previous = NEW_DIGEST_FIELDS.map(|fields| bytes.len() - fields);
+    for length in (0..bytes.len()).filter(|length| !previous.contains(length)) {
         assert_eq!(Message::decode(&bytes[..length]), None, "{length}");
     }
     let order = Message::Subscribe(reservation::Subscription { same_zone: true });
