Test that upstreams which leave by the registry get no requests after the drain time

Callers' requests reached upstreams for seconds after the store had accepted that these leave. The soak had upstreams that say so in answers only; entries that restart read the store as it is, and nothing left by its entry alone.

The soak's upstreams now leave by `draining` or by the removal of their entry and serve on for 5 to 7.5 s, listings that may be outdated come from copies of different age, watches hear nothing for a second before the history goes, and all entries restart one after the other meanwhile. It checks by what upstreams saw: no request later than 2 s after the store accepted the leaving, by entries that weren't disturbed for 3 s.

--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     fmt,
     ops::Range,
     time::{Duration, Instant},
@@ -50,6 +50,10 @@
 /// How long after the notice that an upstream is leaving callers' requests may still arrive there.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// How long an entry that was interrupted, or whose path to the store or an upstream was, may be
+/// late, and how long the store's answers before a change must have been sound.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Violation {
@@ -82,6 +86,10 @@
     sent: RefCell<HashMap<String, (usize, Instant)>>,
     /// The entries that were signalled or started again, and when.
     interruptions: RefCell<Vec<(usize, Instant)>>,
+    /// When an entry's path to the store was cut off or harmed.
+    store_cuts: RefCell<Vec<(usize, Range<Instant>)>>,
+    /// When the store didn't answer.
+    pub store_outages: RefCell<Vec<Range<Instant>>>,
     /// The same of agents.
     agent_interruptions: RefCell<Vec<(usize, Instant)>>,
     /// Counts by result, such as whole or late responses.
@@ -189,6 +197,20 @@
         interruptions.push((entry, Instant::now()));
     }
 
+    /// Records that an entry's path to the store is cut off or harmed for some time from now on.
+    pub fn record_store_cut(&self, entry: usize, duration: Duration) {
+        let now = Instant::now();
+        self.store_cuts
+            .borrow_mut()
+            .push((entry, now..now + duration));
+    }
+
+    /// Records that the store doesn't answer for some time from now on.
+    pub fn record_store_outage(&self, duration: Duration) {
+        let now = Instant::now();
+        self.store_outages.borrow_mut().push(now..now + duration);
+    }
+
     /// Records that an agent was signalled or started again.
     pub fn record_agent_interruption(&self, agent: usize) {
         let mut interruptions = self.agent_interruptions.borrow_mut();
@@ -255,6 +277,61 @@
         }
     }
 
+    /// Checks that an upstream gets no requests later than [`DRAIN_TIME`] after the store accepted
+    /// that it is leaving, until it starts again, unless the store failed just before that, or the
+    /// entry or its paths were disturbed.
+    pub fn check_departures(
+        &self,
+        upstream: &Upstream,
+        departures: &[Instant],
+        restarts: &[Instant],
+        cut_until: Option<Instant>,
+    ) {
+        let journal = upstream.journal.borrow();
+        for &left_at in departures {
+            let outages = self.store_outages.borrow();
+            let mut outages = outages.iter();
+            if outages.any(|outage| is_disturbed(outage, left_at)) {
+                continue;
+            }
+            let back_at = restarts.iter().find(|at| **at > left_at);
+            let late = journal.iter().filter(|arrival| {
+                let until = cut_until.map_or(left_at, |cut| cut + STABLE_TIME);
+                arrival.at > (left_at + DRAIN_TIME).max(until)
+                    && back_at.is_none_or(|back_at| arrival.at < *back_at)
+            });
+            let late = late.filter_map(|arrival| {
+                let (entry, _) = *self.sent.borrow().get(&arrival.id)?;
+                (!self.is_entry_disturbed(entry, arrival.at)).then_some((entry, arrival))
+            });
+            let late: Vec<_> = late.collect();
+            if let Some((_, first)) = late.first() {
+                let entries: BTreeSet<usize> = late.iter().map(|(entry, _)| *entry).collect();
+                let details = format!(
+                    "{} got {} requests of entries {entries:?}, {} first, {:?} after it left",
+                    upstream.id,
+                    late.len(),
+                    first.id,
+                    first.at - left_at,
+                );
+                self.record_violation("no requests to an upstream that has left", details);
+            }
+            self.count("departures");
+        }
+    }
+
+    /// Whether an entry was interrupted within [`STABLE_TIME`] before a moment, or its path to the
+    /// store disturbed.
+    fn is_entry_disturbed(&self, entry: usize, at: Instant) -> bool {
+        let interruptions = self.interruptions.borrow();
+        let mut interruptions = interruptions.iter().filter(|(other, _)| *other == entry);
+        let cuts = self.store_cuts.borrow();
+        let mut cuts = cuts.iter().filter(|(other, _)| *other == entry);
+        interruptions
+            .any(|(_, interrupted)| (*interrupted..*interrupted + STABLE_TIME).contains(&at))
+            || cuts.any(|(_, cut)| is_disturbed(cut, at))
+    }
+
     /// When an entry was first interrupted in a period, or the end of the period.
     fn first_interruption(&self, entry: usize, period: &Range<Instant>) -> Instant {
         let interruptions = self.interruptions.borrow();
@@ -298,3 +375,8 @@
         }
     }
 }
+
+/// Whether a moment is in a disturbance or within [`STABLE_TIME`] after it.
+fn is_disturbed(disturbance: &Range<Instant>, at: Instant) -> bool {
+    (disturbance.start..disturbance.end + STABLE_TIME).contains(&at)
+}
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -44,6 +44,9 @@
 /// Route paths of [`FRAGILE_SERVICE`]: streams, and requests that may run at most once.
 pub const FRAGILE_PATHS: [&str; 2] = ["stream/fragile", "fragile"];
 
+/// Availability zones of entries. All upstreams are in the first one.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
 /// API key of the customer.
 pub const KEY: &str = "key-1";
 
@@ -60,6 +63,10 @@
     pub limited: RefCell<Vec<Range<Instant>>>,
     /// When it started again under its id, the first time aside.
     pub restarts: RefCell<Vec<Instant>>,
+    /// Whether it is leaving.
+    pub leaving: Cell<bool>,
+    /// When the store accepted that it is leaving, each time.
+    pub departures: RefCell<Vec<Instant>>,
     /// When the proxy last held up or lost requests or responses.
     pub last_cut: Cell<Option<Instant>>,
     address: SocketAddr,
@@ -135,13 +142,14 @@
 }
 
 impl Deployment {
-    /// Starts a deployment with the given numbers of entries and of ranks, each rank with
-    /// an agent.
+    /// Starts a deployment with the given numbers of entries, of availability zones that they
+    /// are in, and of ranks, each with an agent.
     ///
     /// # Errors
     /// An address can't be bound, or a program can't be started.
     pub fn start(
         entries: usize,
+        zones: usize,
         ranks: usize,
         programs: &Programs,
         folder: &Path,
@@ -162,6 +170,8 @@
                 service,
                 limited: RefCell::default(),
                 restarts: RefCell::default(),
+                leaving: Cell::default(),
+                departures: RefCell::default(),
                 last_cut: Cell::default(),
                 address,
             };
@@ -192,7 +202,8 @@
         for (number, listen) in addresses.into_iter().enumerate() {
             let proxy_address = address::fresh();
             store_proxies.push(Proxy::start(proxy_address, platform)?);
-            let text = entry_settings(number, listen, peer_port, proxy_address, &seeds);
+            let zone = ZONES[number % zones.clamp(1, ZONES.len())];
+            let text = entry_settings(number, zone, listen, peer_port, proxy_address, &seeds);
             let name = format!("entry-{number}");
             let process = Process::start(&programs.entry, folder, &name, &text)?;
             processes.push(Entry { listen, process });
@@ -235,6 +246,12 @@
         self.store.put("config", "main", &configuration(version));
     }
 
+    /// Removes an upstream from the registry.
+    pub fn unlist(&self, server: usize) {
+        let id = &self.servers[server].upstream.id;
+        self.store.remove("servers", id);
+    }
+
     /// Sets the state of an upstream in the registry.
     pub fn set_listed_state(&self, server: usize, state: &str) {
         let server = &self.servers[server];
@@ -263,6 +280,9 @@
             let cut_until = server.last_cut.get();
             self.checks
                 .check_notices(&server.upstream, &restarts, cut_until);
+            let departures = server.departures.borrow();
+            self.checks
+                .check_departures(&server.upstream, &departures, &restarts, cut_until);
         }
         for (agent, member) in self.members.iter().enumerate() {
             self.checks.check_reads(agent, &member.rejections.borrow());
@@ -292,6 +312,7 @@
 /// Settings of an entry.
 fn entry_settings(
     number: usize,
+    zone: &str,
     listen: SocketAddr,
     peer_port: u16,
     platform: SocketAddr,
@@ -302,7 +323,7 @@
     let control = SocketAddr::new(address, peer_port + 1);
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}'")).collect();
     format!(
-        "path: direct\nname: entry-{number}\nzone: a\naddress: {address}\n\
+        "path: direct\nname: entry-{number}\nzone: {zone}\naddress: {address}\n\
          listen: '{listen}'\nreadiness: '{readiness}'\ncontrol: '{control}'\n\
          peer_port: {peer_port}\nseeds: [{}]\nplatform: '{platform}'\n\
          bounds: {{grace_s: 5, retry_ratio: 0.5, retry_slack: 200}}\nlog: {{form: json}}\n",
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -39,10 +39,10 @@
 ];
 
 /// Number of fault kinds around entries.
-const ENTRY_FAULT_KINDS: u32 = 15;
+const ENTRY_FAULT_KINDS: u32 = 18;
 
 /// Number of all fault kinds.
-const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 6;
+pub const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 6;
 
 /// How much longer than other faults an upstream limits its requests.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
@@ -53,21 +53,44 @@
 /// How much longer than other faults an upstream says that it is leaving.
 const LEAVING_TIME: Duration = Duration::from_secs(3);
 
+/// How much longer than other faults an upstream that has left still serves.
+const SERVING_TIME: Duration = Duration::from_secs(5);
+
+/// How long an upstream's entry is missing before it starts again.
+const ABSENCE_TIME: Duration = Duration::from_millis(500);
+
+/// How much longer than other faults listings are outdated.
+const LAG_TIME: Duration = Duration::from_secs(4);
+
+/// How old outdated listings are.
+const LISTING_AGE: Duration = Duration::from_secs(6);
+
+/// How long it takes to restart all entries one after the other.
+const ROLL_TIME: Duration = Duration::from_millis(2_500);
+
+/// How long outdated listings come from the same copy.
+const COPY_INTERVAL: Duration = Duration::from_millis(70);
+
+/// How long watches hear of no changes before the store drops its history.
+const DEAF_TIME: Duration = Duration::from_secs(1);
+
 /// Percentage of orders to ranks that get no answer during this fault.
 const LATE_PERCENT: u32 = 35;
 
 /// How long an entry may take to terminate after SIGTERM: its grace period and a second.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Injects faults until the deadline.
+/// Injects faults of the given kinds until the deadline.
 pub async fn run(
     deployment: Rc<Deployment>,
     mut rng: SmallRng,
     deadline: Instant,
+    kinds: &[u32],
+    mean_pause: Duration,
     write_fault: impl Fn(String),
 ) {
     while Instant::now() < deadline {
-        let kind = rng.random_range(0..FAULT_KINDS);
+        let kind = kinds.choose(&mut rng).copied().unwrap_or_default();
         let duration = Duration::from_millis(rng.random_range(100..2_500));
         let server = rng.random_range(0..deployment.servers.len());
         let entry = rng.random_range(0..deployment.store_proxies.len());
@@ -93,8 +116,8 @@
                 duration,
             ));
         }
-        let pause = rng.random_range(50..900);
-        monoio::time::sleep(Duration::from_millis(pause)).await;
+        let pause = mean_pause.mul_f64(rng.random_range(0.1..1.9));
+        monoio::time::sleep(pause).await;
     }
 }
 
@@ -103,12 +126,34 @@
 struct FaultChoice {
     behaviour: Behaviour,
     mode: Mode,
+    notice: DepartureNotice,
+}
+
+/// How an upstream that is leaving says so.
+#[derive(Debug, Clone, Copy)]
+struct DepartureNotice {
+    /// Its entry says so before it is removed.
+    listed: bool,
+    /// Its answers say so.
+    answers: bool,
+}
+
+impl DepartureNotice {
+    /// Its entry is removed, and nothing else says that it is leaving.
+    const NONE: Self = Self {
+        listed: false,
+        answers: false,
+    };
 }
 
 fn choose_fault(rng: &mut SmallRng) -> FaultChoice {
     FaultChoice {
         behaviour: BEHAVIOURS.choose(rng).copied().unwrap_or(Behaviour::Fail),
         mode: PROXY_MODES.choose(rng).copied().unwrap_or(Mode::Reset),
+        notice: DepartureNotice {
+            listed: rng.random(),
+            answers: rng.random(),
+        },
     }
 }
 
@@ -136,6 +181,7 @@
         }
         4 => {
             deployment.store_proxies[entry].mode.set(choice.mode);
+            deployment.checks.record_store_cut(entry, duration);
             monoio::time::sleep(duration).await;
             deployment.store_proxies[entry].mode.set(Mode::Pass);
         }
@@ -147,6 +193,7 @@
                 Condition::Silent
             };
             deployment.store.condition.set(mood);
+            deployment.checks.record_store_outage(duration);
             monoio::time::sleep(duration).await;
             deployment.store.condition.set(Condition::Healthy);
         }
@@ -155,11 +202,7 @@
             deployment.change_configuration();
             deployment.store.drop_history();
         }
-        8 => {
-            deployment.set_listed_state(server, "draining");
-            monoio::time::sleep(duration).await;
-            deployment.set_listed_state(server, "ready");
-        }
+        8 => depart(&deployment, server, choice.notice, SERVING_TIME + duration).await,
         9 => {
             signal(&deployment, entry, Signal::SIGSTOP);
             monoio::time::sleep(duration).await;
@@ -182,7 +225,88 @@
             target.upstream.behaviour.set(Behaviour::Healthy);
             target.upstream.backoff.set(None);
         }
-        _ => leave_and_return(&deployment, server, LEAVING_TIME + duration).await,
+        14 => leave_and_return(&deployment, server, LEAVING_TIME + duration).await,
+        15 => {
+            let (lagging, restarted) = (deployment.clone(), deployment.clone());
+            monoio::spawn(async move {
+                answer_from_lagging_copies(&lagging, ROLL_TIME + duration).await;
+            });
+            monoio::spawn(async move { restart_all(&restarted, entry).await });
+            monoio::time::sleep(duration).await;
+            let notice = DepartureNotice::NONE;
+            depart(&deployment, server, notice, SERVING_TIME + duration).await;
+        }
+        16 => answer_from_lagging_copies(&deployment, LAG_TIME + duration).await,
+        _ => {
+            monoio::spawn(compact_history(deployment.clone()));
+            depart(&deployment, server, choice.notice, SERVING_TIME + duration).await;
+        }
+    }
+}
+
+/// Lets listings that may be outdated come from a current and from an older copy by turns.
+async fn answer_from_lagging_copies(deployment: &Deployment, duration: Duration) {
+    let until = Instant::now() + duration;
+    while Instant::now() < until {
+        for lag in [LISTING_AGE, Duration::ZERO] {
+            deployment.store.lag.set(lag);
+            monoio::time::sleep(COPY_INTERVAL).await;
+        }
+    }
+}
+
+/// Lets watches of the store hear of no changes for some time, and then drops its history.
+async fn compact_history(deployment: Rc<Deployment>) {
+    deployment.store.deaf.set(true);
+    monoio::time::sleep(DEAF_TIME).await;
+    deployment.store.drop_history();
+    deployment.store.deaf.set(false);
+}
+
+/// Lets an upstream leave, serve on for some time, and then start again under its id, unless it
+/// is leaving already.
+async fn depart(
+    deployment: &Deployment,
+    server: usize,
+    notice: DepartureNotice,
+    duration: Duration,
+) {
+    let target = &deployment.servers[server];
+    if target.leaving.replace(true) {
+        return;
+    }
+    if notice.listed {
+        deployment.set_listed_state(server, "draining");
+    } else {
+        deployment.unlist(server);
+    }
+    target.departures.borrow_mut().push(Instant::now());
+    target.upstream.leaving.set(notice.answers);
+    monoio::time::sleep(duration).await;
+    deployment.unlist(server);
+    monoio::time::sleep(ABSENCE_TIME).await;
+    start_again(deployment, server);
+}
+
+/// Lets an upstream that was leaving start again under its id.
+fn start_again(deployment: &Deployment, server: usize) {
+    let target = &deployment.servers[server];
+    target.leaving.set(false);
+    target.upstream.leaving.set(false);
+    target.restarts.borrow_mut().push(Instant::now());
+    deployment.set_listed_state(server, "ready");
+}
+
+/// Kills all entries one after the other, and starts each again.
+async fn restart_all(deployment: &Rc<Deployment>, first: usize) {
+    let count = deployment.store_proxies.len();
+    let interval = ROLL_TIME / u32::try_from(count).unwrap_or(u32::MAX);
+    for number in 0..count {
+        let entry = (first + number) % count;
+        signal(deployment, entry, Signal::SIGKILL);
+        let deployment = deployment.clone();
+        monoio::spawn(async move { restart_entry(&deployment, entry).await });
+        monoio::time::sleep(interval).await;
     }
 }
 
@@ -203,13 +327,12 @@
 /// it is leaving already. The registry doesn't say so.
 async fn leave_and_return(deployment: &Deployment, server: usize, duration: Duration) {
     let target = &deployment.servers[server];
-    if target.upstream.leaving.replace(true) {
+    if target.leaving.replace(true) {
         return;
     }
+    target.upstream.leaving.set(true);
     monoio::time::sleep(duration).await;
-    target.upstream.leaving.set(false);
-    target.restarts.borrow_mut().push(Instant::now());
-    deployment.set_listed_state(server, "ready");
+    start_again(deployment, server);
 }
 
 /// Injects one fault of a group or an agent and ends it after its duration.
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -47,6 +47,15 @@
     /// Entry processes.
     #[arg(long, default_value_t = 3)]
     processes: usize,
+    /// Availability zones of the entries, at most three.
+    #[arg(long, default_value_t = 1)]
+    zones: usize,
+    /// The kinds of faults, by number; all by default.
+    #[arg(long, value_delimiter = ',')]
+    faults: Vec<u32>,
+    /// The mean pause between faults, in milliseconds.
+    #[arg(long, default_value_t = 475)]
+    pause_ms: u64,
     /// Callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
@@ -114,7 +123,7 @@
     let faults = RefCell::new(fs::File::create(folder.join("faults.log"))?);
     let entries = options.processes.clamp(1, MAX_PROCESSES);
     let ranks = options.ranks.clamp(2, MAX_PROCESSES);
-    let deployment = Deployment::start(entries, ranks, &programs, &folder)?;
+    let deployment = Deployment::start(entries, options.zones, ranks, &programs, &folder)?;
     monoio::time::sleep(SETTLE_TIME).await;
     let started_at = Instant::now();
     let deadline = started_at + Duration::from_secs(options.seconds);
@@ -141,10 +150,18 @@
         // The checks don't depend on the log, so a failed write is ignored.
         let _ = writeln!(faults.borrow_mut(), "{at} ms {fault}");
     };
+    let all: Vec<u32> = (0..fault::FAULT_KINDS).collect();
+    let kinds = if options.faults.is_empty() {
+        &all
+    } else {
+        &options.faults
+    };
     fault::run(
         deployment.clone(),
         SmallRng::seed_from_u64(seed),
         deadline,
+        kinds,
+        Duration::from_millis(options.pause_ms),
         write_fault,
     )
     .await;
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -2,19 +2,12 @@
 
 use std::process::Command;
 
-/// Runs a seed for a few seconds and checks that it reports no violation.
-fn run_seed(seed: u64) {
+/// Runs the soak for a few seconds and checks that it reports no violation.
+fn run_soak(options: &str) {
     let soak = env!("CARGO_BIN_EXE_verbenaspool-soak");
     let folder = std::env::temp_dir().join(format!("verbenaspool-soak-{}", std::process::id()));
     let run = Command::new(soak)
-        .args([
-            "--seed",
-            &seed.to_string(),
-            "--seconds",
-            "6",
-            "--callers",
-            "12",
-        ])
+        .args(options.split_whitespace())
         .arg("--folder")
         .arg(&folder)
         .output()
@@ -31,5 +24,15 @@
 /// stopped, paused and killed, connections break and the store and upstreams fail.
 #[test]
 fn a_few_seconds_of_faults_break_no_promise() {
-    run_seed(1);
+    run_soak("--seed 1 --seconds 6 --callers 12");
+}
+
+/// Guards against entries that send to an upstream which left as all entries were restarted one
+/// after the other, with first listings of different ages.
+#[test]
+fn rolling_restarts_hide_no_departure() {
+    run_soak(
+        "--seed 3 --seconds 12 --faults 15 --pause-ms 4000 --processes 8 --callers 20 \
+         --crashing 0 --sharing 0",
+    );
 }
