Take nothing for a base of changes that an outdated listing told

Callers' requests reached upstreams for seconds after these had left, sent by single entries of a zone that had started around that time, until the upstream's entry changed again.

An entry lists the registry first from a copy of the store that may be seconds old, and took the revision of the newest object for that of the listing. A removal leaves no object, so a listing from before and one from after it have the same revision. Entries fetch what changed since their revision from a peer; a peer whose own first listing was made after the removal had never had the object, and told of no removal, as it counted removals from that first listing on. The entry then had the peer's revision and the removed upstream, and nothing noticed.

An outdated one is replaced by any that isn't and isn't older, never the other way round; it is neither the base of changes that an entry fetches nor the start of the removals that it knows; digests say so. An entry with an outdated registry takes a peer's as a whole, or, if the hash of its objects is the same, just the revision: after a restart of all entries nothing needs to be fetched. Only peers of the same kind serve outdated ones to each other, for as long as nobody reaches the store.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -18,7 +18,7 @@
 use super::{
     evacuation::Evacuations,
     gateway::Gateway,
-    registry::{self, Source},
+    registry::{self, Snapshot, Source},
 };
 
 /// How long a watch waits for changes if there are few entries. A dead connection to the
@@ -269,8 +269,14 @@
                 } else {
                     Duration::ZERO
                 };
+                let snapshot = Snapshot {
+                    objects: &objects,
+                    revision: self.revision,
+                    outdated: source == Source::OutdatedListing,
+                    source,
+                };
                 self.gateway
-                    .update_registry(retain_missing_until, self.revision, &objects, source);
+                    .update_registry(retain_missing_until, &snapshot);
             }
         }
     }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -28,7 +28,7 @@
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
-    registry::{self, Registry, Source},
+    registry::{self, Registry, Snapshot, Source},
     reserve::Reservations,
     settings::Settings,
 };
@@ -150,6 +150,11 @@
         self.registry.borrow().revision
     }
 
+    /// Whether the registry is from an outdated snapshot.
+    pub fn is_registry_outdated(&self) -> bool {
+        self.registry.borrow().outdated
+    }
+
     /// The hash of the registry's objects.
     pub fn registry_hash(&self) -> u32 {
         self.registry.borrow().hash
@@ -221,37 +226,45 @@
         self.distribute_upstreams();
     }
 
-    /// Replaces the registry of upstreams, unless the given revision is older.
+    /// Replaces the registry of upstreams, unless it knows better.
     ///
-    /// Upstreams that are missing from `objects` are kept until `retain_missing_until`.
-    pub fn update_registry(
-        &self,
-        retain_missing_until: Duration,
-        revision: u64,
-        objects: &BTreeMap<String, Object>,
-        from: Source,
-    ) {
+    /// Upstreams that are missing from the snapshot are kept until `retain_missing_until`.
+    pub fn update_registry(&self, retain_missing_until: Duration, snapshot: &Snapshot) {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
-        if revision < registry.revision && self.registry_loaded.get() {
+        if !registry.accepts(snapshot) {
             return;
         }
-        let changed = &registry.objects != objects;
+        let changed = &registry.objects != snapshot.objects;
         let ready_before = registry.ready_ids();
-        registry.update(now, retain_missing_until, revision, objects);
-        (registry.source, registry.updated_at) = (from, now);
+        registry.update(now, retain_missing_until, snapshot);
         self.registry_loaded.set(true);
         if !changed {
             return;
         }
         info!(self.log, "registry of upstreams changed";
-            "revision" => revision, "from" => %from, "upstreams" => registry.len(),
+            "revision" => snapshot.revision, "from" => %snapshot.source, "upstreams" => registry.len(),
             "hash" => registry.hash);
         self.log_departures(&registry, &ready_before);
         drop(registry);
         self.distribute_upstreams();
     }
 
+    /// Confirms an outdated registry by a peer that has the same objects, so that they needn't be
+    /// fetched: after a restart of all entries each of them has such a registry.
+    pub fn confirm_registry(&self) {
+        let mut registry = self.registry.borrow_mut();
+        if !registry.outdated {
+            return;
+        }
+        let now = self.clock.now();
+        let peers = self.peers.borrow();
+        if let Some(revision) = peers.confirmed_revision(now, registry.revision, registry.hash) {
+            registry.confirm(revision);
+            info!(self.log, "registry of upstreams confirmed"; "revision" => revision);
+        }
+    }
+
     /// Logs the upstreams that took requests before an update and don't any more, or are kept
     /// although they are missing.
     fn log_departures(&self, registry: &Registry, ready_before: &BTreeSet<Rc<str>>) {
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -16,7 +16,7 @@
 use crate::direct::{
     evacuation::Evacuations,
     gateway::Gateway,
-    registry::{self, Source},
+    registry::{self, Snapshot, Source},
 };
 
 /// Interval of checks whether a peer has newer state.
@@ -46,6 +46,9 @@
     pub(super) table: u64,
     /// The revision of its registry.
     pub(super) registry: u64,
+    /// Whether its registry is from an outdated snapshot.
+    #[serde(skip)]
+    pub(super) outdated: bool,
     /// The revision of the evacuated zones.
     #[serde(default)]
     pub(super) evacuations: u64,
@@ -69,6 +72,7 @@
         Self {
             table: 0,
             registry: revision,
+            outdated: false,
             evacuations: 0,
             configuration: 0,
             accepts_changes: true,
@@ -84,6 +88,9 @@
     revision: u64,
     /// The registry's objects, or those that changed after the revision `base`.
     upstreams: Option<Vec<Object>>,
+    /// Whether these are from an outdated snapshot.
+    #[serde(default)]
+    outdated: bool,
     #[serde(default)]
     base: Option<u64>,
     /// Names of the objects that were removed after the revision `base`.
@@ -107,6 +114,7 @@
         Versions {
             table: self.table_version(),
             registry: self.registry_revision(),
+            outdated: self.is_registry_outdated(),
             evacuations: self.evacuations.borrow().revision,
             configuration: configuration.as_ref().map_or(0, |object| object.revision),
             accepts_changes: true,
@@ -120,6 +128,7 @@
             configuration: None,
             revision: own.registry,
             upstreams: None,
+            outdated: own.outdated,
             base: None,
             removed: Vec::new(),
             retention_left_ms: u64::try_from(self.retention_left().as_millis()).ok(),
@@ -135,7 +144,8 @@
             return update;
         }
         let changes = self.registry_changes(versions.registry);
-        if let Some(changes) = changes.filter(|_| versions.accepts_changes) {
+        let in_changes = versions.accepts_changes && !own.outdated;
+        if let Some(changes) = changes.filter(|_| in_changes) {
             update.upstreams = Some(changes.changed);
             update.base = Some(versions.registry);
             update.removed = changes.removed;
@@ -148,9 +158,14 @@
     /// Fetches newer state from a peer and applies it.
     async fn fetch_update(&self, peer: Ipv4Addr) {
         let address = SocketAddr::from((peer, self.settings.borrow().control.port()));
+        let mut versions = self.versions();
+        if versions.outdated {
+            // Changes since its revision would lack earlier removals.
+            versions.registry = 0;
+        }
         let result: Result<Update, _> = self
             .rpc
-            .call(address, LATEST_METHOD, &self.versions(), CALL_TIMEOUT)
+            .call(address, LATEST_METHOD, &versions, CALL_TIMEOUT)
             .await;
         let update = match result {
             Ok(update) => update,
@@ -191,7 +206,13 @@
             || registry::missing_deadline(now),
             |left| now + Duration::from_millis(left),
         );
-        self.update_registry(retain_missing_until, update.revision, &objects, from);
+        let snapshot = Snapshot {
+            objects: &objects,
+            revision: update.revision,
+            outdated: update.outdated,
+            source: from,
+        };
+        self.update_registry(retain_missing_until, &snapshot);
     }
 }
 
@@ -209,6 +230,7 @@
     loop {
         gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
+        gateway.confirm_registry();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
         let Some(&(peer, same_zone)) = newer.first() else {
             gateway.peers.borrow_mut().behind_since = None;
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -46,6 +46,7 @@
             store: self.store_access(),
             configuration_revision: versions.configuration,
             registry_hash: self.registry_hash(),
+            registry_outdated: versions.outdated,
             leaving: self.leaving.get(),
             in_flight,
             ..Digest::default()
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -348,6 +348,7 @@
     pub fn differing_registries(&self, now: Duration, revision: u64, hash: u32) -> usize {
         let differs = |digest: &Digest| {
             digest.registry_revision == revision
+                && !digest.registry_outdated
                 && digest.registry_hash != 0
                 && digest.registry_hash != hash
         };
@@ -355,13 +356,27 @@
         peers.filter(|(_, peer)| differs(&peer.digest)).count()
     }
 
+    /// The newest revision of a live peer's registry with this hash that isn't outdated, nor older
+    /// than `revision`.
+    #[must_use]
+    pub fn confirmed_revision(&self, now: Duration, revision: u64, hash: u32) -> Option<u64> {
+        let confirms = |digest: &Digest| {
+            !digest.registry_outdated
+                && digest.registry_hash == hash
+                && digest.registry_revision >= revision
+        };
+        let peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
+        let confirming = peers.filter(|digest| confirms(digest));
+        confirming.map(|digest| digest.registry_revision).max()
+    }
+
     /// The peers that have newer state, and whether each is in this entry's zone; these come
     /// first.
     #[must_use]
     pub fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
-                || peer.digest.registry_revision > versions.registry
+                || has_newer_registry(&peer.digest, versions)
                 || peer.digest.evacuation_revision > versions.evacuations
                 || peer.digest.configuration_revision > versions.configuration
         };
@@ -418,6 +433,16 @@
     }
 }
 
+/// Whether a peer's registry is newer. An outdated one isn't newer than one that isn't, and one that
+/// isn't replaces an outdated one with the same revision.
+fn has_newer_registry(digest: &Digest, versions: Versions) -> bool {
+    match (versions.outdated, digest.registry_outdated) {
+        (true, false) => digest.registry_revision >= versions.registry,
+        (false, true) if versions.registry > 0 => false,
+        _ => digest.registry_revision > versions.registry,
+    }
+}
+
 /// The interval between digests for a number of peers.
 fn digest_interval(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -49,6 +49,21 @@
     }
 }
 
+/// A copy of the store's objects.
+#[derive(Debug, Clone, Copy)]
+pub struct Snapshot<'a> {
+    /// The objects by name.
+    pub objects: &'a BTreeMap<String, Object>,
+    /// The store's revision at which the objects were these. For an outdated snapshot, the revision
+    /// of the newest object.
+    pub revision: u64,
+    /// Whether the snapshot may be older than the store's revision at that time. A removal leaves no
+    /// object, so that two such snapshots can have the same revision and different objects.
+    pub outdated: bool,
+    /// Where it came from.
+    pub source: Source,
+}
+
 /// Changes of the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
@@ -72,6 +87,8 @@
 pub struct Registry {
     /// The store revision of the objects.
     pub revision: u64,
+    /// Whether the objects are from an outdated [`Snapshot`].
+    pub outdated: bool,
     /// A hash of the objects; 0 until there are some.
     pub hash: u32,
     /// Where the last update came from.
@@ -102,15 +119,17 @@
 }
 
 impl Registry {
+    /// Whether a snapshot replaces the objects: it isn't older, and isn't outdated unless they are.
+    #[must_use]
+    pub fn accepts(&self, snapshot: &Snapshot) -> bool {
+        let is_current = snapshot.revision >= self.revision;
+        self.revision == 0 || is_current && (self.outdated || !snapshot.outdated)
+    }
+
     /// Replaces the objects. Upstreams that are missing from them are kept until
     /// `retain_missing_until`.
-    pub fn update(
-        &mut self,
-        now: Duration,
-        retain_missing_until: Duration,
-        revision: u64,
-        objects: &BTreeMap<String, Object>,
-    ) {
+    pub fn update(&mut self, now: Duration, retain_missing_until: Duration, snapshot: &Snapshot) {
+        let objects = snapshot.objects;
         let mut replicas = BTreeMap::new();
         for object in objects.values() {
             if self.objects.get(&object.name) == Some(object)
@@ -151,8 +170,11 @@
             replicas.contains_key(id) || now < departure.noticed_at + MAX_DEPARTURE_TIME
         });
         self.retain_missing_until = retain_missing_until;
-        self.record_removals(revision, objects);
-        self.revision = revision;
+        self.record_removals(snapshot);
+        self.revision = snapshot.revision;
+        self.outdated = snapshot.outdated;
+        self.source = snapshot.source;
+        self.updated_at = now;
         if &self.objects != objects {
             self.objects.clone_from(objects);
             self.hash = hash(objects);
@@ -160,6 +182,15 @@
         self.index_addresses();
     }
 
+    /// Records that outdated objects are the store's at a revision, as a peer's are that have the
+    /// same hash.
+    pub fn confirm(&mut self, revision: u64) {
+        self.revision = revision;
+        self.outdated = false;
+        self.removals.clear();
+        self.removals_since = revision;
+    }
+
     /// Ids of the upstreams that take new requests.
     pub fn ready_ids(&self) -> BTreeSet<Rc<str>> {
         let ready = self.replicas.values();
@@ -239,10 +270,14 @@
         !replica.has_restarted_since(departure.started_at_ms)
     }
 
-    /// Records which objects are missing from new ones.
-    fn record_removals(&mut self, revision: u64, objects: &BTreeMap<String, Object>) {
-        if self.revision == 0 {
+    /// Records which objects are missing from a snapshot. What was removed before the first one
+    /// that isn't outdated is unknown.
+    fn record_removals(&mut self, snapshot: &Snapshot) {
+        let (revision, objects) = (snapshot.revision, snapshot.objects);
+        if self.revision == 0 || self.outdated {
+            self.removals.clear();
             self.removals_since = revision;
+            return;
         }
         let removed = self.objects.keys();
         let removed = removed.filter(|name| !objects.contains_key(*name));
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -4,7 +4,7 @@
 
 use verbenaspool_platform::store::Object;
 
-use super::{Changes, MAX_REMOVALS, Registry};
+use super::{Changes, MAX_REMOVALS, Registry, Snapshot, Source};
 
 /// The objects with these names and revisions.
 fn objects(list: &[(&str, u64)]) -> BTreeMap<String, Object> {
@@ -21,8 +21,18 @@
 }
 
 fn update(registry: &mut Registry, revision: u64, list: &[(&str, u64)]) {
-    let (now, none) = (Duration::from_secs(1), Duration::ZERO);
-    registry.update(now, none, revision, &objects(list));
+    replace(registry, revision, &objects(list));
+}
+
+/// Replaces the objects by those of a snapshot that isn't outdated.
+fn replace(registry: &mut Registry, revision: u64, objects: &BTreeMap<String, Object>) {
+    let snapshot = Snapshot {
+        objects,
+        revision,
+        outdated: false,
+        source: Source::Listing,
+    };
+    registry.update(Duration::from_secs(1), Duration::ZERO, &snapshot);
 }
 
 /// Applies the changes after a revision to older objects.
@@ -116,8 +126,7 @@
         let named = objects
             .into_iter()
             .map(|object| (object.name.clone(), object));
-        let (now, none) = (Duration::from_secs(1), Duration::ZERO);
-        registry.update(now, none, 10, &named.collect());
+        replace(&mut registry, 10, &named.collect());
         assert_eq!(used(&registry), ["i-1"], "{first}");
         let address = "127.0.0.1:80".parse().expect("an address");
         assert_eq!(
@@ -138,9 +147,33 @@
     let named = objects
         .into_iter()
         .map(|object| (object.name.clone(), object));
-    let (now, none) = (Duration::from_secs(1), Duration::ZERO);
-    registry.update(now, none, 10, &named.collect());
+    replace(&mut registry, 10, &named.collect());
     assert!(registry.record_replaced(&"i-2".into()));
     assert_eq!(used(&registry), ["i-1"]);
     assert!(!registry.record_replaced(&"i-3".into()), "unknown");
 }
+
+/// Guards against a peer that keeps a removed upstream: a first listing that may be outdated has the
+/// revision of its newest object, and says nothing of removals after that.
+#[test]
+fn removals_before_an_outdated_listing_are_unknown() {
+    let mut registry = Registry::default();
+    let first = objects(&[("b", 9)]);
+    let outdated = Snapshot {
+        objects: &first,
+        revision: 9,
+        outdated: true,
+        source: Source::OutdatedListing,
+    };
+    registry.update(Duration::from_secs(1), Duration::ZERO, &outdated);
+    let mut confirmed = registry;
+    confirmed.confirm(46);
+    let mut listed = Registry::default();
+    listed.update(Duration::from_secs(1), Duration::ZERO, &outdated);
+    replace(&mut listed, 46, &first);
+    for registry in [confirmed, listed] {
+        assert_eq!(registry.changes(9), None);
+        assert!(!registry.accepts(&outdated));
+        assert!(registry.changes(46).is_some());
+    }
+}
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -36,6 +36,9 @@
     /// A hash of the upstream registry in use. Entries with the same revision have the same
     /// objects, unless one of them missed a change. 0 if unknown.
     pub registry_hash: u32,
+    /// Whether the registry is from a listing that may be outdated, so that its revision doesn't
+    /// say which objects were removed.
+    pub registry_outdated: bool,
 }
 
 /// Whether an entry watches the platform's store.
