Ask other peers for newer state after one that doesn't deliver it

Callers' requests reached upstreams after these had left, sent by entries that don't watch the store, for as long as one peer of their zone sent digests and answered no calls: an entry asked the first of the peers with newer state, in an order that never changes, again and again. A peer that died just after it had learned of a change held up its zone likewise for 2.5 s.

A peer from which the newer state couldn't be had comes last for 10 s, the one whose failure is the oldest first among those. Waiting for a peer of another zone begins with the first sign of newer state, and not again after each failure.

--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -245,7 +245,15 @@
         if now.saturating_sub(since) >= delay {
             info!(gateway.log, "peer has newer state; fetching it"; "peer" => peer.to_string());
             gateway.fetch_update(peer).await;
-            gateway.peers.borrow_mut().behind_since = None;
+            let now = gateway.clock.now();
+            let still_newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
+            let mut peers = gateway.peers.borrow_mut();
+            if still_newer.iter().any(|(other, _)| *other == peer) {
+                peers.record_failed_fetch(now, peer);
+            } else {
+                peers.behind_since = None;
+            }
+            drop(peers);
             gateway.clock.sleep(MIN_FETCH_INTERVAL).await;
         }
     }
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -69,6 +69,10 @@
 /// How long digests are still sent to a silent peer, to detect the end of a partition.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
+/// How long other peers are asked first after a fetch from a peer failed. A peer whose digests
+/// arrive may be too busy to answer calls.
+const FETCH_FAILURE_TIME: Duration = Duration::from_secs(10);
+
 /// Maximum number of peers named in a digest, both in and outside of the sender's zone:
 /// while some may be undiscovered, and after that.
 const MAX_NAMED_PEERS: [usize; 2] = [24, 4];
@@ -82,6 +86,8 @@
     last_active: Duration,
     /// Whether a digest was sent to it.
     contacted: bool,
+    /// When a fetch last failed to bring its newer state.
+    fetch_failed_at: Option<Duration>,
     digest: Digest,
 }
 
@@ -370,8 +376,15 @@
         confirming.map(|digest| digest.registry_revision).max()
     }
 
-    /// The peers that have newer state, and whether each is in this entry's zone; these come
-    /// first.
+    /// Records that a fetch didn't bring a peer's newer state.
+    pub fn record_failed_fetch(&mut self, now: Duration, address: Ipv4Addr) {
+        if let Some(peer) = self.known.get_mut(&address) {
+            peer.fetch_failed_at = Some(now);
+        }
+    }
+
+    /// The peers that have newer state, and whether each is in this entry's zone. Those come last
+    /// from which it couldn't be fetched lately, and those of this entry's zone first.
     #[must_use]
     pub fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
@@ -381,10 +394,15 @@
                 || peer.digest.configuration_revision > versions.configuration
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
-        let newer = newer.map(|(address, peer)| (*address, self.is_same_zone(peer)));
+        let failed_lately = |peer: &Peer| {
+            let failed_at = peer.fetch_failed_at;
+            failed_at.filter(|at| now.saturating_sub(*at) < FETCH_FAILURE_TIME)
+        };
         let mut newer: Vec<_> = newer.collect();
-        newer.sort_by_key(|(_, same_zone)| !same_zone);
-        newer
+        newer.sort_by_key(|(_, peer)| (failed_lately(peer), !self.is_same_zone(peer)));
+        let newer = newer.into_iter();
+        let newer = newer.map(|(address, peer)| (*address, self.is_same_zone(peer)));
+        newer.collect()
     }
 }
 
