Take an upstream whose entry said draining for leaving until it starts again

Callers' requests reached an upstream that was leaving, once its entry said `ready` again behind `draining` without a new start, as by a heartbeat that the store carries out late: what an object says replaced what the one before had said. An answer with `Server-Leaving` counted until the next start already.

A `draining` object counts likewise now, by the start (`born`) that it names. Without one the latest object counts, as the next start couldn't be told from a late write.

--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -103,8 +103,8 @@
     by_address: HashMap<SocketAddr, Rc<Replica>>,
     /// Ids of upstreams in whose place another process answered.
     replaced: BTreeSet<Rc<str>>,
-    /// Upstreams that have said in an answer that they are leaving, also those that are missing
-    /// from the registry.
+    /// Upstreams that have said that they are leaving, also those that are missing from the
+    /// registry.
     leaving: BTreeMap<Rc<str>, Departure>,
     /// When the current object of each upstream was first seen.
     first_seen: BTreeMap<Rc<str>, Duration>,
@@ -141,6 +141,7 @@
             if let Some(mut replica) = registry::decode(&object.name, &object.specification) {
                 self.first_seen.insert(replica.id.clone(), now);
                 self.replaced.remove(&replica.id);
+                self.record_listed_leaving(now, &replica);
                 if self.is_leaving(&replica) {
                     replica.state = State::Draining;
                 }
@@ -258,8 +259,21 @@
         !was_leaving
     }
 
-    /// Whether an upstream has said in an answer that it is leaving, and hasn't started again
-    /// since. A notice whose sender didn't say when it started is of the first start that is known.
+    /// Records that an upstream's object says that it is leaving. A write that is carried out late
+    /// may say otherwise after that. Without a start, the latest object counts, as it can't be
+    /// told from that of a later start.
+    fn record_listed_leaving(&mut self, now: Duration, replica: &Replica) {
+        if replica.state == State::Draining && replica.started_at_ms != 0 {
+            let departure = Departure {
+                started_at_ms: replica.started_at_ms,
+                noticed_at: now,
+            };
+            self.leaving.insert(replica.id.clone(), departure);
+        }
+    }
+
+    /// Whether an upstream has said that it is leaving, and hasn't started again since. A notice
+    /// whose sender didn't say when it started is of the first start that is known.
     fn is_leaving(&mut self, replica: &Replica) -> bool {
         let Some(departure) = self.leaving.get_mut(&replica.id) else {
             return false;
