--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -216,6 +216,20 @@
     }
 }
 
+impl Gateway {
+    /// Records whether a fetch from a peer has brought its newer state.
+    fn record_fetch(&self, peer: Ipv4Addr) {
+        let now = self.clock.now();
+        let mut peers = self.peers.borrow_mut();
+        let newer = peers.newer_peers(now, self.versions());
+        if newer.iter().any(|(other, _)| *other == peer) {
+            peers.record_failed_fetch(now, peer);
+        } else {
+            peers.behind_since = None;
+        }
+    }
+}
+
 /// Registers the RPC method for peers.
 pub fn register_methods(gateway: &Rc<Gateway>, module: &mut rpc::Module) {
     let gateway = gateway.clone();
@@ -245,15 +259,7 @@
         if now.saturating_sub(since) >= delay {
             info!(gateway.log, "peer has newer state; fetching it"; "peer" => peer.to_string());
             gateway.fetch_update(peer).await;
-            let now = gateway.clock.now();
-            let still_newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
-            let mut peers = gateway.peers.borrow_mut();
-            if still_newer.iter().any(|(other, _)| *other == peer) {
-                peers.record_failed_fetch(now, peer);
-            } else {
-                peers.behind_since = None;
-            }
-            drop(peers);
+            gateway.record_fetch(peer);
             gateway.clock.sleep(MIN_FETCH_INTERVAL).await;
         }
     }
