Correct registries that differ at the same revision

An entry that had missed a removal sent callers' requests to the upstream until its entry changed again. Entries compared revisions alone: one that lacks a change has the revision of the others with the next change, and lists nothing again while its watch goes on.

Digests carry a hash of the registry's objects. An entry whose outdated registry no peer replaces for 3 s lists the store's objects itself.

What remains: a change that the store withholds from all entries is noticed with the next listing, at the latest with a restart; a store whose revisions go back isn't followed.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -51,6 +51,10 @@
 /// retried within the time limit for changes, which is 2 s.
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
+/// How long an entry that doesn't watch the store waits for a peer's registry if its own is outdated.
+/// Peers usually have it within tenths of a second.
+const MAX_OUTDATED_TIME: Duration = Duration::from_secs(3);
+
 /// The kind of objects to watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -89,6 +93,8 @@
     failing: bool,
     /// Whether the last watch was cut off.
     cut_off: bool,
+    /// How long an outdated registry waits for a peer's before its objects are listed next.
+    next_listing: Duration,
     retry_interval: Duration,
     /// Delay of the next watch after the last change.
     batch_interval: Duration,
@@ -115,6 +121,7 @@
             had_outage: false,
             failing: false,
             cut_off: false,
+            next_listing: MAX_OUTDATED_TIME,
             retry_interval: RETRY_INTERVALS[0],
             batch_interval: BATCH_INTERVAL,
         }
@@ -130,6 +137,7 @@
         loop {
             while !self.gateway.watches_store() {
                 self.gateway.clock.sleep(ELECTION_INTERVAL).await;
+                self.replace_outdated().await;
             }
             if !listed && !self.list(false).await {
                 continue;
@@ -138,6 +146,18 @@
         }
     }
 
+    /// Lists the registry if it is outdated and no peer has a newer one.
+    async fn replace_outdated(&mut self) {
+        let outdated_for = self.gateway.registry_outdated_for();
+        if outdated_for.is_zero() {
+            self.next_listing = MAX_OUTDATED_TIME;
+        }
+        if self.kind == Kind::Registry && outdated_for >= self.next_listing {
+            self.next_listing = outdated_for + MAX_OUTDATED_TIME;
+            self.list(false).await;
+        }
+    }
+
     /// Whether the gateway has objects of this kind, from the store or a peer.
     fn has_objects(&self) -> bool {
         match self.kind {
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -25,6 +25,7 @@
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
+    divergence::Divergence,
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
@@ -77,6 +78,10 @@
     pub stored_configuration: RefCell<Option<Object>>,
     /// Wakes the task that writes the quarantine to the store.
     pub unsaved: Notify,
+    /// Makes the follower of the registry list all objects again.
+    pub relist_registry: Rc<Notify>,
+    /// Whether peers have other objects at the registry's revision.
+    pub divergence: RefCell<Divergence>,
     /// Whether the process is shutting down. It fails readiness checks but still accepts
     /// requests.
     pub leaving: Cell<bool>,
@@ -120,6 +125,8 @@
             rate_limit_changed: Notify::new(),
             stored_configuration: RefCell::default(),
             unsaved: Notify::new(),
+            relist_registry: Rc::new(Notify::new()),
+            divergence: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             table_source: RefCell::default(),
@@ -152,7 +159,21 @@
 
     /// Whether the registry is from an outdated snapshot.
     pub fn is_registry_outdated(&self) -> bool {
-        self.registry.borrow().outdated
+        self.registry.borrow().is_outdated()
+    }
+
+    /// How long the registry has been from an outdated snapshot.
+    pub fn registry_outdated_for(&self) -> Duration {
+        let since = self.registry.borrow().outdated_since;
+        since.map_or(Duration::ZERO, |since| {
+            self.clock.now().saturating_sub(since)
+        })
+    }
+
+    /// Takes the registry for outdated, so that a peer's replaces or confirms it.
+    pub fn distrust_registry(&self) {
+        let now = self.clock.now();
+        self.registry.borrow_mut().distrust(now);
     }
 
     /// The hash of the registry's objects.
@@ -254,7 +275,7 @@
     /// fetched: after a restart of all entries each of them has such a registry.
     pub fn confirm_registry(&self) {
         let mut registry = self.registry.borrow_mut();
-        if !registry.outdated {
+        if !registry.is_outdated() {
             return;
         }
         let now = self.clock.now();
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod crash;
+mod divergence;
 mod evacuation;
 mod events;
 mod follow;
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -245,6 +245,7 @@
         gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
         gateway.confirm_registry();
+        gateway.correct_registry();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
         let Some(&(peer, same_zone)) = newer.first() else {
             gateway.peers.borrow_mut().behind_since = None;
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -87,8 +87,8 @@
 pub struct Registry {
     /// The store revision of the objects.
     pub revision: u64,
-    /// Whether the objects are from an outdated [`Snapshot`].
-    pub outdated: bool,
+    /// Since when the objects are from an outdated [`Snapshot`], if they are.
+    pub outdated_since: Option<Duration>,
     /// A hash of the objects; 0 until there are some.
     pub hash: u32,
     /// Where the last update came from.
@@ -123,7 +123,7 @@
     #[must_use]
     pub fn accepts(&self, snapshot: &Snapshot) -> bool {
         let is_current = snapshot.revision >= self.revision;
-        self.revision == 0 || is_current && (self.outdated || !snapshot.outdated)
+        self.revision == 0 || is_current && (self.is_outdated() || !snapshot.outdated)
     }
 
     /// Replaces the objects. Upstreams that are missing from them are kept until
@@ -173,7 +173,8 @@
         self.retain_missing_until = retain_missing_until;
         self.record_removals(snapshot);
         self.revision = snapshot.revision;
-        self.outdated = snapshot.outdated;
+        let since = self.outdated_since.unwrap_or(now);
+        self.outdated_since = snapshot.outdated.then_some(since);
         self.source = snapshot.source;
         self.updated_at = now;
         if &self.objects != objects {
@@ -183,11 +184,22 @@
         self.index_addresses();
     }
 
+    /// Whether the objects are from an outdated [`Snapshot`].
+    #[must_use]
+    pub fn is_outdated(&self) -> bool {
+        self.outdated_since.is_some()
+    }
+
+    /// Records that the objects may not be the store's at their revision.
+    pub fn distrust(&mut self, now: Duration) {
+        self.outdated_since.get_or_insert(now);
+    }
+
     /// Records that outdated objects are the store's at a revision, as a peer's are that have the
     /// same hash.
     pub fn confirm(&mut self, revision: u64) {
         self.revision = revision;
-        self.outdated = false;
+        self.outdated_since = None;
         self.removals.clear();
         self.removals_since = revision;
     }
@@ -288,7 +300,7 @@
     /// that isn't outdated is unknown.
     fn record_removals(&mut self, snapshot: &Snapshot) {
         let (revision, objects) = (snapshot.revision, snapshot.objects);
-        if self.revision == 0 || self.outdated {
+        if self.revision == 0 || self.is_outdated() {
             self.removals.clear();
             self.removals_since = revision;
             return;
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -185,7 +185,10 @@
     let evacuations = can_evacuate.then_some(Kind::Evacuations);
     let kinds = [Kind::Configuration, Kind::Registry].into_iter();
     let follow = |kind| {
-        let relist = Rc::new(Notify::new());
+        let relist = match kind {
+            Kind::Registry => gateway.relist_registry.clone(),
+            Kind::Configuration | Kind::Evacuations => Rc::new(Notify::new()),
+        };
         let follower = Follower::new(gateway.clone(), kind, relist.clone());
         monoio::spawn(follower.run());
         relist
