List the store's objects before watching if the registry is outdated

An entry that had watched before went on with its watch when it took over again, though its registry had been taken for outdated meanwhile because peers' differed: the changes would have been applied to objects that may lack others, and the result passed for complete. Found by reading; no test shows it.

An entry waits 10 s for a peer's registry before it lists the objects itself, for 3 s: as all entries of a large fleet start, it takes up to 3 s until the first digest of an entry that watches. Comments and the place of one function are mended as well.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -52,8 +52,8 @@
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
 /// How long an entry that doesn't watch the store waits for a peer's registry if its own is outdated.
-/// Peers usually have it within tenths of a second.
-const MAX_OUTDATED_TIME: Duration = Duration::from_secs(3);
+/// As all entries of a large fleet start, the first digest of one that watches takes up to 3 s.
+const MAX_OUTDATED_TIME: Duration = Duration::from_secs(10);
 
 /// The kind of objects to watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,13 +139,19 @@
                 self.gateway.clock.sleep(ELECTION_INTERVAL).await;
                 self.replace_outdated().await;
             }
-            if !listed && !self.list(false).await {
+            let complete = listed && !self.is_outdated();
+            if !complete && !self.list(false).await {
                 continue;
             }
             listed = self.watch().await == WatchEnd::Replaced;
         }
     }
 
+    /// Whether the objects are from an outdated snapshot, to which no changes may be applied.
+    fn is_outdated(&self) -> bool {
+        self.kind == Kind::Registry && self.gateway.is_registry_outdated()
+    }
+
     /// Lists the registry if it is outdated and no peer has a newer one.
     async fn replace_outdated(&mut self) {
         let outdated_for = self.gateway.registry_outdated_for();
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -247,7 +247,8 @@
         self.distribute_upstreams();
     }
 
-    /// Replaces the registry of upstreams, unless it knows better.
+    /// Replaces the registry of upstreams, unless the snapshot is older, or outdated and the registry
+    /// isn't.
     ///
     /// Upstreams that are missing from the snapshot are kept until `retain_missing_until`.
     pub fn update_registry(&self, retain_missing_until: Duration, snapshot: &Snapshot) {
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -214,9 +214,7 @@
         };
         self.update_registry(retain_missing_until, &snapshot);
     }
-}
 
-impl Gateway {
     /// Records whether a fetch from a peer has brought its newer state.
     fn record_fetch(&self, peer: Ipv4Addr) {
         let now = self.clock.now();
