--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -383,8 +383,8 @@
         }
     }
 
-    /// The peers that have newer state, and whether each is in this entry's zone. Those come last
-    /// from which it couldn't be fetched lately, and those of this entry's zone first.
+    /// The peers that have newer state, and whether each is in this entry's zone. Those of this
+    /// entry's zone come first, and those last from which a recent fetch failed.
     #[must_use]
     pub fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
@@ -394,12 +394,12 @@
                 || peer.digest.configuration_revision > versions.configuration
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
-        let failed_lately = |peer: &Peer| {
+        let recent_failure = |peer: &Peer| {
             let failed_at = peer.fetch_failed_at;
             failed_at.filter(|at| now.saturating_sub(*at) < FETCH_FAILURE_TIME)
         };
         let mut newer: Vec<_> = newer.collect();
-        newer.sort_by_key(|(_, peer)| (failed_lately(peer), !self.is_same_zone(peer)));
+        newer.sort_by_key(|(_, peer)| (recent_failure(peer), !self.is_same_zone(peer)));
         let newer = newer.into_iter();
         let newer = newer.map(|(address, peer)| (*address, self.is_same_zone(peer)));
         newer.collect()
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -272,8 +272,8 @@
     }
 
     /// Records that an upstream's object says that it is leaving. A write that is carried out late
-    /// may say otherwise after that. Without a start, the latest object counts, as it can't be
-    /// told from that of a later start.
+    /// may say otherwise after that. Without a start, the latest object counts, since it may be of
+    /// a later start.
     fn record_listed_leaving(&mut self, now: Duration, replica: &Replica) {
         if replica.state == State::Draining && replica.started_at_ms != 0 {
             let departure = Departure {
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -45,7 +45,7 @@
 pub const FRAGILE_PATHS: [&str; 2] = ["stream/fragile", "fragile"];
 
 /// Availability zones of entries. All upstreams are in the first one.
-const ZONES: [&str; 3] = ["a", "b", "c"];
+const ENTRY_ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// API key of the customer.
 pub const KEY: &str = "key-1";
@@ -202,7 +202,7 @@
         for (number, listen) in addresses.into_iter().enumerate() {
             let proxy_address = address::fresh();
             store_proxies.push(Proxy::start(proxy_address, platform)?);
-            let zone = ZONES[number % zones.clamp(1, ZONES.len())];
+            let zone = ENTRY_ZONES[number % zones.clamp(1, ENTRY_ZONES.len())];
             let text = entry_settings(number, zone, listen, peer_port, proxy_address, &seeds);
             let name = format!("entry-{number}");
             let process = Process::start(&programs.entry, folder, &name, &text)?;
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -71,8 +71,8 @@
 /// How long outdated listings come from the same copy.
 const COPY_INTERVAL: Duration = Duration::from_millis(70);
 
-/// How long watches hear of no changes before the store drops its history.
-const DEAF_TIME: Duration = Duration::from_secs(1);
+/// How long the store withholds changes from watches before it drops its history.
+const WITHHOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Percentage of orders to ranks that get no answer during this fault.
 const LATE_PERCENT: u32 = 35;
@@ -140,7 +140,7 @@
 
 impl DepartureNotice {
     /// Its entry is removed, and nothing else says that it is leaving.
-    const NONE: Self = Self {
+    const NO_NOTICE: Self = Self {
         listed: false,
         answers: false,
     };
@@ -187,12 +187,12 @@
         }
         5 => {
             let busy = duration.as_millis().is_multiple_of(2);
-            let mood = if busy {
+            let condition = if busy {
                 Condition::Busy
             } else {
                 Condition::Silent
             };
-            deployment.store.condition.set(mood);
+            deployment.store.condition.set(condition);
             deployment.checks.record_store_outage(duration);
             monoio::time::sleep(duration).await;
             deployment.store.condition.set(Condition::Healthy);
@@ -226,16 +226,7 @@
             target.upstream.backoff.set(None);
         }
         14 => leave_and_return(&deployment, server, LEAVING_TIME + duration).await,
-        15 => {
-            let (lagging, restarted) = (deployment.clone(), deployment.clone());
-            monoio::spawn(async move {
-                answer_from_lagging_copies(&lagging, ROLL_TIME + duration).await;
-            });
-            monoio::spawn(async move { restart_all(&restarted, entry).await });
-            monoio::time::sleep(duration).await;
-            let notice = DepartureNotice::NONE;
-            depart(&deployment, server, notice, SERVING_TIME + duration).await;
-        }
+        15 => depart_during_restarts(&deployment, server, entry, duration).await,
         16 => answer_from_lagging_copies(&deployment, LAG_TIME + duration).await,
         _ => {
             monoio::spawn(compact_history(deployment.clone()));
@@ -244,7 +235,7 @@
     }
 }
 
-/// Lets listings that may be outdated come from a current and from an older copy by turns.
+/// Lets listings that may be outdated alternate between the current objects and older ones.
 async fn answer_from_lagging_copies(deployment: &Deployment, duration: Duration) {
     let until = Instant::now() + duration;
     while Instant::now() < until {
@@ -255,12 +246,30 @@
     }
 }
 
-/// Lets watches of the store hear of no changes for some time, and then drops its history.
+/// Lets the store withhold changes from watches for some time, and then drop its history.
 async fn compact_history(deployment: Rc<Deployment>) {
-    deployment.store.deaf.set(true);
-    monoio::time::sleep(DEAF_TIME).await;
+    deployment.store.withholds_changes.set(true);
+    monoio::time::sleep(WITHHOLD_TIME).await;
     deployment.store.drop_history();
-    deployment.store.deaf.set(false);
+    deployment.store.withholds_changes.set(false);
+}
+
+/// Restarts all entries, with first listings of different ages, and lets an upstream leave without a
+/// notice meanwhile.
+async fn depart_during_restarts(
+    deployment: &Rc<Deployment>,
+    server: usize,
+    first_entry: usize,
+    duration: Duration,
+) {
+    let (lagging, restarted) = (deployment.clone(), deployment.clone());
+    monoio::spawn(async move {
+        answer_from_lagging_copies(&lagging, ROLL_TIME + duration).await;
+    });
+    monoio::spawn(async move { restart_all(&restarted, first_entry).await });
+    monoio::time::sleep(duration).await;
+    let notice = DepartureNotice::NO_NOTICE;
+    depart(deployment, server, notice, SERVING_TIME + duration).await;
 }
 
 /// Lets an upstream leave, serve on for some time, and then start again under its id, unless it
