Keep a backoff that an upstream requested before its new entry arrived

An upstream that had started again under its id and asked an entry for 1.5 s got three requests from it in that time; two are allowed.

A backoff ends with a start only if it was requested more than 5 s before that start, by the clocks of both. What an upstream in its new start has asked stands; an hour that its predecessor had asked still ends.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -32,6 +32,7 @@
     registry::{self, Registry, Snapshot, Source},
     reserve::Reservations,
     settings::Settings,
+    status::unix_time,
 };
 
 /// Timeout for new connections to upstreams. A round trip takes a few milliseconds. A
@@ -355,9 +356,12 @@
         for (service, upstreams) in upstreams_by_service {
             let queue = self.queue(&service);
             let upstreams = self.choose_subset(&queue, &upstreams);
-            queue.with(|dispatcher, _| {
+            queue.with(|dispatcher, now| {
                 dispatcher.set_upstreams(upstreams.iter().map(|replica| &**replica));
                 for replica in &upstreams {
+                    if let Some(age) = replica.age(unix_time()) {
+                        dispatcher.record_start(&replica.id, now.saturating_sub(age));
+                    }
                     let reported_at = registry.first_seen(&replica.id);
                     dispatcher.record_warm_up(reported_at, &replica.id, replica.warm_up_left);
                 }
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -157,7 +157,7 @@
 }
 
 /// The system time. Entries' clocks differ by much less than the duration of a quarantine.
-fn unix_time() -> Duration {
+pub fn unix_time() -> Duration {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
     elapsed.unwrap_or_default()
 }
--- a/verbenaspool_policy/src/dispatch/backoff.rs
+++ b/verbenaspool_policy/src/dispatch/backoff.rs
@@ -8,7 +8,19 @@
 
 use super::{Dispatcher, upstream::Upstream};
 
+/// How much the clocks of an upstream and an entry may differ, and how much earlier than it says it
+/// started an upstream may have answered. A backoff that was requested within this time before a
+/// start may be that of the new start, whose entry in the registry came after its first answers.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
+
 impl Dispatcher {
+    /// Records when an upstream started, which ends the backoff that its predecessor under the same
+    /// id requested.
+    pub fn record_start(&mut self, id: &Rc<str>, started_at: Duration) {
+        let before = started_at.saturating_sub(MAX_CLOCK_DIFFERENCE);
+        self.backoffs.end_before(id, before);
+    }
+
     /// Records that an upstream wants no requests of this entry for a time from now on.
     pub fn record_backoff(&mut self, now: Duration, id: &Rc<str>, time: Duration) {
         self.backoffs.record(now, id.clone(), time);
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -169,12 +169,6 @@
         for replica in list {
             let existing = removed.remove(&replica.id);
             let mut upstream = existing.unwrap_or_else(|| Upstream::new(replica));
-            if replica.has_restarted_since(upstream.started_at_ms) {
-                self.backoffs.end(&replica.id);
-            }
-            if replica.started_at_ms != 0 {
-                upstream.started_at_ms = replica.started_at_ms;
-            }
             upstream.ready = replica.state == replica::State::Ready;
             upstream.slots = replica.slots;
             upstream.zone.clone_from(&replica.zone);
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -32,8 +32,6 @@
     pub zone: Rc<str>,
     /// The number of requests that it processes concurrently.
     pub slots: u32,
-    /// When it started, in milliseconds of Unix time; 0 if it doesn't say.
-    pub started_at_ms: u64,
     /// Whether it takes new requests.
     pub ready: bool,
     /// Whether the operator has evacuated its availability zone.
@@ -133,7 +131,6 @@
         Self {
             zone: replica.zone.clone(),
             slots: replica.slots,
-            started_at_ms: replica.started_at_ms,
             ready: true,
             evacuated: false,
             warm_up_until: Duration::ZERO,
--- a/verbenaspool_state/src/replica.rs
+++ b/verbenaspool_state/src/replica.rs
@@ -24,6 +24,31 @@
 }
 
 impl Replica {
+    /// How long ago it started, by its clock and the given Unix time; `None` if it doesn't say.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_state::replica::{Replica, State};
+    ///
+    /// let replica = Replica {
+    ///     id: "i-1".into(),
+    ///     service: "jobs".into(),
+    ///     address: "127.0.0.1:80".parse().unwrap(),
+    ///     zone: "a".into(),
+    ///     slots: 1,
+    ///     state: State::Ready,
+    ///     started_at_ms: 1_000,
+    ///     warm_up_left: None,
+    /// };
+    /// assert_eq!(replica.age(Duration::from_secs(3)), Some(Duration::from_secs(2)));
+    /// ```
+    #[must_use]
+    pub fn age(&self, unix_time: Duration) -> Option<Duration> {
+        let started_at = Duration::from_millis(self.started_at_ms);
+        (self.started_at_ms != 0).then(|| unix_time.saturating_sub(started_at))
+    }
+
     /// Whether this is a later start than the given one, under the same id. A replica that doesn't
     /// say when it started counts as the same.
     ///
