Limit heads, interim responses and chunk framing of upstreams

A meter beside hyper follows the bytes that a connection receives and closes it at 16 KB or 64 lines of a head, 8 interim responses, or 4 KB of chunk extensions and trailers. The bytes are left as they are. A connection isn't reused unless its responses are complete and nothing followed them. The read buffer of limited connections is 64 KiB. Only the direct path's client of upstreams sets the limits; an exceeded one counts as a bad outcome, is logged (`response exceeded a limit`) and counted by limit (`verbenaspool_response_limits_exceeded_total`).

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -375,6 +375,11 @@
                 permit.release(AttemptOutcome::Bad);
                 return SendOutcome::Unknown(BROKEN_REASON);
             }
+            WaitResult::Answered(Err(Error::LimitExceeded(limit))) => {
+                self.gateway.record_limit_exceeded(&permit.upstream, limit);
+                permit.release(AttemptOutcome::Bad);
+                return SendOutcome::Unknown(limit.name());
+            }
             WaitResult::Answered(Ok(response)) => response,
         };
         let markers = header::parse_answer(response.headers());
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -29,6 +29,7 @@
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
+    readiness::limit_observer,
     registry::{self, Registry, Snapshot, Source},
     reserve::Reservations,
     settings::Settings,
@@ -109,12 +110,16 @@
         store: store::Client,
     ) -> Rc<Self> {
         let peers = Peers::new(settings.address, digest::hash(&settings.zone));
+        let metrics = metrics::Registry::default();
+        let client = Client::new(CONNECT_TIMEOUT)
+            .with_idle_timeout(KEEP_ALIVE_TIME)
+            .with_response_limits(limit_observer(&log, &metrics));
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
             log,
-            metrics: metrics::Registry::default(),
-            client: Client::new(CONNECT_TIMEOUT).with_idle_timeout(KEEP_ALIVE_TIME),
+            metrics,
+            client,
             store,
             rpc: rpc::Client::default(),
             peers: RefCell::new(peers),
--- a/verbenaspool/src/direct/readiness.rs
+++ b/verbenaspool/src/direct/readiness.rs
@@ -4,9 +4,14 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use verbenaspool_transport::http::{
-    body::Body,
-    server::{Handler, ResponseFuture},
+use slog::{Logger, warn};
+use verbenaspool_transport::{
+    http::{
+        body::Body,
+        response_limits::{Limit, Observer},
+        server::{Handler, ResponseFuture},
+    },
+    metrics,
 };
 
 use super::gateway::Gateway;
@@ -42,3 +47,31 @@
     *response.status_mut() = status;
     response
 }
+
+impl Gateway {
+    /// Logs and counts a response of an upstream that exceeded a limit.
+    pub fn record_limit_exceeded(&self, upstream: &str, limit: Limit) {
+        record_limit_exceeded(&self.log, &self.metrics, upstream, limit);
+    }
+}
+
+/// Records extra bytes that upstreams sent after complete responses.
+pub fn limit_observer(log: &Logger, metrics: &metrics::Registry) -> Observer {
+    let (log, metrics) = (log.clone(), metrics.clone());
+    Rc::new(move |address, limit| {
+        record_limit_exceeded(&log, &metrics, &address.to_string(), limit);
+    })
+}
+
+/// Logs and counts a response that exceeded a limit. `upstream` is the upstream's id, or its address
+/// where no request is concerned.
+fn record_limit_exceeded(log: &Logger, metrics: &metrics::Registry, upstream: &str, limit: Limit) {
+    warn!(log, "response exceeded a limit";
+        "upstream" => upstream.to_owned(), "limit" => limit.name());
+    let exceeded = metrics.counter(
+        "verbenaspool_response_limits_exceeded_total",
+        "Responses of upstreams that exceeded a limit.",
+        &[("limit", limit.name())],
+    );
+    exceeded.increment();
+}
--- a/verbenaspool/src/entry/exchange.rs
+++ b/verbenaspool/src/entry/exchange.rs
@@ -144,7 +144,9 @@
             }
         }
         Ok(Err(client::Error::NotSent(_))) => Err(not_run("The upstream can't be reached.")),
-        Ok(Err(client::Error::Broken(_))) => Err(settle(forward, &target).await),
+        Ok(Err(client::Error::Broken(_) | client::Error::LimitExceeded(_))) => {
+            Err(settle(forward, &target).await)
+        }
         // The caller is answered at once; dropping the request cancels it.
         Err(_) => Err(Failure {
             ending: Ending::Cancelled,
--- a/verbenaspool_agent/src/orders.rs
+++ b/verbenaspool_agent/src/orders.rs
@@ -116,6 +116,9 @@
             Ok(response) => response,
             Err(client::Error::NotSent(reason)) => return Err(Error::NotSent(reason)),
             Err(client::Error::Broken(reason)) => return Err(Error::Lost(reason)),
+            Err(error @ client::Error::LimitExceeded(_)) => {
+                return Err(Error::Lost(error.to_string()));
+            }
         };
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
--- a/verbenaspool_agent/src/proxy.rs
+++ b/verbenaspool_agent/src/proxy.rs
@@ -171,7 +171,14 @@
             Err(Problem::not_run(Code::NoUpstream, message)
                 .with_retry_after(RETRY_AFTER_UNREACHABLE))
         }
-        Either::Left((Err(client::Error::Broken(reason)), _)) => {
+        Either::Left((
+            Err(error @ (client::Error::Broken(_) | client::Error::LimitExceeded(_))),
+            _,
+        )) => {
+            let reason = match error {
+                client::Error::Broken(reason) => reason,
+                error => error.to_string(),
+            };
             warn!(shared.log, "upstream closed the connection before its response"; "reason" => reason);
             guard.close(Ending::Broken);
             let message = "The upstream broke off before its answer.";
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -12,13 +12,16 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderMap, Request, Response,
+    HeaderMap, Method, Request, Response,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use http_body::{Body as _, Frame, SizeHint};
 use hyper::{
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use monoio::{io::IntoPollIo, net::TcpStream};
 use monoio_compat::hyper::MonoioIo;
@@ -26,6 +29,9 @@
 
 use super::{
     body::{self, Body},
+    response_limits::{
+        Exceeded, Limit, MAX_READ_BUFFER_BYTES, Metered, MeteredConnection, Observer,
+    },
     retry_after::{self, RetryAfter},
 };
 
@@ -49,6 +55,10 @@
     /// Part of the request may have been sent before the connection broke.
     #[error("the connection broke before the answer: {0}")]
     Broken(String),
+    /// The head of the response exceeded a limit, and its connection was closed. The request may
+    /// have run.
+    #[error("the response exceeded the limit {}", .0.name())]
+    LimitExceeded(Limit),
 }
 
 /// An extension of responses whose body has neither a length nor chunks, and ends with the
@@ -92,7 +102,7 @@
 }
 
 /// An HTTP client. Clones share its connections.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Client {
     pool: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connect_timeout: Duration,
@@ -101,10 +111,62 @@
     backoffs: Option<Backoffs>,
     /// When expired idle connections were last removed.
     last_pruned: Rc<Cell<Instant>>,
+    /// Is told about extra bytes of servers, if responses are limited.
+    limits: Option<Observer>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client")
+            .field("connect_timeout", &self.connect_timeout)
+            .field("idle_timeout", &self.idle_timeout)
+            .field("limited", &self.limits.is_some())
+            .finish_non_exhaustive()
+    }
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    /// What has been received on it, if responses are limited.
+    metered: Option<Rc<MeteredConnection>>,
+}
+
+impl Connection {
+    /// Sends a request and waits for the response headers.
+    async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        if let Some(metered) = &self.metered {
+            metered.begin(request.method() == Method::HEAD);
+        }
+        self.sender.try_send_request(request).await
+    }
+
+    /// The error of a request that may have been sent.
+    fn error(&self, connection: &str, error: &hyper::Error) -> Error {
+        match self.limit_exceeded() {
+            Some(limit) => Error::LimitExceeded(limit),
+            None => Error::Broken(describe(connection, error)),
+        }
+    }
+
+    /// The limit that the response exceeded.
+    fn limit_exceeded(&self) -> Option<Limit> {
+        self.metered.as_ref().and_then(|metered| metered.exceeded())
+    }
+
+    /// Whether its responses are complete and no bytes followed them.
+    fn is_reusable(&self) -> bool {
+        let metered = self.metered.as_ref();
+        metered.is_none_or(|metered| metered.is_reusable())
+    }
 }
 
 /// An idle connection and when it expires.
-type IdleConnection = (SendRequest<Body>, Instant);
+type IdleConnection = (Connection, Instant);
 
 impl Client {
     /// Creates a client with a time limit for connecting.
@@ -125,9 +187,27 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             backoffs: None,
             last_pruned: Rc::new(Cell::new(Instant::now())),
+            limits: None,
         }
     }
 
+    /// Limits what servers may send besides bodies, as [`super::response_limits`] describes. The
+    /// observer is told about extra bytes, which fail no request.
+    ///
+    /// ```
+    /// use std::{rc::Rc, time::Duration};
+    ///
+    /// use verbenaspool_transport::http::client::Client;
+    ///
+    /// let client = Client::new(Duration::from_secs(1)).with_response_limits(Rc::new(|_, _| {}));
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn with_response_limits(mut self, observer: Observer) -> Self {
+        self.limits = Some(observer);
+        self
+    }
+
     /// Sets how long idle connections are kept.
     ///
     /// The timeout must be shorter than the server's: a server may close an idle
@@ -205,12 +285,12 @@
         let mut request = request;
         // The peer may have just closed an idle connection. If nothing of the request
         // was written, it is sent on the next idle connection and finally on a new one.
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.pool_after_response(address, sender, response)),
+        while let Some(mut connection) = self.take_idle(address) {
+            match connection.send(request).await {
+                Ok(response) => return Ok(self.pool_after_response(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(Error::Broken(describe("idle", error.error()))),
+                    None => return Err(connection.error("idle", error.error())),
                 },
             }
         }
@@ -231,13 +311,13 @@
         request: Request<Body>,
     ) -> Result<Response<Body>, Error> {
         self.check_backoff(address).await?;
-        let mut sender = self.connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.pool_after_response(address, sender, response)),
+        let mut connection = self.connect(address).await?;
+        match connection.send(request).await {
+            Ok(response) => Ok(self.pool_after_response(address, connection, response)),
             // hyper returns the request only if it wrote none of it.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::NotSent(error.error().to_string())),
-                None => Err(Error::Broken(describe("new", error.error()))),
+                None => Err(connection.error("new", error.error())),
             },
         }
     }
@@ -274,18 +354,19 @@
     }
 
     /// Takes an idle connection that is still open and hasn't expired.
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut pool = self.pool.borrow_mut();
-        let senders = pool.get_mut(&address)?;
-        while let Some((sender, expires_at)) = senders.pop() {
-            if sender.is_ready() && Instant::now() < expires_at {
-                return Some(sender);
+        let connections = pool.get_mut(&address)?;
+        while let Some((connection, expires_at)) = connections.pop() {
+            let usable = connection.sender.is_ready() && connection.is_reusable();
+            if usable && Instant::now() < expires_at {
+                return Some(connection);
             }
         }
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, Error> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
         let not_sent = |error: String| Error::NotSent(error);
         let stream = monoio::time::timeout(self.connect_timeout, TcpStream::connect(address))
             .await
@@ -295,21 +376,28 @@
         let stream = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(MonoioIo::new(stream))
+        let observer = self.limits.clone();
+        let metered = observer.map(|observer| Rc::new(MeteredConnection::new(address, observer)));
+        let mut builder = http1::Builder::new();
+        if metered.is_some() {
+            builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        }
+        let (sender, connection) = builder
+            .handshake(MonoioIo::new(Metered::new(stream, metered.clone())))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         monoio::spawn(async move {
             // The sender reports errors of the connection.
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Connection { sender, metered })
     }
 
     /// Wraps the response so that its connection returns to the pool after the body.
     fn pool_after_response(
         &self,
         address: SocketAddr,
-        sender: SendRequest<Body>,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> Response<Body> {
         if let Some(backoffs) = &self.backoffs {
@@ -320,7 +408,7 @@
             incoming,
             idle_timeout: keep_alive_timeout(&parts.headers)
                 .map_or(self.idle_timeout, |server| self.idle_timeout.min(server)),
-            sender: Some(sender),
+            connection: Some(connection),
             address,
             client: self.clone(),
         };
@@ -339,15 +427,15 @@
     }
 
     /// Returns a connection to the pool.
-    fn release(&self, address: SocketAddr, sender: SendRequest<Body>, idle_timeout: Duration) {
-        if idle_timeout.is_zero() {
+    fn release(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
+        if idle_timeout.is_zero() || !connection.is_reusable() {
             return;
         }
         let mut pool = self.pool.borrow_mut();
         self.prune(&mut pool);
-        let senders = pool.entry(address).or_default();
-        if senders.len() < MAX_IDLE_PER_ADDRESS {
-            senders.push((sender, Instant::now() + idle_timeout));
+        let connections = pool.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push((connection, Instant::now() + idle_timeout));
         }
     }
 
@@ -358,9 +446,9 @@
             return;
         }
         self.last_pruned.set(Instant::now());
-        pool.retain(|_, senders| {
-            senders.retain(|(_, expires_at)| Instant::now() < *expires_at);
-            !senders.is_empty()
+        pool.retain(|_, connections| {
+            connections.retain(|(_, expires_at)| Instant::now() < *expires_at);
+            !connections.is_empty()
         });
     }
 }
@@ -392,7 +480,7 @@
 /// the last byte of the body; dropping the body earlier closes it.
 struct PooledBody {
     incoming: Incoming,
-    sender: Option<SendRequest<Body>>,
+    connection: Option<Connection>,
     /// How long the connection may be idle after the response.
     idle_timeout: Duration,
     address: SocketAddr,
@@ -405,8 +493,9 @@
     }
 
     fn return_connection(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.client.release(self.address, sender, self.idle_timeout);
+        if let Some(connection) = self.connection.take() {
+            self.client
+                .release(self.address, connection, self.idle_timeout);
         }
     }
 }
@@ -424,7 +513,12 @@
             None => self.return_connection(),
             Some(Ok(_)) if self.incoming.is_end_stream() => self.return_connection(),
             Some(Ok(_)) => {}
-            Some(Err(_)) => self.sender = None,
+            Some(Err(_)) => {
+                let connection = self.connection.take();
+                if let Some(limit) = connection.and_then(|c| c.limit_exceeded()) {
+                    return std::task::Poll::Ready(Some(Err(Exceeded(limit).into())));
+                }
+            }
         }
         std::task::Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
     }
--- a/verbenaspool_transport/src/http/mod.rs
+++ b/verbenaspool_transport/src/http/mod.rs
@@ -7,7 +7,10 @@
 
 pub mod body;
 pub mod client;
+pub mod events;
 pub mod hop;
+pub mod progress;
 mod refusal;
+pub mod response_limits;
 pub mod retry_after;
 pub mod server;
