Abandon streams and bodies that make no progress

Empty lines and comments of a stream counted as events and reset its stall timeout.

Only an event with the expected id, or with data where events have no ids, is progress of a stream. A response without an event within the first-event timeout is abandoned like one that hasn't begun. While a stalled stream looks for another upstream, only an event keeps it at the present one; any byte did before.

Events that arrive in one read with a fault are forwarded before the stream is resumed after them. They were lost before, as the stream was resumed after ids that the caller hadn't got.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -69,6 +69,10 @@
     pub received_at: Duration,
     /// When the current upstream started to respond.
     pub response_started_at: Cell<Option<Duration>>,
+    /// When it was sent to the current upstream.
+    pub sent_at: Cell<Duration>,
+    /// When the current upstream must have sent the first event of a stream.
+    pub first_event_by: Cell<Duration>,
     /// Number of events received from the current upstream.
     pub attempt_events: Cell<u64>,
     /// Whether the current upstream has survived the attempt for long enough.
@@ -79,6 +83,9 @@
     pub connect_failures: Cell<u32>,
     /// Whether it may have run in an attempt whose outcome is unknown.
     pub may_have_run: Cell<bool>,
+    /// Whether a response to it exceeded a limit. Its next attempt waits for an upstream for as
+    /// long as its caller can still be served: rejecting it early would be a failure.
+    pub is_interrupted: Cell<bool>,
     /// Upstreams that must not be tried again.
     pub tried: std::cell::RefCell<Vec<Rc<str>>>,
     /// The upstream of the current attempt, which may be missing from the registry by now.
@@ -143,7 +150,11 @@
             target: self.target,
             deadline: self.deadline,
             place_by: self.place_by(),
-            resumption: Resumption::None,
+            resumption: if self.is_interrupted.get() {
+                Resumption::Interrupted
+            } else {
+                Resumption::None
+            },
             over_usual_rate: self.over_usual_rate,
             max_gap: self.route.target_gap.filter(|_| is_stream),
             excluded: self.tried.borrow().clone(),
@@ -248,6 +259,7 @@
             }
         };
         let sent_at = self.gateway.clock.now();
+        self.sent_at.set(sent_at);
         let result = self.await_response(response, &permit).await;
         let outcome = self.classify_response(result, sent_at, &replica, permit);
         match &outcome {
@@ -280,6 +292,7 @@
     ) -> WaitResult {
         let mut response = pin!(response);
         let until = self.gateway.clock.now() + self.response_timeout(&permit.upstream);
+        self.first_event_by.set(until);
         loop {
             let now = self.gateway.clock.now();
             let left = until.saturating_sub(now).max(self.extra_wait(now));
@@ -333,7 +346,7 @@
     /// The outcome of an attempt without a response. A route's timeout may be shorter than its
     /// requests take. A timeout then says nothing about the upstream, and ejecting it would
     /// take its capacity from all other requests.
-    fn silence_outcome(&self, waited: Duration) -> AttemptOutcome {
+    pub fn silence_outcome(&self, waited: Duration) -> AttemptOutcome {
         if waited
             >= self
                 .route
@@ -376,6 +389,7 @@
                 return SendOutcome::Unknown(BROKEN_REASON);
             }
             WaitResult::Answered(Err(Error::LimitExceeded(limit))) => {
+                self.is_interrupted.set(true);
                 self.gateway.record_limit_exceeded(&permit.upstream, limit);
                 permit.release(AttemptOutcome::Bad);
                 return SendOutcome::Unknown(limit.name());
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -6,10 +6,10 @@
 
 mod answer;
 mod attempt;
+mod buffered;
 mod crash;
 mod divergence;
 mod evacuation;
-mod events;
 mod follow;
 mod gateway;
 pub mod peers;
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -61,6 +61,11 @@
         self.outcome.set(outcome);
     }
 
+    /// Sets the outcome that counts if the permit is dropped without another one.
+    pub fn set_outcome(&self, outcome: AttemptOutcome) {
+        self.outcome.set(outcome);
+    }
+
     /// Whether a slot must be reserved with the upstream's agent before the request is sent.
     pub fn needs_reservation(&self) -> bool {
         let now = self.queue.clock.now();
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -3,7 +3,7 @@
 //! If the upstream fails, stalls or becomes slow and the route is resumable, the stream is
 //! resumed on another upstream after the last complete event, within the same response.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{
@@ -20,11 +20,12 @@
 use verbenaspool_transport::http::{
     body::{self, Body},
     client::EndsWithConnection,
+    events::{Fault, Progress, Splitter},
+    response_limits::{Limit, exceeded_limit},
 };
 
 use super::{
     attempt::{PendingRequest, SendOutcome},
-    events::Splitter,
     queue::Permit,
 };
 
@@ -49,6 +50,10 @@
 /// Reason to leave an upstream: the stream stalled.
 const STALL_REASON: &str = "fell-silent";
 
+/// Reason to leave an upstream: its response has begun, but has no event within the time in which
+/// it should have.
+const SILENT_REASON: &str = "silent";
+
 /// Reason to leave an upstream: it is slow and delays its whole group.
 pub const SLOW_REASON: &str = "slow";
 
@@ -67,11 +72,13 @@
     /// Whether the body ends with the connection, which a crash of the upstream ends as well.
     ends_with_connection: bool,
     splitter: Splitter,
+    /// What was received while another upstream was being requested.
+    received: VecDeque<Next>,
     /// When the last event arrived, or the response started.
     last_event_at: Duration,
     /// The earliest time to try to move a stalled or slow stream.
     next_move_at: Duration,
-    /// Whether the stream was aborted.
+    /// Whether the stream has ended or was aborted.
     done: bool,
 }
 
@@ -79,12 +86,18 @@
 enum Next {
     /// Bytes were received.
     Data(Bytes),
+    /// Events are complete.
+    Events(Bytes),
+    /// The stream must not be continued from this upstream, for this reason.
+    Fault(&'static str),
     /// The upstream ended the stream.
     End,
     /// The connection broke, for this reason.
     Broken(&'static str),
     /// No event was received for too long.
     Stalled,
+    /// The response has begun, but has no event in time.
+    Silent,
     /// The upstream is slow and delays its whole group.
     Slow,
     /// The request's deadline has passed.
@@ -106,6 +119,7 @@
         permit: Some(permit),
         body: Some(body),
         ends_with_connection: parts.extensions.get::<EndsWithConnection>().is_some(),
+        received: VecDeque::new(),
         last_event_at: now,
         next_move_at: Duration::ZERO,
         done: false,
@@ -128,26 +142,32 @@
                 Next::Data(bytes) => match self.accept_bytes(&bytes) {
                     Ok(Some(events)) => return Some((Ok(Frame::data(events)), self)),
                     Ok(None) => {}
-                    Err(reason) => match self.fail_over(reason, AttemptOutcome::Bad).await {
-                        Ok(()) => {}
-                        Err(reason) => return Some(self.abort(reason)),
-                    },
+                    Err(reason) => self.received.push_back(Next::Fault(reason)),
                 },
+                Next::Events(events) => return Some((Ok(Frame::data(events)), self)),
                 Next::End if self.splitter.at_event_end() => {
                     self.release_upstream(AttemptOutcome::Good);
                     self.request.record_success();
                     self.request.record.set_result(200, "whole");
-                    return None;
+                    let rest = self.splitter.take_rest();
+                    self.done = true;
+                    return (!rest.is_empty()).then(|| (Ok(Frame::data(rest)), self));
                 }
                 Next::End => match self.fail_over(TRUNCATED_REASON, AttemptOutcome::Bad).await {
                     Ok(()) => {}
                     Err(reason) => return Some(self.abort(reason)),
                 },
-                Next::Broken(reason) => match self.fail_over(reason, AttemptOutcome::Bad).await {
+                Next::Broken(reason) | Next::Fault(reason) => {
+                    match self.fail_over(reason, AttemptOutcome::Bad).await {
+                        Ok(()) => {}
+                        Err(reason) => return Some(self.abort(reason)),
+                    }
+                }
+                Next::Stalled => match self.try_move(STALL_REASON).await {
                     Ok(()) => {}
                     Err(reason) => return Some(self.abort(reason)),
                 },
-                Next::Stalled => match self.try_move(STALL_REASON).await {
+                Next::Silent => match self.try_move(SILENT_REASON).await {
                     Ok(()) => {}
                     Err(reason) => return Some(self.abort(reason)),
                 },
@@ -165,6 +185,9 @@
 
     /// Waits for data from the current upstream, or for a reason to leave it.
     async fn wait_for_data(&mut self) -> Next {
+        if let Some(next) = self.received.pop_front() {
+            return next;
+        }
         loop {
             let now = self.request.gateway.clock.now();
             if now >= self.request.deadline {
@@ -180,7 +203,12 @@
             match monoio::time::timeout(wait, body.frame()).await {
                 Ok(None) if self.is_broken_off().await => return Next::Broken(BROKEN_REASON),
                 Ok(None) => return Next::End,
-                Ok(Some(Err(_))) => return Next::Broken(BROKEN_REASON),
+                Ok(Some(Err(error))) => {
+                    return match exceeded_limit(&error) {
+                        Some(limit) => Next::Fault(self.record_exceeded(limit)),
+                        None => Next::Broken(BROKEN_REASON),
+                    };
+                }
                 Ok(Some(Ok(frame))) => return Next::Data(frame.into_data().unwrap_or_default()),
                 Err(_) => {}
             }
@@ -203,6 +231,9 @@
         if permit.is_slow() {
             return Some(Next::Slow);
         }
+        if self.request.attempt_events.get() == 0 && now >= self.request.first_event_by.get() {
+            return Some(Next::Silent);
+        }
         let silent_for = now.saturating_sub(self.last_event_at);
         if silent_for < STALL_TIMEOUT {
             return None;
@@ -214,10 +245,19 @@
 
     /// Processes received bytes and returns the events that are now complete.
     fn accept_bytes(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, &'static str> {
-        let (events, count) = self.splitter.push(bytes).map_err(|_| "out-of-order")?;
+        let Progress {
+            events,
+            count,
+            fault,
+        } = self.splitter.push(bytes);
+        let fault = fault.map(|fault| match fault {
+            Fault::OutOfOrder => "out-of-order",
+            Fault::Exceeded(limit) => self.record_exceeded(limit),
+        });
         if count == 0 {
-            return Ok(None);
+            return fault.map_or(Ok(None), Err);
         }
+        self.received.extend(fault.map(Next::Fault));
         let now = self.request.gateway.clock.now();
         if let Some(permit) = &self.permit {
             let pause = now.saturating_sub(self.last_event_at);
@@ -238,6 +278,14 @@
         Ok(Some(events))
     }
 
+    /// Records that the stream exceeded a limit. Returns the reason to leave the upstream.
+    fn record_exceeded(&self, limit: Limit) -> &'static str {
+        let upstream = self.permit.as_ref().map(|permit| permit.upstream.clone());
+        let gateway = &self.request.gateway;
+        gateway.record_limit_exceeded(upstream.as_deref().unwrap_or("-"), limit);
+        limit.name()
+    }
+
     /// The placement request for resuming the stream, which waits until the caller leaves. An
     /// engine aborts a stalled stream 1.5 s after its last event, half a second before that.
     fn placement_request(&self, reason: &'static str) -> PlacementRequest {
@@ -288,7 +336,7 @@
     }
 
     /// Requests a permit at another upstream while the current one is stalled or slow. If the
-    /// current one sends data first, the stream stays there.
+    /// current one sends an event first, the stream stays there.
     async fn try_move(&mut self, reason: &'static str) -> Result<(), &'static str> {
         self.next_move_at = self.request.gateway.clock.now() + STALL_TIMEOUT;
         if !self.request.route.resumable || self.request.block_reason().is_some() {
@@ -311,21 +359,37 @@
         {
             placement.excluded.extend(permit.group_members());
         }
-        let Some(body) = &mut self.body else {
-            return Ok(());
-        };
-        let admitted = Box::pin(request.admit(placement));
-        let frame = Box::pin(body.frame());
-        let permit = match select(admitted, frame).await {
-            Either::Left((Ok(permit), frame)) => {
-                drop(frame);
-                permit
-            }
-            Either::Left((Err(_), _)) => return Ok(()),
-            Either::Right((frame, admitted)) => {
-                drop(admitted);
-                self.push_back(frame);
+        let mut admitted = Box::pin(request.admit(placement));
+        let permit = loop {
+            let Some(body) = &mut self.body else {
                 return Ok(());
+            };
+            let frame = match select(admitted, Box::pin(body.frame())).await {
+                Either::Left((Ok(permit), _)) => break permit,
+                Either::Left((Err(_), _)) => return Ok(()),
+                Either::Right((frame, rest)) => {
+                    admitted = rest;
+                    frame
+                }
+            };
+            let data = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                end => {
+                    self.push_back(end);
+                    return Ok(());
+                }
+            };
+            // The events come before a fault that arrived with them.
+            match self.accept_bytes(&data) {
+                Ok(None) => {}
+                Ok(Some(events)) => {
+                    self.received.push_front(Next::Events(events));
+                    return Ok(());
+                }
+                Err(reason) => {
+                    self.received.push_front(Next::Fault(reason));
+                    return Ok(());
+                }
             }
         };
         if !self.request.may_retry() {
@@ -335,10 +399,13 @@
         let upstream = upstream.as_deref().unwrap_or("-");
         self.request.record.record_attempt(upstream, reason);
         // Slowness is known from the agent's reports and isn't counted as a failure.
-        let outcome = if reason == SLOW_REASON {
-            AttemptOutcome::Unknown
-        } else {
-            AttemptOutcome::Silent
+        let outcome = match reason {
+            SLOW_REASON => AttemptOutcome::Unknown,
+            SILENT_REASON => {
+                let now = request.gateway.clock.now();
+                request.silence_outcome(now.saturating_sub(request.sent_at.get()))
+            }
+            _ => AttemptOutcome::Silent,
         };
         self.release_upstream(outcome);
         if self.resume(permit).await {
@@ -362,6 +429,7 @@
     /// Resumes the stream on an upstream. Returns whether it succeeded.
     async fn resume(&mut self, permit: Permit) -> bool {
         self.splitter.discard_partial();
+        self.received.clear();
         let last = self.splitter.last_id();
         match self.request.send(permit, last).await {
             SendOutcome::Answered(response, permit) if response.status() == StatusCode::OK => {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -27,16 +27,13 @@
 use super::{
     answer::Failure,
     attempt::{PendingRequest, SendOutcome},
+    buffered,
     gateway::Gateway,
     queue::Permit,
     record::Record,
     relay,
 };
 
-/// The largest response that is buffered before it is forwarded, so that the request can be
-/// retried if the connection breaks. Responses that aren't streams have a few kilobytes.
-const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
-
 /// Retry-After of an entry that hasn't loaded a configuration yet.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -144,11 +141,14 @@
         caller_headers,
         route,
         response_started_at: std::cell::Cell::default(),
+        sent_at: std::cell::Cell::default(),
+        first_event_by: std::cell::Cell::default(),
         attempt_events: std::cell::Cell::default(),
         attempt_sound: std::cell::Cell::default(),
         attempts: std::cell::Cell::default(),
         connect_failures: std::cell::Cell::default(),
         may_have_run: std::cell::Cell::default(),
+        is_interrupted: std::cell::Cell::default(),
         tried: std::cell::RefCell::default(),
         replica: std::cell::RefCell::default(),
     })
@@ -301,18 +301,18 @@
     let not_run = header::parse_answer(&parts.headers).not_run;
     strip_hop_headers(&mut parts.headers);
     let ends_with_connection = parts.extensions.get::<EndsWithConnection>().is_some();
-    let mut body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok();
-    if ends_with_connection && request.is_ended_by_exit().await {
-        body = None;
+    let mut body = buffered::receive_body(request, &permit, body).await;
+    if ends_with_connection && body.is_ok() && request.is_ended_by_exit().await {
+        body = Err(buffered::Failure::Broken);
     }
-    let Some(body) = body else {
-        let upstream = permit.upstream.clone();
-        permit.release(AttemptOutcome::Bad);
-        request.record.record_attempt(&upstream, "broken-off");
-        request.detect_crash(&upstream).await;
-        return Received::Unusable;
+    let body = match body {
+        Ok(body) => body,
+        Err(failure) => {
+            buffered::record_failure(request, permit, failure).await;
+            return Received::Unusable;
+        }
     };
-    let response = Response::from_parts(parts, Body::full(body.to_bytes()));
+    let response = Response::from_parts(parts, Body::full(body));
     request.record.set_result(status.as_u16(), "answered");
     if status.is_server_error() {
         // The request's deadline has passed, which says nothing about the upstream's health.
--- a/verbenaspool_policy/src/dispatch/request.rs
+++ b/verbenaspool_policy/src/dispatch/request.rs
@@ -32,7 +32,8 @@
     None,
     /// A stream that leaves a slow upstream, where it delays other streams.
     Moved,
-    /// A stream whose upstream failed or stalled, which makes it late already.
+    /// A stream whose upstream failed or stalled, or a request whose response exceeded a limit,
+    /// which makes it late already.
     Interrupted,
 }
 
--- a/verbenaspool_transport/src/http/events.rs
+++ b/verbenaspool_transport/src/http/events.rs
@@ -20,6 +20,17 @@
     Exceeded(Limit),
 }
 
+/// The result of adding bytes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The events that are now complete, with the filler before them.
+    pub events: Bytes,
+    /// The number of events.
+    pub count: u64,
+    /// Why the stream must not be continued from this upstream after these events.
+    pub fault: Option<Fault>,
+}
+
 /// Maximum size of an unfinished event. Events of engines have a few hundred bytes.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -59,9 +70,9 @@
     /// use verbenaspool_transport::http::events::Splitter;
     ///
     /// let mut splitter = Splitter::after(Some(3));
-    /// assert_eq!(splitter.push(b"\n: comment\n\n").unwrap(), ("".into(), 0));
-    /// let event = "\n: comment\n\nid: 4\ndata: x\n\n".into();
-    /// assert_eq!(splitter.push(b"id: 4\ndata: x\n\n").unwrap(), (event, 1));
+    /// assert_eq!(splitter.push(b"\n: comment\n\n").count, 0);
+    /// let progress = splitter.push(b"id: 4\ndata: x\n\n");
+    /// assert_eq!(progress.events, "\n: comment\n\nid: 4\ndata: x\n\n");
     /// assert_eq!(splitter.last_id(), Some(4));
     /// ```
     #[must_use]
@@ -102,15 +113,23 @@
         rest
     }
 
-    /// Appends bytes. Returns the events that are now complete, with the filler before them, and
-    /// the number of events.
-    ///
-    /// # Errors
-    /// The stream must not be continued from this upstream.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<(Bytes, u64), Fault> {
+    /// Appends bytes. Events before a fault count as received: the stream is resumed after them.
+    pub fn push(&mut self, bytes: &[u8]) -> Progress {
         self.held.extend_from_slice(bytes);
-        let mut count = 0;
-        let mut complete = 0;
+        let (mut count, mut complete) = (0, 0);
+        let lines = self.push_lines(&mut count, &mut complete);
+        let events = self.held.split_to(complete).freeze();
+        self.line_start -= complete;
+        self.searched = self.held.len();
+        Progress {
+            events,
+            count,
+            fault: lines.and_then(|()| self.check_limits()).err(),
+        }
+    }
+
+    /// Takes the complete lines in. Counts the events, and the bytes up to the end of the last one.
+    fn push_lines(&mut self, count: &mut u64, complete: &mut usize) -> Result<(), Fault> {
         while let Some(found) = self.held[self.searched..]
             .iter()
             .position(|byte| *byte == b'\n')
@@ -118,16 +137,18 @@
             let start = std::mem::replace(&mut self.line_start, self.searched + found + 1);
             self.searched = self.line_start;
             if self.push_line(start)? {
-                count += 1;
-                complete = self.line_start;
+                *count += 1;
+                *complete = self.line_start;
             }
             if self.filler_bytes > MAX_FILLER_BYTES {
                 return Err(Fault::Exceeded(Limit::FillerBytes));
             }
         }
-        let events = self.held.split_to(complete).freeze();
-        self.line_start -= complete;
-        self.searched = self.held.len();
+        Ok(())
+    }
+
+    /// Checks the limits with the unfinished line.
+    fn check_limits(&self) -> Result<(), Fault> {
         let line = &self.held[self.line_start..];
         let comment_bytes = line.first().map_or(0, |byte| match byte {
             b':' => line.len(),
@@ -139,7 +160,7 @@
         if self.block.bytes + line.len() > MAX_EVENT_BYTES {
             return Err(Fault::Exceeded(Limit::EventBytes));
         }
-        Ok((events, count))
+        Ok(())
     }
 
     /// Takes a complete line in. Returns whether it ends an event.
--- a/verbenaspool_transport/tests/endless.rs
+++ b/verbenaspool_transport/tests/endless.rs
@@ -169,10 +169,11 @@
             let mut splitter = Splitter::default();
             let (mut forwarded, mut count) = (Vec::new(), 0);
             for piece in stream.as_bytes().chunks(piece) {
-                let (bytes, complete) = splitter.push(piece).expect("within the limits");
-                assert_eq!(complete == 0, bytes.is_empty());
-                forwarded.extend_from_slice(&bytes);
-                count += complete;
+                let progress = splitter.push(piece);
+                assert_eq!(progress.fault, None);
+                assert_eq!(progress.count == 0, progress.events.is_empty());
+                forwarded.extend_from_slice(&progress.events);
+                count += progress.count;
             }
             assert!(splitter.at_event_end(), "{stream:?}");
             forwarded.extend_from_slice(&splitter.take_rest());
@@ -197,16 +198,39 @@
     ];
     for (start, repeated, limit) in cases {
         let mut splitter = Splitter::default();
-        splitter.push(start.as_bytes()).expect("within the limits");
+        assert_eq!(splitter.push(start.as_bytes()).fault, None);
         let fault = (0..MAX_EVENT_BYTES + 1_000).find_map(|_| {
             assert!(splitter.held_bytes() <= MAX_EVENT_BYTES + MAX_FILLER_BYTES);
-            splitter.push(repeated.as_bytes()).err()
+            splitter.push(repeated.as_bytes()).fault
         });
         assert_eq!(fault, Some(Fault::Exceeded(limit)), "{repeated:?}");
     }
     let mut splitter = Splitter::after(Some(4));
-    let result = splitter.push(b"id: 4\ndata: again\n\n");
-    assert_eq!(result, Err(Fault::OutOfOrder));
+    let progress = splitter.push(b"id: 4\ndata: again\n\n");
+    assert_eq!(progress.fault, Some(Fault::OutOfOrder));
+}
+
+/// Guards against losing events that arrive together with what breaks a limit: the stream is
+/// resumed after the last of them.
+#[test]
+fn events_before_a_fault_are_forwarded() {
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let cases = [
+        ("\n".repeat(MAX_FILLER_BYTES + 1), Limit::FillerBytes),
+        ("data: ".repeat(MAX_EVENT_BYTES), Limit::EventBytes),
+    ];
+    let faults = cases.map(|(rest, limit)| (rest, Fault::Exceeded(limit)));
+    let repeated = ("id: 2\ndata: b\n\n".to_owned(), Fault::OutOfOrder);
+    for (rest, fault) in faults.into_iter().chain([repeated]) {
+        let mut splitter = Splitter::default();
+        let progress = splitter.push(format!("{events}{rest}").as_bytes());
+        assert_eq!(
+            (&progress.events[..], progress.count),
+            (events.as_bytes(), 2)
+        );
+        assert_eq!(progress.fault, Some(fault));
+        assert_eq!(splitter.last_id(), Some(2));
+    }
 }
 
 /// Sends two requests with a limited client to a server that writes this response to each. Returns
