Log exceeded limits once a second at most

An upstream may send extra bytes after each of its responses, and each wrote a warning. The counter still counts all of them, the lines of requests name the limits that failed them, and a line tells how many came since the last one.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -390,7 +390,7 @@
             }
             WaitResult::Answered(Err(Error::LimitExceeded(limit))) => {
                 self.is_interrupted.set(true);
-                self.gateway.record_limit_exceeded(&permit.upstream, limit);
+                self.gateway.exceeded_limits.record(&permit.upstream, limit);
                 permit.release(AttemptOutcome::Bad);
                 return SendOutcome::Unknown(limit.name());
             }
--- a/verbenaspool/src/direct/buffered.rs
+++ b/verbenaspool/src/direct/buffered.rs
@@ -81,7 +81,9 @@
             permit.set_outcome(AttemptOutcome::Bad);
             if !request.route.is_retryable() {
                 let gateway = &request.gateway;
-                gateway.record_limit_exceeded(&permit.upstream, Limit::BodyRate);
+                gateway
+                    .exceeded_limits
+                    .record(&permit.upstream, Limit::BodyRate);
             }
         }
     }
@@ -99,7 +101,7 @@
         Failure::Exceeded(limit) => {
             request.is_interrupted.set(true);
             request.record.record_attempt(&upstream, limit.name());
-            request.gateway.record_limit_exceeded(&upstream, limit);
+            request.gateway.exceeded_limits.record(&upstream, limit);
         }
     }
 }
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -29,7 +29,7 @@
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
-    readiness::limit_observer,
+    readiness::ExceededLimits,
     registry::{self, Registry, Snapshot, Source},
     reserve::Reservations,
     settings::Settings,
@@ -56,6 +56,8 @@
     pub clock: Rc<dyn Clock>,
     pub log: Logger,
     pub metrics: metrics::Registry,
+    /// Responses of upstreams that exceeded a limit.
+    pub exceeded_limits: Rc<ExceededLimits>,
     /// HTTP client for upstreams.
     pub client: Client,
     /// Client of the platform's store.
@@ -111,14 +113,16 @@
     ) -> Rc<Self> {
         let peers = Peers::new(settings.address, digest::hash(&settings.zone));
         let metrics = metrics::Registry::default();
+        let exceeded_limits = ExceededLimits::new(log.clone(), metrics.clone(), clock.clone());
         let client = Client::new(CONNECT_TIMEOUT)
             .with_idle_timeout(KEEP_ALIVE_TIME)
-            .with_response_limits(limit_observer(&log, &metrics));
+            .with_response_limits(exceeded_limits.observer());
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
             log,
             metrics,
+            exceeded_limits,
             client,
             store,
             rpc: rpc::Client::default(),
--- a/verbenaspool/src/direct/readiness.rs
+++ b/verbenaspool/src/direct/readiness.rs
@@ -1,11 +1,12 @@
 //! HTTP endpoints for readiness checks and metrics.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use slog::{Logger, warn};
 use verbenaspool_transport::{
+    clock::Clock,
     http::{
         body::Body,
         response_limits::{Limit, Observer},
@@ -48,30 +49,56 @@
     response
 }
 
-impl Gateway {
-    /// Logs and counts a response of an upstream that exceeded a limit.
-    pub fn record_limit_exceeded(&self, upstream: &str, limit: Limit) {
-        record_limit_exceeded(&self.log, &self.metrics, upstream, limit);
-    }
-}
+/// The shortest time between two log lines about exceeded limits. An upstream may send extra bytes
+/// after each of its responses, and the lines of requests name the limits that failed them.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Records extra bytes that upstreams sent after complete responses.
-pub fn limit_observer(log: &Logger, metrics: &metrics::Registry) -> Observer {
-    let (log, metrics) = (log.clone(), metrics.clone());
-    Rc::new(move |address, limit| {
-        record_limit_exceeded(&log, &metrics, &address.to_string(), limit);
-    })
+/// Logs and counts responses of upstreams that exceeded a limit.
+pub struct ExceededLimits {
+    log: Logger,
+    metrics: metrics::Registry,
+    clock: Rc<dyn Clock>,
+    last_logged: Cell<Option<Duration>>,
+    /// Number of responses since the last log line.
+    unlogged: Cell<u64>,
 }
 
-/// Logs and counts a response that exceeded a limit. `upstream` is the upstream's id, or its address
-/// where no request is concerned.
-fn record_limit_exceeded(log: &Logger, metrics: &metrics::Registry, upstream: &str, limit: Limit) {
-    warn!(log, "response exceeded a limit";
-        "upstream" => upstream.to_owned(), "limit" => limit.name());
-    let exceeded = metrics.counter(
-        "verbenaspool_response_limits_exceeded_total",
-        "Responses of upstreams that exceeded a limit.",
-        &[("limit", limit.name())],
-    );
-    exceeded.increment();
+impl ExceededLimits {
+    /// Creates a log of exceeded limits.
+    pub fn new(log: Logger, metrics: metrics::Registry, clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self {
+            log,
+            metrics,
+            clock,
+            last_logged: Cell::default(),
+            unlogged: Cell::default(),
+        })
+    }
+
+    /// Records a response that exceeded a limit. `upstream` is the upstream's id, or its address
+    /// where no request is concerned.
+    pub fn record(&self, upstream: &str, limit: Limit) {
+        let exceeded = self.metrics.counter(
+            "verbenaspool_response_limits_exceeded_total",
+            "Responses of upstreams that exceeded a limit.",
+            &[("limit", limit.name())],
+        );
+        exceeded.increment();
+        let now = self.clock.now();
+        let last_logged = self.last_logged.get();
+        if last_logged.is_some_and(|at| now.saturating_sub(at) < LOG_INTERVAL) {
+            self.unlogged.set(self.unlogged.get() + 1);
+            return;
+        }
+        self.last_logged.set(Some(now));
+        warn!(self.log, "response exceeded a limit";
+            "upstream" => upstream.to_owned(), "limit" => limit.name(),
+            "unlogged" => self.unlogged.take());
+    }
+
+    /// Records extra bytes that upstreams sent after complete responses.
+    pub fn observer(self: &Rc<Self>) -> Observer {
+        let limits = self.clone();
+        Rc::new(move |address, limit| limits.record(&address.to_string(), limit))
+    }
 }
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -282,7 +282,9 @@
     fn record_exceeded(&self, limit: Limit) -> &'static str {
         let upstream = self.permit.as_ref().map(|permit| permit.upstream.clone());
         let gateway = &self.request.gateway;
-        gateway.record_limit_exceeded(upstream.as_deref().unwrap_or("-"), limit);
+        gateway
+            .exceeded_limits
+            .record(upstream.as_deref().unwrap_or("-"), limit);
         limit.name()
     }
 
