--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -29,6 +29,7 @@
     evacuation::Evacuations,
     peers::Peers,
     queue::ServiceQueue,
+    readiness::ExceededLimits,
     registry::{self, Registry, Snapshot, Source},
     reserve::Reservations,
     settings::Settings,
@@ -55,6 +56,8 @@
     pub clock: Rc<dyn Clock>,
     pub log: Logger,
     pub metrics: metrics::Registry,
+    /// Responses of upstreams that exceeded a limit.
+    pub exceeded_limits: Rc<ExceededLimits>,
     /// HTTP client for upstreams.
     pub client: Client,
     /// Client of the platform's store.
@@ -109,12 +112,18 @@
         store: store::Client,
     ) -> Rc<Self> {
         let peers = Peers::new(settings.address, digest::hash(&settings.zone));
+        let metrics = metrics::Registry::default();
+        let exceeded_limits = ExceededLimits::new(log.clone(), metrics.clone(), clock.clone());
+        let client = Client::new(CONNECT_TIMEOUT)
+            .with_idle_timeout(KEEP_ALIVE_TIME)
+            .with_response_limits(exceeded_limits.observer());
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
             log,
-            metrics: metrics::Registry::default(),
-            client: Client::new(CONNECT_TIMEOUT).with_idle_timeout(KEEP_ALIVE_TIME),
+            metrics,
+            exceeded_limits,
+            client,
             store,
             rpc: rpc::Client::default(),
             peers: RefCell::new(peers),
