Bound what a process holds for its peers and other systems

Nothing bounded the sum of what a process held for callers that send or read slowly, and nothing ended a connection whose peer takes nothing: hyper polls a body only while less than its buffer is unwritten, so that the relay's deadline and stall checks never ran. The kernel's buffers of such connections grew to megabytes. Responses of the store and of trace collectors had no limit in bytes, and a peer could hold a 2 MB frame for two minutes.

`http::memory::Budget` is a shared budget of bytes that are taken before they are buffered and given back on drop; a used-up budget makes readers wait. The server counts unwritten bytes of responses and long heads in it and closes connections that take less than 256 B/s over 10 s, and can limit the kernel's buffers. A read from an upstream has 16 KB at most (hyper's default is 400 KB). The store's responses are limited to a head of 16 KB and a body of 8 MiB, those of collectors to 64 KB, and a frame of a peer to 10 s from its first byte. Servers that don't enable them keep their limits as before.

--- a/verbenaspool/src/settings.rs
+++ b/verbenaspool/src/settings.rs
@@ -170,6 +170,7 @@
                 header_timeout: Duration::from_millis(limits.head_ms),
                 max_header_bytes: limits.head_bytes,
                 max_headers: limits.headers,
+                ..server::Limits::default()
             },
             bounds: Bounds {
                 max_bytes: limits.body_bytes,
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -27,11 +27,16 @@
 use super::{
     body::{self, Body},
     retry_after::{self, RetryAfter},
+    socket,
 };
 
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Maximum size of a connection's read buffer, which bounds a response's head and each frame of its
+/// body. hyper's default of 400 KB is held for each response that isn't taken.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
 /// How often it is checked whether a server that wants no requests still runs. A restart takes
 /// longer.
 const BACKOFF_PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -292,10 +297,13 @@
             .map_err(|_| not_sent("connecting took too long".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
         let _ = stream.set_nodelay(true);
+        socket::limit_receive_buffer(&stream);
         let stream = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(MonoioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(MonoioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         monoio::spawn(async move {
--- a/verbenaspool_transport/src/http/mod.rs
+++ b/verbenaspool_transport/src/http/mod.rs
@@ -8,6 +8,9 @@
 pub mod body;
 pub mod client;
 pub mod hop;
+pub mod memory;
+pub mod reader;
 mod refusal;
 pub mod retry_after;
 pub mod server;
+mod socket;
--- a/verbenaspool_transport/src/http/server.rs
+++ b/verbenaspool_transport/src/http/server.rs
@@ -18,7 +18,12 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use slog::{Logger, warn};
 
-use super::{body::Body, refusal};
+use super::{
+    body::Body,
+    memory::Budget,
+    reader::{Flow, MeteredIo},
+    refusal, socket,
+};
 use crate::shutdown::Signal;
 
 /// How long a stopping server, which refuses new connections, waits for those whose handshake
@@ -57,6 +62,14 @@
     pub max_header_bytes: usize,
     /// Maximum number of header lines.
     pub max_headers: usize,
+    /// Budget of the bytes held for all peers.
+    pub budget: Budget,
+    /// Whether a peer is disconnected that takes less than 256 B/s over 10 s while something is
+    /// waiting for it.
+    pub closes_slow_readers: bool,
+    /// Whether the kernel's buffers of connections are limited. Unlimited ones grow to megabytes
+    /// for a peer that doesn't read.
+    pub limits_socket_buffers: bool,
 }
 
 impl Default for Limits {
@@ -66,6 +79,9 @@
             header_timeout: Duration::from_secs(30),
             max_header_bytes: 32 * 1024,
             max_headers: 64,
+            budget: Budget::unlimited(),
+            closes_slow_readers: false,
+            limits_socket_buffers: false,
         }
     }
 }
@@ -75,6 +91,7 @@
 pub struct Connections {
     count: Rc<Cell<usize>>,
     closing: Rc<Cell<bool>>,
+    slow_readers: Rc<Cell<u64>>,
 }
 
 impl Connections {
@@ -105,6 +122,12 @@
         self.closing.set(true);
     }
 
+    /// The number of connections that were closed because their peers read too slowly.
+    #[must_use]
+    pub fn slow_readers(&self) -> u64 {
+        self.slow_readers.get()
+    }
+
     fn add(&self) -> ConnectionGuard {
         self.count.set(self.count.get() + 1);
         ConnectionGuard(self.clone())
@@ -155,6 +178,9 @@
         connections: connections.clone(),
         signal: signal.clone(),
     };
+    if server.limits.limits_socket_buffers {
+        socket::limit_buffers(&listener);
+    }
     let mut stop_signal = signal.clone();
     loop {
         let accept = Box::pin(listener.accept());
@@ -244,11 +270,24 @@
     };
     let has_request = Rc::new(Cell::new(false));
     let request_seen = has_request.clone();
-    let service = service_fn(move |request| {
+    let flow = Flow::new(&limits.budget);
+    let slow_reader = flow.slow_reader();
+    let slow_readers = connections.slow_readers.clone();
+    let io = MeteredIo::new(
+        MonoioIo::new(stream),
+        flow.clone(),
+        limits.closes_slow_readers,
+    );
+    let service = service_fn(move |mut request: Request<Incoming>| {
         request_seen.set(true);
+        flow.on_request();
+        request.extensions_mut().insert(flow.slow_reader());
         let response = handler.clone().handle(peer, request);
-        let connections = connections.clone();
-        async move { Ok::<_, std::convert::Infallible>(connections.mark_closing(response.await)) }
+        let (connections, flow) = (connections.clone(), flow.clone());
+        async move {
+            let response = connections.mark_closing(response.await);
+            Ok::<_, std::convert::Infallible>(response.map(|body| flow.meter(body)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -257,7 +296,7 @@
         .max_buf_size(limits.max_header_bytes.max(8192))
         .max_headers(limits.max_headers)
         .half_close(false);
-    let mut connection = Box::pin(builder.serve_connection(MonoioIo::new(stream), service));
+    let mut connection = Box::pin(builder.serve_connection(io, service));
     let is_stopping = {
         let stop = Box::pin(signal.wait());
         matches!(select(stop, &mut connection).await, Either::Left(_))
@@ -274,4 +313,7 @@
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
+    if slow_reader.is_closed() {
+        slow_readers.set(slow_readers.get() + 1);
+    }
 }
--- a/verbenaspool_transport/src/platform.rs
+++ b/verbenaspool_transport/src/platform.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod client;
 pub mod driver;
+mod limited;
 
 /// The header that carries an object's version.
 pub const VERSION_HEADER: &str = "x-version";
--- a/verbenaspool_transport/src/platform/client.rs
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -20,9 +20,12 @@
 
 use verbenaspool_state::credential::Token;
 
+use crate::http::memory::{Budget, System};
+
 use super::{
     CallFuture, Entry, Error, Events, IF_VERSION_HEADER, MAX_VALUE_BYTES, Object, Store,
     VERSION_HEADER, When,
+    limited::{Allowance, LimitedStream},
 };
 
 /// Maximum number of idle connections to keep. An instance has one watch and a few reads
@@ -31,8 +34,17 @@
 /// Time added to the wait of a watch for its timeout, for the round trip.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
-/// A connection to the platform.
-type Connection = ClientCodec<TcpStream>;
+/// Maximum size of a response's head. Heads have some hundred bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum size of a response's body. The largest legitimate one lists all upstreams: 12,000 of
+/// them, with some 350 bytes each, have 4.2 MB.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// A connection to the platform, and how much of a response it reads.
+struct Connection {
+    codec: ClientCodec<LimitedStream>,
+    allowance: Allowance,
+}
 
 /// Settings of a client.
 #[derive(Debug, Clone)]
@@ -51,6 +63,8 @@
     address: SocketAddr,
     /// Connections with no outstanding answer.
     idle: RefCell<Vec<Connection>>,
+    /// Budget of the bytes of answers.
+    budget: Budget,
 }
 
 impl Channel {
@@ -67,9 +81,24 @@
         Self {
             address,
             idle: RefCell::default(),
+            budget: Budget::unlimited(),
         }
     }
 
+    /// Takes the bytes of answers from a budget.
+    ///
+    /// ```
+    /// use verbenaspool_transport::{http::memory::Budget, platform::client::Channel};
+    ///
+    /// let channel = Channel::new(([127, 0, 0, 1], 7000).into()).with_budget(Budget::new(1_000));
+    /// # drop(channel);
+    /// ```
+    #[must_use]
+    pub fn with_budget(mut self, budget: Budget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Returns the platform's address.
     ///
     /// ```
@@ -102,24 +131,47 @@
     /// Sends a request and reads its answer.
     async fn exchange(&self, request: Request<HttpBody>) -> Result<Response<Bytes>, Error> {
         let mut connection = self.connect().await?;
-        connection
+        let allowance = connection.allowance.clone();
+        let result = Self::round_trip(&mut connection, request).await;
+        if allowance.is_exceeded() {
+            self.budget.record_excess(System::Store);
+            let reason = format!("the answer exceeds {MAX_BODY_BYTES} bytes");
+            return Err(Error::Unknown(reason));
+        }
+        let response = result.map_err(Error::Unknown)?;
+        if response.headers().get(header::CONNECTION).is_none() {
+            self.store_idle(connection);
+        }
+        Ok(response)
+    }
+
+    /// Sends a request on a connection and reads its answer.
+    async fn round_trip(
+        connection: &mut Connection,
+        request: Request<HttpBody>,
+    ) -> Result<Response<Bytes>, String> {
+        let Connection { codec, allowance } = connection;
+        allowance.set(MAX_HEAD_BYTES);
+        codec
             .send_and_flush(request)
             .await
-            .map_err(|e| Error::Unknown(e.to_string()))?;
-        let response = connection
+            .map_err(|e| e.to_string())?;
+        let response = codec
             .next()
             .await
-            .ok_or_else(|| Error::Unknown("connection closed".to_owned()))?
-            .map_err(|e| Error::Unknown(e.to_string()))?;
+            .ok_or_else(|| "connection closed".to_owned())?
+            .map_err(|e| e.to_string())?;
         let (head, body) = response.into_parts();
-        let body = body
-            .with_io(&mut connection)
-            .bytes()
-            .await
-            .map_err(|e| Error::Unknown(e.to_string()))?;
-        if head.headers.get(header::CONNECTION).is_none() {
-            self.store_idle(connection);
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        if length.is_some_and(|length: usize| length > MAX_BODY_BYTES) {
+            allowance.set_exceeded();
+            return Err("too large".to_owned());
         }
+        allowance.set(MAX_BODY_BYTES);
+        let body = body.with_io(codec).bytes().await;
+        let body = body.map_err(|e| e.to_string())?;
+        let body = allowance.take_held().keep_with(body);
         Ok(Response::from_parts(head, body))
     }
 
@@ -139,7 +191,12 @@
         stream
             .set_nodelay(true)
             .map_err(|e| Error::NotSent(e.to_string()))?;
-        Ok(ClientCodec::new(stream))
+        let allowance = Allowance::new(&self.budget);
+        let stream = LimitedStream::new(stream, allowance.clone());
+        Ok(Connection {
+            codec: ClientCodec::new(stream),
+            allowance,
+        })
     }
 
     /// Keeps a connection for a later call, if there are few enough.
--- a/verbenaspool_transport/src/rpc.rs
+++ b/verbenaspool_transport/src/rpc.rs
@@ -24,7 +24,10 @@
 use serde_json::{Value, value::RawValue};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::shutdown::Signal;
+use crate::{
+    http::memory::{Budget, Held, System},
+    shutdown::Signal,
+};
 
 /// Maximum frame size in bytes: a piece of configuration (1 MB) with room for
 /// the JSON-RPC envelope.
@@ -49,6 +52,10 @@
 /// server is about to close.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_mins(2);
 
+/// Time limit of a frame from its first byte to its last, and of sending a response. A frame of
+/// the maximum size takes a second at 16 Mb/s.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Maximum number of connections of a server; further ones are closed immediately.
 const MAX_CONNECTIONS: usize = 4_096;
 
@@ -81,38 +88,63 @@
     stream: TcpStream,
     codec: LengthDelimitedCodec,
     buffer: BytesMut,
+    budget: Budget,
+    /// The share of the budget for the buffer and the last frame.
+    held: Held,
 }
 
 impl Framed {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, budget: &Budget) -> Self {
         let _ = stream.set_nodelay(true);
         Self {
             stream,
             codec: codec(),
             buffer: BytesMut::new(),
+            held: budget.take_beyond(0),
+            budget: budget.clone(),
         }
     }
 
-    /// Reads the next frame, or `None` if the peer closed the connection between frames.
+    /// Reads the next frame, or `None` if the peer closed the connection between frames. The frame
+    /// counts as held until the next call.
     async fn read(&mut self) -> std::io::Result<Option<BytesMut>> {
+        self.held.resize(self.buffer.len());
+        let mut deadline = None;
         loop {
-            if let Some(frame) = self.codec.decode(&mut self.buffer)? {
+            let decoded = self.codec.decode(&mut self.buffer);
+            if let Some(frame) =
+                decoded.inspect_err(|_| self.budget.record_excess(System::Peers))?
+            {
                 return Ok(Some(frame));
             }
-            let length = if self.buffer.is_empty() {
-                IDLE_READ_BYTES
+            // The codec keeps the length of a frame and removes it from the buffer.
+            let in_frame = self.held.bytes() > 0;
+            let (read, chunk) = if in_frame {
+                let deadline = *deadline.get_or_insert_with(|| Instant::now() + FRAME_TIMEOUT);
+                let left = deadline.saturating_duration_since(Instant::now());
+                monoio::time::timeout(left, self.read_in_frame())
+                    .await
+                    .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
             } else {
-                FRAME_READ_BYTES
+                self.stream.read(vec![0_u8; IDLE_READ_BYTES]).await
             };
-            let (read, chunk) = self.stream.read(vec![0_u8; length]).await;
             match read? {
-                0 if self.buffer.is_empty() => return Ok(None),
+                0 if !in_frame => return Ok(None),
                 0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
-                read => self.buffer.extend_from_slice(&chunk[..read]),
+                read => {
+                    self.buffer.extend_from_slice(&chunk[..read]);
+                    self.held.resize(self.held.bytes() + read);
+                }
             }
         }
     }
 
+    /// Reads more of a frame as soon as the budget allows it.
+    async fn read_in_frame(&mut self) -> (std::io::Result<usize>, Vec<u8>) {
+        std::future::poll_fn(|cx| self.budget.poll_fits(cx, FRAME_READ_BYTES)).await;
+        self.stream.read(vec![0_u8; FRAME_READ_BYTES]).await
+    }
+
     async fn write(&mut self, frame: Bytes) -> std::io::Result<()> {
         let mut out = BytesMut::new();
         self.codec.encode(frame, &mut out)?;
@@ -125,15 +157,35 @@
 
 /// The RPC methods of a process.
 #[derive(Debug, Clone)]
-pub struct Module(RpcModule<()>);
+pub struct Module {
+    methods: RpcModule<()>,
+    budget: Budget,
+}
 
 impl Default for Module {
     fn default() -> Self {
-        Self(RpcModule::new(()))
+        Self {
+            methods: RpcModule::new(()),
+            budget: Budget::unlimited(),
+        }
     }
 }
 
 impl Module {
+    /// Takes the bytes of calls and responses from a budget.
+    ///
+    /// ```
+    /// use verbenaspool_transport::{http::memory::Budget, rpc::Module};
+    ///
+    /// let module = Module::default().with_budget(Budget::new(1_000_000));
+    /// # drop(module);
+    /// ```
+    #[must_use]
+    pub fn with_budget(mut self, budget: Budget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Registers the handler of a method with one typed parameter.
     ///
     /// jsonrpsee requires handlers that are `Send`. Ours hold state of the
@@ -157,7 +209,7 @@
         A: Future<Output = Result<R, String>> + 'static,
     {
         let handler = SendWrapper::new(Rc::new(handler));
-        self.0
+        self.methods
             .register_async_method(method, move |params, _, _| {
                 let handler = handler.clone();
                 SendWrapper::new(async move {
@@ -184,7 +236,10 @@
             // Each connection's task holds a clone of the module.
             Either::Right((Ok(_), _)) if Rc::strong_count(&module) > MAX_CONNECTIONS => {}
             Either::Right((Ok((stream, _)), _)) => {
-                monoio::spawn(serve_connection(Framed::new(stream), module.clone()));
+                monoio::spawn(serve_connection(
+                    Framed::new(stream, &module.budget),
+                    module.clone(),
+                ));
             }
             Either::Right((Err(_), _)) => monoio::time::sleep(Duration::from_millis(20)).await,
         }
@@ -198,11 +253,15 @@
         let Ok(request) = std::str::from_utf8(&frame) else {
             return;
         };
-        let Ok((response, _)) = module.0.raw_json_request(request, 1).await else {
+        let Ok((response, _)) = module.methods.raw_json_request(request, 1).await else {
             return;
         };
         let text: String = <Box<RawValue> as Into<Box<str>>>::into(response).into();
-        if framed.write(text.into()).await.is_err() {
+        let sent = async {
+            let _held = module.budget.take(text.len()).await;
+            framed.write(text.into()).await
+        };
+        if !matches!(monoio::time::timeout(FRAME_TIMEOUT, sent).await, Ok(Ok(()))) {
             return;
         }
     }
@@ -212,6 +271,7 @@
 #[derive(Clone, Default)]
 pub struct Client {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    budget: Budget,
 }
 
 /// An idle connection and since when it is idle.
@@ -234,6 +294,20 @@
 }
 
 impl Client {
+    /// Takes the bytes of responses from a budget.
+    ///
+    /// ```
+    /// use verbenaspool_transport::{http::memory::Budget, rpc::Client};
+    ///
+    /// let client = Client::default().with_budget(Budget::new(1_000_000));
+    /// # drop(client);
+    /// ```
+    #[must_use]
+    pub fn with_budget(mut self, budget: Budget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Calls a method with one typed parameter. The peer may execute the call twice,
     /// so methods must tolerate that.
     ///
@@ -275,7 +349,7 @@
         let (framed, frame) = if let Some(completed) = on_idle {
             completed
         } else {
-            let framed = Framed::new(TcpStream::connect(address).await?);
+            let framed = Framed::new(TcpStream::connect(address).await?, &self.budget);
             round_trip(framed, &bytes).await?
         };
         let result = parse_response(&frame);
@@ -290,7 +364,8 @@
         (since.elapsed() < CLIENT_IDLE_TIMEOUT).then_some(framed)
     }
 
-    fn put_idle(&self, address: SocketAddr, framed: Framed) {
+    fn put_idle(&self, address: SocketAddr, mut framed: Framed) {
+        framed.held.resize(framed.buffer.len());
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
             connections.retain(|(_, since)| since.elapsed() < CLIENT_IDLE_TIMEOUT);
--- a/verbenaspool_transport/src/trace/export.rs
+++ b/verbenaspool_transport/src/trace/export.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{HeaderValue, Request, header};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use opentelemetry_proto::tonic::{
     collector::trace::v1::ExportTraceServiceRequest,
     common::v1::{AnyValue, InstrumentationScope, KeyValue, any_value},
@@ -35,6 +35,10 @@
 /// Upper bound of the exponential delay after failed exports.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 
+/// Maximum size of a collector's response. It lists the reasons why spans were rejected, a few
+/// hundred bytes; the connection is closed after more.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// The OTLP path for traces.
 const TRACES_PATH: &str = "/v1/traces";
 
@@ -117,7 +121,8 @@
         let exchange = async {
             let response = self.client.send(self.collector, request).await.ok()?;
             let accepted = response.status().is_success();
-            response.into_body().collect().await.ok()?;
+            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+            body.collect().await.ok()?;
             accepted.then_some(())
         };
         let result = monoio::time::timeout(EXPORT_TIMEOUT, exchange).await;
