--- a/verbenaspool_transport/src/http/reader.rs
+++ b/verbenaspool_transport/src/http/reader.rs
@@ -122,6 +122,12 @@
     }
 }
 
+/// Bytes that frame a chunk: its length in hexadecimal digits and two line ends.
+fn chunk_framing(length: usize) -> usize {
+    let digits = (usize::BITS - length.leading_zeros()).div_ceil(4);
+    digits as usize + 4
+}
+
 /// A response body whose unwritten frames are counted.
 struct MeteredBody {
     body: Body,
@@ -158,7 +164,7 @@
             && let Some(data) = frame.data_ref()
         {
             let framing = if is_chunked {
-                format!("{:x}\r\n\r\n", data.len()).len()
+                chunk_framing(data.len())
             } else {
                 0
             };
