Bound what an entry holds for callers, the store and peers

An entry of a small instance ran out of memory if callers didn't read, a stream whose caller took nothing kept its upstream's slot past its deadline, and after a pause of the caller the stream was moved as if its upstream had been silent, which then counted as the upstream's failure.

A request whose body doesn't fit gets 503 with `Retry-After` before it is sent anywhere (`no-memory`). Callers that read too slowly are disconnected (`slow-reader`). The time for which a caller takes nothing no longer counts as the silence of the upstream. Log lines, metrics and the status tell what is held.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -27,6 +27,7 @@
 use super::{
     divergence::Divergence,
     evacuation::Evacuations,
+    memory::Memory,
     peers::Peers,
     queue::ServiceQueue,
     registry::{self, Registry, Snapshot, Source},
@@ -61,6 +62,8 @@
     pub store: store::Client,
     /// RPC client for other entries.
     pub rpc: rpc::Client,
+    /// What is held for callers, the store and peers.
+    pub memory: Memory,
     /// The other entries.
     pub peers: RefCell<Peers>,
     /// Pending reservations of slots at upstreams' agents.
@@ -107,6 +110,7 @@
         clock: Rc<dyn Clock>,
         log: Logger,
         store: store::Client,
+        memory: Memory,
     ) -> Rc<Self> {
         let peers = Peers::new(settings.address, digest::hash(&settings.zone));
         Rc::new(Self {
@@ -116,7 +120,8 @@
             metrics: metrics::Registry::default(),
             client: Client::new(CONNECT_TIMEOUT).with_idle_timeout(KEEP_ALIVE_TIME),
             store,
-            rpc: rpc::Client::default(),
+            rpc: rpc::Client::default().with_budget(memory.whole.clone()),
+            memory,
             peers: RefCell::new(peers),
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod follow;
 mod gateway;
+mod memory;
 pub mod peers;
 mod quarantine;
 mod queue;
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -5,6 +5,7 @@
 use slog::{info, o, warn};
 use verbenaspool_policy::dispatch::Diagnostics;
 use verbenaspool_state::fingerprint::Fingerprint;
+use verbenaspool_transport::http::reader::SlowReader;
 
 use super::{gateway::Gateway, registry::Source};
 
@@ -39,6 +40,8 @@
     longest_pause: Duration,
     /// The status that the caller got, and the reason for it.
     result: Option<(u16, &'static str)>,
+    /// Whether the caller was disconnected because it read too slowly.
+    reader: Option<SlowReader>,
 }
 
 /// The record of a request. Dropping it writes the log line and counts the request.
@@ -65,6 +68,11 @@
         &self.id
     }
 
+    /// Sets the state of the caller's connection.
+    pub fn set_reader(&self, reader: Option<SlowReader>) {
+        self.summary.borrow_mut().reader = reader;
+    }
+
     /// Sets the route and service of the request, and the version of the routing table.
     pub fn set_route(&self, route: &Rc<str>, service: &Rc<str>, table_version: u64) {
         let mut summary = self.summary.borrow_mut();
@@ -181,7 +189,13 @@
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         let summary = self.summary.take();
-        let (status, reason) = summary.result.unwrap_or((0, "caller-left"));
+        let reads_slowly = summary.reader.is_some_and(|reader| reader.is_closed());
+        let left = if reads_slowly {
+            "slow-reader"
+        } else {
+            "caller-left"
+        };
+        let (status, reason) = summary.result.unwrap_or((0, left));
         let route = summary.route.as_deref().unwrap_or_default();
         let service = summary.service.as_deref().unwrap_or_default();
         let total = now.saturating_sub(self.received_at);
@@ -250,6 +264,7 @@
             "The version in force.",
             version,
         );
+        self.memory.update_metrics(&self.metrics);
         let now = self.clock.now();
         let quarantined = self.quarantine.borrow().quarantined(now).count();
         #[allow(clippy::cast_precision_loss)] // A few thousand at most.
--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -123,6 +123,9 @@
 impl Relay {
     /// Waits for the next complete events. Moves the stream to other upstreams as needed.
     async fn next_events(mut self) -> Option<(Result<Frame<Bytes>, body::Error>, Self)> {
+        // Nothing is read from the upstream until the caller has taken the events before, which
+        // isn't the upstream's silence.
+        self.last_event_at = self.request.gateway.clock.now();
         loop {
             match self.wait_for_data().await {
                 Next::Data(bytes) => match self.accept_bytes(&bytes) {
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{
     HeaderMap, Request, Response, StatusCode, Uri,
     header::{EXPECT, HOST},
     request::Parts,
 };
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use verbenaspool_platform::header;
@@ -21,6 +22,8 @@
     body::Body,
     client::EndsWithConnection,
     hop,
+    memory::Budget,
+    reader::SlowReader,
     server::{Handler, ResponseFuture},
 };
 
@@ -43,6 +46,10 @@
 /// Retry-After of an entry that is stopping. Another entry can take the request immediately.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-After of an entry that has no memory for a request's body. Another entry may have some at
+/// once; this one has some when requests end or slow readers are disconnected.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The wait of callers that don't announce one, longer than any that is announced.
 const MAX_CALLER_WAIT: Duration = Duration::from_hours(1);
 
@@ -58,6 +65,7 @@
     let caller_headers = header::parse_request(&parts.headers);
     let id = caller_headers.id.as_ref().and_then(|id| id.to_str().ok());
     let record = Record::new(gateway.clone(), id.unwrap_or("-"));
+    record.set_reader(parts.extensions.get::<SlowReader>().cloned());
     let failure = match prepare(&gateway, &record, parts, body, caller_headers).await {
         Ok(request) => match serve(Rc::new(request)).await {
             Ok(response) => return response,
@@ -97,7 +105,8 @@
     let name = customer.map(|customer| customer.name.clone());
     let priority = customer.and_then(|customer| customer.priority);
     let max_bytes = table.limits.body_bytes;
-    let body = monoio::time::timeout(table.limits.idle_time, read_body(body, max_bytes))
+    let body = read_body(body, max_bytes, &gateway.memory.callers);
+    let body = monoio::time::timeout(table.limits.idle_time, body)
         .await
         .map_err(|_| Failure::new(StatusCode::REQUEST_TIMEOUT, "slow-body"))??;
     let service = route
@@ -177,19 +186,45 @@
     Ok(found.map(|customer| &**customer))
 }
 
-/// Reads a complete request body.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Failure {
-            close: true,
-            ..Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "large-body")
-        }),
-        Err(_) => Err(Failure {
-            close: true,
-            ..Failure::new(StatusCode::BAD_REQUEST, "broken-body")
-        }),
+/// Reads a complete request body, whose bytes are taken from a budget as they arrive: a caller that
+/// announces a long body and sends little of it occupies no more than that.
+async fn read_body(body: Incoming, max_bytes: usize, budget: &Budget) -> Result<Bytes, Failure> {
+    let no_memory = Failure {
+        close: true,
+        ..Failure::unavailable("no-memory", MEMORY_RETRY_AFTER)
+    };
+    let length = body.size_hint().lower();
+    let length = usize::try_from(length).map_or(max_bytes, |length| length.min(max_bytes));
+    if length > 0 && !budget.fits(length) {
+        return Err(no_memory);
+    }
+    let mut held = budget.take_beyond(0);
+    let mut bytes = BytesMut::with_capacity(length);
+    let mut body = Limited::new(body, max_bytes);
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                if !held.try_grow(data.len()) {
+                    return Err(no_memory);
+                }
+                bytes.extend_from_slice(&data);
+            }
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(Failure {
+                    close: true,
+                    ..Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "large-body")
+                });
+            }
+            Err(_) => {
+                return Err(Failure {
+                    close: true,
+                    ..Failure::new(StatusCode::BAD_REQUEST, "broken-body")
+                });
+            }
+        }
     }
+    Ok(held.keep_with(bytes.freeze()))
 }
 
 /// The path and query of a URI, without scheme and authority.
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -23,6 +23,7 @@
 use super::{
     follow::{Follower, Kind},
     gateway::Gateway,
+    memory::Memory,
     peers, quarantine, rate_limit,
     readiness::{Metrics, Readiness},
     settings::Settings,
@@ -110,8 +111,10 @@
             .max(64),
         ..caller_limits()
     };
-    let store = store::Client::new(Channel::new(settings.platform), STORE_TIMEOUT);
-    let gateway = Gateway::new(settings, clock.clone(), log.clone(), store);
+    let memory = Memory::new(settings.memory_budget());
+    let channel = Channel::new(settings.platform).with_budget(memory.whole.clone());
+    let store = store::Client::new(channel, STORE_TIMEOUT);
+    let gateway = Gateway::new(settings, clock.clone(), log.clone(), store, memory);
     let (finish, finished) = shutdown::channel();
     spawn_server(
         readiness,
@@ -123,7 +126,7 @@
         let handler = Rc::new(Metrics(gateway.clone()));
         spawn_server(metrics, handler, finished.clone(), log.clone());
     }
-    let mut module = rpc::Module::default();
+    let mut module = rpc::Module::default().with_budget(gateway.memory.whole.clone());
     peers::register_methods(&gateway, &mut module);
     standing::register_methods(&gateway, &mut module);
     monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
@@ -132,10 +135,10 @@
     monoio::spawn(quarantine::attribute_crashes(gateway.clone()));
     monoio::spawn(status::save_changes(gateway.clone()));
     let (close, closed) = shutdown::channel();
-    let open = Connections::default();
+    let open = gateway.memory.connections.clone();
     let served = monoio::spawn(server::serve_and_log(
         callers,
-        limits,
+        gateway.memory.limit(&limits),
         gateway.clone(),
         open.clone(),
         closed,
@@ -260,6 +263,7 @@
         }
         gateway.expire_upstreams();
         let now = clock.now();
+        gateway.memory.log_changes(now, &gateway.log);
         if now.saturating_sub(last_tick) > FREEZE_THRESHOLD {
             warn!(gateway.log, "process was suspended; listing all objects";
                 "for_ms" => now.saturating_sub(last_tick).as_secs_f64() * 1e3);
@@ -279,6 +283,7 @@
     match settings::load::<Settings>(path) {
         Ok(settings) => {
             info!(gateway.log, "settings reloaded"; "seeds" => settings.seeds.len());
+            gateway.memory.whole.set_limit(settings.memory_budget());
             gateway.settings.replace(settings);
         }
         Err(why) => {
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -40,6 +40,9 @@
     /// Number of file descriptors available to the process.
     #[serde(default = "default_descriptors")]
     pub descriptors: usize,
+    /// Memory of the entry's instance, in megabytes.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Limits on shutdown and retries.
     #[serde(default, rename = "bounds")]
     pub limits: Limits,
@@ -51,6 +54,37 @@
     pub log: log::Settings,
 }
 
+/// Bytes of a megabyte of [`Settings::memory_mb`].
+const MEGABYTE: usize = 1_000_000;
+
+/// The part of an instance's memory that is held for others at most. An entry without requests has
+/// 18 MB, and messages are held several times while they are parsed and copied.
+const BUDGET_DIVISOR: usize = 4;
+
+/// The budget of an instance whose memory isn't known.
+const DEFAULT_BUDGET_BYTES: usize = 64 * 1024 * 1024;
+
+/// The smallest budget. The largest call of a peer, 2 MB, must fit into the part that isn't for
+/// callers.
+const MIN_BUDGET_BYTES: usize = 16 * 1024 * 1024;
+
+impl Settings {
+    /// The bytes that the entry may hold for callers, the store and peers.
+    ///
+    /// ```
+    /// # fn check(settings: &mut verbenaspool::direct::settings::Settings) {
+    /// settings.memory_mb = Some(160);
+    /// assert_eq!(settings.memory_budget(), 40_000_000);
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn memory_budget(&self) -> usize {
+        let bytes = |mb: usize| mb.saturating_mul(MEGABYTE) / BUDGET_DIVISOR;
+        let budget = self.memory_mb.map_or(DEFAULT_BUDGET_BYTES, bytes);
+        budget.max(MIN_BUDGET_BYTES)
+    }
+}
+
 /// How requests reach upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/verbenaspool/src/direct/standing.rs
+++ b/verbenaspool/src/direct/standing.rs
@@ -31,6 +31,12 @@
     /// processing them.
     #[serde(default)]
     pub quarantined: usize,
+    /// Bytes held for callers, the store and peers.
+    #[serde(default)]
+    pub held_bytes: usize,
+    /// Number of callers that were disconnected because they read too slowly.
+    #[serde(default)]
+    pub slow_readers: u64,
     /// Evacuated zones, whose upstreams get no requests.
     #[serde(default)]
     pub evacuated: Vec<Evacuated>,
@@ -95,6 +101,8 @@
             revision: self.registry_revision(),
             entries: self.peers.borrow().live_entries(now),
             quarantined: self.quarantine.borrow().quarantined(now).count(),
+            held_bytes: self.memory.whole.used(),
+            slow_readers: self.memory.connections.slow_readers(),
             evacuated: evacuated.collect(),
             services,
         }
