Let customers compete and callers read slowly in the soak

The soak had no load that uses up memory or lets customers compete.

It gets an upstream that sends streams without end, callers that read them at 1 kB/s or not at all, one large customer and three small ones at a service with too few slots, and two faults: an upstream that is slow and a store that sends without end. It checks the least-served customer, that callers get complete answers throughout, and the resident memory of entries against an instance of 160 MB.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -4,6 +4,10 @@
 
 use http::StatusCode;
 use http_body_util::BodyExt;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use rand::{Rng, rngs::SmallRng};
 use verbenaspool_platform_standin::{
     text,
@@ -11,7 +15,10 @@
 };
 use verbenaspool_transport::http::{body::Body, client::Client};
 
-use crate::deployment::{Deployment, FRAGILE_PATHS, KEY, version_path};
+use crate::deployment::{
+    CONTESTED_PATH, CUSTOMERS, Deployment, ENDLESS_PATH, FRAGILE_PATHS, KEY, customer_key,
+    version_path,
+};
 
 /// How long a caller waits for a response: longer than the deadline of any route, so
 /// that an entry that answers too late is detected.
@@ -32,6 +39,10 @@
 /// Number of parts of prompts besides the one that all requests have.
 const PROMPT_TOPICS: usize = 4;
 
+/// Bytes that a slow caller reads at a time, and the pause after each read.
+const SLOW_READ_BYTES: usize = 250;
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(250);
+
 /// Name in the ids of requests that share a crashing part.
 pub const SHARING_CALLERS: &str = "shared";
 
@@ -109,6 +120,79 @@
         }
     }
 
+    /// Requests streams without end from random entries, and reads 1 kB/s of them or nothing, until
+    /// the deadline.
+    pub async fn run_slow(mut self, deadline: std::time::Instant) {
+        let mut sent = 0;
+        while std::time::Instant::now() < deadline {
+            sent += 1;
+            let reads = self.rng.random();
+            let duration = Duration::from_millis(self.rng.random_range(1_000..14_000));
+            let until = deadline.min(std::time::Instant::now() + duration);
+            let id = format!("z{}-{sent}", self.number);
+            if self.read_slowly(&id, reads, until).await.is_err() {
+                self.deployment.checks.count("closed slow readers");
+            }
+            monoio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Requests a stream without end and reads it slowly, or not at all. Fails if the connection is
+    /// closed.
+    async fn read_slowly(
+        &mut self,
+        id: &str,
+        reads: bool,
+        until: std::time::Instant,
+    ) -> std::io::Result<()> {
+        let entry = {
+            let entries = self.deployment.entries.borrow();
+            let entry = self.rng.random_range(0..entries.len());
+            entries[entry].listen
+        };
+        let mut stream = TcpStream::connect(entry).await?;
+        let request = format!(
+            "POST /{ENDLESS_PATH}/ HTTP/1.1\r\nhost: {}\r\nx-request-id: {id}\r\n\
+             x-api-key: {KEY}\r\nx-deadline-milliseconds: 60000\r\ncontent-length: 0\r\n\r\n",
+            text::HOST
+        );
+        stream.write_all(request.into_bytes()).await.0?;
+        while std::time::Instant::now() < until {
+            if reads {
+                let read = stream.read(vec![0_u8; SLOW_READ_BYTES]);
+                // A stream that is late is read again after the pause.
+                if let Ok((read, _)) = monoio::time::timeout(SLOW_READ_PAUSE, read).await
+                    && read? == 0
+                {
+                    return Err(std::io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            monoio::time::sleep(SLOW_READ_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Sends requests of a competing customer until the deadline.
+    pub async fn run_competing(mut self, customer: usize, deadline: std::time::Instant) {
+        let customer = customer % CUSTOMERS;
+        let key = customer_key(customer);
+        let mut sent = 0;
+        while std::time::Instant::now() < deadline {
+            sent += 1;
+            let id = format!("k{}-{sent}", self.number);
+            let path = format!("/{CONTESTED_PATH}/");
+            let response = self.request_as(&key, &path, &id, "body", None).await;
+            // A connection that is closed has nothing to do with the customer.
+            if let Some(response) = response {
+                let answered = self.check_status(&id, &response);
+                let answered = answered && Self::read_body(response).await.is_some();
+                self.deployment.checks.record_customer(customer, answered);
+            }
+            let pause = self.rng.random_range(1..20);
+            monoio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
     /// The parts of a request's prompt: one that all have, one of a few, `part` if given, and its
     /// own.
     fn prompt(&mut self, id: &str, part: Option<&str>) -> String {
@@ -130,12 +214,24 @@
         id: &str,
         body: &str,
         part: Option<&str>,
+    ) -> Option<http::Response<Body>> {
+        self.request_as(KEY, path, id, body, part).await
+    }
+
+    /// Sends a [`request`](Self::request) with an API key.
+    async fn request_as(
+        &mut self,
+        key: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+        part: Option<&str>,
     ) -> Option<http::Response<Body>> {
         let prompt = self.prompt(id, part);
         let entries = self.deployment.entries.borrow().len();
         let entry = self.rng.random_range(0..entries);
         let listen = self.deployment.entries.borrow()[entry].listen;
-        let request = text::request(path, id, KEY)
+        let request = text::request(path, id, key)
             .header("x-prompt-prefix", prompt)
             .body(Body::full(body.to_owned()))
             .ok()?;
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -1,7 +1,7 @@
 //! Checks of what callers and upstreams observed against the guarantees.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
     fmt,
     ops::Range,
@@ -50,6 +50,16 @@
 /// How long after the notice that an upstream is leaving callers' requests may still arrive there.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// How long no caller may get a complete answer. The longest fault of all entries lasts half of that.
+const MAX_TIME_WITHOUT_ANSWER: Duration = Duration::from_secs(8);
+
+/// Number of requests of a customer from which the part that was answered is compared.
+const MIN_CUSTOMER_REQUESTS: u32 = 40;
+
+/// The part of a customer's requests that is answered, at least, as a share of that of all customers'
+/// requests.
+const MIN_CUSTOMER_SHARE: f64 = 0.5;
+
 /// How long an entry that was interrupted, or whose path to the store or an upstream was, may be
 /// late, and how long the store's answers before a change must have been sound.
 const STABLE_TIME: Duration = Duration::from_secs(3);
@@ -92,6 +102,12 @@
     pub store_outages: RefCell<Vec<Range<Instant>>>,
     /// The same of agents.
     agent_interruptions: RefCell<Vec<(usize, Instant)>>,
+    /// When callers got complete answers.
+    answers: RefCell<Vec<Instant>>,
+    /// Requests of each competing customer, and those that were answered.
+    customers: RefCell<HashMap<usize, (u32, u32)>>,
+    /// The largest resident memory of an entry, in kilobytes.
+    pub most_resident_kb: Cell<u64>,
     /// Counts by result, such as whole or late responses.
     pub counts: RefCell<HashMap<&'static str, u64>>,
 }
@@ -107,6 +123,66 @@
     /// Counts a caller's result.
     pub fn count(&self, result: &'static str) {
         *self.counts.borrow_mut().entry(result).or_default() += 1;
+        if result == "whole" {
+            self.answers.borrow_mut().push(Instant::now());
+        }
+    }
+
+    /// Records a request of a competing customer and whether it was answered.
+    pub fn record_customer(&self, customer: usize, answered: bool) {
+        let mut customers = self.customers.borrow_mut();
+        let (sent, served) = customers.entry(customer).or_default();
+        *sent += 1;
+        *served += u32::from(answered);
+    }
+
+    /// Checks that the least-served of the competing customers isn't far behind the others.
+    pub fn check_customers(&self) {
+        let customers = self.customers.borrow();
+        let (sent, served) = customers
+            .values()
+            .fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
+        let share = |(sent, served): (u32, u32)| f64::from(served) / f64::from(sent.max(1));
+        let expected = MIN_CUSTOMER_SHARE * share((sent, served));
+        for (customer, counts) in customers.iter() {
+            if counts.0 >= MIN_CUSTOMER_REQUESTS && share(*counts) < expected {
+                let details = format!(
+                    "customer {customer} got {} of {}, all got {served} of {sent}",
+                    counts.1, counts.0
+                );
+                self.record_violation("no customer is left behind", details);
+            }
+        }
+        let least = customers.values().map(|counts| share(*counts));
+        let least = least.fold(1.0, f64::min);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // From 0 to 100.
+        let percent = (least * 100.0) as u64;
+        let mut counts = self.counts.borrow_mut();
+        counts.insert("% of the least-served customer", percent);
+    }
+
+    /// Checks that callers got complete answers throughout the run.
+    pub fn check_progress(&self, run: &Range<Instant>) {
+        let answers = self.answers.borrow();
+        let during = answers.iter().copied().filter(|at| run.contains(at));
+        let mut last = run.start;
+        for at in during.chain([run.end]) {
+            if at.saturating_duration_since(last) > MAX_TIME_WITHOUT_ANSWER {
+                let details = format!("no answer for {:?}", at - last);
+                self.record_violation("callers are served throughout", details);
+            }
+            last = at;
+        }
+    }
+
+    /// Checks the resident memory of an entry against that of its instance.
+    pub fn check_memory(&self, entry: usize, resident_kb: u64, instance_kb: u64) {
+        let most = self.most_resident_kb.get().max(resident_kb);
+        self.most_resident_kb.set(most);
+        if resident_kb > instance_kb {
+            let details = format!("entry {entry} has {resident_kb} kB");
+            self.record_violation("the instance's memory suffices", details);
+        }
     }
 
     /// Records a request that may run at most once.
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -16,7 +16,7 @@
     process::Process as CrashingProcess,
     store::Store,
     text,
-    upstream::Upstream,
+    upstream::{Behaviour, Upstream},
 };
 use verbenaspool_standin::address;
 use verbenaspool_transport::{
@@ -44,6 +44,27 @@
 /// Route paths of [`FRAGILE_SERVICE`]: streams, and requests that may run at most once.
 pub const FRAGILE_PATHS: [&str; 2] = ["stream/fragile", "fragile"];
 
+/// The service whose upstream sends events without end.
+const ENDLESS_SERVICE: &str = "endless";
+
+/// The service for which customers compete: two upstreams with six slots each.
+const CONTESTED_SERVICE: &str = "contested";
+
+/// How long a request to [`CONTESTED_SERVICE`] takes.
+const CONTESTED_WORK_TIME: Duration = Duration::from_millis(60);
+
+/// Route path of [`ENDLESS_SERVICE`].
+pub const ENDLESS_PATH: &str = "stream/endless";
+
+/// Route path of [`CONTESTED_SERVICE`].
+pub const CONTESTED_PATH: &str = "contested";
+
+/// Number of customers that compete.
+pub const CUSTOMERS: usize = 4;
+
+/// Memory of an entry's instance in megabytes.
+pub const MEMORY_MB: u64 = 160;
+
 /// Availability zones of entries. All upstreams are in the first one.
 const ENTRY_ZONES: [&str; 3] = ["a", "b", "c"];
 
@@ -107,6 +128,8 @@
     pub store_proxies: Vec<Rc<Proxy>>,
     /// The upstreams: first those of streams, then those of requests that may run at most once.
     pub servers: Vec<Server>,
+    /// The upstreams for which customers compete, and the one that sends without end.
+    pub load_upstreams: Vec<Rc<Upstream>>,
     /// The upstreams that crash on some requests.
     pub fragile: Vec<Rc<CrashingProcess>>,
     /// The entries.
@@ -178,6 +201,22 @@
             store.put("servers", &server.upstream.id, &server.listed("ready"));
             servers.push(server);
         }
+        let endless = Upstream::new("e-0");
+        endless.behaviour.set(Behaviour::Endless);
+        let contested = ["c-0", "c-1"].map(Upstream::new);
+        for upstream in &contested {
+            upstream.work_time.set(CONTESTED_WORK_TIME);
+        }
+        let of_service = contested
+            .iter()
+            .map(|upstream| (CONTESTED_SERVICE, upstream));
+        for (service, upstream) in of_service.chain([(ENDLESS_SERVICE, &endless)]) {
+            let address = serve(upstream.clone(), &mut triggers)?;
+            let entry = text::registry_entry(service, address, "ready");
+            let slots = if service == ENDLESS_SERVICE { 500 } else { 6 };
+            let entry = entry.replace(r#""slots":6"#, &format!(r#""slots":{slots}"#));
+            store.put("servers", &upstream.id, &entry);
+        }
         let fragile = (0..FRAGILE_UPSTREAMS).map(|number| {
             let (store, name) = (store.clone(), format!("f-{number}"));
             CrashingProcess::start(
@@ -228,6 +267,7 @@
             store,
             store_proxies,
             servers,
+            load_upstreams: contested.into_iter().chain([endless]).collect(),
             fragile,
             entries: RefCell::new(processes),
             group,
@@ -289,6 +329,16 @@
         }
     }
 
+    /// Checks the resident memory of the entries.
+    pub fn check_memory(&self) {
+        for (number, entry) in self.entries.borrow().iter().enumerate() {
+            if let Some(resident_kb) = entry.process.resident_kb() {
+                self.checks
+                    .check_memory(number, resident_kb, MEMORY_MB * 1_000);
+            }
+        }
+    }
+
     /// Returns how often upstreams ran a request.
     #[must_use]
     pub fn run_count(&self, id: &str) -> usize {
@@ -296,7 +346,9 @@
         let servers: usize = servers.map(|server| server.upstream.run_count(id)).sum();
         let fragile = self.fragile.iter();
         let fragile: usize = fragile.map(|process| process.run_count(id)).sum();
-        servers + fragile
+        let load = self.load_upstreams.iter();
+        let load: usize = load.map(|upstream| upstream.run_count(id)).sum();
+        servers + fragile + load
     }
 
     /// Stops the processes and the stand-ins.
@@ -326,6 +378,7 @@
         "path: direct\nname: entry-{number}\nzone: {zone}\naddress: {address}\n\
          listen: '{listen}'\nreadiness: '{readiness}'\ncontrol: '{control}'\n\
          peer_port: {peer_port}\nseeds: [{}]\nplatform: '{platform}'\n\
+         memory_mb: {MEMORY_MB}\n\
          bounds: {{grace_s: 5, retry_ratio: 0.5, retry_slack: 200}}\nlog: {{form: json}}\n",
         seeds.join(", ")
     )
@@ -349,11 +402,28 @@
     let kinds = ["streaming", "unsafe"];
     let fragile = FRAGILE_PATHS.iter().zip(kinds);
     routes.extend(fragile.map(|(path, kind)| text::route(path, kind, FRAGILE_SERVICE)));
+    let endless = text::route(ENDLESS_PATH, "streaming", ENDLESS_SERVICE);
+    routes.push(endless.replace("1500", "60000"));
+    routes.push(text::route(CONTESTED_PATH, "safe", CONTESTED_SERVICE));
     let services = [
         text::group_service(RANK_SERVICE),
         text::service(FRAGILE_SERVICE),
+        text::service(ENDLESS_SERVICE),
+        text::service(CONTESTED_SERVICE),
     ];
-    text::configuration_with(version, &routes, &[KEY], &services)
+    let customers = (0..CUSTOMERS).map(|customer| {
+        let key = customer_key(customer);
+        format!(r#"{{"name":"customer-{customer}","accessKeys":["{key}"]}},"#)
+    });
+    let customers: String = customers.collect();
+    let text = text::configuration_with(version, &routes, &[KEY], &services);
+    text.replace(r#""tenants":["#, &format!(r#""tenants":[{customers}"#))
+}
+
+/// API key of a customer that competes.
+#[must_use]
+pub fn customer_key(customer: usize) -> String {
+    format!("key-customer-{customer}")
 }
 
 /// First segment of the path that only this version of the configuration routes.
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -41,8 +41,16 @@
 /// Number of fault kinds around entries.
 const ENTRY_FAULT_KINDS: u32 = 18;
 
-/// Number of all fault kinds.
-pub const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + 6;
+/// Number of fault kinds of groups and agents.
+const GROUP_FAULT_KINDS: u32 = 6;
+
+/// Number of all fault kinds. The last ones are an upstream that is slow and a store that sends
+/// without end.
+pub const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + GROUP_FAULT_KINDS + 2;
+
+/// How long each request to a slow upstream takes before its answer begins: several times as long as
+/// its callers expect.
+const SLOW_WORK_TIME: Duration = Duration::from_millis(400);
 
 /// How much longer than other faults an upstream limits its requests.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
@@ -108,6 +116,14 @@
                 choose_fault(&mut rng),
             );
             monoio::spawn(task);
+        } else if kind >= ENTRY_FAULT_KINDS + GROUP_FAULT_KINDS {
+            let is_store = kind > ENTRY_FAULT_KINDS + GROUP_FAULT_KINDS;
+            monoio::spawn(inject_load_fault(
+                deployment.clone(),
+                is_store,
+                server,
+                duration,
+            ));
         } else {
             monoio::spawn(inject_group_fault(
                 deployment.clone(),
@@ -235,6 +251,26 @@
     }
 }
 
+/// Makes an upstream slow, or the store send without end, for some time.
+async fn inject_load_fault(
+    deployment: Rc<Deployment>,
+    is_store: bool,
+    server: usize,
+    duration: Duration,
+) {
+    if is_store {
+        deployment.store.condition.set(Condition::Endless);
+        deployment.checks.record_store_outage(duration);
+        monoio::time::sleep(duration).await;
+        deployment.store.condition.set(Condition::Healthy);
+    } else {
+        let upstream = &deployment.servers[server].upstream;
+        upstream.work_time.set(SLOW_WORK_TIME);
+        monoio::time::sleep(duration).await;
+        upstream.work_time.set(Duration::ZERO);
+    }
+}
+
 /// Lets listings that may be outdated alternate between the current objects and older ones.
 async fn answer_from_lagging_copies(deployment: &Deployment, duration: Duration) {
     let until = Instant::now() + duration;
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use verbenaspool_soak::{
     caller::Caller,
-    deployment::{Deployment, Programs},
+    deployment::{CUSTOMERS, Deployment, Programs},
     fault,
 };
 use verbenaspool_transport::{http::client::Client, runtime};
@@ -28,6 +28,12 @@
 /// agent for 2.5 s, and the other agents examine a held pass within 2 s.
 const MAX_TIME_WITHOUT_PASS: Duration = Duration::from_secs(8);
 
+/// How often the resident memory of entries is read.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Callers of each small customer.
+const CALLERS_OF_SMALL_CUSTOMERS: usize = 2;
+
 /// Maximum number of entries, and of agents, in one run; each is a process.
 const MAX_PROCESSES: usize = 200;
 
@@ -65,6 +71,12 @@
     /// Callers whose requests share a part of their prompts that crashes upstreams.
     #[arg(long, default_value_t = 1)]
     sharing: usize,
+    /// Callers that read streams without end slowly, or not at all.
+    #[arg(long, default_value_t = 8)]
+    slow: usize,
+    /// Callers of a large customer that competes with small ones, of two callers each.
+    #[arg(long, default_value_t = 16)]
+    competing: usize,
     /// Ranks of a group, each with an agent process.
     #[arg(long, default_value_t = 4)]
     ranks: usize,
@@ -145,6 +157,21 @@
         let caller = caller(number, 6_000);
         callers.push(monoio::spawn(caller.run_sharing(deadline)));
     }
+    for number in 0..options.slow {
+        let caller = caller(number, 7_000);
+        callers.push(monoio::spawn(caller.run_slow(deadline)));
+    }
+    for (number, customer) in competing_callers(options.competing).enumerate() {
+        let caller = caller(number, 8_000);
+        callers.push(monoio::spawn(caller.run_competing(customer, deadline)));
+    }
+    let (observed, until) = (deployment.clone(), deadline);
+    callers.push(monoio::spawn(async move {
+        while Instant::now() < until {
+            observed.check_memory();
+            monoio::time::sleep(MEMORY_INTERVAL).await;
+        }
+    }));
     let write_fault = |fault: String| {
         let at = started_at.elapsed().as_millis();
         // The checks don't depend on the log, so a failed write is ignored.
@@ -183,9 +210,17 @@
         .counts
         .borrow_mut()
         .insert("crashes", crashes.len() as u64);
+    let most_resident = deployment.checks.most_resident_kb.get();
+    deployment
+        .checks
+        .counts
+        .borrow_mut()
+        .insert("kB of the largest entry", most_resident);
     deployment.checks.check_crashes(crashes.into_iter());
     deployment.check_limits();
     deployment.check_notices();
+    deployment.checks.check_customers();
+    deployment.checks.check_progress(&(started_at..deadline));
     check_group(&deployment).await;
     report(seed, &deployment);
     let violations = deployment.checks.violations.borrow().len();
@@ -193,6 +228,17 @@
     Ok(violations)
 }
 
+/// The customer of each competing caller: the small ones and then the large one.
+fn competing_callers(large: usize) -> impl Iterator<Item = usize> {
+    let small = if large > 0 {
+        CALLERS_OF_SMALL_CUSTOMERS * (CUSTOMERS - 1)
+    } else {
+        0
+    };
+    let small = (0..small).map(|number| 1 + number % (CUSTOMERS - 1));
+    small.chain(std::iter::repeat_n(0, large))
+}
+
 /// Checks that every pass of the group used one map and that the group still runs passes.
 async fn check_group(deployment: &Rc<Deployment>) {
     let (step_before, started_at) = (deployment.group.step(), Instant::now());
--- a/verbenaspool_soak/src/process.rs
+++ b/verbenaspool_soak/src/process.rs
@@ -62,6 +62,15 @@
         Ok(())
     }
 
+    /// Returns the resident memory of the current process in kilobytes, if it runs.
+    #[must_use]
+    pub fn resident_kb(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.as_ref()?.id());
+        let status = fs::read_to_string(path).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Sends a signal to the current process, if it still runs.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child
