--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -27,6 +27,7 @@
 use super::{
     divergence::Divergence,
     evacuation::Evacuations,
+    memory::Memory,
     peers::Peers,
     queue::ServiceQueue,
     readiness::ExceededLimits,
@@ -64,6 +65,8 @@
     pub store: store::Client,
     /// RPC client for other entries.
     pub rpc: rpc::Client,
+    /// What is held for callers, the store and peers.
+    pub memory: Memory,
     /// The other entries.
     pub peers: RefCell<Peers>,
     /// Pending reservations of slots at upstreams' agents.
@@ -110,6 +113,7 @@
         clock: Rc<dyn Clock>,
         log: Logger,
         store: store::Client,
+        memory: Memory,
     ) -> Rc<Self> {
         let peers = Peers::new(settings.address, digest::hash(&settings.zone));
         let metrics = metrics::Registry::default();
@@ -125,7 +129,8 @@
             exceeded_limits,
             client,
             store,
-            rpc: rpc::Client::default(),
+            rpc: rpc::Client::default().with_budget(memory.whole.clone()),
+            memory,
             peers: RefCell::new(peers),
             reservations: Reservations::new(),
             quarantine: RefCell::default(),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 mod follow;
 mod gateway;
+mod memory;
 pub mod peers;
 mod quarantine;
 mod queue;
--- a/verbenaspool_transport/src/http/client.rs
+++ b/verbenaspool_transport/src/http/client.rs
@@ -33,11 +33,16 @@
         Exceeded, Limit, MAX_READ_BUFFER_BYTES, Metered, MeteredConnection, Observer,
     },
     retry_after::{self, RetryAfter},
+    socket,
 };
 
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Maximum size of a connection's read buffer, which bounds a response's head and each frame of its
+/// body. hyper's default of 400 KB is held for each response that isn't taken.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
 /// How often it is checked whether a server that wants no requests still runs. A restart takes
 /// longer.
 const BACKOFF_PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -373,16 +378,17 @@
             .map_err(|_| not_sent("connecting took too long".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
         let _ = stream.set_nodelay(true);
+        socket::limit_receive_buffer(&stream);
         let stream = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
         let observer = self.limits.clone();
         let metered = observer.map(|observer| Rc::new(MeteredConnection::new(address, observer)));
-        let mut builder = http1::Builder::new();
-        if metered.is_some() {
-            builder.max_buf_size(MAX_READ_BUFFER_BYTES);
-        }
-        let (sender, connection) = builder
+        let buffer_bytes = metered
+            .as_ref()
+            .map_or(MAX_BUFFER_BYTES, |_| MAX_READ_BUFFER_BYTES);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(buffer_bytes)
             .handshake(MonoioIo::new(Metered::new(stream, metered.clone())))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
--- a/verbenaspool_transport/src/http/response_limits.rs
+++ b/verbenaspool_transport/src/http/response_limits.rs
@@ -29,8 +29,8 @@
 /// Maximum size of the chunk extensions and trailers of a response together.
 pub const MAX_FRAMING_BYTES: usize = 4 * 1024;
 
-/// Maximum size of hyper's read buffer of a connection, by default 408 KiB. A head fits four times.
-pub const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum size of hyper's read buffer of a connection, by default 408 KiB. A head fits twice.
+pub const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Number of digits of the largest chunk size. Further digits are leading zeros.
 const MAX_CHUNK_SIZE_DIGITS: usize = 16;
