Carry the customer and the work of a request to its placement

Shares of customers are decided where requests are placed, which knew only whether a request exceeds its customer's usual rate.

PlacementRequest gets the customer's name and the request's work, 1 for now. Neither has an effect yet. Tests of the dispatcher pass unchanged but for the two fields of the literal in simulation.rs.

--- a/verbenaspool/src/direct/attempt.rs
+++ b/verbenaspool/src/direct/attempt.rs
@@ -61,6 +61,10 @@
     pub priority: u8,
     /// Whether it exceeds its customer's usual rate.
     pub over_usual_rate: bool,
+    /// The customer that it counts for.
+    pub customer: Option<Rc<str>>,
+    /// Its work relative to other requests of the service.
+    pub work: f64,
     /// When its response must start to be on time.
     pub target: Duration,
     /// When the caller gets a response at the latest.
@@ -145,6 +149,8 @@
             place_by: self.place_by(),
             resumption: Resumption::None,
             over_usual_rate: self.over_usual_rate,
+            customer: self.customer.clone(),
+            work: self.work,
             max_gap: self.route.target_gap.filter(|_| is_stream),
             excluded: self.tried.borrow().clone(),
         }
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -138,6 +138,8 @@
         subject,
         priority: priority.unwrap_or(route.priority),
         over_usual_rate,
+        customer: name,
+        work: 1.0,
         target: (received_at + route.target_latency).saturating_sub(prior_wait),
         deadline: received_at + wait.min(route.timeout),
         received_at,
--- a/verbenaspool_policy/src/dispatch/request.rs
+++ b/verbenaspool_policy/src/dispatch/request.rs
@@ -19,6 +19,10 @@
     pub resumption: Resumption,
     /// Whether it exceeds its customer's usual rate.
     pub over_usual_rate: bool,
+    /// The customer that it counts for; `None` for callers without an API key.
+    pub customer: Option<Rc<str>>,
+    /// Its work relative to other requests of the service. It is finite and over 0.
+    pub work: f64,
     /// For streams, the longest time between two events that is still on time.
     pub max_gap: Option<Duration>,
     /// Upstreams that it must not be sent to, such as those tried before.
--- a/verbenaspool_policy/tests/dispatch/simulation.rs
+++ b/verbenaspool_policy/tests/dispatch/simulation.rs
@@ -56,6 +56,8 @@
         place_by: ms(now + 1_600),
         resumption: Resumption::None,
         over_usual_rate: false,
+        customer: None,
+        work: 1.0,
         max_gap: Some(ms(120)),
         excluded: Vec::new(),
     }
