Decide shares of customers during a shortage

Customers competed at each entry's queue separately.

dispatch::share tracks what each customer has in service, waiting and in demand, takes the same from reports of other entries, and computes the max-min fair level by weight. During a shortage requests of customers at or over their share come last, leave room for what arrives at other entries, and get nothing while a request under its share waits. Nothing of it takes effect until set_shares is called.

--- a/verbenaspool_policy/src/dispatch/capacity.rs
+++ b/verbenaspool_policy/src/dispatch/capacity.rs
@@ -19,7 +19,7 @@
 
 /// Requests per slot where pass time sets no limit. The excess waits at the upstream, so
 /// that it isn't idle between two requests.
-const MAX_REQUESTS_PER_SLOT: f64 = 2.0;
+pub const MAX_REQUESTS_PER_SLOT: f64 = 2.0;
 
 /// The share of the throughput at full slots that must remain if streams are limited to
 /// tolerate shifts of expert popularity. A late answer still has some value, so no more
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 pub mod retry_budget;
 pub mod retry_detection;
 pub mod service_time;
+pub mod share;
 pub mod slow;
 mod upstream;
 pub mod wait_queue;
@@ -46,6 +47,7 @@
     outage::Outage,
     pass_pace::PassPace,
     service_time::ServiceTime,
+    share::Shares,
     upstream::Upstream,
     wait_queue::{QueuedRequest, Ticket, WaitQueue},
 };
@@ -99,6 +101,8 @@
     last_events: BTreeMap<u32, Duration>,
     /// Circuit breaker of each group.
     circuits: BTreeMap<u32, Circuit>,
+    /// The shares of customers, if capacity is divided among them.
+    shares: Option<Box<Shares>>,
     /// State of the random number generator for tie breaking and jitter.
     random_state: u64,
 }
@@ -132,6 +136,7 @@
             last_shortage: None,
             last_events: BTreeMap::new(),
             circuits: BTreeMap::new(),
+            shares: None,
             random_state: seed | 1,
         }
     }
@@ -141,6 +146,12 @@
         self.engine = engine.cloned();
     }
 
+    /// The configured engine of the service.
+    #[must_use]
+    pub fn engine(&self) -> Option<&Engine> {
+        self.engine.as_ref()
+    }
+
     /// Sets how many entries share the service's upstreams, including this one, and checks
     /// whether any upstream is available.
     ///
@@ -284,11 +295,17 @@
     pub fn process_queue(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
         self.apply_pending_decreases(now);
         self.outage.observe(now, self.is_available(now));
+        if self.shares_apply(now) {
+            return self.process_queue_by_share(now);
+        }
         let mut verdicts = Vec::new();
         let mut still_waiting = Vec::new();
         for waiting in self.queue.take_all() {
-            match self.decide(now, &waiting) {
-                Some(verdict) => verdicts.push((waiting.ticket, verdict)),
+            match self.decide(now, &waiting, false) {
+                Some(verdict) => {
+                    self.record_if_sent(now, &waiting, &verdict);
+                    verdicts.push((waiting.ticket, verdict));
+                }
                 None => still_waiting.push(waiting),
             }
         }
@@ -296,15 +313,26 @@
         verdicts
     }
 
-    /// Decides one request, or returns nothing if it continues to wait.
-    fn decide(&mut self, now: Duration, waiting: &QueuedRequest) -> Option<Verdict> {
+    /// Decides one request, or returns nothing if it continues to wait. A request that is held
+    /// back gets no upstream.
+    fn decide(
+        &mut self,
+        now: Duration,
+        waiting: &QueuedRequest,
+        held_back: bool,
+    ) -> Option<Verdict> {
         let (late_wait, service_time) =
             (self.service_time.late_wait(), self.service_time.estimate());
         let until = self
             .outage
             .wait_until(now, waiting, late_wait, service_time);
         let timed_out = now >= until || self.is_evacuated();
-        if let Some(id) = self.choose_upstream(now, waiting, timed_out) {
+        let chosen = if held_back {
+            None
+        } else {
+            self.choose_upstream(now, waiting, timed_out)
+        };
+        if let Some(id) = chosen {
             let random = self.random();
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.record_warm_up_request(now);
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -78,6 +78,7 @@
         waiting: &QueuedRequest,
         last_chance: bool,
     ) -> Option<Rc<str>> {
+        let reserved = self.reserved_per_upstream(now, waiting)?;
         let ids: Vec<Rc<str>> = self.upstreams.keys().cloned().collect();
         let down = self.down_groups(now);
         let mut group_loads = BTreeMap::new();
@@ -115,7 +116,7 @@
             }
             let group = *group_loads
                 .entry(group)
-                .or_insert_with(|| self.group_load(now, group, waiting));
+                .or_insert_with(|| self.group_load(now, group, waiting, reserved));
             let class = AdmissionClass::of(waiting, last_chance);
             let Some(cost) = cost(now, upstream, group, class) else {
                 continue;
@@ -140,8 +141,14 @@
     }
 
     /// The load of a group with one request more, or nothing if pass time doesn't limit the
-    /// request.
-    fn group_load(&self, now: Duration, group: u32, waiting: &QueuedRequest) -> Option<GroupLoad> {
+    /// request. `reserved` requests per upstream are counted in addition.
+    fn group_load(
+        &self,
+        now: Duration,
+        group: u32,
+        waiting: &QueuedRequest,
+        reserved: f64,
+    ) -> Option<GroupLoad> {
         let engine = self.engine.as_ref()?;
         let max_gap = waiting.request.max_gap?.as_secs_f64().max(1e-6);
         let pass_pace = self.group_paces.get(&group).copied().unwrap_or_default();
@@ -158,7 +165,8 @@
         };
         let mean = self
             .mean_requests(group)
-            .max(self.fair_share(recovering_since, group));
+            .max(self.fair_share(recovering_since, group))
+            + reserved;
         let max_pass = max_gap * PASS_HEADROOM_RATIO;
         let pass_ratio = |requests: f64| engine.pass_time(requests).as_secs_f64() * pace / max_pass;
         let shortage = self
--- a/verbenaspool_policy/src/dispatch/wait_queue.rs
+++ b/verbenaspool_policy/src/dispatch/wait_queue.rs
@@ -57,6 +57,12 @@
         self.0 = waiting;
     }
 
+    /// The queued requests in placement order.
+    #[must_use]
+    pub fn as_slice(&self) -> &[QueuedRequest] {
+        &self.0
+    }
+
     /// The number of queued requests.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -71,7 +77,7 @@
 }
 
 /// The placement order; lower keys come first.
-fn sort_key(waiting: &QueuedRequest) -> (bool, bool, u8, Duration) {
+pub(super) fn sort_key(waiting: &QueuedRequest) -> (bool, bool, u8, Duration) {
     let late = waiting.late && waiting.request.resumption != Resumption::Moved;
     (
         late,
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod outage;
 mod rate_limits;
 mod retry_budget;
+mod shares;
 mod shift;
 mod simulation;
 mod slow;
--- a/verbenaspool_policy/tests/dispatch/simulation.rs
+++ b/verbenaspool_policy/tests/dispatch/simulation.rs
@@ -1,10 +1,16 @@
 //! Simulates lock-stepped engines and the entries that send them streams. Times are in
 //! milliseconds.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use verbenaspool_policy::dispatch::{
     AttemptOutcome, Dispatcher, PlacementRequest, Resumption, Verdict, customer_rate,
+    share::Weights,
 };
 use verbenaspool_state::{
     engine::Engine,
@@ -97,6 +103,20 @@
 /// A customer's name, and its rate in streams per second and entry.
 pub type Customer<'a> = (&'a str, f64);
 
+/// The streams of a customer with a priority, in streams per second at each entry.
+#[derive(Debug, Clone)]
+pub struct Source {
+    pub customer: String,
+    pub priority: u8,
+    pub rates: Vec<f64>,
+}
+
+/// Interval at which entries exchange the usage of customers.
+const USAGE_INTERVAL_MS: u64 = 200;
+
+/// How often a caller that repeats at once does so.
+const MAX_REPEATS: u32 = 3;
+
 /// Delay until entries receive a rank's new pace.
 const STATUS_DELAY_MS: u64 = 100;
 
@@ -130,6 +150,16 @@
     /// Running streams that wait for another upstream, by the ticket of their placement
     /// request.
     moves: BTreeMap<u64, u64>,
+    /// Whether capacity is divided among customers.
+    shares: bool,
+    /// Entries that exchange no messages with others.
+    pub cut_off: BTreeSet<usize>,
+    /// The customer whose callers repeat rejected streams at once, and the repetitions so far.
+    pub repeating: Option<String>,
+    repeats: BTreeMap<u64, u32>,
+    /// Streams without an outcome that were submitted by [`Self::run_sources`].
+    requests: BTreeMap<u64, PlacementRequest>,
+    usage_sequence: u64,
 }
 
 impl Simulation {
@@ -170,6 +200,151 @@
             max_streams: 0,
             upstream_paces: BTreeMap::new(),
             moves: BTreeMap::new(),
+            shares: false,
+            cut_off: BTreeSet::new(),
+            repeating: None,
+            repeats: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            usage_sequence: 0,
+        }
+    }
+
+    /// Divides capacity among customers by weight.
+    pub fn enable_shares(&mut self, weights: &[(&str, f64)]) {
+        self.shares = true;
+        let weights = Weights::new(weights.iter().copied());
+        let count = self.entries.len();
+        for (number, entry) in self.entries.iter_mut().enumerate() {
+            entry.set_shares(Some(&weights));
+            entry.set_sharing_entries(&format!("e{number}"), Some(count));
+            entry.record_service_time(ms(1_500));
+        }
+    }
+
+    /// Kills an entry, whose streams end, and starts it again.
+    pub fn restart_entry(&mut self, number: usize) {
+        let replicas: Vec<Replica> = self
+            .ids
+            .iter()
+            .map(|id| replica(id, self.engine.slots))
+            .collect();
+        let mut entry = Dispatcher::new("a".into(), 177 + number as u64);
+        entry.set_engine(Some(&self.engine));
+        entry.set_upstreams(replicas.iter());
+        self.entries[number] = entry;
+        self.running.retain(|stream| stream.entry != number);
+        let lost: Vec<u64> = self
+            .queued
+            .iter()
+            .filter(|(_, (e, _))| *e == number)
+            .map(|(t, _)| *t)
+            .collect();
+        for ticket in lost {
+            self.queued.remove(&ticket);
+            self.customer_names.remove(&ticket);
+        }
+        if self.shares {
+            let count = self.entries.len();
+            self.entries[number].set_shares(Some(&Weights::default()));
+            self.entries[number].set_sharing_entries(&format!("e{number}"), Some(count));
+        }
+    }
+
+    /// Number of running streams of a customer.
+    pub fn running_count(&self, customer: &str) -> usize {
+        let running = self.running.iter();
+        let names = running.filter_map(|stream| self.customer_names.get(&stream.ticket));
+        names.filter(|name| *name == customer).count()
+    }
+
+    /// Counts outcomes by customer for streams that are submitted from now on.
+    pub fn start_counting(&mut self) {
+        self.customer_names.clear();
+        self.customer_outcomes.clear();
+    }
+
+    /// Submits streams of customers at the given rates. Returns how many of each customer.
+    pub fn run_sources(&mut self, sources: &[Source], duration_ms: u64) -> BTreeMap<String, u32> {
+        let count = sources.len() * self.entries.len();
+        // Staggers the streams.
+        let count = u32::try_from(count).expect("few");
+        let mut due: Vec<f64> = (0..count).map(|n| f64::from(n * 7 % 10) / 10.0).collect();
+        let mut submitted = BTreeMap::new();
+        let end = self.now + duration_ms;
+        while self.now < end {
+            for (number, due) in due.iter_mut().enumerate() {
+                let source = &sources[number / self.entries.len()];
+                let entry = number % self.entries.len();
+                *due += source.rates[entry] / 1e3;
+                if *due >= 1.0 {
+                    *due -= 1.0;
+                    *submitted.entry(source.customer.clone()).or_default() += 1;
+                    let customer: Rc<str> = source.customer.as_str().into();
+                    let request = PlacementRequest {
+                        customer: Some(customer.clone()),
+                        priority: source.priority,
+                        ..stream(self.now)
+                    };
+                    self.submit_of_customer(request, entry);
+                }
+            }
+            self.tick();
+        }
+        submitted
+    }
+
+    /// Submits a stream of a customer.
+    fn submit_of_customer(&mut self, request: PlacementRequest, entry: usize) {
+        let ticket = self.last_ticket + 1;
+        let customer = request.customer.clone();
+        let name = customer.as_deref().unwrap_or_default().to_owned();
+        self.entries[entry].record_arrival(ms(self.now), customer.as_ref(), request.work);
+        self.customer_names.insert(ticket, name);
+        self.requests.insert(ticket, request.clone());
+        self.submit_request(request, entry);
+    }
+
+    /// Submits a rejected stream again if its caller repeats at once.
+    fn repeat(&mut self, ticket: u64, entry: usize) {
+        let (request, name) = (
+            self.requests.remove(&ticket),
+            self.customer_names.get(&ticket),
+        );
+        let repeats = self.repeats.remove(&ticket).unwrap_or(0);
+        let repeating = name == self.repeating.as_ref() && repeats < MAX_REPEATS;
+        let Some(request) = request.filter(|_| repeating) else {
+            return;
+        };
+        self.repeats.insert(self.last_ticket + 1, repeats + 1);
+        let request = PlacementRequest {
+            queued_at: ms(self.now),
+            ..request
+        };
+        self.submit_of_customer(request, entry);
+    }
+
+    /// Passes the usage that entries report to the others.
+    fn exchange_usage(&mut self) {
+        let now = ms(self.now);
+        self.usage_sequence += 1;
+        let reports: Vec<_> = self
+            .entries
+            .iter_mut()
+            .map(|entry| entry.usage(now))
+            .collect();
+        let cut_off = &self.cut_off;
+        for (number, entry) in self.entries.iter_mut().enumerate() {
+            let own_cut = cut_off.contains(&number);
+            entry.retain_usage(|peer| !own_cut && !cut_off.contains(&(peer as usize)));
+            for (peer, report) in reports.iter().enumerate() {
+                let Some(usage) = report.clone().filter(|_| peer != number) else {
+                    continue;
+                };
+                if !own_cut && !cut_off.contains(&peer) {
+                    let peer = u32::try_from(peer).expect("few");
+                    entry.record_usage(now, peer, (1, self.usage_sequence), usage);
+                }
+            }
         }
     }
 
@@ -318,13 +493,19 @@
                         late: false,
                         arrived_at,
                     }),
-                    Verdict::Reject(_) => self.record_outcome(ticket, |sum| sum.rejected += 1),
+                    Verdict::Reject(_) => {
+                        self.repeat(ticket, entry);
+                        self.record_outcome(ticket, |sum| sum.rejected += 1);
+                    }
                 }
             }
         }
         if self.now.is_multiple_of(DIGEST_INTERVAL_MS) && self.exchanges_digests {
             self.exchange_digests();
         }
+        if self.shares && self.now.is_multiple_of(USAGE_INTERVAL_MS) {
+            self.exchange_usage();
+        }
         if self.now >= self.next_pass_at {
             self.end_pass();
         }
@@ -345,7 +526,10 @@
             .collect();
         for (number, entry) in self.entries.iter_mut().enumerate() {
             for id in &self.ids {
-                let others = in_flight.iter().enumerate().filter(|(n, _)| *n != number);
+                let cut_off = |n: &usize| self.cut_off.contains(n);
+                let others = in_flight.iter().enumerate();
+                let others =
+                    others.filter(|(n, _)| *n != number && !cut_off(n) && !cut_off(&number));
                 let sum = others.filter_map(|(_, in_flight)| in_flight.get(id)).sum();
                 entry.set_peer_load(ms(self.now), id, sum);
             }
@@ -373,6 +557,7 @@
                 continue;
             }
             self.entries[stream.entry].finish_attempt(now, &stream.upstream, AttemptOutcome::Good);
+            self.entries[stream.entry].finish_work(stream.ticket);
             if stream.late {
                 self.record_outcome(stream.ticket, |sum| sum.late += 1);
             } else {
