--- a/verbenaspool_protocol/src/lib.rs
+++ b/verbenaspool_protocol/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod reservation;
 pub mod settle;
 pub mod suspicion;
+pub mod usage;
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -9,6 +9,7 @@
     rate_limit,
     reservation::{self, ServiceInfo, Subscription},
     suspicion::Suspicion,
+    usage,
 };
 
 /// The largest datagram. It fits in one Ethernet frame, since the loss of one fragment
@@ -67,6 +68,8 @@
     RateLimits(Vec<rate_limit::Report>),
     /// Entry to other entries: what it saw of a crash of an upstream.
     Crash(crash::Report),
+    /// Entry to other entries: what customers use of a service during a shortage.
+    CustomerUsage(usage::Report),
 }
 
 impl Message {
--- a/verbenaspool_protocol/src/message/tests.rs
+++ b/verbenaspool_protocol/src/message/tests.rs
@@ -2,11 +2,16 @@
 
 use std::net::Ipv4Addr;
 
-use super::{Message, NEW_ANSWER_FIELDS, NEW_DIGEST_FIELDS, NEW_RESERVATION_FIELDS};
+use verbenaspool_policy::dispatch::share::MAX_REPORTED_CUSTOMERS;
+
+use super::{
+    MAX_DATAGRAM_BYTES, Message, NEW_ANSWER_FIELDS, NEW_DIGEST_FIELDS, NEW_RESERVATION_FIELDS,
+};
 use crate::{
     digest::{Digest, InFlight},
     member::Status,
     reservation::{self, WarmUp},
+    usage,
 };
 
 const WARM_UP: WarmUp = WarmUp {
@@ -97,3 +102,30 @@
     let order = Message::Subscribe(reservation::Subscription { same_zone: true });
     assert_eq!(Message::decode(&order.encode()[..1]), None);
 }
+
+/// Guards against reports of customers' usage that don't fit in a datagram.
+#[test]
+fn the_largest_usage_report_fits_in_a_datagram() {
+    let work = usage::Work {
+        in_service: u32::MAX,
+        waiting: u32::MAX,
+        arrived: u32::MAX,
+    };
+    let customer = |number| usage::Customer {
+        customer: u32::MAX - number,
+        work,
+    };
+    let largest = 0..u32::try_from(MAX_REPORTED_CUSTOMERS).expect("few");
+    let message = Message::CustomerUsage(usage::Report {
+        service: u32::MAX,
+        incarnation: u64::MAX,
+        sequence: u64::MAX,
+        shortage: true,
+        customers: u32::MAX,
+        total: work,
+        largest: largest.map(customer).collect(),
+    });
+    let bytes = message.encode();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert_eq!(Message::decode(&bytes), Some(message));
+}
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -271,6 +271,11 @@
         self.customers_by_key.get(key)
     }
 
+    /// The customer of each API key.
+    pub fn customers(&self) -> impl Iterator<Item = &Rc<Customer>> {
+        self.customers_by_key.values()
+    }
+
     /// Whether requests need an API key, except on public routes.
     #[must_use]
     pub fn requires_api_key(&self) -> bool {
