Divide capacity among customers where settings enable it

Entries decided shares nowhere yet, and knew nothing of the customers of other entries.

Settings get shares (off by default) with weights, which are rejected with customer and value unless they are numbers over 0 and at most 1,000. Where they are enabled, requests count for their customers with their work in place of the rule on the usual rate, and entries report usage to the recipients of digests during a shortage, at most each 200 ms and 80 datagrams a second. Begin and end are logged, and requests, levels and reports have metrics. Weights of unknown customers are logged once.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -33,6 +33,7 @@
     reserve::Reservations,
     settings::Settings,
     status::unix_time,
+    usage::{self, CheckedWeights},
 };
 
 /// Timeout for new connections to upstreams. A round trip takes a few milliseconds. A
@@ -92,6 +93,8 @@
     pub table_source: RefCell<Option<Object>>,
     /// The availability zones whose upstreams get no requests.
     pub evacuations: RefCell<Evacuations>,
+    /// Which weights of customers name unknown ones.
+    pub checked_weights: RefCell<CheckedWeights>,
     /// Number of followers whose last call to the store failed.
     pub failing_followers: Cell<u32>,
     table: RefCell<Option<Rc<Table>>>,
@@ -132,6 +135,7 @@
             closed: Cell::new(false),
             table_source: RefCell::default(),
             evacuations: RefCell::default(),
+            checked_weights: RefCell::default(),
             failing_followers: Cell::default(),
             table: RefCell::default(),
             registry: RefCell::default(),
@@ -471,6 +475,8 @@
             let queue = Rc::new(queue);
             let evacuations = self.evacuations.borrow();
             queue.with(|dispatcher, _| dispatcher.set_evacuated_zones(&evacuations.zones));
+            let weights = usage::share_weights(&self.settings.borrow().shares);
+            queue.set_shares(weights.as_ref());
             queue
         };
         queues
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -26,3 +26,4 @@
 pub mod settings;
 pub mod standing;
 mod status;
+mod usage;
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -11,6 +11,7 @@
 use verbenaspool_protocol::{
     digest::{self, Digest, Hint, InFlight, UNKNOWN_ZONE},
     message::{self, Message},
+    usage::Report,
 };
 
 use super::DIGEST_INTERVAL;
@@ -135,6 +136,11 @@
             Some(Message::RateLimits(reports)) if is_peer(&gateway, from) => {
                 gateway.record_rate_limits(&reports, &format!("peer {from}"));
             }
+            Some(Message::CustomerUsage(report)) if is_peer(&gateway, from) => {
+                if let IpAddr::V4(from) = from {
+                    gateway.record_usage(&report, from);
+                }
+            }
             // An agent may only report the upstream on its own instance.
             Some(Message::Status(status)) if status.upstream.ip() == from => {
                 gateway.record_status(&status);
@@ -184,6 +190,22 @@
     send(gateway, socket, message, &recipients).await;
 }
 
+/// Sends reports of customers' usage to the recipients of digests. Returns the number of datagrams.
+pub async fn send_usage(gateway: &Gateway, socket: &UdpSocket, reports: Vec<Report>) -> u32 {
+    let recipients = gateway.peers.borrow().recipients();
+    let sent = reports.len() * recipients.len();
+    for report in reports {
+        send(
+            gateway,
+            socket,
+            &Message::CustomerUsage(report),
+            &recipients,
+        )
+        .await;
+    }
+    u32::try_from(sent).unwrap_or(u32::MAX)
+}
+
 /// Sends a message to some peers.
 async fn send(gateway: &Gateway, socket: &UdpSocket, message: &Message, recipients: &[Ipv4Addr]) {
     let message = message.encode();
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -17,7 +17,7 @@
 mod watchers;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::{IpAddr, Ipv4Addr},
     time::Duration,
 };
@@ -27,7 +27,7 @@
 
 pub use self::{
     catch_up::{Versions, catch_up, register_methods},
-    exchange::{bind, broadcast, receive_messages, send_digests},
+    exchange::{bind, broadcast, receive_messages, send_digests, send_usage},
     subscription::send_subscriptions,
 };
 use super::gateway::Gateway;
@@ -279,6 +279,17 @@
     /// The peers that get the next digest: all, or those of this entry's zone, those that got
     /// none yet, and a sample of the others.
     pub fn next_recipients(&mut self) -> Vec<Ipv4Addr> {
+        let recipients = self.recipients();
+        for address in &recipients {
+            if let Some(peer) = self.known.get_mut(address) {
+                peer.contacted = true;
+            }
+        }
+        recipients
+    }
+
+    /// The recipients of a message that is sent to those that get the next digest.
+    fn recipients(&self) -> Vec<Ipv4Addr> {
         let all = self.known.len() <= MAX_EXCHANGED_PEERS;
         let is_due = |peer: &Peer| all || self.is_same_zone(peer) || !peer.contacted;
         let (mut recipients, others): (Vec<_>, Vec<_>) =
@@ -288,16 +299,14 @@
                 .into_iter()
                 .choose_multiple(&mut rand::rng(), REMOTE_SAMPLE),
         );
-        let recipients: Vec<Ipv4Addr> = recipients
-            .into_iter()
-            .map(|(address, _)| *address)
-            .collect();
-        for address in &recipients {
-            if let Some(peer) = self.known.get_mut(address) {
-                peer.contacted = true;
-            }
-        }
-        recipients
+        let recipients = recipients.into_iter();
+        recipients.map(|(address, _)| *address).collect()
+    }
+
+    /// The addresses of live peers.
+    #[must_use]
+    pub fn live_addresses(&self, now: Duration) -> HashSet<Ipv4Addr> {
+        self.live_peers(now).map(|(address, _)| *address).collect()
     }
 
     /// The next digest of this entry, given its own state.
--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -11,7 +11,11 @@
 use tokio::sync::oneshot;
 use verbenaspool_policy::dispatch::{
     AttemptOutcome, Diagnostics, Dispatcher, PlacementRequest, Rejection, Verdict, customer_rate,
-    retry_budget, retry_detection::Detector, slow::StallScope, wait_queue::Ticket,
+    retry_budget,
+    retry_detection::Detector,
+    share::{PeerId, ShareStatus, Usage, Weights, work::RouteMeans},
+    slow::StallScope,
+    wait_queue::Ticket,
 };
 use verbenaspool_protocol::{
     digest, rate_limit,
@@ -37,6 +41,10 @@
     customer_rates: RefCell<customer_rate::Rates>,
     /// When the limit of an upstream without an agent last changed by an answer to this entry.
     rate_limit_changes: RefCell<HashMap<Rc<str>, Duration>>,
+    /// The mean work of each route's requests.
+    route_means: RefCell<RouteMeans>,
+    /// Whether shares applied when that was last logged.
+    shares_logged: Cell<bool>,
     /// Sends verdicts to waiting requests.
     verdict_senders: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     last_ticket: Cell<Ticket>,
@@ -48,6 +56,7 @@
     queue: Rc<ServiceQueue>,
     /// The upstream.
     pub upstream: Rc<str>,
+    ticket: Ticket,
     granted_at: Duration,
     outcome: Cell<AttemptOutcome>,
     /// Whether a slot is still to be reserved with the upstream's agent.
@@ -213,6 +222,7 @@
                 .borrow_mut()
                 .record_service_time(service_time);
         }
+        self.queue.dispatcher.borrow_mut().finish_work(self.ticket);
         self.queue
             .finish_attempt(&self.upstream, self.outcome.get());
     }
@@ -232,10 +242,10 @@
         // The caller may leave just after the request was placed; then its place is released.
         self.verdict.close();
         if let Ok(Verdict::Send(upstream)) = self.verdict.try_recv() {
-            self.queue
-                .dispatcher
-                .borrow_mut()
-                .finish_reservation(&upstream);
+            let mut dispatcher = self.queue.dispatcher.borrow_mut();
+            dispatcher.finish_reservation(&upstream);
+            dispatcher.finish_work(self.ticket);
+            drop(dispatcher);
             self.queue
                 .finish_attempt(&upstream, AttemptOutcome::Unknown);
         }
@@ -262,6 +272,8 @@
             retry_detector: RefCell::default(),
             customer_rates: RefCell::default(),
             rate_limit_changes: RefCell::default(),
+            route_means: RefCell::default(),
+            shares_logged: Cell::default(),
             verdict_senders: RefCell::default(),
             last_ticket: Cell::default(),
         }
@@ -292,6 +304,7 @@
             };
             if let Err(Verdict::Send(upstream)) = delivered {
                 dispatcher.finish_reservation(&upstream);
+                dispatcher.finish_work(ticket);
                 dispatcher.finish_attempt(now, &upstream, AttemptOutcome::Unknown);
             }
         }
@@ -317,6 +330,7 @@
             Ok(Verdict::Send(upstream)) => Ok(Permit {
                 queue: self.clone(),
                 upstream,
+                ticket,
                 granted_at: self.clock.now(),
                 outcome: Cell::new(AttemptOutcome::Unknown),
                 reservation_pending: Cell::new(true),
@@ -376,6 +390,61 @@
         self.customer_rates.borrow_mut().observe(now, customer)
     }
 
+    /// Sets the weights of customers, or `None` if capacity isn't divided among them.
+    pub fn set_shares(&self, weights: Option<&Weights>) {
+        self.dispatcher.borrow_mut().set_shares(weights);
+    }
+
+    /// Records a request that arrived. Returns its work.
+    pub fn record_arrival(
+        &self,
+        customer: Option<&Rc<str>>,
+        route: &Rc<str>,
+        tokens: Option<[u32; 2]>,
+    ) -> f64 {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let mut means = self.route_means.borrow_mut();
+        let work = means.work(dispatcher.engine(), route, tokens);
+        dispatcher.record_arrival(now, customer, work);
+        work
+    }
+
+    /// Ends the usage of peers that aren't live, and returns this entry's usage if it is to be
+    /// reported.
+    pub fn exchange_usage(&self, is_live: impl Fn(PeerId) -> bool) -> Option<Usage> {
+        self.with(|dispatcher, now| {
+            dispatcher.retain_usage(is_live);
+            dispatcher.usage(now)
+        })
+    }
+
+    /// Records the usage that a peer reports. Returns whether the report was accepted.
+    pub fn record_usage(&self, peer: PeerId, order: (u64, u64), usage: Usage) -> bool {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_usage(now, peer, order, usage)
+    }
+
+    /// The status of shares if they have begun or ended to apply since the last call.
+    pub fn share_change(&self) -> Option<ShareStatus> {
+        let status = self.share_status().unwrap_or_default();
+        let before = self.shares_logged.replace(status.active);
+        (before != status.active).then_some(status)
+    }
+
+    /// A summary of the shares; `None` if they aren't enabled.
+    pub fn share_status(&self) -> Option<ShareStatus> {
+        let now = self.clock.now();
+        self.dispatcher.borrow().share_status(now)
+    }
+
+    /// Whether a customer is at or over its share; `None` if shares don't apply.
+    pub fn is_over_share(&self, customer: Option<&str>) -> Option<bool> {
+        let now = self.clock.now();
+        self.dispatcher.borrow().is_over_share(now, customer)
+    }
+
     /// Whether the retry budget currently allows a retry. Doesn't count one.
     pub fn allows_retry(&self, limits: &retry_budget::Limits, entries: Option<usize>) -> bool {
         let now = self.clock.now();
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -20,6 +20,8 @@
     prior_wait: Duration,
     /// Whether it exceeds its customer's usual rate.
     over_usual_rate: bool,
+    /// Whether its customer was over its share when it was placed or rejected, and its work.
+    share: Option<(bool, f64)>,
     fingerprint: Option<Fingerprint>,
     /// Ids of the parts of the prompt that other requests may share.
     shared_parts: String,
@@ -95,6 +97,13 @@
         summary.over_usual_rate = over_usual_rate;
     }
 
+    /// Sets whether the request's customer was over its share, if shares applied, and its work.
+    pub fn set_share(&self, over: Option<bool>, work: f64) {
+        if let Some(over) = over {
+            self.summary.borrow_mut().share = Some((over, work));
+        }
+    }
+
     /// Sets the state of the service at this point of the request.
     pub fn set_diagnostics(&self, diagnostics: Diagnostics) {
         self.summary.borrow_mut().diagnostics = diagnostics;
@@ -223,6 +232,19 @@
             "events" => summary.events, "pause_ms" => pause_ms, "first_ms" => first_ms,
             "took_ms" => took_ms,
         ));
+        let log = match summary.share {
+            Some((over, work)) => {
+                let (name, help) = (
+                    "verbenaspool_shared_requests_total",
+                    "Requests placed or rejected while capacity was divided among customers.",
+                );
+                let result = if over { "over" } else { "under" };
+                let labels = [("service", service), ("share", result)];
+                gateway.metrics.counter(name, help, &labels).increment();
+                log.new(o!("over_share" => over, "work" => work))
+            }
+            None => log,
+        };
         // Failures have a higher level, as they are kept when log lines are dropped.
         if is_failure(status, reason) {
             warn!(log, "request ended");
@@ -309,5 +331,54 @@
                 snapshot.pace,
             );
         }
+        self.update_share_gauges();
+    }
+
+    /// Updates the gauges of shares, if they are enabled.
+    fn update_share_gauges(&self) {
+        if !self.settings.borrow().shares.enabled {
+            return;
+        }
+        #[allow(clippy::cast_precision_loss)] // A few thousand at most.
+        let count = |count: usize| count as f64;
+        let unknown = self.checked_weights.borrow().unknown.len();
+        let unknown_weights = self.metrics.gauge(
+            "verbenaspool_share_unknown_weights",
+            "Weights in the settings of customers that the configuration doesn't have.",
+            &[],
+        );
+        unknown_weights.set(count(unknown));
+        for queue in self.queues() {
+            let Some(shares) = queue.share_status() else {
+                continue;
+            };
+            let pairs = [("service", &*queue.service)];
+            let gauge = |name, help, value: f64| self.metrics.gauge(name, help, &pairs).set(value);
+            gauge(
+                "verbenaspool_shares_active",
+                "Whether capacity is divided among customers now.",
+                f64::from(u8::from(shares.active)),
+            );
+            gauge(
+                "verbenaspool_share_level",
+                "Work in service of a customer with weight 1 at its share; 0 if all demand fits.",
+                shares.level.unwrap_or(0.0),
+            );
+            gauge(
+                "verbenaspool_over_share_customers",
+                "Customers at or over their share.",
+                count(shares.over),
+            );
+            gauge(
+                "verbenaspool_tracked_customers",
+                "Customers whose usage this entry tracks.",
+                count(shares.tracked),
+            );
+            gauge(
+                "verbenaspool_usage_peers",
+                "Other entries whose usage counts.",
+                count(shares.peers),
+            );
+        }
     }
 }
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -112,9 +112,18 @@
     header::sanitize(&mut headers, name.as_deref());
     let wait = caller_headers.wait.unwrap_or(MAX_CALLER_WAIT);
     let prior_wait = queue.prior_wait(wait);
-    let over_usual_rate = name
-        .as_ref()
-        .is_some_and(|name| queue.observe_customer(name));
+    // Shares replace the rule on the usual rate.
+    let shares = gateway.settings.borrow().shares.enabled;
+    let (over_usual_rate, work) = if shares {
+        let tokens = caller_headers.tokens;
+        (
+            false,
+            queue.record_arrival(name.as_ref(), &route.name, tokens),
+        )
+    } else {
+        let over = |name| queue.observe_customer(name);
+        (name.as_ref().is_some_and(over), 1.0)
+    };
     record.set_caller_state(wait, prior_wait, over_usual_rate);
     let uri = path_and_query(&parts.uri);
     let shared_parts = caller_headers.shared_parts.iter();
@@ -139,7 +148,7 @@
         priority: priority.unwrap_or(route.priority),
         over_usual_rate,
         customer: name,
-        work: 1.0,
+        work,
         target: (received_at + route.target_latency).saturating_sub(prior_wait),
         deadline: received_at + wait.min(route.timeout),
         received_at,
@@ -227,6 +236,8 @@
         }
         let admitted = request.admit(request.placement_request()).await;
         request.record.set_diagnostics(request.queue.diagnostics());
+        let over_share = request.queue.is_over_share(request.customer.as_deref());
+        request.record.set_share(over_share, request.work);
         let permit = match admitted {
             Ok(permit) => permit,
             Err(rejection) => {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -26,7 +26,7 @@
     peers, quarantine, rate_limit,
     readiness::{Metrics, Readiness},
     settings::Settings,
-    standing, status,
+    standing, status, usage,
 };
 use crate::run::{Drained, Error};
 
@@ -215,6 +215,11 @@
             monoio::spawn(quarantine::report(gateway.clone(), socket.clone()));
             monoio::spawn(quarantine::report_crashes(gateway.clone(), socket.clone()));
             monoio::spawn(rate_limit::report(gateway.clone(), socket.clone()));
+            monoio::spawn(usage::exchange(
+                gateway.clone(),
+                socket.clone(),
+                incarnation,
+            ));
             monoio::spawn(peers::send_subscriptions(gateway.clone(), socket));
             monoio::spawn(peers::catch_up(gateway.clone()));
         }
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry on the direct path.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -9,6 +10,9 @@
 use verbenaspool_policy::{dispatch::retry_budget, quarantine};
 use verbenaspool_transport::log;
 
+/// The largest weight of a customer.
+const MAX_WEIGHT: f64 = 1_000.0;
+
 /// Settings of one entry. Unknown fields are ignored: the platform writes the settings and
 /// may add fields.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +50,9 @@
     /// When requests that crash upstreams are rejected.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Whether capacity is divided among customers during a shortage.
+    #[serde(default)]
+    pub shares: Shares,
     /// Settings of the log.
     #[serde(default)]
     pub log: log::Settings,
@@ -152,7 +159,63 @@
     }
 }
 
+/// Whether capacity is divided among customers during a shortage, and how.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, try_from = "RawShares")]
+pub struct Shares {
+    /// Whether it is divided.
+    pub enabled: bool,
+    /// The weights of customers. Others have weight 1.
+    pub weights: BTreeMap<String, f64>,
+}
+
+/// The settings of shares before the weights have been checked.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawShares {
+    enabled: bool,
+    weights: BTreeMap<String, RawWeight>,
+}
+
+/// A weight as it was written.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum RawWeight {
+    Number(f64),
+    Text(String),
+    Other(serde::de::IgnoredAny),
+}
+
+impl TryFrom<RawShares> for Shares {
+    type Error = String;
+
+    fn try_from(raw: RawShares) -> Result<Self, String> {
+        let check = |(customer, weight): (String, RawWeight)| {
+            let written = match weight {
+                RawWeight::Number(weight) if weight > 0.0 && weight <= MAX_WEIGHT => {
+                    return Ok((customer, weight));
+                }
+                RawWeight::Number(weight) => weight.to_string(),
+                RawWeight::Text(text) => format!("\"{text}\""),
+                RawWeight::Other(_) => "no number".to_owned(),
+            };
+            Err(format!(
+                "shares.weights: the weight of {customer} is {written}; it must be a number over 0 \
+                 and at most {MAX_WEIGHT}"
+            ))
+        };
+        let weights: Result<_, String> = raw.weights.into_iter().map(check).collect();
+        Ok(Self {
+            enabled: raw.enabled,
+            weights: weights?,
+        })
+    }
+}
+
 /// The usual limit of a process.
 fn default_descriptors() -> usize {
     1_024
 }
+
+#[cfg(test)]
+mod tests;
