Send and collect no usage where shares are disabled, and note the setting

The task that exchanges usage looked up live peers and processed queues also where shares are disabled. It now does neither.

--- a/verbenaspool/src/direct/queue.rs
+++ b/verbenaspool/src/direct/queue.rs
@@ -413,10 +413,10 @@
     /// Ends the usage of peers that aren't live, and returns this entry's usage if it is to be
     /// reported.
     pub fn exchange_usage(&self, is_live: impl Fn(PeerId) -> bool) -> Option<Usage> {
-        self.with(|dispatcher, now| {
-            dispatcher.retain_usage(is_live);
-            dispatcher.usage(now)
-        })
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.retain_usage(is_live);
+        dispatcher.usage(now)
     }
 
     /// Records the usage that a peer reports. Returns whether the report was accepted.
--- a/verbenaspool/src/direct/usage.rs
+++ b/verbenaspool/src/direct/usage.rs
@@ -36,6 +36,9 @@
 impl Gateway {
     /// The reports of this entry's usage, for the services with a shortage.
     fn usage_reports(&self, order: (u64, u64)) -> Vec<Report> {
+        if !self.settings.borrow().shares.enabled {
+            return Vec::new();
+        }
         let now = self.clock.now();
         let live = self.peers.borrow().live_addresses(now);
         let is_live = |peer: u32| live.contains(&Ipv4Addr::from_bits(peer));
