Learn the speed of upstreams and their return from ejections

Cause: placement compares counts, so one of three plain upstreams that is 3 to 12 times slower keeps a third of the requests, one that flaps gets its full share with its first success, and with all of three unreliable upstreams ejected requests are rejected.

Change: decision modules speed, probation, zone_room and balance. Where Dispatcher::update_balancing enables it, placement prefers upstreams that complete a request on time by their learned service times, over all zones, and spreads requests over nearly equal ones in proportion to free slots. Ejections for failures double up to 6 s until the upstream was good for as long as it was ejected, and it returns with 1, 2, 4 and more requests. With all ejected, the one that failed the longest time ago is used. Dispatcher::record_service_time keeps its signature, as existing tests call it with the duration alone; record_upstream_time(now, id, duration, complete) is new.

--- a/verbenaspool_policy/src/dispatch/capacity.rs
+++ b/verbenaspool_policy/src/dispatch/capacity.rs
@@ -138,15 +138,21 @@
     group: Option<GroupLoad>,
     class: AdmissionClass,
 ) -> Option<f64> {
-    let health_penalty = upstream.health.cost(now)?;
+    cost_with_penalty(upstream, group, class, upstream.health.cost(now)?)
+}
+
+/// The cost of sending a request to an upstream whose past failures make this penalty, or nothing
+/// if there is no capacity.
+pub(super) fn cost_with_penalty(
+    upstream: &Upstream,
+    group: Option<GroupLoad>,
+    class: AdmissionClass,
+    health_penalty: f64,
+) -> Option<f64> {
     let busy = f64::from(upstream.own_requests + upstream.peer_requests);
     let slots = f64::from(upstream.slots.max(1));
     let Some(group) = group else {
-        let max_requests_per_slot = if class == AdmissionClass::OverUsualRate {
-            OVER_USUAL_RATE_SLOTS_RATIO
-        } else {
-            MAX_REQUESTS_PER_SLOT
-        };
+        let max_requests_per_slot = max_requests_per_slot(class);
         let has_room = busy < slots * max_requests_per_slot;
         return has_room.then_some(busy / slots + health_penalty);
     };
@@ -171,3 +177,52 @@
         };
     has_room.then_some(group.pass_ratio + busy / slots + health_penalty)
 }
+
+/// Requests per slot of an upstream without a group.
+fn max_requests_per_slot(class: AdmissionClass) -> f64 {
+    if class == AdmissionClass::OverUsualRate {
+        OVER_USUAL_RATE_SLOTS_RATIO
+    } else {
+        MAX_REQUESTS_PER_SLOT
+    }
+}
+
+/// The most requests that an upstream without a group gets.
+#[must_use]
+pub fn max_requests(slots: u32) -> u32 {
+    slots.max(1).saturating_mul(2)
+}
+
+/// When an upstream without a group completes one more request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Completion {
+    /// The time in seconds that the upstream needs for the requests that it has and this one, if
+    /// all of its slots work on them.
+    pub work_s: f64,
+    /// How long the request waits at the upstream, in seconds.
+    pub wait_s: f64,
+    /// When it is complete, in seconds from now.
+    pub total_s: f64,
+    /// Free slots.
+    pub free_slots: f64,
+}
+
+/// When an upstream without a group completes a request, or nothing if there is no capacity.
+/// `slots` and `service_time_s` are what the upstream's responses show.
+pub(super) fn completion(
+    upstream: &Upstream,
+    class: AdmissionClass,
+    slots: f64,
+    service_time_s: f64,
+) -> Option<Completion> {
+    let busy = f64::from(upstream.own_requests + upstream.peer_requests);
+    let work_s = (busy + 1.0) / slots * service_time_s;
+    let total_s = work_s.max(service_time_s);
+    let has_room = busy < slots * max_requests_per_slot(class);
+    has_room.then_some(Completion {
+        work_s,
+        wait_s: total_s - service_time_s,
+        total_s,
+        free_slots: slots - busy,
+    })
+}
--- a/verbenaspool_policy/src/dispatch/health.rs
+++ b/verbenaspool_policy/src/dispatch/health.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::AttemptOutcome;
+use super::{AttemptOutcome, probation::Probation};
 
 /// The first ejection time. A restart takes longer, but a full queue drains sooner.
 const BASE_EJECTION_TIME: Duration = Duration::from_millis(400);
@@ -36,13 +36,73 @@
     consecutive_ejections: u32,
     /// The end of the current ejection.
     ejected_until: Duration,
+    /// How it returns from ejections for failures, where speed is learned.
+    probation: Option<Probation>,
 }
 
 impl Health {
     /// The penalty for past failures, or nothing while the upstream is ejected.
     #[must_use]
     pub fn cost(&self, now: Duration) -> Option<f64> {
-        (now >= self.ejected_until).then_some(self.failure_ratio * FAILURE_PENALTY)
+        (!self.is_ejected(now)).then_some(self.penalty())
+    }
+
+    /// The penalty for past failures, also while the upstream is ejected.
+    #[must_use]
+    pub fn penalty(&self) -> f64 {
+        self.failure_ratio * FAILURE_PENALTY
+    }
+
+    /// Whether the upstream is ejected.
+    #[must_use]
+    pub fn is_ejected(&self, now: Duration) -> bool {
+        let probation = self.probation.as_ref();
+        now < self.ejected_until || probation.is_some_and(|p| p.is_ejected(now))
+    }
+
+    /// How the upstream returns from ejections for failures, where speed is learned.
+    #[must_use]
+    pub fn probation(&self) -> Option<&Probation> {
+        self.probation.as_ref()
+    }
+
+    /// Sets the most requests of this entry at an upstream that returns in steps from ejections;
+    /// `None` if it returns at once.
+    pub fn set_probation(&mut self, max_requests: Option<u32>) {
+        let Some(max_requests) = max_requests else {
+            self.probation = None;
+            return;
+        };
+        let probation = &mut self.probation;
+        probation
+            .get_or_insert_with(|| Probation::new(max_requests))
+            .set_max_requests(max_requests);
+    }
+
+    /// Records that a request was sent to the upstream.
+    pub fn record_sent(&mut self, now: Duration) {
+        if let Some(probation) = &mut self.probation {
+            probation.record_sent(now);
+        }
+    }
+
+    /// Records that a request that was sent to the upstream has ended.
+    pub fn record_finished(&mut self) {
+        if let Some(probation) = &mut self.probation {
+            probation.record_finished();
+        }
+    }
+
+    /// Forgets past outcomes.
+    pub fn forget(&mut self) {
+        let mut probation = self.probation;
+        if let Some(probation) = &mut probation {
+            probation.forget();
+        }
+        *self = Self {
+            probation,
+            ..Self::default()
+        };
     }
 
     /// Records the outcome of an attempt.
@@ -62,16 +122,22 @@
             AttemptOutcome::Good => {
                 self.failure_ratio *= 1.0 - NEWEST_WEIGHT;
                 self.consecutive_ejections = 0;
+                if let Some(probation) = &mut self.probation {
+                    probation.record_good(now);
+                }
             }
             AttemptOutcome::Bad => {
                 self.failure_ratio += (1.0 - self.failure_ratio) * NEWEST_WEIGHT;
-                if self.failure_ratio > MAX_FAILURE_RATIO {
-                    self.eject(now);
+                let is_returning = self.probation.is_some_and(|p| p.is_returning());
+                if self.failure_ratio > MAX_FAILURE_RATIO || is_returning {
+                    self.eject_failing(now);
+                } else if let Some(probation) = &mut self.probation {
+                    probation.record_failure(now);
                 }
             }
             AttemptOutcome::Silent | AttemptOutcome::Unreached => {
                 self.failure_ratio += (1.0 - self.failure_ratio) * NEWEST_WEIGHT;
-                self.eject(now);
+                self.eject_failing(now);
             }
             AttemptOutcome::Full => self.eject(now),
             // The time that the upstream named applies in place of an ejection.
@@ -79,6 +145,14 @@
         }
     }
 
+    /// Ejects the upstream because it fails.
+    fn eject_failing(&mut self, now: Duration) {
+        match &mut self.probation {
+            Some(probation) => probation.eject(now),
+            None => self.eject(now),
+        }
+    }
+
     /// Ejects the upstream, unless it is ejected already.
     fn eject(&mut self, now: Duration) {
         if now < self.ejected_until {
--- a/verbenaspool_policy/src/dispatch/load.rs
+++ b/verbenaspool_policy/src/dispatch/load.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use super::{Dispatcher, health::Health, upstream::Upstream};
+use super::{Dispatcher, upstream::Upstream};
 
 /// How long an agent that didn't answer isn't asked again.
 const AGENT_BACKOFF: Duration = Duration::from_millis(500);
@@ -47,7 +47,8 @@
     }
 
     /// Sets how many requests other entries have in flight at an upstream, by their
-    /// digests. Ignored while the upstream's agent reports its load.
+    /// digests. Ignored while the upstream's agent reports its load, or the upstream itself has
+    /// just told it.
     ///
     /// Every entry has requests queued and sees a freed slot at the same time. If all of
     /// them used it, four entries would place nine streams on an upstream that serves six
@@ -56,7 +57,9 @@
     pub fn set_peer_load(&mut self, now: Duration, id: &str, requests: u32) {
         let delay = SLOT_REUSE_DELAY.mul_f64(self.random());
         let upstream = self.upstreams.get_mut(id);
-        let Some(upstream) = upstream.filter(|upstream| !upstream.has_fresh_load(now)) else {
+        let is_superseded =
+            |upstream: &Upstream| upstream.has_fresh_load(now) || now < upstream.told_load_until;
+        let Some(upstream) = upstream.filter(|upstream| !is_superseded(upstream)) else {
             return;
         };
         if requests >= upstream.peer_requests {
@@ -107,7 +110,7 @@
         upstream.group_down_at = (!running).then_some(now);
         if running && !was_running {
             // Failures while the group was down say nothing about the upstream.
-            upstream.health = Health::default();
+            upstream.health.forget();
             if let Some(circuit) = self.circuits.get_mut(&group) {
                 circuit.close();
             }
--- a/verbenaspool_policy/src/dispatch/mod.rs
+++ b/verbenaspool_policy/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 
 mod availability;
 mod backoff;
+pub mod balance;
 pub mod capacity;
 pub mod circuit;
 pub mod customer_rate;
@@ -23,15 +24,18 @@
 pub mod pass_pace;
 mod passes;
 mod placement;
+pub mod probation;
 mod rate_limit;
 mod request;
 pub mod retry_budget;
 pub mod retry_detection;
 pub mod service_time;
 pub mod slow;
+pub mod speed;
 mod upstream;
 pub mod wait_queue;
 mod warm_up;
+pub mod zone_room;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -42,6 +46,7 @@
 use verbenaspool_state::{backoff::Backoffs, engine::Engine, replica, route::WarmUp};
 
 use self::{
+    balance::Balancing,
     circuit::Circuit,
     outage::Outage,
     pass_pace::PassPace,
@@ -99,6 +104,8 @@
     last_events: BTreeMap<u32, Duration>,
     /// Circuit breaker of each group.
     circuits: BTreeMap<u32, Circuit>,
+    /// What is learned of upstreams by their responses, where the settings enable it.
+    balancing: Option<Balancing>,
     /// State of the random number generator for tie breaking and jitter.
     random_state: u64,
 }
@@ -132,6 +139,7 @@
             last_shortage: None,
             last_events: BTreeMap::new(),
             circuits: BTreeMap::new(),
+            balancing: None,
             random_state: seed | 1,
         }
     }
@@ -173,6 +181,11 @@
             upstream.slots = replica.slots;
             upstream.zone.clone_from(&replica.zone);
             upstream.evacuated = self.evacuated_zones.contains(&*upstream.zone);
+            let max_requests = capacity::max_requests(upstream.slots);
+            let learns_speed = self.balancing.is_some();
+            upstream
+                .health
+                .set_probation(learns_speed.then_some(max_requests));
             self.upstreams.insert(replica.id.clone(), upstream);
         }
         // Removed upstreams are kept until their last request has finished.
@@ -407,8 +420,8 @@
         let idle = busy < f64::from(upstream.slots) * capacity::MIN_USED_SLOTS_RATIO;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.own_requests = upstream.own_requests.saturating_sub(1);
-            upstream.health.record(now, outcome);
         }
+        self.record_outcome(now, &id, outcome);
         // Only engines form groups; other upstreams are judged one by one.
         if self.engine.is_none() {
             return false;
--- a/verbenaspool_policy/src/dispatch/placement.rs
+++ b/verbenaspool_policy/src/dispatch/placement.rs
@@ -9,8 +9,10 @@
 
 use super::{
     Dispatcher,
+    balance::{Choice, Purpose},
     capacity::{AdmissionClass, GroupLoad, cost, tolerates_shift},
     pass_pace, slow,
+    upstream::Upstream,
     wait_queue::QueuedRequest,
 };
 
@@ -82,6 +84,15 @@
         let down = self.down_groups(now);
         let mut group_loads = BTreeMap::new();
         let fastest = self.fastest_pace(now);
+        let class = AdmissionClass::of(waiting, last_chance);
+        let purpose = Purpose {
+            now,
+            waiting,
+            class,
+            last_chance,
+            fastest,
+        };
+        let mut choice = Choice::default();
         let mut best: Option<(f64, Rc<str>)> = None;
         for id in ids {
             let tie = self.random();
@@ -116,29 +127,43 @@
             let group = *group_loads
                 .entry(group)
                 .or_insert_with(|| self.group_load(now, group, waiting));
-            let class = AdmissionClass::of(waiting, last_chance);
-            let Some(cost) = cost(now, upstream, group, class) else {
-                continue;
-            };
-            let cross_zone = if upstream.zone == self.zone {
-                0.0
-            } else {
-                CROSS_ZONE_PENALTY_SLOTS / f64::from(upstream.slots.max(1))
-            };
             let unresponsive = !upstream.has_fresh_load(now) || upstream.is_agent_unresponsive(now);
             let unresponsive = if unresponsive {
                 UNRESPONSIVE_AGENT_PENALTY
             } else {
                 0.0
             };
-            let cost = cost + cross_zone + unresponsive + TIE_BREAK_SPREAD * tie;
+            if self.learns_speed() {
+                self.consider(&mut choice, &purpose, (&id, upstream), group, unresponsive);
+                continue;
+            }
+            let Some(cost) = cost(now, upstream, group, class) else {
+                continue;
+            };
+            let cost =
+                cost + self.cross_zone_penalty(upstream) + unresponsive + TIE_BREAK_SPREAD * tie;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, id));
             }
         }
+        if self.learns_speed() {
+            return self.choose_considered(now, choice);
+        }
         best.map(|(_, id)| id)
     }
 
+    /// The cost of sending a request to another zone than the entry's, in parts of the slots.
+    ///
+    /// Where speed is learned, it is multiplied by the service time: it bounds how much longer a
+    /// request may take in the entry's zone.
+    pub(super) fn cross_zone_penalty(&self, upstream: &Upstream) -> f64 {
+        if upstream.zone == self.zone {
+            0.0
+        } else {
+            CROSS_ZONE_PENALTY_SLOTS / f64::from(upstream.slots.max(1))
+        }
+    }
+
     /// The load of a group with one request more, or nothing if pass time doesn't limit the
     /// request.
     fn group_load(&self, now: Duration, group: u32, waiting: &QueuedRequest) -> Option<GroupLoad> {
--- a/verbenaspool_policy/src/dispatch/upstream.rs
+++ b/verbenaspool_policy/src/dispatch/upstream.rs
@@ -4,7 +4,7 @@
 
 use verbenaspool_state::{rate_limit::RateLimit, replica};
 
-use super::health::Health;
+use super::{health::Health, speed::Speed};
 use crate::{rate_limit::Pacer, warm_up::Window};
 
 /// How long an agent's report that its group is down or running stays valid. Agents report
@@ -58,6 +58,10 @@
     pub group: u32,
     /// Outcomes of recent attempts.
     pub health: Health,
+    /// How fast it is, by its responses.
+    pub speed: Speed,
+    /// Until when the load that it told in a response takes precedence over digests.
+    pub told_load_until: Duration,
     /// How many times longer than usual its work takes, by its agent's report.
     pub pace: f64,
     /// When its agent last reported group and pace.
@@ -144,6 +148,8 @@
             pending_decrease: None,
             group: 0,
             health: Health::default(),
+            speed: Speed::default(),
+            told_load_until: Duration::ZERO,
             pace: 1.0,
             status_at: Duration::ZERO,
             added_at: None,
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -17,4 +17,5 @@
 mod shift;
 mod simulation;
 mod slow;
+mod uneven;
 mod warm_up;
