Spread requests only over equally loaded ranks of a group

Requests were spread over ranks that differ by one request, and a pass takes as long as that of the busiest rank (9 streams).

Change: ranks of a group count as nearly equal within 0.01 of their cost, plain upstreams within what one request more costs, as before.

--- a/verbenaspool_policy/src/dispatch/balance.rs
+++ b/verbenaspool_policy/src/dispatch/balance.rs
@@ -31,6 +31,11 @@
 /// more.
 const TOLD_LOAD_TTL_S: [f64; 2] = [0.04, 2.0];
 
+/// How much the costs of two ranks of a group may differ for requests to be spread over them. A pass
+/// takes as long as that of the busiest rank: with a spread over ranks that differ by one request, 193
+/// instead of 292 streams of saturated engines were on time in the simulation.
+const RANK_SPREAD: f64 = 0.01;
+
 /// Most changes that are kept until they are logged.
 const MAX_CHANGES: usize = 64;
 
@@ -348,7 +353,7 @@
             return Some(Candidate {
                 timeliness: Timeliness::OnTime,
                 cost: cost + cross_zone + unresponsive,
-                cost_per_request: 1.0 / slots,
+                spread: RANK_SPREAD,
                 free_slots: slots - busy,
                 own_zone,
             });
@@ -378,7 +383,7 @@
         Some(Candidate {
             timeliness,
             cost: completion.work_s + (penalty + cross_zone + unresponsive) * usual_s,
-            cost_per_request: service_time_s / slots,
+            spread: service_time_s / slots,
             free_slots: completion.free_slots,
             own_zone,
         })
--- a/verbenaspool_policy/src/dispatch/zone_room.rs
+++ b/verbenaspool_policy/src/dispatch/zone_room.rs
@@ -80,16 +80,17 @@
     pub timeliness: Timeliness,
     /// The cost of sending the request there.
     pub cost: f64,
-    /// The part of the cost that one request in flight makes.
-    pub cost_per_request: f64,
+    /// By how much the cost of an upstream may exceed this one's for both to be nearly equal: for a
+    /// plain upstream, what one request more costs.
+    pub spread: f64,
     /// Its free slots.
     pub free_slots: f64,
     /// Whether it is in the entry's zone.
     pub own_zone: bool,
 }
 
-/// Chooses among candidates: the most timely ones, among them those that cost at most one request
-/// more than the cheapest one, at random in proportion to their free slots. `random` is in [0, 1).
+/// Chooses among candidates: the most timely ones, among them those that are nearly equal to the
+/// cheapest one, at random in proportion to their free slots. `random` is in [0, 1).
 ///
 /// Requests aren't spread from the entry's zone to others, as traffic between zones is billed.
 ///
@@ -99,7 +100,7 @@
 /// let own = Candidate {
 ///     timeliness: Timeliness::Late,
 ///     cost: 0.1,
-///     cost_per_request: 0.1,
+///     spread: 0.1,
 ///     free_slots: 1.0,
 ///     own_zone: true,
 /// };
@@ -116,7 +117,7 @@
     let is_near = |candidate: &Candidate| {
         candidate.timeliness == best.timeliness
             && candidate.own_zone == best.own_zone
-            && candidate.cost <= best.cost + best.cost_per_request
+            && candidate.cost <= best.cost + best.spread
     };
     let near = || {
         let near = candidates.iter().enumerate();
