--- a/verbenaspool_policy/src/dispatch/capacity.rs
+++ b/verbenaspool_policy/src/dispatch/capacity.rs
@@ -19,7 +19,7 @@
 
 /// Requests per slot where pass time sets no limit. The excess waits at the upstream, so
 /// that it isn't idle between two requests.
-const MAX_REQUESTS_PER_SLOT: f64 = 2.0;
+pub const MAX_REQUESTS_PER_SLOT: f64 = 2.0;
 
 /// The share of the throughput at full slots that must remain if streams are limited to
 /// tolerate shifts of expert popularity. A late answer still has some value, so no more
@@ -189,8 +189,9 @@
 
 /// The most requests that an upstream without a group gets.
 #[must_use]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
 pub fn max_requests(slots: u32) -> u32 {
-    slots.max(1).saturating_mul(2)
+    (f64::from(slots.max(1)) * MAX_REQUESTS_PER_SLOT) as u32
 }
 
 /// When an upstream without a group completes one more request.
