--- a/verbenaspool_policy/src/dispatch/load.rs
+++ b/verbenaspool_policy/src/dispatch/load.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use super::{Dispatcher, health::Health, upstream::Upstream};
+use super::{Dispatcher, upstream::Upstream};
 
 /// How long an agent that didn't answer isn't asked again.
 const AGENT_BACKOFF: Duration = Duration::from_millis(500);
@@ -47,7 +47,8 @@
     }
 
     /// Sets how many requests other entries have in flight at an upstream, by their
-    /// digests. Ignored while the upstream's agent reports its load.
+    /// digests. Ignored while the upstream's agent reports its load, and set aside while the upstream
+    /// itself has just told it.
     ///
     /// Every entry has requests queued and sees a freed slot at the same time. If all of
     /// them used it, four entries would place nine streams on an upstream that serves six
@@ -59,6 +60,10 @@
         let Some(upstream) = upstream.filter(|upstream| !upstream.has_fresh_load(now)) else {
             return;
         };
+        if let Some((_, by_digests)) = &mut upstream.told_load {
+            *by_digests = requests;
+            return;
+        }
         if requests >= upstream.peer_requests {
             upstream.peer_requests = requests;
             upstream.pending_decrease = None;
@@ -107,7 +112,7 @@
         upstream.group_down_at = (!running).then_some(now);
         if running && !was_running {
             // Failures while the group was down say nothing about the upstream.
-            upstream.health = Health::default();
+            upstream.health.forget();
             if let Some(circuit) = self.circuits.get_mut(&group) {
                 circuit.close();
             }
--- a/verbenaspool_policy/tests/dispatch/main.rs
+++ b/verbenaspool_policy/tests/dispatch/main.rs
@@ -18,4 +18,5 @@
 mod shift;
 mod simulation;
 mod slow;
+mod uneven;
 mod warm_up;
