Take events without ids for progress if only the caller names an id

A caller's Last-Event-ID made all events without ids filler. Sound upstreams then exceeded the limit on filler and were ejected by one caller's header.

--- a/verbenaspool_transport/src/http/events.rs
+++ b/verbenaspool_transport/src/http/events.rs
@@ -53,6 +53,9 @@
     filler_bytes: usize,
     /// The id of the last complete event, if events have ids.
     last_id: Option<u64>,
+    /// Whether an event with an id was received. The id that a caller names isn't enough: an
+    /// upstream may send events without ids all the same.
+    has_ids: bool,
 }
 
 /// The lines since the last empty line, without comments.
@@ -103,7 +106,11 @@
 
     /// Discards an incomplete event, which another upstream will send again, and filler.
     pub fn discard_partial(&mut self) {
-        *self = Self::after(self.last_id);
+        *self = Self {
+            last_id: self.last_id,
+            has_ids: self.has_ids,
+            ..Self::default()
+        };
     }
 
     /// Takes the filler after the last event of a stream that has ended normally.
@@ -183,9 +190,10 @@
             if block.id.is_some() && self.last_id.is_some_and(|last| block.id != Some(last + 1)) {
                 return Err(Fault::OutOfOrder);
             }
-            let is_event = block.id.is_some() || (block.has_data && self.last_id.is_none());
+            let is_event = block.id.is_some() || (block.has_data && !self.has_ids);
             if is_event {
-                self.last_id = block.id;
+                self.has_ids |= block.id.is_some();
+                self.last_id = block.id.or(self.last_id);
                 self.filler_bytes = 0;
                 return Ok(true);
             }
--- a/verbenaspool_transport/tests/endless.rs
+++ b/verbenaspool_transport/tests/endless.rs
@@ -210,6 +210,23 @@
     assert_eq!(progress.fault, Some(Fault::OutOfOrder));
 }
 
+/// Guards against taking events without ids for filler because the caller names a last event: sound
+/// upstreams would be left and ejected by the header of one caller.
+#[test]
+fn events_without_ids_are_progress_whatever_the_caller_names() {
+    let mut splitter = Splitter::after(Some(4));
+    for _ in 0..MAX_FILLER_BYTES {
+        let progress = splitter.push(b"data: a\n\n");
+        assert_eq!((progress.count, progress.fault), (1, None));
+        assert_eq!(progress.events, "data: a\n\n");
+    }
+    // Once events have ids, the others are filler, also after the stream has moved.
+    assert_eq!(splitter.push(b"id: 5\ndata: b\n\n").count, 1);
+    splitter.discard_partial();
+    assert_eq!(splitter.push(b"data: c\n\n").count, 0);
+    assert_eq!(splitter.last_id(), Some(5));
+}
+
 /// Guards against losing events that arrive together with what breaks a limit: the stream is
 /// resumed after the last of them.
 #[test]
