--- a/verbenaspool/src/direct/buffered.rs
+++ b/verbenaspool/src/direct/buffered.rs
@@ -25,6 +25,10 @@
 /// rate is measured.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// A check that comes this late shows that the entry itself was stopped. The rate then says nothing
+/// about the upstream.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(75);
+
 /// Why a body wasn't received.
 #[derive(Debug)]
 pub enum Failure {
@@ -53,8 +57,12 @@
     let mut received = BytesMut::new();
     let mut is_slow = false;
     loop {
+        let check_due = clock.now() + CHECK_INTERVAL;
         let frame = monoio::time::timeout(CHECK_INTERVAL, body.frame()).await;
         let now = clock.now();
+        if now > check_due + MAX_CHECK_DELAY {
+            progress.restart(now);
+        }
         match frame {
             Ok(None) => return Ok(received.freeze()),
             Ok(Some(Err(error))) => {
--- a/verbenaspool_transport/src/http/progress.rs
+++ b/verbenaspool_transport/src/http/progress.rs
@@ -20,6 +20,7 @@
 /// The progress of a response's body.
 #[derive(Debug)]
 pub struct BodyProgress {
+    /// When the measurement of the rate started.
     started_at: Duration,
     /// The declared length.
     length: Option<u64>,
@@ -53,6 +54,24 @@
         }
     }
 
+    /// Measures the rate anew from now on, as nothing could be received for a while.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use verbenaspool_transport::http::progress::BodyProgress;
+    ///
+    /// let at = Duration::from_millis;
+    /// let mut progress = BodyProgress::new(at(0), Some(2_000));
+    /// progress.restart(at(500));
+    /// assert!(progress.can_end_by(at(699), at(1_000)));
+    /// assert!(!progress.can_end_by(at(700), at(1_000)));
+    /// ```
+    pub fn restart(&mut self, now: Duration) {
+        self.started_at = now;
+        self.recent.clear();
+    }
+
     /// Records received bytes.
     pub fn record(&mut self, now: Duration, bytes: usize) {
         let bytes = bytes as u64;
