--- a/verbenaspool_transport/src/http/events.rs
+++ b/verbenaspool_transport/src/http/events.rs
@@ -187,7 +187,8 @@
         } else {
             let line_bytes = line.len();
             let block = std::mem::take(&mut self.block);
-            if block.id.is_some() && self.last_id.is_some_and(|last| block.id != Some(last + 1)) {
+            let is_next = |last: u64| block.id == last.checked_add(1);
+            if block.id.is_some() && self.last_id.is_some_and(|last| !is_next(last)) {
                 return Err(Fault::OutOfOrder);
             }
             let is_event = block.id.is_some() || (block.has_data && !self.has_ids);
--- a/verbenaspool_transport/tests/endless.rs
+++ b/verbenaspool_transport/tests/endless.rs
@@ -227,6 +227,15 @@
     assert_eq!(splitter.last_id(), Some(5));
 }
 
+/// Guards against an overflow by the largest id that a caller can name, which panics in debug builds
+/// and makes id 0 the expected one in others.
+#[test]
+fn no_event_follows_the_largest_id() {
+    let mut splitter = Splitter::after(Some(u64::MAX));
+    let progress = splitter.push(b"id: 0\ndata: a\n\n");
+    assert_eq!(progress.fault, Some(Fault::OutOfOrder));
+}
+
 /// Guards against losing events that arrive together with what breaks a limit: the stream is
 /// resumed after the last of them.
 #[test]
