Judge a pause of a body over a longer time than a slow body

Cause: a body without a byte for 200 ms was abandoned and its upstream ejected.

Change: with less than two arrivals in 200 ms, a body is judged over 500 ms, or half of the time that is left if that is shorter. A stream without a first event in time is only left after one poll without data.

--- a/verbenaspool/src/direct/relay.rs
+++ b/verbenaspool/src/direct/relay.rs
@@ -234,10 +234,12 @@
         if permit.is_slow() {
             return Some(Next::Slow);
         }
-        if self.request.attempt_events.get() == 0 && now >= self.request.first_event_by.get() {
+        let silent_for = now.saturating_sub(self.last_event_at);
+        // Events may have arrived while this entry didn't run; they are read first.
+        let overdue = silent_for >= POLL_INTERVAL && now >= self.request.first_event_by.get();
+        if overdue && self.request.attempt_events.get() == 0 {
             return Some(Next::Silent);
         }
-        let silent_for = now.saturating_sub(self.last_event_at);
         if silent_for < STALL_TIMEOUT {
             return None;
         }
--- a/verbenaspool_transport/src/http/progress.rs
+++ b/verbenaspool_transport/src/http/progress.rs
@@ -1,15 +1,19 @@
 //! Whether a body makes enough progress to end in time.
 //!
 //! A server in trouble may send a body byte by byte until its caller gives up. The rate of the last
-//! [`RATE_WINDOW`] tells that early enough for another attempt.
+//! [`RATE_WINDOW`] tells that early enough for another attempt. A body that arrives at once but for one
+//! pause is judged over a longer time: a lost packet alone takes 200 ms or more.
 
 use std::{collections::VecDeque, time::Duration};
 
-/// The time over which the rate of a body is measured. Shorter pauses are common: a collection of
-/// garbage, a packet sent again. Targets of responses begin at 120 ms and deadlines at 600 ms, which
-/// leaves time for another attempt.
+/// The time over which the rate of a body is measured. Targets of responses begin at 120 ms and
+/// deadlines at 600 ms, which leaves time for another attempt.
 pub const RATE_WINDOW: Duration = Duration::from_millis(200);
 
+/// The longest pause of a body, unless half of the time that is left is shorter. TCP sends a lost
+/// packet again after 200 ms at the soonest, and a second time after 400 ms more.
+pub const MAX_PAUSE: Duration = Duration::from_millis(500);
+
 /// The least that must arrive in a window of a body without a declared length. A body of the
 /// largest size that is buffered would take 200 s at this rate.
 pub const MIN_WINDOW_BYTES: u64 = 1_024;
@@ -25,7 +29,7 @@
     /// The declared length.
     length: Option<u64>,
     received: u64,
-    /// What arrived in the last window, by time.
+    /// What arrived in the last [`MAX_PAUSE`], by time.
     recent: VecDeque<(Duration, u64)>,
 }
 
@@ -40,9 +44,10 @@
     /// let at = Duration::from_millis;
     /// let mut progress = BodyProgress::new(at(0), Some(2_000));
     /// progress.record(at(150), 500);
-    /// // 1,500 bytes are left, at 500 in 200 ms.
-    /// assert!(progress.can_end_by(at(250), at(850)));
-    /// assert!(!progress.can_end_by(at(250), at(849)));
+    /// progress.record(at(180), 500);
+    /// // 1,000 bytes are left, at 1,000 in 200 ms.
+    /// assert!(progress.can_end_by(at(250), at(450)));
+    /// assert!(!progress.can_end_by(at(250), at(449)));
     /// ```
     #[must_use]
     pub fn new(now: Duration, length: Option<u64>) -> Self {
@@ -64,8 +69,8 @@
     /// let at = Duration::from_millis;
     /// let mut progress = BodyProgress::new(at(0), Some(2_000));
     /// progress.restart(at(500));
-    /// assert!(progress.can_end_by(at(699), at(1_000)));
-    /// assert!(!progress.can_end_by(at(700), at(1_000)));
+    /// assert!(progress.can_end_by(at(749), at(1_000)));
+    /// assert!(!progress.can_end_by(at(750), at(1_000)));
     /// ```
     pub fn restart(&mut self, now: Duration) {
         self.started_at = now;
@@ -77,7 +82,7 @@
         let bytes = bytes as u64;
         self.received += bytes;
         while let Some((at, _)) = self.recent.front()
-            && now.saturating_sub(*at) > RATE_WINDOW
+            && now.saturating_sub(*at) > MAX_PAUSE
         {
             self.recent.pop_front();
         }
@@ -87,22 +92,39 @@
         }
     }
 
+    /// What arrived in the last `window`: the number of times and the bytes.
+    fn arrived(&self, now: Duration, window: Duration) -> (usize, u64) {
+        let recent = self.recent.iter();
+        let recent = recent.filter(|(at, _)| now.saturating_sub(*at) <= window);
+        recent.fold((0, 0), |(times, sum), (_, bytes)| (times + 1, sum + bytes))
+    }
+
+    /// The time over which the body is judged: longer if it pauses.
+    fn window(&self, now: Duration, deadline: Duration) -> Duration {
+        let (times, _) = self.arrived(now, RATE_WINDOW);
+        if times > 1 {
+            return RATE_WINDOW;
+        }
+        let paused_since = self.recent.back().map_or(self.started_at, |(at, _)| *at);
+        let half_left = deadline.saturating_sub(paused_since.max(self.started_at)) / 2;
+        MAX_PAUSE.min(half_left).max(RATE_WINDOW)
+    }
+
     /// Whether the body can end by the deadline, judging by the last window. A body without a
-    /// declared length must come at [`MIN_WINDOW_BYTES`] a window after its first one.
+    /// declared length must come at [`MIN_WINDOW_BYTES`] a window after its first [`RATE_WINDOW`].
     #[must_use]
     pub fn can_end_by(&self, now: Duration, deadline: Duration) -> bool {
         let age = now.saturating_sub(self.started_at);
-        let recent = self.recent.iter();
-        let recent = recent.filter(|(at, _)| now.saturating_sub(*at) <= RATE_WINDOW);
-        let recent: u64 = recent.map(|(_, bytes)| bytes).sum();
+        let window = self.window(now, deadline);
+        let (_, recent) = self.arrived(now, window);
         let Some(length) = self.length else {
-            return age < RATE_WINDOW * 2 || recent >= MIN_WINDOW_BYTES;
+            return age < RATE_WINDOW + window || recent >= MIN_WINDOW_BYTES;
         };
         let left = length.saturating_sub(self.received);
-        if age < RATE_WINDOW || left == 0 {
+        if age < window || left == 0 {
             return true;
         }
         let time_left = deadline.saturating_sub(now);
-        u128::from(left) * RATE_WINDOW.as_nanos() <= u128::from(recent) * time_left.as_nanos()
+        u128::from(left) * window.as_nanos() <= u128::from(recent) * time_left.as_nanos()
     }
 }
