Wake no waiting connections when a response is polled

Each poll of a response's body reserved a frame's bytes and gave them back, which woke every connection that waits for the budget. With hundreds of slow readers, each event of another stream polled all of them.

--- a/verbenaspool_transport/src/http/reader.rs
+++ b/verbenaspool_transport/src/http/reader.rs
@@ -37,7 +37,7 @@
 /// reader gets less than an event a second.
 const MIN_PERIOD_BYTES: usize = 256 * RATE_PERIOD_S;
 
-/// Bytes reserved before a body is asked for its next frame: those of one read from an upstream.
+/// Bytes that must fit before a body is asked for its next frame: those of one read from an upstream.
 const FRAME_BYTES: usize = 16 * 1024;
 
 /// Bytes of a request's head that are read without a share of the budget. Most heads are shorter.
@@ -150,16 +150,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
         // A peer that has taken everything so far gets the next frame even if others have used up
         // the budget, or those that don't read would stop the streams of those that do.
-        let reserved = {
+        // The frame is counted before this poll ends, so that nothing is reserved for it: giving a
+        // reservation back would wake all connections that wait.
+        {
             let state = self.flow.0.borrow();
             if state.unwritten > 0 {
                 ready!(state.budget.poll_fits(cx, FRAME_BYTES));
             }
-            state.budget.take_beyond(FRAME_BYTES)
-        };
+        }
         let is_chunked = self.body.size_hint().exact().is_none();
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        drop(reserved);
         if let Poll::Ready(Some(Ok(frame))) = &polled
             && let Some(data) = frame.data_ref()
         {
@@ -331,3 +331,54 @@
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        task::{Context, Wake, Waker},
+    };
+
+    use futures_util::stream;
+    use http_body::{Body as _, Frame};
+    use http_body_util::StreamBody;
+
+    use super::{Flow, READ_BYTES};
+    use crate::http::{
+        body::{Body, Error},
+        memory::Budget,
+    };
+
+    /// Counts how often a task is woken.
+    #[derive(Default)]
+    struct Wakes(AtomicUsize);
+
+    impl Wake for Wakes {
+        fn wake(self: Arc<Self>) {
+            self.0.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Guards against waking all connections that wait for the budget whenever another one asks
+    /// its response for a frame, which with hundreds of them takes the time of the event loop.
+    #[test]
+    fn polling_a_body_wakes_no_other_connection() {
+        let budget = Budget::new(100);
+        let held = budget.take_beyond(100);
+        let wakes = Arc::new(Wakes::default());
+        let waker = Waker::from(wakes.clone());
+        let waits = budget.poll_fits(&mut Context::from_waker(&waker), READ_BYTES);
+        assert!(waits.is_pending());
+        let frames = stream::pending::<Result<Frame<_>, Error>>();
+        let mut body = Flow::new(&budget).meter(Body::wrap(StreamBody::new(frames)));
+        let polled = Pin::new(&mut body).poll_frame(&mut Context::from_waker(Waker::noop()));
+        assert!(polled.is_pending());
+        assert_eq!(wakes.0.load(Ordering::Relaxed), 0);
+        drop(held);
+        assert_eq!(wakes.0.load(Ordering::Relaxed), 1);
+    }
+}
