Leave memory to callers when the store or peers send without end

The store and peers took bytes from the whole budget, so that three followers of a store that sends without end used up that of a small instance, 24 MB or less, and requests with bodies got 503.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -120,7 +120,7 @@
             metrics: metrics::Registry::default(),
             client: Client::new(CONNECT_TIMEOUT).with_idle_timeout(KEEP_ALIVE_TIME),
             store,
-            rpc: rpc::Client::default().with_budget(memory.whole.clone()),
+            rpc: rpc::Client::default().with_budget(memory.systems.clone()),
             memory,
             peers: RefCell::new(peers),
             reservations: Reservations::new(),
--- a/verbenaspool/src/direct/memory.rs
+++ b/verbenaspool/src/direct/memory.rs
@@ -18,7 +18,8 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The budgets of the entry. Each part leaves a quarter of its whole to the others, so that slow
-/// readers can't keep requests out, and callers can't cut the entry off from the store and peers.
+/// readers can't keep requests out, callers can't cut the entry off from the store and peers, and
+/// those can't keep requests out by responses without end.
 #[derive(Debug)]
 pub struct Memory {
     /// Everything that is held for others.
@@ -27,6 +28,8 @@
     pub callers: Budget,
     /// The part for responses that callers haven't taken, and for long heads of requests.
     readers: Budget,
+    /// The part for responses of the store, and for calls and responses of peers.
+    pub systems: Budget,
     /// The connections of callers.
     pub connections: Connections,
     exhausted: Cell<bool>,
@@ -42,6 +45,7 @@
         Self {
             readers: callers.part(),
             callers,
+            systems: whole.part(),
             whole,
             connections: Connections::default(),
             exhausted: Cell::default(),
@@ -118,7 +122,31 @@
                 "Responses of other systems that exceeded their limits.",
                 &[("system", system.name())],
             );
-            excesses.set(self.whole.excesses(system));
+            excesses.set(self.systems.excesses(system));
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Memory;
+
+    /// Guards against rejecting callers' requests because the store or peers send without end.
+    #[test]
+    fn the_store_and_peers_leave_memory_to_callers() {
+        let memory = Memory::new(16 * 1024 * 1024);
+        let limit = memory.systems.limit();
+        let _held = memory.systems.try_take(limit).expect("all that they get");
+        assert!(!memory.systems.fits(1));
+        assert!(memory.callers.fits(2 * 1024 * 1024));
+    }
+
+    /// Guards against cutting the entry off from the store and peers by callers' requests.
+    #[test]
+    fn callers_leave_memory_to_the_store_and_peers() {
+        let memory = Memory::new(16 * 1024 * 1024);
+        let limit = memory.callers.limit();
+        let _held = memory.callers.try_take(limit).expect("all that they get");
+        assert!(memory.systems.fits(2 * 1024 * 1024));
+    }
+}
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -112,7 +112,7 @@
         ..caller_limits()
     };
     let memory = Memory::new(settings.memory_budget());
-    let channel = Channel::new(settings.platform).with_budget(memory.whole.clone());
+    let channel = Channel::new(settings.platform).with_budget(memory.systems.clone());
     let store = store::Client::new(channel, STORE_TIMEOUT);
     let gateway = Gateway::new(settings, clock.clone(), log.clone(), store, memory);
     let (finish, finished) = shutdown::channel();
@@ -126,7 +126,7 @@
         let handler = Rc::new(Metrics(gateway.clone()));
         spawn_server(metrics, handler, finished.clone(), log.clone());
     }
-    let mut module = rpc::Module::default().with_budget(gateway.memory.whole.clone());
+    let mut module = rpc::Module::default().with_budget(gateway.memory.systems.clone());
     peers::register_methods(&gateway, &mut module);
     standing::register_methods(&gateway, &mut module);
     monoio::spawn(rpc::serve(control, Rc::new(module), finished.clone()));
