--- a/verbenaspool_transport/src/http/reader.rs
+++ b/verbenaspool_transport/src/http/reader.rs
@@ -369,16 +369,16 @@
     fn polling_a_body_wakes_no_other_connection() {
         let budget = Budget::new(100);
         let held = budget.take_beyond(100);
-        let wakes = Arc::new(Wakes::default());
-        let waker = Waker::from(wakes.clone());
+        let counter = Arc::new(Wakes::default());
+        let waker = Waker::from(counter.clone());
         let waits = budget.poll_fits(&mut Context::from_waker(&waker), READ_BYTES);
         assert!(waits.is_pending());
         let frames = stream::pending::<Result<Frame<_>, Error>>();
         let mut body = Flow::new(&budget).meter(Body::wrap(StreamBody::new(frames)));
         let polled = Pin::new(&mut body).poll_frame(&mut Context::from_waker(Waker::noop()));
         assert!(polled.is_pending());
-        assert_eq!(wakes.0.load(Ordering::Relaxed), 0);
+        assert_eq!(counter.0.load(Ordering::Relaxed), 0);
         drop(held);
-        assert_eq!(wakes.0.load(Ordering::Relaxed), 1);
+        assert_eq!(counter.0.load(Ordering::Relaxed), 1);
     }
 }
