--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -132,7 +132,7 @@
             exceeded_limits,
             client,
             store,
-            rpc: rpc::Client::default().with_budget(memory.whole.clone()),
+            rpc: rpc::Client::default().with_budget(memory.systems.clone()),
             memory,
             peers: RefCell::new(peers),
             reservations: Reservations::new(),
