Hold no request back at an upstream where none is reserved

Requests to an engine that aren't streams may wait at its ranks, up to twice the slots. With shares enabled, those of a customer over its share were held back from all ranks with all slots in use, even if nobody else waited.

--- a/verbenaspool_policy/src/dispatch/share/dispatcher.rs
+++ b/verbenaspool_policy/src/dispatch/share/dispatcher.rs
@@ -154,7 +154,12 @@
         if !self.shares_apply(now) || !self.is_held_back(waiting) {
             return Some(0.0);
         }
-        let per_slot = if self.engine.is_some() {
+        let reserved = shares.reserved_requests();
+        if reserved <= 0.0 {
+            return Some(0.0);
+        }
+        // Pass time limits only the streams of an engine; other requests may wait at it.
+        let per_slot = if self.engine.is_some() && waiting.request.max_gap.is_some() {
             1.0
         } else {
             capacity::MAX_REQUESTS_PER_SLOT
@@ -167,7 +172,6 @@
         let (free, count) = ready.fold((0.0, 0.0), |(sum, count), upstream| {
             (sum + free(upstream), count + 1.0)
         });
-        let reserved = shares.reserved_requests();
         (free > reserved).then_some(reserved / f64::max(count, 1.0))
     }
 
--- a/verbenaspool_policy/tests/dispatch/shares.rs
+++ b/verbenaspool_policy/tests/dispatch/shares.rs
@@ -7,7 +7,7 @@
     share::{MAX_REPORTED_CUSTOMERS, MAX_TRACKED_CUSTOMERS, Usage, Weights, Work},
 };
 
-use crate::simulation::{Outcomes, Simulation, Source, ms, replica, stream};
+use crate::simulation::{Outcomes, Simulation, Source, engine, ms, replica, stream};
 
 /// Number of entries.
 const ENTRIES: usize = 6;
@@ -327,6 +327,23 @@
     assert_eq!(dispatcher.is_over_share(ms(0), Some("a")), None);
 }
 
+/// Guards against a customer over its share that is held back at an upstream with capacity though
+/// nobody else waits: requests that aren't streams may wait at the ranks of an engine.
+#[test]
+fn a_request_that_is_no_stream_uses_an_engine_beyond_its_slots() {
+    let mut dispatcher = dispatcher();
+    dispatcher.set_engine(Some(&engine()));
+    for ticket in 0..9 {
+        submit(&mut dispatcher, 0, ticket, "a");
+    }
+    assert_eq!(dispatcher.process_queue(ms(0)).len(), 8);
+    assert_eq!(dispatcher.process_queue(ms(10)), []);
+    assert_eq!(dispatcher.is_over_share(ms(10), Some("a")), Some(true));
+    dispatcher.set_upstreams([replica("u0", 5)].iter());
+    let verdicts = dispatcher.process_queue(ms(20));
+    assert_eq!(verdicts, [(8, Verdict::Send("u0".into()))]);
+}
+
 /// Guards against a freed slot that goes to a customer over its share while one under its share
 /// waits, because its request came earlier or is more urgent.
 #[test]
