Place requests although the cost of an upstream is no number

Where speed is learned, an agent that reports a pace of NaN made the cost of its upstream NaN. As nothing compares as less or equal to it, no upstream was chosen.

--- a/verbenaspool_policy/src/dispatch/zone_room.rs
+++ b/verbenaspool_policy/src/dispatch/zone_room.rs
@@ -114,10 +114,12 @@
         let ((a_time, a_cost), (b_time, b_cost)) = (key(a), key(b));
         a_time.cmp(&b_time).then(a_cost.total_cmp(&b_cost))
     })?;
+    // In the total order, a cost that is no number is near itself, so that there is a choice.
+    let most = best.cost + best.spread;
     let is_near = |candidate: &Candidate| {
         candidate.timeliness == best.timeliness
             && candidate.own_zone == best.own_zone
-            && candidate.cost <= best.cost + best.spread
+            && candidate.cost.total_cmp(&most).is_le()
     };
     let near = || {
         let near = candidates.iter().enumerate();
--- a/verbenaspool_policy/tests/dispatch/uneven.rs
+++ b/verbenaspool_policy/tests/dispatch/uneven.rs
@@ -646,6 +646,24 @@
     assert_eq!(in_flight(&entry, 80), 4, "it has no effect unless enabled");
 }
 
+/// Guards against a damaged report of an agent after which no request is placed: a pace that is
+/// no number makes the cost of its upstream none either.
+#[test]
+fn requests_are_placed_although_an_agent_reports_an_invalid_pace() {
+    for pace in [f64::NAN, -f64::NAN] {
+        let mut entry = Plain::new(SETUP).entry(0);
+        entry.set_upstreams([replica("u0", SLOTS)].iter());
+        entry.record_status(ms(1_000), "u0", 1, true, pace);
+        let request = PlacementRequest {
+            max_gap: None,
+            ..stream(1_001)
+        };
+        entry.submit(ms(1_001), 1, request);
+        let verdicts = entry.process_queue(ms(1_001));
+        assert_eq!(verdicts, [(1, Verdict::Send("u0".into()))], "{pace}");
+    }
+}
+
 /// Guards against a decision that begins or ends without a change for the log.
 #[test]
 fn changes_tell_when_decisions_begin_and_end() {
