Leave whole slots for customers under their share, and serve slow readers to their deadline

Cause: the reserve for customers under their share at other entries was compared with free capacity in parts of a slot, so that a reserve of 0.6 left none: with requests of a second, an entry that had just started got 0 of 38 requests served, and one beside a large customer 21 and 22 of 38. Callers that read 320 to 2,000 B/s were disconnected after 10 s, as the kernel accepts bytes for them in large steps.

Change: a request over its customer's share is only placed if whole slots are left for the reserve.

--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -75,6 +75,13 @@
         self.summary.borrow_mut().reader = reader;
     }
 
+    /// Keeps the caller's connection open for this time however slowly it reads.
+    pub fn keep_reader_for(&self, time_left: Duration) {
+        if let Some(reader) = &self.summary.borrow().reader {
+            reader.keep_for(time_left);
+        }
+    }
+
     /// Sets the route and service of the request, and the version of the routing table.
     pub fn set_route(&self, route: &Rc<str>, service: &Rc<str>, table_version: u64) {
         let mut summary = self.summary.borrow_mut();
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -131,6 +131,7 @@
         (name.as_ref().is_some_and(over), 1.0)
     };
     record.set_caller_state(wait, prior_wait, over_usual_rate);
+    record.keep_reader_for(wait.min(route.timeout));
     let uri = path_and_query(&parts.uri);
     let shared_parts = caller_headers.shared_parts.iter();
     let subject = Subject {
--- a/verbenaspool_policy/src/dispatch/share/dispatcher.rs
+++ b/verbenaspool_policy/src/dispatch/share/dispatcher.rs
@@ -172,7 +172,8 @@
         let (free, count) = ready.fold((0.0, 0.0), |(sum, count), upstream| {
             (sum + free(upstream), count + 1.0)
         });
-        (free > reserved).then_some(reserved / f64::max(count, 1.0))
+        // What is left must cover the reserve: another entry can't use a part of a slot.
+        (free >= reserved + 1.0).then_some(reserved / f64::max(count, 1.0))
     }
 
     /// Records a queued request as in service if its verdict is to send it.
--- a/verbenaspool_transport/src/http/reader.rs
+++ b/verbenaspool_transport/src/http/reader.rs
@@ -13,7 +13,7 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -22,6 +22,7 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use monoio::time::Instant;
 
 use super::{
     body::{self, Body},
@@ -33,7 +34,7 @@
 const RATE_PERIOD_S: usize = 10;
 
 /// A peer that takes fewer bytes in the period, 256 B/s, while something is waiting for it, isn't
-/// served any longer. A stream has about 23 events of some hundred bytes, so that a slower
+/// served any longer than to its request's deadline. A stream has about 23 events of some hundred bytes, so that a slower
 /// reader gets less than an event a second.
 const MIN_PERIOD_BYTES: usize = 256 * RATE_PERIOD_S;
 
@@ -47,14 +48,50 @@
 const READ_BYTES: usize = 4 * 1024;
 
 /// Whether a connection was closed because its peer reads too slowly. An extension of requests.
-#[derive(Debug, Clone, Default)]
-pub struct SlowReader(Arc<AtomicBool>);
+#[derive(Debug, Clone)]
+pub struct SlowReader(Arc<Reader>);
+
+#[derive(Debug)]
+struct Reader {
+    closed: AtomicBool,
+    connected_at: Instant,
+    /// When the response in progress must have ended, in milliseconds since the connection began.
+    due_ms: AtomicU64,
+}
 
 impl SlowReader {
+    fn new() -> Self {
+        Self(Arc::new(Reader {
+            closed: AtomicBool::new(false),
+            connected_at: Instant::now(),
+            due_ms: AtomicU64::new(0),
+        }))
+    }
+
     /// Whether the connection was closed for that.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.closed.load(Ordering::Relaxed)
+    }
+
+    /// Keeps the connection open for this time however slowly its peer reads: until the deadline of
+    /// the request in progress.
+    ///
+    /// The kernel accepts bytes for a peer in steps of up to 64 KB, so that one that reads 1 kB/s
+    /// seems to have stopped for a minute at a time.
+    pub fn keep_for(&self, time_left: Duration) {
+        let due = self.0.connected_at.elapsed() + time_left;
+        let due_ms = u64::try_from(due.as_millis()).unwrap_or(u64::MAX);
+        self.0.due_ms.store(due_ms, Ordering::Relaxed);
+    }
+
+    fn is_overdue(&self) -> bool {
+        let due = Duration::from_millis(self.0.due_ms.load(Ordering::Relaxed));
+        self.0.connected_at.elapsed() >= due
+    }
+
+    fn close(&self) {
+        self.0.closed.store(true, Ordering::Relaxed);
     }
 }
 
@@ -85,7 +122,7 @@
             budget: budget.clone(),
             unwritten: 0,
             head_bytes: Some(0),
-            slow_reader: SlowReader::default(),
+            slow_reader: SlowReader::new(),
         })))
     }
 
@@ -219,17 +256,16 @@
 
     /// Whether the peer has taken too little in a whole period. Wakes the task again later.
     fn is_too_little(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut too_little = false;
         while self.second_end.as_mut().poll(cx).is_ready() {
             self.seconds += 1;
             let taken: usize = self.bytes.iter().sum();
-            if self.seconds >= RATE_PERIOD_S && taken < MIN_PERIOD_BYTES {
-                return true;
-            }
+            too_little = self.seconds >= RATE_PERIOD_S && taken < MIN_PERIOD_BYTES;
             self.bytes[self.seconds % RATE_PERIOD_S] = 0;
-            let end = monoio::time::Instant::now() + Duration::from_secs(1);
+            let end = Instant::now() + Duration::from_secs(1);
             self.second_end.as_mut().reset(end);
         }
-        false
+        too_little
     }
 }
 
@@ -259,8 +295,9 @@
             }
             Poll::Pending if self.closes_slow_readers => {
                 let taken = self.taken.get_or_insert_with(Taken::start);
-                if taken.is_too_little(cx) {
-                    self.flow.slow_reader().0.store(true, Ordering::Relaxed);
+                let reader = self.flow.slow_reader();
+                if taken.is_too_little(cx) && reader.is_overdue() {
+                    reader.close();
                     return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
                 }
             }
