--- a/verbenaspool/src/direct/memory.rs
+++ b/verbenaspool/src/direct/memory.rs
@@ -116,7 +116,7 @@
             &[],
         );
         slow_readers.set(self.connections.slow_readers());
-        for system in System::ALL {
+        for system in System::ALL_SYSTEMS {
             let excesses = metrics.counter(
                 "verbenaspool_oversized_responses_total",
                 "Responses of other systems that exceeded their limits.",
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -65,7 +65,7 @@
 }
 
 /// Bytes of a megabyte of [`Settings::memory_mb`].
-const MEGABYTE: usize = 1_000_000;
+const BYTES_PER_MEGABYTE: usize = 1_000_000;
 
 /// The part of an instance's memory that is held for others at most. An entry without requests has
 /// 18 MB, and messages are held several times while they are parsed and copied.
@@ -89,7 +89,7 @@
     /// ```
     #[must_use]
     pub fn memory_budget(&self) -> usize {
-        let bytes = |mb: usize| mb.saturating_mul(MEGABYTE) / BUDGET_DIVISOR;
+        let bytes = |mb: usize| mb.saturating_mul(BYTES_PER_MEGABYTE) / BUDGET_DIVISOR;
         let budget = self.memory_mb.map_or(DEFAULT_BUDGET_BYTES, bytes);
         budget.max(MIN_BUDGET_BYTES)
     }
--- a/verbenaspool_policy/src/dispatch/share.rs
+++ b/verbenaspool_policy/src/dispatch/share.rs
@@ -28,7 +28,7 @@
 pub type PeerId = u32;
 
 /// The customers beyond the limit on tracked ones, which share a weight of 1.
-const UNTRACKED: CustomerId = 0;
+const UNTRACKED_CUSTOMERS: CustomerId = 0;
 
 /// The weight of customers that the settings don't name.
 const DEFAULT_WEIGHT: f64 = 1.0;
@@ -54,7 +54,7 @@
 const NEWEST_IN_SERVICE_WEIGHT: f64 = 0.2;
 
 /// Tolerance for sums of work, which are rounded.
-const EPSILON: f64 = 1e-6;
+const WORK_TOLERANCE: f64 = 1e-6;
 
 /// The identifier of a customer; `None` stands for all callers without an API key.
 ///
@@ -69,7 +69,7 @@
     let hash = xxhash_rust::xxh3::xxh3_64(name.unwrap_or_default().as_bytes());
     #[allow(clippy::cast_possible_truncation)] // Half of the hash is enough.
     let short = hash as u32;
-    short.max(UNTRACKED + 1)
+    short.max(UNTRACKED_CUSTOMERS + 1)
 }
 
 /// The weights of customers.
@@ -201,7 +201,7 @@
         let customer = self.own.key(customer);
         let share = self.level.own_shares.get(&customer).copied();
         let share = share.unwrap_or_else(|| level * self.weights.of(customer));
-        self.own.in_service(customer) + EPSILON >= share
+        self.own.in_service(customer) + WORK_TOLERANCE >= share
     }
 
     /// The number of requests for which those over their share leave room.
@@ -288,7 +288,7 @@
                 let entries_with = own_factor + peers_with.get(customer).copied().unwrap_or(0.0);
                 let room = (share - work.in_service) / entries_with;
                 own_shares.insert(*customer, self.own.in_service(*customer) + room);
-                if work.in_service + EPSILON >= share {
+                if work.in_service + WORK_TOLERANCE >= share {
                     over += 1;
                 } else {
                     reserve += (work.demand() * reserve_ratio).min(share - work.in_service);
--- a/verbenaspool_policy/src/dispatch/share/level.rs
+++ b/verbenaspool_policy/src/dispatch/share/level.rs
@@ -3,7 +3,7 @@
 //! Capacity is divided max-min fairly by weight. Customers that want less than their share get
 //! all they want, and what they leave is divided among the others.
 
-use super::EPSILON;
+use super::WORK_TOLERANCE;
 
 /// What a customer wants, or several equal ones together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,7 +33,7 @@
     let mut weights: f64 = demands.iter().map(|demand| demand.weight).sum();
     for demand in demands.iter() {
         let level = left / weights;
-        if level_of(demand) > level + EPSILON {
+        if level_of(demand) > level + WORK_TOLERANCE {
             return Some(level.max(0.0));
         }
         left -= demand.work;
--- a/verbenaspool_policy/src/dispatch/share/usage.rs
+++ b/verbenaspool_policy/src/dispatch/share/usage.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, ops::AddAssign, time::Duration};
 
-use super::{CustomerId, EPSILON, Ticket, UNTRACKED};
+use super::{CustomerId, Ticket, UNTRACKED_CUSTOMERS, WORK_TOLERANCE};
 
 /// The most customers that are tracked for a service at an entry.
 pub const MAX_TRACKED_CUSTOMERS: usize = 4_096;
@@ -156,7 +156,7 @@
 impl OwnUsage {
     /// The number of customers that are tracked by themselves.
     pub(super) fn tracked(&self) -> usize {
-        let untracked = usize::from(self.customers.contains_key(&UNTRACKED));
+        let untracked = usize::from(self.customers.contains_key(&UNTRACKED_CUSTOMERS));
         self.customers.len() - untracked
     }
 
@@ -164,7 +164,7 @@
     pub(super) fn key(&self, customer: CustomerId) -> CustomerId {
         let full = self.tracked() >= MAX_TRACKED_CUSTOMERS;
         if full && !self.customers.contains_key(&customer) {
-            UNTRACKED
+            UNTRACKED_CUSTOMERS
         } else {
             customer
         }
@@ -177,7 +177,7 @@
             return customer;
         }
         if self.tracked() >= MAX_TRACKED_CUSTOMERS && !self.evict_idle() {
-            return UNTRACKED;
+            return UNTRACKED_CUSTOMERS;
         }
         customer
     }
@@ -186,7 +186,7 @@
     /// there was one.
     fn evict_idle(&mut self) -> bool {
         let idle = self.customers.iter();
-        let idle = idle.filter(|(id, tracked)| **id != UNTRACKED && tracked.is_idle());
+        let idle = idle.filter(|(id, tracked)| **id != UNTRACKED_CUSTOMERS && tracked.is_idle());
         let oldest = idle.min_by_key(|(id, tracked)| (tracked.last_active, **id));
         let oldest = oldest.map(|(id, _)| *id);
         oldest.is_some_and(|id| self.customers.remove(&id).is_some())
@@ -256,7 +256,7 @@
         }
         #[allow(clippy::cast_precision_loss)] // A few thousand at most.
         let count = self.placed.len() as f64;
-        (self.in_service / count).max(EPSILON)
+        (self.in_service / count).max(WORK_TOLERANCE)
     }
 
     /// Forgets customers without work.
--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -16,8 +16,8 @@
 use verbenaspool_transport::http::{body::Body, client::Client};
 
 use crate::deployment::{
-    CONTESTED_PATH, CUSTOMERS, Deployment, ENDLESS_PATH, FRAGILE_PATHS, KEY, customer_key,
-    version_path,
+    COMPETING_CUSTOMERS, CONTESTED_PATH, Deployment, ENDLESS_PATH, FRAGILE_PATHS, KEY,
+    customer_key, version_path,
 };
 
 /// How long a caller waits for a response: longer than the deadline of any route, so
@@ -174,7 +174,7 @@
 
     /// Sends requests of a competing customer until the deadline.
     pub async fn run_competing(mut self, customer: usize, deadline: std::time::Instant) {
-        let customer = customer % CUSTOMERS;
+        let customer = customer % COMPETING_CUSTOMERS;
         let key = customer_key(customer);
         let mut sent = 0;
         while std::time::Instant::now() < deadline {
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -136,7 +136,7 @@
         *served += u32::from(answered);
     }
 
-    /// Checks that the least-served of the competing customers isn't far behind the others.
+    /// Checks that the least-served of the competing customers gets nearly as much as the others.
     pub fn check_customers(&self) {
         let customers = self.customers.borrow();
         let (sent, served) = customers
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -60,7 +60,7 @@
 pub const CONTESTED_PATH: &str = "contested";
 
 /// Number of customers that compete.
-pub const CUSTOMERS: usize = 4;
+pub const COMPETING_CUSTOMERS: usize = 4;
 
 /// Memory of an entry's instance in megabytes.
 pub const MEMORY_MB: u64 = 160;
@@ -411,7 +411,7 @@
         text::service(ENDLESS_SERVICE),
         text::service(CONTESTED_SERVICE),
     ];
-    let customers = (0..CUSTOMERS).map(|customer| {
+    let customers = (0..COMPETING_CUSTOMERS).map(|customer| {
         let key = customer_key(customer);
         format!(r#"{{"name":"customer-{customer}","accessKeys":["{key}"]}},"#)
     });
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use verbenaspool_soak::{
     caller::Caller,
-    deployment::{CUSTOMERS, Deployment, Programs},
+    deployment::{COMPETING_CUSTOMERS, Deployment, Programs},
     fault,
 };
 use verbenaspool_transport::{http::client::Client, runtime};
@@ -231,11 +231,11 @@
 /// The customer of each competing caller: the small ones and then the large one.
 fn competing_callers(large: usize) -> impl Iterator<Item = usize> {
     let small = if large > 0 {
-        CALLERS_OF_SMALL_CUSTOMERS * (CUSTOMERS - 1)
+        CALLERS_OF_SMALL_CUSTOMERS * (COMPETING_CUSTOMERS - 1)
     } else {
         0
     };
-    let small = (0..small).map(|number| 1 + number % (CUSTOMERS - 1));
+    let small = (0..small).map(|number| 1 + number % (COMPETING_CUSTOMERS - 1));
     small.chain(std::iter::repeat_n(0, large))
 }
 
--- a/verbenaspool_transport/src/http/memory.rs
+++ b/verbenaspool_transport/src/http/memory.rs
@@ -30,7 +30,7 @@
 
 impl System {
     /// All systems.
-    pub const ALL: [Self; 2] = [Self::Store, Self::Peers];
+    pub const ALL_SYSTEMS: [Self; 2] = [Self::Store, Self::Peers];
 
     /// The name in logs and metrics.
     ///
@@ -56,7 +56,7 @@
     /// Tasks that wait for bytes.
     waiters: Mutex<Vec<Waker>>,
     /// Number of responses that exceeded their limits, by system.
-    excesses: [AtomicU64; System::ALL.len()],
+    excesses: [AtomicU64; System::ALL_SYSTEMS.len()],
 }
 
 /// How many bytes may be taken.
--- a/verbenaspool_transport/src/http/progress.rs
+++ b/verbenaspool_transport/src/http/progress.rs
@@ -19,7 +19,7 @@
 pub const MIN_WINDOW_BYTES: u64 = 1_024;
 
 /// The resolution of the rate, which bounds what is remembered of a window.
-const RESOLUTION: Duration = Duration::from_millis(10);
+const RATE_RESOLUTION: Duration = Duration::from_millis(10);
 
 /// The progress of a response's body.
 #[derive(Debug)]
@@ -87,7 +87,7 @@
             self.recent.pop_front();
         }
         match self.recent.back_mut() {
-            Some((at, sum)) if now.saturating_sub(*at) < RESOLUTION => *sum += bytes,
+            Some((at, sum)) if now.saturating_sub(*at) < RATE_RESOLUTION => *sum += bytes,
             _ => self.recent.push_back((now, bytes)),
         }
     }
