Count a peer's shortage for three seconds

Cause: an entry sends at most 80 reports of usage a second over all recipients and services. With 43 peers and two services in shortage each peer gets one every 1.2 s, but a peer's shortage counted for 1 s, so that an entry without a shortage of its own forgot all peers' usage between two reports.

Change: a peer's shortage counts for 3 s, in which one of two reports may be lost.

--- a/verbenaspool_policy/src/dispatch/share.rs
+++ b/verbenaspool_policy/src/dispatch/share.rs
@@ -36,9 +36,14 @@
 /// Minimum interval between two computations of the share level.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How long a shortage counts after a request last found no capacity, here or at a peer.
+/// How long a shortage counts after a request last found no capacity at this entry.
 const SHORTAGE_TIME: Duration = Duration::from_secs(1);
 
+/// How long a shortage counts that a peer reported. With 43 peers and two services in shortage, a
+/// peer's reports are 1.2 s apart, and one may be lost. Shorter, an entry without a shortage of its
+/// own would forget the usage of all peers between two reports.
+const PEER_SHORTAGE_TIME: Duration = Duration::from_secs(3);
+
 /// How long it takes until another entry uses a freed slot: digests take up to 0.1 s, and a
 /// decrease of load is used 0.08 s later on average. Requests over their customer's share leave
 /// room for the requests that arrive at other entries meanwhile.
@@ -188,9 +193,9 @@
 
     /// Whether a peer reported a shortage recently.
     fn peer_shortage(&self, now: Duration) -> bool {
-        self.peers
-            .values()
-            .any(|peer| peer.usage.shortage && now.saturating_sub(peer.received_at) < SHORTAGE_TIME)
+        self.peers.values().any(|peer| {
+            peer.usage.shortage && now.saturating_sub(peer.received_at) < PEER_SHORTAGE_TIME
+        })
     }
 
     /// Whether a customer is at or over its share.
