--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod store_copy;
+mod unreadable_entry;
 
 use std::{io, time::Duration};
 
@@ -22,6 +23,7 @@
 pub fn run(name: &str, run: &Run) -> io::Result<bool> {
     match name {
         "store-copy" => store_copy::run(run),
+        "unreadable-entry" => unreadable_entry::run(run),
         _ => Err(io::Error::other("unknown case")),
     }
 }
