Review, case 3: a foreign entry displaces a replica at its address

Another writer's entry, of a service that no configuration names, has the address of the only replica of a service that was added. The replica gets no request, although its own entry holds.

--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod foreign_entry;
 mod store_copy;
 mod unreadable_entry;
 
@@ -24,6 +25,7 @@
     match name {
         "store-copy" => store_copy::run(run),
         "unreadable-entry" => unreadable_entry::run(run),
+        "foreign-entry" => foreign_entry::run(run),
         _ => Err(io::Error::other("unknown case")),
     }
 }
