--- a/review/standin/case/unreadable_entry.rs
+++ b/review/standin/case/unreadable_entry.rs
@@ -2,7 +2,9 @@
 
 use std::{io, thread::sleep, time::Duration};
 
-use super::{STABLE_WINDOW, check_drain, configuration, report_answers, route, start_replicas};
+use super::{
+    RECOVERY, STABLE_WINDOW, check_drain, configuration, report_answers, route, start_replicas,
+};
 use crate::{Run, caller::Callers, entry, store::Store};
 
 /// Another writer's entry has bytes that can't be read, and later a replica drains.
@@ -15,7 +17,7 @@
         configuration(7, &routes, &["jobs"]).as_bytes(),
     );
     let replicas = start_replicas(run, &store, "jobs", 3)?;
-    let entries = entry::start(run, store.address, &["a", "b"])?;
+    let mut entries = entry::start(run, store.address, &["a", "b"])?;
     let callers = Callers::new(&run.record);
     for entry in &entries {
         for _ in 0..3 {
@@ -39,5 +41,16 @@
     sleep(Duration::from_secs(10));
     callers.stop();
     report_answers(run, &callers);
-    Ok(check_drain(run, leaving, left_at))
+    let held = check_drain(run, leaving, left_at);
+    // Besides: whether an entry that starts now becomes ready.
+    for entry in &mut entries {
+        entry.restart(run)?;
+    }
+    sleep(RECOVERY);
+    let ready = entries.iter().filter(|entry| entry.is_ready()).count();
+    run.record.report(&format!(
+        "{ready} of {} entries are ready 12 s after a restart of all",
+        entries.len()
+    ));
+    Ok(held)
 }
--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -38,6 +38,8 @@
     pub name: String,
     pub listen: SocketAddr,
     readiness: SocketAddr,
+    /// The id of its process.
+    process: u32,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -107,10 +109,11 @@
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(&settings, text)?;
         let log = folder.join(format!("{name}.log"));
-        let entry = Entry {
+        let mut entry = Entry {
             name,
             listen: (*ip, listen).into(),
             readiness: (*ip, readiness).into(),
+            process: 0,
             settings,
             log,
         };
@@ -138,7 +141,7 @@
 
 impl Entry {
     /// Starts the process.
-    fn launch(&self, run: &Run) -> io::Result<()> {
+    fn launch(&mut self, run: &Run) -> io::Result<()> {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -152,6 +155,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        self.process = child.id();
         run.record.write(&format!("{} started", self.name));
         CHILDREN
             .lock()
@@ -160,6 +164,21 @@
         Ok(())
     }
 
+    /// Kills the process and starts it again.
+    pub fn restart(&mut self, run: &Run) -> io::Result<()> {
+        let mut children = CHILDREN.lock().unwrap_or_else(|error| error.into_inner());
+        for child in children
+            .iter_mut()
+            .filter(|child| child.id() == self.process)
+        {
+            child.kill()?;
+            child.wait()?;
+        }
+        drop(children);
+        run.record.write(&format!("{} killed", self.name));
+        self.launch(run)
+    }
+
     /// Whether it answers the platform's readiness check with 200.
     pub fn is_ready(&self) -> bool {
         let asked = caller::get(self.readiness, "/verbenaspool/readiness");
