--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -17,6 +17,8 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// `stableWindowMs` of the small deployments.
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+/// `configPropagationMs` and `stretchMaximumMs` of the small deployments.
+const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000 + 5_000);
 /// `recoveryS` of the small deployments.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// `heartbeatMs` of the small deployments.
--- a/review/standin/case/store_copy.rs
+++ b/review/standin/case/store_copy.rs
@@ -2,63 +2,77 @@
 
 use std::{io, thread::sleep, time::Duration};
 
-use super::{
-    HEARTBEAT, STABLE_WINDOW, check_drain, configuration, report_answers, route, start_replicas,
-};
+use super::{CONFIGURATION_BOUND, HEARTBEAT, STABLE_WINDOW, configuration, route, start_replicas};
 use crate::{Run, caller::Callers, entry, store::Store, upstream::Upstream};
 
-/// The store comes back from a copy some seconds old, and later a replica drains.
+/// How long the store is away.
+const AWAY: Duration = Duration::from_secs(1);
+
+/// The store comes back from a copy some seconds old, and a new configuration drops a route.
 pub fn run(run: &Run) -> io::Result<bool> {
     let store = Store::start(&run.record)?;
-    let routes = [route("r-1", "/book/", "jobs")];
-    store.put(
-        "config",
-        "main",
-        configuration(7, &routes, &["jobs"]).as_bytes(),
-    );
-    let replicas = start_replicas(run, &store, "jobs", 3)?;
+    let first = route("r-1", "/book/", "jobs");
+    let dropped = route("r-2", "/hold/", "jobs");
+    let added = route("r-3", "/ask/", "jobs");
+    let configure = |version: u64, routes: &[String]| {
+        let text = configuration(version, routes, &["jobs"]);
+        store.put("config", "main", text.as_bytes());
+    };
+    configure(7, &[first.clone(), dropped.clone()]);
+    start_replicas(run, &store, "jobs", 3)?;
     let entries = entry::start(run, store.address, &["a", "b"])?;
-    let callers = Callers::new(&run.record);
-    for entry in &entries {
-        for _ in 0..3 {
-            callers.start(entry.listen, "/book/", Duration::from_millis(60));
-        }
-    }
     sleep(Duration::from_secs(3));
     let copy = store.copy();
-    // A fourth replica starts, and states at each check-in how much longer it is slow.
+    // A replica starts, and states at each check-in how much longer it is slow.
     let fourth = Upstream::start("i-jobs-4", "jobs", &run.record)?;
+    let check_in = |replica: &Upstream, cold_ms: u64| {
+        let entry = replica.entry("ready", cold_ms);
+        store.put("servers", &replica.id, entry.as_bytes());
+    };
     for cold_ms in [3_600, 2_400, 1_200, 0] {
-        store.put(
-            "servers",
-            &fourth.id,
-            fourth.entry("ready", cold_ms).as_bytes(),
-        );
+        check_in(&fourth, cold_ms);
         sleep(HEARTBEAT);
     }
+    let eighth = [first.clone(), dropped.clone(), added.clone()];
+    configure(8, &eighth);
+    sleep(Duration::from_millis(300));
     if run.trouble {
         store.go_away();
-        sleep(Duration::from_secs(1));
-        store.come_back(Some(copy));
-        // What the replica wrote is written again, at its next check-in.
-        sleep(HEARTBEAT / 2);
-        store.put("servers", &fourth.id, fourth.entry("ready", 0).as_bytes());
+        sleep(AWAY);
+        store.come_back(copy);
+        // What the operator and the replicas wrote is written again.
+        sleep(Duration::from_millis(100));
+        configure(8, &eighth);
+        check_in(&fourth, 0);
+    }
+    sleep(Duration::from_millis(200));
+    configure(9, &[first, added]);
+    let dropped_at = run.record.now();
+    // Two more replicas start.
+    let fifth = Upstream::start("i-jobs-5", "jobs", &run.record)?;
+    let sixth = Upstream::start("i-jobs-6", "jobs", &run.record)?;
+    for cold_ms in [1_200, 0] {
+        check_in(&fifth, cold_ms);
+        check_in(&sixth, cold_ms);
+        sleep(HEARTBEAT);
     }
-    sleep(STABLE_WINDOW * 2);
-    let calls = store.calls();
-    let leaving = &replicas[1];
-    store.put(
-        "servers",
-        &leaving.id,
-        leaving.entry("draining", 0).as_bytes(),
-    );
-    let left_at = run.record.now();
-    sleep(Duration::from_secs(10));
+    let steady_at = dropped_at + CONFIGURATION_BOUND + STABLE_WINDOW;
+    sleep(steady_at.saturating_sub(run.record.now()));
+    let callers = Callers::new(&run.record);
+    for entry in &entries {
+        callers.start(entry.listen, "/book/", Duration::from_millis(100));
+        callers.start(entry.listen, "/hold/", Duration::from_millis(100));
+    }
+    sleep(Duration::from_secs(8));
+    callers.stop();
+    let answers = callers.answers();
+    let late = answers.iter().filter(|a| a.path == "/hold/");
+    let (sent, ran) = late.fold((0, 0), |(sent, ran), a| {
+        (sent + 1, ran + u32::from(a.status == 200))
+    });
     run.record.report(&format!(
-        "calls to the store in these 10 s: {}",
-        store.calls() - calls
+        "CONFIG: {ran} of {sent} requests ran on a route that was dropped {:.1} s before the first of them",
+        (steady_at - dropped_at).as_secs_f64()
     ));
-    callers.stop();
-    report_answers(run, &callers);
-    Ok(check_drain(run, leaving, left_at))
+    Ok(ran == 0)
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -16,7 +16,7 @@
 /// Further ones get 429.
 const READS_PER_SECOND: u64 = 2_000;
 
-/// How often a watch looks whether the store has gone away.
+/// How often a watch, or a connection that is silent, looks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 #[derive(Clone)]
@@ -59,9 +59,9 @@
 struct State {
     content: Content,
     era: u64,
-    away: bool,
-    connections: Vec<TcpStream>,
-    calls: u64,
+    /// Connections with a number up to this one get no answers.
+    silent_through: u64,
+    last_connection: u64,
     /// The current second and the calls that were answered in it.
     second: (u64, u64),
 }
@@ -88,9 +88,8 @@
             state: Arc::new(Mutex::new(State {
                 content,
                 era: 1,
-                away: false,
-                connections: Vec::new(),
-                calls: 0,
+                silent_through: 0,
+                last_connection: 0,
                 second: (0, 0),
             })),
             changed: Arc::default(),
@@ -110,13 +109,13 @@
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
 
-    /// Writes an object, and returns the revision with which that was acknowledged.
-    pub fn put(&self, kind: &str, name: &str, specification: &[u8]) -> u64 {
+    /// Writes an object. A write that changes nothing has no effect.
+    pub fn put(&self, kind: &str, name: &str, specification: &[u8]) {
         let mut state = self.lock();
         let key = (kind.to_owned(), name.to_owned());
         let known = state.content.objects.get(&key);
-        if let Some(known) = known.filter(|known| known.specification == specification) {
-            return known.revision;
+        if known.is_some_and(|known| known.specification == specification) {
+            return;
         }
         let status = known.map_or_else(|| b"null".to_vec(), |known| known.status.clone());
         state.content.revision += 1;
@@ -140,7 +139,6 @@
                 .collect::<String>()
         ));
         self.changed.notify_all();
-        revision
     }
 
     /// A copy of what the store keeps.
@@ -153,68 +151,51 @@
         state.content.clone()
     }
 
-    /// Closes all connections and answers none until the store is back.
+    /// Goes away: calls get no answers any more, and connections stay open.
     pub fn go_away(&self) {
         let mut state = self.lock();
-        state.away = true;
-        for connection in state.connections.drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-        self.record.write(&format!(
-            "store away at revision {}",
-            state.content.revision
-        ));
-        self.changed.notify_all();
+        state.silent_through = u64::MAX;
+        let revision = state.content.revision;
+        self.record
+            .write(&format!("store away at revision {revision}"));
     }
 
-    /// Comes back, from a copy if there is one.
-    pub fn come_back(&self, copy: Option<Content>) {
+    /// Comes back from a copy. Connections from before stay silent.
+    pub fn come_back(&self, copy: Content) {
         let mut state = self.lock();
-        if let Some(copy) = copy {
-            state.content = copy;
-            state.era += 1;
-        }
-        state.away = false;
+        state.content = copy;
+        state.era += 1;
+        state.silent_through = state.last_connection;
         let (revision, era) = (state.content.revision, state.era);
         self.record
             .write(&format!("store back at revision {revision}, era {era}"));
     }
 
-    /// Number of calls so far.
-    pub fn calls(&self) -> u64 {
-        self.lock().calls
-    }
-
     fn accept(&self, stream: TcpStream) {
         let mut state = self.lock();
-        if state.away {
-            let _ = stream.shutdown(Shutdown::Both);
-            return;
-        }
-        if let Ok(clone) = stream.try_clone() {
-            state.connections.push(clone);
-        }
+        state.last_connection += 1;
+        let number = state.last_connection;
         drop(state);
         let store = self.clone();
         thread::spawn(move || {
-            let _ = store.serve(&stream);
+            let _ = store.serve(number, &stream);
             let _ = stream.shutdown(Shutdown::Both);
         });
     }
 
-    fn serve(&self, stream: &TcpStream) -> std::io::Result<()> {
+    fn serve(&self, number: u64, stream: &TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = http::read_head(&mut reader)? {
             let body = http::read_body(&mut reader, &head)?;
-            let answer = if self.admits_call() {
+            let (status, answer) = if self.admits_call() {
                 self.answer(&head, &body)
             } else {
-                Some(("429 Too Many Requests", b"{}".to_vec()))
-            };
-            let Some((status, answer)) = answer else {
-                return Ok(());
+                ("429 Too Many Requests", b"{}".to_vec())
             };
+            while self.lock().silent_through >= number {
+                thread::sleep(POLL_INTERVAL);
+            }
             let era = self.lock().era.to_string();
             let headers = [
                 ("Content-Type", "application/json"),
@@ -228,7 +209,6 @@
     /// Counts a call. Returns whether it is within the rate.
     fn admits_call(&self) -> bool {
         let mut state = self.lock();
-        state.calls += 1;
         let second = self.record.now().as_secs();
         if state.second.0 != second {
             state.second = (second, 0);
@@ -237,8 +217,8 @@
         state.second.1 <= READS_PER_SECOND
     }
 
-    /// The answer to a call; `None` if the store is away.
-    fn answer(&self, head: &http::Head, body: &[u8]) -> Option<(&'static str, Vec<u8>)> {
+    /// The answer to a call.
+    fn answer(&self, head: &http::Head, body: &[u8]) -> (&'static str, Vec<u8>) {
         let (path, query) = head.word(1).split_once('?').unwrap_or((head.word(1), ""));
         let mut words = path.trim_start_matches("/verbenaspool/objects/").split('/');
         let (kind, name) = (words.next().unwrap_or_default(), words.next());
@@ -249,7 +229,7 @@
                 .map(|(_, value)| value.to_owned())
         };
         if head.word(0) == "PUT" {
-            return Some(self.put_status(kind, name.unwrap_or_default(), body));
+            return self.put_status(kind, name.unwrap_or_default(), body);
         }
         let Some(since) = parameter("watch").and_then(|text| text.parse::<u64>().ok()) else {
             return self.list(kind);
@@ -260,11 +240,8 @@
         self.watch(kind, since, Duration::from_millis(wait))
     }
 
-    fn list(&self, kind: &str) -> Option<(&'static str, Vec<u8>)> {
+    fn list(&self, kind: &str) -> (&'static str, Vec<u8>) {
         let state = self.lock();
-        if state.away {
-            return None;
-        }
         let items = state
             .content
             .objects
@@ -277,18 +254,15 @@
         text.extend_from_slice(&items.join(&b','));
         let end = format!(r#"],"hasMore":false,"at":{}}}"#, state.content.revision);
         text.extend_from_slice(end.as_bytes());
-        Some(("200 OK", text))
+        ("200 OK", text)
     }
 
-    fn watch(&self, kind: &str, since: u64, wait: Duration) -> Option<(&'static str, Vec<u8>)> {
+    fn watch(&self, kind: &str, since: u64, wait: Duration) -> (&'static str, Vec<u8>) {
         let until = Instant::now() + wait;
         let mut state = self.lock();
         loop {
-            if state.away {
-                return None;
-            }
             if since > state.content.revision {
-                return Some(("410 Gone", b"{}".to_vec()));
+                return ("410 Gone", b"{}".to_vec());
             }
             let changes = state.content.changes.iter();
             let changes = changes.filter(|c| c.kind == kind && c.revision > since);
@@ -305,7 +279,7 @@
                 text.extend_from_slice(&events.join(&b','));
                 let end = format!(r#"],"at":{}}}"#, state.content.revision);
                 text.extend_from_slice(end.as_bytes());
-                return Some(("200 OK", text));
+                return ("200 OK", text);
             }
             let waited = self.changed.wait_timeout(state, POLL_INTERVAL);
             state = waited.unwrap_or_else(|error| error.into_inner()).0;
