--- a/verbenaspool/src/direct/divergence.rs
+++ b/verbenaspool/src/direct/divergence.rs
@@ -54,9 +54,9 @@
     /// Corrects the registry if peers have other objects at the same revision.
     pub fn correct_registry(&self) {
         let now = self.clock.now();
-        let revision = self.registry_revision();
+        let position = self.registry_position();
         let peers = self.peers.borrow();
-        let differing = peers.differing_registries(now, revision, self.registry_hash());
+        let differing = peers.differing_registries(now, position, self.registry_hash());
         drop(peers);
         let differs = differing > 0 && !self.is_registry_outdated();
         let watches = self.watches_store();
@@ -65,7 +65,7 @@
             return;
         }
         warn!(self.log, "registry differs from peers' at the same revision";
-            "revision" => revision, "hash" => self.registry_hash(), "peers" => differing);
+            "era" => position.era, "revision" => position.revision, "hash" => self.registry_hash(), "peers" => differing);
         if watches {
             self.relist_registry.notify_one();
         } else {
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -11,8 +11,9 @@
 use tokio::sync::Notify;
 use verbenaspool_platform::{
     configuration, evacuation, registry as wire,
-    store::{Change, Listing, Object, WatchOutcome},
+    store::{Change, Listing, Object, Stored, WatchOutcome},
 };
+use verbenaspool_state::position::Position;
 use verbenaspool_transport::platform::Error;
 
 use super::{
@@ -51,6 +52,10 @@
 /// retried within the time limit for changes, which is 2 s.
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
+/// The first and the maximum interval between listings that follow each other without a watch that
+/// was answered. A store that rejects each watch would otherwise be asked without pause.
+const LISTING_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+
 /// How long an entry that doesn't watch the store waits for a peer's registry if its own is outdated.
 /// As all entries of a large fleet start, the first digest of one that watches takes up to 3 s.
 const MAX_OUTDATED_TIME: Duration = Duration::from_secs(10);
@@ -83,8 +88,8 @@
     kind: Kind,
     /// Notified when all objects must be listed again.
     relist: Rc<Notify>,
-    /// The store's revision up to which changes are known from it.
-    revision: u64,
+    /// The store's position up to which changes are known from it.
+    position: Position,
     /// Since when the store has been answering, or `None` during an outage.
     available_since: Option<Duration>,
     /// Whether a call to the store has failed since the process started.
@@ -95,6 +100,10 @@
     cut_off: bool,
     /// How long an outdated registry waits for a peer's before its objects are listed next.
     next_listing: Duration,
+    /// When the objects were last listed, other than by an outdated listing.
+    listed_at: Option<Duration>,
+    /// The minimum interval until they are listed again.
+    listing_interval: Duration,
     retry_interval: Duration,
     /// Delay of the next watch after the last change.
     batch_interval: Duration,
@@ -116,12 +125,14 @@
             gateway,
             kind,
             relist,
-            revision: 0,
+            position: Position::default(),
             available_since: None,
             had_outage: false,
             failing: false,
             cut_off: false,
             next_listing: MAX_OUTDATED_TIME,
+            listed_at: None,
+            listing_interval: LISTING_INTERVALS[0],
             retry_interval: RETRY_INTERVALS[0],
             batch_interval: BATCH_INTERVAL,
         }
@@ -169,23 +180,36 @@
         match self.kind {
             Kind::Configuration => self.gateway.table().is_some(),
             Kind::Registry => self.gateway.has_registry(),
-            Kind::Evacuations => self.gateway.evacuations.borrow().revision > 0,
+            Kind::Evacuations => self.gateway.evacuations.borrow().position().is_known(),
         }
     }
 
     /// Lists all objects and publishes them. Returns whether the store answered.
     async fn list(&mut self, stale: bool) -> bool {
+        if !stale {
+            self.pace_listings().await;
+        }
+        self.gateway.store.observe_era(self.watch_position().era);
         let listing = self
             .gateway
             .store
             .list(self.kind.object_kind(), stale)
             .await;
         match listing {
-            Ok(Listing { objects, revision }) => {
+            Ok(Listing {
+                objects,
+                mut position,
+            }) => {
                 self.record_success();
-                // The state of an outdated listing may be older than its revision says.
-                let newest = objects.values().map(|object| object.revision).max();
-                self.revision = if stale { newest.unwrap_or(1) } else { revision };
+                if self.watch_position().is_known() && position.era > self.watch_position().era {
+                    self.record_restore();
+                }
+                if stale {
+                    // The state of an outdated listing may be older than its revision says.
+                    let newest = objects.values().map(|object| object.revision).max();
+                    position.revision = newest.unwrap_or(1);
+                }
+                self.position = position;
                 let source = if stale {
                     Source::OutdatedListing
                 } else {
@@ -201,12 +225,30 @@
         }
     }
 
-    /// The revision to watch from. Peers may have delivered newer objects.
-    fn watch_revision(&self) -> u64 {
-        self.revision.max(match self.kind {
-            Kind::Configuration => 0,
-            Kind::Registry => self.gateway.registry_revision(),
-            Kind::Evacuations => self.gateway.evacuations.borrow().revision,
+    /// Waits until the objects may be listed again.
+    async fn pace_listings(&mut self) {
+        let now = self.gateway.clock.now();
+        if let Some(listed_at) = self.listed_at {
+            let next = listed_at + self.listing_interval;
+            self.gateway.clock.sleep(next.saturating_sub(now)).await;
+            self.listing_interval = (self.listing_interval * 2).min(LISTING_INTERVALS[1]);
+        }
+        self.listed_at = Some(self.gateway.clock.now());
+    }
+
+    /// Records that the store came back from an older copy. Registrations that the copy lacks are
+    /// written again like those that expired during an outage.
+    fn record_restore(&mut self) {
+        self.had_outage = true;
+        self.available_since = Some(self.gateway.clock.now());
+    }
+
+    /// The position to watch from. Peers may have delivered newer objects.
+    fn watch_position(&self) -> Position {
+        self.position.max(match self.kind {
+            Kind::Configuration => Position::default(),
+            Kind::Registry => self.gateway.registry_position(),
+            Kind::Evacuations => self.gateway.evacuations.borrow().position(),
         })
     }
 
@@ -220,32 +262,47 @@
             let watchers = self.gateway.peers.borrow().watchers(now);
             let wait = watch_wait(watchers, rand::random());
             let started = now;
-            let watch =
-                self.gateway
-                    .store
-                    .watch(self.kind.object_kind(), self.watch_revision(), wait);
-            let relist = self.relist.notified();
+            let from = self.watch_position();
+            self.gateway.store.observe_era(from.era);
+            if self.gateway.store.era() > from.era {
+                self.spread_listings(watchers).await;
+                return WatchEnd::Relist;
+            }
+            let watch = self
+                .gateway
+                .store
+                .watch(self.kind.object_kind(), from, wait);
+            let (relist, restored) = (self.relist.notified(), self.gateway.restored.notified());
             let watched = monoio::select! {
                 watched = watch => watched,
                 () = relist => return WatchEnd::Relist,
+                // The watch may be on a connection that the store has abandoned.
+                () = restored => {
+                    self.spread_listings(watchers).await;
+                    return WatchEnd::Relist;
+                }
             };
             match watched {
-                Ok(WatchOutcome::Changes(changes, revision)) => {
+                Ok(WatchOutcome::Changes(changes, position)) => {
                     self.record_success();
-                    self.revision = self.revision.max(revision);
+                    self.listing_interval = LISTING_INTERVALS[0];
+                    self.position = self.position.max(position);
+                    let waited = self.gateway.clock.now().saturating_sub(started);
                     if !changes.is_empty() {
                         self.apply(changes);
-                        let waited = self.gateway.clock.now().saturating_sub(started);
                         self.batch_interval =
                             next_batch_interval(self.batch_interval, waited, watchers);
                         self.gateway.clock.sleep(self.batch_interval).await;
+                    } else if waited < BATCH_INTERVAL {
+                        self.gateway.clock.sleep(BATCH_INTERVAL).await;
                     }
                 }
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
-                        "kind" => self.kind.object_kind(), "revision" => self.revision);
+                        "kind" => self.kind.object_kind(), "revision" => from.revision);
                     return WatchEnd::Relist;
                 }
+                Ok(WatchOutcome::Restored) => self.gateway.observe_store_era(),
                 Err(why) => {
                     let waited = self.gateway.clock.now().saturating_sub(started);
                     self.on_watch_failed(&why, waited < wait).await;
@@ -254,6 +311,15 @@
         }
     }
 
+    /// Waits for a part of the time in which entries list the objects after the store came back from
+    /// a copy. All of them learn of that at the same time.
+    async fn spread_listings(&self, watchers: usize) {
+        let watchers = u32::try_from(watchers).unwrap_or(u32::MAX);
+        let spread = BATCH_INTERVAL_PER_ENTRY.saturating_mul(watchers);
+        let delay = spread.min(MAX_BATCH_INTERVAL).mul_f32(rand::random());
+        self.gateway.clock.sleep(delay).await;
+    }
+
     /// Handles a failed watch. The store may cut off one that is waiting at any time, and only the
     /// next call shows whether it's unavailable: upstreams that are missing after an outage are kept.
     async fn on_watch_failed(&mut self, why: &Error, was_waiting: bool) {
@@ -290,13 +356,18 @@
         match self.kind {
             Kind::Configuration => {
                 if let Some(object) = objects.get(configuration::OBJECT_NAME) {
-                    self.gateway.observe_configuration(object);
-                    self.gateway.apply_configuration(object, source);
+                    let stored = Stored {
+                        object: object.clone(),
+                        era: self.position.era,
+                    };
+                    self.gateway.observe_configuration(&stored);
+                    self.gateway.apply_configuration(&stored, source);
                 }
             }
             Kind::Evacuations => {
                 let evacuations = Evacuations {
-                    revision: self.revision,
+                    revision: self.position.revision,
+                    era: self.position.era,
                     zones: objects.into_keys().collect(),
                 };
                 self.gateway.update_evacuations(evacuations, source);
@@ -314,7 +385,7 @@
                 };
                 let snapshot = Snapshot {
                     objects: &objects,
-                    revision: self.revision,
+                    position: self.position,
                     outdated: source == Source::OutdatedListing,
                     source,
                 };
@@ -326,6 +397,7 @@
 
     /// Records that the store answered a call.
     fn record_success(&mut self) {
+        self.gateway.observe_store_era();
         self.set_failing(false);
         self.cut_off = false;
         self.retry_interval = RETRY_INTERVALS[0];
@@ -350,6 +422,7 @@
     /// Records a failed call to the store, and waits before the next one.
     async fn back_off(&mut self, why: &Error) {
         self.set_failing(true);
+        self.listing_interval = LISTING_INTERVALS[0];
         self.had_outage = true;
         if self.available_since.take().is_some() {
             warn!(self.gateway.log, "store unreachable; keeping the known objects";
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use verbenaspool_platform::{
     configuration,
-    store::{self, Object},
+    store::{self, Object, Stored},
 };
 use verbenaspool_policy::{quarantine::Quarantine, subset};
 use verbenaspool_protocol::{
@@ -21,7 +21,7 @@
     member::Status,
     reservation::{self, ServiceInfo},
 };
-use verbenaspool_state::{replica::Replica, route::Table};
+use verbenaspool_state::{position::Position, replica::Replica, route::Table};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
@@ -83,11 +83,17 @@
     /// Wakes the task that reports limits of upstreams to peers.
     pub rate_limit_changed: Notify,
     /// The configuration's object as last read from the store.
-    pub stored_configuration: RefCell<Option<Object>>,
+    pub stored_configuration: RefCell<Option<Stored>>,
     /// Wakes the task that writes the quarantine to the store.
     pub unsaved: Notify,
     /// Makes the follower of the registry list all objects again.
     pub relist_registry: Rc<Notify>,
+    /// The latest era of the store that was logged, and that followers know of.
+    pub store_era: Cell<u64>,
+    /// The latest era of the store that a peer named and that made followers ask the store.
+    pub hinted_store_era: Cell<u64>,
+    /// Wakes the followers that watch the store when it has come back from an older copy.
+    pub restored: Notify,
     /// Whether peers have other objects at the registry's revision.
     pub divergence: RefCell<Divergence>,
     /// Whether the process is shutting down. It fails readiness checks but still accepts
@@ -96,9 +102,12 @@
     /// Whether new requests are rejected.
     pub closed: Cell<bool>,
     /// The object from which the table was decoded. Peers fetch it.
-    pub table_source: RefCell<Option<Object>>,
+    pub table_source: RefCell<Option<Stored>>,
     /// The availability zones whose upstreams get no requests.
     pub evacuations: RefCell<Evacuations>,
+    /// Zones that stay evacuated although an older copy of the store doesn't list them, and until
+    /// when.
+    pub kept_evacuations: RefCell<BTreeMap<String, Duration>>,
     /// Which weights of customers name unknown ones.
     pub checked_weights: RefCell<CheckedWeights>,
     /// Number of followers whose last call to the store failed.
@@ -144,11 +153,15 @@
             stored_configuration: RefCell::default(),
             unsaved: Notify::new(),
             relist_registry: Rc::new(Notify::new()),
+            store_era: Cell::default(),
+            hinted_store_era: Cell::default(),
+            restored: Notify::new(),
             divergence: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             table_source: RefCell::default(),
             evacuations: RefCell::default(),
+            kept_evacuations: RefCell::default(),
             checked_weights: RefCell::default(),
             failing_followers: Cell::default(),
             table: RefCell::default(),
@@ -171,9 +184,9 @@
             .map_or(0, |table| table.version)
     }
 
-    /// The store revision of the registry.
-    pub fn registry_revision(&self) -> u64 {
-        self.registry.borrow().revision
+    /// The store's position of the registry.
+    pub fn registry_position(&self) -> Position {
+        self.registry.borrow().position
     }
 
     /// Whether the registry is from an outdated snapshot.
@@ -217,8 +230,8 @@
         self.registry.borrow().objects.clone()
     }
 
-    /// The changes of the registry after a revision, or `None` if not all of them are known.
-    pub fn registry_changes(&self, since: u64) -> Option<registry::Changes> {
+    /// The changes of the registry after a position, or `None` if not all of them are known.
+    pub fn registry_changes(&self, since: Position) -> Option<registry::Changes> {
         self.registry.borrow().changes(since)
     }
 
@@ -232,13 +245,18 @@
     /// the evacuated zones where there may be some, and isn't shutting down.
     pub fn is_ready(&self) -> bool {
         let can_evacuate = self.settings.borrow().limits.can_evacuate();
-        let knows_evacuations = !can_evacuate || self.evacuations.borrow().revision > 0;
+        let knows_evacuations = !can_evacuate || self.evacuations.borrow().position().is_known();
         let has_state = self.registry_loaded.get() && self.table.borrow().is_some();
         !self.leaving.get() && has_state && knows_evacuations
     }
 
     /// Activates a configuration if it is newer than the active one.
-    pub fn apply_configuration(&self, object: &Object, from: Source) {
+    ///
+    /// Its version decides, since an older copy of the store has an older one. Only of the same
+    /// version the one counts that was written last: after such a copy came back, the operator may
+    /// have written other contents as that version.
+    pub fn apply_configuration(&self, stored: &Stored, from: Source) {
+        let object = &stored.object;
         let table = match configuration::decode(&object.specification) {
             Ok(table) => table,
             Err(why) => {
@@ -248,14 +266,14 @@
             }
         };
         let previous = self.table_version();
-        if table.version <= previous && self.table.borrow().is_some() {
+        if table.version < previous || table.version == previous && !self.is_rewritten(stored) {
             return;
         }
         info!(self.log, "configuration activated";
             "version" => table.version, "before" => previous, "from" => %from, "routes" => table.len());
         let table = Rc::new(table);
         self.table.replace(Some(table.clone()));
-        self.table_source.replace(Some(object.clone()));
+        self.table_source.replace(Some(stored.clone()));
         for service in table.services() {
             let queue = self.queue(&service.name);
             queue.with(|dispatcher, _| {
@@ -266,6 +284,14 @@
         self.distribute_upstreams();
     }
 
+    /// Whether a configuration was written after the active one, with other contents.
+    fn is_rewritten(&self, stored: &Stored) -> bool {
+        self.table_source.borrow().as_ref().is_none_or(|active| {
+            stored.position() > active.position()
+                && stored.object.specification != active.object.specification
+        })
+    }
+
     /// Replaces the registry of upstreams, unless the snapshot is older, or outdated and the registry
     /// isn't.
     ///
@@ -284,7 +310,8 @@
             return;
         }
         info!(self.log, "registry of upstreams changed";
-            "revision" => snapshot.revision, "from" => %snapshot.source, "upstreams" => registry.len(),
+            "era" => snapshot.position.era, "revision" => snapshot.position.revision,
+            "from" => %snapshot.source, "upstreams" => registry.len(),
             "hash" => registry.hash);
         self.log_departures(&registry, &ready_before);
         drop(registry);
@@ -300,9 +327,10 @@
         }
         let now = self.clock.now();
         let peers = self.peers.borrow();
-        if let Some(revision) = peers.confirmed_revision(now, registry.revision, registry.hash) {
-            registry.confirm(revision);
-            info!(self.log, "registry of upstreams confirmed"; "revision" => revision);
+        if let Some(position) = peers.confirmed_position(now, registry.position, registry.hash) {
+            registry.confirm(position);
+            info!(self.log, "registry of upstreams confirmed";
+                "era" => position.era, "revision" => position.revision);
         }
     }
 
@@ -315,25 +343,27 @@
         for id in ready_before.difference(&ready) {
             let cause = registry.get(id).map_or("removed", |_| "draining");
             info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => %from,
-                "cause" => cause, "revision" => registry.revision);
+                "cause" => cause, "revision" => registry.position.revision);
         }
         for (id, until) in registry.kept() {
             let left = until.saturating_sub(now);
             info!(self.log, "upstream is missing; keeping it"; "upstream" => &**id,
-                "from" => %from, "revision" => registry.revision,
+                "from" => %from, "revision" => registry.position.revision,
                 "for_ms" => left.as_secs_f64() * 1e3);
         }
     }
 
-    /// Removes upstreams that have been missing from the registry for too long.
+    /// Removes upstreams that have been missing from the registry for too long, and uses those
+    /// again that were left out after the store came back from an older copy.
     pub fn expire_upstreams(&self) {
         let now = self.clock.now();
         let expired = self.registry.borrow_mut().remove_expired(now);
+        let readmitted = self.registry.borrow_mut().readmit(now);
         for id in &expired {
             info!(self.log, "upstream is leaving"; "upstream" => &**id, "from" => "registry",
-                "cause" => "expired", "revision" => self.registry_revision());
+                "cause" => "expired", "revision" => self.registry_position().revision);
         }
-        if !expired.is_empty() {
+        if !expired.is_empty() || readmitted {
             self.distribute_upstreams();
         }
     }
@@ -353,7 +383,7 @@
         let new = self.registry.borrow_mut().record_leaving(now, replica);
         if new {
             info!(self.log, "upstream is leaving"; "upstream" => &*replica.id, "from" => "answer",
-                "cause" => "draining", "revision" => self.registry_revision());
+                "cause" => "draining", "revision" => self.registry_position().revision);
             self.distribute_upstreams();
         }
     }
@@ -487,10 +517,10 @@
             let (clock, log) = (self.clock.clone(), self.log.clone());
             let queue = ServiceQueue::new(service.clone(), clock, log, zone, seed);
             let queue = Rc::new(queue);
-            let evacuations = self.evacuations.borrow();
+            let evacuated = self.zones_in_evacuation();
             let learns_speed = self.settings.borrow().balancing.learn_speed;
             queue.with(|dispatcher, now| {
-                dispatcher.set_evacuated_zones(&evacuations.zones);
+                dispatcher.set_evacuated_zones(&evacuated);
                 dispatcher.update_balancing(now, learns_speed);
             });
             let weights = usage::share_weights(&self.settings.borrow().shares);
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod request;
 mod reserve;
+mod restore;
 pub mod run;
 pub mod settings;
 pub mod standing;
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use verbenaspool_platform::store::Object;
+use verbenaspool_platform::store::{Object, Stored};
 use verbenaspool_protocol::suspicion::Suspicion;
+use verbenaspool_state::position::Position;
 use verbenaspool_transport::rpc;
 
 use crate::direct::{
@@ -55,6 +56,14 @@
     /// The revision of the configuration's object.
     #[serde(default)]
     pub(super) configuration: u64,
+    /// The eras of the store that the revisions are of. A peer of the previous version doesn't
+    /// send them.
+    #[serde(default)]
+    pub(super) registry_era: u64,
+    #[serde(default)]
+    pub(super) evacuations_era: u64,
+    #[serde(default)]
+    pub(super) configuration_era: u64,
     /// Whether the entry accepts changes of the registry instead of all of it.
     #[serde(default)]
     accepts_changes: bool,
@@ -75,17 +84,41 @@
             outdated: false,
             evacuations: 0,
             configuration: 0,
+            registry_era: 0,
+            evacuations_era: 0,
+            configuration_era: 0,
             accepts_changes: true,
         }
     }
+
+    /// The store's position of the registry.
+    pub(super) fn registry(&self) -> Position {
+        Position::new(self.registry_era, self.registry)
+    }
+
+    /// The store's position of the evacuated zones.
+    pub(super) fn evacuations(&self) -> Position {
+        Position::new(self.evacuations_era, self.evacuations)
+    }
+
+    /// The store's position of the configuration's object.
+    pub(super) fn configuration(&self) -> Position {
+        Position::new(self.configuration_era, self.configuration)
+    }
 }
 
 /// State of a peer that is newer than the requested versions.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Update {
     configuration: Option<Object>,
+    /// The era of the store that the revision of the configuration's object is of.
+    #[serde(default)]
+    configuration_era: u64,
     /// The revision of the registry.
     revision: u64,
+    /// The era of the store that the revision, and `base`, are of.
+    #[serde(default)]
+    era: u64,
     /// The registry's objects, or those that changed after the revision `base`.
     upstreams: Option<Vec<Object>>,
     /// Whether these are from an outdated snapshot.
@@ -111,12 +144,19 @@
     /// The versions of this entry's state.
     pub(super) fn versions(&self) -> Versions {
         let configuration = self.stored_configuration.borrow();
+        let configuration = configuration.as_ref().map(Stored::position);
+        let configuration = configuration.unwrap_or_default();
+        let registry = self.registry_position();
+        let evacuations = self.evacuations.borrow().position();
         Versions {
             table: self.table_version(),
-            registry: self.registry_revision(),
+            registry: registry.revision,
+            registry_era: registry.era,
             outdated: self.is_registry_outdated(),
-            evacuations: self.evacuations.borrow().revision,
-            configuration: configuration.as_ref().map_or(0, |object| object.revision),
+            evacuations: evacuations.revision,
+            evacuations_era: evacuations.era,
+            configuration: configuration.revision,
+            configuration_era: configuration.era,
             accepts_changes: true,
         }
     }
@@ -126,24 +166,29 @@
         let own = self.versions();
         let mut update = Update {
             configuration: None,
+            configuration_era: 0,
             revision: own.registry,
+            era: own.registry_era,
             upstreams: None,
             outdated: own.outdated,
             base: None,
             removed: Vec::new(),
             retention_left_ms: u64::try_from(self.retention_left().as_millis()).ok(),
-            evacuations: (own.evacuations > versions.evacuations)
+            evacuations: (own.evacuations() > versions.evacuations())
                 .then(|| self.evacuations.borrow().clone()),
             quarantined: Vec::new(),
         };
-        if own.table > versions.table || own.configuration > versions.configuration {
-            update.configuration = self.configuration();
+        if own.table > versions.table || own.configuration() > versions.configuration() {
+            if let Some(Stored { object, era }) = self.configuration() {
+                update.configuration = Some(object);
+                update.configuration_era = era;
+            }
             update.quarantined = self.quarantined();
         }
-        if own.registry <= versions.registry {
+        if own.registry() <= versions.registry() {
             return update;
         }
-        let changes = self.registry_changes(versions.registry);
+        let changes = self.registry_changes(versions.registry());
         let in_changes = versions.accepts_changes && !own.outdated;
         if let Some(changes) = changes.filter(|_| in_changes) {
             update.upstreams = Some(changes.changed);
@@ -161,7 +206,7 @@
         let mut versions = self.versions();
         if versions.outdated {
             // Changes since its revision would lack earlier removals.
-            versions.registry = 0;
+            (versions.registry, versions.registry_era) = (0, 0);
         }
         let result: Result<Update, _> = self
             .rpc
@@ -179,9 +224,11 @@
         if let Some(evacuations) = update.evacuations {
             self.update_evacuations(evacuations, from);
         }
-        if let Some(object) = &update.configuration {
-            self.observe_configuration(object);
-            self.apply_configuration(object, from);
+        if let Some(object) = update.configuration {
+            let era = update.configuration_era;
+            let stored = Stored { object, era };
+            self.observe_configuration(&stored);
+            self.apply_configuration(&stored, from);
         }
         self.record_suspicions(&update.quarantined);
         let Some(upstreams) = update.upstreams else {
@@ -189,7 +236,9 @@
         };
         let mut objects = match update.base {
             None => BTreeMap::new(),
-            Some(base) if base == self.registry_revision() => self.registry_objects(),
+            Some(base) if Position::new(update.era, base) == self.registry_position() => {
+                self.registry_objects()
+            }
             // The registry has changed since the call, and the next one will fit.
             Some(_) => return,
         };
@@ -208,7 +257,7 @@
         );
         let snapshot = Snapshot {
             objects: &objects,
-            revision: update.revision,
+            position: Position::new(update.era, update.revision),
             outdated: update.outdated,
             source: from,
         };
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -43,9 +43,12 @@
             incarnation,
             table_version: versions.table,
             registry_revision: versions.registry,
+            registry_era: versions.registry_era,
             evacuation_revision: versions.evacuations,
+            evacuation_era: versions.evacuations_era,
             store: self.store_access(),
             configuration_revision: versions.configuration,
+            configuration_era: versions.configuration_era,
             registry_hash: self.registry_hash(),
             registry_outdated: versions.outdated,
             leaving: self.leaving.get(),
@@ -117,7 +120,9 @@
                 let IpAddr::V4(from) = from else {
                     continue;
                 };
+                let era = digest.registry_era.max(digest.configuration_era);
                 let changed = gateway.peers.borrow_mut().receive(now, from, digest);
+                gateway.hint_store_era(era);
                 if changed {
                     gateway.distribute_peer_load();
                 }
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -24,6 +24,7 @@
 
 use rand::seq::IteratorRandom;
 use verbenaspool_protocol::digest::{Digest, UNKNOWN_ZONE};
+use verbenaspool_state::position::Position;
 
 pub use self::{
     catch_up::{Versions, catch_up, register_methods},
@@ -358,11 +359,11 @@
         sums
     }
 
-    /// Number of live peers whose registry has this revision, and other objects.
+    /// Number of live peers whose registry has this position, and other objects.
     #[must_use]
-    pub fn differing_registries(&self, now: Duration, revision: u64, hash: u32) -> usize {
+    pub fn differing_registries(&self, now: Duration, position: Position, hash: u32) -> usize {
         let differs = |digest: &Digest| {
-            digest.registry_revision == revision
+            digest.registry() == position
                 && !digest.registry_outdated
                 && digest.registry_hash != 0
                 && digest.registry_hash != hash
@@ -371,18 +372,23 @@
         peers.filter(|(_, peer)| differs(&peer.digest)).count()
     }
 
-    /// The newest revision of a live peer's registry with this hash that isn't outdated, nor older
-    /// than `revision`.
+    /// The newest position of a live peer's registry with this hash that isn't outdated, nor older
+    /// than `position`.
     #[must_use]
-    pub fn confirmed_revision(&self, now: Duration, revision: u64, hash: u32) -> Option<u64> {
+    pub fn confirmed_position(
+        &self,
+        now: Duration,
+        position: Position,
+        hash: u32,
+    ) -> Option<Position> {
         let confirms = |digest: &Digest| {
             !digest.registry_outdated
                 && digest.registry_hash == hash
-                && digest.registry_revision >= revision
+                && digest.registry() >= position
         };
         let peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
         let confirming = peers.filter(|digest| confirms(digest));
-        confirming.map(|digest| digest.registry_revision).max()
+        confirming.map(Digest::registry).max()
     }
 
     /// Records that a fetch didn't bring a peer's newer state.
@@ -399,8 +405,8 @@
         let is_newer = |peer: &Peer| {
             peer.digest.table_version > versions.table
                 || has_newer_registry(&peer.digest, versions)
-                || peer.digest.evacuation_revision > versions.evacuations
-                || peer.digest.configuration_revision > versions.configuration
+                || peer.digest.evacuations() > versions.evacuations()
+                || peer.digest.configuration() > versions.configuration()
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
         let recent_failure = |peer: &Peer| {
@@ -461,12 +467,12 @@
 }
 
 /// Whether a peer's registry is newer. An outdated one isn't newer than one that isn't, and one that
-/// isn't replaces an outdated one with the same revision.
+/// isn't replaces an outdated one at the same position.
 fn has_newer_registry(digest: &Digest, versions: Versions) -> bool {
     match (versions.outdated, digest.registry_outdated) {
-        (true, false) => digest.registry_revision >= versions.registry,
-        (false, true) if versions.registry > 0 => false,
-        _ => digest.registry_revision > versions.registry,
+        (true, false) => digest.registry() >= versions.registry(),
+        (false, true) if versions.registry().is_known() => false,
+        _ => digest.registry() > versions.registry(),
     }
 }
 
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -7,7 +7,9 @@
 
 use verbenaspool_protocol::digest::{Digest, StoreAccess};
 
-use super::{DISCOVERY_TIME, MAX_NAMED_PEERS, Peers, REMOTE_SAMPLE, digest_interval};
+use super::{
+    DISCOVERY_TIME, MAX_NAMED_PEERS, Peers, Position, REMOTE_SAMPLE, Versions, digest_interval,
+};
 
 /// Address of the entry itself.
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 255, 0, 1);
@@ -278,3 +280,34 @@
     }
     assert!(last.watches_store(now + DISCOVERY_TIME));
 }
+
+/// Guards against an entry that takes nothing from its peers after the store came back from a copy,
+/// since their revisions are lower than its own, and against one that takes the earlier state back.
+#[test]
+fn a_later_era_is_newer_whatever_its_revision() {
+    let (mut peers, now) = (peers(), Duration::from_secs(1));
+    let known = |era, revision| Digest {
+        registry_era: era,
+        registry_revision: revision,
+        evacuation_era: era,
+        evacuation_revision: revision,
+        configuration_era: era,
+        configuration_revision: revision,
+        ..digest(1)
+    };
+    let versions = |era, revision| {
+        let mut versions = Versions::of_registry(revision);
+        versions.registry_era = era;
+        (versions.evacuations, versions.evacuations_era) = (revision, era);
+        (versions.configuration, versions.configuration_era) = (revision, era);
+        versions
+    };
+    peers.receive(now, peer(1), known(2, 104));
+    assert_eq!(peers.newer_peers(now, versions(1, 109)).len(), 1);
+    assert!(peers.newer_peers(now, versions(3, 90)).is_empty());
+    assert_eq!(
+        peers.differing_registries(now, Position::new(1, 104), 7),
+        0,
+        "the same revision of another era is another state"
+    );
+}
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -139,7 +139,7 @@
     /// Sets the registry by which the request is sent to an upstream now.
     pub fn record_registry(&self) {
         let (source, age) = self.gateway.registry_source();
-        let registry = (self.gateway.registry_revision(), source, age);
+        let registry = (self.gateway.registry_position().revision, source, age);
         self.summary.borrow_mut().registry = Some(registry);
     }
 
@@ -295,6 +295,7 @@
             version,
         );
         self.memory.update_metrics(&self.metrics);
+        self.update_store_metrics();
         let now = self.clock.now();
         let quarantined = self.quarantine.borrow().quarantined(now).count();
         #[allow(clippy::cast_precision_loss)] // A few thousand at most.
@@ -304,11 +305,11 @@
             "Requests that are rejected because upstreams crashed under them.",
             quarantined,
         );
-        let revision = self.registry_revision();
+        let position = self.registry_position();
         let peers = self.peers.borrow();
-        let differing = peers.differing_registries(now, revision, self.registry_hash());
+        let differing = peers.differing_registries(now, position, self.registry_hash());
         #[allow(clippy::cast_precision_loss)] // Revisions stay far below 2^52.
-        let (revision, differing) = (revision as f64, differing as f64);
+        let (revision, differing) = (position.revision as f64, differing as f64);
         gauge(
             "verbenaspool_registry_revision",
             "The revision of the registry of upstreams.",
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -10,13 +10,23 @@
 
 use verbenaspool_platform::{registry, store::Object};
 use verbenaspool_protocol::digest;
-use verbenaspool_state::replica::{Replica, State};
+use verbenaspool_state::{
+    position::Position,
+    replica::{Replica, State},
+};
 
 /// How long upstreams that are missing from the registry are kept after an outage of the
 /// store. Registrations expire while upstreams can't renew them. Running upstreams register
 /// again within about 2 s; those that are still missing then have stopped.
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
+/// How long upstreams are left out that had been removed before the store came back from an older
+/// copy. The copy may still have their objects, which expire within a few heartbeats of 1.2 s.
+const COPIED_OBJECT_TIME: Duration = Duration::from_secs(10);
+
+/// How long it is remembered that an upstream's object was removed. Copies are some seconds old.
+const REMOVAL_MEMORY: Duration = Duration::from_mins(1);
+
 /// How long it is remembered that an upstream is leaving after its object is gone. It may serve for
 /// many seconds longer, and its object may return.
 const MAX_DEPARTURE_TIME: Duration = Duration::from_mins(10);
@@ -54,9 +64,9 @@
 pub struct Snapshot<'a> {
     /// The objects by name.
     pub objects: &'a BTreeMap<String, Object>,
-    /// The store's revision at which the objects were these. For an outdated snapshot, the revision
-    /// of the newest object.
-    pub revision: u64,
+    /// The store's position at which the objects were these. For an outdated snapshot, that of the
+    /// newest object.
+    pub position: Position,
     /// Whether the snapshot may be older than the store's revision at that time. A removal leaves no
     /// object, so that two such snapshots can have the same revision and different objects.
     pub outdated: bool,
@@ -82,11 +92,21 @@
     noticed_at: Duration,
 }
 
+/// The removal of an upstream's object.
+#[derive(Debug)]
+struct Removal {
+    /// When the upstream started, in milliseconds of Unix time. It may start again under its id.
+    started_at_ms: u64,
+    removed_at: Duration,
+    /// Until when an object of the same start is taken for one of an older copy of the store.
+    left_out_until: Option<Duration>,
+}
+
 /// The upstreams, and the objects from which they were decoded.
 #[derive(Debug, Default)]
 pub struct Registry {
-    /// The store revision of the objects.
-    pub revision: u64,
+    /// The store's position of the objects.
+    pub position: Position,
     /// Since when the objects are from an outdated [`Snapshot`], if they are.
     pub outdated_since: Option<Duration>,
     /// A hash of the objects; 0 until there are some.
@@ -110,26 +130,31 @@
     first_seen: BTreeMap<Rc<str>, Duration>,
     /// Names of removed objects, with the revision at which they were missing.
     removals: VecDeque<(u64, String)>,
-    /// The revision after which all removals are known.
-    removals_since: u64,
+    /// The position after which all removals are known.
+    removals_since: Position,
     /// Until when upstreams that are missing from the objects are kept.
     pub retain_missing_until: Duration,
     /// Upstreams that are missing from the objects, and the time until which they are kept.
     missing: BTreeMap<Rc<str>, Duration>,
+    /// Upstreams whose objects were removed lately.
+    removed: BTreeMap<Rc<str>, Removal>,
 }
 
 impl Registry {
     /// Whether a snapshot replaces the objects: it isn't older, and isn't outdated unless they are.
     #[must_use]
     pub fn accepts(&self, snapshot: &Snapshot) -> bool {
-        let is_current = snapshot.revision >= self.revision;
-        self.revision == 0 || is_current && (self.is_outdated() || !snapshot.outdated)
+        let is_current = snapshot.position >= self.position;
+        !self.position.is_known() || is_current && (self.is_outdated() || !snapshot.outdated)
     }
 
     /// Replaces the objects. Upstreams that are missing from them are kept until
     /// `retain_missing_until`.
     pub fn update(&mut self, now: Duration, retain_missing_until: Duration, snapshot: &Snapshot) {
         let objects = snapshot.objects;
+        if self.position.is_known() && snapshot.position.era > self.position.era {
+            self.leave_out_removed(now);
+        }
         let mut replicas = BTreeMap::new();
         for object in objects.values() {
             if self.objects.get(&object.name) == Some(object)
@@ -138,14 +163,10 @@
                 replicas.insert(id.clone(), replica.clone());
                 continue;
             }
-            if let Some(mut replica) = registry::decode(&object.name, &object.specification) {
-                self.first_seen.insert(replica.id.clone(), now);
-                self.replaced.remove(&replica.id);
-                self.record_listed_leaving(now, &replica);
-                if self.is_leaving(&replica) {
-                    replica.state = State::Draining;
-                }
-                replicas.insert(replica.id.clone(), Rc::new(replica));
+            let replica = registry::decode(&object.name, &object.specification);
+            if let Some(replica) = replica.filter(|replica| !self.is_left_out(now, replica)) {
+                let replica = self.admit(now, replica);
+                replicas.insert(replica.id.clone(), replica);
             }
         }
         for (id, replica) in &self.replicas {
@@ -161,6 +182,7 @@
                 replicas.insert(id.clone(), replica.clone());
             } else {
                 self.missing.remove(id);
+                record_removal(&mut self.removed, now, replica);
             }
         }
         self.replicas = replicas;
@@ -170,9 +192,11 @@
         self.leaving.retain(|id, departure| {
             replicas.contains_key(id) || now < departure.noticed_at + MAX_DEPARTURE_TIME
         });
+        self.removed
+            .retain(|_, removal| now < removal.removed_at + REMOVAL_MEMORY);
         self.retain_missing_until = retain_missing_until;
         self.record_removals(snapshot);
-        self.revision = snapshot.revision;
+        self.position = snapshot.position;
         let since = self.outdated_since.unwrap_or(now);
         self.outdated_since = snapshot.outdated.then_some(since);
         self.source = snapshot.source;
@@ -195,13 +219,13 @@
         self.outdated_since.get_or_insert(now);
     }
 
-    /// Records that outdated objects are the store's at a revision, as a peer's are that have the
+    /// Records that outdated objects are the store's at a position, as a peer's are that have the
     /// same hash.
-    pub fn confirm(&mut self, revision: u64) {
-        self.revision = revision;
+    pub fn confirm(&mut self, position: Position) {
+        self.position = position;
         self.outdated_since = None;
         self.removals.clear();
-        self.removals_since = revision;
+        self.removals_since = position;
     }
 
     /// Ids of the upstreams that take new requests.
@@ -297,30 +321,33 @@
     }
 
     /// Records which objects are missing from a snapshot. What was removed before the first one
-    /// that isn't outdated is unknown.
+    /// of an era that isn't outdated is unknown.
     fn record_removals(&mut self, snapshot: &Snapshot) {
-        let (revision, objects) = (snapshot.revision, snapshot.objects);
-        if self.revision == 0 || self.is_outdated() {
+        let (position, objects) = (snapshot.position, snapshot.objects);
+        let has_base = self.position.is_known() && self.position.era == position.era;
+        if !has_base || self.is_outdated() {
             self.removals.clear();
-            self.removals_since = revision;
+            self.removals_since = position;
             return;
         }
+        let revision = position.revision;
         let removed = self.objects.keys();
         let removed = removed.filter(|name| !objects.contains_key(*name));
         self.removals
             .extend(removed.map(|name| (revision, name.clone())));
         while self.removals.len() > MAX_REMOVALS {
             let dropped = self.removals.pop_front();
-            self.removals_since = dropped.map_or(revision, |(revision, _)| revision);
+            self.removals_since.revision = dropped.map_or(revision, |(revision, _)| revision);
         }
     }
 
-    /// The changes after a revision, or `None` if not all of them are known.
+    /// The changes after a position, or `None` if not all of them are known.
     #[must_use]
-    pub fn changes(&self, since: u64) -> Option<Changes> {
-        if since < self.removals_since {
+    pub fn changes(&self, since: Position) -> Option<Changes> {
+        if since < self.removals_since || since.era != self.position.era {
             return None;
         }
+        let since = since.revision;
         let changed = self.objects.values();
         let changed = changed.filter(|object| object.revision > since);
         let removed = self.removals.iter();
@@ -338,7 +365,9 @@
         let expired: Vec<Rc<str>> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.missing.remove(id);
-            self.replicas.remove(id);
+            if let Some(replica) = self.replicas.remove(id) {
+                record_removal(&mut self.removed, now, &replica);
+            }
         }
         if !expired.is_empty() {
             self.index_addresses();
@@ -346,6 +375,56 @@
         expired
     }
 
+    /// Takes an upstream into use, in the state that is known of it.
+    fn admit(&mut self, now: Duration, mut replica: Replica) -> Rc<Replica> {
+        self.removed.remove(&replica.id);
+        self.first_seen.insert(replica.id.clone(), now);
+        self.replaced.remove(&replica.id);
+        self.record_listed_leaving(now, &replica);
+        if self.is_leaving(&replica) {
+            replica.state = State::Draining;
+        }
+        Rc::new(replica)
+    }
+
+    /// Leaves out the upstreams whose objects were removed lately, if their objects return.
+    fn leave_out_removed(&mut self, now: Duration) {
+        for removal in self.removed.values_mut() {
+            removal.left_out_until = Some(now + COPIED_OBJECT_TIME);
+        }
+    }
+
+    /// Whether the object of an upstream is one of an older copy of the store, from before its removal.
+    fn is_left_out(&self, now: Duration, replica: &Replica) -> bool {
+        self.removed.get(&replica.id).is_some_and(|removal| {
+            !replica.has_restarted_since(removal.started_at_ms)
+                && removal.left_out_until.is_some_and(|until| now < until)
+        })
+    }
+
+    /// Uses upstreams again that were left out and whose objects haven't expired meanwhile: they
+    /// run after all. Returns whether there are any.
+    pub fn readmit(&mut self, now: Duration) -> bool {
+        let ended = |removal: &Removal| removal.left_out_until.is_some_and(|until| now >= until);
+        let ended = self.removed.iter().filter(|(_, removal)| ended(removal));
+        let ended: Vec<Rc<str>> = ended.map(|(id, _)| id.clone()).collect();
+        let mut readmitted = false;
+        for id in ended {
+            self.removed.remove(&id);
+            let object = self.objects.get(&*id);
+            let replica = object.and_then(|o| registry::decode(&o.name, &o.specification));
+            if let Some(replica) = replica {
+                let replica = self.admit(now, replica);
+                self.replicas.insert(id, replica);
+                readmitted = true;
+            }
+        }
+        if readmitted {
+            self.index_addresses();
+        }
+        readmitted
+    }
+
     /// The upstream with this id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Rc<Replica>> {
@@ -376,6 +455,18 @@
     }
 }
 
+/// Records that an upstream's object was removed, if it can be told from a later start.
+fn record_removal(removed: &mut BTreeMap<Rc<str>, Removal>, now: Duration, replica: &Replica) {
+    if replica.started_at_ms != 0 {
+        let removal = Removal {
+            started_at_ms: replica.started_at_ms,
+            removed_at: now,
+            left_out_until: None,
+        };
+        removed.insert(replica.id.clone(), removal);
+    }
+}
+
 /// A hash of objects that doesn't depend on their order, and isn't 0.
 fn hash(objects: &BTreeMap<String, Object>) -> u32 {
     let hashes = objects.values().map(|object| {
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -3,8 +3,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use verbenaspool_platform::store::Object;
+use verbenaspool_state::position::Position;
 
-use super::{Changes, MAX_REMOVALS, Registry, Snapshot, Source};
+use super::{COPIED_OBJECT_TIME, Changes, MAX_REMOVALS, Registry, Snapshot, Source};
 
 /// The objects with these names and revisions.
 fn objects(list: &[(&str, u64)]) -> BTreeMap<String, Object> {
@@ -24,11 +25,17 @@
     replace(registry, revision, &objects(list));
 }
 
+/// The position of a revision in the first era of the store.
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 /// Replaces the objects by those of a snapshot that isn't outdated.
 fn replace(registry: &mut Registry, revision: u64, objects: &BTreeMap<String, Object>) {
+    let position = at(revision);
     let snapshot = Snapshot {
         objects,
-        revision,
+        position,
         outdated: false,
         source: Source::Listing,
     };
@@ -37,7 +44,7 @@
 
 /// Applies the changes after a revision to older objects.
 fn apply(registry: &Registry, since: u64, list: &[(&str, u64)]) -> BTreeMap<String, Object> {
-    let Changes { changed, removed } = registry.changes(since).expect("the changes are known");
+    let Changes { changed, removed } = registry.changes(at(since)).expect("the changes are known");
     let mut objects = objects(list);
     for name in &removed {
         objects.remove(name);
@@ -70,7 +77,7 @@
         );
     }
     assert_eq!(
-        registry.changes(5),
+        registry.changes(at(5)),
         None,
         "removals before the first listing are unknown"
     );
@@ -84,10 +91,10 @@
     let list: Vec<(&str, u64)> = names.iter().map(|name| (&**name, 5)).collect();
     update(&mut registry, 10, &list);
     update(&mut registry, 20, &list[1..]);
-    assert!(registry.changes(10).is_some());
+    assert!(registry.changes(at(10)).is_some());
     update(&mut registry, 30, &[]);
-    assert_eq!(registry.changes(10), None);
-    assert!(registry.changes(20).is_some());
+    assert_eq!(registry.changes(at(10)), None);
+    assert!(registry.changes(at(20)).is_some());
 }
 
 /// The object of an upstream that started at this time, at an address that all of them share.
@@ -161,19 +168,74 @@
     let first = objects(&[("b", 9)]);
     let outdated = Snapshot {
         objects: &first,
-        revision: 9,
+        position: at(9),
         outdated: true,
         source: Source::OutdatedListing,
     };
     registry.update(Duration::from_secs(1), Duration::ZERO, &outdated);
     let mut confirmed = registry;
-    confirmed.confirm(46);
+    confirmed.confirm(at(46));
     let mut listed = Registry::default();
     listed.update(Duration::from_secs(1), Duration::ZERO, &outdated);
     replace(&mut listed, 46, &first);
     for registry in [confirmed, listed] {
-        assert_eq!(registry.changes(9), None);
+        assert_eq!(registry.changes(at(9)), None);
         assert!(!registry.accepts(&outdated));
-        assert!(registry.changes(46).is_some());
+        assert!(registry.changes(at(46)).is_some());
     }
 }
+
+/// A snapshot of a later era, with a lower revision, replaces the objects.
+fn restore(registry: &mut Registry, now: Duration, until: Duration, list: &[Object]) {
+    let named = list.iter().map(|o| (o.name.clone(), o.clone()));
+    let objects = named.collect();
+    let snapshot = Snapshot {
+        objects: &objects,
+        position: Position::new(registry.position.era + 1, 4),
+        outdated: false,
+        source: Source::Listing,
+    };
+    assert!(registry.accepts(&snapshot));
+    registry.update(now, until, &snapshot);
+}
+
+/// Guards against a peer that gets the changes since a revision of an earlier era of the store, where
+/// the same number meant another state, and against objects of that era that replace later ones.
+#[test]
+fn positions_of_another_era_are_no_base_for_changes() {
+    let mut registry = Registry::default();
+    update(&mut registry, 9, &[("a", 4), ("b", 9)]);
+    let now = Duration::from_secs(5);
+    restore(&mut registry, now, now, &[started("b", 3, "")]);
+    assert_eq!(registry.changes(at(9)), None);
+    assert_eq!(registry.changes(at(4)), None);
+    assert!(registry.changes(Position::new(2, 4)).is_some());
+    let late = objects(&[("a", 4), ("b", 9)]);
+    let late = Snapshot {
+        objects: &late,
+        position: at(12),
+        outdated: false,
+        source: Source::Listing,
+    };
+    assert!(!registry.accepts(&late));
+}
+
+/// Guards against an upstream that stays without requests because its object was removed before the
+/// store came back from a copy, although it runs and its object doesn't expire.
+#[test]
+fn an_upstream_that_returns_with_a_copy_is_left_out_for_a_time() {
+    let mut registry = Registry::default();
+    let named = |list: &[Object]| {
+        let named = list.iter().map(|o| (o.name.clone(), o.clone()));
+        named.collect::<BTreeMap<_, _>>()
+    };
+    let upstream = started("i-1", 4, r#","born":1000"#);
+    replace(&mut registry, 5, &named(std::slice::from_ref(&upstream)));
+    replace(&mut registry, 6, &named(&[]));
+    let now = Duration::from_secs(3);
+    restore(&mut registry, now, now, std::slice::from_ref(&upstream));
+    assert!(used(&registry).is_empty());
+    assert!(!registry.readmit(now + COPIED_OBJECT_TIME / 2));
+    assert!(registry.readmit(now + COPIED_OBJECT_TIME));
+    assert_eq!(used(&registry), ["i-1"]);
+}
--- /dev/null
+++ b/verbenaspool/src/direct/restore.rs
@@ -0,0 +1,59 @@
+//! A store that comes back from an older copy.
+//!
+//! It has lost what it acknowledged since the copy was made, and gives out the revisions after that
+//! again, for other changes. It says so by its era, which rises. Positions of an earlier era are older than
+//! all of the new one: entries list all objects again, and take nothing from the earlier one any more. What
+//! the copy lacks is in force until it is written again: a configuration until there is one of the same or a
+//! later version, an upstream or an evacuation for a time.
+
+use slog::warn;
+
+use super::gateway::Gateway;
+
+impl Gateway {
+    /// Notices a new era of the store, and has the followers list all objects again.
+    pub fn observe_store_era(&self) {
+        let era = self.store.era();
+        let before = self.store_era.replace(era);
+        if era > before && before > 0 {
+            warn!(self.log, "store came back from an older copy; listing all objects";
+                "era" => era, "before" => before);
+            self.restored.notify_waiters();
+        }
+    }
+
+    /// Notices an era of the store that a peer names. A watch on a connection that the store has
+    /// abandoned wouldn't show it for long. It is no more than a reason to ask the store: anyone can
+    /// send a digest.
+    pub fn hint_store_era(&self, era: u64) {
+        let known = self.store.era();
+        if known > 0 && era > known.max(self.hinted_store_era.get()) {
+            self.hinted_store_era.set(era);
+            self.restored.notify_waiters();
+        }
+    }
+
+    /// Updates the metrics of the store's eras before they are exported.
+    pub fn update_store_metrics(&self) {
+        #[allow(clippy::cast_precision_loss)] // Eras stay far below 2^52.
+        let era = self.store.era() as f64;
+        let gauge = self.metrics.gauge(
+            "verbenaspool_store_era",
+            "How often the platform's store came back from an older copy, as it counts.",
+            &[],
+        );
+        gauge.set(era);
+        let late = self.metrics.counter(
+            "verbenaspool_store_late_answers_total",
+            "Answers of the store that were dropped because they were of an earlier era.",
+            &[],
+        );
+        late.set(self.store.late_answers());
+        let unreadable = self.metrics.counter(
+            "verbenaspool_store_unreadable_eras_total",
+            "Answers of the store without a readable era, although earlier ones had one.",
+            &[],
+        );
+        unreadable.set(self.store.unreadable_eras());
+    }
+}
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -269,6 +269,7 @@
             });
         }
         gateway.expire_upstreams();
+        gateway.expire_evacuations();
         let now = clock.now();
         gateway.memory.log_changes(now, &gateway.log);
         if now.saturating_sub(last_tick) > FREEZE_THRESHOLD {
--- a/verbenaspool/src/direct/standing.rs
+++ b/verbenaspool/src/direct/standing.rs
@@ -25,6 +25,9 @@
     pub version: u64,
     /// The revision of its registry of upstreams.
     pub revision: u64,
+    /// The era of the store that the revision is of.
+    #[serde(default)]
+    pub era: u64,
     /// Number of live entries as seen by this one, including itself.
     pub entries: usize,
     /// Number of quarantined requests, which are rejected because upstreams crashed while
@@ -108,7 +111,8 @@
             ready: self.is_ready(),
             leaving: self.leaving.get(),
             version: self.table_version(),
-            revision: self.registry_revision(),
+            revision: self.registry_position().revision,
+            era: self.registry_position().era,
             entries: self.peers.borrow().live_entries(now),
             quarantined: self.quarantine.borrow().quarantined(now).count(),
             held_bytes: self.memory.whole.used(),
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -15,7 +15,7 @@
 use verbenaspool_platform::{
     configuration,
     quarantine::{self, Entry},
-    store::{Object, WriteOutcome},
+    store::{Stored, WriteOutcome},
 };
 use verbenaspool_policy::quarantine::Term;
 use verbenaspool_state::fingerprint::Fingerprint;
@@ -35,8 +35,8 @@
 impl Gateway {
     /// Records the configuration's object as read from the store or by a peer, and applies its
     /// status if that changed.
-    pub fn observe_configuration(&self, object: &Object) {
-        let is_older = |stored: &Object| object.revision < stored.revision;
+    pub fn observe_configuration(&self, observed: &Stored) {
+        let is_older = |stored: &Stored| observed.position() < stored.position();
         if self
             .stored_configuration
             .borrow()
@@ -45,10 +45,10 @@
         {
             return;
         }
-        let previous = self.stored_configuration.replace(Some(object.clone()));
-        let same = previous.is_some_and(|previous| previous.status == object.status);
-        if !same {
-            self.apply_quarantine(&object.status);
+        let previous = self.stored_configuration.replace(Some(observed.clone()));
+        let status = &observed.object.status;
+        if previous.is_none_or(|previous| previous.object.status != *status) {
+            self.apply_quarantine(status);
         }
         self.unsaved.notify_one();
     }
@@ -68,33 +68,33 @@
     }
 
     /// The object of the active configuration, with the newest known status.
-    pub fn configuration(&self) -> Option<Object> {
-        let mut object = self.table_source.borrow().clone()?;
+    pub fn configuration(&self) -> Option<Stored> {
+        let mut active = self.table_source.borrow().clone()?;
         if let Some(stored) = &*self.stored_configuration.borrow() {
-            object.status.clone_from(&stored.status);
+            active.object.status.clone_from(&stored.object.status);
         }
-        Some(object)
+        Some(active)
     }
 
     /// The configuration's object and the status to write, if it differs from the stored one.
-    fn changed_status(&self) -> Option<(Object, String)> {
-        let object = self.stored_configuration.borrow().clone()?;
+    fn changed_status(&self) -> Option<(Stored, String)> {
+        let stored = self.stored_configuration.borrow().clone()?;
         let (now, unix_now) = (self.clock.now(), unix_time());
         let quarantine = self.quarantine.borrow();
         let wanted: Vec<(Fingerprint, Term)> = quarantine.quarantined(now).collect();
-        let stored = quarantine::decode(&object.status);
-        let stored_requests: HashSet<Fingerprint> =
-            stored.iter().map(|entry| entry.request).collect();
+        let listed = quarantine::decode(&stored.object.status);
+        let listed_requests: HashSet<Fingerprint> =
+            listed.iter().map(|entry| entry.request).collect();
         let has_new = wanted
             .iter()
-            .any(|(request, _)| !stored_requests.contains(request));
+            .any(|(request, _)| !listed_requests.contains(request));
         // Requests that have succeeded since are removed now; expired entries are removed by
         // the next write.
         let cleared = |entry: &Entry| {
             let expired = entry.until_ms <= millis(unix_now);
             !expired && !wanted.iter().any(|(request, _)| *request == entry.request)
         };
-        if !has_new && !stored.iter().any(cleared) {
+        if !has_new && !listed.iter().any(cleared) {
             return None;
         }
         let entries = wanted.into_iter().map(|(request, term)| Entry {
@@ -105,26 +105,26 @@
         let mut entries: Vec<Entry> = entries.collect();
         entries.sort_by_key(|entry| std::cmp::Reverse(entry.since_ms));
         entries.truncate(MAX_ENTRIES);
-        let status = quarantine::encode(&object.status, &entries);
-        Some((object, status))
+        let status = quarantine::encode(&stored.object.status, &entries);
+        Some((stored, status))
     }
 
     /// Writes the status to the store if it changed. Returns whether the store is up to date.
     async fn save_status(&self) -> bool {
-        let Some((object, status)) = self.changed_status() else {
+        let Some((stored, status)) = self.changed_status() else {
             return true;
         };
         let (kind, name) = (configuration::OBJECT_KIND, configuration::OBJECT_NAME);
-        let revision = object.revision;
+        let revision = stored.object.revision;
         match self.store.set_status(kind, name, revision, &status).await {
-            Ok(WriteOutcome::Written(object)) => {
-                info!(self.log, "quarantine saved"; "revision" => object.revision);
-                self.observe_configuration(&object);
+            Ok(WriteOutcome::Written(written)) => {
+                info!(self.log, "quarantine saved"; "revision" => written.object.revision);
+                self.observe_configuration(&written);
                 true
             }
             // Another entry wrote first. The caller retries on top of its status.
-            Ok(WriteOutcome::Conflict(object)) => {
-                self.observe_configuration(&object);
+            Ok(WriteOutcome::Conflict(current)) => {
+                self.observe_configuration(&current);
                 false
             }
             Err(why) => {
--- a/verbenaspool/src/operate/entries.rs
+++ b/verbenaspool/src/operate/entries.rs
@@ -56,7 +56,8 @@
     answers.map_err(Error::Runtime)
 }
 
-/// Formats the answers as a table. Entries behind the newest version are marked.
+/// Formats the answers as a table. Entries behind the newest version are marked, and those whose
+/// registry is of an earlier era of the store than another one's, so that revisions can't be compared.
 ///
 /// ```
 /// assert!(verbenaspool::operate::entries::table(&[]).starts_with("ENTRY"));
@@ -64,7 +65,8 @@
 #[must_use]
 pub fn table(answers: &[Answer]) -> String {
     let standings = answers.iter().filter_map(|answer| answer.standing.as_ref());
-    let newest = standings.map(|standing| standing.version).max();
+    let newest = standings.clone().map(|standing| standing.version).max();
+    let latest_era = standings.map(|standing| standing.era).max();
     let mut text = format!(
         "{:<22} {:<20} {:>8} {:>9} {:>7}  {}\n",
         "ENTRY", "NAME", "VERSION", "REVISION", "ENTRIES", "NOTES"
@@ -79,6 +81,9 @@
         if Some(standing.version) < newest {
             notes.push("behind".to_owned());
         }
+        if Some(standing.era) < latest_era {
+            notes.push(format!("revision of store era {}", standing.era));
+        }
         if standing.leaving {
             notes.push("leaving".to_owned());
         } else if !standing.ready {
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use serde::{Deserialize, Serialize};
+use verbenaspool_state::position::Position;
 
 /// The state of one entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +40,52 @@
     /// Whether the registry is from a listing that may be outdated, so that its revision doesn't
     /// say which objects were removed.
     pub registry_outdated: bool,
+    /// The era of the store that the registry's revision is of. Revisions of different eras can't
+    /// be compared.
+    pub registry_era: u64,
+    /// The same for the revision of the evacuations.
+    pub evacuation_era: u64,
+    /// The same for the revision of the configuration's object.
+    pub configuration_era: u64,
+}
+
+impl Digest {
+    /// The position in the store's history of the upstream registry in use.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::digest::Digest;
+    ///
+    /// let digest = Digest { registry_revision: 7, registry_era: 2, ..Digest::default() };
+    /// assert_eq!(digest.registry().to_string(), "2/7");
+    /// ```
+    #[must_use]
+    pub fn registry(&self) -> Position {
+        Position::new(self.registry_era, self.registry_revision)
+    }
+
+    /// The same of the evacuations in use.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::digest::Digest;
+    ///
+    /// assert!(!Digest::default().evacuations().is_known());
+    /// ```
+    #[must_use]
+    pub fn evacuations(&self) -> Position {
+        Position::new(self.evacuation_era, self.evacuation_revision)
+    }
+
+    /// The same of the configuration's object.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::digest::Digest;
+    ///
+    /// assert!(!Digest::default().configuration().is_known());
+    /// ```
+    #[must_use]
+    pub fn configuration(&self) -> Position {
+        Position::new(self.configuration_era, self.configuration_revision)
+    }
 }
 
 /// Whether an entry watches the platform's store.
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fingerprint;
 pub mod name;
 pub mod place;
+pub mod position;
 pub mod rate_limit;
 pub mod rebalancing;
 pub mod replica;
