Read each object of the store by itself

Cause: an answer of the store was decoded as one document and split into objects afterwards. An object with a byte that isn't UTF-8, or that isn't JSON, made the document invalid. The entry took that for an outage, kept what it had, and asked again for the same answer.

Evidence: the entries' logs of the case, on the code before: "store unreachable; keeping the known objects ... invalid unicode code point at line 1 column 207" for the kind of the registry, 0.1 s after the write and ever after. Entries that are text but invalid otherwise are ignored on the same code (invalid_registry_entries_are_ignored).

So an upstream whose own entry becomes unreadable gets no requests, an evacuation counts whatever its object contains, and a configuration is activated after an unreadable one. Unreadable objects are logged once and counted.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -398,6 +398,7 @@
     /// Records that the store answered a call.
     fn record_success(&mut self) {
         self.gateway.observe_store_era();
+        self.gateway.log_unnamed_objects();
         self.set_failing(false);
         self.cut_off = false;
         self.retry_interval = RETRY_INTERVALS[0];
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -94,6 +94,8 @@
     pub hinted_store_era: Cell<u64>,
     /// Wakes the followers that watch the store when it has come back from an older copy.
     pub restored: Notify,
+    /// Whether an object of the store without a readable name was logged.
+    pub has_logged_unnamed: Cell<bool>,
     /// Whether peers have other objects at the registry's revision.
     pub divergence: RefCell<Divergence>,
     /// Whether the process is shutting down. It fails readiness checks but still accepts
@@ -103,6 +105,8 @@
     pub closed: Cell<bool>,
     /// The object from which the table was decoded. Peers fetch it.
     pub table_source: RefCell<Option<Stored>>,
+    /// The revision of the configuration that was read last, if it is invalid.
+    pub invalid_configuration: Cell<Option<u64>>,
     /// The availability zones whose upstreams get no requests.
     pub evacuations: RefCell<Evacuations>,
     /// Zones that stay evacuated although an older copy of the store doesn't list them, and until
@@ -156,10 +160,12 @@
             store_era: Cell::default(),
             hinted_store_era: Cell::default(),
             restored: Notify::new(),
+            has_logged_unnamed: Cell::default(),
             divergence: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             table_source: RefCell::default(),
+            invalid_configuration: Cell::default(),
             evacuations: RefCell::default(),
             kept_evacuations: RefCell::default(),
             checked_weights: RefCell::default(),
@@ -260,11 +266,15 @@
         let table = match configuration::decode(&object.specification) {
             Ok(table) => table,
             Err(why) => {
-                warn!(self.log, "invalid configuration; keeping the active one";
-                    "revision" => object.revision, "from" => %from, "reason" => why.to_string());
+                let revision = Some(object.revision);
+                if self.invalid_configuration.replace(revision) != revision {
+                    warn!(self.log, "invalid configuration; keeping the active one";
+                        "revision" => object.revision, "from" => %from, "reason" => why.to_string());
+                }
                 return;
             }
         };
+        self.invalid_configuration.set(None);
         let previous = self.table_version();
         if table.version < previous || table.version == previous && !self.is_rewritten(stored) {
             return;
@@ -304,7 +314,15 @@
         }
         let changed = &registry.objects != snapshot.objects;
         let ready_before = registry.ready_ids();
+        let unreadable_before = registry.unreadable.clone();
         registry.update(now, retain_missing_until, snapshot);
+        for (name, (revision, why)) in &registry.unreadable {
+            let known = unreadable_before.get(name);
+            if known.is_none_or(|(known, _)| known != revision) {
+                warn!(self.log, "entry of the registry can't be read; ignoring it";
+                    "upstream" => name, "revision" => revision, "reason" => why);
+            }
+        }
         self.registry_loaded.set(true);
         if !changed {
             return;
@@ -544,6 +562,11 @@
         registry.iter().any(|replica| &*replica.zone == zone)
     }
 
+    /// Number of the registry's objects that can't be read.
+    pub fn unreadable_upstreams(&self) -> usize {
+        self.registry.borrow().unreadable.len()
+    }
+
     /// The registered upstream with this id.
     pub fn replica(&self, id: &str) -> Option<Rc<Replica>> {
         self.registry.borrow().get(id).cloned()
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -29,4 +29,5 @@
 pub mod settings;
 pub mod standing;
 mod status;
+mod store_metrics;
 mod usage;
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -136,6 +136,8 @@
     pub retain_missing_until: Duration,
     /// Upstreams that are missing from the objects, and the time until which they are kept.
     missing: BTreeMap<Rc<str>, Duration>,
+    /// Objects that name no upstream because they can't be read, with their revisions and why.
+    pub unreadable: BTreeMap<String, (u64, String)>,
     /// Upstreams whose objects were removed lately.
     removed: BTreeMap<Rc<str>, Removal>,
 }
@@ -156,6 +158,7 @@
             self.leave_out_removed(now);
         }
         let mut replicas = BTreeMap::new();
+        let mut unreadable = BTreeMap::new();
         for object in objects.values() {
             if self.objects.get(&object.name) == Some(object)
                 && let Some((id, replica)) = self.replicas.get_key_value(object.name.as_str())
@@ -163,10 +166,15 @@
                 replicas.insert(id.clone(), replica.clone());
                 continue;
             }
-            let replica = registry::decode(&object.name, &object.specification);
-            if let Some(replica) = replica.filter(|replica| !self.is_left_out(now, replica)) {
-                let replica = self.admit(now, replica);
-                replicas.insert(replica.id.clone(), replica);
+            match registry::decode(&object.name, &object.specification) {
+                Ok(replica) if self.is_left_out(now, &replica) => {}
+                Ok(replica) => {
+                    let replica = self.admit(now, replica);
+                    replicas.insert(replica.id.clone(), replica);
+                }
+                Err(why) => {
+                    unreadable.insert(object.name.clone(), (object.revision, why.to_string()));
+                }
             }
         }
         for (id, replica) in &self.replicas {
@@ -186,6 +194,7 @@
             }
         }
         self.replicas = replicas;
+        self.unreadable = unreadable;
         let replicas = &self.replicas;
         self.replaced.retain(|id| replicas.contains_key(id));
         self.first_seen.retain(|id, _| replicas.contains_key(id));
@@ -412,8 +421,8 @@
         for id in ended {
             self.removed.remove(&id);
             let object = self.objects.get(&*id);
-            let replica = object.and_then(|o| registry::decode(&o.name, &o.specification));
-            if let Some(replica) = replica {
+            let replica = object.map(|o| registry::decode(&o.name, &o.specification));
+            if let Some(Ok(replica)) = replica {
                 let replica = self.admit(now, replica);
                 self.replicas.insert(id, replica);
                 readmitted = true;
--- a/verbenaspool/src/direct/restore.rs
+++ b/verbenaspool/src/direct/restore.rs
@@ -32,28 +32,4 @@
             self.restored.notify_waiters();
         }
     }
-
-    /// Updates the metrics of the store's eras before they are exported.
-    pub fn update_store_metrics(&self) {
-        #[allow(clippy::cast_precision_loss)] // Eras stay far below 2^52.
-        let era = self.store.era() as f64;
-        let gauge = self.metrics.gauge(
-            "verbenaspool_store_era",
-            "How often the platform's store came back from an older copy, as it counts.",
-            &[],
-        );
-        gauge.set(era);
-        let late = self.metrics.counter(
-            "verbenaspool_store_late_answers_total",
-            "Answers of the store that were dropped because they were of an earlier era.",
-            &[],
-        );
-        late.set(self.store.late_answers());
-        let unreadable = self.metrics.counter(
-            "verbenaspool_store_unreadable_eras_total",
-            "Answers of the store without a readable era, although earlier ones had one.",
-            &[],
-        );
-        unreadable.set(self.store.unreadable_eras());
-    }
 }
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -56,7 +56,12 @@
     /// Quarantines the requests that are listed in a status.
     pub fn apply_quarantine(&self, status: &str) {
         let (now, unix_now) = (self.clock.now(), unix_time());
-        for entry in quarantine::decode(status) {
+        let listed = quarantine::decode(status);
+        if listed.unreadable > 0 {
+            warn!(self.log, "entries of the quarantine can't be read; ignoring them";
+                "entries" => listed.unreadable);
+        }
+        for entry in listed.entries {
             let age = unix_now.saturating_sub(Duration::from_millis(entry.since_ms));
             let remaining = Duration::from_millis(entry.until_ms).saturating_sub(unix_now);
             let term = Term {
@@ -85,7 +90,7 @@
         let (now, unix_now) = (self.clock.now(), unix_time());
         let quarantine = self.quarantine.borrow();
         let wanted: Vec<(Fingerprint, Term)> = quarantine.quarantined(now).collect();
-        let listed = quarantine::decode(&stored.object.status);
+        let listed = quarantine::decode(&stored.object.status).entries;
         let listed_requests: HashSet<Fingerprint> =
             listed.iter().map(|entry| entry.request).collect();
         let has_new = wanted
