Move the eras of the store to the transport

Both clients of stores need them: that of the direct path, and that of the path through agents, whose interface gets a header for them (`x-era`, absent by default). No change of behaviour on the direct path.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -189,7 +189,7 @@
         if !stale {
             self.pace_listings().await;
         }
-        self.gateway.store.observe_era(self.watch_position().era);
+        self.gateway.store.era.learn(self.watch_position().era);
         let listing = self
             .gateway
             .store
@@ -263,8 +263,8 @@
             let wait = watch_wait(watchers, rand::random());
             let started = now;
             let from = self.watch_position();
-            self.gateway.store.observe_era(from.era);
-            if self.gateway.store.era() > from.era {
+            self.gateway.store.era.learn(from.era);
+            if self.gateway.store.era.known() > from.era {
                 self.spread_listings(watchers).await;
                 return WatchEnd::Relist;
             }
--- a/verbenaspool/src/direct/restore.rs
+++ b/verbenaspool/src/direct/restore.rs
@@ -13,7 +13,7 @@
 impl Gateway {
     /// Notices a new era of the store, and has the followers list all objects again.
     pub fn observe_store_era(&self) {
-        let era = self.store.era();
+        let era = self.store.era.known();
         let before = self.store_era.replace(era);
         if era > before && before > 0 {
             warn!(self.log, "store came back from an older copy; listing all objects";
@@ -26,7 +26,7 @@
     /// abandoned wouldn't show it for long. It is no more than a reason to ask the store: anyone can
     /// send a digest.
     pub fn hint_store_era(&self, era: u64) {
-        let known = self.store.era();
+        let known = self.store.era.known();
         if known > 0 && era > known.max(self.hinted_store_era.get()) {
             self.hinted_store_era.set(era);
             self.restored.notify_waiters();
--- a/verbenaspool/src/direct/store_metrics.rs
+++ b/verbenaspool/src/direct/store_metrics.rs
@@ -28,17 +28,17 @@
             "verbenaspool_store_era",
             "How often the platform's store came back from an older copy, as it counts.",
             &[],
-            self.store.era(),
+            self.store.era.known(),
         );
         counter(
             "verbenaspool_store_late_answers_total",
             "Answers of the store that were dropped because they were of an earlier era.",
-            self.store.late_answers(),
+            self.store.era.late_answers(),
         );
         counter(
             "verbenaspool_store_unreadable_eras_total",
             "Answers of the store without a readable era, although earlier ones had one.",
-            self.store.unreadable_eras(),
+            self.store.era.unreadable(),
         );
         counter(
             "verbenaspool_store_unnamed_objects_total",
--- a/verbenaspool_transport/src/platform.rs
+++ b/verbenaspool_transport/src/platform.rs
@@ -14,12 +14,15 @@
 pub mod budget;
 pub mod client;
 pub mod driver;
+pub mod era;
 mod limited;
 
 /// The header that carries an object's version.
 pub const VERSION_HEADER: &str = "x-version";
 /// The header that makes a change conditional on the version it replaces.
 pub const IF_VERSION_HEADER: &str = "x-if-version";
+/// The header of answers that tells how often the store came back from an older copy.
+pub const ERA_HEADER: &str = "x-era";
 /// The maximum size of a value that the platform accepts, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -43,6 +46,12 @@
     /// Waits up to `wait` for changes below `prefix` after revision `since`.
     /// Events may be late, missing or out of order, so they are only hints to read.
     fn watch<'a>(&'a self, prefix: &'a str, since: u64, wait: Duration) -> CallFuture<'a, Events>;
+
+    /// The store's latest known era, which rises each time that it comes back from an older copy;
+    /// 0 if no answer has named one. Versions and revisions of an earlier era are void.
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 /// An object with its value.
--- a/verbenaspool_transport/src/platform/budget.rs
+++ b/verbenaspool_transport/src/platform/budget.rs
@@ -137,4 +137,8 @@
             self.store.watch(prefix, since, wait).await
         })
     }
+
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
 }
--- a/verbenaspool_transport/src/platform/client.rs
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -23,8 +23,9 @@
 use crate::http::memory::{Budget, System};
 
 use super::{
-    CallFuture, Entry, Error, Events, IF_VERSION_HEADER, MAX_VALUE_BYTES, Object, Store,
-    VERSION_HEADER, When,
+    CallFuture, ERA_HEADER, Entry, Error, Events, IF_VERSION_HEADER, MAX_VALUE_BYTES, Object,
+    Store, VERSION_HEADER, When,
+    era::Era,
     limited::{Allowance, LimitedStream},
 };
 
@@ -214,6 +215,8 @@
     settings: Settings,
     /// The connections.
     channel: Channel,
+    /// The store's eras.
+    era: Era,
 }
 
 impl Client {
@@ -234,6 +237,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             channel: Channel::new(settings.address),
+            era: Era::default(),
             settings,
         }
     }
@@ -241,7 +245,9 @@
     /// Makes one call within `timeout`.
     async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Response<Bytes>, Error> {
         let request = call.request(&self.settings)?;
-        self.channel.call(request, timeout).await
+        let response = self.channel.call(request, timeout).await?;
+        self.era.observe(number_in(&response, ERA_HEADER))?;
+        Ok(response)
     }
 }
 
@@ -316,6 +322,10 @@
             }
         })
     }
+
+    fn era(&self) -> u64 {
+        self.era.known()
+    }
 }
 
 /// A call before it is sent.
@@ -376,14 +386,16 @@
 
 /// Parses the object version in a response.
 fn version_of(response: &Response<Bytes>) -> Result<u64, Error> {
-    response
-        .headers()
-        .get(VERSION_HEADER)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok())
+    number_in(response, VERSION_HEADER)
         .ok_or_else(|| Error::Unknown(format!("no {VERSION_HEADER} in the answer")))
 }
 
+/// The number in a header of a response.
+fn number_in(response: &Response<Bytes>, header: &str) -> Option<u64> {
+    let value = response.headers().get(header)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Parses the JSON body of a response.
 fn parse_body<T: serde::de::DeserializeOwned>(response: &Response<Bytes>) -> Result<T, Error> {
     serde_json::from_slice(response.body()).map_err(|e| Error::Unknown(e.to_string()))
