Read the list of instances again when the store came back from a copy

On the path through agents, an instance's entry that was written again after the store came back from a copy was ignored for good, if its version wasn't above the one known from before. The watch of the configuration's head waited for a revision that the store hadn't reached again.

Cause: versions were compared across eras of the store.

Change: a new era voids the known versions and revisions, and everything is read again.

--- a/verbenaspool_standin/tests/config/main.rs
+++ b/verbenaspool_standin/tests/config/main.rs
@@ -8,6 +8,7 @@
 use verbenaspool_transport::platform::{Error, Store, When};
 
 mod limits;
+mod restores;
 mod support;
 mod zone;
 
--- a/verbenaspool_transport/src/config/source.rs
+++ b/verbenaspool_transport/src/config/source.rs
@@ -363,7 +363,7 @@
     /// Follows the stored head while this instance is one of those that must watch it.
     async fn follow(self: Rc<Self>) {
         let mut backoff = Backoff::new(self.options.seed);
-        let mut since = 0;
+        let (mut since, mut era) = (0, 0);
         if !self.options.seeds.is_empty() {
             self.sleep(PEER_WAIT).await;
         }
@@ -376,7 +376,9 @@
                 Ok(revision) => {
                     backoff.reset();
                     self.last_error.take();
-                    since = revision;
+                    // A store that came back from a copy gives out revisions again.
+                    let before = std::mem::replace(&mut era, self.store.era());
+                    since = if before == era { revision } else { 0 };
                     // Changes during this pause are read together.
                     let pause = self.adoption.borrow().min_interval();
                     self.sleep(pause).await;
--- a/verbenaspool_transport/src/config/upstreams.rs
+++ b/verbenaspool_transport/src/config/upstreams.rs
@@ -40,6 +40,8 @@
     /// The instances by key with the version that was read; `None` for an invalid entry.
     known: HashMap<String, (u64, Option<Upstream>)>,
     revision: u64,
+    /// The store's era that the versions and the revision are of.
+    era: u64,
     watches_since_list: u32,
 }
 
@@ -66,6 +68,7 @@
             prefix: keys::instances(firm),
             known: HashMap::new(),
             revision: 0,
+            era: 0,
             watches_since_list: WATCHES_PER_LIST,
         }
     }
@@ -104,6 +107,9 @@
             .store
             .watch(&self.prefix, self.revision, WATCH_WAIT)
             .await?;
+        if self.enter_era() {
+            return Ok(None);
+        }
         self.revision = events.revision.max(self.revision);
         if !events.events.is_empty() && self.known.len() <= SMALL_LIST_INSTANCES {
             self.watches_since_list = WATCHES_PER_LIST;
@@ -123,6 +129,22 @@
         Ok(changed.then(|| self.list()))
     }
 
+    /// Has everything read again if the store has come back from an older copy, whose versions
+    /// can't be compared with those before. Returns whether it has.
+    fn enter_era(&mut self) -> bool {
+        let era = self.store.era();
+        let before = std::mem::replace(&mut self.era, era);
+        if before == 0 || era <= before {
+            return false;
+        }
+        for (version, _) in self.known.values_mut() {
+            *version = 0;
+        }
+        self.revision = 0;
+        self.watches_since_list = u32::MAX;
+        true
+    }
+
     /// Number of watches between two reads of the whole list.
     fn watches_per_list(&self) -> u32 {
         let share = self.known.len() / SMALL_LIST_INSTANCES;
@@ -147,6 +169,7 @@
     /// Reads the whole list and the instances that changed in it. Returns whether any did.
     async fn refresh_list(&mut self) -> Result<bool, Error> {
         let entries = self.store.list(&self.prefix).await?;
+        self.enter_era();
         // The watch needn't report changes that the list already contains.
         let last = entries.iter().map(|entry| entry.version).max();
         self.revision = self.revision.max(last.unwrap_or_default());
