Accept files above the versions that are active

On the path through agents, a file that was applied after the store came back from an older copy could never become active: apply counted on from the copy's version, which instances had used for another file. They took it for older or corrupt, and status said that the accepted version was active everywhere.

Cause: the version that the store has was taken for the highest that was ever accepted.

Change: apply reads the statuses of the zones and accepts the file above the highest active version, also one whose contents the copy's head has. status names a version that the store has lost, and counts an accepted version as active only if no higher one is.

--- a/verbenaspool/src/operate/status.rs
+++ b/verbenaspool/src/operate/status.rs
@@ -81,6 +81,12 @@
         notes.push("status not updated".to_owned());
     }
     notes.push(format!("data up to {} ms old", summary.age_ms));
+    if summary.highest > accepted {
+        notes.push(format!(
+            "the store has lost version {}: apply the file again",
+            summary.highest
+        ));
+    }
     notes.extend(
         status
             .behind(accepted)
--- a/verbenaspool_coordination/src/apply.rs
+++ b/verbenaspool_coordination/src/apply.rs
@@ -28,6 +28,9 @@
     pieces: Pieces,
     /// The head to replace.
     base: Option<StoredHead>,
+    /// The highest version that is active anywhere. The store may have an older head, if it came
+    /// back from a copy; a version that was active isn't used again.
+    highest_active: Version,
     /// Current state.
     state: State,
     /// Whether the last call must be repeated after a delay.
@@ -124,6 +127,7 @@
             request,
             pieces,
             base: None,
+            highest_active: Version::default(),
             state: State::ReadHead,
             retry: false,
             unconfirmed_swap: false,
@@ -131,6 +135,23 @@
         }
     }
 
+    /// Has the file accepted as a version above one that is active.
+    ///
+    /// ```no_run
+    /// # use verbenaspool_coordination::apply::Apply;
+    /// # use verbenaspool_state::version::Version;
+    /// # fn example(apply: Apply) {
+    /// let apply = apply.above(Version(7));
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn above(self, highest_active: Version) -> Self {
+        Self {
+            highest_active,
+            ..self
+        }
+    }
+
     /// Returns the outcome to report if the apply is abandoned now.
     ///
     /// ```no_run
@@ -158,8 +179,10 @@
     fn head(&self) -> Head {
         let Request { id, split, .. } = &self.request;
         match &self.base {
-            Some(base) => base.head.next(id, split.root),
-            None => Head::first(id, split.root),
+            Some(base) if base.head.version >= self.highest_active => {
+                base.head.next(id, split.root)
+            }
+            _ => Head::after(self.highest_active, id, split.root),
         }
     }
 
@@ -209,7 +232,9 @@
                     object_version,
                 });
             }
-            if base.head.root == self.request.split.root && self.may_replace(current) {
+            let is_active = current >= self.highest_active;
+            let is_same = base.head.root == self.request.split.root;
+            if is_same && is_active && self.may_replace(current) {
                 return self.finish(Outcome::Unchanged(current));
             }
         }
@@ -280,7 +305,7 @@
             },
             // A head lists a limited number of applies. Beyond that, a swap whose
             // answer was lost can't be told from one that never took effect.
-            None if self.unconfirmed_swap && !base.head.remembers(self.base_version().next()) => {
+            None if self.unconfirmed_swap && !base.head.remembers(self.head().version) => {
                 Outcome::Unknown(
                     "too many versions were accepted since the swap was sent".to_owned(),
                 )
--- a/verbenaspool_coordination/src/head.rs
+++ b/verbenaspool_coordination/src/head.rs
@@ -41,7 +41,21 @@
     /// ```
     #[must_use]
     pub fn first(apply: &str, root: Hash) -> Self {
-        Self::with_checksum(Version(1), apply, root, Vec::new())
+        Self::after(Version(0), apply, root)
+    }
+
+    /// Creates a head above a version whose head isn't known. It lists no previous applies.
+    ///
+    /// ```
+    /// use verbenaspool_coordination::{head::Head, piece::Hash};
+    /// use verbenaspool_state::version::Version;
+    ///
+    /// let head = Head::after(Version(7), "apply-1", Hash::of(b"root"));
+    /// assert_eq!(head.version, Version(8));
+    /// ```
+    #[must_use]
+    pub fn after(version: Version, apply: &str, root: Hash) -> Self {
+        Self::with_checksum(version.next(), apply, root, Vec::new())
     }
 
     /// Creates the successor of this head.
--- a/verbenaspool_standin/tests/config/restores.rs
+++ b/verbenaspool_standin/tests/config/restores.rs
@@ -2,10 +2,52 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use verbenaspool_state::upstream::Upstream;
-use verbenaspool_transport::{clock::Monotonic, config::upstreams::Follower, shutdown};
+use verbenaspool_state::{upstream::Upstream, version::Version};
+use verbenaspool_transport::{
+    clock::Monotonic,
+    config::{
+        status::{self, publish},
+        upstreams::Follower,
+    },
+    shutdown,
+};
 
-use crate::support::{FIRM, client, name, platform, run};
+use crate::support::{
+    FIRM, Instance, accepted, all_activate, apply, client, marker, name, platform, request, run,
+};
+
+/// Guards against a file that is accepted and never becomes active: the store has come back from a copy with
+/// an older head, so that a version which was active was used again for other contents.
+#[test]
+fn a_file_that_is_applied_after_the_store_came_back_becomes_active() {
+    run(async {
+        let platform = platform();
+        let store = client(&platform, FIRM);
+        let instance = Instance::start(1, store.clone(), &[], 1);
+        let zone = name("bowen");
+        monoio::spawn(publish(instance.source.clone(), store.clone(), zone));
+        apply(&*store, request(FIRM, 1, "first")).await;
+        let copy = platform.with(|objects| objects.clone());
+        apply(&*store, request(FIRM, 2, "second")).await;
+        apply(&*store, request(FIRM, 3, "third")).await;
+        let instances = [instance];
+        assert!(all_activate(&instances, 3).await);
+        platform.with(|objects| objects.restore(copy));
+        monoio::time::sleep(status::WRITE_INTERVAL * 2).await;
+        let current = || instances[0].source.current().expect("an active file");
+        assert_eq!(marker(&current().file), 3, "the active file stays");
+        let report = status::read(&*store, &name(FIRM), status::WRITE_INTERVAL).await;
+        let report = report.expect("a report");
+        assert!(!report.is_active && report.accepted == Version(1));
+        // The same file as in the copy, and another one.
+        for (again, version) in [(1, 4), (4, 5)] {
+            let outcome = apply(&*store, request(FIRM, again, &format!("again-{again}"))).await;
+            assert_eq!(accepted(&outcome), Some(Version(version)));
+            assert!(all_activate(&instances, version).await);
+            assert_eq!(marker(&current().file), again);
+        }
+    });
+}
 
 /// Guards against an upstream whose new address is ignored, because its entry was written at a version
 /// that the store had given out before it came back from a copy.
--- a/verbenaspool_transport/src/config.rs
+++ b/verbenaspool_transport/src/config.rs
@@ -34,7 +34,9 @@
     let firm = request.firm.clone();
     let split = request.split.clone();
     let referenced = split.pieces.keys().copied().collect();
-    let mut apply = Apply::new(request);
+    // A store that came back from an older copy may have forgotten versions that are active.
+    let highest_active = status::highest_active(store, &firm).await;
+    let mut apply = Apply::new(request).above(highest_active.unwrap_or_default());
     let Some(outcome) = driver::drive(store, &mut apply, within, seed).await else {
         return apply.abandon();
     };
--- a/verbenaspool_transport/src/config/status.rs
+++ b/verbenaspool_transport/src/config/status.rs
@@ -174,10 +174,11 @@
         .map(|zone| zone_report(zone, &before, &after))
         .collect();
     let accepted = head.as_ref().map(|head| head.version).unwrap_or_default();
-    let is_current = |zone: &Zone| {
-        let status = zone.status.as_ref();
-        zone.is_reporting && status.is_some_and(|status| status.is_active(accepted))
-    };
+    // A higher version is active only if the store lost it, by coming back from an older copy.
+    let has_accepted =
+        |status: &Status| status.is_active(accepted) && status.summary.highest <= accepted;
+    let is_current =
+        |zone: &Zone| zone.is_reporting && zone.status.as_ref().is_some_and(has_accepted);
     Ok(Report {
         firm: firm.clone(),
         accepted,
@@ -198,6 +199,13 @@
     }
 }
 
+/// Reads the highest version that is active anywhere, as far as zones have written it.
+pub(super) async fn highest_active(store: &dyn Store, firm: &Name) -> Result<Version, Error> {
+    let statuses = read_statuses(store, firm).await?;
+    let highest = statuses.iter().map(|status| status.summary.highest).max();
+    Ok(highest.unwrap_or_default())
+}
+
 /// Reads the stored statuses of a firm's zones.
 async fn read_statuses(store: &dyn Store, firm: &Name) -> Result<Vec<Status>, Error> {
     let mut statuses = Vec::new();
