Write claims again that the store has lost

On the path through agents, a caller that repeated a booking with its key after the store came back from a copy would have had it run twice: the copy lacked the claim of the first one.

Cause: a claim that the store had acknowledged was taken for one that it has.

--- a/verbenaspool/src/entry/claim.rs
+++ b/verbenaspool/src/entry/claim.rs
@@ -15,6 +15,7 @@
 use verbenaspool_transport::platform::{Store, driver};
 
 use super::{
+    Entry,
     exchange::{self, Target},
     forward::Forward,
 };
@@ -35,6 +36,7 @@
 
 /// An acquired claim.
 pub struct Claimed {
+    entry: Rc<Entry>,
     store: Rc<dyn Store>,
     key: String,
     version: u64,
@@ -46,6 +48,7 @@
     /// Releases the key because its request did not run. If that fails the claim stays, which
     /// is safe: a retry asks the agent that the claim names about the attempt.
     pub async fn release(self) {
+        self.entry.recent_claims.remove(&self.key);
         for _ in 0..MAX_RELEASE_TRIES {
             let when = When::Version(self.version);
             match self.store.delete(&self.key, when).await {
@@ -64,9 +67,14 @@
     /// attempt must not be sent then.
     pub async fn renew(&mut self, forward: &Forward, target: Target) -> Result<(), Problem> {
         let record = record(forward, &target);
-        let claim = Claim::replace(self.key.clone(), self.version, record);
+        let claim = Claim::replace(self.key.clone(), self.version, record.clone());
         match drive(forward, self.store.as_ref(), claim).await {
+            Outcome::Acquired { .. } if is_incomplete(forward, &*self.store) => {
+                Err(platform_unreachable())
+            }
             Outcome::Acquired { version } => {
+                let now = self.entry.clock.now();
+                self.entry.recent_claims.insert(now, &self.key, record);
                 self.version = version;
                 self.target = target;
                 Ok(())
@@ -87,18 +95,30 @@
     let Some(store) = entry.store.clone() else {
         return Err(platform_unreachable());
     };
+    if is_incomplete(forward, &*store) {
+        return Err(platform_unreachable());
+    }
     let key = keys::claim(entry.firm(), &forward.customer, key);
     let record = record(forward, &target);
     let mut claim = Claim::new(key.clone(), record.clone());
     for _ in 0..MAX_CLAIM_TRIES {
         match drive(forward, store.as_ref(), claim).await {
             Outcome::Acquired { version } => {
-                return Ok(Claimed {
+                let claimed = Claimed {
+                    entry: Rc::clone(entry),
                     store,
                     key,
                     version,
                     target,
-                });
+                };
+                // The answer may be the first one of a store that came back from a copy.
+                if is_incomplete(forward, &*claimed.store) {
+                    claimed.release().await;
+                    return Err(platform_unreachable());
+                }
+                let now = entry.clock.now();
+                entry.recent_claims.insert(now, &claimed.key, record);
+                return Ok(claimed);
             }
             Outcome::Taken {
                 record: earlier, ..
@@ -119,6 +139,13 @@
     Err(earlier_request())
 }
 
+/// Whether the store may have lost claims that entries haven't written again yet.
+fn is_incomplete(forward: &Forward, store: &dyn Store) -> bool {
+    let entry = &forward.entry;
+    let now = entry.clock.now();
+    entry.recent_claims.are_incomplete(now, store.era())
+}
+
 /// Ensures that the attempt of an earlier claim did not run and never will.
 ///
 /// Its entry may have crashed before it sent the attempt, or the platform's answer to the claim
--- a/verbenaspool/src/entry/mod.rs
+++ b/verbenaspool/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod prompt;
 mod quarantine;
 mod queue;
+mod recent_claims;
 pub mod reply;
 mod reports;
 pub mod table;
@@ -68,6 +69,7 @@
     observe::{Ended, Meter, Observation},
     prompt::Prompt,
     queue::Queue,
+    recent_claims::RecentClaims,
     table::Table,
     upload::{Bounds, Fault, Upload},
     upstreams::Directory,
@@ -201,6 +203,8 @@
     peers: RefCell<Vec<Peer>>,
     draining: Cell<bool>,
     quarantine: RefCell<Quarantine>,
+    /// The claims that this entry made lately.
+    recent_claims: RecentClaims,
 }
 
 impl std::fmt::Debug for Entry {
@@ -244,9 +248,18 @@
             peers: RefCell::default(),
             draining: Cell::new(false),
             quarantine: RefCell::default(),
+            recent_claims: RecentClaims::default(),
         })
     }
 
+    /// Writes claims again that the store has lost by coming back from an older copy, for as long
+    /// as the process runs.
+    pub async fn restore_claims(self: Rc<Self>) {
+        if let Some(store) = self.store.clone() {
+            recent_claims::write_again(self, store).await;
+        }
+    }
+
     /// The firm that the entry serves.
     #[must_use]
     pub fn firm(&self) -> &Name {
--- a/verbenaspool/src/run.rs
+++ b/verbenaspool/src/run.rs
@@ -132,6 +132,7 @@
     if let Some(admin) = admin {
         monoio::spawn(Admin(entry.clone()).serve(admin, finish_signal.clone()));
     }
+    monoio::spawn(entry.clone().restore_claims());
     // Claims of callers' writes have deadlines and aren't subject to the call budget.
     let budget = Budget::new(store, clock.clone(), budget::Settings::default());
     let source = follow_configuration(&settings, &entry, budget, control, &finish_signal);
--- a/verbenaspool/tests/entry/process.rs
+++ b/verbenaspool/tests/entry/process.rs
@@ -1,6 +1,10 @@
 //! Tests of the entry process, configured by the platform, with real agents.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http::{Method, Request, Response};
 use http_body_util::BodyExt;
@@ -285,6 +289,40 @@
     });
 }
 
+#[test]
+fn a_write_whose_claim_the_store_lost_is_not_run_again() {
+    // Guards against a write that runs twice: the store came back from an older copy, without the
+    // claim of a booking that ran, and the caller sends it again through another entry.
+    run_test(async {
+        let firm = Firm::start().await;
+        let (first_entry, second_entry) = (
+            firm.start_entry("entry-1").await,
+            firm.start_entry("entry-2").await,
+        );
+        let copy = firm.platform.with(|objects| objects.clone());
+        let first = firm.send_booking(&first_entry, "key-1", "booking").await;
+        assert_eq!(first, expected(200, "ran", "/bookings booking"));
+        // Its first answer from the store tells the second entry the era.
+        let other = firm.send_booking(&second_entry, "key-2", "other").await;
+        assert_eq!(other, expected(200, "ran", "/bookings other"));
+        firm.platform.with(|objects| objects.restore(copy));
+        let restored_at = Instant::now();
+        let rejected = expected(503, "not-run", "platform");
+        loop {
+            let retry = firm.send_booking(&second_entry, "key-1", "booking").await;
+            if retry != rejected {
+                assert_eq!(retry, expected(409, "unknown", "key-conflict"));
+                break;
+            }
+            assert!(restored_at.elapsed() < Duration::from_secs(15));
+            monoio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let retry = firm.send_booking(&first_entry, "key-2", "other").await;
+        assert_ne!(retry.0, 200);
+        assert_eq!(firm.journal.writes.borrow().len(), 2);
+    });
+}
+
 #[test]
 fn without_the_platform_only_keyed_writes_are_rejected() {
     run_test(async {
