--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -48,6 +48,29 @@
 /// without end.
 pub const FAULT_KINDS: u32 = ENTRY_FAULT_KINDS + GROUP_FAULT_KINDS + 2;
 
+/// A fault in which the store comes back from an older copy. It and the next one aren't among
+/// [`FAULT_KINDS`], so that the faults of a seed stay the same.
+const RESTORED_STORE: u32 = FAULT_KINDS;
+
+/// A fault in which another writer's entries of the registry can't be read.
+const UNREADABLE_ENTRIES: u32 = FAULT_KINDS + 1;
+
+/// The faults of what the store has.
+pub const STORE_FAULTS: [u32; 2] = [RESTORED_STORE, UNREADABLE_ENTRIES];
+
+/// How long the store is unavailable before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
+
+/// How much older than other faults take the copy is.
+const COPY_AGE: Duration = Duration::from_secs(1);
+
+/// Entries of the registry that can't be read.
+const UNREADABLE: [&[u8]; 3] = [
+    b"{\"service\":\"jobs\",\"zone\":\"Quich\xe9\"}",
+    b"{\"service\":\"jo",
+    b"\xff\x00",
+];
+
 /// How long each request to a slow upstream takes before its answer begins: several times as long as
 /// its callers expect.
 const SLOW_WORK_TIME: Duration = Duration::from_millis(400);
@@ -106,7 +129,9 @@
         write_fault(format!(
             "fault {kind}: server {server}, entry {entry}, agent {agent}, {duration:?}"
         ));
-        if kind < ENTRY_FAULT_KINDS {
+        if STORE_FAULTS.contains(&kind) {
+            monoio::spawn(inject_store_fault(deployment.clone(), kind, duration));
+        } else if kind < ENTRY_FAULT_KINDS {
             let task = inject_entry_fault(
                 deployment.clone(),
                 kind,
@@ -251,6 +276,29 @@
     }
 }
 
+/// Lets the store come back from an older copy, or have entries that can't be read for some time.
+async fn inject_store_fault(deployment: Rc<Deployment>, kind: u32, duration: Duration) {
+    let store = &deployment.store;
+    if kind == RESTORED_STORE {
+        let copy = store.copy();
+        monoio::time::sleep(COPY_AGE + duration).await;
+        deployment.checks.record_store_outage(RESTORE_TIME);
+        store.condition.set(Condition::Silent);
+        monoio::time::sleep(RESTORE_TIME).await;
+        store.restore_and_rewrite(copy);
+        store.condition.set(Condition::Healthy);
+        return;
+    }
+    let name = |number: usize| format!("{}odd {number}", ["", "i-1", "zz"][number]);
+    for (number, bytes) in UNREADABLE.iter().enumerate() {
+        store.put_bytes("servers", &name(number), bytes);
+    }
+    monoio::time::sleep(duration).await;
+    for number in 0..UNREADABLE.len() {
+        store.remove("servers", &name(number));
+    }
+}
+
 /// Makes an upstream slow, or the store send without end, for some time.
 async fn inject_load_fault(
     deployment: Rc<Deployment>,
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -59,6 +59,9 @@
     /// The kinds of faults, by number; all by default.
     #[arg(long, value_delimiter = ',')]
     faults: Vec<u32>,
+    /// Add faults in which the store comes back from an older copy or has entries that can't be read.
+    #[arg(long)]
+    store_faults: bool,
     /// The mean pause between faults, in milliseconds.
     #[arg(long, default_value_t = 475)]
     pause_ms: u64,
@@ -177,17 +180,18 @@
         // The checks don't depend on the log, so a failed write is ignored.
         let _ = writeln!(faults.borrow_mut(), "{at} ms {fault}");
     };
-    let all: Vec<u32> = (0..fault::FAULT_KINDS).collect();
-    let kinds = if options.faults.is_empty() {
-        &all
-    } else {
-        &options.faults
-    };
+    let mut kinds = options.faults.clone();
+    if kinds.is_empty() {
+        kinds.extend(0..fault::FAULT_KINDS);
+    }
+    if options.store_faults {
+        kinds.extend(fault::STORE_FAULTS);
+    }
     fault::run(
         deployment.clone(),
         SmallRng::seed_from_u64(seed),
         deadline,
-        kinds,
+        &kinds,
         Duration::from_millis(options.pause_ms),
         write_fault,
     )
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -36,3 +36,13 @@
          --crashing 0 --sharing 0",
     );
 }
+
+/// Guards against lost changes and requests to upstreams that left, while the store comes back from older
+/// copies and has entries that can't be read, beside changes, departures and kills.
+#[test]
+fn a_store_that_comes_back_from_copies_breaks_no_promise() {
+    run_soak(
+        "--seed 5 --seconds 12 --faults 6,8,10,14 --store-faults --pause-ms 500 --callers 12 \
+         --crashing 0 --sharing 0",
+    );
+}
