Let upstreams of unknown services displace no others

Cause: of several upstreams at one address the one counts that started last, until an answer shows that it isn't the process there. No request is sent to a service that no route names, so no answer ever shows that.

Change: an upstream of a service that the configuration names comes before one of a service that it doesn't. Once it does, the later start decides as before.

--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -284,6 +284,8 @@
         let table = Rc::new(table);
         self.table.replace(Some(table.clone()));
         self.table_source.replace(Some(stored.clone()));
+        let services = table.service_names();
+        self.registry.borrow_mut().set_services(services);
         for service in table.services() {
             let queue = self.queue(&service.name);
             queue.with(|dispatcher, _| {
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -119,6 +119,8 @@
     pub objects: BTreeMap<String, Object>,
     /// The upstreams by id.
     replicas: BTreeMap<Rc<str>, Rc<Replica>>,
+    /// The services that the configuration names; empty until there is one.
+    services: BTreeSet<Rc<str>>,
     /// The upstream at each address, the latest to start there.
     by_address: HashMap<SocketAddr, Rc<Replica>>,
     /// Ids of upstreams in whose place another process answered.
@@ -253,14 +255,16 @@
     ///
     /// The entry of an upstream that crashed stays for several heartbeats, while its successor
     /// has registered at the same address with another id. A successor that isn't the process
-    /// there, as its answers show, gives way to the others again.
+    /// there, as its answers show, gives way to the others again. One of a service that no
+    /// configuration names displaces no upstream: it gets no requests whose answers could show that.
     fn index_addresses(&mut self) {
         self.by_address.clear();
         let age = |replica: &Replica| {
             let object = self.objects.get(&*replica.id);
             let revision = object.map_or(0, |object| object.revision);
+            let is_named = self.services.contains(&replica.service);
             let answers = !self.replaced.contains(&replica.id);
-            (answers, replica.started_at_ms, revision)
+            (is_named, answers, replica.started_at_ms, revision)
         };
         for replica in self.replicas.values() {
             let current = self
@@ -273,6 +277,14 @@
         }
     }
 
+    /// Sets the services that the configuration names.
+    pub fn set_services(&mut self, services: BTreeSet<Rc<str>>) {
+        if self.services != services {
+            self.services = services;
+            self.index_addresses();
+        }
+    }
+
     /// Records that another process answered in an upstream's place. Returns whether this
     /// changed which upstreams are used.
     pub fn record_replaced(&mut self, id: &Rc<str>) -> bool {
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -239,3 +239,22 @@
     assert!(registry.readmit(now + COPIED_OBJECT_TIME));
     assert_eq!(used(&registry), ["i-1"]);
 }
+
+/// Guards against an upstream that gets no requests because another writer's entry of a service that no
+/// configuration names has its address and a later start.
+#[test]
+fn an_entry_of_an_unknown_service_displaces_no_upstream() {
+    let mut registry = Registry::default();
+    let mut foreign = started("i-2", 7, r#","born":9000"#);
+    foreign.specification = foreign.specification.replace("jobs", "unknown");
+    let objects = [started("i-1", 5, r#","born":1000"#), foreign];
+    let named = objects
+        .into_iter()
+        .map(|object| (object.name.clone(), object));
+    replace(&mut registry, 10, &named.collect());
+    registry.set_services(["jobs".into()].into());
+    assert_eq!(used(&registry), ["i-1"]);
+    // The address was assigned to an upstream of a service that the configuration adds.
+    registry.set_services(["jobs".into(), "unknown".into()].into());
+    assert_eq!(used(&registry), ["i-2"]);
+}
--- a/verbenaspool_state/src/route.rs
+++ b/verbenaspool_state/src/route.rs
@@ -1,6 +1,10 @@
 //! The routing table: which requests go to which service, with which deadlines and limits.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
 use crate::engine::Engine;
 
@@ -260,6 +264,22 @@
         self.services.get(name)
     }
 
+    /// The names of all services, also of those that only routes name.
+    ///
+    /// ```
+    /// use verbenaspool_state::route::{Limits, Table};
+    ///
+    /// let table = Table::new(7, Vec::new(), Vec::new(), None, Limits::default());
+    /// assert!(table.service_names().is_empty());
+    /// ```
+    #[must_use]
+    pub fn service_names(&self) -> BTreeSet<Rc<str>> {
+        let routes = self.hosts.values().flatten();
+        let splits = routes.flat_map(|route| &route.splits);
+        let named = splits.map(|split| split.service.clone());
+        named.chain(self.services.keys().cloned()).collect()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Rc<Service>> {
         self.services.values()
