Wrap comments, and end evacuations that the operator lists again

A zone that the store has again isn't kept beside it any more: once the operator removes it, it is taken back at once.

--- a/verbenaspool/src/direct/evacuation.rs
+++ b/verbenaspool/src/direct/evacuation.rs
@@ -62,6 +62,10 @@
             let kept = missing.map(|zone| (zone.clone(), until));
             self.kept_evacuations.borrow_mut().extend(kept);
         }
+        let is_missing = |zone: &String| !evacuations.zones.contains(zone);
+        self.kept_evacuations
+            .borrow_mut()
+            .retain(|zone, _| is_missing(zone));
         self.evacuations.replace(evacuations);
         self.apply_evacuations(&zones_before, from);
     }
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -311,8 +311,8 @@
         }
     }
 
-    /// Waits for a part of the time in which entries list the objects after the store came back from
-    /// a copy. All of them learn of that at the same time.
+    /// Waits for a part of the time in which entries list the objects after the store came back
+    /// from a copy. All of them learn of that at the same time.
     async fn spread_listings(&self, watchers: usize) {
         let watchers = u32::try_from(watchers).unwrap_or(u32::MAX);
         let spread = BATCH_INTERVAL_PER_ENTRY.saturating_mul(watchers);
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -253,10 +253,10 @@
 
     /// Determines the upstream at each address.
     ///
-    /// The entry of an upstream that crashed stays for several heartbeats, while its successor
-    /// has registered at the same address with another id. A successor that isn't the process
-    /// there, as its answers show, gives way to the others again. One of a service that no
-    /// configuration names displaces no upstream: it gets no requests whose answers could show that.
+    /// The entry of an upstream that crashed stays for several heartbeats, while its successor has
+    /// registered at the same address with another id. A successor that isn't the process there, as
+    /// its answers show, gives way to the others again. One of a service that no configuration
+    /// names displaces no upstream: it gets no requests whose answers could show that.
     fn index_addresses(&mut self) {
         self.by_address.clear();
         let age = |replica: &Replica| {
@@ -415,7 +415,8 @@
         }
     }
 
-    /// Whether the object of an upstream is one of an older copy of the store, from before its removal.
+    /// Whether the object of an upstream is one of an older copy of the store, from before its
+    /// removal.
     fn is_left_out(&self, now: Duration, replica: &Replica) -> bool {
         self.removed.get(&replica.id).is_some_and(|removal| {
             !replica.has_restarted_since(removal.started_at_ms)
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -199,8 +199,9 @@
     registry.update(now, until, &snapshot);
 }
 
-/// Guards against a peer that gets the changes since a revision of an earlier era of the store, where
-/// the same number meant another state, and against objects of that era that replace later ones.
+/// Guards against a peer that gets the changes since a revision of an earlier era of the store,
+/// where the same number meant another state, and against objects of that era that replace later
+/// ones.
 #[test]
 fn positions_of_another_era_are_no_base_for_changes() {
     let mut registry = Registry::default();
@@ -240,8 +241,8 @@
     assert_eq!(used(&registry), ["i-1"]);
 }
 
-/// Guards against an upstream that gets no requests because another writer's entry of a service that no
-/// configuration names has its address and a later start.
+/// Guards against an upstream that gets no requests because another writer's entry of a service
+/// that no configuration names has its address and a later start.
 #[test]
 fn an_entry_of_an_unknown_service_displaces_no_upstream() {
     let mut registry = Registry::default();
--- a/verbenaspool/src/entry/recent_claims.rs
+++ b/verbenaspool/src/entry/recent_claims.rs
@@ -1,8 +1,8 @@
 //! The claims that this entry made lately, in case the store loses them.
 //!
-//! A store that comes back from an older copy has lost the claims of the last seconds. A retry under
-//! one of their keys would run its request again. So entries write their claims again, and none
-//! accepts a write with a key until the others have done so.
+//! A store that comes back from an older copy has lost the claims of the last seconds. A retry
+//! under one of their keys would run its request again. So entries write their claims again, and
+//! none accepts a write with a key until the others have done so.
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
--- a/verbenaspool/src/operate/entries.rs
+++ b/verbenaspool/src/operate/entries.rs
@@ -57,7 +57,8 @@
 }
 
 /// Formats the answers as a table. Entries behind the newest version are marked, and those whose
-/// registry is of an earlier era of the store than another one's, so that revisions can't be compared.
+/// registry is of an earlier era of the store than another one's, so that revisions can't be
+/// compared.
 ///
 /// ```
 /// assert!(verbenaspool::operate::entries::table(&[]).starts_with("ENTRY"));
--- a/verbenaspool_agent/tests/agent/group.rs
+++ b/verbenaspool_agent/tests/agent/group.rs
@@ -316,8 +316,8 @@
     });
 }
 
-/// Guards against a lead that goes on without a lease, and whose fence another one may get: the store has
-/// come back from a copy that is older than the lease.
+/// Guards against a lead that goes on without a lease, and whose fence another one may get: the
+/// store has come back from a copy that is older than the lease.
 #[test]
 fn the_lead_acquires_its_lease_anew_when_the_store_came_back() {
     rig::run(async {
--- a/verbenaspool_coordination/src/lease/tests.rs
+++ b/verbenaspool_coordination/src/lease/tests.rs
@@ -177,8 +177,8 @@
         }
     }
 
-    /// Whether a process may restart. One that doesn't know the era before can't tell that the lease
-    /// may be held by a process that the copy doesn't name.
+    /// Whether a process may restart. One that doesn't know the era before can't tell that the
+    /// lease may be held by a process that the copy doesn't name.
     fn may_restart(&self) -> bool {
         let Settings {
             duration,
@@ -334,8 +334,8 @@
     assert_eq!(first.current_fence(now), None);
 }
 
-/// Guards against a group without a lead, because the copy of the store has a lower fence than its ranks
-/// know and they reject all orders under the next ones.
+/// Guards against a group without a lead, because the copy of the store has a lower fence than its
+/// ranks know and they reject all orders under the next ones.
 #[test]
 fn a_lease_is_acquired_above_the_fences_that_others_know() {
     let mut store = Store::default();
@@ -348,8 +348,8 @@
     assert_eq!(lease.current_fence(now), Some(9));
 }
 
-/// Guards against a group without a lead for the whole duration of the lease after the store came back:
-/// its holder acquires it at once, under another fence.
+/// Guards against a group without a lead for the whole duration of the lease after the store came
+/// back: its holder acquires it at once, under another fence.
 #[test]
 fn the_holder_acquires_the_lease_anew_when_the_store_goes_back() {
     let mut store = Store::default();
--- a/verbenaspool_coordination/tests/group/faults.rs
+++ b/verbenaspool_coordination/tests/group/faults.rs
@@ -388,8 +388,9 @@
     assert_eq!(rejection.to_string(), "fence 7 was seen");
 }
 
-/// Guards against two leads that order the same group: the store has come back from a copy without the lease, and
-/// another agent acquires it. The one that led before ends, also during a change of map.
+/// Guards against two leads that order the same group: the store has come back from a copy without
+/// the lease, and another agent acquires it. The one that led before ends, also during a change of
+/// map.
 #[test]
 fn lease_lost_with_the_store() {
     run_case("during a change", FIRST_EPOCH, |simulation| {
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -65,7 +65,7 @@
 const COPY_AGE: Duration = Duration::from_secs(1);
 
 /// Entries of the registry that can't be read.
-const UNREADABLE: [&[u8]; 3] = [
+const UNREADABLE_SPECIFICATIONS: [&[u8]; 3] = [
     b"{\"service\":\"jobs\",\"zone\":\"Quich\xe9\"}",
     b"{\"service\":\"jo",
     b"\xff\x00",
@@ -290,11 +290,11 @@
         return;
     }
     let name = |number: usize| format!("{}odd {number}", ["", "i-1", "zz"][number]);
-    for (number, bytes) in UNREADABLE.iter().enumerate() {
+    for (number, bytes) in UNREADABLE_SPECIFICATIONS.iter().enumerate() {
         store.put_bytes("servers", &name(number), bytes);
     }
     monoio::time::sleep(duration).await;
-    for number in 0..UNREADABLE.len() {
+    for number in 0..UNREADABLE_SPECIFICATIONS.len() {
         store.remove("servers", &name(number));
     }
 }
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -59,7 +59,8 @@
     /// The kinds of faults, by number; all by default.
     #[arg(long, value_delimiter = ',')]
     faults: Vec<u32>,
-    /// Add faults in which the store comes back from an older copy or has entries that can't be read.
+    /// Add faults in which the store comes back from an older copy or has entries that can't be
+    /// read.
     #[arg(long)]
     store_faults: bool,
     /// The mean pause between faults, in milliseconds.
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -37,8 +37,8 @@
     );
 }
 
-/// Guards against lost changes and requests to upstreams that left, while the store comes back from older
-/// copies and has entries that can't be read, beside changes, departures and kills.
+/// Guards against lost changes and requests to upstreams that left, while the store comes back from
+/// older copies and has entries that can't be read, beside changes, departures and kills.
 #[test]
 fn a_store_that_comes_back_from_copies_breaks_no_promise() {
     run_soak(
--- a/verbenaspool_standin/tests/config/restores.rs
+++ b/verbenaspool_standin/tests/config/restores.rs
@@ -16,8 +16,8 @@
     FIRM, Instance, accepted, all_activate, apply, client, marker, name, platform, request, run,
 };
 
-/// Guards against a file that is accepted and never becomes active: the store has come back from a copy with
-/// an older head, so that a version which was active was used again for other contents.
+/// Guards against a file that is accepted and never becomes active: the store has come back from a
+/// copy with an older head, so that a version which was active was used again for other contents.
 #[test]
 fn a_file_that_is_applied_after_the_store_came_back_becomes_active() {
     run(async {
@@ -49,8 +49,8 @@
     });
 }
 
-/// Guards against an upstream whose new address is ignored, because its entry was written at a version
-/// that the store had given out before it came back from a copy.
+/// Guards against an upstream whose new address is ignored, because its entry was written at a
+/// version that the store had given out before it came back from a copy.
 #[test]
 fn a_list_of_upstreams_is_read_again_when_the_store_came_back() {
     run(async {
--- a/verbenaspool_transport/src/platform/era.rs
+++ b/verbenaspool_transport/src/platform/era.rs
@@ -6,8 +6,8 @@
 
 /// The latest known era of a store, which rises each time that it comes back from an older copy.
 ///
-/// The store then gives out revisions again, for other changes, so that those of different eras can't
-/// be compared. Answers of an earlier era tell what it no longer has, and are dropped.
+/// The store then gives out revisions again, for other changes, so that those of different eras
+/// can't be compared. Answers of an earlier era tell what it no longer has, and are dropped.
 #[derive(Debug, Default)]
 pub struct Era {
     known: Cell<u64>,
