--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -184,14 +184,18 @@
                 self.missing.remove(id);
                 continue;
             }
+            let was_missing = self.missing.contains_key(id);
             let until = *self
                 .missing
                 .entry(id.clone())
                 .or_insert(retain_missing_until);
             if now < until {
                 replicas.insert(id.clone(), replica.clone());
-            } else {
-                self.missing.remove(id);
+                continue;
+            }
+            self.missing.remove(id);
+            // One that was missing after an outage may be late to register again.
+            if !was_missing {
                 record_removal(&mut self.removed, now, replica);
             }
         }
@@ -386,9 +390,7 @@
         let expired: Vec<Rc<str>> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.missing.remove(id);
-            if let Some(replica) = self.replicas.remove(id) {
-                record_removal(&mut self.removed, now, &replica);
-            }
+            self.replicas.remove(id);
         }
         if !expired.is_empty() {
             self.index_addresses();
