Log by which objects copies of the registry change, and whom the store still answers

A hash tells that two copies differ, not by what, nor since which revision a copy was changed: a copy that got nothing from a peer, and one that got all objects, had the same line. No logic changes.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -426,8 +426,11 @@
         self.listing_interval = LISTING_INTERVALS[0];
         self.had_outage = true;
         if self.available_since.take().is_some() {
+            let now = self.gateway.clock.now();
+            let watching = self.gateway.peers.borrow().watching_peers(now);
             warn!(self.gateway.log, "store unreachable; keeping the known objects";
-                "kind" => self.kind.object_kind(), "reason" => why.to_string());
+                "kind" => self.kind.object_kind(), "reason" => why.to_string(),
+                "watching_peers" => watching);
         }
         let retry_interval = self.retry_interval;
         self.retry_interval = (retry_interval * 2).min(RETRY_INTERVALS[1]);
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -317,6 +317,8 @@
         let changed = &registry.objects != snapshot.objects;
         let ready_before = registry.ready_ids();
         let unreadable_before = registry.unreadable.clone();
+        let since = registry.position.revision;
+        let difference = registry::Difference::between(&registry.objects, snapshot.objects);
         registry.update(now, retain_missing_until, snapshot);
         for (name, (revision, why)) in &registry.unreadable {
             let known = unreadable_before.get(name);
@@ -332,7 +334,7 @@
         info!(self.log, "registry of upstreams changed";
             "era" => snapshot.position.era, "revision" => snapshot.position.revision,
             "from" => %snapshot.source, "upstreams" => registry.len(),
-            "hash" => registry.hash);
+            "hash" => registry.hash, "since" => since, "changes" => %difference);
         self.log_departures(&registry, &ready_before);
         drop(registry);
         self.distribute_upstreams();
--- a/verbenaspool/src/direct/peers/watchers.rs
+++ b/verbenaspool/src/direct/peers/watchers.rs
@@ -46,6 +46,14 @@
         before < MAX_CANDIDATES && reaching < WATCHERS_PER_ZONE
     }
 
+    /// Number of live peers that watch the store, and whose last call it answered.
+    #[must_use]
+    pub fn watching_peers(&self, now: Duration) -> usize {
+        let peers = self.live_peers(now);
+        let watching = peers.filter(|(_, peer)| peer.digest.store == StoreAccess::Watching);
+        watching.count()
+    }
+
     /// Number of entries that watch the store, including this one.
     #[must_use]
     pub fn watchers(&self, now: Duration) -> usize {
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -15,6 +15,10 @@
     replica::{Replica, State},
 };
 
+mod difference;
+
+pub use self::difference::Difference;
+
 /// How long upstreams that are missing from the registry are kept after an outage of the
 /// store. Registrations expire while upstreams can't renew them. Running upstreams register
 /// again within about 2 s; those that are still missing then have stopped.
