Reproduce requests to upstreams that left, by entries whose copies of the registry differ

The stand-in's store can keep watches waiting as its history is dropped, so that they report only later changes, and delay the pages of a listing.

--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -14,7 +14,7 @@
 use verbenaspool_platform_standin::{
     group::{Group, Member},
     process::Process as CrashingProcess,
-    store::Store,
+    store::{self, HistoryLoss, Store},
     text,
     upstream::{Behaviour, Upstream},
 };
@@ -166,7 +166,8 @@
 
 impl Deployment {
     /// Starts a deployment with the given numbers of entries, of availability zones that they
-    /// are in, and of ranks, each with an agent.
+    /// are in, and of ranks, each with an agent. What becomes of watches as the store's history is
+    /// dropped is that of the entries outside of the first zone of three.
     ///
     /// # Errors
     /// An address can't be bound, or a program can't be started.
@@ -174,12 +175,18 @@
         entries: usize,
         zones: usize,
         ranks: usize,
+        loss: HistoryLoss,
         programs: &Programs,
         folder: &Path,
     ) -> io::Result<Rc<Self>> {
         let mut triggers = Vec::new();
         let store = Store::new();
         let platform = serve(store.clone(), &mut triggers)?;
+        let server = store::Server {
+            store: store.clone(),
+            loss,
+        };
+        let other_platform = serve(Rc::new(server), &mut triggers)?;
         let mut servers = Vec::new();
         for number in 0..2 * UPSTREAMS {
             let service = if number < UPSTREAMS { "model" } else { "jobs" };
@@ -230,23 +237,14 @@
         let fragile = fragile.collect();
         let addresses: Vec<SocketAddr> = (0..entries).map(|_| address::fresh()).collect();
         // Entries and agents use one peer port on different IP addresses.
-        let peer_port = addresses
-            .first()
-            .map_or(0, |address| address.port() ^ 0x4000);
+        let peer_port = peer_port(&addresses);
         let control = |ip: IpAddr| SocketAddr::new(ip, peer_port + 1);
         let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|a| control(a.ip())).collect();
-        let (mut store_proxies, mut processes) = (Vec::new(), Vec::new());
         let initial_version = 2;
         store.put("config", "main", &configuration(initial_version));
-        for (number, listen) in addresses.into_iter().enumerate() {
-            let proxy_address = address::fresh();
-            store_proxies.push(Proxy::start(proxy_address, platform)?);
-            let zone = ENTRY_ZONES[number % zones.clamp(1, ENTRY_ZONES.len())];
-            let text = entry_settings(number, zone, listen, peer_port, proxy_address, &seeds);
-            let name = format!("entry-{number}");
-            let process = Process::start(&programs.entry, folder, &name, &text)?;
-            processes.push(Entry { listen, process });
-        }
+        let platforms = [platform, other_platform];
+        let (store_proxies, processes) =
+            start_entries(&addresses, zones, platforms, &seeds, programs, folder)?;
         let group = Group::start(ranks);
         let (mut members, mut agents) = (Vec::new(), Vec::new());
         for rank in 0..ranks {
@@ -361,6 +359,39 @@
     }
 }
 
+/// The peer port of all entries and agents.
+fn peer_port(addresses: &[SocketAddr]) -> u16 {
+    addresses
+        .first()
+        .map_or(0, |address| address.port() ^ 0x4000)
+}
+
+/// Starts entries at these addresses, each with a proxy between it and the store: the first server of
+/// the store for the entries of the first zone of three, the second one for the others.
+fn start_entries(
+    addresses: &[SocketAddr],
+    zones: usize,
+    platforms: [SocketAddr; 2],
+    seeds: &[SocketAddr],
+    programs: &Programs,
+    folder: &Path,
+) -> io::Result<(Vec<Rc<Proxy>>, Vec<Entry>)> {
+    let (mut store_proxies, mut processes) = (Vec::new(), Vec::new());
+    for (number, &listen) in addresses.iter().enumerate() {
+        let proxy_address = address::fresh();
+        let is_first_zone = number.is_multiple_of(ENTRY_ZONES.len());
+        let platform = platforms[usize::from(!is_first_zone)];
+        store_proxies.push(Proxy::start(proxy_address, platform)?);
+        let zone = ENTRY_ZONES[number % zones.clamp(1, ENTRY_ZONES.len())];
+        let port = peer_port(addresses);
+        let text = entry_settings(number, zone, listen, port, proxy_address, seeds);
+        let name = format!("entry-{number}");
+        let process = Process::start(&programs.entry, folder, &name, &text)?;
+        processes.push(Entry { listen, process });
+    }
+    Ok((store_proxies, processes))
+}
+
 /// Settings of an entry.
 fn entry_settings(
     number: usize,
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -58,6 +58,19 @@
 /// The faults of what the store has.
 pub const STORE_FAULTS: [u32; 2] = [RESTORED_STORE, UNREADABLE_ENTRIES];
 
+/// A fault in which an upstream leaves while some watches outlive the loss of the store's history.
+const UNNOTICED_LOSS: u32 = FAULT_KINDS + 2;
+
+/// A fault in which upstreams leave while listings of several pages are read.
+const PAGED_LISTINGS: u32 = FAULT_KINDS + 3;
+
+/// The faults after which entries have different copies of what the store has.
+pub const COPY_FAULTS: [u32; 2] = [UNNOTICED_LOSS, PAGED_LISTINGS];
+
+/// Number of objects in a page of a listing, and how long each page after the first one takes.
+const PAGE_SIZE: usize = 5;
+const PAGE_DELAY: Duration = Duration::from_millis(60);
+
 /// How long the store is unavailable before it comes back from a copy.
 const RESTORE_TIME: Duration = Duration::from_millis(300);
 
@@ -129,7 +142,11 @@
         write_fault(format!(
             "fault {kind}: server {server}, entry {entry}, agent {agent}, {duration:?}"
         ));
-        if STORE_FAULTS.contains(&kind) {
+        if COPY_FAULTS.contains(&kind) {
+            let notice = choose_fault(&mut rng).notice;
+            let task = inject_copy_fault(deployment.clone(), kind, server, duration, notice);
+            monoio::spawn(task);
+        } else if STORE_FAULTS.contains(&kind) {
             monoio::spawn(inject_store_fault(deployment.clone(), kind, duration));
         } else if kind < ENTRY_FAULT_KINDS {
             let task = inject_entry_fault(
@@ -299,6 +316,51 @@
     }
 }
 
+/// Lets an upstream leave while entries get different copies of the registry.
+async fn inject_copy_fault(
+    deployment: Rc<Deployment>,
+    kind: u32,
+    server: usize,
+    duration: Duration,
+    notice: DepartureNotice,
+) {
+    let serving_time = SERVING_TIME + duration;
+    if kind == UNNOTICED_LOSS {
+        monoio::spawn(lose_history_unnoticed(deployment.clone(), server));
+        return depart(&deployment, server, notice, serving_time).await;
+    }
+    let store = &deployment.store;
+    store.page_size.set(PAGE_SIZE);
+    store.page_delay.set(PAGE_DELAY);
+    store.drop_history();
+    store.cut_watches();
+    monoio::time::sleep(PAGE_DELAY.mul_f64(duration.as_secs_f64())).await;
+    let later = deployment.clone();
+    monoio::spawn(async move {
+        let other = (server + 1) % later.servers.len();
+        monoio::time::sleep(PAGE_DELAY / 2).await;
+        depart(&later, other, DepartureNotice::NO_NOTICE, serving_time).await;
+    });
+    depart(&deployment, server, notice, serving_time).await;
+    store.page_size.set(usize::MAX);
+    store.page_delay.set(Duration::ZERO);
+}
+
+/// Lets the store withhold changes from watches, drop its history, and report the next change to the
+/// watches that go on waiting.
+async fn lose_history_unnoticed(deployment: Rc<Deployment>, server: usize) {
+    let store = &deployment.store;
+    store.withholds_changes.set(true);
+    monoio::time::sleep(WITHHOLD_TIME).await;
+    store.drop_history();
+    let others = (1..deployment.servers.len()).map(|n| (server + n) % deployment.servers.len());
+    let mut others = others.filter(|&other| !deployment.servers[other].leaving.get());
+    if let Some(other) = others.next() {
+        deployment.set_listed_state(other, "ready");
+    }
+    store.withholds_changes.set(false);
+}
+
 /// Makes an upstream slow, or the store send without end, for some time.
 async fn inject_load_fault(
     deployment: Rc<Deployment>,
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -13,6 +13,7 @@
 
 use clap::Parser;
 use rand::{SeedableRng, rngs::SmallRng};
+use verbenaspool_platform_standin::store::HistoryLoss;
 use verbenaspool_soak::{
     caller::Caller,
     deployment::{COMPETING_CUSTOMERS, Deployment, Programs},
@@ -63,6 +64,10 @@
     /// read.
     #[arg(long)]
     store_faults: bool,
+    /// Add faults after which entries have different copies of what the store has. Watches of two
+    /// zones of three may outlive the loss of the store's history.
+    #[arg(long)]
+    copy_faults: bool,
     /// The mean pause between faults, in milliseconds.
     #[arg(long, default_value_t = 475)]
     pause_ms: u64,
@@ -139,7 +144,8 @@
     let faults = RefCell::new(fs::File::create(folder.join("faults.log"))?);
     let entries = options.processes.clamp(1, MAX_PROCESSES);
     let ranks = options.ranks.clamp(2, MAX_PROCESSES);
-    let deployment = Deployment::start(entries, options.zones, ranks, &programs, &folder)?;
+    let loss = history_loss(&fault_kinds(options));
+    let deployment = Deployment::start(entries, options.zones, ranks, loss, &programs, &folder)?;
     monoio::time::sleep(SETTLE_TIME).await;
     let started_at = Instant::now();
     let deadline = started_at + Duration::from_secs(options.seconds);
@@ -181,13 +187,7 @@
         // The checks don't depend on the log, so a failed write is ignored.
         let _ = writeln!(faults.borrow_mut(), "{at} ms {fault}");
     };
-    let mut kinds = options.faults.clone();
-    if kinds.is_empty() {
-        kinds.extend(0..fault::FAULT_KINDS);
-    }
-    if options.store_faults {
-        kinds.extend(fault::STORE_FAULTS);
-    }
+    let kinds = fault_kinds(options);
     fault::run(
         deployment.clone(),
         SmallRng::seed_from_u64(seed),
@@ -233,6 +233,30 @@
     Ok(violations)
 }
 
+/// The kinds of faults of a run.
+fn fault_kinds(options: &Options) -> Vec<u32> {
+    let mut kinds = options.faults.clone();
+    if kinds.is_empty() {
+        kinds.extend(0..fault::FAULT_KINDS);
+    }
+    if options.store_faults {
+        kinds.extend(fault::STORE_FAULTS);
+    }
+    if options.copy_faults {
+        kinds.extend(fault::COPY_FAULTS);
+    }
+    kinds
+}
+
+/// What becomes of the watches of some entries as the history is dropped, with these kinds of faults.
+fn history_loss(kinds: &[u32]) -> HistoryLoss {
+    if fault::COPY_FAULTS.iter().any(|kind| kinds.contains(kind)) {
+        HistoryLoss::GoesUnnoticed
+    } else {
+        HistoryLoss::EndsWatches
+    }
+}
+
 /// The customer of each competing caller: the small ones and then the large one.
 fn competing_callers(large: usize) -> impl Iterator<Item = usize> {
     let small = if large > 0 {
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -46,3 +46,13 @@
          --crashing 0 --sharing 0",
     );
 }
+
+/// Guards against requests to upstreams that left, by entries that missed their leaving, as some
+/// watches outlived the loss of the store's history, or list pages of different age.
+#[test]
+fn copies_that_differ_hide_no_departure() {
+    run_soak(
+        "--seed 9301 --seconds 16 --faults 28 --pause-ms 3500 --processes 15 \
+         --zones 3 --callers 60 --crashing 0 --sharing 0 --slow 0 --competing 0",
+    );
+}
