Take the registry of an entry that has just listed it, not changes that a wrong copy lacks

Callers' requests reached upstreams seconds after they had left. One hash was at most entries that don't watch the store, at the revision of those that had the right objects.

Cause: entries take what changed since their revision from a peer, picked by the objects' revisions. A copy that missed a change before its own revision was told nothing of it, and then named the peer's revision. Entries that don't watch gave a copy that differs up after 1.5 s, all at the same time, and took it back at once from each other, as any peer with the same hash confirmed it; the next try was 5 s later.

Now a copy carries the revision of the listing from which it follows. Changes that don't lead to the peer's hash are replaced by all of its objects if it listed them later than this entry's revision, and of two copies at one revision the one that was just listed is taken, at once. Entries that watch list while nobody knows which is right; a difference that comes back may be corrected after 1 s.

--- a/verbenaspool/src/direct/divergence.rs
+++ b/verbenaspool/src/direct/divergence.rs
@@ -2,8 +2,11 @@
 //!
 //! Entries compare revisions to learn what is new. A copy that lacks a change, because the store or a
 //! peer didn't pass it on, has the revision of the others and would never be corrected. Digests
-//! therefore carry a hash of the objects. Nobody can tell whose are wrong: entries that watch the
-//! store list them again, and after that the others compare theirs with those.
+//! therefore carry a hash of the objects, and the revision of the listing from which they follow.
+//! While nobody knows whose objects are wrong, entries that watch the store list them again. All
+//! others then take those of an entry that has just listed them (see [`Provenance`]).
+//!
+//! [`Provenance`]: verbenaspool_state::provenance::Provenance
 
 use std::time::Duration;
 
@@ -11,28 +14,35 @@
 
 use super::gateway::Gateway;
 
-/// How long registries differ before an entry that watches the store lists its objects again. A
-/// listing of several pages may have newer objects than its revision says.
+/// How long registries differ before an entry that watches the store lists its objects again.
 const WATCHER_DELAY: Duration = Duration::from_millis(300);
 
-/// The same for the other entries, which then take the registry of one that watches.
+/// How long they differ before another entry logs it.
 const FOLLOWER_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Minimum interval between two corrections of an entry, since each may cost a call to the store.
+/// Minimum interval between two corrections of an entry while registries go on differing, since each
+/// costs a call to the store.
 const MIN_CORRECTION_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The same if they were the same in between.
+const MIN_RECURRENCE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// When registries began to differ, and what was done about it.
 #[derive(Debug, Default)]
 pub struct Divergence {
     since: Option<Duration>,
+    /// When the registry was last corrected, and whether no peer's has differed since.
     corrected_at: Option<Duration>,
+    is_resolved: bool,
 }
 
 impl Divergence {
-    /// Records whether a peer's registry differs. Returns whether this entry has to correct its own.
+    /// Records whether a peer's registry differs, and it isn't known which is right. Returns whether
+    /// this entry has to correct its own.
     pub fn observe(&mut self, now: Duration, differs: bool, watches: bool) -> bool {
         if !differs {
             self.since = None;
+            self.is_resolved = true;
             return false;
         }
         let since = *self.since.get_or_insert(now);
@@ -41,23 +51,28 @@
         } else {
             FOLLOWER_DELAY
         };
-        let was_corrected = |at: Duration| now.saturating_sub(at) < MIN_CORRECTION_INTERVAL;
+        let interval = if self.is_resolved {
+            MIN_RECURRENCE_INTERVAL
+        } else {
+            MIN_CORRECTION_INTERVAL
+        };
+        let was_corrected = |at: Duration| now.saturating_sub(at) < interval;
         if now.saturating_sub(since) < delay || self.corrected_at.is_some_and(was_corrected) {
             return false;
         }
         self.corrected_at = Some(now);
+        self.is_resolved = false;
         true
     }
 }
 
 impl Gateway {
-    /// Corrects the registry if peers have other objects at the same revision.
+    /// Lists the registry again if peers have other objects at the same revision, and nobody knows
+    /// whose are right.
     pub fn correct_registry(&self) {
         let now = self.clock.now();
-        let position = self.registry_position();
-        let peers = self.peers.borrow();
-        let differing = peers.differing_registries(now, position, self.registry_hash());
-        drop(peers);
+        let own = self.registry_provenance();
+        let differing = self.peers.borrow().conflicting_registries(now, own);
         let differs = differing > 0 && !self.is_registry_outdated();
         let watches = self.watches_store();
         let mut divergence = self.divergence.borrow_mut();
@@ -65,11 +80,10 @@
             return;
         }
         warn!(self.log, "registry differs from peers' at the same revision";
-            "era" => position.era, "revision" => position.revision, "hash" => self.registry_hash(), "peers" => differing);
+            "era" => own.position.era, "revision" => own.position.revision, "listed" => own.listed,
+            "hash" => own.hash, "peers" => differing);
         if watches {
             self.relist_registry.notify_one();
-        } else {
-            self.distrust_registry();
         }
     }
 }
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -387,6 +387,11 @@
                     objects: &objects,
                     position: self.position,
                     outdated: source == Source::OutdatedListing,
+                    listed: match source {
+                        Source::Listing => self.position.revision,
+                        Source::OutdatedListing => 0,
+                        _ => self.gateway.registry_provenance().listed,
+                    },
                     source,
                 };
                 self.gateway
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -21,7 +21,9 @@
     member::Status,
     reservation::{self, ServiceInfo},
 };
-use verbenaspool_state::{position::Position, replica::Replica, route::Table};
+use verbenaspool_state::{
+    position::Position, provenance::Provenance, replica::Replica, route::Table,
+};
 use verbenaspool_transport::{clock::Clock, http::client::Client, metrics, rpc};
 
 use super::{
@@ -208,15 +210,9 @@
         })
     }
 
-    /// Takes the registry for outdated, so that a peer's replaces or confirms it.
-    pub fn distrust_registry(&self) {
-        let now = self.clock.now();
-        self.registry.borrow_mut().distrust(now);
-    }
-
-    /// The hash of the registry's objects.
-    pub fn registry_hash(&self) -> u32 {
-        self.registry.borrow().hash
+    /// What is known of the registry.
+    pub fn registry_provenance(&self) -> Provenance {
+        self.registry.borrow().provenance()
     }
 
     /// Where the last update of the registry came from, and how long ago.
@@ -349,10 +345,10 @@
         }
         let now = self.clock.now();
         let peers = self.peers.borrow();
-        if let Some(position) = peers.confirmed_position(now, registry.position, registry.hash) {
-            registry.confirm(position);
+        if let Some(peer) = peers.confirming_copy(now, registry.provenance()) {
+            registry.confirm(peer);
             info!(self.log, "registry of upstreams confirmed";
-                "era" => position.era, "revision" => position.revision);
+                "era" => peer.position.era, "revision" => peer.position.revision);
         }
     }
 
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use verbenaspool_platform::store::{Object, Stored};
 use verbenaspool_protocol::suspicion::Suspicion;
-use verbenaspool_state::position::Position;
+use verbenaspool_state::{position::Position, provenance::Provenance};
 use verbenaspool_transport::rpc;
 
 use crate::direct::{
@@ -50,6 +50,12 @@
     /// Whether its registry is from an outdated snapshot.
     #[serde(skip)]
     pub(super) outdated: bool,
+    /// The revision of the listing from which its registry follows.
+    #[serde(skip)]
+    pub(super) registry_listed: u64,
+    /// The hash of its registry.
+    #[serde(skip)]
+    pub(super) registry_hash: u32,
     /// The revision of the evacuated zones.
     #[serde(default)]
     pub(super) evacuations: u64,
@@ -82,6 +88,8 @@
             table: 0,
             registry: revision,
             outdated: false,
+            registry_listed: 0,
+            registry_hash: 0,
             evacuations: 0,
             configuration: 0,
             registry_era: 0,
@@ -96,6 +104,24 @@
         Position::new(self.registry_era, self.registry)
     }
 
+    /// What is known of the registry.
+    pub(super) fn provenance(&self) -> Provenance {
+        Provenance {
+            position: self.registry(),
+            listed: self.registry_listed,
+            hash: self.registry_hash,
+        }
+    }
+
+    /// These versions, without a registry: a peer then sends all of its objects.
+    fn without_registry(self) -> Self {
+        Self {
+            registry: 0,
+            registry_era: 0,
+            ..self
+        }
+    }
+
     /// The store's position of the evacuated zones.
     pub(super) fn evacuations(&self) -> Position {
         Position::new(self.evacuations_era, self.evacuations)
@@ -126,6 +152,12 @@
     outdated: bool,
     #[serde(default)]
     base: Option<u64>,
+    /// The revision of the listing from which the registry follows, and the hash of all of its
+    /// objects. A peer of the previous version doesn't send them.
+    #[serde(default)]
+    listed: u64,
+    #[serde(default)]
+    hash: u32,
     /// Names of the objects that were removed after the revision `base`.
     #[serde(default)]
     removed: Vec<String>,
@@ -140,19 +172,30 @@
     quarantined: Vec<Suspicion>,
 }
 
+/// The outcome of applying a peer's newer state.
+#[derive(Debug, PartialEq, Eq)]
+enum Applied {
+    /// All of it was applied, or was older than what is known by now.
+    Whole,
+    /// The registry wasn't: all of the peer's objects have to replace this entry's.
+    Superseded,
+}
+
 impl Gateway {
     /// The versions of this entry's state.
     pub(super) fn versions(&self) -> Versions {
         let configuration = self.stored_configuration.borrow();
         let configuration = configuration.as_ref().map(Stored::position);
         let configuration = configuration.unwrap_or_default();
-        let registry = self.registry_position();
+        let registry = self.registry_provenance();
         let evacuations = self.evacuations.borrow().position();
         Versions {
             table: self.table_version(),
-            registry: registry.revision,
-            registry_era: registry.era,
+            registry: registry.position.revision,
+            registry_era: registry.position.era,
             outdated: self.is_registry_outdated(),
+            registry_listed: registry.listed,
+            registry_hash: registry.hash,
             evacuations: evacuations.revision,
             evacuations_era: evacuations.era,
             configuration: configuration.revision,
@@ -172,6 +215,8 @@
             upstreams: None,
             outdated: own.outdated,
             base: None,
+            listed: own.registry_listed,
+            hash: own.registry_hash,
             removed: Vec::new(),
             retention_left_ms: u64::try_from(self.retention_left().as_millis()).ok(),
             evacuations: (own.evacuations() > versions.evacuations())
@@ -202,24 +247,41 @@
 
     /// Fetches newer state from a peer and applies it.
     async fn fetch_update(&self, peer: Ipv4Addr) {
-        let address = SocketAddr::from((peer, self.settings.borrow().control.port()));
         let mut versions = self.versions();
-        if versions.outdated {
-            // Changes since its revision would lack earlier removals.
-            (versions.registry, versions.registry_era) = (0, 0);
+        if versions.outdated || self.peers.borrow().refutes(peer, versions) {
+            // Changes since its revision would lack what it lacks.
+            versions = versions.without_registry();
         }
+        let Some(update) = self.request_update(peer, &versions).await else {
+            return;
+        };
+        if self.apply_update(peer, update) == Applied::Superseded {
+            let versions = self.versions().without_registry();
+            if let Some(update) = self.request_update(peer, &versions).await {
+                self.apply_update(peer, update);
+            }
+        }
+    }
+
+    /// Requests what is newer than these versions from a peer.
+    async fn request_update(&self, peer: Ipv4Addr, versions: &Versions) -> Option<Update> {
+        let address = SocketAddr::from((peer, self.settings.borrow().control.port()));
         let result: Result<Update, _> = self
             .rpc
-            .call(address, LATEST_METHOD, &versions, CALL_TIMEOUT)
+            .call(address, LATEST_METHOD, versions, CALL_TIMEOUT)
             .await;
-        let update = match result {
-            Ok(update) => update,
+        match result {
+            Ok(update) => Some(update),
             Err(why) => {
                 warn!(self.log, "can't fetch newer state from peer";
                     "peer" => peer.to_string(), "reason" => why.to_string());
-                return;
+                None
             }
-        };
+        }
+    }
+
+    /// Applies a peer's newer state.
+    fn apply_update(&self, peer: Ipv4Addr, update: Update) -> Applied {
         let from = Source::Peer(peer);
         if let Some(evacuations) = update.evacuations {
             self.update_evacuations(evacuations, from);
@@ -232,15 +294,16 @@
         }
         self.record_suspicions(&update.quarantined);
         let Some(upstreams) = update.upstreams else {
-            return;
+            return Applied::Whole;
         };
+        let own = self.registry_provenance();
         let mut objects = match update.base {
             None => BTreeMap::new(),
-            Some(base) if Position::new(update.era, base) == self.registry_position() => {
+            Some(base) if Position::new(update.era, base) == own.position => {
                 self.registry_objects()
             }
             // The registry has changed since the call, and the next one will fit.
-            Some(_) => return,
+            Some(_) => return Applied::Whole,
         };
         for name in &update.removed {
             objects.remove(name);
@@ -250,6 +313,17 @@
                 .into_iter()
                 .map(|object| (object.name.clone(), object)),
         );
+        let mut listed = update.listed;
+        if update.base.is_some() && update.hash != 0 && registry::hash(&objects) != update.hash {
+            warn!(self.log, "changes of a peer's registry don't lead to its objects";
+                "peer" => peer.to_string(), "since" => own.position.revision,
+                "revision" => update.revision, "listed" => update.listed);
+            // One of both missed a change. What the peer listed later than that has all of them.
+            if update.listed >= own.position.revision {
+                return Applied::Superseded;
+            }
+            listed = own.listed;
+        }
         let now = self.clock.now();
         let retain_missing_until = update.retention_left_ms.map_or_else(
             || registry::missing_deadline(now),
@@ -259,9 +333,11 @@
             objects: &objects,
             position: Position::new(update.era, update.revision),
             outdated: update.outdated,
+            listed,
             source: from,
         };
         self.update_registry(retain_missing_until, &snapshot);
+        Applied::Whole
     }
 
     /// Records whether a fetch from a peer has brought its newer state.
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -49,8 +49,9 @@
             store: self.store_access(),
             configuration_revision: versions.configuration,
             configuration_era: versions.configuration_era,
-            registry_hash: self.registry_hash(),
+            registry_hash: versions.registry_hash,
             registry_outdated: versions.outdated,
+            registry_listed: versions.registry_listed,
             leaving: self.leaving.get(),
             in_flight,
             ..Digest::default()
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -17,6 +17,7 @@
 mod watchers;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet},
     net::{IpAddr, Ipv4Addr},
     time::Duration,
@@ -24,7 +25,7 @@
 
 use rand::seq::IteratorRandom;
 use verbenaspool_protocol::digest::{Digest, UNKNOWN_ZONE};
-use verbenaspool_state::position::Position;
+use verbenaspool_state::provenance::Provenance;
 
 pub use self::{
     catch_up::{Versions, catch_up, register_methods},
@@ -359,36 +360,40 @@
         sums
     }
 
-    /// Number of live peers whose registry has this position, and other objects.
+    /// What is known of the registries of live peers that aren't outdated.
+    fn registries(&self, now: Duration) -> impl Iterator<Item = Provenance> {
+        let peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
+        let current = peers.filter(|digest| !digest.registry_outdated);
+        current.map(Digest::registry_provenance)
+    }
+
+    /// Number of live peers whose registry names the same position, and has other objects.
     #[must_use]
-    pub fn differing_registries(&self, now: Duration, position: Position, hash: u32) -> usize {
-        let differs = |digest: &Digest| {
-            digest.registry() == position
-                && !digest.registry_outdated
-                && digest.registry_hash != 0
-                && digest.registry_hash != hash
-        };
-        let peers = self.live_peers(now);
-        peers.filter(|(_, peer)| differs(&peer.digest)).count()
+    pub fn differing_registries(&self, now: Duration, own: Provenance) -> usize {
+        let peers = self.registries(now);
+        peers.filter(|peer| own.differs_from(*peer)).count()
     }
 
-    /// The newest position of a live peer's registry with this hash that isn't outdated, nor older
-    /// than `position`.
+    /// The number of those of which it isn't known which are right.
     #[must_use]
-    pub fn confirmed_position(
-        &self,
-        now: Duration,
-        position: Position,
-        hash: u32,
-    ) -> Option<Position> {
-        let confirms = |digest: &Digest| {
-            !digest.registry_outdated
-                && digest.registry_hash == hash
-                && digest.registry() >= position
-        };
-        let peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
-        let confirming = peers.filter(|digest| confirms(digest));
-        confirming.map(Digest::registry).max()
+    pub fn conflicting_registries(&self, now: Duration, own: Provenance) -> usize {
+        let peers = self.registries(now);
+        peers.filter(|peer| own.conflicts_with(*peer)).count()
+    }
+
+    /// The newest registry of a live peer with the same hash that isn't outdated, nor older.
+    #[must_use]
+    pub fn confirming_copy(&self, now: Duration, own: Provenance) -> Option<Provenance> {
+        let peers = self.registries(now);
+        let same = peers.filter(|peer| peer.hash == own.hash && peer.position >= own.position);
+        same.max_by_key(|peer| (peer.position, peer.listed))
+    }
+
+    /// Whether a peer's registry shows that this entry's is wrong.
+    #[must_use]
+    pub fn refutes(&self, address: Ipv4Addr, versions: Versions) -> bool {
+        let peer = self.known.get(&address);
+        peer.is_some_and(|peer| is_refuted_by(versions, &peer.digest))
     }
 
     /// Records that a fetch didn't bring a peer's newer state.
@@ -399,7 +404,8 @@
     }
 
     /// The peers that have newer state, and whether each is in this entry's zone. Those of this
-    /// entry's zone come first, and those last from which a recent fetch failed.
+    /// entry's zone come first, of these the one whose registry was listed last, and those last from
+    /// which a recent fetch failed.
     #[must_use]
     pub fn newer_peers(&self, now: Duration, versions: Versions) -> Vec<(Ipv4Addr, bool)> {
         let is_newer = |peer: &Peer| {
@@ -414,7 +420,10 @@
             failed_at.filter(|at| now.saturating_sub(*at) < FETCH_FAILURE_TIME)
         };
         let mut newer: Vec<_> = newer.collect();
-        newer.sort_by_key(|(_, peer)| (recent_failure(peer), !self.is_same_zone(peer)));
+        newer.sort_by_key(|(_, peer)| {
+            let listed = Reverse(peer.digest.registry_listed);
+            (recent_failure(peer), !self.is_same_zone(peer), listed)
+        });
         let newer = newer.into_iter();
         let newer = newer.map(|(address, peer)| (*address, self.is_same_zone(peer)));
         newer.collect()
@@ -466,9 +475,21 @@
     }
 }
 
-/// Whether a peer's registry is newer. An outdated one isn't newer than one that isn't, and one that
-/// isn't replaces an outdated one at the same position.
+/// Whether a peer's registry shows that one with these versions is wrong.
+fn is_refuted_by(versions: Versions, digest: &Digest) -> bool {
+    let is_current = !versions.outdated && !digest.registry_outdated;
+    is_current
+        && versions
+            .provenance()
+            .is_refuted_by(digest.registry_provenance())
+}
+
+/// Whether a peer's registry is newer, or shows that the other one is wrong. An outdated one isn't
+/// newer than one that isn't, and one that isn't replaces an outdated one at the same position.
 fn has_newer_registry(digest: &Digest, versions: Versions) -> bool {
+    if is_refuted_by(versions, digest) {
+        return true;
+    }
     match (versions.outdated, digest.registry_outdated) {
         (true, false) => digest.registry() >= versions.registry(),
         (false, true) if versions.registry().is_known() => false,
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -6,9 +6,10 @@
 };
 
 use verbenaspool_protocol::digest::{Digest, StoreAccess};
+use verbenaspool_state::position::Position;
 
 use super::{
-    DISCOVERY_TIME, MAX_NAMED_PEERS, Peers, Position, REMOTE_SAMPLE, Versions, digest_interval,
+    DISCOVERY_TIME, MAX_NAMED_PEERS, Peers, Provenance, REMOTE_SAMPLE, Versions, digest_interval,
 };
 
 /// Address of the entry itself.
@@ -289,6 +290,7 @@
     let known = |era, revision| Digest {
         registry_era: era,
         registry_revision: revision,
+        registry_hash: 8,
         evacuation_era: era,
         evacuation_revision: revision,
         configuration_era: era,
@@ -305,8 +307,13 @@
     peers.receive(now, peer(1), known(2, 104));
     assert_eq!(peers.newer_peers(now, versions(1, 109)).len(), 1);
     assert!(peers.newer_peers(now, versions(3, 90)).is_empty());
+    let copy_of_first_era = Provenance {
+        position: Position::new(1, 104),
+        listed: 0,
+        hash: 7,
+    };
     assert_eq!(
-        peers.differing_registries(now, Position::new(1, 104), 7),
+        peers.differing_registries(now, copy_of_first_era),
         0,
         "the same revision of another era is another state"
     );
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -307,7 +307,7 @@
         );
         let position = self.registry_position();
         let peers = self.peers.borrow();
-        let differing = peers.differing_registries(now, position, self.registry_hash());
+        let differing = peers.differing_registries(now, self.registry_provenance());
         #[allow(clippy::cast_precision_loss)] // Revisions stay far below 2^52.
         let (revision, differing) = (position.revision as f64, differing as f64);
         gauge(
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -12,6 +12,7 @@
 use verbenaspool_protocol::digest;
 use verbenaspool_state::{
     position::Position,
+    provenance::Provenance,
     replica::{Replica, State},
 };
 
@@ -74,6 +75,8 @@
     /// Whether the snapshot may be older than the store's revision at that time. A removal leaves no
     /// object, so that two such snapshots can have the same revision and different objects.
     pub outdated: bool,
+    /// The revision of the listing of the store from which the objects follow; 0 if unknown.
+    pub listed: u64,
     /// Where it came from.
     pub source: Source,
 }
@@ -113,6 +116,8 @@
     pub position: Position,
     /// Since when the objects are from an outdated [`Snapshot`], if they are.
     pub outdated_since: Option<Duration>,
+    /// The revision of the listing of the store from which the objects follow; 0 if unknown.
+    pub listed: u64,
     /// A hash of the objects; 0 until there are some.
     pub hash: u32,
     /// Where the last update came from.
@@ -216,6 +221,7 @@
         self.retain_missing_until = retain_missing_until;
         self.record_removals(snapshot);
         self.position = snapshot.position;
+        self.listed = snapshot.listed;
         let since = self.outdated_since.unwrap_or(now);
         self.outdated_since = snapshot.outdated.then_some(since);
         self.source = snapshot.source;
@@ -233,15 +239,21 @@
         self.outdated_since.is_some()
     }
 
-    /// Records that the objects may not be the store's at their revision.
-    pub fn distrust(&mut self, now: Duration) {
-        self.outdated_since.get_or_insert(now);
+    /// What is known of the objects.
+    #[must_use]
+    pub fn provenance(&self) -> Provenance {
+        Provenance {
+            position: self.position,
+            listed: self.listed,
+            hash: self.hash,
+        }
     }
 
-    /// Records that outdated objects are the store's at a position, as a peer's are that have the
-    /// same hash.
-    pub fn confirm(&mut self, position: Position) {
+    /// Records that outdated objects are the same as a peer's, which aren't outdated.
+    pub fn confirm(&mut self, peer: Provenance) {
+        let position = peer.position;
         self.position = position;
+        self.listed = peer.listed;
         self.outdated_since = None;
         self.removals.clear();
         self.removals_since = position;
@@ -496,7 +508,7 @@
 }
 
 /// A hash of objects that doesn't depend on their order, and isn't 0.
-fn hash(objects: &BTreeMap<String, Object>) -> u32 {
+pub fn hash(objects: &BTreeMap<String, Object>) -> u32 {
     let hashes = objects.values().map(|object| {
         let (name, revision) = (&object.name, object.revision);
         digest::hash(&format!("{name} {revision} {}", object.specification))
--- a/verbenaspool/src/direct/registry/tests.rs
+++ b/verbenaspool/src/direct/registry/tests.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use verbenaspool_platform::store::Object;
-use verbenaspool_state::position::Position;
+use verbenaspool_state::{position::Position, provenance::Provenance};
 
 use super::{COPIED_OBJECT_TIME, Changes, MAX_REMOVALS, Registry, Snapshot, Source};
 
@@ -37,6 +37,7 @@
         objects,
         position,
         outdated: false,
+        listed: 0,
         source: Source::Listing,
     };
     registry.update(Duration::from_secs(1), Duration::ZERO, &snapshot);
@@ -170,11 +171,15 @@
         objects: &first,
         position: at(9),
         outdated: true,
+        listed: 0,
         source: Source::OutdatedListing,
     };
     registry.update(Duration::from_secs(1), Duration::ZERO, &outdated);
     let mut confirmed = registry;
-    confirmed.confirm(at(46));
+    confirmed.confirm(Provenance {
+        position: at(46),
+        ..Provenance::default()
+    });
     let mut listed = Registry::default();
     listed.update(Duration::from_secs(1), Duration::ZERO, &outdated);
     replace(&mut listed, 46, &first);
@@ -193,6 +198,7 @@
         objects: &objects,
         position: Position::new(registry.position.era + 1, 4),
         outdated: false,
+        listed: 0,
         source: Source::Listing,
     };
     assert!(registry.accepts(&snapshot));
@@ -216,6 +222,7 @@
         objects: &late,
         position: at(12),
         outdated: false,
+        listed: 0,
         source: Source::Listing,
     };
     assert!(!registry.accepts(&late));
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use serde::{Deserialize, Serialize};
-use verbenaspool_state::position::Position;
+use verbenaspool_state::{position::Position, provenance::Provenance};
 
 /// The state of one entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +47,9 @@
     pub evacuation_era: u64,
     /// The same for the revision of the configuration's object.
     pub configuration_era: u64,
+    /// The revision of the listing of the store from which the upstream registry in use follows; 0
+    /// if unknown.
+    pub registry_listed: u64,
 }
 
 impl Digest {
@@ -63,7 +66,24 @@
         Position::new(self.registry_era, self.registry_revision)
     }
 
-    /// The same of the evacuations in use.
+    /// What is known of the upstream registry in use.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::digest::Digest;
+    ///
+    /// let digest = Digest { registry_revision: 7, registry_listed: 7, ..Digest::default() };
+    /// assert!(digest.registry_provenance().is_listed());
+    /// ```
+    #[must_use]
+    pub fn registry_provenance(&self) -> Provenance {
+        Provenance {
+            position: self.registry(),
+            listed: self.registry_listed,
+            hash: self.registry_hash,
+        }
+    }
+
+    /// The position of the evacuations in use.
     ///
     /// ```
     /// use verbenaspool_protocol::digest::Digest;
--- a/verbenaspool_state/src/lib.rs
+++ b/verbenaspool_state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod name;
 pub mod place;
 pub mod position;
+pub mod provenance;
 pub mod rate_limit;
 pub mod rebalancing;
 pub mod replica;
