--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -339,14 +339,7 @@
             Kind::Evacuations => self.gateway.evacuations.borrow().objects(),
         };
         for change in changes {
-            match change {
-                Change::Put(object) => {
-                    objects.insert(object.name.clone(), object);
-                }
-                Change::Removed(name) => {
-                    objects.remove(&name);
-                }
-            }
+            change.apply(&mut objects);
         }
         self.publish(objects, Source::Watch);
     }
