List all kinds of objects again after the store has lost the history of one

A watch that waits while the store drops its history may report only what changes after that. The copy then names a revision up to which it lacks changes, without any call that fails, and if no peer has listed, nothing corrects it.

Cause: history is the store's, not a kind's, but only the follower whose own call was answered with 'history gone' listed again. Now all followers of the entry do, once for each loss, unless the call was from a position that the entry hadn't watched from before.

The cost is two listings more for each entry that watches, with each loss of history.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -100,6 +100,8 @@
     cut_off: bool,
     /// How long an outdated registry waits for a peer's before its objects are listed next.
     next_listing: Duration,
+    /// The losses of the store's history after which the objects were listed.
+    history_losses: u64,
     /// When the objects were last listed, other than by an outdated listing.
     listed_at: Option<Duration>,
     /// The minimum interval until they are listed again.
@@ -131,6 +133,7 @@
             failing: false,
             cut_off: false,
             next_listing: MAX_OUTDATED_TIME,
+            history_losses: 0,
             listed_at: None,
             listing_interval: LISTING_INTERVALS[0],
             retry_interval: RETRY_INTERVALS[0],
@@ -154,7 +157,7 @@
             if !complete && !self.list(false).await {
                 continue;
             }
-            listed = self.watch().await == WatchEnd::Replaced;
+            listed = self.watch(!complete).await == WatchEnd::Replaced;
         }
     }
 
@@ -190,6 +193,7 @@
             self.pace_listings().await;
         }
         self.gateway.store.era.learn(self.watch_position().era);
+        let history_losses = self.gateway.history_losses.get();
         let listing = self
             .gateway
             .store
@@ -210,6 +214,7 @@
                     position.revision = newest.unwrap_or(1);
                 }
                 self.position = position;
+                self.history_losses = history_losses;
                 let source = if stale {
                     Source::OutdatedListing
                 } else {
@@ -252,12 +257,20 @@
         })
     }
 
-    /// Watches for changes until all objects must be listed again or other entries watch.
-    async fn watch(&mut self) -> WatchEnd {
+    /// Watches for changes until all objects must be listed again or other entries watch. The changes
+    /// up to now are known if the objects were just listed.
+    async fn watch(&mut self, is_listed: bool) -> WatchEnd {
+        let mut is_current = is_listed;
+        if !is_listed {
+            self.history_losses = self.gateway.history_losses.get();
+        }
         loop {
             if !self.gateway.watches_store() {
                 return WatchEnd::Replaced;
             }
+            if self.gateway.history_losses.get() > self.history_losses {
+                return WatchEnd::Relist;
+            }
             let now = self.gateway.clock.now();
             let watchers = self.gateway.peers.borrow().watchers(now);
             let wait = watch_wait(watchers, rand::random());
@@ -273,9 +286,11 @@
                 .store
                 .watch(self.kind.object_kind(), from, wait);
             let (relist, restored) = (self.relist.notified(), self.gateway.restored.notified());
+            let history_lost = self.gateway.history_lost.notified();
             let watched = monoio::select! {
                 watched = watch => watched,
                 () = relist => return WatchEnd::Relist,
+                () = history_lost => return WatchEnd::Relist,
                 // The watch may be on a connection that the store has abandoned.
                 () = restored => {
                     self.spread_listings(watchers).await;
@@ -286,6 +301,7 @@
                 Ok(WatchOutcome::Changes(changes, position)) => {
                     self.record_success();
                     self.listing_interval = LISTING_INTERVALS[0];
+                    is_current = true;
                     self.position = self.position.max(position);
                     let waited = self.gateway.clock.now().saturating_sub(started);
                     if !changes.is_empty() {
@@ -300,6 +316,9 @@
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
                         "kind" => self.kind.object_kind(), "revision" => from.revision);
+                    if is_current {
+                        self.report_history_loss();
+                    }
                     return WatchEnd::Relist;
                 }
                 Ok(WatchOutcome::Restored) => self.gateway.observe_store_era(),
@@ -311,6 +330,16 @@
         }
     }
 
+    /// Has the followers of all kinds list their objects again, unless another one did so for the same
+    /// loss of the store's history. A watch that waits meanwhile may miss what changed before.
+    fn report_history_loss(&self) {
+        let losses = &self.gateway.history_losses;
+        if losses.get() == self.history_losses {
+            losses.set(losses.get() + 1);
+            self.gateway.history_lost.notify_waiters();
+        }
+    }
+
     /// Waits for a part of the time in which entries list the objects after the store came back
     /// from a copy. All of them learn of that at the same time.
     async fn spread_listings(&self, watchers: usize) {
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -96,6 +96,10 @@
     pub hinted_store_era: Cell<u64>,
     /// Wakes the followers that watch the store when it has come back from an older copy.
     pub restored: Notify,
+    /// How often a watch found that the store no longer had the changes since its last answer.
+    pub history_losses: Cell<u64>,
+    /// Notified with each of them.
+    pub history_lost: Notify,
     /// Whether an object of the store without a readable name was logged.
     pub has_logged_unnamed: Cell<bool>,
     /// Whether peers have other objects at the registry's revision.
@@ -162,6 +166,8 @@
             store_era: Cell::default(),
             hinted_store_era: Cell::default(),
             restored: Notify::new(),
+            history_losses: Cell::default(),
+            history_lost: Notify::new(),
             has_logged_unnamed: Cell::default(),
             divergence: RefCell::default(),
             leaving: Cell::new(false),
