Keep missing upstreams only after an outage in which registrations may have expired

Upstreams whose registration was removed kept getting requests for 2 s after the store, as one entry saw it, came back: a watch that ended by its timeout, or calls rejected by the rate limit, counted as an outage of the store.

Cause: any two failed calls of one entry counted, however short the time, and whether or not the store answered others. A registration expires after three heartbeats of silence, so that an outage of less than two can't be the reason. Digests now tell how long ago the store answered, and an outage is a time of two heartbeats (bounds.heartbeat_ms) in which a call failed and neither this entry nor a peer was answered. It ends with the first answer to any of them.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -90,10 +90,8 @@
     relist: Rc<Notify>,
     /// The store's position up to which changes are known from it.
     position: Position,
-    /// Since when the store has been answering, or `None` during an outage.
-    available_since: Option<Duration>,
-    /// Whether a call to the store has failed since the process started.
-    had_outage: bool,
+    /// Whether the store answers, as far as is known.
+    is_available: bool,
     /// Whether the last call to the store failed.
     failing: bool,
     /// Whether the last watch was cut off.
@@ -128,8 +126,7 @@
             kind,
             relist,
             position: Position::default(),
-            available_since: None,
-            had_outage: false,
+            is_available: false,
             failing: false,
             cut_off: false,
             next_listing: MAX_OUTDATED_TIME,
@@ -244,8 +241,8 @@
     /// Records that the store came back from an older copy. Registrations that the copy lacks are
     /// written again like those that expired during an outage.
     fn record_restore(&mut self) {
-        self.had_outage = true;
-        self.available_since = Some(self.gateway.clock.now());
+        let now = self.gateway.clock.now();
+        self.gateway.outage.borrow_mut().record_restore(now);
     }
 
     /// The position to watch from. Peers may have delivered newer objects.
@@ -395,16 +392,11 @@
                 self.gateway.update_evacuations(evacuations, source);
             }
             Kind::Registry => {
-                let available_since = self
-                    .available_since
-                    .unwrap_or_else(|| self.gateway.clock.now());
                 // Without an outage no registration expired wrongly, so missing upstreams
                 // have stopped.
-                let retain_missing_until = if self.had_outage {
-                    registry::missing_deadline(available_since)
-                } else {
-                    Duration::ZERO
-                };
+                let ended_at = self.gateway.outage.borrow().ended_at();
+                let retain_missing_until =
+                    ended_at.map_or(Duration::ZERO, registry::missing_deadline);
                 let snapshot = Snapshot {
                     objects: &objects,
                     position: self.position,
@@ -426,11 +418,11 @@
     fn record_success(&mut self) {
         self.gateway.observe_store_era();
         self.gateway.log_unnamed_objects();
+        self.gateway.record_store_answer(self.failing);
         self.set_failing(false);
         self.cut_off = false;
         self.retry_interval = RETRY_INTERVALS[0];
-        if self.available_since.is_none() {
-            self.available_since = Some(self.gateway.clock.now());
+        if !std::mem::replace(&mut self.is_available, true) {
             info!(self.gateway.log, "store reachable"; "kind" => self.kind.object_kind());
         }
     }
@@ -451,8 +443,7 @@
     async fn back_off(&mut self, why: &Error) {
         self.set_failing(true);
         self.listing_interval = LISTING_INTERVALS[0];
-        self.had_outage = true;
-        if self.available_since.take().is_some() {
+        if std::mem::replace(&mut self.is_available, false) {
             let now = self.gateway.clock.now();
             let watching = self.gateway.peers.borrow().watching_peers(now);
             warn!(self.gateway.log, "store unreachable; keeping the known objects";
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -30,6 +30,7 @@
     divergence::Divergence,
     evacuation::Evacuations,
     memory::Memory,
+    outage::Outage,
     peers::Peers,
     queue::ServiceQueue,
     readiness::ExceededLimits,
@@ -104,6 +105,8 @@
     pub has_logged_unnamed: Cell<bool>,
     /// Whether peers have other objects at the registry's revision.
     pub divergence: RefCell<Divergence>,
+    /// The outages of the store.
+    pub outage: RefCell<Outage>,
     /// Whether the process is shutting down. It fails readiness checks but still accepts
     /// requests.
     pub leaving: Cell<bool>,
@@ -170,6 +173,7 @@
             history_lost: Notify::new(),
             has_logged_unnamed: Cell::default(),
             divergence: RefCell::default(),
+            outage: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
             table_source: RefCell::default(),
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod gateway;
 mod memory;
+mod outage;
 pub mod peers;
 mod quarantine;
 mod queue;
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -50,6 +50,7 @@
             configuration_revision: versions.configuration,
             configuration_era: versions.configuration_era,
             registry_hash: versions.registry_hash,
+            store_answer_age_ms: self.store_answer_age_ms(),
             registry_outdated: versions.outdated,
             registry_listed: versions.registry_listed,
             leaving: self.leaving.get(),
@@ -122,8 +123,12 @@
                     continue;
                 };
                 let era = digest.registry_era.max(digest.configuration_era);
+                let answer_age_ms = digest.store_answer_age_ms;
                 let changed = gateway.peers.borrow_mut().receive(now, from, digest);
                 gateway.hint_store_era(era);
+                if let Some(age_ms) = answer_age_ms.filter(|_| changed) {
+                    gateway.record_peer_answer(age_ms);
+                }
                 if changed {
                     gateway.distribute_peer_load();
                 }
--- a/verbenaspool/src/direct/settings.rs
+++ b/verbenaspool/src/direct/settings.rs
@@ -118,6 +118,8 @@
     /// How long after its evacuation a zone may still get requests, in milliseconds. Zones
     /// are never evacuated if it is missing.
     pub evacuation_ms: Option<f64>,
+    /// Interval of the heartbeats with which upstreams renew their registrations, in milliseconds.
+    pub heartbeat_ms: u32,
 }
 
 impl Default for Limits {
@@ -128,6 +130,7 @@
             retry_window_s: 10.0,
             retry_slack: 0.0,
             evacuation_ms: None,
+            heartbeat_ms: 1_200,
         }
     }
 }
@@ -144,6 +147,17 @@
         self.evacuation_ms.is_some()
     }
 
+    /// Interval of the heartbeats with which upstreams renew their registrations.
+    ///
+    /// ```
+    /// let limits = verbenaspool::direct::settings::Limits::default();
+    /// assert_eq!(limits.heartbeat_interval().as_millis(), 1_200);
+    /// ```
+    #[must_use]
+    pub fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms.into())
+    }
+
     /// The limits of the retry budget.
     ///
     /// ```
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -50,6 +50,8 @@
     /// The revision of the listing of the store from which the upstream registry in use follows; 0
     /// if unknown.
     pub registry_listed: u64,
+    /// How long ago the platform's store answered the entry, in milliseconds, if it did.
+    pub store_answer_age_ms: Option<u32>,
 }
 
 impl Digest {
