Compare evacuated zones between entries, as registries are

Two entries that had each missed another change of the evacuated zones differed unnoticed, and requests went on into a zone that the operator had evacuated, until the zones changed again.

Cause: the same as with the registry: a watch that outlives the loss of the store's history, or one that goes on past changes it never got, names a revision of which the copy lacks a part; peers hand over all zones, but only to those with a lower revision, and nothing compared them. Zones now carry their listing's revision and a hash, in digests and updates; entries that watch list them again while it isn't known which are right, and all take those that were just listed.

--- a/verbenaspool/src/direct/divergence.rs
+++ b/verbenaspool/src/direct/divergence.rs
@@ -1,4 +1,4 @@
-//! Entries whose registries have the same revision and different objects.
+//! Entries whose registries, or evacuated zones, have the same revision and different objects.
 //!
 //! Entries compare revisions to learn what is new. A copy that lacks a change, because the store or a
 //! peer didn't pass it on, has the revision of the others and would never be corrected. Digests
@@ -88,5 +88,26 @@
     }
 }
 
+impl Gateway {
+    /// Lists the evacuated zones again if peers have others at the same revision, and nobody knows
+    /// whose are right.
+    pub fn correct_evacuations(&self) {
+        let now = self.clock.now();
+        let own = self.evacuations.borrow().provenance();
+        let differing = self.peers.borrow().conflicting_evacuations(now, own);
+        let watches = self.watches_store();
+        let mut divergence = self.evacuation_divergence.borrow_mut();
+        if !divergence.observe(now, differing > 0, watches) {
+            return;
+        }
+        warn!(self.log, "evacuated zones differ from peers' at the same revision";
+            "era" => own.position.era, "revision" => own.position.revision, "listed" => own.listed,
+            "hash" => own.hash, "peers" => differing);
+        if watches {
+            self.relist_evacuations.notify_one();
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/verbenaspool/src/direct/evacuation.rs
+++ b/verbenaspool/src/direct/evacuation.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use verbenaspool_platform::store::Object;
-use verbenaspool_state::position::Position;
+use verbenaspool_protocol::digest;
+use verbenaspool_state::{position::Position, provenance::Provenance};
 
 use super::{gateway::Gateway, registry::Source};
 
@@ -27,6 +28,9 @@
     pub era: u64,
     /// The zones.
     pub zones: BTreeSet<String>,
+    /// The revision of the store's listing from which the zones follow; 0 if unknown.
+    #[serde(default)]
+    pub listed: u64,
 }
 
 impl Evacuations {
@@ -35,6 +39,17 @@
         Position::new(self.era, self.revision)
     }
 
+    /// What is known of the zones.
+    pub fn provenance(&self) -> Provenance {
+        let hashes = self.zones.iter().map(|zone| digest::hash(zone));
+        let hash = hashes.fold(0, u32::wrapping_add).max(1);
+        Provenance {
+            position: self.position(),
+            listed: self.listed,
+            hash: if self.position().is_known() { hash } else { 0 },
+        }
+    }
+
     /// The evacuated zones as objects of the store.
     pub fn objects(&self) -> BTreeMap<String, Object> {
         let object = |name: &String| Object {
@@ -49,10 +64,12 @@
 }
 
 impl Gateway {
-    /// Replaces the evacuated zones, unless the given list is older than the one in use.
+    /// Replaces the evacuated zones, unless the given list is older than the one in use, or is as old
+    /// and doesn't show that the other one is wrong.
     pub fn update_evacuations(&self, evacuations: Evacuations, from: Source) {
         let current = self.evacuations.borrow().clone();
-        if evacuations.position() <= current.position() {
+        let refutes = current.provenance().is_refuted_by(evacuations.provenance());
+        if evacuations.position() <= current.position() && !refutes {
             return;
         }
         let zones_before = self.zones_in_evacuation();
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -388,6 +388,7 @@
                     revision: self.position.revision,
                     era: self.position.era,
                     zones: objects.into_keys().collect(),
+                    listed: self.listed(source, self.gateway.evacuations.borrow().listed),
                 };
                 self.gateway.update_evacuations(evacuations, source);
             }
@@ -401,11 +402,7 @@
                     objects: &objects,
                     position: self.position,
                     outdated: source == Source::OutdatedListing,
-                    listed: match source {
-                        Source::Listing => self.position.revision,
-                        Source::OutdatedListing => 0,
-                        _ => self.gateway.registry_provenance().listed,
-                    },
+                    listed: self.listed(source, self.gateway.registry_provenance().listed),
                     source,
                 };
                 self.gateway
@@ -414,6 +411,16 @@
         }
     }
 
+    /// The revision of the listing from which objects of a source follow, given that of the objects
+    /// before.
+    fn listed(&self, source: Source, before: u64) -> u64 {
+        match source {
+            Source::Listing => self.position.revision,
+            Source::OutdatedListing => 0,
+            Source::Watch | Source::Peer(_) => before,
+        }
+    }
+
     /// Records that the store answered a call.
     fn record_success(&mut self) {
         self.gateway.observe_store_era();
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -91,6 +91,8 @@
     pub unsaved: Notify,
     /// Makes the follower of the registry list all objects again.
     pub relist_registry: Rc<Notify>,
+    /// The same for the evacuated zones.
+    pub relist_evacuations: Rc<Notify>,
     /// The latest era of the store that was logged, and that followers know of.
     pub store_era: Cell<u64>,
     /// The latest era of the store that a peer named and that made followers ask the store.
@@ -105,6 +107,8 @@
     pub has_logged_unnamed: Cell<bool>,
     /// Whether peers have other objects at the registry's revision.
     pub divergence: RefCell<Divergence>,
+    /// The same of the evacuated zones.
+    pub evacuation_divergence: RefCell<Divergence>,
     /// The outages of the store.
     pub outage: RefCell<Outage>,
     /// Whether the process is shutting down. It fails readiness checks but still accepts
@@ -166,6 +170,7 @@
             stored_configuration: RefCell::default(),
             unsaved: Notify::new(),
             relist_registry: Rc::new(Notify::new()),
+            relist_evacuations: Rc::new(Notify::new()),
             store_era: Cell::default(),
             hinted_store_era: Cell::default(),
             restored: Notify::new(),
@@ -173,6 +178,7 @@
             history_lost: Notify::new(),
             has_logged_unnamed: Cell::default(),
             divergence: RefCell::default(),
+            evacuation_divergence: RefCell::default(),
             outage: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -56,6 +56,11 @@
     /// The hash of its registry.
     #[serde(skip)]
     pub(super) registry_hash: u32,
+    /// The same of the evacuated zones.
+    #[serde(skip)]
+    pub(super) evacuations_listed: u64,
+    #[serde(skip)]
+    pub(super) evacuations_hash: u32,
     /// The revision of the evacuated zones.
     #[serde(default)]
     pub(super) evacuations: u64,
@@ -90,6 +95,8 @@
             outdated: false,
             registry_listed: 0,
             registry_hash: 0,
+            evacuations_listed: 0,
+            evacuations_hash: 0,
             evacuations: 0,
             configuration: 0,
             registry_era: 0,
@@ -105,7 +112,7 @@
     }
 
     /// What is known of the registry.
-    pub(super) fn provenance(&self) -> Provenance {
+    pub(super) fn registry_provenance(&self) -> Provenance {
         Provenance {
             position: self.registry(),
             listed: self.registry_listed,
@@ -113,6 +120,24 @@
         }
     }
 
+    /// What is known of the evacuated zones.
+    pub(super) fn evacuation_provenance(&self) -> Provenance {
+        Provenance {
+            position: self.evacuations(),
+            listed: self.evacuations_listed,
+            hash: self.evacuations_hash,
+        }
+    }
+
+    /// These versions, without evacuated zones: a peer then sends its own.
+    fn without_evacuations(self) -> Self {
+        Self {
+            evacuations: 0,
+            evacuations_era: 0,
+            ..self
+        }
+    }
+
     /// These versions, without a registry: a peer then sends all of its objects.
     fn without_registry(self) -> Self {
         Self {
@@ -188,7 +213,7 @@
         let configuration = configuration.as_ref().map(Stored::position);
         let configuration = configuration.unwrap_or_default();
         let registry = self.registry_provenance();
-        let evacuations = self.evacuations.borrow().position();
+        let evacuations = self.evacuations.borrow().provenance();
         Versions {
             table: self.table_version(),
             registry: registry.position.revision,
@@ -196,8 +221,10 @@
             outdated: self.is_registry_outdated(),
             registry_listed: registry.listed,
             registry_hash: registry.hash,
-            evacuations: evacuations.revision,
-            evacuations_era: evacuations.era,
+            evacuations_listed: evacuations.listed,
+            evacuations_hash: evacuations.hash,
+            evacuations: evacuations.position.revision,
+            evacuations_era: evacuations.position.era,
             configuration: configuration.revision,
             configuration_era: configuration.era,
             accepts_changes: true,
@@ -248,10 +275,13 @@
     /// Fetches newer state from a peer and applies it.
     async fn fetch_update(&self, peer: Ipv4Addr) {
         let mut versions = self.versions();
-        if versions.outdated || self.peers.borrow().refutes(peer, versions) {
+        if versions.outdated || self.peers.borrow().refutes_registry(peer, versions) {
             // Changes since its revision would lack what it lacks.
             versions = versions.without_registry();
         }
+        if self.peers.borrow().refutes_evacuations(peer, versions) {
+            versions = versions.without_evacuations();
+        }
         let Some(update) = self.request_update(peer, &versions).await else {
             return;
         };
@@ -369,6 +399,7 @@
         let now = gateway.clock.now();
         gateway.confirm_registry();
         gateway.correct_registry();
+        gateway.correct_evacuations();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
         let Some(&(peer, same_zone)) = newer.first() else {
             gateway.peers.borrow_mut().behind_since = None;
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -47,6 +47,8 @@
             evacuation_revision: versions.evacuations,
             evacuation_era: versions.evacuations_era,
             store: self.store_access(),
+            evacuation_hash: versions.evacuations_hash,
+            evacuation_listed: versions.evacuations_listed,
             configuration_revision: versions.configuration,
             configuration_era: versions.configuration_era,
             registry_hash: versions.registry_hash,
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -391,9 +391,25 @@
 
     /// Whether a peer's registry shows that this entry's is wrong.
     #[must_use]
-    pub fn refutes(&self, address: Ipv4Addr, versions: Versions) -> bool {
+    pub fn refutes_registry(&self, address: Ipv4Addr, versions: Versions) -> bool {
         let peer = self.known.get(&address);
-        peer.is_some_and(|peer| is_refuted_by(versions, &peer.digest))
+        peer.is_some_and(|peer| is_registry_refuted(versions, &peer.digest))
+    }
+
+    /// The same for the evacuated zones.
+    #[must_use]
+    pub fn refutes_evacuations(&self, address: Ipv4Addr, versions: Versions) -> bool {
+        let peer = self.known.get(&address);
+        peer.is_some_and(|peer| are_evacuations_refuted(versions, &peer.digest))
+    }
+
+    /// Number of live peers with other evacuated zones at the same position, of which it isn't known
+    /// which are right.
+    #[must_use]
+    pub fn conflicting_evacuations(&self, now: Duration, own: Provenance) -> usize {
+        let peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
+        let peers = peers.map(Digest::evacuation_provenance);
+        peers.filter(|peer| own.conflicts_with(*peer)).count()
     }
 
     /// Records that a fetch didn't bring a peer's newer state.
@@ -412,6 +428,7 @@
             peer.digest.table_version > versions.table
                 || has_newer_registry(&peer.digest, versions)
                 || peer.digest.evacuations() > versions.evacuations()
+                || are_evacuations_refuted(versions, &peer.digest)
                 || peer.digest.configuration() > versions.configuration()
         };
         let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
@@ -476,18 +493,24 @@
 }
 
 /// Whether a peer's registry shows that one with these versions is wrong.
-fn is_refuted_by(versions: Versions, digest: &Digest) -> bool {
+fn is_registry_refuted(versions: Versions, digest: &Digest) -> bool {
     let is_current = !versions.outdated && !digest.registry_outdated;
     is_current
         && versions
-            .provenance()
+            .registry_provenance()
             .is_refuted_by(digest.registry_provenance())
 }
 
+/// The same for the evacuated zones.
+fn are_evacuations_refuted(versions: Versions, digest: &Digest) -> bool {
+    let peer = digest.evacuation_provenance();
+    versions.evacuation_provenance().is_refuted_by(peer)
+}
+
 /// Whether a peer's registry is newer, or shows that the other one is wrong. An outdated one isn't
 /// newer than one that isn't, and one that isn't replaces an outdated one at the same position.
 fn has_newer_registry(digest: &Digest, versions: Versions) -> bool {
-    if is_refuted_by(versions, digest) {
+    if is_registry_refuted(versions, digest) {
         return true;
     }
     match (versions.outdated, digest.registry_outdated) {
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -190,7 +190,8 @@
     let follow = |kind| {
         let relist = match kind {
             Kind::Registry => gateway.relist_registry.clone(),
-            Kind::Configuration | Kind::Evacuations => Rc::new(Notify::new()),
+            Kind::Evacuations => gateway.relist_evacuations.clone(),
+            Kind::Configuration => Rc::new(Notify::new()),
         };
         let follower = Follower::new(gateway.clone(), kind, relist.clone());
         monoio::spawn(follower.run());
--- a/verbenaspool_protocol/src/digest.rs
+++ b/verbenaspool_protocol/src/digest.rs
@@ -52,6 +52,10 @@
     pub registry_listed: u64,
     /// How long ago the platform's store answered the entry, in milliseconds, if it did.
     pub store_answer_age_ms: Option<u32>,
+    /// A hash of the evacuations in use; 0 if unknown.
+    pub evacuation_hash: u32,
+    /// The revision of the listing of the store from which they follow; 0 if unknown.
+    pub evacuation_listed: u64,
 }
 
 impl Digest {
@@ -85,6 +89,22 @@
         }
     }
 
+    /// The same of the evacuations in use.
+    ///
+    /// ```
+    /// use verbenaspool_protocol::digest::Digest;
+    ///
+    /// assert!(!Digest::default().evacuation_provenance().is_listed());
+    /// ```
+    #[must_use]
+    pub fn evacuation_provenance(&self) -> Provenance {
+        Provenance {
+            position: self.evacuations(),
+            listed: self.evacuation_listed,
+            hash: self.evacuation_hash,
+        }
+    }
+
     /// The position of the evacuations in use.
     ///
     /// ```
--- a/verbenaspool_protocol/src/message.rs
+++ b/verbenaspool_protocol/src/message.rs
@@ -18,7 +18,7 @@
 
 /// Number of fields at the end of a digest that the previous version doesn't send, and that the
 /// version before it doesn't. Zero takes one byte in each of them.
-const NEW_DIGEST_FIELDS: [usize; 2] = [2, 5];
+const NEW_DIGEST_FIELDS: [usize; 2] = [4, 7];
 
 /// The same for a request for a slot. The version before the previous one omits both.
 const NEW_RESERVATION_FIELDS: usize = 2;
