List the registry again if a peer's newer copy arrived during a listing

A listing that is to correct a wrong copy is older than a copy that a peer delivers meanwhile, and was dropped; the next correction came 5 s later. Now the registry is listed again unless it follows from this listing or a later one. Found by reading; no test plays the few milliseconds of a listing.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -218,7 +218,7 @@
                     Source::Listing
                 };
                 self.publish(objects, source);
-                true
+                stale || !self.is_surpassed(position)
             }
             Err(why) => {
                 self.back_off(&why).await;
@@ -227,6 +227,15 @@
         }
     }
 
+    /// Whether a peer's registry arrived while the objects were listed at this position, and is newer.
+    /// It doesn't follow from the listing, and may be the one that the listing was to correct.
+    fn is_surpassed(&self, listed: Position) -> bool {
+        let registry = self.gateway.registry_provenance();
+        self.kind == Kind::Registry
+            && registry.position > listed
+            && registry.listed < listed.revision
+    }
+
     /// Waits until the objects may be listed again.
     async fn pace_listings(&mut self) {
         let now = self.gateway.clock.now();
