Remember that a registry is wrong until a later listing replaces it

With changes every few hundred milliseconds, entries with a wrong copy moved on to the next revision before they had fetched the right one from another zone, where nothing showed any more that theirs was wrong: the copy that was listed at the revision before isn't a listing at the new one. An upstream's leaving was missed for 2 s and more.

Cause: whether a copy is refuted was told from the present digests alone. Now the revision at which it was refuted is kept until a copy that was listed then or later replaces it; until then peers take nothing from it, and it takes changes from none. Entries that watch list after copies have differed for 150 ms rather than 300: copies at one revision have no right reason to differ, and digests name hash and revision of one moment.

--- a/verbenaspool/src/direct/divergence.rs
+++ b/verbenaspool/src/direct/divergence.rs
@@ -15,7 +15,7 @@
 use super::gateway::Gateway;
 
 /// How long registries differ before an entry that watches the store lists its objects again.
-const WATCHER_DELAY: Duration = Duration::from_millis(300);
+const WATCHER_DELAY: Duration = Duration::from_millis(150);
 
 /// How long they differ before another entry logs it.
 const FOLLOWER_DELAY: Duration = Duration::from_millis(1_500);
@@ -67,6 +67,17 @@
 }
 
 impl Gateway {
+    /// Records if a peer's registry shows that this entry's is wrong.
+    pub fn refute_registry(&self) {
+        let now = self.clock.now();
+        let own = self.registry_provenance();
+        let is_current = !self.is_registry_outdated();
+        if is_current && self.peers.borrow().refutes_registry(now, own) {
+            let mut registry = self.registry.borrow_mut();
+            registry.refuted_at = registry.refuted_at.max(own.position.revision);
+        }
+    }
+
     /// Lists the registry again if peers have other objects at the same revision, and nobody knows
     /// whose are right.
     pub fn correct_registry(&self) {
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -130,7 +130,7 @@
     /// Number of followers whose last call to the store failed.
     pub failing_followers: Cell<u32>,
     table: RefCell<Option<Rc<Table>>>,
-    registry: RefCell<Registry>,
+    pub(super) registry: RefCell<Registry>,
     registry_loaded: Cell<bool>,
     queues: RefCell<HashMap<Rc<str>, Rc<ServiceQueue>>>,
 }
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -56,7 +56,10 @@
     /// The hash of its registry.
     #[serde(skip)]
     pub(super) registry_hash: u32,
-    /// The same of the evacuated zones.
+    /// The revision at which a peer's listing showed that its registry is wrong, or 0.
+    #[serde(skip)]
+    pub(super) registry_refuted_at: u64,
+    /// What is known of the evacuated zones, as of the registry.
     #[serde(skip)]
     pub(super) evacuations_listed: u64,
     #[serde(skip)]
@@ -95,6 +98,7 @@
             outdated: false,
             registry_listed: 0,
             registry_hash: 0,
+            registry_refuted_at: 0,
             evacuations_listed: 0,
             evacuations_hash: 0,
             evacuations: 0,
@@ -111,13 +115,9 @@
         Position::new(self.registry_era, self.registry)
     }
 
-    /// What is known of the registry.
-    pub(super) fn registry_provenance(&self) -> Provenance {
-        Provenance {
-            position: self.registry(),
-            listed: self.registry_listed,
-            hash: self.registry_hash,
-        }
+    /// Whether its registry isn't the store's at its position, as far as is known.
+    pub(super) fn has_doubtful_registry(&self) -> bool {
+        self.outdated || self.registry_refuted_at > 0
     }
 
     /// What is known of the evacuated zones.
@@ -221,6 +221,7 @@
             outdated: self.is_registry_outdated(),
             registry_listed: registry.listed,
             registry_hash: registry.hash,
+            registry_refuted_at: self.registry.borrow().refuted_at,
             evacuations_listed: evacuations.listed,
             evacuations_hash: evacuations.hash,
             evacuations: evacuations.position.revision,
@@ -240,7 +241,7 @@
             revision: own.registry,
             era: own.registry_era,
             upstreams: None,
-            outdated: own.outdated,
+            outdated: own.has_doubtful_registry(),
             base: None,
             listed: own.registry_listed,
             hash: own.registry_hash,
@@ -261,7 +262,7 @@
             return update;
         }
         let changes = self.registry_changes(versions.registry());
-        let in_changes = versions.accepts_changes && !own.outdated;
+        let in_changes = versions.accepts_changes && !own.has_doubtful_registry();
         if let Some(changes) = changes.filter(|_| in_changes) {
             update.upstreams = Some(changes.changed);
             update.base = Some(versions.registry);
@@ -275,7 +276,7 @@
     /// Fetches newer state from a peer and applies it.
     async fn fetch_update(&self, peer: Ipv4Addr) {
         let mut versions = self.versions();
-        if versions.outdated || self.peers.borrow().refutes_registry(peer, versions) {
+        if versions.has_doubtful_registry() {
             // Changes since its revision would lack what it lacks.
             versions = versions.without_registry();
         }
@@ -398,6 +399,7 @@
         gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
         gateway.confirm_registry();
+        gateway.refute_registry();
         gateway.correct_registry();
         gateway.correct_evacuations();
         let newer = gateway.peers.borrow().newer_peers(now, gateway.versions());
--- a/verbenaspool/src/direct/peers/exchange.rs
+++ b/verbenaspool/src/direct/peers/exchange.rs
@@ -53,7 +53,7 @@
             configuration_era: versions.configuration_era,
             registry_hash: versions.registry_hash,
             store_answer_age_ms: self.store_answer_age_ms(),
-            registry_outdated: versions.outdated,
+            registry_outdated: versions.has_doubtful_registry(),
             registry_listed: versions.registry_listed,
             leaving: self.leaving.get(),
             in_flight,
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -391,12 +391,11 @@
 
     /// Whether a peer's registry shows that this entry's is wrong.
     #[must_use]
-    pub fn refutes_registry(&self, address: Ipv4Addr, versions: Versions) -> bool {
-        let peer = self.known.get(&address);
-        peer.is_some_and(|peer| is_registry_refuted(versions, &peer.digest))
+    pub fn refutes_registry(&self, now: Duration, own: Provenance) -> bool {
+        self.registries(now).any(|peer| own.is_refuted_by(peer))
     }
 
-    /// The same for the evacuated zones.
+    /// The same of one peer's evacuated zones.
     #[must_use]
     pub fn refutes_evacuations(&self, address: Ipv4Addr, versions: Versions) -> bool {
         let peer = self.known.get(&address);
@@ -492,28 +491,20 @@
     }
 }
 
-/// Whether a peer's registry shows that one with these versions is wrong.
-fn is_registry_refuted(versions: Versions, digest: &Digest) -> bool {
-    let is_current = !versions.outdated && !digest.registry_outdated;
-    is_current
-        && versions
-            .registry_provenance()
-            .is_refuted_by(digest.registry_provenance())
-}
-
-/// The same for the evacuated zones.
+/// Whether a peer's evacuated zones show that those of these versions are wrong.
 fn are_evacuations_refuted(versions: Versions, digest: &Digest) -> bool {
     let peer = digest.evacuation_provenance();
     versions.evacuation_provenance().is_refuted_by(peer)
 }
 
-/// Whether a peer's registry is newer, or shows that the other one is wrong. An outdated one isn't
-/// newer than one that isn't, and one that isn't replaces an outdated one at the same position.
+/// Whether a peer's registry is newer, or replaces a wrong one. An outdated one isn't newer than one
+/// that isn't, and one that isn't replaces an outdated one at the same position.
 fn has_newer_registry(digest: &Digest, versions: Versions) -> bool {
-    if is_registry_refuted(versions, digest) {
-        return true;
+    let is_same_era = digest.registry_era == versions.registry_era;
+    if is_same_era && digest.registry_listed < versions.registry_refuted_at {
+        return false;
     }
-    match (versions.outdated, digest.registry_outdated) {
+    match (versions.has_doubtful_registry(), digest.registry_outdated) {
         (true, false) => digest.registry() >= versions.registry(),
         (false, true) if versions.registry().is_known() => false,
         _ => digest.registry() > versions.registry(),
--- a/verbenaspool/src/direct/registry.rs
+++ b/verbenaspool/src/direct/registry.rs
@@ -118,6 +118,9 @@
     pub outdated_since: Option<Duration>,
     /// The revision of the listing of the store from which the objects follow; 0 if unknown.
     pub listed: u64,
+    /// The revision at which a peer's listing had other objects; 0 if none had. The objects are wrong
+    /// until they are replaced by those of a listing at this revision or later.
+    pub refuted_at: u64,
     /// A hash of the objects; 0 until there are some.
     pub hash: u32,
     /// Where the last update came from.
@@ -220,6 +223,9 @@
             .retain(|_, removal| now < removal.removed_at + REMOVAL_MEMORY);
         self.retain_missing_until = retain_missing_until;
         self.record_removals(snapshot);
+        if snapshot.listed >= self.refuted_at || snapshot.position.era > self.position.era {
+            self.refuted_at = 0;
+        }
         self.position = snapshot.position;
         self.listed = snapshot.listed;
         let since = self.outdated_since.unwrap_or(now);
@@ -254,6 +260,7 @@
         let position = peer.position;
         self.position = position;
         self.listed = peer.listed;
+        self.refuted_at = 0;
         self.outdated_since = None;
         self.removals.clear();
         self.removals_since = position;
