Count in the soak how long after it left an upstream got its last request

A departure was noticed in time or not; how near to the bound it was wasn't seen. Requests of disturbed entries don't count, as in the check.

--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -371,6 +371,7 @@
                 continue;
             }
             let back_at = restarts.iter().find(|at| **at > left_at);
+            self.record_last_request(left_at, back_at, &journal);
             let late = journal.iter().filter(|arrival| {
                 let until = cut_until.map_or(left_at, |cut| cut + STABLE_TIME);
                 arrival.at > (left_at + DRAIN_TIME).max(until)
@@ -396,6 +397,30 @@
         }
     }
 
+    /// Records how long after it left an upstream got its last request, if that is longer than for any
+    /// other. Requests of disturbed entries don't count.
+    fn record_last_request(
+        &self,
+        left_at: Instant,
+        back_at: Option<&Instant>,
+        journal: &[Arrival],
+    ) {
+        let is_counted = |arrival: &&Arrival| {
+            let is_between = arrival.at > left_at && back_at.is_none_or(|at| arrival.at < *at);
+            let sent = self.sent.borrow().get(&arrival.id).copied();
+            is_between && sent.is_some_and(|(entry, _)| !self.is_entry_disturbed(entry, arrival.at))
+        };
+        let last = journal.iter().filter(is_counted).map(|arrival| arrival.at);
+        let Some(last) = last.max() else {
+            return;
+        };
+        let after_ms = u64::try_from((last - left_at).as_millis()).unwrap_or(u64::MAX);
+        let mut counts = self.counts.borrow_mut();
+        let longest = counts.entry("ms until the last request after a departure");
+        let longest = longest.or_default();
+        *longest = after_ms.max(*longest);
+    }
+
     /// Whether an entry was interrupted within [`STABLE_TIME`] before a moment, or its path to the
     /// store disturbed.
     fn is_entry_disturbed(&self, entry: usize, at: Instant) -> bool {
