Count the waits of watches before a failure to no outage of the store

Cause: the outage was counted from the last answer, though the store had just ended the watches, and 'history gone' didn't count as an answer. Now both count as contact: an outage begins no sooner than that.

an_outage_begins_no_sooner_than_a_waiting_call_ends guards it.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -331,6 +331,7 @@
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
                         "kind" => self.kind.object_kind(), "revision" => from.revision);
+                    self.gateway.record_store_answer(self.failing);
                     if is_current {
                         self.report_history_loss();
                     }
@@ -382,6 +383,8 @@
         if !was_waiting || self.failing || std::mem::replace(&mut self.cut_off, true) {
             return self.back_off(why).await;
         }
+        let now = self.gateway.clock.now();
+        self.gateway.outage.borrow_mut().record_contact(now);
         info!(self.gateway.log, "watch cut off; watching again";
             "kind" => self.kind.object_kind(), "reason" => why.to_string());
         self.gateway.clock.sleep(RETRY_INTERVALS[0]).await;
--- a/verbenaspool/src/direct/outage.rs
+++ b/verbenaspool/src/direct/outage.rs
@@ -15,7 +15,7 @@
 /// When the store answered, and the end of its last outage.
 #[derive(Debug, Default)]
 pub struct Outage {
-    /// When it last answered this entry or a peer, if it did.
+    /// When it last answered this entry or a peer, or ended a call, if it did.
     last_answer: Option<Duration>,
     /// When it last answered this entry, if it did.
     last_own_answer: Option<Duration>,
@@ -40,6 +40,12 @@
         self.last_own_answer = Some(at);
     }
 
+    /// Records when the store was reached without an answer, as it ended a call that had waited: an
+    /// outage hasn't begun before.
+    pub fn record_contact(&mut self, at: Duration) {
+        self.last_answer = self.last_answer.max(Some(at));
+    }
+
     /// Records that the store came back in a state from before, which counts as an outage.
     pub fn record_restore(&mut self, at: Duration) {
         self.ended_at = Some(at);
--- a/verbenaspool/src/direct/outage/tests.rs
+++ b/verbenaspool/src/direct/outage/tests.rs
@@ -40,6 +40,19 @@
     );
 }
 
+/// Guards against upstreams that are kept after they left, because the store rejected calls for a moment
+/// after a time in which watches had only waited.
+#[test]
+fn an_outage_begins_no_sooner_than_a_waiting_call_ends() {
+    let mut outage = Outage::default();
+    outage.record_own_answer(Duration::from_secs(1), false, MIN_TIME);
+    outage.record_contact(Duration::from_secs(5));
+    outage.record_own_answer(Duration::from_secs(6), true, MIN_TIME);
+    assert_eq!(outage.ended_at(), None);
+    outage.record_own_answer(Duration::from_secs(9), true, MIN_TIME);
+    assert_eq!(outage.ended_at(), Some(Duration::from_secs(9)));
+}
+
 /// Guards against upstreams that are kept after they left, because no call was made for long.
 #[test]
 fn a_quiet_time_is_no_outage() {
