--- a/verbenaspool/src/direct/divergence.rs
+++ b/verbenaspool/src/direct/divergence.rs
@@ -67,7 +67,8 @@
 }
 
 impl Gateway {
-    /// Records if a peer's registry shows that this entry's is wrong.
+    /// Records whether a peer's registry shows that this entry's is wrong. Both may be at the next
+    /// revision, where nothing shows it, before the right one was fetched.
     pub fn refute_registry(&self) {
         let now = self.clock.now();
         let own = self.registry_provenance();
@@ -97,9 +98,7 @@
             self.relist_registry.notify_one();
         }
     }
-}
 
-impl Gateway {
     /// Lists the evacuated zones again if peers have others at the same revision, and nobody knows
     /// whose are right.
     pub fn correct_evacuations(&self) {
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -59,9 +59,10 @@
     /// The revision at which a peer's listing showed that its registry is wrong, or 0.
     #[serde(skip)]
     pub(super) registry_refuted_at: u64,
-    /// What is known of the evacuated zones, as of the registry.
+    /// The revision of the listing from which its evacuated zones follow.
     #[serde(skip)]
     pub(super) evacuations_listed: u64,
+    /// The hash of its evacuated zones.
     #[serde(skip)]
     pub(super) evacuations_hash: u32,
     /// The revision of the evacuated zones.
@@ -115,7 +116,7 @@
         Position::new(self.registry_era, self.registry)
     }
 
-    /// Whether its registry isn't the store's at its position, as far as is known.
+    /// Whether its registry may not be the store's at its position, or is known not to be.
     pub(super) fn has_doubtful_registry(&self) -> bool {
         self.outdated || self.registry_refuted_at > 0
     }
@@ -349,7 +350,8 @@
             warn!(self.log, "changes of a peer's registry don't lead to its objects";
                 "peer" => peer.to_string(), "since" => own.position.revision,
                 "revision" => update.revision, "listed" => update.listed);
-            // One of both missed a change. What the peer listed later than that has all of them.
+            // One of both copies lacks a change. One that was listed at this entry's revision or later
+            // lacks none up to there.
             if update.listed >= own.position.revision {
                 return Applied::Superseded;
             }
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -47,8 +47,8 @@
     );
 }
 
-/// Guards against requests to upstreams that left, by entries that missed their leaving, as some
-/// watches outlived the loss of the store's history, or list pages of different age.
+/// Guards against requests to upstreams that left, by entries that missed their leaving because some
+/// watches outlived the loss of the store's history.
 #[test]
 fn copies_that_differ_hide_no_departure() {
     run_soak(
