--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -11,10 +11,7 @@
 use rand::{Rng, seq::IteratorRandom};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
-use verbenaspool_platform::{
-    configuration,
-    store::{self, Object, Stored},
-};
+use verbenaspool_platform::store::{self, Object, Stored};
 use verbenaspool_policy::{quarantine::Quarantine, subset};
 use verbenaspool_protocol::{
     digest,
@@ -129,7 +126,7 @@
     pub checked_weights: RefCell<CheckedWeights>,
     /// Number of followers whose last call to the store failed.
     pub failing_followers: Cell<u32>,
-    table: RefCell<Option<Rc<Table>>>,
+    pub(super) table: RefCell<Option<Rc<Table>>>,
     pub(super) registry: RefCell<Registry>,
     registry_loaded: Cell<bool>,
     queues: RefCell<HashMap<Rc<str>, Rc<ServiceQueue>>>,
@@ -268,54 +265,6 @@
         !self.leaving.get() && has_state && knows_evacuations
     }
 
-    /// Activates a configuration if it is newer than the active one.
-    ///
-    /// Its version decides, since an older copy of the store has an older one. Only of the same
-    /// version the one counts that was written last: after such a copy came back, the operator may
-    /// have written other contents as that version.
-    pub fn apply_configuration(&self, stored: &Stored, from: Source) {
-        let object = &stored.object;
-        let table = match configuration::decode(&object.specification) {
-            Ok(table) => table,
-            Err(why) => {
-                let revision = Some(object.revision);
-                if self.invalid_configuration.replace(revision) != revision {
-                    warn!(self.log, "invalid configuration; keeping the active one";
-                        "revision" => object.revision, "from" => %from, "reason" => why.to_string());
-                }
-                return;
-            }
-        };
-        self.invalid_configuration.set(None);
-        let previous = self.table_version();
-        if table.version < previous || table.version == previous && !self.is_rewritten(stored) {
-            return;
-        }
-        info!(self.log, "configuration activated";
-            "version" => table.version, "before" => previous, "from" => %from, "routes" => table.len());
-        let table = Rc::new(table);
-        self.table.replace(Some(table.clone()));
-        self.table_source.replace(Some(stored.clone()));
-        let services = table.service_names();
-        self.registry.borrow_mut().set_services(services);
-        for service in table.services() {
-            let queue = self.queue(&service.name);
-            queue.with(|dispatcher, _| {
-                dispatcher.set_engine(service.engine.as_ref());
-                dispatcher.set_warm_up(service.warm_up);
-            });
-        }
-        self.distribute_upstreams();
-    }
-
-    /// Whether a configuration was written after the active one, with other contents.
-    fn is_rewritten(&self, stored: &Stored) -> bool {
-        self.table_source.borrow().as_ref().is_none_or(|active| {
-            stored.position() > active.position()
-                && stored.object.specification != active.object.specification
-        })
-    }
-
     /// Replaces the registry of upstreams, unless the snapshot is older, or outdated and the registry
     /// isn't.
     ///
@@ -423,7 +372,7 @@
     }
 
     /// Passes each service's upstreams to its queue.
-    fn distribute_upstreams(&self) {
+    pub(super) fn distribute_upstreams(&self) {
         let registry = self.registry.borrow();
         let mut upstreams_by_service: HashMap<Rc<str>, Vec<Rc<Replica>>> = HashMap::new();
         for replica in registry.iter() {
--- a/verbenaspool/src/direct/mod.rs
+++ b/verbenaspool/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod balancing;
 mod buffered;
+mod configuration;
 mod crash;
 mod divergence;
 mod evacuation;
