Log by which configuration a request was answered, and how long watches were silent

Cause: logs couldn't tell a configuration that nobody had heard of from one that was lost, late or from an outdated listing. Change: the line of a request has the version in force, its source and age, also of a 401 or 404; a failed watch tells its wait, how long it waited and since when the store was silent; activation has its revision and duration, also as a histogram; failed watches are counted by how they ended.

--- a/verbenaspool/src/direct/configuration.rs
+++ b/verbenaspool/src/direct/configuration.rs
@@ -1,6 +1,6 @@
 //! The active configuration.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use slog::{info, warn};
 use verbenaspool_platform::{configuration, store::Stored};
@@ -8,12 +8,19 @@
 use super::{gateway::Gateway, registry::Source};
 
 impl Gateway {
+    /// Where the active configuration came from, and how long ago it was activated.
+    pub fn table_source(&self) -> (Source, Duration) {
+        let (source, activated_at) = self.table_activation.get();
+        (source, self.clock.now().saturating_sub(activated_at))
+    }
+
     /// Activates a configuration if it is newer than the active one.
     ///
     /// Its version decides, since an older copy of the store has an older one. Only of the same
     /// version the one counts that was written last: after such a copy came back, the operator may
     /// have written other contents as that version.
     pub fn apply_configuration(&self, stored: &Stored, from: Source) {
+        let received_at = self.clock.now();
         let object = &stored.object;
         let table = match configuration::decode(&object.specification) {
             Ok(table) => table,
@@ -31,11 +38,10 @@
         if table.version < previous || table.version == previous && !self.is_rewritten(stored) {
             return;
         }
-        info!(self.log, "configuration activated";
-            "version" => table.version, "before" => previous, "from" => %from, "routes" => table.len());
         let table = Rc::new(table);
         self.table.replace(Some(table.clone()));
-        self.table_source.replace(Some(stored.clone()));
+        self.table_object.replace(Some(stored.clone()));
+        self.table_activation.set((from, received_at));
         let services = table.service_names();
         self.registry.borrow_mut().set_services(services);
         for service in table.services() {
@@ -46,11 +52,22 @@
             });
         }
         self.distribute_upstreams();
+        let took = self.clock.now().saturating_sub(received_at);
+        info!(self.log, "configuration activated";
+            "version" => table.version, "before" => previous, "from" => %from,
+            "era" => stored.era, "revision" => object.revision,
+            "routes" => table.len(), "took_ms" => took.as_secs_f64() * 1e3);
+        let activation = self.metrics.histogram(
+            "verbenaspool_configuration_activation_seconds",
+            "Time from the arrival of a new configuration until it was in force.",
+            &[],
+        );
+        activation.record(took);
     }
 
     /// Whether a configuration was written after the active one, with other contents.
     fn is_rewritten(&self, stored: &Stored) -> bool {
-        self.table_source.borrow().as_ref().is_none_or(|active| {
+        self.table_object.borrow().as_ref().is_none_or(|active| {
             stored.position() > active.position()
                 && stored.object.specification != active.object.specification
         })
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -112,6 +112,8 @@
     /// The minimum interval until they are listed again.
     listing_interval: Duration,
     retry_interval: Duration,
+    /// When the store last answered a call.
+    answered_at: Option<Duration>,
     /// Delay of the next watch after the last change.
     batch_interval: Duration,
 }
@@ -142,6 +144,7 @@
             listed_at: None,
             listing_interval: LISTING_INTERVALS[0],
             retry_interval: RETRY_INTERVALS[0],
+            answered_at: None,
             batch_interval: BATCH_INTERVAL,
         }
     }
@@ -340,6 +343,7 @@
                 Ok(WatchOutcome::Restored) => self.gateway.observe_store_era(),
                 Err(why) => {
                     let waited = self.gateway.clock.now().saturating_sub(started);
+                    self.record_failed_watch(from, [wait, waited], &why);
                     self.on_watch_failed(&why, waited < wait).await;
                 }
             }
@@ -377,6 +381,25 @@
         self.gateway.clock.sleep(delay).await;
     }
 
+    /// Logs and counts a failed watch, given how long it was to wait and waited.
+    fn record_failed_watch(&self, from: Position, [wait, waited]: [Duration; 2], why: &Error) {
+        let kind = self.kind.object_kind();
+        let outcome = if waited < wait { "cut" } else { "timeout" };
+        let now = self.gateway.clock.now();
+        let silence = self.answered_at.map(|at| now.saturating_sub(at));
+        let milliseconds = |time: Duration| time.as_secs_f64() * 1e3;
+        info!(self.gateway.log, "watch failed"; "kind" => kind, "outcome" => outcome,
+            "era" => from.era, "revision" => from.revision,
+            "wait_ms" => milliseconds(wait), "waited_ms" => milliseconds(waited),
+            "silent_ms" => silence.map(milliseconds), "reason" => why.to_string());
+        let failed = self.gateway.metrics.counter(
+            "verbenaspool_store_failed_watches_total",
+            "Watches that the store ended without an answer, or didn't answer in time.",
+            &[("kind", kind), ("outcome", outcome)],
+        );
+        failed.increment();
+    }
+
     /// Handles a failed watch. The store may cut off one that is waiting at any time, and only the
     /// next call shows whether it's unavailable: upstreams that are missing after an outage are kept.
     async fn on_watch_failed(&mut self, why: &Error, was_waiting: bool) {
@@ -456,6 +479,9 @@
 
     /// Records that the store answered a call.
     fn record_success(&mut self) {
+        let now = self.gateway.clock.now();
+        let before = self.answered_at.replace(now);
+        let silence = before.map(|at| now.saturating_sub(at).as_secs_f64() * 1e3);
         self.gateway.observe_store_era();
         self.gateway.log_unnamed_objects();
         self.gateway.record_store_answer(self.failing);
@@ -463,7 +489,8 @@
         self.cut_off = false;
         self.retry_interval = RETRY_INTERVALS[0];
         if !std::mem::replace(&mut self.is_available, true) {
-            info!(self.gateway.log, "store reachable"; "kind" => self.kind.object_kind());
+            info!(self.gateway.log, "store reachable";
+                "kind" => self.kind.object_kind(), "silent_ms" => silence);
         }
     }
 
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -114,7 +114,9 @@
     /// Whether new requests are rejected.
     pub closed: Cell<bool>,
     /// The object from which the table was decoded. Peers fetch it.
-    pub table_source: RefCell<Option<Stored>>,
+    pub table_object: RefCell<Option<Stored>>,
+    /// Where the table came from, and when it was activated.
+    pub(super) table_activation: Cell<(Source, Duration)>,
     /// The revision of the configuration that was read last, if it is invalid.
     pub invalid_configuration: Cell<Option<u64>>,
     /// The availability zones whose upstreams get no requests.
@@ -179,7 +181,8 @@
             outage: RefCell::default(),
             leaving: Cell::new(false),
             closed: Cell::new(false),
-            table_source: RefCell::default(),
+            table_object: RefCell::default(),
+            table_activation: Cell::default(),
             invalid_configuration: Cell::default(),
             evacuations: RefCell::default(),
             kept_evacuations: RefCell::default(),
--- a/verbenaspool/src/direct/record.rs
+++ b/verbenaspool/src/direct/record.rs
@@ -14,7 +14,8 @@
 struct Summary {
     route: Option<Rc<str>>,
     service: Option<Rc<str>>,
-    table_version: u64,
+    /// The version of the routing table, where it came from, and its age.
+    table: Option<(u64, Source, Duration)>,
     /// How long the caller waits.
     caller_wait: Duration,
     /// How long the caller has probably waited before this request.
@@ -82,12 +83,18 @@
         }
     }
 
-    /// Sets the route and service of the request, and the version of the routing table.
-    pub fn set_route(&self, route: &Rc<str>, service: &Rc<str>, table_version: u64) {
+    /// Sets the route and service of the request.
+    pub fn set_route(&self, route: &Rc<str>, service: &Rc<str>) {
         let mut summary = self.summary.borrow_mut();
         summary.route = Some(route.clone());
         summary.service = Some(service.clone());
-        summary.table_version = table_version;
+    }
+
+    /// Sets the routing table by which the request is handled.
+    pub fn record_table(&self) {
+        let (source, age) = self.gateway.table_source();
+        let table = (self.gateway.table_version(), source, age);
+        self.summary.borrow_mut().table = Some(table);
     }
 
     /// Sets the fingerprint of the request's content, and the parts of its prompt that other
@@ -240,7 +247,10 @@
             "route" => route.to_owned(), "service" => service.to_owned(),
             "fingerprint" => summary.fingerprint.map(|fingerprint| fingerprint.to_string()),
             "parts" => summary.shared_parts,
-            "version" => summary.table_version, "sent" => summary.attempts.join("; "),
+            "version" => summary.table.map(|(version, _, _)| version),
+            "version_from" => summary.table.map(|(_, source, _)| source.to_string()),
+            "version_age_ms" => summary.table.map(|(_, _, age)| age.as_secs_f64() * 1e3),
+            "sent" => summary.attempts.join("; "),
             "waits_ms" => summary.caller_wait.as_secs_f64() * 1e3,
             "beyond" => summary.over_usual_rate, "spent_ms" => summary.prior_wait.as_secs_f64() * 1e3,
             "pass_ms" => summary.diagnostics.longest_pass.as_secs_f64() * 1e3,
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -94,6 +94,7 @@
         "no-configuration",
         UNREADY_RETRY_AFTER,
     ))?;
+    record.record_table();
     let route = table
         .route(host(&parts).unwrap_or_default(), parts.uri.path())
         .ok_or(Failure::new(StatusCode::NOT_FOUND, "no-route"))?
@@ -109,7 +110,7 @@
     let service = route
         .service(rand::random())
         .ok_or(Failure::unavailable("no-service", UNREADY_RETRY_AFTER))?;
-    record.set_route(&route.name, service, table.version);
+    record.set_route(&route.name, service);
     let queue = gateway.queue(service);
     queue.record_request(&gateway.settings.borrow().limits.retry_limits());
     let mut headers = parts.headers;
--- a/verbenaspool/src/direct/status.rs
+++ b/verbenaspool/src/direct/status.rs
@@ -75,7 +75,7 @@
     /// The object of the active configuration, with the newest known status and its position. The
     /// store may have an older configuration than the active one, if it came back from a copy.
     pub fn configuration(&self) -> Option<Stored> {
-        let mut active = self.table_source.borrow().clone()?;
+        let mut active = self.table_object.borrow().clone()?;
         if let Some(stored) = &*self.stored_configuration.borrow() {
             active.object.status.clone_from(&stored.object.status);
             active.object.revision = stored.object.revision;
