Judge in the soak whether configurations are in force in time

Cause: the soak found only entries that went back to an older version. Its changes followed each other so soon that hardly any answer was sent 2 s after one. Change: callers probe routes and keys that a version adds, drops or takes away, and a route that it moves to another service. Each answer is judged by what the store accepted 2 s before or earlier, for each entry, unless it, its path to the store or the store was disturbed within 3 s. New faults (--silent-faults: 30 to 32) let the connections to the store go silent, let the store be silent, or let all entries start from outdated listings, beside changes; a short run of them is with the tests.

--- a/verbenaspool_soak/src/caller.rs
+++ b/verbenaspool_soak/src/caller.rs
@@ -22,7 +22,7 @@
 
 /// How long a caller waits for a response: longer than the deadline of any route, so
 /// that an entry that answers too late is detected.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Responses that take longer are counted as late; a busy machine may delay them beyond
 /// the deadline of the route.
@@ -255,7 +255,7 @@
     }
 
     /// Reads the whole body of a response; `None` if it was cut off.
-    async fn read_body(response: http::Response<Body>) -> Option<String> {
+    pub async fn read_body(response: http::Response<Body>) -> Option<String> {
         let body = monoio::time::timeout(ANSWER_TIMEOUT, response.into_body().collect()).await;
         let body = body.ok()?.ok()?.to_bytes();
         String::from_utf8(body.to_vec()).ok()
--- a/verbenaspool_soak/src/check.rs
+++ b/verbenaspool_soak/src/check.rs
@@ -14,7 +14,7 @@
     upstream::{Arrival, Notice, Upstream},
 };
 
-use crate::{caller::SHARING_CALLERS, fault::BACKOFF_TIME};
+use crate::{caller::SHARING_CALLERS, fault::BACKOFF_TIME, probe::Outdated};
 
 /// Time in which all entries learn of a crash.
 const CRASH_SYNC_TIME: Duration = Duration::from_secs(3);
@@ -90,6 +90,10 @@
     at_most_once: RefCell<Vec<String>>,
     /// Newest version observed by entry and incarnation.
     served_versions: RefCell<HashMap<(usize, u32), u64>>,
+    /// When the store accepted each version of the configuration.
+    pub accepted_versions: RefCell<HashMap<u64, Instant>>,
+    /// Answers by an older configuration than the newest one.
+    pub outdated_answers: RefCell<Vec<Outdated>>,
     /// When an entry was signalled: it may have lost what it knew, or be late.
     pub entry_signals: RefCell<Vec<Instant>>,
     /// The entry to which each request was sent, and when.
@@ -433,6 +437,14 @@
             || cuts.any(|(_, cut)| is_disturbed(cut, at))
     }
 
+    /// Whether an entry, its path to the store or the store itself was disturbed within [`STABLE_TIME`]
+    /// before a moment.
+    pub fn is_disturbed_at(&self, entry: usize, at: Instant) -> bool {
+        let outages = self.store_outages.borrow();
+        let mut outages = outages.iter();
+        outages.any(|outage| is_disturbed(outage, at)) || self.is_entry_disturbed(entry, at)
+    }
+
     /// When an entry was first interrupted in a period, or the end of the period.
     fn first_interruption(&self, entry: usize, period: &Range<Instant>) -> Instant {
         let interruptions = self.interruptions.borrow();
--- a/verbenaspool_soak/src/deployment.rs
+++ b/verbenaspool_soak/src/deployment.rs
@@ -59,6 +59,12 @@
 /// Route path of [`CONTESTED_SERVICE`].
 pub const CONTESTED_PATH: &str = "contested";
 
+/// Route path that each version moves to another service.
+pub const MOVED_PATH: &str = "moved";
+
+/// Services between which it moves.
+const MOVED_SERVICES: [&str; 2] = ["jobs", "model"];
+
 /// Number of customers that compete.
 pub const COMPETING_CUSTOMERS: usize = 4;
 
@@ -281,6 +287,7 @@
     pub fn change_configuration(&self) {
         let version = self.version.get() + 1;
         self.version.set(version);
+        self.checks.record_accepted(version);
         self.store.put("config", "main", &configuration(version));
     }
 
@@ -337,6 +344,14 @@
         }
     }
 
+    /// Whether a request ran at the service to which a version moved its route; `None` if it didn't run.
+    #[must_use]
+    pub fn ran_at_moved_service(&self, id: &str, version: u64) -> Option<bool> {
+        let mut servers = self.servers.iter();
+        let ran = servers.find(|server| server.upstream.run_count(id) > 0)?;
+        Some(ran.service == moved_service(version))
+    }
+
     /// Returns how often upstreams ran a request.
     #[must_use]
     pub fn run_count(&self, id: &str) -> usize {
@@ -425,11 +440,12 @@
     )
 }
 
-/// Configuration of a version: the default routes, one named after the version, and those of
-/// [`FRAGILE_SERVICE`].
+/// Configuration of a version: the default routes, one and an API key named after the version, one that
+/// each version moves, and those of [`FRAGILE_SERVICE`].
 fn configuration(version: u64) -> String {
     let mut routes = text::routes();
     routes.push(text::route(&version_path(version), "safe", "jobs"));
+    routes.push(text::route(MOVED_PATH, "safe", moved_service(version)));
     let kinds = ["streaming", "unsafe"];
     let fragile = FRAGILE_PATHS.iter().zip(kinds);
     routes.extend(fragile.map(|(path, kind)| text::route(path, kind, FRAGILE_SERVICE)));
@@ -447,7 +463,7 @@
         format!(r#"{{"name":"customer-{customer}","accessKeys":["{key}"]}},"#)
     });
     let customers: String = customers.collect();
-    let text = text::configuration_with(version, &routes, &[KEY], &services);
+    let text = text::configuration_with(version, &routes, &[KEY, &version_key(version)], &services);
     text.replace(r#""tenants":["#, &format!(r#""tenants":[{customers}"#))
 }
 
@@ -457,6 +473,17 @@
     format!("key-customer-{customer}")
 }
 
+/// API key that only this version of the configuration has.
+#[must_use]
+pub fn version_key(version: u64) -> String {
+    format!("key-v{version}")
+}
+
+/// The service to which a version moves [`MOVED_PATH`].
+fn moved_service(version: u64) -> &'static str {
+    MOVED_SERVICES[usize::from(version.is_multiple_of(2))]
+}
+
 /// First segment of the path that only this version of the configuration routes.
 #[must_use]
 pub fn version_path(version: u64) -> String {
--- a/verbenaspool_soak/src/fault.rs
+++ b/verbenaspool_soak/src/fault.rs
@@ -17,9 +17,13 @@
     proxy::Mode,
 };
 
+mod silence;
 mod store;
 
-pub use self::store::{COPY_FAULTS, STORE_FAULTS};
+pub use self::{
+    silence::SILENT_FAULTS,
+    store::{COPY_FAULTS, STORE_FAULTS},
+};
 
 /// Faulty behaviours of upstreams.
 const BEHAVIOURS: [Behaviour; 9] = [
@@ -107,6 +111,9 @@
             monoio::spawn(task);
         } else if STORE_FAULTS.contains(&kind) {
             monoio::spawn(store::inject_fault(deployment.clone(), kind, duration));
+        } else if SILENT_FAULTS.contains(&kind) {
+            let task = silence::inject_fault(deployment.clone(), kind, server, duration);
+            monoio::spawn(task);
         } else if kind < ENTRY_FAULT_KINDS {
             let task = inject_entry_fault(
                 deployment.clone(),
--- a/verbenaspool_soak/src/lib.rs
+++ b/verbenaspool_soak/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod check;
 pub mod deployment;
 pub mod fault;
+pub mod probe;
 pub mod process;
 pub mod proxy;
--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -86,6 +86,13 @@
     /// Callers of a large customer that competes with small ones, of two callers each.
     #[arg(long, default_value_t = 16)]
     competing: usize,
+    /// Callers that find out which configuration entries use.
+    #[arg(long, default_value_t = 6)]
+    probing: usize,
+    /// Add faults in which connections to the store go silent, and entries start from outdated listings,
+    /// beside changes.
+    #[arg(long)]
+    silent_faults: bool,
     /// Ranks of a group, each with an agent process.
     #[arg(long, default_value_t = 4)]
     ranks: usize,
@@ -175,6 +182,10 @@
         let caller = caller(number, 8_000);
         callers.push(monoio::spawn(caller.run_competing(customer, deadline)));
     }
+    for number in 0..options.probing {
+        let caller = caller(number, 9_000);
+        callers.push(monoio::spawn(caller.run_probing(deadline)));
+    }
     let (observed, until) = (deployment.clone(), deadline);
     callers.push(monoio::spawn(async move {
         while Instant::now() < until {
@@ -224,6 +235,7 @@
     deployment.checks.check_crashes(crashes.into_iter());
     deployment.check_limits();
     deployment.check_notices();
+    deployment.checks.check_configurations();
     deployment.checks.check_customers();
     deployment.checks.check_progress(&(started_at..deadline));
     check_group(&deployment).await;
@@ -242,6 +254,9 @@
     if options.store_faults {
         kinds.extend(fault::STORE_FAULTS);
     }
+    if options.silent_faults {
+        kinds.extend(fault::SILENT_FAULTS);
+    }
     if options.copy_faults {
         kinds.extend(fault::COPY_FAULTS);
     }
--- a/verbenaspool_soak/tests/seeds.rs
+++ b/verbenaspool_soak/tests/seeds.rs
@@ -56,3 +56,13 @@
          --zones 3 --callers 60 --crashing 0 --sharing 0 --slow 0 --competing 0",
     );
 }
+
+/// Guards against configurations that come in force too late, and requests to upstreams that left, because
+/// all connections to the store went silent or all entries started from outdated listings just before.
+#[test]
+fn silent_connections_delay_no_change() {
+    run_soak(
+        "--seed 9902 --seconds 16 --faults 30,31,32 --pause-ms 5000 --processes 4 --zones 3 \
+         --callers 12 --crashing 0 --sharing 0 --slow 0 --competing 0",
+    );
+}
