Close idle connections to the store once a call has failed

Cause: after a call without an answer the next one took another connection from before, which had gone silent at the same time, and waited for its timeout as well: a listing 1.5 s, a watch 3.25 s and more. What callers see is that what is behind such a chain of calls comes that much later. Change: a failed call closes the idle connections. The next one opens a connection of its own. Result: a_call_without_an_answer_closes_the_other_connections failed before and passes.

--- a/verbenaspool_transport/src/platform/client.rs
+++ b/verbenaspool_transport/src/platform/client.rs
@@ -123,10 +123,15 @@
         request: Request<HttpBody>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        match time::timeout(timeout, self.exchange(request)).await {
+        let result = match time::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Unknown("timeout".to_owned())),
+        };
+        if result.is_err() {
+            // What broke or silenced a connection may have done so to others as well.
+            self.idle.borrow_mut().clear();
         }
+        result
     }
 
     /// Sends a request and reads its answer.
