Give up silent watches in time for changes to be in force

What callers saw: requests refused by 404 or 401, run on dropped routes and with keys taken away, sent to upstreams that had left and into evacuated zones, until 4 s after the store's connections had gone silent. Cause: a watch on a connection that has gone silent looks like one that waits. It was given up 3.25 to 4 s after it was sent, with more than four entries later still, though entries must have a change 3 s after a disturbance. A change ends the watches of all entries at once, so that all of them are as old as each other, and nobody knows of the next change whom peers could ask. The wait was derived from the cost of calls, not from the bound. Change: the first two entries of the fleet, in two zones if there are, wait 1.5 and 1.75 s whatever the number of entries, and are given up 0.6 s after that; others wait longer, so that all together call as often as before with four entries and more. An entry takes over as soon as those before it are gone or rejected. A watch without an answer is followed at once by one that doesn't wait, and by new ones of the entry's other kinds; so is a peer that has a change sooner. The time for which changes may be withheld is kept by its length, not by a number of waits. Calls wait 0.8 s for an answer, so that an entry that has started has the newest configuration in time if the first answer is lost. A silence of up to 2.1 s can't let registrations expire (two heartbeats, 2.4 s), so that removed upstreams aren't kept for it.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -3,15 +3,21 @@
 //!
 //! Each of them has a long-polling watch, which returns changes within milliseconds, at some
 //! entries of each zone. The others get changes from them, and so does an entry whose watch is
-//! on a dead connection, until its timeout.
-
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+//! on a silent connection, until it is given up. A watch without an answer, or a peer that has a change
+//! sooner, shows that the watches of other kinds may be on silent connections as well: all of them
+//! are renewed then.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use slog::{info, warn};
 use tokio::sync::Notify;
 use verbenaspool_platform::{
     configuration, evacuation, registry as wire,
-    store::{Change, Listing, Object, Stored, WatchOutcome},
+    store::{Change, Listing, Object, Stored, WATCH_TIMEOUT_MARGIN, WatchOutcome},
 };
 use verbenaspool_state::position::Position;
 use verbenaspool_transport::platform::Error;
@@ -22,33 +28,22 @@
     registry::{self, Snapshot, Source},
 };
 
-/// How long a watch waits for changes if there are few entries. A dead connection to the
-/// store is detected within a second after it. It isn't shorter because each call to the
-/// store has a cost.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+mod wait;
 
-/// Maximum wait of a watch with any number of entries. This is the limit of the store.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
+use self::wait::{
+    BATCH_INTERVAL, BATCH_INTERVAL_PER_ENTRY, MAX_BATCH_INTERVAL, next_batch_interval, watch_wait,
+};
 
-/// Up to this wait of a watch, the next one repeats it if it brought no changes, so that changes that
-/// the store withheld meanwhile come then. The store keeps its history for 20 s, and two longer waits
-/// would exceed that.
+/// Up to this wait of a watch, the next ones repeat it for [`MAX_WITHHELD_TIME`] if it brought no
+/// changes. The store keeps its history for 20 s, and longer waits would exceed that.
 const MAX_REPEATED_WAIT: Duration = Duration::from_secs(8);
 
-/// With up to this number of entries, watches don't wait longer than for a single one.
-const INDEPENDENT_WATCHERS: u32 = 4;
-
-/// Delay of the next watch after a change. Changes come in bursts, for example when all
-/// upstreams start at the same time, and each watch that returns one has a cost. All
-/// changes must be active within 2 s.
-const BATCH_INTERVAL: Duration = Duration::from_millis(150);
+/// How long the store may withhold a change from watches whose answers name a position after it.
+const MAX_WITHHELD_TIME: Duration = Duration::from_millis(2_500);
 
-/// Each entry adds this to the maximum delay during a burst of changes, because each watch
-/// is repeated by every entry.
-const BATCH_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(10);
-
-/// Maximum delay during a burst of changes with any number of entries.
-const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(600);
+/// Interval of checks whether a watch waits longer than it may, because entries before this one have
+/// gone.
+const OVERDUE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval of checks whether this entry has to watch the store.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(50);
@@ -97,14 +92,12 @@
     position: Position,
     /// Whether the store answers, as far as is known.
     is_available: bool,
-    /// Whether the last call to the store failed.
-    failing: bool,
-    /// Whether the last watch was cut off.
-    cut_off: bool,
+    /// What became of the last call to the store.
+    last_call: CallOutcome,
     /// How long an outdated registry waits for a peer's before its objects are listed next.
     next_listing: Duration,
-    /// The position of the last answer to a watch, if that had no changes and the next one repeats it.
-    unchanged_until: Option<Position>,
+    /// When watches were answered without changes lately, and the positions that the answers named.
+    unchanged: VecDeque<(Duration, Position)>,
     /// The losses of the store's history after which the objects were listed.
     history_losses: u64,
     /// When the objects were last listed, other than by an outdated listing.
@@ -118,6 +111,19 @@
     batch_interval: Duration,
 }
 
+/// What became of a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallOutcome {
+    /// It was answered.
+    Answered,
+    /// It was the first watch after an answer that was cut off.
+    CutOff,
+    /// It was the first watch after an answer that got none in time.
+    Unanswered,
+    /// It failed, or was another watch without an answer.
+    Failed,
+}
+
 /// Why a watch has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WatchEnd {
@@ -136,10 +142,9 @@
             relist,
             position: Position::default(),
             is_available: false,
-            failing: false,
-            cut_off: false,
+            last_call: CallOutcome::Answered,
             next_listing: MAX_OUTDATED_TIME,
-            unchanged_until: None,
+            unchanged: VecDeque::new(),
             history_losses: 0,
             listed_at: None,
             listing_interval: LISTING_INTERVALS[0],
@@ -222,7 +227,7 @@
                     position.revision = newest.unwrap_or(1);
                 }
                 self.position = position;
-                self.unchanged_until = None;
+                self.unchanged.clear();
                 self.history_losses = history_losses;
                 let source = if stale {
                     Source::OutdatedListing
@@ -291,7 +296,7 @@
             }
             let now = self.gateway.clock.now();
             let watchers = self.gateway.peers.borrow().watchers(now);
-            let wait = watch_wait(watchers, rand::random());
+            let wait = self.next_wait();
             let started = now;
             let from = self.watch_position();
             self.gateway.store.era.learn(from.era);
@@ -305,10 +310,12 @@
                 .watch(self.kind.object_kind(), from, wait);
             let (relist, restored) = (self.relist.notified(), self.gateway.restored.notified());
             let history_lost = self.gateway.history_lost.notified();
+            let renewed = self.renewed(started, wait);
             let watched = monoio::select! {
                 watched = watch => watched,
                 () = relist => return WatchEnd::Relist,
                 () = history_lost => return WatchEnd::Relist,
+                () = renewed => continue,
                 // The watch may be on a connection that the store has abandoned.
                 () = restored => {
                     self.spread_listings(watchers).await;
@@ -320,7 +327,7 @@
                     self.record_success();
                     self.listing_interval = LISTING_INTERVALS[0];
                     is_current = true;
-                    self.advance(position, changes.is_empty(), wait);
+                    self.advance(position, changes.is_empty() && wait <= MAX_REPEATED_WAIT);
                     let waited = self.gateway.clock.now().saturating_sub(started);
                     if !changes.is_empty() {
                         self.apply(changes);
@@ -334,7 +341,7 @@
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
                         "kind" => self.kind.object_kind(), "revision" => from.revision);
-                    self.gateway.record_store_answer(self.failing);
+                    self.gateway.record_store_answer(self.lacks_answer());
                     if is_current {
                         self.report_history_loss();
                     }
@@ -350,16 +357,61 @@
         }
     }
 
-    /// Records the position of an answer to a watch with this wait.
-    fn advance(&mut self, answered: Position, is_unchanged: bool, wait: Duration) {
-        let repeats = is_unchanged && wait <= MAX_REPEATED_WAIT;
-        let known = if repeats {
-            self.unchanged_until.replace(answered).unwrap_or_default()
-        } else {
-            self.unchanged_until = None;
-            answered
+    /// How long the next watch waits. One that follows a call without an answer doesn't wait, to know soon
+    /// whether the store answers again.
+    fn next_wait(&self) -> Duration {
+        if self.lacks_answer() {
+            return Duration::ZERO;
+        }
+        let now = self.gateway.clock.now();
+        let peers = self.gateway.peers.borrow();
+        let wait = watch_wait(peers.watch_rank(now), peers.watchers(now), rand::random());
+        // The silence of the store counts, which began with its last answer.
+        let elapsed = self
+            .answered_at
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        wait.saturating_sub(elapsed.min(MAX_BATCH_INTERVAL))
+    }
+
+    /// Completes when a watch should be renewed: its connection may have gone silent, or its entry comes
+    /// before others by now and mustn't wait for so long.
+    async fn renewed(&self, started: Duration, wait: Duration) {
+        if wait.is_zero() {
+            return std::future::pending().await;
+        }
+        let is_overdue = async {
+            loop {
+                self.gateway.clock.sleep(OVERDUE_INTERVAL).await;
+                let now = self.gateway.clock.now();
+                let peers = self.gateway.peers.borrow();
+                let max = watch_wait(peers.watch_rank(now), peers.watchers(now), 1.0);
+                if now.saturating_sub(started) >= max + WATCH_TIMEOUT_MARGIN {
+                    break;
+                }
+            }
         };
-        self.position = self.position.max(known);
+        monoio::select! {
+            () = self.gateway.renew_watches.notified() => {}
+            () = is_overdue => {}
+        }
+    }
+
+    /// Records the position of an answer to a watch. If it is to be repeated, the next ones ask for the
+    /// changes since an earlier one, so that changes that the store withheld meanwhile come then.
+    fn advance(&mut self, answered: Position, repeats: bool) {
+        if !repeats {
+            self.unchanged.clear();
+            self.position = self.position.max(answered);
+            return;
+        }
+        let now = self.gateway.clock.now();
+        self.unchanged.push_back((now, answered));
+        while let Some(&(at, position)) = self.unchanged.front()
+            && now.saturating_sub(at) >= MAX_WITHHELD_TIME
+        {
+            self.position = self.position.max(position);
+            self.unchanged.pop_front();
+        }
     }
 
     /// Has the followers of all kinds list their objects again, unless another one did so for the same
@@ -400,12 +452,19 @@
         failed.increment();
     }
 
-    /// Handles a failed watch. The store may cut off one that is waiting at any time, and only the
-    /// next call shows whether it's unavailable: upstreams that are missing after an outage are kept.
-    async fn on_watch_failed(&mut self, why: &Error, was_waiting: bool) {
-        if !was_waiting || self.failing || std::mem::replace(&mut self.cut_off, true) {
+    /// Handles a failed watch, which was cut off or got no answer in time. The store may cut off one that
+    /// is waiting at any time, and a connection may go silent; only the next call shows whether the
+    /// store is unavailable: upstreams that are missing after an outage are kept.
+    async fn on_watch_failed(&mut self, why: &Error, was_cut_off: bool) {
+        if self.last_call != CallOutcome::Answered {
             return self.back_off(why).await;
         }
+        if !was_cut_off {
+            self.set_last_call(CallOutcome::Unanswered);
+            self.gateway.renew_watches.notify_waiters();
+            return;
+        }
+        self.set_last_call(CallOutcome::CutOff);
         let now = self.gateway.clock.now();
         self.gateway.outage.borrow_mut().record_contact(now);
         info!(self.gateway.log, "watch cut off; watching again";
@@ -484,9 +543,8 @@
         let silence = before.map(|at| now.saturating_sub(at).as_secs_f64() * 1e3);
         self.gateway.observe_store_era();
         self.gateway.log_unnamed_objects();
-        self.gateway.record_store_answer(self.failing);
-        self.set_failing(false);
-        self.cut_off = false;
+        self.gateway.record_store_answer(self.lacks_answer());
+        self.set_last_call(CallOutcome::Answered);
         self.retry_interval = RETRY_INTERVALS[0];
         if !std::mem::replace(&mut self.is_available, true) {
             info!(self.gateway.log, "store reachable";
@@ -494,11 +552,22 @@
         }
     }
 
-    /// Records whether the last call to the store failed.
-    fn set_failing(&mut self, failing: bool) {
-        if std::mem::replace(&mut self.failing, failing) != failing {
+    /// Whether the store didn't answer the last call, as far as this entry can tell. A watch that was cut off
+    /// tells nothing.
+    fn lacks_answer(&self) -> bool {
+        matches!(
+            self.last_call,
+            CallOutcome::Unanswered | CallOutcome::Failed
+        )
+    }
+
+    /// Records what became of the last call to the store.
+    fn set_last_call(&mut self, outcome: CallOutcome) {
+        let before = std::mem::replace(&mut self.last_call, outcome);
+        let [failed_before, fails] = [before, outcome].map(|call| call == CallOutcome::Failed);
+        if fails != failed_before {
             let count = &self.gateway.failing_followers;
-            count.set(if failing {
+            count.set(if fails {
                 count.get() + 1
             } else {
                 count.get().saturating_sub(1)
@@ -508,7 +577,7 @@
 
     /// Records a failed call to the store, and waits before the next one.
     async fn back_off(&mut self, why: &Error) {
-        self.set_failing(true);
+        self.set_last_call(CallOutcome::Failed);
         self.listing_interval = LISTING_INTERVALS[0];
         if std::mem::replace(&mut self.is_available, false) {
             let now = self.gateway.clock.now();
@@ -523,36 +592,5 @@
     }
 }
 
-/// The delay after a change, given the previous delay, how long the watch waited for the
-/// change, and the number of entries that watch. The delay doubles during a burst of changes.
-fn next_batch_interval(previous: Duration, waited: Duration, entries: usize) -> Duration {
-    if waited >= previous {
-        return BATCH_INTERVAL;
-    }
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX).saturating_sub(1);
-    let max = BATCH_INTERVAL + BATCH_INTERVAL_PER_ENTRY.saturating_mul(entries);
-    (previous * 2).min(max.min(MAX_BATCH_INTERVAL))
-}
-
-/// How long a watch waits for changes, given the number of entries that watch, including this
-/// one.
-/// `random` is a number from 0 to 1.
-///
-/// Every entry renews its watches, so the calls to the store would grow with the number of
-/// entries. An entry that misses a change learns of it from its peers' digests, so a single
-/// entry that detects a dead connection soon is enough. The wait therefore grows with the
-/// number of entries, and all together renew watches as often as a few entries.
-///
-/// A change ends the watches of all entries at the same time. The next waits are spread,
-/// starting with the shortest. Otherwise connections that die at that moment would all be
-/// detected at the same time, and late.
-fn watch_wait(entries: usize, random: f32) -> Duration {
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    let [min, usual] = [0.75, 0.875].map(|factor| WATCH_TIMEOUT.mul_f32(factor));
-    let mean = usual.saturating_mul(entries.max(INDEPENDENT_WATCHERS)) / INDEPENDENT_WATCHERS;
-    let max = (mean * 2).saturating_sub(min).min(MAX_WATCH_WAIT);
-    min + max.saturating_sub(min).mul_f32(random)
-}
-
 #[cfg(test)]
 mod tests;
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -94,6 +94,8 @@
     pub store_era: Cell<u64>,
     /// The latest era of the store that a peer named and that made followers ask the store.
     pub hinted_store_era: Cell<u64>,
+    /// Makes followers that watch the store renew their watches, as connections may have gone silent.
+    pub renew_watches: Notify,
     /// Wakes the followers that watch the store when it has come back from an older copy.
     pub restored: Notify,
     /// How often a watch found that the store no longer had the changes since its last answer.
@@ -172,6 +174,7 @@
             relist_evacuations: Rc::new(Notify::new()),
             store_era: Cell::default(),
             hinted_store_era: Cell::default(),
+            renew_watches: Notify::new(),
             restored: Notify::new(),
             history_losses: Cell::default(),
             history_lost: Notify::new(),
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -419,6 +419,9 @@
             info!(gateway.log, "peer has newer state; fetching it"; "peer" => peer.to_string());
             gateway.fetch_update(peer).await;
             gateway.record_fetch(peer);
+            if gateway.watches_store() {
+                gateway.renew_watches.notify_waiters();
+            }
             gateway.clock.sleep(MIN_FETCH_INTERVAL).await;
         }
     }
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -318,3 +318,45 @@
         "the same revision of another era is another state"
     );
 }
+
+/// Guards against a fleet in which no entry gives up silent watches in time, because the first ones of all
+/// zones or none think that they come first, or one does that the store rejects.
+#[test]
+fn two_zones_have_the_entries_that_come_first() {
+    let now = Duration::from_secs(3);
+    let zones = [ZONE, ZONE + 1, ZONE + 2];
+    let entry = |zone: u32, cut_off: Option<u32>| {
+        let mut peers = Peers::new(IpAddr::V4(OWN), zone);
+        for (index, other) in (0..).zip(zones.iter().filter(|other| **other != zone)) {
+            let rejects = cut_off == Some(*other);
+            let store = if rejects {
+                StoreAccess::CutOff
+            } else {
+                StoreAccess::Watching
+            };
+            let digest = Digest {
+                store,
+                ..zone_digest(1, *other, 1)
+            };
+            peers.receive(now, peer(index), digest);
+        }
+        peers.watch_rank(now)
+    };
+    assert_eq!(zones.map(|zone| entry(zone, None)), [0, 1, 2]);
+    assert_eq!(entry(zones[1], Some(zones[0])), 0);
+    assert_eq!(entry(zones[2], Some(zones[0])), 1);
+    let zone = zone_of(2, now, |_| false);
+    let mut ranks: Vec<usize> = zone.iter().map(|peers| peers.watch_rank(now)).collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, [0, 1]);
+}
+
+/// Guards against waiting for an entry of another zone that has gone.
+#[test]
+fn an_entry_comes_first_once_other_zones_are_silent() {
+    let now = Duration::from_secs(3);
+    let mut peers = Peers::new(IpAddr::V4(OWN), ZONE + 1);
+    peers.receive(now, peer(1), zone_digest(1, ZONE, 1));
+    assert_eq!(peers.watch_rank(now), 1);
+    assert_eq!(peers.watch_rank(now + Duration::from_secs(4)), 0);
+}
--- a/verbenaspool/src/direct/peers/watchers.rs
+++ b/verbenaspool/src/direct/peers/watchers.rs
@@ -10,7 +10,7 @@
 
 use verbenaspool_protocol::digest::{self, StoreAccess};
 
-use super::{Peer, Peers};
+use super::{PEER_TIMEOUT, Peer, Peers};
 use crate::direct::gateway::Gateway;
 
 /// Number of entries of a zone that watch the store. The other one goes on if one is cut off
@@ -21,6 +21,10 @@
 /// away. If it turns a third of them away, one in 6,500 zones has no watcher.
 const MAX_CANDIDATES: usize = 8;
 
+/// Number of intervals between digests after which a zone that sent none counts as unreachable. Entries of
+/// large fleets get digests from a sample of other zones' entries only.
+const ZONE_TIMEOUT_INTERVALS: u32 = 16;
+
 /// After this time an entry watches the store even if it still discovers peers.
 const MAX_DISCOVERY_TIME: Duration = Duration::from_secs(2);
 
@@ -28,12 +32,39 @@
     /// Whether this entry watches the store, if its process started at time zero.
     #[must_use]
     pub fn watches_store(&self, now: Duration) -> bool {
-        if !self.is_settled(now) && now < MAX_DISCOVERY_TIME {
-            return false;
-        }
+        let is_discovering = !self.is_settled(now) && now < MAX_DISCOVERY_TIME;
+        !is_discovering && self.watch_index(now).is_some()
+    }
+
+    /// Number of entries that watch the store before this one, if it watches: the first one of each zone
+    /// comes before the second one of any.
+    #[must_use]
+    pub fn watch_rank(&self, now: Duration) -> usize {
+        let reaching = |zone: &u32| self.reaches_store(now, *zone);
+        let zones = self.zones.keys().filter(|zone| reaching(zone));
+        let before = zones.clone().filter(|zone| **zone < self.own_zone).count();
+        let index = self.watch_index(now).unwrap_or_default();
+        index * (1 + zones.count()) + before
+    }
+
+    /// Whether another zone has entries that reach the store, as far as is known.
+    fn reaches_store(&self, now: Duration, zone: u32) -> bool {
+        let timeout = PEER_TIMEOUT.max(self.digest_interval() * ZONE_TIMEOUT_INTERVALS);
+        let reported_at = self.zones.get(&zone).map(|size| size.reported_at);
+        let is_live = reported_at.is_some_and(|at| now.saturating_sub(at) < timeout);
+        let mut members = self
+            .live_peers(now)
+            .filter(|(_, peer)| peer.digest.zone == zone)
+            .peekable();
+        let is_known = members.peek().is_some();
+        is_live && (!is_known || members.any(|(_, peer)| reaches(peer)))
+    }
+
+    /// The position of this entry among those of its zone that watch the store, if it is one of them.
+    fn watch_index(&self, now: Duration) -> Option<usize> {
         let own = match self.own_address {
             std::net::IpAddr::V4(address) => order(address),
-            std::net::IpAddr::V6(_) => return true,
+            std::net::IpAddr::V6(_) => return Some(0),
         };
         let candidates = self.live_peers(now).filter(|(address, peer)| {
             self.is_same_zone(peer) && !peer.digest.leaving && order(**address) < own
@@ -41,9 +72,9 @@
         let (mut before, mut reaching) = (0, 0);
         for (_, peer) in candidates {
             before += 1;
-            reaching += usize::from(peer.digest.store != StoreAccess::CutOff);
+            reaching += usize::from(reaches(peer));
         }
-        before < MAX_CANDIDATES && reaching < WATCHERS_PER_ZONE
+        (before < MAX_CANDIDATES && reaching < WATCHERS_PER_ZONE).then_some(reaching)
     }
 
     /// Number of live peers that watch the store, and whose last call it answered.
@@ -68,6 +99,11 @@
     }
 }
 
+/// Whether the store answered a peer's last call, or the peer made none.
+fn reaches(peer: &Peer) -> bool {
+    !peer.digest.leaving && peer.digest.store != StoreAccess::CutOff
+}
+
 /// The position of an entry in the order in which those of a zone watch the store.
 fn order(address: Ipv4Addr) -> (u32, Ipv4Addr) {
     (digest::hash(&address.to_string()), address)
--- a/verbenaspool_soak/src/probe.rs
+++ b/verbenaspool_soak/src/probe.rs
@@ -165,12 +165,9 @@
             let Some(&accepted_at) = accepted.get(&answer.version) else {
                 continue;
             };
-            if self.is_disturbed_at(answer.entry, answer.sent_at) {
-                continue;
-            }
             let delay = answer.sent_at.saturating_duration_since(accepted_at);
             longest = longest.max(delay);
-            if delay > PROPAGATION_TIME {
+            if delay > PROPAGATION_TIME && !self.is_disturbed_at(answer.entry, answer.sent_at) {
                 late.push((delay, answer));
             }
         }
