Refuse nothing for good by a configuration that may be outdated

What callers saw: an entry that had just started answered 404 on routes and 401 for keys that had been added since the listing that it started from, which may be seconds old. Callers don't retry these. Cause: the entry is ready with that listing, and took it for the newest configuration until its next listing, 1 to 2 s later, or until the store answers again. Change: a configuration is confirmed once it, or an older one, was read from the store as it is now, or a peer with a confirmed one has no newer version. Until then requests that it doesn't allow are answered 503, which promises that they didn't run, with Retry-After 0.5 s. Entries with an unconfirmed configuration name no position of it to peers, and say so if one fetches it. A configuration that a peer confirms isn't fetched.

--- a/verbenaspool/src/direct/configuration.rs
+++ b/verbenaspool/src/direct/configuration.rs
@@ -2,10 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
+use http::StatusCode;
 use slog::{info, warn};
 use verbenaspool_platform::{configuration, store::Stored};
 
-use super::{gateway::Gateway, registry::Source};
+use super::{answer::Failure, gateway::Gateway, registry::Source};
+
+/// Retry-After of an entry that knows only an outdated configuration. It lists the newest one, or learns
+/// from a peer that it has it, 1 to 2 s after its start; another entry may know it at once.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl Gateway {
     /// Where the active configuration came from, and how long ago it was activated.
@@ -14,6 +19,34 @@
         (source, self.clock.now().saturating_sub(activated_at))
     }
 
+    /// Records that the active configuration was the newest one: it, or an older one, was just read from
+    /// the store, or a peer knows so.
+    pub fn confirm_configuration(&self) {
+        if !self.table_confirmed.replace(true) {
+            info!(self.log, "configuration confirmed"; "version" => self.table_version());
+        }
+    }
+
+    /// Confirms a configuration from an outdated listing by a peer whose confirmed one isn't newer, so
+    /// that it needn't be fetched.
+    pub fn confirm_configuration_by_peers(&self) {
+        let (now, version) = (self.clock.now(), self.table_version());
+        let is_confirmed = || self.peers.borrow().confirms_configuration(now, version);
+        if !self.table_confirmed.get() && version > 0 && is_confirmed() {
+            self.confirm_configuration();
+        }
+    }
+
+    /// The failure of a request that the active configuration doesn't allow. A newer one may allow it as
+    /// long as the active one isn't confirmed.
+    pub fn refusal(&self, status: StatusCode, reason: &'static str) -> Failure {
+        if self.table_confirmed.get() {
+            Failure::new(status, reason)
+        } else {
+            Failure::unavailable("outdated-configuration", UNCONFIRMED_RETRY_AFTER)
+        }
+    }
+
     /// Activates a configuration if it is newer than the active one.
     ///
     /// Its version decides, since an older copy of the store has an older one. Only of the same
--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -496,6 +496,9 @@
                     };
                     self.gateway.observe_configuration(&stored);
                     self.gateway.apply_configuration(&stored, source);
+                    if source != Source::OutdatedListing {
+                        self.gateway.confirm_configuration();
+                    }
                 }
             }
             Kind::Evacuations => {
--- a/verbenaspool/src/direct/gateway.rs
+++ b/verbenaspool/src/direct/gateway.rs
@@ -119,6 +119,9 @@
     pub table_object: RefCell<Option<Stored>>,
     /// Where the table came from, and when it was activated.
     pub(super) table_activation: Cell<(Source, Duration)>,
+    /// Whether the active configuration was known to be the newest one at some time, and isn't only from
+    /// a listing that may be outdated.
+    pub table_confirmed: Cell<bool>,
     /// The revision of the configuration that was read last, if it is invalid.
     pub invalid_configuration: Cell<Option<u64>>,
     /// The availability zones whose upstreams get no requests.
@@ -186,6 +189,7 @@
             closed: Cell::new(false),
             table_object: RefCell::default(),
             table_activation: Cell::default(),
+            table_confirmed: Cell::default(),
             invalid_configuration: Cell::default(),
             evacuations: RefCell::default(),
             kept_evacuations: RefCell::default(),
--- a/verbenaspool/src/direct/peers/catch_up.rs
+++ b/verbenaspool/src/direct/peers/catch_up.rs
@@ -166,6 +166,9 @@
     /// The era of the store that the revision of the configuration's object is of.
     #[serde(default)]
     configuration_era: u64,
+    /// Whether the configuration is only from a listing that may be outdated.
+    #[serde(default)]
+    configuration_outdated: bool,
     /// The revision of the registry.
     revision: u64,
     /// The era of the store that the revision, and `base`, are of.
@@ -212,7 +215,8 @@
     pub(super) fn versions(&self) -> Versions {
         let configuration = self.stored_configuration.borrow();
         let configuration = configuration.as_ref().map(Stored::position);
-        let configuration = configuration.unwrap_or_default();
+        let is_confirmed = self.table_confirmed.get();
+        let configuration = configuration.filter(|_| is_confirmed).unwrap_or_default();
         let registry = self.registry_provenance();
         let evacuations = self.evacuations.borrow().provenance();
         Versions {
@@ -239,6 +243,7 @@
         let mut update = Update {
             configuration: None,
             configuration_era: 0,
+            configuration_outdated: !self.table_confirmed.get(),
             revision: own.registry,
             era: own.registry_era,
             upstreams: None,
@@ -323,6 +328,9 @@
             let stored = Stored { object, era };
             self.observe_configuration(&stored);
             self.apply_configuration(&stored, from);
+            if !update.configuration_outdated {
+                self.confirm_configuration();
+            }
         }
         self.record_suspicions(&update.quarantined);
         let Some(upstreams) = update.upstreams else {
@@ -400,6 +408,7 @@
     loop {
         gateway.clock.sleep(CHECK_INTERVAL).await;
         let now = gateway.clock.now();
+        gateway.confirm_configuration_by_peers();
         gateway.confirm_registry();
         gateway.refute_registry();
         gateway.correct_registry();
--- a/verbenaspool/src/direct/peers/mod.rs
+++ b/verbenaspool/src/direct/peers/mod.rs
@@ -389,6 +389,16 @@
         same.max_by_key(|peer| (peer.position, peer.listed))
     }
 
+    /// Whether a live peer knows that no version after this one was the newest. Peers with an unconfirmed
+    /// configuration name no position of it.
+    #[must_use]
+    pub fn confirms_configuration(&self, now: Duration, version: u64) -> bool {
+        let mut peers = self.live_peers(now).map(|(_, peer)| &peer.digest);
+        peers.any(|digest| {
+            digest.configuration().is_known() && (1..=version).contains(&digest.table_version)
+        })
+    }
+
     /// Whether a peer's registry shows that this entry's is wrong.
     #[must_use]
     pub fn refutes_registry(&self, now: Duration, own: Provenance) -> bool {
--- a/verbenaspool/src/direct/peers/tests.rs
+++ b/verbenaspool/src/direct/peers/tests.rs
@@ -360,3 +360,24 @@
     assert_eq!(peers.watch_rank(now), 1);
     assert_eq!(peers.watch_rank(now + Duration::from_secs(4)), 0);
 }
+
+/// Guards against entries that refuse requests by an outdated configuration, and against fetching one that
+/// is known already.
+#[test]
+fn a_configuration_is_confirmed_by_peers_that_know_the_newest_one() {
+    let now = Duration::from_secs(1);
+    let confirms = |table_version, configuration_revision| {
+        let mut peers = peers();
+        let digest = Digest {
+            table_version,
+            configuration_revision,
+            ..digest(1)
+        };
+        peers.receive(now, peer(1), digest);
+        peers.confirms_configuration(now, 5)
+    };
+    assert!(confirms(5, 9) && confirms(4, 9));
+    assert!(!confirms(6, 9), "a newer one must be fetched");
+    assert!(!confirms(5, 0), "the peer's own is unconfirmed");
+    assert!(!confirms(0, 9), "the peer has none");
+}
--- a/verbenaspool/src/direct/request.rs
+++ b/verbenaspool/src/direct/request.rs
@@ -97,9 +97,10 @@
     record.record_table();
     let route = table
         .route(host(&parts).unwrap_or_default(), parts.uri.path())
-        .ok_or(Failure::new(StatusCode::NOT_FOUND, "no-route"))?
+        .ok_or_else(|| gateway.refusal(StatusCode::NOT_FOUND, "no-route"))?
         .clone();
-    let customer = authenticate(&table, &caller_headers, route.public)?;
+    let customer = authenticate(&table, &caller_headers, route.public)
+        .map_err(|status| gateway.refusal(status, "unknown-key"))?;
     let name = customer.map(|customer| customer.name.clone());
     let priority = customer.and_then(|customer| customer.priority);
     let max_bytes = table.limits.body_bytes;
@@ -183,18 +184,19 @@
     Some(host.split_once(':').map_or(host, |(host, _)| host))
 }
 
-/// Identifies the customer by the request's API key.
+/// Identifies the customer by the request's API key. Fails with the status for a request that needs one and
+/// has none that is known.
 fn authenticate<'a>(
     table: &'a Table,
     caller_headers: &header::Request,
     public: bool,
-) -> Result<Option<&'a Customer>, Failure> {
+) -> Result<Option<&'a Customer>, StatusCode> {
     let found = caller_headers
         .api_key
         .as_deref()
         .and_then(|key| table.customer(key));
     if found.is_none() && table.requires_api_key() && !public {
-        return Err(Failure::new(StatusCode::UNAUTHORIZED, "unknown-key"));
+        return Err(StatusCode::UNAUTHORIZED);
     }
     Ok(found.map(|customer| &**customer))
 }
