Test answers whose heads are cut short

Cause: another operator saw clients get 200 with an empty or short body, framed as whole, after an upstream had stopped in the middle of its answer's head and closed.

--- a/verbenaspool_agent/tests/agent/main.rs
+++ b/verbenaspool_agent/tests/agent/main.rs
@@ -2,6 +2,7 @@
 //! upstream.
 
 mod backoff;
+mod cut_head;
 mod fault;
 mod group;
 mod history;
