Call the store again at once after the first call without an answer

Change: calls wait 0.6 s, as watches do after their wait, and the time that the first call without an answer has waited counts as the delay after it. The outcome of the last call moves to a module of its own.

--- a/verbenaspool/src/direct/follow.rs
+++ b/verbenaspool/src/direct/follow.rs
@@ -28,10 +28,15 @@
     registry::{self, Snapshot, Source},
 };
 
+mod call;
 mod wait;
 
-use self::wait::{
-    BATCH_INTERVAL, BATCH_INTERVAL_PER_ENTRY, MAX_BATCH_INTERVAL, next_batch_interval, watch_wait,
+use self::{
+    call::Outcome,
+    wait::{
+        BATCH_INTERVAL, BATCH_INTERVAL_PER_ENTRY, MAX_BATCH_INTERVAL, next_batch_interval,
+        watch_wait,
+    },
 };
 
 /// Up to this wait of a watch, the next ones repeat it for [`MAX_WITHHELD_TIME`] if it brought no
@@ -93,7 +98,7 @@
     /// Whether the store answers, as far as is known.
     is_available: bool,
     /// What became of the last call to the store.
-    last_call: CallOutcome,
+    last_call: Outcome,
     /// How long an outdated registry waits for a peer's before its objects are listed next.
     next_listing: Duration,
     /// When watches were answered without changes lately, and the positions that the answers named.
@@ -111,19 +116,6 @@
     batch_interval: Duration,
 }
 
-/// What became of a call to the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallOutcome {
-    /// It was answered.
-    Answered,
-    /// It was the first watch after an answer that was cut off.
-    CutOff,
-    /// It was the first watch after an answer that got none in time.
-    Unanswered,
-    /// It failed, or was another watch without an answer.
-    Failed,
-}
-
 /// Why a watch has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WatchEnd {
@@ -142,7 +134,7 @@
             relist,
             position: Position::default(),
             is_available: false,
-            last_call: CallOutcome::Answered,
+            last_call: Outcome::Answered,
             next_listing: MAX_OUTDATED_TIME,
             unchanged: VecDeque::new(),
             history_losses: 0,
@@ -207,6 +199,7 @@
         }
         self.gateway.store.era.learn(self.watch_position().era);
         let history_losses = self.gateway.history_losses.get();
+        let started = self.gateway.clock.now();
         let listing = self
             .gateway
             .store
@@ -238,7 +231,8 @@
                 stale || !self.is_surpassed(position)
             }
             Err(why) => {
-                self.back_off(&why).await;
+                let waited = self.gateway.clock.now().saturating_sub(started);
+                self.back_off(&why, waited).await;
                 false
             }
         }
@@ -341,7 +335,8 @@
                 Ok(WatchOutcome::HistoryExpired) => {
                     info!(self.gateway.log, "store has compacted its history; listing all objects";
                         "kind" => self.kind.object_kind(), "revision" => from.revision);
-                    self.gateway.record_store_answer(self.lacks_answer());
+                    self.gateway
+                        .record_store_answer(self.last_call.lacks_answer());
                     if is_current {
                         self.report_history_loss();
                     }
@@ -351,7 +346,7 @@
                 Err(why) => {
                     let waited = self.gateway.clock.now().saturating_sub(started);
                     self.record_failed_watch(from, [wait, waited], &why);
-                    self.on_watch_failed(&why, waited < wait).await;
+                    self.on_watch_failed(&why, waited, waited < wait).await;
                 }
             }
         }
@@ -360,7 +355,7 @@
     /// How long the next watch waits. One that follows a call without an answer doesn't wait, to know soon
     /// whether the store answers again.
     fn next_wait(&self) -> Duration {
-        if self.lacks_answer() {
+        if self.last_call.lacks_answer() {
             return Duration::ZERO;
         }
         let now = self.gateway.clock.now();
@@ -455,16 +450,16 @@
     /// Handles a failed watch, which was cut off or got no answer in time. The store may cut off one that
     /// is waiting at any time, and a connection may go silent; only the next call shows whether the
     /// store is unavailable: upstreams that are missing after an outage are kept.
-    async fn on_watch_failed(&mut self, why: &Error, was_cut_off: bool) {
-        if self.last_call != CallOutcome::Answered {
-            return self.back_off(why).await;
+    async fn on_watch_failed(&mut self, why: &Error, waited: Duration, was_cut_off: bool) {
+        if self.last_call != Outcome::Answered {
+            return self.back_off(why, waited).await;
         }
         if !was_cut_off {
-            self.set_last_call(CallOutcome::Unanswered);
+            self.set_last_call(Outcome::Unanswered);
             self.gateway.renew_watches.notify_waiters();
             return;
         }
-        self.set_last_call(CallOutcome::CutOff);
+        self.set_last_call(Outcome::CutOff);
         let now = self.gateway.clock.now();
         self.gateway.outage.borrow_mut().record_contact(now);
         info!(self.gateway.log, "watch cut off; watching again";
@@ -546,8 +541,9 @@
         let silence = before.map(|at| now.saturating_sub(at).as_secs_f64() * 1e3);
         self.gateway.observe_store_era();
         self.gateway.log_unnamed_objects();
-        self.gateway.record_store_answer(self.lacks_answer());
-        self.set_last_call(CallOutcome::Answered);
+        self.gateway
+            .record_store_answer(self.last_call.lacks_answer());
+        self.set_last_call(Outcome::Answered);
         self.retry_interval = RETRY_INTERVALS[0];
         if !std::mem::replace(&mut self.is_available, true) {
             info!(self.gateway.log, "store reachable";
@@ -555,19 +551,10 @@
         }
     }
 
-    /// Whether the store didn't answer the last call, as far as this entry can tell. A watch that was cut off
-    /// tells nothing.
-    fn lacks_answer(&self) -> bool {
-        matches!(
-            self.last_call,
-            CallOutcome::Unanswered | CallOutcome::Failed
-        )
-    }
-
     /// Records what became of the last call to the store.
-    fn set_last_call(&mut self, outcome: CallOutcome) {
+    fn set_last_call(&mut self, outcome: Outcome) {
         let before = std::mem::replace(&mut self.last_call, outcome);
-        let [failed_before, fails] = [before, outcome].map(|call| call == CallOutcome::Failed);
+        let [failed_before, fails] = [before, outcome].map(|call| call == Outcome::Failed);
         if fails != failed_before {
             let count = &self.gateway.failing_followers;
             count.set(if fails {
@@ -578,9 +565,11 @@
         }
     }
 
-    /// Records a failed call to the store, and waits before the next one.
-    async fn back_off(&mut self, why: &Error) {
-        self.set_last_call(CallOutcome::Failed);
+    /// Records a call to the store that failed after some time, and waits before the next one. After the
+    /// first failure that time counts as part of the delay.
+    async fn back_off(&mut self, why: &Error, waited: Duration) {
+        let is_first = self.last_call != Outcome::Failed;
+        self.set_last_call(Outcome::Failed);
         self.listing_interval = LISTING_INTERVALS[0];
         if std::mem::replace(&mut self.is_available, false) {
             let now = self.gateway.clock.now();
@@ -591,7 +580,9 @@
         }
         let retry_interval = self.retry_interval;
         self.retry_interval = (retry_interval * 2).min(RETRY_INTERVALS[1]);
-        self.gateway.clock.sleep(retry_interval).await;
+        let elapsed = if is_first { waited } else { Duration::ZERO };
+        let delay = retry_interval.saturating_sub(elapsed);
+        self.gateway.clock.sleep(delay).await;
     }
 }
 
--- a/verbenaspool/src/direct/run.rs
+++ b/verbenaspool/src/direct/run.rs
@@ -34,7 +34,7 @@
 /// Timeout of calls to the store, not counting the wait of a watch. The store answers within
 /// milliseconds, or some hundred milliseconds if it is slow. An entry that has started lists the newest
 /// configuration after 2 s at the latest, and must have it after 3 s, also if a first answer is lost.
-const STORE_TIMEOUT: Duration = Duration::from_millis(800);
+const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// How often queued requests are processed and signals are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
