--- a/verbenaspool_soak/src/main.rs
+++ b/verbenaspool_soak/src/main.rs
@@ -221,24 +221,8 @@
         .iter()
         .flat_map(|process| process.crashes());
     let crashes: Vec<_> = crashes.collect();
-    deployment
-        .checks
-        .counts
-        .borrow_mut()
-        .insert("crashes", crashes.len() as u64);
-    let most_resident = deployment.checks.most_resident_kb.get();
-    deployment
-        .checks
-        .counts
-        .borrow_mut()
-        .insert("kB of the largest entry", most_resident);
+    record_totals(&deployment, crashes.len());
     deployment.checks.check_crashes(crashes.into_iter());
-    let calls = deployment.store.calls.get();
-    deployment
-        .checks
-        .counts
-        .borrow_mut()
-        .insert("calls to the store", calls);
     deployment.check_limits();
     deployment.check_notices();
     deployment.checks.check_configurations();
@@ -251,6 +235,15 @@
     Ok(violations)
 }
 
+/// Records what is counted over the whole run.
+fn record_totals(deployment: &Deployment, crashes: usize) {
+    let checks = &deployment.checks;
+    let mut counts = checks.counts.borrow_mut();
+    counts.insert("crashes", crashes as u64);
+    counts.insert("kB of the largest entry", checks.most_resident_kb.get());
+    counts.insert("calls to the store", deployment.store.calls.get());
+}
+
 /// The kinds of faults of a run.
 fn fault_kinds(options: &Options) -> Vec<u32> {
     let mut kinds = options.faults.clone();
