Give test processes with one network different addresses

Cause: addresses of two test processes whose ids differ by a multiple of 120 were the same but for their port, and tests of the path use the fixed peer port 33000 on them. Entries of the second process didn't start ("the condition did not become true"), as seen in two of some hundred runs of several processes at a time. Change: the first addresses of such processes are 4,000 apart. Processes whose ids differ by other multiples may still share some addresses, seldom.

--- a/verbenaspool_standin/src/address.rs
+++ b/verbenaspool_standin/src/address.rs
@@ -12,6 +12,10 @@
 /// Number of loopback networks, of which each process uses one.
 const NETWORKS: u32 = 120;
 
+/// Number of blocks of 250 addresses that lie between the first ones of processes with one network. Tests
+/// use fixed ports besides those from here, which two such processes would share.
+const BLOCKS_PER_PROCESS: u32 = 16;
+
 /// Number of the next address that this process allocates.
 static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
 
@@ -32,7 +36,8 @@
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
     let process = process::id();
     let network = 128 + (process % NETWORKS) as u8;
-    let host = [(number / 250 % 250) as u8, (number % 250) as u8 + 1];
+    let block = number / 250 + process / NETWORKS * BLOCKS_PER_PROCESS;
+    let host = [(block % 250) as u8, (number % 250) as u8 + 1];
     let port = PORTS.start + process / NETWORKS % (PORTS.end - PORTS.start);
     ([127, network, host[0], host[1]], port as u16).into()
 }
