--- a/verbenaspool_soak/src/probe.rs
+++ b/verbenaspool_soak/src/probe.rs
@@ -49,7 +49,7 @@
     Moved,
 }
 
-const PROBES: [Probe; 4] = [Probe::Added, Probe::Dropped, Probe::Revoked, Probe::Moved];
+const PROBE_KINDS: [Probe; 4] = [Probe::Added, Probe::Dropped, Probe::Revoked, Probe::Moved];
 
 impl Probe {
     /// The path and API key of a request, with this newest version.
@@ -95,7 +95,7 @@
         while Instant::now() < deadline {
             sent += 1;
             let id = format!("p{}-{sent}", self.number);
-            let probe = PROBES[self.rng.random_range(0..PROBES.len())];
+            let probe = PROBE_KINDS[self.rng.random_range(0..PROBE_KINDS.len())];
             self.probe(probe, &id).await;
             let pause = self.rng.random_range(PAUSE_MS);
             monoio::time::sleep(Duration::from_millis(pause)).await;
