--- a/review/standin-2/slow_rank.rs
+++ b/review/standin-2/slow_rank.rs
@@ -18,7 +18,7 @@
 };
 
 const RANKS: usize = 6;
-const CLIENTS: usize = 36;
+const CLIENTS: usize = 54;
 
 /// After the requests are sent, and before the first events.
 const SLOW_AFTER: Duration = Duration::from_millis(60);
@@ -181,7 +181,7 @@
 
 /// Opens a channel and sends a first stream on it, as a channel is kept for many requests.
 fn warm_up(listen: SocketAddr, number: usize) -> Option<Channel> {
-    thread::sleep(Duration::from_millis(100) * u32::try_from(number).unwrap_or(0));
+    thread::sleep(Duration::from_millis(70) * u32::try_from(number).unwrap_or(0));
     let mut channel = Channel::open(listen).ok()?;
     send(&mut channel, &format!("first-{number}"))?;
     let answer = channel.receive(PATIENCE).ok()?;
